Set up workspaces and the interfaces between packages

Cause: an empty repository. The inner protocol (trpc routers and zod schemas), the engine and platform interfaces, the service document's schema and the shared error vocabulary come first, so that the packages can be written side by side against them.

--- /dev/null
+++ b/packages/document/src/index.ts
@@ -0,0 +1,13 @@
+export {
+  acceptedDocumentSchema,
+  modelSchema,
+  routeSchema,
+  serviceDocumentSchema,
+  targetsSchema,
+  trafficClassSchema,
+  weightsSchema,
+  type AcceptedDocument,
+  type Route,
+  type ServiceDocument,
+  type TrafficClass,
+} from './documentSchema';
--- /dev/null
+++ b/packages/engine/src/index.ts
@@ -0,0 +1,14 @@
+export type {
+  CacheEvent,
+  DecodeInput,
+  EngineApi,
+  EngineChunk,
+  EngineError,
+  EngineHolding,
+  EngineLoad,
+  ImportInput,
+  ImportProgress,
+  PrefillInput,
+  PrefillResult,
+  ResumeInput,
+} from './engineApi';
--- /dev/null
+++ b/packages/protocol/src/ids.ts
@@ -0,0 +1,21 @@
+/** Identifiers and small enumerations that cross process boundaries. */
+import { z } from 'zod';
+
+export const identifierSchema = z.string().min(1).max(200);
+
+/** One try to run a request on one backend server. The answer must echo it. */
+export const attemptIdSchema = identifierSchema;
+export type AttemptId = z.infer<typeof attemptIdSchema>;
+
+/** What an engine does for model requests; `both` also serves as a decode worker. */
+export const workerRoles = { prefill: 'prefill', decode: 'decode', both: 'both', plain: 'plain' } as const;
+export const workerRoleSchema = z.enum(['prefill', 'decode', 'both', 'plain']);
+export type WorkerRole = z.infer<typeof workerRoleSchema>;
+
+/** Who asks: used for fairness, limits and metrics. */
+export const requestOriginSchema = z.object({
+  institution: identifierSchema,
+  workspace: identifierSchema.optional(),
+  className: identifierSchema,
+});
+export type RequestOrigin = z.infer<typeof requestOriginSchema>;
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,69 @@
+export {
+  attemptIdSchema,
+  identifierSchema,
+  requestOriginSchema,
+  workerRoleSchema,
+  workerRoles,
+  type AttemptId,
+  type RequestOrigin,
+  type WorkerRole,
+} from './ids';
+export { loadHintSchema, type LoadHint } from './load';
+export {
+  agentRefusalReasonSchema,
+  agentRefusalReasons,
+  agentRefusalSchema,
+  attemptReferenceSchema,
+  bidRequestSchema,
+  bidSchema,
+  heartbeatReplySchema,
+  heartbeatSchema,
+  kvSourceSchema,
+  notRunSchema,
+  prefillReplySchema,
+  prefillRequestSchema,
+  reserveReplySchema,
+  reserveRequestSchema,
+  streamRequestSchema,
+  type AgentRefusal,
+  type AgentRefusalReason,
+  type AttemptReference,
+  type Bid,
+  type BidRequest,
+  type Heartbeat,
+  type HeartbeatReply,
+  type KvSource,
+  type PrefillReply,
+  type PrefillRequest,
+  type ReserveReply,
+  type ReserveRequest,
+  type StreamRequest,
+} from './agentMessages';
+export { finishReasonSchema, streamFrameSchema, type FinishReason, type StreamFrame } from './streamFrame';
+export {
+  engineOrderSchema,
+  orderReplySchema,
+  orderRequestSchema,
+  workerStateSchema,
+  type EngineOrder,
+  type OrderReply,
+  type OrderRequest,
+  type WorkerState,
+} from './orderMessages';
+export { createAgentRouter, type AgentHandlers, type AgentRouter } from './agentRouter';
+export {
+  feedKindSchema,
+  feedKinds,
+  feedRecordSchema,
+  feedReplySchema,
+  feedRequestSchema,
+  strikeSchema,
+  type FeedKind,
+  type FeedRecord,
+  type FeedReply,
+  type FeedRequest,
+  type Strike,
+} from './entryMessages';
+export { createEntryRouter, type EntryHandlers, type EntryRouter } from './entryRouter';
+export { callerHeaders, hopByHopHeaders, innerHeaders, innerPaths } from './http';
+export { blockTokens, estimateTokens, prefixBlockHashes } from './prompt';
--- /dev/null
+++ b/packages/protocol/src/orderMessages.ts
@@ -0,0 +1,41 @@
+/** Orders to engines, guarded by the fencing number of the duty lease that their sender holds. */
+import { z } from 'zod';
+import { identifierSchema, workerRoleSchema } from './ids';
+
+export const engineOrderSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('load-model'), model: identifierSchema, version: identifierSchema }),
+  z.object({ kind: z.literal('load-adapter'), model: identifierSchema, adapter: identifierSchema }),
+  z.object({ kind: z.literal('unload-adapter'), model: identifierSchema, adapter: identifierSchema }),
+  z.object({ kind: z.literal('set-role'), role: workerRoleSchema }),
+]);
+export type EngineOrder = z.infer<typeof engineOrderSchema>;
+
+export const orderRequestSchema = z.object({
+  service: identifierSchema,
+  holderId: identifierSchema,
+  fencingNumber: z.number().int().positive(),
+  /** Remaining validity of the holder's lease when it sent the order. */
+  validForMs: z.number().nonnegative(),
+  order: engineOrderSchema,
+});
+export type OrderRequest = z.infer<typeof orderRequestSchema>;
+
+export const orderReplySchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('done') }),
+  z.object({ kind: z.literal('stale'), highestFencingNumber: z.number().int().nonnegative() }),
+  z.object({ kind: z.literal('expired') }),
+  z.object({ kind: z.literal('not-ready'), detail: z.string() }),
+  z.object({ kind: z.literal('failed'), detail: z.string(), effect: z.enum(['none', 'unknown']) }),
+]);
+export type OrderReply = z.infer<typeof orderReplySchema>;
+
+/** What runs on a worker now, for the holder's reconciliation. */
+export const workerStateSchema = z.object({
+  incarnation: identifierSchema,
+  role: workerRoleSchema,
+  models: z.array(z.object({ model: identifierSchema, version: identifierSchema })),
+  adapters: z.array(z.object({ model: identifierSchema, adapter: identifierSchema })),
+  highestFencingNumber: z.number().int().nonnegative(),
+  leaving: z.boolean(),
+});
+export type WorkerState = z.infer<typeof workerStateSchema>;
--- /dev/null
+++ b/packages/shared/src/hash.ts
@@ -0,0 +1,35 @@
+/** Non-cryptographic 64-bit hashing (xxHash) and rendezvous ordering. */
+import xxhash from 'xxhash-wasm';
+
+const hasher = await xxhash();
+
+export function hash64(text: string): bigint {
+  return hasher.h64(text);
+}
+
+/** Fixed-width hexadecimal form, for keys in messages. */
+export function hash64Hex(text: string): string {
+  return hash64(text).toString(16).padStart(16, '0');
+}
+
+/**
+ * Rendezvous (highest random weight) order of `members` for `key`: removing a member moves only the
+ * keys that it held.
+ */
+export function rendezvousOrder<Member>(
+  key: string,
+  members: readonly Member[],
+  idOf: (member: Member) => string,
+): Member[] {
+  return members
+    .map((member) => ({ member, weight: hash64(`${key}\u0000${idOf(member)}`) }))
+    .sort((left, right) => compareDescending(left.weight, right.weight))
+    .map(({ member }) => member);
+}
+
+function compareDescending(left: bigint, right: bigint): number {
+  if (left === right) {
+    return 0;
+  }
+  return left > right ? -1 : 1;
+}
--- /dev/null
+++ b/packages/shared/src/index.ts
@@ -0,0 +1,25 @@
+export {
+  assertNever,
+  createRefusal,
+  invariant,
+  refusalReasons,
+  type NotRun,
+  type Refusal,
+  type RefusalOptions,
+  type RefusalReason,
+} from './refusal';
+export { formatFinding, formatFindings, type Finding, type FindingPlace } from './finding';
+export {
+  environmentName,
+  exitCodes,
+  flagName,
+  loadSettingsOrExit,
+  resolveSettings,
+  type LoadSettingsOptions,
+  type SettingDefinition,
+  type SettingDefinitions,
+  type SettingValues,
+} from './settings';
+export { hash64, hash64Hex, rendezvousOrder } from './hash';
+export { createSeededRandom, type Random } from './random';
+export { delay, monotonicNowMs } from './clock';
--- /dev/null
+++ b/packages/shared/src/settings.ts
@@ -0,0 +1,121 @@
+/**
+ * Settings of a binary: each is a flag and a `BLUEBELL_*` environment variable, checked by a schema
+ * at the start. All findings are reported together.
+ */
+import meow from 'meow';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import type { Finding } from './finding';
+import { formatFindings } from './finding';
+
+/** Exit code for invalid settings or arguments. */
+export const exitCodes = { ok: 0, failure: 1, invalidSettings: 2 } as const;
+
+export interface SettingDefinition<Schema extends z.ZodType = z.ZodType> {
+  /** Parses the flag's or variable's text; use `z.coerce` for numbers. */
+  schema: Schema;
+  /** One sentence for `--help`, with the unit. */
+  description: string;
+  /** Text form of the default; absent means required, unless the schema accepts `undefined`. */
+  defaultText?: string;
+}
+
+export type SettingDefinitions = Record<string, SettingDefinition>;
+
+export type SettingValues<Definitions extends SettingDefinitions> = {
+  [Name in keyof Definitions]: z.infer<Definitions[Name]['schema']>;
+};
+
+export interface LoadSettingsOptions<Definitions extends SettingDefinitions> {
+  binaryName: string;
+  version: string;
+  description: string;
+  definitions: Definitions;
+  argv?: readonly string[];
+  env?: Readonly<Record<string, string | undefined>>;
+}
+
+/** Reads flags first, then environment variables, then defaults. */
+export function resolveSettings<Definitions extends SettingDefinitions>(
+  options: LoadSettingsOptions<Definitions>,
+): Result<SettingValues<Definitions>, Finding[]> {
+  const env = options.env ?? process.env;
+  const flags = parseFlags(options);
+  const entries = Object.entries(options.definitions).map(([name, definition]) => {
+    const text = flags[name] ?? env[environmentName(name)] ?? definition.defaultText;
+    const parsed = definition.schema.safeParse(text === '' ? undefined : text);
+    return { name, parsed };
+  });
+  const findings = entries.flatMap(({ name, parsed }) =>
+    parsed.success ? [] : parsed.error.issues.map((issue) => settingFinding(name, issue.message)),
+  );
+  const unknown = unknownFlags(options, flags);
+  if (findings.length > 0 || unknown.length > 0) {
+    return err([...findings, ...unknown]);
+  }
+  const values = Object.fromEntries(entries.map(({ name, parsed }) => [name, parsed.data]));
+  return ok(values as SettingValues<Definitions>);
+}
+
+/** `resolveSettings` for a binary's entry point: prints all findings and exits with code 2. */
+export function loadSettingsOrExit<Definitions extends SettingDefinitions>(
+  options: LoadSettingsOptions<Definitions>,
+): SettingValues<Definitions> {
+  const settings = resolveSettings(options);
+  if (settings.isErr()) {
+    process.stderr.write(`${options.binaryName}: invalid settings\n`);
+    process.stderr.write(`${formatFindings(settings.error)}\n`);
+    process.exit(exitCodes.invalidSettings);
+  }
+  return settings.value;
+}
+
+/** `innerPort` becomes `BLUEBELL_INNER_PORT`. */
+export function environmentName(settingName: string): string {
+  return `BLUEBELL_${settingName.replace(/[A-Z]/g, (letter) => `_${letter}`).toUpperCase()}`;
+}
+
+/** `innerPort` becomes `--inner-port`. */
+export function flagName(settingName: string): string {
+  return `--${settingName.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`;
+}
+
+function settingFinding(name: string, message: string): Finding {
+  return { path: `${flagName(name)} (${environmentName(name)})`, message };
+}
+
+function parseFlags<Definitions extends SettingDefinitions>(
+  options: LoadSettingsOptions<Definitions>,
+): Record<string, string | undefined> {
+  const flags = Object.fromEntries(
+    Object.keys(options.definitions).map((name) => [name, { type: 'string' as const }]),
+  );
+  const cli = meow(helpText(options), {
+    importMeta: import.meta,
+    argv: options.argv ?? process.argv.slice(2),
+    flags,
+    description: options.description,
+    pkg: { name: options.binaryName, version: options.version },
+    version: options.version,
+  });
+  return cli.flags as Record<string, string | undefined>;
+}
+
+function unknownFlags<Definitions extends SettingDefinitions>(
+  options: LoadSettingsOptions<Definitions>,
+  flags: Record<string, unknown>,
+): Finding[] {
+  return Object.keys(flags)
+    .filter((name) => !(name in options.definitions))
+    .map((name) => ({ path: flagName(name), message: 'unknown setting' }));
+}
+
+function helpText<Definitions extends SettingDefinitions>(
+  options: LoadSettingsOptions<Definitions>,
+): string {
+  const rows = Object.entries(options.definitions).map(([name, definition]) => {
+    const fallback = definition.defaultText === undefined ? '' : ` [${definition.defaultText}]`;
+    return `  ${flagName(name)}, ${environmentName(name)}\n      ${definition.description}${fallback}`;
+  });
+  return [`Usage: ${options.binaryName} [flags]`, '', ...rows].join('\n');
+}
