--- /dev/null
+++ b/packages/shared/__tests__/settings.test.ts
@@ -0,0 +1,45 @@
+import test from 'ava';
+import { z } from 'zod';
+import { environmentName, flagName, formatFindings, resolveSettings } from '@bluebellhitch/shared';
+
+const definitions = {
+  innerPort: {
+    schema: z.coerce.number().int().min(0).max(65_535),
+    description: 'Port of the inner protocol.',
+    defaultText: '0',
+  },
+  platformUrl: { schema: z.url(), description: 'Address of the platform.' },
+  instanceId: { schema: z.string().min(1), description: 'Name of this instance.' },
+};
+
+function resolve(argv: string[], env: Record<string, string> = {}) {
+  return resolveSettings({
+    binaryName: 'bluebell-sample',
+    version: '0.0.0',
+    description: 'A sample.',
+    definitions,
+    argv,
+    env,
+  });
+}
+
+test('a flag goes before the environment, and the environment before the default', (t) => {
+  const env = { BLUEBELL_PLATFORM_URL: 'http://127.0.0.1:1', BLUEBELL_INSTANCE_ID: 'from-env' };
+  const settings = resolve(['--instance-id', 'from-flag'], env)._unsafeUnwrap();
+  t.deepEqual(settings, { innerPort: 0, platformUrl: 'http://127.0.0.1:1', instanceId: 'from-flag' });
+});
+
+test('all findings are reported together, each with the name of its setting', (t) => {
+  const findings = resolve(['--inner-port', '70000', '--colour', 'red'])._unsafeUnwrapErr();
+  const text = formatFindings(findings);
+  t.is(findings.length, 4);
+  t.regex(text, /--inner-port \(BLUEBELL_INNER_PORT\)/);
+  t.regex(text, /--platform-url \(BLUEBELL_PLATFORM_URL\)/);
+  t.regex(text, /--instance-id/);
+  t.regex(text, /--colour: unknown setting/);
+});
+
+test('names of flags and variables follow the name of the setting', (t) => {
+  t.is(environmentName('kvLinkRate'), 'BLUEBELL_KV_LINK_RATE');
+  t.is(flagName('kvLinkRate'), '--kv-link-rate');
+});
