--- /dev/null
+++ b/packages/telemetry/__tests__/processLifecycle.test.ts
@@ -0,0 +1,114 @@
+import { EventEmitter } from 'node:events';
+import { PassThrough } from 'node:stream';
+import { setImmediate } from 'node:timers/promises';
+import test from 'ava';
+import { installProcessLifecycle, type StopKind } from '@bluebellhitch/telemetry';
+
+function createFakeProcess(env: Record<string, string> = {}) {
+  const emitter = new EventEmitter();
+  const exitCodes: number[] = [];
+  const stdin = new PassThrough();
+  return {
+    emitter,
+    exitCodes,
+    stdin,
+    process: {
+      env,
+      stdin,
+      on: (event: string, listener: (...values: unknown[]) => void) => emitter.on(event, listener),
+      exit: (code: number) => void exitCodes.push(code),
+    },
+  };
+}
+
+test('the first signal stops gracefully with exit code 0', async (t) => {
+  const fake = createFakeProcess();
+  const stops: StopKind[] = [];
+  installProcessLifecycle({
+    process: fake.process,
+    onStop: async (kind) => void stops.push(kind),
+  });
+  fake.emitter.emit('SIGTERM');
+  await setImmediate();
+
+  t.deepEqual(stops, ['graceful']);
+  t.deepEqual(fake.exitCodes, [0]);
+});
+
+test('a second signal forces a stop that drains too long', async (t) => {
+  // An operator stops a process whose last stream never ends: the graceful stop waits for it, and the
+  // second signal must end the process, once, and tell by its exit code that work was cut off.
+  const fake = createFakeProcess();
+  const stops: StopKind[] = [];
+  const drained = new EventEmitter();
+  installProcessLifecycle({
+    process: fake.process,
+    onStop: async (kind) => {
+      stops.push(kind);
+      if (kind === 'graceful') {
+        await new Promise((resolve) => drained.once('drained', resolve));
+      }
+    },
+  });
+  fake.emitter.emit('SIGTERM');
+  fake.emitter.emit('SIGTERM');
+  fake.emitter.emit('SIGTERM');
+  await setImmediate();
+  drained.emit('drained');
+  await setImmediate();
+
+  t.deepEqual(stops, ['graceful', 'forced']);
+  t.deepEqual(fake.exitCodes, [1]);
+});
+
+test('an unhandled error stops at once with exit code 1', async (t) => {
+  const fake = createFakeProcess();
+  const stops: StopKind[] = [];
+  installProcessLifecycle({
+    process: fake.process,
+    onStop: async (kind) => void stops.push(kind),
+  });
+  fake.emitter.emit('uncaughtException', new Error('defect'));
+  await setImmediate();
+
+  t.deepEqual(stops, ['forced']);
+  t.deepEqual(fake.exitCodes, [1]);
+});
+
+test('a stop that fails exits with code 1', async (t) => {
+  const fake = createFakeProcess();
+  installProcessLifecycle({
+    process: fake.process,
+    onStop: () => Promise.reject(new Error('socket')),
+  });
+  fake.emitter.emit('SIGTERM');
+  await setImmediate();
+
+  t.deepEqual(fake.exitCodes, [1]);
+});
+
+test('the end of the standard input stops the process where the setting asks for it', async (t) => {
+  // The start script is killed by SIGKILL and can stop nothing any more. The kernel ends the pipe it
+  // held, and each child must leave by itself; without it a dozen processes would stay behind.
+  const fake = createFakeProcess({ BLUEBELL_EXIT_ON_STDIN_END: 'true' });
+  const stops: StopKind[] = [];
+  installProcessLifecycle({
+    process: fake.process,
+    onStop: async (kind) => void stops.push(kind),
+  });
+  fake.stdin.end();
+  await new Promise((resolve) => fake.stdin.once('close', resolve));
+  await setImmediate();
+
+  t.deepEqual(stops, ['forced']);
+  t.deepEqual(fake.exitCodes, [0]);
+});
+
+test('without the setting the standard input is left alone', async (t) => {
+  const fake = createFakeProcess();
+  installProcessLifecycle({ process: fake.process, onStop: async () => undefined });
+  fake.stdin.end();
+  await setImmediate();
+
+  t.deepEqual(fake.exitCodes, []);
+});
--- /dev/null
+++ b/packages/telemetry/src/adminServer.ts
@@ -0,0 +1,77 @@
+/** The admin port of a process: health, metrics and decision records, for operators only. */
+import type { AddressInfo } from 'node:net';
+import type { Server } from 'node:http';
+import { serve } from '@hono/node-server';
+import { Hono } from 'hono';
+import type { DecisionRing } from './decisionRing';
+import type { RenderedMetrics } from './metrics';
+
+export interface AdminServerOptions {
+  host: string;
+  /** 0 takes a free port. */
+  port: number;
+  metrics: RenderedMetrics;
+  ring: DecisionRing;
+  /** Whether the process takes new work; answers `/readyz`. */
+  isReady: () => boolean;
+  /** Whether the process works at all; answers `/livez`. */
+  isLive?: () => boolean;
+  /** Further `GET` paths, such as `/debug/config`; each answers with its value as JSON. */
+  routes?: Record<string, () => unknown>;
+}
+
+export interface AdminServer {
+  /** `http://ip:port`. */
+  address: string;
+  close(): Promise<void>;
+}
+
+const defaultRecentCount = 50;
+
+/** Starts the admin server; rejects where the port is taken. */
+export async function startAdminServer(options: AdminServerOptions): Promise<AdminServer> {
+  const app = createAdminApp(options);
+  const server = await listen(app, options);
+  const { address, port } = server.address() as AddressInfo;
+  return { address: `http://${address}:${port}`, close: () => closeServer(server) };
+}
+
+function createAdminApp(options: AdminServerOptions): Hono {
+  const { metrics, ring, isReady, isLive = () => true, routes = {} } = options;
+  const app = new Hono();
+  app.get('/livez', (context) => (isLive() ? context.text('ok') : context.text('not live', 503)));
+  app.get('/readyz', (context) =>
+    isReady() ? context.text('ok') : context.text('not ready', 503),
+  );
+  app.get('/metrics', async (context) =>
+    context.body(await metrics.render(), 200, { 'content-type': metrics.contentType }),
+  );
+  app.get('/debug/decisions', (context) => {
+    const count = Number(context.req.query('count') ?? defaultRecentCount);
+    return context.json(ring.recent(Number.isInteger(count) ? count : defaultRecentCount));
+  });
+  app.get('/debug/decisions/:id', (context) => {
+    const record = ring.find(context.req.param('id'));
+    return record === undefined ? context.json({ title: 'not found' }, 404) : context.json(record);
+  });
+  Object.entries(routes).forEach(([path, read]) => {
+    app.get(path, async (context) => context.json((await read()) as object));
+  });
+  return app;
+}
+
+function listen(app: Hono, options: AdminServerOptions): Promise<Server> {
+  return new Promise((resolve, reject) => {
+    const server = serve({ fetch: app.fetch, hostname: options.host, port: options.port }, () =>
+      resolve(server),
+    ) as Server;
+    server.once('error', reject);
+  });
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
--- /dev/null
+++ b/packages/telemetry/src/metrics.ts
@@ -0,0 +1,245 @@
+/**
+ * Metrics of entries and agents, in the Prometheus format by prom-client. Each set of metrics has its
+ * own registry, so that two can live in one test process.
+ */
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+import type { AgentRefusalReason } from '@bluebellhitch/protocol';
+import type { RefusalReason } from '@bluebellhitch/shared';
+import {
+  byteDirections,
+  claimOutcomes,
+  droppedFrameCauses,
+  leaseStates,
+  retryCauses,
+  wastedPrefillCauses,
+  type ByteDirection,
+  type ClaimOutcome,
+  type DroppedFrameCause,
+  type LeaseState,
+  type RequestOutcome,
+  type RequestPhase,
+  type RetryCause,
+  type WastedPrefillCause,
+} from './metricValues';
+import { createServiceLabels, type LabelledService, type RequestLabels } from './serviceLabels';
+
+/** What the admin server needs of any set of metrics. */
+export interface RenderedMetrics {
+  contentType: string;
+  render(): Promise<string>;
+}
+
+/** Metrics that entries and agents share. */
+export interface CommonMetrics extends RenderedMetrics {
+  /** Makes a document's service, institution and classes known as label values. */
+  describeService(service: LabelledService): void;
+  forgetService(serviceName: string): void;
+  observePhase(phase: RequestPhase, labels: RequestLabels, durationMs: number): void;
+  countPrefillTokens(tokenCount: number): void;
+  countWastedPrefillTokens(cause: WastedPrefillCause, tokenCount: number): void;
+  countRefusal(reason: RefusalReason | AgentRefusalReason): void;
+  countDroppedFrame(cause: DroppedFrameCause): void;
+  countControlBytes(direction: ByteDirection, byteCount: number): void;
+  setConfigurationGeneration(serviceName: string, generation: number): void;
+}
+
+export interface EntryMetrics extends CommonMetrics {
+  countRequest(labels: RequestLabels, outcome: RequestOutcome): void;
+  /** Counts a request that completed within both latency targets. */
+  countGoodput(labels: RequestLabels): void;
+  countClaim(outcome: ClaimOutcome): void;
+  countRetry(cause: RetryCause): void;
+}
+
+export interface AgentMetrics extends CommonMetrics {
+  /** Sets how many leases are in a state. */
+  setLeases(state: LeaseState, count: number): void;
+}
+
+const requestLabelNames = ['service', 'institution', 'class'] as const;
+const msPerSecond = 1000;
+
+/** Fine around the usual targets: 28 ms between tokens and 620 ms to the first one. */
+const tokenGapBuckets = [0.005, 0.01, 0.015, 0.02, 0.025, 0.028, 0.035, 0.05, 0.075, 0.1, 0.25, 1];
+const phaseBuckets = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.45, 0.62, 0.8, 1.2, 2, 4, 8, 16, 60,
+];
+
+const phaseHistograms: Record<RequestPhase, { name: string; help: string; buckets: number[] }> = {
+  firstToken: {
+    name: 'bluebell_first_token_seconds',
+    help: 'From arrival of the request to its first token.',
+    buckets: phaseBuckets,
+  },
+  betweenTokens: {
+    name: 'bluebell_between_tokens_seconds',
+    help: 'Time between consecutive tokens.',
+    buckets: tokenGapBuckets,
+  },
+  queue: {
+    name: 'bluebell_queue_seconds',
+    help: 'Wait for a lease.',
+    buckets: phaseBuckets,
+  },
+  prefill: {
+    name: 'bluebell_prefill_seconds',
+    help: 'Prefill of the prompt.',
+    buckets: phaseBuckets,
+  },
+  transfer: {
+    name: 'bluebell_transfer_seconds',
+    help: 'Transfer of KV cache to the decode engine.',
+    buckets: phaseBuckets,
+  },
+  decode: {
+    name: 'bluebell_decode_seconds',
+    help: 'From the first token to the end of the answer.',
+    buckets: phaseBuckets,
+  },
+};
+
+/** Creates the metrics of an entry. */
+export function createEntryMetrics(): EntryMetrics {
+  const { registry, labels, ...common } = createCommonMetrics();
+  const registers = [registry];
+  const requests = new Counter({
+    name: 'bluebell_requests_total',
+    help: 'Requests by how they ended.',
+    labelNames: [...requestLabelNames, 'outcome'],
+    registers,
+  });
+  const goodput = new Counter({
+    name: 'bluebell_goodput_total',
+    help: 'Requests completed within both latency targets.',
+    labelNames: requestLabelNames,
+    registers,
+  });
+  const claims = createLabelledCounter(registry, {
+    name: 'bluebell_claims_total',
+    help: 'At-most-once claims by what became of them.',
+    labelName: 'outcome',
+    values: Object.values(claimOutcomes),
+  });
+  const retries = createLabelledCounter(registry, {
+    name: 'bluebell_retries_total',
+    help: 'Further attempts by cause; budget-exhausted counts those not made.',
+    labelName: 'cause',
+    values: Object.values(retryCauses),
+  });
+  return {
+    ...common,
+    countRequest: (request, outcome) => requests.inc({ ...labels.resolve(request), outcome }),
+    countGoodput: (request) => goodput.inc({ ...labels.resolve(request) }),
+    countClaim: (outcome) => claims.inc({ outcome }),
+    countRetry: (cause) => retries.inc({ cause }),
+  };
+}
+
+/** Creates the metrics of an agent. */
+export function createAgentMetrics(): AgentMetrics {
+  const { registry, labels: _labels, ...common } = createCommonMetrics();
+  const leases = new Gauge({
+    name: 'bluebell_engine_leases',
+    help: 'Leases of the backend server by state.',
+    labelNames: ['state'],
+    registers: [registry],
+  });
+  Object.values(leaseStates).forEach((state) => leases.set({ state }, 0));
+  return { ...common, setLeases: (state, count) => leases.set({ state }, count) };
+}
+
+function createCommonMetrics() {
+  const registry = new Registry();
+  const registers = [registry];
+  const labels = createServiceLabels();
+  collectDefaultMetrics({ register: registry });
+  const phases = createPhaseHistograms(registry);
+  const prefillTokens = new Counter({
+    name: 'bluebell_prefill_tokens_total',
+    help: 'Prompt tokens prefilled.',
+    registers,
+  });
+  const wastedPrefillTokens = createLabelledCounter(registry, {
+    name: 'bluebell_wasted_prefill_tokens_total',
+    help: 'Prefilled prompt tokens whose result was never used.',
+    labelName: 'cause',
+    values: Object.values(wastedPrefillCauses),
+  });
+  const refusals = createLabelledCounter(registry, {
+    name: 'bluebell_refusals_total',
+    help: 'Refusals by reason.',
+    labelName: 'reason',
+    values: [],
+  });
+  const droppedFrames = createLabelledCounter(registry, {
+    name: 'bluebell_stream_frames_dropped_total',
+    help: 'Frames of answers that were thrown away.',
+    labelName: 'cause',
+    values: Object.values(droppedFrameCauses),
+  });
+  const controlBytes = createLabelledCounter(registry, {
+    name: 'bluebell_control_bytes_total',
+    help: 'Bytes of control messages: configuration, membership, heartbeats.',
+    labelName: 'direction',
+    values: Object.values(byteDirections),
+  });
+  const generations = new Gauge({
+    name: 'bluebell_configuration_generation',
+    help: 'Generation of the accepted document in force.',
+    labelNames: ['service'],
+    registers,
+  });
+  return {
+    registry,
+    labels,
+    contentType: registry.contentType,
+    render: () => registry.metrics(),
+    describeService: labels.describe,
+    forgetService(serviceName: string) {
+      generations.remove({ service: serviceName });
+      labels.forget(serviceName);
+    },
+    observePhase: (phase: RequestPhase, request: RequestLabels, durationMs: number) =>
+      phases[phase].observe({ ...labels.resolve(request) }, durationMs / msPerSecond),
+    countPrefillTokens: (tokenCount: number) => prefillTokens.inc(tokenCount),
+    countWastedPrefillTokens: (cause: WastedPrefillCause, tokenCount: number) =>
+      wastedPrefillTokens.inc({ cause }, tokenCount),
+    countRefusal: (reason: RefusalReason | AgentRefusalReason) => refusals.inc({ reason }),
+    countDroppedFrame: (cause: DroppedFrameCause) => droppedFrames.inc({ cause }),
+    countControlBytes: (direction: ByteDirection, byteCount: number) =>
+      controlBytes.inc({ direction }, byteCount),
+    setConfigurationGeneration: (serviceName: string, generation: number) =>
+      generations.set({ service: labels.resolveService(serviceName) }, generation),
+  };
+}
+
+function createPhaseHistograms(registry: Registry): Record<RequestPhase, Histogram> {
+  const entries = Object.entries(phaseHistograms).map(([phase, definition]) => [
+    phase,
+    new Histogram({ ...definition, labelNames: requestLabelNames, registers: [registry] }),
+  ]);
+  return Object.fromEntries(entries) as Record<RequestPhase, Histogram>;
+}
+
+interface LabelledCounterOptions<LabelName extends string> {
+  name: string;
+  help: string;
+  labelName: LabelName;
+  /** Shown as zero from the start, so that rates over the first event are right. */
+  values: readonly string[];
+}
+
+function createLabelledCounter<LabelName extends string>(
+  registry: Registry,
+  options: LabelledCounterOptions<LabelName>,
+): Counter<LabelName> {
+  const { name, help, labelName, values } = options;
+  const counter = new Counter<LabelName>({
+    name,
+    help,
+    labelNames: [labelName],
+    registers: [registry],
+  });
+  values.forEach((value) => counter.inc({ [labelName]: value } as Record<LabelName, string>, 0));
+  return counter;
+}
--- /dev/null
+++ b/packages/telemetry/src/processLifecycle.ts
@@ -0,0 +1,112 @@
+/** The life of a process: signals, unhandled errors and, on request, the end of its standard input. */
+import type { Readable } from 'node:stream';
+import { z } from 'zod';
+import { delay, exitCodes } from '@bluebellhitch/shared';
+import type { Logger } from './logger';
+
+/** `graceful`: finish the work in progress. `forced`: release what is held and return at once. */
+export type StopKind = 'graceful' | 'forced';
+
+export interface ProcessLifecycleOptions {
+  /** Called once for each kind at most; the process exits when the promise settles. */
+  onStop: (kind: StopKind) => Promise<void>;
+  /** Tells why the process stops. */
+  logger?: Logger;
+  /** Defaults to the environment variable `BLUEBELL_EXIT_ON_STDIN_END`. */
+  exitOnStdinEnd?: boolean;
+  /** How long a forced stop may take. */
+  forcedStopMs?: number;
+  /** Replaced in tests. */
+  process?: LifecycleProcess;
+}
+
+/** The part of Node's `process` that the lifecycle uses. */
+export interface LifecycleProcess {
+  env: Record<string, string | undefined>;
+  stdin: Readable;
+  on(event: string, listener: (...values: unknown[]) => void): unknown;
+  exit(code: number): void;
+}
+
+/** For the settings of a binary, beside its own ones. */
+export const lifecycleSettings = {
+  exitOnStdinEnd: {
+    schema: z.enum(['true', 'false']).transform((text) => text === 'true'),
+    description:
+      'Stop when the standard input ends, so that the process cannot outlive its parent.',
+    defaultText: 'false',
+  },
+};
+
+/**
+ * Installs the handlers. The first SIGTERM or SIGINT stops gracefully with exit code 0; a second one
+ * forces the stop with exit code 1, as does an unhandled error.
+ */
+export function installProcessLifecycle(options: ProcessLifecycleOptions): void {
+  const { onStop, logger, forcedStopMs = 2_000 } = options;
+  const host = options.process ?? (process as unknown as LifecycleProcess);
+  const watchesStdin = options.exitOnStdinEnd ?? host.env.BLUEBELL_EXIT_ON_STDIN_END === 'true';
+  let stopping: StopKind | undefined;
+
+  async function stopGracefully(cause: string): Promise<void> {
+    stopping = 'graceful';
+    logger?.info('stopping', { cause });
+    const failed = await settlesWithError(onStop('graceful'), logger);
+    if (stopping === 'graceful') {
+      host.exit(failed ? exitCodes.failure : exitCodes.ok);
+    }
+  }
+
+  async function stopForced(cause: string, exitCode: number): Promise<void> {
+    if (stopping === 'forced') {
+      return;
+    }
+    stopping = 'forced';
+    logger?.warn('stopping at once', { cause });
+    await Promise.race([settlesWithError(onStop('forced'), logger), delay(forcedStopMs)]);
+    host.exit(exitCode);
+  }
+
+  function onSignal(signal: string): void {
+    const stop =
+      stopping === undefined ? stopGracefully(signal) : stopForced(signal, exitCodes.failure);
+    void stop;
+  }
+
+  function onUnhandled(error: unknown): void {
+    logger?.error('unhandled error', { error });
+    void stopForced('unhandled error', exitCodes.failure);
+  }
+
+  host.on('SIGTERM', () => onSignal('SIGTERM'));
+  host.on('SIGINT', () => onSignal('SIGINT'));
+  host.on('uncaughtException', onUnhandled);
+  host.on('unhandledRejection', onUnhandled);
+  if (watchesStdin) {
+    exitOnStdinEnd(host.stdin, () => void stopForced('standard input ended', exitCodes.ok));
+  }
+}
+
+/**
+ * Calls `onEnd` when the stream ends. A parent that holds the other end of the pipe cannot die, even by
+ * SIGKILL, without ending it.
+ */
+export function exitOnStdinEnd(stdin: Readable, onEnd: () => void): void {
+  stdin.once('end', onEnd);
+  stdin.once('close', onEnd);
+  stdin.once('error', onEnd);
+  stdin.resume();
+  // The pipe alone must not keep a process running that has finished its work.
+  (stdin as Partial<{ unref(): void }>).unref?.();
+}
+
+/** Whether the promise rejected; the error is logged. */
+async function settlesWithError(promise: Promise<void>, logger?: Logger): Promise<boolean> {
+  try {
+    await promise;
+    return false;
+  } catch (error) {
+    logger?.error('stopping failed', { error });
+    return true;
+  }
+}
