Read service documents and report every finding with its place

Operators edit one document per service. A mistake in it must not reach a data centre, and the author should be told everything at once.

- Fields are checked by the zod schema; rules between fields run over every well-formed field, so that one malformed field does not hide the broken rules of others.
JSON goes through the same parser; a file that calls itself JSON is held to JSON as well.
- Unknown fields are refused with the nearest known name.
- New rule: drain.boundMs is at least limits.requestTimeoutMs, since a shorter bound lets a planned stop cut off a request in progress.
- Strings that become identifiers of the inner protocol are bounded to its 200 characters, and lists to sizes that keep timers and metric series small.

Ruled out: kind model with routes, which would be accepted and have no effect. Two versions of one model in a document, because the engine's calls name the model alone.

--- a/packages/document/src/index.ts
+++ b/packages/document/src/index.ts
@@ -11,3 +11,14 @@
   type ServiceDocument,
   type TrafficClass,
 } from './documentSchema';
+export { diffDocuments, type DocumentChange } from './diffDocuments';
+export { effectiveClass } from './effectiveClass';
+export { documentJsonSchema, type JsonSchemaNode } from './jsonSchema';
+export { normalizeDocument } from './normalizeDocument';
+export {
+  formatOf,
+  parseDocument,
+  type DocumentFormat,
+  type ParseDocumentOptions,
+  type ParsedDocument,
+} from './parseDocument';
