Add the platform client, a stand-in platform and single-object claims

Cause: claims, duty leases, the feed and every test above them need the object API, and claims rest on knowing which failed writes certainly had no effect. The client reports a refused connection as unavailable and a lost or broken answer to a write as an unknown outcome; the stand-in loses answers before, after or long after the effect to cause both. Ruled out: a retry inside the client, because only the caller knows how to recognise its own write when it reads back. The claim store has no test of its own yet; it follows.

--- /dev/null
+++ b/packages/platform/src/httpPlatformClient.ts
@@ -0,0 +1,167 @@
+/**
+ * Client of the platform's HTTP interface. Its errors keep apart what certainly had no effect from
+ * what may have had one, because at-most-once claims and leases rest on that difference.
+ */
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import { Agent, request, type Dispatcher } from 'undici';
+import { z } from 'zod';
+import {
+  objectListSchema,
+  platformErrorSchema,
+  platformInstancesSchema,
+  platformPaths,
+  storedObjectSchema,
+  watchReplySchema,
+} from './httpPlatformSchema';
+import type { PlatformApi, PlatformError } from './platformApi';
+
+export interface HttpPlatformClientOptions {
+  /** `http://ip:port`. */
+  address: string;
+  /** Longest wait for an answer; a watch may take its own `waitMs` longer. */
+  timeoutMs?: number;
+  connectTimeoutMs?: number;
+  /** Connections at most; waiting watches use one each. */
+  connections?: number;
+}
+
+export interface HttpPlatformClient extends PlatformApi {
+  /** Closes all connections; calls in progress fail. */
+  close(): Promise<void>;
+}
+
+interface HttpCall<Value> {
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  path: string;
+  query?: Record<string, string | number>;
+  body?: unknown;
+  schema: z.ZodType<Value>;
+  timeoutMs: number;
+  signal?: AbortSignal;
+}
+
+const defaults = { timeoutMs: 2000, connectTimeoutMs: 1000, connections: 64 } as const;
+const noContentStatus = 204;
+
+/** The request was never sent: nothing can have taken effect. */
+const notSentCodes: readonly string[] = [
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+];
+
+export function createHttpPlatformClient(options: HttpPlatformClientOptions): HttpPlatformClient {
+  const { address, timeoutMs, connectTimeoutMs, connections } = { ...defaults, ...options };
+  const dispatcher = new Agent({
+    connections,
+    connect: { timeout: connectTimeoutMs },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  function call<Value>(
+    callOptions: Omit<HttpCall<Value>, 'timeoutMs'> & { timeoutMs?: number },
+  ): ResultAsync<Value, PlatformError> {
+    return new ResultAsync(send(address, dispatcher, { timeoutMs, ...callOptions }));
+  }
+
+  return {
+    get: (kind, key) =>
+      call({ method: 'GET', path: platformPaths.object(kind, key), schema: storedObjectSchema }),
+    list: (kind) =>
+      call({ method: 'GET', path: platformPaths.objects(kind), schema: objectListSchema }),
+    create: (kind, key, value) =>
+      call({
+        method: 'POST',
+        path: platformPaths.object(kind, key),
+        body: { value },
+        schema: storedObjectSchema,
+      }),
+    update: (kind, key, version, value) =>
+      call({
+        method: 'PUT',
+        path: platformPaths.object(kind, key),
+        query: { version },
+        body: { value },
+        schema: storedObjectSchema,
+      }),
+    remove: (kind, key, version) =>
+      call({
+        method: 'DELETE',
+        path: platformPaths.object(kind, key),
+        query: { version },
+        schema: z.undefined(),
+      }),
+    watch: (kind, cursor, waitMs, signal) =>
+      call({
+        method: 'GET',
+        path: platformPaths.watch(kind),
+        query: { cursor, waitMs },
+        schema: watchReplySchema,
+        timeoutMs: timeoutMs + waitMs,
+        signal,
+      }),
+    instances: () =>
+      call({ method: 'GET', path: platformPaths.instances, schema: platformInstancesSchema }),
+    close: () => dispatcher.destroy(),
+  };
+}
+
+async function send<Value>(
+  address: string,
+  dispatcher: Dispatcher,
+  call: HttpCall<Value>,
+): Promise<Result<Value, PlatformError>> {
+  const timeout = AbortSignal.timeout(call.timeoutMs);
+  try {
+    const response = await request(new URL(call.path, address), {
+      dispatcher,
+      method: call.method,
+      query: call.query,
+      headers: { 'content-type': 'application/json' },
+      body: call.body === undefined ? undefined : JSON.stringify(call.body),
+      signal: call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal]),
+    });
+    const text = await response.body.text();
+    return readAnswer(call, response.statusCode, text);
+  } catch (cause) {
+    return err(lostAnswer(call, cause));
+  }
+}
+
+function readAnswer<Value>(
+  call: HttpCall<Value>,
+  status: number,
+  text: string,
+): Result<Value, PlatformError> {
+  const body = status === noContentStatus ? undefined : parseJson(text);
+  if (status >= 200 && status < 300) {
+    const parsed = call.schema.safeParse(body);
+    return parsed.success ? ok(parsed.data) : err(brokenAnswer(call, 'unreadable answer'));
+  }
+  const failure = platformErrorSchema.safeParse(body);
+  return err(failure.success ? failure.data : brokenAnswer(call, `status ${status}`));
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function lostAnswer(call: HttpCall<unknown>, cause: unknown): PlatformError {
+  const detail = cause instanceof Error ? cause.message : String(cause);
+  const code = (cause as { code?: unknown } | undefined)?.code;
+  if (typeof code === 'string' && notSentCodes.includes(code)) {
+    return { kind: 'unavailable', detail: `${code}: ${detail}` };
+  }
+  return brokenAnswer(call, detail);
+}
+
+/** A write whose answer cannot be read may have taken effect; a read has none. */
+function brokenAnswer(call: HttpCall<unknown>, detail: string): PlatformError {
+  return { kind: call.method === 'GET' ? 'unavailable' : 'unknown-outcome', detail };
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -9,3 +9,24 @@
   type WatchEvent,
   type WatchReply,
 } from './platformApi';
+export {
+  createHttpPlatformClient,
+  type HttpPlatformClient,
+  type HttpPlatformClientOptions,
+} from './httpPlatformClient';
+export {
+  objectKindSchema,
+  platformErrorSchema,
+  platformInstanceSchema,
+  platformPaths,
+  writeBodySchema,
+} from './httpPlatformSchema';
+export {
+  type Claim,
+  type ClaimError,
+  type ClaimOutcome,
+  type ClaimState,
+  type ClaimStore,
+  type TakeClaim,
+} from './claimApi';
+export { createClaimStore, type ClaimStoreOptions } from './claimStore';
--- a/packages/platform/src/platformApi.ts
+++ b/packages/platform/src/platformApi.ts
@@ -42,8 +42,7 @@
   | { kind: 'rejected'; detail: string };
 
 export type WatchEvent =
-  | { kind: 'put'; object: StoredObject }
-  | { kind: 'removed'; key: string; version: number };
+  { kind: 'put'; object: StoredObject } | { kind: 'removed'; key: string; version: number };
 
 export interface WatchReply {
   events: WatchEvent[];
--- /dev/null
+++ b/packages/standins/__tests__/platformHttp.test.ts
@@ -0,0 +1,120 @@
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { createInterface } from 'node:readline';
+import test, { type ExecutionContext } from 'ava';
+import { createHttpPlatformClient } from '@bluebellhitch/platform';
+import { startStandinPlatform, type StartStandinPlatformOptions } from '@bluebellhitch/standins';
+
+async function start(t: ExecutionContext, options: StartStandinPlatformOptions = {}) {
+  const running = await startStandinPlatform(options);
+  const client = createHttpPlatformClient({ address: running.address, timeoutMs: 300 });
+  t.teardown(async () => {
+    await client.close();
+    await running.close();
+  });
+  return { client, control: running.platform.control };
+}
+
+test('objects are created, read, updated and removed by version', async (t) => {
+  const { client } = await start(t);
+  const created = (await client.create('claim', 'a/b c', { n: 1 }))._unsafeUnwrap();
+  t.deepEqual((await client.create('claim', 'a/b c', {}))._unsafeUnwrapErr(), {
+    kind: 'conflict',
+    current: created,
+  });
+  const updated = (
+    await client.update('claim', 'a/b c', created.version, { n: 2 })
+  )._unsafeUnwrap();
+  t.true(updated.version > created.version);
+  t.deepEqual((await client.get('claim', 'a/b c'))._unsafeUnwrap(), updated);
+  t.is(
+    (await client.remove('claim', 'a/b c', created.version))._unsafeUnwrapErr().kind,
+    'conflict',
+  );
+  t.true((await client.remove('claim', 'a/b c', updated.version)).isOk());
+  t.is((await client.get('claim', 'a/b c'))._unsafeUnwrapErr().kind, 'not-found');
+});
+
+test('a watch answers at the next change, and an old cursor is told of compaction', async (t) => {
+  const { client, control } = await start(t);
+  const { cursor } = (await client.list('accepted'))._unsafeUnwrap();
+  const waiting = client.watch('accepted', cursor, 5000);
+  await client.create('claim', 'other-kind', {});
+  const created = (await client.create('accepted', 'draft-models', {}))._unsafeUnwrap();
+  const reply = (await waiting)._unsafeUnwrap();
+  t.deepEqual(reply.events, [{ kind: 'put', object: created }]);
+  control.compact();
+  t.true((await client.watch('accepted', cursor, 0))._unsafeUnwrap().compacted);
+});
+
+// A caller gets no answer to its write. The platform applied it before the connection broke, so the
+// write must be reported as possibly done, while a refused connection or an outage certainly had no
+// effect: claims are released or kept on that difference.
+test('a lost answer is an unknown outcome, and a refusal is not', async (t) => {
+  const { client, control } = await start(t);
+  control.loseAnswers({ count: 1, verb: 'create', effect: 'applied' });
+  t.is((await client.create('claim', 'k', {}))._unsafeUnwrapErr().kind, 'unknown-outcome');
+  t.true((await client.get('claim', 'k')).isOk());
+  control.setSlow(2000);
+  t.is((await client.create('claim', 'slow', {}))._unsafeUnwrapErr().kind, 'unknown-outcome');
+  t.is((await client.get('claim', 'k'))._unsafeUnwrapErr().kind, 'unavailable');
+  control.clearFaults();
+  control.setOutage(true);
+  t.is((await client.create('claim', 'out', {}))._unsafeUnwrapErr().kind, 'unavailable');
+  const refused = createHttpPlatformClient({ address: 'http://127.0.0.1:1' });
+  t.is((await refused.create('claim', 'k', {}))._unsafeUnwrapErr().kind, 'unavailable');
+  await refused.close();
+});
+
+test('rates and value sizes are limited', async (t) => {
+  const { client } = await start(t, { writesPerSecond: 1, valueLimitBytes: 100 });
+  t.true((await client.create('claim', 'a', {})).isOk());
+  t.is((await client.create('claim', 'b', {}))._unsafeUnwrapErr().kind, 'rate-limited');
+  const other = await start(t, { valueLimitBytes: 100 });
+  const rejected = await other.client.create('claim', 'big', 'x'.repeat(200));
+  t.is(rejected._unsafeUnwrapErr().kind, 'rejected');
+});
+
+test('the control endpoints change instances and faults', async (t) => {
+  const running = await startStandinPlatform();
+  t.teardown(() => running.close());
+  const send = (method: string, path: string, body?: unknown) =>
+    fetch(`${running.address}/control/${path}`, {
+      method,
+      headers: { 'content-type': 'application/json' },
+      body: body === undefined ? undefined : JSON.stringify(body),
+    });
+  const instance = { kind: 'entry', dataCentre: 'salem-hall', innerAddress: 'x', state: 'live' };
+  t.is((await send('PUT', 'instances/entry-1', instance)).status, 200);
+  t.is((await send('POST', 'instances/entry-1/leaving')).status, 200);
+  const client = createHttpPlatformClient({ address: running.address });
+  t.is((await client.instances())._unsafeUnwrap()[0]?.state, 'leaving');
+  await send('DELETE', 'instances/entry-1');
+  t.deepEqual((await client.instances())._unsafeUnwrap(), []);
+  t.is((await send('POST', 'outage', { on: true })).status, 200);
+  t.is((await client.instances())._unsafeUnwrapErr().kind, 'unavailable');
+  const stats = (await (await send('GET', 'stats')).json()) as { calls: { instances: number } };
+  t.is(stats.calls.instances, 3);
+  await client.close();
+});
+
+// A watch waits for a minute while the process is told to stop. Waiting for it would hold up the exit.
+test('the binary says where it listens and exits 0 on SIGTERM in spite of a waiting watch', async (t) => {
+  const script = new URL('../src/bin/standinPlatform.ts', import.meta.url).pathname;
+  const child = spawn(process.execPath, ['--import=tsx', '--conditions=bluebell-source', script], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const [line] = (await once(createInterface(child.stdout), 'line')) as [string];
+  const { message, context } = JSON.parse(line) as {
+    message: string;
+    context: { address: string };
+  };
+  t.is(message, 'listening');
+  const client = createHttpPlatformClient({ address: context.address });
+  const { cursor } = (await client.list('lease'))._unsafeUnwrap();
+  const waiting = client.watch('lease', cursor, 60_000);
+  child.kill('SIGTERM');
+  t.deepEqual(await once(child, 'exit'), [0, null]);
+  await waiting;
+  await client.close();
+});
