Add the decisions: routing, admission value, limits, retries, guards

Pure functions and small state machines without I/O, one module a decision, so that entry and agent can be written against them.

--- /dev/null
+++ b/packages/decisions/src/expectedValue.ts
@@ -0,0 +1,171 @@
+/**
+ * Decides whether a prefill is worth starting. One formula for every service:
+ *
+ *     value = goodput x P - wastedPrefill x cost x (1 - P) - displaced
+ *
+ * where P is the probability that both latency targets are met, `cost` is the prefill's size relative
+ * to the service's average one, and the weights are the document's. A prefill starts where its value
+ * is positive.
+ */
+
+export interface LatencyTargets {
+  firstTokenMs: number;
+  betweenTokensMs: number;
+}
+
+export interface ValueWeights {
+  goodput: number;
+  wastedPrefill: number;
+}
+
+/** Predicted durations of one way to serve the request, from now on. */
+export interface PhasePrediction {
+  /** When the decode slot is usable. */
+  usableInMs: number;
+  /** Wait in the prefill worker's queue. */
+  prefillWaitMs: number;
+  prefillMs: number;
+  transferMs: number;
+  /** Time between tokens at the decode worker. */
+  stepMs: number;
+}
+
+export interface PrefillDecisionOptions {
+  weights: ValueWeights;
+  targets: LatencyTargets;
+  prediction: PhasePrediction;
+  /** Time since the request arrived. */
+  elapsedMs: number;
+  /** Tokens that would be computed. */
+  uncachedTokens: number;
+  averagePrefillTokens: number;
+  /** Relative spread of earlier predictions; see `PhaseModel`. */
+  firstTokenDeviation: number;
+  betweenTokensDeviation: number;
+  /** Goodput that waiting requests are expected to lose by this one's use of the servers. */
+  displacedGoodput?: number;
+  /** Whether the servers have nothing else to do: then even a late answer displaces nobody. */
+  serversIdle?: boolean;
+}
+
+export interface ExpectedOutcome {
+  /** Predicted time to the first token, counted from the request's arrival. */
+  firstTokenMs: number;
+  /** That both targets are met. */
+  probability: number;
+  value: number;
+}
+
+export type PrefillDecision =
+  /** Start after `startInMs`: earlier, the result would expire before the slot is usable. */
+  | { kind: 'start'; startInMs: number; late: boolean; expected: ExpectedOutcome }
+  /** Worth it only if the slot becomes usable sooner than predicted; give up after `limitMs`. */
+  | { kind: 'wait'; limitMs: number; expected: ExpectedOutcome }
+  | { kind: 'refuse'; retryAfterMs: number; expected: ExpectedOutcome };
+
+/** A prefill aims to end this long before its slot is usable, as a guard against a late start. */
+const startMarginMs = 20;
+/** Below this share of the needed probability, waiting would only delay the refusal. */
+const waitProbabilityShare = 0.5;
+const minimumRetryAfterMs = 100;
+
+export function decidePrefill(options: PrefillDecisionOptions): PrefillDecision {
+  const expected = expectOutcome(options);
+  const slackMs = usableSlackMs(options);
+  if (expected.value > 0) {
+    return { kind: 'start', startInMs: startInMs(options.prediction), late: false, expected };
+  }
+  if (options.serversIdle) {
+    return { kind: 'start', startInMs: startInMs(options.prediction), late: true, expected };
+  }
+  const worthWaiting = expected.probability >= waitProbabilityShare * neededProbability(options);
+  if (worthWaiting && slackMs > 0 && options.prediction.usableInMs > slackMs) {
+    return { kind: 'wait', limitMs: slackMs, expected };
+  }
+  const excessMs = options.prediction.usableInMs - Math.max(0, slackMs);
+  return { kind: 'refuse', retryAfterMs: Math.max(minimumRetryAfterMs, excessMs), expected };
+}
+
+export function expectOutcome(options: PrefillDecisionOptions): ExpectedOutcome {
+  const { weights, displacedGoodput = 0 } = options;
+  const firstTokenMs = options.elapsedMs + predictFirstTokenMs(options.prediction);
+  const probability = betweenTokensProbability(options) * firstTokenProbability(options);
+  const loss = weights.wastedPrefill * prefillCost(options);
+  const value = weights.goodput * probability - loss * (1 - probability) - displacedGoodput;
+  return { firstTokenMs, probability, value };
+}
+
+/** The KV cache is imported once prefill is done and the slot is usable; one step yields a token. */
+export function predictFirstTokenMs(prediction: PhasePrediction): number {
+  const prefilledInMs = prediction.prefillWaitMs + prediction.prefillMs;
+  return Math.max(prediction.usableInMs, prefilledInMs) + prediction.transferMs + prediction.stepMs;
+}
+
+/**
+ * Latest `usableInMs` at which the prefill would still be worth starting; negative where none is.
+ * Entries pass it to the agent as the longest useful wait.
+ */
+export function usableSlackMs(options: PrefillDecisionOptions): number {
+  const { prediction, targets, elapsedMs, firstTokenDeviation } = options;
+  const needed = neededProbability(options) / betweenTokensProbability(options);
+  if (needed >= 1) {
+    return -1;
+  }
+  const limitMs = targets.firstTokenMs - elapsedMs;
+  const meanMs = largestMean(limitMs, firstTokenDeviation, Math.max(needed, smallestNeeded));
+  const fixedMs = prediction.transferMs + prediction.stepMs;
+  const prefilledMs = prediction.prefillWaitMs + prediction.prefillMs + fixedMs;
+  return meanMs < prefilledMs ? -1 : meanMs - fixedMs;
+}
+
+/**
+ * Probability that a duration predicted as `meanMs` stays within `limitMs`. Logistic rather than
+ * normal: errors of latency predictions have heavy tails, and it inverts in closed form.
+ */
+export function probabilityWithin(limitMs: number, meanMs: number, deviation: number): number {
+  if (limitMs <= 0) {
+    return 0;
+  }
+  const scaleMs = Math.max(deviation * meanMs, smallestSpreadMs) * logisticScale;
+  return 1 / (1 + Math.exp((meanMs - limitMs) / scaleMs));
+}
+
+/** Standard deviation of a logistic distribution is pi / sqrt(3) times its scale. */
+const logisticScale = Math.sqrt(3) / Math.PI;
+const smallestSpreadMs = 1;
+/** Services without a weight on wasted prefill still get no probability of exactly 0. */
+const smallestNeeded = 0.01;
+
+/** Inverse of `probabilityWithin` in the mean. */
+function largestMean(limitMs: number, deviation: number, probability: number): number {
+  const logit = Math.log(probability / (1 - probability)) * logisticScale * deviation;
+  return limitMs / Math.max(1 + logit, smallestNeeded);
+}
+
+/** Probability at which the value is 0. */
+function neededProbability(options: PrefillDecisionOptions): number {
+  const { weights, displacedGoodput = 0 } = options;
+  const loss = weights.wastedPrefill * prefillCost(options);
+  const total = weights.goodput + loss;
+  return total === 0 ? 1 : Math.min(1, (loss + displacedGoodput) / total);
+}
+
+function prefillCost(options: PrefillDecisionOptions): number {
+  return options.uncachedTokens / Math.max(1, options.averagePrefillTokens);
+}
+
+function firstTokenProbability(options: PrefillDecisionOptions): number {
+  const meanMs = predictFirstTokenMs(options.prediction);
+  const limitMs = options.targets.firstTokenMs - options.elapsedMs;
+  return probabilityWithin(limitMs, meanMs, options.firstTokenDeviation);
+}
+
+function betweenTokensProbability(options: PrefillDecisionOptions): number {
+  const { prediction, targets, betweenTokensDeviation } = options;
+  return probabilityWithin(targets.betweenTokensMs, prediction.stepMs, betweenTokensDeviation);
+}
+
+function startInMs(prediction: PhasePrediction): number {
+  const { usableInMs, prefillWaitMs, prefillMs } = prediction;
+  return Math.max(0, usableInMs - prefillWaitMs - prefillMs - startMarginMs);
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,1 +1,143 @@
-export {};
+export { backoffDelayMs, type BackoffOptions } from './backoff';
+export {
+  bidRefusalReasons,
+  chooseBid,
+  type BidChoice,
+  type BidChoiceOptions,
+  type BidRefusalReason,
+  type CandidateBid,
+  type ReserveExpectation,
+} from './bidChoice';
+export { createBoundedMap, type BoundedMap, type BoundedMapOptions } from './boundedMap';
+export {
+  candidateReasons,
+  createCandidateSelector,
+  prefixKey,
+  selectCandidates,
+  type Candidate,
+  type CandidateQuery,
+  type CandidateReason,
+  type CandidateSelector,
+  type CandidateSelectorOptions,
+  type SelectCandidatesOptions,
+} from './candidates';
+export {
+  decidePrefill,
+  expectOutcome,
+  predictFirstTokenMs,
+  probabilityWithin,
+  usableSlackMs,
+  type ExpectedOutcome,
+  type LatencyTargets,
+  type PhasePrediction,
+  type PrefillDecision,
+  type PrefillDecisionOptions,
+  type ValueWeights,
+} from './expectedValue';
+export {
+  createLengthPredictor,
+  type LengthKey,
+  type LengthPredictor,
+  type LengthPredictorOptions,
+  type LengthQuery,
+  type RemainingQuery,
+} from './lengthPredictor';
+export {
+  createLinkRates,
+  type FinishedTransfer,
+  type LinkRates,
+  type LinkRatesOptions,
+} from './linkRate';
+export {
+  createLoadHints,
+  loadPressure,
+  type AgedHint,
+  type LoadHints,
+  type LoadHintsOptions,
+} from './loadHints';
+export {
+  createOutlierDetector,
+  type BreakerState,
+  type OutlierDetector,
+  type OutlierDetectorOptions,
+} from './outlierDetection';
+export {
+  createOverloadController,
+  overloadLevels,
+  type OverloadController,
+  type OverloadLevel,
+  type OverloadOptions,
+  type ShedDecision,
+  type SheddableRequest,
+} from './overload';
+export {
+  createPhaseModels,
+  initialPhaseModel,
+  prefillPlaces,
+  type PhaseModel,
+  type PhaseModels,
+  type PhaseModelsOptions,
+  type PhaseObservation,
+  type PrefillPlace,
+} from './phaseModel';
+export {
+  createQuarantine,
+  mergeQuarantineRecords,
+  type CountedStrike,
+  type Quarantine,
+  type QuarantineOptions,
+  type QuarantinePolicy,
+  type QuarantineQuery,
+  type QuarantineRecord,
+  type QuarantineVerdict,
+} from './quarantine';
+export {
+  createRateLimiter,
+  rateKey,
+  shareByDemand,
+  type DemandShareOptions,
+  type RateDecision,
+  type RateLimit,
+  type RateLimiter,
+  type RateLimiterOptions,
+  type RateQuery,
+} from './rateLimit';
+export { createRetryBudget, type RetryBudget, type RetryBudgetOptions } from './retryBudget';
+export { decideRetry, type FailedAttempt, type RetryDecision } from './retryPolicy';
+export {
+  createRunningEstimate,
+  type RunningEstimate,
+  type RunningEstimateOptions,
+} from './runningEstimate';
+export {
+  createStallDetector,
+  type StallDetector,
+  type StallDetectorOptions,
+  type StallVerdict,
+} from './stallDetector';
+export {
+  createStreamGuard,
+  ignoredFrameCauses,
+  truncationCauses,
+  type FailedFrame,
+  type GuardedFrame,
+  type IgnoredFrameCause,
+  type StreamGuard,
+  type StreamGuardOptions,
+  type TruncationCause,
+} from './streamGuard';
+export {
+  chooseAfterStall,
+  chooseTransfer,
+  type StalledTransferChoice,
+  type StalledTransferOptions,
+  type TransferChoice,
+  type TransferChoiceOptions,
+  type TransferSource,
+} from './transferChoice';
+export {
+  createWeightedFairOrder,
+  type WaitingItem,
+  type WeightedFairOrder,
+} from './weightedFairOrder';
+export { workerNeeds, type CandidateInstance, type WorkerNeed } from './workerPools';
--- /dev/null
+++ b/packages/decisions/src/linkRate.ts
@@ -0,0 +1,77 @@
+/**
+ * Rate of each link between two instances, learned from finished transfers. A link that has not been
+ * used is expected to be as fast as the average of the others.
+ */
+import { createBoundedMap } from './boundedMap';
+import { createRunningEstimate, type RunningEstimate } from './runningEstimate';
+
+export interface LinkRatesOptions {
+  maxLinks?: number;
+  /** Assumed until the first transfer ends. */
+  initialRateBytesPerSecond?: number;
+}
+
+export interface FinishedTransfer {
+  sourceId: string;
+  targetId: string;
+  bytes: number;
+  durationMs: number;
+}
+
+export interface LinkRates {
+  observe(transfer: FinishedTransfer): void;
+  /** For a transfer that stalled or broke: the link counts as slower than it was. */
+  observeStall(sourceId: string, targetId: string): void;
+  rateBytesPerSecond(sourceId: string, targetId: string): number;
+  transferMs(sourceId: string, targetId: string, bytes: number): number;
+  size(): number;
+}
+
+/** Shorter transfers measure the round trip rather than the link. */
+const minimumSampleBytes = 65_536;
+const minimumRateBytesPerSecond = 1_000;
+const stallFactor = 0.25;
+
+export function createLinkRates(options: LinkRatesOptions = {}): LinkRates {
+  const { maxLinks = 4096, initialRateBytesPerSecond = 2_000_000_000 } = options;
+  const links = createBoundedMap<string, RunningEstimate>({ maxEntries: maxLinks });
+  const average = createRunningEstimate({
+    smoothing: 0.05,
+    initialMean: initialRateBytesPerSecond,
+  });
+
+  function rateBytesPerSecond(sourceId: string, targetId: string): number {
+    const link = links.get(linkKey(sourceId, targetId));
+    return Math.max(minimumRateBytesPerSecond, (link ?? average).mean());
+  }
+
+  function observeRate(sourceId: string, targetId: string, rate: number): void {
+    const link = links.getOrCreate(linkKey(sourceId, targetId), () =>
+      createRunningEstimate({ smoothing: 0.25, initialMean: average.mean() }),
+    );
+    link.observe(rate);
+  }
+
+  function observe({ sourceId, targetId, bytes, durationMs }: FinishedTransfer): void {
+    if (bytes < minimumSampleBytes || durationMs <= 0) {
+      return;
+    }
+    const rate = (bytes / durationMs) * 1_000;
+    observeRate(sourceId, targetId, rate);
+    average.observe(rate);
+  }
+
+  return {
+    observe,
+    observeStall: (sourceId, targetId) =>
+      observeRate(sourceId, targetId, rateBytesPerSecond(sourceId, targetId) * stallFactor),
+    rateBytesPerSecond,
+    transferMs: (sourceId, targetId, bytes) =>
+      (bytes / rateBytesPerSecond(sourceId, targetId)) * 1_000,
+    size: () => links.size(),
+  };
+}
+
+function linkKey(sourceId: string, targetId: string): string {
+  return `${sourceId}\u0000${targetId}`;
+}
--- /dev/null
+++ b/packages/decisions/src/loadHints.ts
@@ -0,0 +1,124 @@
+/**
+ * The last load hint that each instance sent with a reply. Hints are never refreshed in the
+ * background, so each has an age, and an old one counts less: its freshness halves with every
+ * `halfLifeMs`, and what it lacks is filled with the average of all recent hints.
+ */
+import type { LoadHint, WorkerRole } from '@bluebellhitch/protocol';
+import { createBoundedMap } from './boundedMap';
+import { createRunningEstimate } from './runningEstimate';
+
+export interface LoadHintsOptions {
+  maxInstances?: number;
+  halfLifeMs?: number;
+}
+
+export interface AgedHint {
+  hint: LoadHint;
+  ageMs: number;
+  /** 1 for a hint of this moment, towards 0 with age. */
+  freshness: number;
+}
+
+export interface LoadHints {
+  record(instanceId: string, hint: LoadHint, nowMs: number): void;
+  get(instanceId: string, nowMs: number): AgedHint | undefined;
+  /** Expected pressure on the instance, see `loadPressure`; the average where nothing is known. */
+  pressure(instanceId: string, nowMs: number): number;
+  /** Whether a recent hint says that new work would wait longer than `waitMs`. */
+  isSaturated(instanceId: string, waitMs: number, nowMs: number): boolean;
+  /** Whether a recent hint says that the instance takes no new work. */
+  isLeaving(instanceId: string, nowMs: number): boolean;
+  /** The role that the instance itself reported last; the instance list lags behind it. */
+  role(instanceId: string): WorkerRole | undefined;
+  /** Changes whenever an instance reports another role than before. */
+  roleRevision(): number;
+  /** For an instance that restarted or is gone. */
+  forget(instanceId: string): void;
+  size(): number;
+}
+
+interface RecordedHint {
+  hint: LoadHint;
+  recordedAtMs: number;
+}
+
+const recentFreshness = 0.5;
+/** A server that said it leaves is believed for several half-lives: the list takes seconds to agree. */
+const leavingFreshness = 0.001;
+/** Concurrent calls at which a server without KV cache counts as half loaded. */
+const halfLoadedCalls = 16;
+
+export function createLoadHints(options: LoadHintsOptions = {}): LoadHints {
+  const { maxInstances = 4096, halfLifeMs = 500 } = options;
+  const recorded = createBoundedMap<string, RecordedHint>({ maxEntries: maxInstances });
+  const averagePressure = createRunningEstimate({ smoothing: 0.05, initialMean: 0.5 });
+  let roleRevision = 0;
+
+  function record(instanceId: string, hint: LoadHint, nowMs: number): void {
+    const before = recorded.get(instanceId);
+    if (before !== undefined && before.recordedAtMs > nowMs) {
+      return;
+    }
+    if (before?.hint.role !== hint.role) {
+      roleRevision += 1;
+    }
+    recorded.set(instanceId, { hint, recordedAtMs: nowMs });
+    averagePressure.observe(loadPressure(hint));
+  }
+
+  function get(instanceId: string, nowMs: number): AgedHint | undefined {
+    const entry = recorded.get(instanceId);
+    if (entry === undefined) {
+      return undefined;
+    }
+    const ageMs = Math.max(0, nowMs - entry.recordedAtMs);
+    return { hint: entry.hint, ageMs, freshness: 0.5 ** (ageMs / halfLifeMs) };
+  }
+
+  function pressure(instanceId: string, nowMs: number): number {
+    const aged = get(instanceId, nowMs);
+    if (aged === undefined) {
+      return averagePressure.mean();
+    }
+    const known = aged.freshness * loadPressure(aged.hint);
+    return known + (1 - aged.freshness) * averagePressure.mean();
+  }
+
+  function isSaturated(instanceId: string, waitMs: number, nowMs: number): boolean {
+    const aged = get(instanceId, nowMs);
+    return (
+      aged !== undefined && aged.freshness > recentFreshness && aged.hint.queueWaitMs > waitMs
+    );
+  }
+
+  function isLeaving(instanceId: string, nowMs: number): boolean {
+    const aged = get(instanceId, nowMs);
+    return aged !== undefined && aged.hint.leaving && aged.freshness > leavingFreshness;
+  }
+
+  return {
+    record,
+    get,
+    pressure,
+    isSaturated,
+    isLeaving,
+    role: (instanceId) => recorded.get(instanceId)?.hint.role,
+    roleRevision: () => roleRevision,
+    forget: (instanceId) => {
+      recorded.delete(instanceId);
+    },
+    size: () => recorded.size(),
+  };
+}
+
+/**
+ * One number for comparing servers of a pool: the used share of the memory (or, on a server without
+ * KV cache, a growing function of its concurrent calls) plus the queue relative to the work running.
+ */
+export function loadPressure(hint: LoadHint): number {
+  const usedShare =
+    hint.capacityKvBytes > 0
+      ? 1 - Math.min(hint.freeKvBytes, hint.capacityKvBytes) / hint.capacityKvBytes
+      : hint.activeCount / (hint.activeCount + halfLoadedCalls);
+  return usedShare + hint.queuedCount / Math.max(1, hint.activeCount);
+}
--- /dev/null
+++ b/packages/decisions/src/quarantine.ts
@@ -0,0 +1,243 @@
+/**
+ * Requests that crash servers. Each request in flight on a server that died gets a strike on its
+ * fingerprint. After one strike it runs only beside requests without any, so that the next crash
+ * tells which one is to blame; after the document's number of strikes it is quarantined for a time.
+ * A request that completes is cleared: it was a bystander.
+ *
+ * Records merge like a two-phase set: strikes and clearances are united, so that peers and the
+ * platform may exchange them in any order and any number of times.
+ *
+ * Times are wall-clock milliseconds: records outlive the process and pass between machines. A clock
+ * that is ahead cannot prolong a quarantine, because strikes of the future count as of now.
+ */
+import type { Strike } from '@bluebellhitch/protocol';
+import { createBoundedMap } from './boundedMap';
+
+/** The `quarantine` part of a service's document. */
+export interface QuarantinePolicy {
+  strikes: number;
+  durationMs: number;
+  release: readonly string[];
+  block: readonly string[];
+}
+
+export interface CountedStrike {
+  attemptId: string;
+  instanceId: string;
+  struckAtMs: number;
+}
+
+/** What peers and the platform exchange: the value of a `quarantine` object. */
+export interface QuarantineRecord {
+  service: string;
+  fingerprint: string;
+  strikes: CountedStrike[];
+  /** Attempts whose strikes do not count, because the request completed later. */
+  clearedAttemptIds: string[];
+}
+
+export type QuarantineVerdict =
+  | { kind: 'clear' }
+  /** Run it, but beside no other request that was struck; see `avoidInstances`. */
+  | { kind: 'struck'; strikeCount: number }
+  | { kind: 'quarantined'; strikeCount: number; retryAfterMs: number }
+  /** Listed in the document: refused until an operator edits it. */
+  | { kind: 'blocked' };
+
+export interface QuarantineQuery {
+  service: string;
+  fingerprint: string;
+  policy: QuarantinePolicy;
+  nowEpochMs: number;
+}
+
+export interface QuarantineOptions {
+  maxFingerprints?: number;
+  /** Records without a strike for this long are dropped; longer than any quarantine. */
+  lifetimeMs?: number;
+}
+
+export interface Quarantine {
+  /** Counts a strike; false where this attempt's strike is known already. */
+  strike(strike: Strike, nowEpochMs: number): boolean;
+  verdict(query: QuarantineQuery): QuarantineVerdict;
+  /** The request completed: its strikes so far were another's fault. */
+  clear(service: string, fingerprint: string): boolean;
+  /** Takes in a record of a peer or the platform; false where it told nothing new. */
+  merge(record: QuarantineRecord, nowEpochMs: number): boolean;
+  record(service: string, fingerprint: string): QuarantineRecord | undefined;
+  /** Notes that a struck request runs on a server. */
+  place(service: string, attemptId: string, instanceId: string): void;
+  unplace(attemptId: string): void;
+  /** Servers on which a struck request of the service runs now: no other one may join it. */
+  avoidInstances(service: string): ReadonlySet<string>;
+  /** Drops what has expired. */
+  sweep(nowEpochMs: number): void;
+  size(): number;
+}
+
+interface Placement {
+  service: string;
+  instanceId: string;
+}
+
+const maxStrikesPerRecord = 16;
+const maxPlacements = 4096;
+
+export function createQuarantine(options: QuarantineOptions = {}): Quarantine {
+  const { maxFingerprints = 4096, lifetimeMs = 3_600_000 } = options;
+  const records = createBoundedMap<string, QuarantineRecord>({ maxEntries: maxFingerprints });
+  const placements = createBoundedMap<string, Placement>({ maxEntries: maxPlacements });
+
+  function recordOf(service: string, fingerprint: string): QuarantineRecord | undefined {
+    return records.get(recordKey(service, fingerprint));
+  }
+
+  function merge(record: QuarantineRecord, nowEpochMs: number): boolean {
+    const { service, fingerprint } = record;
+    const known = recordOf(service, fingerprint) ?? emptyRecord(service, fingerprint);
+    const merged = mergeQuarantineRecords(known, notLaterThan(record, nowEpochMs));
+    if (isSameRecord(known, merged)) {
+      return false;
+    }
+    records.set(recordKey(service, fingerprint), merged);
+    return true;
+  }
+
+  function strike(struck: Strike, nowEpochMs: number): boolean {
+    const { service, fingerprint, attemptId, instanceId } = struck;
+    const counted = { attemptId, instanceId, struckAtMs: nowEpochMs };
+    const record = { ...emptyRecord(service, fingerprint), strikes: [counted] };
+    return merge(record, nowEpochMs);
+  }
+
+  function clear(service: string, fingerprint: string): boolean {
+    const record = recordOf(service, fingerprint);
+    if (record === undefined || countingStrikes(record).length === 0) {
+      return false;
+    }
+    const clearedAttemptIds = record.strikes.map(({ attemptId }) => attemptId);
+    const cleared = mergeQuarantineRecords(record, { ...record, clearedAttemptIds });
+    records.set(recordKey(service, fingerprint), cleared);
+    return true;
+  }
+
+  function verdict(query: QuarantineQuery): QuarantineVerdict {
+    const { service, fingerprint, policy, nowEpochMs } = query;
+    if (policy.block.includes(fingerprint)) {
+      return { kind: 'blocked' };
+    }
+    return judge(recordOf(service, fingerprint), policy, nowEpochMs);
+  }
+
+  function sweep(nowEpochMs: number): void {
+    [...records.entries()]
+      .filter(([, record]) => lastStrikeAtMs(record.strikes) + lifetimeMs <= nowEpochMs)
+      .forEach(([key]) => records.delete(key));
+  }
+
+  function avoidInstances(service: string): ReadonlySet<string> {
+    const occupied = [...placements.entries()]
+      .filter(([, placement]) => placement.service === service)
+      .map(([, placement]) => placement.instanceId);
+    return new Set(occupied);
+  }
+
+  return {
+    strike,
+    verdict,
+    clear,
+    merge,
+    record: recordOf,
+    place: (service, attemptId, instanceId) => placements.set(attemptId, { service, instanceId }),
+    unplace: (attemptId) => {
+      placements.delete(attemptId);
+    },
+    avoidInstances,
+    sweep,
+    size: () => records.size(),
+  };
+}
+
+/** Union of strikes by attempt, and of clearances; commutative, associative and idempotent. */
+export function mergeQuarantineRecords(
+  left: QuarantineRecord,
+  right: QuarantineRecord,
+): QuarantineRecord {
+  const strikes = new Map<string, CountedStrike>();
+  [...left.strikes, ...right.strikes].forEach((strike) => {
+    const known = strikes.get(strike.attemptId);
+    if (known === undefined || isEarlier(strike, known)) {
+      strikes.set(strike.attemptId, strike);
+    }
+  });
+  return {
+    service: left.service,
+    fingerprint: left.fingerprint,
+    strikes: [...strikes.values()].sort(newestFirst).slice(0, maxStrikesPerRecord),
+    clearedAttemptIds: [...new Set([...left.clearedAttemptIds, ...right.clearedAttemptIds])]
+      .sort()
+      .slice(-maxStrikesPerRecord),
+  };
+}
+
+function judge(
+  record: QuarantineRecord | undefined,
+  policy: QuarantinePolicy,
+  nowEpochMs: number,
+): QuarantineVerdict {
+  const recent = countingStrikes(record).filter(
+    ({ struckAtMs }) => struckAtMs + policy.durationMs > nowEpochMs,
+  );
+  if (record === undefined || recent.length === 0) {
+    return { kind: 'clear' };
+  }
+  const strikeCount = recent.length;
+  if (strikeCount < policy.strikes || policy.release.includes(record.fingerprint)) {
+    return { kind: 'struck', strikeCount };
+  }
+  const endsAtMs = lastStrikeAtMs(recent) + policy.durationMs;
+  return { kind: 'quarantined', strikeCount, retryAfterMs: endsAtMs - nowEpochMs };
+}
+
+function countingStrikes(record: QuarantineRecord | undefined): CountedStrike[] {
+  return (record?.strikes ?? []).filter(
+    ({ attemptId }) => !record?.clearedAttemptIds.includes(attemptId),
+  );
+}
+
+function notLaterThan(record: QuarantineRecord, nowEpochMs: number): QuarantineRecord {
+  const strikes = record.strikes.map((strike) => ({
+    ...strike,
+    struckAtMs: Math.min(strike.struckAtMs, nowEpochMs),
+  }));
+  return { ...record, strikes };
+}
+
+function lastStrikeAtMs(strikes: readonly CountedStrike[]): number {
+  return strikes.reduce((latest, { struckAtMs }) => Math.max(latest, struckAtMs), -Infinity);
+}
+
+function isEarlier(left: CountedStrike, right: CountedStrike): boolean {
+  return (
+    left.struckAtMs < right.struckAtMs ||
+    (left.struckAtMs === right.struckAtMs && left.instanceId < right.instanceId)
+  );
+}
+
+function newestFirst(left: CountedStrike, right: CountedStrike): number {
+  return right.struckAtMs - left.struckAtMs || (left.attemptId < right.attemptId ? -1 : 1);
+}
+
+/** Merging only ever adds or moves a strike to an earlier time. */
+function isSameRecord(left: QuarantineRecord, right: QuarantineRecord): boolean {
+  return JSON.stringify(left) === JSON.stringify(right);
+}
+
+function emptyRecord(service: string, fingerprint: string): QuarantineRecord {
+  return { service, fingerprint, strikes: [], clearedAttemptIds: [] };
+}
+
+function recordKey(service: string, fingerprint: string): string {
+  return `${service}\u0000${fingerprint}`;
+}
--- /dev/null
+++ b/packages/decisions/src/weightedFairOrder.ts
@@ -0,0 +1,134 @@
+/**
+ * Order of waiting work: weighted fair between flows (start-time fair queueing), earliest deadline
+ * first inside a flow. A flow that was idle gets no credit for it, so it cannot starve the others
+ * when it comes back.
+ */
+
+export interface WaitingItem<Item> {
+  item: Item;
+  /** For example the class, or institution and class. */
+  flow: string;
+  /** Share of the service under contention. */
+  weight: number;
+  deadlineAtMs: number;
+  /** Work that the item asks for, in any unit that all items share. */
+  cost?: number;
+}
+
+export interface WeightedFairOrder<Item> {
+  add(waiting: WaitingItem<Item>): void;
+  /** The item whose turn it is, without removing it. */
+  peek(): Item | undefined;
+  /** Removes and returns the item whose turn it is. */
+  next(): Item | undefined;
+  /** Removes an item that gave up. */
+  remove(item: Item): boolean;
+  /** Waiting items of one flow, or of all. */
+  size(flow?: string): number;
+  /** All waiting items, flow by flow in deadline order. */
+  items(): Item[];
+}
+
+interface Flow<Item> {
+  name: string;
+  /** In deadline order. */
+  waiting: WaitingItem<Item>[];
+  /** Virtual time at which the flow's last served item ends. */
+  finish: number;
+}
+
+/** Idle flows are kept only while their virtual time is ahead; beyond this many they are swept. */
+const sweepThreshold = 256;
+
+export function createWeightedFairOrder<Item>(): WeightedFairOrder<Item> {
+  const flows = new Map<string, Flow<Item>>();
+  let virtualTime = 0;
+  let waitingCount = 0;
+
+  function add(waiting: WaitingItem<Item>): void {
+    sweepIdleFlows();
+    const flow = flows.get(waiting.flow) ?? { name: waiting.flow, waiting: [], finish: 0 };
+    flows.set(waiting.flow, flow);
+    flow.waiting.splice(insertionIndex(flow.waiting, waiting.deadlineAtMs), 0, waiting);
+    waitingCount += 1;
+  }
+
+  function startOf(flow: Flow<Item>): number {
+    return Math.max(flow.finish, virtualTime);
+  }
+
+  /** The flow with the earliest start; among equals the one with the earliest deadline. */
+  function nextFlow(): Flow<Item> | undefined {
+    return [...flows.values()]
+      .filter((flow) => flow.waiting.length > 0)
+      .reduce<Flow<Item> | undefined>((best, flow) => {
+        if (best === undefined || startOf(flow) < startOf(best)) {
+          return flow;
+        }
+        const tied = startOf(flow) === startOf(best);
+        return tied && firstDeadline(flow) < firstDeadline(best) ? flow : best;
+      }, undefined);
+  }
+
+  function next(): Item | undefined {
+    const flow = nextFlow();
+    const waiting = flow?.waiting.shift();
+    if (flow === undefined || waiting === undefined) {
+      return undefined;
+    }
+    waitingCount -= 1;
+    virtualTime = startOf(flow);
+    flow.finish = virtualTime + (waiting.cost ?? 1) / waiting.weight;
+    return waiting.item;
+  }
+
+  function remove(item: Item): boolean {
+    return [...flows.values()].some((flow) => {
+      const index = flow.waiting.findIndex((waiting) => waiting.item === item);
+      if (index === -1) {
+        return false;
+      }
+      flow.waiting.splice(index, 1);
+      waitingCount -= 1;
+      return true;
+    });
+  }
+
+  function sweepIdleFlows(): void {
+    if (flows.size < sweepThreshold) {
+      return;
+    }
+    [...flows.values()]
+      .filter((flow) => flow.waiting.length === 0 && flow.finish <= virtualTime)
+      .forEach((flow) => flows.delete(flow.name));
+  }
+
+  return {
+    add,
+    peek: () => nextFlow()?.waiting[0]?.item,
+    next,
+    remove,
+    size: (flow) =>
+      flow === undefined ? waitingCount : (flows.get(flow)?.waiting.length ?? 0),
+    items: () => [...flows.values()].flatMap((flow) => flow.waiting.map(({ item }) => item)),
+  };
+}
+
+function firstDeadline<Item>(flow: Flow<Item>): number {
+  return flow.waiting[0]?.deadlineAtMs ?? Infinity;
+}
+
+/** Behind all items with the same or an earlier deadline. */
+function insertionIndex<Item>(waiting: readonly WaitingItem<Item>[], deadlineAtMs: number): number {
+  let low = 0;
+  let high = waiting.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (waiting[middle]!.deadlineAtMs <= deadlineAtMs) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
+  }
+  return low;
+}
--- /dev/null
+++ b/packages/decisions/src/workerPools.ts
@@ -0,0 +1,96 @@
+/**
+ * What an entry derives from the instance list once per membership version, so that a decision does
+ * not look at the whole fleet: for each need and locality a small rendezvous subset of workers, and
+ * a table of rendezvous homes by prefix.
+ */
+import type { WorkerRole } from '@bluebellhitch/protocol';
+import { hash64 } from '@bluebellhitch/shared';
+
+/** An instance as candidate selection sees it. */
+export interface CandidateInstance {
+  id: string;
+  dataCentre: string;
+  role: WorkerRole;
+  state: 'live' | 'leaving';
+}
+
+export const workerNeeds = { prefill: 'prefill', decode: 'decode', plain: 'plain' } as const;
+export type WorkerNeed = (typeof workerNeeds)[keyof typeof workerNeeds];
+
+export interface WorkerPool {
+  /** This entry's subset, in rendezvous order. */
+  subset: readonly CandidateInstance[];
+  /** Workers in the order in which they are home to the key: the first few only. */
+  homes(keyHash: number): CandidateInstance[];
+}
+
+export interface WorkerPoolOptions {
+  workers: readonly CandidateInstance[];
+  /** Seeds the subset, so that entries spread over the workers. */
+  entryId: string;
+  subsetSize: number;
+}
+
+/** Keys that fall into one slot share their homes. */
+const homeSlots = 1024;
+const homesPerSlot = 4;
+const unset = -1;
+
+export function createWorkerPool(options: WorkerPoolOptions): WorkerPool {
+  const { workers, entryId, subsetSize } = options;
+  const hashes = Uint32Array.from(workers, (worker) => hash32(worker.id));
+  // Filled on first use: most slots of most services are never asked for.
+  const homeTable = new Int32Array(homeSlots * homesPerSlot).fill(unset);
+  const homeCount = Math.min(homesPerSlot, workers.length);
+
+  function fillSlot(slot: number): void {
+    const order = highestWeights(hashes, mix32(slot + 1), homeCount);
+    homeTable.set(order, slot * homesPerSlot);
+  }
+
+  function homes(keyHash: number): CandidateInstance[] {
+    const slot = keyHash % homeSlots;
+    const start = slot * homesPerSlot;
+    if (homeCount > 0 && homeTable[start] === unset) {
+      fillSlot(slot);
+    }
+    const indexes = homeTable.subarray(start, start + homeCount);
+    return Array.from(indexes, (index) => workers[index]!);
+  }
+
+  const subset = highestWeights(hashes, hash32(entryId), Math.min(subsetSize, workers.length));
+  return { subset: subset.map((index) => workers[index]!), homes };
+}
+
+/** Whether a worker of this role serves the need. */
+export function roleServes(role: WorkerRole, need: WorkerNeed): boolean {
+  return role === need || (role === 'both' && need !== 'plain');
+}
+
+/** The lower 32 bits of the 64-bit hash. */
+export function hash32(text: string): number {
+  return Number(hash64(text) & 0xffffffffn);
+}
+
+/** Indexes of the `count` members with the highest rendezvous weights, best first. */
+function highestWeights(hashes: Uint32Array, seed: number, count: number): number[] {
+  const best: { index: number; weight: number }[] = [];
+  hashes.forEach((hash, index) => {
+    const weight = mix32(hash ^ seed);
+    if (best.length === count && (count === 0 || weight <= best[count - 1]!.weight)) {
+      return;
+    }
+    const place = best.findIndex((other) => weight > other.weight);
+    best.splice(place === -1 ? best.length : place, 0, { index, weight });
+    best.length = Math.min(best.length, count);
+  });
+  return best.map(({ index }) => index);
+}
+
+/** Integer finaliser with full avalanche: each input bit changes each output bit half of the time. */
+function mix32(value: number): number {
+  let mixed = value | 0;
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x7feb352d);
+  mixed = Math.imul(mixed ^ (mixed >>> 15), 0x846ca68b);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
