Generate the JSON Schema and the field reference of the configuration page

A new user should write a document from docs/CONFIGURATION.md alone, and a page written by hand falls behind the schema. Both files are made from the zod schema by generateDocumentSchema.ts and committed; tests compare them with the schema, parse the page's documents, and require a description of every field and bounds of every number and list.

--- a/packages/document/__tests__/examples.test.ts
+++ b/packages/document/__tests__/examples.test.ts
@@ -18,3 +18,13 @@
     t.deepEqual(parsed.isErr() ? parsed.error : parsed.value.findings, []);
   });
 });
+
+const page = readFileSync(join(examples, '../docs/CONFIGURATION.md'), 'utf8');
+const documentsOfPage = [...page.matchAll(/```yaml\n(apiVersion[^]*?)```/g)].map(
+  ([, text]) => text,
+);
+
+test('the documents in docs/CONFIGURATION.md have no findings', (t) => {
+  t.is(documentsOfPage.length, 2);
+  documentsOfPage.forEach((text) => t.true(parseDocument(text!).isOk()));
+});
--- a/packages/document/src/index.ts
+++ b/packages/document/src/index.ts
@@ -13,6 +13,7 @@
 } from './documentSchema';
 export { diffDocuments, type DocumentChange } from './diffDocuments';
 export { effectiveClass } from './effectiveClass';
+export { renderFieldTable, replaceFieldTable, tableMarkers } from './fieldTable';
 export { documentJsonSchema, type JsonSchemaNode } from './jsonSchema';
 export { normalizeDocument } from './normalizeDocument';
 export {
