Add the linter, the formatter and the rule for the direction of dependencies

The layering table of CONTRIBUTING.md is one list in scripts/lint/layering.mjs. Checked by hand: an import against the direction, a deep import, I/O in decisions and a dropped promise are each reported.

--- a/packages/telemetry/__tests__/processLifecycle.test.ts
+++ b/packages/telemetry/__tests__/processLifecycle.test.ts
@@ -1,4 +1,4 @@
-import { EventEmitter } from 'node:events';
+import { EventEmitter, once } from 'node:events';
 import { PassThrough } from 'node:stream';
 import { setImmediate } from 'node:timers/promises';
 import test from 'ava';
@@ -16,7 +16,9 @@
       env,
       stdin,
       on: (event: string, listener: (...values: unknown[]) => void) => emitter.on(event, listener),
-      exit: (code: number) => void exitCodes.push(code),
+      exit(code: number) {
+        exitCodes.push(code);
+      },
     },
   };
 }
@@ -26,7 +28,9 @@
   const stops: StopKind[] = [];
   installProcessLifecycle({
     process: fake.process,
-    onStop: async (kind) => void stops.push(kind),
+    onStop: async (kind) => {
+      stops.push(kind);
+    },
   });
   fake.emitter.emit('SIGTERM');
   await setImmediate();
@@ -46,7 +50,7 @@
     onStop: async (kind) => {
       stops.push(kind);
       if (kind === 'graceful') {
-        await new Promise((resolve) => drained.once('drained', resolve));
+        await once(drained, 'drained');
       }
     },
   });
@@ -66,7 +70,9 @@
   const stops: StopKind[] = [];
   installProcessLifecycle({
     process: fake.process,
-    onStop: async (kind) => void stops.push(kind),
+    onStop: async (kind) => {
+      stops.push(kind);
+    },
   });
   fake.emitter.emit('uncaughtException', new Error('defect'));
   await setImmediate();
@@ -94,10 +100,12 @@
   const stops: StopKind[] = [];
   installProcessLifecycle({
     process: fake.process,
-    onStop: async (kind) => void stops.push(kind),
+    onStop: async (kind) => {
+      stops.push(kind);
+    },
   });
   fake.stdin.end();
-  await new Promise((resolve) => fake.stdin.once('close', resolve));
+  await once(fake.stdin, 'close');
   await setImmediate();
 
   t.deepEqual(stops, ['forced']);
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -100,7 +100,7 @@
 
 /** Creates the metrics of an entry. */
 export function createEntryMetrics(): EntryMetrics {
-  const { registry, labels, ...common } = createCommonMetrics();
+  const { registry, labels, common } = createCommonMetrics();
   const registers = [registry];
   const requests = new Counter({
     name: 'bluebell_requests_total',
@@ -137,7 +137,7 @@
 
 /** Creates the metrics of an agent. */
 export function createAgentMetrics(): AgentMetrics {
-  const { registry, labels: _labels, ...common } = createCommonMetrics();
+  const { registry, common } = createCommonMetrics();
   const leases = new Gauge({
     name: 'bluebell_engine_leases',
     help: 'Leases of the backend server by state.',
@@ -189,28 +189,25 @@
     labelNames: ['service'],
     registers,
   });
-  return {
-    registry,
-    labels,
+  const common: CommonMetrics = {
     contentType: registry.contentType,
     render: () => registry.metrics(),
     describeService: labels.describe,
-    forgetService(serviceName: string) {
+    forgetService(serviceName) {
       generations.remove({ service: serviceName });
       labels.forget(serviceName);
     },
-    observePhase: (phase: RequestPhase, request: RequestLabels, durationMs: number) =>
+    observePhase: (phase, request, durationMs) =>
       phases[phase].observe({ ...labels.resolve(request) }, durationMs / msPerSecond),
-    countPrefillTokens: (tokenCount: number) => prefillTokens.inc(tokenCount),
-    countWastedPrefillTokens: (cause: WastedPrefillCause, tokenCount: number) =>
-      wastedPrefillTokens.inc({ cause }, tokenCount),
-    countRefusal: (reason: RefusalReason | AgentRefusalReason) => refusals.inc({ reason }),
-    countDroppedFrame: (cause: DroppedFrameCause) => droppedFrames.inc({ cause }),
-    countControlBytes: (direction: ByteDirection, byteCount: number) =>
-      controlBytes.inc({ direction }, byteCount),
-    setConfigurationGeneration: (serviceName: string, generation: number) =>
+    countPrefillTokens: (tokenCount) => prefillTokens.inc(tokenCount),
+    countWastedPrefillTokens: (cause, tokenCount) => wastedPrefillTokens.inc({ cause }, tokenCount),
+    countRefusal: (reason) => refusals.inc({ reason }),
+    countDroppedFrame: (cause) => droppedFrames.inc({ cause }),
+    countControlBytes: (direction, byteCount) => controlBytes.inc({ direction }, byteCount),
+    setConfigurationGeneration: (serviceName, generation) =>
       generations.set({ service: labels.resolveService(serviceName) }, generation),
   };
+  return { registry, labels, common };
 }
 
 function createPhaseHistograms(registry: Registry): Record<RequestPhase, Histogram> {
--- a/packages/telemetry/src/processLifecycle.ts
+++ b/packages/telemetry/src/processLifecycle.ts
@@ -44,7 +44,7 @@
  */
 export function installProcessLifecycle(options: ProcessLifecycleOptions): void {
   const { onStop, logger, forcedStopMs = 2_000 } = options;
-  const host = options.process ?? (process as unknown as LifecycleProcess);
+  const host: LifecycleProcess = options.process ?? process;
   const watchesStdin = options.exitOnStdinEnd ?? host.env.BLUEBELL_EXIT_ON_STDIN_END === 'true';
   let stopping: StopKind | undefined;
 
@@ -83,7 +83,9 @@
   host.on('uncaughtException', onUnhandled);
   host.on('unhandledRejection', onUnhandled);
   if (watchesStdin) {
-    exitOnStdinEnd(host.stdin, () => void stopForced('standard input ended', exitCodes.ok));
+    exitOnStdinEnd(host.stdin, () => {
+      void stopForced('standard input ended', exitCodes.ok);
+    });
   }
 }
 
--- a/packages/telemetry/src/serviceLabels.ts
+++ b/packages/telemetry/src/serviceLabels.ts
@@ -38,8 +38,12 @@
 export function createServiceLabels(): ServiceLabels {
   const known = new Map<string, LabelledService>();
   return {
-    describe: (service) => void known.set(service.service, service),
-    forget: (serviceName) => void known.delete(serviceName),
+    describe(service) {
+      known.set(service.service, service);
+    },
+    forget(serviceName) {
+      known.delete(serviceName);
+    },
     resolve(labels) {
       const service = known.get(labels.service);
       return {
--- /dev/null
+++ b/scripts/lint/layering.mjs
@@ -0,0 +1,75 @@
+/**
+ * The direction of dependencies between packages, as CONTRIBUTING.md draws it: one lint configuration
+ * for each package.
+ */
+const layers = [
+  ['shared'],
+  ['protocol', 'document'],
+  ['decisions', 'platform'],
+  ['duties', 'membership', 'engine', 'telemetry'],
+  ['entry', 'agent', 'ctl', 'bench', 'standins'],
+];
+
+/** Edges inside a layer; each needs a reason. */
+const extraEdges = {
+  // Experiments build their fleets of stand-ins.
+  bench: ['standins'],
+};
+
+/** Decisions are pure: whatever reads a clock, a socket or a file stays outside. */
+const ioModules = [
+  'node:*',
+  'undici',
+  'hono',
+  'hono/*',
+  '@hono/*',
+  '@trpc/*',
+  'prom-client',
+  'roarr',
+];
+
+const packageNames = layers.flat();
+
+export const layeringConfigs = packageNames.flatMap((name) => [
+  layeringConfig(name, `packages/${name}/src/**/*.ts`, allowedImports(name)),
+  // Tests may use the stand-ins of the outside world as well.
+  layeringConfig(name, `packages/${name}/__tests__/**/*.ts`, [
+    ...allowedImports(name),
+    name,
+    'standins',
+  ]),
+]);
+
+function allowedImports(name) {
+  const level = layers.findIndex((layer) => layer.includes(name));
+  return [...layers.slice(0, level).flat(), ...(extraEdges[name] ?? [])];
+}
+
+function layeringConfig(name, files, allowed) {
+  const forbidden = packageNames.filter((other) => !allowed.includes(other));
+  const isPureSource = name === 'decisions' && files.includes('/src/');
+  return {
+    name: `bluebellhitch/layering/${files}`,
+    files: [files],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: forbidden.map((other) => ({
+            name: `@bluebellhitch/${other}`,
+            message: `${name} may not depend on ${other}; see CONTRIBUTING.md.`,
+          })),
+          patterns: [
+            {
+              group: ['@bluebellhitch/*/*'],
+              message: 'Import from the package; its index.ts is its public surface.',
+            },
+            ...(isPureSource
+              ? [{ group: ioModules, message: 'decisions has no I/O; pass in what it needs.' }]
+              : []),
+          ],
+        },
+      ],
+    },
+  };
+}
