Make the decisions lint clean and their cost flat

Shares of a rate are computed every quarter second rather than at each request, because they look at every entry. Pressure fades with time, so that a stale value after a silence cannot raise the overload level again. A resumed attempt that starts over is an error: its text need not fit to what the caller has.

--- a/packages/decisions/src/bidChoice.ts
+++ b/packages/decisions/src/bidChoice.ts
@@ -135,7 +135,8 @@
     decode,
     uncachedTokens,
     prediction: {
-      usableInMs: usableInMs(decode) + prefillMs,
+      overlapsWait: false,
+      usableInMs: usableInMs(decode),
       prefillWaitMs: 0,
       prefillMs,
       transferMs: 0,
@@ -158,6 +159,7 @@
     prefill,
     uncachedTokens,
     prediction: {
+      overlapsWait: true,
       usableInMs: usableInMs(decode),
       prefillWaitMs: usableInMs(prefill),
       prefillMs: uncachedTokens * msPerToken,
--- a/packages/decisions/src/candidates.ts
+++ b/packages/decisions/src/candidates.ts
@@ -104,8 +104,9 @@
     if (able) {
       return chosen;
     }
-    const kept = chosen.slice(0, Math.max(0, count - 1));
-    return [...kept, ...pick(remote, query, count - kept.length, candidateReasons.remote)];
+    const wantedRemote = Math.max(1, count - chosen.length);
+    const remotes = pick(remote, query, wantedRemote, candidateReasons.remote);
+    return [...chosen.slice(0, count - remotes.length), ...remotes];
   }
 
   function pick(
@@ -115,8 +116,7 @@
     reason: CandidateReason,
   ): Candidate[] {
     const { excluded, nowMs } = query;
-    const usable = ({ id }: CandidateInstance) =>
-      !excluded?.has(id) && !hints.isLeaving(id, nowMs);
+    const usable = ({ id }: CandidateInstance) => !excluded?.has(id) && !hints.isLeaving(id, nowMs);
     const subset = pool.subset.filter(usable);
     const home = findHome(pool, subset, query, usable);
     const rest = subset.filter((instance) => instance !== home);
@@ -152,16 +152,18 @@
     wanted: number,
     nowMs: number,
   ): CandidateInstance[] {
-    const remaining = [...members];
-    return Array.from({ length: Math.min(Math.max(0, wanted), members.length) }, () => {
-      const first = Math.floor(random() * remaining.length);
-      const other = Math.floor(random() * remaining.length);
-      const lighter =
-        hints.pressure(remaining[first]!.id, nowMs) <= hints.pressure(remaining[other]!.id, nowMs)
-          ? first
-          : other;
-      return remaining.splice(lighter, 1)[0]!;
-    });
+    const remaining = members.map((instance) => ({
+      instance,
+      pressure: hints.pressure(instance.id, nowMs),
+    }));
+    const randomIndex = () => Math.floor(random() * remaining.length);
+    return Array.from({ length: Math.min(wanted, members.length) }, () => {
+      const pair = [randomIndex(), randomIndex()];
+      const [lighter = 0] = pair.sort(
+        (left, right) => pressureAt(remaining, left) - pressureAt(remaining, right),
+      );
+      return remaining.splice(lighter, 1);
+    }).flatMap((picked) => picked.map(({ instance }) => instance));
   }
 
   return { select };
@@ -185,6 +187,10 @@
   };
 }
 
+function pressureAt(members: readonly { pressure: number }[], index: number): number {
+  return members[index]?.pressure ?? Infinity;
+}
+
 function toCandidate(instance: CandidateInstance, reason: CandidateReason): Candidate {
   return { instanceId: instance.id, dataCentre: instance.dataCentre, reason };
 }
--- a/packages/decisions/src/expectedValue.ts
+++ b/packages/decisions/src/expectedValue.ts
@@ -20,6 +20,8 @@
 
 /** Predicted durations of one way to serve the request, from now on. */
 export interface PhasePrediction {
+  /** Whether the prefill runs elsewhere while the decode slot is awaited, or needs the slot itself. */
+  overlapsWait: boolean;
   /** When the decode slot is usable. */
   usableInMs: number;
   /** Wait in the prefill worker's queue. */
@@ -97,8 +99,10 @@
 
 /** The KV cache is imported once prefill is done and the slot is usable; one step yields a token. */
 export function predictFirstTokenMs(prediction: PhasePrediction): number {
-  const prefilledInMs = prediction.prefillWaitMs + prediction.prefillMs;
-  return Math.max(prediction.usableInMs, prefilledInMs) + prediction.transferMs + prediction.stepMs;
+  const { overlapsWait, usableInMs, transferMs, stepMs } = prediction;
+  const prefilledInMs = prefillEndMs(prediction);
+  const readyInMs = overlapsWait ? Math.max(usableInMs, prefilledInMs) : usableInMs + prefilledInMs;
+  return readyInMs + transferMs + stepMs;
 }
 
 /**
@@ -114,8 +118,11 @@
   const limitMs = targets.firstTokenMs - elapsedMs;
   const meanMs = largestMean(limitMs, firstTokenDeviation, Math.max(needed, smallestNeeded));
   const fixedMs = prediction.transferMs + prediction.stepMs;
-  const prefilledMs = prediction.prefillWaitMs + prediction.prefillMs + fixedMs;
-  return meanMs < prefilledMs ? -1 : meanMs - fixedMs;
+  const prefilledInMs = prefillEndMs(prediction);
+  if (meanMs < prefilledInMs + fixedMs) {
+    return -1;
+  }
+  return meanMs - fixedMs - (prediction.overlapsWait ? 0 : prefilledInMs);
 }
 
 /**
@@ -166,6 +173,10 @@
 }
 
 function startInMs(prediction: PhasePrediction): number {
-  const { usableInMs, prefillWaitMs, prefillMs } = prediction;
-  return Math.max(0, usableInMs - prefillWaitMs - prefillMs - startMarginMs);
+  const spareMs = prediction.usableInMs - prefillEndMs(prediction) - startMarginMs;
+  return prediction.overlapsWait ? Math.max(0, spareMs) : prediction.usableInMs;
+}
+
+function prefillEndMs({ prefillWaitMs, prefillMs }: PhasePrediction): number {
+  return prefillWaitMs + prefillMs;
 }
--- a/packages/decisions/src/lengthPredictor.ts
+++ b/packages/decisions/src/lengthPredictor.ts
@@ -41,9 +41,11 @@
   sorted(): Uint32Array;
 }
 
-/** Fewer samples say too little about a bucket; the next wider one is asked. */
+/** Fewer samples say too little about a bucket; the next wider one is asked then. */
 const minimumSamples = 8;
 const defaultQuantile = 0.5;
+/** A stream longer than all known ones is expected to go on for this part of its length. */
+const overrunShare = 0.25;
 
 export function createLengthPredictor(options: LengthPredictorOptions = {}): LengthPredictor {
   const { maxBuckets = 2048, samplesPerBucket = 64 } = options;
@@ -55,17 +57,18 @@
     });
   }
 
-  /** Lengths above `emittedTokens` in the narrowest bucket that has enough of them. */
-  function samplesBeyond(key: LengthKey, emittedTokens: number): Uint32Array | undefined {
+  /** Lengths of the narrowest bucket that has enough of them, ascending. */
+  function samplesFor(key: LengthKey): Uint32Array | undefined {
     return bucketNames(key)
-      .map((name) => buckets.get(name)?.sorted().filter((length) => length > emittedTokens))
+      .map((name) => buckets.get(name)?.sorted())
       .find((lengths) => lengths !== undefined && lengths.length >= minimumSamples);
   }
 
   function predictRemaining(query: RemainingQuery): number {
     const { emittedTokens, maxOutputTokens, quantile = defaultQuantile } = query;
-    const lengths = samplesBeyond(query, emittedTokens);
-    const total = lengths === undefined ? maxOutputTokens : quantileOf(lengths, quantile);
+    const lengths = samplesFor(query);
+    const total =
+      lengths === undefined ? maxOutputTokens : expectedTotal(lengths, emittedTokens, quantile);
     return Math.max(0, Math.min(total, maxOutputTokens) - emittedTokens);
   }
 
@@ -100,7 +103,12 @@
   };
 }
 
-function quantileOf(sorted: Uint32Array, quantile: number): number {
-  const index = Math.min(sorted.length - 1, Math.floor(quantile * sorted.length));
-  return sorted[index] ?? 0;
+/** Quantile of the lengths above `emittedTokens`. */
+function expectedTotal(lengths: Uint32Array, emittedTokens: number, quantile: number): number {
+  const start = lengths.findIndex((length) => length > emittedTokens);
+  if (start === -1) {
+    return emittedTokens * (1 + overrunShare);
+  }
+  const index = start + Math.floor(quantile * (lengths.length - start));
+  return lengths[Math.min(index, lengths.length - 1)] ?? 0;
 }
--- a/packages/decisions/src/loadHints.ts
+++ b/packages/decisions/src/loadHints.ts
@@ -86,9 +86,7 @@
 
   function isSaturated(instanceId: string, waitMs: number, nowMs: number): boolean {
     const aged = get(instanceId, nowMs);
-    return (
-      aged !== undefined && aged.freshness > recentFreshness && aged.hint.queueWaitMs > waitMs
-    );
+    return aged !== undefined && aged.freshness > recentFreshness && aged.hint.queueWaitMs > waitMs;
   }
 
   function isLeaving(instanceId: string, nowMs: number): boolean {
--- a/packages/decisions/src/outlierDetection.ts
+++ b/packages/decisions/src/outlierDetection.ts
@@ -22,9 +22,7 @@
 }
 
 export type BreakerState =
-  | { kind: 'closed' }
-  | { kind: 'open'; untilMs: number }
-  | { kind: 'half-open'; probing: boolean };
+  { kind: 'closed' } | { kind: 'open'; untilMs: number } | { kind: 'half-open'; probing: boolean };
 
 export interface OutlierDetector {
   record(instanceId: string, outcome: 'success' | 'failure', nowMs: number): void;
--- a/packages/decisions/src/overload.ts
+++ b/packages/decisions/src/overload.ts
@@ -22,8 +22,8 @@
   leaveShare?: number;
   /** Time below it before the level falls by one. */
   calmMs?: number;
-  /** Weight of a new sample of pressure. */
-  smoothing?: number;
+  /** The pressure is the mean of samples of about this long. */
+  windowMs?: number;
   /** Probability of meeting both targets that level 3 asks for. */
   hopefulProbability?: number;
 }
@@ -62,24 +62,31 @@
     enterAt = [0.6, 1, 1.5],
     leaveShare = 0.7,
     calmMs = 1_000,
-    smoothing = 0.1,
+    windowMs = 500,
     hopefulProbability = 0.5,
   } = options;
   let level: OverloadLevel = overloadLevels.normal;
-  let pressure = 0;
   let restlessAtMs = -Infinity;
+  let observedAtMs = -Infinity;
+  /** Sum and count of samples, both fading with time: after a silence the next sample decides. */
+  let sampleSum = 0;
+  let sampleCount = 0;
 
   function levelFor(value: number): OverloadLevel {
     return enterAt.filter((bound) => value >= bound).length as OverloadLevel;
   }
 
   function observe(sample: number, nowMs: number): void {
-    pressure += smoothing * (sample - pressure);
+    const fading = Math.exp(-Math.max(0, nowMs - observedAtMs) / windowMs);
+    sampleSum = sampleSum * fading + sample;
+    sampleCount = sampleCount * fading + 1;
+    observedAtMs = nowMs;
+    const pressure = sampleSum / sampleCount;
     const target = levelFor(pressure);
     if (target > level) {
       level = target;
     }
-    if (level > 0 && pressure >= leaveShare * enterAt[level - 1]!) {
+    if (pressure >= leaveShare * (enterAt[level - 1] ?? Infinity)) {
       restlessAtMs = nowMs;
     }
   }
--- a/packages/decisions/src/phaseModel.ts
+++ b/packages/decisions/src/phaseModel.ts
@@ -5,7 +5,10 @@
 import { createBoundedMap } from './boundedMap';
 import { createRunningEstimate } from './runningEstimate';
 
-export const prefillPlaces = { prefillWorker: 'prefill-worker', decodeWorker: 'decode-worker' } as const;
+export const prefillPlaces = {
+  prefillWorker: 'prefill-worker',
+  decodeWorker: 'decode-worker',
+} as const;
 export type PrefillPlace = (typeof prefillPlaces)[keyof typeof prefillPlaces];
 
 /** Learned figures of one service. */
--- a/packages/decisions/src/quarantine.ts
+++ b/packages/decisions/src/quarantine.ts
@@ -82,6 +82,7 @@
 }
 
 const maxStrikesPerRecord = 16;
+const maxClearancesPerRecord = 64;
 const maxPlacements = 4096;
 
 export function createQuarantine(options: QuarantineOptions = {}): Quarantine {
@@ -159,7 +160,10 @@
   };
 }
 
-/** Union of strikes by attempt, and of clearances; commutative, associative and idempotent. */
+/**
+ * Union of strikes by attempt, and of clearances; within the bounds it is commutative, associative
+ * and idempotent.
+ */
 export function mergeQuarantineRecords(
   left: QuarantineRecord,
   right: QuarantineRecord,
@@ -177,7 +181,7 @@
     strikes: [...strikes.values()].sort(newestFirst).slice(0, maxStrikesPerRecord),
     clearedAttemptIds: [...new Set([...left.clearedAttemptIds, ...right.clearedAttemptIds])]
       .sort()
-      .slice(-maxStrikesPerRecord),
+      .slice(-maxClearancesPerRecord),
   };
 }
 
@@ -229,7 +233,6 @@
   return right.struckAtMs - left.struckAtMs || (left.attemptId < right.attemptId ? -1 : 1);
 }
 
-/** Merging only ever adds or moves a strike to an earlier time. */
 function isSameRecord(left: QuarantineRecord, right: QuarantineRecord): boolean {
   return JSON.stringify(left) === JSON.stringify(right);
 }
--- a/packages/decisions/src/rateLimit.ts
+++ b/packages/decisions/src/rateLimit.ts
@@ -49,6 +49,9 @@
 
 interface Bucket {
   tokens: number;
+  /** This entry's part of the rate, in (0, 1]. */
+  share: number;
+  shareUntilMs: number;
   refilledAtMs: number;
   demandPerSecond: number;
   peers: ReturnType<typeof createPeerDemands>;
@@ -60,6 +63,7 @@
 }
 
 const demandWindowMs = 1_000;
+const shareLifetimeMs = 250;
 const maxPeersPerBucket = 512;
 
 export function rateKey(institution: string, service: string, className: string): string {
@@ -71,24 +75,25 @@
   let entryCount = Math.max(1, options.entryCount ?? 1);
   const buckets = createBoundedMap<string, Bucket>({ maxEntries: maxBuckets });
 
-  function shareOf(bucket: Bucket, limit: RateLimit, nowMs: number): number {
-    const peerDemands = bucket.peers.recent(nowMs - demandLifetimeMs);
+  /** Computed now and then only: it looks at every peer. */
+  function updateShare(bucket: Bucket, limit: RateLimit, nowMs: number): void {
+    if (nowMs < bucket.shareUntilMs) {
+      return;
+    }
     const { requestsPerSecond } = limit;
-    const share = shareByDemand({
-      requestsPerSecond,
-      ownDemand: bucket.demandPerSecond,
-      peerDemands,
-      entryCount,
-    });
-    return share / requestsPerSecond;
+    const peerDemands = bucket.peers.recent(nowMs - demandLifetimeMs);
+    const ownDemand = decayedDemand(bucket, nowMs);
+    const ratePerSecond = shareByDemand({ requestsPerSecond, ownDemand, peerDemands, entryCount });
+    bucket.share = ratePerSecond / requestsPerSecond;
+    bucket.shareUntilMs = nowMs + shareLifetimeMs;
   }
 
   function take({ key, limit, nowMs }: RateQuery): RateDecision {
     const bucket = buckets.getOrCreate(key, () => createBucket(nowMs));
     countDemand(bucket, nowMs);
-    const share = shareOf(bucket, limit, nowMs);
-    const ratePerSecond = share * limit.requestsPerSecond;
-    const capacity = Math.max(1, share * (limit.burst ?? limit.requestsPerSecond));
+    updateShare(bucket, limit, nowMs);
+    const ratePerSecond = bucket.share * limit.requestsPerSecond;
+    const capacity = Math.max(1, bucket.share * (limit.burst ?? limit.requestsPerSecond));
     refill(bucket, ratePerSecond, capacity, nowMs);
     if (bucket.tokens >= 1) {
       bucket.tokens -= 1;
@@ -101,6 +106,9 @@
     take,
     setEntryCount: (count) => {
       entryCount = Math.max(1, count);
+      [...buckets.entries()].forEach(([, bucket]) => {
+        bucket.shareUntilMs = -Infinity;
+      });
     },
     reportDemand: (peerId, key, requestsPerSecond, nowMs) => {
       const bucket = buckets.getOrCreate(key, () => createBucket(nowMs));
@@ -115,23 +123,28 @@
 }
 
 /**
- * This entry's part of the rate by max-min fairness. The shares of entries that know the same
- * demands add up to at most the rate; an entry never gets less than it asks for within the even
- * share, and what nobody asked for is split evenly, so that new demand is not refused at once.
+ * This entry's part of the rate by max-min fairness. Entries that know the same demands take at most
+ * the rate together. Everyone keeps at least half of the even share, so that new demand is not
+ * refused until the next reports, and what nobody asks for is split evenly.
  */
 export function shareByDemand(options: DemandShareOptions): number {
   const { requestsPerSecond, ownDemand, peerDemands, entryCount } = options;
-  const known = peerDemands.slice(0, Math.max(0, entryCount - 1));
-  const silent = Math.max(0, entryCount - 1 - known.length);
   const evenShare = requestsPerSecond / entryCount;
-  const demands = [...known, ...Array.from({ length: silent }, () => evenShare)];
-  const fairShare = maxMinLevel([ownDemand, ...demands], requestsPerSecond);
-  const granted = [ownDemand, ...demands].reduce(
-    (sum, demand) => sum + Math.min(demand, fairShare),
-    0,
-  );
+  const known = peerDemands.slice(0, entryCount - 1);
+  if (known.length === 0) {
+    return evenShare;
+  }
+  const silentCount = entryCount - 1 - known.length;
+  const atLeastHalf = (demand: number) => Math.max(demand, evenShare / 2);
+  const demands = [
+    atLeastHalf(ownDemand),
+    ...known.map(atLeastHalf),
+    ...Array.from({ length: silentCount }, () => evenShare),
+  ];
+  const level = maxMinLevel(demands, requestsPerSecond);
+  const granted = demands.reduce((sum, demand) => sum + Math.min(demand, level), 0);
   const spare = Math.max(0, requestsPerSecond - granted) / entryCount;
-  return Math.min(ownDemand, fairShare) + spare;
+  return Math.min(atLeastHalf(ownDemand), level) + spare;
 }
 
 /** The level at which demands, cut off at it, add up to `capacity`; infinite where they fit. */
@@ -152,6 +165,8 @@
 function createBucket(nowMs: number): Bucket {
   return {
     tokens: Infinity,
+    share: 1,
+    shareUntilMs: -Infinity,
     refilledAtMs: nowMs,
     demandPerSecond: 0,
     peers: createPeerDemands(),
--- a/packages/decisions/src/stallDetector.ts
+++ b/packages/decisions/src/stallDetector.ts
@@ -13,8 +13,7 @@
 }
 
 export type StallVerdict =
-  | { kind: 'moving' }
-  | { kind: 'stalled'; progress: number; withoutProgressMs: number };
+  { kind: 'moving' } | { kind: 'stalled'; progress: number; withoutProgressMs: number };
 
 export interface StallDetector {
   /** Total progress so far. */
--- a/packages/decisions/src/streamGuard.ts
+++ b/packages/decisions/src/streamGuard.ts
@@ -18,6 +18,8 @@
   gap: 'gap',
   /** A frame repeats tokens and adds new ones; text cannot be cut between tokens. */
   overlap: 'overlap',
+  /** The attempt starts over instead of continuing: its text need not fit to what was delivered. */
+  restarted: 'restarted',
   /** The end marker's total differs from what was delivered. */
   endMismatch: 'end-mismatch',
   /** The stream closed without an end marker. */
@@ -71,6 +73,9 @@
 
   function acceptTokens(frame: Extract<StreamFrame, { kind: 'tokens' }>): GuardedFrame {
     const { offset, tokenCount, text } = frame;
+    if (offset < startOffset) {
+      return truncate(truncationCauses.restarted, offset);
+    }
     if (offset + tokenCount <= deliveredTokens) {
       return ignore(ignoredFrameCauses.duplicate);
     }
--- a/packages/decisions/src/weightedFairOrder.ts
+++ b/packages/decisions/src/weightedFairOrder.ts
@@ -108,8 +108,7 @@
     peek: () => nextFlow()?.waiting[0]?.item,
     next,
     remove,
-    size: (flow) =>
-      flow === undefined ? waitingCount : (flows.get(flow)?.waiting.length ?? 0),
+    size: (flow) => (flow === undefined ? waitingCount : (flows.get(flow)?.waiting.length ?? 0)),
     items: () => [...flows.values()].flatMap((flow) => flow.waiting.map(({ item }) => item)),
   };
 }
@@ -118,17 +117,7 @@
   return flow.waiting[0]?.deadlineAtMs ?? Infinity;
 }
 
-/** Behind all items with the same or an earlier deadline. */
+/** Behind all items with the same or an earlier deadline; most arrivals belong at the end. */
 function insertionIndex<Item>(waiting: readonly WaitingItem<Item>[], deadlineAtMs: number): number {
-  let low = 0;
-  let high = waiting.length;
-  while (low < high) {
-    const middle = (low + high) >>> 1;
-    if (waiting[middle]!.deadlineAtMs <= deadlineAtMs) {
-      low = middle + 1;
-    } else {
-      high = middle;
-    }
-  }
-  return low;
+  return waiting.findLastIndex((other) => other.deadlineAtMs <= deadlineAtMs) + 1;
 }
--- a/packages/decisions/src/workerPools.ts
+++ b/packages/decisions/src/workerPools.ts
@@ -55,11 +55,11 @@
       fillSlot(slot);
     }
     const indexes = homeTable.subarray(start, start + homeCount);
-    return Array.from(indexes, (index) => workers[index]!);
+    return membersAt(workers, indexes);
   }
 
   const subset = highestWeights(hashes, hash32(entryId), Math.min(subsetSize, workers.length));
-  return { subset: subset.map((index) => workers[index]!), homes };
+  return { subset: membersAt(workers, subset), homes };
 }
 
 /** Whether a worker of this role serves the need. */
@@ -69,7 +69,14 @@
 
 /** The lower 32 bits of the 64-bit hash. */
 export function hash32(text: string): number {
-  return Number(hash64(text) & 0xffffffffn);
+  return Number(BigInt.asUintN(32, hash64(text)));
+}
+
+function membersAt(
+  workers: readonly CandidateInstance[],
+  indexes: Iterable<number>,
+): CandidateInstance[] {
+  return [...indexes].flatMap((index) => workers[index] ?? []);
 }
 
 /** Indexes of the `count` members with the highest rendezvous weights, best first. */
@@ -77,7 +84,8 @@
   const best: { index: number; weight: number }[] = [];
   hashes.forEach((hash, index) => {
     const weight = mix32(hash ^ seed);
-    if (best.length === count && (count === 0 || weight <= best[count - 1]!.weight)) {
+    const lowest = best[count - 1];
+    if (lowest !== undefined && weight <= lowest.weight) {
       return;
     }
     const place = best.findIndex((other) => weight > other.weight);
@@ -89,8 +97,7 @@
 
 /** Integer finaliser with full avalanche: each input bit changes each output bit half of the time. */
 function mix32(value: number): number {
-  let mixed = value | 0;
-  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x7feb352d);
+  let mixed = Math.imul(value ^ (value >>> 16), 0x7feb352d);
   mixed = Math.imul(mixed ^ (mixed >>> 15), 0x846ca68b);
   return (mixed ^ (mixed >>> 16)) >>> 0;
 }
