Add the engine client and stand-ins for engine, weight store and plain service

The agent needs an engine to talk to before real ones can be met. The client keeps the wire format in two files. The stand-in is a simulation on the runtime's clock with HTTP around it; it implements EngineApi itself, so that tests with paused time need no sockets.

Ruled out: one timer a stream (no effect of the batch on the step time), and cancelling work on a closed connection by default (it would hide an agent that forgets to cancel).

--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -12,3 +12,25 @@
   PrefillResult,
   ResumeInput,
 } from './engineApi';
+export {
+  createHttpEngineClient,
+  type HttpEngineClient,
+  type HttpEngineClientOptions,
+} from './httpEngineClient';
+export { readEventStream } from './eventStream';
+export {
+  cancelBodySchema,
+  decodeBodySchema,
+  engineErrorStatus,
+  enginePaths,
+  errorBodySchema,
+  exportBodySchema,
+  importBodySchema,
+  importEventSchema,
+  kvEventSchema,
+  orderBodySchema,
+  prefillBodySchema,
+  resumeBodySchema,
+  type ImportEvent,
+  type KvEvent,
+} from './engineWire';
--- /dev/null
+++ b/packages/standins/src/bin/runStandin.ts
@@ -0,0 +1,30 @@
+/** What the stand-ins' binaries share: settings to listen with, the line that tells the address, and SIGTERM. */
+import { z } from 'zod';
+import { exitCodes } from '@bluebellhitch/shared';
+import type { StandinServer } from '../httpServer';
+
+export const version = '0.1.0';
+
+export const listenSettings = {
+  host: { schema: z.string(), description: 'IP number to listen on.', defaultText: '127.0.0.1' },
+  port: {
+    schema: z.coerce.number().int().min(0).max(65_535),
+    description: 'Port to listen on; 0 picks a free one.',
+    defaultText: '0',
+  },
+};
+
+/** Text form of a boolean setting. */
+export const booleanSetting = z.enum(['true', 'false']).transform((text) => text === 'true');
+
+/** Tells the address on stdout, and exits with 0 once running answers ended after SIGTERM. */
+export function serveUntilTerminated(server: StandinServer): void {
+  const line = { message: 'listening', context: { address: server.address } };
+  process.stdout.write(`${JSON.stringify(line)}\n`);
+  const stop = () => {
+    const exit = () => process.exit(exitCodes.ok);
+    server.close().then(exit, exit);
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
--- /dev/null
+++ b/packages/standins/src/engine/kvLedger.ts
@@ -0,0 +1,33 @@
+/** Counts the engine's KV memory. */
+import { invariant } from '@bluebellhitch/shared';
+
+export interface KvLedger {
+  /** Takes `bytes` unless they would exceed the capacity. */
+  take(bytes: number): boolean;
+  give(bytes: number): void;
+  heldBytes(): number;
+  peakBytes(): number;
+  capacityBytes: number;
+}
+
+export function createKvLedger(capacityBytes: number): KvLedger {
+  let held = 0;
+  let peak = 0;
+  return {
+    capacityBytes,
+    take: (bytes) => {
+      if (held + bytes > capacityBytes) {
+        return false;
+      }
+      held += bytes;
+      peak = Math.max(peak, held);
+      return true;
+    },
+    give: (bytes) => {
+      held -= bytes;
+      invariant(held >= 0, 'more KV memory was freed than held');
+    },
+    heldBytes: () => held,
+    peakBytes: () => peak,
+  };
+}
--- /dev/null
+++ b/packages/standins/src/engine/loadHistory.ts
@@ -0,0 +1,44 @@
+/** Reports a load that lags behind the truth. */
+import type { EngineLoad } from '@bluebellhitch/engine';
+import { monotonicNowMs } from '@bluebellhitch/shared';
+
+type CurrentLoad = Omit<EngineLoad, 'ageMs'>;
+
+export interface LoadHistory {
+  /** Call after each change. */
+  record(): void;
+  report(): EngineLoad;
+}
+
+const recordIntervalMs = 5;
+
+export function createLoadHistory(lagMs: number, current: () => CurrentLoad): LoadHistory {
+  let samples = [{ atMs: monotonicNowMs(), load: current() }];
+
+  function prune(nowMs: number): void {
+    const newestOld = samples.findLastIndex(({ atMs }) => nowMs - atMs >= lagMs);
+    samples = samples.slice(Math.max(newestOld, 0));
+  }
+
+  return {
+    record: () => {
+      const nowMs = monotonicNowMs();
+      const last = samples.at(-1);
+      const load = current();
+      if (last !== undefined && samples.length > 1 && nowMs - last.atMs < recordIntervalMs) {
+        last.load = load;
+      } else {
+        samples.push({ atMs: nowMs, load });
+      }
+      prune(nowMs);
+    },
+    report: () => {
+      const nowMs = monotonicNowMs();
+      prune(nowMs);
+      const [oldest] = samples;
+      const load = oldest?.load ?? current();
+      const sampleAgeMs = nowMs - (oldest?.atMs ?? nowMs);
+      return { ...load, ageMs: Math.min(sampleAgeMs, lagMs) };
+    },
+  };
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -10,3 +10,27 @@
   type StandinPlatformStats,
 } from './platform/standinPlatform';
 export type { LostAnswers, PlatformVerb } from './platform/faults';
+export {
+  createPeerDirectory,
+  createStandinEngine,
+  type StandinEngine,
+} from './engine/standinEngine';
+export { type KvPeer, type KvTransfer, type StandinEngineOptions } from './engine/engineOptions';
+export { type EngineControl } from './engine/engineControl';
+export { type EngineRun, type EngineStats } from './engine/engineStats';
+export { expectedOutput, type ExpectedOutput } from './engine/tokenOutput';
+export {
+  createStandinEngineServer,
+  type StandinEngineServer,
+  type StandinEngineServerOptions,
+} from './engine/standinEngineServer';
+export {
+  createStandinWeightStore,
+  type StandinWeightStoreOptions,
+} from './weightStore/standinWeightStore';
+export { createWeightReader, type WeightReader } from './weightStore/weightReader';
+export {
+  createStandinPlainService,
+  type StandinPlainService,
+  type StandinPlainServiceOptions,
+} from './plainService/standinPlainService';
