--- a/packages/platform/src/claimRecord.ts
+++ b/packages/platform/src/claimRecord.ts
@@ -57,9 +57,10 @@
 export function takenOutcome(
   request: TakeClaim,
   sentAtMs: number,
+  dispatchWithinMs = Infinity,
 ): ClaimOutcome & { kind: 'taken' } {
   const { key, requestId, attemptId, expiresInMs } = request;
-  const dispatchBeforeMs = sentAtMs + expiresInMs * dispatchShare;
+  const dispatchBeforeMs = sentAtMs + Math.min(expiresInMs * dispatchShare, dispatchWithinMs);
   return { kind: 'taken', claim: { key, requestId, attemptId, dispatchBeforeMs } };
 }
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -30,3 +30,4 @@
   type TakeClaim,
 } from './claimApi';
 export { createClaimStore, type ClaimStoreOptions } from './claimStore';
+export { createGroupedClaimStore, type GroupedClaimStoreOptions } from './groupedClaimStore';
--- a/packages/standins/src/platform/objectStore.ts
+++ b/packages/standins/src/platform/objectStore.ts
@@ -129,7 +129,7 @@
   function record(kind: ObjectKind, event: WatchEvent): void {
     log.push({ revision, kind, event });
     if (log.length > eventLogLimit) {
-      compactedRevision = log.shift()!.revision;
+      compactedRevision = log.shift()?.revision ?? compactedRevision;
     }
     [...listeners].forEach((listener) => listener(kind));
   }
--- a/packages/standins/src/platform/startStandinPlatform.ts
+++ b/packages/standins/src/platform/startStandinPlatform.ts
@@ -19,7 +19,7 @@
   const stop = new AbortController();
   const app = createStandinPlatformApp(platform, stop.signal);
   const { server, info } = await listen(
-    app.fetch as Parameters<typeof serve>[0]['fetch'],
+    app.fetch,
     host,
     port,
   );
