Add leases of engine memory, the admission queue, the order guard and the cache view

Cause: the process beside an engine has to be the only one that grants its memory, and needs its state machines free of I/O so that they can be tested with any clock.

The lease table counts memory as held until its release is confirmed, and grants reservations against memory that running streams are predicted to give back. The queue builds on the weighted fair order and adds the limits of classes. Ruled out: letting a small request overtake a large one at the head of the queue, since a steady flow of small ones would starve it.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -141,3 +141,37 @@
   type WeightedFairOrder,
 } from './weightedFairOrder';
 export { workerNeeds, type CandidateInstance, type WorkerNeed } from './workerPools';
+export {
+  leaseStates,
+  type Lease,
+  type LeaseCapacity,
+  type LeaseOwner,
+  type LeasePurpose,
+  type LeaseState,
+  type LeaseTotals,
+  type ReserveInput,
+  type ReserveOutcome,
+  type RunningState,
+} from './lease';
+export { createLeaseTable, type LeaseTable, type LeaseTableOptions } from './leaseTable';
+export {
+  createAdmissionQueue,
+  type AdmissionQueue,
+  type AdmissionQueueOptions,
+  type OfferOutcome,
+  type QueueClass,
+  type Waiter,
+} from './admissionQueue';
+export {
+  createOrderGuard,
+  orderDeadline,
+  type GuardedOrder,
+  type OrderGuard,
+  type OrderVerdict,
+} from './orderGuard';
+export {
+  createCacheView,
+  type CacheView,
+  type CacheViewEvent,
+  type CacheViewOptions,
+} from './cacheView';
--- /dev/null
+++ b/packages/decisions/src/leaseTable.ts
@@ -0,0 +1,307 @@
+/**
+ * Leases of one backend server's memory and slots. The table is the only place where that memory is
+ * granted: it never grants more than the capacity, counts memory as held until its release is
+ * confirmed, and ends each lease exactly once. Times are monotonic milliseconds passed by the caller.
+ */
+import { invariant } from '@bluebellhitch/shared';
+import {
+  leaseStates,
+  type Lease,
+  type LeaseCapacity,
+  type LeaseOwner,
+  type LeaseTotals,
+  type ReserveInput,
+  type ReserveOutcome,
+  type RunningState,
+} from './lease';
+import { timeUntilReleased } from './leaseForecast';
+
+export interface LeaseTableOptions {
+  capacity: LeaseCapacity;
+  /** A lease without a heartbeat for this long has lapsed. */
+  lapseAfterMs?: number;
+  /** A gap between two checks beyond this means that this process was paused itself. */
+  pauseToleranceMs?: number;
+}
+
+export interface LeaseTable {
+  reserve(input: ReserveInput, nowMs: number): ReserveOutcome;
+  /** Takes over memory that the engine holds for an attempt that the table does not know. */
+  adopt(attemptId: string, heldKvBytes: number, nowMs: number): void;
+  /** When this much will be free beside all that is granted; undefined: beyond the forecast. */
+  usableInMs(demand: LeaseCapacity, nowMs: number): number | undefined;
+  /** Moves a lease that holds memory on; false where it is gone, releasing or still promised. */
+  advance(attemptId: string, state: RunningState, expectedReleaseAtMs: number): boolean;
+  expectRelease(attemptId: string, expectedReleaseAtMs: number): void;
+  bindToConnection(attemptId: string): void;
+  renew(owner: LeaseOwner, nowMs: number): number;
+  /** Leases whose entry has gone: to be given up by the caller. */
+  lapsed(nowMs: number): Readonly<Lease>[];
+  /** Marks a lease as given up; false where it already was. */
+  startRelease(attemptId: string): boolean;
+  /** Ends a lease whose memory is free; false where it has ended before. */
+  end(attemptId: string): boolean;
+  /** Turns promises into held memory, oldest first, and returns those turned. */
+  settle(): Readonly<Lease>[];
+  setCapacity(capacity: LeaseCapacity): void;
+  get(attemptId: string): Readonly<Lease> | undefined;
+  leases(): Readonly<Lease>[];
+  totals(): LeaseTotals;
+}
+
+const defaultLapseAfterMs = 1500;
+const defaultPauseToleranceMs = 500;
+
+export function createLeaseTable(options: LeaseTableOptions): LeaseTable {
+  const { lapseAfterMs = defaultLapseAfterMs, pauseToleranceMs = defaultPauseToleranceMs } =
+    options;
+  const leases = new Map<string, Lease>();
+  let { capacity } = options;
+  let held = { kvBytes: 0, slots: 0 };
+  let grantedCount = 0;
+  let endedCount = 0;
+  let checkedAtMs: number | undefined;
+
+  function add(lease: Lease): void {
+    invariant(!leases.has(lease.attemptId), `one lease an attempt: ${lease.attemptId}`);
+    leases.set(lease.attemptId, lease);
+    grantedCount += 1;
+  }
+
+  function changeHeld(lease: Lease, kvBytes: number, slots: number): void {
+    held = {
+      kvBytes: held.kvBytes + kvBytes - lease.heldKvBytes,
+      slots: held.slots + slots - lease.heldSlots,
+    };
+    lease.heldKvBytes = kvBytes;
+    lease.heldSlots = slots;
+  }
+
+  function hold(lease: Lease): void {
+    changeHeld(lease, lease.kvBytes, 1);
+    lease.state = leaseStates.reserved;
+    invariant(held.kvBytes <= capacity.kvBytes, 'held memory within the capacity');
+    invariant(held.slots <= capacity.slots, 'held slots within the capacity');
+  }
+
+  function promised(): Lease[] {
+    return [...leases.values()].filter(({ state }) => state === leaseStates.promised);
+  }
+
+  function fits(kvBytes: number): boolean {
+    return held.kvBytes + kvBytes <= capacity.kvBytes && held.slots + 1 <= capacity.slots;
+  }
+
+  function usableInMs(demand: LeaseCapacity, nowMs: number): number | undefined {
+    if (demand.kvBytes > capacity.kvBytes || demand.slots > capacity.slots) {
+      return undefined;
+    }
+    const waiting = promised();
+    const promisedKvBytes = sum(waiting, (lease) => lease.kvBytes);
+    const missing = {
+      kvBytes: held.kvBytes + promisedKvBytes + demand.kvBytes - capacity.kvBytes,
+      slots: held.slots + waiting.length + demand.slots - capacity.slots,
+    };
+    return timeUntilReleased([...leases.values()], missing, nowMs);
+  }
+
+  function reserve(input: ReserveInput, nowMs: number): ReserveOutcome {
+    if (input.kvBytes > capacity.kvBytes || capacity.slots < 1) {
+      return { kind: 'never' };
+    }
+    const predictedMs = usableInMs({ kvBytes: input.kvBytes, slots: 1 }, nowMs) ?? Infinity;
+    if (predictedMs > 0 && predictedMs > input.neededInMs) {
+      return { kind: 'wait', usableInMs: predictedMs };
+    }
+    const lease = promise(input, predictedMs, nowMs);
+    add(lease);
+    if (predictedMs === 0) {
+      hold(lease);
+    }
+    return { kind: 'granted', lease, usableInMs: predictedMs };
+  }
+
+  function adopt(attemptId: string, heldKvBytes: number, nowMs: number): void {
+    const lease: Lease = {
+      attemptId,
+      purpose: 'decode',
+      state: leaseStates.releasing,
+      kvBytes: heldKvBytes,
+      heldKvBytes: 0,
+      heldSlots: 0,
+      grantedAtMs: nowMs,
+      renewedAtMs: nowMs,
+      expectedReleaseAtMs: nowMs,
+      connectionBound: true,
+    };
+    add(lease);
+    changeHeld(lease, heldKvBytes, 1);
+  }
+
+  function advance(attemptId: string, state: RunningState, expectedReleaseAtMs: number): boolean {
+    const lease = leases.get(attemptId);
+    if (!lease || lease.state === leaseStates.promised || lease.state === leaseStates.releasing) {
+      return false;
+    }
+    lease.state = state;
+    lease.expectedReleaseAtMs = expectedReleaseAtMs;
+    if (state === leaseStates.exported) {
+      changeHeld(lease, lease.heldKvBytes, 0);
+    }
+    return true;
+  }
+
+  function renew(owner: LeaseOwner, nowMs: number): number {
+    const owned = [...leases.values()].filter((lease) => isOwner(lease, owner));
+    owned.forEach((lease) => {
+      lease.renewedAtMs = nowMs;
+    });
+    forgetEarlierIncarnations(owner);
+    return owned.length;
+  }
+
+  /** An entry that came back under a new incarnation has forgotten its earlier work. */
+  function forgetEarlierIncarnations(owner: LeaseOwner): void {
+    [...leases.values()]
+      .filter((lease) => lease.owner?.entryId === owner.entryId && !isOwner(lease, owner))
+      .forEach((lease) => {
+        lease.renewedAtMs = Number.NEGATIVE_INFINITY;
+        lease.connectionBound = false;
+      });
+  }
+
+  /**
+   * While this process was paused the heartbeats of live entries waited unread, and every lease
+   * looks lapsed at the first check after it. The pause is not held against the entries.
+   */
+  function forgiveOwnPause(nowMs: number): void {
+    const pausedMs = nowMs - (checkedAtMs ?? nowMs);
+    checkedAtMs = nowMs;
+    if (pausedMs > pauseToleranceMs) {
+      leases.forEach((lease) => {
+        lease.renewedAtMs = Math.min(lease.renewedAtMs + pausedMs, nowMs);
+      });
+    }
+  }
+
+  function lapsed(nowMs: number): Lease[] {
+    forgiveOwnPause(nowMs);
+    return [...leases.values()].filter(
+      (lease) =>
+        lease.state !== leaseStates.releasing &&
+        !lease.connectionBound &&
+        nowMs - lease.renewedAtMs >= lapseAfterMs,
+    );
+  }
+
+  function startRelease(attemptId: string): boolean {
+    const lease = leases.get(attemptId);
+    if (!lease || lease.state === leaseStates.releasing) {
+      return false;
+    }
+    lease.state = leaseStates.releasing;
+    return true;
+  }
+
+  function end(attemptId: string): boolean {
+    const lease = leases.get(attemptId);
+    if (!lease) {
+      return false;
+    }
+    changeHeld(lease, 0, 0);
+    leases.delete(attemptId);
+    endedCount += 1;
+    checkAccounts();
+    return true;
+  }
+
+  function checkAccounts(): void {
+    const live = [...leases.values()];
+    invariant(endedCount + live.length === grantedCount, 'each lease ends once');
+    invariant(held.kvBytes === sum(live, (lease) => lease.heldKvBytes), 'held bytes have a lease');
+    invariant(held.slots === sum(live, (lease) => lease.heldSlots), 'held slots have a lease');
+  }
+
+  function settle(): Lease[] {
+    const settled: Lease[] = [];
+    for (const lease of promised()) {
+      if (!fits(lease.kvBytes)) {
+        return settled;
+      }
+      hold(lease);
+      settled.push(lease);
+    }
+    return settled;
+  }
+
+  function totals(): LeaseTotals {
+    const waiting = promised();
+    return {
+      capacity,
+      heldKvBytes: held.kvBytes,
+      heldSlots: held.slots,
+      promisedKvBytes: sum(waiting, (lease) => lease.kvBytes),
+      promisedSlots: waiting.length,
+      grantedCount,
+      endedCount,
+    };
+  }
+
+  return {
+    reserve,
+    adopt,
+    usableInMs,
+    advance,
+    renew,
+    lapsed,
+    startRelease,
+    end,
+    settle,
+    totals,
+    get: (attemptId) => leases.get(attemptId),
+    leases: () => [...leases.values()],
+    setCapacity: (next) => {
+      capacity = next;
+    },
+    expectRelease: (attemptId, expectedReleaseAtMs) => {
+      const lease = leases.get(attemptId);
+      if (lease) {
+        lease.expectedReleaseAtMs = expectedReleaseAtMs;
+      }
+    },
+    bindToConnection: (attemptId) => {
+      const lease = leases.get(attemptId);
+      if (lease) {
+        lease.connectionBound = true;
+      }
+    },
+  };
+}
+
+function promise(input: ReserveInput, usableInMs: number, nowMs: number): Lease {
+  const startsInMs = Math.max(usableInMs, input.neededInMs);
+  return {
+    attemptId: input.attemptId,
+    owner: input.owner,
+    purpose: input.purpose,
+    state: leaseStates.promised,
+    kvBytes: input.kvBytes,
+    heldKvBytes: 0,
+    heldSlots: 0,
+    grantedAtMs: nowMs,
+    renewedAtMs: nowMs,
+    expectedReleaseAtMs: nowMs + startsInMs + input.expectedHoldMs,
+    connectionBound: false,
+  };
+}
+
+function isOwner(lease: Lease, owner: LeaseOwner): boolean {
+  return (
+    lease.owner?.entryId === owner.entryId &&
+    lease.owner.entryIncarnation === owner.entryIncarnation
+  );
+}
+
+function sum<Item>(items: readonly Item[], valueOf: (item: Item) => number): number {
+  return items.reduce((total, item) => total + valueOf(item), 0);
+}
