Add the agent: admission, streams, prefill, transfers, orders, plain calls

Cause: a backend server needs one process that owns its admission.

A thin whole: reservations, streamed answers with a local prefill or a transfer, exports with an expiry, cancellation that is repeated until the engine's list lacks the attempt, orders behind the fencing number, plain calls with slots, and a graceful stop. The hop to trpc, event streams and plain calls share one hono server; streams and plain calls write to the bare response, whose return value tells when to wait.

Not there yet: accepted documents do not reach the agent, and tests follow.

--- /dev/null
+++ b/packages/agent/src/agent.ts
@@ -0,0 +1,335 @@
+/**
+ * The agent of one backend server: it alone grants the server's memory or slots. Everything that
+ * needs no socket is put together here; `innerServer` gives it its sockets.
+ */
+import { createCacheView, createLeaseTable, type LeaseTable } from '@bluebellhitch/decisions';
+import type { AcceptedDocument } from '@bluebellhitch/document';
+import type { EngineApi, EngineLoad } from '@bluebellhitch/engine';
+import {
+  agentRefusalReasons,
+  blockTokens,
+  type AgentHandlers,
+  type Bid,
+  type BidRequest,
+  type LoadHint,
+  type PrefillReply,
+  type PrefillRequest,
+  type StreamRequest,
+  type WorkerRole,
+  type WorkerState,
+} from '@bluebellhitch/protocol';
+import { delay, monotonicNowMs, type Random } from '@bluebellhitch/shared';
+import { createAdmission } from './admission';
+import { configFromDocument, defaultAgentConfig, type AgentConfig } from './agentConfig';
+import { createAgentObserver, type AgentObserver } from './agentObserver';
+import { createAttemptRecord, type AttemptRecord } from './attemptRecord';
+import { createEngineMonitor } from './engineMonitor';
+import { createLeaseKeeper, type LeaseKeeper } from './leaseKeeper';
+import { createModelParts } from './modelParts';
+import type { ReadFencingNumber } from './orderExecutor';
+import { createReservations, type Reservations } from './reservations';
+import type { FrameSink } from './chunkForwarder';
+import { createWorkEstimates, type WorkEstimates } from './workEstimates';
+
+export type AgentBackend =
+  | { kind: 'model'; engine: EngineApi; kvAddress: string; kvRateBytesPerSecond: number }
+  | { kind: 'plain' };
+
+export interface AgentOptions {
+  instanceId: string;
+  service: string;
+  /** Changes with each start of the process. */
+  incarnation: string;
+  backend: AgentBackend;
+  /** Reads the fencing number of the service's duty lease from the platform. */
+  readFencingNumber: ReadFencingNumber;
+  observer?: Partial<AgentObserver>;
+  random?: Random;
+  tickIntervalMs?: number;
+}
+
+export interface Agent {
+  handlers: AgentHandlers;
+  runStream(request: StreamRequest, sink: FrameSink, signal: AbortSignal): Promise<void>;
+  /** Resolves once the backend server is known and memory left from before is in the books. */
+  start(): Promise<void>;
+  /** A lower generation than the one in force is ignored. */
+  applyDocument(accepted: AcceptedDocument): void;
+  /** Refuses new work from now on. */
+  leave(): void;
+  /** Resolves once nothing is held, or with false after `boundMs`; what is left is then cancelled. */
+  drain(boundMs: number): Promise<boolean>;
+  close(): void;
+  isReady(): boolean;
+  config(): AgentConfig;
+  load(): LoadHint;
+  /** For the plain proxy, which runs its calls under the same books. */
+  books: AgentBooks;
+}
+
+export interface AgentBooks {
+  table: LeaseTable;
+  keeper: LeaseKeeper;
+  attempts: AttemptRecord;
+  estimates: WorkEstimates;
+  reservations: Reservations;
+}
+
+const defaultTickIntervalMs = 100;
+const drainCheckMs = 20;
+/** Time for the last cancellations to reach the engine. */
+const cancelGraceMs = 500;
+
+export function createAgent(options: AgentOptions): Agent {
+  const { backend, instanceId, service, incarnation } = options;
+  const { tickIntervalMs = defaultTickIntervalMs } = options;
+  const observer = createAgentObserver(options.observer);
+  const estimates = createWorkEstimates({ service });
+  const attempts = createAttemptRecord();
+  const cacheView = createCacheView();
+  const table = createLeaseTable({ capacity: { kvBytes: 0, slots: 0 } });
+  let config = defaultAgentConfig;
+  let isStopping = false;
+  let hasAudited = backend.kind === 'plain';
+  let ticker: NodeJS.Timeout | undefined;
+
+  const isLeaving = () => isStopping || config.drainedInstances.includes(instanceId);
+  const engine = backend.kind === 'model' ? backend.engine : undefined;
+
+  const admission = createAdmission({ table });
+  const keeper = createLeaseKeeper({
+    table,
+    engine,
+    onCancelFailed: observer.onCancelFailed,
+    onEnded: (attemptId) => {
+      reservations.forget(attemptId);
+      observer.onEnded(attemptId);
+      admission.pump();
+    },
+  });
+  const reservations: Reservations = createReservations({
+    service,
+    incarnation,
+    table,
+    admission,
+    keeper,
+    attempts,
+    estimates,
+    observer,
+    load,
+    role,
+    isLeaving,
+    kvBytesPerToken: () => monitor?.current()?.kvBytesPerToken ?? 0,
+  });
+  const monitor =
+    engine &&
+    createEngineMonitor({
+      engine,
+      cacheView,
+      onLoad: takeEngineLoad,
+      onPoll: async () => {
+        hasAudited = (await keeper.audit()) || hasAudited;
+      },
+    });
+  const model =
+    backend.kind === 'model'
+      ? createModelParts({
+          ...backend,
+          ...{
+            service,
+            table,
+            keeper,
+            admission,
+            attempts,
+            estimates,
+            reservations,
+            observer,
+            load,
+          },
+          readFencingNumber: options.readFencingNumber,
+          random: options.random,
+          onCached: (blocks) => cacheView.observe(blocks, monotonicNowMs()),
+        })
+      : undefined;
+
+  function takeEngineLoad(engineLoad: EngineLoad): void {
+    table.setCapacity({ kvBytes: engineLoad.capacityKvBytes, slots: engineLoad.slotCount });
+    estimates.reportStep(engineLoad.stepMs);
+    admission.pump();
+  }
+
+  function role(): WorkerRole | undefined {
+    if (backend.kind === 'plain') {
+      return 'plain';
+    }
+    return hasAudited ? monitor?.current()?.role : undefined;
+  }
+
+  function load(): LoadHint {
+    const { capacity, heldKvBytes, promisedKvBytes } = table.totals();
+    const leases = table.leases();
+    const typicalKvBytes = Math.ceil(capacity.kvBytes / Math.max(capacity.slots, 1));
+    const currentRole = role() ?? 'plain';
+    return {
+      role: currentRole,
+      freeKvBytes: Math.max(0, capacity.kvBytes - heldKvBytes - promisedKvBytes),
+      capacityKvBytes: capacity.kvBytes,
+      activeCount: leases.length,
+      queuedCount: admission.queuedCount(),
+      queueWaitMs: admission.usableInMs(typicalKvBytes) ?? 0,
+      stepMs: currentRole === 'prefill' ? estimates.prefillMsPerToken() : estimates.stepMs(),
+      leaving: isLeaving(),
+    };
+  }
+
+  async function bid(request: BidRequest): Promise<Bid> {
+    const isServed = request.service === service && role() !== undefined && !isLeaving();
+    const perToken = monitor?.current()?.kvBytesPerToken;
+    const kvBytes =
+      perToken === undefined ? 1 : (request.promptTokens + request.maxOutputTokens) * perToken;
+    const cachedBlocks = cacheView.cachedBlocks(request.prefixBlocks, monotonicNowMs());
+    return {
+      incarnation,
+      load: load(),
+      cachedPrefixTokens: Math.min(cachedBlocks * blockTokens, request.promptTokens),
+      usableInMs: isServed ? admission.usableInMs(kvBytes) : undefined,
+      kvAddress: backend.kind === 'model' ? backend.kvAddress : undefined,
+    };
+  }
+
+  async function prefill(request: PrefillRequest, signal?: AbortSignal): Promise<PrefillReply> {
+    return model === undefined
+      ? {
+          kind: 'refused',
+          reason: agentRefusalReasons.wrongRole,
+          notRun: true,
+          detail: 'a plain service',
+          load: load(),
+        }
+      : model.prefills.run(request, signal);
+  }
+
+  async function runStream(
+    request: StreamRequest,
+    sink: FrameSink,
+    signal: AbortSignal,
+  ): Promise<void> {
+    if (model !== undefined) {
+      return model.streams.run(request, sink, signal);
+    }
+    return sink({
+      kind: 'failed',
+      attemptId: request.attemptId,
+      reason: agentRefusalReasons.wrongRole,
+      notRun: true,
+      detail: 'a plain service',
+      backendDied: false,
+    });
+  }
+
+  async function workerState(): Promise<WorkerState> {
+    const engineLoad = monitor?.current();
+    return {
+      incarnation,
+      role: role() ?? 'plain',
+      models: engineLoad?.models ?? [],
+      adapters: engineLoad?.adapters ?? [],
+      highestFencingNumber: model?.orders.highestFencingNumber() ?? 0,
+      leaving: isLeaving(),
+    };
+  }
+
+  function tick(): void {
+    table.lapsed(monotonicNowMs()).forEach(({ attemptId }) => {
+      observer.onLapsed(attemptId);
+      keeper.giveUp(attemptId);
+    });
+    admission.pump();
+  }
+
+  function applyDocument(accepted: AcceptedDocument): void {
+    if (accepted.document.service !== service || accepted.generation <= config.generation) {
+      return;
+    }
+    config = configFromDocument(accepted);
+    admission.setClasses(config.classes);
+    if (backend.kind === 'plain') {
+      setSlots(config.slotsPerServer);
+    }
+    refuseWaitingIfLeaving();
+    admission.pump();
+  }
+
+  /** On a plain service one unit of memory is one slot. */
+  function setSlots(slots: number): void {
+    table.setCapacity({ kvBytes: slots, slots });
+  }
+
+  function refuseWaitingIfLeaving(): void {
+    if (isLeaving()) {
+      admission.refuseAllWaiting(
+        agentRefusalReasons.leaving,
+        'this backend server takes no new work',
+      );
+    }
+  }
+
+  async function start(): Promise<void> {
+    if (backend.kind === 'plain') {
+      setSlots(config.slotsPerServer);
+    }
+    ticker = setInterval(tick, tickIntervalMs);
+    void model?.orders.learn();
+    await monitor?.start();
+  }
+
+  async function drain(boundMs: number): Promise<boolean> {
+    const isDrained = await untilNothingHeld(boundMs);
+    if (!isDrained) {
+      table.leases().forEach(({ attemptId }) => keeper.giveUp(attemptId));
+      await untilNothingHeld(cancelGraceMs);
+    }
+    return isDrained;
+  }
+
+  async function untilNothingHeld(limitMs: number): Promise<boolean> {
+    const limitAtMs = monotonicNowMs() + limitMs;
+    while (table.leases().length > 0 && monotonicNowMs() < limitAtMs) {
+      await delay(drainCheckMs);
+    }
+    return table.leases().length === 0;
+  }
+
+  return {
+    handlers: {
+      bid,
+      prefill,
+      workerState,
+      reserve: reservations.reserve,
+      cancel: async (reference) => reservations.cancel(reference),
+      heartbeat: async (heartbeat) => reservations.heartbeat(heartbeat),
+      order: async (request) =>
+        model === undefined
+          ? { kind: 'failed', detail: 'a plain service', effect: 'none' }
+          : model.orders.execute(request),
+    },
+    runStream,
+    start,
+    applyDocument,
+    drain,
+    load,
+    leave: () => {
+      isStopping = true;
+      refuseWaitingIfLeaving();
+    },
+    close: () => {
+      clearInterval(ticker);
+      monitor?.close();
+      keeper.close();
+      model?.orders.close();
+    },
+    isReady: () => !isLeaving() && role() !== undefined,
+    config: () => config,
+    books: { table, keeper, attempts, estimates, reservations },
+  };
+}
--- /dev/null
+++ b/packages/agent/src/agentProcess.ts
@@ -0,0 +1,100 @@
+/** Puts an agent together from its settings: clients, inner port, admin port, graceful stop. */
+import { randomUUID } from 'node:crypto';
+import { createHttpEngineClient } from '@bluebellhitch/engine';
+import { createHttpPlatformClient } from '@bluebellhitch/platform';
+import {
+  createAgentMetrics,
+  createDecisionRing,
+  createLogger,
+  startAdminServer,
+  type Logger,
+} from '@bluebellhitch/telemetry';
+import { createAgent, type AgentBackend } from './agent';
+import { createAgentTelemetry, reportLeases } from './agentTelemetry';
+import { readFencingNumber } from './fencingNumber';
+import { startInnerServer } from './innerServer';
+import { createPlainProxy } from './plainProxy';
+import type { AgentSettings } from './settings';
+
+export interface AgentProcess {
+  innerAddress: string;
+  adminAddress: string;
+  logger: Logger;
+  /** Refuses new work, lets what runs come to its end within the document's bound, and closes. */
+  stop(): Promise<void>;
+  /** Closes at once. */
+  stopNow(): Promise<void>;
+}
+
+export async function startAgentProcess(settings: AgentSettings): Promise<AgentProcess> {
+  const { instanceId, service, backendUrl } = settings;
+  const logger = createLogger({
+    binary: 'bluebell-agent',
+    instanceId,
+    level: settings.logLevel,
+  });
+  const metrics = createAgentMetrics();
+  const ring = createDecisionRing({ capacity: 256 });
+  const platform = createHttpPlatformClient({ address: settings.platformUrl });
+  const agent = createAgent({
+    instanceId,
+    service,
+    incarnation: randomUUID(),
+    backend: createBackend(settings),
+    readFencingNumber: () => readFencingNumber(platform, service),
+    observer: createAgentTelemetry({ metrics, ring, logger }),
+  });
+  const plainProxy =
+    settings.backendKind === 'plain' ? createPlainProxy({ agent, backendUrl }) : undefined;
+  const inner = await startInnerServer({
+    agent,
+    plainProxy,
+    host: settings.innerHost,
+    port: settings.innerPort,
+  });
+  const admin = await startAdminServer({
+    host: settings.adminHost,
+    port: settings.adminPort,
+    metrics: {
+      ...metrics,
+      render: () => {
+        reportLeases(metrics, agent.books.table, agent.load().queuedCount);
+        return metrics.render();
+      },
+    },
+    ring,
+    isReady: agent.isReady,
+    routes: { '/debug/leases': () => agent.books.table.leases() },
+  });
+  logger.info('listening', { innerAddress: inner.address, adminAddress: admin.address });
+  void agent.start();
+
+  const closeAll = async () => {
+    agent.close();
+    await Promise.all([inner.close(), admin.close(), plainProxy?.close(), platform.close()]);
+  };
+  return {
+    innerAddress: inner.address,
+    adminAddress: admin.address,
+    logger,
+    stopNow: closeAll,
+    stop: async () => {
+      agent.leave();
+      const isDrained = await agent.drain(agent.config().drainBoundMs);
+      logger.info('drained', { isDrained });
+      await closeAll();
+    },
+  };
+}
+
+function createBackend(settings: AgentSettings): AgentBackend {
+  if (settings.backendKind === 'plain') {
+    return { kind: 'plain' };
+  }
+  return {
+    kind: 'model',
+    engine: createHttpEngineClient({ address: settings.backendUrl }),
+    kvAddress: settings.kvAddress ?? settings.backendUrl,
+    kvRateBytesPerSecond: settings.kvLinkBytesPerSecond,
+  };
+}
--- /dev/null
+++ b/packages/agent/src/bin.ts
@@ -0,0 +1,19 @@
+/** `bluebell-agent`: the process beside one backend server. */
+import { loadSettingsOrExit } from '@bluebellhitch/shared';
+import { installProcessLifecycle } from '@bluebellhitch/telemetry';
+import { startAgentProcess } from './agentProcess';
+import { agentSettings } from './settings';
+
+const settings = loadSettingsOrExit({
+  binaryName: 'bluebell-agent',
+  version: '0.1.0',
+  description: 'Runs beside one backend server and owns its admission.',
+  definitions: agentSettings,
+});
+
+const agentProcess = await startAgentProcess(settings);
+installProcessLifecycle({
+  logger: agentProcess.logger,
+  exitOnStdinEnd: settings.exitOnStdinEnd,
+  onStop: (kind) => (kind === 'graceful' ? agentProcess.stop() : agentProcess.stopNow()),
+});
--- /dev/null
+++ b/packages/agent/src/innerServer.ts
@@ -0,0 +1,80 @@
+/** The agent's inner port: messages by trpc, model answers as event streams, plain calls. */
+import type { Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { serve, type HttpBindings } from '@hono/node-server';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
+import { createAgentRouter, innerPaths } from '@bluebellhitch/protocol';
+import { fetchRequestHandler } from '@trpc/server/adapters/fetch';
+import { Hono } from 'hono';
+import type { Agent } from './agent';
+import type { PlainProxy } from './plainProxy';
+import { handleStream } from './streamHandler';
+
+export interface InnerServerOptions {
+  agent: Agent;
+  /** Absent where the backend server is a model engine. */
+  plainProxy?: PlainProxy;
+  host: string;
+  /** 0 takes a free port. */
+  port: number;
+}
+
+export interface InnerServer {
+  /** `http://ip:port`. */
+  address: string;
+  /** Closes the port; connections that are in use are cut. */
+  close(): Promise<void>;
+}
+
+interface Environment {
+  Bindings: HttpBindings;
+}
+
+/** Starts the inner port; rejects where the port is taken. */
+export async function startInnerServer(options: InnerServerOptions): Promise<InnerServer> {
+  const server = await listen(createApp(options), options);
+  const { address, port } = server.address() as AddressInfo;
+  return { address: `http://${address}:${port}`, close: () => closeServer(server) };
+}
+
+function createApp({ agent, plainProxy }: InnerServerOptions): Hono<Environment> {
+  const app = new Hono<Environment>();
+  const router = createAgentRouter(agent.handlers);
+  app.all(`${innerPaths.trpc}/*`, (context) =>
+    fetchRequestHandler({ endpoint: innerPaths.trpc, req: context.req.raw, router }),
+  );
+  app.post(innerPaths.streams, ({ env }) => {
+    // The answer goes out on the bare response: its `write` tells when the receiver has no room.
+    void handleStream(agent, env.incoming, env.outgoing).catch(() => destroy(env.outgoing));
+    return RESPONSE_ALREADY_SENT;
+  });
+  if (plainProxy !== undefined) {
+    const handlePlain = ({ env }: { env: HttpBindings }) => {
+      void plainProxy.handle(env.incoming, env.outgoing).catch(() => destroy(env.outgoing));
+      return RESPONSE_ALREADY_SENT;
+    };
+    app.all(innerPaths.plain, handlePlain);
+    app.all(`${innerPaths.plain}/*`, handlePlain);
+  }
+  return app;
+}
+
+function destroy(outgoing: ServerResponse): void {
+  outgoing.destroy();
+}
+
+function listen(app: Hono<Environment>, { host, port }: InnerServerOptions): Promise<Server> {
+  return new Promise((resolve, reject) => {
+    const server = serve({ fetch: app.fetch, hostname: host, port }, () =>
+      resolve(server),
+    ) as Server;
+    server.once('error', reject);
+  });
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
--- /dev/null
+++ b/packages/agent/src/kvImporter.ts
@@ -0,0 +1,126 @@
+/**
+ * Pulls a prompt's KV cache into the engine. A stalled transfer is cut by its progress per interval,
+ * since a total timeout long enough for a large prompt outlives the kept export of a small one.
+ */
+import { createStallDetector } from '@bluebellhitch/decisions';
+import type { EngineApi, EngineError } from '@bluebellhitch/engine';
+import type { KvSource } from '@bluebellhitch/protocol';
+import { monotonicNowMs } from '@bluebellhitch/shared';
+import type { LinkPacer } from './linkPacer';
+
+export type TransferSource = Extract<KvSource, { kind: 'transfer' }>;
+
+export type ImportOutcome =
+  | { kind: 'imported'; durationMs: number }
+  | { kind: 'failed'; cause: 'stalled' | 'expired' | EngineError['kind'] }
+  | { kind: 'aborted' };
+
+export interface KvImporterOptions {
+  engine: Pick<EngineApi, 'importKv' | 'cancel'>;
+  pacer: LinkPacer;
+  /** A transfer without progress for this long is cut. */
+  stallMs?: number;
+  maxTries?: number;
+}
+
+export interface KvImporter {
+  /** Tries the transfer, and once more while the export is still kept. */
+  run(attemptId: string, source: TransferSource, signal: AbortSignal): Promise<ImportOutcome>;
+}
+
+const defaultStallMs = 150;
+const defaultMaxTries = 2;
+const checksPerInterval = 3;
+
+export function createKvImporter(options: KvImporterOptions): KvImporter {
+  const { engine, pacer, stallMs = defaultStallMs, maxTries = defaultMaxTries } = options;
+
+  async function run(
+    attemptId: string,
+    source: TransferSource,
+    signal: AbortSignal,
+  ): Promise<ImportOutcome> {
+    const keptUntilMs = monotonicNowMs() + source.keptForMs;
+    let outcome: ImportOutcome = { kind: 'failed', cause: 'expired' };
+    for (let tries = 0; tries < maxTries && monotonicNowMs() < keptUntilMs; tries += 1) {
+      outcome = await tryOnce(attemptId, source, signal);
+      if (outcome.kind !== 'failed') {
+        return outcome;
+      }
+      await engine.cancel(attemptId);
+      if (outcome.cause === 'gone' || outcome.cause === 'out-of-memory') {
+        return outcome;
+      }
+    }
+    return outcome;
+  }
+
+  async function tryOnce(
+    attemptId: string,
+    source: TransferSource,
+    signal: AbortSignal,
+  ): Promise<ImportOutcome> {
+    const grant = await pacer.acquire(source.kvAddress, signal);
+    if (grant === undefined) {
+      return { kind: 'aborted' };
+    }
+    const startedAtMs = monotonicNowMs();
+    const watch = createStallWatch(stallMs, signal);
+    const result = await engine.importKv(
+      {
+        attemptId,
+        kvAddress: source.kvAddress,
+        exportId: source.exportId,
+        rateBytesPerSecond: grant.rateBytesPerSecond,
+      },
+      (progress) => watch.onProgress(progress.receivedBytes),
+      watch.signal,
+    );
+    watch.stop();
+    grant.release();
+    const durationMs = monotonicNowMs() - startedAtMs;
+    if (result.isOk()) {
+      pacer.observe(source.kvAddress, result.value.receivedBytes, durationMs);
+      return { kind: 'imported', durationMs };
+    }
+    if (signal.aborted) {
+      return { kind: 'aborted' };
+    }
+    if (watch.stalled()) {
+      pacer.observeStall(source.kvAddress);
+      return { kind: 'failed', cause: 'stalled' };
+    }
+    return { kind: 'failed', cause: result.error.kind };
+  }
+
+  return { run };
+}
+
+function createStallWatch(stallMs: number, outer: AbortSignal) {
+  const controller = new AbortController();
+  const detector = createStallDetector({
+    startedAtMs: monotonicNowMs(),
+    intervalMs: stallMs,
+    firstProgressMs: stallMs,
+  });
+  let stalled = false;
+
+  const abort = () => controller.abort();
+  outer.addEventListener('abort', abort);
+  const timer = setInterval(() => {
+    if (detector.check(monotonicNowMs()).kind === 'stalled') {
+      stalled = true;
+      abort();
+    }
+  }, stallMs / checksPerInterval);
+
+  return {
+    signal: controller.signal,
+    stalled: () => stalled,
+    onProgress: (bytes: number) => detector.progress(bytes, monotonicNowMs()),
+    stop: () => {
+      clearInterval(timer);
+      outer.removeEventListener('abort', abort);
+    },
+  };
+}
--- /dev/null
+++ b/packages/agent/src/modelParts.ts
@@ -0,0 +1,54 @@
+/** The parts of an agent that only a model engine needs. */
+import type { LeaseTable } from '@bluebellhitch/decisions';
+import type { EngineApi } from '@bluebellhitch/engine';
+import type { LoadHint } from '@bluebellhitch/protocol';
+import type { Random } from '@bluebellhitch/shared';
+import type { Admission } from './admission';
+import type { AgentObserver } from './agentObserver';
+import type { AttemptRecord } from './attemptRecord';
+import { createKvImporter } from './kvImporter';
+import type { LeaseKeeper } from './leaseKeeper';
+import { createLinkPacer } from './linkPacer';
+import { createOrderExecutor, type OrderExecutor, type ReadFencingNumber } from './orderExecutor';
+import { createPrefillRunner, type PrefillRunner } from './prefillRunner';
+import type { Reservations } from './reservations';
+import { createStreamRunner, type StreamRunner } from './streamRunner';
+import type { WorkEstimates } from './workEstimates';
+
+export interface ModelPartsOptions {
+  engine: EngineApi;
+  kvAddress: string;
+  kvRateBytesPerSecond: number;
+  service: string;
+  table: LeaseTable;
+  keeper: LeaseKeeper;
+  admission: Admission;
+  attempts: AttemptRecord;
+  estimates: WorkEstimates;
+  reservations: Reservations;
+  observer: AgentObserver;
+  load: () => LoadHint;
+  readFencingNumber: ReadFencingNumber;
+  random?: Random;
+  onCached: (blocks: readonly string[]) => void;
+}
+
+export interface ModelParts {
+  streams: StreamRunner;
+  prefills: PrefillRunner;
+  orders: OrderExecutor;
+}
+
+export function createModelParts(options: ModelPartsOptions): ModelParts {
+  const { engine, kvRateBytesPerSecond, reservations } = options;
+  const pacer = createLinkPacer({ rateBytesPerSecond: kvRateBytesPerSecond });
+  return {
+    streams: createStreamRunner({
+      ...options,
+      importer: createKvImporter({ engine, pacer }),
+      detailsOf: reservations.detailsOf,
+    }),
+    prefills: createPrefillRunner(options),
+    orders: createOrderExecutor(options),
+  };
+}
--- /dev/null
+++ b/packages/agent/src/plainHeaders.ts
@@ -0,0 +1,49 @@
+/** Headers of plain calls on their way between entry, agent and backend server. */
+import type { IncomingHttpHeaders } from 'node:http';
+import { hopByHopHeaders, identifierSchema, innerHeaders } from '@bluebellhitch/protocol';
+import { z } from 'zod';
+
+const plainCallSchema = z.object({
+  entryId: identifierSchema,
+  entryIncarnation: identifierSchema,
+  attemptId: identifierSchema,
+  requestId: identifierSchema,
+  institution: identifierSchema,
+  className: identifierSchema,
+  service: identifierSchema,
+  deadlineInMs: z.coerce.number().nonnegative().optional(),
+});
+export type PlainCall = z.infer<typeof plainCallSchema>;
+
+/** Undefined where an inner header is missing or malformed. */
+export function readPlainCall(headers: IncomingHttpHeaders): PlainCall | undefined {
+  const values = Object.entries(innerHeaders).map(([name, header]) => [name, headers[header]]);
+  return plainCallSchema.safeParse(Object.fromEntries(values)).data;
+}
+
+const innerHeaderNames = new Set<string>(Object.values(innerHeaders));
+/** Answered by the HTTP server of this process; the client library does not send it on. */
+const expectHeader = 'expect';
+
+/** Request headers that the backend server gets. */
+export function forwardedRequestHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
+  return without(headers, (name) => innerHeaderNames.has(name) || name === expectHeader);
+}
+
+/** Response headers that the entry gets; a backend server cannot speak for the agent. */
+export function forwardedResponseHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
+  return without(headers, (name) => innerHeaderNames.has(name));
+}
+
+function without(
+  headers: IncomingHttpHeaders,
+  isDropped: (name: string) => boolean,
+): IncomingHttpHeaders {
+  const connectionNames = String(headers.connection ?? '')
+    .split(',')
+    .map((name) => name.trim().toLowerCase());
+  const hopByHop = new Set([...hopByHopHeaders, ...connectionNames]);
+  return Object.fromEntries(
+    Object.entries(headers).filter(([name]) => !hopByHop.has(name) && !isDropped(name)),
+  );
+}
--- /dev/null
+++ b/packages/agent/src/workEstimates.ts
@@ -0,0 +1,69 @@
+/** Moving averages of the backend server's work, for predictions. Durations are milliseconds. */
+import { createLengthPredictor, createRunningEstimate } from '@bluebellhitch/decisions';
+
+/** What the expected length of an answer depends on. */
+export interface WorkShape {
+  className: string;
+  promptTokens: number;
+  maxOutputTokens: number;
+}
+
+export interface WorkEstimates {
+  observeStep(durationMs: number): void;
+  observeOutput(shape: WorkShape, tokenCount: number): void;
+  observePrefill(computedTokens: number, durationMs: number): void;
+  observeCall(durationMs: number): void;
+  /** The engine's own report, used until streams have been measured. */
+  reportStep(durationMs: number): void;
+  stepMs(): number;
+  prefillMsPerToken(): number;
+  /** Time for which a stream that has emitted so much probably still holds its memory. */
+  decodeHoldMs(shape: WorkShape, emittedTokens?: number): number;
+  /** Time for which a prefill and its export probably hold their memory. */
+  prefillHoldMs(promptTokens: number): number;
+  callMs(): number;
+}
+
+export interface WorkEstimatesOptions {
+  service: string;
+}
+
+const initialStepMs = 20;
+const initialPrefillMsPerToken = 0.2;
+const initialCallMs = 50;
+/** Most exports are fetched well before the engine drops them. */
+const exportHoldMs = 300;
+/** A forecast that is too early makes a promise wait, so it leans to the late side. */
+const lengthQuantile = 0.75;
+
+export function createWorkEstimates({ service }: WorkEstimatesOptions): WorkEstimates {
+  const lengths = createLengthPredictor({ maxBuckets: 256 });
+  const steps = createRunningEstimate({ smoothing: 0.02 });
+  const prefills = createRunningEstimate({ initialMean: initialPrefillMsPerToken });
+  const calls = createRunningEstimate({ initialMean: initialCallMs });
+  let reportedStepMs = initialStepMs;
+
+  const stepMs = () => (steps.sampleCount() > 0 ? steps.mean() : reportedStepMs);
+
+  return {
+    stepMs,
+    prefillMsPerToken: prefills.mean,
+    callMs: calls.mean,
+    observeStep: steps.observe,
+    observeCall: calls.observe,
+    observeOutput: ({ className, promptTokens }, tokenCount) =>
+      lengths.observe({ service, className, promptTokens }, tokenCount),
+    observePrefill: (computedTokens, durationMs) => {
+      if (computedTokens > 0) {
+        prefills.observe(durationMs / computedTokens);
+      }
+    },
+    reportStep: (durationMs) => {
+      reportedStepMs = durationMs > 0 ? durationMs : reportedStepMs;
+    },
+    decodeHoldMs: (shape, emittedTokens = 0) =>
+      lengths.predictRemaining({ ...shape, service, emittedTokens, quantile: lengthQuantile }) *
+      stepMs(),
+    prefillHoldMs: (promptTokens) => promptTokens * prefills.mean() + exportHoldMs,
+  };
+}
