Add bluebellctl

Operators need to check, compare, apply and inspect documents, and to drain instances or release requests, without a side channel to any process.

- Every verb that changes something is a conditional update of the service's document.
- get notes the version in the first line, and apply of that file writes over that version only, so that an edit made from an old text cannot silently undo a newer one.
A lost race shows what changed in between where the old text is known, and else how the file differs from the current document.
- An answer lost after a write is settled by reading back.
- drain, undrain and quarantine edit one list item.
Printing the whole document anew with the YAML library was tried and dropped: its padding of [] and {} is one switch for both, so it changed lines that nobody edited.
Only the section concerned is printed anew, and the result is compared by value.
- Verbs are functions of the platform and of an interface for output and files.

--- /dev/null
+++ b/packages/ctl/src/commandLine.ts
@@ -0,0 +1,116 @@
+/** Command line of `bluebellctl`: verbs, flags and settings, all findings reported together. */
+import meow from 'meow';
+import { err, ok, type Result } from 'neverthrow';
+import { environmentName, flagName, type Finding } from '@bluebellhitch/shared';
+import { helpOfVerb, overviewText, verbs, type VerbName } from './verbHelp';
+
+export interface CtlFlags {
+  platformUrl?: string;
+  json: boolean;
+  admin: string[];
+  service?: string;
+  baseVersion?: number;
+  waitMs: number;
+}
+
+export type CommandLine =
+  | { kind: 'help'; text: string }
+  | { kind: 'version' }
+  | { kind: 'verb'; verb: VerbName; args: string[]; flags: CtlFlags };
+
+type Environment = Readonly<Record<string, string | undefined>>;
+
+const flagTypes = {
+  platformUrl: { type: 'string' },
+  json: { type: 'boolean', default: false },
+  admin: { type: 'string', isMultiple: true },
+  service: { type: 'string' },
+  baseVersion: { type: 'string' },
+  waitMs: { type: 'string' },
+  help: { type: 'boolean', shortFlag: 'h', default: false },
+  version: { type: 'boolean', default: false },
+} as const;
+
+export function parseCommandLine(
+  argv: readonly string[],
+  env: Environment,
+): Result<CommandLine, Finding[]> {
+  const { input, flags } = meow('', {
+    importMeta: import.meta,
+    argv: [...argv],
+    flags: flagTypes,
+    pkg: { name: 'bluebellctl' },
+    autoHelp: false,
+    autoVersion: false,
+  });
+  const [verb, ...args] = input;
+  if (flags.version) {
+    return ok({ kind: 'version' });
+  }
+  if (verb === undefined || flags.help) {
+    return ok({ kind: 'help', text: isVerb(verb) ? helpOfVerb(verb) : overviewText() });
+  }
+  if (!isVerb(verb)) {
+    return err([{ path: verb, message: 'unknown verb', hint: 'see bluebellctl --help' }]);
+  }
+  const read = readFlags(flags, env);
+  const findings = [...unknownFlags(flags), ...countFindings(verb, args), ...read.findings];
+  return findings.length > 0 ? err(findings) : ok({ kind: 'verb', verb, args, flags: read.values });
+}
+
+type RawFlags = Readonly<Record<string, unknown>> & {
+  platformUrl?: string;
+  json: boolean;
+  admin?: string[];
+  service?: string;
+  baseVersion?: string;
+  waitMs?: string;
+};
+
+function readFlags(flags: RawFlags, env: Environment): { values: CtlFlags; findings: Finding[] } {
+  const platformUrl = flags.platformUrl ?? env[environmentName('platformUrl')];
+  const values = {
+    platformUrl,
+    json: flags.json,
+    admin: flags.admin ?? [],
+    service: flags.service,
+    baseVersion: flags.baseVersion === undefined ? undefined : Number(flags.baseVersion),
+    waitMs: Number(flags.waitMs ?? 0),
+  };
+  const urls = platformUrl === undefined ? [] : urlFindings('platformUrl', platformUrl);
+  const findings = [
+    ...urls,
+    ...values.admin.flatMap((address) => urlFindings('admin', address)),
+    ...countFinding('baseVersion', values.baseVersion ?? 0),
+    ...countFinding('waitMs', values.waitMs),
+  ];
+  return { values, findings };
+}
+
+function urlFindings(name: string, text: string): Finding[] {
+  const isHttp = URL.canParse(text) && /^https?:$/.test(new URL(text).protocol);
+  return isHttp ? [] : [{ path: flagName(name), message: `${text} is no http:// address` }];
+}
+
+function countFinding(name: string, value: number): Finding[] {
+  return Number.isInteger(value) && value >= 0
+    ? []
+    : [{ path: flagName(name), message: 'must be a whole number, 0 or above' }];
+}
+
+function unknownFlags(flags: Readonly<Record<string, unknown>>): Finding[] {
+  return Object.keys(flags)
+    .filter((name) => !(name in flagTypes))
+    .map((name) => ({ path: flagName(name), message: 'unknown flag' }));
+}
+
+function countFindings(verb: VerbName, args: readonly string[]): Finding[] {
+  const { usage, minArgs, maxArgs } = verbs[verb];
+  return args.length >= minArgs && args.length <= maxArgs
+    ? []
+    : [{ path: verb, message: 'wrong number of arguments', hint: `bluebellctl ${usage}` }];
+}
+
+function isVerb(text: string | undefined): text is VerbName {
+  return text !== undefined && Object.hasOwn(verbs, text);
+}
--- /dev/null
+++ b/packages/ctl/src/serviceState.ts
@@ -0,0 +1,117 @@
+/** What the platform says about a service: its status, accepted generation and quarantines. */
+import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
+import { z } from 'zod';
+import {
+  acceptedDocumentSchema,
+  type AcceptedDocument,
+  type ServiceDocument,
+} from '@bluebellhitch/document';
+import { createQuarantine, type QuarantineVerdict } from '@bluebellhitch/decisions';
+import {
+  objectKinds,
+  type ObjectKind,
+  type PlatformApi,
+  type PlatformError,
+} from '@bluebellhitch/platform';
+
+const findingSchema = z.object({
+  path: z.string(),
+  line: z.number().optional(),
+  column: z.number().optional(),
+  message: z.string(),
+  hint: z.string().optional(),
+});
+
+const serviceStatusSchema = z.object({
+  documentVersion: z.number(),
+  state: z.enum(['accepted', 'rejected']),
+  generation: z.number(),
+  findings: z.array(findingSchema),
+});
+export type ServiceStatus = z.infer<typeof serviceStatusSchema>;
+
+const quarantineRecordSchema = z.object({
+  service: z.string(),
+  fingerprint: z.string(),
+  strikes: z.array(
+    z.object({ attemptId: z.string(), instanceId: z.string(), struckAtMs: z.number() }),
+  ),
+  clearedAttemptIds: z.array(z.string()),
+});
+export type QuarantineRecord = z.infer<typeof quarantineRecordSchema>;
+
+/** `undefined` where no status was written yet or its form is unknown. */
+export function findStatus(
+  platform: PlatformApi,
+  service: string,
+): ResultAsync<ServiceStatus | undefined, PlatformError> {
+  return findValue(platform, objectKinds.status, service, serviceStatusSchema);
+}
+
+/** `undefined` where nothing was accepted yet or its form is unknown. */
+export function findAccepted(
+  platform: PlatformApi,
+  service: string,
+): ResultAsync<AcceptedDocument | undefined, PlatformError> {
+  return findValue(platform, objectKinds.accepted, service, acceptedDocumentSchema);
+}
+
+export function listQuarantineRecords(
+  platform: PlatformApi,
+): ResultAsync<QuarantineRecord[], PlatformError> {
+  return platform.list(objectKinds.quarantine).map(({ objects }) =>
+    objects.flatMap(({ value }) => {
+      const record = quarantineRecordSchema.safeParse(value);
+      return record.success ? [record.data] : [];
+    }),
+  );
+}
+
+/** A fingerprint that requests are refused or watched for. */
+export interface QuarantineEntry {
+  service: string;
+  fingerprint: string;
+  verdict: QuarantineVerdict;
+  /** Backend servers that died under it. */
+  instanceIds: string[];
+}
+
+/** Judged as entries do: by the strikes on the platform and the policy of the accepted document. */
+export function judgeQuarantine(
+  { service, quarantine: policy }: ServiceDocument,
+  records: readonly QuarantineRecord[],
+  nowEpochMs: number,
+): QuarantineEntry[] {
+  const judge = createQuarantine();
+  const ofService = records.filter((record) => record.service === service);
+  ofService.forEach((record) => judge.merge(record, nowEpochMs));
+  const fingerprints = new Set([
+    ...ofService.map(({ fingerprint }) => fingerprint),
+    ...policy.block,
+  ]);
+  return [...fingerprints]
+    .map((fingerprint) => ({
+      service,
+      fingerprint,
+      verdict: judge.verdict({ service, fingerprint, policy, nowEpochMs }),
+      instanceIds: instancesUnder(fingerprint, ofService),
+    }))
+    .filter(({ verdict }) => verdict.kind !== 'clear');
+}
+
+function instancesUnder(fingerprint: string, records: readonly QuarantineRecord[]): string[] {
+  const strikes = records.find((record) => record.fingerprint === fingerprint)?.strikes ?? [];
+  return [...new Set(strikes.map(({ instanceId }) => instanceId))];
+}
+
+function findValue<Value>(
+  platform: PlatformApi,
+  kind: ObjectKind,
+  key: string,
+  schema: z.ZodType<Value>,
+): ResultAsync<Value | undefined, PlatformError> {
+  return platform
+    .get(kind, key)
+    .map<Value | undefined>(({ value }) => schema.safeParse(value).data)
+    .orElse((error) => (error.kind === 'not-found' ? okAsync(undefined) : errAsync(error)));
+}
--- /dev/null
+++ b/packages/ctl/src/verbs/editVerb.ts
@@ -0,0 +1,54 @@
+/** Prints what became of a conditional edit of a service's document. */
+import type { CtlIo, Report } from '../ctlIo';
+import type { EditOutcome } from '../editDocument';
+import { ctlExitCodes, describePlatformError, exitCodeOf } from '../exitCodes';
+import { renderFinding } from '../render';
+
+export interface EditReportOptions {
+  service: string;
+  /** What the edit says, such as `agent-3 takes no new work`. */
+  effect: string;
+  outcome: EditOutcome;
+}
+
+export function editReport(io: CtlIo, { service, effect, outcome }: EditReportOptions): Report {
+  const name = io.paint.strong(service);
+  const data = { service, ...outcome };
+  switch (outcome.kind) {
+    case 'written':
+      return {
+        exitCode: ctlExitCodes.ok,
+        data,
+        lines: [`${name}: ${effect}, written as version ${outcome.version}`],
+      };
+    case 'unchanged':
+      return {
+        exitCode: ctlExitCodes.ok,
+        data,
+        lines: [`${name}: ${effect}, as version ${outcome.version} says already`],
+      };
+    case 'findings':
+      return {
+        exitCode: ctlExitCodes.findings,
+        data,
+        lines: [
+          ...outcome.findings.map((finding) => renderFinding(service, finding)),
+          `${name}: not written, because the document would be rejected`,
+        ],
+      };
+    case 'lost-race':
+      return {
+        exitCode: ctlExitCodes.lostRace,
+        data,
+        lines: [`${name}: not written: others changed it each of ${outcome.attempts} times`],
+      };
+    case 'failed':
+      return {
+        exitCode: exitCodeOf(outcome.error),
+        data,
+        lines: [`${name}: ${describePlatformError(outcome.error)}`],
+      };
+    default:
+      return outcome satisfies never;
+  }
+}
