--- /dev/null
+++ b/packages/engine/__tests__/httpEngineClient.test.ts
@@ -0,0 +1,182 @@
+import { once } from 'node:events';
+import { createServer, type RequestListener, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import test, { type ExecutionContext } from 'ava';
+import {
+  createHttpEngineClient,
+  type EngineChunk,
+  type HttpEngineClientOptions,
+} from '@bluebellhitch/engine';
+
+const decodeInput = {
+  attemptId: 'attempt-1',
+  model: 'm',
+  prompt: 'p',
+  imported: false,
+  maxOutputTokens: 10,
+  priority: 5,
+};
+
+async function clientOf(
+  t: ExecutionContext,
+  listener: RequestListener,
+  options: Partial<HttpEngineClientOptions> = {},
+) {
+  const server = createServer(listener).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const client = createHttpEngineClient({
+    address: addressOf(server),
+    callTimeoutMs: 10_000,
+    streamStartTimeoutMs: 10_000,
+    ...options,
+  });
+  t.teardown(async () => {
+    await client.close();
+    server.closeAllConnections();
+    server.close();
+  });
+  return client;
+}
+
+function addressOf(server: Server): string {
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function token(offset: number): string {
+  const chunk = { kind: 'token', attemptId: 'attempt-1', offset, text: `w${offset}` };
+  return `data: ${JSON.stringify(chunk)}\n\n`;
+}
+
+async function collect(chunks: AsyncIterable<EngineChunk>): Promise<EngineChunk[]> {
+  const collected: EngineChunk[] = [];
+  for await (const chunk of chunks) {
+    collected.push(chunk);
+  }
+  return collected;
+}
+
+test('a refused connection means that nothing started', async (t) => {
+  // The engine is not running. Its port refuses the connection before any request is sent, so the
+  // agent may tell its caller "not run" with certainty.
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const address = addressOf(server);
+  server.close();
+  await once(server, 'close');
+  const client = createHttpEngineClient({ address });
+  t.teardown(() => client.close());
+  const result = await client.decode(decodeInput);
+  t.is(result._unsafeUnwrapErr().kind, 'not-started');
+});
+
+test('a connection that breaks after the request was sent means died', async (t) => {
+  // The engine reads the request and dies before it answers. The work may have begun, so the client
+  // must not claim that nothing started.
+  const client = await clientOf(t, (request) => request.socket.destroy());
+  t.is((await client.decode(decodeInput))._unsafeUnwrapErr().kind, 'died');
+  t.is((await client.cancel('attempt-1'))._unsafeUnwrapErr().kind, 'died');
+});
+
+test('a silent engine runs into the timeout', async (t) => {
+  // The engine takes the request and never answers. The caller's own deadline would pass, and the
+  // engine may have started, so the result is a timeout rather than a refusal.
+  const limits = { callTimeoutMs: 50, streamStartTimeoutMs: 50 };
+  const client = await clientOf(t, () => undefined, limits);
+  t.is((await client.decode(decodeInput))._unsafeUnwrapErr().kind, 'timeout');
+  t.is((await client.streams())._unsafeUnwrapErr().kind, 'timeout');
+});
+
+test("the engine's own error arrives as it is", async (t) => {
+  const error = { kind: 'stale-order', highestFencingNumber: 7 } as const;
+  const client = await clientOf(t, (_, response) => {
+    response.writeHead(409, { 'content-type': 'application/json' });
+    response.end(JSON.stringify({ error }));
+  });
+  const result = await client.order({ kind: 'set-role', role: 'decode' }, 6);
+  t.deepEqual(result._unsafeUnwrapErr(), error);
+});
+
+test('an answer that is not in the wire format fails', async (t) => {
+  const client = await clientOf(t, (_, response) => response.end('{"holdings":[{"attemptId":3}]}'));
+  t.is((await client.streams())._unsafeUnwrapErr().kind, 'failed');
+});
+
+test('a stream that breaks off just ends, without an end chunk', async (t) => {
+  // The engine dies in the middle of a stream. The iteration ends like any other, so that the reader
+  // sees what did arrive; the missing end chunk tells it that the answer is not whole.
+  const client = await clientOf(t, (_, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    response.write(token(0) + token(1), () => response.destroy());
+  });
+  const chunks = await collect((await client.decode(decodeInput))._unsafeUnwrap());
+  t.deepEqual(
+    chunks.map(({ kind, offset }) => [kind, offset]),
+    [
+      ['token', 0],
+      ['token', 1],
+    ],
+  );
+});
+
+test('events are read whole however the bytes are cut', async (t) => {
+  const text = token(0).replace('w0', 'Säule €');
+  const bytes = Buffer.from(text);
+  const client = await clientOf(t, async (_, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    for (const byte of bytes) {
+      response.write(Buffer.from([byte]));
+      await new Promise(setImmediate);
+    }
+    response.end();
+  });
+  const chunks = await collect((await client.decode(decodeInput))._unsafeUnwrap());
+  t.deepEqual(chunks, [{ kind: 'token', attemptId: 'attempt-1', offset: 0, text: 'Säule €' }]);
+});
+
+test('aborting the signal closes the connection and ends the iteration', async (t) => {
+  // The caller has gone. The agent aborts the stream, and the engine sees its connection close rather
+  // than writing into a buffer that nobody reads.
+  let closed: Promise<unknown> = Promise.resolve();
+  const client = await clientOf(t, (_, response) => {
+    closed = once(response, 'close');
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    response.write(token(0));
+  });
+  const controller = new AbortController();
+  const chunks = (await client.decode(decodeInput, controller.signal))._unsafeUnwrap();
+  const iterator = chunks[Symbol.asyncIterator]();
+  t.is((await iterator.next()).value?.kind, 'token');
+  controller.abort();
+  t.true((await iterator.next()).done);
+  await closed;
+});
+
+test('an abort by the caller is not reported as a death of the engine', async (t) => {
+  // An agent counts deaths of its engine against the requests in flight. Its own abort breaks the
+  // connection too; reported as a death, it would put a harmless request into quarantine.
+  const client = await clientOf(t, () => undefined);
+  const controller = new AbortController();
+  const pending = client.prefill(
+    { attemptId: 'a', model: 'm', prompt: 'p', priority: 5 },
+    controller.signal,
+  );
+  controller.abort();
+  t.is((await pending)._unsafeUnwrapErr().kind, 'failed');
+});
+
+test('an import that ends without its last event died', async (t) => {
+  // The importing engine dies in the middle of a transfer. Progress so far was reported, but the KV
+  // cache is not there, so the import must not pass for a finished one.
+  const progress = { kind: 'progress', receivedBytes: 1, totalBytes: 2, done: false };
+  const client = await clientOf(t, (_, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    response.write(`data: ${JSON.stringify(progress)}\n\n`, () => response.destroy());
+  });
+  const seen: number[] = [];
+  const result = await client.importKv(
+    { attemptId: 'a', kvAddress: 'http://127.0.0.1:1', exportId: 'e', rateBytesPerSecond: 1 },
+    ({ receivedBytes }) => seen.push(receivedBytes),
+  );
+  t.deepEqual(seen, [1]);
+  t.is(result._unsafeUnwrapErr().kind, 'died');
+});
