--- /dev/null
+++ b/packages/entry/src/candidateBids.ts
@@ -0,0 +1,111 @@
+/** Asks the candidates of a request for bids, in parallel and for a short time only. */
+import {
+  prefixKey,
+  type Candidate,
+  type CandidateBid,
+  type WorkerNeed,
+} from '@bluebellhitch/decisions';
+import type { PlatformInstance } from '@bluebellhitch/platform';
+import { monotonicNowMs } from '@bluebellhitch/shared';
+import type { AgentCallError } from './agentApi';
+import type { ModelRun } from './modelTypes';
+import { noteCallError } from './serverHealth';
+
+/** A bid and the instance that made it. */
+export interface InstanceBid extends CandidateBid {
+  instance: PlatformInstance;
+}
+
+export interface CollectedBids {
+  bids: InstanceBid[];
+  /** Candidates asked; more than `bids` where some did not answer. */
+  asked: Candidate[];
+}
+
+/** Selects candidates that serve the need and collects what they answer in time. */
+export async function collectBids(run: ModelRun, need: WorkerNeed): Promise<CollectedBids> {
+  const { context, request } = run;
+  const { members, version, byId } = context.runtimes.members(request.document);
+  const runtime = context.runtimes.of(request.document.service);
+  const nowMs = monotonicNowMs();
+  const asked = runtime.selector.select({
+    instances: members,
+    membershipVersion: version,
+    need,
+    key: prefixKey(request.document.service, request.prefixBlocks),
+    excluded: excludedInstances(run, runtime.outliers.ejected(nowMs)),
+    nowMs,
+  });
+  const instances = asked.flatMap(({ instanceId }) => byId.get(instanceId) ?? []);
+  return { asked, bids: await askInTime(run, instances) };
+}
+
+function excludedInstances(run: ModelRun, ejected: ReadonlySet<string>): Set<string> {
+  const { context, request } = run;
+  const avoided = run.struck ? context.strikes.avoidInstances(request.document.service) : [];
+  return new Set([...run.tried, ...ejected, ...avoided]);
+}
+
+/** Waits for all, but not much longer than the first takes: a paused agent must not slow others. */
+function askInTime(run: ModelRun, instances: readonly PlatformInstance[]): Promise<InstanceBid[]> {
+  const { bidMs, bidGraceMs } = run.context.timeouts;
+  const bids: InstanceBid[] = [];
+  if (instances.length === 0) {
+    return Promise.resolve(bids);
+  }
+  return new Promise((resolve) => {
+    const startedAtMs = monotonicNowMs();
+    let pendingCount = instances.length;
+    let timer = setTimeout(finish, bidMs);
+    function finish(): void {
+      clearTimeout(timer);
+      resolve([...bids]);
+    }
+    function onAnswer(bid: InstanceBid | undefined): void {
+      pendingCount -= 1;
+      if (bid !== undefined) {
+        bids.push(bid);
+      }
+      if (pendingCount === 0) {
+        finish();
+      } else if (bids.length === 1) {
+        clearTimeout(timer);
+        const graceMs = Math.max(bidGraceMs, 2 * (monotonicNowMs() - startedAtMs));
+        timer = setTimeout(finish, Math.min(graceMs, bidMs));
+      }
+    }
+    instances.forEach((instance) => {
+      void ask(run, instance).then(onAnswer);
+    });
+  });
+}
+
+async function ask(run: ModelRun, instance: PlatformInstance): Promise<InstanceBid | undefined> {
+  const { context, request } = run;
+  const sentAtMs = monotonicNowMs();
+  const reply = await context.agents.bid(
+    instance.innerAddress,
+    {
+      service: request.document.service,
+      promptTokens: request.promptTokens + run.emitted.tokenCount,
+      maxOutputTokens: request.maxOutputTokens - run.emitted.tokenCount,
+      prefixBlocks: request.prefixBlocks,
+      className: request.trafficClass.name,
+    },
+    { timeoutMs: context.timeouts.bidMs, signal: run.signal },
+  );
+  const nowMs = monotonicNowMs();
+  return reply.match(
+    (bid) => {
+      context.runtimes.hints.record(instance.id, bid.load, nowMs);
+      if (bid.load.leaving) {
+        context.instances.markLeaving(instance.id);
+      }
+      return { instance, instanceId: instance.id, bid, roundTripMs: nowMs - sentAtMs };
+    },
+    (error: AgentCallError) => {
+      noteCallError(context, request.document.service, instance.id, error);
+      return undefined;
+    },
+  );
+}
--- /dev/null
+++ b/packages/entry/src/completionsApi.ts
@@ -0,0 +1,290 @@
+/** `POST /v1/chat/completions`, `POST /v1/completions` and `GET /v1/models`. */
+import { effectiveClass, type ServiceDocument } from '@bluebellhitch/document';
+import { callerHeaders, estimateTokens, prefixBlockHashes } from '@bluebellhitch/protocol';
+import { assertNever, createRefusal, monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
+import type { AnswerEvent, AnswerLog } from './answerLog';
+import { refuseBadHeaders, refuseBody, type CallerExchange } from './callerExchange';
+import { parseCompletionBody, type CompletionBody, type CompletionKind } from './completionsBody';
+import {
+  errorEvent,
+  finishChunk,
+  textChunk,
+  usageChunk,
+  wholeCompletion,
+  type CompletionIdentity,
+} from './completionsFormat';
+import { claimKeyOf, fingerprintOf } from './digests';
+import { headerText } from './headers';
+import type { ModelRuns } from './modelRuns';
+import type { ModelRequest } from './modelTypes';
+import { readBody } from './requestBody';
+import type { ModelTarget, ServiceTable } from './serviceTable';
+import { createSseWriter, type SseWriter } from './sseWriter';
+
+export interface CompletionsApiOptions {
+  services: ServiceTable;
+  runs: ModelRuns;
+  /** Bound before the service is known; the document's own one holds besides. */
+  maxBodyBytes: number;
+  slowSenderTimeoutMs: number;
+}
+
+export interface CompletionsApi {
+  complete(exchange: CallerExchange, kind: CompletionKind): Promise<void>;
+  listModels(exchange: CallerExchange): void;
+}
+
+interface AdmittedRequest {
+  request: ModelRequest;
+  body: CompletionBody;
+  shareKey?: string;
+}
+
+const paths = { chat: '/v1/chat/completions', text: '/v1/completions' } as const;
+const msPerSecond = 1000;
+
+/** Creates the handlers. */
+export function createCompletionsApi(options: CompletionsApiOptions): CompletionsApi {
+  const { services, runs, maxBodyBytes, slowSenderTimeoutMs } = options;
+
+  async function complete(exchange: CallerExchange, kind: CompletionKind): Promise<void> {
+    const arrivedAtMs = monotonicNowMs();
+    if (refuseBadHeaders(exchange)) {
+      return;
+    }
+    const read = await readBody(exchange.incoming, {
+      maxBytes: maxBodyBytes,
+      timeoutMs: slowSenderTimeoutMs,
+    });
+    if (read.isErr()) {
+      refuseBody(exchange, read.error);
+      return;
+    }
+    const admitted = admit(exchange, kind, read.value, arrivedAtMs);
+    if (admitted !== undefined) {
+      await answer(exchange, admitted);
+    }
+  }
+
+  function admit(
+    exchange: CallerExchange,
+    kind: CompletionKind,
+    bytes: Buffer,
+    arrivedAtMs: number,
+  ): AdmittedRequest | undefined {
+    const body = parseCompletionBody(kind, bytes.toString('utf8'));
+    if (body.isErr()) {
+      exchange.refuse(createRefusal({ reason: refusalReasons.badRequest, detail: body.error }));
+      return undefined;
+    }
+    const target = services.findModel(body.value.model);
+    if (target === undefined) {
+      const detail = `no service offers the model ${JSON.stringify(body.value.model)}`;
+      exchange.refuse(createRefusal({ reason: refusalReasons.unknownService, detail }));
+      return undefined;
+    }
+    const { maxBodyBytes: serviceMaxBytes } = target.document.limits;
+    if (bytes.length > serviceMaxBytes) {
+      refuseBody(exchange, { kind: 'too-large', maxBytes: serviceMaxBytes });
+      return undefined;
+    }
+    return admitKeyed(exchange, { body: body.value, target, bytes, arrivedAtMs });
+  }
+
+  /** Work that may not be repeated needs a key that its caller chose. */
+  function admitKeyed(exchange: CallerExchange, parts: RequestParts): AdmittedRequest | undefined {
+    const { headers } = exchange.incoming;
+    const repeatable = isRepeatable(exchange, parts);
+    const key = headerText(headers, callerHeaders.idempotencyKey);
+    if (!repeatable && key === undefined) {
+      exchange.refuse(
+        createRefusal({
+          reason: refusalReasons.missingIdempotencyKey,
+          detail: 'a request that is not to be repeated must carry Idempotency-Key',
+        }),
+      );
+      return undefined;
+    }
+    const request = buildRequest(exchange, parts, repeatable, key);
+    const shareKey =
+      repeatable && key !== undefined ? `${request.claimKey}/${request.fingerprint}` : undefined;
+    return { request, body: parts.body, shareKey };
+  }
+
+  async function answer(exchange: CallerExchange, admitted: AdmittedRequest): Promise<void> {
+    const { request, body, shareKey } = admitted;
+    const membership = runs.start(request, shareKey);
+    const leave = () => membership.leave();
+    exchange.gone.addEventListener('abort', leave);
+    const identity: CompletionIdentity = {
+      kind: body.kind,
+      requestId: exchange.requestId,
+      model: body.model,
+      createdAtSeconds: Math.floor(Date.now() / msPerSecond),
+    };
+    const { promptTokens } = request;
+    await (body.stream
+      ? sendStream(exchange, membership.log, { identity, promptTokens, body })
+      : sendWhole(exchange, membership.log, { identity, promptTokens, body }));
+    leave();
+  }
+
+  function listModels(exchange: CallerExchange): void {
+    const models = services
+      .list()
+      .filter(({ document }) => document.kind === 'model')
+      .map(({ document }) => ({
+        id: document.service,
+        object: 'model',
+        created: 0,
+        owned_by: document.institution,
+      }));
+    const text = JSON.stringify({ object: 'list', data: models });
+    exchange.outgoing.writeHead(200, {
+      'content-type': 'application/json',
+      'x-request-id': exchange.requestId,
+    });
+    exchange.outgoing.end(text);
+  }
+
+  return { complete, listModels };
+}
+
+interface RequestParts {
+  body: CompletionBody;
+  target: ModelTarget;
+  bytes: Buffer;
+  arrivedAtMs: number;
+}
+
+function isRepeatable(exchange: CallerExchange, { body, target }: RequestParts): boolean {
+  const marked = headerText(exchange.incoming.headers, callerHeaders.noRepeat) === 'true';
+  return !marked && routeAllowsRepeating(target.document, paths[body.kind]);
+}
+
+function routeAllowsRepeating(document: ServiceDocument, path: string): boolean {
+  return document.routes.every(
+    ({ pathPrefix, repeatable }) => repeatable || !path.startsWith(pathPrefix),
+  );
+}
+
+function buildRequest(
+  exchange: CallerExchange,
+  { body, target, bytes, arrivedAtMs }: RequestParts,
+  repeatable: boolean,
+  key: string | undefined,
+): ModelRequest {
+  const { headers } = exchange.incoming;
+  const { document, engineModel } = target;
+  const trafficClass = effectiveClass(document, headerText(headers, callerHeaders.className));
+  const institution = headerText(headers, callerHeaders.institution) ?? document.institution;
+  const workspace = headerText(headers, callerHeaders.workspace);
+  const { maxOutputTokens, requestTimeoutMs } = document.limits;
+  return {
+    requestId: exchange.requestId,
+    document,
+    trafficClass,
+    engineModel,
+    origin: { institution, workspace, className: trafficClass.name },
+    prompt: body.prompt,
+    promptTokens: estimateTokens(body.prompt),
+    prefixBlocks: prefixBlockHashes(body.prompt),
+    maxOutputTokens: Math.min(body.maxOutputTokens ?? maxOutputTokens, maxOutputTokens),
+    repeatable,
+    claimKey: key === undefined ? undefined : claimKeyOf(document.service, institution, key),
+    fingerprint: fingerprintOf(institution, bytes),
+    arrivedAtMs,
+    deadlineAtMs: arrivedAtMs + requestTimeoutMs,
+  };
+}
+
+interface AnswerFormat {
+  identity: CompletionIdentity;
+  promptTokens: number;
+  body: CompletionBody;
+}
+
+/** Sends events as they come. The head waits for the first one: a refusal is a problem document. */
+async function sendStream(
+  exchange: CallerExchange,
+  log: AnswerLog,
+  format: AnswerFormat,
+): Promise<void> {
+  let writer: SseWriter | undefined;
+  for await (const event of log.read(exchange.gone)) {
+    if (event.kind === 'refused' && writer === undefined) {
+      exchange.refuse(event.refusal);
+      return;
+    }
+    const isFirst = writer === undefined;
+    writer ??= createSseWriter(exchange.outgoing, { 'x-request-id': exchange.requestId });
+    await sendEvent(writer, event, { ...format, isFirst, requestId: exchange.requestId });
+  }
+}
+
+async function sendEvent(
+  writer: SseWriter,
+  event: AnswerEvent,
+  format: AnswerFormat & { isFirst: boolean; requestId: string },
+): Promise<void> {
+  const { identity, promptTokens, body } = format;
+  switch (event.kind) {
+    case 'tokens':
+      await writer.data(textChunk(identity, event.text, format.isFirst));
+      return;
+    case 'end':
+      await writer.data(finishChunk(identity, event.finishReason));
+      if (body.includeUsage) {
+        await writer.data(usageChunk(identity, { promptTokens, outputTokens: event.outputTokens }));
+      }
+      writer.done();
+      return;
+    case 'refused':
+      // Without the end marker and with an error: the caller cannot take a part for the whole.
+      await writer.event('error', errorEvent(event.refusal, format.requestId));
+      writer.end();
+      return;
+    default:
+      assertNever(event);
+  }
+}
+
+async function sendWhole(
+  exchange: CallerExchange,
+  log: AnswerLog,
+  { identity, promptTokens }: AnswerFormat,
+): Promise<void> {
+  const parts: string[] = [];
+  for await (const event of log.read(exchange.gone)) {
+    switch (event.kind) {
+      case 'tokens':
+        parts.push(event.text);
+        break;
+      case 'refused':
+        exchange.refuse(event.refusal);
+        break;
+      case 'end':
+        sendJson(
+          exchange,
+          wholeCompletion(identity, {
+            text: parts.join(''),
+            finishReason: event.finishReason,
+            usage: { promptTokens, outputTokens: event.outputTokens },
+          }),
+        );
+        break;
+      default:
+        assertNever(event);
+    }
+  }
+}
+
+function sendJson({ outgoing, requestId }: CallerExchange, value: object): void {
+  const text = JSON.stringify(value);
+  outgoing.writeHead(200, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    'x-request-id': requestId,
+  });
+  outgoing.end(text);
+}
--- /dev/null
+++ b/packages/entry/src/entrySettings.ts
@@ -0,0 +1,82 @@
+/** Settings of `bluebell-entry`. */
+import { randomUUID } from 'node:crypto';
+import { z } from 'zod';
+import type { SettingValues } from '@bluebellhitch/shared';
+import { lifecycleSettings } from '@bluebellhitch/telemetry';
+
+const port = z.coerce.number().int().min(0).max(65_535);
+const positive = z.coerce.number().int().positive();
+const host = z.union([z.ipv4(), z.ipv6()]);
+
+export const entrySettings = {
+  instanceId: {
+    schema: z.string().min(1).max(200),
+    description: 'Id of this instance in the instance list.',
+    defaultText: `entry-${randomUUID().slice(0, 8)}`,
+  },
+  dataCentre: {
+    schema: z.string().min(1),
+    description: 'Data centre that this instance runs in.',
+  },
+  platformUrl: {
+    schema: z.url({ protocol: /^https?$/ }),
+    description: 'Address of the platform service, http://ip:port.',
+  },
+  entryHost: {
+    schema: host,
+    description: 'IP number that callers connect to.',
+    defaultText: '127.0.0.1',
+  },
+  entryPort: { schema: port, description: 'Port for callers.', defaultText: '8080' },
+  innerHost: {
+    schema: host,
+    description: 'IP number for agents and other entries.',
+    defaultText: '127.0.0.1',
+  },
+  innerPort: { schema: port, description: 'Port of the inner protocol.', defaultText: '8081' },
+  adminHost: { schema: host, description: 'IP number for operators.', defaultText: '127.0.0.1' },
+  adminPort: {
+    schema: port,
+    description: 'Port for health, metrics and decision records.',
+    defaultText: '9090',
+  },
+  maxHeaderBytes: {
+    schema: positive,
+    description: 'Largest request header, in bytes.',
+    defaultText: '16384',
+  },
+  maxBodyBytes: {
+    schema: positive,
+    description: 'Largest body of a model request, in bytes; documents may set less.',
+    defaultText: '4194304',
+  },
+  maxConnections: {
+    schema: positive,
+    description: 'Concurrent connections of callers.',
+    defaultText: '4096',
+  },
+  slowSenderTimeoutMs: {
+    schema: positive,
+    description:
+      'Bound for a header or a small body to arrive, and for pauses of a large one, in ms.',
+    defaultText: '10000',
+  },
+  settleMs: {
+    schema: z.coerce.number().int().nonnegative(),
+    description: 'Time between failing readiness and refusing new requests, in ms.',
+    defaultText: '1000',
+  },
+  drainBoundMs: {
+    schema: positive,
+    description: 'Longest wait for running requests when stopping, in ms.',
+    defaultText: '60000',
+  },
+  logLevel: {
+    schema: z.enum(['debug', 'info', 'warn', 'error']),
+    description: 'Lowest level of logged messages.',
+    defaultText: 'info',
+  },
+  ...lifecycleSettings,
+};
+
+export type EntrySettings = SettingValues<typeof entrySettings>;
--- /dev/null
+++ b/packages/entry/src/httpAgentClient.ts
@@ -0,0 +1,289 @@
+/** `AgentApi` over the inner protocol: trpc for messages, HTTP for streams and plain calls. */
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
+import { err, errAsync, ok, ResultAsync, type Result } from 'neverthrow';
+import { Agent, request as sendRequest, type Dispatcher } from 'undici';
+import type { z } from 'zod';
+import {
+  agentRefusalSchema,
+  bidSchema,
+  heartbeatReplySchema,
+  innerHeaders,
+  innerPaths,
+  loadHintSchema,
+  prefillReplySchema,
+  reserveReplySchema,
+  type AgentRouter,
+  type LoadHint,
+  type StreamFrame,
+  type StreamRequest,
+} from '@bluebellhitch/protocol';
+import type {
+  AgentApi,
+  AgentCallError,
+  AgentCallOptions,
+  PlainAnswer,
+  PlainCall,
+  StreamOpenError,
+} from './agentApi';
+import { readFrames } from './agentEventStream';
+import { plainRefusal } from './plainRefusal';
+
+export interface HttpAgentClientOptions {
+  connectTimeoutMs?: number;
+  /** Clients kept for agents; the one used longest ago is dropped. */
+  maxClients?: number;
+  onMalformedFrame?: () => void;
+  onControlBytes?: (direction: 'sent' | 'received', byteCount: number) => void;
+}
+
+export interface HttpAgentClient extends AgentApi {
+  close(): Promise<void>;
+}
+
+type RouterClient = TRPCClient<AgentRouter>;
+type AnswerHeaders = PlainAnswer['headers'];
+
+const keepAliveMs = 10_000;
+const maxRefusalBytes = 64 * 1024;
+/** Errors before the request was written. */
+const notSentCodes: readonly string[] = [
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'UND_ERR_CONNECT_TIMEOUT',
+];
+
+/** Creates the client of all agents of one entry. */
+export function createHttpAgentClient(options: HttpAgentClientOptions = {}): HttpAgentClient {
+  const { connectTimeoutMs = 1_000, maxClients = 256, onMalformedFrame, onControlBytes } = options;
+  const dispatcher = new Agent({
+    connect: { timeout: connectTimeoutMs },
+    keepAliveTimeout: keepAliveMs,
+    pipelining: 1,
+    bodyTimeout: 0,
+    headersTimeout: 0,
+  });
+  const fetchMessage = createMessageFetch(dispatcher, onControlBytes);
+  const clients = new Map<string, RouterClient>();
+
+  function clientOf(address: string): RouterClient {
+    const client =
+      clients.get(address) ??
+      createTRPCClient<AgentRouter>({
+        links: [httpLink({ url: `${address}${innerPaths.trpc}`, fetch: fetchMessage })],
+      });
+    clients.delete(address);
+    clients.set(address, client);
+    if (clients.size > maxClients) {
+      clients.delete(clients.keys().next().value as string);
+    }
+    return client;
+  }
+
+  function call<Schema extends z.ZodType>(
+    schema: Schema,
+    callOptions: AgentCallOptions,
+    send: (signal: AbortSignal) => Promise<unknown>,
+  ): ResultAsync<z.infer<Schema>, AgentCallError> {
+    const signal = combinedSignal(callOptions);
+    return ResultAsync.fromPromise(send(signal), (error) =>
+      callError(error, callOptions.signal),
+    ).andThen((reply) => checkReply(schema, reply));
+  }
+
+  return {
+    bid: (address, request, callOptions) =>
+      call(bidSchema, callOptions, (signal) => clientOf(address).bid.mutate(request, { signal })),
+    reserve: (address, request, callOptions) =>
+      call(reserveReplySchema, callOptions, (signal) =>
+        clientOf(address).reserve.mutate(request, { signal }),
+      ),
+    prefill: (address, request, callOptions) =>
+      call(prefillReplySchema, callOptions, (signal) =>
+        clientOf(address).prefill.mutate(request, { signal }),
+      ),
+    cancel: (address, reference, callOptions) =>
+      ResultAsync.fromPromise(
+        clientOf(address).cancel.mutate(reference, { signal: combinedSignal(callOptions) }),
+        (error) => callError(error, callOptions.signal),
+      ).map(() => undefined),
+    heartbeat: (address, heartbeat, callOptions) =>
+      call(heartbeatReplySchema, callOptions, (signal) =>
+        clientOf(address).heartbeat.mutate(heartbeat, { signal }),
+      ),
+    openStream: (address, request, callOptions) =>
+      openStream(dispatcher, address, request, callOptions, onMalformedFrame ?? (() => undefined)),
+    plain: (address, plainCall) => sendPlain(dispatcher, address, plainCall),
+    close: () => dispatcher.destroy(),
+  };
+}
+
+function combinedSignal(options: AgentCallOptions): AbortSignal {
+  const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(options.timeoutMs)));
+  return options.signal === undefined ? timeout : AbortSignal.any([options.signal, timeout]);
+}
+
+function checkReply<Schema extends z.ZodType>(
+  schema: Schema,
+  reply: unknown,
+): Result<z.infer<Schema>, AgentCallError> {
+  const parsed = schema.safeParse(reply);
+  return parsed.success
+    ? ok(parsed.data)
+    : err({ kind: 'malformed', detail: parsed.error.issues[0]?.message ?? 'unexpected reply' });
+}
+
+/** Classifies by the innermost cause that tells something: trpc and undici wrap errors. */
+function callError(error: unknown, callerSignal?: AbortSignal): AgentCallError {
+  const causes = errorChain(error);
+  const detail = causes.at(-1)?.message ?? String(error);
+  if (causes.some((cause) => notSentCodes.includes(String(Reflect.get(cause, 'code'))))) {
+    return { kind: 'not-sent', detail };
+  }
+  if (callerSignal?.aborted) {
+    return { kind: 'cancelled' };
+  }
+  if (causes.some((cause) => cause.name === 'TimeoutError' || cause.name === 'AbortError')) {
+    return { kind: 'timeout', detail };
+  }
+  return { kind: 'lost', detail };
+}
+
+function errorChain(error: unknown): Error[] {
+  if (!(error instanceof Error)) {
+    return [];
+  }
+  return [error, ...errorChain(error.cause)];
+}
+
+/** A `fetch` for trpc on top of undici's plain request, which costs less than the full fetch. */
+function createMessageFetch(
+  dispatcher: Dispatcher,
+  onControlBytes: HttpAgentClientOptions['onControlBytes'],
+) {
+  return async (input: unknown, init?: unknown) => {
+    const { method, headers, body, signal } = (init ?? {}) as RequestInit;
+    const response = await sendRequest(String(input), {
+      dispatcher,
+      method: method ?? 'GET',
+      headers: headers as Record<string, string>,
+      body: body as string | undefined,
+      signal: signal ?? undefined,
+    });
+    const text = await response.body.text();
+    onControlBytes?.('sent', typeof body === 'string' ? body.length : 0);
+    onControlBytes?.('received', text.length);
+    return {
+      ok: response.statusCode < 400,
+      json: () => Promise.resolve(JSON.parse(text) as unknown),
+    };
+  };
+}
+
+function openStream(
+  dispatcher: Dispatcher,
+  address: string,
+  request: StreamRequest,
+  options: AgentCallOptions,
+  onMalformed: () => void,
+): ResultAsync<AsyncIterable<StreamFrame>, StreamOpenError> {
+  const head = new AbortController();
+  const timer = setTimeout(
+    () => head.abort(new DOMException('no head', 'TimeoutError')),
+    options.timeoutMs,
+  );
+  const signal =
+    options.signal === undefined ? head.signal : AbortSignal.any([options.signal, head.signal]);
+  const sending = sendRequest(`${address}${innerPaths.streams}`, {
+    dispatcher,
+    method: 'POST',
+    headers: { 'content-type': 'application/json', accept: 'text/event-stream' },
+    body: JSON.stringify(request),
+    signal,
+  }).finally(() => clearTimeout(timer));
+  return ResultAsync.fromPromise<Dispatcher.ResponseData, StreamOpenError>(sending, (error) =>
+    callError(error, options.signal),
+  ).andThen((response) =>
+    response.statusCode === 200
+      ? ok(readFrames(response.body, onMalformed) as AsyncIterable<StreamFrame>)
+      : streamRefusal(response),
+  );
+}
+
+/** Reads the refusal in the body of an answer that is not a stream. */
+function streamRefusal(
+  response: Dispatcher.ResponseData,
+): ResultAsync<AsyncIterable<StreamFrame>, StreamOpenError> {
+  const reading = readBounded(response.body, maxRefusalBytes).then(
+    (text) => JSON.parse(text) as unknown,
+  );
+  return ResultAsync.fromPromise<unknown, StreamOpenError>(reading, () => ({
+    kind: 'malformed',
+    detail: `status ${response.statusCode} without a refusal`,
+  })).andThen((body) => {
+    const parsed = agentRefusalSchema.safeParse(body);
+    return errAsync<AsyncIterable<StreamFrame>, StreamOpenError>(
+      parsed.success
+        ? parsed.data
+        : { kind: 'malformed', detail: `status ${response.statusCode} without a refusal` },
+    );
+  });
+}
+
+async function readBounded(body: AsyncIterable<Buffer>, maxBytes: number): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of body) {
+    size += chunk.length;
+    if (size > maxBytes) {
+      throw new Error('body too large');
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+function sendPlain(
+  dispatcher: Dispatcher,
+  address: string,
+  call: PlainCall,
+): ResultAsync<PlainAnswer, AgentCallError> {
+  const sending = sendRequest(`${address}${innerPaths.plain}${call.target}`, {
+    dispatcher,
+    method: call.method,
+    headers: call.headers,
+    body: call.body,
+    headersTimeout: call.headTimeoutMs,
+    signal: call.signal,
+  });
+  return ResultAsync.fromPromise(sending, (error) => plainCallError(error, call)).map(
+    ({ statusCode, headers, body }) => ({
+      status: statusCode,
+      headers,
+      body,
+      load: parseLoad(headers),
+      refusal: plainRefusal(headers),
+    }),
+  );
+}
+
+function plainCallError(error: unknown, call: PlainCall): AgentCallError {
+  const isHeadTimeout = Reflect.get(Object(error), 'code') === 'UND_ERR_HEADERS_TIMEOUT';
+  return isHeadTimeout
+    ? { kind: 'timeout', detail: 'no response in time' }
+    : callError(error, call.signal);
+}
+
+function parseLoad(headers: AnswerHeaders): LoadHint | undefined {
+  const text = headers[innerHeaders.load];
+  if (typeof text !== 'string') {
+    return undefined;
+  }
+  try {
+    const parsed = loadHintSchema.safeParse(JSON.parse(text));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/innerServer.ts
@@ -0,0 +1,43 @@
+/** The entry's inner port: feed and strikes for agents and other entries. */
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { createAdaptorServer } from '@hono/node-server';
+import { fetchRequestHandler } from '@trpc/server/adapters/fetch';
+import { Hono } from 'hono';
+import { createEntryRouter, innerPaths, type EntryHandlers } from '@bluebellhitch/protocol';
+
+export interface InnerServerOptions {
+  host: string;
+  /** 0 takes a free port. */
+  port: number;
+  handlers: EntryHandlers;
+}
+
+export interface InnerServer {
+  /** `http://ip:port`. */
+  address: string;
+  close(): Promise<void>;
+}
+
+/** Starts the server; rejects where the port is taken. */
+export async function startInnerServer(options: InnerServerOptions): Promise<InnerServer> {
+  const router = createEntryRouter(options.handlers);
+  const app = new Hono();
+  app.all(`${innerPaths.trpc}/*`, (context) =>
+    fetchRequestHandler({ endpoint: innerPaths.trpc, req: context.req.raw, router }),
+  );
+  const server = createAdaptorServer({ fetch: app.fetch, overrideGlobalObjects: false }) as Server;
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(options.port, options.host, resolve);
+  });
+  const { address, port } = server.address() as AddressInfo;
+  return {
+    address: `http://${address}:${port}`,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
--- /dev/null
+++ b/packages/entry/src/linkedAbort.ts
@@ -0,0 +1,35 @@
+/**
+ * An abort controller that follows other signals until it is disposed. `AbortSignal.any` would keep an
+ * entry for each request on signals that outlive it, such as that of a heartbeat.
+ */
+
+export interface LinkedAbort {
+  signal: AbortSignal;
+  abort(reason: unknown): void;
+  /** Stops following; the signal keeps its state. */
+  dispose(): void;
+}
+
+export interface LinkedSignal {
+  signal: AbortSignal;
+  /** What the linked signal's `reason` becomes. */
+  reason: unknown;
+}
+
+/** Aborts with the reason of the first signal that aborts. */
+export function createLinkedAbort(links: readonly LinkedSignal[]): LinkedAbort {
+  const controller = new AbortController();
+  const listeners = links.map(({ signal, reason }) => {
+    const listener = () => controller.abort(reason);
+    if (signal.aborted) {
+      listener();
+    }
+    signal.addEventListener('abort', listener);
+    return () => signal.removeEventListener('abort', listener);
+  });
+  return {
+    signal: controller.signal,
+    abort: (reason) => controller.abort(reason),
+    dispose: () => listeners.forEach((remove) => remove()),
+  };
+}
--- /dev/null
+++ b/packages/entry/src/modelAttempt.ts
@@ -0,0 +1,165 @@
+/** One attempt of a model request: placement, claim, prefill and stream, and the release of its leases. */
+import { monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
+import {
+  retryCauses,
+  wastedPrefillCauses,
+  type WastedPrefillCause,
+} from '@bluebellhitch/telemetry';
+import type { ClaimGuard } from './claimStage';
+import type { HeldLease } from './heldLease';
+import { stopReasons, type AttemptFailure, type AttemptOutcome, type ModelRun } from './modelTypes';
+import { placeAttempt, type Placement } from './placement';
+import { reservePrefill, runPrefill, type FinishedPrefill } from './prefillStage';
+import { reportWastedPrefill } from './runReports';
+import { streamAttempt } from './streamStage';
+
+/** Runs an attempt; nothing stays held or placed afterwards. */
+export async function runAttempt(
+  run: ModelRun,
+  claim: ClaimGuard | undefined,
+): Promise<AttemptOutcome> {
+  const { context, request } = run;
+  const attemptId = context.newAttemptId();
+  const placed = await placeAttempt(run, attemptId);
+  if (placed.kind !== 'placed') {
+    return placed;
+  }
+  const { placement } = placed;
+  const { id } = placement.decode.instance;
+  const { service } = request.document;
+  context.runtimes.of(service).outliers.beginAttempt(id, monotonicNowMs());
+  const unplace = run.struck ? context.strikes.place(service, attemptId, id) : undefined;
+  try {
+    return await runPlaced(run, placement, claim);
+  } finally {
+    placement.decode.release();
+    unplace?.();
+  }
+}
+
+async function runPlaced(
+  run: ModelRun,
+  placement: Placement,
+  claim: ClaimGuard | undefined,
+): Promise<AttemptOutcome> {
+  const prefillLease = await leaseForPrefill(run, placement);
+  try {
+    const refusal = await claim?.take(placement.decode.attemptId);
+    if (refusal !== undefined) {
+      return { kind: 'refused', refusal };
+    }
+    return await dispatch(run, placement, prefillLease, claim);
+  } finally {
+    prefillLease?.release();
+  }
+}
+
+async function leaseForPrefill(
+  run: ModelRun,
+  placement: Placement,
+): Promise<HeldLease | undefined> {
+  if (placement.prefillInstance === undefined || run.signal.aborted) {
+    return undefined;
+  }
+  const attemptId = `${placement.decode.attemptId}-prefill`;
+  const outcome = await reservePrefill(run, placement, attemptId);
+  return outcome.kind === 'granted' ? outcome.lease : undefined;
+}
+
+async function dispatch(
+  run: ModelRun,
+  placement: Placement,
+  prefillLease: HeldLease | undefined,
+  claim: ClaimGuard | undefined,
+): Promise<AttemptOutcome> {
+  const obstacle = dispatchObstacle(run, placement, claim);
+  if (obstacle !== undefined) {
+    return obstacle;
+  }
+  if (prefillLease === undefined) {
+    return streamAttempt(run, { placement, onFirstToken: () => undefined });
+  }
+  const prefilled = await runPrefill(run, placement, prefillLease);
+  if (prefilled.kind === 'failed') {
+    run.tried.add(prefillLease.instance.id);
+    return afterFailedPrefill(run, placement, prefilled, claim);
+  }
+  return streamPrefilled(run, placement, prefilled.prefill, claim);
+}
+
+/** A prefill that certainly did not run leaves the decode reservation as good as before. */
+function afterFailedPrefill(
+  run: ModelRun,
+  placement: Placement,
+  failure: AttemptFailure,
+  claim: ClaimGuard | undefined,
+): Promise<AttemptOutcome> | AttemptOutcome {
+  if (failure.notRun !== true) {
+    return failure;
+  }
+  return (
+    dispatchObstacle(run, placement, claim) ??
+    streamAttempt(run, { placement, onFirstToken: () => undefined })
+  );
+}
+
+async function streamPrefilled(
+  run: ModelRun,
+  placement: Placement,
+  prefill: FinishedPrefill,
+  claim: ClaimGuard | undefined,
+): Promise<AttemptOutcome> {
+  let used = false;
+  const onFirstToken = () => {
+    used = true;
+    // The decode worker has pulled the KV cache: its copy at the prefill worker serves nobody.
+    prefill.lease.release();
+  };
+  const outcome =
+    dispatchObstacle(run, placement, claim) ??
+    (await streamAttempt(run, { placement, prefill, onFirstToken }));
+  if (!used) {
+    reportWastedPrefill(run, prefill, wasteCause(run, outcome));
+  }
+  return outcome;
+}
+
+/** What forbids a dispatch now, by this process's own clock. */
+function dispatchObstacle(
+  run: ModelRun,
+  placement: Placement,
+  claim: ClaimGuard | undefined,
+): AttemptOutcome | undefined {
+  if (run.signal.aborted) {
+    return { kind: 'stopped' };
+  }
+  const detail = lapsedDetail(placement, claim);
+  return detail === undefined
+    ? undefined
+    : {
+        kind: 'failed',
+        reason: refusalReasons.noCapacity,
+        notRun: run.mayHaveRun ? 'unknown' : true,
+        dispatched: run.mayHaveRun,
+        detail,
+        cause: retryCauses.notRun,
+      };
+}
+
+function lapsedDetail(placement: Placement, claim: ClaimGuard | undefined): string | undefined {
+  if (!placement.decode.share.isCurrent()) {
+    return 'the reservation ended before it was used';
+  }
+  return claim?.allowsDispatch() === false ? 'the claim is too old to dispatch' : undefined;
+}
+
+function wasteCause(run: ModelRun, outcome: AttemptOutcome): WastedPrefillCause {
+  if (outcome.kind === 'stopped') {
+    return run.signal.reason === stopReasons.deadline
+      ? wastedPrefillCauses.deadlineExceeded
+      : wastedPrefillCauses.callerGone;
+  }
+  return outcome.kind === 'failed' && outcome.reason === refusalReasons.noCapacity
+    ? wastedPrefillCauses.noDecodeSlot
+    : wastedPrefillCauses.decodeFailed;
+}
--- /dev/null
+++ b/packages/entry/src/placement.ts
@@ -0,0 +1,243 @@
+/**
+ * Places an attempt: bids, the choice among them, and the reservation of decode memory. No prefill
+ * starts before the reservation is granted.
+ */
+import {
+  chooseBid,
+  workerNeeds,
+  type BidChoice,
+  type ReserveExpectation,
+} from '@bluebellhitch/decisions';
+import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { ReserveReply, ReserveRequest } from '@bluebellhitch/protocol';
+import { createRefusal, monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
+import { retryCauses } from '@bluebellhitch/telemetry';
+import { failureOfCall, failureOfRefusal } from './agentFailures';
+import { collectBids, type InstanceBid } from './candidateBids';
+import { holdLease, type HeldLease } from './heldLease';
+import type { AttemptFailure, AttemptOutcome, ModelRun } from './modelTypes';
+import { noteCallError, noteLoad, noteRefusal } from './serverHealth';
+
+/** A granted decode reservation, and how the prompt's KV cache gets there. */
+export interface Placement {
+  decode: HeldLease;
+  /** Absent where the decode worker prefills itself. */
+  prefillInstance?: PlatformInstance;
+  expected: ReserveExpectation;
+  /** When the slot is usable, on the monotonic clock. */
+  usableAtMs: number;
+}
+
+export type PlacementOutcome = { kind: 'placed'; placement: Placement } | PlacementFailure;
+type PlacementFailure = Exclude<AttemptOutcome, { kind: 'completed' }>;
+type ReserveChoice = Extract<BidChoice, { kind: 'reserve' }>;
+
+/** Prompts up to this size are prefilled where they decode; asking prefill workers would be in vain. */
+const localPrefillTokens = 256;
+const resumeWaitLimitMs = 5_000;
+
+/** Tries the bids in order of preference until an agent grants its memory. */
+export async function placeAttempt(run: ModelRun, attemptId: string): Promise<PlacementOutcome> {
+  const [decodeBids, prefillBids] = await collectAllBids(run);
+  observePressure(run, decodeBids);
+  return reserveBest(run, attemptId, decodeBids, prefillBids, undefined);
+}
+
+async function collectAllBids(run: ModelRun): Promise<[InstanceBid[], InstanceBid[]]> {
+  // Engines resume from text, not from an imported KV cache.
+  const resumes = run.emitted.tokenCount > 0;
+  const wantsPrefill = !resumes && run.request.promptTokens > localPrefillTokens;
+  const [decode, prefill] = await Promise.all([
+    collectBids(run, workerNeeds.decode),
+    wantsPrefill ? collectBids(run, workerNeeds.prefill) : { bids: [], asked: [] },
+  ]);
+  run.trace.step('bids', {
+    asked: [...decode.asked, ...prefill.asked],
+    decode: decode.bids.map(summarizeBid),
+    prefill: prefill.bids.map(summarizeBid),
+  });
+  return [decode.bids, prefill.bids];
+}
+
+async function reserveBest(
+  run: ModelRun,
+  attemptId: string,
+  decodeBids: readonly InstanceBid[],
+  prefillBids: readonly InstanceBid[],
+  lastFailure: AttemptFailure | undefined,
+): Promise<PlacementOutcome> {
+  if (run.signal.aborted) {
+    return { kind: 'stopped' };
+  }
+  const choice = choose(run, decodeBids, prefillBids);
+  run.trace.step('choice', choiceDetail(choice));
+  if (choice.kind === 'refuse') {
+    return lastFailure ?? refusedChoice(choice);
+  }
+  const outcome = await reserveChoice(run, attemptId, choice, [...decodeBids, ...prefillBids]);
+  if (outcome.kind !== 'failed') {
+    return outcome;
+  }
+  run.tried.add(choice.instanceId);
+  const remaining = decodeBids.filter(({ instanceId }) => instanceId !== choice.instanceId);
+  return reserveBest(run, attemptId, remaining, prefillBids, outcome);
+}
+
+function choose(
+  run: ModelRun,
+  decodeBids: readonly InstanceBid[],
+  prefillBids: readonly InstanceBid[],
+): BidChoice {
+  const { context, request, emitted } = run;
+  const { document } = request;
+  const resumes = emitted.tokenCount > 0;
+  return chooseBid({
+    decodeBids,
+    prefillBids,
+    promptTokens: request.promptTokens + emitted.tokenCount,
+    targets: document.targets,
+    // The caller has tokens already: what is left to gain is the whole answer, at almost any price.
+    weights: resumes ? { goodput: 1, wastedPrefill: 0 } : document.weights,
+    model: context.runtimes.phaseModels.model(document.service),
+    linkRates: context.runtimes.linkRates,
+    elapsedMs: resumes ? 0 : monotonicNowMs() - request.arrivedAtMs,
+    localPrefillTokens,
+  });
+}
+
+async function reserveChoice(
+  run: ModelRun,
+  attemptId: string,
+  choice: ReserveChoice,
+  bids: readonly InstanceBid[],
+): Promise<PlacementOutcome> {
+  const { context, request } = run;
+  const find = (id: string) => bids.find(({ instanceId }) => instanceId === id)?.instance;
+  const instance = find(choice.instanceId) as PlatformInstance;
+  const message = decodeReservation(run, attemptId, choice.expected);
+  const lease = holdLease(context, instance, attemptId);
+  const reply = await context.agents.reserve(instance.innerAddress, message, {
+    timeoutMs: message.waitLimitMs + context.timeouts.reserveMarginMs,
+    signal: run.signal,
+  });
+  if (run.signal.aborted) {
+    lease.release();
+    return { kind: 'stopped' };
+  }
+  if (reply.isErr()) {
+    lease.release();
+    noteCallError(context, request.document.service, instance.id, reply.error);
+    run.trace.step('reserve-failed', { instanceId: instance.id, error: reply.error });
+    return failureOfCall(reply.error, { dispatched: false });
+  }
+  if (reply.value.kind === 'refused') {
+    return refusedReservation(run, lease, reply.value);
+  }
+  noteLoad(context, instance.id, reply.value.load);
+  run.trace.step('reserved', { instanceId: instance.id, usableInMs: reply.value.usableInMs });
+  const placement: Placement = {
+    decode: lease,
+    prefillInstance: choice.prefill === 'transfer' ? find(choice.prefillInstanceId) : undefined,
+    expected: choice.expected,
+    usableAtMs: monotonicNowMs() + reply.value.usableInMs,
+  };
+  return { kind: 'placed', placement };
+}
+
+function refusedReservation(
+  run: ModelRun,
+  lease: HeldLease,
+  refusal: Extract<ReserveReply, { kind: 'refused' }>,
+): AttemptFailure {
+  lease.settle();
+  lease.release();
+  noteRefusal(run.context, lease.instance.id, refusal);
+  run.trace.step('reserve-refused', { instanceId: lease.instance.id, reason: refusal.reason });
+  return failureOfRefusal({ ...refusal, notRun: true }, { dispatched: false });
+}
+
+function decodeReservation(
+  run: ModelRun,
+  attemptId: string,
+  expected: ReserveExpectation,
+): ReserveRequest {
+  const { context, request, emitted } = run;
+  const resumes = emitted.tokenCount > 0;
+  const nowMs = monotonicNowMs();
+  const remainingMs = Math.max(0, request.deadlineAtMs - nowMs);
+  const waitLimitMs = resumes ? resumeWaitLimitMs : Math.max(0, expected.waitLimitMs);
+  return {
+    entryId: context.entryId,
+    entryIncarnation: context.entryIncarnation,
+    requestId: request.requestId,
+    attemptId,
+    origin: request.origin,
+    service: request.document.service,
+    purpose: 'decode',
+    promptTokens: request.promptTokens + emitted.tokenCount,
+    maxOutputTokens: request.maxOutputTokens - emitted.tokenCount,
+    neededInMs: expected.neededInMs,
+    waitLimitMs: Math.min(waitLimitMs, remainingMs),
+    firstTokenDeadlineInMs: firstTokenDeadlineInMs(run, expected, nowMs),
+    repeatable: request.repeatable,
+  };
+}
+
+/** Not positive tells the agent that the target is missed already and only the wait limit counts. */
+function firstTokenDeadlineInMs(
+  run: ModelRun,
+  expected: ReserveExpectation,
+  nowMs: number,
+): number {
+  const { request, emitted } = run;
+  if (emitted.tokenCount > 0 || expected.late) {
+    return 0;
+  }
+  return request.document.targets.firstTokenMs - (nowMs - request.arrivedAtMs);
+}
+
+function refusedChoice(choice: Extract<BidChoice, { kind: 'refuse' }>): PlacementFailure {
+  if (choice.reason === refusalReasons.noInstances) {
+    return {
+      kind: 'failed',
+      reason: choice.reason,
+      notRun: true,
+      dispatched: false,
+      detail: 'no instance of the service answered',
+      cause: retryCauses.notRun,
+      retryAfterMs: choice.retryAfterMs,
+    };
+  }
+  const detail =
+    choice.reason === refusalReasons.noCapacity
+      ? 'no instance has the memory for this request'
+      : 'the first token would come too late';
+  return {
+    kind: 'refused',
+    refusal: createRefusal({ reason: choice.reason, detail, retryAfterMs: choice.retryAfterMs }),
+  };
+}
+
+/** Predicted wait over the target, which the overload controller follows. */
+function observePressure(run: ModelRun, bids: readonly InstanceBid[]): void {
+  const { document } = run.request;
+  const waits = bids.flatMap(({ bid }) => bid.usableInMs ?? []);
+  if (waits.length > 0) {
+    const pressure = Math.min(...waits) / document.targets.firstTokenMs;
+    run.context.runtimes.of(document.service).overload.observe(pressure, monotonicNowMs());
+  }
+}
+
+function summarizeBid({ instanceId, bid, roundTripMs }: InstanceBid): Record<string, unknown> {
+  const { usableInMs, cachedPrefixTokens, load } = bid;
+  const { freeKvBytes, queuedCount } = load;
+  return { instanceId, roundTripMs, usableInMs, cachedPrefixTokens, freeKvBytes, queuedCount };
+}
+
+function choiceDetail(choice: BidChoice): Record<string, unknown> {
+  if (choice.kind === 'refuse') {
+    return { ...choice };
+  }
+  const { firstTokenMs, probability, value, uncachedTokens, late } = choice.expected;
+  return { ...choice, expected: { firstTokenMs, probability, value, uncachedTokens, late } };
+}
--- /dev/null
+++ b/packages/entry/src/plainApi.ts
@@ -0,0 +1,213 @@
+/** Intake of plain traffic: matches a document's route, takes the body and starts the request. */
+import { effectiveClass } from '@bluebellhitch/document';
+import { callerHeaders } from '@bluebellhitch/protocol';
+import { assertNever, createRefusal, monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
+import { refuseBadHeaders, refuseBody, type CallerExchange } from './callerExchange';
+import { claimKeyOf, fingerprintOf } from './digests';
+import { headerText } from './headers';
+import { createLinkedAbort } from './linkedAbort';
+import { stopReasons, type StopReason } from './modelTypes';
+import { createPlainRun, runPlainRequest } from './plainRequest';
+import type { PlainBody, PlainRequest } from './plainTypes';
+import { createReplayBody, hasBody } from './replayBody';
+import { announcedLength, readBody } from './requestBody';
+import type { RequestContext } from './requestContext';
+import type { PlainTarget, ServiceTable } from './serviceTable';
+
+export interface PlainApiOptions {
+  context: RequestContext;
+  services: ServiceTable;
+  /** Bytes of a body that are kept for another attempt. */
+  maxReplayBytes?: number;
+  /** Longest pause of a caller that sends a body. */
+  slowSenderTimeoutMs: number;
+}
+
+export interface PlainApi {
+  handle(exchange: CallerExchange): Promise<void>;
+  activeCount(): number;
+  stopAll(reason: StopReason): void;
+}
+
+const defaultReplayBytes = 64 * 1024;
+const methodNotAllowedStatus = 405;
+
+/** Creates the handler of plain traffic. */
+export function createPlainApi(options: PlainApiOptions): PlainApi {
+  const { context, services, slowSenderTimeoutMs, maxReplayBytes = defaultReplayBytes } = options;
+  const active = new Set<AbortController>();
+
+  async function handle(exchange: CallerExchange): Promise<void> {
+    if (refuseBadHeaders(exchange)) {
+      return;
+    }
+    const target = findTarget(exchange);
+    const body = target && (await takeBody(exchange, target.match));
+    if (target === undefined || body === undefined) {
+      return;
+    }
+    const request = buildRequest(exchange, target, body);
+    if (!request.repeatable && request.claimKey === undefined) {
+      exchange.refuse(
+        createRefusal({
+          reason: refusalReasons.missingIdempotencyKey,
+          detail: 'a request that is not to be repeated must carry Idempotency-Key',
+        }),
+      );
+      return;
+    }
+    await runTracked(request);
+  }
+
+  function findTarget(exchange: CallerExchange): MatchedTarget | undefined {
+    const { method = 'GET', url = '/', headers } = exchange.incoming;
+    const location = parseTarget(url);
+    if (location === undefined) {
+      exchange.refuse(
+        createRefusal({ reason: refusalReasons.badRequest, detail: 'the target is not a path' }),
+      );
+      return undefined;
+    }
+    const match = services.findPlain({ host: headers.host, path: location.pathname, method });
+    if (match.kind === 'found') {
+      return { match: match.target, method, target: `${location.pathname}${location.search}` };
+    }
+    refuseUnmatched(exchange, match.kind === 'none' ? undefined : match.allowed);
+    return undefined;
+  }
+
+  /** Small bodies are read first, so that they can be recognised and sent again; others stream. */
+  async function takeBody(
+    exchange: CallerExchange,
+    { document }: PlainTarget,
+  ): Promise<PlainBody | undefined> {
+    const { incoming } = exchange;
+    const { maxBodyBytes: maxBytes } = document.limits;
+    if (!hasBody(incoming)) {
+      return { kind: 'none' };
+    }
+    const length = announcedLength(incoming);
+    if (length !== undefined && (length <= maxReplayBytes || length > maxBytes)) {
+      const read = await readBody(incoming, { maxBytes, timeoutMs: slowSenderTimeoutMs });
+      return read.match(
+        (bytes) => ({ kind: 'whole', bytes }),
+        (error) => {
+          refuseBody(exchange, error);
+          return undefined;
+        },
+      );
+    }
+    const idleTimeoutMs = slowSenderTimeoutMs;
+    const replay = createReplayBody({ incoming, maxReplayBytes, maxBytes, idleTimeoutMs });
+    return { kind: 'streamed', replay };
+  }
+
+  async function runTracked(request: PlainRequest): Promise<void> {
+    const stop = new AbortController();
+    const link = createLinkedAbort([
+      { signal: request.exchange.gone, reason: stopReasons.callerGone },
+    ]);
+    stop.signal.addEventListener('abort', () => link.abort(stop.signal.reason));
+    const timer = setTimeout(
+      () => link.abort(stopReasons.deadline),
+      Math.max(0, request.deadlineAtMs - monotonicNowMs()),
+    );
+    active.add(stop);
+    try {
+      await runPlainRequest(context, createPlainRun(context, request, link.signal));
+    } finally {
+      clearTimeout(timer);
+      link.dispose();
+      active.delete(stop);
+    }
+  }
+
+  return {
+    handle,
+    activeCount: () => active.size,
+    stopAll: (reason) => active.forEach((stop) => stop.abort(reason)),
+  };
+}
+
+interface MatchedTarget {
+  match: PlainTarget;
+  method: string;
+  target: string;
+}
+
+/** Resolves dot segments: `/public/../orders` must not pass a route that it does not belong to. */
+function parseTarget(url: string): URL | undefined {
+  return url.startsWith('/') ? (URL.parse?.(`http://host${url}`) ?? parseUrl(url)) : undefined;
+}
+
+function parseUrl(url: string): URL | undefined {
+  try {
+    return new URL(`http://host${url}`);
+  } catch {
+    return undefined;
+  }
+}
+
+function refuseUnmatched(exchange: CallerExchange, allowed: string[] | undefined): void {
+  if (allowed === undefined) {
+    exchange.refuse(
+      createRefusal({ reason: refusalReasons.unknownService, detail: 'no service has this path' }),
+    );
+    return;
+  }
+  exchange.outgoing.setHeader('allow', allowed.join(', '));
+  exchange.refuse(
+    createRefusal({ reason: refusalReasons.badRequest, detail: 'the path has other methods' }),
+    methodNotAllowedStatus,
+  );
+}
+
+function buildRequest(
+  exchange: CallerExchange,
+  { match, method, target }: MatchedTarget,
+  body: PlainBody,
+): PlainRequest {
+  const { headers } = exchange.incoming;
+  const { document, route } = match;
+  const trafficClass = effectiveClass(document, headerText(headers, callerHeaders.className));
+  const institution = headerText(headers, callerHeaders.institution) ?? document.institution;
+  const key = headerText(headers, callerHeaders.idempotencyKey);
+  const arrivedAtMs = monotonicNowMs();
+  return {
+    exchange,
+    document,
+    route,
+    trafficClass,
+    origin: {
+      institution,
+      workspace: headerText(headers, callerHeaders.workspace),
+      className: trafficClass.name,
+    },
+    method,
+    target,
+    repeatable: route.repeatable && headerText(headers, callerHeaders.noRepeat) !== 'true',
+    claimKey: key === undefined ? undefined : claimKeyOf(document.service, institution, key),
+    fingerprint: plainFingerprint(institution, method, target, body),
+    body,
+    arrivedAtMs,
+    deadlineAtMs: arrivedAtMs + document.limits.requestTimeoutMs,
+  };
+}
+
+function plainFingerprint(
+  institution: string,
+  method: string,
+  target: string,
+  body: PlainBody,
+): string | undefined {
+  switch (body.kind) {
+    case 'none':
+      return fingerprintOf(institution, method, target);
+    case 'whole':
+      return fingerprintOf(institution, method, target, body.bytes);
+    case 'streamed':
+      return undefined;
+    default:
+      return assertNever(body);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/plainAttempt.ts
@@ -0,0 +1,154 @@
+/** One attempt of a plain request: a server, a slot where the request may not be repeated, the call. */
+import { workerNeeds, type Candidate } from '@bluebellhitch/decisions';
+import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { ReserveRequest } from '@bluebellhitch/protocol';
+import { monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
+import { retryCauses } from '@bluebellhitch/telemetry';
+import { failureOfCall, failureOfRefusal } from './agentFailures';
+import type { ClaimGuard } from './claimStage';
+import { holdLease, type HeldLease } from './heldLease';
+import { callServer, type PlainPlace } from './plainCall';
+import type { PlainFailure, PlainOutcome, PlainRequest, PlainRun } from './plainTypes';
+import type { RequestContext } from './requestContext';
+import { noteCallError, noteLoad, noteRefusal } from './serverHealth';
+
+/** Slots of a plain service free quickly or not at all. */
+const slotWaitLimitMs = 500;
+
+/** Picks a server and runs the request there; adds it to the tried ones. */
+export async function runPlainAttempt(
+  context: RequestContext,
+  run: PlainRun,
+  claim: ClaimGuard | undefined,
+): Promise<PlainOutcome> {
+  const instance = pickServer(context, run);
+  if (instance === undefined) {
+    return noServer();
+  }
+  run.tried.add(instance.id);
+  const place: PlainPlace = { instance, attemptId: context.newAttemptId() };
+  if (claim === undefined) {
+    return callServer(context, run, place);
+  }
+  return runClaimed(context, run, place, claim);
+}
+
+/** With the slot reserved, the claim is the last step before the one dispatch. */
+async function runClaimed(
+  context: RequestContext,
+  run: PlainRun,
+  place: PlainPlace,
+  claim: ClaimGuard,
+): Promise<PlainOutcome> {
+  const lease = holdLease(context, place.instance, place.attemptId);
+  try {
+    const failure = await reserveSlot(context, run, lease);
+    if (failure !== undefined) {
+      return failure;
+    }
+    const refusal = await claim.take(place.attemptId);
+    if (refusal !== undefined) {
+      return { kind: 'refused', refusal };
+    }
+    if (run.signal.aborted) {
+      return { kind: 'stopped' };
+    }
+    if (!lease.share.isCurrent() || !claim.allowsDispatch()) {
+      return notDispatched('the reservation ended before it was used');
+    }
+    return await callServer(context, run, { ...place, lease });
+  } finally {
+    lease.release();
+  }
+}
+
+/** Two candidates by load hints; the one with fewer calls of this entry wins. */
+function pickServer(context: RequestContext, run: PlainRun): PlatformInstance | undefined {
+  const { document } = run.request;
+  const { members, version, byId } = context.runtimes.members(document);
+  const runtime = context.runtimes.of(document.service);
+  const nowMs = monotonicNowMs();
+  const avoided = run.struck ? context.strikes.avoidInstances(document.service) : [];
+  const candidates = runtime.pairSelector.select({
+    instances: members,
+    membershipVersion: version,
+    need: workerNeeds.plain,
+    excluded: new Set([...run.tried, ...runtime.outliers.ejected(nowMs), ...avoided]),
+    nowMs,
+  });
+  const inFlight = ({ instanceId }: Candidate) => runtime.inFlight.get(instanceId) ?? 0;
+  const [best] = [...candidates].sort((left, right) => inFlight(left) - inFlight(right));
+  run.trace.step('candidates', {
+    candidates: candidates.map((candidate) => ({ ...candidate, inFlight: inFlight(candidate) })),
+    choice: best?.instanceId,
+  });
+  return best === undefined ? undefined : byId.get(best.instanceId);
+}
+
+async function reserveSlot(
+  context: RequestContext,
+  run: PlainRun,
+  lease: HeldLease,
+): Promise<PlainFailure | undefined> {
+  const { instance, attemptId } = lease;
+  const reply = await context.agents.reserve(
+    instance.innerAddress,
+    slotReservation(context, run.request, attemptId),
+    { timeoutMs: slotWaitLimitMs + context.timeouts.reserveMarginMs, signal: run.signal },
+  );
+  if (reply.isErr()) {
+    noteCallError(context, run.request.document.service, instance.id, reply.error);
+    return failureOfCall(reply.error, { dispatched: false });
+  }
+  if (reply.value.kind === 'granted') {
+    noteLoad(context, instance.id, reply.value.load);
+    return undefined;
+  }
+  lease.settle();
+  noteRefusal(context, instance.id, reply.value);
+  return failureOfRefusal({ ...reply.value, notRun: true }, { dispatched: false });
+}
+
+function slotReservation(
+  context: RequestContext,
+  request: PlainRequest,
+  attemptId: string,
+): ReserveRequest {
+  return {
+    entryId: context.entryId,
+    entryIncarnation: context.entryIncarnation,
+    requestId: request.exchange.requestId,
+    attemptId,
+    origin: request.origin,
+    service: request.document.service,
+    purpose: 'plain',
+    promptTokens: 0,
+    maxOutputTokens: 0,
+    neededInMs: 0,
+    waitLimitMs: slotWaitLimitMs,
+    firstTokenDeadlineInMs: 0,
+    repeatable: request.repeatable,
+  };
+}
+
+function noServer(): PlainFailure {
+  return {
+    kind: 'failed',
+    reason: refusalReasons.noInstances,
+    notRun: true,
+    dispatched: false,
+    detail: 'no instance of the service is available',
+    cause: retryCauses.notRun,
+  };
+}
+
+function notDispatched(detail: string): PlainFailure {
+  return {
+    kind: 'failed',
+    reason: refusalReasons.noCapacity,
+    notRun: true,
+    dispatched: false,
+    detail,
+    cause: retryCauses.notRun,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/plainRefusal.ts
@@ -0,0 +1,24 @@
+/** Recognises an agent's own refusal among the answers to plain calls. */
+import { agentRefusalReasonSchema, innerHeaders, type AgentRefusal } from '@bluebellhitch/protocol';
+
+type HeaderValues = Record<string, string | string[] | undefined>;
+
+/** `undefined` where the backend server answered. */
+export function plainRefusal(headers: HeaderValues): AgentRefusal | undefined {
+  const reason = agentRefusalReasonSchema.safeParse(headers[innerHeaders.refusal]);
+  if (!reason.success) {
+    return undefined;
+  }
+  return {
+    kind: 'refused',
+    reason: reason.data,
+    notRun: headers[innerHeaders.notRun] === 'true' ? true : 'unknown',
+    detail: `the agent refused: ${reason.data}`,
+    ...retryAfter(headers),
+  };
+}
+
+function retryAfter(headers: HeaderValues): { retryAfterMs?: number } {
+  const seconds = Number(headers['retry-after']);
+  return Number.isFinite(seconds) && seconds > 0 ? { retryAfterMs: seconds * 1000 } : {};
+}
--- /dev/null
+++ b/packages/entry/src/plainRequest.ts
@@ -0,0 +1,256 @@
+/** The life of one plain request: limits, attempts with retries, and one final outcome. */
+import { decideRetry, type RetryDecision } from '@bluebellhitch/decisions';
+import {
+  assertNever,
+  createRefusal,
+  delay,
+  monotonicNowMs,
+  refusalReasons,
+  type Refusal,
+} from '@bluebellhitch/shared';
+import { requestOutcomes, type RequestLabels, type RequestOutcome } from '@bluebellhitch/telemetry';
+import { checkQuarantine, checkRate, takeRetry } from './admission';
+import { createClaimGuard, type ClaimGuard, type ClaimedEnd } from './claimStage';
+import { stopReasons } from './modelTypes';
+import { runPlainAttempt } from './plainAttempt';
+import type { PlainFailure, PlainOutcome, PlainRequest, PlainRun } from './plainTypes';
+import type { RequestContext } from './requestContext';
+import { createRequestTrace } from './requestTrace';
+
+type FinalOutcome = Exclude<PlainOutcome, PlainFailure>;
+
+const defaultRetryAfterMs = 1_000;
+const slowSenderStatus = 408;
+
+/** Opens the request's run with its decision record. */
+export function createPlainRun(
+  context: RequestContext,
+  request: PlainRequest,
+  signal: AbortSignal,
+): PlainRun {
+  const trace = createRequestTrace({
+    ring: context.ring,
+    requestId: request.exchange.requestId,
+    labels: labelsOf(request),
+    fingerprint: request.fingerprint,
+    arrivedAtMs: request.arrivedAtMs,
+  });
+  return { request, trace, signal, tried: new Set(), mayHaveRun: false, struck: false };
+}
+
+function labelsOf({ document, origin, trafficClass }: PlainRequest): RequestLabels {
+  return {
+    service: document.service,
+    institution: origin.institution,
+    className: trafficClass.name,
+  };
+}
+
+/** Runs the request to its end; the caller has its answer, or a cut connection, afterwards. */
+export async function runPlainRequest(context: RequestContext, run: PlainRun): Promise<void> {
+  const refusal = findAdmissionRefusal(context, run);
+  if (refusal !== undefined) {
+    finish(context, run, { kind: 'refused', refusal });
+    return;
+  }
+  const claim = createRequestClaim(context, run.request);
+  const outcome = await runAttempts(context, run, claim);
+  await claim?.settle(claimedEnd(run, outcome));
+  finish(context, run, outcome);
+}
+
+function findAdmissionRefusal(context: RequestContext, run: PlainRun): Refusal | undefined {
+  const { struck, refusal } = checkQuarantine(context, run.request);
+  run.struck = struck;
+  return refusal ?? checkRate(context, run.request);
+}
+
+async function runAttempts(
+  context: RequestContext,
+  run: PlainRun,
+  claim: ClaimGuard | undefined,
+): Promise<FinalOutcome> {
+  for (let attempts = 1; ; attempts += 1) {
+    const ranBefore = run.mayHaveRun;
+    const outcome = await runPlainAttempt(context, run, claim);
+    if (outcome.kind !== 'failed') {
+      return outcome;
+    }
+    if (outcome.notRun === true) {
+      run.mayHaveRun = ranBefore;
+    }
+    const decision = bodyFaultOf(run) ?? decideNext(context, run, outcome, attempts);
+    run.trace.step('attempt-failed', { ...outcome, next: decision.kind });
+    if (decision.kind === 'refused') {
+      return decision;
+    }
+    if (decision.kind === 'give-up') {
+      return { kind: 'refused', refusal: refusalOfGiveUp(run, outcome, decision) };
+    }
+    context.metrics.countRetry(outcome.cause);
+    await delay(decision.afterMs, run.signal);
+    if (run.signal.aborted) {
+      return { kind: 'stopped' };
+    }
+  }
+}
+
+/** The attempt failed because the caller's own body did. */
+function bodyFaultOf(run: PlainRun): Extract<FinalOutcome, { kind: 'refused' }> | undefined {
+  const { body } = run.request;
+  const fault = body.kind === 'streamed' ? body.replay.fault() : undefined;
+  if (fault === undefined) {
+    return undefined;
+  }
+  const notRun = run.mayHaveRun ? 'unknown' : true;
+  return fault.kind === 'too-large'
+    ? {
+        kind: 'refused',
+        refusal: createRefusal({
+          reason: refusalReasons.bodyTooLarge,
+          notRun,
+          detail: `the body is larger than ${fault.maxBytes} bytes`,
+        }),
+      }
+    : {
+        kind: 'refused',
+        status: slowSenderStatus,
+        refusal: createRefusal({
+          reason: refusalReasons.badRequest,
+          notRun,
+          detail: `the body paused for more than ${fault.timeoutMs} ms`,
+        }),
+      };
+}
+
+function decideNext(
+  context: RequestContext,
+  run: PlainRun,
+  failure: PlainFailure,
+  attempts: number,
+): RetryDecision {
+  const { document, body, repeatable, deadlineAtMs } = run.request;
+  const nowMs = monotonicNowMs();
+  const replayable = body.kind !== 'streamed' || body.replay.canReplay();
+  const untried = context.runtimes.members(document).members.some(({ id }) => !run.tried.has(id));
+  const { struck, refusal } = checkQuarantine(context, run.request);
+  run.struck = struck;
+  if (!replayable || !untried || refusal !== undefined) {
+    const { reason, notRun, detail } = failure;
+    return { kind: 'give-up', reason, notRun, detail };
+  }
+  return decideRetry({
+    notRun: failure.notRun,
+    dispatched: failure.dispatched,
+    repeatable,
+    triedInstances: [...run.tried],
+    attempts,
+    maxAttempts: document.retry.maxAttempts,
+    takeFromBudget: () => takeRetry(context, document.service),
+    remainingMs: deadlineAtMs - nowMs,
+    backoffBaseMs: document.retry.backoffMs,
+    random: context.random,
+  });
+}
+
+function refusalOfGiveUp(
+  run: PlainRun,
+  failure: PlainFailure,
+  decision: Extract<RetryDecision, { kind: 'give-up' }>,
+): Refusal {
+  return createRefusal({
+    reason: failure.dispatched ? decision.reason : failure.reason,
+    notRun: run.mayHaveRun ? 'unknown' : true,
+    detail: failure.detail,
+    retryAfterMs: failure.retryAfterMs ?? defaultRetryAfterMs,
+  });
+}
+
+function createRequestClaim(
+  { claims, metrics }: RequestContext,
+  { repeatable, claimKey, exchange }: PlainRequest,
+): ClaimGuard | undefined {
+  return repeatable || claimKey === undefined
+    ? undefined
+    : createClaimGuard({ claims, metrics, claimKey, requestId: exchange.requestId });
+}
+
+function claimedEnd(run: PlainRun, outcome: FinalOutcome): ClaimedEnd {
+  if (outcome.kind === 'answered') {
+    return 'ran';
+  }
+  return run.mayHaveRun ? 'unknown' : 'not-run';
+}
+
+function finish(context: RequestContext, run: PlainRun, outcome: FinalOutcome): void {
+  const ended = endExchange(context, run, outcome);
+  context.metrics.countRequest(labelsOf(run.request), ended.outcome);
+  run.trace.finish(ended.told);
+}
+
+interface EndedRequest {
+  outcome: RequestOutcome;
+  told: string;
+}
+
+function endExchange(context: RequestContext, run: PlainRun, outcome: FinalOutcome): EndedRequest {
+  const { exchange, document, fingerprint } = run.request;
+  switch (outcome.kind) {
+    case 'answered':
+      context.runtimes.retryBudget.recordSuccess(
+        document.service,
+        monotonicNowMs(),
+        document.retry.budgetRatio,
+      );
+      if (fingerprint !== undefined) {
+        context.strikes.clear(document.service, fingerprint);
+      }
+      return { outcome: requestOutcomes.completed, told: `answered: ${outcome.status}` };
+    case 'cut':
+      return { outcome: requestOutcomes.failed, told: `cut: ${outcome.detail}` };
+    case 'refused':
+      return refuse(context, run, outcome.refusal, outcome.status);
+    case 'stopped':
+      if (run.signal.reason === stopReasons.callerGone) {
+        exchange.outgoing.destroy();
+        return { outcome: requestOutcomes.cancelled, told: requestOutcomes.cancelled };
+      }
+      return refuse(context, run, stoppedRefusal(run));
+    default:
+      return assertNever(outcome);
+  }
+}
+
+function refuse(
+  context: RequestContext,
+  run: PlainRun,
+  refusal: Refusal,
+  status?: number,
+): EndedRequest {
+  const { exchange } = run.request;
+  context.metrics.countRefusal(refusal.reason);
+  if (exchange.outgoing.headersSent) {
+    exchange.outgoing.destroy();
+  } else {
+    exchange.refuse(refusal, status);
+  }
+  const outcome = run.mayHaveRun ? requestOutcomes.failed : requestOutcomes.refused;
+  return { outcome, told: `${outcome}: ${refusal.reason}` };
+}
+
+function stoppedRefusal(run: PlainRun): Refusal {
+  const notRun = run.mayHaveRun ? 'unknown' : true;
+  return run.signal.reason === stopReasons.deadline
+    ? createRefusal({
+        reason: refusalReasons.deadlineExceeded,
+        notRun,
+        detail: 'the answer did not come within the time that the service allows',
+        retryAfterMs: defaultRetryAfterMs,
+      })
+    : createRefusal({
+        reason: refusalReasons.leaving,
+        notRun,
+        detail: 'this entry stops',
+        retryAfterMs: defaultRetryAfterMs,
+      });
+}
--- /dev/null
+++ b/packages/entry/src/prefillStage.ts
@@ -0,0 +1,167 @@
+/** Runs the prompt on a prefill worker, so that the decode worker can pull the KV cache. */
+import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { KvSource, PrefillReply, ReserveRequest } from '@bluebellhitch/protocol';
+import { delay, monotonicNowMs } from '@bluebellhitch/shared';
+import { requestPhases } from '@bluebellhitch/telemetry';
+import { failureOfCall, failureOfRefusal } from './agentFailures';
+import { holdLease, type HeldLease } from './heldLease';
+import type { AttemptFailure, ModelRun } from './modelTypes';
+import type { Placement } from './placement';
+import { noteCallError, noteLoad, noteOutcome, noteRefusal } from './serverHealth';
+import { labelsOf, reportStrike } from './runReports';
+
+type Prefilled = Extract<PrefillReply, { kind: 'prefilled' }>;
+
+/** A finished prefill, and the lease that keeps its result. */
+export interface FinishedPrefill {
+  lease: HeldLease;
+  reply: Prefilled;
+}
+
+export type PrefillLease =
+  | { kind: 'granted'; lease: HeldLease }
+  /** The worker does not take it now: the decode worker prefills itself. */
+  | { kind: 'declined' };
+
+export type PrefillOutcome = { kind: 'prefilled'; prefill: FinishedPrefill } | AttemptFailure;
+
+/** A prefill that ends this long before its slot is usable still finds its result kept. */
+const startMarginMs = 20;
+
+/** Reserves the prefill worker that the placement chose. */
+export async function reservePrefill(
+  run: ModelRun,
+  placement: Placement,
+  attemptId: string,
+): Promise<PrefillLease> {
+  const { context, request } = run;
+  const instance = placement.prefillInstance as PlatformInstance;
+  const message = prefillReservation(run, placement, attemptId);
+  const lease = holdLease(context, instance, attemptId);
+  const reply = await context.agents.reserve(instance.innerAddress, message, {
+    timeoutMs: message.waitLimitMs + context.timeouts.reserveMarginMs,
+    signal: run.signal,
+  });
+  if (reply.isOk() && reply.value.kind === 'granted') {
+    noteLoad(context, instance.id, reply.value.load);
+    run.trace.step('prefill-reserved', { instanceId: instance.id });
+    return { kind: 'granted', lease };
+  }
+  reply.match(
+    (refusal) => {
+      lease.settle();
+      if (refusal.kind === 'refused') {
+        noteRefusal(context, instance.id, refusal);
+      }
+    },
+    (error) => noteCallError(context, request.document.service, instance.id, error),
+  );
+  lease.release();
+  run.trace.step('prefill-declined', { instanceId: instance.id });
+  return { kind: 'declined' };
+}
+
+/** Waits until the result would not expire before its slot is usable, then runs the prefill. */
+export async function runPrefill(
+  run: ModelRun,
+  placement: Placement,
+  lease: HeldLease,
+): Promise<PrefillOutcome> {
+  const { context, request } = run;
+  const { prefillMs } = placement.expected.prediction;
+  await delay(
+    Math.max(0, placement.usableAtMs - monotonicNowMs() - prefillMs - startMarginMs),
+    run.signal,
+  );
+  const { instance, attemptId } = lease;
+  run.mayHaveRun = true;
+  const reply = await context.agents.prefill(
+    instance.innerAddress,
+    {
+      attemptId,
+      model: request.engineModel,
+      prompt: `${request.prompt}${run.emitted.text}`,
+      priority: request.trafficClass.priority,
+    },
+    { timeoutMs: Math.max(1, request.deadlineAtMs - monotonicNowMs()), signal: run.signal },
+  );
+  if (reply.isErr()) {
+    noteCallError(context, request.document.service, instance.id, reply.error);
+    return failureOfCall(reply.error, { dispatched: true });
+  }
+  return reply.value.kind === 'refused'
+    ? refusedPrefill(run, lease, reply.value)
+    : finishedPrefill(run, lease, reply.value);
+}
+
+function refusedPrefill(
+  run: ModelRun,
+  lease: HeldLease,
+  refusal: Extract<PrefillReply, { kind: 'refused' }>,
+): AttemptFailure {
+  const { context, request } = run;
+  noteRefusal(context, lease.instance.id, refusal);
+  if (refusal.reason === 'backend-failed' && refusal.notRun !== true) {
+    noteOutcome(context, request.document.service, lease.instance.id, 'failure');
+    reportStrike(run, lease.attemptId, lease.instance.id);
+  }
+  run.trace.step('prefill-refused', { instanceId: lease.instance.id, reason: refusal.reason });
+  return failureOfRefusal(refusal, { dispatched: true });
+}
+
+function finishedPrefill(run: ModelRun, lease: HeldLease, reply: Prefilled): PrefillOutcome {
+  const { context, request } = run;
+  const { service } = request.document;
+  const uncachedTokens = Math.max(0, reply.promptTokens - reply.cachedTokens);
+  noteLoad(context, lease.instance.id, reply.load);
+  noteOutcome(context, service, lease.instance.id, 'success');
+  context.metrics.observePhase(requestPhases.prefill, labelsOf(request), reply.prefillMs);
+  context.runtimes.phaseModels.observePrefill(service, {
+    place: 'prefill-worker',
+    uncachedTokens,
+    prefillMs: reply.prefillMs,
+    kvBytes: reply.kvBytes,
+    promptTokens: reply.promptTokens,
+  });
+  run.trace.step('prefilled', {
+    instanceId: lease.instance.id,
+    prefillMs: reply.prefillMs,
+    uncachedTokens,
+  });
+  return { kind: 'prefilled', prefill: { lease, reply } };
+}
+
+/** Where the decode worker gets the KV cache. */
+export function kvSourceOf(prefill: FinishedPrefill | undefined): KvSource {
+  if (prefill === undefined) {
+    return { kind: 'local' };
+  }
+  const { exportId, kvAddress, kvBytes, keptForMs } = prefill.reply;
+  return { kind: 'transfer', exportId, kvAddress, kvBytes, keptForMs };
+}
+
+function prefillReservation(
+  run: ModelRun,
+  placement: Placement,
+  attemptId: string,
+): ReserveRequest {
+  const { context, request, emitted } = run;
+  const { expected } = placement;
+  const nowMs = monotonicNowMs();
+  const slotInMs = Math.max(0, placement.usableAtMs - nowMs);
+  return {
+    entryId: context.entryId,
+    entryIncarnation: context.entryIncarnation,
+    requestId: request.requestId,
+    attemptId,
+    origin: request.origin,
+    service: request.document.service,
+    purpose: 'prefill',
+    promptTokens: request.promptTokens + emitted.tokenCount,
+    maxOutputTokens: 0,
+    neededInMs: Math.max(0, slotInMs - expected.prediction.prefillMs - startMarginMs),
+    waitLimitMs: Math.max(0, expected.waitLimitMs),
+    firstTokenDeadlineInMs: 0,
+    repeatable: request.repeatable,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/problem.ts
@@ -0,0 +1,90 @@
+/** Refusals as callers see them: `application/problem+json` (RFC 9457). */
+import type { ServerResponse } from 'node:http';
+import { refusalReasons, type Refusal, type RefusalReason } from '@bluebellhitch/shared';
+
+export const problemContentType = 'application/problem+json';
+
+/** Body of a problem document. */
+export interface ProblemDocument {
+  type: string;
+  title: string;
+  status: number;
+  detail: string;
+  reason: RefusalReason;
+  notRun: Refusal['notRun'];
+  requestId: string;
+}
+
+const statuses: Record<RefusalReason, { status: number; title: string }> = {
+  [refusalReasons.badRequest]: { status: 400, title: 'Bad request' },
+  [refusalReasons.missingIdempotencyKey]: { status: 400, title: 'Idempotency-Key is missing' },
+  [refusalReasons.unauthenticated]: { status: 401, title: 'Not authenticated' },
+  [refusalReasons.unknownService]: { status: 404, title: 'Unknown service' },
+  [refusalReasons.bodyTooLarge]: { status: 413, title: 'Body too large' },
+  [refusalReasons.duplicate]: { status: 409, title: 'Duplicate request' },
+  [refusalReasons.quarantined]: { status: 422, title: 'Request is quarantined' },
+  [refusalReasons.rateLimited]: { status: 429, title: 'Rate limit reached' },
+  [refusalReasons.cancelled]: { status: 499, title: 'Cancelled by the caller' },
+  [refusalReasons.internal]: { status: 500, title: 'Internal error' },
+  [refusalReasons.backendFailed]: { status: 502, title: 'Backend server failed' },
+  [refusalReasons.incompleteAnswer]: { status: 502, title: 'Answer is incomplete' },
+  [refusalReasons.queueFull]: { status: 503, title: 'Queue is full' },
+  [refusalReasons.noCapacity]: { status: 503, title: 'No capacity' },
+  [refusalReasons.deadlineHopeless]: { status: 503, title: 'Deadline cannot be met' },
+  [refusalReasons.noInstances]: { status: 503, title: 'No instances' },
+  [refusalReasons.leaving]: { status: 503, title: 'Instance is leaving' },
+  [refusalReasons.claimUnavailable]: { status: 503, title: 'Claim cannot be taken' },
+  [refusalReasons.retriesExhausted]: { status: 503, title: 'Retries exhausted' },
+  [refusalReasons.deadlineExceeded]: { status: 504, title: 'Deadline exceeded' },
+};
+
+const slowSenderStatus = 408;
+const defaultRetryAfterMs = 1_000;
+
+/** How a refusal is told; `status` replaces the reason's own one. */
+export interface ProblemOptions {
+  requestId: string;
+  status?: number;
+}
+
+export function problemDocument(refusal: Refusal, options: ProblemOptions): ProblemDocument {
+  const { status, title } = statuses[refusal.reason];
+  return {
+    type: `urn:bluebellhitch:refusal:${refusal.reason}`,
+    title,
+    status: options.status ?? status,
+    detail: refusal.detail,
+    reason: refusal.reason,
+    notRun: refusal.notRun,
+    requestId: options.requestId,
+  };
+}
+
+/** Whole seconds, at least one: callers that come back at once meet the same refusal. */
+export function retryAfterSeconds(refusal: Refusal, status: number): number | undefined {
+  const isTemporary =
+    status === slowSenderStatus || status === 429 || status === 503 || status === 504;
+  const retryAfterMs = refusal.retryAfterMs ?? (isTemporary ? defaultRetryAfterMs : undefined);
+  return retryAfterMs === undefined ? undefined : Math.max(1, Math.ceil(retryAfterMs / 1000));
+}
+
+/** Sends the refusal, unless the response has begun or its connection is gone. */
+export function sendProblem(
+  outgoing: ServerResponse,
+  refusal: Refusal,
+  options: ProblemOptions,
+): void {
+  if (outgoing.headersSent || outgoing.destroyed) {
+    return;
+  }
+  const problem = problemDocument(refusal, options);
+  const body = JSON.stringify(problem);
+  const retryAfter = retryAfterSeconds(refusal, problem.status);
+  outgoing.writeHead(problem.status, {
+    'content-type': problemContentType,
+    'content-length': Buffer.byteLength(body),
+    'x-request-id': options.requestId,
+    ...(retryAfter === undefined ? {} : { 'retry-after': String(retryAfter) }),
+  });
+  outgoing.end(body);
+}
--- /dev/null
+++ b/packages/entry/src/requestContext.ts
@@ -0,0 +1,50 @@
+/** What the handling of one request needs from its entry. */
+import type { ClaimStore } from '@bluebellhitch/platform';
+import type { Random } from '@bluebellhitch/shared';
+import type { DecisionRing, EntryMetrics, Logger } from '@bluebellhitch/telemetry';
+import type { AgentApi } from './agentApi';
+import type { Cancellations } from './cancellations';
+import type { Heartbeats } from './heartbeats';
+import type { Instances } from './instances';
+import type { ServiceRuntimes } from './serviceRuntimes';
+import type { Strikes } from './strikes';
+
+export interface RequestTimeouts {
+  /** Longest wait for bids. */
+  bidMs: number;
+  /** After the first bid, the others get at least this much longer. */
+  bidGraceMs: number;
+  /** Added to a reservation's wait limit: the message itself takes time. */
+  reserveMarginMs: number;
+  /** Time between frames after which a stream counts as stalled. */
+  streamStallMs: number;
+  /** The same for the first frame, on top of the predicted time. */
+  firstFrameStallMs: number;
+}
+
+export const defaultRequestTimeouts: RequestTimeouts = {
+  bidMs: 150,
+  bidGraceMs: 10,
+  reserveMarginMs: 500,
+  streamStallMs: 3_000,
+  firstFrameStallMs: 5_000,
+};
+
+export interface RequestContext {
+  entryId: string;
+  /** Changes when the entry restarts. */
+  entryIncarnation: string;
+  agents: AgentApi;
+  instances: Instances;
+  runtimes: ServiceRuntimes;
+  heartbeats: Heartbeats;
+  cancellations: Cancellations;
+  claims: ClaimStore;
+  strikes: Strikes;
+  metrics: EntryMetrics;
+  ring: Pick<DecisionRing, 'record'>;
+  logger: Logger;
+  random: Random;
+  newAttemptId: () => string;
+  timeouts: RequestTimeouts;
+}
--- /dev/null
+++ b/packages/entry/src/serverHealth.ts
@@ -0,0 +1,59 @@
+/** What failed and successful calls tell about a server, for the circuit breaker and the instance view. */
+import { agentRefusalReasons, type AgentRefusal, type LoadHint } from '@bluebellhitch/protocol';
+import { assertNever, monotonicNowMs } from '@bluebellhitch/shared';
+import type { AgentCallError } from './agentApi';
+import type { RequestContext } from './requestContext';
+
+type HealthContext = Pick<RequestContext, 'instances' | 'runtimes'>;
+
+/** Counts a failed call; a refused connection also takes the instance out of the view for a while. */
+export function noteCallError(
+  context: HealthContext,
+  service: string,
+  instanceId: string,
+  error: AgentCallError,
+): void {
+  switch (error.kind) {
+    case 'cancelled':
+      return;
+    case 'not-sent':
+      context.instances.markDown(instanceId);
+      noteOutcome(context, service, instanceId, 'failure');
+      return;
+    case 'timeout':
+    case 'lost':
+    case 'malformed':
+      noteOutcome(context, service, instanceId, 'failure');
+      return;
+    default:
+      assertNever(error);
+  }
+}
+
+/** A refusal is an answer, not a failure; `leaving` ends new work there at once. */
+export function noteRefusal(
+  context: HealthContext,
+  instanceId: string,
+  refusal: AgentRefusal,
+): void {
+  if (refusal.reason === agentRefusalReasons.leaving) {
+    // The instance list lags by seconds; the first refusal is enough to stop asking.
+    context.instances.markLeaving(instanceId);
+  }
+  if (refusal.load !== undefined) {
+    noteLoad(context, instanceId, refusal.load);
+  }
+}
+
+export function noteLoad(context: HealthContext, instanceId: string, load: LoadHint): void {
+  context.runtimes.hints.record(instanceId, load, monotonicNowMs());
+}
+
+export function noteOutcome(
+  context: Pick<HealthContext, 'runtimes'>,
+  service: string,
+  instanceId: string,
+  outcome: 'success' | 'failure',
+): void {
+  context.runtimes.of(service).outliers.record(instanceId, outcome, monotonicNowMs());
+}
--- /dev/null
+++ b/packages/entry/src/serviceRuntimes.ts
@@ -0,0 +1,148 @@
+/**
+ * What this entry has learned and decides per service: candidate selection, circuit breakers, overload
+ * and in-flight counts. Everything here is a hint; the agents decide about their servers.
+ */
+import {
+  createCandidateSelector,
+  createLinkRates,
+  createLoadHints,
+  createOutlierDetector,
+  createOverloadController,
+  createPhaseModels,
+  createRateLimiter,
+  createRetryBudget,
+  type CandidateInstance,
+  type CandidateSelector,
+  type LinkRates,
+  type LoadHints,
+  type OutlierDetector,
+  type OverloadController,
+  type PhaseModels,
+  type RateLimiter,
+  type RetryBudget,
+} from '@bluebellhitch/decisions';
+import type { ServiceDocument } from '@bluebellhitch/document';
+import type { PlatformInstance } from '@bluebellhitch/platform';
+import { workerRoles } from '@bluebellhitch/protocol';
+import type { Random } from '@bluebellhitch/shared';
+import type { Instances } from './instances';
+
+export interface ServiceRuntimesOptions {
+  entryId: string;
+  dataCentre: string;
+  instances: Instances;
+  random: Random;
+}
+
+/** State of one service. */
+export interface ServiceRuntime {
+  selector: CandidateSelector;
+  /** A second selector for plain calls, which ask two candidates rather than three. */
+  pairSelector: CandidateSelector;
+  outliers: OutlierDetector;
+  overload: OverloadController;
+  /** Plain calls from this entry that run on each instance. */
+  inFlight: Map<string, number>;
+}
+
+/** Members of a service that may get new work, with what selection needs to know. */
+export interface ServiceMembers {
+  members: CandidateInstance[];
+  version: number;
+  byId: ReadonlyMap<string, PlatformInstance>;
+}
+
+export interface ServiceRuntimes {
+  of(service: string): ServiceRuntime;
+  members(document: ServiceDocument): ServiceMembers;
+  forget(service: string): void;
+  hints: LoadHints;
+  linkRates: LinkRates;
+  phaseModels: PhaseModels;
+  rateLimiter: RateLimiter;
+  retryBudget: RetryBudget;
+}
+
+interface CachedMembers extends ServiceMembers {
+  document: ServiceDocument;
+  instances: readonly PlatformInstance[];
+}
+
+const plainCandidates = 2;
+
+/** Creates the state of all services of one entry. */
+export function createServiceRuntimes(options: ServiceRuntimesOptions): ServiceRuntimes {
+  const { instances, entryId, dataCentre, random } = options;
+  const hints = createLoadHints();
+  const rateLimiter = createRateLimiter();
+  const runtimes = new Map<string, ServiceRuntime>();
+  const cache = new Map<string, CachedMembers>();
+  let memberVersion = 0;
+
+  function createRuntime(): ServiceRuntime {
+    const selection = { entryId, dataCentre, hints, random };
+    return {
+      selector: createCandidateSelector(selection),
+      pairSelector: createCandidateSelector({ ...selection, count: plainCandidates }),
+      outliers: createOutlierDetector(),
+      overload: createOverloadController(),
+      inFlight: new Map(),
+    };
+  }
+
+  function runtimeOf(service: string): ServiceRuntime {
+    const runtime = runtimes.get(service) ?? createRuntime();
+    runtimes.set(service, runtime);
+    return runtime;
+  }
+
+  function members(document: ServiceDocument): ServiceMembers {
+    const listed = instances.agents(document.service);
+    const cached = cache.get(document.service);
+    if (cached?.document === document && cached.instances === listed) {
+      return cached;
+    }
+    const eligible = listed.filter((instance) => takesNewWork(instance, document));
+    memberVersion += 1;
+    const fresh: CachedMembers = {
+      document,
+      instances: listed,
+      members: eligible.map((instance) => toCandidate(instance, document)),
+      version: memberVersion,
+      byId: new Map(eligible.map((instance) => [instance.id, instance])),
+    };
+    cache.set(document.service, fresh);
+    runtimeOf(document.service).outliers.setPoolSize(eligible.length);
+    return fresh;
+  }
+
+  return {
+    of: runtimeOf,
+    members,
+    forget(service) {
+      runtimes.delete(service);
+      cache.delete(service);
+    },
+    hints,
+    linkRates: createLinkRates(),
+    phaseModels: createPhaseModels(),
+    rateLimiter,
+    retryBudget: createRetryBudget(),
+  };
+}
+
+function takesNewWork(instance: PlatformInstance, document: ServiceDocument): boolean {
+  return (
+    instance.state === 'live' &&
+    !document.drain.instances.includes(instance.id) &&
+    document.dataCentres.includes(instance.dataCentre)
+  );
+}
+
+function toCandidate(
+  { id, dataCentre, role, state }: PlatformInstance,
+  document: ServiceDocument,
+): CandidateInstance {
+  const usualRole = document.kind === 'plain' ? workerRoles.plain : workerRoles.both;
+  return { id, dataCentre, role: role ?? usualRole, state };
+}
--- /dev/null
+++ b/packages/entry/src/streamStage.ts
@@ -0,0 +1,265 @@
+/** Streams one attempt's answer into the log, behind the guard on attempt, offset and end. */
+import {
+  createStallDetector,
+  createStreamGuard,
+  type FailedFrame,
+  type GuardedFrame,
+  type StreamGuard,
+} from '@bluebellhitch/decisions';
+import type { FinishReason, StreamFrame, StreamRequest } from '@bluebellhitch/protocol';
+import { assertNever, monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
+import { droppedFrameCauses, requestPhases, retryCauses } from '@bluebellhitch/telemetry';
+import type { StreamOpenError } from './agentApi';
+import { failureOfCall, failureOfRefusal } from './agentFailures';
+import { createLinkedAbort, type LinkedAbort } from './linkedAbort';
+import { stopReasons, type AttemptFailure, type AttemptOutcome, type ModelRun } from './modelTypes';
+import type { Placement } from './placement';
+import { kvSourceOf, type FinishedPrefill } from './prefillStage';
+import { labelsOf, reportStrike } from './runReports';
+import { noteCallError, noteLoad, noteOutcome, noteRefusal } from './serverHealth';
+
+export interface StreamStage {
+  placement: Placement;
+  prefill?: FinishedPrefill;
+  /** Called with the attempt's first token: a transferred result has been used. */
+  onFirstToken: () => void;
+}
+
+interface StreamState extends StreamStage {
+  run: ModelRun;
+  guard: StreamGuard;
+  /** Tokens that earlier attempts delivered. */
+  startTokens: number;
+  link: LinkedAbort;
+  onProgress: (totalTokens: number) => void;
+}
+
+const stallCheckMs = 250;
+const droppedCauses = {
+  'foreign-attempt': droppedFrameCauses.otherAttempt,
+  duplicate: droppedFrameCauses.wrongOffset,
+  'after-end': droppedFrameCauses.afterEnd,
+} as const;
+
+/** Dispatches the attempt and reads its frames to the end. */
+export async function streamAttempt(run: ModelRun, stage: StreamStage): Promise<AttemptOutcome> {
+  const { decode } = stage.placement;
+  const link = createLinkedAbort([
+    { signal: run.signal, reason: stopReasons.callerGone },
+    { signal: decode.share.lapsed, reason: stopReasons.lapsed },
+  ]);
+  const watch = watchForStall(run, stage.placement, link);
+  const guard = createStreamGuard({
+    attemptId: decode.attemptId,
+    startOffset: run.emitted.tokenCount,
+  });
+  const startTokens = run.emitted.tokenCount;
+  const onProgress = watch.progress;
+  const state: StreamState = { ...stage, run, guard, startTokens, link, onProgress };
+  try {
+    return await openAndRead(state);
+  } finally {
+    watch.stop();
+    link.dispose();
+  }
+}
+
+async function openAndRead(state: StreamState): Promise<AttemptOutcome> {
+  const { run, placement, link } = state;
+  const { decode } = placement;
+  run.mayHaveRun = true;
+  const opened = await run.context.agents.openStream(
+    decode.instance.innerAddress,
+    streamMessage(state),
+    { timeoutMs: Math.max(1, run.request.deadlineAtMs - monotonicNowMs()), signal: link.signal },
+  );
+  if (opened.isErr()) {
+    return interruption(state) ?? openFailure(state, opened.error);
+  }
+  for await (const frame of opened.value) {
+    const outcome = onFrame(state, frame);
+    if (outcome !== undefined) {
+      return outcome;
+    }
+  }
+  return interruption(state) ?? onGuarded(state, state.guard.close()) ?? { kind: 'stopped' };
+}
+
+function streamMessage({ run, placement, prefill }: StreamState): StreamRequest {
+  const { request, emitted, context } = run;
+  return {
+    entryId: context.entryId,
+    attemptId: placement.decode.attemptId,
+    model: request.engineModel,
+    prompt: request.prompt,
+    source: kvSourceOf(prefill),
+    maxOutputTokens: request.maxOutputTokens - emitted.tokenCount,
+    emitted: { ...emitted },
+    priority: request.trafficClass.priority,
+  };
+}
+
+function onFrame(state: StreamState, frame: StreamFrame): AttemptOutcome | undefined {
+  if (frame.kind === 'end' && frame.load !== undefined) {
+    noteLoad(state.run.context, state.placement.decode.instance.id, frame.load);
+  }
+  return onGuarded(state, state.guard.accept(frame));
+}
+
+/** The attempt's outcome where the frame ended it. */
+function onGuarded(state: StreamState, guarded: GuardedFrame): AttemptOutcome | undefined {
+  switch (guarded.kind) {
+    case 'deliver':
+      deliver(state, guarded.text, guarded.tokenCount);
+      return undefined;
+    case 'ignore':
+      state.run.context.metrics.countDroppedFrame(droppedCauses[guarded.cause]);
+      return undefined;
+    case 'complete':
+      return complete(state, guarded.finishReason);
+    case 'truncated':
+      return truncated(state, guarded.cause);
+    case 'failed':
+      return failed(state, guarded.failure);
+    default:
+      return assertNever(guarded);
+  }
+}
+
+function deliver(state: StreamState, text: string, tokenCount: number): void {
+  const { run } = state;
+  const isFirstOfAttempt = !hasDelivered(state);
+  run.emitted = {
+    tokenCount: run.emitted.tokenCount + tokenCount,
+    text: run.emitted.text + text,
+  };
+  observeToken(run, tokenCount);
+  state.onProgress(run.emitted.tokenCount);
+  if (isFirstOfAttempt) {
+    state.onFirstToken();
+  }
+  run.log.append({ kind: 'tokens', text, tokenCount });
+}
+
+function observeToken(run: ModelRun, tokenCount: number): void {
+  const { metrics } = run.context;
+  const nowMs = monotonicNowMs();
+  if (run.firstTokenAtMs === undefined) {
+    run.firstTokenAtMs = nowMs;
+    const waitedMs = nowMs - run.request.arrivedAtMs;
+    metrics.observePhase(requestPhases.firstToken, labelsOf(run.request), waitedMs);
+    run.trace.step('first-token');
+  } else if (run.lastTokenAtMs !== undefined) {
+    const gapMs = (nowMs - run.lastTokenAtMs) / tokenCount;
+    metrics.observePhase(requestPhases.betweenTokens, labelsOf(run.request), gapMs);
+  }
+  run.lastTokenAtMs = nowMs;
+}
+
+function complete(state: StreamState, finishReason: FinishReason): AttemptOutcome {
+  const { run, placement } = state;
+  const { instance } = placement.decode;
+  placement.decode.settle();
+  noteOutcome(run.context, run.request.document.service, instance.id, 'success');
+  const outputTokens = run.emitted.tokenCount;
+  run.log.append({ kind: 'end', finishReason, outputTokens });
+  return { kind: 'completed', outputTokens };
+}
+
+function truncated(state: StreamState, cause: string): AttemptOutcome {
+  const { run, placement } = state;
+  const { instance } = placement.decode;
+  noteOutcome(run.context, run.request.document.service, instance.id, 'failure');
+  run.trace.step('truncated', { instanceId: instance.id, cause });
+  if (run.emitted.tokenCount >= run.request.maxOutputTokens) {
+    // Only the end marker is missing: with the output limit reached, nothing else can follow.
+    return complete(state, 'length');
+  }
+  return {
+    kind: 'failed',
+    reason: refusalReasons.incompleteAnswer,
+    notRun: hasDelivered(state) ? false : 'unknown',
+    dispatched: true,
+    detail: `the answer ended before its end marker (${cause})`,
+    cause: retryCauses.incompleteAnswer,
+  };
+}
+
+function failed(state: StreamState, frame: FailedFrame): AttemptFailure {
+  const { run, placement } = state;
+  const { decode } = placement;
+  decode.settle();
+  run.trace.step('failed', { instanceId: decode.instance.id, ...frame });
+  noteRefusal(run.context, decode.instance.id, { ...frame, kind: 'refused' });
+  if (frame.reason === 'backend-failed') {
+    noteOutcome(run.context, run.request.document.service, decode.instance.id, 'failure');
+  }
+  if (frame.backendDied) {
+    reportStrike(run, decode.attemptId, decode.instance.id);
+  }
+  const notRun = hasDelivered(state) ? false : frame.notRun;
+  return failureOfRefusal({ ...frame, notRun }, { dispatched: true });
+}
+
+function openFailure(state: StreamState, error: StreamOpenError): AttemptFailure {
+  const { context, request, trace } = state.run;
+  const { instance } = state.placement.decode;
+  trace.step('open-failed', { instanceId: instance.id, error });
+  if (error.kind === 'refused') {
+    noteRefusal(context, instance.id, error);
+    return failureOfRefusal(error, { dispatched: true });
+  }
+  noteCallError(context, request.document.service, instance.id, error);
+  return failureOfCall(error, { dispatched: true });
+}
+
+/** What ended the stream from this side, if that was it. */
+function interruption(state: StreamState): AttemptOutcome | undefined {
+  const { run, link, placement } = state;
+  if (!link.signal.aborted) {
+    return undefined;
+  }
+  if (run.signal.aborted) {
+    return { kind: 'stopped' };
+  }
+  const { instance } = placement.decode;
+  const cause = String(link.signal.reason);
+  noteOutcome(run.context, run.request.document.service, instance.id, 'failure');
+  run.trace.step('interrupted', { instanceId: instance.id, cause });
+  return {
+    kind: 'failed',
+    reason: refusalReasons.backendFailed,
+    notRun: hasDelivered(state) ? false : 'unknown',
+    dispatched: true,
+    detail:
+      cause === stopReasons.lapsed ? 'the lease at the agent ended' : 'the answer made no progress',
+    cause: retryCauses.incompleteAnswer,
+  };
+}
+
+function hasDelivered({ run, startTokens }: StreamState): boolean {
+  return run.emitted.tokenCount > startTokens;
+}
+
+function watchForStall(run: ModelRun, placement: Placement, link: LinkedAbort) {
+  const { streamStallMs, firstFrameStallMs } = run.context.timeouts;
+  const nowMs = monotonicNowMs();
+  const { prediction } = placement.expected;
+  const predictedMs = Math.max(0, placement.usableAtMs - nowMs) + prediction.prefillMs;
+  const detector = createStallDetector({
+    startedAtMs: nowMs,
+    intervalMs: streamStallMs,
+    firstProgressMs: firstFrameStallMs + 4 * (predictedMs + prediction.transferMs),
+  });
+  const timer = setInterval(() => {
+    if (detector.check(monotonicNowMs()).kind === 'stalled') {
+      link.abort(stopReasons.stalled);
+    }
+  }, stallCheckMs);
+  const startTokens = run.emitted.tokenCount;
+  return {
+    progress: (totalTokens: number) =>
+      detector.progress(totalTokens - startTokens, monotonicNowMs()),
+    stop: () => clearInterval(timer),
+  };
+}
