--- a/packages/ctl/src/commandLine.ts
+++ b/packages/ctl/src/commandLine.ts
@@ -68,7 +68,7 @@
 };
 
 function readFlags(flags: RawFlags, env: Environment): { values: CtlFlags; findings: Finding[] } {
-  const platformUrl = flags.platformUrl ?? env[environmentName('platformUrl')];
+  const platformUrl = flags.platformUrl || env[environmentName('platformUrl')] || undefined;
   const values = {
     platformUrl,
     json: flags.json,
--- a/packages/document/src/normalizeDocument.ts
+++ b/packages/document/src/normalizeDocument.ts
@@ -1,14 +1,17 @@
 /** One form for documents that mean the same, so that a mere change of order is no change. */
 import type { Route, ServiceDocument } from './documentSchema';
 
-/** Sorts lists whose order means nothing. Classes and models keep theirs: their first is the default. */
+/**
+ * Sorts lists whose order means nothing. Classes and models keep theirs, because their first is the
+ * default; routes keep theirs, so that findings can name them by the index that their author sees.
+ */
 export function normalizeDocument(document: ServiceDocument): ServiceDocument {
   const { drain, quarantine } = document;
   return {
     ...document,
     dataCentres: sorted(document.dataCentres),
     models: document.models.map((model) => ({ ...model, adapters: sorted(model.adapters) })),
-    routes: document.routes.map(normalizeRoute).sort(compareRoutes),
+    routes: document.routes.map(normalizeRoute),
     drain: { ...drain, instances: sorted(drain.instances) },
     quarantine: {
       ...quarantine,
@@ -34,9 +37,3 @@
 function sorted(values: readonly string[]): string[] {
   return [...new Set(values)].sort();
 }
-
-function compareRoutes(left: Route, right: Route): number {
-  const leftKey = `${left.pathPrefix} ${routeKey(left)}`;
-  const rightKey = `${right.pathPrefix} ${routeKey(right)}`;
-  return leftKey < rightKey ? -1 : Number(leftKey > rightKey);
-}
