--- /dev/null
+++ b/packages/decisions/__tests__/orderGuard.test.ts
@@ -0,0 +1,43 @@
+import test from 'ava';
+import { createOrderGuard, orderDeadline } from '../src';
+
+function order(fencingNumber: number, validUntilMs = 1000) {
+  return { fencingNumber, validUntilMs };
+}
+
+// The agent restarts while an old holder still sends orders. Before it knows the current number it
+// cannot tell old from new, so it obeys nobody.
+test('obeys nobody before the current number is known', (t) => {
+  const guard = createOrderGuard();
+  t.is(guard.admit(order(5), 0).kind, 'not-ready');
+  guard.learn(7);
+  t.deepEqual(guard.admit(order(5), 0), { kind: 'stale', highestFencingNumber: 7 });
+  t.is(guard.admit(order(7), 0).kind, 'admitted');
+});
+
+// A holder is paused past its lease and resumes. Another holder has given an order meanwhile; the old
+// one's order must not take effect, whether or not the engine checks the number.
+test('refuses a lower number than it has seen', (t) => {
+  const guard = createOrderGuard();
+  guard.learn(0);
+  t.is(guard.admit(order(2), 0).kind, 'admitted');
+  t.is(guard.admit(order(1), 0).kind, 'stale');
+  guard.learn(1);
+  t.is(guard.highestFencingNumber(), 2);
+});
+
+// An order waits behind a slow one. A newer holder's order comes in meanwhile, or the sender's lease
+// runs out: the check at its arrival is worth nothing by then.
+test('checks again right before sending', (t) => {
+  const guard = createOrderGuard();
+  guard.learn(1);
+  t.is(guard.admit(order(1), 0).kind, 'admitted');
+  t.is(guard.recheck(order(1), 999).kind, 'admitted');
+  t.is(guard.recheck(order(1), 1000).kind, 'expired');
+  guard.learn(2);
+  t.is(guard.recheck(order(1), 999).kind, 'stale');
+});
+
+test('the deadline leaves a margin for the way of the order', (t) => {
+  t.is(orderDeadline(50, 1000, 100), 950);
+});
--- a/packages/decisions/src/leaseTable.ts
+++ b/packages/decisions/src/leaseTable.ts
@@ -156,20 +156,9 @@
     owned.forEach((lease) => {
       lease.renewedAtMs = nowMs;
     });
-    forgetEarlierIncarnations(owner);
     return owned.length;
   }
 
-  /** An entry that came back under a new incarnation has forgotten its earlier work. */
-  function forgetEarlierIncarnations(owner: LeaseOwner): void {
-    [...leases.values()]
-      .filter((lease) => lease.owner?.entryId === owner.entryId && !isOwner(lease, owner))
-      .forEach((lease) => {
-        lease.renewedAtMs = Number.NEGATIVE_INFINITY;
-        lease.connectionBound = false;
-      });
-  }
-
   /**
    * While this process was paused the heartbeats of live entries waited unread, and every lease
    * looks lapsed at the first check after it. The pause is not held against the entries.
