Refuse models and adapters that share a name

Callers name a model or an adapter of a service in the same way, and engines are asked for either by that one name, so two that share it could not be told apart.

--- a/packages/document/__tests__/parseDocument.test.ts
+++ b/packages/document/__tests__/parseDocument.test.ts
@@ -90,6 +90,15 @@
   ]);
 });
 
+test('models and adapters share their names with callers, so they all differ', (t) => {
+  const model = plainLines.slice(0, 5).map((line) => line.replace('plain', 'model'));
+  const models = ['models:', '  - { name: m, adapters: [x] }', '  - { name: n, adapters: [m, x] }'];
+  t.deepEqual(problemsOf([...model, ...models]), [
+    'models[1].adapters[0]: m repeats models[0]',
+    'models[1].adapters[1]: x repeats models[0].adapters[0]',
+  ]);
+});
+
 test('routes of one path that differ in method or host do not conflict', (t) => {
   const lines = [
     ...plainLines.slice(0, 5),
--- a/packages/document/src/documentChecks.ts
+++ b/packages/document/src/documentChecks.ts
@@ -120,11 +120,21 @@
   });
 }
 
+/** Callers name a model or an adapter in the same way, so all of these names differ. */
 function checkModelNames({ models }: ServiceDocument): Problem[] {
-  const adapters = models.flatMap((model, index) =>
-    repeated(['models', index, 'adapters'], model.adapters),
-  );
-  return [...repeatedNames(['models'], models), ...adapters];
+  const named = models.flatMap(({ name, adapters }, index) => [
+    { path: ['models', index], name },
+    ...adapters.map((adapter, place) => ({
+      path: ['models', index, 'adapters', place],
+      name: adapter,
+    })),
+  ]);
+  return named.flatMap(({ path, name }, index) => {
+    const first = named.slice(0, index).find((earlier) => earlier.name === name);
+    return first === undefined
+      ? []
+      : [{ path, message: `${name} repeats ${formatPath(first.path)}` }];
+  });
 }
 
 function checkRouteConflicts({ routes }: ServiceDocument): Problem[] {
--- a/packages/document/src/documentSchema.ts
+++ b/packages/document/src/documentSchema.ts
@@ -271,7 +271,7 @@
     .array(modelSchema)
     .max(64)
     .default([])
-    .describe('What each engine loads. Required for kind `model`.'),
+    .describe('What each engine loads; the first is the default. Required for kind `model`.'),
   targets: targetsSchema.prefault({}).describe('Latency targets that goodput counts by.'),
   weights: weightsSchema
     .prefault({})
