--- /dev/null
+++ b/packages/duties/src/routeConflicts.ts
@@ -0,0 +1,54 @@
+/** Checks between documents: findings that one document alone cannot show. */
+import type { Route, ServiceDocument } from '@bluebellhitch/document';
+import type { Finding } from '@bluebellhitch/shared';
+
+/** Routes in force, by service. */
+export type RoutesByService = ReadonlyMap<string, readonly Route[]>;
+
+/** The `service` field must name the object that holds the document. */
+export function findKeyMismatch(key: string, document: ServiceDocument): Finding[] {
+  if (document.service === key) {
+    return [];
+  }
+  return [
+    {
+      path: 'service',
+      message: `names "${document.service}", but this is the document of "${key}"`,
+      hint: `write service: ${key}`,
+    },
+  ];
+}
+
+/** One finding for each route that another service has in force. */
+export function findRouteConflicts(document: ServiceDocument, inForce: RoutesByService): Finding[] {
+  const others = [...inForce].filter(([service]) => service !== document.service);
+  return document.routes.flatMap((route, index) =>
+    others
+      .filter(([, routes]) => routes.some((other) => routesOverlap(route, other)))
+      .map(([service]) => ({
+        path: `routes[${index}]`,
+        message: `${describeRoute(route)} belongs to service "${service}" already`,
+        hint: 'the route must leave that document first',
+      })),
+  );
+}
+
+function routesOverlap(left: Route, right: Route): boolean {
+  return (
+    left.host?.toLowerCase() === right.host?.toLowerCase() &&
+    left.pathPrefix === right.pathPrefix &&
+    methodsOverlap(left.methods, right.methods)
+  );
+}
+
+function methodsOverlap(left: readonly string[] | undefined, right: readonly string[] | undefined) {
+  if (left === undefined || right === undefined) {
+    return true;
+  }
+  const upperCase = new Set(right.map((method) => method.toUpperCase()));
+  return left.some((method) => upperCase.has(method.toUpperCase()));
+}
+
+function describeRoute(route: Route): string {
+  return `${route.host ?? '(any host)'}${route.pathPrefix}`;
+}
--- /dev/null
+++ b/packages/duties/src/serviceStatus.ts
@@ -0,0 +1,21 @@
+/** The `status` object of a service: what became of the operators' last edit. */
+import { z } from 'zod';
+
+const findingSchema = z.object({
+  path: z.string(),
+  line: z.number().optional(),
+  column: z.number().optional(),
+  message: z.string(),
+  hint: z.string().optional(),
+});
+
+export const serviceStatusSchema = z.object({
+  /** Version of the `document` object that this status speaks about. */
+  documentVersion: z.number().int().nonnegative(),
+  state: z.enum(['accepted', 'rejected']),
+  /** Generation in force: of this edit where accepted, of the last accepted one where rejected; 0: none. */
+  generation: z.number().int().nonnegative(),
+  /** Why the edit was rejected, or what operators should know about an accepted one. */
+  findings: z.array(findingSchema),
+});
+export type ServiceStatus = z.infer<typeof serviceStatusSchema>;
