--- a/packages/agent/src/admission.ts
+++ b/packages/agent/src/admission.ts
@@ -49,8 +49,11 @@
   pump(): void;
   setClasses(classes: ReadonlyMap<string, QueueClass>): void;
   queuedCount(): number;
-  /** When a request of this size would be usable behind all that wait; undefined: never. */
-  usableInMs(kvBytes: number): number | undefined;
+  /**
+   * When a request of this size would be usable behind those that wait with an earlier deadline, by
+   * default behind all; undefined: never.
+   */
+  usableInMs(kvBytes: number, deadlineAtMs?: number): number | undefined;
 }
 
 interface WaitingRequest extends Waiter {
@@ -72,20 +75,18 @@
   const queue = createAdmissionQueue<WaitingRequest>();
   const heldWaiters = new Set<HeldWaiter>();
 
-  function usableInMs(kvBytes: number): number | undefined {
+  function usableInMs(kvBytes: number, deadlineAtMs = Infinity): number | undefined {
     const { capacity } = table.totals();
     if (kvBytes > capacity.kvBytes || capacity.slots < 1) {
       return undefined;
     }
-    const demand = { kvBytes: kvBytes + queuedKvBytes(), slots: queue.size() + 1 };
+    const ahead = queue.waiters().filter((waiter) => waiter.deadlineAtMs <= deadlineAtMs);
+    const aheadKvBytes = ahead.reduce((total, { request }) => total + request.kvBytes, 0);
+    const demand = { kvBytes: kvBytes + aheadKvBytes, slots: ahead.length + 1 };
     const nowMs = monotonicNowMs();
     return table.usableInMs(demand, nowMs) ?? extrapolateUsableInMs(demand, capacity, nowMs);
   }
 
-  function queuedKvBytes(): number {
-    return queue.waiters().reduce((total, { request }) => total + request.kvBytes, 0);
-  }
-
   /** A queue longer than the memory takes several rounds of it. */
   function extrapolateUsableInMs(
     demand: LeaseCapacity,
@@ -130,7 +131,8 @@
       reportGrant(request, immediate, 0);
       return immediate;
     }
-    const predictedMs = usableInMs(request.kvBytes);
+    const deadlineAtMs = monotonicNowMs() + request.firstTokenDeadlineInMs;
+    const predictedMs = usableInMs(request.kvBytes, deadlineAtMs);
     if (predictedMs === undefined) {
       return refuse(agentRefusalReasons.noCapacity, 'larger than the whole memory');
     }
@@ -160,6 +162,7 @@
         return;
       }
       signal?.addEventListener('abort', leave);
+      grantWaiting();
     });
   }
 
@@ -193,15 +196,29 @@
     }
   }
 
-  function giveUpExpired(): void {
-    queue.expire(monotonicNowMs()).forEach((waiting) => {
-      const predictedMs = usableInMs(waiting.request.kvBytes);
-      waiting.settle(
-        refuse(agentRefusalReasons.deadlineHopeless, 'waited in vain', predictedMs ?? 0),
-      );
+  /**
+   * A request whose memory will not come in time is answered now: held until its deadline, its caller
+   * would learn too late to go elsewhere.
+   */
+  function giveUpHopeless(): void {
+    const nowMs = monotonicNowMs();
+    const expired = queue.expire(nowMs);
+    const hopeless = queue
+      .waiters()
+      .filter((waiting) => comesTooLate(waiting, nowMs))
+      .flatMap(({ id }) => queue.remove(id) ?? []);
+    [...expired, ...hopeless].forEach(({ request, settle }) => {
+      const predictedMs = usableInMs(request.kvBytes) ?? 0;
+      settle(refuse(agentRefusalReasons.deadlineHopeless, 'waited in vain', predictedMs));
     });
   }
 
+  /** Judged as if nobody else waited, so that only the certain cases are given up early. */
+  function comesTooLate({ request, waitUntilMs }: WaitingRequest, nowMs: number): boolean {
+    const aloneMs = table.usableInMs({ kvBytes: request.kvBytes, slots: 1 }, nowMs);
+    return aloneMs !== undefined && nowMs + aloneMs - request.neededInMs > waitUntilMs;
+  }
+
   function untilHeld(attemptId: string, limitMs: number, signal?: AbortSignal): Promise<boolean> {
     const state = table.get(attemptId)?.state;
     if (state !== 'promised') {
@@ -234,7 +251,7 @@
   function pump(): void {
     table.settle();
     answerHeldWaiters();
-    giveUpExpired();
+    giveUpHopeless();
     grantWaiting();
   }
 
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -18,13 +18,15 @@
   type WorkerRole,
   type WorkerState,
 } from '@bluebellhitch/protocol';
-import { delay, monotonicNowMs, type Random } from '@bluebellhitch/shared';
+import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import { createAdmission } from './admission';
 import { configFromDocument, defaultAgentConfig, type AgentConfig } from './agentConfig';
 import { createAgentObserver, type AgentObserver } from './agentObserver';
 import { createAttemptRecord, type AttemptRecord } from './attemptRecord';
 import { createEngineMonitor } from './engineMonitor';
 import { createLeaseKeeper, type LeaseKeeper } from './leaseKeeper';
+import { drainLeases } from './drainLeases';
+import { reportLoad } from './loadReport';
 import { createModelParts } from './modelParts';
 import type { ReadFencingNumber } from './orderExecutor';
 import { createReservations, type Reservations } from './reservations';
@@ -41,6 +43,8 @@
   /** Changes with each start of the process. */
   incarnation: string;
   backend: AgentBackend;
+  /** Reported until the engine has told its own. */
+  initialRole?: WorkerRole;
   /** Reads the fencing number of the service's duty lease from the platform. */
   readFencingNumber: ReadFencingNumber;
   observer?: Partial<AgentObserver>;
@@ -76,9 +80,6 @@
 }
 
 const defaultTickIntervalMs = 100;
-const drainCheckMs = 20;
-/** Time for the last cancellations to reach the engine. */
-const cancelGraceMs = 500;
 
 export function createAgent(options: AgentOptions): Agent {
   const { backend, instanceId, service, incarnation } = options;
@@ -91,6 +92,7 @@
   let config = defaultAgentConfig;
   let isStopping = false;
   let hasAudited = backend.kind === 'plain';
+  let lastRole: WorkerRole = options.initialRole ?? 'both';
   let ticker: NodeJS.Timeout | undefined;
 
   const isLeaving = () => isStopping || config.drainedInstances.includes(instanceId);
@@ -127,6 +129,7 @@
       engine,
       cacheView,
       onLoad: takeEngineLoad,
+      onDown: () => admission.refuseAllWaiting(agentRefusalReasons.notReady, 'the engine is down'),
       onPoll: async () => {
         hasAudited = (await keeper.audit()) || hasAudited;
       },
@@ -155,6 +158,7 @@
   function takeEngineLoad(engineLoad: EngineLoad): void {
     table.setCapacity({ kvBytes: engineLoad.capacityKvBytes, slots: engineLoad.slotCount });
     estimates.reportStep(engineLoad.stepMs);
+    lastRole = engineLoad.role;
     admission.pump();
   }
 
@@ -166,27 +170,19 @@
   }
 
   function load(): LoadHint {
-    const { capacity, heldKvBytes, promisedKvBytes } = table.totals();
-    const leases = table.leases();
-    const typicalKvBytes = Math.ceil(capacity.kvBytes / Math.max(capacity.slots, 1));
-    const currentRole = role() ?? 'plain';
-    return {
-      role: currentRole,
-      freeKvBytes: Math.max(0, capacity.kvBytes - heldKvBytes - promisedKvBytes),
-      capacityKvBytes: capacity.kvBytes,
-      activeCount: leases.length,
-      queuedCount: admission.queuedCount(),
-      queueWaitMs: admission.usableInMs(typicalKvBytes) ?? 0,
-      stepMs: currentRole === 'prefill' ? estimates.prefillMsPerToken() : estimates.stepMs(),
-      leaving: isLeaving(),
-    };
+    return reportLoad({ table, admission, estimates, role: reportedRole(), leaving: isLeaving() });
+  }
+
+  function reportedRole(): WorkerRole {
+    return backend.kind === 'plain' ? 'plain' : lastRole;
   }
 
   async function bid(request: BidRequest): Promise<Bid> {
     const isServed = request.service === service && role() !== undefined && !isLeaving();
-    const perToken = monitor?.current()?.kvBytesPerToken;
-    const kvBytes =
-      perToken === undefined ? 1 : (request.promptTokens + request.maxOutputTokens) * perToken;
+    const kvBytes = reservations.kvBytesOf({
+      purpose: backend.kind === 'plain' ? 'plain' : purposeOf(lastRole),
+      ...request,
+    });
     const cachedBlocks = cacheView.cachedBlocks(request.prefixBlocks, monotonicNowMs());
     return {
       incarnation,
@@ -231,7 +227,7 @@
     const engineLoad = monitor?.current();
     return {
       incarnation,
-      role: role() ?? 'plain',
+      role: reportedRole(),
       models: engineLoad?.models ?? [],
       adapters: engineLoad?.adapters ?? [],
       highestFencingNumber: model?.orders.highestFencingNumber() ?? 0,
@@ -283,23 +279,6 @@
     await monitor?.start();
   }
 
-  async function drain(boundMs: number): Promise<boolean> {
-    const isDrained = await untilNothingHeld(boundMs);
-    if (!isDrained) {
-      table.leases().forEach(({ attemptId }) => keeper.giveUp(attemptId));
-      await untilNothingHeld(cancelGraceMs);
-    }
-    return isDrained;
-  }
-
-  async function untilNothingHeld(limitMs: number): Promise<boolean> {
-    const limitAtMs = monotonicNowMs() + limitMs;
-    while (table.leases().length > 0 && monotonicNowMs() < limitAtMs) {
-      await delay(drainCheckMs);
-    }
-    return table.leases().length === 0;
-  }
-
   return {
     handlers: {
       bid,
@@ -316,7 +295,7 @@
     runStream,
     start,
     applyDocument,
-    drain,
+    drain: (boundMs) => drainLeases(table, keeper, boundMs),
     load,
     leave: () => {
       isStopping = true;
@@ -333,3 +312,7 @@
     books: { table, keeper, attempts, estimates, reservations },
   };
 }
+
+function purposeOf(role: WorkerRole): 'prefill' | 'decode' {
+  return role === 'prefill' ? 'prefill' : 'decode';
+}
--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -26,6 +26,9 @@
   stopNow(): Promise<void>;
 }
 
+/** Leases end with the engine's work; the last bytes may still be on their way to an entry. */
+const lastAnswersMs = 2000;
+
 export async function startAgentProcess(settings: AgentSettings): Promise<AgentProcess> {
   const { instanceId, service, backendUrl } = settings;
   const logger = createLogger({
@@ -41,6 +44,7 @@
     service,
     incarnation: randomUUID(),
     backend: createBackend(settings),
+    initialRole: settings.role,
     readFencingNumber: () => readFencingNumber(platform, service),
     observer: createAgentTelemetry({ metrics, ring, logger }),
   });
@@ -69,20 +73,21 @@
   logger.info('listening', { innerAddress: inner.address, adminAddress: admin.address });
   void agent.start();
 
-  const closeAll = async () => {
+  const closeAll = async (graceMs: number) => {
+    await inner.close(graceMs);
     agent.close();
-    await Promise.all([inner.close(), admin.close(), plainProxy?.close(), platform.close()]);
+    await Promise.all([admin.close(), plainProxy?.close(), platform.close()]);
   };
   return {
     innerAddress: inner.address,
     adminAddress: admin.address,
     logger,
-    stopNow: closeAll,
+    stopNow: () => closeAll(0),
     stop: async () => {
       agent.leave();
       const isDrained = await agent.drain(agent.config().drainBoundMs);
       logger.info('drained', { isDrained });
-      await closeAll();
+      await closeAll(lastAnswersMs);
     },
   };
 }
--- a/packages/agent/src/engineMonitor.ts
+++ b/packages/agent/src/engineMonitor.ts
@@ -8,6 +8,8 @@
   engine: Pick<EngineApi, 'load' | 'cacheEvents'>;
   cacheView: CacheView;
   onLoad: (load: EngineLoad) => void;
+  /** Called when a running engine stops answering. */
+  onDown?: () => void;
   /** Called with each poll of a running engine. */
   onPoll?: () => Promise<unknown>;
   intervalMs?: number;
@@ -28,7 +30,7 @@
 const firstPollIntervalMs = 50;
 
 export function createEngineMonitor(options: EngineMonitorOptions): EngineMonitor {
-  const { engine, cacheView, onLoad, onPoll = () => Promise.resolve() } = options;
+  const { engine, cacheView, onLoad, onDown, onPoll = () => Promise.resolve() } = options;
   const { intervalMs, callTimeoutMs } = { ...defaults, ...options };
   const closing = new AbortController();
   let current: EngineLoad | undefined;
@@ -53,6 +55,7 @@
     if (failures >= failuresUntilDown && current !== undefined) {
       current = undefined;
       cacheView.reset();
+      onDown?.();
     }
   }
 
--- a/packages/agent/src/innerServer.ts
+++ b/packages/agent/src/innerServer.ts
@@ -4,6 +4,7 @@
 import { serve, type HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { createAgentRouter, innerPaths } from '@bluebellhitch/protocol';
+import { delay } from '@bluebellhitch/shared';
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch';
 import { Hono } from 'hono';
 import type { Agent } from './agent';
@@ -22,10 +23,13 @@
 export interface InnerServer {
   /** `http://ip:port`. */
   address: string;
-  /** Closes the port; connections that are in use are cut. */
-  close(): Promise<void>;
+  /** Closes the port; answers in progress have `graceMs` to reach their receivers. */
+  close(graceMs?: number): Promise<void>;
 }
 
+/** Kept-alive connections become idle one by one as their answers end. */
+const idleCheckMs = 20;
+
 interface Environment {
   Bindings: HttpBindings;
 }
@@ -34,7 +38,10 @@
 export async function startInnerServer(options: InnerServerOptions): Promise<InnerServer> {
   const server = await listen(createApp(options), options);
   const { address, port } = server.address() as AddressInfo;
-  return { address: `http://${address}:${port}`, close: () => closeServer(server) };
+  return {
+    address: `http://${address}:${port}`,
+    close: (graceMs = 0) => closeServer(server, graceMs),
+  };
 }
 
 function createApp({ agent, plainProxy }: InnerServerOptions): Hono<Environment> {
@@ -72,9 +79,13 @@
   });
 }
 
-function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
+async function closeServer(server: Server, graceMs: number): Promise<void> {
+  const closed = new Promise<void>((resolve) => {
     server.close(() => resolve());
-    server.closeAllConnections();
   });
+  const idleCloser = setInterval(() => server.closeIdleConnections(), idleCheckMs);
+  await Promise.race([closed, delay(graceMs)]);
+  clearInterval(idleCloser);
+  server.closeAllConnections();
+  await closed;
 }
--- a/packages/agent/src/kvImporter.ts
+++ b/packages/agent/src/kvImporter.ts
@@ -7,6 +7,7 @@
 import type { KvSource } from '@bluebellhitch/protocol';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { LinkPacer } from './linkPacer';
+import { withTimeout } from './withTimeout';
 
 export type TransferSource = Extract<KvSource, { kind: 'transfer' }>;
 
@@ -31,6 +32,7 @@
 const defaultStallMs = 150;
 const defaultMaxTries = 2;
 const checksPerInterval = 3;
+const cancelTimeoutMs = 200;
 
 export function createKvImporter(options: KvImporterOptions): KvImporter {
   const { engine, pacer, stallMs = defaultStallMs, maxTries = defaultMaxTries } = options;
@@ -47,7 +49,7 @@
       if (outcome.kind !== 'failed') {
         return outcome;
       }
-      await engine.cancel(attemptId);
+      await withTimeout(engine.cancel(attemptId), cancelTimeoutMs);
       if (outcome.cause === 'gone' || outcome.cause === 'out-of-memory') {
         return outcome;
       }
--- a/packages/agent/src/leaseKeeper.ts
+++ b/packages/agent/src/leaseKeeper.ts
@@ -35,6 +35,8 @@
    * is being released, whose end the engine's list decides.
    */
   finish(attemptId: string): void;
+  /** The engine drops the work's result by itself; given up only if it still lists it after `limitMs`. */
+  finishOnceGone(attemptId: string, limitMs: number): Promise<void>;
   /** The lease is given up: caller gone, entry gone, or the work's end is uncertain. */
   giveUp(attemptId: string): void;
   /** Compares the engine's list with the books; false where the engine did not answer. */
@@ -72,6 +74,7 @@
     if (lease === undefined || !table.startRelease(attemptId)) {
       return;
     }
+    table.expectRelease(attemptId, monotonicNowMs());
     const isInEngine = stops.has(attemptId) && lease.purpose !== 'plain';
     stops.get(attemptId)?.();
     if (isInEngine && engine !== undefined) {
@@ -97,6 +100,23 @@
     }
   }
 
+  async function finishOnceGone(attemptId: string, limitMs: number): Promise<void> {
+    const limitAtMs = monotonicNowMs() + limitMs;
+    while (engine !== undefined && monotonicNowMs() < limitAtMs && !closing.signal.aborted) {
+      if (await isGone(engine, attemptId)) {
+        finish(attemptId);
+        return;
+      }
+      await delay(limits.retryMs, closing.signal);
+    }
+    giveUp(attemptId);
+  }
+
+  async function isGone(target: KeeperEngine, attemptId: string): Promise<boolean> {
+    const holdings = await withTimeout(target.streams(), limits.callTimeoutMs);
+    return holdings.isOk() && holdings.value.every((holding) => holding.attemptId !== attemptId);
+  }
+
   async function cancelOnce(target: KeeperEngine, attemptId: string): Promise<boolean> {
     const exportId = exportIds.get(attemptId);
     if (exportId !== undefined) {
@@ -106,8 +126,7 @@
     if (cancelled.isErr()) {
       onCancelFailed(attemptId, cancelled.error.kind);
     }
-    const holdings = await withTimeout(target.streams(), limits.callTimeoutMs);
-    return holdings.isOk() && holdings.value.every((holding) => holding.attemptId !== attemptId);
+    return isGone(target, attemptId);
   }
 
   async function audit(): Promise<boolean> {
@@ -140,6 +159,7 @@
 
   return {
     finish,
+    finishOnceGone,
     giveUp,
     audit,
     attach: (attemptId, stop) => {
--- a/packages/agent/src/prefillRunner.ts
+++ b/packages/agent/src/prefillRunner.ts
@@ -37,6 +37,8 @@
 }
 
 const defaultMemoryWaitMs = 1000;
+/** Bound of a transfer that began just before its export expired. */
+const lateTransferMs = 2000;
 
 export function createPrefillRunner(options: PrefillRunnerOptions): PrefillRunner {
   const { engine, table, keeper, admission, attempts, estimates, observer } = options;
@@ -49,6 +51,9 @@
 
   async function run(request: PrefillRequest, signal?: AbortSignal): Promise<PrefillReply> {
     const { attemptId } = request;
+    if (attempts.phaseOf(attemptId) === 'cancelled') {
+      return refuse(agentRefusalReasons.cancelled, true, 'cancelled before');
+    }
     if (table.get(attemptId)?.purpose !== 'prefill') {
       return refuse(agentRefusalReasons.unknownLease, 'unknown', 'no prefill lease');
     }
@@ -128,11 +133,11 @@
     };
   }
 
-  /** The engine drops the export by itself; a confirmed release costs two calls and proves it. */
+  /** A transfer that still reads the export keeps it for longer, and is left to end. */
   function expire(attemptId: string): void {
     if (table.get(attemptId)?.state === 'exported') {
       observer.onExportExpired(attemptId);
-      keeper.giveUp(attemptId);
+      void keeper.finishOnceGone(attemptId, lateTransferMs);
     }
   }
 
--- a/packages/agent/src/reservations.ts
+++ b/packages/agent/src/reservations.ts
@@ -35,6 +35,8 @@
   kvBytesPerToken: () => number;
 }
 
+export type MemoryShape = Pick<ReserveRequest, 'purpose' | 'promptTokens' | 'maxOutputTokens'>;
+
 /** What is remembered about a reservation while its lease lives. */
 export interface ReservationDetails {
   shape: WorkShape;
@@ -47,6 +49,8 @@
   cancel(reference: AttemptReference): void;
   heartbeat(heartbeat: Heartbeat): HeartbeatReply;
   detailsOf(attemptId: string): ReservationDetails | undefined;
+  /** Memory that a request of this shape takes. */
+  kvBytesOf(shape: MemoryShape): number;
   /** Call once the lease of an attempt has ended. */
   forget(attemptId: string): void;
 }
@@ -158,7 +162,7 @@
   }
 
   /** A plain call takes one unit of a capacity that is counted in slots. */
-  function kvBytesOf({ purpose, promptTokens, maxOutputTokens }: ReserveRequest): number {
+  function kvBytesOf({ purpose, promptTokens, maxOutputTokens }: MemoryShape): number {
     switch (purpose) {
       case 'prefill':
         return Math.ceil(promptTokens * options.kvBytesPerToken());
@@ -193,6 +197,7 @@
   return {
     reserve,
     cancel,
+    kvBytesOf,
     heartbeat: (heartbeat) => {
       const heldAttempts = table.renew(heartbeat, monotonicNowMs());
       return { incarnation: options.incarnation, heldAttempts, load: load() };
--- a/packages/decisions/__tests__/leaseTable.test.ts
+++ b/packages/decisions/__tests__/leaseTable.test.ts
@@ -199,7 +199,7 @@
   ended: Map<string, number>;
 }
 
-function count(counts: Map<string, number>, attemptId: string, happened: boolean): void {
+function tally(counts: Map<string, number>, attemptId: string, happened: boolean): void {
   counts.set(attemptId, (counts.get(attemptId) ?? 0) + (happened ? 1 : 0));
 }
 
@@ -209,12 +209,12 @@
     reserve: () => {
       const isNew = table.get(attemptId) === undefined;
       const input = reservation(attemptId, step as Partial<ReserveInput>);
-      count(ledger.granted, attemptId, isNew && table.reserve(input, nowMs).kind === 'granted');
+      tally(ledger.granted, attemptId, isNew && table.reserve(input, nowMs).kind === 'granted');
     },
     advance: () => table.advance(attemptId, 'streaming', nowMs + 300),
     export: () => table.advance(attemptId, 'exported', nowMs + 300),
     release: () => table.startRelease(attemptId),
-    end: () => count(ledger.ended, attemptId, table.end(attemptId)),
+    end: () => tally(ledger.ended, attemptId, table.end(attemptId)),
     renew: () => table.renew(owner, nowMs),
     lapse: () => table.lapsed(nowMs).forEach((lease) => table.startRelease(lease.attemptId)),
     settle: () => table.settle(),
