Hold duties by leases with fencing numbers

Cause: orders to engines and acceptance of documents need one holder at a time, and a paused holder must stop by itself. Validity counts from before the renewal was sent, a contender counts from its own first sight of an unchanged version, so no wall clocks are compared. Lost answers are settled by the stored session and sequence number. Ruled out: removing the object on release, because its fencing number would start again.

--- /dev/null
+++ b/packages/platform/src/dutyLease.ts
@@ -0,0 +1,345 @@
+/**
+ * Lease of a duty that needs one holder at a time, with a fencing number. All times are monotonic and
+ * local: a holder counts its validity from before its write was sent, and a contender counts the
+ * other's from when it first saw the unchanged version. So no two clocks are ever compared.
+ */
+import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import { delay, invariant, monotonicNowMs, type Random } from '@bluebellhitch/shared';
+import { parseDutyLease, type DutyLeaseRecord } from './dutyLeaseRecord';
+import {
+  objectKinds,
+  type PlatformApi,
+  type PlatformError,
+  type StoredObject,
+} from './platformApi';
+
+/** Proof of holding a duty: goes with each order that the holder sends. */
+export interface HeldFencing {
+  fencingNumber: number;
+  /** Remaining validity; the holder acts only while it is positive. */
+  validForMs: number;
+}
+
+export type DutyLeaseError =
+  { kind: 'held-by-other'; holderId: string } | { kind: 'platform'; error: PlatformError };
+
+export interface DutyLeaseOptions {
+  platform: PlatformApi;
+  /** Name of the duty, such as `orders/draft-models`. */
+  key: string;
+  holderId: string;
+  /** A contender waits this long after the last renewal that it saw. */
+  ttlMs?: number;
+  /** The holder stops this much earlier. */
+  marginMs?: number;
+  /** Pause between the holder's renewals; a failed one is repeated sooner. */
+  renewMs?: number;
+  /** Pause between a contender's looks; each is a read of the platform. */
+  contendMs?: number;
+  onAcquired?(fencingNumber: number): void;
+  /** Called once for each acquisition, when it is released, taken over or not renewed in time. */
+  onLost?(fencingNumber: number): void;
+  random?: Random;
+}
+
+export interface DutyLease {
+  /** Acquires the lease where it is free or has lapsed, renews it where it is held. */
+  acquireOrRenew(): ResultAsync<HeldFencing, DutyLeaseError>;
+  release(): ResultAsync<void, DutyLeaseError>;
+  /** `undefined` from the expiry less the margin on, also when a paused process resumes. */
+  heldFencing(): HeldFencing | undefined;
+  /** Acquires and renews until `stop`. */
+  start(): void;
+  /** Stops and releases. */
+  stop(): Promise<void>;
+}
+
+const defaults = { ttlMs: 6000, marginMs: 1500, renewMs: 1500, contendMs: 3000 } as const;
+
+/** Writes remembered while their answers are lost; an older one found stored counts as not ours. */
+const unconfirmedLimit = 16;
+const retryShare = 0.25;
+const releaseTries = 3;
+
+interface HeldLease {
+  fencingNumber: number;
+  validUntilMs: number;
+  version: number;
+}
+
+export function createDutyLease(options: DutyLeaseOptions): DutyLease {
+  const { platform, key, holderId, ttlMs, marginMs, renewMs, contendMs } = {
+    ...defaults,
+    ...options,
+  };
+  const { random = Math.random } = options;
+  invariant(marginMs < ttlMs, 'the margin of a lease is shorter than the lease');
+  const session = `${holderId}/${Math.floor(random() * 2 ** 48).toString(36)}`;
+  /** When each write was sent that may be the stored one, by its sequence number. */
+  const sentAtMs = new Map<number, number>();
+  let sequence = 0;
+  let held: HeldLease | undefined;
+  let lapseTimer: NodeJS.Timeout | undefined;
+  /** The version that another holder wrote last, and since when this process has seen it. */
+  let seen: { version: number; sinceMs: number } | undefined;
+  let lastWork: Promise<unknown> = Promise.resolve();
+  let loop: { stop: AbortController; ended: Promise<void> } | undefined;
+
+  function heldFencing(): HeldFencing | undefined {
+    const validForMs = (held?.validUntilMs ?? 0) - monotonicNowMs();
+    return held !== undefined && validForMs > 0
+      ? { fencingNumber: held.fencingNumber, validForMs }
+      : undefined;
+  }
+
+  async function acquireOrRenew(): Promise<Result<HeldFencing, DutyLeaseError>> {
+    dropLapsed();
+    if (held !== undefined) {
+      return renew(held);
+    }
+    const current = await read();
+    return current.isErr() ? err(current.error) : acquire(current.value);
+  }
+
+  async function renew(lease: HeldLease): Promise<Result<HeldFencing, DutyLeaseError>> {
+    const record = await write(lease.fencingNumber, lease.version);
+    // The lease may have lapsed, and its loss been reported, while the answer was on its way. It is
+    // acquired again with a higher number then, so that the old one never comes back to life.
+    if (held?.fencingNumber !== lease.fencingNumber) {
+      return err(lapsed);
+    }
+    return record.andThen((stored) => confirm(stored, lease.fencingNumber));
+  }
+
+  async function acquire(
+    current: StoredObject | undefined,
+  ): Promise<Result<HeldFencing, DutyLeaseError>> {
+    const record = parseDutyLease(current?.value);
+    if (current !== undefined && record === undefined) {
+      return err(platformError({ kind: 'rejected', detail: `unreadable lease ${key}` }));
+    }
+    if (current !== undefined && record !== undefined && !isFree(current.version, record)) {
+      return err({ kind: 'held-by-other', holderId: record.holderId ?? 'unknown' });
+    }
+    const fencingNumber = (record?.fencingNumber ?? 0) + 1;
+    const written = await write(fencingNumber, current?.version);
+    return written.andThen((stored) => confirm(stored, fencingNumber));
+  }
+
+  /** Whether the lease is released, our own lapsed one, or unchanged for its whole time to live. */
+  function isFree(version: number, record: DutyLeaseRecord): boolean {
+    if (record.holderId === undefined || record.session === session) {
+      return true;
+    }
+    const nowMs = monotonicNowMs();
+    if (seen?.version !== version) {
+      seen = { version, sinceMs: nowMs };
+    }
+    return nowMs - seen.sinceMs >= Math.max(ttlMs, record.ttlMs);
+  }
+
+  /** Writes the lease and answers what is stored afterwards, our own write or another's. */
+  async function write(
+    fencingNumber: number,
+    version: number | undefined,
+  ): Promise<Result<StoredObject, DutyLeaseError>> {
+    sequence += 1;
+    const record: DutyLeaseRecord = { fencingNumber, holderId, session, sequence, ttlMs };
+    rememberSent(sequence);
+    const answer = await put(version, record);
+    if (answer.isOk()) {
+      return ok(answer.value);
+    }
+    return storedAfter(answer.error, sequence);
+  }
+
+  function put(
+    version: number | undefined,
+    record: DutyLeaseRecord,
+  ): ResultAsync<StoredObject, PlatformError> {
+    return version === undefined
+      ? platform.create(objectKinds.lease, key, record)
+      : platform.update(objectKinds.lease, key, version, record);
+  }
+
+  /** A lost answer is settled by reading back; the stored sequence number tells whose write it is. */
+  async function storedAfter(
+    error: PlatformError,
+    failedSequence: number,
+  ): Promise<Result<StoredObject, DutyLeaseError>> {
+    if (error.kind !== 'unknown-outcome') {
+      sentAtMs.delete(failedSequence);
+    }
+    if (error.kind === 'conflict' && error.current !== undefined) {
+      return ok(error.current);
+    }
+    if (error.kind !== 'conflict' && error.kind !== 'unknown-outcome') {
+      return err(platformError(error));
+    }
+    const current = await read();
+    return current.andThen((object) =>
+      object === undefined ? err(platformError(error)) : ok(object),
+    );
+  }
+
+  function rememberSent(sentSequence: number): void {
+    sentAtMs.set(sentSequence, monotonicNowMs());
+    const oldest = [...sentAtMs.keys()].slice(0, -unconfirmedLimit);
+    oldest.forEach((old) => sentAtMs.delete(old));
+  }
+
+  /** Holds the lease where `object` is our own write, for as long as that write allows. */
+  function confirm(
+    object: StoredObject,
+    fencingNumber: number,
+  ): Result<HeldFencing, DutyLeaseError> {
+    const record = parseDutyLease(object.value);
+    const sent = record?.session === session ? sentAtMs.get(record.sequence) : undefined;
+    if (record === undefined || sent === undefined || record.fencingNumber !== fencingNumber) {
+      drop();
+      return err({ kind: 'held-by-other', holderId: record?.holderId ?? 'unknown' });
+    }
+    forgetBefore(record.sequence);
+    const validUntilMs = sent + ttlMs - marginMs;
+    hold({ fencingNumber, validUntilMs, version: object.version });
+    const fencing = heldFencing();
+    return fencing === undefined ? err(lapsed) : ok(fencing);
+  }
+
+  /** Earlier writes had an older version as their condition, so they cannot take effect any more. */
+  function forgetBefore(storedSequence: number): void {
+    [...sentAtMs.keys()]
+      .filter((earlier) => earlier < storedSequence)
+      .forEach((earlier) => sentAtMs.delete(earlier));
+  }
+
+  function hold(lease: HeldLease): void {
+    const isNew = held === undefined;
+    if (lease.validUntilMs <= monotonicNowMs()) {
+      drop();
+      return;
+    }
+    held = lease;
+    clearTimeout(lapseTimer);
+    lapseTimer = setTimeout(dropLapsed, lease.validUntilMs - monotonicNowMs());
+    lapseTimer.unref();
+    if (isNew) {
+      options.onAcquired?.(lease.fencingNumber);
+    }
+  }
+
+  function dropLapsed(): void {
+    if (held !== undefined && held.validUntilMs <= monotonicNowMs()) {
+      drop();
+    }
+  }
+
+  function drop(): void {
+    const lost = held;
+    held = undefined;
+    clearTimeout(lapseTimer);
+    if (lost !== undefined) {
+      options.onLost?.(lost.fencingNumber);
+    }
+  }
+
+  function read(): ResultAsync<StoredObject | undefined, DutyLeaseError> {
+    return platform
+      .get(objectKinds.lease, key)
+      .map((object): StoredObject | undefined => object)
+      .orElse((error) => (error.kind === 'not-found' ? ok(undefined) : err(platformError(error))));
+  }
+
+  /** Stops acting first: whatever the platform answers, this process holds the lease no longer. */
+  async function release(): Promise<Result<void, DutyLeaseError>> {
+    const lease = held;
+    drop();
+    return lease === undefined ? ok(undefined) : releaseUntilKnown(lease);
+  }
+
+  async function releaseUntilKnown(lease: HeldLease): Promise<Result<void, DutyLeaseError>> {
+    let { version } = lease;
+    let failure: DutyLeaseError = lapsed;
+    for (let tryCount = 0; tryCount < releaseTries; tryCount += 1) {
+      sequence += 1;
+      const free = { fencingNumber: lease.fencingNumber, session, sequence, ttlMs };
+      const written = await platform.update(objectKinds.lease, key, version, free);
+      if (written.isOk()) {
+        return ok(undefined);
+      }
+      failure = platformError(written.error);
+      const current = await read();
+      const ownVersion = current.map((object) => versionHeldUnder(object, lease.fencingNumber));
+      if (ownVersion.isOk() && ownVersion.value === undefined) {
+        return ok(undefined);
+      }
+      version = ownVersion.unwrapOr(version) ?? version;
+    }
+    return err(failure);
+  }
+
+  /** Version of the stored lease where this process is still its holder. */
+  function versionHeldUnder(
+    object: StoredObject | undefined,
+    fencingNumber: number,
+  ): number | undefined {
+    const record = parseDutyLease(object?.value);
+    const isOwn = record?.session === session && record.holderId !== undefined;
+    return isOwn && record.fencingNumber === fencingNumber ? object?.version : undefined;
+  }
+
+  /** Calls of the platform never overlap, so that each starts from the outcome of the one before. */
+  function inTurn<Value>(
+    work: () => Promise<Result<Value, DutyLeaseError>>,
+  ): ResultAsync<Value, DutyLeaseError> {
+    const result = lastWork.then(work);
+    lastWork = result.catch(() => undefined);
+    return new ResultAsync(result);
+  }
+
+  async function run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const answer = await inTurn(acquireOrRenew);
+      await delay(pauseAfter(answer) * (0.8 + 0.4 * random()), signal);
+    }
+  }
+
+  function pauseAfter(answer: Result<HeldFencing, DutyLeaseError>): number {
+    if (answer.isOk()) {
+      return renewMs;
+    }
+    return held === undefined ? contendMs : renewMs * retryShare;
+  }
+
+  function start(): void {
+    if (loop === undefined) {
+      const stopping = new AbortController();
+      loop = { stop: stopping, ended: run(stopping.signal) };
+    }
+  }
+
+  async function stop(): Promise<void> {
+    const running = loop;
+    loop = undefined;
+    running?.stop.abort();
+    await running?.ended;
+    await inTurn(release);
+  }
+
+  return {
+    acquireOrRenew: () => inTurn(acquireOrRenew),
+    release: () => inTurn(release),
+    heldFencing,
+    start,
+    stop,
+  };
+}
+
+const lapsed: DutyLeaseError = {
+  kind: 'platform',
+  error: { kind: 'unavailable', detail: 'the lease lapsed before the answer came' },
+};
+
+function platformError(error: PlatformError): DutyLeaseError {
+  return { kind: 'platform', error };
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -31,3 +31,10 @@
 } from './claimApi';
 export { createClaimStore, type ClaimStoreOptions } from './claimStore';
 export { createGroupedClaimStore, type GroupedClaimStoreOptions } from './groupedClaimStore';
+export {
+  createDutyLease,
+  type DutyLease,
+  type DutyLeaseError,
+  type DutyLeaseOptions,
+  type HeldFencing,
+} from './dutyLease';
--- a/packages/standins/src/platform/startStandinPlatform.ts
+++ b/packages/standins/src/platform/startStandinPlatform.ts
@@ -18,11 +18,7 @@
   const platform = createStandinPlatform(options);
   const stop = new AbortController();
   const app = createStandinPlatformApp(platform, stop.signal);
-  const { server, info } = await listen(
-    app.fetch,
-    host,
-    port,
-  );
+  const { server, info } = await listen(app.fetch, host, port);
 
   function close(): Promise<void> {
     stop.abort();
