Add bluebell-bench: load generator, fleet launcher and three experiments

The decisions and the cost of entry and agent need measurements against the real binaries. The bench starts them with stand-ins around them, sends Poisson arrivals from a seed in the mixes of both institutions, checks each answer against the stand-in's pure function, and accounts goodput, wasted prefill, refusals and quantiles. 'overhead' compares the entry's path with the engine alone, 'goodput' runs policies in turn by load and fault, 'ceiling' tells what the tool itself can take.

Ruled out: a launcher shared with scripts/start.mjs. Its modules find the repository by their own place, which a bundle changes, and fix the engines' settings that experiments vary.

Not run yet: overhead and goodput, for which the entry's binary is not there.

--- /dev/null
+++ b/packages/bench/src/accounting/metricsText.ts
@@ -0,0 +1,40 @@
+/** Reads the Prometheus text that entries and agents serve at `/metrics`. */
+import { request } from 'undici';
+
+export interface MetricSample {
+  name: string;
+  labels: Record<string, string>;
+  value: number;
+}
+
+const samplePattern = /^([a-zA-Z_:][\w:]*)(?:\{(.*)\})? (\S+)$/;
+const labelPattern = /(\w+)="((?:[^"\\]|\\.)*)"/g;
+
+export function parseMetrics(text: string): MetricSample[] {
+  return text.split('\n').flatMap((line) => {
+    const match = line.startsWith('#') ? null : samplePattern.exec(line);
+    if (match === null) {
+      return [];
+    }
+    const [, name = '', labelText = '', value = ''] = match;
+    const labels = [...labelText.matchAll(labelPattern)].map(([, key = '', text1 = '']) => [
+      key,
+      text1,
+    ]);
+    return [
+      { name, labels: Object.fromEntries(labels) as Record<string, string>, value: Number(value) },
+    ];
+  });
+}
+
+/** Sum of a metric over all its labels; 0 where there is none. */
+export function sumOf(samples: readonly MetricSample[], name: string): number {
+  return samples
+    .filter((sample) => sample.name === name)
+    .reduce((total, { value }) => total + value, 0);
+}
+
+export async function readMetrics(adminAddress: string): Promise<MetricSample[]> {
+  const response = await request(`${adminAddress}/metrics`);
+  return parseMetrics(await response.body.text());
+}
--- /dev/null
+++ b/packages/bench/src/commandLine.ts
@@ -0,0 +1,126 @@
+/** Command line of `bluebell-bench`: a command and its flags, all findings reported together. */
+import meow from 'meow';
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { flagName, type Finding } from '@bluebellhitch/shared';
+import { institutionNames } from './fleet/fleetDescription';
+
+export const commandNames = {
+  overhead: 'overhead',
+  goodput: 'goodput',
+  ceiling: 'ceiling',
+} as const;
+export type CommandName = (typeof commandNames)[keyof typeof commandNames];
+
+const parts = z
+  .string()
+  .transform((text) => text.split(',').filter((part) => part !== ''))
+  .pipe(z.array(z.string()).min(1));
+const listOf = <Value>(item: z.ZodType<Value>) =>
+  parts.pipe(z.array(item as z.ZodType<Value, string>));
+const positive = z.coerce.number().positive();
+const count = z.coerce.number().int().positive();
+
+const flagSchemas = {
+  json: z.string().optional(),
+  levels: listOf(count),
+  repeats: count,
+  promptTokens: count,
+  institutions: listOf(z.enum(Object.values(institutionNames))),
+  loads: listOf(z.coerce.number().nonnegative()),
+  faults: listOf(z.enum(['none', 'worker-killed', 'link-stalled', 'platform-down'])),
+  seeds: listOf(z.coerce.number().int()),
+  policies: listOf(z.enum(['default', 'random', 'least-loaded', 'prefill-first'])),
+  seconds: positive,
+  entries: count,
+} as const;
+
+const defaultTexts: Record<keyof typeof flagSchemas, string | undefined> = {
+  json: undefined,
+  levels: '1,50,200',
+  repeats: '3',
+  promptTokens: '200',
+  institutions: 'halloran-voss,sahlat',
+  loads: '50,100,150,200',
+  faults: 'worker-killed,link-stalled,platform-down',
+  seeds: '1,2,3,4,5',
+  policies: 'default',
+  seconds: '12',
+  entries: '3',
+};
+
+export type BenchFlags = {
+  [Name in keyof typeof flagSchemas]: z.infer<(typeof flagSchemas)[Name]>;
+};
+
+export type CommandLine =
+  { kind: 'help'; text: string } | { kind: 'command'; command: CommandName; flags: BenchFlags };
+
+export const helpText = `Usage: npm run bench -- <command> [flags]
+
+Commands
+  overhead   what entry and agent add to an answer, against the engine alone
+  goodput    goodput and wasted prefill by load, fault and policy
+  ceiling    streams and tokens a second that this tool and machine can take
+
+Flags (lists are separated by commas)
+  --json <file>              write the figures as JSON as well; - writes them in place of the table
+  --levels <list>            overhead, ceiling: streams at once [${defaultTexts.levels}]
+  --repeats <n>              overhead: batches of each kind [${defaultTexts.repeats}]
+  --prompt-tokens <n>        overhead: length of prompts [${defaultTexts.promptTokens}]
+  --institutions <list>      goodput: [${defaultTexts.institutions}]
+  --loads <list>             goodput: percent of capacity; 0 leaves them out [${defaultTexts.loads}]
+  --faults <list>            goodput: at 100%; none leaves them out
+                             [${defaultTexts.faults}]
+  --seeds <list>             goodput: [${defaultTexts.seeds}]
+  --policies <list>          goodput: default, random, least-loaded, prefill-first [${defaultTexts.policies}]
+  --seconds <n>              goodput: measured part of a cell [${defaultTexts.seconds}]
+  --entries <n>              goodput: entries of each policy [${defaultTexts.entries}]
+`;
+
+export function parseCommandLine(argv: readonly string[]): Result<CommandLine, Finding[]> {
+  const flagTypes = Object.fromEntries(
+    Object.keys(flagSchemas).map((name) => [name, { type: 'string' as const }]),
+  );
+  const cli = meow('', {
+    importMeta: import.meta,
+    argv: [...argv],
+    flags: { ...flagTypes, help: { type: 'boolean', shortFlag: 'h' } },
+    pkg: { name: 'bluebell-bench' },
+    autoHelp: false,
+    autoVersion: false,
+  });
+  const [command, ...rest] = cli.input;
+  if (cli.flags.help === true || command === undefined) {
+    return ok({ kind: 'help', text: helpText });
+  }
+  const { flags, findings } = readFlags(cli.flags);
+  const all = [...commandFindings(command, rest), ...findings];
+  return all.length > 0 || !isCommand(command) ? err(all) : ok({ kind: 'command', command, flags });
+}
+
+function isCommand(text: string): text is CommandName {
+  return Object.hasOwn(commandNames, text);
+}
+
+function commandFindings(command: string, rest: readonly string[]): Finding[] {
+  const unknown = isCommand(command) ? [] : [{ path: command, message: 'unknown command' }];
+  return [...unknown, ...rest.map((path) => ({ path, message: 'unexpected argument' }))];
+}
+
+function readFlags(given: Record<string, unknown>): { flags: BenchFlags; findings: Finding[] } {
+  const parsed = Object.entries(flagSchemas).map(([name, schema]) => {
+    const text = given[name] ?? defaultTexts[name as keyof typeof flagSchemas];
+    return { name, result: schema.safeParse(text) };
+  });
+  const findings = parsed.flatMap(({ name, result }) =>
+    result.success
+      ? []
+      : result.error.issues.map(({ message }) => ({ path: flagName(name), message })),
+  );
+  const unknown = Object.keys(given)
+    .filter((name) => name !== 'help' && !Object.hasOwn(flagSchemas, name))
+    .map((name) => ({ path: flagName(name), message: 'unknown flag' }));
+  const flags = Object.fromEntries(parsed.map(({ name, result }) => [name, result.data]));
+  return { flags: flags as BenchFlags, findings: [...findings, ...unknown] };
+}
--- /dev/null
+++ b/packages/bench/src/experiments/goodputTypes.ts
@@ -0,0 +1,60 @@
+/** The cells of the goodput experiment: scenarios, policies and seeds, and what was measured in each. */
+import type { EngineProfile, InstitutionName } from '../fleet/fleetDescription';
+import type { CapacityEstimate } from '../traffic/capacity';
+import type { FaultKind } from './faults';
+import type { CellResult } from './goodputCell';
+import type { MachineState } from './machine';
+
+export const policyNames = {
+  default: 'default',
+  random: 'random',
+  leastLoaded: 'least-loaded',
+  prefillFirst: 'prefill-first',
+} as const;
+export type PolicyName = (typeof policyNames)[keyof typeof policyNames];
+
+export interface GoodputOptions {
+  institutions: InstitutionName[];
+  /** Shares of capacity, in percent. */
+  loadsPercent: number[];
+  /** Met at 100% of capacity. */
+  faults: FaultKind[];
+  seeds: number[];
+  policies: PolicyName[];
+  seconds: number;
+  /** Entries of each policy. */
+  entryCount: number;
+}
+
+export interface Scenario {
+  loadPercent: number;
+  fault?: FaultKind;
+}
+
+export interface GoodputCell extends Scenario {
+  institution: InstitutionName;
+  policy: PolicyName;
+  seed: number;
+  ratePerSecond: number;
+  result: CellResult;
+}
+
+export interface GoodputFigures {
+  options: GoodputOptions;
+  engine: EngineProfile;
+  capacities: Partial<Record<InstitutionName, CapacityEstimate>>;
+  cells: GoodputCell[];
+  machine: { before: MachineState; after: MachineState };
+}
+
+export function scenariosOf({ loadsPercent, faults }: GoodputOptions): Scenario[] {
+  const byLoad = loadsPercent.filter((loadPercent) => loadPercent > 0);
+  return [
+    ...byLoad.map((loadPercent): Scenario => ({ loadPercent })),
+    ...faults.map((fault): Scenario => ({ loadPercent: 100, fault })),
+  ];
+}
+
+export function scenarioName({ loadPercent, fault }: Scenario): string {
+  return fault === undefined ? `${loadPercent}%` : `${loadPercent}%, ${fault}`;
+}
--- /dev/null
+++ b/packages/bench/src/experiments/overheadFleet.ts
@@ -0,0 +1,79 @@
+/** The fleet and the prompts of the overhead experiment. */
+import { expectedOutput } from '@bluebellhitch/standins';
+import {
+  describeFleet,
+  engineModelOf,
+  institutionNames,
+  modelDocumentOf,
+  type EngineProfile,
+} from '../fleet/fleetDescription';
+import { startFleet, type Fleet } from '../fleet/startFleet';
+import { textOfTokens } from '../traffic/promptText';
+import type { ExperimentContext } from './context';
+
+/** Decodes as fast as the users' aim, with room for all streams, so that nothing ever waits. */
+export const overheadEngine: EngineProfile = {
+  slotCount: 256,
+  capacityKvBytes: 4_000_000_000,
+  kvBytesPerToken: 1_000,
+  stepBaseMs: 28,
+  stepPerStreamMs: 0,
+  prefillBaseMs: 0,
+  prefillMsPerToken: 0.005,
+  linkBytesPerSecond: 4_000_000_000,
+};
+
+const engineCount = 4;
+const service = 'draft-models';
+
+export interface OverheadFleet {
+  fleet: Fleet;
+  service: string;
+  engineModel: string;
+  institution: string;
+  callerAddress: string;
+  entryAdmin: string;
+  engineAddresses: string[];
+  agentAdmins: string[];
+}
+
+/** One entry before a few engines that prefill and decode, each with its agent. */
+export async function startOverheadFleet(context: ExperimentContext): Promise<OverheadFleet> {
+  const description = await describeFleet({
+    ...context,
+    institution: institutionNames.halloranVoss,
+    engine: overheadEngine,
+    workers: { [service]: { both: engineCount } },
+  });
+  const fleet = await startFleet({
+    ...context,
+    description,
+    entryGroups: [{ name: 'default', count: 1, settings: {} }],
+  });
+  const [entry] = fleet.entries;
+  return {
+    fleet,
+    service,
+    engineModel: engineModelOf(modelDocumentOf(description)),
+    institution: description.institution,
+    callerAddress: entry?.callerAddress ?? '',
+    entryAdmin: entry?.adminAddress ?? '',
+    engineAddresses: fleet.backends().map(({ address }) => address),
+    agentAdmins: fleet.backends().map(({ agentAdminAddress }) => agentAdminAddress),
+  };
+}
+
+/** A prompt that no other label has, and whose answer is at least `outputTokens` long. */
+export function promptWithOutput(
+  label: string,
+  model: string,
+  promptTokens: number,
+  outputTokens: number,
+): string {
+  for (let attempt = 0; ; attempt += 1) {
+    const prompt = textOfTokens(`${label} ${attempt}`, promptTokens);
+    if (expectedOutput(prompt, model).tokenCount >= outputTokens) {
+      return prompt;
+    }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/fleet/controlCalls.ts
@@ -0,0 +1,57 @@
+/** What operators, the platform and faults do at the stand-ins' control endpoints. */
+import { request } from 'undici';
+
+/** Sends a JSON body; throws on any answer but success. */
+export async function sendJson(
+  method: 'POST' | 'PUT' | 'DELETE',
+  url: string,
+  body: object,
+): Promise<void> {
+  const response = await request(url, {
+    method,
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+  });
+  const text = await response.body.text();
+  if (response.statusCode >= 300) {
+    throw new Error(`${method} ${url}: ${response.statusCode} ${text}`);
+  }
+}
+
+/** Reads a JSON answer; throws on any answer but success. */
+export async function readJson(url: string): Promise<unknown> {
+  const response = await request(url);
+  const text = await response.body.text();
+  if (response.statusCode >= 300) {
+    throw new Error(`GET ${url}: ${response.statusCode} ${text}`);
+  }
+  return JSON.parse(text) as unknown;
+}
+
+/** Stores a service's document as operators do. */
+export function applyDocument(platformUrl: string, service: string, text: string): Promise<void> {
+  const value = { text, format: 'yaml' };
+  return sendJson('POST', `${platformUrl}/objects/document/${service}`, { value });
+}
+
+export interface ListedInstance {
+  kind: 'entry' | 'agent';
+  service?: string;
+  role?: string;
+  dataCentre: string;
+  innerAddress: string;
+}
+
+/** Lists a process as a live instance. */
+export function registerInstance(
+  platformUrl: string,
+  id: string,
+  instance: ListedInstance,
+): Promise<void> {
+  return sendJson('PUT', `${platformUrl}/control/instances/${id}`, { ...instance, state: 'live' });
+}
+
+/** Takes a process off the instance list, as the platform does some time after its death. */
+export function removeInstance(platformUrl: string, id: string): Promise<void> {
+  return sendJson('DELETE', `${platformUrl}/control/instances/${id}`, {});
+}
--- /dev/null
+++ b/packages/bench/src/fleet/fleetDescription.ts
@@ -0,0 +1,116 @@
+/** What a fleet consists of: the documents of an institution and the backend servers behind them. */
+import { readdir, readFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { parse } from 'yaml';
+import { serviceDocumentSchema, type ServiceDocument } from '@bluebellhitch/document';
+
+/** Settings of the stand-in engine; absent ones keep its own defaults. */
+export interface EngineProfile {
+  slotCount: number;
+  capacityKvBytes: number;
+  kvBytesPerToken: number;
+  /** A decode step of n streams takes `stepBaseMs + n * stepPerStreamMs`. */
+  stepBaseMs: number;
+  stepPerStreamMs: number;
+  prefillBaseMs: number;
+  prefillMsPerToken: number;
+  linkBytesPerSecond: number;
+}
+
+export type WorkerCounts = Partial<Record<'prefill' | 'decode' | 'both' | 'plain', number>>;
+
+export interface ServiceFile {
+  text: string;
+  document: ServiceDocument;
+}
+
+export interface BackendDescription {
+  id: string;
+  document: ServiceDocument;
+  role: string;
+  dataCentre: string;
+}
+
+export interface FleetDescription {
+  institution: InstitutionName;
+  services: ServiceFile[];
+  backends: BackendDescription[];
+  dataCentres: string[];
+  engine: EngineProfile;
+}
+
+export const institutionNames = { halloranVoss: 'halloran-voss', sahlat: 'sahlat' } as const;
+export type InstitutionName = (typeof institutionNames)[keyof typeof institutionNames];
+
+/** Workers that each institution runs today. */
+const todaysWorkers: Record<string, WorkerCounts> = {
+  'draft-models': { prefill: 5, decode: 8 },
+  'counter-app': { plain: 3 },
+  'tread-scribe': { prefill: 2, decode: 4 },
+  'pit-desk': { plain: 3 },
+};
+
+export interface DescribeFleetOptions {
+  /** Directory with one directory of documents an institution. */
+  examplesDirectory: string;
+  institution: InstitutionName;
+  engine: EngineProfile;
+  /** By service, in place of today's counts; services without workers are left out. */
+  workers?: Record<string, WorkerCounts>;
+}
+
+/** Reads an institution's documents and lists the backend servers to start for them. */
+export async function describeFleet(options: DescribeFleetOptions): Promise<FleetDescription> {
+  const { examplesDirectory, institution, engine, workers = todaysWorkers } = options;
+  const files = await readServiceFiles(join(examplesDirectory, institution));
+  const services = files.filter(({ document }) => workers[document.service] !== undefined);
+  return {
+    institution,
+    services,
+    engine,
+    dataCentres: services[0]?.document.dataCentres ?? [],
+    backends: services.flatMap(({ document }) =>
+      backendsOf(document, workers[document.service] ?? {}),
+    ),
+  };
+}
+
+async function readServiceFiles(directory: string): Promise<ServiceFile[]> {
+  const names = (await readdir(directory)).filter((name) => name.endsWith('.yaml')).sort();
+  return Promise.all(
+    names.map(async (name) => {
+      const text = await readFile(join(directory, name), 'utf8');
+      return { text, document: serviceDocumentSchema.parse(parse(text)) };
+    }),
+  );
+}
+
+function backendsOf(document: ServiceDocument, counts: WorkerCounts): BackendDescription[] {
+  const { service, dataCentres } = document;
+  return Object.entries(counts)
+    .flatMap(([role, count]) => Array.from({ length: count }, (_, index) => ({ role, index })))
+    .map(({ role, index }, position) => ({
+      id: `${service}-${role}-${index + 1}`,
+      document,
+      role,
+      dataCentre: dataCentres[position % dataCentres.length] ?? 'unknown',
+    }));
+}
+
+/** The one model service of a fleet. */
+export function modelDocumentOf({ services }: FleetDescription): ServiceDocument {
+  const found = services.find(({ document }) => document.kind === 'model');
+  if (found === undefined) {
+    throw new Error('the fleet has no model service');
+  }
+  return found.document;
+}
+
+/** Name of the model that the engines of a service run. */
+export function engineModelOf(document: ServiceDocument): string {
+  const [model] = document.models;
+  if (model === undefined) {
+    throw new Error(`${document.service} names no model`);
+  }
+  return model.name;
+}
