--- a/packages/decisions/__tests__/loadHints.test.ts
+++ b/packages/decisions/__tests__/loadHints.test.ts
@@ -6,7 +6,8 @@
   const hints = createLoadHints({ halfLifeMs: 500 });
   hints.record('full', loadHint({ freeKvBytes: 0 }), 0);
   hints.record('empty', loadHint({ freeKvBytes: 100 }), 0);
-  const gapAt = (nowMs: number) => hints.pressure('full', nowMs) - hints.pressure('empty', nowMs);
+  const gapAt = (nowMs: number) =>
+    hints.outlook('full', nowMs).pressure - hints.outlook('empty', nowMs).pressure;
   t.is(gapAt(0), 1);
   t.is(gapAt(500), 0.5);
   t.true(gapAt(10_000) < 0.001);
--- a/packages/decisions/src/candidates.ts
+++ b/packages/decisions/src/candidates.ts
@@ -65,6 +65,11 @@
 export type SelectCandidatesOptions = CandidateSelectorOptions &
   Omit<CandidateQuery, 'membershipVersion'>;
 
+interface Assessed {
+  instance: CandidateInstance;
+  pressure: number;
+}
+
 interface NeedPools {
   local: WorkerPool;
   remote: WorkerPool;
@@ -82,13 +87,14 @@
 export function createCandidateSelector(options: CandidateSelectorOptions): CandidateSelector {
   const { hints, random, count = 3, loadBound = 1.25, spillWaitMs = 40 } = options;
   let pools = new Map<WorkerNeed, NeedPools>();
-  let poolsVersion: string | undefined;
+  let membershipVersion: number | undefined;
+  let roleRevision: number | undefined;
 
   function poolsFor(query: CandidateQuery): NeedPools {
-    const version = `${query.membershipVersion}/${hints.roleRevision()}`;
-    if (version !== poolsVersion) {
+    if (query.membershipVersion !== membershipVersion || hints.roleRevision() !== roleRevision) {
       pools = new Map();
-      poolsVersion = version;
+      membershipVersion = query.membershipVersion;
+      roleRevision = hints.roleRevision();
     }
     const known = pools.get(query.need) ?? buildPools(query, options);
     pools.set(query.need, known);
@@ -115,55 +121,52 @@
     wanted: number,
     reason: CandidateReason,
   ): Candidate[] {
-    const { excluded, nowMs } = query;
-    const usable = ({ id }: CandidateInstance) => !excluded?.has(id) && !hints.isLeaving(id, nowMs);
-    const subset = pool.subset.filter(usable);
-    const home = findHome(pool, subset, query, usable);
-    const rest = subset.filter((instance) => instance !== home);
-    const picks = pickByPressure(rest, home === undefined ? wanted : wanted - 1, nowMs);
+    const members = assess(pool.subset, query);
+    const home = findHome(pool, members, query);
+    const others = members.filter(({ instance }) => instance.id !== home?.id);
+    const picks = pickByPressure(others, home === undefined ? wanted : wanted - 1);
     const homeReason =
       reason === candidateReasons.remote ? candidateReasons.remote : candidateReasons.prefixHome;
     return [
       ...(home === undefined ? [] : [toCandidate(home, homeReason)]),
-      ...picks.map((instance) => toCandidate(instance, reason)),
+      ...picks.map(({ instance }) => toCandidate(instance, reason)),
     ];
   }
 
+  /** The instances that may take the request, with their expected pressure. */
+  function assess(instances: readonly CandidateInstance[], query: CandidateQuery): Assessed[] {
+    const { excluded, nowMs } = query;
+    return instances.flatMap((instance) => {
+      const { pressure, leaving } = hints.outlook(instance.id, nowMs);
+      return leaving || excluded?.has(instance.id) ? [] : { instance, pressure };
+    });
+  }
+
   /** The first worker in the key's rendezvous order that is not overloaded. */
   function findHome(
     pool: WorkerPool,
-    subset: readonly CandidateInstance[],
+    members: readonly Assessed[],
     query: CandidateQuery,
-    usable: (instance: CandidateInstance) => boolean,
   ): CandidateInstance | undefined {
     if (query.key === undefined) {
       return undefined;
     }
-    const pressures = subset.map(({ id }) => hints.pressure(id, query.nowMs));
-    const average = pressures.reduce((sum, value) => sum + value, 0) / Math.max(1, subset.length);
-    const bound = average === 0 ? Infinity : loadBound * average;
-    const homes = pool.homes(hash32(query.key)).filter(usable);
-    return homes.find(({ id }) => hints.pressure(id, query.nowMs) <= bound) ?? homes[0];
+    const total = members.reduce((sum, { pressure }) => sum + pressure, 0);
+    const bound = total === 0 ? Infinity : (loadBound * total) / members.length;
+    const homes = assess(pool.homes(hash32(query.key)), query);
+    return (homes.find(({ pressure }) => pressure <= bound) ?? homes[0])?.instance;
   }
 
   /** Repeats: take two at random, keep the one under less pressure. */
-  function pickByPressure(
-    members: readonly CandidateInstance[],
-    wanted: number,
-    nowMs: number,
-  ): CandidateInstance[] {
-    const remaining = members.map((instance) => ({
-      instance,
-      pressure: hints.pressure(instance.id, nowMs),
-    }));
+  function pickByPressure(members: readonly Assessed[], wanted: number): Assessed[] {
+    const remaining = [...members];
     const randomIndex = () => Math.floor(random() * remaining.length);
     return Array.from({ length: Math.min(wanted, members.length) }, () => {
-      const pair = [randomIndex(), randomIndex()];
-      const [lighter = 0] = pair.sort(
-        (left, right) => pressureAt(remaining, left) - pressureAt(remaining, right),
-      );
+      const first = randomIndex();
+      const other = randomIndex();
+      const lighter = pressureAt(remaining, first) <= pressureAt(remaining, other) ? first : other;
       return remaining.splice(lighter, 1);
-    }).flatMap((picked) => picked.map(({ instance }) => instance));
+    }).flat();
   }
 
   return { select };
@@ -187,7 +190,7 @@
   };
 }
 
-function pressureAt(members: readonly { pressure: number }[], index: number): number {
+function pressureAt(members: readonly Assessed[], index: number): number {
   return members[index]?.pressure ?? Infinity;
 }
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -52,6 +52,7 @@
   createLoadHints,
   loadPressure,
   type AgedHint,
+  type InstanceOutlook,
   type LoadHints,
   type LoadHintsOptions,
 } from './loadHints';
--- a/packages/decisions/src/loadHints.ts
+++ b/packages/decisions/src/loadHints.ts
@@ -21,15 +21,19 @@
   freshness: number;
 }
 
+export interface InstanceOutlook {
+  /** Expected pressure on the instance, see `loadPressure`; the average where nothing is known. */
+  pressure: number;
+  /** Whether the instance said lately that it takes no new work. */
+  leaving: boolean;
+}
+
 export interface LoadHints {
   record(instanceId: string, hint: LoadHint, nowMs: number): void;
   get(instanceId: string, nowMs: number): AgedHint | undefined;
-  /** Expected pressure on the instance, see `loadPressure`; the average where nothing is known. */
-  pressure(instanceId: string, nowMs: number): number;
+  outlook(instanceId: string, nowMs: number): InstanceOutlook;
   /** Whether a recent hint says that new work would wait longer than `waitMs`. */
   isSaturated(instanceId: string, waitMs: number, nowMs: number): boolean;
-  /** Whether a recent hint says that the instance takes no new work. */
-  isLeaving(instanceId: string, nowMs: number): boolean;
   /** The role that the instance itself reported last; the instance list lags behind it. */
   role(instanceId: string): WorkerRole | undefined;
   /** Changes whenever an instance reports another role than before. */
@@ -41,6 +45,7 @@
 
 interface RecordedHint {
   hint: LoadHint;
+  pressure: number;
   recordedAtMs: number;
 }
 
@@ -54,6 +59,8 @@
   const averagePressure = createRunningEstimate({ smoothing: 0.05, initialMean: 0.5 });
   let roleRevision = 0;
 
+  const freshnessAt = (ageMs: number) => 0.5 ** (ageMs / halfLifeMs);
+
   function record(instanceId: string, hint: LoadHint, nowMs: number): void {
     const before = recorded.get(instanceId);
     if (before !== undefined && before.recordedAtMs > nowMs) {
@@ -62,8 +69,9 @@
     if (before?.hint.role !== hint.role) {
       roleRevision += 1;
     }
-    recorded.set(instanceId, { hint, recordedAtMs: nowMs });
-    averagePressure.observe(loadPressure(hint));
+    const pressure = loadPressure(hint);
+    recorded.set(instanceId, { hint, pressure, recordedAtMs: nowMs });
+    averagePressure.observe(pressure);
   }
 
   function get(instanceId: string, nowMs: number): AgedHint | undefined {
@@ -72,16 +80,20 @@
       return undefined;
     }
     const ageMs = Math.max(0, nowMs - entry.recordedAtMs);
-    return { hint: entry.hint, ageMs, freshness: 0.5 ** (ageMs / halfLifeMs) };
+    return { hint: entry.hint, ageMs, freshness: freshnessAt(ageMs) };
   }
 
-  function pressure(instanceId: string, nowMs: number): number {
-    const aged = get(instanceId, nowMs);
-    if (aged === undefined) {
-      return averagePressure.mean();
+  function outlook(instanceId: string, nowMs: number): InstanceOutlook {
+    const entry = recorded.get(instanceId);
+    if (entry === undefined) {
+      return { pressure: averagePressure.mean(), leaving: false };
     }
-    const known = aged.freshness * loadPressure(aged.hint);
-    return known + (1 - aged.freshness) * averagePressure.mean();
+    const ageMs = Math.max(0, nowMs - entry.recordedAtMs);
+    const freshness = freshnessAt(ageMs);
+    return {
+      pressure: freshness * entry.pressure + (1 - freshness) * averagePressure.mean(),
+      leaving: entry.hint.leaving && ageMs < leavingLifetimeMs,
+    };
   }
 
   function isSaturated(instanceId: string, waitMs: number, nowMs: number): boolean {
@@ -89,17 +101,11 @@
     return aged !== undefined && aged.freshness > recentFreshness && aged.hint.queueWaitMs > waitMs;
   }
 
-  function isLeaving(instanceId: string, nowMs: number): boolean {
-    const aged = get(instanceId, nowMs);
-    return aged !== undefined && aged.hint.leaving && aged.ageMs < leavingLifetimeMs;
-  }
-
   return {
     record,
     get,
-    pressure,
+    outlook,
     isSaturated,
-    isLeaving,
     role: (instanceId) => recorded.get(instanceId)?.hint.role,
     roleRevision: () => roleRevision,
     forget: (instanceId) => {
