Count the output limit of a resumed answer from where it resumes

A letter that continued on another server ended too early: the entry sends the tokens still to come, and the stand-in engine took the number as the total.

Ruled out: frames lost on the way (the guard reported no gap) and the entry's own count, which agrees with the memory that it reserves. The contract said neither; it says now that the tokens to come count.

--- a/packages/engine/src/engineApi.ts
+++ b/packages/engine/src/engineApi.ts
@@ -54,6 +54,7 @@
   prompt: string;
   /** Decode from KV cache imported under this attempt id; otherwise the engine prefills itself. */
   imported: boolean;
+  /** Of the tokens to come: those that `ResumeInput.emitted` holds are not counted. */
   maxOutputTokens: number;
   priority: number;
 }
--- a/packages/standins/__tests__/standinEngine.test.ts
+++ b/packages/standins/__tests__/standinEngine.test.ts
@@ -187,6 +187,17 @@
   t.is(wrong._unsafeUnwrapErr().kind, 'failed');
 });
 
+test('the output limit of a resumed answer counts the tokens to come', async (t) => {
+  const engine = createStandinEngine();
+  const expected = expectedOutput(prompt, model);
+  const emitted = { tokenCount: 7, text: expected.text(7) };
+  const resumed = await engine.resume({ ...decodeInput('a'), maxOutputTokens: 5, emitted });
+  const { chunks } = read(resumed._unsafeUnwrap());
+  await t.context.clock.tickAsync(1_000);
+  t.is(emitted.text + textOf(chunks), expected.text(12));
+  t.like(chunks.at(-1), { kind: 'end', offset: 12, finishReason: 'length' });
+});
+
 test('a transfer takes its time, and its memory passes to the decode', async (t) => {
   const { clock } = t.context;
   const { connectPeer, add } = createPeerDirectory();
--- a/packages/standins/src/engine/engineRuns.ts
+++ b/packages/standins/src/engine/engineRuns.ts
@@ -187,7 +187,7 @@
     if (imported && claimed === undefined) {
       return err({ kind: 'gone', detail: `no finished import for attempt ${attemptId}` });
     }
-    const output = expectedOutput(input.prompt, input.model, input.maxOutputTokens);
+    const output = expectedOutput(input.prompt, input.model, emittedTokens + input.maxOutputTokens);
     const chunks = createChunkQueue<EngineChunk>();
     const sequence = newSequence('decode', input);
     const run: Run = { sequence, unusedTokens: 0, breakOff: () => chunks.end() };
@@ -241,7 +241,11 @@
       startDecode({ input, imported: input.imported, emittedTokens: 0 }, signal),
     resume: (input, signal) => {
       const { tokenCount: emittedTokens, text } = input.emitted;
-      const output = expectedOutput(input.prompt, input.model, input.maxOutputTokens);
+      const output = expectedOutput(
+        input.prompt,
+        input.model,
+        emittedTokens + input.maxOutputTokens,
+      );
       if (emittedTokens > output.tokenCount || output.text(emittedTokens) !== text) {
         return err({ kind: 'failed', detail: 'the emitted text is not a prefix of the output' });
       }
