Run scenarios of failures in a small world, and the first ones about leases

A world holds the real entries and agents in one process with paused time, joined by direct calls, beside the stand-ins of engines and platform. Timers belong to the process that set them, so that one process can be paused or crash while the others go on. Scenarios are YAML files, checked with all findings together; a file names the safeguards without which it must fail, and the test runs it without each.

Seen to fail: without lease expiry, memory stays held 2 s after an entry vanished or was paused; without the engine's list as the judge of a cancel, after a failed cancel and after a restart of the agent.

--- /dev/null
+++ b/packages/scenarios/src/language/requestStage.ts
@@ -0,0 +1,31 @@
+/** How far a model request has come. */
+import type { World } from '../world/world';
+import { find } from './lookups';
+import type { requestStages } from './scenarioSchema';
+
+export type RequestStage = (typeof requestStages)[number];
+
+/** Whether the request is at the stage now; `mid-stream`: some tokens have come, not all. */
+export function isAtStage(world: World, requestName: string, stage: RequestStage): boolean {
+  const sent = find(world.requests, requestName);
+  switch (stage) {
+    case 'first-token':
+      return sent.tokenCount >= 1;
+    case 'mid-stream':
+      return sent.tokenCount >= 3;
+    case 'answered':
+      return sent.answer !== undefined;
+    case 'queued':
+      return [...world.agents.values()].some((agent) => agent.agent().load().queuedCount > 0);
+    default:
+      return leaseStates(world, requestName).includes(stage);
+  }
+}
+
+function leaseStates(world: World, requestName: string): string[] {
+  return [...world.agents.values()]
+    .filter((agent) => agent.process().state() !== 'crashed')
+    .flatMap((agent) => agent.agent().books.table.leases())
+    .filter(({ attemptId }) => world.requestOf(attemptId) === requestName)
+    .map(({ state }) => state);
+}
--- /dev/null
+++ b/packages/scenarios/src/world/world.ts
@@ -0,0 +1,218 @@
+/**
+ * A small world of real entries and agents in one process with paused time, beside stand-ins of the
+ * engines and the platform. No sockets: see `agentLink`.
+ */
+import type { ServiceDocument } from '@bluebellhitch/document';
+import { objectKinds } from '@bluebellhitch/platform';
+import type { WorkerRole } from '@bluebellhitch/protocol';
+import { createSeededRandom, invariant, monotonicNowMs } from '@bluebellhitch/shared';
+import {
+  createPeerDirectory,
+  createStandinPlatform,
+  type StandinEngineOptions,
+  type StandinPlatform,
+} from '@bluebellhitch/standins';
+import { callEntry, type CallerRequest, type SentRequest } from './callers';
+import { createInvariantChecks, type InvariantChecks } from './invariants';
+import { createNetwork, type Network } from './network';
+import type { Safeguard } from './safeguards';
+import { outside, type SimulatedProcess } from './simulatedProcess';
+import { createWorldAgent, type WorldAgent } from './worldAgent';
+import { createWorldEntry, type WorldEntry } from './worldEntry';
+import { createWorldTime, type PausedClock, type WorldTime } from './worldTime';
+
+export interface WorldService {
+  document: ServiceDocument;
+  /** One agent with its engine for each role. */
+  workers: readonly WorkerRole[];
+  engine?: StandinEngineOptions;
+}
+
+export interface WorldOptions {
+  clock: PausedClock;
+  entryCount: number;
+  services: readonly WorldService[];
+  seed?: number;
+  instanceLagMs?: number;
+  without?: readonly Safeguard[];
+}
+
+export interface World {
+  time: WorldTime;
+  platform: StandinPlatform;
+  network: Network;
+  entries: ReadonlyMap<string, WorldEntry>;
+  /** By the agent's id. */
+  agents: ReadonlyMap<string, WorldAgent>;
+  /** By name, in the order in which they were sent. */
+  requests: ReadonlyMap<string, SentRequest>;
+  /** The request that an attempt belongs to. */
+  requestOf(attemptId: string): string | undefined;
+  checks: InvariantChecks;
+  /** Resolves when all processes know each other. */
+  start(): Promise<void>;
+  send(entryId: string, request: CallerRequest): SentRequest;
+  /** Writes an accepted document straight to the platform. */
+  putAccepted(document: ServiceDocument, generation: number): Promise<void>;
+  close(): void;
+}
+
+const platformLatencyMs = 4;
+const settleMs = 1_500;
+const ghostHeartbeatMs = 200;
+
+export function createWorld(options: WorldOptions): World {
+  const { services, seed = 1, without = [] } = options;
+  const time = createWorldTime(options.clock);
+  const random = createSeededRandom(seed);
+  const platform = createStandinPlatform({
+    latencyMs: platformLatencyMs,
+    instanceLagMs: options.instanceLagMs ?? 0,
+    random,
+  });
+  const network = createNetwork();
+  const peers = createPeerDirectory();
+  const requests = new Map<string, SentRequest>();
+  const attemptOwners = new Map<string, string>();
+  const isWithout = (safeguard: Safeguard) => without.includes(safeguard);
+  const agents = new Map(createAgents().map((agent) => [agent.instance.id, agent]));
+  const entries = new Map(createEntries().map((entry) => [entry.instance.id, entry]));
+  const checks = createInvariantChecks({
+    agents: [...agents.values()],
+    requests,
+    requestOf: (attemptId) => attemptOwners.get(attemptId),
+  });
+
+  function createAgents(): WorldAgent[] {
+    const wanted = services.flatMap(({ document, workers, engine }) =>
+      workers.map((role, index) => ({ document, role, engine, index })),
+    );
+    return wanted.map(({ document, role, engine, index }, position) => {
+      const id = `agent-${position + 1}`;
+      const { dataCentres, models, service } = document;
+      const agent = createWorldAgent({
+        id,
+        engineId: `engine-${position + 1}`,
+        service,
+        model: models[0]?.name ?? '',
+        role,
+        dataCentre: dataCentres[index % dataCentres.length] as string,
+        engine,
+        platform,
+        connectPeer: peers.connectPeer,
+        isWithout,
+        onGeneration: (process, generation) => checks?.onGeneration(process, service, generation),
+        onGrant: (requestId, attemptId) => attemptOwners.set(attemptId, requestId),
+      });
+      peers.add(`http://${id}`, {
+        openExport: (...input) => agent.engine().openExport(...input),
+      });
+      return agent;
+    });
+  }
+
+  function createEntries(): WorldEntry[] {
+    const dataCentres = services.flatMap(({ document }) => document.dataCentres);
+    return Array.from({ length: options.entryCount }, (_, index) =>
+      createWorldEntry({
+        id: `entry-${index + 1}`,
+        dataCentre: dataCentres[index % dataCentres.length] as string,
+        platform,
+        network,
+        random,
+        isWithout,
+        agentAt: (address) => {
+          const found = agents.get(address.replace('http://', ''));
+          return found && { id: found.instance.id, process: found.process(), agent: found.agent() };
+        },
+        onGeneration: (process, service, generation) =>
+          checks?.onGeneration(process, service, generation),
+        tellPeers: (strikes) =>
+          [...entries.values()]
+            .map((entry) => entry.core())
+            .filter(({ process }) => process.state() === 'running')
+            .forEach((core) => core.process.run(() => core.strikes.receive(strikes))),
+      }),
+    );
+  }
+
+  async function putAccepted(document: ServiceDocument, generation: number): Promise<void> {
+    const { service } = document;
+    const value = {
+      ...{ generation, documentVersion: generation, document },
+      acceptedAt: new Date().toISOString(),
+    };
+    const current = await complete(platform.get(objectKinds.accepted, service));
+    const written = await complete(
+      current.isOk()
+        ? platform.update(objectKinds.accepted, service, current.value.version, value)
+        : platform.create(objectKinds.accepted, service, value),
+    );
+    invariant(written.isOk(), 'the world writes its documents while the platform is up');
+  }
+
+  /** Advances time until a call of the world itself is answered. */
+  async function complete<Value>(call: PromiseLike<Value>): Promise<Value> {
+    let isAnswered = false;
+    const answer = Promise.resolve(call).finally(() => {
+      isAnswered = true;
+    });
+    while (!isAnswered) {
+      await time.advance(1);
+    }
+    return answer;
+  }
+
+  /** Without lease expiry: somebody renews the leases of every entry that ever ran. */
+  function renewForever(): void {
+    const beat = (agent: WorldAgent, entryId: string, entryIncarnation: string) =>
+      agent.process().state() === 'running' &&
+      agent.process().run(() => agent.agent().handlers.heartbeat({ entryId, entryIncarnation }));
+    setInterval(() => {
+      [...agents.values()].forEach((agent) =>
+        [...entries.values()].forEach(({ instance, incarnations }) =>
+          incarnations.forEach((incarnation) => beat(agent, instance.id, incarnation)),
+        ),
+      );
+    }, ghostHeartbeatMs);
+  }
+
+  async function start(): Promise<void> {
+    [...agents.values(), ...entries.values()].forEach(({ instance }) =>
+      platform.control.putInstance(instance),
+    );
+    for (const { document } of services) {
+      await putAccepted(document, 1);
+    }
+    if (isWithout('lease-expiry')) {
+      outside(renewForever);
+    }
+    await time.advance(settleMs + (options.instanceLagMs ?? 0));
+  }
+
+  return {
+    time,
+    platform,
+    network,
+    entries,
+    agents,
+    requests,
+    requestOf: (attemptId) => attemptOwners.get(attemptId),
+    checks,
+    start,
+    send: (entryId, request) => {
+      const entry = entries.get(entryId);
+      invariant(entry !== undefined, `there is no ${entryId}`);
+      invariant(!requests.has(request.name), `${request.name} has been sent before`);
+      const sent = callEntry({ core: entry.core(), request, latencyMs: 1 });
+      requests.set(request.name, sent);
+      return sent;
+    },
+    putAccepted,
+    close: time.close,
+  };
+}
+
+/** Monotonic time of the world. */
+export const worldNowMs = monotonicNowMs;
+export type { SimulatedProcess };
--- /dev/null
+++ b/packages/scenarios/src/world/worldAgent.ts
@@ -0,0 +1,177 @@
+/** An agent and the stand-in engine beside it, over all restarts of either. */
+import { createAgent, type Agent } from '@bluebellhitch/agent';
+import type { AcceptedDocument } from '@bluebellhitch/document';
+import { objectKinds, type PlatformApi, type PlatformInstance } from '@bluebellhitch/platform';
+import type { OrderReply, OrderRequest, WorkerRole } from '@bluebellhitch/protocol';
+import { monotonicNowMs } from '@bluebellhitch/shared';
+import {
+  createStandinEngine,
+  type KvPeer,
+  type StandinEngine,
+  type StandinEngineOptions,
+} from '@bluebellhitch/standins';
+import { okAsync, errAsync } from 'neverthrow';
+import { gateEngine, gatePlatform } from './gates';
+import { followAccepted } from './platformView';
+import type { Safeguard } from './safeguards';
+import { createSimulatedProcess, type SimulatedProcess } from './simulatedProcess';
+
+export interface WorldAgentOptions {
+  id: string;
+  engineId: string;
+  service: string;
+  model: string;
+  role: WorkerRole;
+  dataCentre: string;
+  engine?: StandinEngineOptions;
+  platform: PlatformApi;
+  connectPeer: (kvAddress: string) => KvPeer;
+  isWithout: (safeguard: Safeguard) => boolean;
+  /** Called with each generation that the agent has in force. */
+  onGeneration: (process: SimulatedProcess, generation: number) => void;
+  onGrant: (requestId: string, attemptId: string) => void;
+}
+
+export interface WorldAgent {
+  instance: PlatformInstance;
+  engineId: string;
+  /** The process and the agent of now. */
+  process(): SimulatedProcess;
+  agent(): Agent;
+  engineProcess: SimulatedProcess;
+  engine(): StandinEngine;
+  /** All engines that ran here, the one of now last. */
+  engines(): readonly StandinEngine[];
+  /** Monotonic times of reservations granted. */
+  grantTimesMs: readonly number[];
+  leavingSinceMs(): number | undefined;
+  order(request: OrderRequest): Promise<OrderReply>;
+  crash(): void;
+  /** Starts a new process in place of one that crashed or was told to leave. */
+  restart(): void;
+  leave(): void;
+  restartEngine(): void;
+}
+
+const linkBytesPerSecond = 4_000_000_000;
+
+export function createWorldAgent(options: WorldAgentOptions): WorldAgent {
+  const { id, engineId, service, dataCentre, role, isWithout } = options;
+  const innerAddress = `http://${id}`;
+  const engineProcess = createSimulatedProcess(engineId);
+  const engines: StandinEngine[] = [];
+  const grantTimesMs: number[] = [];
+  let startCount = 0;
+  let leavingSinceMs: number | undefined;
+  let current: { process: SimulatedProcess; agent: Agent };
+
+  const engine = () => engines.at(-1) as StandinEngine;
+
+  function startEngine(): void {
+    const { model, connectPeer } = options;
+    const settings = { models: [{ model, version: '1' }], ...options.engine, role, connectPeer };
+    engines.push(engineProcess.run(() => createStandinEngine(settings)));
+  }
+
+  function start(): void {
+    startCount += 1;
+    const incarnation = `${id}.${startCount}`;
+    const process = createSimulatedProcess(id);
+    const platform = gatePlatform(process, options.platform);
+    current = { process, agent: process.run(() => startAgent(incarnation, process, platform)) };
+  }
+
+  function startAgent(
+    incarnation: string,
+    process: SimulatedProcess,
+    platform: PlatformApi,
+  ): Agent {
+    const gated = gateEngine({ caller: process, callee: engineProcess, engine });
+    const agent = createAgent({
+      instanceId: id,
+      service,
+      incarnation,
+      backend: {
+        kind: 'model',
+        engine: isWithout('engine-list') ? { ...gated, streams: () => okAsync([]) } : gated,
+        kvAddress: innerAddress,
+        kvRateBytesPerSecond: linkBytesPerSecond,
+      },
+      initialRole: role,
+      readFencingNumber: () => readOrderFencing(platform, service),
+      random: () => 0.5,
+    });
+    void agent.start();
+    followAccepted({
+      platform,
+      signal: process.gone,
+      onValue: (value) => {
+        agent.applyDocument(value as AcceptedDocument);
+        options.onGeneration(process, agent.config().generation);
+      },
+    });
+    return { ...agent, handlers: countGrants(agent) };
+  }
+
+  function countGrants({ handlers }: Agent): Agent['handlers'] {
+    return {
+      ...handlers,
+      reserve: async (request, signal) => {
+        const reply = await handlers.reserve(request, signal);
+        if (reply.kind === 'granted') {
+          grantTimesMs.push(monotonicNowMs());
+          options.onGrant(request.requestId, request.attemptId);
+        }
+        return reply;
+      },
+    };
+  }
+
+  async function order(request: OrderRequest): Promise<OrderReply> {
+    const { process, agent } = current;
+    await process.turn();
+    if (!isWithout('order-guard')) {
+      return process.run(() => agent.handlers.order(request));
+    }
+    const done = await engineProcess.run(() => engine().order(request.order, 0));
+    return done.isOk() ? { kind: 'done' } : { kind: 'failed', detail: 'engine', effect: 'unknown' };
+  }
+
+  startEngine();
+  start();
+  return {
+    instance: { id, kind: 'agent', service, role, dataCentre, innerAddress, state: 'live' },
+    engineId,
+    process: () => current.process,
+    agent: () => current.agent,
+    engineProcess,
+    engine,
+    engines: () => engines,
+    grantTimesMs,
+    leavingSinceMs: () => leavingSinceMs,
+    order,
+    crash: () => current.process.crash(),
+    restart: () => {
+      current.process.crash();
+      leavingSinceMs = undefined;
+      start();
+    },
+    leave: () => {
+      leavingSinceMs = monotonicNowMs();
+      if (!isWithout('leaving-refusal')) {
+        current.process.run(current.agent.leave);
+      }
+    },
+    restartEngine: () => {
+      engine().crash();
+      startEngine();
+    },
+  };
+}
+
+function readOrderFencing(platform: PlatformApi, service: string) {
+  return platform
+    .get(objectKinds.lease, `orders/${service}`)
+    .map(({ value }) => (value as { fencingNumber: number }).fencingNumber)
+    .orElse((error) => (error.kind === 'not-found' ? okAsync(0) : errAsync(error)));
+}
