Follow accepted documents, and test the inner port and plain calls

Cause: class weights, slots and drain came from defaults only, and the agent's HTTP side had been tried by hand.

Tests over loopback: a closed connection cancels a stream and leaves the queue, a slow receiver holds the engine back, answers in progress outlive the closing of the port, a plain call is passed on once and is told as not run only where the connection was refused.

--- a/packages/agent/__tests__/helpers/fakeEngine.ts
+++ b/packages/agent/__tests__/helpers/fakeEngine.ts
@@ -80,11 +80,12 @@
     signal?: AbortSignal,
   ): AsyncGenerator<EngineChunk> {
     const { attemptId, maxOutputTokens } = input;
+    const endOffset = firstOffset + maxOutputTokens;
     const ends = AbortSignal.any([life.signal, ...(signal === undefined ? [] : [signal])]);
     if (faults.chunks !== undefined) {
       yield* faults.chunks;
     }
-    for (let offset = firstOffset; offset < maxOutputTokens; offset += 1) {
+    for (let offset = firstOffset; offset < endOffset; offset += 1) {
       await delay(stepMs, ends);
       if (ends.aborted || !holdings.has(attemptId)) {
         return;
@@ -92,7 +93,7 @@
       yield { kind: 'token', attemptId, offset, text: ` t${offset}` };
     }
     holdings.delete(attemptId);
-    yield { kind: 'end', attemptId, offset: maxOutputTokens, finishReason: 'length' };
+    yield { kind: 'end', attemptId, offset: endOffset, finishReason: 'length' };
   }
 
   function decodeFrom(
--- /dev/null
+++ b/packages/agent/__tests__/innerServer.test.ts
@@ -0,0 +1,114 @@
+import test from 'ava';
+import { delay } from '@bluebellhitch/shared';
+import { parseFrames, startModelBench, until } from './helpers/innerBench';
+import { reservation } from './helpers/agentBench';
+
+function streamBody(attemptId: string, maxOutputTokens = 90): string {
+  return JSON.stringify({
+    entryId: 'entry-1',
+    attemptId,
+    model: 'draft-models',
+    prompt: 'x'.repeat(40),
+    source: { kind: 'local' },
+    maxOutputTokens,
+    emitted: { tokenCount: 0, text: '' },
+    priority: 5,
+  });
+}
+
+test('streams an answer as events', async (t) => {
+  const { client, server } = await startModelBench(t);
+  t.is((await client.reserve.mutate(reservation('a'))).kind, 'granted');
+  const answer = await fetch(`${server.address}/streams`, {
+    method: 'POST',
+    body: streamBody('a'),
+  });
+  t.is(answer.headers.get('content-type'), 'text/event-stream');
+  const frames = parseFrames(await answer.text());
+  t.is(frames.length, 91);
+  t.like(frames.at(-1), { kind: 'end', offset: 90 });
+});
+
+test('refuses a body that is no stream request', async (t) => {
+  const { server } = await startModelBench(t);
+  const bodies = ['{', '{"entryId":"e"}', ''];
+  const statuses = await Promise.all(
+    bodies.map(async (body) =>
+      fetch(`${server.address}/streams`, { method: 'POST', body }).then(({ status }) => status),
+    ),
+  );
+  t.deepEqual(statuses, [400, 400, 400]);
+});
+
+// The entry's connection breaks in the middle of an answer. Nobody reads on, so the engine's memory must
+// come free at once, without a message and before any lease lapses.
+test('a closed connection cancels the stream', async (t) => {
+  const { client, server, engine } = await startModelBench(t);
+  await client.reserve.mutate(reservation('a', { maxOutputTokens: 900 }));
+  const connection = new AbortController();
+  const answer = await fetch(`${server.address}/streams`, {
+    method: 'POST',
+    body: streamBody('a', 900),
+    signal: connection.signal,
+  });
+  await answer.body?.getReader().read();
+  t.is(engine.holdings.size, 1);
+  connection.abort();
+  t.true(await until(() => engine.holdings.size === 0, 1000));
+});
+
+// The same for a request that still waits in the queue: its place goes to the next one.
+test('a closed connection leaves the queue', async (t) => {
+  const { agent, client } = await startModelBench(t, { capacityKvBytes: 100 });
+  await client.reserve.mutate(reservation('running'));
+  const connection = new AbortController();
+  const waiting = client.reserve.mutate(reservation('a'), { signal: connection.signal });
+  t.true(await until(() => agent.load().queuedCount === 1));
+  connection.abort();
+  await t.throwsAsync(waiting);
+  t.true(await until(() => agent.load().queuedCount === 0, 500));
+});
+
+// A receiver that does not read must not make the agent collect the answer in its memory: the engine's
+// stream is read only as fast as the receiver takes it.
+test('a slow receiver holds the engine back', async (t) => {
+  const { client, server, engine, agent } = await startModelBench(t, {
+    stepMs: 0,
+    capacityKvBytes: 10_000_000,
+  });
+  await client.reserve.mutate(reservation('a', { maxOutputTokens: 500_000 }));
+  const connection = new AbortController();
+  const answer = await fetch(`${server.address}/streams`, {
+    method: 'POST',
+    body: streamBody('a', 500_000),
+    signal: connection.signal,
+  });
+  t.is(answer.status, 200);
+  await delay(500);
+  const before = process.memoryUsage().heapUsed;
+  await delay(500);
+  t.true(process.memoryUsage().heapUsed - before < 32 * 1024 * 1024);
+  connection.abort();
+  t.true(await until(() => engine.holdings.size === 0));
+  t.true(await until(() => agent.load().activeCount === 0));
+});
+
+// The engine has ended the answer and the lease with it, and the process stops: the last frames may
+// still be on their way.
+test('closing lets answers in progress reach their receivers', async (t) => {
+  const { agent, client, server } = await startModelBench(t);
+  const timer = setInterval(() => {
+    void agent.handlers.heartbeat({ entryId: 'entry-1', entryIncarnation: 'first' });
+  }, 200);
+  t.teardown(() => clearInterval(timer));
+  await client.reserve.mutate(reservation('a'));
+  const answer = await fetch(`${server.address}/streams`, {
+    method: 'POST',
+    body: streamBody('a'),
+  });
+  agent.leave();
+  t.true(await agent.drain(5000));
+  await server.close(1000);
+  t.like(parseFrames(await answer.text()).at(-1), { kind: 'end', offset: 90 });
+  await t.throwsAsync(fetch(`${server.address}/streams`, { method: 'POST' }));
+});
--- /dev/null
+++ b/packages/agent/__tests__/plainProxy.test.ts
@@ -0,0 +1,176 @@
+import { request, type IncomingMessage } from 'node:http';
+import test from 'ava';
+import { innerHeaders } from '@bluebellhitch/protocol';
+import { delay } from '@bluebellhitch/shared';
+import { plainHeaders, startPlainBench, startPlainBenchAt, until } from './helpers/innerBench';
+
+test('passes method, path, headers and body both ways', async (t) => {
+  const seen: { method?: string; url?: string; headers?: IncomingMessage['headers'] } = {};
+  const { server } = await startPlainBench(t, (incoming, outgoing) => {
+    Object.assign(seen, { method: incoming.method, url: incoming.url, headers: incoming.headers });
+    outgoing.writeHead(
+      201,
+      [
+        ['set-cookie', 'one=1'],
+        ['set-cookie', 'two=2'],
+        ['keep-alive', 'timeout=9'],
+        [innerHeaders.notRun, 'true'],
+      ].flat(),
+    );
+    incoming.pipe(outgoing);
+  });
+  const answer = await fetch(`${server.address}/plain/receipts/7?full=1`, {
+    method: 'PUT',
+    body: 'a receipt',
+    headers: { ...plainHeaders('a'), 'x-own': 'kept', te: 'trailers' },
+  });
+  t.is(answer.status, 201);
+  t.is(await answer.text(), 'a receipt');
+  t.deepEqual(answer.headers.getSetCookie(), ['one=1', 'two=2']);
+  t.is(answer.headers.get(innerHeaders.notRun), null);
+  t.like(JSON.parse(answer.headers.get(innerHeaders.load) ?? '{}'), { role: 'plain' });
+  t.like(seen, { method: 'PUT', url: '/receipts/7?full=1' });
+  t.is(seen.headers?.['x-own'], 'kept');
+  t.is(seen.headers?.te, undefined);
+  t.deepEqual(
+    Object.keys(seen.headers ?? {}).filter((name) => name.startsWith('x-bluebell')),
+    [],
+  );
+});
+
+test('an answer begins before its request has ended', async (t) => {
+  const { server } = await startPlainBench(t, (incoming, outgoing) => {
+    outgoing.writeHead(200);
+    incoming.pipe(outgoing);
+  });
+  const parts: string[] = [];
+  const call = request(`${server.address}/plain/echo`, {
+    method: 'POST',
+    headers: plainHeaders('a'),
+  });
+  call.write('first');
+  const answer = await new Promise<IncomingMessage>((resolve) => {
+    call.on('response', resolve);
+  });
+  answer.on('data', (part: Buffer) => parts.push(part.toString()));
+  t.true(await until(() => parts.join('') === 'first'));
+  call.end(' second');
+  t.true(await until(() => parts.join('') === 'first second'));
+});
+
+test('refuses calls without the inner headers', async (t) => {
+  const { server } = await startPlainBench(t, (_, outgoing) => outgoing.end());
+  t.is((await fetch(`${server.address}/plain/x`)).status, 400);
+});
+
+// The backend server is not there: the connection is refused before anything was sent, so the call
+// certainly did not run and may go elsewhere.
+test('a refused connection is told as not run', async (t) => {
+  const { server, agent } = await startPlainBenchAt(t, 'http://127.0.0.1:1');
+  const answer = await fetch(`${server.address}/plain/x`, { headers: plainHeaders('a') });
+  t.is(answer.status, 503);
+  t.is(answer.headers.get(innerHeaders.notRun), 'true');
+  t.is(answer.headers.get(innerHeaders.refusal), 'backend-failed');
+  t.is(agent.load().activeCount, 0);
+});
+
+// The backend server dies with the call in its hands. Nobody knows whether it ran, so nobody says that
+// it did not.
+test('a connection that breaks before the answer leaves it open', async (t) => {
+  const { server } = await startPlainBench(t, (incoming) => incoming.socket.destroy());
+  const answer = await fetch(`${server.address}/plain/x`, {
+    method: 'POST',
+    body: 'dispatch',
+    headers: plainHeaders('a'),
+  });
+  t.is(answer.status, 503);
+  t.is(answer.headers.get(innerHeaders.notRun), null);
+});
+
+// The answer breaks in the middle. A clean end would pass the half for the whole.
+test('an answer that breaks in the middle is cut', async (t) => {
+  const { server } = await startPlainBench(t, (_, outgoing) => {
+    outgoing.writeHead(200);
+    outgoing.write('half');
+    setTimeout(() => outgoing.destroy(), 20);
+  });
+  const answer = await fetch(`${server.address}/plain/x`, { headers: plainHeaders('a') });
+  await t.throwsAsync(answer.text());
+});
+
+// The caller of a slow lookup goes away: its slot must not wait for the backend server.
+test('a closed connection aborts the call and frees its slot', async (t) => {
+  let aborted = false;
+  const { server, agent } = await startPlainBench(t, (incoming) => {
+    incoming.on('close', () => {
+      aborted = true;
+    });
+  });
+  const connection = new AbortController();
+  const answer = fetch(`${server.address}/plain/x`, {
+    headers: plainHeaders('a'),
+    signal: connection.signal,
+  });
+  t.true(await until(() => agent.load().activeCount === 1));
+  await delay(20);
+  connection.abort();
+  await t.throwsAsync(answer, { any: true });
+  t.true(await until(() => aborted && agent.load().activeCount === 0));
+});
+
+// The entry lost the answer and sends the same attempt again: some of these calls dispatch a crew.
+test('an attempt is passed on once', async (t) => {
+  let calls = 0;
+  const { server } = await startPlainBench(t, (_, outgoing) => {
+    calls += 1;
+    outgoing.end('done');
+  });
+  const send = () => fetch(`${server.address}/plain/x`, { headers: plainHeaders('a') });
+  t.is(await (await send()).text(), 'done');
+  const again = await send();
+  t.is(again.status, 503);
+  t.is(again.headers.get(innerHeaders.notRun), null);
+  t.is(calls, 1);
+});
+
+test('slots bound the calls; the rest waits, and is refused as not run when that is hopeless', async (t) => {
+  const running: (() => void)[] = [];
+  const { server, agent } = await startPlainBench(t, (_, outgoing) => {
+    running.push(() => outgoing.end('done'));
+  });
+  agent.books.table.setCapacity({ kvBytes: 2, slots: 2 });
+  const send = (attemptId: string, deadlineInMs?: number) =>
+    fetch(`${server.address}/plain/x`, { headers: plainHeaders(attemptId, deadlineInMs) });
+  const first = [send('a'), send('b')];
+  t.true(await until(() => running.length === 2));
+  const waiting = send('c');
+  t.true(await until(() => agent.load().queuedCount === 1));
+  const hopeless = await send('d', 10);
+  t.is(hopeless.headers.get(innerHeaders.notRun), 'true');
+  t.is(hopeless.headers.get(innerHeaders.refusal), 'deadline-hopeless');
+  running[0]?.();
+  t.true(await until(() => running.length === 3));
+  running.forEach((finish) => finish());
+  const statuses = await Promise.all(
+    [...first, waiting].map(async (answer) => (await answer).status),
+  );
+  t.deepEqual(statuses, [200, 200, 200]);
+});
+
+test('a leaving agent refuses new calls and lets running ones end', async (t) => {
+  let finish: () => void = () => undefined;
+  const { server, agent } = await startPlainBench(t, (_, outgoing) => {
+    finish = () => outgoing.end('done');
+  });
+  const running = fetch(`${server.address}/plain/x`, { headers: plainHeaders('a') });
+  t.true(await until(() => agent.load().activeCount === 1));
+  await delay(20);
+  agent.leave();
+  const refused = await fetch(`${server.address}/plain/x`, { headers: plainHeaders('b') });
+  t.is(refused.headers.get(innerHeaders.refusal), 'leaving');
+  t.is(refused.headers.get(innerHeaders.notRun), 'true');
+  const drained = agent.drain(2000);
+  finish();
+  t.is(await (await running).text(), 'done');
+  t.true(await drained);
+});
--- a/packages/agent/__tests__/streams.test.ts
+++ b/packages/agent/__tests__/streams.test.ts
@@ -51,7 +51,10 @@
 test.serial('continues behind the output of an earlier attempt', async (t) => {
   const bench = await startBench(t);
   await reserve(bench, 'a');
-  const stream = openStream(bench, 'a', { emitted: { tokenCount: 60, text: 'so far' } });
+  const stream = openStream(bench, 'a', {
+    emitted: { tokenCount: 60, text: 'so far' },
+    maxOutputTokens: 30,
+  });
   await bench.clock.tickAsync(500);
   await stream.done;
   t.like(stream.frames[0], { kind: 'tokens', offset: 60 });
--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -10,7 +10,8 @@
   type Logger,
 } from '@bluebellhitch/telemetry';
 import { createAgent, type AgentBackend } from './agent';
-import { createAgentTelemetry, reportLeases } from './agentTelemetry';
+import { createDocumentFeed } from './documentFeed';
+import { createAgentTelemetry, reportDocument, reportLeases } from './agentTelemetry';
 import { readFencingNumber } from './fencingNumber';
 import { startInnerServer } from './innerServer';
 import { createPlainProxy } from './plainProxy';
@@ -48,6 +49,17 @@
     readFencingNumber: () => readFencingNumber(platform, service),
     observer: createAgentTelemetry({ metrics, ring, logger }),
   });
+  const feed = createDocumentFeed({
+    platform,
+    instanceId,
+    dataCentre: settings.dataCentre,
+    service,
+    onAccepted: (accepted) => {
+      agent.applyDocument(accepted);
+      reportDocument(metrics, accepted);
+    },
+    onUnreadable: (detail) => logger.error('unreadable document', { detail }),
+  });
   const plainProxy =
     settings.backendKind === 'plain' ? createPlainProxy({ agent, backendUrl }) : undefined;
   const inner = await startInnerServer({
@@ -68,14 +80,19 @@
     },
     ring,
     isReady: agent.isReady,
-    routes: { '/debug/leases': () => agent.books.table.leases() },
+    routes: {
+      '/debug/leases': () => agent.books.table.leases(),
+      '/debug/config': () => ({ ...agent.config(), classes: [...agent.config().classes] }),
+    },
   });
   logger.info('listening', { innerAddress: inner.address, adminAddress: admin.address });
   void agent.start();
+  feed.start();
 
   const closeAll = async (graceMs: number) => {
     await inner.close(graceMs);
     agent.close();
+    await feed.stop();
     await Promise.all([admin.close(), plainProxy?.close(), platform.close()]);
   };
   return {
--- a/packages/agent/src/agentTelemetry.ts
+++ b/packages/agent/src/agentTelemetry.ts
@@ -9,6 +9,7 @@
   type Logger,
   type RequestLabels,
 } from '@bluebellhitch/telemetry';
+import type { AcceptedDocument } from '@bluebellhitch/document';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { AgentObserver } from './agentObserver';
 
@@ -131,3 +132,13 @@
       return lease.purpose === 'plain' ? leaseStates.plain : leaseStates.decoding;
   }
 }
+
+/** Makes the document's labels known and shows its generation. */
+export function reportDocument(
+  metrics: AgentMetrics,
+  { generation, document }: AcceptedDocument,
+): void {
+  const { service, institution, classes } = document;
+  metrics.describeService({ service, institution, classNames: classes.map(({ name }) => name) });
+  metrics.setConfigurationGeneration(service, generation);
+}
--- /dev/null
+++ b/packages/agent/src/documentFeed.ts
@@ -0,0 +1,91 @@
+/** Brings the accepted documents of the agent's service to it, through relays or from the platform. */
+import { acceptedDocumentSchema, type AcceptedDocument } from '@bluebellhitch/document';
+import {
+  createFeedFollower,
+  createFeedStore,
+  createInstanceDirectory,
+  type InstanceDirectory,
+} from '@bluebellhitch/membership';
+import type { PlatformApi } from '@bluebellhitch/platform';
+import { feedKinds, type FeedRecord } from '@bluebellhitch/protocol';
+import { delay, type Random } from '@bluebellhitch/shared';
+
+export interface DocumentFeedOptions {
+  platform: PlatformApi;
+  instanceId: string;
+  dataCentre: string;
+  service: string;
+  onAccepted: (accepted: AcceptedDocument) => void;
+  /** Told about a record that this version cannot read; the last one stays in force. */
+  onUnreadable: (detail: string) => void;
+  random?: Random;
+}
+
+export interface DocumentFeed {
+  start(): void;
+  stop(): Promise<void>;
+}
+
+/** An agent knows few instances: it looks for relays until it has some, and then only now and then. */
+const searchIntervalMs = 2000;
+const refreshIntervalMs = 30_000;
+/** A read of one document; without relays it is what brings a change within seconds. */
+const platformPauseMs = 2000;
+
+export function createDocumentFeed(options: DocumentFeedOptions): DocumentFeed {
+  const { platform, instanceId, dataCentre, service, random = Math.random } = options;
+  const store = createFeedStore({ bound: 1000 });
+  const directory = createInstanceDirectory({ platform, random });
+  const follower = createFeedFollower({
+    platform,
+    directory,
+    store,
+    instanceId,
+    dataCentre,
+    services: [service],
+    platformPauseMs,
+    random,
+  });
+  const stopping = new AbortController();
+
+  function apply(records: readonly FeedRecord[]): void {
+    records
+      .filter(
+        ({ kind, key, removed }) => kind === feedKinds.accepted && key === service && !removed,
+      )
+      .forEach(({ value }) => {
+        const parsed = acceptedDocumentSchema.safeParse(value);
+        if (parsed.success) {
+          options.onAccepted(parsed.data);
+        } else {
+          options.onUnreadable(parsed.error.message);
+        }
+      });
+  }
+
+  return {
+    start: () => {
+      store.subscribe(apply);
+      follower.start();
+      void keepLooking(directory, dataCentre, random, stopping.signal);
+    },
+    stop: async () => {
+      stopping.abort();
+      await follower.stop();
+    },
+  };
+}
+
+async function keepLooking(
+  directory: InstanceDirectory,
+  dataCentre: string,
+  random: Random,
+  signal: AbortSignal,
+): Promise<void> {
+  while (!signal.aborted) {
+    const hasRelay = directory.entries().some((entry) => entry.dataCentre === dataCentre);
+    const pauseMs = hasRelay ? refreshIntervalMs : searchIntervalMs;
+    await delay(pauseMs * (0.5 + random()), signal);
+    await directory.refresh();
+  }
+}
--- a/packages/agent/src/streamRunner.ts
+++ b/packages/agent/src/streamRunner.ts
@@ -241,7 +241,9 @@
       const { stalledSide, breach, emittedTokens } = outcome;
       return interrupted({ hasOutput: emittedTokens > 0, wasCancelled, stalledSide, breach });
     }
-    estimates.observeOutput(shapeOf(request), outcome.emittedTokens);
+    if (request.emitted.tokenCount === 0) {
+      estimates.observeOutput(shapeOf(request), outcome.emittedTokens);
+    }
     keeper.finish(attemptId);
     const { totalTokens, finishReason } = outcome;
     await sink({ kind: 'end', attemptId, offset: totalTokens, finishReason, load: options.load() });
