Add the instance directory, the versioned feed and its relays

Cause: each process needs a view of the instances that outlives a lagging list, and accepted documents in force within 3 s without a thousand watches of the platform. Relays watch, all others poll two relays, relays poll one another, and the platform is read directly only where no relay answers. The highest generation of a record always wins. Ruled out: following one relay, which a paused relay holds up for half a minute; a relay that trusts its watch alone, because a hung watch looks like a quiet one.

--- /dev/null
+++ b/packages/membership/src/feedClient.ts
@@ -0,0 +1,53 @@
+/** Asks another process for its feed. */
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
+import { err, ok, ResultAsync } from 'neverthrow';
+import {
+  feedReplySchema,
+  innerPaths,
+  type EntryRouter,
+  type FeedReply,
+  type FeedRequest,
+} from '@bluebellhitch/protocol';
+
+export interface FeedCallError {
+  kind: 'feed-unavailable';
+  detail: string;
+}
+
+/** One long poll of the process at an inner address. */
+export type CallFeed = (
+  innerAddress: string,
+  request: FeedRequest,
+  signal: AbortSignal,
+) => ResultAsync<FeedReply, FeedCallError>;
+
+/** Clients kept for reuse; relays are few, and one that left is forgotten. */
+const clientLimit = 16;
+
+export function createFeedClient(): CallFeed {
+  const clients = new Map<string, TRPCClient<EntryRouter>>();
+
+  function clientOf(innerAddress: string): TRPCClient<EntryRouter> {
+    const known = clients.get(innerAddress);
+    if (known !== undefined) {
+      return known;
+    }
+    const url = `${innerAddress}${innerPaths.trpc}`;
+    const client = createTRPCClient<EntryRouter>({ links: [httpLink({ url })] });
+    [...clients.keys()].slice(0, 1 - clientLimit).forEach((old) => clients.delete(old));
+    clients.set(innerAddress, client);
+    return client;
+  }
+
+  return (innerAddress, request, signal) =>
+    ResultAsync.fromPromise(clientOf(innerAddress).feed.query(request, { signal }), (cause) =>
+      feedUnavailable(String(cause)),
+    ).andThen((reply) => {
+      const parsed = feedReplySchema.safeParse(reply);
+      return parsed.success ? ok(parsed.data) : err(feedUnavailable(parsed.error.message));
+    });
+}
+
+function feedUnavailable(detail: string): FeedCallError {
+  return { kind: 'feed-unavailable', detail };
+}
--- /dev/null
+++ b/packages/membership/src/feedRecords.ts
@@ -0,0 +1,41 @@
+/** From the platform's objects to records of the feed. */
+import { z } from 'zod';
+import type { StoredObject } from '@bluebellhitch/platform';
+import { feedKinds, type FeedKind, type FeedRecord } from '@bluebellhitch/protocol';
+
+const generationSchema = z.object({ generation: z.number().int().nonnegative() });
+
+/**
+ * Accepted documents carry their own generation, and one without it is no record. Quarantines may;
+ * otherwise the object's version serves.
+ */
+export function recordFromObject(object: StoredObject): FeedRecord | undefined {
+  const { kind, key, version, value } = object;
+  const parsed = generationSchema.safeParse(value);
+  if (kind === feedKinds.accepted && parsed.success) {
+    return { kind, key, generation: parsed.data.generation, removed: false, value };
+  }
+  if (kind === feedKinds.quarantine) {
+    const generation = parsed.success ? parsed.data.generation : version;
+    return { kind, key, generation, removed: false, value };
+  }
+  return undefined;
+}
+
+/** Marks a known record as removed, at its own generation. */
+export function tombstoneOf(record: FeedRecord): FeedRecord {
+  return { ...record, removed: true, value: null };
+}
+
+/** Whether a record concerns one of the services; quarantines have `<service>/...` as their key. */
+export function concernsServices(
+  { kind, key }: { kind: FeedKind; key: string },
+  services: readonly string[] | undefined,
+): boolean {
+  if (services === undefined) {
+    return true;
+  }
+  return kind === feedKinds.accepted
+    ? services.includes(key)
+    : services.some((service) => key.startsWith(`${service}/`));
+}
--- /dev/null
+++ b/packages/membership/src/feedStore.ts
@@ -0,0 +1,170 @@
+/**
+ * The versioned records that a process has seen. For each record the highest generation wins, whatever
+ * the order in which copies arrive, so that a slow relay cannot take a configuration back.
+ */
+import type { FeedKind, FeedRecord } from '@bluebellhitch/protocol';
+import { invariant } from '@bluebellhitch/shared';
+
+export interface FeedStoreOptions {
+  /** Records kept at most. Old tombstones and quarantines give way; accepted documents never do. */
+  bound?: number;
+  /** Tells this run's cursors from those of another process or an earlier run. */
+  incarnation?: string;
+}
+
+export interface FeedDelta {
+  cursor: string;
+  /** Whether `records` is everything rather than what is newer than the cursor. */
+  snapshot: boolean;
+  records: FeedRecord[];
+}
+
+export interface AppliedRecords {
+  applied: FeedRecord[];
+  /** Copies that were not newer than what is known. */
+  staleCount: number;
+  /** New records that the bound left no room for. */
+  refusedCount: number;
+}
+
+export interface FeedStore {
+  apply(records: readonly FeedRecord[]): AppliedRecords;
+  /** Also answers tombstones; see `removed`. */
+  get(kind: FeedKind, key: string): FeedRecord | undefined;
+  /** Records that are not removed. */
+  list(kind: FeedKind): FeedRecord[];
+  since(cursor?: string): FeedDelta;
+  /** Calls back with each batch of applied records, until the returned function is called. */
+  subscribe(listener: (applied: readonly FeedRecord[]) => void): () => void;
+  size(): number;
+}
+
+interface StoredRecord {
+  record: FeedRecord;
+  /** Position in this process's log; a newer copy gets a new one. */
+  sequence: number;
+}
+
+interface LogEntry {
+  id: string;
+  sequence: number;
+}
+
+const defaultBound = 20_000;
+/** Superseded log entries that are kept before the log is rewritten. */
+const logSlack = 64;
+
+export function createFeedStore(options: FeedStoreOptions = {}): FeedStore {
+  const { bound = defaultBound, incarnation = Math.random().toString(36).slice(2) } = options;
+  const stored = new Map<string, StoredRecord>();
+  const listeners = new Set<(applied: readonly FeedRecord[]) => void>();
+  let log: LogEntry[] = [];
+  let lastSequence = 0;
+
+  function apply(records: readonly FeedRecord[]): AppliedRecords {
+    const newer = records.filter(isNewer);
+    const applied = newer.filter(put);
+    if (applied.length > 0) {
+      [...listeners].forEach((listener) => listener(applied));
+    }
+    return {
+      applied,
+      staleCount: records.length - newer.length,
+      refusedCount: newer.length - applied.length,
+    };
+  }
+
+  function isNewer(record: FeedRecord): boolean {
+    const known = stored.get(recordId(record))?.record;
+    return known === undefined || compareAge(record, known) > 0;
+  }
+
+  function put(record: FeedRecord): boolean {
+    const id = recordId(record);
+    const known = stored.get(id)?.record;
+    // One batch may hold several copies of a record.
+    if (known !== undefined && compareAge(record, known) <= 0) {
+      return false;
+    }
+    if (known === undefined && stored.size >= bound && !evictOne()) {
+      return false;
+    }
+    invariant(
+      known === undefined || record.generation >= known.generation,
+      `generation of ${id} goes down`,
+    );
+    lastSequence += 1;
+    stored.set(id, { record, sequence: lastSequence });
+    log.push({ id, sequence: lastSequence });
+    trimLog();
+    return true;
+  }
+
+  /**
+   * Makes room for a record. What is forgotten here a stale copy could bring back, which for a
+   * quarantine means a few more refusals; an accepted document would revert, so it is never dropped.
+   */
+  function evictOne(): boolean {
+    const evictable = [...stored].filter(([, { record }]) => record.kind === 'quarantine');
+    const victim = evictable.find(([, { record }]) => record.removed) ?? evictable[0];
+    return victim !== undefined && stored.delete(victim[0]);
+  }
+
+  function trimLog(): void {
+    if (log.length > 2 * stored.size + logSlack) {
+      log = log.filter(isCurrent);
+    }
+  }
+
+  function isCurrent(entry: LogEntry): boolean {
+    return stored.get(entry.id)?.sequence === entry.sequence;
+  }
+
+  function since(cursor?: string): FeedDelta {
+    const [cursorIncarnation, position] = (cursor ?? '').split(':');
+    const from = cursorIncarnation === incarnation ? Number(position) : Number.NaN;
+    const isKnown = Number.isInteger(from) && from <= lastSequence;
+    const entries = isKnown ? log.slice(firstAfter(from)) : log;
+    const records = entries.filter(isCurrent).flatMap(({ id }) => stored.get(id)?.record ?? []);
+    return { cursor: `${incarnation}:${lastSequence}`, snapshot: !isKnown, records };
+  }
+
+  /** Index of the first log entry behind `sequence`; a delta must not read the whole log. */
+  function firstAfter(sequence: number): number {
+    let low = 0;
+    let high = log.length;
+    while (low < high) {
+      const middle = Math.floor((low + high) / 2);
+      if ((log[middle]?.sequence ?? 0) <= sequence) {
+        low = middle + 1;
+      } else {
+        high = middle;
+      }
+    }
+    return low;
+  }
+
+  return {
+    apply,
+    get: (kind, key) => stored.get(recordId({ kind, key }))?.record,
+    list: (kind) =>
+      [...stored.values()]
+        .map(({ record }) => record)
+        .filter((record) => record.kind === kind && !record.removed),
+    since,
+    subscribe(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    size: () => stored.size,
+  };
+}
+
+function recordId({ kind, key }: Pick<FeedRecord, 'kind' | 'key'>): string {
+  return `${kind}\u0000${key}`;
+}
+
+/** Positive where `left` is newer. A removal is newer than the content of its own generation. */
+function compareAge(left: FeedRecord, right: FeedRecord): number {
+  return left.generation - right.generation || Number(left.removed) - Number(right.removed);
+}
--- /dev/null
+++ b/packages/membership/src/platformFeed.ts
@@ -0,0 +1,111 @@
+/** Fills the feed store from the platform: once by a list, or continuously by list and watch. */
+import { err, ok, type Result } from 'neverthrow';
+import type { PlatformApi, PlatformError, StoredObject, WatchEvent } from '@bluebellhitch/platform';
+import { feedKinds, type FeedKind, type FeedRecord } from '@bluebellhitch/protocol';
+import { delay, type Random } from '@bluebellhitch/shared';
+import { concernsServices, recordFromObject, tombstoneOf } from './feedRecords';
+import type { FeedStore } from './feedStore';
+
+export interface PlatformFeedOptions {
+  platform: PlatformApi;
+  store: FeedStore;
+  /** Only records of these services; absent: all. */
+  services?: readonly string[];
+  watchWaitMs: number;
+  retryMs: number;
+  retryLimitMs: number;
+  random: Random;
+}
+
+export interface PlatformFeed {
+  /** Reads all kinds once; `false` where the platform did not answer. */
+  load(): Promise<boolean>;
+  /** Lists and watches all kinds until the signal aborts. */
+  follow(signal: AbortSignal): Promise<void>;
+}
+
+export function createPlatformFeed(options: PlatformFeedOptions): PlatformFeed {
+  const { platform, store, services, watchWaitMs, retryMs, retryLimitMs, random } = options;
+
+  /** Applies what the platform has, marks as removed what it no longer has, answers the position. */
+  async function loadKind(kind: FeedKind): Promise<Result<string, PlatformError>> {
+    // Only what was known before the call can be missing from its answer: a record that arrives
+    // meanwhile by another way may be newer than the list.
+    const knownBefore = store.list(kind).filter((record) => concernsServices(record, services));
+    const listed = await platform.list(kind);
+    return listed.map(({ objects, cursor }) => {
+      applyObjects(objects);
+      const keys = new Set(objects.map(({ key }) => key));
+      store.apply(knownBefore.filter(({ key }) => !keys.has(key)).map(tombstoneOf));
+      return cursor;
+    });
+  }
+
+  /** A process of few services reads its accepted documents one by one rather than all of them. */
+  async function loadAccepted(names: readonly string[]): Promise<Result<void, PlatformError>> {
+    const answers = await Promise.all(names.map((name) => platform.get(feedKinds.accepted, name)));
+    applyObjects(answers.flatMap((answer) => (answer.isOk() ? [answer.value] : [])));
+    const failed = answers.find((answer) => answer.isErr() && answer.error.kind !== 'not-found');
+    return failed?.isErr() ? err(failed.error) : ok(undefined);
+  }
+
+  async function load(): Promise<boolean> {
+    const answers = await Promise.all([
+      services === undefined ? loadKind(feedKinds.accepted) : loadAccepted(services),
+      loadKind(feedKinds.quarantine),
+    ]);
+    return answers.every((answer) => answer.isOk());
+  }
+
+  function applyObjects(objects: readonly StoredObject[]): void {
+    const records = objects.flatMap((object) => recordFromObject(object) ?? []);
+    store.apply(records.filter((record) => concernsServices(record, services)));
+  }
+
+  function applyEvent(kind: FeedKind, event: WatchEvent): void {
+    if (event.kind === 'put') {
+      applyObjects([event.object]);
+      return;
+    }
+    const known: FeedRecord | undefined = store.get(kind, event.key);
+    store.apply(known === undefined ? [] : [tombstoneOf(known)]);
+  }
+
+  async function followKind(kind: FeedKind, signal: AbortSignal): Promise<void> {
+    let cursor: string | undefined;
+    let failures = 0;
+    while (!signal.aborted) {
+      const next = await step(kind, cursor, signal);
+      if (next.isOk()) {
+        cursor = next.value;
+        failures = 0;
+      } else {
+        const pauseMs = Math.min(retryLimitMs, retryMs * 2 ** failures);
+        failures += 1;
+        await delay(pauseMs * (0.5 + random() / 2), signal);
+      }
+    }
+  }
+
+  /** One list or one watch; answers where to go on, `undefined` for a new list. */
+  async function step(
+    kind: FeedKind,
+    cursor: string | undefined,
+    signal: AbortSignal,
+  ): Promise<Result<string | undefined, PlatformError>> {
+    if (cursor === undefined) {
+      return loadKind(kind);
+    }
+    const reply = await platform.watch(kind, cursor, watchWaitMs, signal);
+    return reply.map((watched) => {
+      watched.events.forEach((event) => applyEvent(kind, event));
+      return watched.compacted ? undefined : watched.cursor;
+    });
+  }
+
+  async function follow(signal: AbortSignal): Promise<void> {
+    await Promise.all(Object.values(feedKinds).map((kind) => followKind(kind, signal)));
+  }
+
+  return { load, follow };
+}
