Order models, adapters and roles under the order lease

A holder compares what the workers of a model service report with its document and orders the difference, within the document's share of unavailable workers and a bound of concurrent loads. The plan is a pure function of the reports, so that any holder continues where another one died. The lease is taken only while there is something to order: a service at rest costs the platform nothing.

A new holder first has every worker confirm that nothing runs there, by an order that changes nothing. Agents run one order at a time, so the answer proves that a dead holder's loads are over.

Ruled out, each on a scratch copy with the test that fails: - planning without confirmation: 4 workers out of service where the share is 2 (orderHolder); - sending on a lease read earlier: a paused holder orders under its old number (orderHolder); - no pause after failed orders: a broken worker holds up the other five (orderHolder, both cases); - counting only workers that this holder took away (planOrders, 3 tests). Putting broken workers last changed no outcome beside that pause, and was left out again.

--- a/packages/duties/src/acceptor.ts
+++ b/packages/duties/src/acceptor.ts
@@ -6,11 +6,16 @@
  * conditional writes of `documentReconciler` are the safety; the lease only keeps two acceptors from
  * doing the same work and from accepting one route for two services.
  */
-import { objectKinds, type PlatformApi, type StoredObject } from '@bluebellhitch/platform';
+import {
+  objectKinds,
+  type DutyLease,
+  type PlatformApi,
+  type StoredObject,
+} from '@bluebellhitch/platform';
 import { delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { createAcceptorMemory, type AcceptorMemory } from './acceptorMemory';
 import { createDocumentReconciler } from './documentReconciler';
-import { silentLogger, type DutyLease, type DutyLogger } from './dutyTypes';
+import { silentLogger, type DutyLogger } from './dutyLogger';
 import type { DocumentValidator } from './evaluateDocument';
 import { createReconcileQueue, type ReconcileQueue } from './reconcileQueue';
 
@@ -84,8 +89,10 @@
 
   /** Lists documents last: see the order of reads in `documentReconciler`. */
   async function compareEverything({ memory, queue }: Tenure): Promise<string | undefined> {
-    const accepted = await platform.list(objectKinds.accepted);
-    const statuses = await platform.list(objectKinds.status);
+    const [accepted, statuses] = await Promise.all([
+      platform.list(objectKinds.accepted),
+      platform.list(objectKinds.status),
+    ]);
     const documents = await platform.list(objectKinds.document);
     if (accepted.isErr() || statuses.isErr() || documents.isErr()) {
       logger.warn('cannot list documents');
--- a/packages/duties/src/documentReconciler.ts
+++ b/packages/duties/src/documentReconciler.ts
@@ -10,7 +10,7 @@
 import { invariant } from '@bluebellhitch/shared';
 import type { AcceptorMemory } from './acceptorMemory';
 import { writeConditionally, type ConditionalWrite } from './conditionalWrite';
-import type { DutyLogger } from './dutyTypes';
+import type { DutyLogger } from './dutyLogger';
 import { evaluateDocument, type DocumentValidator, type Verdict } from './evaluateDocument';
 import type { ServiceStatus } from './serviceStatus';
 
--- /dev/null
+++ b/packages/duties/src/dutyLogger.ts
@@ -0,0 +1,10 @@
+/** What the duties log through; the program's logger has this shape. */
+
+/** Structured logging: a message and its fields. */
+export interface DutyLogger {
+  info(message: string, fields?: Record<string, unknown>): void;
+  warn(message: string, fields?: Record<string, unknown>): void;
+}
+
+/** Logs nothing. */
+export const silentLogger: DutyLogger = { info: () => {}, warn: () => {} };
--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -1,10 +1,35 @@
 export { createAcceptor, type Acceptor, type AcceptorOptions } from './acceptor';
 export { documentValueSchema, type DocumentValidator } from './evaluateDocument';
 export { serviceStatusSchema, type ServiceStatus } from './serviceStatus';
+export { silentLogger, type DutyLogger } from './dutyLogger';
 export {
-  silentLogger,
-  type DutyLease,
-  type DutyLeaseFactory,
-  type DutyLogger,
-  type HeldFencing,
-} from './dutyTypes';
+  createOrderAgentClient,
+  type OrderAgentClient,
+  type OrderAgentClientOptions,
+  type OrderCallError,
+} from './orderAgentClient';
+export {
+  createOrderHolder,
+  defaultOrderHolderSettings,
+  type OrderHolder,
+  type OrderHolderOptions,
+  type OrderHolderSettings,
+} from './orderHolder';
+export { orderLeaseKey } from './orderSender';
+export {
+  planOrders,
+  type OrderPlan,
+  type PlannedOrder,
+  type PlanOrdersOptions,
+} from './planOrders';
+export {
+  balanceRoles,
+  measurePressure,
+  type PoolPressure,
+  type RoleBalance,
+  type RoleBalanceInput,
+  type RoleBalanceOptions,
+  type RoleBalanceState,
+} from './roleBalance';
+export { acceptLeaseKey, startDuties, type Duties, type StartDutiesOptions } from './startDuties';
+export { type OrderableWorker, type WorkerView } from './workerView';
