--- /dev/null
+++ b/packages/entry/__tests__/callerErrors.test.ts
@@ -0,0 +1,174 @@
+import { connect } from 'node:net';
+import { text } from 'node:stream/consumers';
+import test, { type ExecutionContext } from 'ava';
+import { createFakeAgent } from './support/fakeAgents';
+import { chat, eventually, startHarness, type Harness } from './support/harness';
+
+const limits = { maxBodyBytes: 2_000, slowSenderTimeoutMs: 150 };
+
+function start(t: ExecutionContext): Promise<Harness> {
+  const agents = [
+    createFakeAgent({ id: 'agent-1', service: 'draft-models' }),
+    createFakeAgent({ id: 'plain-1', service: 'counter-app', role: 'plain' }),
+  ];
+  return startHarness(t, { agents, limits });
+}
+
+interface Fault {
+  path?: string;
+  method?: string;
+  headers?: Record<string, string>;
+  body?: string;
+  status: number;
+  reason: string;
+}
+
+const completion = (fields: object) => JSON.stringify({ model: 'draft-models', ...fields });
+const messages = [{ role: 'user', content: 'hello' }];
+
+const faults: Record<string, Fault> = {
+  'malformed JSON': { body: '{"model": ', status: 400, reason: 'bad-request' },
+  'a body without messages': { body: completion({}), status: 400, reason: 'bad-request' },
+  'messages of a wrong type': {
+    body: completion({ messages: 'hello' }),
+    status: 400,
+    reason: 'bad-request',
+  },
+  'a negative max_tokens': {
+    body: completion({ messages, max_tokens: -1 }),
+    status: 400,
+    reason: 'bad-request',
+  },
+  'an unknown model': {
+    body: JSON.stringify({ model: 'nobody', messages }),
+    status: 404,
+    reason: 'unknown-service',
+  },
+  'an unknown adapter': {
+    body: JSON.stringify({ model: 'draft-models/nothing', messages }),
+    status: 404,
+    reason: 'unknown-service',
+  },
+  'an oversized body': { body: 'x'.repeat(3_000), status: 413, reason: 'body-too-large' },
+  'x-no-repeat without Idempotency-Key': {
+    headers: { 'x-no-repeat': 'true' },
+    body: completion({ messages }),
+    status: 400,
+    reason: 'missing-idempotency-key',
+  },
+  'x-no-repeat with another value': {
+    headers: { 'x-no-repeat': 'yes' },
+    body: completion({ messages }),
+    status: 400,
+    reason: 'bad-request',
+  },
+  'an overlong Idempotency-Key': {
+    headers: { 'idempotency-key': 'k'.repeat(300) },
+    body: completion({ messages }),
+    status: 400,
+    reason: 'bad-request',
+  },
+  'an unknown path': { path: '/nowhere', method: 'GET', status: 404, reason: 'unknown-service' },
+  'a path that only begins like a route': {
+    path: '/counterfeit',
+    method: 'GET',
+    status: 404,
+    reason: 'unknown-service',
+  },
+  'a method that the route does not have': {
+    path: '/receipts',
+    method: 'DELETE',
+    status: 405,
+    reason: 'bad-request',
+  },
+  'a route that is not to be repeated, without Idempotency-Key': {
+    path: '/receipts',
+    body: 'receipt',
+    status: 400,
+    reason: 'missing-idempotency-key',
+  },
+};
+
+Object.entries(faults).forEach(([name, fault]) => {
+  test(`${name}: ${fault.status}`, async (t) => {
+    const { address, side } = await start(t);
+    const { path = '/v1/chat/completions', method = 'POST', headers, body } = fault;
+    const response = await fetch(`${address}${path}`, { method, headers, body });
+    t.is(response.status, fault.status);
+    t.is(response.headers.get('content-type'), 'application/problem+json');
+    t.like(await response.json(), { reason: fault.reason, notRun: true, status: fault.status });
+    await eventually(t, () => side.activeCount() === 0);
+  });
+});
+
+/** Sends bytes as they are; resolves with all that comes back. */
+async function exchange(address: string, lines: string[]): Promise<string> {
+  const { hostname, port } = new URL(address);
+  const socket = connect(Number(port), hostname);
+  socket.on('error', () => undefined);
+  socket.write(lines.join('\r\n'));
+  return text(socket);
+}
+
+const head = ['POST /v1/chat/completions HTTP/1.1', 'Host: entry'];
+
+test('a header that is too large: 431', async (t) => {
+  const { address } = await start(t);
+  const answer = await exchange(address, [...head, `X-Large: ${'x'.repeat(20_000)}`, '', '']);
+  t.regex(answer, /^HTTP\/1.1 431 /);
+  t.regex(answer, /"notRun":true/);
+});
+
+test('bytes that are not HTTP: 400', async (t) => {
+  const { address } = await start(t);
+  t.regex(await exchange(address, ['NONSENSE', '', '']), /^HTTP\/1.1 400 /);
+});
+
+// A sender stops in the middle of its body and keeps the connection open. Without a bound it would hold
+// a connection and a buffer for as long as it likes.
+test('a body that does not arrive in time: 408', async (t) => {
+  const { address, side } = await start(t);
+  const answer = await exchange(address, [...head, 'Content-Length: 50', '', '{"model"']);
+  t.regex(answer, /^HTTP\/1.1 408 /);
+  t.is(side.activeCount(), 0);
+});
+
+test('a header that does not arrive in time: 408', async (t) => {
+  const { address } = await start(t);
+  t.regex(await exchange(address, [...head, 'X-Slow: ']), /^HTTP\/1.1 408 /);
+});
+
+// `fetch` resolves dot segments itself, so the target is written by hand.
+test('dot segments around a route that is not to be repeated', async (t) => {
+  const { address } = await start(t);
+  const target = 'POST /counter/%2e%2e/receipts HTTP/1.1';
+  const answer = await exchange(address, [target, 'Host: entry', 'Connection: close', '', '']);
+  t.regex(answer, /^HTTP\/1.1 400 /);
+  t.regex(answer, /missing-idempotency-key/);
+});
+
+test('a chunked body that grows beyond the limit: 413', async (t) => {
+  const { address } = await start(t);
+  const chunk = `bb8\r\n${'x'.repeat(3_000)}`;
+  const answer = await exchange(address, [...head, 'Transfer-Encoding: chunked', '', chunk]);
+  t.regex(answer, /^HTTP\/1.1 413 /);
+});
+
+test('connections above the limit are told so', async (t) => {
+  const { address } = await startHarness(t, { agents: [], limits: { maxConnections: 1 } });
+  const { hostname, port } = new URL(address);
+  const holder = connect(Number(port), hostname);
+  t.teardown(() => holder.destroy());
+  await new Promise((resolve) => {
+    holder.once('connect', resolve);
+  });
+  const response = await chat(address);
+  t.is(response.status, 503);
+  t.truthy(response.headers.get('retry-after'));
+});
+
+test('a request id that is unusable is replaced', async (t) => {
+  const { address } = await start(t);
+  const given = await chat(address, {}, { headers: { 'x-request-id': 'request 7' } });
+  t.regex(given.headers.get('x-request-id') ?? '', /^[0-9a-f-]{36}$/);
+});
--- /dev/null
+++ b/packages/entry/__tests__/modelRequest.test.ts
@@ -0,0 +1,324 @@
+import test from 'ava';
+import { errAsync, okAsync } from 'neverthrow';
+import type { ClaimStore } from '@bluebellhitch/platform';
+import type { StreamFrame } from '@bluebellhitch/protocol';
+import {
+  createFakeAgent,
+  endOf,
+  refusal,
+  tokenAt,
+  tokens,
+  wholeAnswer,
+  words,
+  type FakeAgent,
+} from './support/fakeAgents';
+import { chat, createOpenClaims, eventsOf, startHarness } from './support/harness';
+
+const service = 'draft-models';
+const marked = { headers: { 'x-no-repeat': 'true', 'idempotency-key': 'letter-1' } };
+const longPrompt = { messages: [{ role: 'user', content: 'bond history '.repeat(200) }] };
+
+const pair = (): [FakeAgent, FakeAgent] => [
+  createFakeAgent({ id: 'agent-1', service }),
+  createFakeAgent({ id: 'agent-2', service }),
+];
+
+/** Makes whichever agent is asked first behave as told, and the others answer whole. */
+function firstStreams(agents: FakeAgent[], frames: FakeAgent['frames']): void {
+  let started = false;
+  agents.forEach((agent) => {
+    agent.frames = (request, signal) => {
+      const isFirst = !started;
+      started = true;
+      return isFirst ? frames(request, signal) : wholeAnswer(request);
+    };
+  });
+}
+
+const textOf = (text: string) =>
+  eventsOf(text)
+    .flatMap((event) => (event as { choices?: { delta: { content?: string } }[] }).choices ?? [])
+    .map(({ delta }) => delta.content ?? '')
+    .join('');
+
+const heldCount = (agents: FakeAgent[]) => agents.reduce((total, { held }) => total + held.size, 0);
+
+function recordClaims(overrides: Partial<ClaimStore> = {}) {
+  const ends: string[] = [];
+  const claims: ClaimStore = {
+    ...createOpenClaims(),
+    finish: (_claim, state) => {
+      ends.push(state);
+      return okAsync(undefined);
+    },
+    release: () => {
+      ends.push('released');
+      return okAsync(undefined);
+    },
+    ...overrides,
+  };
+  return { claims, ends };
+}
+
+test('prefills a long prompt on a prefill worker and has its KV cache transferred', async (t) => {
+  const decode = createFakeAgent({ id: 'decode-1', service, role: 'decode' });
+  const prefill = createFakeAgent({ id: 'prefill-1', service, role: 'prefill' });
+  const { address } = await startHarness(t, { agents: [decode, prefill] });
+  const response = await chat(address, longPrompt);
+  t.is(response.status, 200);
+  t.like(decode.streamed[0]?.source, { kind: 'transfer', exportId: 'export' });
+  t.is(heldCount([decode, prefill]), 0, 'the prefill worker is told when its result was used');
+  t.is(prefill.cancelled.length, 1);
+});
+
+test('prefills a short prompt where it decodes', async (t) => {
+  const decode = createFakeAgent({ id: 'decode-1', service, role: 'decode' });
+  const prefill = createFakeAgent({ id: 'prefill-1', service, role: 'prefill' });
+  const { address } = await startHarness(t, { agents: [decode, prefill] });
+  await chat(address);
+  t.deepEqual(decode.streamed[0]?.source, { kind: 'local' });
+});
+
+// The worker dies after two tokens reached the caller. Without a continuation the caller would keep
+// half a letter; with a restart it would read the first words twice. The entry asks another worker to
+// go on behind the tokens that are out.
+test('continues elsewhere behind the emitted tokens when a worker dies', async (t) => {
+  const agents = pair();
+  firstStreams(agents, (request) => tokens(request, 2));
+  const { address } = await startHarness(t, { agents });
+  const response = await chat(address, { stream: true });
+  const text = await response.text();
+  t.is(textOf(text), words.join(''));
+  t.is(eventsOf(text).at(-1), '[DONE]');
+  const resumed = agents
+    .flatMap(({ streamed }) => streamed)
+    .find(({ emitted }) => emitted.tokenCount > 0);
+  t.deepEqual(resumed?.emitted, { tokenCount: 2, text: 'one two ' });
+  t.is(heldCount(agents), 0);
+});
+
+const faults: Record<string, FakeAgent['frames']> = {
+  'ends without its end marker': (request) => tokens(request, 2),
+  'leaves out a token': async function* gap(request): AsyncGenerator<StreamFrame> {
+    yield tokenAt(request.attemptId, 0);
+    yield tokenAt(request.attemptId, 2);
+    yield endOf(request);
+  },
+  'has a wrong total in its end marker': async function* mismatch(
+    request,
+  ): AsyncGenerator<StreamFrame> {
+    yield tokenAt(request.attemptId, 0);
+    yield endOf(request);
+  },
+};
+
+// A worker's answer is broken and no other worker is left. The caller has a part of it already. It must
+// get an explicit error in place of the end marker, or it would take the part for the whole.
+Object.entries(faults).forEach(([name, frames]) => {
+  test(`an answer that ${name} ends in an error event`, async (t) => {
+    const agent = createFakeAgent({ id: 'agent-1', service });
+    agent.frames = frames;
+    const { address } = await startHarness(t, { agents: [agent] });
+    const text = await (await chat(address, { stream: true })).text();
+    const events = eventsOf(text);
+    t.false(events.includes('[DONE]'));
+    t.like(events.at(-1), { error: { reason: 'incomplete-answer', notRun: false } });
+    t.is(heldCount([agent]), 0);
+  });
+});
+
+// Late frames of an earlier attempt arrive inside this answer, and frames repeat. Passed on, another
+// caller's words would stand in this one's letter. They are dropped by attempt id and offset.
+test('drops foreign and repeated frames', async (t) => {
+  const agent = createFakeAgent({ id: 'agent-1', service });
+  agent.frames = async function* noisy(request): AsyncGenerator<StreamFrame> {
+    yield { ...tokenAt('another-attempt', 0), text: 'FOREIGN' } as StreamFrame;
+    yield tokenAt(request.attemptId, 0);
+    yield tokenAt(request.attemptId, 0);
+    yield tokenAt(request.attemptId, 1);
+    yield tokenAt(request.attemptId, 2);
+    yield tokenAt(request.attemptId, 3);
+    yield endOf(request);
+    yield { ...tokenAt(request.attemptId, 4), text: 'LATE' } as StreamFrame;
+  };
+  const { address } = await startHarness(t, { agents: [agent] });
+  t.is(textOf(await (await chat(address, { stream: true })).text()), words.join(''));
+});
+
+// A worker begins a graceful stop while the instance list still shows it as live. Each request that
+// asked it again would lose a round trip. The first refusal takes it out of the entry's view.
+test('drops a leaving worker on its first refusal and serves the request elsewhere', async (t) => {
+  const agents = pair();
+  agents[0].reserve = () => refusal('leaving');
+  agents[1].bid = () => ({ ...bidOf(agents[1]), usableInMs: 50 });
+  const { address, left } = await startHarness(t, { agents });
+  const response = await chat(address);
+  t.is(response.status, 200);
+  t.deepEqual(left, ['agent-1']);
+  t.is(agents[1].streamed.length, 1);
+});
+
+function bidOf(agent: FakeAgent) {
+  return {
+    ...createFakeAgent({ id: agent.instance.id, service }).bid(),
+    cachedPrefixTokens: 0,
+  } as Extract<ReturnType<FakeAgent['bid']>, { incarnation: string }>;
+}
+
+test('refuses at once, as not run, when no worker takes the request', async (t) => {
+  const agents = pair();
+  agents.forEach((agent) => {
+    agent.reserve = () => refusal('queue-full');
+  });
+  const { address } = await startHarness(t, { agents });
+  const response = await chat(address);
+  t.is(response.status, 503);
+  t.is(response.headers.get('content-type'), 'application/problem+json');
+  t.truthy(response.headers.get('retry-after'));
+  t.like(await response.json(), { reason: 'queue-full', notRun: true });
+});
+
+test('never asks a server again that failed the request', async (t) => {
+  const agents = pair();
+  agents.forEach((agent) => {
+    agent.frames = (request) => tokens(request, 0);
+  });
+  const { address } = await startHarness(t, { agents });
+  const response = await chat(address);
+  t.like(await response.json(), { notRun: 'unknown' });
+  t.true(agents.every(({ streamed }) => streamed.length <= 1));
+});
+
+test('takes the claim of marked work after the reservation and before the dispatch', async (t) => {
+  const agent = createFakeAgent({ id: 'agent-1', service });
+  const order: string[] = [];
+  const open = createOpenClaims();
+  const { claims, ends } = recordClaims({
+    take: (request) => {
+      order.push(`claim, ${agent.held.size} reserved, ${agent.streamed.length} dispatched`);
+      return open.take(request);
+    },
+  });
+  const { address } = await startHarness(t, { agents: [agent], claims });
+  const response = await chat(address, {}, marked);
+  t.is(response.status, 200);
+  t.deepEqual(order, ['claim, 1 reserved, 0 dispatched']);
+  t.deepEqual(ends, ['ran']);
+});
+
+// The worker dies while it drafts a redemption letter. Another run could send the letter twice, so the
+// caller gets an error that says it may have run, and the claim stays.
+test('never runs marked work again after its dispatch', async (t) => {
+  const agents = pair();
+  firstStreams(agents, (request) => tokens(request, 0));
+  const { claims, ends } = recordClaims();
+  const { address } = await startHarness(t, { agents, claims });
+  const response = await chat(address, {}, marked);
+  t.is(response.status, 502);
+  t.like(await response.json(), { notRun: 'unknown' });
+  t.is(agents[0].streamed.length + agents[1].streamed.length, 1);
+  t.deepEqual(ends, ['unknown']);
+});
+
+test('releases the claim of marked work that the worker proved not run', async (t) => {
+  const agent = createFakeAgent({ id: 'agent-1', service });
+  agent.frames = async function* refuse({ attemptId }): AsyncGenerator<StreamFrame> {
+    yield {
+      ...refusal('no-capacity'),
+      kind: 'failed',
+      attemptId,
+      backendDied: false,
+    };
+  };
+  const { claims, ends } = recordClaims();
+  const { address } = await startHarness(t, { agents: [agent], claims });
+  const response = await chat(address, {}, marked);
+  t.like(await response.json(), { notRun: true });
+  t.deepEqual(ends, ['released']);
+});
+
+test('answers a duplicate of marked work with what is known and does not run it', async (t) => {
+  const agent = createFakeAgent({ id: 'agent-1', service });
+  const { claims, ends } = recordClaims({
+    take: () => okAsync({ kind: 'held', state: 'ran', requestId: 'request-0' }),
+  });
+  const { address } = await startHarness(t, { agents: [agent], claims });
+  const response = await chat(address, {}, marked);
+  t.is(response.status, 409);
+  t.regex(((await response.json()) as { detail: string }).detail, /request-0 .* has run/);
+  t.is(agent.streamed.length, 0);
+  t.is(heldCount([agent]), 0);
+  t.deepEqual(ends, []);
+});
+
+test('refuses marked work as not run while claims cannot be taken', async (t) => {
+  const agent = createFakeAgent({ id: 'agent-1', service });
+  const { claims } = recordClaims({
+    take: () => errAsync({ kind: 'unavailable', detail: 'platform down', claimMayStay: false }),
+  });
+  const { address } = await startHarness(t, { agents: [agent], claims });
+  const response = await chat(address, {}, marked);
+  t.is(response.status, 503);
+  t.like(await response.json(), { reason: 'claim-unavailable', notRun: true });
+  t.is((await chat(address)).status, 200, 'other work goes on');
+});
+
+// The entry is paused after it took the claim, for longer than claims last. Another entry may have run
+// the request meanwhile. By its own clock the claim is too old, so it must not dispatch.
+test('does not dispatch under a claim that is too old', async (t) => {
+  const agent = createFakeAgent({ id: 'agent-1', service });
+  const { claims } = recordClaims({
+    take: ({ key, requestId, attemptId }) =>
+      okAsync({ kind: 'taken', claim: { key, requestId, attemptId, dispatchBeforeMs: 0 } }),
+  });
+  const { address } = await startHarness(t, { agents: [agent], claims });
+  const response = await chat(address, {}, marked);
+  t.like(await response.json(), { notRun: true });
+  t.is(agent.streamed.length, 0);
+});
+
+test('repeatable requests with one key share a run, and both get the whole answer', async (t) => {
+  const agents = pair();
+  let release: () => void = () => undefined;
+  const gate = new Promise<void>((resolve) => {
+    release = resolve;
+  });
+  agents.forEach((agent) => {
+    agent.frames = async function* gated(request): AsyncGenerator<StreamFrame> {
+      yield* tokens(request, 1);
+      await gate;
+      yield* wholeAnswer({ ...request, emitted: { tokenCount: 1, text: '' } });
+    };
+  });
+  const { address } = await startHarness(t, { agents });
+  const init = { headers: { 'idempotency-key': 'draft-1' } };
+  const first = await chat(address, { stream: true }, init);
+  const second = await chat(address, { stream: true }, init);
+  release();
+  t.is(textOf(await first.text()), words.join(''));
+  t.is(textOf(await second.text()), words.join(''));
+  t.is(agents[0].streamed.length + agents[1].streamed.length, 1);
+});
+
+// A request crashes each server that runs it. Sent again and again it would take down the whole pool.
+// After two strikes no third server gets it, and the next try of its caller is refused at the door.
+test('stops a request that crashes servers after two strikes', async (t) => {
+  const agents = ['agent-1', 'agent-2', 'agent-3'].map((id) => createFakeAgent({ id, service }));
+  agents.forEach((agent) => {
+    agent.frames = async function* crash({ attemptId }): AsyncGenerator<StreamFrame> {
+      yield {
+        ...refusal('backend-failed', 'unknown'),
+        kind: 'failed',
+        attemptId,
+        backendDied: true,
+      };
+    };
+  });
+  const { address } = await startHarness(t, { agents });
+  const first = await chat(address);
+  t.like(await first.json(), { notRun: 'unknown' });
+  const again = await chat(address);
+  t.is(again.status, 422);
+  t.like(await again.json(), { reason: 'quarantined', notRun: true });
+  t.is(agents.filter(({ streamed }) => streamed.length > 0).length, 2);
+});
--- a/packages/entry/__tests__/support/fakeAgents.ts
+++ b/packages/entry/__tests__/support/fakeAgents.ts
@@ -20,7 +20,7 @@
   reserve: (attemptId: string) => ReserveReply | AgentCallError | Promise<ReserveReply>;
   prefill: (attemptId: string) => PrefillReply | AgentCallError | Promise<PrefillReply>;
   frames: (request: StreamRequest, signal: AbortSignal) => AsyncIterable<StreamFrame>;
-  plain: (call: PlainCall) => PlainAnswer | AgentCallError | Promise<PlainAnswer>;
+  plain: (call: PlainCall) => PlainAnswer | AgentCallError | Promise<PlainAnswer | AgentCallError>;
   cancel: () => AgentCallError | undefined;
   /** Attempts that hold memory here: granted and neither ended nor cancelled. */
   held: Set<string>;
@@ -119,6 +119,15 @@
   return { kind: 'refused' as const, reason, notRun, detail: `refused: ${reason}` };
 }
 
+const resolvers: unknown[] = [];
+
+/** An answer that does not come. */
+export function never<Value>(): Promise<Value> {
+  return new Promise<Value>((resolve) => {
+    resolvers.push(resolve);
+  });
+}
+
 /** Never ends by itself; ends when the signal aborts. */
 export async function* untilAborted(signal: AbortSignal): AsyncGenerator<StreamFrame> {
   yield* [];
@@ -138,7 +147,7 @@
 
 /** Settles as cancelled when the caller aborts, as a real call does. */
 function answer<Value extends object>(
-  produce: () => Value | AgentCallError | Promise<Value>,
+  produce: () => Value | AgentCallError | Promise<Value | AgentCallError>,
   signal?: AbortSignal,
 ): ResultAsync<Value, AgentCallError> {
   const aborted = new Promise<AgentCallError>((resolve) => {
@@ -172,7 +181,7 @@
           if (reply.kind === 'refused') {
             agent.held.delete(request.attemptId);
           }
-          return reply as ReserveReply;
+          return reply;
         }, signal);
       }),
     prefill: (address, request, { signal }) =>
--- a/packages/entry/src/admission.ts
+++ b/packages/entry/src/admission.ts
@@ -53,14 +53,16 @@
 
 /** A refusal where the request's class has used up its rate. */
 export function checkRate(
-  context: Pick<RequestContext, 'runtimes'>,
+  context: Pick<RequestContext, 'runtimes' | 'instances'>,
   { document, trafficClass, origin }: AdmissibleRequest,
 ): Refusal | undefined {
   const { requestsPerSecond, burst, name } = trafficClass;
   if (requestsPerSecond === undefined) {
     return undefined;
   }
-  const decision = context.runtimes.rateLimiter.take({
+  const { rateLimiter } = context.runtimes;
+  rateLimiter.setEntryCount(context.instances.entries().length);
+  const decision = rateLimiter.take({
     key: rateKey(origin.institution, document.service, name),
     limit: { requestsPerSecond, burst },
     nowMs: monotonicNowMs(),
--- a/packages/entry/src/httpAgentClient.ts
+++ b/packages/entry/src/httpAgentClient.ts
@@ -26,6 +26,7 @@
   StreamOpenError,
 } from './agentApi';
 import { readFrames } from './agentEventStream';
+import { createMessageFetch, type ControlBytesListener } from './messageFetch';
 import { plainRefusal } from './plainRefusal';
 
 export interface HttpAgentClientOptions {
@@ -33,7 +34,7 @@
   /** Clients kept for agents; the one used longest ago is dropped. */
   maxClients?: number;
   onMalformedFrame?: () => void;
-  onControlBytes?: (direction: 'sent' | 'received', byteCount: number) => void;
+  onControlBytes?: ControlBytesListener;
 }
 
 export interface HttpAgentClient extends AgentApi {
@@ -157,30 +158,6 @@
   return [error, ...errorChain(error.cause)];
 }
 
-/** A `fetch` for trpc on top of undici's plain request, which costs less than the full fetch. */
-function createMessageFetch(
-  dispatcher: Dispatcher,
-  onControlBytes: HttpAgentClientOptions['onControlBytes'],
-) {
-  return async (input: unknown, init?: unknown) => {
-    const { method, headers, body, signal } = (init ?? {}) as RequestInit;
-    const response = await sendRequest(String(input), {
-      dispatcher,
-      method: method ?? 'GET',
-      headers: headers as Record<string, string>,
-      body: body as string | undefined,
-      signal: signal ?? undefined,
-    });
-    const text = await response.body.text();
-    onControlBytes?.('sent', typeof body === 'string' ? body.length : 0);
-    onControlBytes?.('received', text.length);
-    return {
-      ok: response.statusCode < 400,
-      json: () => Promise.resolve(JSON.parse(text) as unknown),
-    };
-  };
-}
-
 function openStream(
   dispatcher: Dispatcher,
   address: string,
--- /dev/null
+++ b/packages/entry/src/messageFetch.ts
@@ -0,0 +1,25 @@
+/** The transport of trpc messages: undici's plain request, which costs less than its full `fetch`. */
+import { request as sendRequest, type Dispatcher } from 'undici';
+
+export type ControlBytesListener = (direction: 'sent' | 'received', byteCount: number) => void;
+
+/** A `fetch` for trpc links. */
+export function createMessageFetch(dispatcher: Dispatcher, onControlBytes?: ControlBytesListener) {
+  return async (input: unknown, init?: unknown) => {
+    const { method, headers, body, signal } = (init ?? {}) as RequestInit;
+    const response = await sendRequest(String(input), {
+      dispatcher,
+      method: method ?? 'GET',
+      headers: headers as Record<string, string>,
+      body: body as string | undefined,
+      signal: signal ?? undefined,
+    });
+    const text = await response.body.text();
+    onControlBytes?.('sent', typeof body === 'string' ? body.length : 0);
+    onControlBytes?.('received', text.length);
+    return {
+      ok: response.statusCode < 400,
+      json: () => Promise.resolve(JSON.parse(text) as unknown),
+    };
+  };
+}
--- a/packages/entry/src/modelAttempt.ts
+++ b/packages/entry/src/modelAttempt.ts
@@ -30,7 +30,13 @@
   context.runtimes.of(service).outliers.beginAttempt(id, monotonicNowMs());
   const unplace = run.struck ? context.strikes.place(service, attemptId, id) : undefined;
   try {
-    return await runPlaced(run, placement, claim);
+    const outcome = await runPlaced(run, placement, claim);
+    if (outcome.kind === 'failed') {
+      // The next attempt goes elsewhere: a server that breaks its streams bids as well as any other,
+      // and would get every attempt of the request.
+      run.tried.add(id);
+    }
+    return outcome;
   } finally {
     placement.decode.release();
     unplace?.();
--- a/packages/entry/src/modelRequest.ts
+++ b/packages/entry/src/modelRequest.ts
@@ -46,6 +46,10 @@
     if (outcome.notRun === true) {
       run.mayHaveRun = ranBefore;
     }
+    if (run.signal.aborted) {
+      // What the caller's leaving broke off is no failure of a server.
+      return { kind: 'stopped' };
+    }
     const decision = decideNext(run, outcome, attempts);
     run.trace.step('attempt-failed', { ...outcome, next: decision.kind });
     if (decision.kind === 'give-up') {
--- /dev/null
+++ b/packages/entry/src/peerStrikes.ts
@@ -0,0 +1,62 @@
+/**
+ * Sends strikes to the other entries while the platform is down. Strikes are rare, so that each goes to
+ * every peer: the caller's next try may reach any of them.
+ */
+import { createTRPCClient, httpLink } from '@trpc/client';
+import { Agent } from 'undici';
+import type { EntryRouter, Strike } from '@bluebellhitch/protocol';
+import type { Logger } from '@bluebellhitch/telemetry';
+import { innerPaths } from '@bluebellhitch/protocol';
+import type { Instances } from './instances';
+import { createMessageFetch, type ControlBytesListener } from './messageFetch';
+
+export interface PeerStrikesOptions {
+  entryId: string;
+  instances: Pick<Instances, 'entries'>;
+  logger: Logger;
+  timeoutMs?: number;
+  onControlBytes?: ControlBytesListener;
+}
+
+export interface PeerStrikes {
+  /** Sends in the background; a peer that cannot be reached is left out. */
+  tell(strikes: Strike[]): void;
+  close(): Promise<void>;
+}
+
+const connectionsPerPeer = 1;
+
+/** Creates the sender of one entry. */
+export function createPeerStrikes(options: PeerStrikesOptions): PeerStrikes {
+  const { entryId, instances, logger, timeoutMs = 2_000, onControlBytes } = options;
+  const dispatcher = new Agent({
+    connections: connectionsPerPeer,
+    connect: { timeout: timeoutMs },
+    keepAliveTimeout: 1_000,
+  });
+  const fetchMessage = createMessageFetch(dispatcher, onControlBytes);
+
+  async function tellPeer(address: string, strikes: Strike[]): Promise<void> {
+    const url = `${address}${innerPaths.trpc}`;
+    const client = createTRPCClient<EntryRouter>({
+      links: [httpLink({ url, fetch: fetchMessage })],
+    });
+    try {
+      await client.strike.mutate(strikes, { signal: AbortSignal.timeout(timeoutMs) });
+    } catch (error) {
+      logger.debug('a peer could not be told of strikes', { address, error });
+    }
+  }
+
+  return {
+    tell(strikes) {
+      instances
+        .entries()
+        .filter(({ id }) => id !== entryId)
+        .forEach(({ innerAddress }) => {
+          void tellPeer(innerAddress, strikes);
+        });
+    },
+    close: () => dispatcher.destroy(),
+  };
+}
