--- a/packages/scenarios/__tests__/scenarios.test.ts
+++ b/packages/scenarios/__tests__/scenarios.test.ts
@@ -5,7 +5,8 @@
 import { readdirSync, readFileSync } from 'node:fs';
 import test from 'ava';
 import { formatFindings } from '@bluebellhitch/shared';
-import { parseScenario, runScenario, type Scenario } from '../src';
+import { parseScenario, runScenario, type Scenario, type World } from '../src';
+import { decisionRecords } from './support/decisionRecords';
 import { installPausedClock } from './support/pausedClock';
 
 const directory = new URL('../scenarios/', import.meta.url);
@@ -28,7 +29,9 @@
     test.serial(title, async (t) => {
       t.timeout(60_000);
       const scenario = read(fileName);
-      t.deepEqual(await runScenario({ scenario, clock: installPausedClock() }), []);
+      const onEnd = (world: World, failures: readonly unknown[]) =>
+        failures.length > 0 && t.log(decisionRecords(world).join('\n'));
+      t.deepEqual(await runScenario({ scenario, clock: installPausedClock(), onEnd }), []);
       for (const safeguard of scenario.failsWithout) {
         const without = [safeguard];
         const failures = await runScenario({ scenario, clock: installPausedClock(), without });
--- a/packages/scenarios/src/language/runScenario.ts
+++ b/packages/scenarios/src/language/runScenario.ts
@@ -16,6 +16,8 @@
   scenario: Scenario;
   clock: PausedClock;
   without?: readonly Safeguard[];
+  /** Called before the world is closed. */
+  onEnd?: (world: World, failures: readonly ScenarioFailure[]) => void;
 }
 
 /** What did not hold, with the line of its step. */
@@ -53,7 +55,9 @@
   const stage: Stage = { world, scenario, documents: new Map(), orders: new Map() };
   try {
     await world.start();
-    return await runSteps(stage);
+    const failures = await runSteps(stage);
+    options.onEnd?.(world, failures);
+    return failures;
   } finally {
     world.close();
   }
--- a/packages/scenarios/src/world/worldEntry.ts
+++ b/packages/scenarios/src/world/worldEntry.ts
@@ -8,7 +8,12 @@
 } from '@bluebellhitch/platform';
 import type { Strike } from '@bluebellhitch/protocol';
 import type { Random } from '@bluebellhitch/shared';
-import { createDecisionRing, createEntryMetrics, type Logger } from '@bluebellhitch/telemetry';
+import {
+  createDecisionRing,
+  createEntryMetrics,
+  type DecisionRing,
+  type Logger,
+} from '@bluebellhitch/telemetry';
 import { errAsync } from 'neverthrow';
 import {
   createCancellations,
@@ -43,7 +48,7 @@
 /** What one process of an entry holds. */
 export interface EntryCore {
   process: SimulatedProcess;
-  context: RequestContext;
+  context: RequestContext & { ring: DecisionRing };
   runs: ModelRuns;
   services: ServiceTable;
   strikes: Strikes;
@@ -100,7 +105,7 @@
     process: SimulatedProcess,
     platform: PlatformApi,
     strikes: Strikes,
-  ): RequestContext {
+  ): EntryCore['context'] {
     const { random, network, agentAt } = options;
     const entryIncarnation = incarnations.at(-1) as string;
     const instances = followInstances(platform, process.gone);
