Add the binary of the entry, with its feed, inner port and readiness

Cause: the callers' side had no process around it. The process follows the accepted documents and the instance list, serves the feed and strikes to others, is ready with one document and one list, and stops in the order readiness, settle time, callers, leases.

--- a/packages/entry/__tests__/modelRequest.test.ts
+++ b/packages/entry/__tests__/modelRequest.test.ts
@@ -63,9 +63,16 @@
 test('prefills a long prompt on a prefill worker and has its KV cache transferred', async (t) => {
   const decode = createFakeAgent({ id: 'decode-1', service, role: 'decode' });
   const prefill = createFakeAgent({ id: 'prefill-1', service, role: 'prefill' });
+  let heldAfterFirstToken: number | undefined;
+  decode.frames = async function* watched(request): AsyncGenerator<StreamFrame> {
+    yield* tokens(request, 2);
+    heldAfterFirstToken = prefill.held.size;
+    yield* wholeAnswer({ ...request, emitted: { tokenCount: 2, text: '' } });
+  };
   const { address } = await startHarness(t, { agents: [decode, prefill] });
   const response = await chat(address, longPrompt);
   t.is(response.status, 200);
+  t.is(heldAfterFirstToken, 0, 'the export is dropped as soon as it has been used');
   t.like(decode.streamed[0]?.source, { kind: 'transfer', exportId: 'export' });
   t.is(heldCount([decode, prefill]), 0, 'the prefill worker is told when its result was used');
   t.is(prefill.cancelled.length, 1);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,5 +1,6 @@
 /** An entry: its ports, its view of configuration, and its graceful stop. */
 import { randomUUID } from 'node:crypto';
+import type { InstanceDirectory } from '@bluebellhitch/membership';
 import type { PlatformApi, ClaimStore } from '@bluebellhitch/platform';
 import { feedKinds, type FeedRecord } from '@bluebellhitch/protocol';
 import { assertNever, delay, type Random } from '@bluebellhitch/shared';
@@ -18,7 +19,6 @@
 import { createHeartbeats } from './heartbeats';
 import { createHttpAgentClient } from './httpAgentClient';
 import { startInnerServer } from './innerServer';
-import type { Instances } from './instances';
 import { createPeerStrikes } from './peerStrikes';
 import { defaultRequestTimeouts, type RequestContext } from './requestContext';
 import { createServiceRuntimes } from './serviceRuntimes';
@@ -29,9 +29,10 @@
   settings: EntrySettings;
   platform: PlatformApi;
   claims: ClaimStore;
-  instances: Instances;
-  /** Whether the list of instances has been read. */
-  knowsInstances: () => boolean;
+  directory: Pick<
+    InstanceDirectory,
+    'agents' | 'entries' | 'markLeaving' | 'markDown' | 'viewAgeMs'
+  >;
   feed: ConfigurationFeed;
   logger: Logger;
   random?: Random;
@@ -53,7 +54,7 @@
 
 /** Starts all ports; rejects where one is taken. */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
-  const { settings, feed, logger, instances } = options;
+  const { settings, feed, logger, directory } = options;
   const metrics = createEntryMetrics();
   const ring = createDecisionRing();
   const services = createServiceTable();
@@ -63,14 +64,15 @@
   });
   const peers = createPeerStrikes({
     entryId: settings.instanceId,
-    instances,
+    instances: directory,
     logger,
     onControlBytes: metrics.countControlBytes,
   });
   const strikes = createStrikes({ platform: options.platform, tellPeers: peers.tell, logger });
   const context = createContext(options, { agents, metrics, ring, strikes });
   let stopping = false;
-  const isReady = () => !stopping && services.list().length > 0 && options.knowsInstances();
+  const isReady = () =>
+    !stopping && services.list().length > 0 && directory.viewAgeMs() !== undefined;
 
   feed.start((record) => applyRecord({ record, services, strikes, metrics, context }));
   const inner = await startInnerServer({
@@ -135,7 +137,7 @@
 type ContextParts = Pick<RequestContext, 'agents' | 'metrics' | 'ring' | 'strikes'>;
 
 function createContext(options: EntryOptions, parts: ContextParts): RequestContext {
-  const { settings, instances, claims, logger, random = Math.random } = options;
+  const { settings, directory: instances, claims, logger, random = Math.random } = options;
   const { instanceId: entryId, dataCentre } = settings;
   const entryIncarnation = randomUUID();
   const runtimes = createServiceRuntimes({ entryId, dataCentre, instances, random });
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,13 +1,48 @@
-// The parts that work without sockets: the path of a model request over an `AgentApi`.
-export type { AgentApi, AgentCallError, AgentCallOptions } from './agentApi';
-export type { AnswerEvent } from './answerLog';
-export { createCancellations } from './cancellations';
+export type {
+  AgentApi,
+  AgentCallError,
+  AgentCallOptions,
+  PlainAnswer,
+  PlainCall,
+  StreamOpenError,
+} from './agentApi';
+export { createAnswerLog, type AnswerEvent, type AnswerLog } from './answerLog';
+export { createCallersSide, type CallersSide, type CallersSideOptions } from './callersSide';
+export {
+  createCancellations,
+  type Cancellations,
+  type CancellationsOptions,
+} from './cancellations';
+export type { ConfigurationFeed } from './configurationFeed';
 export { claimKeyOf, fingerprintOf } from './digests';
-export { createHeartbeats } from './heartbeats';
+export { startEntry, type Entry, type EntryOptions } from './entry';
+export { startEntryProcess, type EntryProcess } from './entryProcess';
+export { entrySettings, type EntrySettings } from './entrySettings';
+export {
+  createHeartbeats,
+  leaseDurationMs,
+  type HeartbeatShare,
+  type Heartbeats,
+  type HeartbeatsOptions,
+} from './heartbeats';
+export {
+  createHttpAgentClient,
+  type HttpAgentClient,
+  type HttpAgentClientOptions,
+} from './httpAgentClient';
 export type { Instances } from './instances';
-export { createModelRuns, type ModelRuns } from './modelRuns';
-export type { ModelRequest } from './modelTypes';
-export { defaultRequestTimeouts, type RequestContext } from './requestContext';
-export { createServiceRuntimes } from './serviceRuntimes';
-export { createServiceTable, type ServiceTable } from './serviceTable';
-export { createStrikes, type Strikes } from './strikes';
+export { createModelRuns, type ModelRuns, type RunMembership } from './modelRuns';
+export { stopReasons, type ModelRequest, type StopReason } from './modelTypes';
+export { createPlainApi, type PlainApi, type PlainApiOptions } from './plainApi';
+export {
+  defaultRequestTimeouts,
+  type RequestContext,
+  type RequestTimeouts,
+} from './requestContext';
+export {
+  createServiceRuntimes,
+  type ServiceRuntimes,
+  type ServiceRuntimesOptions,
+} from './serviceRuntimes';
+export { createServiceTable, type ServiceEntry, type ServiceTable } from './serviceTable';
+export { createStrikes, type Strikes, type StrikesOptions } from './strikes';
--- a/packages/entry/src/plainCall.ts
+++ b/packages/entry/src/plainCall.ts
@@ -134,9 +134,9 @@
   outgoing.writeHead(answer.status, { ...headers, 'x-request-id': requestId });
   run.trace.step('answer', { instanceId: place.instance.id, status: answer.status });
   try {
+    // Destroys the response where the answer breaks off.
     await pipeline(answer.body, outgoing);
   } catch (error) {
-    outgoing.destroy();
     if (exchange.gone.aborted && !answer.body.errored) {
       return { kind: 'stopped' };
     }
