Start the real binaries as separate processes with npm start

The script starts stand-ins, agents and entries in that order, waits until each agent is listed and each document is in force, and stops entries, then agents, then stand-ins. Children run in process groups of their own, so that Ctrl-C cannot reach them out of order; the pipe to their standard input ends with the script, also on SIGKILL, and each of them leaves then. A probe request as the test of readiness was ruled out: it would appear in the metrics.

--- /dev/null
+++ b/scripts/start.mjs
@@ -0,0 +1,160 @@
+/**
+ * `npm start`: the real binaries as separate processes on this machine, with stand-ins for the engines,
+ * the plain service and the platform. Options: see `usage`.
+ */
+import { parseArgs } from 'node:util';
+import { prepare } from './lib/repository.mjs';
+
+const usage = `Usage: npm start -- [options]
+
+  --example <name>   halloran-voss (default) or sahlat
+  --entries <n>      number of entries, at consecutive ports; default 1
+  --full             as many workers as the institution runs today
+  --once             send one streamed completion and one plain lookup, then stop
+  --verbose          show every line that the processes write
+
+Environment: BLUEBELL_ENTRY_PORT (8080) and BLUEBELL_ADMIN_PORT (9090); 0 takes free ports.`;
+
+const exitCodes = { ok: 0, failure: 1, invalidSettings: 2 };
+const parentPollMs = 500;
+
+function print(line) {
+  process.stdout.write(`${line}\n`);
+}
+
+function readOptions() {
+  const { values } = parseArgs({
+    options: {
+      example: { type: 'string', default: 'halloran-voss' },
+      entries: { type: 'string', default: '1' },
+      full: { type: 'boolean', default: false },
+      once: { type: 'boolean', default: false },
+      verbose: { type: 'boolean', default: false },
+      help: { type: 'boolean', default: false },
+    },
+  });
+  const options = {
+    ...values,
+    entryCount: Number(values.entries),
+    entryPort: Number(process.env.BLUEBELL_ENTRY_PORT ?? 8080),
+    adminPort: Number(process.env.BLUEBELL_ADMIN_PORT ?? 9090),
+  };
+  return { options, findings: findingsOf(options) };
+}
+
+function findingsOf({ entryCount, entryPort, adminPort }) {
+  const isPort = (value) => Number.isInteger(value) && value >= 0 && value <= 65_535;
+  return [
+    [Number.isInteger(entryCount) && entryCount >= 1, '--entries: must be a whole number from 1'],
+    [isPort(entryPort), 'BLUEBELL_ENTRY_PORT: must be a port'],
+    [isPort(adminPort), 'BLUEBELL_ADMIN_PORT: must be a port'],
+  ].flatMap(([isRight, finding]) => (isRight ? [] : [finding]));
+}
+
+/** Resolves with the cause of the first request to stop; a second one calls `onSecond`. */
+function waitForStop(onSecond) {
+  return new Promise((resolve) => {
+    let isStopping = false;
+    const stop = (cause) => {
+      if (isStopping) {
+        onSecond();
+      }
+      isStopping = true;
+      resolve(cause);
+    };
+    process.on('SIGTERM', () => stop('SIGTERM'));
+    process.on('SIGINT', () => stop('SIGINT'));
+    watchNpm(() => stop('npm ended'));
+  });
+}
+
+/** npm cannot pass on a SIGKILL; without this the processes would run on unseen. */
+function watchNpm(onGone) {
+  if (process.env.npm_lifecycle_event === undefined) {
+    return;
+  }
+  const parentId = process.ppid;
+  const timer = setInterval(() => {
+    if (process.ppid !== parentId) {
+      clearInterval(timer);
+      onGone();
+    }
+  }, parentPollMs);
+  timer.unref();
+}
+
+function describe({ name, pid, addresses }) {
+  const places = Object.entries(addresses).map(([place, address]) => `${place}=${address}`);
+  return `started ${name} pid=${pid} ${places.join(' ')}`;
+}
+
+async function showOnce(callersAddress, example, { showCompletion, showLookup }) {
+  const write = (text) => process.stdout.write(text);
+  await showCompletion(callersAddress, example, write);
+  await showLookup(callersAddress, example, write);
+}
+
+async function main() {
+  const { options, findings } = readOptions();
+  if (options.help || findings.length > 0) {
+    print([...findings, usage].join('\n'));
+    return options.help ? exitCodes.ok : exitCodes.invalidSettings;
+  }
+  const prepared = await prepare();
+  if (prepared !== 0) {
+    return prepared;
+  }
+  // Loaded only now: these modules need installed packages.
+  const { exampleNames, readExample } = await import('./lib/examples.mjs');
+  const { startFleet } = await import('./lib/fleet.mjs');
+  const { createOutputFilter } = await import('./lib/outputFilter.mjs');
+  const samples = await import('./lib/sampleRequests.mjs');
+  if (!exampleNames.includes(options.example)) {
+    print(`--example: must be one of ${exampleNames.join(', ')}`);
+    return exitCodes.invalidSettings;
+  }
+  const example = await readExample(options.example, options);
+  let fleet;
+  const stopRequested = waitForStop(() => {
+    fleet?.kill();
+    process.exit(exitCodes.failure);
+  });
+  const starting = startFleet({
+    ...options,
+    example,
+    onStarted: (started) => print(describe(started)),
+    onEnded: (name, cause) => print(`${name} ended by itself: ${cause}`),
+    onLine: createOutputFilter(options, print),
+  });
+  fleet = await Promise.race([starting, stopRequested.then(() => undefined)]);
+  return fleet === undefined
+    ? exitCodes.ok
+    : serve(fleet, example, options, stopRequested, samples);
+}
+
+async function serve(fleet, example, options, stopRequested, samples) {
+  const [{ addresses }] = fleet.entries;
+  print(`ready on ${fleet.entries.map((entry) => entry.addresses.callersAddress).join(' and ')}`);
+  print(`try: ${samples.curlLine(addresses.callersAddress, example)}`);
+  const outcome = options.once
+    ? await showOnce(addresses.callersAddress, example, samples).then(
+        () => exitCodes.ok,
+        (error) => {
+          print(error.message);
+          return exitCodes.failure;
+        },
+      )
+    : await stopRequested.then(() => exitCodes.ok);
+  print('stopping');
+  const cutOff = await fleet.stop();
+  cutOff.forEach((name) => print(`${name} did not stop gracefully`));
+  return cutOff.length === 0 ? outcome : exitCodes.failure;
+}
+
+// Leaves with the children's pipes: an exit at any point ends every process that was started.
+try {
+  process.exit(await main());
+} catch (error) {
+  print(error.message);
+  process.exit(exitCodes.failure);
+}
