Compare with engines that no agent watches, on connections of their own

The overhead experiment failed in its first trials: an agent cancels streams of its engine that it did not start, which are exactly the direct ones, and a kept-alive connection of the admin port closed under a reading. Direct streams now go to engines of the same settings without an agent, control calls have a connection each, and callers' connections are given up after one idle second.

Ruled out: marking direct streams for the agent to leave alone, which would test another agent.

--- a/packages/bench/src/accounting/metricsText.ts
+++ b/packages/bench/src/accounting/metricsText.ts
@@ -1,5 +1,5 @@
 /** Reads the Prometheus text that entries and agents serve at `/metrics`. */
-import { request } from 'undici';
+import { readText } from '../fleet/controlCalls';
 
 export interface MetricSample {
   name: string;
@@ -35,6 +35,5 @@
 }
 
 export async function readMetrics(adminAddress: string): Promise<MetricSample[]> {
-  const response = await request(`${adminAddress}/metrics`);
-  return parseMetrics(await response.body.text());
+  return parseMetrics(await readText(`${adminAddress}/metrics`));
 }
--- a/packages/bench/src/experiments/overhead.ts
+++ b/packages/bench/src/experiments/overhead.ts
@@ -79,7 +79,7 @@
     const figures: OverheadFigures = { options, longTokens, idle, levels, machine };
     return { text: renderOverhead(figures), figures };
   } finally {
-    await target.fleet.stop();
+    await target.stop();
   }
 }
 
--- a/packages/bench/src/experiments/overheadBatches.ts
+++ b/packages/bench/src/experiments/overheadBatches.ts
@@ -60,7 +60,10 @@
     model: target.engineModel,
     prompt: promptOf(options, index),
     maxOutputTokens: outputTokens,
-  });
+  }).catch((error: Error) => error);
+  if (answer instanceof Error) {
+    return { failure: answer.message };
+  }
   return answer.isComplete ? { times: answer } : { failure: 'incomplete' };
 }
 
--- a/packages/bench/src/experiments/overheadFleet.ts
+++ b/packages/bench/src/experiments/overheadFleet.ts
@@ -6,8 +6,10 @@
   institutionNames,
   modelDocumentOf,
   type EngineProfile,
+  type FleetDescription,
 } from '../fleet/fleetDescription';
-import { startFleet, type Fleet } from '../fleet/startFleet';
+import { startBinary, type RunningBinary } from '../fleet/childProcess';
+import { backendSpec, startFleet, type Fleet } from '../fleet/startFleet';
 import { textOfTokens } from '../traffic/promptText';
 import type { ExperimentContext } from './context';
 
@@ -27,12 +29,13 @@
 const service = 'draft-models';
 
 export interface OverheadFleet {
-  fleet: Fleet;
+  stop(): Promise<void>;
   service: string;
   engineModel: string;
   institution: string;
   callerAddress: string;
   entryAdmin: string;
+  /** Engines of the same settings that no agent watches: it would cancel streams that it did not start. */
   engineAddresses: string[];
   agentAdmins: string[];
 }
@@ -50,19 +53,39 @@
     description,
     entryGroups: [{ name: 'default', count: 1, settings: {} }],
   });
+  const engines = await startDirectEngines(context, description, fleet);
   const [entry] = fleet.entries;
   return {
-    fleet,
+    stop: async () => {
+      await Promise.all([fleet.stop(), ...engines.map((engine) => engine.stop())]);
+    },
     service,
     engineModel: engineModelOf(modelDocumentOf(description)),
     institution: description.institution,
     callerAddress: entry?.callerAddress ?? '',
     entryAdmin: entry?.adminAddress ?? '',
-    engineAddresses: fleet.backends().map(({ address }) => address),
+    engineAddresses: engines.map(({ addresses }) => addresses.address ?? ''),
     agentAdmins: fleet.backends().map(({ agentAdminAddress }) => agentAdminAddress),
   };
 }
 
+async function startDirectEngines(
+  context: ExperimentContext,
+  { backends, engine }: FleetDescription,
+  fleet: Fleet,
+): Promise<RunningBinary[]> {
+  const specs = backends.map((backend) => backendSpec(backend, engine));
+  const starting = specs.map((spec) =>
+    startBinary({ ...spec, name: `${spec.name}-direct` }, context),
+  );
+  try {
+    return await Promise.all(starting);
+  } catch (error) {
+    await fleet.stop();
+    throw error;
+  }
+}
+
 /** A prompt that no other label has, and whose answer is at least `outputTokens` long. */
 export function promptWithOutput(
   label: string,
--- a/packages/bench/src/fleet/controlCalls.ts
+++ b/packages/bench/src/fleet/controlCalls.ts
@@ -1,6 +1,20 @@
 /** What operators, the platform and faults do at the stand-ins' control endpoints. */
 import { request } from 'undici';
 
+// Each call has a connection of its own: one that was kept alive may be closed by its server just as
+// the next call is written to it, which would end an experiment minutes after its start.
+const ownConnection = { reset: true };
+
+/** A GET that succeeds with its text; throws on any other answer. */
+export async function readText(url: string): Promise<string> {
+  const response = await request(url, ownConnection);
+  const text = await response.body.text();
+  if (response.statusCode >= 300) {
+    throw new Error(`GET ${url}: ${response.statusCode} ${text}`);
+  }
+  return text;
+}
+
 /** Sends a JSON body; throws on any answer but success. */
 export async function sendJson(
   method: 'POST' | 'PUT' | 'DELETE',
@@ -8,6 +22,7 @@
   body: object,
 ): Promise<void> {
   const response = await request(url, {
+    ...ownConnection,
     method,
     headers: { 'content-type': 'application/json' },
     body: JSON.stringify(body),
@@ -20,12 +35,7 @@
 
 /** Reads a JSON answer; throws on any answer but success. */
 export async function readJson(url: string): Promise<unknown> {
-  const response = await request(url);
-  const text = await response.body.text();
-  if (response.statusCode >= 300) {
-    throw new Error(`GET ${url}: ${response.statusCode} ${text}`);
-  }
-  return JSON.parse(text) as unknown;
+  return JSON.parse(await readText(url)) as unknown;
 }
 
 /** Stores a service's document as operators do. */
--- a/packages/bench/src/fleet/startFleet.ts
+++ b/packages/bench/src/fleet/startFleet.ts
@@ -3,14 +3,19 @@
  * platform last. A fleet that fails to start leaves nothing behind.
  */
 import { delay, monotonicNowMs } from '@bluebellhitch/shared';
-import { request } from 'undici';
 import {
   startBinary,
   type BinarySpec,
   type RunningBinary,
   type StartBinaryOptions,
 } from './childProcess';
-import { applyDocument, readJson, registerInstance, removeInstance } from './controlCalls';
+import {
+  applyDocument,
+  readJson,
+  readText,
+  registerInstance,
+  removeInstance,
+} from './controlCalls';
 import type { BackendDescription, EngineProfile, FleetDescription } from './fleetDescription';
 
 export interface StartFleetOptions extends StartBinaryOptions {
@@ -180,7 +185,8 @@
   return { name: 'platform', binary: 'standin-platform', settings: { host, instanceLagMs } };
 }
 
-function backendSpec(
+/** A backend server without its agent. */
+export function backendSpec(
   { id, document, role }: BackendDescription,
   engine: EngineProfile,
 ): BinarySpec {
@@ -216,9 +222,8 @@
 
 function waitUntilReady(name: string, adminAddress: string): Promise<void> {
   return waitFor(`${name} is not ready`, async () => {
-    const response = await request(`${adminAddress}/readyz`);
-    await response.body.dump();
-    return response.statusCode === 200;
+    await readText(`${adminAddress}/readyz`);
+    return true;
   });
 }
 
--- a/packages/bench/src/load/openLoop.ts
+++ b/packages/bench/src/load/openLoop.ts
@@ -61,9 +61,19 @@
   return { answers, tool: { maxSendLagMs, eventLoopDelayP99Ms } };
 }
 
+/** Shorter than any server's, so that no request meets a connection that is just being closed. */
+const keepAliveMs = 1_000;
+
 /** A dispatcher that never queues a request behind another one. */
 export function createDispatcher(): Agent {
-  return new Agent({ connections: null, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+  return new Agent({
+    connections: null,
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveTimeout: keepAliveMs,
+    keepAliveMaxTimeout: keepAliveMs,
+  });
 }
 
 function send(
