Make the inner port's tests fail without their safeguards

Cause: with one safeguard at a time removed in a scratch copy, three of eleven removals went unnoticed: backpressure (the fake sent too little), the grace at closing (the answer had already left) and the abort of a plain call (its deadline hid it). The tests now count the chunks taken from the engine, close in the middle of an answer, and have no near deadline. The eleventh, cutting the connection of an answer that broke, was done twice; the pipeline does it, and the second is gone.

--- a/packages/agent/__tests__/helpers/fakeEngine.ts
+++ b/packages/agent/__tests__/helpers/fakeEngine.ts
@@ -39,7 +39,7 @@
     /** Exports outlive their time, as while a transfer reads them. */
     keepsExports: boolean;
     /** Chunks to send in place of the regular ones. */
-    chunks?: EngineChunk[];
+    chunks?: Iterable<EngineChunk>;
     decodeError?: EngineError;
     orderMs: number;
   };
--- a/packages/agent/__tests__/innerServer.test.ts
+++ b/packages/agent/__tests__/innerServer.test.ts
@@ -1,4 +1,6 @@
+import { request, type IncomingMessage } from 'node:http';
 import test from 'ava';
+import type { EngineChunk } from '@bluebellhitch/engine';
 import { delay } from '@bluebellhitch/shared';
 import { parseFrames, startModelBench, until } from './helpers/innerBench';
 import { reservation } from './helpers/agentBench';
@@ -72,43 +74,53 @@
 // A receiver that does not read must not make the agent collect the answer in its memory: the engine's
 // stream is read only as fast as the receiver takes it.
 test('a slow receiver holds the engine back', async (t) => {
-  const { client, server, engine, agent } = await startModelBench(t, {
-    stepMs: 0,
-    capacityKvBytes: 10_000_000,
-  });
-  await client.reserve.mutate(reservation('a', { maxOutputTokens: 500_000 }));
-  const connection = new AbortController();
-  const answer = await fetch(`${server.address}/streams`, {
-    method: 'POST',
-    body: streamBody('a', 500_000),
-    signal: connection.signal,
+  const { client, server, engine, agent } = await startModelBench(t);
+  let produced = 0;
+  engine.faults.chunks = (function* bigChunks(): Generator<EngineChunk> {
+    while (produced < 2000) {
+      yield { kind: 'token', attemptId: 'a', offset: produced, text: 'x'.repeat(65_536) };
+      produced += 1;
+    }
+  })();
+  await client.reserve.mutate(reservation('a'));
+  const call = request(`${server.address}/streams`, { method: 'POST' });
+  call.end(streamBody('a'));
+  const answer = await new Promise<IncomingMessage>((resolve) => {
+    call.on('response', resolve);
   });
-  t.is(answer.status, 200);
-  await delay(500);
-  const before = process.memoryUsage().heapUsed;
-  await delay(500);
-  t.true(process.memoryUsage().heapUsed - before < 32 * 1024 * 1024);
-  connection.abort();
+  answer.pause();
+  await delay(300);
+  const producedUnread = produced;
+  await delay(100);
+  t.is(produced, producedUnread);
+  t.true(producedUnread < 1000);
+  call.destroy();
   t.true(await until(() => engine.holdings.size === 0));
   t.true(await until(() => agent.load().activeCount === 0));
 });
 
-// The engine has ended the answer and the lease with it, and the process stops: the last frames may
-// still be on their way.
+// The process stops while the last part of an answer is still on its way to the entry.
 test('closing lets answers in progress reach their receivers', async (t) => {
-  const { agent, client, server } = await startModelBench(t);
-  const timer = setInterval(() => {
-    void agent.handlers.heartbeat({ entryId: 'entry-1', entryIncarnation: 'first' });
-  }, 200);
-  t.teardown(() => clearInterval(timer));
+  const { client, server } = await startModelBench(t);
   await client.reserve.mutate(reservation('a'));
   const answer = await fetch(`${server.address}/streams`, {
     method: 'POST',
     body: streamBody('a'),
   });
-  agent.leave();
-  t.true(await agent.drain(5000));
-  await server.close(1000);
+  const closed = server.close(5000);
   t.like(parseFrames(await answer.text()).at(-1), { kind: 'end', offset: 90 });
+  await closed;
   await t.throwsAsync(fetch(`${server.address}/streams`, { method: 'POST' }));
 });
+
+test('closing cuts what outlives the grace', async (t) => {
+  const { client, server, engine } = await startModelBench(t, { stepMs: 100 });
+  await client.reserve.mutate(reservation('a'));
+  const answer = await fetch(`${server.address}/streams`, {
+    method: 'POST',
+    body: streamBody('a'),
+  });
+  await server.close(50);
+  await t.throwsAsync(answer.text());
+  t.true(await until(() => engine.holdings.size === 0));
+});
--- a/packages/agent/__tests__/plainProxy.test.ts
+++ b/packages/agent/__tests__/plainProxy.test.ts
@@ -108,7 +108,7 @@
   });
   const connection = new AbortController();
   const answer = fetch(`${server.address}/plain/x`, {
-    headers: plainHeaders('a'),
+    headers: plainHeaders('a', 60_000),
     signal: connection.signal,
   });
   t.true(await until(() => agent.load().activeCount === 1));
--- a/packages/agent/src/plainProxy.ts
+++ b/packages/agent/src/plainProxy.ts
@@ -163,8 +163,7 @@
 
   function failCall(outgoing: ServerResponse, error: unknown): void {
     if (outgoing.headersSent) {
-      // A cut connection is the only way to tell the entry that the rest is missing.
-      outgoing.destroy();
+      // The pipeline has cut the connection: the only way to tell the entry that the rest is missing.
       return;
     }
     const code = String((error as { code?: unknown }).code ?? '');
