Tell duplicates what became of the work, and count heartbeats as control

Cause: a duplicate's refusal said "not run", which is true of the duplicate only; its caller would read that the letter was never drafted. It now says false where the first request has run, and unknown where it runs or may have run. Node warned of a leak above ten streams on one agent: the listeners are one for each running attempt and are removed.

--- a/packages/entry/__tests__/modelRequest.test.ts
+++ b/packages/entry/__tests__/modelRequest.test.ts
@@ -252,7 +252,9 @@
   const { address } = await startHarness(t, { agents: [agent], claims });
   const response = await chat(address, {}, marked);
   t.is(response.status, 409);
-  t.regex(((await response.json()) as { detail: string }).detail, /request-0 .* has run/);
+  const problem = (await response.json()) as { detail: string; notRun: unknown };
+  t.regex(problem.detail, /request-0 .* has run/);
+  t.false(problem.notRun);
   t.is(agent.streamed.length, 0);
   t.is(heldCount([agent]), 0);
   t.deepEqual(ends, []);
--- a/packages/entry/src/claimStage.ts
+++ b/packages/entry/src/claimStage.ts
@@ -79,17 +79,19 @@
   };
 }
 
+const duplicateStates = {
+  running: { told: 'is running', notRun: 'unknown' },
+  ran: { told: 'has run', notRun: false },
+  unknown: { told: 'may have run', notRun: 'unknown' },
+} as const;
+
+/** `notRun` is about the work that the key names: a caller that reads `true` would send it again. */
 function duplicateRefusal(outcome: Extract<ClaimOutcome, { kind: 'held' }>): Refusal {
-  const details = {
-    running: `request ${outcome.requestId} with this Idempotency-Key is running`,
-    ran: `request ${outcome.requestId} with this Idempotency-Key has run`,
-    unknown: `request ${outcome.requestId} with this Idempotency-Key may have run`,
-  } as const;
+  const { told, notRun } = duplicateStates[outcome.state];
   return createRefusal({
     reason: refusalReasons.duplicate,
-    // This request itself was not dispatched; the one that holds the key is told in the detail.
-    notRun: true,
-    detail: details[outcome.state],
+    notRun,
+    detail: `request ${outcome.requestId} with this Idempotency-Key ${told}`,
     retryAfterMs: outcome.state === 'running' ? duplicateRetryAfterMs : undefined,
   });
 }
--- a/packages/entry/src/heartbeats.ts
+++ b/packages/entry/src/heartbeats.ts
@@ -2,6 +2,7 @@
  * One heartbeat for each agent that this entry shares work with, and only while it does. It renews all
  * leases that the entry holds there.
  */
+import { setMaxListeners } from 'node:events';
 import type { HeartbeatReply } from '@bluebellhitch/protocol';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { AgentApi } from './agentApi';
@@ -100,10 +101,13 @@
   }
 
   function begin(address: string): Pair {
+    const lapse = new AbortController();
+    // Every running attempt at the agent listens; Node warns of a leak above ten listeners.
+    setMaxListeners(0, lapse.signal);
     const pair: Pair = {
       address,
       shareCount: 0,
-      lapse: new AbortController(),
+      lapse,
       renewedAtMs: monotonicNowMs(),
       timer: setInterval(() => {
         void beat(pair);
--- a/packages/entry/src/httpAgentClient.ts
+++ b/packages/entry/src/httpAgentClient.ts
@@ -1,5 +1,5 @@
 /** `AgentApi` over the inner protocol: trpc for messages, HTTP for streams and plain calls. */
-import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
+import { createTRPCClient, httpLink, splitLink, type TRPCClient } from '@trpc/client';
 import { err, errAsync, ok, ResultAsync, type Result } from 'neverthrow';
 import { Agent, request as sendRequest, type Dispatcher } from 'undici';
 import type { z } from 'zod';
@@ -34,6 +34,7 @@
   /** Clients kept for agents; the one used longest ago is dropped. */
   maxClients?: number;
   onMalformedFrame?: () => void;
+  /** Told of the size of heartbeats. */
   onControlBytes?: ControlBytesListener;
 }
 
@@ -44,6 +45,8 @@
 type RouterClient = TRPCClient<AgentRouter>;
 type AnswerHeaders = PlainAnswer['headers'];
 
+/** Sent by the clock rather than for one request. */
+const controlProcedures: readonly string[] = ['heartbeat'];
 const keepAliveMs = 10_000;
 const maxRefusalBytes = 64 * 1024;
 /** Errors before the request was written. */
@@ -65,14 +68,21 @@
     bodyTimeout: 0,
     headersTimeout: 0,
   });
-  const fetchMessage = createMessageFetch(dispatcher, onControlBytes);
+  const fetchMessage = createMessageFetch(dispatcher);
+  const fetchControl = createMessageFetch(dispatcher, onControlBytes);
   const clients = new Map<string, RouterClient>();
 
   function clientOf(address: string): RouterClient {
     const client =
       clients.get(address) ??
       createTRPCClient<AgentRouter>({
-        links: [httpLink({ url: `${address}${innerPaths.trpc}`, fetch: fetchMessage })],
+        links: [
+          splitLink({
+            condition: ({ path }) => controlProcedures.includes(path),
+            true: httpLink({ url: `${address}${innerPaths.trpc}`, fetch: fetchControl }),
+            false: httpLink({ url: `${address}${innerPaths.trpc}`, fetch: fetchMessage }),
+          }),
+        ],
       });
     clients.delete(address);
     clients.set(address, client);
--- a/packages/entry/src/prefillStage.ts
+++ b/packages/entry/src/prefillStage.ts
@@ -27,6 +27,8 @@
 
 /** A prefill that ends this long before its slot is usable still finds its result kept. */
 const startMarginMs = 20;
+/** Other prompts share the worker: a slow prefill is no stalled one. */
+const stallFactor = 4;
 
 /** Reserves the prefill worker that the placement chose. */
 export async function reservePrefill(
@@ -83,7 +85,7 @@
       prompt: `${request.prompt}${run.emitted.text}`,
       priority: request.trafficClass.priority,
     },
-    { timeoutMs: Math.max(1, request.deadlineAtMs - monotonicNowMs()), signal: run.signal },
+    { timeoutMs: prefillTimeoutMs(run, prefillMs), signal: run.signal },
   );
   if (reply.isErr()) {
     noteCallError(context, request.document.service, instance.id, reply.error);
@@ -94,6 +96,16 @@
     : finishedPrefill(run, lease, reply.value);
 }
 
+/**
+ * A prefill shows no progress until it ends. Without a bound of its own, one whose answer is lost would
+ * hold its caller until the deadline.
+ */
+function prefillTimeoutMs({ context, request }: ModelRun, predictedMs: number): number {
+  const remainingMs = request.deadlineAtMs - monotonicNowMs();
+  const patienceMs = context.timeouts.firstFrameStallMs + stallFactor * predictedMs;
+  return Math.max(1, Math.min(remainingMs, patienceMs));
+}
+
 function refusedPrefill(
   run: ModelRun,
   lease: HeldLease,
