--- a/packages/platform/__tests__/claimStores.test.ts
+++ b/packages/platform/__tests__/claimStores.test.ts
@@ -13,7 +13,8 @@
 
 const stores: Record<string, (platform: PlatformApi, ownerId: string) => ClaimStore> = {
   single: (platform, ownerId) => createClaimStore({ platform, ownerId }),
-  grouped: (platform, ownerId) => createGroupedClaimStore({ platform, ownerId, shards: 1 }),
+  grouped: (platform, ownerId) =>
+    createGroupedClaimStore({ platform, ownerId, shards: 1, random: () => 0.5 }),
 };
 
 const expiresInMs = 60_000;
--- a/packages/platform/src/claimGroupObject.ts
+++ b/packages/platform/src/claimGroupObject.ts
@@ -1,6 +1,6 @@
 /** Reads and conditional writes of one shard's claim groups, with the last known version of each. */
 import { err, ok, type Result } from 'neverthrow';
-import { delay } from '@bluebellhitch/shared';
+import { delay, monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import {
   applyOperations,
   claimGroupSchema,
@@ -19,8 +19,12 @@
 export interface ClaimGroupObjectsOptions {
   platform: PlatformApi;
   shard: number;
+  /** Failed calls of one commit, conflicts apart, before it is given up. */
   tries: number;
+  /** No further try of a commit starts after this long. */
+  budgetMs: number;
   pauseMs: number;
+  random: Random;
 }
 
 /** A failed commit; with `mayStay` an earlier write of it may still take effect. */
@@ -41,7 +45,7 @@
 const knownLimit = 3;
 
 export function createClaimGroupObjects(options: ClaimGroupObjectsOptions) {
-  const { platform, shard, tries, pauseMs } = options;
+  const { platform, shard, tries, budgetMs, pauseMs, random } = options;
   const known = new Map<number, KnownGroup>();
 
   function objectKey(window: number): string {
@@ -62,7 +66,9 @@
     operations: readonly GroupOperation[],
   ): Promise<Result<OperationOutcome[], CommitFailure>> {
     let failure: CommitFailure = { error: { kind: 'not-found' }, mayStay: false };
-    for (let tryCount = 1; tryCount <= tries; tryCount += 1) {
+    const startedAtMs = monotonicNowMs();
+    let failures = 0;
+    while (failures < tries && monotonicNowMs() - startedAtMs < budgetMs) {
       const answer = await commitOnce(window, operations);
       if (answer.isOk()) {
         return ok(answer.value);
@@ -72,8 +78,10 @@
       if (isRefused(error) && !failure.mayStay) {
         break;
       }
-      // A conflict tells the current content already, so only other failures wait.
-      await delay(error.kind === 'conflict' ? 0 : pauseMs * tryCount);
+      // Losing a race is no fault of the platform: it is tried again until the time is up, after a
+      // pause of random length, so that several writers of one shard do not stay in step.
+      failures += error.kind === 'conflict' ? 0 : 1;
+      await delay(error.kind === 'conflict' ? random() * pauseMs : failures * pauseMs);
     }
     return err(failure);
   }
--- a/packages/platform/src/groupedClaimStore.ts
+++ b/packages/platform/src/groupedClaimStore.ts
@@ -3,7 +3,7 @@
  * claims cost one write. docs/design/claims.md gives the reasoning on windows and clocks.
  */
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
-import { assertNever, hash64, invariant, monotonicNowMs } from '@bluebellhitch/shared';
+import { assertNever, hash64, invariant, monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import {
   createAbandonedClaims,
   type AbandonedClaimsOptions,
@@ -32,7 +32,10 @@
   batchWaitMs?: number;
   batchLimit?: number;
   tries?: number;
+  /** No further try of one write starts after this long. */
+  budgetMs?: number;
   pauseMs?: number;
+  random?: Random;
   abandoned?: AbandonedClaimsOptions;
 }
 
@@ -45,7 +48,9 @@
   batchWaitMs: 3,
   batchLimit: 256,
   tries: 6,
+  budgetMs: 1500,
   pauseMs: 20,
+  random: Math.random,
 } as const;
 
 export function createGroupedClaimStore(options: GroupedClaimStoreOptions): ClaimStore {
@@ -56,8 +61,8 @@
   const windowOfClaim = new WeakMap<Claim, number>();
 
   function createShard(shard: number): ClaimShard {
-    const { platform, windowMs, clockSkewMs, batchWaitMs, batchLimit, tries, pauseMs } = settings;
-    const objects = createClaimGroupObjects({ platform, shard, tries, pauseMs });
+    const { windowMs, clockSkewMs, batchWaitMs, batchLimit } = settings;
+    const objects = createClaimGroupObjects({ ...settings, shard });
     const openWindows = Math.ceil((dispatchWithinMs + clockSkewMs) / windowMs) + 1;
     const retentionWindows = Math.ceil(retentionMs / windowMs) + openWindows;
     const windows = createClaimWindows({ objects, windowMs, retentionWindows, openWindows });
