Run random scripts of failures over the world

fast-check makes scripts of the same verbs; each ends in recovery, an answer to every request within 20 s and quiet engines 2 s later.

--- /dev/null
+++ b/packages/scenarios/__tests__/randomRuns.test.ts
@@ -0,0 +1,17 @@
+/**
+ * Random scripts with fixed seeds. Whatever fails and in what order: each request gets one final answer
+ * that is its own, marked keys run once at most, "not run" is true, and no memory stays held.
+ * `npm run soak` runs many more.
+ */
+import test from 'ava';
+import { findFailure } from './support/randomScripts';
+
+const seeds = [1, 2, 3];
+const runsPerSeed = 12;
+
+seeds.forEach((seed) => {
+  test.serial(`random scripts of seed ${seed}`, async (t) => {
+    t.timeout(120_000);
+    t.is(await findFailure({ seed, runCount: runsPerSeed }), undefined);
+  });
+});
--- a/packages/scenarios/src/language/runScenario.ts
+++ b/packages/scenarios/src/language/runScenario.ts
@@ -39,6 +39,10 @@
 };
 
 const slowPlatformMs = 800;
+const healthyEngine = {
+  ...{ stallTransfers: false, failCancels: false, loseCancelAnswers: false },
+  ...{ slowFactor: 1, paused: false, refuseWork: false },
+};
 /** Within this time of the last answer all memory is free. */
 const quietMs = 2_000;
 
@@ -138,6 +142,16 @@
     world.network.clear();
     world.platform.control.clearFaults();
   },
+  recover: ({ world }) => recover(world),
+  settle: async ({ world }, { withinMs }) => {
+    const requests = [...world.requests.values()];
+    const isSettled = () => requests.every(({ answer }) => answer !== undefined);
+    await world.time.advance(isSettled() ? 0 : withinMs, isSettled);
+    const pending = requests.filter(({ answer }) => answer === undefined);
+    return pending.length === 0
+      ? undefined
+      : `no answer within ${withinMs} ms: ${pending.map(({ name }) => name).join(', ')}`;
+  },
   edit,
   lease: async ({ world }, { duty, fencingNumber }) => {
     const { platform, time } = world;
@@ -190,6 +204,29 @@
   (world.entries.get(id) ?? find(world.agents, id)).restart();
 }
 
+function recover(world: World): void {
+  const { network, platform, agents, entries } = world;
+  network.clear();
+  platform.control.clearFaults();
+  agents.forEach((agent) => {
+    agent.engineProcess.resume();
+    agent.process().resume();
+    agent.engineProcess.run(() => agent.engine().control(healthyEngine));
+    if (agent.isEngineDown()) {
+      agent.restartEngine();
+    }
+    if (agent.process().state() === 'crashed') {
+      agent.restart();
+    }
+  });
+  entries.forEach((entry) => {
+    entry.core().process.resume();
+    if (entry.core().process.state() === 'crashed') {
+      entry.restart();
+    }
+  });
+}
+
 function send({ world, scenario }: Stage, input: StepInput<'send'>): void {
   const [firstService] = Object.keys(scenario.world.services);
   const { name, to, key, marked, outputTokens, institution, times } = input;
--- a/packages/scenarios/src/language/scenarioSchema.ts
+++ b/packages/scenarios/src/language/scenarioSchema.ts
@@ -114,6 +114,10 @@
   engine: z.strictObject({ name, set: engineFaults }),
   platform: z.enum(['down', 'slow', 'up']),
   'clear-faults': z.literal(true),
+  /** Ends all faults: resumes what is paused and restarts what has crashed. */
+  recover: z.literal(true),
+  /** Advances until all requests have been answered. */
+  settle: z.strictObject({ withinMs: durationMs }),
   edit: z.strictObject({
     service: name,
     generation: count,
--- /dev/null
+++ b/packages/scenarios/src/randomised/randomScript.ts
@@ -0,0 +1,162 @@
+/**
+ * Scripts of random operations. Their numbers name processes and requests by remainder, so that every
+ * shorter script is one as well, and a failing script can be shrunk.
+ */
+import type { FrameFaultKind } from '../world/frameFaults';
+import type { AgentCall } from '../world/network';
+import { scenarioSchema, stepSchemas, type Scenario, type Step } from '../language/scenarioSchema';
+
+export type RandomOperation =
+  | {
+      kind: 'send';
+      entry: number;
+      service: number;
+      /** Absent: a request that may be repeated. */
+      key?: number;
+      promptTokens: number;
+      outputTokens: number;
+    }
+  | { kind: 'cancel'; request: number }
+  | {
+      kind: 'process';
+      verb: 'crash' | 'pause' | 'resume' | 'restart';
+      /** Entries, agents and engines, in this order. */
+      process: number;
+    }
+  | { kind: 'vanish'; entry: number }
+  | { kind: 'network'; verb: 'cut' | 'heal'; entry: number; agent: number }
+  | { kind: 'lose-claim-answer'; verb: 'create' | 'get' | 'update' | 'remove'; effect: LostEffect }
+  | { kind: 'lose-agent-answer'; agent: number; call: AgentCall }
+  | { kind: 'repeat'; agent: number; call: AgentCall }
+  | { kind: 'corrupt'; agent: number; frames: FrameFaultKind; after: number }
+  | { kind: 'engine'; agent: number; fault: EngineFault }
+  | { kind: 'platform'; state: 'down' | 'slow' | 'up' }
+  | { kind: 'clear-faults' }
+  | { kind: 'advance'; durationMs: number };
+
+export type LostEffect = 'applied' | 'dropped' | 'late';
+export const engineFaults = [
+  'stallTransfers',
+  'failCancels',
+  'loseCancelAnswers',
+  'refuseWork',
+  'paused',
+  'truncateStreams',
+] as const;
+export type EngineFault = (typeof engineFaults)[number];
+
+const services = {
+  'draft-models': { workers: ['prefill', 'both', 'both'], slots: 4 },
+  'tread-scribe': { workers: ['both', 'both'], slots: 3 },
+} as const;
+const serviceNames = Object.keys(services);
+const entryCount = 2;
+const agentCount = 5;
+const lateMs = 700;
+/** From the end of all faults to the last answer. */
+const settleWithinMs = 20_000;
+
+/** The scenario that a script stands for: its steps, recovery, and an answer to every request. */
+export function toScenario(operations: readonly RandomOperation[]): Scenario {
+  const names: string[] = [];
+  const steps = operations.flatMap((operation) => toStep(operation, names) ?? []);
+  const ending = [step('recover', true), step('settle', { withinMs: settleWithinMs })];
+  const scenario = scenarioSchema.parse({
+    tells: 'A random script.',
+    world: { entries: entryCount, services },
+    steps: ['placeholder'],
+  });
+  return { ...scenario, steps: [...steps, ...ending] };
+}
+
+/** The script in the test language, to be kept as a scenario file. */
+export function describeSteps({ steps }: Scenario): Record<string, unknown>[] {
+  return steps.map(({ verb, input }) => ({ [verb]: input }));
+}
+
+function step(verb: keyof typeof stepSchemas, input: unknown): Step {
+  return { verb, line: 0, input: stepSchemas[verb].parse(input) } as Step;
+}
+
+function nameOf(prefix: string, index: number, count: number): string {
+  return `${prefix}-${(index % count) + 1}`;
+}
+
+const entryName = (index: number) => nameOf('entry', index, entryCount);
+const agentName = (index: number) => nameOf('agent', index, agentCount);
+const engineName = (index: number) => nameOf('engine', index, agentCount);
+
+function processName(index: number): string {
+  const position = index % (entryCount + 2 * agentCount);
+  if (position < entryCount) {
+    return entryName(position);
+  }
+  return position < entryCount + agentCount
+    ? agentName(position - entryCount)
+    : engineName(position - entryCount - agentCount);
+}
+
+/** Undefined where the operation has nothing to work on. */
+function toStep(operation: RandomOperation, names: string[]): Step | undefined {
+  switch (operation.kind) {
+    case 'send':
+      return toSend(operation, names);
+    case 'cancel':
+      return names.length === 0
+        ? undefined
+        : step('cancel', names[operation.request % names.length]);
+    case 'process':
+      return step(operation.verb, processName(operation.process));
+    case 'vanish':
+      return step('vanish', entryName(operation.entry));
+    case 'network':
+      return step(operation.verb, [entryName(operation.entry), agentName(operation.agent)]);
+    case 'engine':
+      return step('engine', {
+        name: engineName(operation.agent),
+        set: { [operation.fault]: true },
+      });
+    case 'platform':
+      return step('platform', operation.state);
+    case 'clear-faults':
+      return step('clear-faults', true);
+    case 'advance':
+      return step('advance', operation.durationMs);
+    default:
+      return toNetworkFault(operation);
+  }
+}
+
+function toNetworkFault(
+  operation: Extract<
+    RandomOperation,
+    { kind: 'lose-claim-answer' | 'lose-agent-answer' | 'repeat' | 'corrupt' }
+  >,
+): Step {
+  switch (operation.kind) {
+    case 'lose-claim-answer': {
+      const { verb, effect } = operation;
+      return step('lose-answer', { of: 'platform', kind: 'claim', verb, effect, lateMs });
+    }
+    case 'lose-agent-answer':
+      return step('lose-answer', { of: agentName(operation.agent), call: operation.call });
+    case 'repeat':
+      return step('repeat', { of: agentName(operation.agent), call: operation.call, copies: 2 });
+    default: {
+      const { agent, frames, after } = operation;
+      return step('corrupt', { from: agentName(agent), frames, after });
+    }
+  }
+}
+
+function toSend(operation: Extract<RandomOperation, { kind: 'send' }>, names: string[]): Step {
+  const { entry, service, key, promptTokens, outputTokens } = operation;
+  const name = `request-${names.length + 1}`;
+  names.push(name);
+  const marking =
+    key === undefined ? {} : { key: `key-${key}`, marked: true, topic: `topic-${key}` };
+  return step('send', {
+    ...{ name, to: entryName(entry), service: serviceNames[service % serviceNames.length] },
+    ...{ promptTokens, outputTokens, ...marking },
+  });
+}
--- a/packages/scenarios/src/world/worldAgent.ts
+++ b/packages/scenarios/src/world/worldAgent.ts
@@ -40,6 +40,7 @@
   agent(): Agent;
   engineProcess: SimulatedProcess;
   engine(): StandinEngine;
+  isEngineDown(): boolean;
   /** All engines that ran here, the one of now last. */
   engines(): readonly StandinEngine[];
   /** Monotonic times of reservations granted. */
@@ -63,14 +64,25 @@
   const grantTimesMs: number[] = [];
   let startCount = 0;
   let leavingSinceMs: number | undefined;
+  let isEngineDown = false;
   let current: { process: SimulatedProcess; agent: Agent };
 
   const engine = () => engines.at(-1) as StandinEngine;
 
   function startEngine(): void {
     const { model, connectPeer } = options;
-    const settings = { models: [{ model, version: '1' }], ...options.engine, role, connectPeer };
-    engines.push(engineProcess.run(() => createStandinEngine(settings)));
+    const models = [{ model, version: '1' }];
+    const started: StandinEngine = engineProcess.run(() =>
+      createStandinEngine({
+        ...options.engine,
+        ...{ models, role, connectPeer },
+        onCrash: () => {
+          isEngineDown = started === engine();
+        },
+      }),
+    );
+    isEngineDown = false;
+    engines.push(started);
   }
 
   function start(): void {
@@ -146,6 +158,7 @@
     agent: () => current.agent,
     engineProcess,
     engine,
+    isEngineDown: () => isEngineDown,
     engines: () => engines,
     grantTimesMs,
     leavingSinceMs: () => leavingSinceMs,
