Give the platform's HTTP tests a patient client

Cause: on a busy machine (load above 20) a plain read took longer than the client's 300 ms, so one test of platformHttp failed. Only the call whose timeout is tested keeps 300 ms, against a platform that is now slower still (10 s). Ruled out: a fault in client or stand-in; the failed call was a first read without faults.

--- a/packages/standins/__tests__/platformHttp.test.ts
+++ b/packages/standins/__tests__/platformHttp.test.ts
@@ -7,12 +7,12 @@
 
 async function start(t: ExecutionContext, options: StartStandinPlatformOptions = {}) {
   const running = await startStandinPlatform(options);
-  const client = createHttpPlatformClient({ address: running.address, timeoutMs: 300 });
+  const client = createHttpPlatformClient({ address: running.address, timeoutMs: 20_000 });
   t.teardown(async () => {
     await client.close();
     await running.close();
   });
-  return { client, control: running.platform.control };
+  return { client, address: running.address, control: running.platform.control };
 }
 
 test('objects are created, read, updated and removed by version', async (t) => {
@@ -51,13 +51,15 @@
 // write must be reported as possibly done, while a refused connection or an outage certainly had no
 // effect: claims are released or kept on that difference.
 test('a lost answer is an unknown outcome, and a refusal is not', async (t) => {
-  const { client, control } = await start(t);
+  const { client, address, control } = await start(t);
   control.loseAnswers({ count: 1, verb: 'create', effect: 'applied' });
   t.is((await client.create('claim', 'k', {}))._unsafeUnwrapErr().kind, 'unknown-outcome');
   t.true((await client.get('claim', 'k')).isOk());
-  control.setSlow(2000);
-  t.is((await client.create('claim', 'slow', {}))._unsafeUnwrapErr().kind, 'unknown-outcome');
-  t.is((await client.get('claim', 'k'))._unsafeUnwrapErr().kind, 'unavailable');
+  const hurried = createHttpPlatformClient({ address, timeoutMs: 300 });
+  control.setSlow(10_000);
+  t.is((await hurried.create('claim', 'slow', {}))._unsafeUnwrapErr().kind, 'unknown-outcome');
+  t.is((await hurried.get('claim', 'k'))._unsafeUnwrapErr().kind, 'unavailable');
+  await hurried.close();
   control.clearFaults();
   control.setOutage(true);
   t.is((await client.create('claim', 'out', {}))._unsafeUnwrapErr().kind, 'unavailable');
