Announce the agent's addresses once signals are handled

Cause: an agent that got SIGTERM right after its listening line ended by the signal's default, without its graceful stop (seen as exit code null in a run of the binaries). The line now comes last.

--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -85,7 +85,6 @@
       '/debug/config': () => ({ ...agent.config(), classes: [...agent.config().classes] }),
     },
   });
-  logger.info('listening', { innerAddress: inner.address, adminAddress: admin.address });
   void agent.start();
   feed.start();
 
--- a/packages/agent/src/bin.ts
+++ b/packages/agent/src/bin.ts
@@ -17,3 +17,6 @@
   exitOnStdinEnd: settings.exitOnStdinEnd,
   onStop: (kind) => (kind === 'graceful' ? agentProcess.stop() : agentProcess.stopNow()),
 });
+// Whoever waits for this line may send a signal as soon as it is there.
+const { innerAddress, adminAddress } = agentProcess;
+agentProcess.logger.info('listening', { innerAddress, adminAddress });
