--- a/packages/duties/__tests__/helpers/acceptorFixture.ts
+++ b/packages/duties/__tests__/helpers/acceptorFixture.ts
@@ -14,6 +14,7 @@
 } from '@bluebellhitch/standins';
 import { createAcceptor } from '../../src/acceptor';
 import { serviceStatusSchema, type ServiceStatus } from '../../src/serviceStatus';
+import { settle as settleCall } from './settle';
 
 export interface TestLease {
   fencingNumber: number | undefined;
@@ -83,17 +84,8 @@
     return found.isOk() ? serviceStatusSchema.parse(found.value.value) : undefined;
   }
 
-  /** Advances time until a call of the test itself is answered. */
-  async function settle<Value>(call: PromiseLike<Value>): Promise<Value> {
-    let answered = false;
-    const answer = Promise.resolve(call).finally(() => {
-      answered = true;
-    });
-    answer.catch(() => undefined);
-    while (!answered) {
-      await clock.tickAsync(1);
-    }
-    return answer;
+  function settle<Value>(call: PromiseLike<Value>): Promise<Value> {
+    return settleCall(clock, call);
   }
 
   async function close(): Promise<void> {
--- a/packages/duties/__tests__/orderHolder.test.ts
+++ b/packages/duties/__tests__/orderHolder.test.ts
@@ -6,6 +6,7 @@
 import { createStandinPlatform } from '@bluebellhitch/standins';
 import { createOrderHolder } from '../src/orderHolder';
 import { orderLeaseKey } from '../src/orderSender';
+import { settle } from './helpers/settle';
 import { createWorkerFleet } from './helpers/workerFleet';
 
 const service = 'draft-models';
@@ -139,7 +140,7 @@
     t.is(paused.lease.heldFencing()?.fencingNumber, 1);
     // Time passes without any of its timers running.
     clock.setSystemTime(Date.now());
-    const stored = await settle(platform.get('lease', orderLeaseKey(service)));
+    const stored = await settle(clock, platform.get('lease', orderLeaseKey(service)));
     const taken = {
       fencingNumber: 2,
       holderId: 'entry-2',
@@ -148,6 +149,7 @@
       ttlMs: 60_000,
     };
     await settle(
+      clock,
       platform.update('lease', orderLeaseKey(service), stored._unsafeUnwrap().version, taken),
     );
     const receivedBefore = fleet.received.length;
@@ -181,14 +183,3 @@
 });
 test.serial(brokenWorker, 'fail');
 test.serial(brokenWorker, 'vanish');
-
-async function settle<Value>(call: PromiseLike<Value>): Promise<Value> {
-  let answered = false;
-  const answer = Promise.resolve(call).finally(() => {
-    answered = true;
-  });
-  while (!answered) {
-    await clock.tickAsync(1);
-  }
-  return answer;
-}
