Survive bodies that are left unread, and learn from finished phases

Cause: undici reports a response body that is destroyed before its end as an error. A refused plain call destroyed its body without a listener; the new test of the client ended its process by that. The models of prefill time, links and latency were only fed by prefill workers; first tokens and whole answers feed them as well.

--- a/packages/entry/src/candidateBids.ts
+++ b/packages/entry/src/candidateBids.ts
@@ -33,15 +33,17 @@
     membershipVersion: version,
     need,
     key: prefixKey(request.document.service, request.prefixBlocks),
-    excluded: excludedInstances(run, runtime.outliers.ejected(nowMs)),
+    excluded: excludedInstances(run),
     nowMs,
   });
   const instances = asked.flatMap(({ instanceId }) => byId.get(instanceId) ?? []);
   return { asked, bids: await askInTime(run, instances) };
 }
 
-function excludedInstances(run: ModelRun, ejected: ReadonlySet<string>): Set<string> {
+/** Instances that the run must not use: tried before, ejected, or beside another struck request. */
+export function excludedInstances(run: ModelRun): Set<string> {
   const { context, request } = run;
+  const ejected = context.runtimes.of(request.document.service).outliers.ejected(monotonicNowMs());
   const avoided = run.struck ? context.strikes.avoidInstances(request.document.service) : [];
   return new Set([...run.tried, ...ejected, ...avoided]);
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -138,9 +138,9 @@
 
 function createContext(options: EntryOptions, parts: ContextParts): RequestContext {
   const { settings, directory: instances, claims, logger, random = Math.random } = options;
-  const { instanceId: entryId, dataCentre } = settings;
+  const { instanceId: entryId, dataCentre, policy } = settings;
   const entryIncarnation = randomUUID();
-  const runtimes = createServiceRuntimes({ entryId, dataCentre, instances, random });
+  const runtimes = createServiceRuntimes({ entryId, dataCentre, instances, random, policy });
   return {
     ...parts,
     entryId,
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -1,6 +1,7 @@
 /** Settings of `bluebell-entry`. */
 import { randomUUID } from 'node:crypto';
 import { z } from 'zod';
+import { placementPolicies } from '@bluebellhitch/decisions';
 import type { SettingValues } from '@bluebellhitch/shared';
 import { lifecycleSettings } from '@bluebellhitch/telemetry';
 
@@ -71,6 +72,12 @@
     description: 'Longest wait for running requests when stopping, in ms.',
     defaultText: '60000',
   },
+  policy: {
+    schema: z.enum(Object.values(placementPolicies)),
+    description:
+      'How model requests are placed; all but default are baselines for measurements only.',
+    defaultText: 'default',
+  },
   logLevel: {
     schema: z.enum(['debug', 'info', 'warn', 'error']),
     description: 'Lowest level of logged messages.',
--- a/packages/entry/src/httpAgentClient.ts
+++ b/packages/entry/src/httpAgentClient.ts
@@ -1,6 +1,7 @@
 /** `AgentApi` over the inner protocol: trpc for messages, HTTP for streams and plain calls. */
 import { createTRPCClient, httpLink, splitLink, type TRPCClient } from '@trpc/client';
 import { err, errAsync, ok, ResultAsync, type Result } from 'neverthrow';
+import type { Readable } from 'node:stream';
 import { Agent, request as sendRequest, type Dispatcher } from 'undici';
 import type { z } from 'zod';
 import {
@@ -245,16 +246,27 @@
     signal: call.signal,
   });
   return ResultAsync.fromPromise(sending, (error) => plainCallError(error, call)).map(
-    ({ statusCode, headers, body }) => ({
-      status: statusCode,
-      headers,
-      body,
-      load: parseLoad(headers),
-      refusal: plainRefusal(headers),
-    }),
+    ({ statusCode, headers, body }) => {
+      ignoreLateErrors(body);
+      return {
+        status: statusCode,
+        headers,
+        body,
+        load: parseLoad(headers),
+        refusal: plainRefusal(headers),
+      };
+    },
   );
 }
 
+/**
+ * undici reports a body that is destroyed before its end as an error. Nobody reads such a body any
+ * more, and the error without a listener would end the process.
+ */
+function ignoreLateErrors(body: Readable): void {
+  body.on('error', () => undefined);
+}
+
 function plainCallError(error: unknown, call: PlainCall): AgentCallError {
   const isHeadTimeout = Reflect.get(Object(error), 'code') === 'UND_ERR_HEADERS_TIMEOUT';
   return isHeadTimeout
--- a/packages/entry/src/modelAttempt.ts
+++ b/packages/entry/src/modelAttempt.ts
@@ -1,10 +1,12 @@
 /** One attempt of a model request: placement, claim, prefill and stream, and the release of its leases. */
+import { placementPolicies, planOf } from '@bluebellhitch/decisions';
 import { monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
 import {
   retryCauses,
   wastedPrefillCauses,
   type WastedPrefillCause,
 } from '@bluebellhitch/telemetry';
+import { placeByBaseline, type BaselineOutcome } from './baselinePlacement';
 import type { ClaimGuard } from './claimStage';
 import type { HeldLease } from './heldLease';
 import { stopReasons, type AttemptFailure, type AttemptOutcome, type ModelRun } from './modelTypes';
@@ -20,7 +22,7 @@
 ): Promise<AttemptOutcome> {
   const { context, request } = run;
   const attemptId = context.newAttemptId();
-  const placed = await placeAttempt(run, attemptId);
+  const placed = await place(run, attemptId, claim);
   if (placed.kind !== 'placed') {
     return placed;
   }
@@ -30,7 +32,7 @@
   context.runtimes.of(service).outliers.beginAttempt(id, monotonicNowMs());
   const unplace = run.struck ? context.strikes.place(service, attemptId, id) : undefined;
   try {
-    const outcome = await runPlaced(run, placement, claim);
+    const outcome = await runPlaced(run, placed, claim);
     if (outcome.kind === 'failed') {
       // The next attempt goes elsewhere: a server that breaks its streams bids as well as any other,
       // and would get every attempt of the request.
@@ -43,18 +45,31 @@
   }
 }
 
+function place(
+  run: ModelRun,
+  attemptId: string,
+  claim: ClaimGuard | undefined,
+): Promise<BaselineOutcome> {
+  const { policy } = run.context.runtimes;
+  return policy === placementPolicies.default
+    ? placeAttempt(run, attemptId)
+    : placeByBaseline({ run, attemptId, plan: planOf(policy), claim });
+}
+
 async function runPlaced(
   run: ModelRun,
-  placement: Placement,
+  { placement, prefill }: Extract<BaselineOutcome, { kind: 'placed' }>,
   claim: ClaimGuard | undefined,
 ): Promise<AttemptOutcome> {
-  const prefillLease = await leaseForPrefill(run, placement);
+  const prefillLease = prefill?.lease ?? (await leaseForPrefill(run, placement));
   try {
     const refusal = await claim?.take(placement.decode.attemptId);
     if (refusal !== undefined) {
       return { kind: 'refused', refusal };
     }
-    return await dispatch(run, placement, prefillLease, claim);
+    return prefill === undefined
+      ? await dispatch(run, placement, prefillLease, claim)
+      : await streamPrefilled(run, placement, prefill, claim);
   } finally {
     prefillLease?.release();
   }
--- a/packages/entry/src/placement.ts
+++ b/packages/entry/src/placement.ts
@@ -29,11 +29,13 @@
 }
 
 export type PlacementOutcome = { kind: 'placed'; placement: Placement } | PlacementFailure;
-type PlacementFailure = Exclude<AttemptOutcome, { kind: 'completed' }>;
-type ReserveChoice = Extract<BidChoice, { kind: 'reserve' }>;
+export type PlacementFailure = Exclude<AttemptOutcome, { kind: 'completed' }>;
+export type ReserveChoice = Extract<BidChoice, { kind: 'reserve' }>;
+/** An instance that a choice may name. */
+export type ChosenWorker = Pick<InstanceBid, 'instanceId' | 'instance'>;
 
 /** Prompts up to this size are prefilled where they decode; asking prefill workers would be in vain. */
-const localPrefillTokens = 256;
+export const localPrefillTokens = 256;
 const resumeWaitLimitMs = 5_000;
 
 /** Tries the bids in order of preference until an agent grants its memory. */
@@ -43,7 +45,7 @@
   return reserveBest(run, attemptId, decodeBids, prefillBids, undefined);
 }
 
-async function collectAllBids(run: ModelRun): Promise<[InstanceBid[], InstanceBid[]]> {
+export async function collectAllBids(run: ModelRun): Promise<[InstanceBid[], InstanceBid[]]> {
   // Engines resume from text, not from an imported KV cache.
   const resumes = run.emitted.tokenCount > 0;
   const wantsPrefill = !resumes && run.request.promptTokens > localPrefillTokens;
@@ -83,7 +85,7 @@
   return reserveBest(run, attemptId, remaining, prefillBids, outcome);
 }
 
-function choose(
+export function choose(
   run: ModelRun,
   decodeBids: readonly InstanceBid[],
   prefillBids: readonly InstanceBid[],
@@ -105,14 +107,15 @@
   });
 }
 
-async function reserveChoice(
+/** Asks the chosen decode worker for its memory. */
+export async function reserveChoice(
   run: ModelRun,
   attemptId: string,
   choice: ReserveChoice,
-  bids: readonly InstanceBid[],
+  workers: readonly ChosenWorker[],
 ): Promise<PlacementOutcome> {
   const { context, request } = run;
-  const find = (id: string) => bids.find(({ instanceId }) => instanceId === id)?.instance;
+  const find = (id: string) => workers.find(({ instanceId }) => instanceId === id)?.instance;
   const instance = find(choice.instanceId) as PlatformInstance;
   const message = decodeReservation(run, attemptId, choice.expected);
   const lease = holdLease(context, instance, attemptId);
@@ -196,7 +199,7 @@
   return request.document.targets.firstTokenMs - (nowMs - request.arrivedAtMs);
 }
 
-function refusedChoice(choice: Extract<BidChoice, { kind: 'refuse' }>): PlacementFailure {
+export function refusedChoice(choice: Extract<BidChoice, { kind: 'refuse' }>): PlacementFailure {
   if (choice.reason === refusalReasons.noInstances) {
     return {
       kind: 'failed',
--- a/packages/entry/src/prefillStage.ts
+++ b/packages/entry/src/prefillStage.ts
@@ -18,6 +18,9 @@
   reply: Prefilled;
 }
 
+/** What the prefill needs to know of a placement. */
+export type PrefillPlacement = Pick<Placement, 'prefillInstance' | 'expected' | 'usableAtMs'>;
+
 export type PrefillLease =
   | { kind: 'granted'; lease: HeldLease }
   /** The worker does not take it now: the decode worker prefills itself. */
@@ -33,7 +36,7 @@
 /** Reserves the prefill worker that the placement chose. */
 export async function reservePrefill(
   run: ModelRun,
-  placement: Placement,
+  placement: PrefillPlacement,
   attemptId: string,
 ): Promise<PrefillLease> {
   const { context, request } = run;
@@ -66,7 +69,7 @@
 /** Waits until the result would not expire before its slot is usable, then runs the prefill. */
 export async function runPrefill(
   run: ModelRun,
-  placement: Placement,
+  placement: PrefillPlacement,
   lease: HeldLease,
 ): Promise<PrefillOutcome> {
   const { context, request } = run;
@@ -154,7 +157,7 @@
 
 function prefillReservation(
   run: ModelRun,
-  placement: Placement,
+  placement: PrefillPlacement,
   attemptId: string,
 ): ReserveRequest {
   const { context, request, emitted } = run;
--- a/packages/entry/src/serviceRuntimes.ts
+++ b/packages/entry/src/serviceRuntimes.ts
@@ -18,6 +18,7 @@
   type OutlierDetector,
   type OverloadController,
   type PhaseModels,
+  type PlacementPolicy,
   type RateLimiter,
   type RetryBudget,
 } from '@bluebellhitch/decisions';
@@ -32,6 +33,7 @@
   dataCentre: string;
   instances: Instances;
   random: Random;
+  policy?: PlacementPolicy;
 }
 
 /** State of one service. */
@@ -53,6 +55,7 @@
 }
 
 export interface ServiceRuntimes {
+  policy: PlacementPolicy;
   of(service: string): ServiceRuntime;
   members(document: ServiceDocument): ServiceMembers;
   forget(service: string): void;
@@ -72,7 +75,7 @@
 
 /** Creates the state of all services of one entry. */
 export function createServiceRuntimes(options: ServiceRuntimesOptions): ServiceRuntimes {
-  const { instances, entryId, dataCentre, random } = options;
+  const { instances, entryId, dataCentre, random, policy = 'default' } = options;
   const hints = createLoadHints();
   const rateLimiter = createRateLimiter();
   const runtimes = new Map<string, ServiceRuntime>();
@@ -117,6 +120,7 @@
   }
 
   return {
+    policy,
     of: runtimeOf,
     members,
     forget(service) {
--- a/packages/entry/src/streamStage.ts
+++ b/packages/entry/src/streamStage.ts
@@ -14,6 +14,7 @@
 import { createLinkedAbort, type LinkedAbort } from './linkedAbort';
 import { stopReasons, type AttemptFailure, type AttemptOutcome, type ModelRun } from './modelTypes';
 import type { Placement } from './placement';
+import { learnFromAnswer, learnFromFirstToken } from './phaseLearning';
 import { kvSourceOf, type FinishedPrefill } from './prefillStage';
 import { labelsOf, reportStrike } from './runReports';
 import { noteCallError, noteLoad, noteOutcome, noteRefusal } from './serverHealth';
@@ -30,6 +31,7 @@
   guard: StreamGuard;
   /** Tokens that earlier attempts delivered. */
   startTokens: number;
+  dispatchedAtMs: number;
   link: LinkedAbort;
   onProgress: (totalTokens: number) => void;
 }
@@ -55,7 +57,16 @@
   });
   const startTokens = run.emitted.tokenCount;
   const onProgress = watch.progress;
-  const state: StreamState = { ...stage, run, guard, startTokens, link, onProgress };
+  const dispatchedAtMs = monotonicNowMs();
+  const state: StreamState = {
+    ...stage,
+    run,
+    guard,
+    startTokens,
+    dispatchedAtMs,
+    link,
+    onProgress,
+  };
   try {
     return await openAndRead(state);
   } finally {
@@ -129,6 +140,7 @@
 function deliver(state: StreamState, text: string, tokenCount: number): void {
   const { run } = state;
   const isFirstOfAttempt = !hasDelivered(state);
+  const isFirstOfRequest = run.emitted.tokenCount === 0;
   run.emitted = {
     tokenCount: run.emitted.tokenCount + tokenCount,
     text: run.emitted.text + text,
@@ -138,6 +150,9 @@
   if (isFirstOfAttempt) {
     state.onFirstToken();
   }
+  if (isFirstOfRequest) {
+    learnFromFirstToken(state);
+  }
   run.log.append({ kind: 'tokens', text, tokenCount });
 }
 
@@ -161,6 +176,9 @@
   const { instance } = placement.decode;
   placement.decode.settle();
   noteOutcome(run.context, run.request.document.service, instance.id, 'success');
+  if (state.startTokens === 0) {
+    learnFromAnswer(state);
+  }
   const outputTokens = run.emitted.tokenCount;
   run.log.append({ kind: 'end', finishReason, outputTokens });
   return { kind: 'completed', outputTokens };
