Add placement policies as baselines of measurements

Ruled out: baselines outside the entry, because their streams, retries and metrics would differ from the default's as well.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,14 @@
 export { backoffDelayMs, type BackoffOptions } from './backoff';
+export {
+  expectUnjudged,
+  placementPolicies,
+  planOf,
+  rankWorkers,
+  type PlacementPolicy,
+  type PolicyPlan,
+  type RankOptions,
+  type UnjudgedOptions,
+} from './baselines';
 export {
   bidRefusalReasons,
   chooseBid,
