--- a/packages/platform/src/dutyLease.ts
+++ b/packages/platform/src/dutyLease.ts
@@ -5,13 +5,9 @@
  */
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { delay, invariant, monotonicNowMs, type Random } from '@bluebellhitch/shared';
+import { createDutyLeaseObject, type WrittenLease } from './dutyLeaseObject';
 import { parseDutyLease, type DutyLeaseRecord } from './dutyLeaseRecord';
-import {
-  objectKinds,
-  type PlatformApi,
-  type PlatformError,
-  type StoredObject,
-} from './platformApi';
+import type { PlatformApi, PlatformError, StoredObject } from './platformApi';
 
 /** Proof of holding a duty: goes with each order that the holder sends. */
 export interface HeldFencing {
@@ -56,15 +52,10 @@
 
 const defaults = { ttlMs: 6000, marginMs: 1500, renewMs: 1500, contendMs: 3000 } as const;
 
-/** Writes remembered while their answers are lost; an older one found stored counts as not ours. */
-const unconfirmedLimit = 16;
 const retryShare = 0.25;
-const releaseTries = 3;
 
-interface HeldLease {
-  fencingNumber: number;
+interface HeldLease extends WrittenLease {
   validUntilMs: number;
-  version: number;
 }
 
 export function createDutyLease(options: DutyLeaseOptions): DutyLease {
@@ -75,9 +66,7 @@
   const { random = Math.random } = options;
   invariant(marginMs < ttlMs, 'the margin of a lease is shorter than the lease');
   const session = `${holderId}/${Math.floor(random() * 2 ** 48).toString(36)}`;
-  /** When each write was sent that may be the stored one, by its sequence number. */
-  const sentAtMs = new Map<number, number>();
-  let sequence = 0;
+  const object = createDutyLeaseObject({ platform, key, holderId, session, ttlMs });
   let held: HeldLease | undefined;
   let lapseTimer: NodeJS.Timeout | undefined;
   /** The version that another holder wrote last, and since when this process has seen it. */
@@ -97,18 +86,18 @@
     if (held !== undefined) {
       return renew(held);
     }
-    const current = await read();
-    return current.isErr() ? err(current.error) : acquire(current.value);
+    const current = await object.read();
+    return current.isErr() ? err(platformError(current.error)) : acquire(current.value);
   }
 
   async function renew(lease: HeldLease): Promise<Result<HeldFencing, DutyLeaseError>> {
-    const record = await write(lease.fencingNumber, lease.version);
+    const record = await object.write(lease.fencingNumber, lease.version);
     // The lease may have lapsed, and its loss been reported, while the answer was on its way. It is
     // acquired again with a higher number then, so that the old one never comes back to life.
     if (held?.fencingNumber !== lease.fencingNumber) {
       return err(lapsed);
     }
-    return record.andThen((stored) => confirm(stored, lease.fencingNumber));
+    return record.mapErr(platformError).andThen((stored) => confirm(stored, lease.fencingNumber));
   }
 
   async function acquire(
@@ -122,8 +111,8 @@
       return err({ kind: 'held-by-other', holderId: record.holderId ?? 'unknown' });
     }
     const fencingNumber = (record?.fencingNumber ?? 0) + 1;
-    const written = await write(fencingNumber, current?.version);
-    return written.andThen((stored) => confirm(stored, fencingNumber));
+    const written = await object.write(fencingNumber, current?.version);
+    return written.mapErr(platformError).andThen((stored) => confirm(stored, fencingNumber));
   }
 
   /** Whether the lease is released, our own lapsed one, or unchanged for its whole time to live. */
@@ -138,81 +127,23 @@
     return nowMs - seen.sinceMs >= Math.max(ttlMs, record.ttlMs);
   }
 
-  /** Writes the lease and answers what is stored afterwards, our own write or another's. */
-  async function write(
-    fencingNumber: number,
-    version: number | undefined,
-  ): Promise<Result<StoredObject, DutyLeaseError>> {
-    sequence += 1;
-    const record: DutyLeaseRecord = { fencingNumber, holderId, session, sequence, ttlMs };
-    rememberSent(sequence);
-    const answer = await put(version, record);
-    if (answer.isOk()) {
-      return ok(answer.value);
-    }
-    return storedAfter(answer.error, sequence);
-  }
-
-  function put(
-    version: number | undefined,
-    record: DutyLeaseRecord,
-  ): ResultAsync<StoredObject, PlatformError> {
-    return version === undefined
-      ? platform.create(objectKinds.lease, key, record)
-      : platform.update(objectKinds.lease, key, version, record);
-  }
-
-  /** A lost answer is settled by reading back; the stored sequence number tells whose write it is. */
-  async function storedAfter(
-    error: PlatformError,
-    failedSequence: number,
-  ): Promise<Result<StoredObject, DutyLeaseError>> {
-    if (error.kind !== 'unknown-outcome') {
-      sentAtMs.delete(failedSequence);
-    }
-    if (error.kind === 'conflict' && error.current !== undefined) {
-      return ok(error.current);
-    }
-    if (error.kind !== 'conflict' && error.kind !== 'unknown-outcome') {
-      return err(platformError(error));
-    }
-    const current = await read();
-    return current.andThen((object) =>
-      object === undefined ? err(platformError(error)) : ok(object),
-    );
-  }
-
-  function rememberSent(sentSequence: number): void {
-    sentAtMs.set(sentSequence, monotonicNowMs());
-    const oldest = [...sentAtMs.keys()].slice(0, -unconfirmedLimit);
-    oldest.forEach((old) => sentAtMs.delete(old));
-  }
-
-  /** Holds the lease where `object` is our own write, for as long as that write allows. */
+  /** Holds the lease where `stored` is our own write, for as long as that write allows. */
   function confirm(
-    object: StoredObject,
+    stored: StoredObject,
     fencingNumber: number,
   ): Result<HeldFencing, DutyLeaseError> {
-    const record = parseDutyLease(object.value);
-    const sent = record?.session === session ? sentAtMs.get(record.sequence) : undefined;
+    const record = parseDutyLease(stored.value);
+    const sent = record === undefined ? undefined : object.sentAtOf(record);
     if (record === undefined || sent === undefined || record.fencingNumber !== fencingNumber) {
       drop();
       return err({ kind: 'held-by-other', holderId: record?.holderId ?? 'unknown' });
     }
-    forgetBefore(record.sequence);
     const validUntilMs = sent + ttlMs - marginMs;
-    hold({ fencingNumber, validUntilMs, version: object.version });
+    hold({ fencingNumber, validUntilMs, version: stored.version });
     const fencing = heldFencing();
     return fencing === undefined ? err(lapsed) : ok(fencing);
   }
 
-  /** Earlier writes had an older version as their condition, so they cannot take effect any more. */
-  function forgetBefore(storedSequence: number): void {
-    [...sentAtMs.keys()]
-      .filter((earlier) => earlier < storedSequence)
-      .forEach((earlier) => sentAtMs.delete(earlier));
-  }
-
   function hold(lease: HeldLease): void {
     const isNew = held === undefined;
     if (lease.validUntilMs <= monotonicNowMs()) {
@@ -243,49 +174,14 @@
     }
   }
 
-  function read(): ResultAsync<StoredObject | undefined, DutyLeaseError> {
-    return platform
-      .get(objectKinds.lease, key)
-      .map((object): StoredObject | undefined => object)
-      .orElse((error) => (error.kind === 'not-found' ? ok(undefined) : err(platformError(error))));
-  }
-
   /** Stops acting first: whatever the platform answers, this process holds the lease no longer. */
   async function release(): Promise<Result<void, DutyLeaseError>> {
     const lease = held;
     drop();
-    return lease === undefined ? ok(undefined) : releaseUntilKnown(lease);
-  }
-
-  async function releaseUntilKnown(lease: HeldLease): Promise<Result<void, DutyLeaseError>> {
-    let { version } = lease;
-    let failure: DutyLeaseError = lapsed;
-    for (let tryCount = 0; tryCount < releaseTries; tryCount += 1) {
-      sequence += 1;
-      const free = { fencingNumber: lease.fencingNumber, session, sequence, ttlMs };
-      const written = await platform.update(objectKinds.lease, key, version, free);
-      if (written.isOk()) {
-        return ok(undefined);
-      }
-      failure = platformError(written.error);
-      const current = await read();
-      const ownVersion = current.map((object) => versionHeldUnder(object, lease.fencingNumber));
-      if (ownVersion.isOk() && ownVersion.value === undefined) {
-        return ok(undefined);
-      }
-      version = ownVersion.unwrapOr(version) ?? version;
+    if (lease === undefined) {
+      return ok(undefined);
     }
-    return err(failure);
-  }
-
-  /** Version of the stored lease where this process is still its holder. */
-  function versionHeldUnder(
-    object: StoredObject | undefined,
-    fencingNumber: number,
-  ): number | undefined {
-    const record = parseDutyLease(object?.value);
-    const isOwn = record?.session === session && record.holderId !== undefined;
-    return isOwn && record.fencingNumber === fencingNumber ? object?.version : undefined;
+    return (await object.release(lease)).mapErr(platformError);
   }
 
   /** Calls of the platform never overlap, so that each starts from the outcome of the one before. */
