Accept documents and order engines inside the entries

Cause: the quickstart wrote the accepted objects itself, so that nothing of the accepting duty ran in a real process. Entries now start the duties over their own view of instances and documents; the script only stores documents, as operators do. Ruled out: a binary of its own for duties, because no instance is set aside for control. Duties stop at once with the entry, beside its callers' drain, so that a platform that does not answer cannot hold up readiness.

--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -11,6 +11,7 @@
 export {
   createOrderHolder,
   defaultOrderHolderSettings,
+  type DocumentInForce,
   type OrderHolder,
   type OrderHolderOptions,
   type OrderHolderSettings,
--- a/packages/duties/src/orderHolder.ts
+++ b/packages/duties/src/orderHolder.ts
@@ -46,13 +46,16 @@
   maxBackoffMs: 300_000,
 };
 
+/** A service's accepted document as this process applies it. */
+export type DocumentInForce = Pick<AcceptedDocument, 'generation' | 'document'>;
+
 export interface OrderHolderOptions {
   service: string;
   holderId: string;
   lease: Pick<DutyLease, 'heldFencing' | 'start' | 'stop'>;
   agentClient: OrderAgentClient;
   /** The service's accepted document, once known. */
-  document(): AcceptedDocument | undefined;
+  document(): DocumentInForce | undefined;
   /** Instances of the service, live and leaving. */
   instances(): readonly PlatformInstance[];
   /** Position among the entries for this duty; later ones look less often. */
--- a/packages/duties/src/startDuties.ts
+++ b/packages/duties/src/startDuties.ts
@@ -3,7 +3,7 @@
  * the workers of each model service. Starts and stops competing as the list of instances and the
  * accepted documents change.
  */
-import { parseDocument, type AcceptedDocument } from '@bluebellhitch/document';
+import { parseDocument } from '@bluebellhitch/document';
 import {
   createDutyLease,
   type DutyLease,
@@ -15,7 +15,7 @@
 import { silentLogger, type DutyLogger } from './dutyLogger';
 import { createDutyRanks } from './dutyRanks';
 import type { OrderAgentClient } from './orderAgentClient';
-import { createOrderHolder, type OrderHolderSettings } from './orderHolder';
+import { createOrderHolder, type DocumentInForce, type OrderHolderSettings } from './orderHolder';
 import { orderLeaseKey } from './orderSender';
 
 export interface StartDutiesOptions {
@@ -25,7 +25,7 @@
   /** The list of instances as this entry knows it. */
   instances(): readonly PlatformInstance[];
   /** The accepted documents that this entry has applied. */
-  documents(): readonly AcceptedDocument[];
+  documents(): readonly DocumentInForce[];
   agentClient: OrderAgentClient;
   logger?: DutyLogger;
   random?: Random;
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -8,10 +8,11 @@
   type FeedStore,
   type InstanceDirectory,
 } from '@bluebellhitch/membership';
-import type { PlatformApi } from '@bluebellhitch/platform';
+import { createOrderAgentClient, startDuties, type Duties } from '@bluebellhitch/duties';
+import type { PlatformApi, PlatformInstance } from '@bluebellhitch/platform';
 import { createLogger, type Logger, type StopKind } from '@bluebellhitch/telemetry';
 import type { ConfigurationFeed } from './configurationFeed';
-import { startEntry } from './entry';
+import { startEntry, type Entry } from './entry';
 import type { EntrySettings } from './entrySettings';
 
 export interface EntryProcess {
@@ -37,6 +38,7 @@
     logger,
   });
   directory.start();
+  const duties = startEntryDuties({ settings, platform, directory, entry, logger });
   const { callersAddress, innerAddress, adminAddress } = entry;
   logger.info('listening', { callersAddress, innerAddress, adminAddress });
   return {
@@ -45,13 +47,36 @@
     adminAddress,
     logger,
     async stop(kind) {
-      await entry.stop(kind);
+      // Duties go at once: another entry takes them over while this one finishes its callers.
+      await Promise.all([duties.stop(), entry.stop(kind)]);
       await directory.stop();
       await platform.close();
     },
   };
 }
 
+interface DutyParts {
+  settings: EntrySettings;
+  platform: PlatformApi;
+  directory: InstanceDirectory;
+  entry: Entry;
+  logger: Logger;
+}
+
+function startEntryDuties({ settings, platform, directory, entry, logger }: DutyParts): Duties {
+  const documents = () => entry.services.list();
+  const agents = () => documents().flatMap(({ document }) => directory.agents(document.service));
+  const instances = (): PlatformInstance[] => [...directory.entries(), ...agents()];
+  return startDuties({
+    platform,
+    holderId: settings.instanceId,
+    instances,
+    documents,
+    agentClient: createOrderAgentClient(),
+    logger,
+  });
+}
+
 interface FeedParts {
   settings: EntrySettings;
   platform: PlatformApi;
--- a/scripts/lib/fleet.mjs
+++ b/scripts/lib/fleet.mjs
@@ -1,12 +1,6 @@
 /** Starts an example's processes in order, waits until they serve, and stops them in order. */
 import { startBinary } from './childProcesses.mjs';
-import {
-  acceptDocument,
-  applyDocument,
-  listInstances,
-  markLeaving,
-  registerInstance,
-} from './platformControl.mjs';
+import { applyDocument, listInstances, markLeaving, registerInstance } from './platformControl.mjs';
 
 const host = '127.0.0.1';
 const serveBoundMs = 30_000;
@@ -89,12 +83,7 @@
   async function launchAll() {
     const platform = await launch('platform', platformSpec());
     const platformUrl = platform.addresses.address;
-    await Promise.all(
-      example.documents.map(async (document) => {
-        await applyDocument(platformUrl, document);
-        await acceptDocument(platformUrl, document);
-      }),
-    );
+    await Promise.all(example.documents.map((document) => applyDocument(platformUrl, document)));
     const agents = await Promise.all(
       example.backends.map((backend, index) => launchAgent(platformUrl, backend, index)),
     );
--- a/scripts/lib/platformControl.mjs
+++ b/scripts/lib/platformControl.mjs
@@ -6,17 +6,6 @@
   await send(platformAddress, 'POST', `/objects/document/${content.service}`, { value });
 }
 
-/** Puts a document into force, as the entries' accepting duty does for an edit. */
-export async function acceptDocument(platformAddress, { content }) {
-  const value = {
-    generation: 1,
-    documentVersion: 1,
-    acceptedAt: new Date().toISOString(),
-    document: content,
-  };
-  await send(platformAddress, 'POST', `/objects/accepted/${content.service}`, { value });
-}
-
 /** The instances as processes see them: with the platform's lag. */
 export async function listInstances(platformAddress) {
   const response = await fetch(`${platformAddress}/instances`);
