Stretch the goodput experiment's times, and hash the seeds of its traffic

Small seeds of the generator begin alike, so that histories came out longer than their distribution says (mean prompt 3,515 in place of 2,508 tokens); labels are hashed now.

--- a/packages/bench/src/experiments/goodputTypes.ts
+++ b/packages/bench/src/experiments/goodputTypes.ts
@@ -22,6 +22,8 @@
   seeds: number[];
   policies: PolicyName[];
   seconds: number;
+  /** Stretches all times, so that the machine is not the bottleneck. */
+  timeScale: number;
   /** Entries of each policy. */
   entryCount: number;
 }
--- a/packages/bench/src/experiments/overheadFleet.ts
+++ b/packages/bench/src/experiments/overheadFleet.ts
@@ -23,6 +23,7 @@
   prefillBaseMs: 0,
   prefillMsPerToken: 0.005,
   linkBytesPerSecond: 4_000_000_000,
+  exportKeptForMs: 900,
 };
 
 const engineCount = 4;
--- a/packages/bench/src/fleet/fleetDescription.ts
+++ b/packages/bench/src/fleet/fleetDescription.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { parse } from 'yaml';
 import { serviceDocumentSchema, type ServiceDocument } from '@bluebellhitch/document';
+import { scaleEngine, scaleService } from './timeScale';
 
 /** Settings of the stand-in engine; absent ones keep its own defaults. */
 export interface EngineProfile {
@@ -15,6 +16,8 @@
   prefillBaseMs: number;
   prefillMsPerToken: number;
   linkBytesPerSecond: number;
+  /** How long the result of a prefill is kept. */
+  exportKeptForMs: number;
 }
 
 export type WorkerCounts = Partial<Record<'prefill' | 'decode' | 'both' | 'plain', number>>;
@@ -55,19 +58,23 @@
   examplesDirectory: string;
   institution: InstitutionName;
   engine: EngineProfile;
+  /** Stretches all times, see `timeScale.ts`. */
+  timeScale?: number;
   /** By service, in place of today's counts; services without workers are left out. */
   workers?: Record<string, WorkerCounts>;
 }
 
 /** Reads an institution's documents and lists the backend servers to start for them. */
 export async function describeFleet(options: DescribeFleetOptions): Promise<FleetDescription> {
-  const { examplesDirectory, institution, engine, workers = todaysWorkers } = options;
+  const { examplesDirectory, institution, timeScale = 1, workers = todaysWorkers } = options;
   const files = await readServiceFiles(join(examplesDirectory, institution));
-  const services = files.filter(({ document }) => workers[document.service] !== undefined);
+  const services = files
+    .filter(({ document }) => workers[document.service] !== undefined)
+    .map((file) => scaleService(file, timeScale));
   return {
     institution,
     services,
-    engine,
+    engine: scaleEngine(options.engine, timeScale),
     dataCentres: services[0]?.document.dataCentres ?? [],
     backends: services.flatMap(({ document }) =>
       backendsOf(document, workers[document.service] ?? {}),
--- a/packages/bench/src/fleet/startFleet.ts
+++ b/packages/bench/src/fleet/startFleet.ts
@@ -114,7 +114,7 @@
       innerAddress: addressOf(entry, 'innerAddress'),
     });
     const adminAddress = addressOf(entry, 'adminAddress');
-    return { group: group.name, callerAddress: addressOf(entry, 'callerAddress'), adminAddress };
+    return { group: group.name, callerAddress: addressOf(entry, 'callersAddress'), adminAddress };
   }
 
   async function launchAll(): Promise<Omit<Fleet, 'stop' | 'backends' | 'replaceBackend'>> {
--- a/packages/bench/src/runCommand.ts
+++ b/packages/bench/src/runCommand.ts
@@ -2,6 +2,7 @@
 import { writeFile } from 'node:fs/promises';
 import { assertNever } from '@bluebellhitch/shared';
 import { commandNames, type BenchFlags, type CommandName } from './commandLine';
+import { runCapacity } from './experiments/capacity';
 import { runCeiling } from './experiments/ceiling';
 import type { ExperimentContext, ExperimentReport } from './experiments/context';
 import { runGoodput } from './experiments/goodput';
@@ -36,6 +37,8 @@
       return runOverhead(context, flags);
     case commandNames.ceiling:
       return runCeiling(context, flags);
+    case commandNames.capacity:
+      return runCapacity(context, flags);
     case commandNames.goodput:
       return runGoodput(context, {
         ...flags,
--- a/packages/bench/src/traffic/distributions.ts
+++ b/packages/bench/src/traffic/distributions.ts
@@ -1,5 +1,5 @@
 /** Draws from the distributions that traffic is made of. */
-import type { Random } from '@bluebellhitch/shared';
+import { createSeededRandom, hash64, type Random } from '@bluebellhitch/shared';
 
 /** A range of whole numbers, both ends included. */
 export interface CountRange {
@@ -12,6 +12,13 @@
   weight: number;
 }
 
+const seedRange = 2n ** 31n;
+
+/** Randomness that a label decides. Labels are hashed, because small seeds begin alike. */
+export function createLabelledRandom(label: string): Random {
+  return createSeededRandom(Number(hash64(label) % seedRange));
+}
+
 /** Time to the next arrival of a Poisson process, in milliseconds. */
 export function drawInterarrivalMs(ratePerSecond: number, random: Random): number {
   return (-Math.log(1 - random()) / ratePerSecond) * 1000;
