--- a/packages/scenarios/__tests__/support/randomScripts.ts
+++ b/packages/scenarios/__tests__/support/randomScripts.ts
@@ -103,7 +103,12 @@
       scenario: toScenario(script),
       clock: installPausedClock(),
     });
-    return [...failures.map(({ message }) => message), ...thrown.map(String)];
+    return [
+      ...failures.map(({ message }) => message),
+      ...thrown.map((error) =>
+        error instanceof Error ? (error.stack ?? error.message) : String(error),
+      ),
+    ];
   } catch (error) {
     return [String(error)];
   } finally {
--- a/packages/scenarios/__tests__/support/soak.ts
+++ b/packages/scenarios/__tests__/support/soak.ts
@@ -1,38 +1,31 @@
-/** Random scripts for a given time, started by `scripts/soak.mjs`. */
+/** Random scripts of some seeds, started by `scripts/soak.mjs`. The last line is their counts, in JSON. */
 import { parseArgs } from 'node:util';
 import { findFailure } from './randomScripts';
 
 const { values } = parseArgs({
-  options: { minutes: { type: 'string' }, seed: { type: 'string' } },
+  options: {
+    seed: { type: 'string', default: '1' },
+    seeds: { type: 'string', default: '1' },
+  },
 });
-const minutes = Number(values.minutes ?? 1);
-const firstSeed = Number(values.seed ?? 1);
+const firstSeed = Number(values.seed);
+const endSeed = firstSeed + Number(values.seeds);
 const runsPerSeed = 50;
-const msPerMinute = 60_000;
+const counts = { scripts: 0, operations: 0, requests: 0, marked: 0 };
 
-function print(line: string): void {
-  process.stdout.write(`${line}\n`);
-}
-
-const endsAtMs = Date.now() + minutes * msPerMinute;
-const counts = { runs: 0, operations: 0, requests: 0 };
-let seed = firstSeed;
 let failure: string | undefined;
-while (failure === undefined && Date.now() < endsAtMs) {
+for (let seed = firstSeed; seed < endSeed && failure === undefined; seed += 1) {
   failure = await findFailure({
     seed,
     runCount: runsPerSeed,
     onRun: (script) => {
-      counts.runs += 1;
+      const sends = script.filter((operation) => operation.kind === 'send');
+      counts.scripts += 1;
       counts.operations += script.length;
-      counts.requests += script.filter(({ kind }) => kind === 'send').length;
+      counts.requests += sends.length;
+      counts.marked += sends.filter(({ key }) => key !== undefined).length;
     },
   });
-  seed += 1;
 }
-print(failure ?? 'no failure');
-print(
-  `seeds ${firstSeed} to ${seed - 1}: ${counts.runs} scripts, ${counts.operations} operations, ` +
-    `${counts.requests} requests`,
-);
+process.stdout.write(`${failure ?? 'no failure'}\n${JSON.stringify(counts)}\n`);
 process.exit(failure === undefined ? 0 : 1);
--- a/packages/scenarios/src/language/expectations.ts
+++ b/packages/scenarios/src/language/expectations.ts
@@ -20,11 +20,7 @@
   answer: (world, expected) => unmetAnswer(find(world.requests, expected.of), expected),
   runs: unmetRuns,
   held: unmetHeld,
-  generation: (world, { at, service, is }) => {
-    const { process } = find(world.entries, at).core();
-    const generation = world.checks.generationOf(process, service);
-    return differs(`generation of ${service} at ${at}`, generation, is);
-  },
+  generation: unmetGeneration,
   'new-work': unmetNewWork,
   order: (_world, { named, is }, orders) => {
     const outcome = orders.get(named);
@@ -129,3 +125,21 @@
   const left = members.filter(({ id }) => !ejected.has(id)).length;
   return left >= atLeast ? [] : [`${left} candidates are left at ${at}, not ${atLeast}`];
 }
+
+function unmetGeneration(
+  world: World,
+  { at, service, is }: ExpectationInput<'generation'>,
+): string[] {
+  const entries = [...world.entries.values()].map((entry) => entry.core().process);
+  const agents = [...world.agents.values()]
+    .filter(({ instance }) => instance.service === service)
+    .map((agent) => agent.process());
+  const processes = [...entries, ...agents].filter(({ id }) => at === 'all' || id === at);
+  return processes.flatMap((process) =>
+    differs(
+      `generation of ${service} at ${process.id}`,
+      world.checks.generationOf(process, service),
+      is,
+    ),
+  );
+}
--- a/packages/scenarios/src/world/world.ts
+++ b/packages/scenarios/src/world/world.ts
@@ -19,6 +19,7 @@
 import { outside, type SimulatedProcess } from './simulatedProcess';
 import { createWorldAgent, type WorldAgent } from './worldAgent';
 import { createWorldEntry, type WorldEntry } from './worldEntry';
+import type { MembershipLinks } from './worldMembership';
 import { createWorldTime, type PausedClock, type WorldTime } from './worldTime';
 
 export interface WorldService {
@@ -59,6 +60,8 @@
 
 const platformLatencyMs = 4;
 const settleMs = 1_500;
+/** Longest pause between two looks at the list of instances. */
+const directoryRefreshMs = 7_000;
 const ghostHeartbeatMs = 200;
 
 export function createWorld(options: WorldOptions): World {
@@ -75,6 +78,10 @@
   const requests = new Map<string, SentRequest>();
   const attemptOwners = new Map<string, string>();
   const isWithout = (safeguard: Safeguard) => without.includes(safeguard);
+  const links: MembershipLinks = {
+    ...{ platform, network, random, isWithout },
+    feedAt: (address) => entries.get(address.replace('http://', ''))?.core(),
+  };
   const agents = new Map(createAgents().map((agent) => [agent.instance.id, agent]));
   const entries = new Map(createEntries().map((entry) => [entry.instance.id, entry]));
   const checks = createInvariantChecks({
@@ -98,10 +105,9 @@
         role,
         dataCentre: dataCentres[index % dataCentres.length] as string,
         engine,
-        platform,
+        ...links,
         connectPeer: peers.connectPeer,
-        isWithout,
-        onGeneration: (process, generation) => checks?.onGeneration(process, service, generation),
+        onGeneration: (process, generation) => checks.onGeneration(process, service, generation),
         onGrant: (requestId, attemptId) => attemptOwners.set(attemptId, requestId),
       });
       peers.add(`http://${id}`, {
@@ -117,16 +123,13 @@
       createWorldEntry({
         id: `entry-${index + 1}`,
         dataCentre: dataCentres[index % dataCentres.length] as string,
-        platform,
-        network,
-        random,
-        isWithout,
+        ...links,
         agentAt: (address) => {
           const found = agents.get(address.replace('http://', ''));
           return found && { id: found.instance.id, process: found.process(), agent: found.agent() };
         },
         onGeneration: (process, service, generation) =>
-          checks?.onGeneration(process, service, generation),
+          checks.onGeneration(process, service, generation),
         tellPeers: (strikes) =>
           [...entries.values()]
             .map((entry) => entry.core())
@@ -187,7 +190,8 @@
     if (isWithout('lease-expiry')) {
       outside(renewForever);
     }
-    await time.advance(settleMs + (options.instanceLagMs ?? 0));
+    const { instanceLagMs = 0 } = options;
+    await time.advance(instanceLagMs === 0 ? settleMs : instanceLagMs + directoryRefreshMs);
   }
 
   return {
--- a/packages/scenarios/src/world/worldAgent.ts
+++ b/packages/scenarios/src/world/worldAgent.ts
@@ -2,7 +2,12 @@
 import { createAgent, type Agent } from '@bluebellhitch/agent';
 import type { AcceptedDocument } from '@bluebellhitch/document';
 import { objectKinds, type PlatformApi, type PlatformInstance } from '@bluebellhitch/platform';
-import type { OrderReply, OrderRequest, WorkerRole } from '@bluebellhitch/protocol';
+import {
+  feedKinds,
+  type OrderReply,
+  type OrderRequest,
+  type WorkerRole,
+} from '@bluebellhitch/protocol';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import {
   createStandinEngine,
@@ -12,11 +17,10 @@
 } from '@bluebellhitch/standins';
 import { okAsync, errAsync } from 'neverthrow';
 import { gateEngine, gatePlatform } from './gates';
-import { followAccepted } from './platformView';
-import type { Safeguard } from './safeguards';
 import { createSimulatedProcess, type SimulatedProcess } from './simulatedProcess';
+import { startMembership, type MembershipLinks } from './worldMembership';
 
-export interface WorldAgentOptions {
+export interface WorldAgentOptions extends MembershipLinks {
   id: string;
   engineId: string;
   service: string;
@@ -24,9 +28,7 @@
   role: WorkerRole;
   dataCentre: string;
   engine?: StandinEngineOptions;
-  platform: PlatformApi;
   connectPeer: (kvAddress: string) => KvPeer;
-  isWithout: (safeguard: Safeguard) => boolean;
   /** Called with each generation that the agent has in force. */
   onGeneration: (process: SimulatedProcess, generation: number) => void;
   onGrant: (requestId: string, attemptId: string) => void;
@@ -114,10 +116,13 @@
       random: () => 0.5,
     });
     void agent.start();
-    followAccepted({
-      platform,
-      signal: process.gone,
-      onValue: (value) => {
+    startMembership({
+      ...options,
+      ...{ process, platform, service, dataCentre },
+      onRecord: ({ kind, value }) => {
+        if (kind !== feedKinds.accepted) {
+          return;
+        }
         agent.applyDocument(value as AcceptedDocument);
         options.onGeneration(process, agent.config().generation);
       },
--- a/packages/scenarios/src/world/worldEntry.ts
+++ b/packages/scenarios/src/world/worldEntry.ts
@@ -1,13 +1,7 @@
 /** An entry without its sockets, over all restarts of its process. */
 import { acceptedDocumentSchema } from '@bluebellhitch/document';
-import {
-  createClaimStore,
-  objectKinds,
-  type PlatformApi,
-  type PlatformInstance,
-} from '@bluebellhitch/platform';
-import type { Strike } from '@bluebellhitch/protocol';
-import type { Random } from '@bluebellhitch/shared';
+import { createClaimStore, type PlatformApi, type PlatformInstance } from '@bluebellhitch/platform';
+import { feedKinds, type FeedRecord, type Strike } from '@bluebellhitch/protocol';
 import {
   createDecisionRing,
   createEntryMetrics,
@@ -23,6 +17,7 @@
   createServiceTable,
   createStrikes,
   defaultRequestTimeouts,
+  type Instances,
   type ModelRuns,
   type RequestContext,
   type ServiceTable,
@@ -30,24 +25,20 @@
 } from '@bluebellhitch/entry';
 import { createAgentLink, type AgentLinkOptions } from './agentLink';
 import { gatePlatform } from './gates';
-import { followAccepted, followInstances, followObjects } from './platformView';
-import { createOpenClaims, createStreamTampering, type Safeguard } from './safeguards';
+import { createOpenClaims, createStreamTampering } from './safeguards';
 import { createSimulatedProcess, type SimulatedProcess } from './simulatedProcess';
+import { startMembership, type FeedHost, type MembershipLinks } from './worldMembership';
 
-export interface WorldEntryOptions extends Pick<AgentLinkOptions, 'network' | 'agentAt'> {
+export interface WorldEntryOptions extends MembershipLinks, Pick<AgentLinkOptions, 'agentAt'> {
   id: string;
   dataCentre: string;
-  platform: PlatformApi;
-  random: Random;
-  isWithout: (safeguard: Safeguard) => boolean;
   onGeneration: (process: SimulatedProcess, service: string, generation: number) => void;
   /** Sends strikes to the other entries. */
   tellPeers: (strikes: Strike[]) => void;
 }
 
 /** What one process of an entry holds. */
-export interface EntryCore {
-  process: SimulatedProcess;
+export interface EntryCore extends FeedHost {
   context: RequestContext & { ring: DecisionRing };
   runs: ModelRuns;
   services: ServiceTable;
@@ -90,25 +81,41 @@
     const platform = gatePlatform(process, options.platform);
     const services = createServiceTable();
     const strikes = createEntryStrikes(platform);
-    const context = createContext(process, platform, strikes);
-    followDocuments(process, platform, services);
-    void followObjects({
-      platform,
-      kind: objectKinds.quarantine,
-      signal: process.gone,
-      onValue: (value) => !isWithout('strike-sharing') && strikes.mergeRecord(value),
+    const { directory, feed } = startMembership({
+      ...options,
+      ...{ process, platform },
+      onRecord: (record) => applyRecord(process, services, strikes, record),
     });
-    return { process, context, services, strikes, runs: createModelRuns(context) };
+    const context = createContext(process, platform, strikes, directory);
+    return { process, feed, context, services, strikes, runs: createModelRuns(context) };
+  }
+
+  function applyRecord(
+    process: SimulatedProcess,
+    services: ServiceTable,
+    strikes: Strikes,
+    { kind, value }: FeedRecord,
+  ): void {
+    if (kind === feedKinds.quarantine) {
+      if (!isWithout('strike-sharing')) {
+        strikes.mergeRecord(value);
+      }
+      return;
+    }
+    const { document, documentVersion } = acceptedDocumentSchema.parse(value);
+    if (services.put(value)) {
+      options.onGeneration(process, document.service, documentVersion);
+    }
   }
 
   function createContext(
     process: SimulatedProcess,
     platform: PlatformApi,
     strikes: Strikes,
+    instances: Instances,
   ): EntryCore['context'] {
     const { random, network, agentAt } = options;
     const entryIncarnation = incarnations.at(-1) as string;
-    const instances = followInstances(platform, process.gone);
     const agents = createAgentLink({
       caller: process,
       network,
@@ -152,28 +159,6 @@
     return isWithout('strikes') ? { ...strikes, report: () => undefined } : strikes;
   }
 
-  function followDocuments(
-    process: SimulatedProcess,
-    platform: PlatformApi,
-    services: ServiceTable,
-  ): void {
-    let seenCount = 0;
-    followAccepted({
-      platform,
-      signal: process.gone,
-      onValue: (value) => {
-        const accepted = acceptedDocumentSchema.parse(value);
-        seenCount += 1;
-        const isTaken = services.put(
-          isWithout('generation-check') ? { ...accepted, generation: seenCount } : accepted,
-        );
-        if (isTaken) {
-          options.onGeneration(process, accepted.document.service, accepted.generation);
-        }
-      },
-    });
-  }
-
   start();
   return {
     instance: { id, kind: 'entry', dataCentre, innerAddress: `http://${id}`, state: 'live' },
--- /dev/null
+++ b/packages/scenarios/src/world/worldMembership.ts
@@ -0,0 +1,134 @@
+/**
+ * The membership of one simulated process: its view of instances and its feed of records, by the real
+ * modules over the world's platform and direct calls between entries.
+ */
+import {
+  createFeedFollower,
+  createFeedServer,
+  createFeedStore,
+  createInstanceDirectory,
+  type CallFeed,
+  type FeedServer,
+  type InstanceDirectory,
+} from '@bluebellhitch/membership';
+import type { PlatformApi } from '@bluebellhitch/platform';
+import { feedKinds, type FeedRecord, type FeedReply } from '@bluebellhitch/protocol';
+import { delay, type Random } from '@bluebellhitch/shared';
+import { err, ok, ResultAsync } from 'neverthrow';
+import type { Network } from './network';
+import type { Safeguard } from './safeguards';
+import { outside, type SimulatedProcess } from './simulatedProcess';
+
+/** An entry process that serves its feed. */
+export interface FeedHost {
+  process: SimulatedProcess;
+  feed: FeedServer['feed'];
+}
+
+/** What processes of a world share to follow the configuration. */
+export interface MembershipLinks {
+  platform: PlatformApi;
+  network: Network;
+  random: Random;
+  /** The entry that listens at the address now. */
+  feedAt: (address: string) => FeedHost | undefined;
+  isWithout: (safeguard: Safeguard) => boolean;
+}
+
+export interface MembershipOptions extends MembershipLinks {
+  process: SimulatedProcess;
+  dataCentre: string;
+  /** An agent's own service; absent for entries. */
+  service?: string;
+  onRecord: (record: FeedRecord) => void;
+}
+
+export interface WorldMembership {
+  directory: InstanceDirectory;
+  feed: FeedServer['feed'];
+}
+
+/** An agent without a relay in its data centre reads the platform this often. */
+const agentPlatformPauseMs = 2_000;
+
+/** Starts to follow; ends with the process. */
+export function startMembership(options: MembershipOptions): WorldMembership {
+  const { process, dataCentre, service, platform, random, onRecord, isWithout } = options;
+  const store = createFeedStore({ incarnation: `${process.id}-${random()}` });
+  const directory = createInstanceDirectory({ platform, random });
+  const server = createFeedServer(store);
+  const follower = createFeedFollower({
+    ...{ platform, directory, store, dataCentre, random, instanceId: process.id },
+    ...(service === undefined
+      ? {}
+      : { services: [service], platformPauseMs: agentPlatformPauseMs }),
+    callFeed: callThroughNetwork(options),
+  });
+  // Without the check of generations a process takes what arrives last.
+  const unchecked = isWithout('generation-check');
+  store.subscribe((applied) => applied.filter(isNotRemoved).forEach(onRecord));
+  directory.start();
+  follower.start();
+  return {
+    directory,
+    feed: unchecked ? (...input) => server.feed(...input).then(stampAsNewest) : server.feed,
+  };
+}
+
+function isNotRemoved({ removed }: FeedRecord): boolean {
+  return !removed;
+}
+
+let stampCount = 0;
+
+function stampAsNewest(reply: FeedReply): FeedReply {
+  const records = reply.records.map((record): FeedRecord => {
+    if (record.kind !== feedKinds.accepted) {
+      return record;
+    }
+    stampCount += 1;
+    const generation = 1_000 + stampCount;
+    return { ...record, generation, value: { ...(record.value as object), generation } };
+  });
+  return { ...reply, records };
+}
+
+function callThroughNetwork({ process, network, feedAt }: MembershipOptions): CallFeed {
+  const unavailable = (detail: string) => err({ kind: 'feed-unavailable' as const, detail });
+
+  async function call(...[address, request, signal]: Parameters<CallFeed>) {
+    await process.turn();
+    await outside(() => delay(network.latencyMs()));
+    const host = feedAt(address);
+    if (host === undefined || host.process.state() === 'crashed') {
+      return unavailable('connection refused');
+    }
+    await network.untilOpen(process.id, host.process.id);
+    await host.process.turn();
+    const reply = await Promise.race([
+      host.process.run(() => host.feed(request, signal)),
+      untilAborted(host.process.gone),
+    ]);
+    await outside(() => delay(network.latencyMs()));
+    await network.untilOpen(process.id, host.process.id);
+    await process.turn();
+    return reply === undefined ? unavailable('connection reset') : ok(reply);
+  }
+
+  return (address, request, signal) =>
+    new ResultAsync(
+      Promise.race([
+        call(address, request, signal),
+        untilAborted(signal).then(() => unavailable('given up')),
+      ]),
+    );
+}
+
+function untilAborted(signal: AbortSignal): Promise<undefined> {
+  return new Promise((resolve) => {
+    if (signal.aborted) {
+      resolve(undefined);
+    }
+    signal.addEventListener('abort', () => resolve(undefined), { once: true });
+  });
+}
--- a/scripts/soak.mjs
+++ b/scripts/soak.mjs
@@ -3,12 +3,61 @@
  * agents, from seed S on, for N minutes. Prints the seed and the shrunk script of the first failure.
  */
 import { spawn } from 'node:child_process';
+import { parseArgs } from 'node:util';
 import { repositoryRoot } from './lib/repository.mjs';
 
 const program = 'packages/scenarios/__tests__/support/soak.ts';
-const child = spawn(
-  process.execPath,
-  ['--import=tsx', '--conditions=bluebell-source', program, ...process.argv.slice(2)],
-  { cwd: repositoryRoot, stdio: 'inherit' },
+/** A process of its own for each stretch of seeds bounds what worlds leave behind in memory. */
+const seedsPerProcess = 4;
+const msPerMinute = 60_000;
+const { values } = parseArgs({
+  options: {
+    minutes: { type: 'string', default: '1' },
+    seed: { type: 'string', default: '1' },
+  },
+});
+
+function runSeeds(firstSeed) {
+  const child = spawn(
+    process.execPath,
+    ['--import=tsx', '--conditions=bluebell-source', program]
+      .concat(['--seed', String(firstSeed)])
+      .concat(['--seeds', String(seedsPerProcess)]),
+    { cwd: repositoryRoot, stdio: ['ignore', 'pipe', 'inherit'] },
+  );
+  const parts = [];
+  child.stdout.on('data', (part) => parts.push(part));
+  return new Promise((resolve) => {
+    child.once('close', (code) => resolve({ code, text: Buffer.concat(parts).toString('utf8') }));
+  });
+}
+
+/** Adds the counts in a process's last line, which is JSON. */
+function addCounts(totals, text) {
+  const counts = JSON.parse(text.trim().split('\n').at(-1));
+  Object.entries(counts).forEach(([name, count]) => {
+    totals[name] = (totals[name] ?? 0) + count;
+  });
+}
+
+const endsAtMs = Date.now() + Number(values.minutes) * msPerMinute;
+const firstSeed = Number(values.seed);
+const totals = {};
+let seed = firstSeed;
+let exitCode = 0;
+while (exitCode === 0 && Date.now() < endsAtMs) {
+  const { code, text } = await runSeeds(seed);
+  exitCode = code ?? 1;
+  if (exitCode === 0) {
+    addCounts(totals, text);
+    seed += seedsPerProcess;
+  } else {
+    process.stdout.write(text);
+  }
+}
+const verdict =
+  exitCode === 0 ? 'no failure' : `failure in seeds ${seed} to ${seed + seedsPerProcess - 1}`;
+process.stdout.write(
+  `${verdict}; clean: seeds ${firstSeed} to ${seed - 1}, ${JSON.stringify(totals)}\n`,
 );
-child.once('close', (code) => process.exit(code ?? 1));
+process.exit(exitCode);
