Let struck requests wait for a server of their own, and leave out servers that cannot work

A server that died with five requests in flight struck all five, and only as many as there were other servers went on: the innocent ones were refused. They now wait, for three seconds at most, and a struck request that has answered for eight tokens counts as a bystander. The note of where one runs is made with the choice, since two that chose at once met on one server. Second, agents whose backend server is gone refuse fastest and were asked for each request, until the retry budget was used up. They are left out for a time that doubles, unless no other server is left.

Ruled out: ejection by the breaker (it allows for a third of the pool, which is none of two servers), and taking such servers out of the instance view (a fault of all would empty it).

Each new test was seen to fail without its safeguard on a scratch copy.

--- a/packages/entry/__tests__/httpAgentClient.test.ts
+++ b/packages/entry/__tests__/httpAgentClient.test.ts
@@ -88,8 +88,8 @@
   t.is((await collect(stream)).length, 1);
 });
 
-// The entry finds an answer broken and stops reading in the middle. undici reports the destroyed body
-// as an error; without a listener it would end the process and every other answer with it.
+// The entry finds an answer broken and stops reading in the middle. The agent must see the connection
+// close, and the destroyed body must not end the process and every other answer with it.
 test('a stream that is left in the middle closes its connection quietly', async (t) => {
   let closed = false;
   const { client, address } = await start(t, (_incoming, outgoing) => {
--- a/packages/entry/__tests__/modelRequest.test.ts
+++ b/packages/entry/__tests__/modelRequest.test.ts
@@ -331,3 +331,75 @@
   t.like(await again.json(), { reason: 'quarantined', notRun: true });
   t.is(agents.filter(({ streamed }) => streamed.length > 0).length, 2);
 });
+
+// A server dies with four requests in flight, so that all four are struck; two servers are left. One of
+// the four may be to blame, so that no two run beside each other. Refused for that, three clerks would
+// lose their letters; they wait for each other instead.
+test('struck requests wait for a server without another struck one', async (t) => {
+  const agents = ['agent-1', 'agent-2', 'agent-3'].map((id) => createFakeAgent({ id, service }));
+  const [first, ...others] = agents as [FakeAgent, FakeAgent, FakeAgent];
+  let die: () => void = () => undefined;
+  const death = new Promise<void>((resolve) => {
+    die = resolve;
+  });
+  first.frames = async function* dying(request): AsyncGenerator<StreamFrame> {
+    yield* tokens(request, 1);
+    await death;
+    yield {
+      ...refusal('backend-failed', false),
+      kind: 'failed',
+      attemptId: request.attemptId,
+      backendDied: true,
+    };
+  };
+  let mostAtOnce = 0;
+  others.forEach((agent) => {
+    const { bid } = agent;
+    agent.bid = () => ({
+      ...(bid() as Extract<ReturnType<typeof bid>, { load: object }>),
+      usableInMs: 100,
+    });
+    let running = 0;
+    agent.frames = async function* slow(request): AsyncGenerator<StreamFrame> {
+      running += 1;
+      mostAtOnce = Math.max(mostAtOnce, running);
+      try {
+        await new Promise((resolve) => {
+          setTimeout(resolve, 30);
+        });
+        yield* wholeAnswer(request);
+      } finally {
+        running -= 1;
+      }
+    };
+  });
+  const { address } = await startHarness(t, { agents });
+  const prompts = ['a', 'b', 'c', 'd'];
+  const responses = await Promise.all(
+    prompts.map((content) =>
+      chat(address, { stream: true, messages: [{ role: 'user', content }] }),
+    ),
+  );
+  t.is(first.streamed.length, 4);
+  die();
+  const texts = await Promise.all(responses.map((response) => response.text()));
+  t.deepEqual(texts.map(textOf), Array(4).fill(words.join('')));
+  t.is(mostAtOnce, 1);
+});
+
+// The engine of two workers restarts, and their agents answer that they cannot serve now. They are the
+// ones that this entry prefers. The others must be asked before the request is refused.
+test('asks other workers where those asked first cannot work', async (t) => {
+  const agents = ['agent-1', 'agent-2'].map((id) => createFakeAgent({ id, service }));
+  const remote = createFakeAgent({ id: 'agent-3', service, dataCentre: 'salem-hall' });
+  agents.forEach((agent) => {
+    const { bid } = agent;
+    agent.bid = () => ({
+      ...(bid() as Extract<ReturnType<typeof bid>, { load: object }>),
+      usableInMs: undefined,
+    });
+  });
+  const { address } = await startHarness(t, { agents: [...agents, remote] });
+  t.is((await chat(address)).status, 200);
+  t.is(remote.streamed.length, 1);
+});
--- a/packages/entry/__tests__/plainRequest.test.ts
+++ b/packages/entry/__tests__/plainRequest.test.ts
@@ -202,3 +202,25 @@
   gates.forEach((open) => open());
   await Promise.all(responses);
 });
+
+// A server is gone while its agent lives and refuses at once, as not run. Asked again for each lookup
+// it would use the retry budget up within seconds, and customers would see 503 beside an idle server.
+test('leaves out a server whose agent says that it is gone', async (t) => {
+  const agents = pair();
+  (agents[0] as FakeAgent).plain = () => refusedAnswer('backend-failed', true);
+  const { address } = await startHarness(t, { agents });
+  const statuses: number[] = [];
+  for (let count = 0; count < 20; count += 1) {
+    statuses.push((await fetch(`${address}/counter`)).status);
+  }
+  t.deepEqual(statuses, Array(20).fill(200));
+  t.true((agents[0] as FakeAgent).plainCalls.length <= 2);
+});
+
+test('asks a doubtful server where no other is left', async (t) => {
+  const [agent] = pair() as [FakeAgent];
+  firstCall([agent], () => refusedAnswer('backend-failed', true));
+  const { address } = await startHarness(t, { agents: [agent] });
+  t.is((await fetch(`${address}/counter`)).status, 502);
+  t.is((await fetch(`${address}/counter`)).status, 200);
+});
--- a/packages/entry/src/agentEventStream.ts
+++ b/packages/entry/src/agentEventStream.ts
@@ -24,8 +24,6 @@
     onError: onMalformed,
   });
   const decoder = new TextDecoder();
-  // A reader that stops early destroys the body, which undici reports as an error.
-  body.on('error', () => undefined);
   try {
     for await (const chunk of body) {
       parser.feed(decoder.decode(chunk as Buffer, { stream: true }));
--- a/packages/entry/src/bin.ts
+++ b/packages/entry/src/bin.ts
@@ -1,5 +1,6 @@
 /** `bluebell-entry`: takes callers' requests and routes them to agents. */
-import { exitCodes, loadSettingsOrExit } from '@bluebellhitch/shared';
+import { innerSecurityOf, readInnerKeys } from '@bluebellhitch/security';
+import { exitCodes, exitForSettings, loadSettingsOrExit } from '@bluebellhitch/shared';
 import { installProcessLifecycle } from '@bluebellhitch/telemetry';
 import { startEntryProcess } from './entryProcess';
 import { entrySettings } from './entrySettings';
@@ -11,7 +12,13 @@
   definitions: entrySettings,
 });
 
-const entryProcess = await startEntryProcess(settings).catch((error: Error) => {
+const innerKeys = readInnerKeys(settings);
+if (innerKeys.isErr()) {
+  exitForSettings('bluebell-entry', innerKeys.error);
+}
+const security = innerSecurityOf(innerKeys.value, settings.instanceId);
+
+const entryProcess = await startEntryProcess(settings, security).catch((error: Error) => {
   process.stderr.write(`bluebell-entry: ${error.message}\n`);
   process.exit(exitCodes.failure);
 });
--- a/packages/entry/src/candidateBids.ts
+++ b/packages/entry/src/candidateBids.ts
@@ -10,6 +10,7 @@
 import type { AgentCallError } from './agentApi';
 import type { ModelRun } from './modelTypes';
 import { noteCallError } from './serverHealth';
+import { doubtfulServers, forbiddenServers, selectServers } from './serverSelection';
 
 /** A bid and the instance that made it. */
 export interface InstanceBid extends CandidateBid {
@@ -25,27 +26,24 @@
 /** Selects candidates that serve the need and collects what they answer in time. */
 export async function collectBids(run: ModelRun, need: WorkerNeed): Promise<CollectedBids> {
   const { context, request } = run;
-  const { members, version, byId } = context.runtimes.members(request.document);
-  const runtime = context.runtimes.of(request.document.service);
-  const nowMs = monotonicNowMs();
-  const asked = runtime.selector.select({
-    instances: members,
-    membershipVersion: version,
+  const { document } = request;
+  const asked = selectServers({
+    context,
+    run,
+    document,
+    selector: context.runtimes.of(document.service).selector,
     need,
-    key: prefixKey(request.document.service, request.prefixBlocks),
-    excluded: excludedInstances(run),
-    nowMs,
+    key: prefixKey(document.service, request.prefixBlocks),
   });
+  const { byId } = context.runtimes.members(document);
   const instances = asked.flatMap(({ instanceId }) => byId.get(instanceId) ?? []);
   return { asked, bids: await askInTime(run, instances) };
 }
 
-/** Instances that the run must not use: tried before, ejected, or beside another struck request. */
+/** Instances that a choice without bids leaves out. */
 export function excludedInstances(run: ModelRun): Set<string> {
-  const { context, request } = run;
-  const ejected = context.runtimes.of(request.document.service).outliers.ejected(monotonicNowMs());
-  const avoided = run.struck ? context.strikes.avoidInstances(request.document.service) : [];
-  return new Set([...run.tried, ...ejected, ...avoided]);
+  const query = { context: run.context, run, document: run.request.document };
+  return new Set([...forbiddenServers(query), ...doubtfulServers(query)]);
 }
 
 /** Waits for all, but not much longer than the first takes: a paused agent must not slow others. */
@@ -103,6 +101,9 @@
       if (bid.load.leaving) {
         context.instances.markLeaving(instance.id);
       }
+      if (bid.usableInMs === undefined) {
+        context.runtimes.of(request.document.service).unready.mark(instance.id, nowMs);
+      }
       return { instance, instanceId: instance.id, bid, roundTripMs: nowMs - sentAtMs };
     },
     (error: AgentCallError) => {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,6 +3,7 @@
 import type { InstanceDirectory } from '@bluebellhitch/membership';
 import type { PlatformApi, ClaimStore } from '@bluebellhitch/platform';
 import { feedKinds, type FeedRecord } from '@bluebellhitch/protocol';
+import type { InnerSecurity } from '@bluebellhitch/security';
 import { assertNever, delay, type Random } from '@bluebellhitch/shared';
 import {
   createDecisionRing,
@@ -34,6 +35,7 @@
     'agents' | 'entries' | 'markLeaving' | 'markDown' | 'viewAgeMs'
   >;
   feed: ConfigurationFeed;
+  security: InnerSecurity;
   logger: Logger;
   random?: Random;
 }
@@ -54,11 +56,12 @@
 
 /** Starts all ports; rejects where one is taken. */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
-  const { settings, feed, logger, directory } = options;
+  const { settings, feed, logger, directory, security } = options;
   const metrics = createEntryMetrics();
   const ring = createDecisionRing();
   const services = createServiceTable();
   const agents = createHttpAgentClient({
+    credentials: security,
     onControlBytes: metrics.countControlBytes,
     onMalformedFrame: () => metrics.countDroppedFrame('malformed'),
   });
@@ -66,6 +69,7 @@
     entryId: settings.instanceId,
     instances: directory,
     logger,
+    credentials: security,
     onControlBytes: metrics.countControlBytes,
   });
   const strikes = createStrikes({ platform: options.platform, tellPeers: peers.tell, logger });
@@ -78,6 +82,8 @@
   const inner = await startInnerServer({
     host: settings.innerHost,
     port: settings.innerPort,
+    security,
+    onUnauthenticated: metrics.countUnauthenticated,
     handlers: {
       feed: feed.serve,
       strike: (received) => Promise.resolve(strikes.receive(received)),
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -1,6 +1,7 @@
 /** Puts an entry together from its settings: platform, membership, configuration feed and ports. */
 import { createClaimStore, createHttpPlatformClient } from '@bluebellhitch/platform';
 import {
+  createFeedClient,
   createFeedFollower,
   createFeedServer,
   createFeedStore,
@@ -10,6 +11,7 @@
 } from '@bluebellhitch/membership';
 import { createOrderAgentClient, startDuties, type Duties } from '@bluebellhitch/duties';
 import type { PlatformApi, PlatformInstance } from '@bluebellhitch/platform';
+import type { InnerSecurity } from '@bluebellhitch/security';
 import { createLogger, type Logger, type StopKind } from '@bluebellhitch/telemetry';
 import type { ConfigurationFeed } from './configurationFeed';
 import { startEntry, type Entry } from './entry';
@@ -24,7 +26,10 @@
 }
 
 /** Starts the process; rejects where a port is taken. */
-export async function startEntryProcess(settings: EntrySettings): Promise<EntryProcess> {
+export async function startEntryProcess(
+  settings: EntrySettings,
+  security: InnerSecurity,
+): Promise<EntryProcess> {
   const { instanceId, platformUrl, logLevel } = settings;
   const logger = createLogger({ binary: 'bluebell-entry', instanceId, level: logLevel });
   const platform = createHttpPlatformClient({ address: platformUrl });
@@ -34,11 +39,12 @@
     platform,
     directory,
     claims: createClaimStore({ platform, ownerId: instanceId }),
-    feed: createFeed({ settings, platform, directory, store: createFeedStore() }),
+    feed: createFeed({ settings, platform, directory, security, store: createFeedStore() }),
+    security,
     logger,
   });
   directory.start();
-  const duties = startEntryDuties({ settings, platform, directory, entry, logger });
+  const duties = startEntryDuties({ settings, platform, directory, entry, security, logger });
   const { callersAddress, innerAddress, adminAddress } = entry;
   logger.info('listening', { callersAddress, innerAddress, adminAddress });
   return {
@@ -60,10 +66,12 @@
   platform: PlatformApi;
   directory: InstanceDirectory;
   entry: Entry;
+  security: InnerSecurity;
   logger: Logger;
 }
 
-function startEntryDuties({ settings, platform, directory, entry, logger }: DutyParts): Duties {
+function startEntryDuties(parts: DutyParts): Duties {
+  const { settings, platform, directory, entry, security, logger } = parts;
   const documents = () => entry.services.list();
   const agents = () => documents().flatMap(({ document }) => directory.agents(document.service));
   const instances = (): PlatformInstance[] => [...directory.entries(), ...agents()];
@@ -72,7 +80,7 @@
     holderId: settings.instanceId,
     instances,
     documents,
-    agentClient: createOrderAgentClient(),
+    agentClient: createOrderAgentClient({ credentials: security }),
     logger,
   });
 }
@@ -81,13 +89,28 @@
   settings: EntrySettings;
   platform: PlatformApi;
   directory: InstanceDirectory;
+  security: InnerSecurity;
   store: FeedStore;
 }
 
-function createFeed({ settings, platform, directory, store }: FeedParts): ConfigurationFeed {
+function createFeed({
+  settings,
+  platform,
+  directory,
+  security,
+  store,
+}: FeedParts): ConfigurationFeed {
   const { instanceId, dataCentre } = settings;
+  const callFeed = createFeedClient({ credentials: security });
   const server = createFeedServer(store);
-  const follower = createFeedFollower({ platform, directory, store, instanceId, dataCentre });
+  const follower = createFeedFollower({
+    platform,
+    directory,
+    store,
+    instanceId,
+    dataCentre,
+    callFeed,
+  });
   return {
     start(onRecord) {
       store.subscribe((applied) => applied.forEach(onRecord));
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import { z } from 'zod';
 import { placementPolicies } from '@bluebellhitch/decisions';
+import { innerSecuritySettings } from '@bluebellhitch/security';
 import type { SettingValues } from '@bluebellhitch/shared';
 import { lifecycleSettings } from '@bluebellhitch/telemetry';
 
@@ -83,6 +84,7 @@
     description: 'Lowest level of logged messages.',
     defaultText: 'info',
   },
+  ...innerSecuritySettings,
   ...lifecycleSettings,
 };
 
--- a/packages/entry/src/heldLease.ts
+++ b/packages/entry/src/heldLease.ts
@@ -21,6 +21,7 @@
   context: Pick<RequestContext, 'heartbeats' | 'cancellations'>,
   instance: PlatformInstance,
   attemptId: string,
+  onRelease: () => void = () => undefined,
 ): HeldLease {
   const share = context.heartbeats.share(instance.innerAddress);
   let settled = false;
@@ -41,6 +42,7 @@
         context.cancellations.cancel(instance.innerAddress, attemptId);
       }
       share.release();
+      onRelease();
     },
   };
 }
--- a/packages/entry/src/httpAgentClient.ts
+++ b/packages/entry/src/httpAgentClient.ts
@@ -18,6 +18,7 @@
   type StreamFrame,
   type StreamRequest,
 } from '@bluebellhitch/protocol';
+import { credentialHeaders, innerAudiences, type InnerCredentials } from '@bluebellhitch/security';
 import type {
   AgentApi,
   AgentCallError,
@@ -27,10 +28,16 @@
   StreamOpenError,
 } from './agentApi';
 import { readFrames } from './agentEventStream';
-import { createMessageFetch, type ControlBytesListener } from './messageFetch';
+import {
+  createMessageFetch,
+  credentialsRefusedCode,
+  type ControlBytesListener,
+} from './messageFetch';
 import { plainRefusal } from './plainRefusal';
 
 export interface HttpAgentClientOptions {
+  /** Absent: agents that ask for credentials refuse every call. */
+  credentials?: InnerCredentials;
   connectTimeoutMs?: number;
   /** Clients kept for agents; the one used longest ago is dropped. */
   maxClients?: number;
@@ -50,13 +57,14 @@
 const controlProcedures: readonly string[] = ['heartbeat'];
 const keepAliveMs = 10_000;
 const maxRefusalBytes = 64 * 1024;
-/** Errors before the request was written. */
+/** Errors before the request was written, or before anything of it was done. */
 const notSentCodes: readonly string[] = [
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
   'ENOTFOUND',
   'UND_ERR_CONNECT_TIMEOUT',
+  credentialsRefusedCode,
 ];
 
 /** Creates the client of all agents of one entry. */
@@ -71,17 +79,20 @@
   });
   const fetchMessage = createMessageFetch(dispatcher);
   const fetchControl = createMessageFetch(dispatcher, onControlBytes);
+  const headers = credentialHeaders(options.credentials, innerAudiences.agent);
+  const transport = { dispatcher, headers };
   const clients = new Map<string, RouterClient>();
 
   function clientOf(address: string): RouterClient {
+    const url = `${address}${innerPaths.trpc}`;
     const client =
       clients.get(address) ??
       createTRPCClient<AgentRouter>({
         links: [
           splitLink({
             condition: ({ path }) => controlProcedures.includes(path),
-            true: httpLink({ url: `${address}${innerPaths.trpc}`, fetch: fetchControl }),
-            false: httpLink({ url: `${address}${innerPaths.trpc}`, fetch: fetchMessage }),
+            true: httpLink({ url, headers, fetch: fetchControl }),
+            false: httpLink({ url, headers, fetch: fetchMessage }),
           }),
         ],
       });
@@ -125,8 +136,8 @@
         clientOf(address).heartbeat.mutate(heartbeat, { signal }),
       ),
     openStream: (address, request, callOptions) =>
-      openStream(dispatcher, address, request, callOptions, onMalformedFrame ?? (() => undefined)),
-    plain: (address, plainCall) => sendPlain(dispatcher, address, plainCall),
+      openStream(transport, address, request, callOptions, onMalformedFrame ?? (() => undefined)),
+    plain: (address, plainCall) => sendPlain(transport, address, plainCall),
     close: () => dispatcher.destroy(),
   };
 }
@@ -169,8 +180,14 @@
   return [error, ...errorChain(error.cause)];
 }
 
+interface Transport {
+  dispatcher: Dispatcher;
+  /** The entry's credentials. */
+  headers(): Promise<Record<string, string>>;
+}
+
 function openStream(
-  dispatcher: Dispatcher,
+  transport: Transport,
   address: string,
   request: StreamRequest,
   options: AgentCallOptions,
@@ -183,13 +200,9 @@
   );
   const signal =
     options.signal === undefined ? head.signal : AbortSignal.any([options.signal, head.signal]);
-  const sending = sendRequest(`${address}${innerPaths.streams}`, {
-    dispatcher,
-    method: 'POST',
-    headers: { 'content-type': 'application/json', accept: 'text/event-stream' },
-    body: JSON.stringify(request),
-    signal,
-  }).finally(() => clearTimeout(timer));
+  const sending = sendStreamRequest(transport, address, request, signal).finally(() =>
+    clearTimeout(timer),
+  );
   return ResultAsync.fromPromise<Dispatcher.ResponseData, StreamOpenError>(sending, (error) =>
     callError(error, options.signal),
   ).andThen((response) =>
@@ -199,6 +212,25 @@
   );
 }
 
+async function sendStreamRequest(
+  { dispatcher, headers }: Transport,
+  address: string,
+  request: StreamRequest,
+  signal: AbortSignal,
+): Promise<Dispatcher.ResponseData> {
+  return sendRequest(`${address}${innerPaths.streams}`, {
+    dispatcher,
+    method: 'POST',
+    headers: {
+      'content-type': 'application/json',
+      accept: 'text/event-stream',
+      ...(await headers()),
+    },
+    body: JSON.stringify(request),
+    signal,
+  });
+}
+
 /** Reads the refusal in the body of an answer that is not a stream. */
 function streamRefusal(
   response: Dispatcher.ResponseData,
@@ -233,18 +265,11 @@
 }
 
 function sendPlain(
-  dispatcher: Dispatcher,
+  transport: Transport,
   address: string,
   call: PlainCall,
 ): ResultAsync<PlainAnswer, AgentCallError> {
-  const sending = sendRequest(`${address}${innerPaths.plain}${call.target}`, {
-    dispatcher,
-    method: call.method,
-    headers: call.headers,
-    body: call.body,
-    headersTimeout: call.headTimeoutMs,
-    signal: call.signal,
-  });
+  const sending = sendPlainRequest(transport, address, call);
   return ResultAsync.fromPromise(sending, (error) => plainCallError(error, call)).map(
     ({ statusCode, headers, body }) => {
       ignoreLateErrors(body);
@@ -259,6 +284,26 @@
   );
 }
 
+async function sendPlainRequest(
+  { dispatcher, headers }: Transport,
+  address: string,
+  call: PlainCall,
+): Promise<Dispatcher.ResponseData> {
+  const { authorization } = await headers();
+  return sendRequest(`${address}${innerPaths.plain}${call.target}`, {
+    dispatcher,
+    method: call.method,
+    // `Authorization` is the caller's and goes on to the backend server.
+    headers:
+      authorization === undefined
+        ? call.headers
+        : { ...call.headers, [innerHeaders.authorization]: authorization },
+    body: call.body,
+    headersTimeout: call.headTimeoutMs,
+    signal: call.signal,
+  });
+}
+
 /**
  * undici reports a body that is destroyed before its end as an error. Nobody reads such a body any
  * more, and the error without a listener would end the process.
--- a/packages/entry/src/innerServer.ts
+++ b/packages/entry/src/innerServer.ts
@@ -5,12 +5,21 @@
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch';
 import { Hono } from 'hono';
 import { createEntryRouter, innerPaths, type EntryHandlers } from '@bluebellhitch/protocol';
+import {
+  createInnerGuard,
+  innerAudiences,
+  type InnerAudience,
+  type InnerSecurity,
+} from '@bluebellhitch/security';
 
 export interface InnerServerOptions {
   host: string;
   /** 0 takes a free port. */
   port: number;
   handlers: EntryHandlers;
+  security: Pick<InnerSecurity, 'accepts'>;
+  /** Told of each call without valid credentials. */
+  onUnauthenticated?: () => void;
 }
 
 export interface InnerServer {
@@ -23,6 +32,8 @@
 export async function startInnerServer(options: InnerServerOptions): Promise<InnerServer> {
   const router = createEntryRouter(options.handlers);
   const app = new Hono();
+  const { security, onUnauthenticated: onRefused } = options;
+  app.use('*', createInnerGuard({ security, audienceOf, onRefused }));
   app.all(`${innerPaths.trpc}/*`, (context) =>
     fetchRequestHandler({ endpoint: innerPaths.trpc, req: context.req.raw, router }),
   );
@@ -41,3 +52,8 @@
       }),
   };
 }
+
+/** Whoever may follow the feed may not report strikes by the same token. */
+function audienceOf(path: string): InnerAudience {
+  return path === `${innerPaths.trpc}/feed` ? innerAudiences.feed : innerAudiences.entry;
+}
--- a/packages/entry/src/modelAttempt.ts
+++ b/packages/entry/src/modelAttempt.ts
@@ -30,7 +30,6 @@
   const { id } = placement.decode.instance;
   const { service } = request.document;
   context.runtimes.of(service).outliers.beginAttempt(id, monotonicNowMs());
-  const unplace = run.struck ? context.strikes.place(service, attemptId, id) : undefined;
   try {
     const outcome = await runPlaced(run, placed, claim);
     if (outcome.kind === 'failed') {
@@ -41,7 +40,6 @@
     return outcome;
   } finally {
     placement.decode.release();
-    unplace?.();
   }
 }
 
--- a/packages/entry/src/peerStrikes.ts
+++ b/packages/entry/src/peerStrikes.ts
@@ -5,6 +5,7 @@
 import { createTRPCClient, httpLink } from '@trpc/client';
 import { Agent } from 'undici';
 import type { EntryRouter, Strike } from '@bluebellhitch/protocol';
+import { credentialHeaders, innerAudiences, type InnerCredentials } from '@bluebellhitch/security';
 import type { Logger } from '@bluebellhitch/telemetry';
 import { innerPaths } from '@bluebellhitch/protocol';
 import type { Instances } from './instances';
@@ -14,6 +15,7 @@
   entryId: string;
   instances: Pick<Instances, 'entries'>;
   logger: Logger;
+  credentials?: InnerCredentials;
   timeoutMs?: number;
   onControlBytes?: ControlBytesListener;
 }
@@ -34,12 +36,13 @@
     connect: { timeout: timeoutMs },
     keepAliveTimeout: 1_000,
   });
+  const headers = credentialHeaders(options.credentials, innerAudiences.entry);
   const fetchMessage = createMessageFetch(dispatcher, onControlBytes);
 
   async function tellPeer(address: string, strikes: Strike[]): Promise<void> {
     const url = `${address}${innerPaths.trpc}`;
     const client = createTRPCClient<EntryRouter>({
-      links: [httpLink({ url, fetch: fetchMessage })],
+      links: [httpLink({ url, headers, fetch: fetchMessage })],
     });
     try {
       await client.strike.mutate(strikes, { signal: AbortSignal.timeout(timeoutMs) });
--- a/packages/entry/src/placement.ts
+++ b/packages/entry/src/placement.ts
@@ -9,18 +9,22 @@
   type ReserveExpectation,
 } from '@bluebellhitch/decisions';
 import type { PlatformInstance } from '@bluebellhitch/platform';
-import type { ReserveReply, ReserveRequest } from '@bluebellhitch/protocol';
+import type { ReserveReply } from '@bluebellhitch/protocol';
 import { createRefusal, monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
 import { retryCauses } from '@bluebellhitch/telemetry';
 import { failureOfCall, failureOfRefusal } from './agentFailures';
 import { collectBids, type InstanceBid } from './candidateBids';
+import { decodeReservation } from './decodeReservation';
 import { holdLease, type HeldLease } from './heldLease';
 import type { AttemptFailure, AttemptOutcome, ModelRun } from './modelTypes';
+import { separate, separateBids, separationWaitMs, waitForSeparateServer } from './separation';
 import { noteCallError, noteLoad, noteRefusal } from './serverHealth';
 
 /** A granted decode reservation, and how the prompt's KV cache gets there. */
 export interface Placement {
   decode: HeldLease;
+  /** Lets other struck requests onto the decode worker; idempotent. */
+  endSeparation: () => void;
   /** Absent where the decode worker prefills itself. */
   prefillInstance?: PlatformInstance;
   expected: ReserveExpectation;
@@ -36,13 +40,30 @@
 
 /** Prompts up to this size are prefilled where they decode; asking prefill workers would be in vain. */
 export const localPrefillTokens = 256;
-const resumeWaitLimitMs = 5_000;
 
 /** Tries the bids in order of preference until an agent grants its memory. */
 export async function placeAttempt(run: ModelRun, attemptId: string): Promise<PlacementOutcome> {
-  const [decodeBids, prefillBids] = await collectAllBids(run);
-  observePressure(run, decodeBids);
-  return reserveBest(run, attemptId, decodeBids, prefillBids, undefined);
+  const giveUpAtMs = monotonicNowMs() + separationWaitMs;
+  for (;;) {
+    await waitForSeparateServer(run, giveUpAtMs);
+    const [decodeBids, prefillBids] = await collectUsableBids(run);
+    observePressure(run, decodeBids);
+    const overtaken = decodeBids.length > 0 && separateBids(run, decodeBids).length === 0;
+    if (!overtaken || run.signal.aborted || monotonicNowMs() >= giveUpAtMs) {
+      return reserveBest(run, attemptId, decodeBids, prefillBids, undefined);
+    }
+  }
+}
+
+/** Where all that were asked cannot work at all, others are asked once more. */
+async function collectUsableBids(run: ModelRun): Promise<[InstanceBid[], InstanceBid[]]> {
+  const first = await collectAllBids(run);
+  const isUsable = ({ bid }: InstanceBid) => bid.usableInMs !== undefined;
+  if (first[0].length === 0 || first[0].some(isUsable) || run.signal.aborted) {
+    return first;
+  }
+  const second = await collectAllBids(run);
+  return second[0].some(isUsable) ? second : first;
 }
 
 export async function collectAllBids(run: ModelRun): Promise<[InstanceBid[], InstanceBid[]]> {
@@ -71,7 +92,7 @@
   if (run.signal.aborted) {
     return { kind: 'stopped' };
   }
-  const choice = choose(run, decodeBids, prefillBids);
+  const choice = choose(run, separateBids(run, decodeBids), prefillBids);
   run.trace.step('choice', choiceDetail(choice));
   if (choice.kind === 'refuse') {
     return lastFailure ?? refusedChoice(choice);
@@ -118,7 +139,9 @@
   const find = (id: string) => workers.find(({ instanceId }) => instanceId === id)?.instance;
   const instance = find(choice.instanceId) as PlatformInstance;
   const message = decodeReservation(run, attemptId, choice.expected);
-  const lease = holdLease(context, instance, attemptId);
+  // Noted with the choice: of two struck requests that choose at once, the second sees the first.
+  const endSeparation = separate(run, attemptId, instance.id);
+  const lease = holdLease(context, instance, attemptId, endSeparation);
   const reply = await context.agents.reserve(instance.innerAddress, message, {
     timeoutMs: message.waitLimitMs + context.timeouts.reserveMarginMs,
     signal: run.signal,
@@ -140,6 +163,7 @@
   run.trace.step('reserved', { instanceId: instance.id, usableInMs: reply.value.usableInMs });
   const placement: Placement = {
     decode: lease,
+    endSeparation,
     prefillInstance: choice.prefill === 'transfer' ? find(choice.prefillInstanceId) : undefined,
     expected: choice.expected,
     usableAtMs: monotonicNowMs() + reply.value.usableInMs,
@@ -154,51 +178,11 @@
 ): AttemptFailure {
   lease.settle();
   lease.release();
-  noteRefusal(run.context, lease.instance.id, refusal);
+  noteRefusal(run.context, run.request.document.service, lease.instance.id, refusal);
   run.trace.step('reserve-refused', { instanceId: lease.instance.id, reason: refusal.reason });
   return failureOfRefusal({ ...refusal, notRun: true }, { dispatched: false });
 }
 
-function decodeReservation(
-  run: ModelRun,
-  attemptId: string,
-  expected: ReserveExpectation,
-): ReserveRequest {
-  const { context, request, emitted } = run;
-  const resumes = emitted.tokenCount > 0;
-  const nowMs = monotonicNowMs();
-  const remainingMs = Math.max(0, request.deadlineAtMs - nowMs);
-  const waitLimitMs = resumes ? resumeWaitLimitMs : Math.max(0, expected.waitLimitMs);
-  return {
-    entryId: context.entryId,
-    entryIncarnation: context.entryIncarnation,
-    requestId: request.requestId,
-    attemptId,
-    origin: request.origin,
-    service: request.document.service,
-    purpose: 'decode',
-    promptTokens: request.promptTokens + emitted.tokenCount,
-    maxOutputTokens: request.maxOutputTokens - emitted.tokenCount,
-    neededInMs: expected.neededInMs,
-    waitLimitMs: Math.min(waitLimitMs, remainingMs),
-    firstTokenDeadlineInMs: firstTokenDeadlineInMs(run, expected, nowMs),
-    repeatable: request.repeatable,
-  };
-}
-
-/** Not positive tells the agent that the target is missed already and only the wait limit counts. */
-function firstTokenDeadlineInMs(
-  run: ModelRun,
-  expected: ReserveExpectation,
-  nowMs: number,
-): number {
-  const { request, emitted } = run;
-  if (emitted.tokenCount > 0 || expected.late) {
-    return 0;
-  }
-  return request.document.targets.firstTokenMs - (nowMs - request.arrivedAtMs);
-}
-
 export function refusedChoice(choice: Extract<BidChoice, { kind: 'refuse' }>): PlacementFailure {
   if (choice.reason === refusalReasons.noInstances) {
     return {
--- a/packages/entry/src/plainAttempt.ts
+++ b/packages/entry/src/plainAttempt.ts
@@ -2,7 +2,7 @@
 import { workerNeeds, type Candidate } from '@bluebellhitch/decisions';
 import type { PlatformInstance } from '@bluebellhitch/platform';
 import type { ReserveRequest } from '@bluebellhitch/protocol';
-import { monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
+import { refusalReasons } from '@bluebellhitch/shared';
 import { retryCauses } from '@bluebellhitch/telemetry';
 import { failureOfCall, failureOfRefusal } from './agentFailures';
 import type { ClaimGuard } from './claimStage';
@@ -11,6 +11,7 @@
 import type { PlainFailure, PlainOutcome, PlainRequest, PlainRun } from './plainTypes';
 import type { RequestContext } from './requestContext';
 import { noteCallError, noteLoad, noteRefusal } from './serverHealth';
+import { selectServers } from './serverSelection';
 
 /** Slots of a plain service free quickly or not at all. */
 const slotWaitLimitMs = 500;
@@ -65,16 +66,14 @@
 /** Two candidates by load hints; the one with fewer calls of this entry wins. */
 function pickServer(context: RequestContext, run: PlainRun): PlatformInstance | undefined {
   const { document } = run.request;
-  const { members, version, byId } = context.runtimes.members(document);
+  const { byId } = context.runtimes.members(document);
   const runtime = context.runtimes.of(document.service);
-  const nowMs = monotonicNowMs();
-  const avoided = run.struck ? context.strikes.avoidInstances(document.service) : [];
-  const candidates = runtime.pairSelector.select({
-    instances: members,
-    membershipVersion: version,
+  const candidates = selectServers({
+    context,
+    run,
+    document,
+    selector: runtime.pairSelector,
     need: workerNeeds.plain,
-    excluded: new Set([...run.tried, ...runtime.outliers.ejected(nowMs), ...avoided]),
-    nowMs,
   });
   const inFlight = ({ instanceId }: Candidate) => runtime.inFlight.get(instanceId) ?? 0;
   const [best] = [...candidates].sort((left, right) => inFlight(left) - inFlight(right));
@@ -105,7 +104,7 @@
     return undefined;
   }
   lease.settle();
-  noteRefusal(context, instance.id, reply.value);
+  noteRefusal(context, run.request.document.service, instance.id, reply.value);
   return failureOfRefusal({ ...reply.value, notRun: true }, { dispatched: false });
 }
 
--- a/packages/entry/src/plainCall.ts
+++ b/packages/entry/src/plainCall.ts
@@ -92,7 +92,7 @@
   const refusal = answer.refusal as NonNullable<PlainAnswer['refusal']>;
   answer.body.destroy();
   place.lease?.settle();
-  noteRefusal(context, instance.id, refusal);
+  noteRefusal(context, run.request.document.service, instance.id, refusal);
   run.trace.step('call-refused', { instanceId: instance.id, reason: refusal.reason });
   if (refusal.reason === 'backend-failed') {
     const { service } = run.request.document;
--- a/packages/entry/src/prefillStage.ts
+++ b/packages/entry/src/prefillStage.ts
@@ -56,7 +56,7 @@
     (refusal) => {
       lease.settle();
       if (refusal.kind === 'refused') {
-        noteRefusal(context, instance.id, refusal);
+        noteRefusal(context, request.document.service, instance.id, refusal);
       }
     },
     (error) => noteCallError(context, request.document.service, instance.id, error),
@@ -115,7 +115,7 @@
   refusal: Extract<PrefillReply, { kind: 'refused' }>,
 ): AttemptFailure {
   const { context, request } = run;
-  noteRefusal(context, lease.instance.id, refusal);
+  noteRefusal(context, request.document.service, lease.instance.id, refusal);
   if (refusal.reason === 'backend-failed' && refusal.notRun !== true) {
     noteOutcome(context, request.document.service, lease.instance.id, 'failure');
     reportStrike(run, lease.attemptId, lease.instance.id);
--- a/packages/entry/src/serverHealth.ts
+++ b/packages/entry/src/serverHealth.ts
@@ -1,9 +1,20 @@
 /** What failed and successful calls tell about a server, for the circuit breaker and the instance view. */
-import { agentRefusalReasons, type AgentRefusal, type LoadHint } from '@bluebellhitch/protocol';
+import {
+  agentRefusalReasons,
+  type AgentRefusal,
+  type AgentRefusalReason,
+  type LoadHint,
+} from '@bluebellhitch/protocol';
 import { assertNever, monotonicNowMs } from '@bluebellhitch/shared';
 import type { AgentCallError } from './agentApi';
 import type { RequestContext } from './requestContext';
 
+/** Refusals that tell of the backend server rather than of the request. */
+const unreadyReasons: readonly AgentRefusalReason[] = [
+  agentRefusalReasons.notReady,
+  agentRefusalReasons.backendFailed,
+];
+
 type HealthContext = Pick<RequestContext, 'instances' | 'runtimes'>;
 
 /** Counts a failed call; a refused connection also takes the instance out of the view for a while. */
@@ -33,6 +44,7 @@
 /** A refusal is an answer, not a failure; `leaving` ends new work there at once. */
 export function noteRefusal(
   context: HealthContext,
+  service: string,
   instanceId: string,
   refusal: AgentRefusal,
 ): void {
@@ -40,6 +52,9 @@
     // The instance list lags by seconds; the first refusal is enough to stop asking.
     context.instances.markLeaving(instanceId);
   }
+  if (unreadyReasons.includes(refusal.reason)) {
+    context.runtimes.of(service).unready.mark(instanceId, monotonicNowMs());
+  }
   if (refusal.load !== undefined) {
     noteLoad(context, instanceId, refusal.load);
   }
@@ -55,5 +70,9 @@
   instanceId: string,
   outcome: 'success' | 'failure',
 ): void {
-  context.runtimes.of(service).outliers.record(instanceId, outcome, monotonicNowMs());
+  const { outliers, unready } = context.runtimes.of(service);
+  outliers.record(instanceId, outcome, monotonicNowMs());
+  if (outcome === 'success') {
+    unready.clear(instanceId);
+  }
 }
--- /dev/null
+++ b/packages/entry/src/serverSelection.ts
@@ -0,0 +1,58 @@
+/** Which servers of a service are asked, by what this entry knows of them. */
+import type { Candidate, CandidateSelector, WorkerNeed } from '@bluebellhitch/decisions';
+import type { ServiceDocument } from '@bluebellhitch/document';
+import { monotonicNowMs } from '@bluebellhitch/shared';
+import type { RequestContext } from './requestContext';
+
+/** The part of a run that selection looks at. */
+export interface SelectingRun {
+  tried: ReadonlySet<string>;
+  struck: boolean;
+}
+
+export interface ServerQuery {
+  context: Pick<RequestContext, 'runtimes' | 'strikes'>;
+  run: SelectingRun;
+  document: ServiceDocument;
+  selector: CandidateSelector;
+  need: WorkerNeed;
+  key?: string;
+}
+
+/** Servers that the run must not use: tried before, or beside another struck request. */
+export function forbiddenServers({
+  context,
+  run,
+  document,
+}: Pick<ServerQuery, 'context' | 'run' | 'document'>): Set<string> {
+  const avoided = run.struck ? context.strikes.avoidInstances(document.service) : [];
+  return new Set([...run.tried, ...avoided]);
+}
+
+/** Servers that are better left out now: ejected by their breaker, or not ready. */
+export function doubtfulServers({
+  context,
+  document,
+}: Pick<ServerQuery, 'context' | 'document'>): string[] {
+  const { outliers, unready } = context.runtimes.of(document.service);
+  const nowMs = monotonicNowMs();
+  return [...outliers.ejected(nowMs), ...unready.current(nowMs)];
+}
+
+/** Candidates without the doubtful servers, unless only these are left. */
+export function selectServers(query: ServerQuery): Candidate[] {
+  const { context, document, selector, need, key } = query;
+  const { members, version } = context.runtimes.members(document);
+  const forbidden = forbiddenServers(query);
+  const select = (excluded: ReadonlySet<string>) =>
+    selector.select({
+      instances: members,
+      membershipVersion: version,
+      need,
+      key,
+      excluded,
+      nowMs: monotonicNowMs(),
+    });
+  const preferred = select(new Set([...forbidden, ...doubtfulServers(query)]));
+  return preferred.length > 0 ? preferred : select(forbidden);
+}
--- a/packages/entry/src/serviceRuntimes.ts
+++ b/packages/entry/src/serviceRuntimes.ts
@@ -27,6 +27,7 @@
 import { workerRoles } from '@bluebellhitch/protocol';
 import type { Random } from '@bluebellhitch/shared';
 import type { Instances } from './instances';
+import { createUnreadyServers, type UnreadyServers } from './unreadyServers';
 
 export interface ServiceRuntimesOptions {
   entryId: string;
@@ -42,6 +43,7 @@
   /** A second selector for plain calls, which ask two candidates rather than three. */
   pairSelector: CandidateSelector;
   outliers: OutlierDetector;
+  unready: UnreadyServers;
   overload: OverloadController;
   /** Plain calls from this entry that run on each instance. */
   inFlight: Map<string, number>;
@@ -88,6 +90,7 @@
       selector: createCandidateSelector(selection),
       pairSelector: createCandidateSelector({ ...selection, count: plainCandidates }),
       outliers: createOutlierDetector(),
+      unready: createUnreadyServers(),
       overload: createOverloadController(),
       inFlight: new Map(),
     };
--- a/packages/entry/src/streamStage.ts
+++ b/packages/entry/src/streamStage.ts
@@ -17,6 +17,7 @@
 import { learnFromAnswer, learnFromFirstToken } from './phaseLearning';
 import { kvSourceOf, type FinishedPrefill } from './prefillStage';
 import { labelsOf, reportStrike } from './runReports';
+import { separatedTokens } from './separation';
 import { noteCallError, noteLoad, noteOutcome, noteRefusal } from './serverHealth';
 
 export interface StreamStage {
@@ -150,6 +151,9 @@
   if (isFirstOfAttempt) {
     state.onFirstToken();
   }
+  if (run.emitted.tokenCount - state.startTokens >= separatedTokens) {
+    state.placement.endSeparation();
+  }
   if (isFirstOfRequest) {
     learnFromFirstToken(state);
   }
@@ -208,7 +212,10 @@
   const { decode } = placement;
   decode.settle();
   run.trace.step('failed', { instanceId: decode.instance.id, ...frame });
-  noteRefusal(run.context, decode.instance.id, { ...frame, kind: 'refused' });
+  noteRefusal(run.context, run.request.document.service, decode.instance.id, {
+    ...frame,
+    kind: 'refused',
+  });
   if (frame.reason === 'backend-failed') {
     noteOutcome(run.context, run.request.document.service, decode.instance.id, 'failure');
   }
@@ -224,7 +231,7 @@
   const { instance } = state.placement.decode;
   trace.step('open-failed', { instanceId: instance.id, error });
   if (error.kind === 'refused') {
-    noteRefusal(context, instance.id, error);
+    noteRefusal(context, request.document.service, instance.id, error);
     return failureOfRefusal(error, { dispatched: true });
   }
   noteCallError(context, request.document.service, instance.id, error);
