Ask a remote worker besides a lone local one

An entry with one worker in its data centre asked that one only. Today's pools have one to four workers a data centre.

Ruled out: a larger retry budget, which would multiply load where a whole service fails. Plain services make no bids, so that a second candidate would not help there; they ask as before. The test of the number of candidates states the new rule.

--- a/packages/decisions/__tests__/candidates.test.ts
+++ b/packages/decisions/__tests__/candidates.test.ts
@@ -35,13 +35,30 @@
       t.is(new Set(ids).size, ids.length);
       t.true(ids.every((id) => able.some((item) => item.id === id)));
       const local = able.filter(({ dataCentre }) => dataCentre === 'north');
-      const expected = local.length > 0 ? local.length : able.length;
-      t.is(chosen.length, Math.min(3, expected));
+      const expected = { 0: able.length, 1: Math.min(2, able.length) }[local.length];
+      t.is(chosen.length, Math.min(3, expected ?? local.length));
     }),
     fixedSeed,
   );
 });
 
+test('a lone local worker is asked together with a remote one, a plain server alone', (t) => {
+  const fleet = [
+    { id: 'local', dataCentre: 'north', state: 'live' as const },
+    { id: 'remote-1', dataCentre: 'south', state: 'live' as const },
+    { id: 'remote-2', dataCentre: 'south', state: 'live' as const },
+  ];
+  const select = (role: 'both' | 'plain', need: 'decode' | 'plain') =>
+    selectCandidates({
+      ...selectorOptions(),
+      instances: fleet.map((item) => ({ ...item, role })),
+      need,
+      nowMs: 0,
+    }).map(({ reason }) => reason);
+  t.deepEqual(select('both', 'decode'), ['low-load', 'remote']);
+  t.deepEqual(select('plain', 'plain'), ['low-load']);
+});
+
 test('all entries agree on the home of a prefix while it is not overloaded', (t) => {
   const fleet = instances(100);
   const homes = ['entry-1', 'entry-2', 'entry-3'].map((entryId) => {
--- a/packages/decisions/src/candidates.ts
+++ b/packages/decisions/src/candidates.ts
@@ -2,7 +2,8 @@
  * Picks the two or three workers that are asked for a bid. The first is the home of the prompt's
  * prefix (rendezvous with bounded load), where its KV cache most likely is; the others are
  * power-of-two picks by aged load hints out of this entry's subset. Workers of the same data centre
- * come first; remote ones join only where no local candidate can serve without a wait.
+ * come first; remote ones join only where no local candidate can serve without a wait, or where a
+ * lone one could fail to bid.
  */
 import type { Random } from '@bluebellhitch/shared';
 import type { LoadHints } from './loadHints';
@@ -10,6 +11,7 @@
   createWorkerPool,
   hash32,
   roleServes,
+  workerNeeds,
   type CandidateInstance,
   type WorkerNeed,
   type WorkerPool,
@@ -75,6 +77,11 @@
   remote: WorkerPool;
 }
 
+/**
+ * A lone local worker that is paused makes no bid, and its hints look well until then. With a second
+ * one asked, wherever it is, the request goes on without it.
+ */
+const fewestBidders = 2;
 /** Blocks that choose a home: longer prefixes would scatter prompts that share a template. */
 const keyBlocks = 4;
 
@@ -107,10 +114,11 @@
     const able = chosen.some(
       ({ instanceId }) => !hints.isSaturated(instanceId, spillWaitMs, query.nowMs),
     );
-    if (able) {
+    const fewest = query.need === workerNeeds.plain ? 1 : Math.min(fewestBidders, count);
+    if (able && chosen.length >= fewest) {
       return chosen;
     }
-    const wantedRemote = Math.max(1, count - chosen.length);
+    const wantedRemote = able ? fewest - chosen.length : Math.max(1, count - chosen.length);
     const remotes = pick(remote, query, wantedRemote, candidateReasons.remote);
     return [...chosen.slice(0, count - remotes.length), ...remotes];
   }
