Ask other servers where nobody answers a bid

Cause: with the only local worker paused, bids timed out and each request took a retry; the budget was used up with the second one (a scenario, and a new test with six callers). Nothing was dispatched, so that a second round of bids is no retry: servers that did not answer are left out for a second, and others are asked at once where there are any.

The new test was seen to fail without the second round.

--- a/packages/entry/__tests__/innerSecurity.test.ts
+++ b/packages/entry/__tests__/innerSecurity.test.ts
@@ -96,6 +96,6 @@
     headers: {},
     headTimeoutMs: 1_000,
     signal: new AbortController().signal,
-  } as never);
+  });
   t.like(plain._unsafeUnwrap(), { status: 401, refusal: { kind: 'refused', notRun: true } });
 });
--- a/packages/entry/__tests__/modelRequest.test.ts
+++ b/packages/entry/__tests__/modelRequest.test.ts
@@ -4,6 +4,7 @@
 import type { StreamFrame } from '@bluebellhitch/protocol';
 import {
   createFakeAgent,
+  never,
   endOf,
   refusal,
   tokenAt,
@@ -403,3 +404,17 @@
   t.is((await chat(address)).status, 200);
   t.is(remote.streamed.length, 1);
 });
+
+// The only worker of this data centre is paused: it takes connections and answers nothing. No request
+// was dispatched, so that asking others is no retry; six callers at once must not use up a budget.
+test('asks others where nobody answers in time', async (t) => {
+  const paused = createFakeAgent({ id: 'agent-1', service });
+  paused.bid = () => never() as never;
+  const remote = createFakeAgent({ id: 'agent-2', service, dataCentre: 'salem-hall' });
+  const { address } = await startHarness(t, { agents: [paused, remote] });
+  const responses = await Promise.all(Array.from({ length: 6 }, () => chat(address)));
+  t.deepEqual(
+    responses.map(({ status }) => status),
+    Array(6).fill(200),
+  );
+});
--- a/packages/entry/src/candidateBids.ts
+++ b/packages/entry/src/candidateBids.ts
@@ -37,7 +37,12 @@
   });
   const { byId } = context.runtimes.members(document);
   const instances = asked.flatMap(({ instanceId }) => byId.get(instanceId) ?? []);
-  return { asked, bids: await askInTime(run, instances) };
+  const bids = await askInTime(run, instances);
+  if (bids.length === 0) {
+    const { unready } = context.runtimes.of(document.service);
+    asked.forEach(({ instanceId }) => unready.mark(instanceId, monotonicNowMs()));
+  }
+  return { asked, bids };
 }
 
 /** Instances that a choice without bids leaves out. */
@@ -107,6 +112,9 @@
       return { instance, instanceId: instance.id, bid, roundTripMs: nowMs - sentAtMs };
     },
     (error: AgentCallError) => {
+      if (error.kind !== 'cancelled') {
+        context.runtimes.of(request.document.service).unready.mark(instance.id, nowMs);
+      }
       noteCallError(context, request.document.service, instance.id, error);
       return undefined;
     },
--- a/packages/entry/src/placement.ts
+++ b/packages/entry/src/placement.ts
@@ -13,12 +13,13 @@
 import { createRefusal, monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
 import { retryCauses } from '@bluebellhitch/telemetry';
 import { failureOfCall, failureOfRefusal } from './agentFailures';
-import { collectBids, type InstanceBid } from './candidateBids';
+import { collectBids, excludedInstances, type InstanceBid } from './candidateBids';
 import { decodeReservation } from './decodeReservation';
 import { holdLease, type HeldLease } from './heldLease';
 import type { AttemptFailure, AttemptOutcome, ModelRun } from './modelTypes';
 import { separate, separateBids, separationWaitMs, waitForSeparateServer } from './separation';
 import { noteCallError, noteLoad, noteRefusal } from './serverHealth';
+import { hasDecodeServer } from './serverSelection';
 
 /** A granted decode reservation, and how the prompt's KV cache gets there. */
 export interface Placement {
@@ -55,15 +56,20 @@
   }
 }
 
-/** Where all that were asked cannot work at all, others are asked once more. */
+/**
+ * Where nobody that was asked answers or can work, others are asked once more: it is no retry, since
+ * nothing was dispatched, and a budget for retries would end with the first paused server.
+ */
 async function collectUsableBids(run: ModelRun): Promise<[InstanceBid[], InstanceBid[]]> {
   const first = await collectAllBids(run);
   const isUsable = ({ bid }: InstanceBid) => bid.usableInMs !== undefined;
-  if (first[0].length === 0 || first[0].some(isUsable) || run.signal.aborted) {
+  const query = { context: run.context, run, document: run.request.document };
+  const excluded = excludedInstances(run);
+  if (first[0].some(isUsable) || run.signal.aborted || !hasDecodeServer(query, excluded)) {
     return first;
   }
   const second = await collectAllBids(run);
-  return second[0].some(isUsable) ? second : first;
+  return second[0].length > 0 ? second : first;
 }
 
 export async function collectAllBids(run: ModelRun): Promise<[InstanceBid[], InstanceBid[]]> {
--- a/packages/entry/src/separation.ts
+++ b/packages/entry/src/separation.ts
@@ -1,10 +1,8 @@
 /** Keeps struck requests apart: the next crash then tells which one is to blame. */
-import type { CandidateInstance } from '@bluebellhitch/decisions';
-import { workerRoles } from '@bluebellhitch/protocol';
 import { delay, monotonicNowMs } from '@bluebellhitch/shared';
 import type { InstanceBid } from './candidateBids';
 import type { ModelRun } from './modelTypes';
-import { forbiddenServers } from './serverSelection';
+import { forbiddenServers, hasDecodeServer } from './serverSelection';
 
 /** Longest wait for a server without another struck request. */
 export const separationWaitMs = 3_000;
@@ -34,13 +32,8 @@
 }
 
 function hasSeparateServer(run: ModelRun): boolean {
-  const { context, request } = run;
-  const { document } = request;
-  const forbidden = forbiddenServers({ context, run, document });
-  const roleOf = ({ id, role }: CandidateInstance) => context.runtimes.hints.role(id) ?? role;
-  return context.runtimes
-    .members(document)
-    .members.some((member) => roleOf(member) !== workerRoles.prefill && !forbidden.has(member.id));
+  const query = { context: run.context, run, document: run.request.document };
+  return hasDecodeServer(query, forbiddenServers(query));
 }
 
 /** Bids of servers that no other struck request has been placed on meanwhile. */
--- a/packages/entry/src/serverSelection.ts
+++ b/packages/entry/src/serverSelection.ts
@@ -1,6 +1,7 @@
 /** Which servers of a service are asked, by what this entry knows of them. */
 import type { Candidate, CandidateSelector, WorkerNeed } from '@bluebellhitch/decisions';
 import type { ServiceDocument } from '@bluebellhitch/document';
+import { workerRoles } from '@bluebellhitch/protocol';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { RequestContext } from './requestContext';
 
@@ -39,6 +40,19 @@
   return [...outliers.ejected(nowMs), ...unready.current(nowMs)];
 }
 
+/** Whether a server outside `excluded` may decode, by its last known role. */
+export function hasDecodeServer(
+  { context, document }: Pick<ServerQuery, 'context' | 'document'>,
+  excluded: ReadonlySet<string>,
+): boolean {
+  const { hints } = context.runtimes;
+  return context.runtimes
+    .members(document)
+    .members.some(
+      ({ id, role }) => (hints.role(id) ?? role) !== workerRoles.prefill && !excluded.has(id),
+    );
+}
+
 /** Candidates without the doubtful servers, unless only these are left. */
 export function selectServers(query: ServerQuery): Candidate[] {
   const { context, document, selector, need, key } = query;
