--- a/scripts/lint/layering.mjs
+++ b/scripts/lint/layering.mjs
@@ -8,6 +8,8 @@
   ['decisions', 'platform'],
   ['duties', 'membership', 'engine', 'telemetry'],
   ['entry', 'agent', 'ctl', 'bench', 'standins'],
+  // Runs the binaries' parts together in one process.
+  ['scenarios'],
 ];
 
 /** Edges inside a layer; each needs a reason. */
--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -68,7 +68,10 @@
   });
 }
 
-/** npm cannot pass on a SIGKILL; without this the processes would run on unseen. */
+/**
+ * npm cannot pass on a SIGKILL; without this the processes would run on unseen. `npm start` replaces its
+ * shell by this script, so that npm is its parent and passes SIGTERM on to it.
+ */
 function watchNpm(onGone) {
   if (process.env.npm_lifecycle_event === undefined) {
     return;
