Let the test of silent bids cover the second round

With two paused local workers it fails both without the second round and without the note of silent servers.

Conclusion: the 21 tests of the file pass; each of the two removals fails.

--- a/packages/entry/__tests__/modelRequest.test.ts
+++ b/packages/entry/__tests__/modelRequest.test.ts
@@ -405,13 +405,15 @@
   t.is(remote.streamed.length, 1);
 });
 
-// The only worker of this data centre is paused: it takes connections and answers nothing. No request
-// was dispatched, so that asking others is no retry; six callers at once must not use up a budget.
+// The workers of this data centre are paused: they take connections and answer nothing. No request was
+// dispatched, so that asking others is no retry; six callers at once must not use up a budget.
 test('asks others where nobody answers in time', async (t) => {
-  const paused = createFakeAgent({ id: 'agent-1', service });
-  paused.bid = () => never() as never;
-  const remote = createFakeAgent({ id: 'agent-2', service, dataCentre: 'salem-hall' });
-  const { address } = await startHarness(t, { agents: [paused, remote] });
+  const paused = pair();
+  paused.forEach((agent) => {
+    agent.bid = () => never() as never;
+  });
+  const remote = createFakeAgent({ id: 'agent-3', service, dataCentre: 'salem-hall' });
+  const { address } = await startHarness(t, { agents: [...paused, remote] });
   const responses = await Promise.all(Array.from({ length: 6 }, () => chat(address)));
   t.deepEqual(
     responses.map(({ status }) => status),
