Check measurement scripts like all other code

Cause: packages/*/scripts lay outside tsconfig.json, so that they were linted without types, and one script in packages/duties/bench was not checked at all. They are part of the program now; the one script moved to packages/duties/scripts and its counter is no longer captured in a loop. Formatting of the interface files is prettier's.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -95,8 +95,7 @@
     name: 'bluebellhitch/typescript',
     files: typescriptFiles,
     languageOptions: {
-      // Generators stand outside the program that tsconfig.json describes.
-      parserOptions: { projectService: { allowDefaultProject: ['packages/*/scripts/*.ts'] } },
+      parserOptions: { projectService: true },
     },
     rules: typescriptRules,
   },
@@ -132,6 +131,18 @@
       'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }],
     },
   },
+  {
+    name: 'bluebellhitch/measurements',
+    files: ['packages/*/scripts/**/*.ts'],
+    rules: {
+      // neverthrow's names for a value whose error would be a defect of the script.
+      'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }],
+      'import-x/no-extraneous-dependencies': [
+        'error',
+        { devDependencies: true, packageDir: repositoryRoot },
+      ],
+    },
+  },
   {
     name: 'bluebellhitch/scripts',
     files: scriptFiles,
--- a/packages/duties/bench/acceptCost.ts
+++ b/packages/duties/scripts/acceptCost.ts
@@ -106,7 +106,7 @@
 
 async function measureChanges(platform: StandinPlatform, names: string[], idle: IdleRates) {
   const durationsMs: number[] = [];
-  let ownCalls = 0;
+  const own = { calls: 0 };
   platform.control.resetStats();
   const startedAtMs = monotonicNowMs();
   const cpuBefore = process.cpuUsage();
@@ -117,9 +117,9 @@
     const edited = (
       await platform.update('document', name, current.version, value)
     )._unsafeUnwrap();
-    ownCalls += 2;
+    own.calls += 2;
     await until(async () => {
-      ownCalls += 1;
+      own.calls += 1;
       return statusIsFor(platform, name, edited.version);
     });
     durationsMs.push(monotonicNowMs() - changedAtMs);
@@ -130,7 +130,7 @@
   const idleCalls = seconds * (idle.readsPerSecond + idle.writesPerSecond);
   durationsMs.sort((left, right) => left - right);
   return {
-    callsPerChange: ((reads + writes - ownCalls - idleCalls) / names.length).toFixed(2),
+    callsPerChange: ((reads + writes - own.calls - idleCalls) / names.length).toFixed(2),
     changeP50Ms: quantile(durationsMs, 0.5).toFixed(1),
     changeP99Ms: quantile(durationsMs, 0.99).toFixed(1),
     cpuMsPerChange: ((cpu.user + cpu.system) / 1000 / names.length).toFixed(2),
--- a/packages/duties/src/orderAgentClient.ts
+++ b/packages/duties/src/orderAgentClient.ts
@@ -13,6 +13,7 @@
   type OrderRequest,
   type WorkerState,
 } from '@bluebellhitch/protocol';
+import { credentialHeaders, innerAudiences, type InnerCredentials } from '@bluebellhitch/security';
 
 export interface OrderCallError {
   /** No answer: the call may or may not have had an effect. */
@@ -34,7 +35,9 @@
 }
 
 export interface OrderAgentClientOptions {
-  /** For counting bytes or adding credentials; default: the runtime's. */
+  /** Absent: agents that ask for credentials refuse every call. */
+  credentials?: InnerCredentials;
+  /** For counting bytes; default: the runtime's. */
   fetch?: typeof fetch;
   /** For calls that only read. */
   readTimeoutMs?: number;
@@ -44,13 +47,14 @@
 
 export function createOrderAgentClient(options: OrderAgentClientOptions = {}): OrderAgentClient {
   const { fetch: send, readTimeoutMs = 2000, maxClients = 256 } = options;
+  const headers = credentialHeaders(options.credentials, innerAudiences.agent);
   const clients = new Map<string, TRPCClient<AgentRouter>>();
 
   function clientOf(address: string): TRPCClient<AgentRouter> {
     const url = `${address}${innerPaths.trpc}`;
     const client =
       clients.get(address) ??
-      createTRPCClient<AgentRouter>({ links: [httpLink({ url, fetch: send })] });
+      createTRPCClient<AgentRouter>({ links: [httpLink({ url, headers, fetch: send })] });
     clients.delete(address);
     clients.set(address, client);
     [...clients.keys()].slice(0, -maxClients).forEach((oldest) => clients.delete(oldest));
--- a/packages/engine/src/engineApi.ts
+++ b/packages/engine/src/engineApi.ts
@@ -106,8 +106,14 @@
     signal?: AbortSignal,
   ): ResultAsync<ImportProgress, EngineError>;
   /** Iteration ends early, without an `end` chunk, where the engine died. */
-  decode(input: DecodeInput, signal?: AbortSignal): ResultAsync<AsyncIterable<EngineChunk>, EngineError>;
-  resume(input: ResumeInput, signal?: AbortSignal): ResultAsync<AsyncIterable<EngineChunk>, EngineError>;
+  decode(
+    input: DecodeInput,
+    signal?: AbortSignal,
+  ): ResultAsync<AsyncIterable<EngineChunk>, EngineError>;
+  resume(
+    input: ResumeInput,
+    signal?: AbortSignal,
+  ): ResultAsync<AsyncIterable<EngineChunk>, EngineError>;
   /** Frees all that the attempt holds; idempotent. */
   cancel(attemptId: string): ResultAsync<void, EngineError>;
   streams(): ResultAsync<EngineHolding[], EngineError>;
--- a/packages/protocol/src/ids.ts
+++ b/packages/protocol/src/ids.ts
@@ -8,7 +8,12 @@
 export type AttemptId = z.infer<typeof attemptIdSchema>;
 
 /** What an engine does for model requests; `both` also serves as a decode worker. */
-export const workerRoles = { prefill: 'prefill', decode: 'decode', both: 'both', plain: 'plain' } as const;
+export const workerRoles = {
+  prefill: 'prefill',
+  decode: 'decode',
+  both: 'both',
+  plain: 'plain',
+} as const;
 export const workerRoleSchema = z.enum(['prefill', 'decode', 'both', 'plain']);
 export type WorkerRole = z.infer<typeof workerRoleSchema>;
 
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -39,7 +39,12 @@
   type ReserveRequest,
   type StreamRequest,
 } from './agentMessages';
-export { finishReasonSchema, streamFrameSchema, type FinishReason, type StreamFrame } from './streamFrame';
+export {
+  finishReasonSchema,
+  streamFrameSchema,
+  type FinishReason,
+  type StreamFrame,
+} from './streamFrame';
 export {
   engineOrderSchema,
   orderReplySchema,
--- a/packages/protocol/src/orderMessages.ts
+++ b/packages/protocol/src/orderMessages.ts
@@ -5,7 +5,11 @@
 export const engineOrderSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('load-model'), model: identifierSchema, version: identifierSchema }),
   z.object({ kind: z.literal('load-adapter'), model: identifierSchema, adapter: identifierSchema }),
-  z.object({ kind: z.literal('unload-adapter'), model: identifierSchema, adapter: identifierSchema }),
+  z.object({
+    kind: z.literal('unload-adapter'),
+    model: identifierSchema,
+    adapter: identifierSchema,
+  }),
   z.object({ kind: z.literal('set-role'), role: workerRoleSchema }),
 ]);
 export type EngineOrder = z.infer<typeof engineOrderSchema>;
--- a/packages/shared/__tests__/hash.test.ts
+++ b/packages/shared/__tests__/hash.test.ts
@@ -5,7 +5,10 @@
 const identity = (member: string) => member;
 
 test('removing a member keeps the order of all others', (t) => {
-  const members = fc.uniqueArray(fc.string({ minLength: 1, maxLength: 8 }), { minLength: 2, maxLength: 20 });
+  const members = fc.uniqueArray(fc.string({ minLength: 1, maxLength: 8 }), {
+    minLength: 2,
+    maxLength: 20,
+  });
   fc.assert(
     fc.property(fc.string(), members, fc.nat(), (key, all, pick) => {
       const removed = all[pick % all.length];
@@ -19,7 +22,10 @@
 
 test('keys spread over the members', (t) => {
   const members = Array.from({ length: 10 }, (_, index) => `instance-${index}`);
-  const firsts = Array.from({ length: 10_000 }, (_, index) => rendezvousOrder(`key-${index}`, members, identity)[0]);
+  const firsts = Array.from(
+    { length: 10_000 },
+    (_, index) => rendezvousOrder(`key-${index}`, members, identity)[0],
+  );
   const counts = members.map((member) => firsts.filter((first) => first === member).length);
   t.true(Math.min(...counts) > 800, `${counts}`);
   t.true(Math.max(...counts) < 1200, `${counts}`);
