Ask processes for signed tokens on every inner path

Cause: anyone who reached an inner port could reserve memory, give orders, report strikes and read the feed. Entries, agents and the holders of duties now send HS256 tokens signed with a shared key, with the instance as issuer, an audience (entry, agent, feed) and 60 s to live. Each process signs once in 30 s for an audience; a verified token is known by its text, in a bounded map, until it expires. The first of the keys signs and all verify, so that keys are rotated without a gap. Calls without a valid token get 401 before a body is read, in the form of a refusal that says not run.

`Authorization` of a plain call is its caller's and goes on to the backend server; the entry's token travels in a header of its own there.

Left out: mutual TLS between the processes. A process that takes over the address of an entry may still answer polls of the feed.

--- a/packages/agent/__tests__/helpers/innerBench.ts
+++ b/packages/agent/__tests__/helpers/innerBench.ts
@@ -5,6 +5,7 @@
 import type { ExecutionContext } from 'ava';
 import { okAsync } from 'neverthrow';
 import { innerHeaders, type AgentRouter, type StreamFrame } from '@bluebellhitch/protocol';
+import { insecureInner, type InnerSecurity } from '@bluebellhitch/security';
 import { delay } from '@bluebellhitch/shared';
 import { createAgent, createPlainProxy, startInnerServer, type AgentBackend } from '../../src';
 import { createFakeEngine, type FakeEngineOptions } from './fakeEngine';
@@ -29,6 +30,7 @@
   t: ExecutionContext,
   backend: AgentBackend,
   service: string,
+  security: InnerSecurity,
   backendUrl?: string,
 ) {
   const agent = createAgent({
@@ -40,7 +42,13 @@
   });
   await agent.start();
   const plainProxy = backendUrl === undefined ? undefined : createPlainProxy({ agent, backendUrl });
-  const server = await startInnerServer({ agent, plainProxy, host: '127.0.0.1', port: 0 });
+  const server = await startInnerServer({
+    agent,
+    plainProxy,
+    security,
+    host: '127.0.0.1',
+    port: 0,
+  });
   t.teardown(async () => {
     await server.close();
     agent.close();
@@ -52,7 +60,11 @@
   return { agent, server, client };
 }
 
-export async function startModelBench(t: ExecutionContext, options: FakeEngineOptions = {}) {
+export async function startModelBench(
+  t: ExecutionContext,
+  options: FakeEngineOptions = {},
+  security: InnerSecurity = insecureInner,
+) {
   const engine = createFakeEngine({ stepMs: 2, ...options });
   const backend: AgentBackend = {
     kind: 'model',
@@ -60,16 +72,24 @@
     kvAddress: 'http://127.0.0.1:1',
     kvRateBytesPerSecond: 1_000_000,
   };
-  return { engine, ...(await start(t, backend, 'draft-models')) };
+  return { engine, ...(await start(t, backend, 'draft-models', security)) };
 }
 
-export async function startPlainBench(t: ExecutionContext, handler: RequestListener) {
+export async function startPlainBench(
+  t: ExecutionContext,
+  handler: RequestListener,
+  security: InnerSecurity = insecureInner,
+) {
   const backend = await listen(t, handler);
-  return startPlainBenchAt(t, addressOf(backend));
+  return startPlainBenchAt(t, addressOf(backend), security);
 }
 
-export function startPlainBenchAt(t: ExecutionContext, backendUrl: string) {
-  return start(t, { kind: 'plain' }, 'counter-app', backendUrl);
+export function startPlainBenchAt(
+  t: ExecutionContext,
+  backendUrl: string,
+  security: InnerSecurity = insecureInner,
+) {
+  return start(t, { kind: 'plain' }, 'counter-app', security, backendUrl);
 }
 
 export function plainHeaders(attemptId: string, deadlineInMs = 2000): Record<string, string> {
--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import { createHttpEngineClient } from '@bluebellhitch/engine';
 import { createHttpPlatformClient } from '@bluebellhitch/platform';
+import type { InnerSecurity } from '@bluebellhitch/security';
 import {
   createAgentMetrics,
   createDecisionRing,
@@ -30,7 +31,10 @@
 /** Leases end with the engine's work; the last bytes may still be on their way to an entry. */
 const lastAnswersMs = 2000;
 
-export async function startAgentProcess(settings: AgentSettings): Promise<AgentProcess> {
+export async function startAgentProcess(
+  settings: AgentSettings,
+  security: InnerSecurity,
+): Promise<AgentProcess> {
   const { instanceId, service, backendUrl } = settings;
   const logger = createLogger({
     binary: 'bluebell-agent',
@@ -51,6 +55,7 @@
   });
   const feed = createDocumentFeed({
     platform,
+    credentials: security,
     instanceId,
     dataCentre: settings.dataCentre,
     service,
@@ -65,6 +70,8 @@
   const inner = await startInnerServer({
     agent,
     plainProxy,
+    security,
+    onUnauthenticated: metrics.countUnauthenticated,
     host: settings.innerHost,
     port: settings.innerPort,
   });
--- a/packages/agent/src/bin.ts
+++ b/packages/agent/src/bin.ts
@@ -1,5 +1,6 @@
 /** `bluebell-agent`: the process beside one backend server. */
-import { loadSettingsOrExit } from '@bluebellhitch/shared';
+import { innerSecurityOf, readInnerKeys } from '@bluebellhitch/security';
+import { exitForSettings, loadSettingsOrExit } from '@bluebellhitch/shared';
 import { installProcessLifecycle } from '@bluebellhitch/telemetry';
 import { startAgentProcess } from './agentProcess';
 import { agentSettings } from './settings';
@@ -11,7 +12,13 @@
   definitions: agentSettings,
 });
 
-const agentProcess = await startAgentProcess(settings);
+const innerKeys = readInnerKeys(settings);
+if (innerKeys.isErr()) {
+  exitForSettings('bluebell-agent', innerKeys.error);
+}
+const security = innerSecurityOf(innerKeys.value, settings.instanceId);
+
+const agentProcess = await startAgentProcess(settings, security);
 installProcessLifecycle({
   logger: agentProcess.logger,
   exitOnStdinEnd: settings.exitOnStdinEnd,
--- a/packages/agent/src/documentFeed.ts
+++ b/packages/agent/src/documentFeed.ts
@@ -1,6 +1,7 @@
 /** Brings the accepted documents of the agent's service to it, through relays or from the platform. */
 import { acceptedDocumentSchema, type AcceptedDocument } from '@bluebellhitch/document';
 import {
+  createFeedClient,
   createFeedFollower,
   createFeedStore,
   createInstanceDirectory,
@@ -8,10 +9,12 @@
 } from '@bluebellhitch/membership';
 import type { PlatformApi } from '@bluebellhitch/platform';
 import { feedKinds, type FeedRecord } from '@bluebellhitch/protocol';
+import type { InnerCredentials } from '@bluebellhitch/security';
 import { delay, type Random } from '@bluebellhitch/shared';
 
 export interface DocumentFeedOptions {
   platform: PlatformApi;
+  credentials?: InnerCredentials;
   instanceId: string;
   dataCentre: string;
   service: string;
@@ -44,6 +47,7 @@
     dataCentre,
     services: [service],
     platformPauseMs,
+    callFeed: createFeedClient({ credentials: options.credentials }),
     random,
   });
   const stopping = new AbortController();
--- a/packages/agent/src/innerServer.ts
+++ b/packages/agent/src/innerServer.ts
@@ -4,6 +4,7 @@
 import { serve, type HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { createAgentRouter, innerPaths } from '@bluebellhitch/protocol';
+import { createInnerGuard, innerAudiences, type InnerSecurity } from '@bluebellhitch/security';
 import { delay } from '@bluebellhitch/shared';
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch';
 import { Hono } from 'hono';
@@ -15,6 +16,9 @@
   agent: Agent;
   /** Absent where the backend server is a model engine. */
   plainProxy?: PlainProxy;
+  security: Pick<InnerSecurity, 'accepts'>;
+  /** Told of each call without valid credentials. */
+  onUnauthenticated?: () => void;
   host: string;
   /** 0 takes a free port. */
   port: number;
@@ -44,8 +48,11 @@
   };
 }
 
-function createApp({ agent, plainProxy }: InnerServerOptions): Hono<Environment> {
+function createApp(options: InnerServerOptions): Hono<Environment> {
+  const { agent, plainProxy, security, onUnauthenticated: onRefused } = options;
   const app = new Hono<Environment>();
+  const audienceOf = () => innerAudiences.agent;
+  app.use('*', createInnerGuard({ security, audienceOf, onRefused }));
   const router = createAgentRouter(agent.handlers);
   app.all(`${innerPaths.trpc}/*`, (context) =>
     fetchRequestHandler({ endpoint: innerPaths.trpc, req: context.req.raw, router }),
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of `bluebell-agent`: flags and `BLUEBELL_*` environment variables. */
 import { z } from 'zod';
 import { workerRoleSchema } from '@bluebellhitch/protocol';
+import { innerSecuritySettings } from '@bluebellhitch/security';
 import type { SettingValues } from '@bluebellhitch/shared';
 import { lifecycleSettings } from '@bluebellhitch/telemetry';
 
@@ -61,6 +62,7 @@
     description: 'Lowest level that is logged.',
     defaultText: 'info',
   },
+  ...innerSecuritySettings,
   ...lifecycleSettings,
 } as const;
 
--- a/packages/bench/src/fleet/childProcess.ts
+++ b/packages/bench/src/fleet/childProcess.ts
@@ -78,10 +78,17 @@
   return [...preload, join(options.binaryDirectory, `${spec.binary}.js`), ...flags];
 }
 
-/** The caller's `BLUEBELL_*` variables are the bench's own; a binary's settings are passed as flags. */
+/**
+ * The caller's `BLUEBELL_*` variables are the bench's own; a binary's settings are passed as flags. Fleets
+ * run on this machine only and know each other without keys.
+ */
 function childEnvironment(): NodeJS.ProcessEnv {
   const inherited = Object.entries(process.env).filter(([name]) => !name.startsWith('BLUEBELL_'));
-  return { ...Object.fromEntries(inherited), BLUEBELL_EXIT_ON_STDIN_END: 'true' };
+  return {
+    ...Object.fromEntries(inherited),
+    BLUEBELL_EXIT_ON_STDIN_END: 'true',
+    BLUEBELL_INSECURE_INNER: 'true',
+  };
 }
 
 function waitForListening(name: string, child: ChildProcess): Promise<Record<string, string>> {
--- a/packages/membership/src/feedClient.ts
+++ b/packages/membership/src/feedClient.ts
@@ -8,6 +8,7 @@
   type FeedReply,
   type FeedRequest,
 } from '@bluebellhitch/protocol';
+import { credentialHeaders, innerAudiences, type InnerCredentials } from '@bluebellhitch/security';
 
 export interface FeedCallError {
   kind: 'feed-unavailable';
@@ -24,7 +25,13 @@
 /** Clients kept for reuse; relays are few, and one that left is forgotten. */
 const clientLimit = 16;
 
-export function createFeedClient(): CallFeed {
+export interface FeedClientOptions {
+  /** Absent: processes that ask for credentials refuse every call. */
+  credentials?: InnerCredentials;
+}
+
+export function createFeedClient({ credentials }: FeedClientOptions = {}): CallFeed {
+  const headers = credentialHeaders(credentials, innerAudiences.feed);
   const clients = new Map<string, TRPCClient<EntryRouter>>();
 
   function clientOf(innerAddress: string): TRPCClient<EntryRouter> {
@@ -33,7 +40,7 @@
       return known;
     }
     const url = `${innerAddress}${innerPaths.trpc}`;
-    const client = createTRPCClient<EntryRouter>({ links: [httpLink({ url })] });
+    const client = createTRPCClient<EntryRouter>({ links: [httpLink({ url, headers })] });
     [...clients.keys()].slice(0, 1 - clientLimit).forEach((old) => clients.delete(old));
     clients.set(innerAddress, client);
     return client;
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -13,7 +13,12 @@
 } from './feedStore';
 export { createFeedServer, type FeedServer, type FeedServerOptions } from './feedServer';
 export { recordFromObject } from './feedRecords';
-export { createFeedClient, type CallFeed, type FeedCallError } from './feedClient';
+export {
+  createFeedClient,
+  type CallFeed,
+  type FeedCallError,
+  type FeedClientOptions,
+} from './feedClient';
 export {
   createFeedFollower,
   type FeedFollower,
--- a/packages/protocol/src/http.ts
+++ b/packages/protocol/src/http.ts
@@ -19,6 +19,8 @@
   className: 'x-bluebell-class',
   service: 'x-bluebell-service',
   deadlineInMs: 'x-bluebell-deadline-ms',
+  /** Credentials of the entry; `Authorization` on a plain call is the caller's own. */
+  authorization: 'x-bluebell-authorization',
   /** On the agent's answer: `true` where the call certainly did not run. */
   notRun: 'x-bluebell-not-run',
   /** On the agent's answer: an `AgentRefusalReason`, where the agent itself answered. */
--- /dev/null
+++ b/packages/security/src/innerKeys.ts
@@ -0,0 +1,107 @@
+/** The keys that the system's own processes share, and the settings that name them. */
+import { readFileSync } from 'node:fs';
+import { err, ok, Result } from 'neverthrow';
+import { z } from 'zod';
+import { environmentName, flagName, type Finding } from '@bluebellhitch/shared';
+
+/** A shared secret and the id that tokens name it by. */
+export interface InnerKey {
+  id: string;
+  secret: string;
+}
+
+/** For the settings of a binary, beside its own ones. */
+export const innerSecuritySettings = {
+  innerKeys: {
+    schema: z.string().optional(),
+    description:
+      'Keys of the inner protocol, kid:secret pairs separated by commas: the first signs, all verify.',
+  },
+  innerKeysFile: {
+    schema: z.string().optional(),
+    description: 'File with the keys, in place of the setting above; read once at the start.',
+  },
+  insecureInner: {
+    schema: z.enum(['true', 'false']).transform((text) => text === 'true'),
+    description:
+      'Serve the inner protocol to anyone, without keys. For trials on one machine only.',
+    defaultText: 'false',
+    isSwitch: true,
+  },
+};
+
+export interface InnerSecuritySettings {
+  innerKeys?: string;
+  innerKeysFile?: string;
+  insecureInner: boolean;
+}
+
+/** `insecure` only where operators asked for it by name. */
+export type InnerKeyChoice = { kind: 'keys'; keys: InnerKey[] } | { kind: 'insecure' };
+
+/** HS256 asks for a key of at least the length of its hash. */
+const minSecretBytes = 32;
+const keyIdPattern = /^[\w.-]{1,64}$/;
+
+/** Reads the keys, or tells all that keeps the process from starting with them. */
+export function readInnerKeys(settings: InnerSecuritySettings): Result<InnerKeyChoice, Finding[]> {
+  const { innerKeys, innerKeysFile, insecureInner } = settings;
+  const given = [innerKeys, innerKeysFile].filter((setting) => setting !== undefined);
+  if (insecureInner) {
+    return given.length === 0
+      ? ok({ kind: 'insecure' })
+      : err([findingOf('insecureInner', 'contradicts the keys that are given too')]);
+  }
+  if (innerKeysFile !== undefined) {
+    return innerKeys === undefined
+      ? readKeysFile(innerKeysFile)
+      : err([findingOf('innerKeysFile', 'contradicts the keys that are given beside it')]);
+  }
+  return innerKeys === undefined
+    ? err([findingOf('innerKeys', 'is required, or a file with keys, or --insecure-inner')])
+    : toChoice('innerKeys', innerKeys);
+}
+
+function readKeysFile(path: string): Result<InnerKeyChoice, Finding[]> {
+  const read = Result.fromThrowable(
+    () => readFileSync(path, 'utf8'),
+    (error) => [findingOf('innerKeysFile', `cannot be read: ${(error as Error).message}`)],
+  );
+  return read().andThen((text) => toChoice('innerKeysFile', text));
+}
+
+function toChoice(setting: string, text: string): Result<InnerKeyChoice, Finding[]> {
+  const pairs = text
+    .split(/[,\n]/)
+    .map((pair) => pair.trim())
+    .filter((pair) => pair !== '');
+  const keys = pairs.map(toKey);
+  const findings = findKeyFaults(keys).map((message) => findingOf(setting, message));
+  return findings.length === 0 ? ok({ kind: 'keys', keys }) : err(findings);
+}
+
+function toKey(pair: string): InnerKey {
+  const colon = pair.indexOf(':');
+  return { id: pair.slice(0, Math.max(0, colon)), secret: pair.slice(colon + 1) };
+}
+
+/** Names keys by their position: a message must not show what may be a secret. */
+function findKeyFaults(keys: readonly InnerKey[]): string[] {
+  if (keys.length === 0) {
+    return ['holds no key'];
+  }
+  return keys.flatMap(({ id, secret }, index) => {
+    const isTwice = keys.findIndex((other) => other.id === id) !== index;
+    return [
+      ...(keyIdPattern.test(id) ? [] : [`pair ${index + 1} is not kid:secret`]),
+      ...(isTwice ? [`pair ${index + 1} has the kid of an earlier one`] : []),
+      ...(Buffer.byteLength(secret) < minSecretBytes
+        ? [`the secret of pair ${index + 1} is shorter than ${minSecretBytes} bytes`]
+        : []),
+    ];
+  });
+}
+
+function findingOf(setting: string, message: string): Finding {
+  return { path: `${flagName(setting)} (${environmentName(setting)})`, message };
+}
--- /dev/null
+++ b/packages/security/src/tokenSigner.ts
@@ -0,0 +1,55 @@
+/** Signs the tokens of one process: one for each audience, kept and renewed well before it expires. */
+import { createSecretKey } from 'node:crypto';
+import { SignJWT } from 'jose';
+import { monotonicNowMs } from '@bluebellhitch/shared';
+import type { InnerKey } from './innerKeys';
+import { bearerScheme, tokenAlgorithm, tokenLifetimeMs, tokenRenewalMs } from './tokenFormat';
+
+export interface TokenSignerOptions {
+  key: InnerKey;
+  issuer: string;
+  lifetimeMs?: number;
+  renewalMs?: number;
+}
+
+export interface TokenSigner {
+  /** `Bearer` and the token. */
+  bearer(audience: string): Promise<string>;
+}
+
+interface KeptToken {
+  bearer: Promise<string>;
+  renewAtMs: number;
+}
+
+export function createTokenSigner(options: TokenSignerOptions): TokenSigner {
+  const { key, issuer, lifetimeMs = tokenLifetimeMs, renewalMs = tokenRenewalMs } = options;
+  const secret = createSecretKey(Buffer.from(key.secret, 'utf8'));
+  /** By audience, of which there are few. */
+  const kept = new Map<string, KeptToken>();
+
+  async function sign(audience: string): Promise<string> {
+    const nowEpochMs = Date.now();
+    const token = await new SignJWT()
+      .setProtectedHeader({ alg: tokenAlgorithm, kid: key.id })
+      .setIssuer(issuer)
+      .setAudience(audience)
+      .setIssuedAt(new Date(nowEpochMs))
+      .setExpirationTime(new Date(nowEpochMs + lifetimeMs))
+      .sign(secret);
+    return `${bearerScheme}${token}`;
+  }
+
+  function bearer(audience: string): Promise<string> {
+    const nowMs = monotonicNowMs();
+    const known = kept.get(audience);
+    if (known !== undefined && nowMs < known.renewAtMs) {
+      return known.bearer;
+    }
+    const renewed = { bearer: sign(audience), renewAtMs: nowMs + renewalMs };
+    kept.set(audience, renewed);
+    return renewed.bearer;
+  }
+
+  return { bearer };
+}
--- a/packages/shared/__tests__/settings.test.ts
+++ b/packages/shared/__tests__/settings.test.ts
@@ -26,7 +26,11 @@
 test('a flag goes before the environment, and the environment before the default', (t) => {
   const env = { BLUEBELL_PLATFORM_URL: 'http://127.0.0.1:1', BLUEBELL_INSTANCE_ID: 'from-env' };
   const settings = resolve(['--instance-id', 'from-flag'], env)._unsafeUnwrap();
-  t.deepEqual(settings, { innerPort: 0, platformUrl: 'http://127.0.0.1:1', instanceId: 'from-flag' });
+  t.deepEqual(settings, {
+    innerPort: 0,
+    platformUrl: 'http://127.0.0.1:1',
+    instanceId: 'from-flag',
+  });
 });
 
 test('all findings are reported together, each with the name of its setting', (t) => {
@@ -43,3 +47,26 @@
   t.is(environmentName('kvLinkRate'), 'BLUEBELL_KV_LINK_RATE');
   t.is(flagName('kvLinkRate'), '--kv-link-rate');
 });
+
+// `--switch` alone reads as yes. An empty variable must not: it is how scripts pass what they do not have.
+test('a switch may be given without a value, and only as a flag', (t) => {
+  const options = {
+    binaryName: 'bluebell-sample',
+    version: '0.0.0',
+    description: 'A sample.',
+    definitions: {
+      insecureInner: {
+        schema: z.enum(['true', 'false']),
+        description: 'A switch.',
+        defaultText: 'false',
+        isSwitch: true,
+      },
+    },
+  };
+  const valueOf = (argv: string[], env = {}) =>
+    resolveSettings({ ...options, argv, env }).map(({ insecureInner }) => insecureInner);
+  t.is(valueOf(['--insecure-inner'])._unsafeUnwrap(), 'true');
+  t.is(valueOf(['--insecure-inner=false'])._unsafeUnwrap(), 'false');
+  t.is(valueOf([])._unsafeUnwrap(), 'false');
+  t.true(valueOf([], { BLUEBELL_INSECURE_INNER: '' }).isErr());
+});
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -12,6 +12,7 @@
 export {
   environmentName,
   exitCodes,
+  exitForSettings,
   flagName,
   loadSettingsOrExit,
   resolveSettings,
--- a/packages/shared/src/settings.ts
+++ b/packages/shared/src/settings.ts
@@ -4,7 +4,7 @@
  */
 import meow from 'meow';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import { type z } from 'zod';
 import type { Finding } from './finding';
 import { formatFindings } from './finding';
 
@@ -18,6 +18,8 @@
   description: string;
   /** Text form of the default; absent means required, unless the schema accepts `undefined`. */
   defaultText?: string;
+  /** A flag without a value means `true`. */
+  isSwitch?: boolean;
 }
 
 export type SettingDefinitions = Record<string, SettingDefinition>;
@@ -42,7 +44,8 @@
   const env = options.env ?? process.env;
   const flags = parseFlags(options);
   const entries = Object.entries(options.definitions).map(([name, definition]) => {
-    const text = flags[name] ?? env[environmentName(name)] ?? definition.defaultText;
+    const flag = definition.isSwitch && flags[name] === '' ? 'true' : flags[name];
+    const text = flag ?? env[environmentName(name)] ?? definition.defaultText;
     const parsed = definition.schema.safeParse(text === '' ? undefined : text);
     return { name, parsed };
   });
@@ -63,13 +66,18 @@
 ): SettingValues<Definitions> {
   const settings = resolveSettings(options);
   if (settings.isErr()) {
-    process.stderr.write(`${options.binaryName}: invalid settings\n`);
-    process.stderr.write(`${formatFindings(settings.error)}\n`);
-    process.exit(exitCodes.invalidSettings);
+    exitForSettings(options.binaryName, settings.error);
   }
   return settings.value;
 }
 
+/** Prints findings about settings and exits with code 2. */
+export function exitForSettings(binaryName: string, findings: readonly Finding[]): never {
+  process.stderr.write(`${binaryName}: invalid settings\n`);
+  process.stderr.write(`${formatFindings(findings)}\n`);
+  process.exit(exitCodes.invalidSettings);
+}
+
 /** `innerPort` becomes `BLUEBELL_INNER_PORT`. */
 export function environmentName(settingName: string): string {
   return `BLUEBELL_${settingName.replace(/[A-Z]/g, (letter) => `_${letter}`).toUpperCase()}`;
@@ -98,7 +106,7 @@
     pkg: { name: options.binaryName, version: options.version },
     version: options.version,
   });
-  return cli.flags as Record<string, string | undefined>;
+  return cli.flags;
 }
 
 function unknownFlags<Definitions extends SettingDefinitions>(
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -40,6 +40,8 @@
   countRefusal(reason: RefusalReason | AgentRefusalReason): void;
   countDroppedFrame(cause: DroppedFrameCause): void;
   countControlBytes(direction: ByteDirection, byteCount: number): void;
+  /** Counts a call of the inner protocol without valid credentials. */
+  countUnauthenticated(): void;
   setConfigurationGeneration(serviceName: string, generation: number): void;
 }
 
@@ -183,6 +185,11 @@
     labelName: 'direction',
     values: Object.values(byteDirections),
   });
+  const unauthenticated = new Counter({
+    name: 'bluebell_inner_unauthenticated_total',
+    help: 'Calls of the inner protocol refused for lack of valid credentials.',
+    registers,
+  });
   const generations = new Gauge({
     name: 'bluebell_configuration_generation',
     help: 'Generation of the accepted document in force.',
@@ -204,6 +211,7 @@
     countRefusal: (reason) => refusals.inc({ reason }),
     countDroppedFrame: (cause) => droppedFrames.inc({ cause }),
     countControlBytes: (direction, byteCount) => controlBytes.inc({ direction }, byteCount),
+    countUnauthenticated: () => unauthenticated.inc(),
     setConfigurationGeneration: (serviceName, generation) =>
       generations.set({ service: labels.resolveService(serviceName) }, generation),
   };
--- a/scripts/lib/fleet.mjs
+++ b/scripts/lib/fleet.mjs
@@ -8,6 +8,8 @@
 const bytesPerToken = 131_072;
 const slotCount = 20;
 const typicalTokens = 2_754;
+/** Everything runs on this machine, for one person: no keys between the processes. */
+const insecureInner = true;
 
 /**
  * `entryPort` and `adminPort` are the first of consecutive ports, or 0 for free ones. `onStarted` sees
@@ -47,6 +49,7 @@
         role: backend.role,
         backendUrl: engine.addresses.address,
         platformUrl,
+        insecureInner,
         adminPort: nthPort(adminPort, entryCount + index),
       },
     });
@@ -70,6 +73,7 @@
         instanceId,
         dataCentre,
         platformUrl,
+        insecureInner,
         entryPort: nthPort(entryPort, index),
         innerPort: 0,
         adminPort: nthPort(adminPort, index),
--- a/scripts/lint/layering.mjs
+++ b/scripts/lint/layering.mjs
@@ -5,7 +5,7 @@
 const layers = [
   ['shared'],
   ['protocol', 'document'],
-  ['decisions', 'platform'],
+  ['decisions', 'platform', 'security'],
   ['duties', 'membership', 'engine', 'telemetry'],
   ['entry', 'agent', 'ctl', 'bench', 'standins'],
   // Runs the binaries' parts together in one process.
--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -138,6 +138,7 @@
 async function serve(fleet, example, options, stopRequested, samples) {
   const [{ addresses }] = fleet.entries;
   print(`ready on ${fleet.entries.map((entry) => entry.addresses.callersAddress).join(' and ')}`);
+  print('processes trust each other without keys (--insecure-inner); see docs/OPERATORS.md');
   print(`try: ${samples.curlLine(addresses.callersAddress, example)}`);
   const outcome = options.once
     ? await showOnce(addresses.callersAddress, example, samples).then(
