Take replies of the feed only under the fleet's seal

Cause: tokens prove who asks, not who answers. Whoever got the address of an entry that is gone was polled by its followers until the list of instances caught up, and could answer with documents of its own. Answers to polls now carry a signed digest of their text, with an audience of its own so that a follower's token is no seal; followers throw away what has none. An old reply sent again does no harm, as generations never go down.

The capacity experiment that starts its entries itself passes the permission to go without keys.

--- a/packages/bench/src/experiments/capacitySpread.ts
+++ b/packages/bench/src/experiments/capacitySpread.ts
@@ -144,7 +144,11 @@
       ...['entry', 'inner', 'admin'].map((side) => `--${side}-port=0`),
     ],
     {
-      env: { ...process.env, BLUEBELL_EXIT_ON_STDIN_END: 'true' },
+      env: {
+        ...process.env,
+        BLUEBELL_EXIT_ON_STDIN_END: 'true',
+        BLUEBELL_INSECURE_INNER: 'true',
+      },
       stdio: ['pipe', 'pipe', 'ignore'],
     },
   );
--- /dev/null
+++ b/packages/membership/__tests__/feedClient.test.ts
@@ -0,0 +1,47 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import test, { type ExecutionContext } from 'ava';
+import { createInnerSecurity, type InnerSecurity } from '@bluebellhitch/security';
+import { createFeedClient } from '@bluebellhitch/membership';
+
+const key = { id: 'k1', secret: 'the-secret-that-the-whole-fleet-knows' };
+const strangerKey = { id: 'k1', secret: 'a-secret-that-a-stranger-made-up-here' };
+const relay = createInnerSecurity({ keys: [key], instanceId: 'entry-1' });
+const follower = createInnerSecurity({ keys: [key], instanceId: 'agent-1' });
+const stranger = createInnerSecurity({ keys: [strangerKey], instanceId: 'entry-1' });
+
+const genuine = JSON.stringify({ result: { data: { records: [], cursor: '1', snapshot: false } } });
+const forged = genuine.replace('"1"', '"2"');
+
+async function pollOf(t: ExecutionContext, text: string, seal: string | undefined) {
+  const server = createServer((_incoming, outgoing) => {
+    outgoing.writeHead(200, {
+      'content-type': 'application/json',
+      ...(seal === undefined ? {} : { 'x-bluebell-seal': seal }),
+    });
+    outgoing.end(text);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const callFeed = createFeedClient({ credentials: follower });
+  const request = { services: [], waitMs: 0 } as never;
+  const reply = await callFeed(`http://127.0.0.1:${port}`, request, AbortSignal.timeout(2_000));
+  return reply.isOk();
+}
+
+const sealOf = (security: InnerSecurity, text: string) => security.seal(text);
+
+// An entry's instance is replaced and a stranger gets its address. Followers go on polling it until the list
+// of instances has caught up; none of its answers may bring a document into force.
+test('a stranger at the address of an entry cannot feed documents', async (t) => {
+  t.true(await pollOf(t, genuine, await sealOf(relay, genuine)));
+  t.false(await pollOf(t, forged, undefined));
+  t.false(await pollOf(t, forged, await sealOf(stranger, forged)));
+  t.false(await pollOf(t, forged, await sealOf(relay, genuine)));
+  // The stranger has the follower's own token from its poll.
+  const bearer = (await follower.bearer('feed')) ?? '';
+  t.false(await pollOf(t, forged, bearer.slice('Bearer '.length)));
+});
--- a/packages/membership/src/feedClient.ts
+++ b/packages/membership/src/feedClient.ts
@@ -8,7 +8,12 @@
   type FeedReply,
   type FeedRequest,
 } from '@bluebellhitch/protocol';
-import { credentialHeaders, innerAudiences, type InnerCredentials } from '@bluebellhitch/security';
+import {
+  createSealedFetch,
+  credentialHeaders,
+  innerAudiences,
+  type InnerCredentials,
+} from '@bluebellhitch/security';
 
 export interface FeedCallError {
   kind: 'feed-unavailable';
@@ -32,6 +37,7 @@
 
 export function createFeedClient({ credentials }: FeedClientOptions = {}): CallFeed {
   const headers = credentialHeaders(credentials, innerAudiences.feed);
+  const sealedFetch = credentials === undefined ? undefined : createSealedFetch(credentials);
   const clients = new Map<string, TRPCClient<EntryRouter>>();
 
   function clientOf(innerAddress: string): TRPCClient<EntryRouter> {
@@ -40,7 +46,9 @@
       return known;
     }
     const url = `${innerAddress}${innerPaths.trpc}`;
-    const client = createTRPCClient<EntryRouter>({ links: [httpLink({ url, headers })] });
+    const client = createTRPCClient<EntryRouter>({
+      links: [httpLink({ url, headers, fetch: sealedFetch })],
+    });
     [...clients.keys()].slice(0, 1 - clientLimit).forEach((old) => clients.delete(old));
     clients.set(innerAddress, client);
     return client;
--- a/packages/protocol/src/http.ts
+++ b/packages/protocol/src/http.ts
@@ -21,6 +21,8 @@
   deadlineInMs: 'x-bluebell-deadline-ms',
   /** Credentials of the entry; `Authorization` on a plain call is the caller's own. */
   authorization: 'x-bluebell-authorization',
+  /** On answers to polls of the feed: proves that a process of the fleet wrote them. */
+  seal: 'x-bluebell-seal',
   /** On the agent's answer: `true` where the call certainly did not run. */
   notRun: 'x-bluebell-not-run',
   /** On the agent's answer: an `AgentRefusalReason`, where the agent itself answered. */
--- a/packages/security/src/index.ts
+++ b/packages/security/src/index.ts
@@ -16,4 +16,5 @@
   type InnerSecurity,
   type InnerSecurityOptions,
 } from './innerSecurity';
-export { createInnerGuard, type InnerGuardOptions } from './innerGuard';
+export { createSealedFetch } from './sealedFetch';
+export { createInnerGuard, createReplySealer, type InnerGuardOptions } from './innerGuard';
--- a/packages/security/src/innerGuard.ts
+++ b/packages/security/src/innerGuard.ts
@@ -39,6 +39,18 @@
   };
 }
 
+/** Puts a seal on each reply, whose text is read whole for that. */
+export function createReplySealer(security: Pick<InnerSecurity, 'seal'>): MiddlewareHandler {
+  return async (context, next) => {
+    await next();
+    const text = await context.res.clone().text();
+    const seal = await security.seal(text);
+    if (seal !== undefined) {
+      context.res.headers.set(innerHeaders.seal, seal);
+    }
+  };
+}
+
 /** A plain call's `Authorization` is its caller's and goes on to the backend server. */
 function credentialsHeader(path: string): string {
   const isPlain = path === innerPaths.plain || path.startsWith(`${innerPaths.plain}/`);
--- a/packages/security/src/innerSecurity.ts
+++ b/packages/security/src/innerSecurity.ts
@@ -2,6 +2,7 @@
  * How the system's own processes prove to each other who they are: short-lived signed tokens. Whoever
  * lacks a key can neither reserve memory nor give orders nor report strikes.
  */
+import { createReplySeals } from './replySeal';
 import { createTokenSigner } from './tokenSigner';
 import { createTokenVerifier } from './tokenVerifier';
 import type { InnerKey, InnerKeyChoice } from './innerKeys';
@@ -15,10 +16,13 @@
   bearer(audience: InnerAudience): Promise<string | undefined>;
   /** Whether the value of a credentials' header allows calls of the audience. */
   accepts(bearer: string | undefined, audience: InnerAudience): boolean | Promise<boolean>;
+  /** Proves that a reply's text is the fleet's own; absent where replies carry none. */
+  seal(text: string): Promise<string | undefined>;
+  isSealed(text: string, seal: string | undefined): Promise<boolean>;
 }
 
 /** What callers of other processes need. */
-export type InnerCredentials = Pick<InnerSecurity, 'bearer'>;
+export type InnerCredentials = Pick<InnerSecurity, 'bearer' | 'isSealed'>;
 
 export interface InnerSecurityOptions {
   /** The first signs, all verify. */
@@ -31,12 +35,15 @@
 export const insecureInner: InnerSecurity = {
   bearer: () => Promise.resolve(undefined),
   accepts: () => true,
+  seal: () => Promise.resolve(undefined),
+  isSealed: () => Promise.resolve(true),
 };
 
 export function createInnerSecurity({ keys, instanceId }: InnerSecurityOptions): InnerSecurity {
   const signer = createTokenSigner({ key: keys[0], issuer: instanceId });
   const verifier = createTokenVerifier({ keys });
-  return { bearer: signer.bearer, accepts: verifier.accepts };
+  const seals = createReplySeals(keys, instanceId);
+  return { bearer: signer.bearer, accepts: verifier.accepts, ...seals };
 }
 
 /** The security that the settings chose. */
--- a/packages/security/src/tokenSigner.ts
+++ b/packages/security/src/tokenSigner.ts
@@ -1,8 +1,8 @@
 /** Signs the tokens of one process: one for each audience, kept and renewed well before it expires. */
-import { createSecretKey } from 'node:crypto';
 import { SignJWT } from 'jose';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { InnerKey } from './innerKeys';
+import { secretOf } from './sharedSecrets';
 import { bearerScheme, tokenAlgorithm, tokenLifetimeMs, tokenRenewalMs } from './tokenFormat';
 
 export interface TokenSignerOptions {
@@ -24,7 +24,7 @@
 
 export function createTokenSigner(options: TokenSignerOptions): TokenSigner {
   const { key, issuer, lifetimeMs = tokenLifetimeMs, renewalMs = tokenRenewalMs } = options;
-  const secret = createSecretKey(Buffer.from(key.secret, 'utf8'));
+  const secret = secretOf(key);
   /** By audience, of which there are few. */
   const kept = new Map<string, KeptToken>();
 
--- a/packages/security/src/tokenVerifier.ts
+++ b/packages/security/src/tokenVerifier.ts
@@ -2,9 +2,9 @@
  * Verifies tokens of other processes. A token is verified once and then known by its text until it
  * expires, so that a call costs a look into a map.
  */
-import { createSecretKey } from 'node:crypto';
-import { errors, jwtVerify, type JWTHeaderParameters, type JWTPayload } from 'jose';
+import { errors, jwtVerify, type JWTPayload } from 'jose';
 import type { InnerKey } from './innerKeys';
+import { createSecretLookup } from './sharedSecrets';
 import { bearerScheme, clockToleranceMs, tokenAlgorithm } from './tokenFormat';
 
 export interface TokenVerifierOptions {
@@ -30,26 +30,16 @@
 
 export function createTokenVerifier(options: TokenVerifierOptions): TokenVerifier {
   const { keys, maxKept = defaultMaxKept } = options;
-  const secrets = new Map(
-    keys.map(({ id, secret }) => [id, createSecretKey(Buffer.from(secret, 'utf8'))]),
-  );
+  const secretFor = createSecretLookup(keys);
   /** By the header's value. Only valid tokens get in, so that strangers cannot fill it. */
   const kept = new Map<string, KeptToken>();
 
-  function secretOf({ kid }: JWTHeaderParameters) {
-    const secret = secrets.get(kid ?? '');
-    if (secret === undefined) {
-      throw new errors.JWKSNoMatchingKey();
-    }
-    return secret;
-  }
-
   async function verify(bearer: string, audience: string): Promise<boolean> {
     if (!bearer.startsWith(bearerScheme)) {
       return false;
     }
     try {
-      const { payload } = await jwtVerify(bearer.slice(bearerScheme.length), secretOf, {
+      const { payload } = await jwtVerify(bearer.slice(bearerScheme.length), secretFor, {
         algorithms: [tokenAlgorithm],
         audience,
         requiredClaims: ['iss', 'exp'],
