Give up waiting calls once the agent answers no heartbeat

Reservations and prefills are made under their lease: they end when it may have ended. Ruled out: a shorter wait limit, since memory that comes later is still worth the wait.

--- a/packages/entry/src/heldLease.ts
+++ b/packages/entry/src/heldLease.ts
@@ -1,6 +1,10 @@
 /** A lease at an agent, from before it is asked for until it certainly ended there. */
+import { err, type Result } from 'neverthrow';
 import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { AgentCallError } from './agentApi';
 import type { HeartbeatShare } from './heartbeats';
+import { createLinkedAbort } from './linkedAbort';
+import { stopReasons } from './modelTypes';
 import type { RequestContext } from './requestContext';
 
 export interface HeldLease {
@@ -46,3 +50,23 @@
     },
   };
 }
+
+/**
+ * Makes a call under the lease. It ends with the request, and when the lease at the agent may have
+ * ended: a machine that lost its power closes no connection, and a call that waits in its queue would
+ * hold the caller for all of its wait limit.
+ */
+export async function callUnderLease<Value>(
+  lease: Pick<HeldLease, 'share'>,
+  requestSignal: AbortSignal,
+  call: (signal: AbortSignal) => PromiseLike<Result<Value, AgentCallError>>,
+): Promise<Result<Value, AgentCallError>> {
+  const link = createLinkedAbort([
+    { signal: requestSignal, reason: stopReasons.callerGone },
+    { signal: lease.share.lapsed, reason: stopReasons.lapsed },
+  ]);
+  const reply = await call(link.signal);
+  link.dispose();
+  const lapsed = reply.isErr() && link.signal.reason === stopReasons.lapsed;
+  return lapsed ? err({ kind: 'timeout', detail: 'the agent answers no heartbeat' }) : reply;
+}
--- a/packages/entry/src/placement.ts
+++ b/packages/entry/src/placement.ts
@@ -11,7 +11,7 @@
 import { collectUsableBids, localPrefillTokens } from './bidRounds';
 import type { InstanceBid } from './candidateBids';
 import { decodeReservation } from './decodeReservation';
-import { holdLease, type HeldLease } from './heldLease';
+import { callUnderLease, holdLease, type HeldLease } from './heldLease';
 import type { AttemptFailure, AttemptOutcome, ModelRun } from './modelTypes';
 import { separate, separateBids, separationWaitMs, waitForSeparateServer } from './separation';
 import { noteCallError, noteLoad, noteRefusal } from './serverHealth';
@@ -108,10 +108,10 @@
   // Noted with the choice: of two struck requests that choose at once, the second sees the first.
   const endSeparation = separate(run, attemptId, instance.id);
   const lease = holdLease(context, instance, attemptId, endSeparation);
-  const reply = await context.agents.reserve(instance.innerAddress, message, {
-    timeoutMs: message.waitLimitMs + context.timeouts.reserveMarginMs,
-    signal: run.signal,
-  });
+  const timeoutMs = message.waitLimitMs + context.timeouts.reserveMarginMs;
+  const reply = await callUnderLease(lease, run.signal, (signal) =>
+    context.agents.reserve(instance.innerAddress, message, { timeoutMs, signal }),
+  );
   if (run.signal.aborted) {
     lease.release();
     return { kind: 'stopped' };
--- a/packages/entry/src/prefillStage.ts
+++ b/packages/entry/src/prefillStage.ts
@@ -1,10 +1,15 @@
 /** Runs the prompt on a prefill worker, so that the decode worker can pull the KV cache. */
 import type { PlatformInstance } from '@bluebellhitch/platform';
-import type { KvSource, PrefillReply, ReserveRequest } from '@bluebellhitch/protocol';
+import type {
+  KvSource,
+  PrefillReply,
+  PrefillRequest,
+  ReserveRequest,
+} from '@bluebellhitch/protocol';
 import { delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { requestPhases } from '@bluebellhitch/telemetry';
 import { failureOfCall, failureOfRefusal } from './agentFailures';
-import { holdLease, type HeldLease } from './heldLease';
+import { callUnderLease, holdLease, type HeldLease } from './heldLease';
 import type { AttemptFailure, ModelRun } from './modelTypes';
 import type { Placement } from './placement';
 import { noteCallError, noteLoad, noteOutcome, noteRefusal } from './serverHealth';
@@ -43,10 +48,10 @@
   const instance = placement.prefillInstance as PlatformInstance;
   const message = prefillReservation(run, placement, attemptId);
   const lease = holdLease(context, instance, attemptId);
-  const reply = await context.agents.reserve(instance.innerAddress, message, {
-    timeoutMs: message.waitLimitMs + context.timeouts.reserveMarginMs,
-    signal: run.signal,
-  });
+  const timeoutMs = message.waitLimitMs + context.timeouts.reserveMarginMs;
+  const reply = await callUnderLease(lease, run.signal, (signal) =>
+    context.agents.reserve(instance.innerAddress, message, { timeoutMs, signal }),
+  );
   if (reply.isOk() && reply.value.kind === 'granted') {
     noteLoad(context, instance.id, reply.value.load);
     run.trace.step('prefill-reserved', { instanceId: instance.id });
@@ -80,15 +85,15 @@
   );
   const { instance, attemptId } = lease;
   run.mayHaveRun = true;
-  const reply = await context.agents.prefill(
-    instance.innerAddress,
-    {
-      attemptId,
-      model: request.engineModel,
-      prompt: `${request.prompt}${run.emitted.text}`,
-      priority: request.trafficClass.priority,
-    },
-    { timeoutMs: prefillTimeoutMs(run, prefillMs), signal: run.signal },
+  const message: PrefillRequest = {
+    attemptId,
+    model: request.engineModel,
+    prompt: `${request.prompt}${run.emitted.text}`,
+    priority: request.trafficClass.priority,
+  };
+  const timeoutMs = prefillTimeoutMs(run, prefillMs);
+  const reply = await callUnderLease(lease, run.signal, (signal) =>
+    context.agents.prefill(instance.innerAddress, message, { timeoutMs, signal }),
   );
   if (reply.isErr()) {
     noteCallError(context, request.document.service, instance.id, reply.error);
