--- a/packages/bench/src/experiments/capacityMetrics.ts
+++ b/packages/bench/src/experiments/capacityMetrics.ts
@@ -71,6 +71,6 @@
 
 function fill(metrics: EntryMetrics, labels: Parameters<EntryMetrics['countGoodput']>[0]): void {
   Object.values(requestPhases).forEach((phase) => metrics.observePhase(phase, labels, 100));
-  metrics.countRequest(labels, 'complete');
+  metrics.countRequest(labels, 'completed');
   metrics.countGoodput(labels);
 }
