--- a/packages/scenarios/src/language/expectations.ts
+++ b/packages/scenarios/src/language/expectations.ts
@@ -5,6 +5,9 @@
 import { find } from './lookups';
 import type { Expectation, ExpectationInput, ExpectationName } from './scenarioSchema';
 
+/** Decision records that are looked at. */
+const recordLimit = 500;
+
 /** What came of orders, by their names in the scenario. */
 export type OrderOutcomes = ReadonlyMap<string, string>;
 
@@ -32,6 +35,7 @@
     const taken = orders.map(({ fencingNumber }) => fencingNumber).join(' ');
     return differs(`fencing numbers of orders that ${engine} took`, taken, is.join(' '));
   },
+  retries: unmetRetries,
   'candidates-left': unmetCandidates,
 };
 
@@ -143,3 +147,12 @@
     ),
   );
 }
+
+function unmetRetries(world: World, { at, atMost }: ExpectationInput<'retries'>): string[] {
+  const { ring } = find(world.entries, at).core().context;
+  const retries = ring
+    .recent(recordLimit)
+    .flatMap(({ steps }) => steps)
+    .filter(({ kind, detail }) => kind === 'attempt-failed' && detail.next === 'retry');
+  return retries.length <= atMost ? [] : [`${at} retried ${retries.length} times, not ${atMost}`];
+}
--- a/packages/scenarios/src/language/scenarioSchema.ts
+++ b/packages/scenarios/src/language/scenarioSchema.ts
@@ -72,6 +72,7 @@
   'new-work': z.strictObject({ to: name, afterLeavingMs: durationMs, is: count }),
   order: z.strictObject({ named: name, is: z.enum(['done', 'refused']) }),
   'orders-taken': z.strictObject({ engine: name, is: z.array(count) }),
+  retries: z.strictObject({ at: name, atMost: count }),
   'candidates-left': z.strictObject({ at: name, service: name, atLeast: count }),
 } as const;
 export type ExpectationName = keyof typeof expectationSchemas;
--- a/packages/scenarios/src/world/agentLink.ts
+++ b/packages/scenarios/src/world/agentLink.ts
@@ -18,6 +18,8 @@
   id: string;
   process: SimulatedProcess;
   agent: Agent;
+  /** Its machine is gone: connections neither close nor are refused. */
+  isSilent: () => boolean;
 }
 
 export interface AgentLinkOptions {
@@ -84,6 +86,9 @@
   ): Promise<void> {
     await travel(agentAt(address)?.id);
     const target = agentAt(address);
+    if (target?.isSilent()) {
+      return;
+    }
     if (target === undefined || target.process.state() === 'crashed') {
       await backToCaller(undefined);
       finish(err({ kind: 'not-sent', detail: 'connection refused' }));
@@ -91,6 +96,9 @@
     }
     const { process } = target;
     process.gone.addEventListener('abort', () => {
+      if (target.isSilent()) {
+        return;
+      }
       void outside(() => backToCaller(target.id)).then(() =>
         finish(err({ kind: 'lost', detail: 'connection reset' })),
       );
@@ -173,7 +181,7 @@
     const tampered = tamper.frames(request);
     const road = createRoad();
     const end = () => road.send(queue.end);
-    process.gone.addEventListener('abort', end);
+    process.gone.addEventListener('abort', () => !target.isSilent() && end());
     const sink = (frame: StreamFrame) => {
       if (process.state() === 'crashed' || connection.aborted) {
         return undefined;
--- a/packages/scenarios/src/world/gates.ts
+++ b/packages/scenarios/src/world/gates.ts
@@ -5,11 +5,13 @@
 import { ResultAsync } from 'neverthrow';
 import type { EngineApi, EngineChunk } from '@bluebellhitch/engine';
 import type { PlatformApi } from '@bluebellhitch/platform';
+import type { Network } from './network';
 import { outside, type SimulatedProcess } from './simulatedProcess';
 
 type Callee = Pick<SimulatedProcess, 'run' | 'turn'>;
 
-const platformHost: Callee = { run: outside, turn: () => Promise.resolve() };
+/** The platform's name in cuts of the network. */
+const platformId = 'platform';
 
 function gate<Value, Failure>(
   caller: SimulatedProcess,
@@ -20,14 +22,23 @@
     await caller.turn();
     await callee.turn();
     const result = await callee.run(call);
+    await callee.turn();
     await caller.turn();
     return result;
   };
   return new ResultAsync(run());
 }
 
-/** The platform as a process sees it. */
-export function gatePlatform(caller: SimulatedProcess, platform: PlatformApi): PlatformApi {
+/** The platform as a process sees it; calls hang while the network between them is cut. */
+export function gatePlatform(
+  caller: SimulatedProcess,
+  platform: PlatformApi,
+  network: Pick<Network, 'untilOpen'>,
+): PlatformApi {
+  const platformHost: Callee = {
+    run: outside,
+    turn: () => network.untilOpen(caller.id, platformId),
+  };
   const through = <Value, Failure>(call: () => ResultAsync<Value, Failure>) =>
     gate(caller, platformHost, call);
   return {
--- a/packages/scenarios/src/world/world.ts
+++ b/packages/scenarios/src/world/world.ts
@@ -126,7 +126,14 @@
         ...links,
         agentAt: (address) => {
           const found = agents.get(address.replace('http://', ''));
-          return found && { id: found.instance.id, process: found.process(), agent: found.agent() };
+          return (
+            found && {
+              id: found.instance.id,
+              process: found.process(),
+              agent: found.agent(),
+              isSilent: found.isSilent,
+            }
+          );
         },
         onGeneration: (process, service, generation) =>
           checks.onGeneration(process, service, generation),
--- a/packages/scenarios/src/world/worldAgent.ts
+++ b/packages/scenarios/src/world/worldAgent.ts
@@ -49,7 +49,11 @@
   grantTimesMs: readonly number[];
   leavingSinceMs(): number | undefined;
   order(request: OrderRequest): Promise<OrderReply>;
+  /** Connections close, as when a process dies. */
   crash(): void;
+  /** Nobody learns of it, as when a machine loses its power. */
+  vanish(): void;
+  isSilent(): boolean;
   /** Starts a new process in place of one that crashed or was told to leave. */
   restart(): void;
   leave(): void;
@@ -67,6 +71,7 @@
   let startCount = 0;
   let leavingSinceMs: number | undefined;
   let isEngineDown = false;
+  let isSilent = false;
   let current: { process: SimulatedProcess; agent: Agent };
 
   const engine = () => engines.at(-1) as StandinEngine;
@@ -88,10 +93,11 @@
   }
 
   function start(): void {
+    isSilent = false;
     startCount += 1;
     const incarnation = `${id}.${startCount}`;
     const process = createSimulatedProcess(id);
-    const platform = gatePlatform(process, options.platform);
+    const platform = gatePlatform(process, options.platform, options.network);
     current = { process, agent: process.run(() => startAgent(incarnation, process, platform)) };
   }
 
@@ -123,8 +129,12 @@
         if (kind !== feedKinds.accepted) {
           return;
         }
-        agent.applyDocument(value as AcceptedDocument);
-        options.onGeneration(process, agent.config().generation);
+        const accepted = value as AcceptedDocument;
+        const { generation } = agent.config();
+        agent.applyDocument(accepted);
+        if (agent.config().generation !== generation) {
+          options.onGeneration(process, accepted.documentVersion);
+        }
       },
     });
     return { ...agent, handlers: countGrants(agent) };
@@ -169,6 +179,11 @@
     leavingSinceMs: () => leavingSinceMs,
     order,
     crash: () => current.process.crash(),
+    vanish: () => {
+      isSilent = true;
+      current.process.crash();
+    },
+    isSilent: () => isSilent,
     restart: () => {
       current.process.crash();
       leavingSinceMs = undefined;
--- a/packages/scenarios/src/world/worldEntry.ts
+++ b/packages/scenarios/src/world/worldEntry.ts
@@ -78,7 +78,7 @@
   }
 
   function createCore(process: SimulatedProcess): EntryCore {
-    const platform = gatePlatform(process, options.platform);
+    const platform = gatePlatform(process, options.platform, options.network);
     const services = createServiceTable();
     const strikes = createEntryStrikes(platform);
     const { directory, feed } = startMembership({
