Compute a long prompt where it decodes when its transfer would come later

Cause, from the decision records at 100% load: transfers took 600 to 820 ms at the median, up to 2.4 s, while prompts of 90 tokens had their first token after 56 ms. The prefill workers' links were full, and an entry learned of it from its own finished transfers only. Bids now tell how long a prompt's KV cache waits for the link, how long prompts wait to be computed, and at which rate; both ways to serve a long prompt are weighed by that. A small charge keeps transfers the choice of an idle fleet.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -2,12 +2,19 @@
  * The agent of one backend server: it alone grants the server's memory or slots. Everything that
  * needs no socket is put together here; `innerServer` gives it its sockets.
  */
-import { createCacheView, createLeaseTable, type LeaseTable } from '@bluebellhitch/decisions';
+import {
+  createCacheView,
+  createLeaseTable,
+  createPrefillBacklog,
+  type LeaseTable,
+} from '@bluebellhitch/decisions';
 import type { AcceptedDocument } from '@bluebellhitch/document';
 import type { EngineApi, EngineLoad } from '@bluebellhitch/engine';
 import {
   agentRefusalReasons,
   blockTokens,
+  estimateTokens,
+  prefixBlockHashes,
   type AgentHandlers,
   type Bid,
   type BidRequest,
@@ -27,6 +34,7 @@
 import { createLeaseKeeper, type LeaseKeeper } from './leaseKeeper';
 import { drainLeases } from './drainLeases';
 import { reportLoad } from './loadReport';
+import { describeModel } from './modelBid';
 import { createModelParts } from './modelParts';
 import type { ReadFencingNumber } from './orderExecutor';
 import { createReservations, type Reservations } from './reservations';
@@ -88,6 +96,7 @@
   const estimates = createWorkEstimates({ service });
   const attempts = createAttemptRecord();
   const cacheView = createCacheView();
+  const backlog = createPrefillBacklog();
   const table = createLeaseTable({ capacity: { kvBytes: 0, slots: 0 } });
   let config = defaultAgentConfig;
   let isStopping = false;
@@ -152,6 +161,9 @@
           readFencingNumber: options.readFencingNumber,
           random: options.random,
           onCached: (blocks) => cacheView.observe(blocks, monotonicNowMs()),
+          backlog,
+          uncachedTokens: (prompt) =>
+            estimateTokens(prompt) - cachedTokens(prefixBlockHashes(prompt)),
         })
       : undefined;
 
@@ -183,16 +195,21 @@
       purpose: backend.kind === 'plain' ? 'plain' : purposeOf(lastRole),
       ...request,
     });
-    const cachedBlocks = cacheView.cachedBlocks(request.prefixBlocks, monotonicNowMs());
     return {
       incarnation,
       load: load(),
-      cachedPrefixTokens: Math.min(cachedBlocks * blockTokens, request.promptTokens),
+      cachedPrefixTokens: Math.min(cachedTokens(request.prefixBlocks), request.promptTokens),
       usableInMs: isServed ? admission.usableInMs(kvBytes) : undefined,
-      kvAddress: backend.kind === 'model' ? backend.kvAddress : undefined,
+      ...(backend.kind === 'model'
+        ? describeModel({ ...backend, table, backlog, role: lastRole, promptKvBytes: kvBytes })
+        : {}),
     };
   }
 
+  function cachedTokens(prefixBlocks: readonly string[]): number {
+    return cacheView.cachedBlocks(prefixBlocks, monotonicNowMs()) * blockTokens;
+  }
+
   async function prefill(request: PrefillRequest, signal?: AbortSignal): Promise<PrefillReply> {
     return model === undefined
       ? {
--- a/packages/agent/src/modelParts.ts
+++ b/packages/agent/src/modelParts.ts
@@ -1,5 +1,5 @@
 /** The parts of an agent that only a model engine needs. */
-import type { LeaseTable } from '@bluebellhitch/decisions';
+import type { LeaseTable, PrefillBacklog } from '@bluebellhitch/decisions';
 import type { EngineApi } from '@bluebellhitch/engine';
 import type { LoadHint } from '@bluebellhitch/protocol';
 import type { Random } from '@bluebellhitch/shared';
@@ -31,6 +31,8 @@
   readFencingNumber: ReadFencingNumber;
   random?: Random;
   onCached: (blocks: readonly string[]) => void;
+  backlog: PrefillBacklog;
+  uncachedTokens: (prompt: string) => number;
 }
 
 export interface ModelParts {
--- a/packages/agent/src/prefillRunner.ts
+++ b/packages/agent/src/prefillRunner.ts
@@ -1,5 +1,5 @@
 /** Runs prompts on a prefill worker, and keeps their exports until they are fetched or expire. */
-import type { LeaseTable } from '@bluebellhitch/decisions';
+import type { LeaseTable, PrefillBacklog } from '@bluebellhitch/decisions';
 import type { EngineApi, EngineError, PrefillResult } from '@bluebellhitch/engine';
 import {
   agentRefusalReasons,
@@ -29,6 +29,9 @@
   /** Where decode engines fetch exports. */
   kvAddress: string;
   onCached: (blocks: readonly string[]) => void;
+  backlog: PrefillBacklog;
+  /** Prompt tokens that the engine probably has to compute. */
+  uncachedTokens: (prompt: string) => number;
   memoryWaitMs?: number;
 }
 
@@ -41,7 +44,7 @@
 const lateTransferMs = 2000;
 
 export function createPrefillRunner(options: PrefillRunnerOptions): PrefillRunner {
-  const { engine, table, keeper, admission, attempts, estimates, observer } = options;
+  const { engine, table, keeper, admission, attempts, estimates, observer, backlog } = options;
   const { memoryWaitMs = defaultMemoryWaitMs } = options;
 
   function refuse(reason: AgentRefusalReason, notRun: NotRun, detail: string): PrefillReply {
@@ -83,8 +86,10 @@
     if (!table.advance(attemptId, 'prefill', releaseAtMs)) {
       return refuse(agentRefusalReasons.cancelled, true, 'cancelled before the prefill began');
     }
+    backlog.begin(attemptId, options.uncachedTokens(request.prompt), startedAtMs);
     const result = await engine.prefill(request, signal);
     if (result.isErr()) {
+      backlog.drop(attemptId);
       return failed(attemptId, result.error);
     }
     return keepExport(request, result.value, monotonicNowMs() - startedAtMs);
@@ -113,6 +118,7 @@
     const { attemptId } = request;
     const { exportId, promptTokens, cachedTokens, kvBytes, keptForMs } = result;
     keeper.attachExport(attemptId, exportId);
+    backlog.finish(attemptId, monotonicNowMs());
     estimates.observePrefill(promptTokens - cachedTokens, prefillMs);
     observer.onPrefilled(attemptId, promptTokens - cachedTokens, prefillMs);
     options.onCached(prefixBlockHashes(request.prompt));
--- a/packages/agent/src/streamRunner.ts
+++ b/packages/agent/src/streamRunner.ts
@@ -2,7 +2,7 @@
  * Runs one model answer: waits for the promised memory, brings the prompt's KV cache into the engine,
  * and forwards the engine's chunks as frames. The lease ends with the answer, or is given up.
  */
-import type { LeaseTable } from '@bluebellhitch/decisions';
+import type { LeaseTable, PrefillBacklog } from '@bluebellhitch/decisions';
 import type { EngineApi, EngineChunk, EngineError } from '@bluebellhitch/engine';
 import {
   agentRefusalReasons,
@@ -43,6 +43,9 @@
   observer: AgentObserver;
   load: () => LoadHint;
   detailsOf: (attemptId: string) => ReservationDetails | undefined;
+  backlog: PrefillBacklog;
+  /** Prompt tokens that the engine probably has to compute. */
+  uncachedTokens: (prompt: string) => number;
   /** How late a first token may be before a local prefill is not worth its cost. */
   lateBudgetMs?: number;
   /** Bound of the wait for memory that was promised and is not free yet. */
@@ -65,7 +68,8 @@
 const forecastEveryTokens = 16;
 
 export function createStreamRunner(options: StreamRunnerOptions): StreamRunner {
-  const { engine, table, keeper, admission, importer, attempts, estimates, observer } = options;
+  const { engine, table, keeper, admission, importer, attempts, estimates, observer, backlog } =
+    options;
   const limits = { ...defaults, ...options };
 
   async function run(request: StreamRequest, sink: FrameSink, signal: AbortSignal): Promise<void> {
@@ -147,13 +151,18 @@
     if (!table.advance(attemptId, 'streaming', expectedReleaseAtMs(request, 0))) {
       return cancelledBeforeDecode;
     }
+    if (!imported) {
+      backlog.begin(attemptId, options.uncachedTokens(request.prompt), monotonicNowMs());
+    }
     const opened = await openDecode(request, imported, task.signal);
     if (opened.isErr()) {
+      backlog.drop(attemptId);
       const wasCancelled = isGivenUp(attemptId);
       keeper.giveUp(attemptId);
       return startFailed(opened.error, wasCancelled);
     }
     const outcome = await forward(request, opened.value, sink, task);
+    backlog.drop(attemptId);
     return settle(request, outcome, sink);
   }
 
@@ -220,6 +229,7 @@
     emittedTokens: number,
     gapMs: number | undefined,
   ): void {
+    backlog.finish(request.attemptId, monotonicNowMs());
     if (gapMs !== undefined) {
       estimates.observeStep(gapMs);
       observer.onTokenGap(request.attemptId, gapMs);
--- a/packages/decisions/__tests__/bidChoice.test.ts
+++ b/packages/decisions/__tests__/bidChoice.test.ts
@@ -66,3 +66,22 @@
   t.like(refused, { kind: 'refuse', reason: 'deadline-hopeless' });
   t.true(refused.kind === 'refuse' && refused.retryAfterMs > 3_000);
 });
+
+// Each of these prompts waits for the link of its prefill worker, although the decode worker could have
+// computed it in a third of the time.
+test('a long prompt is computed where it decodes when its transfer would come later', (t) => {
+  const computing = bid({ prefillWaitMs: 0, prefillMsPerToken: 0.1 });
+  const congested = { instanceId: 'prefill-1', bid: bid({ exportMs: 700 }, { role: 'prefill' }) };
+  const decodeBids = [{ instanceId: 'free', bid: computing }];
+  t.like(chooseBid(options(decodeBids)), { prefill: 'transfer' });
+  const choice = chooseBid(options(decodeBids, { prefillBids: [congested] }));
+  t.like(choice, { instanceId: 'free', prefill: 'local' });
+});
+
+test('prompts that wait at the decode worker speak against one more there', (t) => {
+  const busy = { instanceId: 'busy', bid: bid({ prefillWaitMs: 900, prefillMsPerToken: 0.1 }) };
+  const idle = { instanceId: 'idle', bid: bid({ prefillWaitMs: 0, prefillMsPerToken: 0.1 }) };
+  const congested = { instanceId: 'prefill-1', bid: bid({ exportMs: 700 }, { role: 'prefill' }) };
+  const choice = chooseBid(options([busy, idle], { prefillBids: [congested] }));
+  t.like(choice, { instanceId: 'idle', prefill: 'local' });
+});
--- a/packages/decisions/src/bidChoice.ts
+++ b/packages/decisions/src/bidChoice.ts
@@ -39,7 +39,6 @@
   localPrefillTokens?: number;
   /** So are prompts of which at least this share is cached there. */
   localPrefillCachedShare?: number;
-  displacedGoodput?: number;
 }
 
 export interface ReserveExpectation extends ExpectedOutcome {
@@ -80,6 +79,8 @@
   prefill?: CandidateBid;
   uncachedTokens: number;
   prediction: PhasePrediction;
+  /** Goodput that streams of the decode worker lose by a long prompt beside them. */
+  strain?: number;
 }
 
 interface JudgedWay {
@@ -88,6 +89,8 @@
   waitLimitMs: number;
 }
 
+/** Without it, idle fleets would compute long prompts beside streams rather than transfer them. */
+const longPromptStrain = 0.02;
 const emptyPoolRetryMs = 1_000;
 const noCapacityRetryMs = 500;
 /** Free share of the memory from which a server without a queue counts as idle. */
@@ -116,7 +119,10 @@
   if (sources.length === 0 || prefersLocal(uncachedTokens, options)) {
     return [localWay(decode, uncachedTokens, options)];
   }
-  return sources.map((prefill) => transferWay(decode, prefill, options));
+  const local = takesLongPrompts(decode)
+    ? [{ ...localWay(decode, uncachedTokens, options), strain: longPromptStrain }]
+    : [];
+  return [...local, ...sources.map((prefill) => transferWay(decode, prefill, options))];
 }
 
 function prefersLocal(uncachedTokens: number, options: BidChoiceOptions): boolean {
@@ -125,22 +131,28 @@
   return uncachedTokens <= localPrefillTokens || cachedShare >= localPrefillCachedShare;
 }
 
+/** Whether a long prompt may be prefilled where it decodes: only if its wait there is known. */
+function takesLongPrompts({ bid }: CandidateBid): boolean {
+  return bid.prefillWaitMs !== undefined;
+}
+
 function localWay(
   decode: CandidateBid,
   uncachedTokens: number,
   options: BidChoiceOptions,
 ): ServingWay {
-  const prefillMs = uncachedTokens * options.model.prefillMsPerToken['decode-worker'];
+  const { prefillWaitMs = 0, prefillMsPerToken, load } = decode.bid;
+  const msPerToken = prefillMsPerToken ?? options.model.prefillMsPerToken['decode-worker'];
   return {
     decode,
     uncachedTokens,
     prediction: {
       overlapsWait: false,
       usableInMs: usableInMs(decode),
-      prefillWaitMs: 0,
-      prefillMs,
+      prefillWaitMs,
+      prefillMs: uncachedTokens * msPerToken,
       transferMs: 0,
-      stepMs: decode.bid.load.stepMs,
+      stepMs: load.stepMs,
     },
   };
 }
@@ -152,7 +164,9 @@
 ): ServingWay {
   const { model, linkRates, promptTokens } = options;
   const uncachedTokens = uncached(promptTokens, prefill.bid);
-  const msPerToken = prefill.bid.load.stepMs || model.prefillMsPerToken['prefill-worker'];
+  const { load, prefillMsPerToken, prefillWaitMs = 0, exportMs } = prefill.bid;
+  const msPerToken =
+    (prefillMsPerToken ?? load.stepMs) || model.prefillMsPerToken['prefill-worker'];
   const kvBytes = promptTokens * model.kvBytesPerToken;
   return {
     decode,
@@ -161,9 +175,9 @@
     prediction: {
       overlapsWait: true,
       usableInMs: usableInMs(decode),
-      prefillWaitMs: usableInMs(prefill),
+      prefillWaitMs: Math.max(usableInMs(prefill), prefillWaitMs),
       prefillMs: uncachedTokens * msPerToken,
-      transferMs: linkRates.transferMs(prefill.instanceId, decode.instanceId, kvBytes),
+      transferMs: exportMs ?? linkRates.transferMs(prefill.instanceId, decode.instanceId, kvBytes),
       stepMs: decode.bid.load.stepMs,
     },
   };
@@ -179,7 +193,7 @@
     averagePrefillTokens: options.model.averagePrefillTokens,
     firstTokenDeviation: options.model.firstTokenDeviation,
     betweenTokensDeviation: options.model.betweenTokensDeviation,
-    displacedGoodput: options.displacedGoodput,
+    displacedGoodput: way.strain,
     serversIdle: isIdle(way.decode) && (way.prefill === undefined || isIdle(way.prefill)),
   };
   return {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -91,6 +91,11 @@
   type PhaseObservation,
   type PrefillPlace,
 } from './phaseModel';
+export {
+  createPrefillBacklog,
+  type PrefillBacklog,
+  type PrefillBacklogOptions,
+} from './prefillBacklog';
 export {
   createQuarantine,
   mergeQuarantineRecords,
--- a/packages/protocol/src/agentMessages.ts
+++ b/packages/protocol/src/agentMessages.ts
@@ -24,6 +24,12 @@
   usableInMs: z.number().nonnegative().optional(),
   /** Where another engine fetches KV cache from this one. */
   kvAddress: z.string().optional(),
+  /** Expected wait until a prompt that arrives now is computed here; absent on plain services. */
+  prefillWaitMs: z.number().nonnegative().optional(),
+  /** Recent time per uncached prompt token. */
+  prefillMsPerToken: z.number().nonnegative().optional(),
+  /** Expected time for the prompt's KV cache to leave here, behind those that wait for the link. */
+  exportMs: z.number().nonnegative().optional(),
 });
 export type Bid = z.infer<typeof bidSchema>;
 
