Charge a request for the goodput that it displaces

Cause: with a weight of 0.1 on wasted prefill, Halloran & Voss let in requests at a probability of 10% while others waited for the same slot. Where a slot has to be awaited, a request is now charged as many usual requests as it is larger than they are, up to three.

--- a/packages/decisions/__tests__/bidChoice.test.ts
+++ b/packages/decisions/__tests__/bidChoice.test.ts
@@ -85,3 +85,15 @@
   const choice = chooseBid(options([busy, idle], { prefillBids: [congested] }));
   t.like(choice, { instanceId: 'idle', prefill: 'local' });
 });
+
+// Under overload a worker that is full takes one of several usual requests in place of a long one: each
+// long one that is let in makes several others miss their first token.
+test('a long prompt is refused where usual ones wait for the same slot', (t) => {
+  const contended = { instanceId: 'full', bid: bid({ usableInMs: 150 }) };
+  const free = { instanceId: 'free', bid: bid() };
+  const long = { promptTokens: 3_000, prefillBids: [prefillBid] };
+  const usual = { promptTokens: 1_000, prefillBids: [prefillBid] };
+  t.like(chooseBid(options([contended], usual)), { kind: 'reserve' });
+  t.like(chooseBid(options([contended], long)), { kind: 'refuse', reason: 'deadline-hopeless' });
+  t.like(chooseBid(options([free], long)), { kind: 'reserve' });
+});
--- a/packages/decisions/src/bidChoice.ts
+++ b/packages/decisions/src/bidChoice.ts
@@ -89,8 +89,12 @@
   waitLimitMs: number;
 }
 
+/** Part of the first-token target from which a wait for the slot counts as full contention. */
+const contendedShare = 0.2;
+const usualProbability = 0.8;
 /** Without it, idle fleets would compute long prompts beside streams rather than transfer them. */
 const longPromptStrain = 0.02;
+const largestSize = 3;
 const emptyPoolRetryMs = 1_000;
 const noCapacityRetryMs = 500;
 /** Free share of the memory from which a server without a queue counts as idle. */
@@ -183,6 +187,18 @@
   };
 }
 
+/**
+ * Goodput that others lose by this request. Where a slot has to be awaited, somebody else waits for it
+ * too: the request takes the place of as many usual ones as it is larger than they are.
+ */
+function displacedBy({ decode, strain = 0 }: ServingWay, options: BidChoiceOptions): number {
+  const { promptTokens, targets, model } = options;
+  const contendedMs = contendedShare * targets.firstTokenMs;
+  const contention = Math.min(1, (decode.bid.usableInMs ?? 0) / contendedMs);
+  const size = promptTokens / Math.max(1, model.averagePrefillTokens);
+  return strain + usualProbability * contention * Math.min(size, largestSize);
+}
+
 function judge(way: ServingWay, options: BidChoiceOptions): JudgedWay {
   const decisionOptions = {
     weights: options.weights,
@@ -193,7 +209,7 @@
     averagePrefillTokens: options.model.averagePrefillTokens,
     firstTokenDeviation: options.model.firstTokenDeviation,
     betweenTokensDeviation: options.model.betweenTokensDeviation,
-    displacedGoodput: way.strain,
+    displacedGoodput: displacedBy(way, options),
     serversIdle: isIdle(way.decode) && (way.prefill === undefined || isIdle(way.prefill)),
   };
   return {
