Stop a test's quickstart when the test process dies

A test process cut off by a timeout left the script and its fleet running. The script watches its parent under npm; the tests now ask for the same.

--- a/packages/bench/__tests__/helpers/quickstart.ts
+++ b/packages/bench/__tests__/helpers/quickstart.ts
@@ -40,7 +40,14 @@
     launcher === 'npm' ? ['npm', 'start', '--'] : [process.execPath, 'scripts/start.mjs'];
   const child = spawn(command ?? '', [...launchArgs, ...args], {
     cwd: repositoryRoot,
-    env: { ...process.env, BLUEBELL_ENTRY_PORT: '0', BLUEBELL_ADMIN_PORT: '0' },
+    env: {
+      ...process.env,
+      BLUEBELL_ENTRY_PORT: '0',
+      BLUEBELL_ADMIN_PORT: '0',
+      // As under npm, the script stops when its parent is gone: a test process that is cut off by a
+      // timeout would otherwise leave a whole fleet behind.
+      npm_lifecycle_event: 'start',
+    },
     stdio: ['ignore', 'pipe', 'inherit'],
   });
   const lines: string[] = [];
