Leave long prompts away from workers whose streams are slow already

Cause: prompts computed beside streams stretched the steps of Halloran & Voss's decode workers, whose targets allow 28 ms: 115 of 731 answers had their 95th percentile above it. Bids now tell the 97th percentile of recent times between tokens; above the target, a worker computes no long prompts.

Ruled out: the mean step, which stays below the target while one step in ten is far above it.

--- a/packages/agent/__tests__/modelBid.test.ts
+++ b/packages/agent/__tests__/modelBid.test.ts
@@ -12,6 +12,7 @@
     kvRateBytesPerSecond: 1_000,
     table,
     backlog: createPrefillBacklog(),
+    estimates: { slowStepMs: () => 25 },
     role,
     promptKvBytes: 200,
   });
@@ -22,5 +23,10 @@
 });
 
 test('a decode worker exports nothing, and tells how long prompts wait', (t) => {
-  t.like(describe('decode'), { exportMs: undefined, prefillWaitMs: 0, prefillMsPerToken: 0.1 });
+  t.like(describe('decode'), {
+    exportMs: undefined,
+    slowStepMs: 25,
+    prefillWaitMs: 0,
+    prefillMsPerToken: 0.1,
+  });
 });
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -98,6 +98,7 @@
   const cacheView = createCacheView();
   const backlog = createPrefillBacklog();
   const table = createLeaseTable({ capacity: { kvBytes: 0, slots: 0 } });
+  const books = { table, backlog, estimates };
   let config = defaultAgentConfig;
   let isStopping = false;
   let hasAudited = backend.kind === 'plain';
@@ -201,7 +202,7 @@
       cachedPrefixTokens: Math.min(cachedTokens(request.prefixBlocks), request.promptTokens),
       usableInMs: isServed ? admission.usableInMs(kvBytes) : undefined,
       ...(backend.kind === 'model'
-        ? describeModel({ ...backend, table, backlog, role: lastRole, promptKvBytes: kvBytes })
+        ? describeModel({ ...backend, ...books, role: lastRole, promptKvBytes: kvBytes })
         : {}),
     };
   }
--- a/packages/agent/src/workEstimates.ts
+++ b/packages/agent/src/workEstimates.ts
@@ -1,5 +1,9 @@
 /** Moving averages of the backend server's work, for predictions. Durations are milliseconds. */
-import { createLengthPredictor, createRunningEstimate } from '@bluebellhitch/decisions';
+import {
+  createLengthPredictor,
+  createRecentQuantile,
+  createRunningEstimate,
+} from '@bluebellhitch/decisions';
 
 /** What the expected length of an answer depends on. */
 export interface WorkShape {
@@ -16,6 +20,8 @@
   /** The engine's own report, used until streams have been measured. */
   reportStep(durationMs: number): void;
   stepMs(): number;
+  /** 97th percentile of recent steps. */
+  slowStepMs(): number;
   prefillMsPerToken(): number;
   /** Time for which a stream that has emitted so much probably still holds its memory. */
   decodeHoldMs(shape: WorkShape, emittedTokens?: number): number;
@@ -33,12 +39,15 @@
 const initialCallMs = 50;
 /** Most exports are fetched well before the engine drops them. */
 const exportHoldMs = 300;
+/** Answers whose 95th percentile shall stay within a target need some distance to it. */
+const slowStepQuantile = 0.97;
 /** A forecast that is too early makes a promise wait, so it leans to the late side. */
 const lengthQuantile = 0.75;
 
 export function createWorkEstimates({ service }: WorkEstimatesOptions): WorkEstimates {
   const lengths = createLengthPredictor({ maxBuckets: 256 });
   const steps = createRunningEstimate({ smoothing: 0.02 });
+  const slowSteps = createRecentQuantile({ quantile: slowStepQuantile });
   const prefills = createRunningEstimate({ initialMean: initialPrefillMsPerToken });
   const calls = createRunningEstimate({ initialMean: initialCallMs });
   let reportedStepMs = initialStepMs;
@@ -49,7 +58,11 @@
     stepMs,
     prefillMsPerToken: prefills.mean,
     callMs: calls.mean,
-    observeStep: steps.observe,
+    slowStepMs: slowSteps.value,
+    observeStep: (durationMs) => {
+      steps.observe(durationMs);
+      slowSteps.observe(durationMs);
+    },
     observeCall: calls.observe,
     observeOutput: ({ className, promptTokens }, tokenCount) =>
       lengths.observe({ service, className, promptTokens }, tokenCount),
--- a/packages/decisions/__tests__/bidChoice.test.ts
+++ b/packages/decisions/__tests__/bidChoice.test.ts
@@ -97,3 +97,18 @@
   t.like(chooseBid(options([contended], long)), { kind: 'refuse', reason: 'deadline-hopeless' });
   t.like(chooseBid(options([free], long)), { kind: 'reserve' });
 });
+
+// Streams beside a long prompt get their tokens late. A worker that computes many of them makes all of
+// its answers miss the time between tokens, although each prompt alone does no harm.
+test('a worker whose streams are slow computes no long prompts', (t) => {
+  const computing = { prefillWaitMs: 0, prefillMsPerToken: 0.1 };
+  const congested = { instanceId: 'prefill-1', bid: bid({ exportMs: 350 }, { role: 'prefill' }) };
+  const choose = (slowStepMs: number) =>
+    chooseBid(
+      options([{ instanceId: 'a', bid: bid({ ...computing, slowStepMs }) }], {
+        prefillBids: [congested],
+      }),
+    );
+  t.like(choose(27), { prefill: 'local' });
+  t.like(choose(29), { prefill: 'transfer' });
+});
--- a/packages/decisions/src/bidChoice.ts
+++ b/packages/decisions/src/bidChoice.ts
@@ -123,7 +123,7 @@
   if (sources.length === 0 || prefersLocal(uncachedTokens, options)) {
     return [localWay(decode, uncachedTokens, options)];
   }
-  const local = takesLongPrompts(decode)
+  const local = takesLongPrompts(decode, options)
     ? [{ ...localWay(decode, uncachedTokens, options), strain: longPromptStrain }]
     : [];
   return [...local, ...sources.map((prefill) => transferWay(decode, prefill, options))];
@@ -135,9 +135,12 @@
   return uncachedTokens <= localPrefillTokens || cachedShare >= localPrefillCachedShare;
 }
 
-/** Whether a long prompt may be prefilled where it decodes: only if its wait there is known. */
-function takesLongPrompts({ bid }: CandidateBid): boolean {
-  return bid.prefillWaitMs !== undefined;
+/**
+ * Whether a long prompt may be prefilled where it decodes: only a worker that tells how long its prompts
+ * wait, and whose streams still meet their time between tokens beside those that it computes.
+ */
+function takesLongPrompts({ bid }: CandidateBid, { targets }: BidChoiceOptions): boolean {
+  return bid.prefillWaitMs !== undefined && (bid.slowStepMs ?? 0) <= targets.betweenTokensMs;
 }
 
 function localWay(
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -118,6 +118,11 @@
   type RateLimiterOptions,
   type RateQuery,
 } from './rateLimit';
+export {
+  createRecentQuantile,
+  type RecentQuantile,
+  type RecentQuantileOptions,
+} from './recentQuantile';
 export { createRetryBudget, type RetryBudget, type RetryBudgetOptions } from './retryBudget';
 export { decideRetry, type FailedAttempt, type RetryDecision } from './retryPolicy';
 export {
--- /dev/null
+++ b/packages/decisions/src/recentQuantile.ts
@@ -0,0 +1,42 @@
+/** A quantile of the newest samples of a quantity, computed on demand and kept for a short while. */
+
+export interface RecentQuantileOptions {
+  quantile: number;
+  /** Newest samples kept. */
+  sampleCount?: number;
+  /** Samples between two computations. */
+  refreshEvery?: number;
+}
+
+export interface RecentQuantile {
+  observe(sample: number): void;
+  /** 0 before the first sample. */
+  value(): number;
+}
+
+export function createRecentQuantile(options: RecentQuantileOptions): RecentQuantile {
+  const { quantile, sampleCount = 512, refreshEvery = 64 } = options;
+  const ring = new Float64Array(sampleCount);
+  let seenCount = 0;
+  let computedAtCount = 0;
+  let computed = 0;
+
+  function compute(): number {
+    const sorted = ring.slice(0, Math.min(seenCount, sampleCount)).sort();
+    return sorted[Math.floor(quantile * (sorted.length - 1))] ?? 0;
+  }
+
+  return {
+    observe: (sample) => {
+      ring[seenCount % sampleCount] = sample;
+      seenCount += 1;
+    },
+    value: () => {
+      if (computedAtCount === 0 || seenCount - computedAtCount >= refreshEvery) {
+        computed = compute();
+        computedAtCount = seenCount;
+      }
+      return computed;
+    },
+  };
+}
--- a/packages/protocol/src/agentMessages.ts
+++ b/packages/protocol/src/agentMessages.ts
@@ -28,6 +28,8 @@
   prefillWaitMs: z.number().nonnegative().optional(),
   /** Recent time per uncached prompt token. */
   prefillMsPerToken: z.number().nonnegative().optional(),
+  /** 97th percentile of recent times between tokens: prompts computed here stretch it. */
+  slowStepMs: z.number().nonnegative().optional(),
   /** Expected time for the prompt's KV cache to leave here, behind those that wait for the link. */
   exportMs: z.number().nonnegative().optional(),
 });
