Serve answers that will be late only where servers have nothing else to do

Cause: a fifth of free memory counted as idle, so that at 100% load prompts of 16,000 tokens were computed beside full batches although they had missed their target already. Idle now means half of the memory free, no queue and no prompt being computed.

Ruled out: refusing all of them; prompts too long for the target would never be answered.

--- a/packages/decisions/__tests__/bidChoice.test.ts
+++ b/packages/decisions/__tests__/bidChoice.test.ts
@@ -112,3 +112,15 @@
   t.like(choose(27), { prefill: 'local' });
   t.like(choose(29), { prefill: 'transfer' });
 });
+
+// Half of the memory in use is not idle: a prompt that comes too late anyway is computed beside streams
+// and makes them late as well.
+test('an answer that is late anyway is served only by servers with nothing else to do', (t) => {
+  const late = { promptTokens: 16_000, prefillBids: [] };
+  const idle = { instanceId: 'a', bid: bid({ prefillWaitMs: 0 }, { freeKvBytes: 60 }) };
+  const used = { instanceId: 'a', bid: bid({ prefillWaitMs: 0 }, { freeKvBytes: 40 }) };
+  const computing = { instanceId: 'a', bid: bid({ prefillWaitMs: 80 }, { freeKvBytes: 60 }) };
+  t.like(chooseBid(options([idle], late)), { kind: 'reserve', expected: { late: true } });
+  t.like(chooseBid(options([used], late)), { kind: 'refuse' });
+  t.like(chooseBid(options([computing], late)), { kind: 'refuse' });
+});
--- a/packages/decisions/src/bidChoice.ts
+++ b/packages/decisions/src/bidChoice.ts
@@ -98,7 +98,7 @@
 const emptyPoolRetryMs = 1_000;
 const noCapacityRetryMs = 500;
 /** Free share of the memory from which a server without a queue counts as idle. */
-const idleFreeShare = 0.2;
+const idleFreeShare = 0.5;
 
 export function chooseBid(options: BidChoiceOptions): BidChoice {
   const present = options.decodeBids.filter(({ bid }) => !bid.load.leaving);
@@ -273,5 +273,6 @@
 function isIdle({ bid }: CandidateBid): boolean {
   const { load } = bid;
   const freeShare = load.capacityKvBytes === 0 ? 1 : load.freeKvBytes / load.capacityKvBytes;
-  return load.queuedCount === 0 && bid.usableInMs === 0 && freeShare >= idleFreeShare;
+  const waits = load.queuedCount > 0 || bid.usableInMs !== 0 || (bid.prefillWaitMs ?? 0) > 0;
+  return !waits && freeShare >= idleFreeShare;
 }
