Measure starts, and edit documents within their drain bound

The experiments of feed and spread edited documents beyond their drain bound, so that each edit was rejected and nothing came into force; the poll counts showed no answer to a change. Open streams ask for 300 tokens, since the stand-in never answers more than 400. New: calls of the platform at starts.

--- a/packages/bench/src/experiments/capacity.ts
+++ b/packages/bench/src/experiments/capacity.ts
@@ -8,6 +8,7 @@
 import { runMessages } from './capacityMessages';
 import { runMetrics } from './capacityMetrics';
 import { runSpread } from './capacitySpread';
+import { runStarts } from './capacityStarts';
 import { runStreams } from './capacityStreams';
 import type { ExperimentContext, ExperimentReport } from './context';
 import { describeMachine, readMachine } from './machine';
@@ -19,6 +20,7 @@
   messages: runMessages,
   metrics: runMetrics,
   spread: runSpread,
+  starts: runStarts,
   streams: runStreams,
 };
 
--- a/packages/bench/src/experiments/capacityFeed.ts
+++ b/packages/bench/src/experiments/capacityFeed.ts
@@ -49,7 +49,10 @@
 const restMs = 20_000;
 /** Followers wait 25 s; a shorter wait gives each poll an end inside the window. */
 const pollWaitMs = 10_000;
+/** Below the drain bound of the document, which would otherwise be rejected. */
 const firstTimeoutMs = 11_000;
+/** By then all polls have a position and wait. */
+const warmUpMs = 11_000;
 const pollPauseMs = 50;
 
 export async function runFeed(context: ExperimentContext): Promise<ExperimentReport> {
@@ -90,7 +93,7 @@
   await waitForServices(adminAddress, documentCount);
   const counter = await countBytes(innerAddress);
   const pollers = startPollers(counter.address, polls);
-  await delay(firstTimeoutMs);
+  await delay(warmUpMs);
   const rest = await measureRest(adminAddress, counter, polls);
   const changed = await measureChanges(platformUrl, adminAddress, counter, pollers, polls, rest);
   await pollers.stop();
@@ -148,7 +151,7 @@
   const editedAtMs: number[] = [];
   for (let change = 0; change < changeCount; change += 1) {
     editedAtMs.push(monotonicNowMs());
-    await editDocument(platformUrl, serviceName(change), 20_000 + change);
+    await editDocument(platformUrl, serviceName(change), firstTimeoutMs + change);
     await delay(changePauseMs);
   }
   const usage = await endUsage();
--- a/packages/bench/src/experiments/capacitySpread.ts
+++ b/packages/bench/src/experiments/capacitySpread.ts
@@ -47,6 +47,8 @@
 const documentCount = 27;
 const changeCount = 20;
 const changePauseMs = 300;
+/** Below the drain bound of the document, which would otherwise be rejected. */
+const firstTimeoutMs = 11_000;
 const settleMs = 7_000;
 const restMs = 10_000;
 const lastChangeMs = 3_000;
@@ -111,7 +113,7 @@
   const editedAtMs: number[] = [];
   for (let change = 0; change < changeCount; change += 1) {
     editedAtMs.push(Date.now());
-    await editDocument(platformUrl, serviceName(change), 20_000 + change);
+    await editDocument(platformUrl, serviceName(change), firstTimeoutMs + change);
     await delay(changePauseMs);
   }
   await delay(lastChangeMs);
--- /dev/null
+++ b/packages/bench/src/experiments/capacityStarts.ts
@@ -0,0 +1,106 @@
+/** Calls of the platform that entries and agents make while they start, beside a relay that is up. */
+import { delay } from '@bluebellhitch/shared';
+import { registerInstance } from '../fleet/controlCalls';
+import { renderTable } from '../report/table';
+import { describeCalls } from './capacityIdle';
+import {
+  applyDocuments,
+  host,
+  localDataCentre,
+  readCalls,
+  resetCalls,
+  serviceName,
+  startEntry,
+  startPlatform,
+  waitForServices,
+  withLab,
+  type Lab,
+} from './capacityLab';
+import type { ExperimentContext, ExperimentReport } from './context';
+
+interface StartsResult {
+  kind: 'entry' | 'agent';
+  processes: number;
+  /** Less what the relay that was there before calls meanwhile, as measured before. */
+  callsAProcess: Record<string, number>;
+}
+
+const processCounts = [2, 4, 8];
+const documentCount = 27;
+const settleMs = 7_000;
+const windowMs = 6_000;
+
+export async function runStarts(context: ExperimentContext): Promise<ExperimentReport> {
+  const cases = processCounts.flatMap((processes) =>
+    (['entry', 'agent'] as const).map((kind) => ({ kind, processes })),
+  );
+  const results = await Promise.all(
+    cases.map((size) => withLab(context, (lab) => measureStarts(lab, size))),
+  );
+  const rows = results.map(({ kind, processes, callsAProcess }) => [
+    kind,
+    String(processes),
+    describeCalls(callsAProcess),
+  ]);
+  const headers = ['process', 'started at once', 'calls a process in its first 6 s'];
+  return { text: renderTable(headers, rows), figures: { results } };
+}
+
+async function measureStarts(
+  lab: Lab,
+  { kind, processes }: Pick<StartsResult, 'kind' | 'processes'>,
+): Promise<StartsResult> {
+  const platformUrl = await startPlatform(lab);
+  const relay = await startEntry(lab, 'relay', platformUrl);
+  const { adminAddress = '', innerAddress = '' } = relay.addresses;
+  await registerInstance(platformUrl, 'relay', {
+    kind: 'entry',
+    dataCentre: localDataCentre,
+    innerAddress,
+  });
+  await applyDocuments(platformUrl, documentCount);
+  await waitForServices(adminAddress, documentCount);
+  await delay(settleMs);
+  const before = await countCalls(platformUrl, () => delay(windowMs));
+  const during = await countCalls(platformUrl, async () => {
+    const indexes = Array.from({ length: processes }, (_, index) => index);
+    await Promise.all(indexes.map((index) => startProcess(lab, kind, index, platformUrl)));
+    await delay(windowMs);
+  });
+  const callsAProcess = Object.fromEntries(
+    Object.entries(during).map(([verb, count]) => [
+      verb,
+      (count - (before[verb] ?? 0)) / processes,
+    ]),
+  );
+  return { kind, processes, callsAProcess };
+}
+
+async function countCalls(
+  platformUrl: string,
+  run: () => Promise<unknown>,
+): Promise<Record<string, number>> {
+  await resetCalls(platformUrl);
+  await run();
+  return readCalls(platformUrl);
+}
+
+async function startProcess(
+  lab: Lab,
+  kind: StartsResult['kind'],
+  index: number,
+  platformUrl: string,
+): Promise<void> {
+  if (kind === 'entry') {
+    await startEntry(lab, `entry-${index}`, platformUrl);
+    return;
+  }
+  await lab.start(`agent-${index}`, 'bluebell-agent', {
+    instanceId: `agent-${index}`,
+    dataCentre: localDataCentre,
+    service: serviceName(0),
+    backendKind: 'plain',
+    backendUrl: `http://${host}:9`,
+    platformUrl,
+  });
+}
--- a/packages/bench/src/experiments/capacityStreams.ts
+++ b/packages/bench/src/experiments/capacityStreams.ts
@@ -20,9 +20,9 @@
 
 const streamCounts = [0, 50, 100, 200];
 const promptTokens = 1_000;
-const outputTokens = 500;
-const settleMs = 4_000;
-const windowMs = 6_000;
+const outputTokens = 300;
+const settleMs = 2_500;
+const windowMs = 4_000;
 const betweenLevelsMs = 2_000;
 const answerBoundMs = 60_000;
 
