--- a/packages/bench/src/accounting/goodput.ts
+++ b/packages/bench/src/accounting/goodput.ts
@@ -20,6 +20,8 @@
   | 'connection-failed'
   | 'cancelled';
 
+const keptDetails = 20;
+
 export interface JudgeOptions {
   targets: ServiceDocument['targets'];
   /** Model that the engines run. */
@@ -36,6 +38,8 @@
   goodputByMeanGap: number;
   verdicts: Partial<Record<Verdict, number>>;
   refusals: Record<string, number>;
+  /** A few different sentences of the refusals, each behind its reason. */
+  refusalDetails: string[];
   /** Refusals that promise that the request did not run. */
   refusedNotRun: number;
   firstTokenMs: Quantiles;
@@ -83,6 +87,7 @@
     goodputByMeanGap: ratio(goodByMeanGap, offered),
     verdicts: countBy(judged, ({ verdict }) => verdict),
     refusals: countBy(models, refusalReasonOf),
+    refusalDetails: detailsOf(models),
     refusedNotRun: models.filter(({ end }) => end.kind === 'refused' && end.notRun === true).length,
     firstTokenMs: quantilesOf(complete.flatMap(({ firstTokenMs }) => firstTokenMs ?? [])),
     betweenTokensMs: quantilesOf(complete.flatMap(({ gapsMs }) => gapsMs)),
@@ -148,6 +153,15 @@
   }
 }
 
+function detailsOf(answers: readonly ModelAnswer[]): string[] {
+  const details = answers.flatMap(({ end }) =>
+    end.kind === 'refused' ? [`${end.reason}: ${end.detail ?? ''}`] : [],
+  );
+  // Figures within the sentences would make each one different.
+  const distinct = new Map(details.map((detail) => [detail.replaceAll(/\d+/g, 'n'), detail]));
+  return [...distinct.values()].slice(0, keptDetails);
+}
+
 function countBy<Item, Key extends string>(
   items: readonly Item[],
   keyOf: (item: Item) => Key | undefined,
--- a/packages/bench/src/load/answers.ts
+++ b/packages/bench/src/load/answers.ts
@@ -4,7 +4,14 @@
 export type AnswerEnd =
   /** Ended with its end marker. */
   | { kind: 'complete' }
-  | { kind: 'refused'; status: number; reason: string; notRun: boolean | 'unknown' }
+  | {
+      kind: 'refused';
+      status: number;
+      reason: string;
+      notRun: boolean | 'unknown';
+      /** The refusal's own sentence. */
+      detail?: string;
+    }
   /** Broke off after some output, with an error event or without one. */
   | { kind: 'incomplete'; reason: string }
   /** No HTTP answer at all. */
--- a/packages/bench/src/load/callerStream.ts
+++ b/packages/bench/src/load/callerStream.ts
@@ -132,7 +132,8 @@
   const problem = parseObject(body);
   const notRun = problem.notRun as boolean | 'unknown' | undefined;
   const reason = typeof problem.reason === 'string' ? problem.reason : `status-${status}`;
-  return { kind: 'refused', status, reason, notRun: notRun ?? 'unknown' };
+  const detail = typeof problem.detail === 'string' ? problem.detail : undefined;
+  return { kind: 'refused', status, reason, notRun: notRun ?? 'unknown', detail };
 }
 
 function reasonOf(data: string): string {
