Remove the choice among holders of a KV cache, which nothing uses

A prefill has one holder, and the agent itself tries a stalled transfer once more before it computes the prompt.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -147,15 +147,6 @@
   type StreamGuardOptions,
   type TruncationCause,
 } from './streamGuard';
-export {
-  chooseAfterStall,
-  chooseTransfer,
-  type StalledTransferChoice,
-  type StalledTransferOptions,
-  type TransferChoice,
-  type TransferChoiceOptions,
-  type TransferSource,
-} from './transferChoice';
 export {
   createWeightedFairOrder,
   type WaitingItem,
