--- a/packages/scenarios/src/world/agentLink.ts
+++ b/packages/scenarios/src/world/agentLink.ts
@@ -39,6 +39,13 @@
   frames(request: StreamRequest): (frame: StreamFrame) => StreamFrame;
 }
 
+/** Where the answer to a repeated message goes. */
+function unreadQueue(): FrameQueue {
+  const queue = createFrameQueue({ turn: () => Promise.resolve(), onLeft: () => undefined });
+  queue.end();
+  return queue;
+}
+
 /** Frames that a reader may leave unread before the agent's socket is full. */
 const unreadLimit = 32;
 
@@ -46,7 +53,8 @@
   call: AgentCall;
   address: string;
   options: AgentCallOptions;
-  serve: (target: ListeningAgent, connection: AbortSignal) => Promise<Reply>;
+  /** Called for each copy that arrives; only the first one's answer goes back. */
+  serve: (target: ListeningAgent, connection: AbortSignal, copy: number) => Promise<Reply>;
 }
 
 /** Makes the `AgentApi` of one entry. Plain calls need sockets and are refused. */
@@ -106,7 +114,7 @@
     await process.turn();
     const copies = Array.from({ length: network.copiesOf(target.id, call) });
     const [reply] = await Promise.all(
-      copies.map(() => process.run(() => serve(target, connection.signal))),
+      copies.map((_, copy) => process.run(() => serve(target, connection.signal, copy))),
     );
     await process.turn();
     if (!network.takeLostAnswer(target.id, call)) {
@@ -163,9 +171,9 @@
       call: 'stream',
       address,
       options: callOptions,
-      serve: async (target, head) => {
+      serve: async (target, head, copy) => {
         head.addEventListener('abort', () => connection.abort());
-        startStream(target, sent, queue, connection.signal);
+        startStream(target, sent, copy === 0 ? queue : unreadQueue(), connection.signal);
       },
     }).map(() => queue);
   }
