Serve callers over TLS where the settings name a certificate

The limit on connections counts secured sockets, since a request's socket is not the accepted one there. A handshake has the time that a header has. A connection that never shook hands stayed open although its time was over, because the answer to a faulty request cannot be sent on it; such sockets are now destroyed.

--- /dev/null
+++ b/packages/entry/__tests__/callersTls.test.ts
@@ -0,0 +1,92 @@
+import { readFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import { once } from 'node:events';
+import { connect as connectPlain } from 'node:net';
+import { connect } from 'node:tls';
+import test from 'ava';
+import { Agent, fetch as undiciFetch } from 'undici';
+import { formatFindings } from '@bluebellhitch/shared';
+import { readCallersTls } from '../src/callersTls';
+import { createFakeAgent, words } from './support/fakeAgents';
+import { startHarness } from './support/harness';
+
+/** A key pair for tests only: Node cannot make a certificate without another process. */
+const pathOf = (name: string) => fileURLToPath(new URL(`support/tls/${name}`, import.meta.url));
+const callersTlsCertFile = pathOf('testOnlyCertificate.pem');
+const callersTlsKeyFile = pathOf('testOnlyKey.pem');
+const tls = readCallersTls({ callersTlsCertFile, callersTlsKeyFile })._unsafeUnwrap();
+const ca = readFileSync(callersTlsCertFile, 'utf8');
+
+const modelAgents = () => [
+  createFakeAgent({ id: 'agent-1', service: 'draft-models' }),
+  createFakeAgent({ id: 'agent-2', service: 'draft-models' }),
+];
+const completion = {
+  method: 'POST',
+  body: JSON.stringify({ model: 'draft-models', prompt: 'hello', max_tokens: 9 }),
+};
+
+test('serves callers over TLS that trust its certificate, and no others', async (t) => {
+  const { address } = await startHarness(t, { agents: modelAgents(), tls });
+  t.regex(address, /^https:/);
+  const trusting = new Agent({ connect: { ca } });
+  t.teardown(() => trusting.close());
+  const response = await undiciFetch(`${address}/v1/completions`, {
+    ...completion,
+    dispatcher: trusting,
+  });
+  t.like(await response.json(), { choices: [{ text: words.join('') }] });
+  await t.throwsAsync(fetch(`${address}/v1/completions`, completion));
+});
+
+// A caller without TLS reaches the port, and another one opens a connection and never shakes hands. Neither
+// may get an answer, keep its connection or end the process.
+test('connections without TLS are closed', async (t) => {
+  const { address } = await startHarness(t, {
+    agents: modelAgents(),
+    tls,
+    limits: { slowSenderTimeoutMs: 100 },
+  });
+  const plain = address.replace('https', 'http');
+  await t.throwsAsync(fetch(`${plain}/v1/completions`, completion));
+  const silent = connectPlain(Number(new URL(address).port), '127.0.0.1');
+  t.teardown(() => silent.destroy());
+  silent.resume();
+  await once(silent, 'close');
+  const trusting = new Agent({ connect: { ca } });
+  t.teardown(() => trusting.close());
+  const models = await undiciFetch(`${address}/v1/models`, { dispatcher: trusting });
+  t.is(models.status, 200);
+});
+
+// The limit on connections marks sockets; behind TLS a request's socket is not the one that was accepted.
+test('the limit on connections holds behind TLS', async (t) => {
+  const { address } = await startHarness(t, {
+    agents: modelAgents(),
+    tls,
+    limits: { maxConnections: 1 },
+  });
+  const { hostname, port } = new URL(address);
+  const first = connect({ host: hostname, port: Number(port), ca });
+  t.teardown(() => first.destroy());
+  await new Promise((resolve) => {
+    first.once('secureConnect', resolve);
+  });
+  const trusting = new Agent({ connect: { ca } });
+  t.teardown(() => trusting.close());
+  const refused = await undiciFetch(`${address}/v1/models`, { dispatcher: trusting });
+  t.is(refused.status, 503);
+  t.like(await refused.json(), { notRun: true });
+});
+
+test('faults of the files are findings', (t) => {
+  const findingsOf = (settings: Parameters<typeof readCallersTls>[0]) =>
+    formatFindings(readCallersTls(settings)._unsafeUnwrapErr());
+  t.is(readCallersTls({})._unsafeUnwrap(), undefined);
+  t.regex(findingsOf({ callersTlsCertFile }), /--callers-tls-key-file .*: is required/);
+  t.regex(findingsOf({ callersTlsKeyFile: '/nowhere', callersTlsCertFile }), /cannot be read/);
+  t.regex(
+    findingsOf({ callersTlsCertFile, callersTlsKeyFile: callersTlsCertFile }),
+    /does not work with the key/,
+  );
+});
--- a/packages/entry/__tests__/support/harness.ts
+++ b/packages/entry/__tests__/support/harness.ts
@@ -5,6 +5,7 @@
 import type { ClaimStore, PlatformInstance } from '@bluebellhitch/platform';
 import { createSeededRandom } from '@bluebellhitch/shared';
 import { createDecisionRing, createEntryMetrics } from '@bluebellhitch/telemetry';
+import type { CallersTls } from '../../src/callersTls';
 import { createCallersSide, type CallersSide } from '../../src/callersSide';
 import { createCancellations } from '../../src/cancellations';
 import { createHeartbeats } from '../../src/heartbeats';
@@ -15,6 +16,7 @@
 import { createFakeAgentApi, type FakeAgent } from './fakeAgents';
 
 export interface HarnessOptions {
+  tls?: CallersTls;
   agents: FakeAgent[];
   document?: Partial<Record<keyof ServiceDocument, unknown>>;
   claims?: ClaimStore;
@@ -124,6 +126,7 @@
     services,
     host: '127.0.0.1',
     port: 0,
+    tls: options.tls,
     maxHeaderBytes: 8_192,
     maxBodyBytes: limits.maxBodyBytes ?? 1_000_000,
     maxConnections: limits.maxConnections ?? 100,
--- a/packages/entry/src/bin.ts
+++ b/packages/entry/src/bin.ts
@@ -1,7 +1,9 @@
 /** `bluebell-entry`: takes callers' requests and routes them to agents. */
 import { innerSecurityOf, readInnerKeys } from '@bluebellhitch/security';
+import { Result } from 'neverthrow';
 import { exitCodes, exitForSettings, loadSettingsOrExit } from '@bluebellhitch/shared';
 import { installProcessLifecycle } from '@bluebellhitch/telemetry';
+import { readCallersTls } from './callersTls';
 import { startEntryProcess } from './entryProcess';
 import { entrySettings } from './entrySettings';
 
@@ -12,13 +14,15 @@
   definitions: entrySettings,
 });
 
-const innerKeys = readInnerKeys(settings);
-if (innerKeys.isErr()) {
-  exitForSettings('bluebell-entry', innerKeys.error);
+const files = Result.combineWithAllErrors([readInnerKeys(settings), readCallersTls(settings)]);
+if (files.isErr()) {
+  exitForSettings('bluebell-entry', files.error.flat());
 }
-const security = innerSecurityOf(innerKeys.value, settings.instanceId);
+const [innerKeys, callersTls] = files.value;
+const security = innerSecurityOf(innerKeys, settings.instanceId);
 
-const entryProcess = await startEntryProcess(settings, security).catch((error: Error) => {
+const starting = startEntryProcess({ settings, security, callersTls });
+const entryProcess = await starting.catch((error: Error) => {
   process.stderr.write(`bluebell-entry: ${error.message}\n`);
   process.exit(exitCodes.failure);
 });
--- a/packages/entry/src/callersServer.ts
+++ b/packages/entry/src/callersServer.ts
@@ -1,5 +1,6 @@
 /** The HTTP server for callers: routes, limits on connections and headers, and a graceful stop. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
 import type { AddressInfo, Socket } from 'node:net';
 import { createAdaptorServer, type HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
@@ -7,6 +8,7 @@
 import { createRefusal, refusalReasons } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import { createCallerExchange, type CallerExchange } from './callerExchange';
+import type { CallersTls } from './callersTls';
 import type { CompletionsApi } from './completionsApi';
 import { answerClientError } from './clientErrors';
 
@@ -14,6 +16,8 @@
   host: string;
   /** 0 takes a free port. */
   port: number;
+  /** Absent: plain HTTP. */
+  tls?: CallersTls;
   completions: CompletionsApi;
   plain: { handle(exchange: CallerExchange): Promise<void> };
   /** Whether a plain service has the host to itself. */
@@ -26,7 +30,7 @@
 }
 
 export interface CallersServer {
-  /** `http://ip:port`. */
+  /** `http://ip:port`, or `https` with TLS. */
   address: string;
   /** Requests that have no complete response yet. */
   activeCount(): number;
@@ -48,7 +52,7 @@
 
 /** Starts the server; rejects where the port is taken. */
 export async function startCallersServer(options: CallersServerOptions): Promise<CallersServer> {
-  const { host, port, logger, maxConnections } = options;
+  const { host, port, tls, logger } = options;
   const active = new Set<CallerExchange>();
   const idleWaiters: (() => void)[] = [];
   const excess = new WeakSet<Socket>();
@@ -85,26 +89,16 @@
     await run(context.env.incoming, context.env.outgoing, handler);
     return RESPONSE_ALREADY_SENT;
   });
-  const server = createAdaptorServer({
-    fetch: app.fetch,
-    overrideGlobalObjects: false,
-    createServer,
-    serverOptions: {
-      maxHeaderSize: options.maxHeaderBytes,
-      headersTimeout: options.headersTimeoutMs,
-      // Bodies have bounds of their own, which let a long upload go on while it makes progress.
-      requestTimeout: 0,
-      keepAliveTimeout: keepAliveTimeoutMs,
-      connectionsCheckingInterval: timeoutCheckMs,
-    },
-  }) as Server;
-  limitConnections(server, maxConnections, excess);
+  const server = createHttpServer(app, options);
+  limitConnections(server, tls === undefined ? 'connection' : 'secureConnection', options, excess);
   server.on('clientError', answerClientError);
+  // A socket without a finished handshake cannot be ended in the usual way and would stay open.
+  server.on('tlsClientError', (_error, socket: Socket) => socket.destroy());
   await listen(server, host, port);
   const { address, port: boundPort } = server.address() as AddressInfo;
 
   return {
-    address: `http://${address}:${boundPort}`,
+    address: `${tls === undefined ? 'http' : 'https'}://${address}:${boundPort}`,
     activeCount: () => active.size,
     stopAccepting() {
       accepting = false;
@@ -125,6 +119,28 @@
   };
 }
 
+function createHttpServer({ fetch }: App, options: CallersServerOptions): Server {
+  const serverOptions = {
+    maxHeaderSize: options.maxHeaderBytes,
+    headersTimeout: options.headersTimeoutMs,
+    // Bodies have bounds of their own, which let a long upload go on while it makes progress.
+    requestTimeout: 0,
+    keepAliveTimeout: keepAliveTimeoutMs,
+    connectionsCheckingInterval: timeoutCheckMs,
+  };
+  const shared = { fetch, overrideGlobalObjects: false };
+  const { tls, headersTimeoutMs: handshakeTimeout } = options;
+  const server =
+    tls === undefined
+      ? createAdaptorServer({ ...shared, createServer, serverOptions })
+      : createAdaptorServer({
+          ...shared,
+          createServer: createTlsServer,
+          serverOptions: { ...serverOptions, ...tls, handshakeTimeout },
+        });
+  return server as Server;
+}
+
 function createRoutes(
   { completions, plain, hasHost }: CallersServerOptions,
   handle: (context: Context<{ Bindings: HttpBindings }>, handler: Handler) => Promise<Response>,
@@ -165,10 +181,16 @@
   );
 }
 
-function limitConnections(server: Server, maxConnections: number, excess: WeakSet<Socket>): void {
+/** `event` tells of the sockets that requests come over; a TLS handshake has its own time limit. */
+function limitConnections(
+  server: Server,
+  event: 'connection' | 'secureConnection',
+  { maxConnections }: CallersServerOptions,
+  excess: WeakSet<Socket>,
+): void {
   let openCount = 0;
   server.maxConnections = maxConnections + refusedConnections;
-  server.on('connection', (socket) => {
+  server.on(event, (socket: Socket) => {
     openCount += 1;
     if (openCount > maxConnections) {
       excess.add(socket);
--- a/packages/entry/src/callersSide.ts
+++ b/packages/entry/src/callersSide.ts
@@ -1,5 +1,6 @@
 /** The callers' side as a whole: server, completions and plain traffic, and how it ends. */
 import { startCallersServer } from './callersServer';
+import type { CallersTls } from './callersTls';
 import { createCompletionsApi } from './completionsApi';
 import { createModelRuns } from './modelRuns';
 import { stopReasons } from './modelTypes';
@@ -13,6 +14,8 @@
   host: string;
   /** 0 takes a free port. */
   port: number;
+  /** Absent: plain HTTP. */
+  tls?: CallersTls;
   maxHeaderBytes: number;
   maxBodyBytes: number;
   maxConnections: number;
@@ -20,7 +23,7 @@
 }
 
 export interface CallersSide {
-  /** `http://ip:port`. */
+  /** `http://ip:port`, or `https` with TLS. */
   address: string;
   activeCount(): number;
   /** Refuses new requests, and finishes running ones within the bound; true where all ended. */
@@ -39,6 +42,7 @@
   const server = await startCallersServer({
     host: options.host,
     port: options.port,
+    tls: options.tls,
     completions: createCompletionsApi({ services, runs, maxBodyBytes, slowSenderTimeoutMs }),
     plain,
     hasHost: services.hasHost,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -14,6 +14,7 @@
   type StopKind,
 } from '@bluebellhitch/telemetry';
 import { createCallersSide } from './callersSide';
+import type { CallersTls } from './callersTls';
 import { createCancellations } from './cancellations';
 import type { ConfigurationFeed } from './configurationFeed';
 import type { EntrySettings } from './entrySettings';
@@ -36,6 +37,8 @@
   >;
   feed: ConfigurationFeed;
   security: InnerSecurity;
+  /** Absent: callers come without TLS. */
+  callersTls?: CallersTls;
   logger: Logger;
   random?: Random;
 }
@@ -94,6 +97,7 @@
     services,
     host: settings.entryHost,
     port: settings.entryPort,
+    tls: options.callersTls,
     maxHeaderBytes: settings.maxHeaderBytes,
     maxBodyBytes: settings.maxBodyBytes,
     maxConnections: settings.maxConnections,
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -13,6 +13,7 @@
 import type { PlatformApi, PlatformInstance } from '@bluebellhitch/platform';
 import type { InnerSecurity } from '@bluebellhitch/security';
 import { createLogger, type Logger, type StopKind } from '@bluebellhitch/telemetry';
+import type { CallersTls } from './callersTls';
 import type { ConfigurationFeed } from './configurationFeed';
 import { startEntry, type Entry } from './entry';
 import type { EntrySettings } from './entrySettings';
@@ -25,11 +26,15 @@
   stop(kind: StopKind): Promise<void>;
 }
 
+export interface EntryProcessOptions {
+  settings: EntrySettings;
+  security: InnerSecurity;
+  callersTls?: CallersTls;
+}
+
 /** Starts the process; rejects where a port is taken. */
-export async function startEntryProcess(
-  settings: EntrySettings,
-  security: InnerSecurity,
-): Promise<EntryProcess> {
+export async function startEntryProcess(options: EntryProcessOptions): Promise<EntryProcess> {
+  const { settings, security, callersTls } = options;
   const { instanceId, platformUrl, logLevel } = settings;
   const logger = createLogger({ binary: 'bluebell-entry', instanceId, level: logLevel });
   const platform = createHttpPlatformClient({ address: platformUrl });
@@ -41,6 +46,7 @@
     claims: createClaimStore({ platform, ownerId: instanceId }),
     feed: createFeed({ settings, platform, directory, security, store: createFeedStore() }),
     security,
+    callersTls,
     logger,
   });
   directory.start();
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -30,6 +30,14 @@
     defaultText: '127.0.0.1',
   },
   entryPort: { schema: port, description: 'Port for callers.', defaultText: '8080' },
+  callersTlsCertFile: {
+    schema: z.string().optional(),
+    description: 'PEM file with the certificate for callers and its chain; absent: no TLS.',
+  },
+  callersTlsKeyFile: {
+    schema: z.string().optional(),
+    description: 'PEM file with the private key of that certificate.',
+  },
   innerHost: {
     schema: host,
     description: 'IP number for agents and other entries.',
