--- a/packages/agent/src/leaseKeeper.ts
+++ b/packages/agent/src/leaseKeeper.ts
@@ -16,6 +16,7 @@
   engine?: KeeperEngine;
   /** Called once for each ended lease. */
   onEnded: (attemptId: string) => void;
+  /** The first failure of each lease's cancellation. */
   onCancelFailed?: (attemptId: string, detail: string) => void;
   /** Bound of one call to the engine, so that a lost answer is soon tried again. */
   callTimeoutMs?: number;
@@ -90,11 +91,14 @@
    */
   async function cancelUntilGone(target: KeeperEngine, attemptId: string): Promise<void> {
     let { retryMs } = limits;
+    // Told once: a dead engine refuses every repetition, several in a second.
+    let onFailed = onCancelFailed;
     while (!closing.signal.aborted) {
-      if (await cancelOnce(target, attemptId)) {
+      if (await cancelOnce(target, attemptId, onFailed)) {
         end(attemptId);
         return;
       }
+      onFailed = () => undefined;
       await delay(retryMs, closing.signal);
       retryMs = Math.min(retryMs * 2, limits.maxRetryMs);
     }
@@ -117,14 +121,18 @@
     return holdings.isOk() && holdings.value.every((holding) => holding.attemptId !== attemptId);
   }
 
-  async function cancelOnce(target: KeeperEngine, attemptId: string): Promise<boolean> {
+  async function cancelOnce(
+    target: KeeperEngine,
+    attemptId: string,
+    onFailed: (attemptId: string, detail: string) => void,
+  ): Promise<boolean> {
     const exportId = exportIds.get(attemptId);
     if (exportId !== undefined) {
       await withTimeout(target.exportKv(exportId, 'drop'), limits.callTimeoutMs);
     }
     const cancelled = await withTimeout(target.cancel(attemptId), limits.callTimeoutMs);
     if (cancelled.isErr()) {
-      onCancelFailed(attemptId, cancelled.error.kind);
+      onFailed(attemptId, cancelled.error.kind);
     }
     return isGone(target, attemptId);
   }
