List admin ports of instances, and tell there what is in force

Cause: `bluebellctl status` and `explain` knew no process unless each admin port was named by hand. Instances may carry adminAddress, which the quickstart and the bench register, and entries and agents answer /debug/config with their id, data centre and generations by service. The status schema of duties takes the place of the copy in ctl.

--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -11,6 +11,7 @@
   type Logger,
 } from '@bluebellhitch/telemetry';
 import { createAgent, type AgentBackend } from './agent';
+import type { AgentConfig } from './agentConfig';
 import { createDocumentFeed } from './documentFeed';
 import { createAgentTelemetry, reportDocument, reportLeases } from './agentTelemetry';
 import { readFencingNumber } from './fencingNumber';
@@ -89,7 +90,7 @@
     isReady: agent.isReady,
     routes: {
       '/debug/leases': () => agent.books.table.leases(),
-      '/debug/config': () => ({ ...agent.config(), classes: [...agent.config().classes] }),
+      '/debug/config': () => describeConfig(settings, agent.config()),
     },
   });
   void agent.start();
@@ -115,6 +116,13 @@
   };
 }
 
+/** What is in force here; `generations` has the form that entries answer in, too. */
+function describeConfig({ instanceId, dataCentre, service }: AgentSettings, config: AgentConfig) {
+  const { generation, classes, ...others } = config;
+  const generations = generation === 0 ? {} : { [service]: generation };
+  return { instanceId, dataCentre, generations, ...others, classes: Object.fromEntries(classes) };
+}
+
 function createBackend(settings: AgentSettings): AgentBackend {
   if (settings.backendKind === 'plain') {
     return { kind: 'plain' };
--- a/packages/bench/src/fleet/controlCalls.ts
+++ b/packages/bench/src/fleet/controlCalls.ts
@@ -50,6 +50,7 @@
   role?: string;
   dataCentre: string;
   innerAddress: string;
+  adminAddress?: string;
 }
 
 /** Lists a process as a live instance. */
--- a/packages/bench/src/fleet/startFleet.ts
+++ b/packages/bench/src/fleet/startFleet.ts
@@ -92,6 +92,7 @@
       role: backend.role,
       dataCentre: backend.dataCentre,
       innerAddress: addressOf(agent, 'innerAddress'),
+      adminAddress: agentAdminAddress,
     });
     await waitUntilReady(backend.id, agentAdminAddress);
     const kill = () => [server, agent].forEach((process) => process.kill());
@@ -108,12 +109,13 @@
     const instanceId = `entry-${group.name}-${index + 1}`;
     const settings = { ...group.settings, instanceId, dataCentre, platformUrl };
     const entry = await launch('entries', entrySpec(instanceId, settings));
+    const adminAddress = addressOf(entry, 'adminAddress');
     await registerInstance(platformUrl, instanceId, {
       kind: 'entry',
       dataCentre,
       innerAddress: addressOf(entry, 'innerAddress'),
+      adminAddress,
     });
-    const adminAddress = addressOf(entry, 'adminAddress');
     return { group: group.name, callerAddress: addressOf(entry, 'callersAddress'), adminAddress };
   }
 
--- a/packages/ctl/__tests__/runCtl.test.ts
+++ b/packages/ctl/__tests__/runCtl.test.ts
@@ -120,3 +120,31 @@
   t.is((await bench.run('explain', '43', '--admin', admin)).exitCode, 1);
   t.is((await bench.run('explain', '43')).exitCode, 2);
 });
+
+// Operators name no process: the list of instances tells where to ask, and one that lists no admin port is
+// left alone.
+test('status and explain ask the listed processes', async (t) => {
+  const bench = createCtlBench();
+  acceptDesk(bench);
+  const listed = { kind: 'entry', dataCentre: 'north', state: 'live' } as const;
+  const innerAddress = 'http://127.0.0.1:9101';
+  bench.platform.addInstance({ ...listed, id: 'entry-1', innerAddress, adminAddress: admin });
+  bench.platform.addInstance({ ...listed, id: 'entry-2', innerAddress });
+  bench.adminAnswers[`${admin}/debug/config`] = {
+    instanceId: 'entry-1',
+    dataCentre: 'north',
+    generations: { desk: 7 },
+  };
+  bench.adminAnswers[`${admin}/debug/decisions/42`] = {
+    requestId: '42',
+    service: 'desk',
+    institution: 'acme',
+    className: 'counter',
+    startedAt: '2026-01-02T03:04:05.000Z',
+    steps: [],
+    outcome: 'served',
+  };
+  const status = await bench.run('status', 'desk');
+  t.regex(status.output, /in force: at 1 of 1 that answered/);
+  t.regex((await bench.run('explain', '42')).output, /42: served/);
+});
--- a/packages/ctl/src/adminPorts.ts
+++ b/packages/ctl/src/adminPorts.ts
@@ -46,8 +46,8 @@
   return [...answers, ...(await askAll(addresses.slice(concurrency), ask))];
 }
 
-function listedAddress(instance: PlatformInstance & { adminAddress?: unknown }): string[] {
-  return typeof instance.adminAddress === 'string' ? [instance.adminAddress] : [];
+function listedAddress({ adminAddress }: PlatformInstance): string[] {
+  return adminAddress === undefined ? [] : [adminAddress];
 }
 
 function toAskedProcess(address: string, answer: Result<unknown, AdminError>): AskedProcess {
--- a/packages/ctl/src/serviceReport.ts
+++ b/packages/ctl/src/serviceReport.ts
@@ -1,10 +1,11 @@
 /** The status of one service, for people and as data. */
+import type { ServiceStatus } from '@bluebellhitch/duties';
 import type { AcceptedDocument } from '@bluebellhitch/document';
 import type { PlatformInstance } from '@bluebellhitch/platform';
 import type { AskedProcess } from './adminPorts';
 import type { Paint } from './ctlIo';
 import { countOf, indent, renderFinding } from './render';
-import type { QuarantineEntry, ServiceStatus } from './serviceState';
+import type { QuarantineEntry } from './serviceState';
 
 /** All that is shown about one service. */
 export interface ServiceView {
--- a/packages/ctl/src/serviceState.ts
+++ b/packages/ctl/src/serviceState.ts
@@ -6,6 +6,7 @@
   type AcceptedDocument,
   type ServiceDocument,
 } from '@bluebellhitch/document';
+import { serviceStatusSchema, type ServiceStatus } from '@bluebellhitch/duties';
 import { createQuarantine, type QuarantineVerdict } from '@bluebellhitch/decisions';
 import {
   objectKinds,
@@ -14,22 +15,6 @@
   type PlatformError,
 } from '@bluebellhitch/platform';
 
-const findingSchema = z.object({
-  path: z.string(),
-  line: z.number().optional(),
-  column: z.number().optional(),
-  message: z.string(),
-  hint: z.string().optional(),
-});
-
-const serviceStatusSchema = z.object({
-  documentVersion: z.number(),
-  state: z.enum(['accepted', 'rejected']),
-  generation: z.number(),
-  findings: z.array(findingSchema),
-});
-export type ServiceStatus = z.infer<typeof serviceStatusSchema>;
-
 const quarantineRecordSchema = z.object({
   service: z.string(),
   fingerprint: z.string(),
--- a/packages/ctl/src/verbs/applyVerb.ts
+++ b/packages/ctl/src/verbs/applyVerb.ts
@@ -1,4 +1,5 @@
 /** `bluebellctl apply`: writes documents conditionally, all of them valid or none written. */
+import type { ServiceStatus } from '@bluebellhitch/duties';
 import type { PlatformApi } from '@bluebellhitch/platform';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import { applyDocument, type ApplyOutcome, type LostRace } from '../applyDocument';
@@ -12,7 +13,7 @@
   type ValidDocument,
 } from '../localDocument';
 import { countOf, indent, renderFinding } from '../render';
-import { findStatus, type ServiceStatus } from '../serviceState';
+import { findStatus } from '../serviceState';
 import { describeChanges } from './diffVerb';
 import { exitCodeOfLocals } from './validateVerb';
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -109,7 +109,10 @@
     metrics,
     ring,
     isReady,
-    routes: { '/debug/services': () => services.list() },
+    routes: {
+      '/debug/services': () => services.list(),
+      '/debug/config': () => describeConfig(settings, services),
+    },
   });
   const sweeper = setInterval(strikes.sweep, sweepIntervalMs);
 
@@ -144,6 +147,14 @@
   };
 }
 
+/** Which generation of each service is in force here. */
+function describeConfig({ instanceId, dataCentre }: EntrySettings, services: ServiceTable) {
+  const generations = services
+    .list()
+    .map(({ document, generation }) => [document.service, generation] as const);
+  return { instanceId, dataCentre, generations: Object.fromEntries(generations) };
+}
+
 type ContextParts = Pick<RequestContext, 'agents' | 'metrics' | 'ring' | 'strikes'>;
 
 function createContext(options: EntryOptions, parts: ContextParts): RequestContext {
--- a/packages/platform/src/httpPlatformSchema.ts
+++ b/packages/platform/src/httpPlatformSchema.ts
@@ -42,6 +42,7 @@
   role: workerRoleSchema.optional(),
   dataCentre: z.string().min(1),
   innerAddress: z.string().min(1),
+  adminAddress: z.string().min(1).optional(),
   state: z.enum(['live', 'leaving']),
 });
 export const platformInstancesSchema = z.array(platformInstanceSchema);
--- a/packages/platform/src/platformApi.ts
+++ b/packages/platform/src/platformApi.ts
@@ -68,6 +68,8 @@
   dataCentre: string;
   /** `http://ip:port` of the inner protocol. */
   innerAddress: string;
+  /** `http://ip:port` of the admin port, where operators' tools may ask; absent where none was registered. */
+  adminAddress?: string;
   state: 'live' | 'leaving';
 }
 
--- a/scripts/lib/fleet.mjs
+++ b/scripts/lib/fleet.mjs
@@ -59,6 +59,7 @@
       role: backend.role,
       dataCentre: backend.dataCentre,
       innerAddress: agent.addresses.innerAddress,
+      adminAddress: agent.addresses.adminAddress,
     });
     return agent;
   }
@@ -79,8 +80,9 @@
         adminPort: nthPort(adminPort, index),
       },
     });
-    const { innerAddress } = entry.addresses;
-    await registerInstance(platformUrl, instanceId, { kind: 'entry', dataCentre, innerAddress });
+    const { innerAddress, adminAddress } = entry.addresses;
+    const instance = { kind: 'entry', dataCentre, innerAddress, adminAddress };
+    await registerInstance(platformUrl, instanceId, instance);
     return entry;
   }
 
