Send prefix hashes at sampled depths only

Cause: a bid request carried a hash for each block of the prompt, up to 1,024, to each of up to six candidates. Depths that grow by a quarter tell the cached prefix nearly as well. Ruled out: shorter hashes, which save at most half and collide; one hash a prompt, which says nothing of a partly shared prefix. The agent's estimates of cached tokens moved to a module of their own.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -12,9 +12,6 @@
 import type { EngineApi, EngineLoad } from '@bluebellhitch/engine';
 import {
   agentRefusalReasons,
-  blockTokens,
-  estimateTokens,
-  prefixBlockHashes,
   type AgentHandlers,
   type Bid,
   type BidRequest,
@@ -30,6 +27,7 @@
 import { configFromDocument, defaultAgentConfig, type AgentConfig } from './agentConfig';
 import { createAgentObserver, type AgentObserver } from './agentObserver';
 import { createAttemptRecord, type AttemptRecord } from './attemptRecord';
+import { createCachedPrefix } from './cachedPrefix';
 import { createEngineMonitor } from './engineMonitor';
 import { createLeaseKeeper, type LeaseKeeper } from './leaseKeeper';
 import { drainLeases } from './drainLeases';
@@ -96,6 +94,7 @@
   const estimates = createWorkEstimates({ service });
   const attempts = createAttemptRecord();
   const cacheView = createCacheView();
+  const cached = createCachedPrefix(cacheView);
   const backlog = createPrefillBacklog();
   const table = createLeaseTable({ capacity: { kvBytes: 0, slots: 0 } });
   const books = { table, backlog, estimates };
@@ -163,8 +162,7 @@
           random: options.random,
           onCached: (blocks) => cacheView.observe(blocks, monotonicNowMs()),
           backlog,
-          uncachedTokens: (prompt) =>
-            estimateTokens(prompt) - cachedTokens(prefixBlockHashes(prompt)),
+          uncachedTokens: cached.uncachedTokens,
         })
       : undefined;
 
@@ -199,7 +197,7 @@
     return {
       incarnation,
       load: load(),
-      cachedPrefixTokens: Math.min(cachedTokens(request.prefixBlocks), request.promptTokens),
+      cachedPrefixTokens: Math.min(cached.cachedTokens(request.prefixBlocks), request.promptTokens),
       usableInMs: isServed ? admission.usableInMs(kvBytes) : undefined,
       ...(backend.kind === 'model'
         ? describeModel({ ...backend, ...books, role: lastRole, promptKvBytes: kvBytes })
@@ -207,10 +205,6 @@
     };
   }
 
-  function cachedTokens(prefixBlocks: readonly string[]): number {
-    return cacheView.cachedBlocks(prefixBlocks, monotonicNowMs()) * blockTokens;
-  }
-
   async function prefill(request: PrefillRequest, signal?: AbortSignal): Promise<PrefillReply> {
     return model === undefined
       ? {
--- a/packages/bench/src/experiments/capacityMessages.ts
+++ b/packages/bench/src/experiments/capacityMessages.ts
@@ -4,7 +4,12 @@
  */
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
 import { Agent, request } from 'undici';
-import { blockTokens, innerPaths, type AgentRouter } from '@bluebellhitch/protocol';
+import {
+  blockTokens,
+  innerPaths,
+  samplePrefixBlocks,
+  type AgentRouter,
+} from '@bluebellhitch/protocol';
 import { createSeededRandom } from '@bluebellhitch/shared';
 import { renderTable } from '../report/table';
 import {
@@ -168,7 +173,7 @@
     service: serviceName(0),
     promptTokens,
     maxOutputTokens: 400,
-    prefixBlocks: hashes.slice(0, Math.ceil(promptTokens / blockTokens)),
+    prefixBlocks: samplePrefixBlocks(hashes.slice(0, Math.ceil(promptTokens / blockTokens))),
     className: 'counter',
   };
 }
--- a/packages/entry/src/candidateBids.ts
+++ b/packages/entry/src/candidateBids.ts
@@ -6,6 +6,7 @@
   type WorkerNeed,
 } from '@bluebellhitch/decisions';
 import type { PlatformInstance } from '@bluebellhitch/platform';
+import { samplePrefixBlocks } from '@bluebellhitch/protocol';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { AgentCallError } from './agentApi';
 import type { ModelRun } from './modelTypes';
@@ -113,7 +114,7 @@
       service: request.document.service,
       promptTokens: request.promptTokens + run.emitted.tokenCount,
       maxOutputTokens: request.maxOutputTokens - run.emitted.tokenCount,
-      prefixBlocks: request.prefixBlocks,
+      prefixBlocks: samplePrefixBlocks(request.prefixBlocks),
       className: request.trafficClass.name,
     },
     { timeoutMs: context.timeouts.bidLimitMs, signal: run.signal },
--- a/packages/protocol/__tests__/prompt.test.ts
+++ b/packages/protocol/__tests__/prompt.test.ts
@@ -1,5 +1,11 @@
 import test from 'ava';
-import { blockTokens, estimateTokens, prefixBlockHashes } from '@bluebellhitch/protocol';
+import {
+  blockTokens,
+  estimateTokens,
+  prefixBlockHashes,
+  samplePrefixBlocks,
+  sampledPrefixDepth,
+} from '@bluebellhitch/protocol';
 
 const block = 'x'.repeat(blockTokens * 4);
 
@@ -20,3 +26,19 @@
   t.deepEqual(prefixBlockHashes('short'), []);
   t.is(estimateTokens('short'), 2);
 });
+
+test('sampled hashes tell the cached prefix within a fifth, in far fewer hashes', (t) => {
+  const hashes = prefixBlockHashes(
+    Array.from({ length: 700 }, (_, index) => `${index}`.padEnd(256)).join(''),
+  );
+  const sampled = samplePrefixBlocks(hashes);
+  t.is(hashes.length, 700);
+  t.true(sampled.length < 30, `${sampled.length}`);
+  hashes.forEach((_, index) => {
+    const cachedDepth = index + 1;
+    const known = new Set(hashes.slice(0, cachedDepth));
+    const count = sampled.filter((hash) => known.has(hash)).length;
+    const estimate = sampledPrefixDepth(count);
+    t.true(estimate <= cachedDepth && estimate >= cachedDepth * 0.8, `${cachedDepth}: ${estimate}`);
+  });
+});
--- a/packages/protocol/src/agentMessages.ts
+++ b/packages/protocol/src/agentMessages.ts
@@ -8,8 +8,8 @@
   service: identifierSchema,
   promptTokens: z.number().int().nonnegative(),
   maxOutputTokens: z.number().int().positive(),
-  /** Chained hashes of the prompt's blocks, first block first; see `prefixBlockHashes`. */
-  prefixBlocks: z.array(z.string()).max(2048),
+  /** Chained hashes of the prompt's blocks at sampled depths; see `samplePrefixBlocks`. */
+  prefixBlocks: z.array(z.string().max(32)).max(64),
   className: identifierSchema,
 });
 export type BidRequest = z.infer<typeof bidRequestSchema>;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -71,4 +71,10 @@
 } from './entryMessages';
 export { createEntryRouter, type EntryHandlers, type EntryRouter } from './entryRouter';
 export { callerHeaders, hopByHopHeaders, innerHeaders, innerPaths } from './http';
-export { blockTokens, estimateTokens, prefixBlockHashes } from './prompt';
+export {
+  blockTokens,
+  estimateTokens,
+  prefixBlockHashes,
+  samplePrefixBlocks,
+  sampledPrefixDepth,
+} from './prompt';
--- a/packages/protocol/src/prompt.ts
+++ b/packages/protocol/src/prompt.ts
@@ -23,3 +23,29 @@
     return hashes;
   }, []);
 }
+
+/**
+ * Depths, in blocks, at which bid requests carry a prefix hash: each one about a quarter deeper than
+ * the one before. A hash for every block made bids of long prompts kilobytes large; these keep them to
+ * a few hundred bytes, and the cached prefix is underestimated by a fifth at most.
+ */
+const sampledDepths = sampleDepths(maxBlocks);
+
+/** The hashes of `prefixBlockHashes` at the sampled depths. */
+export function samplePrefixBlocks(hashes: readonly string[]): string[] {
+  return sampledDepths.flatMap((depth) => hashes[depth - 1] ?? []);
+}
+
+/** Blocks that the first `count` sampled hashes cover. */
+export function sampledPrefixDepth(count: number): number {
+  return sampledDepths[count - 1] ?? 0;
+}
+
+function sampleDepths(limit: number): number[] {
+  const growth = 1.25;
+  const depths = [1];
+  for (let depth = 2; depth <= limit; depth = Math.max(depth + 1, Math.round(depth * growth))) {
+    depths.push(depth);
+  }
+  return depths;
+}
