Pass the list of instances on with the feed, and name peers to start from

Cause: every entry read the whole list of instances every 5 s: at 148 bytes an instance and 1,080 instances 32 KB/s a node and 103 reads/s of the platform (docs/CAPACITY.md), and an entry that started while the platform was down had no list and stayed unready, although its peers had everything. Now a poll of the feed tells which list the asker has; the relay answers with a younger one only, and wakes the poll when its own changes. Relays alone read the platform; others do when no relay brought a list for 40 s. Ruled out: the list as feed records, since the platform gives instances no generations; deltas, which save more, but need a log of the list in each relay.

--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -59,6 +59,7 @@
     credentials: security,
     instanceId,
     dataCentre: settings.dataCentre,
+    peerAddresses: settings.peerAddresses,
     service,
     onAccepted: (accepted) => {
       agent.applyDocument(accepted);
--- a/packages/agent/src/documentFeed.ts
+++ b/packages/agent/src/documentFeed.ts
@@ -18,6 +18,8 @@
   instanceId: string;
   dataCentre: string;
   service: string;
+  /** Inner addresses of entries to ask at the start. */
+  peerAddresses?: readonly string[];
   onAccepted: (accepted: AcceptedDocument) => void;
   /** Told about a record that this version cannot read; the last one stays in force. */
   onUnreadable: (detail: string) => void;
@@ -46,6 +48,7 @@
     instanceId,
     dataCentre,
     services: [service],
+    peerAddresses: options.peerAddresses,
     platformPauseMs,
     callFeed: createFeedClient({ credentials: options.credentials }),
     random,
@@ -90,6 +93,6 @@
     const hasRelay = directory.entries().some((entry) => entry.dataCentre === dataCentre);
     const pauseMs = hasRelay ? refreshIntervalMs : searchIntervalMs;
     await delay(pauseMs * (0.5 + random()), signal);
-    await directory.refresh();
+    await directory.refreshIfNeeded();
   }
 }
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -1,5 +1,6 @@
 /** Settings of `bluebell-agent`: flags and `BLUEBELL_*` environment variables. */
 import { z } from 'zod';
+import { peerSettings } from '@bluebellhitch/membership';
 import { workerRoleSchema } from '@bluebellhitch/protocol';
 import { innerSecuritySettings } from '@bluebellhitch/security';
 import type { SettingValues } from '@bluebellhitch/shared';
@@ -36,6 +37,7 @@
     description: 'Where other engines fetch KV cache, http://ip:port; absent: the backend address.',
   },
   platformUrl: { schema: httpAddress, description: 'Address of the platform, http://ip:port.' },
+  ...peerSettings,
   innerHost: {
     schema: ipAddress,
     description: 'IP number that entries reach.',
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -106,15 +106,16 @@
   security,
   store,
 }: FeedParts): ConfigurationFeed {
-  const { instanceId, dataCentre } = settings;
+  const { instanceId, dataCentre, peerAddresses } = settings;
   const callFeed = createFeedClient({ credentials: security });
-  const server = createFeedServer(store);
+  const server = createFeedServer(store, { directory });
   const follower = createFeedFollower({
     platform,
     directory,
     store,
     instanceId,
     dataCentre,
+    peerAddresses,
     callFeed,
   });
   return {
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import { z } from 'zod';
 import { placementPolicies } from '@bluebellhitch/decisions';
+import { peerSettings } from '@bluebellhitch/membership';
 import { innerSecuritySettings } from '@bluebellhitch/security';
 import type { SettingValues } from '@bluebellhitch/shared';
 import { lifecycleSettings } from '@bluebellhitch/telemetry';
@@ -24,6 +25,7 @@
     schema: z.url({ protocol: /^https?$/ }),
     description: 'Address of the platform service, http://ip:port.',
   },
+  ...peerSettings,
   entryHost: {
     schema: host,
     description: 'IP number that callers connect to.',
--- a/packages/membership/__tests__/feedFollower.test.ts
+++ b/packages/membership/__tests__/feedFollower.test.ts
@@ -49,8 +49,8 @@
     platform.control.putInstance({ id, kind: 'entry', dataCentre, innerAddress, state: 'live' });
     const store = createFeedStore({ incarnation: id });
     const random = createSeededRandom(Number(hash64(id) % 1000n));
-    servers.set(innerAddress, createFeedServer(store));
     const directory = createInstanceDirectory({ platform, random });
+    servers.set(innerAddress, createFeedServer(store, { directory }));
     const follower = createFeedFollower({
       platform,
       directory,
@@ -294,3 +294,39 @@
   t.is((await abandoned)._unsafeUnwrapErr().kind, 'feed-unavailable');
   t.true(monotonicNowMs() - startedAtMs < 5000);
 });
+
+// Twenty entries would each read the list of instances every five seconds. Only the relays do; the
+// others have a new instance from them within seconds, without a read of their own.
+testWithFleet(
+  'relays pass the list of instances on, and others do not read it',
+  async (t, clock, fleet) => {
+    const entries = addEntries(fleet, 20);
+    await clock.tickAsync(40_000);
+    fleet.platform.control.resetStats();
+    await clock.tickAsync(60_000);
+    const reads = fleet.platform.control.stats().calls.instances;
+    t.true(reads <= 3 * 16, `${reads} reads by 20 entries in a minute`);
+    fleet.addEntry('entry-new');
+    await clock.tickAsync(10_000);
+    const counts = entries.map(({ directory }) => directory.entries().length);
+    t.deepEqual(counts, Array(20).fill(21));
+    await stopAll(clock, entries);
+  },
+);
+
+// The platform is down when an entry starts, so that it has no list of instances and would stay
+// unready. A peer named by its settings gives it the last list that the fleet knew.
+testWithFleet(
+  'a process has its list of instances from a peer while the platform is down',
+  async (t, clock, fleet) => {
+    const entries = addEntries(fleet, 3);
+    await clock.tickAsync(30_000);
+    fleet.platform.control.setOutage(true);
+    const peerAddresses = entries.map(({ innerAddress }) => innerAddress);
+    const late = fleet.addEntry('entry-late', { peerAddresses });
+    late.start();
+    await clock.tickAsync(5000);
+    t.is(late.directory.entries().length, 3);
+    await stopAll(clock, [late, ...entries]);
+  },
+);
--- a/packages/membership/__tests__/instanceDirectory.test.ts
+++ b/packages/membership/__tests__/instanceDirectory.test.ts
@@ -107,3 +107,20 @@
   );
   t.deepEqual(selectRelays(entries, 'tacoma-hall'), []);
 });
+
+// Two relays read the platform at different times. The older list arrives second and still holds an
+// instance that is gone: taking it would send requests to a dead address until the next list.
+testWithClock('an older list from a relay does not replace a younger one', async (t, clock) => {
+  const { platform, directory, agentIds } = await createDirectory();
+  await directory.refresh();
+  const older = directory.listing('all');
+  await clock.tickAsync(3000);
+  platform.control.removeInstance('w-1');
+  await directory.refresh();
+  await clock.tickAsync(1000);
+  directory.offer({ digest: 'older', ageMs: 4000, instances: older?.instances }, 'all');
+  t.deepEqual(agentIds(), ['w-2']);
+  directory.offer({ digest: 'younger', ageMs: 500, instances: [agent('w-3')] }, 'all');
+  t.deepEqual(agentIds(), ['w-3']);
+  t.is(directory.listing('all')?.digest, 'younger');
+});
--- a/packages/membership/src/feedFollower.ts
+++ b/packages/membership/src/feedFollower.ts
@@ -3,10 +3,11 @@
  * else polls two of them, and asks the platform itself only where no relay answers.
  */
 import type { PlatformApi, PlatformInstance } from '@bluebellhitch/platform';
+import type { InstanceListState } from '@bluebellhitch/protocol';
 import { delay, monotonicNowMs, rendezvousOrder, type Random } from '@bluebellhitch/shared';
 import { createFeedClient, type CallFeed } from './feedClient';
 import type { FeedStore } from './feedStore';
-import type { InstanceDirectory } from './instanceDirectory';
+import type { InstanceDirectory, ListScope } from './instanceDirectory';
 import { createPlatformFeed } from './platformFeed';
 import { defaultRelayCount, selectRelays } from './relays';
 
@@ -67,12 +68,17 @@
 /** Pause after an answer that came at once with nothing in it: that relay is overloaded. */
 const emptyPauseMs = 1000;
 const cursorLimit = 64;
+/** Age told by a process without a list: any list is younger. */
+const noListAgeMs = 1e12;
+/** A relay whose own list is this old does not reach the platform. */
+const relayListMaxAgeMs = 20_000;
 
 type PollOutcome = 'news' | 'nothing' | 'failed';
 
 export function createFeedFollower(options: FeedFollowerOptions): FeedFollower {
   const settings = { ...defaults, ...options };
   const { directory, store, instanceId, services, waitMs, retryMs } = settings;
+  const listScope: ListScope = services === undefined ? 'all' : 'entries';
   const { random = Math.random, callFeed = createFeedClient() } = options;
   const platformFeed = createPlatformFeed({
     platform: options.platform,
@@ -215,7 +221,12 @@
     const timer = setTimeout(() => timeout.abort(), pollMs + settings.lateAfterMs);
     const answer = await callFeed(
       address,
-      { cursor, waitMs: pollMs, services: services === undefined ? undefined : [...services] },
+      {
+        cursor,
+        waitMs: pollMs,
+        services: services === undefined ? undefined : [...services],
+        instanceList: knownList(),
+      },
       AbortSignal.any([signal, timeout.signal]),
     );
     clearTimeout(timer);
@@ -225,9 +236,19 @@
     }
     store.apply(answer.value.records);
     rememberCursor(address, answer.value.cursor);
+    if (answer.value.instanceList !== undefined) {
+      directory.offer(answer.value.instanceList, listScope);
+    }
     return answer.value.records.length > 0 ? 'news' : 'nothing';
   }
 
+  /** Relays read the platform's list themselves, and take another's only while they cannot. */
+  function knownList(): InstanceListState | undefined {
+    const { digest, ageMs } = directory.listing(listScope) ?? { digest: '', ageMs: noListAgeMs };
+    const wantsList = !isRelay() || ageMs > relayListMaxAgeMs;
+    return wantsList ? { digest, ageMs } : undefined;
+  }
+
   function rememberCursor(address: string, cursor: string): void {
     cursors.delete(address);
     cursors.set(address, cursor);
--- a/packages/membership/src/feedServer.ts
+++ b/packages/membership/src/feedServer.ts
@@ -1,12 +1,15 @@
 /** Answers other processes' long polls of this process's feed. Any entry may be asked. */
-import type { FeedReply, FeedRequest } from '@bluebellhitch/protocol';
-import { delay } from '@bluebellhitch/shared';
+import type { FeedReply, FeedRequest, InstanceListNews } from '@bluebellhitch/protocol';
+import { delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { concernsServices } from './feedRecords';
-import type { FeedDelta, FeedStore } from './feedStore';
+import type { FeedStore } from './feedStore';
+import type { InstanceDirectory } from './instanceDirectory';
 
 export interface FeedServerOptions {
   /** Polls that wait at once; more are answered without waiting. */
   waitingLimit?: number;
+  /** Passes the list of instances on, so that few processes read it from the platform. */
+  directory?: Pick<InstanceDirectory, 'listing' | 'onChange'>;
 }
 
 export interface FeedServer {
@@ -20,29 +23,50 @@
 const defaultWaitingLimit = 2000;
 
 export function createFeedServer(store: FeedStore, options: FeedServerOptions = {}): FeedServer {
-  const { waitingLimit = defaultWaitingLimit } = options;
+  const { waitingLimit = defaultWaitingLimit, directory } = options;
   const waiting = new Set<AbortController>();
   let isClosed = false;
 
   async function feed(request: FeedRequest, signal?: AbortSignal): Promise<FeedReply> {
-    const first = replyTo(request);
-    const isUseful = first.snapshot || first.records.length > 0;
+    const askedAtMs = monotonicNowMs();
+    const first = replyTo(request, askedAtMs);
+    const isUseful =
+      first.snapshot || first.records.length > 0 || first.instanceList?.instances !== undefined;
     if (isUseful || isClosed || waiting.size >= waitingLimit) {
       return first;
     }
-    await waitForNews(request, signal);
-    return replyTo(request);
+    await waitForNews(request, askedAtMs, signal);
+    return replyTo(request, askedAtMs);
   }
 
-  function replyTo(request: FeedRequest): FeedDelta {
+  function replyTo(request: FeedRequest, askedAtMs: number): FeedReply {
     const delta = store.since(request.cursor);
     return {
       ...delta,
       records: delta.records.filter((record) => concernsServices(record, request.services)),
+      instanceList: listNews(request, askedAtMs),
     };
   }
 
-  async function waitForNews(request: FeedRequest, signal?: AbortSignal): Promise<void> {
+  function listNews(request: FeedRequest, askedAtMs: number): InstanceListNews | undefined {
+    const known = request.instanceList;
+    const scope = request.services === undefined ? 'all' : 'entries';
+    const own = directory?.listing(scope);
+    if (known === undefined || own === undefined) {
+      return undefined;
+    }
+    const knownAgeMs = known.ageMs + (monotonicNowMs() - askedAtMs);
+    if (own.ageMs >= knownAgeMs) {
+      return undefined;
+    }
+    return own.digest === known.digest ? { digest: own.digest, ageMs: own.ageMs } : own;
+  }
+
+  async function waitForNews(
+    request: FeedRequest,
+    askedAtMs: number,
+    signal?: AbortSignal,
+  ): Promise<void> {
     const woken = new AbortController();
     const wake = () => woken.abort();
     const unsubscribe = store.subscribe((applied) => {
@@ -50,12 +74,18 @@
         wake();
       }
     });
+    const unsubscribeList = directory?.onChange(() => {
+      if (listNews(request, askedAtMs)?.instances !== undefined) {
+        wake();
+      }
+    });
     signal?.addEventListener('abort', wake);
     waiting.add(woken);
     await delay(request.waitMs, woken.signal);
     waiting.delete(woken);
     signal?.removeEventListener('abort', wake);
     unsubscribe();
+    unsubscribeList?.();
   }
 
   return {
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,3 +1,4 @@
+export { peerSettings } from './peerSettings';
 export {
   createInstanceDirectory,
   type InstanceDirectory,
--- a/packages/membership/src/instanceDirectory.ts
+++ b/packages/membership/src/instanceDirectory.ts
@@ -3,12 +3,15 @@
  * learned first hand. A stale view costs latency, never correctness.
  */
 import type { PlatformApi, PlatformInstance } from '@bluebellhitch/platform';
-import { delay, monotonicNowMs, type Random } from '@bluebellhitch/shared';
+import type { InstanceListNews, InstanceListState } from '@bluebellhitch/protocol';
+import { delay, hash64Hex, monotonicNowMs, type Random } from '@bluebellhitch/shared';
 
 export interface InstanceDirectoryOptions {
   platform: PlatformApi;
   /** Usual pause between looks at the list; each is a read of the platform. */
   refreshMs?: number;
+  /** A list taken from a relay may be this old before the platform is read again. */
+  relayedListMaxAgeMs?: number;
   /** How long a refusal as leaving outlives a list that still says live. */
   leavingHoldMs?: number;
   /** How long an instance found down gets no work, unless the list tells of a new address. */
@@ -31,12 +34,23 @@
   onChange(listener: () => void): () => void;
   /** Looks at the list now; `false` where the platform did not answer and the last view stays. */
   refresh(): Promise<boolean>;
+  /** Looks only where no relay has brought a list lately. */
+  refreshIfNeeded(): Promise<void>;
+  /** The platform's list as it was read, for others; `undefined` before the first one. */
+  listing(scope: ListScope): InstanceListing | undefined;
+  /** Takes another process's list where it was read from the platform later than the own one. */
+  offer(news: InstanceListNews, scope: ListScope): void;
   /** Age of the list, or `undefined` before the first one. */
   viewAgeMs(): number | undefined;
   start(): void;
   stop(): Promise<void>;
 }
 
+/** Agents need to know the entries only. */
+export type ListScope = 'all' | 'entries';
+
+export type InstanceListing = InstanceListState & { instances: PlatformInstance[] };
+
 interface Correction {
   kind: 'leaving' | 'down';
   /** A process that came back under the same id listens elsewhere, which ends the correction. */
@@ -52,16 +66,27 @@
   validUntilMs: number;
 }
 
-const defaults = { refreshMs: 5000, leavingHoldMs: 60_000, downHoldMs: 5000 } as const;
+const defaults = {
+  refreshMs: 5000,
+  // Above the longest wait of a feed poll: a quiet relay is no reason to read the platform.
+  relayedListMaxAgeMs: 40_000,
+  leavingHoldMs: 60_000,
+  downHoldMs: 5000,
+} as const;
 const jitterShare = 0.5;
 
 export function createInstanceDirectory(options: InstanceDirectoryOptions): InstanceDirectory {
-  const { platform, refreshMs, leavingHoldMs, downHoldMs } = { ...defaults, ...options };
+  const { platform, refreshMs, relayedListMaxAgeMs, leavingHoldMs, downHoldMs } = {
+    ...defaults,
+    ...options,
+  };
   const { random = Math.random } = options;
   const corrections = new Map<string, Correction>();
   const listeners = new Set<() => void>();
   let listed: PlatformInstance[] = [];
   let listedAtMs: number | undefined;
+  let isRelayed = false;
+  let listings = new Map<ListScope, Omit<InstanceListing, 'ageMs'>>();
   let view = buildView(listed, corrections);
   let loop: { stop: AbortController; ended: Promise<void> } | undefined;
 
@@ -105,15 +130,58 @@
     if (answer.isErr()) {
       return false;
     }
-    listed = answer.value;
-    listedAtMs = monotonicNowMs();
-    rebuild();
+    isRelayed = false;
+    takeList(answer.value, monotonicNowMs());
     return true;
   }
 
+  async function refreshIfNeeded(): Promise<void> {
+    const ageMs = viewAgeMs();
+    if (!isRelayed || ageMs === undefined || ageMs > relayedListMaxAgeMs) {
+      await refresh();
+    }
+  }
+
+  function takeList(instances: PlatformInstance[], readAtMs: number): void {
+    listed = instances;
+    listedAtMs = readAtMs;
+    listings = new Map();
+    rebuild();
+  }
+
+  function viewAgeMs(): number | undefined {
+    return listedAtMs === undefined ? undefined : monotonicNowMs() - listedAtMs;
+  }
+
+  function listing(scope: ListScope): InstanceListing | undefined {
+    const ageMs = viewAgeMs();
+    if (ageMs === undefined) {
+      return undefined;
+    }
+    const known = listings.get(scope) ?? buildListing(listed, scope);
+    listings.set(scope, known);
+    return { ...known, ageMs };
+  }
+
+  /** Relays read at different times: an older list after a younger one would bring back the dead. */
+  function offer({ digest, ageMs, instances }: InstanceListNews, scope: ListScope): void {
+    const readAtMs = monotonicNowMs() - ageMs;
+    if (listedAtMs !== undefined && readAtMs <= listedAtMs) {
+      return;
+    }
+    if (digest === listing(scope)?.digest) {
+      listedAtMs = readAtMs;
+      isRelayed = true;
+    } else if (instances !== undefined) {
+      isRelayed = true;
+      takeList(instances, readAtMs);
+      listings.set(scope, { digest, instances });
+    }
+  }
+
   async function run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await refresh();
+      await refreshIfNeeded();
       await delay(refreshMs * (1 - jitterShare / 2 + random() * jitterShare), signal);
     }
   }
@@ -129,7 +197,10 @@
       return () => listeners.delete(listener);
     },
     refresh,
-    viewAgeMs: () => (listedAtMs === undefined ? undefined : monotonicNowMs() - listedAtMs),
+    refreshIfNeeded,
+    listing,
+    offer,
+    viewAgeMs,
     start() {
       if (loop === undefined) {
         const stopping = new AbortController();
@@ -181,6 +252,16 @@
   };
 }
 
+function buildListing(
+  listed: readonly PlatformInstance[],
+  scope: ListScope,
+): Omit<InstanceListing, 'ageMs'> {
+  const instances = listed
+    .filter(({ kind }) => scope === 'all' || kind === 'entry')
+    .sort((left, right) => (left.id < right.id ? -1 : 1));
+  return { digest: hash64Hex(JSON.stringify(instances)), instances };
+}
+
 function isSameView(before: readonly PlatformInstance[], after: readonly PlatformInstance[]) {
   return JSON.stringify(before) === JSON.stringify(after);
 }
--- a/packages/platform/src/httpPlatformSchema.ts
+++ b/packages/platform/src/httpPlatformSchema.ts
@@ -1,6 +1,6 @@
 /** Wire format of the platform's HTTP interface: paths and bodies, checked on arrival. */
 import { z } from 'zod';
-import { workerRoleSchema } from '@bluebellhitch/protocol';
+import { listedInstanceSchema } from '@bluebellhitch/protocol';
 import type { ObjectKind } from './platformApi';
 
 export const objectKindSchema = z.enum([
@@ -35,16 +35,7 @@
   compacted: z.boolean(),
 });
 
-export const platformInstanceSchema = z.object({
-  id: z.string().min(1),
-  kind: z.enum(['entry', 'agent']),
-  service: z.string().optional(),
-  role: workerRoleSchema.optional(),
-  dataCentre: z.string().min(1),
-  innerAddress: z.string().min(1),
-  adminAddress: z.string().min(1).optional(),
-  state: z.enum(['live', 'leaving']),
-});
+export const platformInstanceSchema = listedInstanceSchema;
 export const platformInstancesSchema = z.array(platformInstanceSchema);
 
 /** Body of `POST` and `PUT` of an object. */
--- a/packages/platform/src/platformApi.ts
+++ b/packages/platform/src/platformApi.ts
@@ -3,7 +3,7 @@
  * wire format is a change of that one file.
  */
 import type { ResultAsync } from 'neverthrow';
-import type { WorkerRole } from '@bluebellhitch/protocol';
+import type { ListedInstance } from '@bluebellhitch/protocol';
 
 /** Kinds of objects that the system keeps on the platform. */
 export const objectKinds = {
@@ -58,20 +58,8 @@
   cursor: string;
 }
 
-export interface PlatformInstance {
-  id: string;
-  kind: 'entry' | 'agent';
-  /** The service of an agent's backend server; absent for entries. */
-  service?: string;
-  /** The role the instance started with; bids carry the current one. */
-  role?: WorkerRole;
-  dataCentre: string;
-  /** `http://ip:port` of the inner protocol. */
-  innerAddress: string;
-  /** `http://ip:port` of the admin port, where operators' tools may ask; absent where none was registered. */
-  adminAddress?: string;
-  state: 'live' | 'leaving';
-}
+/** One entry of the list of instances. */
+export type PlatformInstance = ListedInstance;
 
 export interface PlatformApi {
   get(kind: ObjectKind, key: string): ResultAsync<StoredObject, PlatformError>;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -62,11 +62,17 @@
   feedRecordSchema,
   feedReplySchema,
   feedRequestSchema,
+  instanceListNewsSchema,
+  instanceListStateSchema,
+  listedInstanceSchema,
   strikeSchema,
   type FeedKind,
   type FeedRecord,
   type FeedReply,
   type FeedRequest,
+  type InstanceListNews,
+  type InstanceListState,
+  type ListedInstance,
   type Strike,
 } from './entryMessages';
 export { createEntryRouter, type EntryHandlers, type EntryRouter } from './entryRouter';
--- a/packages/scenarios/src/world/worldMembership.ts
+++ b/packages/scenarios/src/world/worldMembership.ts
@@ -56,7 +56,7 @@
   const { process, dataCentre, service, platform, random, onRecord, isWithout } = options;
   const store = createFeedStore({ incarnation: `${process.id}-${random()}` });
   const directory = createInstanceDirectory({ platform, random });
-  const server = createFeedServer(store);
+  const server = createFeedServer(store, { directory });
   const follower = createFeedFollower({
     ...{ platform, directory, store, dataCentre, random, instanceId: process.id },
     ...(service === undefined
