Give up a plain server that does not begin its answer

Cause: the head of a plain answer was waited for until the request's deadline, a minute by default. A paused server takes calls into its kernel and answers none, so that its callers stood still although other servers were idle. The document's limits.firstByteTimeoutMs, 10 s by default, bounds the wait: a repeatable call goes elsewhere, a marked one is answered as unknown at once. Ruled out: a bid before each plain call, which costs a round trip for the sake of a rare failure; progress of the body, where a slow stream looks the same as a stalled one. Before (the bound taken out): the new test waits 10 s where it allows 4.

--- a/packages/document/src/documentSchema.ts
+++ b/packages/document/src/documentSchema.ts
@@ -135,6 +135,12 @@
       .max(oneHourMs)
       .default(60_000)
       .describe('Deadline of one request, with its retries.'),
+    firstByteTimeoutMs: z
+      .number()
+      .positive()
+      .max(oneHourMs)
+      .default(10_000)
+      .describe('Longest wait for the head of a plain answer; a later server counts as stalled.'),
     maxBodyBytes: z
       .number()
       .int()
--- a/packages/entry/__tests__/plainRequest.test.ts
+++ b/packages/entry/__tests__/plainRequest.test.ts
@@ -1,6 +1,7 @@
 import { Readable } from 'node:stream';
 import { text } from 'node:stream/consumers';
 import test from 'ava';
+import { delay } from '@bluebellhitch/shared';
 import { createFakeAgent, never, plainAnswer, refusal, type FakeAgent } from './support/fakeAgents';
 import { createOpenClaims, eventually, startHarness } from './support/harness';
 
@@ -50,6 +51,26 @@
   t.is(callCount(agents), 2);
 });
 
+// A plain server is paused: its kernel takes the call, and no answer comes. The caller would wait for the
+// request's whole deadline of a minute. The lookup goes to another server once the head of the answer is
+// later than the document allows; a receipt is answered as unknown then, since it may have been written.
+test('a server that does not begin its answer is given up', async (t) => {
+  const agents = pair();
+  const stalled: FakeAgent['plain'] = async (call) => {
+    await delay(Math.min(call.headTimeoutMs, 5_000));
+    return { kind: 'timeout', detail: 'no response in time' };
+  };
+  firstCall(agents, stalled);
+  const document = { limits: { firstByteTimeoutMs: 100 } };
+  const { address } = await startHarness(t, { agents, document });
+  const startedAtMs = performance.now();
+  t.is((await fetch(`${address}/counter`)).status, 200);
+  agents.forEach((agent) => Object.assign(agent, { plain: stalled }));
+  const answer = await fetch(`${address}/receipts`, receipt);
+  t.like(await answer.json(), { notRun: 'unknown' });
+  t.true(performance.now() - startedAtMs < 4_000);
+});
+
 // The connection breaks after a receipt was sent to its server. It may have been written: a second one
 // would charge the customer twice. The caller is told that it may have run.
 test('never sends a receipt again after its dispatch', async (t) => {
--- a/packages/entry/src/plainCall.ts
+++ b/packages/entry/src/plainCall.ts
@@ -62,7 +62,7 @@
     target: request.target,
     headers: innerHeadersOf(context, request, place),
     body: openBody(request.body),
-    headTimeoutMs: Math.max(1, request.deadlineAtMs - monotonicNowMs()),
+    headTimeoutMs: headTimeoutMs(request),
     signal,
   });
   if (run.signal.aborted) {
@@ -82,6 +82,12 @@
     : refusedCall(context, run, place, answer.value);
 }
 
+/** A paused server takes calls and answers none: waiting for the deadline would help nobody. */
+function headTimeoutMs({ deadlineAtMs, document }: PlainRequest): number {
+  const remainingMs = Math.max(1, deadlineAtMs - monotonicNowMs());
+  return Math.min(remainingMs, document.limits.firstByteTimeoutMs);
+}
+
 function refusedCall(
   context: RequestContext,
   run: PlainRun,
