Stop long prompts before a decode worker's steps reach the target

A worker took long prompts as long as the 97th percentile of all its steps, as its agent sees them, was within the target itself. The way to the caller comes on top, and prompts fall on few of the answers. The limit is 0.85 of the target now.

Ruled out, and not taken: sending the prefill earlier by the predicted wait at its worker.

--- a/packages/decisions/src/bidChoice.ts
+++ b/packages/decisions/src/bidChoice.ts
@@ -95,6 +95,12 @@
 /** Without it, idle fleets would compute long prompts beside streams rather than transfer them. */
 const longPromptStrain = 0.02;
 const largestSize = 3;
+/**
+ * Share of the target between tokens up to which a worker's slow steps leave room for a long prompt. The bid
+ * tells of all its streams together and as the agent sees them: held against the whole target, it lets many
+ * answers miss it, by what the way to the caller adds and by prompts that fall on few of them.
+ */
+const slowStepShare = 0.85;
 const emptyPoolRetryMs = 1_000;
 const noCapacityRetryMs = 500;
 /** Free share of the memory from which a server without a queue counts as idle. */
@@ -140,7 +146,8 @@
  * wait, and whose streams still meet their time between tokens beside those that it computes.
  */
 function takesLongPrompts({ bid }: CandidateBid, { targets }: BidChoiceOptions): boolean {
-  return bid.prefillWaitMs !== undefined && (bid.slowStepMs ?? 0) <= targets.betweenTokensMs;
+  const slowStepLimitMs = slowStepShare * targets.betweenTokensMs;
+  return bid.prefillWaitMs !== undefined && (bid.slowStepMs ?? 0) <= slowStepLimitMs;
 }
 
 function localWay(
