Start the quickstart with the bench's launcher

Cause: starting a fleet stood twice, as scripts/lib/{fleet,childProcesses,platformControl,examples}.mjs for npm start and as packages/bench/src/fleet for the bench, with the same handling of child processes, calls at the stand-in platform and reading of examples.

scripts/build.mjs now bundles fleet/developmentFleet.ts into dist/development-fleet.js, which scripts/start.mjs loads after the build. What only one side had, both have: every line to a callback, the cause of an unexpected end, marking entries as leaving before the stop, names of what did not stop gracefully, waiting until the platform lists all agents and until each document is in force. The bench keeps its bound of 8 s for a stop, the quickstart its 130 s.

Ruled out: the launcher as plain JavaScript under scripts/ used by the bench. The bench would lose its types, and a package would depend on scripts.

About 5.8 s of each start pass between 'accepted a document' and 'document in force' in the entry, which finds itself as a source of documents at its next look at the instance list; that is not the launcher's and is left.

Conclusion: one launcher for both. The tests of packages/bench passed with it.

--- a/packages/bench/src/fleet/childProcess.ts
+++ b/packages/bench/src/fleet/childProcess.ts
@@ -1,6 +1,6 @@
 /**
- * Processes of dist/ that the bench starts. None outlives it: each ends with its standard input, which
- * the kernel closes when the bench dies.
+ * Processes of dist/ that the bench and `npm start` start. None outlives its starter: each ends with its
+ * standard input, which the kernel closes when the starter dies.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
@@ -22,6 +22,10 @@
   binaryDirectory: string;
   /** Loaded into stand-ins, which do not watch their parent by themselves. */
   exitWithParentPath: string;
+  /** How long a graceful stop may take; default 8 s. */
+  stopBoundMs?: number;
+  /** Sees every line that the processes write. */
+  onLine?: (name: string, line: string) => void;
 }
 
 export interface RunningBinary {
@@ -29,14 +33,16 @@
   pid: number;
   /** The addresses of its `listening` line. */
   addresses: Record<string, string>;
+  /** Resolves with the signal or the exit code by which it ended. */
+  ended: Promise<string>;
   isRunning(): boolean;
-  /** Asks for a graceful stop; kills what takes too long. */
-  stop(): Promise<void>;
+  /** Asks for a graceful stop and kills what takes too long; false unless it ended with exit code 0. */
+  stop(): Promise<boolean>;
   kill(): void;
 }
 
 const startBoundMs = 60_000;
-const stopBoundMs = 8_000;
+const defaultStopBoundMs = 8_000;
 const keptErrorLines = 20;
 
 /** Starts a binary; resolves once it listens and rejects where it does not in time. */
@@ -47,12 +53,16 @@
   const child = spawn(process.execPath, commandLineOf(spec, options), {
     env: childEnvironment(),
     stdio: ['pipe', 'pipe', 'pipe'],
-    // Its own process group, so that Ctrl-C reaches the bench alone and the order of stops holds.
+    // Its own process group, so that Ctrl-C reaches the starter alone and the order of stops holds.
     detached: true,
   });
-  // Writing to a child that died must not end the bench.
+  // Writing to a child that died must not end the starter.
   child.stdin?.on('error', () => undefined);
-  const addresses = await waitForListening(spec.name, child).catch((error: unknown) => {
+  const { onLine = () => undefined, stopBoundMs = defaultStopBoundMs } = options;
+  const ended = new Promise<string>((resolve) => {
+    child.once('exit', (code, signal) => resolve(signal ?? `exit code ${code}`));
+  });
+  const addresses = await waitForListening(spec.name, child, onLine).catch((error: unknown) => {
     child.kill('SIGKILL');
     throw error;
   });
@@ -60,8 +70,9 @@
     name: spec.name,
     pid: child.pid ?? 0,
     addresses,
+    ended,
     isRunning: () => isRunning(child),
-    stop: () => stopChild(child),
+    stop: () => stopChild(child, stopBoundMs),
     kill: () => {
       child.kill('SIGKILL');
     },
@@ -79,7 +90,7 @@
 }
 
 /**
- * The caller's `BLUEBELL_*` variables are the bench's own; a binary's settings are passed as flags. Fleets
+ * The caller's `BLUEBELL_*` variables are the starter's own; a binary's settings are passed as flags. Fleets
  * run on this machine only and know each other without keys.
  */
 function childEnvironment(): NodeJS.ProcessEnv {
@@ -91,11 +102,16 @@
   };
 }
 
-function waitForListening(name: string, child: ChildProcess): Promise<Record<string, string>> {
+function waitForListening(
+  name: string,
+  child: ChildProcess,
+  onLine: (name: string, line: string) => void,
+): Promise<Record<string, string>> {
   const recentErrors: string[] = [];
   readLines(child.stderr, (line) => {
+    onLine(name, line);
     recentErrors.push(line);
-    recentErrors.splice(0, recentErrors.length - keptErrorLines);
+    recentErrors.splice(0, Math.max(0, recentErrors.length - keptErrorLines));
   });
   return new Promise((resolve, reject) => {
     const fail = (cause: string) =>
@@ -104,6 +120,7 @@
     child.once('error', (error) => fail(error.message));
     child.once('close', (code, signal) => fail(`ended with ${signal ?? `code ${code}`}`));
     readLines(child.stdout, (line) => {
+      onLine(name, line);
       const parsed = parseLogLine(line);
       if (parsed?.message === 'listening') {
         clearTimeout(timer);
@@ -120,11 +137,13 @@
 }
 
 interface LogLine {
+  level?: string;
   message: string;
   context: Record<string, string>;
 }
 
-function parseLogLine(line: string): LogLine | undefined {
+/** Reads a JSON log line; anything else is undefined. */
+export function parseLogLine(line: string): LogLine | undefined {
   try {
     return JSON.parse(line) as LogLine;
   } catch {
@@ -136,9 +155,9 @@
   return child.exitCode === null && child.signalCode === null;
 }
 
-async function stopChild(child: ChildProcess): Promise<void> {
+async function stopChild(child: ChildProcess, stopBoundMs: number): Promise<boolean> {
   if (!isRunning(child)) {
-    return;
+    return child.exitCode === 0;
   }
   const startedAtMs = monotonicNowMs();
   const exited = once(child, 'exit');
@@ -150,4 +169,5 @@
     const waitedMs = Math.round(monotonicNowMs() - startedAtMs);
     process.stderr.write(`killed process ${child.pid} after waiting ${waitedMs} ms for its stop\n`);
   }
+  return child.exitCode === 0;
 }
--- a/packages/bench/src/fleet/controlCalls.ts
+++ b/packages/bench/src/fleet/controlCalls.ts
@@ -62,6 +62,16 @@
   return sendJson('PUT', `${platformUrl}/control/instances/${id}`, { ...instance, state: 'live' });
 }
 
+/** The instances as processes see them: with the platform's lag. */
+export function listInstances(platformUrl: string): Promise<unknown> {
+  return readJson(`${platformUrl}/instances`);
+}
+
+/** Shows a process as leaving, as the platform does for a planned stop. */
+export function markLeaving(platformUrl: string, id: string): Promise<void> {
+  return sendJson('POST', `${platformUrl}/control/instances/${id}/leaving`, {});
+}
+
 /** Takes a process off the instance list, as the platform does some time after its death. */
 export function removeInstance(platformUrl: string, id: string): Promise<void> {
   return sendJson('DELETE', `${platformUrl}/control/instances/${id}`, {});
--- a/packages/bench/src/fleet/startFleet.ts
+++ b/packages/bench/src/fleet/startFleet.ts
@@ -11,6 +11,8 @@
 } from './childProcess';
 import {
   applyDocument,
+  listInstances,
+  markLeaving,
   readJson,
   readText,
   registerInstance,
@@ -22,9 +24,16 @@
   description: FleetDescription;
   /** Sets of entries beside the same agents; one an experiment's policy. */
   entryGroups: EntryGroup[];
+  /** Callers' port and admin port of the first entry; the next entries and the agents follow. */
+  firstPorts?: { entryPort: number; adminPort: number };
+  /** Sees each process once it listens. */
+  onStarted?: (started: RunningBinary) => void;
+  /** Sees each process that ends before the fleet is stopped. */
+  onEnded?: (name: string, cause: string) => void;
 }
 
 export interface EntryGroup {
+  /** Part of its entries' ids, unless it is empty. */
   name: string;
   count: number;
   /** Beside the settings that every entry needs. */
@@ -53,7 +62,10 @@
   backends(): FleetBackend[];
   /** Starts a killed backend anew under the same id; resolves once it is ready and listed. */
   replaceBackend(id: string): Promise<void>;
-  stop(): Promise<void>;
+  /** Resolves with the names of the processes that did not stop gracefully. */
+  stop(): Promise<string[]>;
+  /** Ends every process at once. */
+  kill(): void;
 }
 
 const host = '127.0.0.1';
@@ -66,7 +78,10 @@
 
 /** Starts the fleet; resolves once each entry offers the institution's services. */
 export async function startFleet(options: StartFleetOptions): Promise<Fleet> {
-  const { description, entryGroups } = options;
+  const { description, entryGroups, firstPorts, onStarted, onEnded } = options;
+  const entryCount = entryGroups.reduce((sum, { count }) => sum + count, 0);
+  const portFrom = (first: number | undefined, index: number) => (first ? first + index : 0);
+  let isStopping = false;
   const started: Record<Stage, RunningBinary[]> = {
     platform: [],
     backends: [],
@@ -78,13 +93,19 @@
   async function launch(stage: Stage, spec: BinarySpec): Promise<RunningBinary> {
     const running = await startBinary(spec, options);
     started[stage].push(running);
+    onStarted?.(running);
+    void running.ended.then((cause) => isStopping || onEnded?.(running.name, cause));
     return running;
   }
 
-  async function launchBackend(platformUrl: string, backend: BackendDescription): Promise<void> {
+  async function launchBackend(
+    platformUrl: string,
+    backend: BackendDescription,
+    adminPort = 0,
+  ): Promise<void> {
     const server = await launch('backends', backendSpec(backend, description.engine));
     const address = addressOf(server, 'address');
-    const agent = await launch('agents', agentSpec(backend, address, platformUrl));
+    const agent = await launch('agents', agentSpec(backend, address, platformUrl, adminPort));
     const agentAdminAddress = addressOf(agent, 'adminAddress');
     await registerInstance(platformUrl, backend.id, {
       kind: 'agent',
@@ -95,20 +116,28 @@
       adminAddress: agentAdminAddress,
     });
     await waitUntilReady(backend.id, agentAdminAddress);
-    const kill = () => [server, agent].forEach((process) => process.kill());
-    backends.set(backend.id, { description: backend, address, agentAdminAddress, kill });
+    backends.set(backend.id, {
+      description: backend,
+      address,
+      agentAdminAddress,
+      kill: () => [server, agent].forEach((process) => process.kill()),
+    });
   }
 
   async function launchEntry(
     platformUrl: string,
     group: EntryGroup,
     index: number,
+    position: number,
   ): Promise<FleetEntry> {
     const { dataCentres } = description;
     const dataCentre = dataCentres[index % dataCentres.length] ?? 'unknown';
-    const instanceId = `entry-${group.name}-${index + 1}`;
-    const settings = { ...group.settings, instanceId, dataCentre, platformUrl };
-    const entry = await launch('entries', entrySpec(instanceId, settings));
+    const instanceId = ['entry', group.name, index + 1].filter((part) => part !== '').join('-');
+    const entryPort = portFrom(firstPorts?.entryPort, position);
+    const adminPort = portFrom(firstPorts?.adminPort, position);
+    const ports = { entryPort, innerPort: 0, adminPort };
+    const settings = { ...ports, ...group.settings, instanceId, dataCentre, platformUrl };
+    const entry = await launch('entries', { name: instanceId, binary: 'bluebell-entry', settings });
     const adminAddress = addressOf(entry, 'adminAddress');
     await registerInstance(platformUrl, instanceId, {
       kind: 'entry',
@@ -119,27 +148,45 @@
     return { group: group.name, callerAddress: addressOf(entry, 'callersAddress'), adminAddress };
   }
 
-  async function launchAll(): Promise<Omit<Fleet, 'stop' | 'backends' | 'replaceBackend'>> {
+  async function launchAll(): Promise<Pick<Fleet, 'platformUrl' | 'entries'>> {
     const platform = await launch('platform', platformSpec());
     const platformUrl = addressOf(platform, 'address');
     const { services } = description;
     await Promise.all(
       services.map(({ document, text }) => applyDocument(platformUrl, document.service, text)),
     );
-    await settleAll(description.backends.map((backend) => launchBackend(platformUrl, backend)));
-    const entries = await settleAll(
-      entryGroups.flatMap((group) =>
-        Array.from({ length: group.count }, (_, index) => launchEntry(platformUrl, group, index)),
+    await settleAll(
+      description.backends.map((backend, index) =>
+        launchBackend(platformUrl, backend, portFrom(firstPorts?.adminPort, entryCount + index)),
       ),
     );
+    await waitUntilListed(platformUrl, description.backends);
+    const entries = await settleAll(
+      entryGroups
+        .flatMap((group) => Array.from({ length: group.count }, (_, index) => ({ group, index })))
+        .map(({ group, index }, position) => launchEntry(platformUrl, group, index, position)),
+    );
     await Promise.all(entries.map((entry) => waitUntilServing(entry, description)));
     return { platformUrl, entries };
   }
 
-  async function stop(): Promise<void> {
+  async function stop(platformUrl: string): Promise<string[]> {
+    isStopping = true;
+    await Promise.allSettled(started.entries.map(({ name }) => markLeaving(platformUrl, name)));
+    const cutOff: string[] = [];
     for (const stage of stopOrder) {
-      await Promise.all(started[stage].map((process) => process.stop()));
+      const running = started[stage].filter((process) => process.isRunning());
+      const areGraceful = await Promise.all(running.map((process) => process.stop()));
+      cutOff.push(...running.filter((_, index) => !areGraceful[index]).map(({ name }) => name));
     }
+    return cutOff;
+  }
+
+  function kill(): void {
+    isStopping = true;
+    Object.values(started)
+      .flat()
+      .forEach((process) => process.kill());
   }
 
   async function replaceBackend(platformUrl: string, id: string): Promise<void> {
@@ -159,12 +206,11 @@
       ...running,
       backends: () => [...backends.values()],
       replaceBackend: (id) => replaceBackend(running.platformUrl, id),
-      stop,
+      stop: () => stop(running.platformUrl),
+      kill,
     };
   } catch (error) {
-    Object.values(started)
-      .flat()
-      .forEach((process) => process.kill());
+    kill();
     throw error;
   }
 }
@@ -203,6 +249,7 @@
   { id, document, role, dataCentre }: BackendDescription,
   backendUrl: string,
   platformUrl: string,
+  adminPort: number,
 ): BinarySpec {
   const settings = {
     instanceId: id,
@@ -212,16 +259,11 @@
     role,
     backendUrl,
     platformUrl,
-    adminPort: 0,
+    adminPort,
   };
   return { name: `${id}-agent`, binary: 'bluebell-agent', settings };
 }
 
-function entrySpec(name: string, settings: BinarySpec['settings']): BinarySpec {
-  const ports = { entryPort: 0, innerPort: 0, adminPort: 0 };
-  return { name, binary: 'bluebell-entry', settings: { ...ports, ...settings } };
-}
-
 function waitUntilReady(name: string, adminAddress: string): Promise<void> {
   return waitFor(`${name} is not ready`, async () => {
     await readText(`${adminAddress}/readyz`);
@@ -229,13 +271,23 @@
   });
 }
 
-function waitUntilServing(entry: FleetEntry, { services }: FleetDescription): Promise<void> {
-  const modelServices = services.filter(({ document }) => document.kind === 'model');
-  return waitFor(`${entry.callerAddress} does not offer the services`, async () => {
-    const { data } = (await readJson(`${entry.callerAddress}/v1/models`)) as {
-      data: { id: string }[];
-    };
-    return modelServices.every(({ document }) => data.some(({ id }) => id === document.service));
+/** An entry that starts after this knows every agent from its first look at the list. */
+function waitUntilListed(platformUrl: string, backends: BackendDescription[]): Promise<void> {
+  return waitFor('the platform does not list all agents', async () => {
+    const listed = (await listInstances(platformUrl)) as { id: string }[];
+    return backends.every((backend) => listed.some(({ id }) => id === backend.id));
+  });
+}
+
+/** An entry serves once it is ready and every document is in force there. */
+async function waitUntilServing(entry: FleetEntry, { services }: FleetDescription): Promise<void> {
+  await waitUntilReady(entry.callerAddress, entry.adminAddress);
+  await waitFor(`${entry.callerAddress} does not offer the services`, async () => {
+    const inForce = (await readJson(`${entry.adminAddress}/debug/services`)) as {
+      document: { service: string };
+    }[];
+    const names = inForce.map(({ document }) => document.service);
+    return services.every(({ document }) => names.includes(document.service));
   });
 }
 
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,7 @@
-/** Bundles each binary into dist/. Packages of the workspace are bundled, those of npm are not. */
+/**
+ * Bundles each binary into dist/, and the launcher that `npm start` shares with the bench. Packages of the
+ * workspace are bundled, those of npm are not.
+ */
 import { mkdir, readFile, rename, writeFile } from 'node:fs/promises';
 import { existsSync } from 'node:fs';
 import { join } from 'node:path';
@@ -10,6 +13,7 @@
   'bluebell-agent': 'packages/agent/src/bin.ts',
   bluebellctl: 'packages/ctl/src/bin.ts',
   'bluebell-bench': 'packages/bench/src/bin.ts',
+  'development-fleet': 'packages/bench/src/fleet/developmentFleet.ts',
   'standin-engine': 'packages/standins/src/bin/standinEngine.ts',
   'standin-platform': 'packages/standins/src/bin/standinPlatform.ts',
   'standin-weight-store': 'packages/standins/src/bin/standinWeightStore.ts',
@@ -44,7 +48,7 @@
 await Promise.all(outputFiles.map(replaceFile));
 
 const note = missing.length === 0 ? '' : `; no source yet: ${missing.join(', ')}`;
-process.stdout.write(`built ${sources.length} binaries into dist${note}\n`);
+process.stdout.write(`built ${sources.length} bundles into dist${note}\n`);
 
 /** A process that starts during a build reads the old file or the new one, never a part of one. */
 async function replaceFile({ path, contents }) {
--- a/scripts/lib/outputFilter.mjs
+++ b/scripts/lib/outputFilter.mjs
@@ -1,12 +1,11 @@
 /** Shows what started processes write: everything, or only warnings and what is not a log line. */
-import { parseLine } from './childProcesses.mjs';
 
 const quietLevels = ['debug', 'info'];
 
 /** Creates a function that prints the lines worth showing, each with the name of its process. */
-export function createOutputFilter({ verbose }, print) {
+export function createOutputFilter({ verbose }, parseLogLine, print) {
   return (name, line) => {
-    const parsed = parseLine(line);
+    const parsed = parseLogLine(line);
     const isQuiet = parsed?.message === 'listening' || quietLevels.includes(parsed?.level);
     if (verbose || !isQuiet) {
       print(`[${name}] ${line}`);
--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -2,8 +2,12 @@
  * `npm start`: the real binaries as separate processes on this machine, with stand-ins for the engines,
  * the plain service and the platform. Options: see `usage`.
  */
+import { join } from 'node:path';
+import { pathToFileURL } from 'node:url';
 import { parseArgs } from 'node:util';
-import { prepare } from './lib/repository.mjs';
+import { createOutputFilter } from './lib/outputFilter.mjs';
+import { prepare, repositoryRoot } from './lib/repository.mjs';
+import { curlLine, showCompletion, showLookup } from './lib/sampleRequests.mjs';
 
 const usage = `Usage: npm start -- [options]
 
@@ -17,6 +21,8 @@
 
 const exitCodes = { ok: 0, failure: 1, invalidSettings: 2 };
 const parentPollMs = 500;
+/** Longer than the product's binaries take at most. */
+const stopBoundMs = 130_000;
 
 function print(line) {
   process.stdout.write(`${line}\n`);
@@ -91,10 +97,10 @@
   return `started ${name} pid=${pid} ${places.join(' ')}`;
 }
 
-async function showOnce(callersAddress, example, { showCompletion, showLookup }) {
+async function showOnce(callerAddress, example) {
   const write = (text) => process.stdout.write(text);
-  await showCompletion(callersAddress, example, write);
-  await showLookup(callersAddress, example, write);
+  await showCompletion(callerAddress, example, write);
+  await showLookup(callerAddress, example, write);
 }
 
 async function main() {
@@ -107,41 +113,53 @@
   if (prepared !== 0) {
     return prepared;
   }
-  // Loaded only now: these modules need installed packages.
-  const { exampleNames, readExample } = await import('./lib/examples.mjs');
-  const { startFleet } = await import('./lib/fleet.mjs');
-  const { createOutputFilter } = await import('./lib/outputFilter.mjs');
-  const samples = await import('./lib/sampleRequests.mjs');
-  if (!exampleNames.includes(options.example)) {
-    print(`--example: must be one of ${exampleNames.join(', ')}`);
+  // Built only now.
+  const fleetUrl = pathToFileURL(join(repositoryRoot, 'dist', 'development-fleet.js'));
+  const library = await import(fleetUrl);
+  const institutions = Object.values(library.institutionNames);
+  if (!institutions.includes(options.example)) {
+    print(`--example: must be one of ${institutions.join(', ')}`);
     return exitCodes.invalidSettings;
   }
-  const example = await readExample(options.example, options);
+  const description = await library.describeFleet({
+    examplesDirectory: join(repositoryRoot, 'examples'),
+    institution: options.example,
+    engine: library.deskEngine,
+    workers: options.full ? undefined : library.deskWorkers,
+  });
+  return run(library, description, options);
+}
+
+async function run({ startFleet, parseLogLine, modelDocumentOf }, description, options) {
   let fleet;
   const stopRequested = waitForStop(() => {
     fleet?.kill();
     process.exit(exitCodes.failure);
   });
   const starting = startFleet({
-    ...options,
-    example,
+    description,
+    binaryDirectory: join(repositoryRoot, 'dist'),
+    exitWithParentPath: join(repositoryRoot, 'scripts', 'lib', 'exitWithParent.mjs'),
+    stopBoundMs,
+    entryGroups: [{ name: '', count: options.entryCount, settings: {} }],
+    firstPorts: options,
     onStarted: (started) => print(describe(started)),
     onEnded: (name, cause) => print(`${name} ended by itself: ${cause}`),
-    onLine: createOutputFilter(options, print),
+    onLine: createOutputFilter(options, parseLogLine, print),
   });
   fleet = await Promise.race([starting, stopRequested.then(() => undefined)]);
-  return fleet === undefined
-    ? exitCodes.ok
-    : serve(fleet, example, options, stopRequested, samples);
+  const { institution } = description;
+  const example = { institution, service: modelDocumentOf(description).service };
+  return fleet === undefined ? exitCodes.ok : serve(fleet, example, options, stopRequested);
 }
 
-async function serve(fleet, example, options, stopRequested, samples) {
-  const [{ addresses }] = fleet.entries;
-  print(`ready on ${fleet.entries.map((entry) => entry.addresses.callersAddress).join(' and ')}`);
-  print('processes trust each other without keys (--insecure-inner); see docs/OPERATORS.md');
-  print(`try: ${samples.curlLine(addresses.callersAddress, example)}`);
+async function serve(fleet, example, options, stopRequested) {
+  const [{ callerAddress }] = fleet.entries;
+  print(`ready on ${fleet.entries.map((entry) => entry.callerAddress).join(' and ')}`);
+  print('processes trust each other without keys (BLUEBELL_INSECURE_INNER); see docs/OPERATORS.md');
+  print(`try: ${curlLine(callerAddress, example)}`);
   const outcome = options.once
-    ? await showOnce(addresses.callersAddress, example, samples).then(
+    ? await showOnce(callerAddress, example).then(
         () => exitCodes.ok,
         (error) => {
           print(error.message);
