Let quickstart tests share two running fleets

Cause: each of nine tests started a fleet of its own, about 9 s before anything was asserted.

'the same prompt' runs on the fleet that the SIGTERM test stops afterwards, and 'a plain service' on the one that then loses an engine and is stopped. Each asserts what it did; the graceful stop after the engine's death now happens with a dead plain service as well. The shared fleets start with the first test that asks, so a test run alone works, and end in a hook that always runs.

Ruled out: sharing the fleets whose script is killed, where an earlier death would leave fewer processes to look for, and running fleets at the same time, which a busy machine does not bear.

Conclusion: two starts fewer.

--- a/packages/bench/__tests__/helpers/quickstart.ts
+++ b/packages/bench/__tests__/helpers/quickstart.ts
@@ -94,6 +94,20 @@
   };
 }
 
+/** One quickstart for several tests: started by the first that asks, ended by the hook after them all. */
+export function shareQuickstart(launcher: Launcher = 'node') {
+  let shared: Quickstart | undefined;
+  return {
+    get(): Quickstart {
+      shared ??= startQuickstart([], launcher);
+      return shared;
+    },
+    async end(): Promise<void> {
+      await shared?.end();
+    },
+  };
+}
+
 function startedProcess(match: RegExpExecArray): StartedProcess {
   const [, name = '', pid = '', places = ''] = match;
   const addresses = places.split(' ').map((place) => place.split('='));
--- a/packages/bench/__tests__/quickstart.test.ts
+++ b/packages/bench/__tests__/quickstart.test.ts
@@ -1,10 +1,22 @@
 import test, { type ExecutionContext } from 'ava';
 import { readMetric, streamCompletion, type StreamEnd } from './helpers/callers';
-import { eventually, isRunning, startQuickstart, type Quickstart } from './helpers/quickstart';
+import {
+  eventually,
+  isRunning,
+  shareQuickstart,
+  startQuickstart,
+  type Quickstart,
+} from './helpers/quickstart';
 
 const prompt = 'Draft a maturity notice for a series EE bond bought in May 1994.';
 const longAnswerTokens = 250;
 
+/** Serves the tests up to the one that stops it; started by the first that runs. */
+const plannedStop = shareQuickstart('npm');
+/** Loses a plain service, then an engine, and is then stopped. */
+const lostServers = shareQuickstart();
+test.after.always(() => Promise.all([plannedStop.end(), lostServers.end()]));
+
 function startLongAnswers(address: string, count: number): Promise<StreamEnd>[] {
   return Array.from({ length: count }, (_, index) =>
     streamCompletion({
@@ -60,8 +72,7 @@
 });
 
 test.serial('the same prompt has the same answer, and max_tokens is honoured', async (t) => {
-  const quickstart = startQuickstart();
-  t.teardown(quickstart.end);
+  const quickstart = plannedStop.get();
   const [address = ''] = await quickstart.ready;
   const ends = await Promise.all(
     [1, 2].map(() => streamCompletion({ address, prompt, maxTokens: 20 })),
@@ -86,8 +97,7 @@
 test.serial('SIGTERM finishes answers in progress, exits 0 and leaves nothing', async (t) => {
   // A planned stop while callers read their answers. The entry stops first and waits for its streams;
   // the agents and engines under them must still be there. Stopping all at once would cut them off.
-  const quickstart = startQuickstart([], 'npm');
-  t.teardown(quickstart.end);
+  const quickstart = plannedStop.get();
   const [address = ''] = await quickstart.ready;
   const answers = startLongAnswers(address, 4);
   await findDecodingWorker(quickstart);
@@ -138,12 +148,31 @@
   });
 }
 
+test.serial('a plain service goes on with one instance fewer', async (t) => {
+  // A counter's backend server dies; its agent lives on and refuses as not run. Each lookup must reach
+  // the instance that is left, the first one by a retry. An entry that keeps choosing the dead one
+  // soon spends its retry budget, and customers at the counter see 503 while a server is idle.
+  const quickstart = lostServers.get();
+  const [address = ''] = await quickstart.ready;
+  const lookUp = async () => (await fetch(`${address}/balance/4711`)).status;
+  t.is(await lookUp(), 200);
+  process.kill(quickstart.processNamed('counter-app-plain-1').pid, 'SIGKILL');
+
+  const statuses = [];
+  for (let count = 0; count < 20; count += 1) {
+    statuses.push(await lookUp());
+  }
+  t.deepEqual(
+    statuses.filter((status) => status !== 200),
+    [],
+  );
+});
+
 test.serial('an engine may die', async (t) => {
   // An engine is killed while it streams answers; its agent lives on. Each caller sees a whole answer,
   // continued elsewhere, or an error event, never a stream that ends as if it were whole. The next
   // request works, because other engines are free, and the agent can still be stopped gracefully.
-  const quickstart = startQuickstart();
-  t.teardown(quickstart.end);
+  const quickstart = lostServers.get();
   const [address = ''] = await quickstart.ready;
   await killWhileAnswering(t, quickstart, (worker) => worker);
 
@@ -186,24 +215,3 @@
   );
   t.true(await nextRequestWorks(secondAddress), 'after the entry');
 });
-
-test.serial('a plain service goes on with one instance fewer', async (t) => {
-  // A counter's backend server dies; its agent lives on and refuses as not run. Each lookup must reach
-  // the instance that is left, the first one by a retry. An entry that keeps choosing the dead one
-  // soon spends its retry budget, and customers at the counter see 503 while a server is idle.
-  const quickstart = startQuickstart();
-  t.teardown(quickstart.end);
-  const [address = ''] = await quickstart.ready;
-  const lookUp = async () => (await fetch(`${address}/balance/4711`)).status;
-  t.is(await lookUp(), 200);
-  process.kill(quickstart.processNamed('counter-app-plain-1').pid, 'SIGKILL');
-
-  const statuses = [];
-  for (let count = 0; count < 20; count += 1) {
-    statuses.push(await lookUp());
-  }
-  t.deepEqual(
-    statuses.filter((status) => status !== 200),
-    [],
-  );
-});
