Say in one line that a port of the quickstart is in use

Cause: with a fixed port in use, the start went on, and one process of a dozen failed with its log lines among those of the others.

scripts/start.mjs now looks at the callers' and admin ports before it starts anything: one line that begins with EADDRINUSE and names the ports, exit code 1. The test was seen to fail without the look: the platform and others had been started.

Ruled out: to read it from the failed process's output, which comes after others run. A port that is taken between the look and the start still ends it with exit code 1 and the lines of the process that failed.

--- a/packages/bench/__tests__/helpers/quickstart.ts
+++ b/packages/bench/__tests__/helpers/quickstart.ts
@@ -31,10 +31,13 @@
 /** The script itself, or `npm start` as a shell has it. */
 export type Launcher = 'node' | 'npm';
 
-/** Starts the quickstart on free ports. */
+export const freePorts = { BLUEBELL_ENTRY_PORT: '0', BLUEBELL_ADMIN_PORT: '0' };
+
+/** Starts the quickstart, on free ports unless they are given. */
 export function startQuickstart(
   args: readonly string[] = [],
   launcher: Launcher = 'node',
+  ports: NodeJS.ProcessEnv = freePorts,
 ): Quickstart {
   const [command, ...launchArgs] =
     launcher === 'npm' ? ['npm', 'start', '--'] : [process.execPath, 'scripts/start.mjs'];
@@ -42,8 +45,7 @@
     cwd: repositoryRoot,
     env: {
       ...process.env,
-      BLUEBELL_ENTRY_PORT: '0',
-      BLUEBELL_ADMIN_PORT: '0',
+      ...ports,
       // As under npm, the script stops when its parent is gone: a test process that is cut off by a
       // timeout would otherwise leave a whole fleet behind.
       npm_lifecycle_event: 'start',
--- a/packages/bench/__tests__/quickstart.test.ts
+++ b/packages/bench/__tests__/quickstart.test.ts
@@ -1,7 +1,10 @@
+import { once } from 'node:events';
+import { createServer, type AddressInfo } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
 import { readMetric, streamCompletion, type StreamEnd } from './helpers/callers';
 import {
   eventually,
+  freePorts,
   isRunning,
   shareQuickstart,
   startQuickstart,
@@ -125,6 +128,27 @@
   });
 });
 
+test.serial('a port in use ends the start with one line that names it', async (t) => {
+  // Something else listens where an agent's admin port would be, as a forgotten quickstart does. The
+  // start ends at once with exit code 1 and one line, before any process runs; else the failure of one
+  // agent shows up seconds later, among the output of a dozen others.
+  const server = createServer().listen(0, '127.0.0.1');
+  t.teardown(() => server.close());
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const quickstart = startQuickstart([], 'node', {
+    ...freePorts,
+    BLUEBELL_ADMIN_PORT: String(port - 1),
+  });
+  t.teardown(quickstart.end);
+
+  t.is(await quickstart.exited, 1);
+  t.deepEqual(quickstart.processes, []);
+  const [, ...afterBuild] = quickstart.lines;
+  t.is(afterBuild.length, 1);
+  t.regex(afterBuild[0] ?? '', new RegExp(`^EADDRINUSE: 127\\.0\\.0\\.1 port (\\d+, )*${port}\\b`));
+});
+
 /** Kills a process while six answers stream, and waits for their ends. */
 async function killWhileAnswering(
   t: ExecutionContext,
--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -6,6 +6,7 @@
 import { pathToFileURL } from 'node:url';
 import { parseArgs } from 'node:util';
 import { createOutputFilter } from './lib/outputFilter.mjs';
+import { findUsedPorts } from './lib/ports.mjs';
 import { prepare, repositoryRoot } from './lib/repository.mjs';
 import { curlLine, showCompletion, showLookup } from './lib/sampleRequests.mjs';
 
@@ -103,6 +104,16 @@
   await showLookup(callerAddress, example, write);
 }
 
+/** Callers' ports, then the admin ports of entries and agents; none where free ports are taken. */
+function fixedPorts({ entryPort, adminPort, entryCount }, { backends }) {
+  const portsFrom = (first, count) =>
+    first === 0 ? [] : Array.from({ length: count }, (_, index) => first + index);
+  return [
+    ...portsFrom(entryPort, entryCount),
+    ...portsFrom(adminPort, entryCount + backends.length),
+  ];
+}
+
 async function main() {
   const { options, findings } = readOptions();
   if (options.help || findings.length > 0) {
@@ -127,6 +138,13 @@
     engine: library.deskEngine,
     workers: options.full ? undefined : library.deskWorkers,
   });
+  const usedPorts = await findUsedPorts(fixedPorts(options, description));
+  if (usedPorts.length > 0) {
+    print(
+      `EADDRINUSE: 127.0.0.1 port ${usedPorts.join(', ')}; set BLUEBELL_ENTRY_PORT and BLUEBELL_ADMIN_PORT (0 takes free ports)`,
+    );
+    return exitCodes.failure;
+  }
   return run(library, description, options);
 }
 
