Keep the links' rate in stretched fleets, which agents take for granted

The bench stretched the links of its engines to a half (--time-scale 2) or less and told the agents nothing, so that every transfer took twice as long as predicted, by all policies that ask for bids. The KV cache is stretched instead: the same seconds a transfer, the same requests in a worker's memory, and a rate that the agents know.

--- a/packages/bench/src/experiments/goodput.ts
+++ b/packages/bench/src/experiments/goodput.ts
@@ -39,6 +39,19 @@
   exportKeptForMs: 900,
 };
 
+/**
+ * The profile for times stretched by `timeScale`. Its KV cache is stretched instead of its link: agents are
+ * told no link rate, and would predict transfers over a slower link too early by this factor.
+ */
+export function stretchedEngine(timeScale: number): EngineProfile {
+  return {
+    ...goodputEngine,
+    capacityKvBytes: goodputEngine.capacityKvBytes * timeScale,
+    kvBytesPerToken: goodputEngine.kvBytesPerToken * timeScale,
+    linkBytesPerSecond: goodputEngine.linkBytesPerSecond * timeScale,
+  };
+}
+
 export async function runGoodput(
   context: ExperimentContext,
   options: GoodputOptions,
@@ -65,7 +78,7 @@
   institution: InstitutionName,
   { timeScale }: GoodputOptions,
 ) {
-  return describeFleet({ ...context, institution, engine: goodputEngine, timeScale });
+  return describeFleet({ ...context, institution, engine: stretchedEngine(timeScale), timeScale });
 }
 
 async function capacityOf(
