Read the list of instances more often while it names no entry

Cause: an entry starts before the platform lists it. Until its next look, 5 s later, it was no relay, and read accepted documents only every 10 s; in a start of the quickstart 5.8 s lay between accepting a document and its being in force. Now the list is read each second while it names no entry. Ruled out: reading it each second always, which is five times the platform's reads; a fast watch of documents by everyone.

--- a/packages/membership/__tests__/instanceDirectory.test.ts
+++ b/packages/membership/__tests__/instanceDirectory.test.ts
@@ -124,3 +124,15 @@
   t.deepEqual(agentIds(), ['w-3']);
   t.is(directory.listing('all')?.digest, 'younger');
 });
+
+// An entry starts before the platform lists it, alone. Until it sees itself in the list it is no relay,
+// and documents that it has accepted itself would not be in force for five seconds.
+testWithClock('the list is read more often while it names no entry', async (t, clock) => {
+  const { platform, directory } = await createDirectory();
+  directory.start();
+  await clock.tickAsync(100);
+  platform.control.putInstance(agent('entry-1', { kind: 'entry', service: undefined }));
+  await clock.tickAsync(1300);
+  t.is(directory.entries().length, 1);
+  await directory.stop();
+});
--- a/packages/membership/src/instanceDirectory.ts
+++ b/packages/membership/src/instanceDirectory.ts
@@ -10,6 +10,8 @@
   platform: PlatformApi;
   /** Usual pause between looks at the list; each is a read of the platform. */
   refreshMs?: number;
+  /** Pause while the list names no entry: there is no relay yet to bring configuration. */
+  searchMs?: number;
   /** A list taken from a relay may be this old before the platform is read again. */
   relayedListMaxAgeMs?: number;
   /** How long a refusal as leaving outlives a list that still says live. */
@@ -68,6 +70,7 @@
 
 const defaults = {
   refreshMs: 5000,
+  searchMs: 1000,
   // Above the longest wait of a feed poll: a quiet relay is no reason to read the platform.
   relayedListMaxAgeMs: 40_000,
   leavingHoldMs: 60_000,
@@ -76,7 +79,7 @@
 const jitterShare = 0.5;
 
 export function createInstanceDirectory(options: InstanceDirectoryOptions): InstanceDirectory {
-  const { platform, refreshMs, relayedListMaxAgeMs, leavingHoldMs, downHoldMs } = {
+  const { platform, refreshMs, searchMs, relayedListMaxAgeMs, leavingHoldMs, downHoldMs } = {
     ...defaults,
     ...options,
   };
@@ -182,7 +185,8 @@
   async function run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await refreshIfNeeded();
-      await delay(refreshMs * (1 - jitterShare / 2 + random() * jitterShare), signal);
+      const pauseMs = currentView().entries.length === 0 ? searchMs : refreshMs;
+      await delay(pauseMs * (1 - jitterShare / 2 + random() * jitterShare), signal);
     }
   }
 
