Start and stop background tasks in one place

Left as they are: definitions of host and port settings, alike by shape only, and startInMs of a prefill decision, which the entry does not read but whose tests hold it.

--- a/packages/membership/src/feedFollower.ts
+++ b/packages/membership/src/feedFollower.ts
@@ -4,7 +4,13 @@
  */
 import type { PlatformApi, PlatformInstance } from '@bluebellhitch/platform';
 import type { InstanceListState } from '@bluebellhitch/protocol';
-import { delay, monotonicNowMs, rendezvousOrder, type Random } from '@bluebellhitch/shared';
+import {
+  createBackgroundLoop,
+  delay,
+  monotonicNowMs,
+  rendezvousOrder,
+  type Random,
+} from '@bluebellhitch/shared';
 import { createFeedClient, type CallFeed } from './feedClient';
 import type { FeedStore } from './feedStore';
 import type { InstanceDirectory, ListScope } from './instanceDirectory';
@@ -93,7 +99,6 @@
   const cursors = new Map<string, string>();
   const suspectUntilMs = new Map<string, number>();
   let source: FeedSource = 'starting';
-  let loop: { stop: AbortController; ended: Promise<void> } | undefined;
   let markReady: () => void = () => {};
   const readiness = new Promise<void>((resolve) => {
     markReady = resolve;
@@ -275,18 +280,7 @@
   }
 
   return {
-    start() {
-      if (loop === undefined) {
-        const stopping = new AbortController();
-        loop = { stop: stopping, ended: run(stopping.signal) };
-      }
-    },
-    async stop() {
-      const running = loop;
-      loop = undefined;
-      running?.stop.abort();
-      await running?.ended;
-    },
+    ...createBackgroundLoop(run),
     ready: () => readiness,
     source: () => source,
   };
--- a/packages/membership/src/instanceDirectory.ts
+++ b/packages/membership/src/instanceDirectory.ts
@@ -4,7 +4,13 @@
  */
 import type { PlatformApi, PlatformInstance } from '@bluebellhitch/platform';
 import type { InstanceListNews, InstanceListState } from '@bluebellhitch/protocol';
-import { delay, hash64Hex, monotonicNowMs, type Random } from '@bluebellhitch/shared';
+import {
+  createBackgroundLoop,
+  delay,
+  hash64Hex,
+  monotonicNowMs,
+  type Random,
+} from '@bluebellhitch/shared';
 
 export interface InstanceDirectoryOptions {
   platform: PlatformApi;
@@ -91,7 +97,6 @@
   let isRelayed = false;
   let listings = new Map<ListScope, Omit<InstanceListing, 'ageMs'>>();
   let view = buildView(listed, corrections);
-  let loop: { stop: AbortController; ended: Promise<void> } | undefined;
 
   function currentView(): View {
     if (monotonicNowMs() >= view.validUntilMs) {
@@ -205,18 +210,7 @@
     listing,
     offer,
     viewAgeMs,
-    start() {
-      if (loop === undefined) {
-        const stopping = new AbortController();
-        loop = { stop: stopping, ended: run(stopping.signal) };
-      }
-    },
-    async stop() {
-      const running = loop;
-      loop = undefined;
-      running?.stop.abort();
-      await running?.ended;
-    },
+    ...createBackgroundLoop(run),
   };
 }
 
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -23,4 +23,5 @@
 } from './settings';
 export { hash64, hash64Hex, rendezvousOrder } from './hash';
 export { createSeededRandom, type Random } from './random';
+export { createBackgroundLoop, type BackgroundLoop } from './backgroundLoop';
 export { delay, monotonicNowMs } from './clock';
