Name the package of objects, claims and leases for what it holds

Cause: packages/platform held claims and leases of the product's own interface, and the name is needed for the folder that translates for the users' platform. Ruled out: two packages of nearly the same name; a second interface for stores. ObjectApi is what both stores speak, and leases ask for no more than that.

--- a/packages/agent/__tests__/fencingNumber.test.ts
+++ b/packages/agent/__tests__/fencingNumber.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { errAsync, okAsync, type ResultAsync } from 'neverthrow';
-import type { PlatformError, StoredObject } from '@bluebellhitch/platform';
+import type { PlatformError, StoredObject } from '@bluebellhitch/objects';
 import { readFencingNumber } from '../src/fencingNumber';
 
 function read(answer: ResultAsync<StoredObject, PlatformError>) {
--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -1,7 +1,7 @@
 /** Puts an agent together from its settings: clients, inner port, admin port, graceful stop. */
 import { randomUUID } from 'node:crypto';
 import { createHttpEngineClient } from '@bluebellhitch/engine';
-import { createHttpPlatformClient } from '@bluebellhitch/platform';
+import { createHttpPlatformClient } from '@bluebellhitch/objects';
 import type { InnerSecurity } from '@bluebellhitch/security';
 import {
   createAgentMetrics,
--- a/packages/agent/src/documentFeed.ts
+++ b/packages/agent/src/documentFeed.ts
@@ -7,7 +7,7 @@
   createInstanceDirectory,
   type InstanceDirectory,
 } from '@bluebellhitch/membership';
-import type { PlatformApi } from '@bluebellhitch/platform';
+import type { PlatformApi } from '@bluebellhitch/objects';
 import { feedKinds, type FeedRecord } from '@bluebellhitch/protocol';
 import type { InnerCredentials } from '@bluebellhitch/security';
 import { delay, type Random } from '@bluebellhitch/shared';
--- a/packages/ctl/__tests__/helpers/memoryPlatform.ts
+++ b/packages/ctl/__tests__/helpers/memoryPlatform.ts
@@ -6,7 +6,7 @@
   PlatformError,
   PlatformInstance,
   StoredObject,
-} from '@bluebellhitch/platform';
+} from '@bluebellhitch/objects';
 
 export interface MemoryPlatform extends PlatformApi {
   /** Writes without a condition, as another operator's tool did a moment ago. */
--- a/packages/ctl/src/adminPorts.ts
+++ b/packages/ctl/src/adminPorts.ts
@@ -1,7 +1,7 @@
 /** What processes themselves say on their admin ports. */
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import type { AdminError, CtlIo } from './ctlIo';
 
 /** A process's answer to `/debug/config`. */
--- a/packages/ctl/src/applyDocument.ts
+++ b/packages/ctl/src/applyDocument.ts
@@ -1,6 +1,6 @@
 /** Writes one valid document to the platform, unless somebody else wrote first. */
 import type { DocumentChange } from '@bluebellhitch/document';
-import type { PlatformApi, PlatformError } from '@bluebellhitch/platform';
+import type { PlatformApi, PlatformError } from '@bluebellhitch/objects';
 import { findStoredDocument, writeDocument, type StoredDocument } from './documentObject';
 import type { ValidDocument } from './localDocument';
 import { changesBetweenStored, changesFromStored } from './storedDiff';
--- a/packages/ctl/src/bin.ts
+++ b/packages/ctl/src/bin.ts
@@ -1,5 +1,5 @@
 /** Entry point of `bluebellctl`. */
-import { createHttpPlatformClient, type HttpPlatformClient } from '@bluebellhitch/platform';
+import { createHttpPlatformClient, type HttpPlatformClient } from '@bluebellhitch/objects';
 import packageJson from '../package.json' with { type: 'json' };
 import { createProcessIo } from './processIo';
 import { runCtl } from './runCtl';
--- a/packages/ctl/src/documentObject.ts
+++ b/packages/ctl/src/documentObject.ts
@@ -6,7 +6,7 @@
   type PlatformApi,
   type PlatformError,
   type StoredObject,
-} from '@bluebellhitch/platform';
+} from '@bluebellhitch/objects';
 
 const documentValueSchema = z.object({
   text: z.string(),
--- a/packages/ctl/src/editDocument.ts
+++ b/packages/ctl/src/editDocument.ts
@@ -1,6 +1,6 @@
 /** Conditional edits of the document that the platform holds: read, change, write if unchanged. */
 import { parseDocument } from '@bluebellhitch/document';
-import type { PlatformApi, PlatformError } from '@bluebellhitch/platform';
+import type { PlatformApi, PlatformError } from '@bluebellhitch/objects';
 import type { Finding } from '@bluebellhitch/shared';
 import { readStoredDocument, writeDocument } from './documentObject';
 import { editText, type ListEdit } from './editText';
--- a/packages/ctl/src/exitCodes.ts
+++ b/packages/ctl/src/exitCodes.ts
@@ -1,5 +1,5 @@
 /** Exit codes of `bluebellctl`, so that scripts can tell why a verb failed. */
-import type { PlatformError } from '@bluebellhitch/platform';
+import type { PlatformError } from '@bluebellhitch/objects';
 import { assertNever } from '@bluebellhitch/shared';
 
 export const ctlExitCodes = {
--- a/packages/ctl/src/runCtl.ts
+++ b/packages/ctl/src/runCtl.ts
@@ -1,5 +1,5 @@
 /** Runs one command line of `bluebellctl`. */
-import type { PlatformApi } from '@bluebellhitch/platform';
+import type { PlatformApi } from '@bluebellhitch/objects';
 import { formatFindings, type Finding } from '@bluebellhitch/shared';
 import { parseCommandLine, type CommandLine, type CtlFlags } from './commandLine';
 import { printReport, type CtlIo } from './ctlIo';
--- a/packages/ctl/src/serviceReport.ts
+++ b/packages/ctl/src/serviceReport.ts
@@ -1,7 +1,7 @@
 /** The status of one service, for people and as data. */
 import type { ServiceStatus } from '@bluebellhitch/duties';
 import type { AcceptedDocument } from '@bluebellhitch/document';
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import type { AskedProcess } from './adminPorts';
 import type { Paint } from './ctlIo';
 import { countOf, indent, renderFinding } from './render';
--- a/packages/ctl/src/serviceState.ts
+++ b/packages/ctl/src/serviceState.ts
@@ -13,7 +13,7 @@
   type ObjectKind,
   type PlatformApi,
   type PlatformError,
-} from '@bluebellhitch/platform';
+} from '@bluebellhitch/objects';
 
 const quarantineRecordSchema = z.object({
   service: z.string(),
--- a/packages/ctl/src/verbs/applyVerb.ts
+++ b/packages/ctl/src/verbs/applyVerb.ts
@@ -1,6 +1,6 @@
 /** `bluebellctl apply`: writes documents conditionally, all of them valid or none written. */
 import type { ServiceStatus } from '@bluebellhitch/duties';
-import type { PlatformApi } from '@bluebellhitch/platform';
+import type { PlatformApi } from '@bluebellhitch/objects';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import { applyDocument, type ApplyOutcome, type LostRace } from '../applyDocument';
 import { printReport, type CtlIo } from '../ctlIo';
--- a/packages/ctl/src/verbs/diffVerb.ts
+++ b/packages/ctl/src/verbs/diffVerb.ts
@@ -1,5 +1,5 @@
 /** `bluebellctl diff`: what applying a file would change. */
-import type { PlatformApi } from '@bluebellhitch/platform';
+import type { PlatformApi } from '@bluebellhitch/objects';
 import { printReport, failureReport, type CtlIo } from '../ctlIo';
 import { findStoredDocument } from '../documentObject';
 import { ctlExitCodes, describePlatformError, exitCodeOf, type CtlExitCode } from '../exitCodes';
--- a/packages/ctl/src/verbs/drainVerb.ts
+++ b/packages/ctl/src/verbs/drainVerb.ts
@@ -1,7 +1,7 @@
 /** `bluebellctl drain` and `undrain`: conditional edits of `drain.instances`. */
 import { err, ok, type Result } from 'neverthrow';
 import { parseDocument } from '@bluebellhitch/document';
-import type { PlatformApi } from '@bluebellhitch/platform';
+import type { PlatformApi } from '@bluebellhitch/objects';
 import { failureReport, printReport, type CtlIo, type Report } from '../ctlIo';
 import { listStoredDocuments, type StoredDocument } from '../documentObject';
 import { editDocument } from '../editDocument';
--- a/packages/ctl/src/verbs/explainVerb.ts
+++ b/packages/ctl/src/verbs/explainVerb.ts
@@ -1,6 +1,6 @@
 /** `bluebellctl explain`: the decision record of one request, told as a story. */
 import { z } from 'zod';
-import type { PlatformApi } from '@bluebellhitch/platform';
+import type { PlatformApi } from '@bluebellhitch/objects';
 import { adminAddresses, askAll } from '../adminPorts';
 import { failureReport, printReport, type CtlIo, type Paint } from '../ctlIo';
 import { ctlExitCodes, type CtlExitCode } from '../exitCodes';
--- a/packages/ctl/src/verbs/getVerb.ts
+++ b/packages/ctl/src/verbs/getVerb.ts
@@ -1,5 +1,5 @@
 /** `bluebellctl get` and `list`: what the platform holds. */
-import type { PlatformApi } from '@bluebellhitch/platform';
+import type { PlatformApi } from '@bluebellhitch/objects';
 import { addVersionNote } from '../baseVersion';
 import { failureReport, printReport, type CtlIo } from '../ctlIo';
 import { listStoredDocuments, readStoredDocument } from '../documentObject';
--- a/packages/ctl/src/verbs/quarantineVerb.ts
+++ b/packages/ctl/src/verbs/quarantineVerb.ts
@@ -1,7 +1,7 @@
 /** `bluebellctl quarantine`: which requests are refused, and edits of the document's lists. */
 import { err, ok, type Result } from 'neverthrow';
 import { acceptedDocumentSchema, type ServiceDocument } from '@bluebellhitch/document';
-import { objectKinds, type PlatformApi, type PlatformError } from '@bluebellhitch/platform';
+import { objectKinds, type PlatformApi, type PlatformError } from '@bluebellhitch/objects';
 import { failureReport, printReport, type CtlIo } from '../ctlIo';
 import { editDocument } from '../editDocument';
 import type { ListEdit } from '../editText';
--- a/packages/ctl/src/verbs/statusVerb.ts
+++ b/packages/ctl/src/verbs/statusVerb.ts
@@ -1,6 +1,6 @@
 /** `bluebellctl status`: what became of the last edit, and what is in force where. */
 import { err, ok, Result } from 'neverthrow';
-import { objectKinds, type PlatformApi, type PlatformError } from '@bluebellhitch/platform';
+import { objectKinds, type PlatformApi, type PlatformError } from '@bluebellhitch/objects';
 import { adminAddresses, askConfigs } from '../adminPorts';
 import { failureReport, printReport, type CtlIo } from '../ctlIo';
 import { findStoredDocument } from '../documentObject';
--- a/packages/duties/__tests__/acceptorRace.test.ts
+++ b/packages/duties/__tests__/acceptorRace.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { acceptedDocumentSchema } from '@bluebellhitch/document';
-import type { StoredObject } from '@bluebellhitch/platform';
+import type { StoredObject } from '@bluebellhitch/objects';
 import { createSeededRandom } from '@bluebellhitch/shared';
 import {
   createAcceptedHistory,
--- a/packages/duties/__tests__/helpers/acceptorFixture.ts
+++ b/packages/duties/__tests__/helpers/acceptorFixture.ts
@@ -5,7 +5,7 @@
   parseDocument,
   type AcceptedDocument,
 } from '@bluebellhitch/document';
-import { objectKinds, type StoredObject } from '@bluebellhitch/platform';
+import { objectKinds, type StoredObject } from '@bluebellhitch/objects';
 import { createSeededRandom } from '@bluebellhitch/shared';
 import {
   createStandinPlatform,
--- a/packages/duties/__tests__/helpers/workerFleet.ts
+++ b/packages/duties/__tests__/helpers/workerFleet.ts
@@ -1,6 +1,6 @@
 /** In-memory agents that run one order at a time and check its fencing number as real ones do. */
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
-import type { PlatformApi, PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformApi, PlatformInstance } from '@bluebellhitch/objects';
 import type { EngineOrder, OrderReply, OrderRequest, WorkerRole } from '@bluebellhitch/protocol';
 import { delay } from '@bluebellhitch/shared';
 import type { OrderAgentClient } from '../../src/orderAgentClient';
--- a/packages/duties/__tests__/orderHolder.test.ts
+++ b/packages/duties/__tests__/orderHolder.test.ts
@@ -1,7 +1,7 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import { serviceDocumentSchema } from '@bluebellhitch/document';
-import { createDutyLease } from '@bluebellhitch/platform';
+import { createDutyLease } from '@bluebellhitch/objects';
 import { createSeededRandom } from '@bluebellhitch/shared';
 import { createStandinPlatform } from '@bluebellhitch/standins';
 import { createOrderHolder } from '../src/orderHolder';
--- a/packages/duties/__tests__/startDuties.test.ts
+++ b/packages/duties/__tests__/startDuties.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import { ResultAsync } from 'neverthrow';
 import { acceptedDocumentSchema } from '@bluebellhitch/document';
-import type { PlatformApi, PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformApi, PlatformInstance } from '@bluebellhitch/objects';
 import { createSeededRandom } from '@bluebellhitch/shared';
 import { createStandinPlatform } from '@bluebellhitch/standins';
 import { dutyRank } from '../src/dutyRanks';
--- a/packages/duties/scripts/acceptCost.ts
+++ b/packages/duties/scripts/acceptCost.ts
@@ -4,7 +4,7 @@
  * platform that takes 2 ms a call. Options: `--sizes 30,300,3000 --changes 100 --idle-seconds 10`.
  */
 import { parseArgs } from 'node:util';
-import { objectKinds, type PlatformInstance } from '@bluebellhitch/platform';
+import { objectKinds, type PlatformInstance } from '@bluebellhitch/objects';
 import { delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { createStandinPlatform, type StandinPlatform } from '@bluebellhitch/standins';
 import { errAsync } from 'neverthrow';
--- a/packages/duties/src/acceptedSummary.ts
+++ b/packages/duties/src/acceptedSummary.ts
@@ -5,7 +5,7 @@
 import { createHash } from 'node:crypto';
 import { z } from 'zod';
 import { serviceDocumentSchema, type Route, type ServiceDocument } from '@bluebellhitch/document';
-import type { StoredObject } from '@bluebellhitch/platform';
+import type { StoredObject } from '@bluebellhitch/objects';
 
 export interface AcceptedSummary {
   /** Version of the `accepted` object: the condition of the next update. */
--- a/packages/duties/src/acceptor.ts
+++ b/packages/duties/src/acceptor.ts
@@ -11,7 +11,7 @@
   type DutyLease,
   type PlatformApi,
   type StoredObject,
-} from '@bluebellhitch/platform';
+} from '@bluebellhitch/objects';
 import { delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { createAcceptorMemory, type AcceptorMemory } from './acceptorMemory';
 import { createDocumentReconciler } from './documentReconciler';
--- a/packages/duties/src/acceptorMemory.ts
+++ b/packages/duties/src/acceptorMemory.ts
@@ -3,7 +3,7 @@
  * writes, digests and routes. One entry a service; lives as long as one tenure of the lease.
  */
 import type { Route } from '@bluebellhitch/document';
-import { objectKinds, type StoredObject } from '@bluebellhitch/platform';
+import { objectKinds, type StoredObject } from '@bluebellhitch/objects';
 import { invariant } from '@bluebellhitch/shared';
 import { summariseAccepted, type AcceptedSummary } from './acceptedSummary';
 import { serviceStatusSchema, type ServiceStatus } from './serviceStatus';
--- a/packages/duties/src/conditionalWrite.ts
+++ b/packages/duties/src/conditionalWrite.ts
@@ -1,5 +1,5 @@
 /** Create or update under the version that was read, with the outcome as one tagged union. */
-import type { ObjectKind, PlatformApi, PlatformError, StoredObject } from '@bluebellhitch/platform';
+import type { ObjectKind, PlatformApi, PlatformError, StoredObject } from '@bluebellhitch/objects';
 
 export type WriteOutcome =
   | { kind: 'written'; object: StoredObject }
--- a/packages/duties/src/documentReconciler.ts
+++ b/packages/duties/src/documentReconciler.ts
@@ -6,7 +6,7 @@
  * however long its sender was paused and whoever else accepted meanwhile.
  */
 import type { ServiceDocument } from '@bluebellhitch/document';
-import { objectKinds, type PlatformApi, type StoredObject } from '@bluebellhitch/platform';
+import { objectKinds, type PlatformApi, type StoredObject } from '@bluebellhitch/objects';
 import { invariant } from '@bluebellhitch/shared';
 import type { AcceptorMemory } from './acceptorMemory';
 import { writeConditionally, type ConditionalWrite } from './conditionalWrite';
--- a/packages/duties/src/dutyRanks.ts
+++ b/packages/duties/src/dutyRanks.ts
@@ -2,7 +2,7 @@
  * Which entries compete for a duty. The rank is a hint that keeps hundreds of entries from polling one
  * lease; the lease alone decides who holds the duty.
  */
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import { rendezvousOrder } from '@bluebellhitch/shared';
 
 export interface DutyRankOptions {
--- a/packages/duties/src/evaluateDocument.ts
+++ b/packages/duties/src/evaluateDocument.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod';
 import type { Result } from 'neverthrow';
 import type { DocumentFormat, ParsedDocument, ServiceDocument } from '@bluebellhitch/document';
-import type { StoredObject } from '@bluebellhitch/platform';
+import type { StoredObject } from '@bluebellhitch/objects';
 import type { Finding } from '@bluebellhitch/shared';
 import { documentDigest, type AcceptedSummary } from './acceptedSummary';
 import { findKeyMismatch, findRouteConflicts, type RoutesByService } from './routeConflicts';
--- a/packages/duties/src/orderHolder.ts
+++ b/packages/duties/src/orderHolder.ts
@@ -4,7 +4,7 @@
  * costs the platform no calls.
  */
 import type { AcceptedDocument, ServiceDocument } from '@bluebellhitch/document';
-import type { DutyLease, PlatformInstance } from '@bluebellhitch/platform';
+import type { DutyLease, PlatformInstance } from '@bluebellhitch/objects';
 import type { LoadHint } from '@bluebellhitch/protocol';
 import { delay, invariant, monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import { silentLogger, type DutyLogger } from './dutyLogger';
--- a/packages/duties/src/orderSender.ts
+++ b/packages/duties/src/orderSender.ts
@@ -2,7 +2,7 @@
  * Sends orders under the lease of the order duty, and remembers which workers may still be carrying
  * one out. Nothing of this has to survive the holder: see `confirm`.
  */
-import type { DutyLease } from '@bluebellhitch/platform';
+import type { DutyLease } from '@bluebellhitch/objects';
 import type { EngineOrder, OrderReply, WorkerState } from '@bluebellhitch/protocol';
 import { assertNever, monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { DutyLogger } from './dutyLogger';
--- a/packages/duties/src/startDuties.ts
+++ b/packages/duties/src/startDuties.ts
@@ -9,7 +9,7 @@
   type DutyLease,
   type PlatformApi,
   type PlatformInstance,
-} from '@bluebellhitch/platform';
+} from '@bluebellhitch/objects';
 import type { Random } from '@bluebellhitch/shared';
 import { createAcceptor } from './acceptor';
 import { silentLogger, type DutyLogger } from './dutyLogger';
--- a/packages/duties/src/workerObserver.ts
+++ b/packages/duties/src/workerObserver.ts
@@ -1,5 +1,5 @@
 /** Asks the workers of a service what they run, a bounded number of them at once. */
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import type { LoadHint, WorkerState } from '@bluebellhitch/protocol';
 import type { OrderAgentClient } from './orderAgentClient';
 
--- a/packages/entry/__tests__/modelRequest.test.ts
+++ b/packages/entry/__tests__/modelRequest.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { errAsync, okAsync } from 'neverthrow';
-import type { ClaimStore } from '@bluebellhitch/platform';
+import type { ClaimStore } from '@bluebellhitch/objects';
 import type { StreamFrame } from '@bluebellhitch/protocol';
 import {
   createFakeAgent,
--- a/packages/entry/__tests__/strikes.test.ts
+++ b/packages/entry/__tests__/strikes.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { errAsync, okAsync } from 'neverthrow';
 import { serviceDocumentSchema } from '@bluebellhitch/document';
-import type { PlatformError, StoredObject } from '@bluebellhitch/platform';
+import type { PlatformError, StoredObject } from '@bluebellhitch/objects';
 import type { Strike } from '@bluebellhitch/protocol';
 import { createStrikes } from '../src/strikes';
 import { eventually, modelDocument, silentLogger } from './support/harness';
--- a/packages/entry/__tests__/support/fakeAgents.ts
+++ b/packages/entry/__tests__/support/fakeAgents.ts
@@ -11,7 +11,7 @@
   StreamRequest,
   WorkerRole,
 } from '@bluebellhitch/protocol';
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import type { AgentApi, AgentCallError, PlainAnswer, PlainCall } from '../../src/agentApi';
 
 export interface FakeAgent {
--- a/packages/entry/__tests__/support/harness.ts
+++ b/packages/entry/__tests__/support/harness.ts
@@ -2,7 +2,7 @@
 import type { ExecutionContext } from 'ava';
 import { errAsync, okAsync } from 'neverthrow';
 import { serviceDocumentSchema, type ServiceDocument } from '@bluebellhitch/document';
-import type { ClaimStore, PlatformInstance } from '@bluebellhitch/platform';
+import type { ClaimStore, PlatformInstance } from '@bluebellhitch/objects';
 import { createSeededRandom } from '@bluebellhitch/shared';
 import { createDecisionRing, createEntryMetrics } from '@bluebellhitch/telemetry';
 import type { CallersTls } from '../../src/callersTls';
--- a/packages/entry/src/baselinePlacement.ts
+++ b/packages/entry/src/baselinePlacement.ts
@@ -9,7 +9,7 @@
   type PolicyPlan,
   type ReserveExpectation,
 } from '@bluebellhitch/decisions';
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import { monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
 import { retryCauses, wastedPrefillCauses } from '@bluebellhitch/telemetry';
 import { collectAllBids, localPrefillTokens } from './bidRounds';
--- a/packages/entry/src/candidateBids.ts
+++ b/packages/entry/src/candidateBids.ts
@@ -5,7 +5,7 @@
   type CandidateBid,
   type WorkerNeed,
 } from '@bluebellhitch/decisions';
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import { samplePrefixBlocks } from '@bluebellhitch/protocol';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { AgentCallError } from './agentApi';
--- a/packages/entry/src/claimStage.ts
+++ b/packages/entry/src/claimStage.ts
@@ -2,7 +2,7 @@
  * At-most-once claims of requests that may not be repeated. The claim is taken right before the first
  * dispatch, and settled once when the request ends.
  */
-import type { Claim, ClaimError, ClaimOutcome, ClaimStore } from '@bluebellhitch/platform';
+import type { Claim, ClaimError, ClaimOutcome, ClaimStore } from '@bluebellhitch/objects';
 import { createRefusal, monotonicNowMs, refusalReasons, type Refusal } from '@bluebellhitch/shared';
 import { claimOutcomes, type EntryMetrics } from '@bluebellhitch/telemetry';
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,7 +1,7 @@
 /** An entry: its ports, its view of configuration, and its graceful stop. */
 import { randomUUID } from 'node:crypto';
 import type { InstanceDirectory } from '@bluebellhitch/membership';
-import type { PlatformApi, ClaimStore } from '@bluebellhitch/platform';
+import type { PlatformApi, ClaimStore } from '@bluebellhitch/objects';
 import { feedKinds, type FeedRecord } from '@bluebellhitch/protocol';
 import type { InnerSecurity } from '@bluebellhitch/security';
 import { assertNever, delay, type Random } from '@bluebellhitch/shared';
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -1,5 +1,5 @@
 /** Puts an entry together from its settings: platform, membership, configuration feed and ports. */
-import { createClaimStore, createHttpPlatformClient } from '@bluebellhitch/platform';
+import { createClaimStore, createHttpPlatformClient } from '@bluebellhitch/objects';
 import {
   createFeedClient,
   createFeedFollower,
@@ -10,7 +10,7 @@
   type InstanceDirectory,
 } from '@bluebellhitch/membership';
 import { createOrderAgentClient, startDuties, type Duties } from '@bluebellhitch/duties';
-import type { PlatformApi, PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformApi, PlatformInstance } from '@bluebellhitch/objects';
 import type { InnerSecurity } from '@bluebellhitch/security';
 import { createLogger, type Logger, type StopKind } from '@bluebellhitch/telemetry';
 import type { CallersTls } from './callersTls';
--- a/packages/entry/src/heldLease.ts
+++ b/packages/entry/src/heldLease.ts
@@ -1,6 +1,6 @@
 /** A lease at an agent, from before it is asked for until it certainly ended there. */
 import { err, type Result } from 'neverthrow';
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import type { AgentCallError } from './agentApi';
 import type { HeartbeatShare } from './heartbeats';
 import { createLinkedAbort } from './linkedAbort';
--- a/packages/entry/src/instances.ts
+++ b/packages/entry/src/instances.ts
@@ -1,5 +1,5 @@
 /** The view of instances that routing needs; `membership` keeps it. */
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 
 export interface Instances {
   /** Agents of a service; the same array until something changes. */
--- a/packages/entry/src/placement.ts
+++ b/packages/entry/src/placement.ts
@@ -3,7 +3,7 @@
  * starts before the reservation is granted.
  */
 import { chooseBid, type BidChoice, type ReserveExpectation } from '@bluebellhitch/decisions';
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import type { ReserveReply } from '@bluebellhitch/protocol';
 import { createRefusal, monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
 import { retryCauses } from '@bluebellhitch/telemetry';
--- a/packages/entry/src/plainAttempt.ts
+++ b/packages/entry/src/plainAttempt.ts
@@ -1,6 +1,6 @@
 /** One attempt of a plain request: a server, a slot where the request may not be repeated, the call. */
 import { workerNeeds, type Candidate } from '@bluebellhitch/decisions';
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import type { ReserveRequest } from '@bluebellhitch/protocol';
 import { refusalReasons } from '@bluebellhitch/shared';
 import { retryCauses } from '@bluebellhitch/telemetry';
--- a/packages/entry/src/plainCall.ts
+++ b/packages/entry/src/plainCall.ts
@@ -1,6 +1,6 @@
 /** Sends a plain call to one server and passes its answer on to the caller. */
 import { pipeline } from 'node:stream/promises';
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import { innerHeaders } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type NotRun } from '@bluebellhitch/shared';
 import type { PlainAnswer } from './agentApi';
--- a/packages/entry/src/prefillStage.ts
+++ b/packages/entry/src/prefillStage.ts
@@ -1,5 +1,5 @@
 /** Runs the prompt on a prefill worker, so that the decode worker can pull the KV cache. */
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import type {
   KvSource,
   PrefillReply,
--- a/packages/entry/src/requestContext.ts
+++ b/packages/entry/src/requestContext.ts
@@ -1,5 +1,5 @@
 /** What the handling of one request needs from its entry. */
-import type { ClaimStore } from '@bluebellhitch/platform';
+import type { ClaimStore } from '@bluebellhitch/objects';
 import type { Random } from '@bluebellhitch/shared';
 import type { DecisionRing, EntryMetrics, Logger } from '@bluebellhitch/telemetry';
 import type { AgentApi } from './agentApi';
--- a/packages/entry/src/serviceRuntimes.ts
+++ b/packages/entry/src/serviceRuntimes.ts
@@ -23,7 +23,7 @@
   type RetryBudget,
 } from '@bluebellhitch/decisions';
 import type { ServiceDocument } from '@bluebellhitch/document';
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import { workerRoles } from '@bluebellhitch/protocol';
 import type { Random } from '@bluebellhitch/shared';
 import type { Instances } from './instances';
--- a/packages/entry/src/strikes.ts
+++ b/packages/entry/src/strikes.ts
@@ -11,7 +11,7 @@
   type QuarantineVerdict,
 } from '@bluebellhitch/decisions';
 import type { ServiceDocument } from '@bluebellhitch/document';
-import { objectKinds, type PlatformApi } from '@bluebellhitch/platform';
+import { objectKinds, type PlatformApi } from '@bluebellhitch/objects';
 import type { Strike } from '@bluebellhitch/protocol';
 import { z } from 'zod';
 import type { Logger } from '@bluebellhitch/telemetry';
--- a/packages/membership/__tests__/feedFollower.test.ts
+++ b/packages/membership/__tests__/feedFollower.test.ts
@@ -15,7 +15,7 @@
   type FeedCallError,
   type FeedFollowerOptions,
 } from '@bluebellhitch/membership';
-import type { PlatformApi, WatchReply } from '@bluebellhitch/platform';
+import type { PlatformApi, WatchReply } from '@bluebellhitch/objects';
 import { createEntryRouter, type FeedRecord } from '@bluebellhitch/protocol';
 import { createSeededRandom, delay, hash64, monotonicNowMs } from '@bluebellhitch/shared';
 import { createStandinPlatform } from '@bluebellhitch/standins';
--- a/packages/membership/__tests__/instanceDirectory.test.ts
+++ b/packages/membership/__tests__/instanceDirectory.test.ts
@@ -1,7 +1,7 @@
 import { install, type Clock } from '@sinonjs/fake-timers';
 import test, { type ExecutionContext } from 'ava';
 import { createInstanceDirectory, selectRelays } from '@bluebellhitch/membership';
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import { createStandinPlatform } from '@bluebellhitch/standins';
 
 function agent(id: string, fields: Partial<PlatformInstance> = {}): PlatformInstance {
--- a/packages/membership/src/feedFollower.ts
+++ b/packages/membership/src/feedFollower.ts
@@ -2,7 +2,7 @@
  * Keeps a process's feed store up to date. The relays of a data centre watch the platform, everyone
  * else polls two of them, and asks the platform itself only where no relay answers.
  */
-import type { PlatformApi, PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformApi, PlatformInstance } from '@bluebellhitch/objects';
 import type { InstanceListState } from '@bluebellhitch/protocol';
 import {
   createBackgroundLoop,
--- a/packages/membership/src/feedRecords.ts
+++ b/packages/membership/src/feedRecords.ts
@@ -1,6 +1,6 @@
 /** From the platform's objects to records of the feed. */
 import { z } from 'zod';
-import type { StoredObject } from '@bluebellhitch/platform';
+import type { StoredObject } from '@bluebellhitch/objects';
 import { feedKinds, type FeedKind, type FeedRecord } from '@bluebellhitch/protocol';
 
 const generationSchema = z.object({ generation: z.number().int().nonnegative() });
--- a/packages/membership/src/instanceDirectory.ts
+++ b/packages/membership/src/instanceDirectory.ts
@@ -2,7 +2,7 @@
  * The instances as this process sees them: the platform's list, which lags, corrected by what was
  * learned first hand. A stale view costs latency, never correctness.
  */
-import type { PlatformApi, PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformApi, PlatformInstance } from '@bluebellhitch/objects';
 import type { InstanceListNews, InstanceListState } from '@bluebellhitch/protocol';
 import {
   createBackgroundLoop,
--- a/packages/membership/src/platformFeed.ts
+++ b/packages/membership/src/platformFeed.ts
@@ -1,6 +1,6 @@
 /** Fills the feed store from the platform: once by a list, or continuously by list and watch. */
 import { err, ok, type Result } from 'neverthrow';
-import type { PlatformApi, PlatformError, StoredObject, WatchEvent } from '@bluebellhitch/platform';
+import type { PlatformApi, PlatformError, StoredObject, WatchEvent } from '@bluebellhitch/objects';
 import { feedKinds, type FeedKind, type FeedRecord } from '@bluebellhitch/protocol';
 import { delay, type Random } from '@bluebellhitch/shared';
 import { concernsServices, recordFromObject, tombstoneOf } from './feedRecords';
--- a/packages/membership/src/relays.ts
+++ b/packages/membership/src/relays.ts
@@ -2,7 +2,7 @@
  * Which entries relay the feed to others. Every process works it out for itself from its own view of
  * the instances; two views that differ cost a few extra reads, since versions carry the truth.
  */
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import { rendezvousOrder } from '@bluebellhitch/shared';
 
 /** Relays of each data centre, unless settings say otherwise. */
--- a/packages/platform/__tests__/claimStores.test.ts
+++ b/packages/objects/__tests__/claimStores.test.ts
@@ -7,7 +7,7 @@
   type ClaimOutcome,
   type ClaimStore,
   type PlatformApi,
-} from '@bluebellhitch/platform';
+} from '@bluebellhitch/objects';
 import { createSeededRandom, delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { createStandinPlatform, type StandinPlatformOptions } from '@bluebellhitch/standins';
 
--- a/packages/platform/__tests__/dutyLease.test.ts
+++ b/packages/objects/__tests__/dutyLease.test.ts
@@ -1,7 +1,7 @@
 import { install, type Clock } from '@sinonjs/fake-timers';
 import test, { type ExecutionContext } from 'ava';
 import fc from 'fast-check';
-import { createDutyLease, type DutyLease, type PlatformApi } from '@bluebellhitch/platform';
+import { createDutyLease, type DutyLease, type PlatformApi } from '@bluebellhitch/objects';
 import { createSeededRandom } from '@bluebellhitch/shared';
 import {
   createStandinPlatform,
--- a/packages/platform/scripts/claimCost.ts
+++ b/packages/objects/scripts/claimCost.ts
@@ -1,6 +1,6 @@
 /**
  * Measures what a claim costs the platform and its caller, for both claim stores at several rates:
- * `node --import=tsx --conditions=bluebell-source packages/platform/scripts/claimCost.ts`.
+ * `node --import=tsx --conditions=bluebell-source packages/objects/scripts/claimCost.ts`.
  * The stand-in runs in the same process and answers in 4 ms; a claim is one take and one finish.
  * `--rates 25,100,400,1600` and `--seconds 5` change the runs; `--writers 2` gives the grouped store more
  * than one writer, `--window-ms 2000` changes its windows.
@@ -12,7 +12,7 @@
   createGroupedClaimStore,
   type ClaimStore,
   type PlatformApi,
-} from '@bluebellhitch/platform';
+} from '@bluebellhitch/objects';
 import { createSeededRandom, delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { createStandinPlatform } from '@bluebellhitch/standins';
 
--- a/packages/platform/src/dutyLease.ts
+++ b/packages/objects/src/dutyLease.ts
@@ -7,7 +7,7 @@
 import { delay, invariant, monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import { createDutyLeaseObject, type WrittenLease } from './dutyLeaseObject';
 import { parseDutyLease, type DutyLeaseRecord } from './dutyLeaseRecord';
-import type { PlatformApi, PlatformError, StoredObject } from './platformApi';
+import type { ObjectApi, PlatformError, StoredObject } from './platformApi';
 
 /** Proof of holding a duty: goes with each order that the holder sends. */
 export interface HeldFencing {
@@ -20,7 +20,7 @@
   { kind: 'held-by-other'; holderId: string } | { kind: 'platform'; error: PlatformError };
 
 export interface DutyLeaseOptions {
-  platform: PlatformApi;
+  platform: ObjectApi;
   /** Name of the duty, such as `orders/draft-models`. */
   key: string;
   holderId: string;
--- a/packages/platform/src/dutyLeaseObject.ts
+++ b/packages/objects/src/dutyLeaseObject.ts
@@ -7,13 +7,13 @@
 import { parseDutyLease, type DutyLeaseRecord } from './dutyLeaseRecord';
 import {
   objectKinds,
-  type PlatformApi,
+  type ObjectApi,
   type PlatformError,
   type StoredObject,
 } from './platformApi';
 
 export interface DutyLeaseObjectOptions {
-  platform: PlatformApi;
+  platform: ObjectApi;
   key: string;
   holderId: string;
   /** Differs between two runs that use one holder id. */
--- a/packages/platform/src/httpPlatformSchema.ts
+++ b/packages/objects/src/httpPlatformSchema.ts
@@ -10,6 +10,8 @@
   'claim',
   'lease',
   'quarantine',
+  'configuration',
+  'backend-server',
 ]);
 
 export const storedObjectSchema = z.object({
--- a/packages/platform/src/index.ts
+++ b/packages/objects/src/index.ts
@@ -1,5 +1,6 @@
 export {
   objectKinds,
+  type ObjectApi,
   type ObjectKind,
   type ObjectList,
   type PlatformApi,
--- a/packages/platform/src/platformApi.ts
+++ b/packages/objects/src/platformApi.ts
@@ -19,6 +19,10 @@
   lease: 'lease',
   /** Fingerprints of requests that crash backend servers. */
   quarantine: 'quarantine',
+  /** Routes and services in force, written by operators. */
+  configuration: 'configuration',
+  /** Backend servers; each writes its own entry. */
+  backendServer: 'backend-server',
 } as const;
 export type ObjectKind = (typeof objectKinds)[keyof typeof objectKinds];
 
@@ -61,7 +65,8 @@
 /** One entry of the list of instances. */
 export type PlatformInstance = ListedInstance;
 
-export interface PlatformApi {
+/** Objects with versions, conditional writes and watches. */
+export interface ObjectApi {
   get(kind: ObjectKind, key: string): ResultAsync<StoredObject, PlatformError>;
   list(kind: ObjectKind): ResultAsync<ObjectList, PlatformError>;
   /** Fails with `conflict` where the object exists. */
@@ -81,6 +86,9 @@
     waitMs: number,
     signal?: AbortSignal,
   ): ResultAsync<WatchReply, PlatformError>;
+}
+
+export interface PlatformApi extends ObjectApi {
   /** The list of instances; it lags. */
   instances(): ResultAsync<PlatformInstance[], PlatformError>;
 }
--- a/packages/scenarios/src/language/runScenario.ts
+++ b/packages/scenarios/src/language/runScenario.ts
@@ -1,6 +1,6 @@
 /** Runs a scenario: its steps in order, the invariants after each, and quiet at its end. */
 import type { ServiceDocument } from '@bluebellhitch/document';
-import { objectKinds } from '@bluebellhitch/platform';
+import { objectKinds } from '@bluebellhitch/objects';
 import { invariant } from '@bluebellhitch/shared';
 import { exampleDocument, servicesOf } from './exampleServices';
 import { unmetExpectation } from './expectations';
--- a/packages/scenarios/src/world/gates.ts
+++ b/packages/scenarios/src/world/gates.ts
@@ -4,7 +4,7 @@
  */
 import { ResultAsync } from 'neverthrow';
 import type { EngineApi, EngineChunk } from '@bluebellhitch/engine';
-import type { PlatformApi } from '@bluebellhitch/platform';
+import type { PlatformApi } from '@bluebellhitch/objects';
 import type { Network } from './network';
 import { outside, type SimulatedProcess } from './simulatedProcess';
 
--- a/packages/scenarios/src/world/safeguards.ts
+++ b/packages/scenarios/src/world/safeguards.ts
@@ -3,7 +3,7 @@
  * them. Production code has no such switch.
  */
 import { okAsync } from 'neverthrow';
-import type { ClaimStore } from '@bluebellhitch/platform';
+import type { ClaimStore } from '@bluebellhitch/objects';
 import type { StreamFrame, StreamRequest } from '@bluebellhitch/protocol';
 import type { StreamTampering } from './agentLink';
 
--- a/packages/scenarios/src/world/world.ts
+++ b/packages/scenarios/src/world/world.ts
@@ -3,7 +3,7 @@
  * engines and the platform. No sockets: see `agentLink`.
  */
 import type { ServiceDocument } from '@bluebellhitch/document';
-import { objectKinds } from '@bluebellhitch/platform';
+import { objectKinds } from '@bluebellhitch/objects';
 import type { WorkerRole } from '@bluebellhitch/protocol';
 import { createSeededRandom, invariant, monotonicNowMs } from '@bluebellhitch/shared';
 import {
--- a/packages/scenarios/src/world/worldAgent.ts
+++ b/packages/scenarios/src/world/worldAgent.ts
@@ -1,7 +1,7 @@
 /** An agent and the stand-in engine beside it, over all restarts of either. */
 import { createAgent, type Agent } from '@bluebellhitch/agent';
 import type { AcceptedDocument } from '@bluebellhitch/document';
-import { objectKinds, type PlatformApi, type PlatformInstance } from '@bluebellhitch/platform';
+import { objectKinds, type PlatformApi, type PlatformInstance } from '@bluebellhitch/objects';
 import {
   feedKinds,
   type OrderReply,
--- a/packages/scenarios/src/world/worldEntry.ts
+++ b/packages/scenarios/src/world/worldEntry.ts
@@ -1,6 +1,6 @@
 /** An entry without its sockets, over all restarts of its process. */
 import { acceptedDocumentSchema } from '@bluebellhitch/document';
-import { createClaimStore, type PlatformApi, type PlatformInstance } from '@bluebellhitch/platform';
+import { createClaimStore, type PlatformApi, type PlatformInstance } from '@bluebellhitch/objects';
 import { feedKinds, type FeedRecord, type Strike } from '@bluebellhitch/protocol';
 import {
   createDecisionRing,
--- a/packages/scenarios/src/world/worldMembership.ts
+++ b/packages/scenarios/src/world/worldMembership.ts
@@ -11,7 +11,7 @@
   type FeedServer,
   type InstanceDirectory,
 } from '@bluebellhitch/membership';
-import type { PlatformApi } from '@bluebellhitch/platform';
+import type { PlatformApi } from '@bluebellhitch/objects';
 import { feedKinds, type FeedRecord, type FeedReply } from '@bluebellhitch/protocol';
 import { delay, type Random } from '@bluebellhitch/shared';
 import { err, ok, ResultAsync } from 'neverthrow';
--- a/packages/standins/__tests__/platformHttp.test.ts
+++ b/packages/standins/__tests__/platformHttp.test.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { createInterface } from 'node:readline';
 import test, { type ExecutionContext } from 'ava';
-import { createHttpPlatformClient } from '@bluebellhitch/platform';
+import { createHttpPlatformClient } from '@bluebellhitch/objects';
 import { startStandinPlatform, type StartStandinPlatformOptions } from '@bluebellhitch/standins';
 
 async function start(t: ExecutionContext, options: StartStandinPlatformOptions = {}) {
--- a/packages/standins/src/platform/faults.ts
+++ b/packages/standins/src/platform/faults.ts
@@ -1,5 +1,5 @@
 /** Faults of the stand-in platform: outage, slowness and lost answers. */
-import type { ObjectKind } from '@bluebellhitch/platform';
+import type { ObjectKind } from '@bluebellhitch/objects';
 
 export const platformVerbs = {
   get: 'get',
--- a/packages/standins/src/platform/instanceRegistry.ts
+++ b/packages/standins/src/platform/instanceRegistry.ts
@@ -1,5 +1,5 @@
 /** The stand-in's list of instances. Readers see it as it was `lagMs` ago. */
-import type { PlatformInstance } from '@bluebellhitch/platform';
+import type { PlatformInstance } from '@bluebellhitch/objects';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 
 interface PendingChange {
--- a/packages/standins/src/platform/objectStore.ts
+++ b/packages/standins/src/platform/objectStore.ts
@@ -10,7 +10,7 @@
   StoredObject,
   WatchEvent,
   WatchReply,
-} from '@bluebellhitch/platform';
+} from '@bluebellhitch/objects';
 
 export interface ObjectStoreOptions {
   /** Events kept for watches; a watch from before the oldest one is told `compacted`. */
--- a/packages/standins/src/platform/platformApp.ts
+++ b/packages/standins/src/platform/platformApp.ts
@@ -8,7 +8,7 @@
   platformInstanceSchema,
   writeBodySchema,
   type PlatformError,
-} from '@bluebellhitch/platform';
+} from '@bluebellhitch/objects';
 import { assertNever } from '@bluebellhitch/shared';
 import type { StandinPlatform } from './standinPlatform';
 
--- a/packages/standins/src/platform/standinPlatform.ts
+++ b/packages/standins/src/platform/standinPlatform.ts
@@ -9,7 +9,7 @@
   PlatformError,
   PlatformInstance,
   WatchReply,
-} from '@bluebellhitch/platform';
+} from '@bluebellhitch/objects';
 import { delay, type Random } from '@bluebellhitch/shared';
 import {
   createPlatformFaults,
--- a/scripts/lint/layering.mjs
+++ b/scripts/lint/layering.mjs
@@ -5,8 +5,9 @@
 const layers = [
   ['shared'],
   ['protocol', 'document'],
-  ['decisions', 'platform', 'security'],
+  ['decisions', 'objects', 'security'],
   ['duties', 'membership', 'engine', 'telemetry'],
+  ['routing'],
   ['entry', 'agent', 'ctl', 'bench', 'standins'],
   // Runs the binaries' parts together in one process.
   ['scenarios'],
