Serve the users' platform end to end by one thin path

Cause: the platform's workers reserve memory and read prompts themselves, so entries can speak to them directly; the product had no program that did. One role on the front machines. Ruled out: an undici pool for backend servers. It hides on which connection a call went out and takes the reset of an answer without a length for its end; one client for each connection shows both.

--- /dev/null
+++ b/packages/routing/src/attemptBudget.ts
@@ -0,0 +1,58 @@
+/**
+ * How many further attempts a service may get: a share of its requests in a sliding window and a small
+ * allowance. Each process counts its own requests and takes its own share of the allowance, so that all
+ * together stay inside the bound whatever the others do.
+ */
+import { createBoundedMap } from '@bluebellhitch/decisions';
+
+export interface AttemptBudgetOptions {
+  /** Further attempts for each request of the window. */
+  ratio: number;
+  /** Further attempts in a window besides, of this process. */
+  allowance: number;
+  windowMs: number;
+}
+
+export interface AttemptBudget {
+  recordRequest(serviceName: string, nowMs: number): void;
+  /** Takes one further attempt out of the budget; false where none is left. */
+  tryTake(serviceName: string, nowMs: number): boolean;
+}
+
+interface ServiceWindow {
+  requestsAtMs: number[];
+  furtherAtMs: number[];
+}
+
+const maxServices = 512;
+
+export function createAttemptBudget(options: AttemptBudgetOptions): AttemptBudget {
+  const { ratio, allowance, windowMs } = options;
+  const windows = createBoundedMap<string, ServiceWindow>({ maxEntries: maxServices });
+
+  function current(serviceName: string, nowMs: number): ServiceWindow {
+    const window = windows.getOrCreate(serviceName, () => ({ requestsAtMs: [], furtherAtMs: [] }));
+    dropOlder(window.requestsAtMs, nowMs - windowMs);
+    dropOlder(window.furtherAtMs, nowMs - windowMs);
+    return window;
+  }
+
+  return {
+    recordRequest(serviceName, nowMs) {
+      current(serviceName, nowMs).requestsAtMs.push(nowMs);
+    },
+    tryTake(serviceName, nowMs) {
+      const window = current(serviceName, nowMs);
+      if (window.furtherAtMs.length + 1 > window.requestsAtMs.length * ratio + allowance) {
+        return false;
+      }
+      window.furtherAtMs.push(nowMs);
+      return true;
+    },
+  };
+}
+
+function dropOlder(timesMs: number[], fromMs: number): void {
+  const kept = timesMs.findIndex((timeMs) => timeMs > fromMs);
+  timesMs.splice(0, kept < 0 ? timesMs.length : kept);
+}
--- /dev/null
+++ b/packages/routing/src/backendConnections.ts
@@ -0,0 +1,332 @@
+/**
+ * HTTP connections to backend servers, each an undici client of its own: the router knows of every call
+ * whether it went out, on which connection, and how that connection ended. Calls resolve; none retries
+ * what went out.
+ */
+import type { Socket } from 'node:net';
+import { Client, buildConnector, type Dispatcher } from 'undici';
+import type { AnswerBody, BodyReader } from './backendApi';
+
+export interface HttpCall {
+  /** `ip:port`. */
+  address: string;
+  method: string;
+  path: string;
+  /** Names and values by turns. */
+  headers: readonly string[];
+  body?: Buffer | string;
+  /** From the call to the answer's head, the time to connect included. */
+  headTimeoutMs: number;
+  signal?: AbortSignal;
+  /** Open connections to the address at most. */
+  maxConnections: number;
+}
+
+export interface HttpAnswer {
+  status: number;
+  /** Names and values by turns. */
+  headers: readonly string[];
+  body: AnswerBody;
+  /** Gives the answer and its connection up. */
+  discard(reason: string): void;
+}
+
+export type HttpOutcome =
+  | { kind: 'answered'; answer: HttpAnswer }
+  /** Nothing of the call went out. */
+  | { kind: 'not-sent'; detail: string }
+  /** The call went out, in part at least, and no answer can come any more. */
+  | { kind: 'lost'; detail: string; isOurs: boolean };
+
+export interface BackendConnections {
+  call(call: HttpCall): Promise<HttpOutcome>;
+  /** Connections opened since the start. */
+  openedCount(): number;
+  /** Closes what is idle to an address. */
+  forget(address: string): void;
+  close(): Promise<void>;
+}
+
+export interface BackendConnectionsOptions {
+  connectTimeoutMs?: number;
+  /** An idle connection without a hint of the server is kept this long. */
+  idleMs?: number;
+  /** Told each time that a connection is opened. */
+  onOpened?: () => void;
+}
+
+interface Connection {
+  client: Client;
+  /** The socket reported an error: an answer that ends with the connection may be cut. */
+  hasFailed: boolean;
+  isClosed: boolean;
+}
+
+interface AddressPool {
+  /** Used last at the end: the freshest is the least likely to be closing at the other side. */
+  idle: Connection[];
+  openCount: number;
+}
+
+/**
+ * Links inside a region take a few milliseconds; a lost opening packet is sent again after a second, which
+ * is longer than another server takes to answer.
+ */
+const defaultConnectTimeoutMs = 400;
+/** Servers name their idle time-out in whole seconds; where they do not, it is under a second. */
+const defaultIdleMs = 600;
+/** Kept between the server's idle time-out and ours, so that a request does not cross its close. */
+const idleMarginMs = 400;
+
+export function createBackendConnections(
+  options: BackendConnectionsOptions = {},
+): BackendConnections {
+  const { connectTimeoutMs = defaultConnectTimeoutMs, idleMs = defaultIdleMs, onOpened } = options;
+  const pools = new Map<string, AddressPool>();
+  const all = new Set<Connection>();
+  let openedCount = 0;
+
+  function poolOf(address: string): AddressPool {
+    const known = pools.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const pool: AddressPool = { idle: [], openCount: 0 };
+    pools.set(address, pool);
+    return pool;
+  }
+
+  function open(address: string, pool: AddressPool): Connection {
+    const connect = buildConnector({ timeout: connectTimeoutMs });
+    const client = new Client(`http://${address}`, {
+      // The time-outs of calls are ours: those of the library are coarse.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: idleMs,
+      keepAliveTimeoutThreshold: idleMarginMs,
+      pipelining: 1,
+      connect: (connectOptions, callback) =>
+        connect(connectOptions, (...outcome) => {
+          const [error, socket] = outcome;
+          if (error === null) {
+            watchSocket(connection, socket);
+          }
+          callback(...outcome);
+        }),
+    });
+    const connection: Connection = { client, hasFailed: false, isClosed: false };
+    const onGone = () => close(connection, pool);
+    client.on('disconnect', onGone);
+    client.on('connectionError', onGone);
+    pool.openCount += 1;
+    openedCount += 1;
+    all.add(connection);
+    onOpened?.();
+    return connection;
+  }
+
+  function close(connection: Connection, pool: AddressPool): void {
+    if (connection.isClosed) {
+      return;
+    }
+    connection.isClosed = true;
+    all.delete(connection);
+    pool.openCount -= 1;
+    pool.idle = pool.idle.filter((other) => other !== connection);
+    void connection.client.destroy().catch(() => undefined);
+  }
+
+  async function call(sent: HttpCall): Promise<HttpOutcome> {
+    const pool = poolOf(sent.address);
+    const kept = pool.idle.pop();
+    if (kept !== undefined) {
+      const outcome = await send(kept, pool, sent);
+      // The server had closed it; nothing went out, so the call may take a fresh one.
+      if (outcome.kind !== 'not-sent' || sent.signal?.aborted) {
+        return outcome;
+      }
+    }
+    if (pool.openCount >= sent.maxConnections) {
+      return { kind: 'not-sent', detail: 'connection limit reached' };
+    }
+    return send(open(sent.address, pool), pool, sent);
+  }
+
+  function send(connection: Connection, pool: AddressPool, sent: HttpCall): Promise<HttpOutcome> {
+    return new Promise((resolve) => {
+      const exchange = createExchange(connection, sent, resolve, {
+        onReusable: () => {
+          if (!connection.isClosed) {
+            pool.idle.push(connection);
+          }
+        },
+        onBroken: () => close(connection, pool),
+      });
+      exchange.start();
+    });
+  }
+
+  return {
+    call,
+    openedCount: () => openedCount,
+    forget(address) {
+      const pool = pools.get(address);
+      pool?.idle.slice().forEach((connection) => close(connection, pool));
+      if (pool?.openCount === 0) {
+        pools.delete(address);
+      }
+    },
+    async close() {
+      await Promise.all([...all].map(({ client }) => client.destroy()));
+    },
+  };
+}
+
+/**
+ * The library takes the reset of a connection for the end of a body that has no length. The answer would
+ * look whole to the caller, so the reset is noted here, before the library sees it.
+ */
+function watchSocket(connection: Connection, socket: Socket): void {
+  socket.setNoDelay(true);
+  socket.on('error', () => {
+    connection.hasFailed = true;
+  });
+}
+
+interface ExchangeEvents {
+  onReusable(): void;
+  onBroken(): void;
+}
+
+type BodyEnd = { kind: 'whole' } | { kind: 'lost'; detail: string };
+
+/** One call on one connection. */
+function createExchange(
+  connection: Connection,
+  call: HttpCall,
+  resolve: (outcome: HttpOutcome) => void,
+  events: ExchangeEvents,
+) {
+  let wasSent = false;
+  let isOurs = false;
+  let reader: BodyReader | undefined;
+  let bodyEnd: BodyEnd | undefined;
+  let controller: Dispatcher.DispatchController | undefined;
+  let isFramed = true;
+  const headTimer = setTimeout(() => giveUp('no answer in time'), call.headTimeoutMs);
+  const onAbort = () => giveUp('given up');
+
+  function giveUp(reason: string): void {
+    if (bodyEnd !== undefined) {
+      return;
+    }
+    isOurs = true;
+    finishWaiting();
+    resolve(
+      wasSent ? { kind: 'lost', detail: reason, isOurs } : { kind: 'not-sent', detail: reason },
+    );
+    events.onBroken();
+    endBody({ kind: 'lost', detail: reason });
+  }
+
+  function finishWaiting(): void {
+    clearTimeout(headTimer);
+  }
+
+  function endBody(end: BodyEnd): void {
+    if (bodyEnd !== undefined) {
+      return;
+    }
+    bodyEnd = end;
+    call.signal?.removeEventListener('abort', onAbort);
+    deliverEnd();
+  }
+
+  function deliverEnd(): void {
+    if (reader === undefined || bodyEnd === undefined) {
+      return;
+    }
+    if (bodyEnd.kind === 'whole') {
+      reader.onEnd();
+    } else {
+      reader.onLost(bodyEnd.detail);
+    }
+  }
+
+  const body: AnswerBody = {
+    read(next) {
+      reader = next;
+      deliverEnd();
+      controller?.resume();
+    },
+    pause: () => controller?.pause(),
+    resume: () => controller?.resume(),
+  };
+
+  const handler: Dispatcher.DispatchHandler = {
+    onRequestStart(started) {
+      wasSent = true;
+      controller = started;
+    },
+    onResponseStart(started, status) {
+      if (status < 200) {
+        return;
+      }
+      finishWaiting();
+      started.pause();
+      const headers = readHeaders(started.rawHeaders);
+      isFramed = hasFraming(headers, status);
+      resolve({ kind: 'answered', answer: { status, headers, body, discard: giveUp } });
+    },
+    onResponseData: (_controller, chunk) => reader?.onData(chunk),
+    onResponseEnd() {
+      const isCut = connection.hasFailed && !isFramed;
+      if (!isCut) {
+        events.onReusable();
+      }
+      endBody(isCut ? { kind: 'lost', detail: 'reset before its end' } : { kind: 'whole' });
+    },
+    onResponseError(_controller, error) {
+      finishWaiting();
+      const detail = error.message;
+      resolve(wasSent ? { kind: 'lost', detail, isOurs } : { kind: 'not-sent', detail });
+      events.onBroken();
+      endBody({ kind: 'lost', detail });
+    },
+  };
+
+  function start(): void {
+    if (call.signal?.aborted) {
+      giveUp('given up');
+      return;
+    }
+    call.signal?.addEventListener('abort', onAbort);
+    connection.client.dispatch(
+      {
+        method: call.method as Dispatcher.HttpMethod,
+        path: call.path,
+        headers: call.headers as string[],
+        body: call.body,
+      },
+      handler,
+    );
+  }
+
+  return { start };
+}
+
+function readHeaders(raw: Dispatcher.DispatchController['rawHeaders']): string[] {
+  return Array.isArray(raw) ? raw.map((part) => part.toString('latin1')) : [];
+}
+
+/** Whether the end of the body shows in the answer itself rather than by the end of the connection. */
+function hasFraming(headers: readonly string[], status: number): boolean {
+  return (
+    status === 204 ||
+    status === 304 ||
+    headers.some(
+      (name, index) =>
+        index % 2 === 0 && ['content-length', 'transfer-encoding'].includes(name.toLowerCase()),
+    )
+  );
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,63 @@
+export { createAttemptBudget, type AttemptBudget, type AttemptBudgetOptions } from './attemptBudget';
+export type {
+  AnswerBody,
+  BackendAnswer,
+  BackendApi,
+  BodyReader,
+  CallOutcome,
+  EngineLoad,
+  LostAnswer,
+  NotRunCause,
+  PrefillOptions,
+  PrefillResult,
+  Reservation,
+  ReserveOptions,
+  RunOptions,
+  StageOrder,
+} from './backendApi';
+export {
+  createBackendConnections,
+  type BackendConnections,
+  type BackendConnectionsOptions,
+  type HttpAnswer,
+  type HttpCall,
+  type HttpOutcome,
+} from './backendConnections';
+export type { AnswerWriter, CallerExchange, WholeAnswer } from './callerApi';
+export {
+  startCallersServer,
+  type CallersServer,
+  type CallersServerOptions,
+  type DecodeHead,
+  type RequestHead,
+} from './callersServer';
+export { createDecodePlacement, type DecodePlacement } from './decodePlacement';
+export { createEngineLoads, type EngineLoads } from './engineLoads';
+export { createEventSplitter } from './eventSplitter';
+export { createLoadPoller } from './loadPoller';
+export {
+  notRunReasons,
+  routeKinds,
+  stages,
+  type BackendServer,
+  type CallerLimits,
+  type CallerRequest,
+  type Configuration,
+  type EngineSettings,
+  type NotRunReason,
+  type PromptSize,
+  type Refusal,
+  type Route,
+  type RouteKind,
+  type RouteTarget,
+  type ServiceSettings,
+  type Stage,
+} from './model';
+export { createObjectFollower, type ObjectFollowerOptions } from './objectFollower';
+export { createRequestRouter, type RequestRouter } from './requestRouter';
+export { createRouterMetrics, type RouterMetrics } from './routerMetrics';
+export type { RouterParts } from './routerParts';
+export { createRouteTable, type RouteTable } from './routeTable';
+export { createServerDirectory, type ServerChange, type ServerDirectory } from './serverDirectory';
+export { createServerLoads } from './serverLoads';
+export { readWholeBody } from './wholeBody';
--- /dev/null
+++ b/packages/routing/src/model.ts
@@ -0,0 +1,142 @@
+/** What the router knows of routes, backend servers and requests, whatever interface they came by. */
+
+/** What may be repeated on a route. */
+export const routeKinds = {
+  /** The answer is a series of events. It runs once, unless the route allows to resume it. */
+  stream: 'stream',
+  idempotent: 'idempotent',
+  /** Runs at most once. */
+  nonIdempotent: 'non-idempotent',
+} as const;
+export type RouteKind = (typeof routeKinds)[keyof typeof routeKinds];
+
+/** A service that a route leads to, with its share of the route's requests. */
+export interface RouteTarget {
+  serviceName: string;
+  weight: number;
+}
+
+export interface Route {
+  name: string;
+  host: string;
+  /** Begins and ends with a slash. */
+  pathPrefix: string;
+  kind: RouteKind;
+  /** Longest time that a caller is kept waiting for the whole answer. */
+  timeoutMs: number;
+  /** Within this time an answer, or a stream's first event, is worth most. */
+  targetLatencyMs: number;
+  /** 0 is the most urgent. */
+  priority: number;
+  /** Backend servers to which one request may be sent. */
+  maxAttempts: number;
+  /** A stream may go on at another backend server after its last event. */
+  allowsResume: boolean;
+  targets: readonly RouteTarget[];
+}
+
+/** Figures of a service's model engines. */
+export interface EngineSettings {
+  /** Requests at once in one engine. */
+  slots: number;
+  /** Memory of one engine. */
+  kvTokens: number;
+  /** Longest reservation that an engine grants. */
+  reservationLimitMs: number;
+  /** How long an engine keeps a prefill result that nobody takes. */
+  prefillLifetimeMs: number;
+  /** How long an engine is away while it changes its stage. */
+  stageSwitchMs: number;
+}
+
+export interface ServiceSettings {
+  name: string;
+  /** Connections that one backend server takes from all callers together. */
+  maxConnections: number;
+  /** Absent for plain services. */
+  engine?: EngineSettings;
+}
+
+/** Bounds for what a caller may send, and for how long it may take or stay idle. */
+export interface CallerLimits {
+  maxHeaderBytes: number;
+  maxBodyBytes: number;
+  headerTimeoutMs: number;
+  idleTimeoutMs: number;
+}
+
+export interface Configuration {
+  /** Only ever grows. */
+  version: number;
+  routes: readonly Route[];
+  services: readonly ServiceSettings[];
+  limits: CallerLimits;
+}
+
+export const stages = { prefill: 'prefill', decode: 'decode' } as const;
+export type Stage = (typeof stages)[keyof typeof stages];
+
+/** One life of a backend server: a restart is another one, with another id. */
+export interface BackendServer {
+  id: string;
+  serviceName: string;
+  /** `ip:port`; may belong to another server once this one is gone. */
+  address: string;
+  dataCentre: string;
+  slots: number;
+  isDraining: boolean;
+  /** Absent for plain services. */
+  stage?: Stage;
+}
+
+/** The sizes of a model request, as its caller states them. */
+export interface PromptSize {
+  promptTokens: number;
+  maxOutputTokens: number;
+  /** The caller's guess at the output; right in the middle, often far off. */
+  expectedOutputTokens?: number;
+}
+
+/** A caller's request, read whole. */
+export interface CallerRequest {
+  /** Of this one try of the caller; each further try has another. */
+  id: string;
+  method: string;
+  host: string;
+  /** Path and query, as they came. */
+  target: string;
+  /** Names and values by turns: what goes on to the backend server as it came. */
+  headers: readonly string[];
+  body: Buffer;
+  /** Time until which the caller waits, on the monotonic clock. */
+  deadlineAtMs: number;
+  /** When the request's head had been read, on the monotonic clock. */
+  arrivedAtMs: number;
+  /** Absent for plain requests. */
+  prompt?: PromptSize;
+  /** The caller has the stream's events up to this one. */
+  lastEventId?: number;
+}
+
+/** Why a request ends without a backend server's answer. */
+export type Refusal =
+  | { kind: 'no-route' }
+  | { kind: 'malformed'; detail: string }
+  | { kind: 'too-large'; part: 'header' | 'body' }
+  /** Certainly has not run and will not run. */
+  | { kind: 'not-run'; reason: NotRunReason; retryAfterMs: number }
+  /** May have run: the backend server's answer was lost or broken. */
+  | { kind: 'answer-lost'; detail: string }
+  /** May have run: no answer in time. */
+  | { kind: 'timed-out' };
+
+export const notRunReasons = {
+  noConfiguration: 'no-configuration',
+  noServer: 'no-server',
+  noCapacity: 'no-capacity',
+  deadline: 'deadline',
+  rejected: 'rejected',
+  poisonous: 'poisonous',
+  overloaded: 'overloaded',
+} as const;
+export type NotRunReason = (typeof notRunReasons)[keyof typeof notRunReasons];
--- /dev/null
+++ b/packages/routing/src/plainRequest.ts
@@ -0,0 +1,177 @@
+/** Serves a request of a plain route: one whole answer, with further attempts where it may be repeated. */
+import { monotonicNowMs } from '@bluebellhitch/shared';
+import type { BackendAnswer, CallOutcome } from './backendApi';
+import type { WholeAnswer } from './callerApi';
+import { notRunReasons, routeKinds, type BackendServer, type Refusal } from './model';
+import { lostRefusal, remainingMs, type RequestState } from './requestState';
+import type { RouterParts } from './routerParts';
+import { readWholeBody } from './wholeBody';
+
+/** What became of one attempt. */
+type Attempt =
+  | { kind: 'answer'; answer: WholeAnswer }
+  /** The server's own failure: passed on unless a further attempt does better. */
+  | { kind: 'server-failure'; answer: WholeAnswer }
+  | { kind: 'unreachable' }
+  | { kind: 'rejected' }
+  | { kind: 'lost'; detail: string };
+
+const firstServerError = 500;
+/** Callers come back after about this long: a full or restarting server has room again by then. */
+const retryAfterMs = 300;
+
+export async function servePlain(state: RequestState, parts: RouterParts): Promise<void> {
+  let best: Attempt | undefined;
+  while (remainingMs(state) > 0 && !state.exchange.signal.aborted) {
+    const server = chooseServer(state, parts);
+    if (server === undefined || !mayAttempt(state, parts)) {
+      break;
+    }
+    const attempt = await attemptAt(server, state, parts);
+    state.trail.push(`${server.id} ${attempt.kind}`);
+    if (attempt.kind === 'answer') {
+      state.exchange.answer(attempt.answer);
+      return;
+    }
+    state.failedServerIds.add(server.id);
+    best = better(best, attempt);
+    if (!mayFollow(state, attempt)) {
+      break;
+    }
+  }
+  finish(state, best);
+}
+
+/** Takes a further attempt out of the budget; the first is free. */
+function mayAttempt(state: RequestState, { budget, metrics }: RouterParts): boolean {
+  if (state.sentCount === 0) {
+    return true;
+  }
+  const isAllowed =
+    state.sentCount < state.route.maxAttempts &&
+    budget.tryTake(state.service.name, monotonicNowMs());
+  if (isAllowed) {
+    metrics.countFurtherAttempt(state.service.name, 'failed');
+  }
+  return isAllowed;
+}
+
+function mayFollow(state: RequestState, attempt: Attempt): boolean {
+  switch (attempt.kind) {
+    case 'unreachable':
+    case 'rejected':
+      return true;
+    case 'answer':
+      return false;
+    case 'server-failure':
+    case 'lost':
+      return state.route.kind === routeKinds.idempotent;
+  }
+}
+
+/** An answer of a server tells more than none; that it may have run outweighs that it did not. */
+function better(known: Attempt | undefined, attempt: Attempt): Attempt {
+  const ranks = { answer: 4, 'server-failure': 3, lost: 2, rejected: 1, unreachable: 0 };
+  return known === undefined || ranks[attempt.kind] > ranks[known.kind] ? attempt : known;
+}
+
+function finish(state: RequestState, best: Attempt | undefined): void {
+  if (best?.kind === 'answer' || best?.kind === 'server-failure') {
+    state.exchange.answer(best.answer);
+    return;
+  }
+  state.exchange.refuse(refusalOf(state, best));
+}
+
+function refusalOf(state: RequestState, best: Attempt | undefined): Refusal {
+  switch (best?.kind) {
+    case 'lost':
+      return lostRefusal(state, best.detail);
+    case 'rejected':
+      return { kind: 'not-run', reason: notRunReasons.rejected, retryAfterMs };
+    default:
+      return { kind: 'not-run', reason: notRunReasons.noServer, retryAfterMs };
+  }
+}
+
+function chooseServer(state: RequestState, parts: RouterParts): BackendServer | undefined {
+  const { directory, health, serverLoads, random } = parts;
+  const ejected = health.ejected(monotonicNowMs());
+  const untried = directory
+    .usable(state.service.name)
+    .filter(({ id }) => !state.failedServerIds.has(id));
+  const sound = untried.filter(({ id }) => !ejected.has(id));
+  return (sound.length > 0 ? sound : untried)
+    .map((server) => ({
+      server,
+      load: serverLoads.running(server.id) / server.slots,
+      tie: random(),
+    }))
+    .sort((left, right) => left.load - right.load || left.tie - right.tie)[0]?.server;
+}
+
+async function attemptAt(
+  server: BackendServer,
+  state: RequestState,
+  parts: RouterParts,
+): Promise<Attempt> {
+  const { backend, serverLoads, health } = parts;
+  const endLoad = serverLoads.begin(server.id);
+  health.beginAttempt(server.id, monotonicNowMs());
+  const leftMs = remainingMs(state);
+  const outcome = await backend.run(server, state.request, {
+    remainingMs: leftMs,
+    headTimeoutMs: leftMs,
+    signal: state.signal,
+  });
+  const attempt = await readAttempt(outcome, state);
+  endLoad();
+  if (attempt.kind !== 'unreachable') {
+    state.sentCount += 1;
+  }
+  recordHealth(server, attempt, state, parts);
+  return attempt;
+}
+
+async function readAttempt(
+  outcome: CallOutcome<BackendAnswer>,
+  state: RequestState,
+): Promise<Attempt> {
+  switch (outcome.kind) {
+    case 'not-run':
+      return outcome.cause.kind === 'rejected' ? { kind: 'rejected' } : { kind: 'unreachable' };
+    case 'lost':
+      return { kind: 'lost', detail: outcome.detail };
+    case 'done':
+      return readAnswer(outcome.value, state);
+  }
+}
+
+async function readAnswer(answer: BackendAnswer, state: RequestState): Promise<Attempt> {
+  const { status, headers, isSealed } = answer;
+  const read = await readWholeBody(answer.body);
+  if (read.kind === 'lost') {
+    return { kind: 'lost', detail: read.detail };
+  }
+  if (!isSealed) {
+    return { kind: 'lost', detail: `unsealed answer ${status}` };
+  }
+  const whole = { status, headers, body: read.body };
+  const isFailure = status >= firstServerError && state.route.kind === routeKinds.idempotent;
+  return { kind: isFailure ? 'server-failure' : 'answer', answer: whole };
+}
+
+function recordHealth(
+  server: BackendServer,
+  attempt: Attempt,
+  state: RequestState,
+  { health }: RouterParts,
+): void {
+  const callerLeft = state.exchange.signal.aborted;
+  const isSuccess =
+    attempt.kind === 'rejected' ||
+    (attempt.kind === 'answer' && attempt.answer.status < firstServerError);
+  if (isSuccess || !callerLeft) {
+    health.record(server.id, isSuccess ? 'success' : 'failure', monotonicNowMs());
+  }
+}
--- /dev/null
+++ b/packages/routing/src/routerMetrics.ts
@@ -0,0 +1,98 @@
+/** Metrics of the router, in the Prometheus format: histograms for each service and route kind. */
+import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+import type { RenderedMetrics } from '@bluebellhitch/telemetry';
+import type { RouteKind } from './model';
+
+export interface RequestLabels {
+  service: string;
+  kind: RouteKind;
+}
+
+export interface RouterMetrics extends RenderedMetrics {
+  countRequest(labels: RequestLabels, outcome: string): void;
+  observeFirstByte(labels: RequestLabels, durationMs: number): void;
+  observeWhole(labels: RequestLabels, durationMs: number): void;
+  observePlacement(service: string, durationMs: number): void;
+  countFurtherAttempt(service: string, cause: string): void;
+  countPrefillTokens(tokens: number): void;
+  countWastedPrefillTokens(tokens: number): void;
+  countConnection(): void;
+  countDroppedLogLines(total: number): void;
+  setConfigurationVersion(version: number): void;
+  setServers(count: number): void;
+}
+
+const labelNames = ['service', 'kind'] as const;
+const msPerSecond = 1000;
+const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.62, 0.9, 1.5, 3, 6, 15, 60];
+/** At the library's 10 ms the monitor's timer is most of an idle process's own work. */
+const eventLoopPrecisionMs = 100;
+
+export function createRouterMetrics(): RouterMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  collectDefaultMetrics({
+    register: registry,
+    eventLoopMonitoringPrecision: eventLoopPrecisionMs,
+  });
+  const counter = (name: string, help: string, names: readonly string[] = []) =>
+    new Counter({ name, help, labelNames: names, registers });
+  const histogram = (name: string, help: string, names: readonly string[]) =>
+    new Histogram({ name, help, labelNames: names, buckets: latencyBuckets, registers });
+  const gauge = (name: string, help: string) => new Gauge({ name, help, registers });
+
+  const requests = counter('bluebell_requests_total', 'Requests by how they ended.', [
+    ...labelNames,
+    'outcome',
+  ]);
+  const firstByte = histogram(
+    'bluebell_first_byte_seconds',
+    'From arrival of the request to the first byte of its answer.',
+    labelNames,
+  );
+  const whole = histogram(
+    'bluebell_whole_answer_seconds',
+    'From arrival of the request to the end of its answer.',
+    labelNames,
+  );
+  const placements = histogram(
+    'bluebell_placement_seconds',
+    'Wait of model requests for decode memory.',
+    ['service'],
+  );
+  const furtherAttempts = counter(
+    'bluebell_further_attempts_total',
+    'Attempts beyond the first by cause.',
+    ['service', 'cause'],
+  );
+  const prefillTokens = counter('bluebell_prefill_tokens_total', 'Prompt tokens read.');
+  const wastedTokens = counter(
+    'bluebell_wasted_prefill_tokens_total',
+    'Prompt tokens read whose result was not used.',
+  );
+  const connections = counter(
+    'bluebell_backend_connections_total',
+    'Connections opened to backend servers.',
+  );
+  const droppedLines = gauge('bluebell_log_lines_dropped', 'Log lines that were not written.');
+  const version = gauge('bluebell_configuration_version', 'Version of the configuration in force.');
+  const servers = gauge('bluebell_backend_servers', 'Backend servers that are known.');
+
+  return {
+    contentType: registry.contentType,
+    render: () => registry.metrics(),
+    countRequest: (labels, outcome) => requests.inc({ ...labels, outcome }),
+    observeFirstByte: (labels, durationMs) =>
+      firstByte.observe({ ...labels }, durationMs / msPerSecond),
+    observeWhole: (labels, durationMs) => whole.observe({ ...labels }, durationMs / msPerSecond),
+    observePlacement: (service, durationMs) =>
+      placements.observe({ service }, durationMs / msPerSecond),
+    countFurtherAttempt: (service, cause) => furtherAttempts.inc({ service, cause }),
+    countPrefillTokens: (tokens) => prefillTokens.inc(tokens),
+    countWastedPrefillTokens: (tokens) => wastedTokens.inc(tokens),
+    countConnection: () => connections.inc(),
+    countDroppedLogLines: (total) => droppedLines.set(total),
+    setConfigurationVersion: (value) => version.set(value),
+    setServers: (count) => servers.set(count),
+  };
+}
--- /dev/null
+++ b/packages/routing/src/routerParts.ts
@@ -0,0 +1,25 @@
+/** What every request of one process shares. */
+import type { OutlierDetector } from '@bluebellhitch/decisions';
+import type { Random } from '@bluebellhitch/shared';
+import type { Logger } from '@bluebellhitch/telemetry';
+import type { AttemptBudget } from './attemptBudget';
+import type { BackendApi } from './backendApi';
+import type { DecodePlacement } from './decodePlacement';
+import type { EngineLoads } from './engineLoads';
+import type { RouterMetrics } from './routerMetrics';
+import type { ServerDirectory } from './serverDirectory';
+import type { ServerLoads } from './serverLoads';
+
+export interface RouterParts {
+  backend: BackendApi;
+  directory: ServerDirectory;
+  /** Requests in progress at plain servers. */
+  serverLoads: ServerLoads;
+  engineLoads: EngineLoads;
+  placement: DecodePlacement;
+  budget: AttemptBudget;
+  health: OutlierDetector;
+  metrics: RouterMetrics;
+  logger: Logger;
+  random: Random;
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,3 +1,4 @@
+export { createLineWriter, type LineWriter, type LineWriterOptions } from './lineWriter';
 export {
   createLogger,
   type LogContext,
