Tell a reset from the end of an answer without a length

A server sent a part of an answer without a length and its connection was reset; the caller got the part as a whole answer. The runtime reports an end where the reset arrives together with the last bytes, and undici takes a later reset for the end as well. Ruled out: refusing all answers without a length (most are whole); trusting the error event alone (there is none where both arrive together). Mended: at the end of such an answer a write on the half-open connection tells: it fails at once after a reset. Also: sonic-boom's default export, the only one its module format gives.

--- a/packages/routing/src/backendConnections.ts
+++ b/packages/routing/src/backendConnections.ts
@@ -57,11 +57,15 @@
 
 interface Connection {
   client: Client;
-  /** The socket reported an error: an answer that ends with the connection may be cut. */
-  hasFailed: boolean;
+  /** Set while an answer is read that ends with its connection. */
+  isEndChecked: boolean;
+  /** How the connection ended, as far as an answer that ends with it is concerned. */
+  end?: Promise<ConnectionEnd>;
   isClosed: boolean;
 }
 
+type ConnectionEnd = 'closed' | 'reset';
+
 interface AddressPool {
   /** Used last at the end: the freshest is the least likely to be closing at the other side. */
   idle: Connection[];
@@ -77,6 +81,7 @@
 const defaultIdleMs = 600;
 /** Kept between the server's idle time-out and ours, so that a request does not cross its close. */
 const idleMarginMs = 400;
+const resetCodes: readonly string[] = ['EPIPE', 'ECONNRESET', 'ENOTCONN'];
 
 export function createBackendConnections(
   options: BackendConnectionsOptions = {},
@@ -97,7 +102,8 @@
   }
 
   function open(address: string, pool: AddressPool): Connection {
-    const connect = buildConnector({ timeout: connectTimeoutMs });
+    // Half open, so that the end can be checked: see `checkEnd`.
+    const connect = buildConnector({ timeout: connectTimeoutMs, allowHalfOpen: true });
     const client = new Client(`http://${address}`, {
       // The time-outs of calls are ours: those of the library are coarse.
       headersTimeout: 0,
@@ -114,7 +120,7 @@
           callback(...outcome);
         }),
     });
-    const connection: Connection = { client, hasFailed: false, isClosed: false };
+    const connection: Connection = { client, isEndChecked: false, isClosed: false };
     const onGone = () => close(connection, pool);
     client.on('disconnect', onGone);
     client.on('connectionError', onGone);
@@ -183,13 +189,28 @@
 }
 
 /**
- * The library takes the reset of a connection for the end of a body that has no length. The answer would
- * look whole to the caller, so the reset is noted here, before the library sees it.
+ * An answer without a length ends with its connection, and a reset must not pass for that end: the caller
+ * would get a part that looks whole. The library takes a reset for the end, and so does the runtime where
+ * the reset arrives together with the last bytes. So both are noted here, before the library sees them.
  */
 function watchSocket(connection: Connection, socket: Socket): void {
   socket.setNoDelay(true);
   socket.on('error', () => {
-    connection.hasFailed = true;
+    connection.end ??= Promise.resolve('reset');
+  });
+  socket.on('end', () => {
+    if (connection.isEndChecked) {
+      connection.end ??= checkEnd(socket);
+    }
+  });
+}
+
+/** A write fails at once on a connection that was reset; on one that was closed it goes out unheeded. */
+function checkEnd(socket: Socket): Promise<ConnectionEnd> {
+  return new Promise((resolve) => {
+    socket.write('\r\n', (error?: NodeJS.ErrnoException | null) => {
+      resolve(resetCodes.includes(error?.code ?? '') ? 'reset' : 'closed');
+    });
   });
 }
 
@@ -253,6 +274,11 @@
     }
   }
 
+  async function endWithConnection(): Promise<void> {
+    const end = await connection.end;
+    endBody(end === 'closed' ? { kind: 'whole' } : { kind: 'lost', detail: 'reset before its end' });
+  }
+
   const body: AnswerBody = {
     read(next) {
       reader = next;
@@ -276,15 +302,17 @@
       started.pause();
       const headers = readHeaders(started.rawHeaders);
       isFramed = hasFraming(headers, status);
+      connection.isEndChecked = !isFramed;
       resolve({ kind: 'answered', answer: { status, headers, body, discard: giveUp } });
     },
     onResponseData: (_controller, chunk) => reader?.onData(chunk),
     onResponseEnd() {
-      const isCut = connection.hasFailed && !isFramed;
-      if (!isCut) {
+      if (isFramed) {
         events.onReusable();
+        endBody({ kind: 'whole' });
+      } else {
+        void endWithConnection();
       }
-      endBody(isCut ? { kind: 'lost', detail: 'reset before its end' } : { kind: 'whole' });
     },
     onResponseError(_controller, error) {
       finishWaiting();
--- a/packages/telemetry/src/lineWriter.ts
+++ b/packages/telemetry/src/lineWriter.ts
@@ -3,7 +3,7 @@
  * synchronously: a reader that pauses would stop the whole process. Lines wait in a bounded buffer; what
  * does not fit is dropped and counted.
  */
-import { SonicBoom } from 'sonic-boom';
+import SonicBoom from 'sonic-boom';
 
 export interface LineWriterOptions {
   /** File descriptor; 1 is the standard output. */
