Close a caller's connection after the last answer of a drain

A stream had begun before SIGTERM with a head that keeps the connection; the caller's next request came on it 6.4 s later and was cut with the end of the process. Ruled out: closing such connections at once (the stream is still on it); a refusal of late requests alone (a request that crosses the end would still be cut). Mended: an answer that ends during the drain ends its connection. The test hung without it.

--- /dev/null
+++ b/packages/routing/__tests__/callersServer.test.ts
@@ -0,0 +1,148 @@
+import { connect } from 'node:net';
+import test, { type ExecutionContext } from 'ava';
+import { ok } from 'neverthrow';
+import {
+  startCallersServer,
+  type CallerExchange,
+  type CallersServer,
+  type DecodeHead,
+} from '@bluebellhitch/routing';
+import { createLogger } from '@bluebellhitch/telemetry';
+
+const decodeHead: DecodeHead = ({ method, target, arrivedAtMs }) =>
+  ok({
+    id: 'r1',
+    method,
+    target,
+    host: 'a.example',
+    headers: [],
+    arrivedAtMs,
+    deadlineAtMs: arrivedAtMs + 10_000,
+  });
+
+async function startServer(
+  t: ExecutionContext,
+  serve: (exchange: CallerExchange) => void,
+): Promise<CallersServer> {
+  const server = await startCallersServer({
+    host: '127.0.0.1',
+    port: 0,
+    decodeHead,
+    serve: async (exchange) => serve(exchange),
+    logger: createLogger({ binary: 'test', instanceId: 't', write: () => undefined }),
+    maxHeldBytes: 1_000_000,
+    maxConnections: 100,
+  });
+  t.teardown(() => {
+    server.stopAccepting();
+    server.close();
+  });
+  return server;
+}
+
+/** A caller's connection that keeps what it receives. */
+function openConnection(t: ExecutionContext, port: number) {
+  const socket = connect({ host: '127.0.0.1', port });
+  let text = '';
+  const closed = new Promise<void>((resolve) => {
+    socket.once('close', () => resolve());
+  });
+  socket.on('data', (chunk) => {
+    text += chunk.toString('latin1');
+  });
+  socket.on('error', () => undefined);
+  t.teardown(() => socket.destroy());
+  return { socket, closed, text: () => text };
+}
+
+const request = 'GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n';
+
+function until(condition: () => boolean): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setInterval(() => {
+      if (condition()) {
+        clearInterval(timer);
+        resolve();
+      }
+    }, 2);
+  });
+}
+
+test('an answer that began before the drain closes its connection at its end', async (t) => {
+  // The caller's next request would be cut off with the process. A stream begins, its head promises to keep
+  // the connection, then the process is told to stop. When the stream ends, the connection must close.
+  let finish: () => void = () => undefined;
+  const server = await startServer(t, (exchange) => {
+    const writer = exchange.begin(200, []);
+    writer.write(Buffer.from('part'));
+    finish = writer.end;
+  });
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write(request);
+  await until(() => text().includes('part'));
+  server.beginDrain();
+  finish();
+  await closed;
+  t.true(text().endsWith('0\r\n\r\n'));
+});
+
+test('a whole answer during the drain says that its connection closes', async (t) => {
+  const server = await startServer(t, (exchange) =>
+    exchange.answer({ status: 200, headers: ['X-A', 'b'], body: Buffer.from('all') }),
+  );
+  server.beginDrain();
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write(request);
+  await closed;
+  t.regex(text(), /Connection: close/i);
+  t.true(text().endsWith('all'));
+});
+
+test('a caller that leaves is noticed', async (t) => {
+  const signals: AbortSignal[] = [];
+  const server = await startServer(t, ({ signal }) => signals.push(signal));
+  const { socket } = openConnection(t, server.port);
+  socket.write(request);
+  await until(() => signals.length === 1);
+  socket.destroy();
+  await until(() => signals[0]?.aborted === true);
+  t.pass();
+});
+
+test('a cut answer does not look complete', async (t) => {
+  const server = await startServer(t, (exchange) => {
+    const writer = exchange.begin(200, []);
+    writer.write(Buffer.from('part'));
+    setTimeout(writer.cut, 10);
+  });
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write(request);
+  await closed;
+  t.regex(text(), /Transfer-Encoding: chunked/i);
+  t.false(text().endsWith('0\r\n\r\n'));
+});
+
+test('a request with two lengths is refused before it is read', async (t) => {
+  // Two parsers could read it differently and let a second request hide in its body.
+  const server = await startServer(t, () => t.fail('served'));
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write(
+    'POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+  );
+  await closed;
+  t.regex(text(), /^HTTP\/1\.1 400 /);
+});
+
+test('a body beyond the limit is refused', async (t) => {
+  const server = await startServer(t, () => t.fail('served'));
+  server.setLimits({
+    maxHeaderBytes: 1_000,
+    maxBodyBytes: 4,
+    headerTimeoutMs: 1_000,
+    idleTimeoutMs: 1_000,
+  });
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write('POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n12345');
+  await closed;
+  t.regex(text(), /^HTTP\/1\.1 413 /);
+});
--- a/packages/routing/src/httpExchange.ts
+++ b/packages/routing/src/httpExchange.ts
@@ -27,6 +27,15 @@
     }
   });
 
+  // A head that was sent before the drain began promised to keep the connection. Its next request would
+  // come when the process is about to end.
+  const { socket } = outgoing;
+  outgoing.once('finish', () => {
+    if (isDraining()) {
+      socket?.end();
+    }
+  });
+
   function writeHead(status: number, headers: readonly string[]): void {
     if (isDraining()) {
       outgoing.shouldKeepAlive = false;
