Divide the engines between prefill and decode by orders of one holder

Cause: the platform starts with more than a third of the engines reading prompts; decode memory ran out in bursts while prefill engines stood idle. What is there: a pure plan of one change at a time, spread over data centres; a keeper that takes a lease in the store only while there is something to order, orders with the expected order count, and lets a new holder wait for the old one's last order.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -61,3 +61,5 @@
 export { createServerDirectory, type ServerChange, type ServerDirectory } from './serverDirectory';
 export { createServerLoads } from './serverLoads';
 export { readWholeBody } from './wholeBody';
+export { createStageKeeper, type StageKeeperOptions } from './stageKeeper';
+export { planStageChange, wantedPrefillCount, type StageChange } from './stagePlan';
