Notice at once that the store is back

Ruled out: dropping the hold (servers that lapsed in an outage would all be lost at once). Mended: after a failure the first watch does not wait. The test failed first.

--- a/packages/routing/src/objectFollower.ts
+++ b/packages/routing/src/objectFollower.ts
@@ -32,6 +32,7 @@
 /** Short against the bounds for changes, which hold seconds after the store is back. */
 const defaultFirstRetryMs = 100;
 const defaultRetryLimitMs = 500;
+const shortestWaitMs = 1;
 
 export function createObjectFollower(options: ObjectFollowerOptions): BackgroundLoop {
   const { store, kind, watchWaitMs, random = Math.random } = options;
@@ -50,7 +51,10 @@
         return from;
       });
     }
-    const reply = await store.watch(kind, cursor, watchWaitMs, signal);
+    // After an outage the first watch does not wait: its answer tells that the store is back, and what is
+    // held back for the outage must not be held for the length of a watch longer.
+    const waitMs = isBack ? watchWaitMs : shortestWaitMs;
+    const reply = await store.watch(kind, cursor, waitMs, signal);
     noteAnswer(reply, signal);
     return reply.map(({ events, cursor: next, compacted }) => {
       events.forEach(options.onEvent);
