Try again where a place was lost, resume first, pass over silent engines

Ruled out: a shorter prefill time-out alone (a dark engine's queue looks the shortest, so it is chosen again). Mended: an engine whose report does not come is passed over; a lost place is looked for again, up to three times and inside the budget; a stream that has begun waits before new ones; late requests wait as long as their callers, behind those on time, and leave a fifth of the pool free.

--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -15,11 +15,13 @@
   engine: EngineSettings;
   /** Prompt and expected output together. */
   tokens: number;
+  /** It has begun already: breaking it off loses the work done, so it goes first. */
+  isResumed: boolean;
   /** 0 is the most urgent. */
   priority: number;
-  /** Its target has passed already: it goes after those that can still meet theirs. */
-  isLate: boolean;
   arrivedAtMs: number;
+  /** Placed later than this it misses its target: it goes after those that can still meet theirs. */
+  onTimeUntilMs: number;
   giveUpAtMs: number;
   /** Servers that have failed the request. */
   excludedIds: ReadonlySet<string>;
@@ -55,6 +57,8 @@
 
 /** Between looks at the pool while requests wait; others' streams end without a word to us. */
 const lookAgainMs = 30;
+/** Part of the pool that stays free of late requests. */
+const lateHeadroomShare = 0.2;
 /** An engine answers within a few milliseconds; one that does not is taken for gone. */
 const reserveTimeoutMs = 500;
 
@@ -86,7 +90,7 @@
     const nowMs = monotonicNowMs();
     [...waiters]
       .filter(({ isTrying }) => !isTrying)
-      .sort(compareWaiters)
+      .sort((left, right) => compareWaiters(left, right, nowMs))
       .forEach((waiter) => tryToPlace(waiter, nowMs));
     timer = waiters.size === 0 ? undefined : setTimeout(look, lookAgainMs);
   }
@@ -101,19 +105,33 @@
       return;
     }
     const server = roomiest(servers, waiter);
-    if (server !== undefined) {
+    if (server !== undefined && (isUrgent(waiter, nowMs) || hasHeadroom(servers, waiter))) {
       void reserveAt(server, waiter);
     }
   }
 
+  function isUrgent({ isResumed, onTimeUntilMs }: Waiter, nowMs: number): boolean {
+    return isResumed || onTimeUntilMs >= nowMs;
+  }
+
   function candidates(waiter: Waiter, nowMs: number): BackendServer[] {
     const ejected = health.ejected(nowMs);
     return directory
       .usable(waiter.serviceName, stages.decode)
-      .filter(({ id }) => !ejected.has(id))
+      .filter(({ id }) => !ejected.has(id) && !loads.isSilent(id))
       .filter(({ id }) => !waiter.failedIds.has(id) && !waiter.excludedIds.has(id));
   }
 
+  /** A late answer earns little: it must not take the memory that answers on time will need. */
+  function hasHeadroom(servers: readonly BackendServer[], waiter: Waiter): boolean {
+    const { kvTokens } = waiter.engine;
+    const free = servers.reduce(
+      (sum, server) => sum + Math.max(0, loads.freeTokens(server.id, kvTokens)),
+      0,
+    );
+    return free - waiter.tokens >= lateHeadroomShare * kvTokens * servers.length;
+  }
+
   function roomiest(servers: readonly BackendServer[], waiter: Waiter): BackendServer | undefined {
     const { kvTokens } = waiter.engine;
     const free = servers.map((server) => ({
@@ -176,9 +194,10 @@
   };
 }
 
-function compareWaiters(left: Waiter, right: Waiter): number {
+function compareWaiters(left: Waiter, right: Waiter, nowMs: number): number {
   return (
-    Number(left.isLate) - Number(right.isLate) ||
+    Number(right.isResumed) - Number(left.isResumed) ||
+    Number(left.onTimeUntilMs < nowMs) - Number(right.onTimeUntilMs < nowMs) ||
     left.priority - right.priority ||
     left.arrivedAtMs - right.arrivedAtMs
   );
--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/engineLoads.ts
@@ -7,10 +7,16 @@
 
 export interface EngineLoads {
   report(serverId: string, load: EngineLoad): void;
+  /** The engine did not answer; it is silent until its next report. */
+  noteSilent(serverId: string): void;
+  isSilent(serverId: string): boolean;
   /** Memory set aside on a decode engine; call the result when it is free again. */
   place(serverId: string, tokens: number): () => void;
   /** A prompt on its way through a prefill engine; call the result when it is read. */
   beginPrefill(serverId: string, tokens: number): () => void;
+  /** A decode engine reads a prompt itself; call the result when its first event is there. */
+  beginOwnPrompt(serverId: string): () => void;
+  ownPrompts(serverId: string): number;
   /** The engine has just refused this many tokens. */
   noteFull(serverId: string, tokens: number): void;
   /** Memory that should be free; `capacityTokens` stands where there is no report. */
@@ -29,6 +35,9 @@
 interface EngineState {
   load?: EngineLoad;
   reportedAtMs: number;
+  isSilent: boolean;
+  /** Prompts that a decode engine reads itself. */
+  ownPrompts: number;
   placedTokens: number;
   prefillTokens: number;
   /** Own changes that the last report may not show. */
@@ -53,7 +62,14 @@
     if (known !== undefined) {
       return known;
     }
-    const state = { reportedAtMs: -Infinity, placedTokens: 0, prefillTokens: 0, changes: [] };
+    const state = {
+      reportedAtMs: -Infinity,
+      isSilent: false,
+      ownPrompts: 0,
+      placedTokens: 0,
+      prefillTokens: 0,
+      changes: [],
+    };
     engines.set(serverId, state);
     return state;
   }
@@ -81,8 +97,13 @@
     report(serverId, load) {
       const state = stateOf(serverId);
       state.load = load;
+      state.isSilent = false;
       state.reportedAtMs = monotonicNowMs();
     },
+    noteSilent(serverId) {
+      stateOf(serverId).isSilent = true;
+    },
+    isSilent: (serverId) => engines.get(serverId)?.isSilent ?? false,
     place(serverId, tokens) {
       const state = stateOf(serverId);
       change(state, tokens);
@@ -95,6 +116,14 @@
         state.prefillTokens -= tokens;
       });
     },
+    beginOwnPrompt(serverId) {
+      const state = stateOf(serverId);
+      state.ownPrompts += 1;
+      return once(() => {
+        state.ownPrompts -= 1;
+      });
+    },
+    ownPrompts: (serverId) => engines.get(serverId)?.ownPrompts ?? 0,
     noteFull(serverId, tokens) {
       stateOf(serverId).full = { tokens, untilMs: monotonicNowMs() + fullMs };
     },
--- a/packages/routing/src/loadPoller.ts
+++ b/packages/routing/src/loadPoller.ts
@@ -1,5 +1,14 @@
-/** Reads the engines' load reports at an even pace. */
-import { delay, monotonicNowMs, createBackgroundLoop, type BackgroundLoop, type Random } from '@bluebellhitch/shared';
+/**
+ * Reads the engines' load reports at an even pace. An engine that does not answer is passed over until it
+ * does: a request that is sent to one waits for a time-out, which costs it its target.
+ */
+import {
+  createBackgroundLoop,
+  delay,
+  monotonicNowMs,
+  type BackgroundLoop,
+  type Random,
+} from '@bluebellhitch/shared';
 import type { BackendApi } from './backendApi';
 import type { EngineLoads } from './engineLoads';
 import type { BackendServer } from './model';
@@ -25,6 +34,8 @@
     const outcome = await backend.readLoad(server, reportTimeoutMs);
     if (outcome.kind === 'done') {
       loads.report(server.id, outcome.value);
+    } else {
+      loads.noteSilent(server.id);
     }
   }
 
--- a/packages/routing/src/model.ts
+++ b/packages/routing/src/model.ts
@@ -26,6 +26,8 @@
   timeoutMs: number;
   /** Within this time an answer, or a stream's first event, is worth most. */
   targetLatencyMs: number;
+  /** Longest pause between a stream's events that is still on time; 0 for other kinds. */
+  targetGapMs: number;
   /** 0 is the most urgent. */
   priority: number;
   /** Backend servers to which one request may be sent. */
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -8,8 +8,8 @@
 
 export type PrefillOutcome =
   | { kind: 'done'; result: PrefillResult }
-  /** There is no prefill engine: the decode engine reads the prompt itself. */
-  | { kind: 'no-server' }
+  /** No prefill engine is to be had, or none in time: the decode engine reads the prompt itself. */
+  | { kind: 'at-decode' }
   | { kind: 'failed' };
 
 /** Until prompts have been measured: a middling engine's speed. */
@@ -33,7 +33,8 @@
     const ejected = health.ejected(monotonicNowMs());
     const servers = directory
       .usable(state.service.name, stages.prefill)
-      .filter(({ id }) => !ejected.has(id) && !state.failedServerIds.has(id));
+      .filter(({ id }) => !ejected.has(id) && !state.failedServerIds.has(id))
+      .filter(({ id }) => !engineLoads.isSilent(id));
     return shortestQueue(servers, engineLoads.prefillBacklogTokens, parts.random);
   }
 
@@ -42,7 +43,7 @@
     while (!state.signal.aborted) {
       const server = choose(state);
       if (server === undefined) {
-        return calls === 0 ? { kind: 'no-server' } : { kind: 'failed' };
+        return { kind: 'at-decode' };
       }
       // The first call that an engine accepts is free; any other counts as a further attempt.
       if (calls > 0 && !budget.tryTake(state.service.name, monotonicNowMs())) {
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -11,6 +11,7 @@
   type NotRunReason,
   type PromptSize,
   type Refusal,
+  type Route,
 } from './model';
 import type { PrefillStage } from './prefillStage';
 import { lostRefusal, remainingMs, type RequestState } from './requestState';
@@ -28,7 +29,11 @@
 const startMarginMs = 60;
 /** Callers that were refused for want of memory come back when some streams have ended. */
 const retryAfterMs = 1_200;
-const maxPrefillRounds = 2;
+/** Places that are tried for one request; each try waits for memory anew. */
+const maxRounds = 3;
+const leastPatienceMs = 2_000;
+/** For the way to the caller, and a prefill that takes longer than expected. */
+const patienceMarginMs = 300;
 
 export async function serveStream(
   state: RequestState,
@@ -40,23 +45,39 @@
   const size = state.request.prompt ?? { promptTokens: 1, maxOutputTokens: 1 };
   let outcome: RunOutcome = { kind: 'not-run', reason: notRunReasons.noServer };
   let mayGoOn = true;
-  while (mayGoOn && remainingMs(state) > 0 && !state.exchange.signal.aborted) {
+  for (let round = 1; mayGoOn && isWanted(state); round += 1) {
     outcome = await runOnce({ state, engine, parts, prefillStage, relay, size });
     state.trail.push(outcome.kind === 'broken' ? `broken: ${outcome.detail}` : outcome.kind);
-    mayGoOn = mayResume(state, outcome, parts);
+    mayGoOn = round < maxRounds && mayTryAgain(state, outcome, parts);
   }
   finish(state, relay, outcome);
 }
 
-function mayResume(state: RequestState, outcome: RunOutcome, parts: RouterParts): boolean {
-  if (outcome.kind !== 'broken' || !state.route.allowsResume) {
-    return false;
+function isWanted(state: RequestState): boolean {
+  return remainingMs(state) > 0 && !state.exchange.signal.aborted;
+}
+
+function mayTryAgain(state: RequestState, outcome: RunOutcome, parts: RouterParts): boolean {
+  switch (outcome.kind) {
+    case 'ended':
+      return false;
+    case 'not-run':
+      // Its place was lost between the reservation and the run: nothing has run, so any route may go on.
+      return outcome.reason === notRunReasons.rejected && takeAttempt(state, 'rejected', parts);
+    case 'broken':
+      return (
+        state.route.allowsResume &&
+        state.sentCount < state.route.maxAttempts &&
+        takeAttempt(state, 'resume', parts)
+      );
   }
+}
+
+function takeAttempt(state: RequestState, cause: string, { budget, metrics }: RouterParts): boolean {
   const { name } = state.service;
-  const isAllowed =
-    state.sentCount < state.route.maxAttempts && parts.budget.tryTake(name, monotonicNowMs());
+  const isAllowed = budget.tryTake(name, monotonicNowMs());
   if (isAllowed) {
-    parts.metrics.countFurtherAttempt(name, 'resume');
+    metrics.countFurtherAttempt(name, cause);
   }
   return isAllowed;
 }
@@ -103,16 +124,16 @@
   const { request, route, service } = state;
   const startedAtMs = monotonicNowMs();
   const expectedMs = prefillStage.expectedMs(service.name, size.promptTokens) + startMarginMs;
-  const targetAtMs = request.arrivedAtMs + route.targetLatencyMs;
-  const isLate = targetAtMs - expectedMs < startedAtMs;
+  const patienceAtMs = request.arrivedAtMs + callerPatienceMs(route);
   const outcome = await parts.placement.place({
     serviceName: service.name,
     engine,
     tokens: neededTokens(size),
+    isResumed: state.sentCount > 0,
     priority: route.priority,
-    isLate,
     arrivedAtMs: request.arrivedAtMs,
-    giveUpAtMs: isLate ? startedAtMs + route.targetLatencyMs : targetAtMs - expectedMs,
+    onTimeUntilMs: request.arrivedAtMs + route.targetLatencyMs - expectedMs,
+    giveUpAtMs: Math.min(patienceAtMs, state.endsAtMs) - expectedMs,
     excludedIds: state.failedServerIds,
     signal: state.signal,
   });
@@ -122,6 +143,11 @@
   return outcome;
 }
 
+/** Callers abandon a stream that shows no event for the longest of these. */
+function callerPatienceMs({ targetLatencyMs, targetGapMs }: Route): number {
+  return Math.max(leastPatienceMs, 4 * targetLatencyMs, 8 * targetGapMs) - patienceMarginMs;
+}
+
 function neededTokens({ promptTokens, maxOutputTokens, expectedOutputTokens }: PromptSize): number {
   return promptTokens + Math.min(maxOutputTokens, expectedOutputTokens ?? maxOutputTokens);
 }
@@ -129,26 +155,19 @@
 /** Reads the prompt and decodes it in the reserved place; releases what is not used. */
 async function runAt(run: RunParts, placement: Placement): Promise<RunOutcome> {
   const { state, parts, prefillStage, size } = run;
-  const { reservation } = placement;
-  let prefillRounds = 0;
-  let outcome: RunOutcome = { kind: 'not-run', reason: notRunReasons.noServer };
-  while (prefillRounds < maxPrefillRounds && remainingMs(state) > 0) {
-    const prefill = await prefillStage.run(state, size.promptTokens);
-    if (prefill.kind === 'failed' || state.signal.aborted) {
-      if (prefill.kind === 'done') {
-        parts.backend.releasePrefill(prefill.result);
-        parts.metrics.countWastedPrefillTokens(size.promptTokens);
-      }
-      parts.backend.releaseReservation(reservation);
-      return { kind: 'not-run', reason: notRunReasons.noCapacity };
-    }
-    prefillRounds += 1;
-    outcome = await decode(run, placement, prefill.kind === 'done' ? prefill.result : undefined);
-    if (outcome.kind !== 'not-run') {
-      return outcome;
+  const prefill = await prefillStage.run(state, size.promptTokens);
+  if (prefill.kind === 'failed' || state.signal.aborted) {
+    if (prefill.kind === 'done') {
+      parts.backend.releasePrefill(prefill.result);
+      parts.metrics.countWastedPrefillTokens(size.promptTokens);
     }
+    parts.backend.releaseReservation(placement.reservation);
+    return { kind: 'not-run', reason: notRunReasons.noCapacity };
+  }
+  const result = prefill.kind === 'done' ? prefill.result : undefined;
+  const outcome = await decode(run, placement, result);
+  if (outcome.kind === 'not-run' && result !== undefined) {
     parts.metrics.countWastedPrefillTokens(size.promptTokens);
-    return outcome;
   }
   return outcome;
 }
