Let routers tell each other what they have in progress

Cause: each router saw the others' work only in reports that are a second old. Of three prefill engines two stood idle while prompts queued at the third: a prompt waited 168 ms at the middle where reading takes 95. Added: datagrams with amounts in progress at each engine, sent within milliseconds of a change and repeated each second, to 24 peers at most; a decode engine reads a prompt itself where prefill queues are long, one at a time and no longer than the other streams may pause. Ruled out: faster reports (each is priced, and they lag whatever their pace); a process beside each engine.

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -84,3 +84,9 @@
   samplePrefixBlocks,
   sampledPrefixDepth,
 } from './prompt';
+export {
+  decodePeerMessage,
+  encodePeerMessage,
+  type PeerEngineUse,
+  type PeerMessage,
+} from './peerMessages';
--- /dev/null
+++ b/packages/protocol/src/peerMessages.ts
@@ -0,0 +1,86 @@
+/**
+ * Datagrams between routers: what each has in progress at the engines. Amounts are absolute, so that a lost
+ * or late datagram is healed by the next, and small, so that a change costs tens of bytes.
+ */
+import { z } from 'zod';
+
+/** What one router has in progress at one engine. */
+export interface PeerEngineUse {
+  serverId: string;
+  /** Memory reserved or held by its streams. */
+  placedTokens: number;
+  /** Prompt tokens that a prefill engine has yet to read for it. */
+  prefillTokens: number;
+  /** Prompts that a decode engine reads itself for it. */
+  ownPrompts: number;
+}
+
+export interface PeerMessage {
+  /** `ip:port` where the sender takes such messages. */
+  senderAddress: string;
+  /** Grows with each message of one life of the sender. */
+  sequence: number;
+  /** Tells two lives of a sender apart. */
+  life: string;
+  /** The whole of what the sender has in progress; otherwise only what changed. */
+  isFull: boolean;
+  engines: PeerEngineUse[];
+  /** Other routers that the sender knows. */
+  peerAddresses: string[];
+}
+
+const count = z.number().int().nonnegative();
+const addressSchema = z.string().regex(/^[\d.]{7,15}:\d{1,5}$/);
+
+/** Positions instead of names: the names would be most of a message. */
+const wireSchema = z.tuple([
+  z.literal(1),
+  addressSchema,
+  z.string().max(16),
+  count,
+  z.union([z.literal(0), z.literal(1)]),
+  z.array(z.tuple([z.string().max(64), count, count, count])).max(2_048),
+  z.array(addressSchema).max(64),
+]);
+
+const formatVersion = 1;
+
+export function encodePeerMessage(message: PeerMessage): Buffer {
+  const { senderAddress, life, sequence, isFull, engines, peerAddresses } = message;
+  const rows = engines.map(({ serverId, placedTokens, prefillTokens, ownPrompts }) => [
+    serverId,
+    Math.round(placedTokens),
+    Math.round(prefillTokens),
+    ownPrompts,
+  ]);
+  const wire = [formatVersion, senderAddress, life, sequence, isFull ? 1 : 0, rows, peerAddresses];
+  return Buffer.from(JSON.stringify(wire));
+}
+
+/** Undefined for anything that is not such a message. */
+export function decodePeerMessage(bytes: Buffer): PeerMessage | undefined {
+  let value: unknown;
+  try {
+    value = JSON.parse(bytes.toString('utf8'));
+  } catch {
+    return undefined;
+  }
+  const parsed = wireSchema.safeParse(value);
+  if (!parsed.success) {
+    return undefined;
+  }
+  const [, senderAddress, life, sequence, full, rows, peerAddresses] = parsed.data;
+  return {
+    senderAddress,
+    life,
+    sequence,
+    isFull: full === 1,
+    engines: rows.map(([serverId, placedTokens, prefillTokens, ownPrompts]) => ({
+      serverId,
+      placedTokens,
+      prefillTokens,
+      ownPrompts,
+    })),
+    peerAddresses,
+  };
+}
--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/engineLoads.ts
@@ -1,7 +1,8 @@
 /**
- * What this process believes of the engines' memory and queues: their last reports, corrected by what it
- * has placed and freed itself since the report was made.
+ * What this process believes of the engines' memory and queues: what it and its peers have in progress there,
+ * and the engines' own reports for whatever those do not explain.
  */
+import type { PeerEngineUse } from '@bluebellhitch/protocol';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { EngineLoad } from './backendApi';
 
@@ -16,6 +17,7 @@
   beginPrefill(serverId: string, tokens: number): () => void;
   /** A decode engine reads a prompt itself; call the result when its first event is there. */
   beginOwnPrompt(serverId: string): () => void;
+  /** Of all routers that are known. */
   ownPrompts(serverId: string): number;
   /** The engine has just refused this many tokens. */
   noteFull(serverId: string, tokens: number): void;
@@ -25,6 +27,16 @@
   prefillBacklogTokens(serverId: string): number;
   load(serverId: string): EngineLoad | undefined;
   forget(serverId: string): void;
+  /** What this process itself has in progress. */
+  ownUse(): PeerEngineUse[];
+  /** Takes what a peer has in progress; `isFull` replaces all that was known of it. */
+  setPeerUse(peerAddress: string, engines: readonly PeerEngineUse[], isFull: boolean): void;
+  dropPeer(peerAddress: string): void;
+}
+
+export interface EngineLoadsOptions {
+  /** Told whenever `ownUse` has changed at an engine. */
+  onOwnChange?: (serverId: string) => void;
 }
 
 interface Change {
@@ -32,65 +44,119 @@
   atMs: number;
 }
 
+type Amounts = Omit<PeerEngineUse, 'serverId'>;
+
 interface EngineState {
   load?: EngineLoad;
   reportedAtMs: number;
   isSilent: boolean;
-  /** Prompts that a decode engine reads itself. */
-  ownPrompts: number;
-  placedTokens: number;
-  prefillTokens: number;
-  /** Own changes that the last report may not show. */
+  own: Amounts;
+  peers: Map<string, Amounts>;
+  /** Changes of placed memory that the last report may not show. */
   changes: Change[];
   full?: { tokens: number; untilMs: number };
 }
 
 /** Reports tell the state of some hundred milliseconds ago. */
 const reportAgeMs = 700;
-/** Reports older than this are worth less than what we placed ourselves. */
+/** Reports older than this say less than what is known to be placed. */
 const reportLifetimeMs = 5_000;
 /** A refusal counts until some stream may have ended since. */
 const fullMs = 60;
 /** Part of a prompt that waits at an engine by its report: others' prompts are about like ours. */
 const reportedPromptTokens = 5_000;
 
-export function createEngineLoads(): EngineLoads {
+export function createEngineLoads(options: EngineLoadsOptions = {}): EngineLoads {
+  const { onOwnChange = () => undefined } = options;
   const engines = new Map<string, EngineState>();
+  const peerAddresses = new Set<string>();
 
   function stateOf(serverId: string): EngineState {
     const known = engines.get(serverId);
     if (known !== undefined) {
       return known;
     }
-    const state = {
+    const state: EngineState = {
       reportedAtMs: -Infinity,
       isSilent: false,
-      ownPrompts: 0,
-      placedTokens: 0,
-      prefillTokens: 0,
+      own: noAmounts(),
+      peers: new Map(),
       changes: [],
     };
     engines.set(serverId, state);
     return state;
   }
 
-  function change(state: EngineState, tokens: number): void {
+  function noteChange(state: EngineState, tokens: number): void {
+    if (tokens === 0) {
+      return;
+    }
     const atMs = monotonicNowMs();
-    state.placedTokens += tokens;
     state.changes.push({ tokens, atMs });
-    const oldestMs = Math.min(state.reportedAtMs - reportAgeMs, atMs - reportAgeMs);
+    const oldestMs = Math.min(state.reportedAtMs, atMs) - reportAgeMs;
     state.changes = state.changes.filter((one) => one.atMs > oldestMs);
   }
 
+  /** Adds to one of our own amounts until the result is called. */
+  function add(serverId: string, name: keyof Amounts, amount: number): () => void {
+    const state = stateOf(serverId);
+    const apply = (signed: number) => {
+      state.own[name] += signed;
+      if (name === 'placedTokens') {
+        noteChange(state, signed);
+      }
+      onOwnChange(serverId);
+    };
+    apply(amount);
+    let isDone = false;
+    return () => {
+      if (!isDone) {
+        isDone = true;
+        apply(-amount);
+      }
+    };
+  }
+
+  function total(state: EngineState, name: keyof Amounts): number {
+    return [...state.peers.values()].reduce((sum, peer) => sum + peer[name], state.own[name]);
+  }
+
   function usedTokens(state: EngineState): number {
     const { load, reportedAtMs } = state;
+    const placedTokens = total(state, 'placedTokens');
     if (load === undefined || monotonicNowMs() - reportedAtMs > reportLifetimeMs) {
-      return state.placedTokens;
+      return placedTokens;
     }
     const unseen = state.changes
       .filter(({ atMs }) => atMs > reportedAtMs - reportAgeMs)
       .reduce((sum, { tokens }) => sum + tokens, 0);
-    return Math.max(state.placedTokens, load.usedTokens + load.reservedTokens + unseen);
+    return Math.max(placedTokens, load.usedTokens + load.reservedTokens + unseen);
+  }
+
+  function setPeerAmounts(peerAddress: string, serverId: string, amounts: Amounts): void {
+    const state = stateOf(serverId);
+    const known = state.peers.get(peerAddress) ?? noAmounts();
+    noteChange(state, amounts.placedTokens - known.placedTokens);
+    if (isNothing(amounts)) {
+      state.peers.delete(peerAddress);
+    } else {
+      state.peers.set(peerAddress, amounts);
+    }
+  }
+
+  function setPeerUse(
+    peerAddress: string,
+    used: readonly PeerEngineUse[],
+    isFull: boolean,
+  ): void {
+    peerAddresses.add(peerAddress);
+    used.forEach(({ serverId, ...amounts }) => setPeerAmounts(peerAddress, serverId, amounts));
+    if (isFull) {
+      const named = new Set(used.map(({ serverId }) => serverId));
+      [...engines.keys()]
+        .filter((serverId) => !named.has(serverId))
+        .forEach((serverId) => setPeerAmounts(peerAddress, serverId, noAmounts()));
+    }
   }
 
   return {
@@ -104,26 +170,10 @@
       stateOf(serverId).isSilent = true;
     },
     isSilent: (serverId) => engines.get(serverId)?.isSilent ?? false,
-    place(serverId, tokens) {
-      const state = stateOf(serverId);
-      change(state, tokens);
-      return once(() => change(state, -tokens));
-    },
-    beginPrefill(serverId, tokens) {
-      const state = stateOf(serverId);
-      state.prefillTokens += tokens;
-      return once(() => {
-        state.prefillTokens -= tokens;
-      });
-    },
-    beginOwnPrompt(serverId) {
-      const state = stateOf(serverId);
-      state.ownPrompts += 1;
-      return once(() => {
-        state.ownPrompts -= 1;
-      });
-    },
-    ownPrompts: (serverId) => engines.get(serverId)?.ownPrompts ?? 0,
+    place: (serverId, tokens) => add(serverId, 'placedTokens', tokens),
+    beginPrefill: (serverId, tokens) => add(serverId, 'prefillTokens', tokens),
+    beginOwnPrompt: (serverId) => add(serverId, 'ownPrompts', 1),
+    ownPrompts: (serverId) => total(stateOf(serverId), 'ownPrompts'),
     noteFull(serverId, tokens) {
       stateOf(serverId).full = { tokens, untilMs: monotonicNowMs() + fullMs };
     },
@@ -134,20 +184,31 @@
       return isFull ? Math.min(free, (state.full?.tokens ?? 0) - 1) : free;
     },
     prefillBacklogTokens(serverId) {
-      const { prefillTokens, load } = stateOf(serverId);
-      return prefillTokens + (load?.waiting ?? 0) * reportedPromptTokens;
+      const state = stateOf(serverId);
+      // Peers say what they have in progress within milliseconds; a report is a second behind.
+      const reported = peerAddresses.size > 0 ? 0 : (state.load?.waiting ?? 0);
+      return total(state, 'prefillTokens') + reported * reportedPromptTokens;
     },
     load: (serverId) => engines.get(serverId)?.load,
     forget: (serverId) => engines.delete(serverId),
+    ownUse: () =>
+      [...engines]
+        .filter(([, { own }]) => !isNothing(own))
+        .map(([serverId, { own }]) => ({ serverId, ...own })),
+    setPeerUse,
+    dropPeer(peerAddress) {
+      peerAddresses.delete(peerAddress);
+      [...engines.keys()].forEach((serverId) =>
+        setPeerAmounts(peerAddress, serverId, noAmounts()),
+      );
+    },
   };
 }
 
-function once(action: () => void): () => void {
-  let isDone = false;
-  return () => {
-    if (!isDone) {
-      isDone = true;
-      action();
-    }
-  };
+function noAmounts(): Amounts {
+  return { placedTokens: 0, prefillTokens: 0, ownPrompts: 0 };
+}
+
+function isNothing({ placedTokens, prefillTokens, ownPrompts }: Amounts): boolean {
+  return placedTokens === 0 && prefillTokens === 0 && ownPrompts === 0;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -63,3 +63,4 @@
 export { readWholeBody } from './wholeBody';
 export { createStageKeeper, type StageKeeperOptions } from './stageKeeper';
 export { planStageChange, wantedPrefillCount, type StageChange } from './stagePlan';
+export { startPeerExchange, type PeerExchange } from './peerExchange';
--- /dev/null
+++ b/packages/routing/src/peerExchange.ts
@@ -0,0 +1,199 @@
+/**
+ * Tells other routers what this one has in progress at the engines, and hears the same of them. Datagrams may
+ * be lost or late: each tells amounts, and a heartbeat repeats all of them. What a silent peer said is dropped.
+ */
+import { createSocket, type Socket } from 'node:dgram';
+import {
+  decodePeerMessage,
+  encodePeerMessage,
+  type PeerEngineUse,
+  type PeerMessage,
+} from '@bluebellhitch/protocol';
+import { monotonicNowMs, rendezvousOrder, type Random } from '@bluebellhitch/shared';
+import type { Logger } from '@bluebellhitch/telemetry';
+
+export interface PeerExchangeOptions {
+  host: string;
+  /** The same on all machines; 0 takes a free one. */
+  port: number;
+  /** `ip:port` of routers to begin with; they may be gone. */
+  seedAddresses: readonly string[];
+  /** What this process has in progress at all engines. */
+  ownUse: () => PeerEngineUse[];
+  onPeerUse(peerAddress: string, engines: readonly PeerEngineUse[], isFull: boolean): void;
+  onPeerGone(peerAddress: string): void;
+  logger: Logger;
+  random?: Random;
+}
+
+export interface PeerExchange {
+  /** `ip:port` of this process. */
+  address: string;
+  /** Has the change at an engine told within milliseconds. */
+  noteChange(serverId: string): void;
+  /** Peers that were heard lately. */
+  livePeerCount(): number;
+  close(): void;
+}
+
+interface Peer {
+  life?: string;
+  sequence: number;
+  heardAtMs: number;
+  isLive: boolean;
+}
+
+/** Changes of this time go into one datagram. */
+const coalesceMs = 4;
+const heartbeatMs = 1_000;
+/** Three heartbeats. */
+const silentMs = 3_200;
+/** A peer that was gone this long is forgotten. */
+const forgetMs = 30_000;
+/** Bounds what a process says, however many routers there are. */
+const maxPeers = 24;
+const sharedAddresses = 6;
+
+/** Starts the exchange; rejects where the port is taken. */
+export async function startPeerExchange(options: PeerExchangeOptions): Promise<PeerExchange> {
+  const { seedAddresses, logger, random = Math.random } = options;
+  const socket = createSocket('udp4');
+  const port = await bind(socket, options.host, options.port);
+  const ownAddress = `${options.host}:${port}`;
+  const life = Math.floor(random() * 2 ** 40).toString(36);
+  const peers = new Map<string, Peer>();
+  const changedIds = new Set<string>();
+  let sequence = 0;
+  let sendTimer: NodeJS.Timeout | undefined;
+
+  function knowPeer(address: string): Peer {
+    const known = peers.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const peer = { sequence: -1, heardAtMs: monotonicNowMs(), isLive: false };
+    peers.set(address, peer);
+    return peer;
+  }
+
+  /** Those that this process talks to: all of a small fleet, always the same part of a large one. */
+  function neighbours(): string[] {
+    const addresses = [...peers.keys()];
+    return addresses.length <= maxPeers
+      ? addresses
+      : rendezvousOrder(ownAddress, addresses, (address) => address).slice(0, maxPeers);
+  }
+
+  function send(isFull: boolean, engines: PeerEngineUse[], addresses: readonly string[]): void {
+    sequence += 1;
+    const message: PeerMessage = {
+      senderAddress: ownAddress,
+      life,
+      sequence,
+      isFull,
+      engines,
+      peerAddresses: isFull ? someLivePeers() : [],
+    };
+    const bytes = encodePeerMessage(message);
+    addresses.forEach((address) => {
+      const [host, peerPort] = address.split(':');
+      socket.send(bytes, Number(peerPort), host, noteSendError);
+    });
+  }
+
+  function noteSendError(error: Error | null): void {
+    if (error !== null) {
+      logger.debug('datagram not sent', { error });
+    }
+  }
+
+  function someLivePeers(): string[] {
+    return [...peers]
+      .filter(([, { isLive }]) => isLive)
+      .map(([address]) => ({ address, order: random() }))
+      .sort((left, right) => left.order - right.order)
+      .slice(0, sharedAddresses)
+      .map(({ address }) => address);
+  }
+
+  function sendChanges(): void {
+    sendTimer = undefined;
+    const used = new Map(options.ownUse().map((use) => [use.serverId, use]));
+    const engines = [...changedIds].map((serverId) => used.get(serverId) ?? unused(serverId));
+    changedIds.clear();
+    const live = neighbours().filter((address) => peers.get(address)?.isLive);
+    if (live.length > 0) {
+      send(false, engines, live);
+    }
+  }
+
+  function beat(): void {
+    const nowMs = monotonicNowMs();
+    [...peers].forEach(([address, peer]) => {
+      if (peer.isLive && nowMs - peer.heardAtMs > silentMs) {
+        peer.isLive = false;
+        options.onPeerGone(address);
+        logger.info('peer silent', { peer: address });
+      }
+      if (nowMs - peer.heardAtMs > forgetMs && !seedAddresses.includes(address)) {
+        peers.delete(address);
+      }
+    });
+    send(true, options.ownUse(), neighbours());
+  }
+
+  function receive(bytes: Buffer): void {
+    const message = decodePeerMessage(bytes);
+    if (message === undefined || message.senderAddress === ownAddress) {
+      return;
+    }
+    const peer = knowPeer(message.senderAddress);
+    if (message.life === peer.life && message.sequence <= peer.sequence) {
+      return;
+    }
+    Object.assign(peer, { life: message.life, sequence: message.sequence });
+    peer.heardAtMs = monotonicNowMs();
+    if (!peer.isLive) {
+      peer.isLive = true;
+      logger.info('peer heard', { peer: message.senderAddress });
+    }
+    options.onPeerUse(message.senderAddress, message.engines, message.isFull);
+    message.peerAddresses.filter((address) => address !== ownAddress).forEach(knowPeer);
+  }
+
+  socket.on('message', receive);
+  socket.on('error', (error) => logger.warn('peer socket failed', { error }));
+  seedAddresses.filter((address) => address !== ownAddress).forEach(knowPeer);
+  const beatTimer = setInterval(beat, heartbeatMs);
+  beat();
+
+  return {
+    address: ownAddress,
+    noteChange(serverId) {
+      changedIds.add(serverId);
+      sendTimer ??= setTimeout(sendChanges, coalesceMs);
+    },
+    livePeerCount: () => [...peers.values()].filter(({ isLive }) => isLive).length,
+    close() {
+      clearInterval(beatTimer);
+      clearTimeout(sendTimer);
+      // Peers stop counting what this process had in progress.
+      send(true, [], neighbours());
+      socket.close();
+    },
+  };
+}
+
+function unused(serverId: string): PeerEngineUse {
+  return { serverId, placedTokens: 0, prefillTokens: 0, ownPrompts: 0 };
+}
+
+function bind(socket: Socket, host: string, port: number): Promise<number> {
+  return new Promise((resolve, reject) => {
+    socket.once('error', reject);
+    socket.bind({ address: host, port }, () => {
+      socket.off('error', reject);
+      resolve(socket.address().port);
+    });
+  });
+}
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -1,5 +1,8 @@
-/** Has a prompt read by the prefill engine with the shortest queue. */
-import { createRunningEstimate } from '@bluebellhitch/decisions';
+/**
+ * Has a prompt read: by the prefill engine with the shortest queue, or, where those queues are long, by the
+ * decode engine itself, which slows the streams there and so reads one at a time.
+ */
+import { createRecentQuantile, createRunningEstimate } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { PrefillResult } from './backendApi';
 import { stages, type BackendServer } from './model';
@@ -12,37 +15,97 @@
   | { kind: 'at-decode' }
   | { kind: 'failed' };
 
+export interface PrefillStage {
+  run(
+    state: RequestState,
+    promptTokens: number,
+    decodeServer: BackendServer,
+  ): Promise<PrefillOutcome>;
+  /** Expected time from now until the prompt is read. */
+  expectedMs(serviceName: string, promptTokens: number): number;
+}
+
 /** Until prompts have been measured: a middling engine's speed. */
 const initialTokensPerMs = 50;
+/** Of the speeds seen without a queue of ours, the one that most prompts reach. */
+const speedQuantile = 0.7;
+const speedSamples = 64;
+const speedRefresh = 4;
+/** Weight of a new sample of the delay that our own counts do not explain. */
+const excessSmoothing = 0.3;
+/** A decode engine reads at half the speed of a prefill engine. */
+const decodeReadSpeed = 0.5;
+/** A queue this many times longer than reading at the decode engine is worth slowing its streams. */
+const longQueueFactor = 2.5;
 /** The time-out is this often the expected time, and a margin for a prompt that came just before. */
 const patienceFactor = 3;
 const patienceMarginMs = 400;
-
-export interface PrefillStage {
-  run(state: RequestState, promptTokens: number): Promise<PrefillOutcome>;
-  /** Expected time from now until the prompt is read. */
-  expectedMs(serviceName: string, promptTokens: number): number;
-}
+/** From the read prompt to the caller's first event. */
+const firstEventMs = 60;
 
 export function createPrefillStage(parts: RouterParts): PrefillStage {
   const { backend, directory, engineLoads, health, budget, metrics } = parts;
-  /** Lower with a queue before our prompts, which we see only in part. */
-  const tokensPerMs = createRunningEstimate({ initialMean: initialTokensPerMs });
+  const speed = createRecentQuantile({
+    quantile: speedQuantile,
+    sampleCount: speedSamples,
+    refreshEvery: speedRefresh,
+  });
+  /** Time that prompts took beyond what the queues that we know of explain. */
+  const excessMs = createRunningEstimate({ smoothing: excessSmoothing });
 
-  function choose(state: RequestState): BackendServer | undefined {
+  const tokensPerMs = () => speed.value() || initialTokensPerMs;
+
+  function usableServers(serviceName: string): BackendServer[] {
     const ejected = health.ejected(monotonicNowMs());
-    const servers = directory
-      .usable(state.service.name, stages.prefill)
-      .filter(({ id }) => !ejected.has(id) && !state.failedServerIds.has(id))
-      .filter(({ id }) => !engineLoads.isSilent(id));
-    return shortestQueue(servers, engineLoads.prefillBacklogTokens, parts.random);
+    return directory
+      .usable(serviceName, stages.prefill)
+      .filter(({ id }) => !ejected.has(id) && !engineLoads.isSilent(id));
   }
 
-  async function run(state: RequestState, promptTokens: number): Promise<PrefillOutcome> {
+  function choose(state: RequestState): BackendServer | undefined {
+    return usableServers(state.service.name)
+      .filter(({ id }) => !state.failedServerIds.has(id))
+      .map((server) => ({
+        server,
+        backlog: engineLoads.prefillBacklogTokens(server.id),
+        tie: parts.random(),
+      }))
+      .sort((left, right) => left.backlog - right.backlog || left.tie - right.tie)[0]?.server;
+  }
+
+  function expectedAtMs(server: BackendServer, promptTokens: number): number {
+    const tokens = engineLoads.prefillBacklogTokens(server.id) + promptTokens;
+    return tokens / tokensPerMs() + Math.max(0, excessMs.mean());
+  }
+
+  /** Whether the decode engine should read the prompt although a prefill engine could. */
+  function isBetterAtDecode(
+    state: RequestState,
+    promptTokens: number,
+    prefillServer: BackendServer,
+    decodeServer: BackendServer,
+  ): boolean {
+    const ownMs = promptTokens / (tokensPerMs() * decodeReadSpeed);
+    const { targetLatencyMs, targetGapMs } = state.route;
+    // The other streams there pause for as long: no longer than is still on time for them.
+    if (engineLoads.ownPrompts(decodeServer.id) > 0 || ownMs > targetGapMs) {
+      return false;
+    }
+    const prefillMs = expectedAtMs(prefillServer, promptTokens);
+    const leftMs = state.request.arrivedAtMs + targetLatencyMs - monotonicNowMs() - firstEventMs;
+    const saves = prefillMs > leftMs && ownMs <= leftMs;
+    return saves || prefillMs > longQueueFactor * ownMs;
+  }
+
+  async function run(
+    state: RequestState,
+    promptTokens: number,
+    decodeServer: BackendServer,
+  ): Promise<PrefillOutcome> {
     let calls = 0;
     while (!state.signal.aborted) {
       const server = choose(state);
-      if (server === undefined) {
+      if (server === undefined || isBetterAtDecode(state, promptTokens, server, decodeServer)) {
         return { kind: 'at-decode' };
       }
       // The first call that an engine accepts is free; any other counts as a further attempt.
@@ -50,9 +113,9 @@
         return { kind: 'failed' };
       }
       calls += 1;
-      const outcome = await readAt(server, state, promptTokens);
-      if (outcome !== undefined) {
-        return { kind: 'done', result: outcome };
+      const result = await readAt(server, state, promptTokens);
+      if (result !== undefined) {
+        return { kind: 'done', result };
       }
       state.failedServerIds.add(server.id);
     }
@@ -65,9 +128,9 @@
     promptTokens: number,
   ): Promise<PrefillResult | undefined> {
     const backlogTokens = engineLoads.prefillBacklogTokens(server.id);
+    const expectedMs = expectedAtMs(server, promptTokens);
     const release = engineLoads.beginPrefill(server.id, promptTokens);
     const startedAtMs = monotonicNowMs();
-    const expectedMs = (backlogTokens + promptTokens) / tokensPerMs.mean();
     const outcome = await backend.prefill(server, state.request, {
       remainingMs: remainingMs(state),
       timeoutMs: expectedMs * patienceFactor + patienceMarginMs,
@@ -78,7 +141,7 @@
     state.trail.push(`prefill ${server.id} ${outcome.kind} ${Math.round(tookMs)}ms`);
     if (outcome.kind === 'done') {
       health.record(server.id, 'success', monotonicNowMs());
-      tokensPerMs.observe((backlogTokens + promptTokens) / Math.max(1, tookMs));
+      observe(backlogTokens, promptTokens, tookMs);
       metrics.countPrefillTokens(promptTokens);
       return outcome.value;
     }
@@ -89,25 +152,21 @@
     return undefined;
   }
 
+  function observe(backlogTokens: number, promptTokens: number, tookMs: number): void {
+    if (backlogTokens === 0 && tookMs > 0) {
+      speed.observe(promptTokens / tookMs);
+    }
+    excessMs.observe(tookMs - (backlogTokens + promptTokens) / tokensPerMs());
+  }
+
   return {
     run,
     expectedMs(serviceName, promptTokens) {
-      const backlogs = directory
-        .usable(serviceName, stages.prefill)
-        .map(({ id }) => engineLoads.prefillBacklogTokens(id));
-      const shortest = backlogs.length === 0 ? 0 : Math.min(...backlogs);
-      return (shortest + promptTokens) / tokensPerMs.mean();
+      const expected = usableServers(serviceName).map((server) =>
+        expectedAtMs(server, promptTokens),
+      );
+      const ownMs = promptTokens / (tokensPerMs() * decodeReadSpeed);
+      return Math.min(ownMs * longQueueFactor, ...expected);
     },
   };
 }
-
-/** The server with the least before a new prompt; any of those that are alike. */
-function shortestQueue(
-  servers: readonly BackendServer[],
-  backlogOf: (serverId: string) => number,
-  random: () => number,
-): BackendServer | undefined {
-  return servers
-    .map((server) => ({ server, backlog: backlogOf(server.id), tie: random() }))
-    .sort((left, right) => left.backlog - right.backlog || left.tie - right.tie)[0]?.server;
-}
--- a/packages/routing/src/streamRelay.ts
+++ b/packages/routing/src/streamRelay.ts
@@ -14,6 +14,8 @@
   /** Relays one run's answer to its end. */
   relay(answer: BackendAnswer): Promise<RelayOutcome>;
   hasBegun(): boolean;
+  /** Called with the next event that comes. */
+  onFirstEvent(listener: () => void): void;
   /** The last event that the caller has. */
   lastEventId(): number | undefined;
   /** Ends the answer so that it cannot look complete. */
@@ -25,6 +27,7 @@
 export function createStreamRelay(state: RequestState): StreamRelay {
   const { exchange } = state;
   let writer: AnswerWriter | undefined;
+  let onNextEvent: () => void = () => undefined;
   let lastId = state.request.lastEventId;
 
   async function relay(answer: BackendAnswer): Promise<RelayOutcome> {
@@ -75,6 +78,8 @@
   }
 
   function forward(answer: BackendAnswer, events: readonly StreamEvent[]): void {
+    onNextEvent();
+    onNextEvent = () => undefined;
     writer ??= exchange.begin(answer.status, answer.headers);
     lastId = events.at(-1)?.id ?? lastId;
     const bytes = Buffer.concat(events.map((event) => event.bytes));
@@ -87,6 +92,9 @@
   return {
     relay,
     hasBegun: () => writer !== undefined,
+    onFirstEvent(listener) {
+      onNextEvent = listener;
+    },
     lastEventId: () => lastId,
     cut: () => writer?.cut(),
   };
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -155,7 +155,8 @@
 /** Reads the prompt and decodes it in the reserved place; releases what is not used. */
 async function runAt(run: RunParts, placement: Placement): Promise<RunOutcome> {
   const { state, parts, prefillStage, size } = run;
-  const prefill = await prefillStage.run(state, size.promptTokens);
+  const { server } = placement.reservation;
+  const prefill = await prefillStage.run(state, size.promptTokens, server);
   if (prefill.kind === 'failed' || state.signal.aborted) {
     if (prefill.kind === 'done') {
       parts.backend.releasePrefill(prefill.result);
@@ -165,7 +166,11 @@
     return { kind: 'not-run', reason: notRunReasons.noCapacity };
   }
   const result = prefill.kind === 'done' ? prefill.result : undefined;
+  const endOwnPrompt =
+    result === undefined ? parts.engineLoads.beginOwnPrompt(server.id) : () => undefined;
+  run.relay.onFirstEvent(endOwnPrompt);
   const outcome = await decode(run, placement, result);
+  endOwnPrompt();
   if (outcome.kind === 'not-run' && result !== undefined) {
     parts.metrics.countWastedPrefillTokens(size.promptTokens);
   }
@@ -180,6 +185,9 @@
   const { state, parts, relay } = run;
   const { server } = reservation;
   const leftMs = remainingMs(state);
+  if (prefill === undefined) {
+    state.trail.push('prompt at decode');
+  }
   const outcome = await parts.backend.run(server, state.request, {
     remainingMs: leftMs,
     headTimeoutMs: leftMs,
