--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,8 +8,8 @@
 import { moduleCommentPlugin } from './scripts/lint/moduleComment.mjs';
 
 const repositoryRoot = import.meta.dirname;
-const testFiles = ['packages/*/__tests__/**/*.ts'];
-const sourceFiles = ['packages/*/src/**/*.ts'];
+const testFiles = ['packages/*/__tests__/**/*.ts', 'platform/__tests__/**/*.ts'];
+const sourceFiles = ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'];
 const typescriptFiles = ['**/*.ts'];
 const scriptFiles = ['**/*.mjs', '*.js'];
 
@@ -83,7 +83,7 @@
 };
 
 export default [
-  { ignores: ['**/node_modules/**', 'dist/**', 'coverage/**'] },
+  { ignores: ['**/node_modules/**', 'dist/**', 'target/**', 'coverage/**'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
--- a/packages/objects/src/dutyLeaseObject.ts
+++ b/packages/objects/src/dutyLeaseObject.ts
@@ -5,12 +5,7 @@
 import { err, ok, type Result, type ResultAsync } from 'neverthrow';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import { parseDutyLease, type DutyLeaseRecord } from './dutyLeaseRecord';
-import {
-  objectKinds,
-  type ObjectApi,
-  type PlatformError,
-  type StoredObject,
-} from './platformApi';
+import { objectKinds, type ObjectApi, type PlatformError, type StoredObject } from './platformApi';
 
 export interface DutyLeaseObjectOptions {
   platform: ObjectApi;
--- a/packages/routing/__tests__/objectFollower.test.ts
+++ b/packages/routing/__tests__/objectFollower.test.ts
@@ -1,7 +1,12 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import { err, ok, okAsync, ResultAsync, type Result } from 'neverthrow';
-import { objectKinds, type ObjectApi, type PlatformError, type WatchReply } from '@bluebellhitch/objects';
+import {
+  objectKinds,
+  type ObjectApi,
+  type PlatformError,
+  type WatchReply,
+} from '@bluebellhitch/objects';
 import { createObjectFollower } from '@bluebellhitch/routing';
 
 const reply = (over: Partial<WatchReply> = {}): WatchReply => ({
@@ -18,7 +23,9 @@
 }
 
 /** A store whose watches answer as the test says, by their number. */
-function scriptedStore(answer: (watch: number) => 'fail' | WatchReply): Script & { api: ObjectApi } {
+function scriptedStore(
+  answer: (watch: number) => 'fail' | WatchReply,
+): Script & { api: ObjectApi } {
   const script: Script = { lists: 0, watchWaitsMs: [], log: [] };
   const api = {
     list() {
--- a/packages/routing/__tests__/support/rawServer.ts
+++ b/packages/routing/__tests__/support/rawServer.ts
@@ -12,7 +12,7 @@
 
 /** `onRequest` is called for each chunk that ends a request's head. */
 export async function startRawServer(
-  t: ExecutionContext<unknown>,
+  t: ExecutionContext,
   onRequest: (socket: Socket, text: string) => void,
 ): Promise<RawServer> {
   const sockets = new Set<Socket>();
--- a/packages/routing/src/backendConnections.ts
+++ b/packages/routing/src/backendConnections.ts
@@ -276,7 +276,9 @@
 
   async function endWithConnection(): Promise<void> {
     const end = await connection.end;
-    endBody(end === 'closed' ? { kind: 'whole' } : { kind: 'lost', detail: 'reset before its end' });
+    endBody(
+      end === 'closed' ? { kind: 'whole' } : { kind: 'lost', detail: 'reset before its end' },
+    );
   }
 
   const body: AnswerBody = {
@@ -331,7 +333,7 @@
     call.signal?.addEventListener('abort', onAbort);
     connection.client.dispatch(
       {
-        method: call.method as Dispatcher.HttpMethod,
+        method: call.method,
         path: call.path,
         headers: call.headers as string[],
         body: call.body,
--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/engineLoads.ts
@@ -144,11 +144,7 @@
     }
   }
 
-  function setPeerUse(
-    peerAddress: string,
-    used: readonly PeerEngineUse[],
-    isFull: boolean,
-  ): void {
+  function setPeerUse(peerAddress: string, used: readonly PeerEngineUse[], isFull: boolean): void {
     peerAddresses.add(peerAddress);
     used.forEach(({ serverId, ...amounts }) => setPeerAmounts(peerAddress, serverId, amounts));
     if (isFull) {
@@ -198,9 +194,7 @@
     setPeerUse,
     dropPeer(peerAddress) {
       peerAddresses.delete(peerAddress);
-      [...engines.keys()].forEach((serverId) =>
-        setPeerAmounts(peerAddress, serverId, noAmounts()),
-      );
+      [...engines.keys()].forEach((serverId) => setPeerAmounts(peerAddress, serverId, noAmounts()));
     },
   };
 }
--- a/packages/routing/src/httpExchange.ts
+++ b/packages/routing/src/httpExchange.ts
@@ -87,9 +87,7 @@
     outgoing.shouldKeepAlive = false;
   }
   const retryAfter =
-    retryAfterMs === undefined
-      ? []
-      : ['Retry-After', (retryAfterMs / msPerSecond).toFixed(3)];
+    retryAfterMs === undefined ? [] : ['Retry-After', (retryAfterMs / msPerSecond).toFixed(3)];
   outgoing.writeHead(status, [
     ...['Content-Type', 'application/problem+json'],
     ...['Content-Length', String(Buffer.byteLength(body))],
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,8 @@
-export { createAttemptBudget, type AttemptBudget, type AttemptBudgetOptions } from './attemptBudget';
+export {
+  createAttemptBudget,
+  type AttemptBudget,
+  type AttemptBudgetOptions,
+} from './attemptBudget';
 export type {
   AnswerBody,
   BackendAnswer,
--- a/packages/routing/src/objectFollower.ts
+++ b/packages/routing/src/objectFollower.ts
@@ -10,7 +10,12 @@
   StoredObject,
   WatchEvent,
 } from '@bluebellhitch/objects';
-import { createBackgroundLoop, delay, type BackgroundLoop, type Random } from '@bluebellhitch/shared';
+import {
+  createBackgroundLoop,
+  delay,
+  type BackgroundLoop,
+  type Random,
+} from '@bluebellhitch/shared';
 
 export interface ObjectFollowerOptions {
   store: ObjectApi;
--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -65,6 +65,7 @@
   const changedIds = new Set<string>();
   let sequence = 0;
   let sendTimer: NodeJS.Timeout | undefined;
+  let isClosed = false;
 
   function knowPeer(address: string): Peer {
     const known = peers.get(address);
@@ -171,10 +172,16 @@
     address: ownAddress,
     noteChange(serverId) {
       changedIds.add(serverId);
-      sendTimer ??= setTimeout(sendChanges, coalesceMs);
+      if (!isClosed) {
+        sendTimer ??= setTimeout(sendChanges, coalesceMs);
+      }
     },
     livePeerCount: () => [...peers.values()].filter(({ isLive }) => isLive).length,
     close() {
+      if (isClosed) {
+        return;
+      }
+      isClosed = true;
       clearInterval(beatTimer);
       clearTimeout(sendTimer);
       // Peers stop counting what this process had in progress.
--- a/packages/routing/src/requestBody.ts
+++ b/packages/routing/src/requestBody.ts
@@ -10,7 +10,10 @@
 
 export interface BodyReaderPool {
   /** Call `release` once the body is no longer needed, whatever the outcome. */
-  read(incoming: IncomingMessage, maxBodyBytes: number): { done: Promise<BodyRead>; release(): void };
+  read(
+    incoming: IncomingMessage,
+    maxBodyBytes: number,
+  ): { done: Promise<BodyRead>; release(): void };
 }
 
 export function createBodyReaderPool(maxHeldBytes: number): BodyReaderPool {
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -12,6 +12,8 @@
   endsAtMs: number;
   /** Aborts at `endsAtMs` and when the caller leaves. */
   signal: AbortSignal;
+  /** Aborts at `endsAtMs`. */
+  expiry: AbortSignal;
   /** Backend servers to which the request was sent. */
   sentCount: number;
   /** Servers that failed this request. */
@@ -43,6 +45,7 @@
     service,
     endsAtMs,
     signal: AbortSignal.any([exchange.signal, expiry.signal]),
+    expiry: expiry.signal,
     sentCount: 0,
     failedServerIds: new Set(),
     trail: [],
@@ -56,5 +59,5 @@
 
 /** What to tell a caller whose request may have run and has no whole answer. */
 export function lostRefusal(state: RequestState, detail: string): Refusal {
-  return remainingMs(state) <= 0 ? { kind: 'timed-out' } : { kind: 'answer-lost', detail };
+  return state.expiry.aborted ? { kind: 'timed-out' } : { kind: 'answer-lost', detail };
 }
--- a/packages/routing/src/stageKeeper.ts
+++ b/packages/routing/src/stageKeeper.ts
@@ -44,15 +44,18 @@
 const idleReleaseMs = 4_000;
 /** An order's answer; an order that arrives later is one that two holders might overlap in. */
 const orderTimeoutMs = 600;
+/** A lease is usable for this long at least, whatever the bound between two holders. */
+const leastUseMs = 2_000;
 /** Running work ends before an engine changes: a long answer's time. */
 const runOutMs = 10_000;
 
 export function createStageKeeper(options: StageKeeperOptions): BackgroundLoop {
   const { directory, backend, services, holderId, leaseMs, logger, random = Math.random } = options;
+  const marginMs = orderTimeoutMs + leaseMs / 2;
   const lease = options.createLease({
     key: 'engine-stages',
-    ttlMs: 2 * leaseMs,
-    marginMs: orderTimeoutMs + leaseMs / 2,
+    ttlMs: marginMs + Math.max(leaseMs, leastUseMs),
+    marginMs,
   });
   const pending = new Map<string, PendingChange>();
   let knownPool = '';
@@ -62,9 +65,7 @@
   let lastOrderAtMs = -Infinity;
 
   function nextChange(service: ServiceSettings): StageChange | undefined {
-    const engines = directory
-      .usable(service.name)
-      .filter(({ stage }) => stage !== undefined);
+    const engines = directory.usable(service.name).filter(({ stage }) => stage !== undefined);
     return planStageChange({
       engines,
       pending: new Map([...pending].map(([id, { stage }]) => [id, stage])),
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -73,7 +73,11 @@
   }
 }
 
-function takeAttempt(state: RequestState, cause: string, { budget, metrics }: RouterParts): boolean {
+function takeAttempt(
+  state: RequestState,
+  cause: string,
+  { budget, metrics }: RouterParts,
+): boolean {
   const { name } = state.service;
   const isAllowed = budget.tryTake(name, monotonicNowMs());
   if (isAllowed) {
--- a/scripts/lint/layering.mjs
+++ b/scripts/lint/layering.mjs
@@ -11,8 +11,13 @@
   ['entry', 'agent', 'ctl', 'bench', 'standins'],
   // Runs the binaries' parts together in one process.
   ['scenarios'],
+  // Translates for the users' platform: it may use what is below, and nothing may use it.
+  ['platform'],
 ];
 
+/** Packages that do not lie under packages/. */
+const folders = { platform: 'platform' };
+
 /** Edges inside a layer; each needs a reason. */
 const extraEdges = {
   // Experiments build their fleets of stand-ins.
@@ -33,15 +38,18 @@
 
 const packageNames = layers.flat();
 
-export const layeringConfigs = packageNames.flatMap((name) => [
-  layeringConfig(name, `packages/${name}/src/**/*.ts`, allowedImports(name)),
-  // Tests may use the stand-ins of the outside world as well.
-  layeringConfig(name, `packages/${name}/__tests__/**/*.ts`, [
-    ...allowedImports(name),
-    name,
-    'standins',
-  ]),
-]);
+export const layeringConfigs = packageNames.flatMap((name) => {
+  const folder = folders[name] ?? `packages/${name}`;
+  return [
+    layeringConfig(name, `${folder}/src/**/*.ts`, allowedImports(name)),
+    // Tests may use the stand-ins of the outside world as well.
+    layeringConfig(name, `${folder}/__tests__/**/*.ts`, [
+      ...allowedImports(name),
+      name,
+      'standins',
+    ]),
+  ];
+});
 
 function allowedImports(name) {
   const level = layers.findIndex((layer) => layer.includes(name));
