Ask each engine for its report by one router, and share which are silent

Ruled out: fewer reports of each router (a dark engine is then found later by all). Mended: routers share the engines by rendezvous among those that are heard; silence goes with the datagrams; an answer to any call outweighs it for half a second.

--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -13,6 +13,8 @@
   prefillTokens: number;
   /** Prompts that a decode engine reads itself for it. */
   ownPrompts: number;
+  /** It did not answer the sender, which looks after it. */
+  isSilent: boolean;
 }
 
 export interface PeerMessage {
@@ -30,6 +32,7 @@
 }
 
 const count = z.number().int().nonnegative();
+const flag = z.union([z.literal(0), z.literal(1)]);
 const addressSchema = z.string().regex(/^[\d.]{7,15}:\d{1,5}$/);
 
 /** Positions instead of names: the names would be most of a message. */
@@ -38,8 +41,8 @@
   addressSchema,
   z.string().max(16),
   count,
-  z.union([z.literal(0), z.literal(1)]),
-  z.array(z.tuple([z.string().max(64), count, count, count])).max(2_048),
+  flag,
+  z.array(z.tuple([z.string().max(64), count, count, count, flag])).max(2_048),
   z.array(addressSchema).max(64),
 ]);
 
@@ -47,11 +50,12 @@
 
 export function encodePeerMessage(message: PeerMessage): Buffer {
   const { senderAddress, life, sequence, isFull, engines, peerAddresses } = message;
-  const rows = engines.map(({ serverId, placedTokens, prefillTokens, ownPrompts }) => [
-    serverId,
-    Math.round(placedTokens),
-    Math.round(prefillTokens),
-    ownPrompts,
+  const rows = engines.map((use) => [
+    use.serverId,
+    Math.round(use.placedTokens),
+    Math.round(use.prefillTokens),
+    use.ownPrompts,
+    use.isSilent ? 1 : 0,
   ]);
   const wire = [formatVersion, senderAddress, life, sequence, isFull ? 1 : 0, rows, peerAddresses];
   return Buffer.from(JSON.stringify(wire));
@@ -75,11 +79,12 @@
     life,
     sequence,
     isFull: full === 1,
-    engines: rows.map(([serverId, placedTokens, prefillTokens, ownPrompts]) => ({
+    engines: rows.map(([serverId, placedTokens, prefillTokens, ownPrompts, silent]) => ({
       serverId,
       placedTokens,
       prefillTokens,
       ownPrompts,
+      isSilent: silent === 1,
     })),
     peerAddresses,
   };
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -153,6 +153,7 @@
     });
     waiter.isTrying = false;
     if (outcome.kind === 'done') {
+      loads.noteContact(server.id);
       health.record(server.id, 'success', monotonicNowMs());
       hand(waiter, { reservation: outcome.value, release: releaseAndLook(release) });
       return;
--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/engineLoads.ts
@@ -10,6 +10,9 @@
   report(serverId: string, load: EngineLoad): void;
   /** The engine did not answer; it is silent until its next report. */
   noteSilent(serverId: string): void;
+  /** The engine has just answered a call. */
+  noteContact(serverId: string): void;
+  /** It answered neither its last report, to whoever asked for it, nor us a moment ago. */
   isSilent(serverId: string): boolean;
   /** Memory set aside on a decode engine; call the result when it is free again. */
   place(serverId: string, tokens: number): () => void;
@@ -44,14 +47,15 @@
   atMs: number;
 }
 
-type Amounts = Omit<PeerEngineUse, 'serverId'>;
+type Use = Omit<PeerEngineUse, 'serverId'>;
+type AmountName = 'placedTokens' | 'prefillTokens' | 'ownPrompts';
 
 interface EngineState {
   load?: EngineLoad;
   reportedAtMs: number;
-  isSilent: boolean;
-  own: Amounts;
-  peers: Map<string, Amounts>;
+  contactAtMs: number;
+  own: Use;
+  peers: Map<string, Use>;
   /** Changes of placed memory that the last report may not show. */
   changes: Change[];
   full?: { tokens: number; untilMs: number };
@@ -61,6 +65,8 @@
 const reportAgeMs = 700;
 /** Reports older than this say less than what is known to be placed. */
 const reportLifetimeMs = 5_000;
+/** An answer to any call proves this long that the engine is there. */
+const contactLifetimeMs = 500;
 /** A refusal counts until some stream may have ended since. */
 const fullMs = 60;
 /** Part of a prompt that waits at an engine by its report: others' prompts are about like ours. */
@@ -78,8 +84,8 @@
     }
     const state: EngineState = {
       reportedAtMs: -Infinity,
-      isSilent: false,
-      own: noAmounts(),
+      contactAtMs: -Infinity,
+      own: noUse(),
       peers: new Map(),
       changes: [],
     };
@@ -98,7 +104,7 @@
   }
 
   /** Adds to one of our own amounts until the result is called. */
-  function add(serverId: string, name: keyof Amounts, amount: number): () => void {
+  function add(serverId: string, name: AmountName, amount: number): () => void {
     const state = stateOf(serverId);
     const apply = (signed: number) => {
       state.own[name] += signed;
@@ -117,7 +123,14 @@
     };
   }
 
-  function total(state: EngineState, name: keyof Amounts): number {
+  function setSilent(serverId: string, state: EngineState, isSilent: boolean): void {
+    if (state.own.isSilent !== isSilent) {
+      state.own.isSilent = isSilent;
+      onOwnChange(serverId);
+    }
+  }
+
+  function total(state: EngineState, name: AmountName): number {
     return [...state.peers.values()].reduce((sum, peer) => sum + peer[name], state.own[name]);
   }
 
@@ -133,25 +146,25 @@
     return Math.max(placedTokens, load.usedTokens + load.reservedTokens + unseen);
   }
 
-  function setPeerAmounts(peerAddress: string, serverId: string, amounts: Amounts): void {
+  function setUse(peerAddress: string, serverId: string, use: Use): void {
     const state = stateOf(serverId);
-    const known = state.peers.get(peerAddress) ?? noAmounts();
-    noteChange(state, amounts.placedTokens - known.placedTokens);
-    if (isNothing(amounts)) {
+    const known = state.peers.get(peerAddress) ?? noUse();
+    noteChange(state, use.placedTokens - known.placedTokens);
+    if (isNothing(use)) {
       state.peers.delete(peerAddress);
     } else {
-      state.peers.set(peerAddress, amounts);
+      state.peers.set(peerAddress, use);
     }
   }
 
   function setPeerUse(peerAddress: string, used: readonly PeerEngineUse[], isFull: boolean): void {
     peerAddresses.add(peerAddress);
-    used.forEach(({ serverId, ...amounts }) => setPeerAmounts(peerAddress, serverId, amounts));
+    used.forEach(({ serverId, ...use }) => setUse(peerAddress, serverId, use));
     if (isFull) {
       const named = new Set(used.map(({ serverId }) => serverId));
       [...engines.keys()]
         .filter((serverId) => !named.has(serverId))
-        .forEach((serverId) => setPeerAmounts(peerAddress, serverId, noAmounts()));
+        .forEach((serverId) => setUse(peerAddress, serverId, noUse()));
     }
   }
 
@@ -159,13 +172,20 @@
     report(serverId, load) {
       const state = stateOf(serverId);
       state.load = load;
-      state.isSilent = false;
       state.reportedAtMs = monotonicNowMs();
+      setSilent(serverId, state, false);
+    },
+    noteSilent: (serverId) => setSilent(serverId, stateOf(serverId), true),
+    noteContact(serverId) {
+      stateOf(serverId).contactAtMs = monotonicNowMs();
     },
-    noteSilent(serverId) {
-      stateOf(serverId).isSilent = true;
+    isSilent(serverId) {
+      const state = engines.get(serverId);
+      if (state === undefined || monotonicNowMs() - state.contactAtMs < contactLifetimeMs) {
+        return false;
+      }
+      return state.own.isSilent || [...state.peers.values()].some(({ isSilent }) => isSilent);
     },
-    isSilent: (serverId) => engines.get(serverId)?.isSilent ?? false,
     place: (serverId, tokens) => add(serverId, 'placedTokens', tokens),
     beginPrefill: (serverId, tokens) => add(serverId, 'prefillTokens', tokens),
     beginOwnPrompt: (serverId) => add(serverId, 'ownPrompts', 1),
@@ -194,15 +214,15 @@
     setPeerUse,
     dropPeer(peerAddress) {
       peerAddresses.delete(peerAddress);
-      [...engines.keys()].forEach((serverId) => setPeerAmounts(peerAddress, serverId, noAmounts()));
+      [...engines.keys()].forEach((serverId) => setUse(peerAddress, serverId, noUse()));
     },
   };
 }
 
-function noAmounts(): Amounts {
-  return { placedTokens: 0, prefillTokens: 0, ownPrompts: 0 };
+function noUse(): Use {
+  return { placedTokens: 0, prefillTokens: 0, ownPrompts: 0, isSilent: false };
 }
 
-function isNothing({ placedTokens, prefillTokens, ownPrompts }: Amounts): boolean {
-  return placedTokens === 0 && prefillTokens === 0 && ownPrompts === 0;
+function isNothing({ placedTokens, prefillTokens, ownPrompts, isSilent }: Use): boolean {
+  return placedTokens === 0 && prefillTokens === 0 && ownPrompts === 0 && !isSilent;
 }
--- a/packages/routing/src/loadPoller.ts
+++ b/packages/routing/src/loadPoller.ts
@@ -1,11 +1,14 @@
 /**
  * Reads the engines' load reports at an even pace. An engine that does not answer is passed over until it
- * does: a request that is sent to one waits for a time-out, which costs it its target.
+ * does: a request that is sent to one waits for a time-out, which costs it its target. Routers share the
+ * engines among them and tell each other which are silent, so that an engine is asked as often in a large
+ * fleet as in a small one.
  */
 import {
   createBackgroundLoop,
   delay,
   monotonicNowMs,
+  rendezvousOrder,
   type BackgroundLoop,
   type Random,
 } from '@bluebellhitch/shared';
@@ -20,11 +23,15 @@
   loads: EngineLoads;
   /** Each engine is read once in this time. */
   intervalMs: number;
+  ownAddress: string;
+  /** Routers that are heard. */
+  livePeers: () => readonly string[];
   random?: Random;
 }
 
 /** An engine answers within milliseconds; a report that comes later is stale. */
 const reportTimeoutMs = 400;
+const longestPaceMs = 250;
 
 export function createLoadPoller(options: LoadPollerOptions): BackgroundLoop {
   const { backend, directory, loads, intervalMs, random = Math.random } = options;
@@ -39,8 +46,15 @@
     }
   }
 
+  /** The engines that this process looks after. */
   function engines(): BackendServer[] {
-    return directory.all().filter(({ stage, isDraining }) => stage !== undefined && !isDraining);
+    const routers = [options.ownAddress, ...options.livePeers()];
+    return directory
+      .all()
+      .filter(({ stage, isDraining }) => stage !== undefined && !isDraining)
+      .filter(
+        ({ id }) => rendezvousOrder(id, routers, (router) => router)[0] === options.ownAddress,
+      );
   }
 
   return createBackgroundLoop(async (signal) => {
@@ -55,7 +69,7 @@
         readAtMs.set(next.id, nowMs);
         void readOne(next);
       }
-      const paceMs = intervalMs / Math.max(1, listed.length);
+      const paceMs = Math.min(longestPaceMs, intervalMs / Math.max(1, listed.length));
       await delay(paceMs * (0.75 + 0.5 * random()), signal);
     }
   });
--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -32,7 +32,7 @@
   /** Has the change at an engine told within milliseconds. */
   noteChange(serverId: string): void;
   /** Peers that were heard lately. */
-  livePeerCount(): number;
+  livePeers(): string[];
   close(): void;
 }
 
@@ -108,10 +108,13 @@
     }
   }
 
+  function livePeers(): string[] {
+    return [...peers].filter(([, { isLive }]) => isLive).map(([address]) => address);
+  }
+
   function someLivePeers(): string[] {
-    return [...peers]
-      .filter(([, { isLive }]) => isLive)
-      .map(([address]) => ({ address, order: random() }))
+    return livePeers()
+      .map((address) => ({ address, order: random() }))
       .sort((left, right) => left.order - right.order)
       .slice(0, sharedAddresses)
       .map(({ address }) => address);
@@ -176,7 +179,7 @@
         sendTimer ??= setTimeout(sendChanges, coalesceMs);
       }
     },
-    livePeerCount: () => [...peers.values()].filter(({ isLive }) => isLive).length,
+    livePeers,
     close() {
       if (isClosed) {
         return;
@@ -192,7 +195,7 @@
 }
 
 function unused(serverId: string): PeerEngineUse {
-  return { serverId, placedTokens: 0, prefillTokens: 0, ownPrompts: 0 };
+  return { serverId, placedTokens: 0, prefillTokens: 0, ownPrompts: 0, isSilent: false };
 }
 
 function bind(socket: Socket, host: string, port: number): Promise<number> {
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -140,6 +140,7 @@
     const tookMs = monotonicNowMs() - startedAtMs;
     state.trail.push(`prefill ${server.id} ${outcome.kind} ${Math.round(tookMs)}ms`);
     if (outcome.kind === 'done') {
+      engineLoads.noteContact(server.id);
       health.record(server.id, 'success', monotonicNowMs());
       observe(backlogTokens, promptTokens, tookMs);
       metrics.countPrefillTokens(promptTokens);
