Go on with a broken stream where its prompt is in memory; reserve less of the output

And reservations held the whole expected output from the start, while a stream holds half of it over its life. Ruled out: reading elsewhere at once (another prompt read for each break).

--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -25,6 +25,8 @@
   giveUpAtMs: number;
   /** Servers that have failed the request. */
   excludedIds: ReadonlySet<string>;
+  /** The server to take if it has room. */
+  preferredId?: string;
   signal: AbortSignal;
 }
 
@@ -138,6 +140,10 @@
       server,
       tokens: loads.freeTokens(server.id, kvTokens),
     }));
+    const preferred = free.find(({ server }) => server.id === waiter.preferredId);
+    if (preferred !== undefined && preferred.tokens >= waiter.tokens) {
+      return preferred.server;
+    }
     const best = free.reduce((left, right) => (right.tokens > left.tokens ? right : left));
     return best.tokens >= waiter.tokens ? best.server : undefined;
   }
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -18,6 +18,8 @@
   sentCount: number;
   /** Servers that failed this request. */
   failedServerIds: Set<string>;
+  /** The server that has the prompt in memory from a run that broke. */
+  cachedAtServerId?: string;
   /** For the log: what happened, in order. */
   trail: string[];
 }
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -13,7 +13,7 @@
   type Refusal,
   type Route,
 } from './model';
-import type { PrefillStage } from './prefillStage';
+import type { PrefillOutcome, PrefillStage } from './prefillStage';
 import { lostRefusal, remainingMs, type RequestState } from './requestState';
 import type { RouterParts } from './routerParts';
 import { createStreamRelay, type StreamRelay } from './streamRelay';
@@ -139,6 +139,7 @@
     onTimeUntilMs: request.arrivedAtMs + route.targetLatencyMs - expectedMs,
     giveUpAtMs: Math.min(patienceAtMs, state.endsAtMs) - expectedMs,
     excludedIds: state.failedServerIds,
+    preferredId: state.cachedAtServerId,
     signal: state.signal,
   });
   const waitedMs = monotonicNowMs() - startedAtMs;
@@ -152,15 +153,20 @@
   return Math.max(leastPatienceMs, 4 * targetLatencyMs, 8 * targetGapMs) - patienceMarginMs;
 }
 
+/** A stream's memory grows with its output: over its life it holds half of that. */
 function neededTokens({ promptTokens, maxOutputTokens, expectedOutputTokens }: PromptSize): number {
-  return promptTokens + Math.min(maxOutputTokens, expectedOutputTokens ?? maxOutputTokens);
+  const outputTokens = Math.min(maxOutputTokens, expectedOutputTokens ?? maxOutputTokens);
+  return promptTokens + 0.75 * outputTokens;
 }
 
 /** Reads the prompt and decodes it in the reserved place; releases what is not used. */
 async function runAt(run: RunParts, placement: Placement): Promise<RunOutcome> {
   const { state, parts, prefillStage, size } = run;
   const { server } = placement.reservation;
-  const prefill = await prefillStage.run(state, size.promptTokens, server);
+  const prefill: PrefillOutcome =
+    server.id === state.cachedAtServerId
+      ? { kind: 'at-decode' }
+      : await prefillStage.run(state, size.promptTokens, server);
   if (prefill.kind === 'failed' || state.signal.aborted) {
     if (prefill.kind === 'done') {
       parts.backend.releasePrefill(prefill.result);
@@ -207,8 +213,7 @@
   }
   state.sentCount += 1;
   if (outcome.kind === 'lost') {
-    state.failedServerIds.add(server.id);
-    recordFailure(run, server.id);
+    noteBroken(run, server.id);
     return { kind: 'broken', detail: outcome.detail };
   }
   return relayAnswer(run, outcome.value, server.id);
@@ -226,12 +231,21 @@
     parts.health.record(serverId, 'success', monotonicNowMs());
     return { kind: 'ended' };
   }
-  state.failedServerIds.add(serverId);
-  recordFailure(run, serverId);
+  noteBroken(run, serverId);
   return { kind: 'broken', detail: outcome.detail };
 }
 
-function recordFailure({ state, parts }: RunParts, serverId: string): void {
+/**
+ * The connection broke, which need not be the server's end. It still has the prompt in memory, so the next
+ * try goes there first and reads nothing anew; after a second break it goes elsewhere.
+ */
+function noteBroken({ state, parts }: RunParts, serverId: string): void {
+  if (state.cachedAtServerId === undefined) {
+    state.cachedAtServerId = serverId;
+  } else {
+    state.cachedAtServerId = undefined;
+    state.failedServerIds.add(serverId);
+  }
   if (!state.signal.aborted) {
     parts.health.record(serverId, 'failure', monotonicNowMs());
   }
