--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -31,6 +31,8 @@
   address: string;
   /** Has the change at an engine told within milliseconds. */
   noteChange(serverId: string): void;
+  /** Further routers to begin with. */
+  addSeeds(addresses: readonly string[]): void;
   /** Peers that were heard lately. */
   livePeers(): string[];
   close(): void;
@@ -56,7 +58,8 @@
 
 /** Starts the exchange; rejects where the port is taken. */
 export async function startPeerExchange(options: PeerExchangeOptions): Promise<PeerExchange> {
-  const { seedAddresses, logger, random = Math.random } = options;
+  const { logger, random = Math.random } = options;
+  const seeds = new Set<string>();
   const socket = createSocket('udp4');
   const port = await bind(socket, options.host, options.port);
   const ownAddress = `${options.host}:${port}`;
@@ -108,6 +111,15 @@
     }
   }
 
+  function addSeeds(addresses: readonly string[]): void {
+    addresses
+      .filter((address) => address !== ownAddress)
+      .forEach((address) => {
+        seeds.add(address);
+        knowPeer(address);
+      });
+  }
+
   function livePeers(): string[] {
     return [...peers].filter(([, { isLive }]) => isLive).map(([address]) => address);
   }
@@ -139,7 +151,7 @@
         options.onPeerGone(address);
         logger.info('peer silent', { peer: address });
       }
-      if (nowMs - peer.heardAtMs > forgetMs && !seedAddresses.includes(address)) {
+      if (nowMs - peer.heardAtMs > forgetMs && !seeds.has(address)) {
         peers.delete(address);
       }
     });
@@ -167,7 +179,7 @@
 
   socket.on('message', receive);
   socket.on('error', (error) => logger.warn('peer socket failed', { error }));
-  seedAddresses.filter((address) => address !== ownAddress).forEach(knowPeer);
+  addSeeds(options.seedAddresses);
   const beatTimer = setInterval(beat, heartbeatMs);
   beat();
 
@@ -179,6 +191,7 @@
         sendTimer ??= setTimeout(sendChanges, coalesceMs);
       }
     },
+    addSeeds,
     livePeers,
     close() {
       if (isClosed) {
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -3,7 +3,7 @@
 import type { BackendAnswer, CallOutcome } from './backendApi';
 import type { WholeAnswer } from './callerApi';
 import { notRunReasons, routeKinds, type BackendServer, type Refusal } from './model';
-import { lostRefusal, remainingMs, type RequestState } from './requestState';
+import { lostRefusal, noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterParts } from './routerParts';
 import { readWholeBody } from './wholeBody';
 
@@ -28,7 +28,7 @@
       break;
     }
     const attempt = await attemptAt(server, state, parts);
-    state.trail.push(`${server.id} ${attempt.kind}`);
+    noteStep(state, `${server.id} ${attempt.kind}`);
     if (attempt.kind === 'answer') {
       state.exchange.answer(attempt.answer);
       return;
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -6,7 +6,7 @@
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { PrefillResult } from './backendApi';
 import { stages, type BackendServer } from './model';
-import { remainingMs, type RequestState } from './requestState';
+import { noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterParts } from './routerParts';
 
 export type PrefillOutcome =
@@ -36,7 +36,7 @@
 /** A decode engine reads at half the speed of a prefill engine. */
 const decodeReadSpeed = 0.5;
 /** A queue this many times longer than reading at the decode engine is worth slowing its streams. */
-const longQueueFactor = 2.5;
+const longQueueFactor = 2;
 /** The time-out is this often the expected time, and a margin for a prompt that came just before. */
 const patienceFactor = 3;
 const patienceMarginMs = 400;
@@ -138,7 +138,7 @@
     });
     release();
     const tookMs = monotonicNowMs() - startedAtMs;
-    state.trail.push(`prefill ${server.id} ${outcome.kind} ${Math.round(tookMs)}ms`);
+    noteStep(state, `prefill ${server.id} ${outcome.kind} ${Math.round(tookMs)}ms`);
     if (outcome.kind === 'done') {
       engineLoads.noteContact(server.id);
       health.record(server.id, 'success', monotonicNowMs());
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -1,5 +1,6 @@
 /** Takes a caller's request from its route to its final answer, and tells in one log line how it went. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
+import type { DecisionRing } from '@bluebellhitch/telemetry';
 import type { AnswerWriter, CallerExchange, WholeAnswer } from './callerApi';
 import { notRunReasons, routeKinds, type Refusal, type Route } from './model';
 import { createPrefillStage } from './prefillStage';
@@ -17,6 +18,8 @@
 export interface RequestRouterOptions extends RouterParts {
   /** The configuration in force; undefined until the first is known. */
   routeTable: () => RouteTable | undefined;
+  /** Keeps how the latest requests went. */
+  ring: DecisionRing;
 }
 
 /** A process that starts knows its configuration within about a second. */
@@ -73,8 +76,9 @@
   inner: CallerExchange,
   route: Route,
   service: string,
-  { metrics, logger }: RouterParts,
+  { metrics, logger, ring }: RequestRouterOptions,
 ) {
+  const startedAt = new Date().toISOString();
   const labels = { service, kind: route.kind };
   const { arrivedAtMs } = inner.request;
   let outcome = 'caller-left';
@@ -127,9 +131,18 @@
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       durationMs: Math.round(durationMs),
       leftMs: Math.round(state.endsAtMs - monotonicNowMs()),
-      trail: state.trail.join('; '),
+      trail: state.trail.map(({ atMs, detail }) => `${atMs}ms ${detail}`).join('; '),
       configurationVersion,
     });
+    ring.record({
+      requestId: state.request.id,
+      service,
+      institution: '',
+      className: route.name,
+      startedAt,
+      steps: state.trail.map(({ atMs, detail }) => ({ atMs, kind: 'step', detail: { detail } })),
+      outcome,
+    });
   }
 
   return { exchange, report };
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -21,7 +21,13 @@
   /** The server that has the prompt in memory from a run that broke. */
   cachedAtServerId?: string;
   /** For the log: what happened, in order. */
-  trail: string[];
+  trail: TrailStep[];
+}
+
+export interface TrailStep {
+  /** Since the request arrived. */
+  atMs: number;
+  detail: string;
 }
 
 export interface RequestStateOptions {
@@ -55,6 +61,11 @@
   return { state, end: () => clearTimeout(timer) };
 }
 
+export function noteStep(state: RequestState, detail: string): void {
+  const atMs = Math.round(monotonicNowMs() - state.request.arrivedAtMs);
+  state.trail.push({ atMs, detail });
+}
+
 export function remainingMs(state: RequestState): number {
   return state.endsAtMs - monotonicNowMs();
 }
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -17,7 +17,6 @@
   countPrefillTokens(tokens: number): void;
   countWastedPrefillTokens(tokens: number): void;
   countConnection(): void;
-  countDroppedLogLines(total: number): void;
   setConfigurationVersion(version: number): void;
   setServers(count: number): void;
 }
@@ -28,7 +27,13 @@
 /** At the library's 10 ms the monitor's timer is most of an idle process's own work. */
 const eventLoopPrecisionMs = 100;
 
-export function createRouterMetrics(): RouterMetrics {
+export interface RouterMetricsOptions {
+  /** Log lines that could not be written so far. */
+  droppedLines?: () => number;
+}
+
+export function createRouterMetrics(options: RouterMetricsOptions = {}): RouterMetrics {
+  const { droppedLines = () => 0 } = options;
   const registry = new Registry();
   const registers = [registry];
   collectDefaultMetrics({
@@ -74,13 +79,16 @@
     'bluebell_backend_connections_total',
     'Connections opened to backend servers.',
   );
-  const droppedLines = gauge('bluebell_log_lines_dropped', 'Log lines that were not written.');
+  const lostLines = gauge('bluebell_log_lines_dropped', 'Log lines that were not written.');
   const version = gauge('bluebell_configuration_version', 'Version of the configuration in force.');
   const servers = gauge('bluebell_backend_servers', 'Backend servers that are known.');
 
   return {
     contentType: registry.contentType,
-    render: () => registry.metrics(),
+    render() {
+      lostLines.set(droppedLines());
+      return registry.metrics();
+    },
     countRequest: (labels, outcome) => requests.inc({ ...labels, outcome }),
     observeFirstByte: (labels, durationMs) =>
       firstByte.observe({ ...labels }, durationMs / msPerSecond),
@@ -91,7 +99,6 @@
     countPrefillTokens: (tokens) => prefillTokens.inc(tokens),
     countWastedPrefillTokens: (tokens) => wastedTokens.inc(tokens),
     countConnection: () => connections.inc(),
-    countDroppedLogLines: (total) => droppedLines.set(total),
     setConfigurationVersion: (value) => version.set(value),
     setServers: (count) => servers.set(count),
   };
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -14,7 +14,7 @@
   type Route,
 } from './model';
 import type { PrefillOutcome, PrefillStage } from './prefillStage';
-import { lostRefusal, remainingMs, type RequestState } from './requestState';
+import { lostRefusal, noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterParts } from './routerParts';
 import { createStreamRelay, type StreamRelay } from './streamRelay';
 
@@ -47,7 +47,7 @@
   let mayGoOn = true;
   for (let round = 1; mayGoOn && isWanted(state); round += 1) {
     outcome = await runOnce({ state, engine, parts, prefillStage, relay, size });
-    state.trail.push(outcome.kind === 'broken' ? `broken: ${outcome.detail}` : outcome.kind);
+    noteStep(state, outcome.kind === 'broken' ? `broken: ${outcome.detail}` : outcome.kind);
     mayGoOn = round < maxRounds && mayTryAgain(state, outcome, parts);
   }
   finish(state, relay, outcome);
@@ -144,7 +144,7 @@
   });
   const waitedMs = monotonicNowMs() - startedAtMs;
   parts.metrics.observePlacement(service.name, waitedMs);
-  state.trail.push(`${outcome.kind} ${Math.round(waitedMs)}ms`);
+  noteStep(state, `${outcome.kind} ${Math.round(waitedMs)}ms`);
   return outcome;
 }
 
@@ -196,7 +196,7 @@
   const { server } = reservation;
   const leftMs = remainingMs(state);
   if (prefill === undefined) {
-    state.trail.push('prompt at decode');
+    noteStep(state, 'prompt at decode');
   }
   const outcome = await parts.backend.run(server, state.request, {
     remainingMs: leftMs,
@@ -207,7 +207,7 @@
     lastEventId: relay.lastEventId(),
   });
   if (outcome.kind === 'not-run') {
-    state.trail.push(`decode ${server.id} ${outcome.cause.kind}`);
+    noteStep(state, `decode ${server.id} ${outcome.cause.kind}`);
     state.failedServerIds.add(server.id);
     return { kind: 'not-run', reason: notRunReasons.rejected };
   }
@@ -225,7 +225,7 @@
   serverId: string,
 ): Promise<RunOutcome> {
   const { state, parts, relay } = run;
-  state.trail.push(`decode ${serverId} ${answer.status}`);
+  noteStep(state, `decode ${serverId} ${answer.status}`);
   const outcome = await relay.relay(answer);
   if (outcome.kind === 'whole') {
     parts.health.record(serverId, 'success', monotonicNowMs());
