--- /dev/null
+++ b/packages/routing/__tests__/attemptBudget.test.ts
@@ -0,0 +1,39 @@
+import fc from 'fast-check';
+import test from 'ava';
+import { createAttemptBudget } from '@bluebellhitch/routing';
+
+test('further attempts stay within the share of requests and the allowance in every window', (t) => {
+  const windowMs = 1_000;
+  const step = fc.record({ gapMs: fc.integer({ min: 0, max: 200 }), isRequest: fc.boolean() });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
+      const budget = createAttemptBudget({ ratio: 0.2, allowance: 3, windowMs });
+      const requests: number[] = [];
+      const taken: number[] = [];
+      let nowMs = 0;
+      steps.forEach(({ gapMs, isRequest }) => {
+        nowMs += gapMs;
+        if (isRequest) {
+          requests.push(nowMs);
+          budget.recordRequest('s', nowMs);
+        } else if (budget.tryTake('s', nowMs)) {
+          taken.push(nowMs);
+        }
+      });
+      taken.forEach((endMs) => {
+        const within = (timeMs: number) => timeMs > endMs - windowMs && timeMs <= endMs;
+        const asked = requests.filter((timeMs) => within(timeMs)).length;
+        t.true(taken.filter(within).length <= asked * 0.2 + 3);
+      });
+    }),
+    { seed: 11 },
+  );
+});
+
+test('services do not share a budget', (t) => {
+  const budget = createAttemptBudget({ ratio: 0, allowance: 1, windowMs: 1_000 });
+  t.true(budget.tryTake('a', 0));
+  t.false(budget.tryTake('a', 0));
+  t.true(budget.tryTake('b', 0));
+  t.true(budget.tryTake('a', 1_000));
+});
--- /dev/null
+++ b/packages/routing/__tests__/decodePlacement.test.ts
@@ -0,0 +1,210 @@
+import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
+import test, { type ExecutionContext } from 'ava';
+import { createOutlierDetector } from '@bluebellhitch/decisions';
+import {
+  createDecodePlacement,
+  createEngineLoads,
+  createServerDirectory,
+  type BackendServer,
+  type CallOutcome,
+  type EngineSettings,
+  type Reservation,
+} from '@bluebellhitch/routing';
+import type { PlacementOutcome, PlacementRequest } from '../src/decodePlacement';
+
+const engine: EngineSettings = {
+  slots: 64,
+  kvTokens: 10_000,
+  reservationLimitMs: 2_000,
+  prefillLifetimeMs: 500,
+  stageSwitchMs: 6_000,
+};
+
+const server = (id: string): BackendServer => ({
+  id,
+  serviceName: 's',
+  address: `${id}:80`,
+  dataCentre: 'north',
+  slots: 64,
+  isDraining: false,
+  stage: 'decode',
+});
+
+const rejected: CallOutcome<Reservation> = {
+  kind: 'not-run',
+  cause: { kind: 'rejected', status: 503 },
+};
+
+function createWorld(clock: Clock, serverIds: string[]) {
+  const directory = createServerDirectory();
+  serverIds.map(server).forEach(directory.put);
+  const loads = createEngineLoads();
+  const calls: string[] = [];
+  const dropped: string[] = [];
+  const answers = new Map<string, CallOutcome<Reservation>>();
+  const placement = createDecodePlacement({
+    directory,
+    loads,
+    health: createOutlierDetector(),
+    backend: {
+      async reserve(at, { tokens }) {
+        calls.push(at.id);
+        await new Promise((resolve) => {
+          setTimeout(resolve, 5);
+        });
+        const reservation = { id: `h${calls.length}`, server: at, tokens };
+        return answers.get(at.id) ?? { kind: 'done', value: reservation };
+      },
+      releaseReservation: ({ id }) => dropped.push(id),
+    },
+  });
+
+  function place(over: Partial<PlacementRequest> = {}) {
+    const result: { outcome?: PlacementOutcome } = {};
+    const nowMs = clock.now;
+    const request: PlacementRequest = {
+      serviceName: 's',
+      engine,
+      tokens: 4_000,
+      isResumed: false,
+      priority: 1,
+      arrivedAtMs: nowMs,
+      onTimeUntilMs: nowMs + 500,
+      giveUpAtMs: nowMs + 1_000,
+      excludedIds: new Set(),
+      signal: new AbortController().signal,
+      ...over,
+    };
+    void placement.place(request).then((outcome) => {
+      result.outcome = outcome;
+    });
+    return result;
+  }
+
+  return { directory, loads, calls, dropped, answers, place };
+}
+
+function inPausedTime(title: string, run: (t: ExecutionContext, clock: Clock) => Promise<void>) {
+  test.serial(title, async (t) => {
+    const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+    try {
+      await run(t, clock);
+    } finally {
+      clock.uninstall();
+    }
+  });
+}
+
+const serverOf = (result: { outcome?: PlacementOutcome }) =>
+  result.outcome?.kind === 'placed' ? result.outcome.placement.reservation.server.id : undefined;
+
+inPausedTime('requests spread over the roomiest engines', async (t, clock) => {
+  const world = createWorld(clock, ['a', 'b']);
+  const results = [world.place(), world.place(), world.place(), world.place()];
+  await clock.tickAsync(10);
+  t.deepEqual(results.map(serverOf).sort(), ['a', 'a', 'b', 'b']);
+});
+
+inPausedTime('a request waits until a stream ends', async (t, clock) => {
+  const world = createWorld(clock, ['a']);
+  const first = world.place({ tokens: 8_000 });
+  await clock.tickAsync(10);
+  const second = world.place();
+  await clock.tickAsync(200);
+  t.is(second.outcome, undefined);
+  t.is(world.calls.length, 1);
+  if (first.outcome?.kind === 'placed') {
+    first.outcome.placement.release();
+  }
+  await clock.tickAsync(10);
+  t.is(serverOf(second), 'a');
+});
+
+inPausedTime(
+  'a request that is given up is refused at once and its place freed',
+  async (t, clock) => {
+    // An engine's memory would stay held for nobody. The caller leaves while the reservation is on its way.
+    const world = createWorld(clock, ['a']);
+    const leaving = new AbortController();
+    const result = world.place({ signal: leaving.signal });
+    await clock.tickAsync(1);
+    leaving.abort();
+    await clock.tickAsync(0);
+    t.is(result.outcome?.kind, 'no-capacity');
+    await clock.tickAsync(10);
+    t.deepEqual(world.dropped, ['h1']);
+    t.is(world.loads.freeTokens('a', 10_000), 10_000);
+  },
+);
+
+inPausedTime('a request without a place is refused when its time is over', async (t, clock) => {
+  const world = createWorld(clock, ['a']);
+  world.answers.set('a', rejected);
+  const result = world.place();
+  await clock.tickAsync(990);
+  t.is(result.outcome, undefined);
+  await clock.tickAsync(60);
+  t.is(result.outcome?.kind, 'no-capacity');
+});
+
+inPausedTime('an engine that refuses is passed over for another', async (t, clock) => {
+  const world = createWorld(clock, ['a', 'b']);
+  world.answers.set('a', rejected);
+  const result = world.place();
+  await clock.tickAsync(20);
+  t.is(serverOf(result), 'b');
+});
+
+inPausedTime(
+  'a stream that has begun goes first, then those on time, then late ones',
+  async (t, clock) => {
+    // A resumed stream that finds no place is lost with all that was done for it; a late one earns little.
+    const world = createWorld(clock, ['a']);
+    const first = world.place({ tokens: 9_000 });
+    await clock.tickAsync(10);
+    const late = world.place({ tokens: 7_000, onTimeUntilMs: clock.now - 1 });
+    const onTime = world.place({ tokens: 7_000 });
+    const resumed = world.place({ tokens: 7_000, isResumed: true });
+    await clock.tickAsync(40);
+    const order: string[] = [];
+    const releaseOf = (result: { outcome?: PlacementOutcome }) =>
+      result.outcome?.kind === 'placed' && result.outcome.placement.release();
+    const note = () => {
+      [resumed, onTime, late].forEach((result, index) => {
+        const name = ['resumed', 'on-time', 'late'][index] ?? '';
+        if (result.outcome?.kind === 'placed' && !order.includes(name)) {
+          order.push(name);
+        }
+      });
+    };
+    releaseOf(first);
+    await clock.tickAsync(20);
+    note();
+    releaseOf(resumed);
+    await clock.tickAsync(20);
+    note();
+    releaseOf(onTime);
+    await clock.tickAsync(20);
+    note();
+    t.deepEqual(order, ['resumed', 'on-time', 'late']);
+  },
+);
+
+inPausedTime('late requests leave a part of the pool free', async (t, clock) => {
+  const world = createWorld(clock, ['a']);
+  const late = world.place({ tokens: 8_500, onTimeUntilMs: clock.now - 1 });
+  await clock.tickAsync(50);
+  t.is(late.outcome, undefined);
+  t.is(world.calls.length, 0);
+  const onTime = world.place({ tokens: 8_500 });
+  await clock.tickAsync(20);
+  t.is(serverOf(onTime), 'a');
+});
+
+inPausedTime('silent engines are passed over', async (t, clock) => {
+  const world = createWorld(clock, ['a', 'b']);
+  world.loads.noteSilent('a');
+  const results = [world.place(), world.place()];
+  await clock.tickAsync(20);
+  t.deepEqual(results.map(serverOf), ['b', 'b']);
+});
--- /dev/null
+++ b/packages/routing/__tests__/eventSplitter.test.ts
@@ -0,0 +1,40 @@
+import fc from 'fast-check';
+import test from 'ava';
+import { createEventSplitter } from '@bluebellhitch/routing';
+
+const eventText = (id: number) => `id: ${id}\ndata: t${id}\n\n`;
+
+test('events are cut whole, however the bytes arrive', (t) => {
+  const whole = [1, 2, 3, 4].map(eventText).join('');
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 0, max: whole.length }), { maxLength: 8 }), (cuts) => {
+      const splitter = createEventSplitter();
+      const places = [0, ...cuts.sort((left, right) => left - right), whole.length];
+      const events = places
+        .slice(1)
+        .flatMap((to, index) => splitter.push(Buffer.from(whole.slice(places[index], to))));
+      t.deepEqual(
+        events.map(({ id }) => id),
+        [1, 2, 3, 4],
+      );
+      t.is(Buffer.concat(events.map(({ bytes }) => bytes)).toString(), whole);
+      t.is(splitter.pendingBytes(), 0);
+    }),
+    { seed: 7 },
+  );
+});
+
+test('a part of an event is held back', (t) => {
+  const splitter = createEventSplitter();
+  t.is(splitter.push(Buffer.from(`${eventText(1)}id: 2\nda`)).length, 1);
+  t.is(splitter.pendingBytes(), 'id: 2\nda'.length);
+});
+
+test('events with carriage returns and without ids are cut too', (t) => {
+  const splitter = createEventSplitter();
+  const events = splitter.push(Buffer.from('id: 5\r\ndata: a\r\n\r\ndata: b\n\n'));
+  t.deepEqual(
+    events.map(({ id }) => id),
+    [5, undefined],
+  );
+});
--- /dev/null
+++ b/packages/routing/__tests__/peerExchange.test.ts
@@ -0,0 +1,74 @@
+import test, { type ExecutionContext } from 'ava';
+import { createEngineLoads, startPeerExchange } from '@bluebellhitch/routing';
+import { createLogger } from '@bluebellhitch/telemetry';
+
+const logger = createLogger({ binary: 'test', instanceId: 't', write: () => undefined });
+
+async function startRouter(t: ExecutionContext, seedAddresses: string[] = []) {
+  let noteChange: (serverId: string) => void = () => undefined;
+  const loads = createEngineLoads({ onOwnChange: (serverId) => noteChange(serverId) });
+  const exchange = await startPeerExchange({
+    host: '127.0.0.1',
+    port: 0,
+    seedAddresses,
+    ownUse: loads.ownUse,
+    onPeerUse: loads.setPeerUse,
+    onPeerGone: loads.dropPeer,
+    logger,
+  });
+  noteChange = exchange.noteChange;
+  t.teardown(exchange.close);
+  return { loads, exchange };
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 1_000 && !condition(); tries += 1) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+  if (!condition()) {
+    throw new Error('the condition did not come about');
+  }
+}
+
+test('what one router has in progress counts at the others, until it ends or the router stops', async (t) => {
+  const first = await startRouter(t);
+  const second = await startRouter(t, [first.exchange.address]);
+  await until(() => first.exchange.livePeers().length === 1);
+  await until(() => second.exchange.livePeers().length === 1);
+  const release = first.loads.place('e', 3_000);
+  first.loads.beginPrefill('p', 500);
+  await until(() => second.loads.freeTokens('e', 10_000) === 7_000);
+  await until(() => second.loads.prefillBacklogTokens('p') === 500);
+  release();
+  await until(() => second.loads.freeTokens('e', 10_000) === 10_000);
+  first.exchange.close();
+  await until(() => second.loads.prefillBacklogTokens('p') === 0);
+  t.pass();
+});
+
+test('routers that know one router get to know each other', async (t) => {
+  const seed = await startRouter(t);
+  const others = [
+    await startRouter(t, [seed.exchange.address]),
+    await startRouter(t, [seed.exchange.address]),
+  ];
+  await until(() => others.every(({ exchange }) => exchange.livePeers().length === 2));
+  t.pass();
+});
+
+test('a seed that is gone and bytes that are no message do no harm', async (t) => {
+  const router = await startRouter(t, ['127.0.0.1:9']);
+  const { createSocket } = await import('node:dgram');
+  const socket = createSocket('udp4');
+  const [host, port] = router.exchange.address.split(':');
+  ['', '[]', '{"a":1}', '[1,"1.2.3.4:5","x",1,1,[["e",-1,0,0,0]],[]]'].forEach((text) =>
+    socket.send(Buffer.from(text), Number(port), host),
+  );
+  await new Promise((resolve) => {
+    setTimeout(resolve, 60);
+  });
+  socket.close();
+  t.deepEqual(router.exchange.livePeers(), []);
+});
--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -88,7 +88,11 @@
       : rendezvousOrder(ownAddress, addresses, (address) => address).slice(0, maxPeers);
   }
 
-  function send(isFull: boolean, engines: PeerEngineUse[], addresses: readonly string[]): void {
+  function send(
+    isFull: boolean,
+    engines: PeerEngineUse[],
+    addresses: readonly string[],
+  ): Promise<unknown> {
     sequence += 1;
     const message: PeerMessage = {
       senderAddress: ownAddress,
@@ -99,10 +103,17 @@
       peerAddresses: isFull ? someLivePeers() : [],
     };
     const bytes = encodePeerMessage(message);
-    addresses.forEach((address) => {
-      const [host, peerPort] = address.split(':');
-      socket.send(bytes, Number(peerPort), host, noteSendError);
-    });
+    const sent = addresses.map(
+      (address) =>
+        new Promise<void>((resolve) => {
+          const [host, peerPort] = address.split(':');
+          socket.send(bytes, Number(peerPort), host, (error) => {
+            noteSendError(error);
+            resolve();
+          });
+        }),
+    );
+    return Promise.all(sent);
   }
 
   function noteSendError(error: Error | null): void {
@@ -139,7 +150,7 @@
     changedIds.clear();
     const live = neighbours().filter((address) => peers.get(address)?.isLive);
     if (live.length > 0) {
-      send(false, engines, live);
+      void send(false, engines, live);
     }
   }
 
@@ -155,7 +166,7 @@
         peers.delete(address);
       }
     });
-    send(true, options.ownUse(), neighbours());
+    void send(true, options.ownUse(), neighbours());
   }
 
   function receive(bytes: Buffer): void {
@@ -201,8 +212,7 @@
       clearInterval(beatTimer);
       clearTimeout(sendTimer);
       // Peers stop counting what this process had in progress.
-      send(true, [], neighbours());
-      socket.close();
+      void send(true, [], neighbours()).then(() => socket.close());
     },
   };
 }
--- /dev/null
+++ b/packages/telemetry/__tests__/lineWriter.test.ts
@@ -0,0 +1,57 @@
+import { spawn } from 'node:child_process';
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test from 'ava';
+import { createLineWriter } from '@bluebellhitch/telemetry';
+
+test('lines arrive in order', async (t) => {
+  const folder = mkdtempSync(join(tmpdir(), 'lines-'));
+  t.teardown(() => rmSync(folder, { recursive: true }));
+  const path = join(folder, 'log');
+  const fd = openSync(path, 'w');
+  const writer = createLineWriter({ fd });
+  ['a', 'b', 'c'].forEach(writer.write);
+  await writer.flush(1_000);
+  closeSync(fd);
+  t.is(readFileSync(path, 'utf8'), 'a\nb\nc\n');
+  t.is(writer.droppedCount(), 0);
+});
+
+test('a reader that pauses neither stops the process nor fills its memory', async (t) => {
+  // Every request of the process would wait for whoever reads its log. The pipe is full and nobody reads; the
+  // event loop must go on, and what does not fit must be dropped and counted.
+  const program = `
+    const { createLineWriter } = await import('@bluebellhitch/telemetry');
+    const writer = createLineWriter({ maxBufferedBytes: 65536 });
+    const line = 'x'.repeat(1000);
+    const startedAt = performance.now();
+    let turns = 0;
+    const timer = setInterval(() => {
+      for (let n = 0; n < 100; n += 1) writer.write(line);
+      turns += 1;
+      if (turns === 20) {
+        clearInterval(timer);
+        const tookMs = performance.now() - startedAt;
+        process.stderr.write(JSON.stringify({ tookMs, dropped: writer.droppedCount() }));
+        process.exit(0);
+      }
+    }, 5);`;
+  const child = spawn(
+    process.execPath,
+    ['--import=tsx', '--conditions=bluebell-source', '--input-type=module', '-e', program],
+    { stdio: ['ignore', 'pipe', 'pipe'] },
+  );
+  // The standard output is never read.
+  child.stdout.pause();
+  let text = '';
+  child.stderr.on('data', (chunk) => {
+    text += String(chunk);
+  });
+  await new Promise((resolve) => {
+    child.once('exit', resolve);
+  });
+  const { tookMs, dropped } = JSON.parse(text) as { tookMs: number; dropped: number };
+  t.true(tookMs < 2_000, `${tookMs}`);
+  t.true(dropped > 1_000, `${dropped}`);
+});
--- a/packages/telemetry/src/lineWriter.ts
+++ b/packages/telemetry/src/lineWriter.ts
@@ -4,6 +4,7 @@
  * does not fit is dropped and counted.
  */
 import SonicBoom from 'sonic-boom';
+import { delay, monotonicNowMs } from '@bluebellhitch/shared';
 
 export interface LineWriterOptions {
   /** File descriptor; 1 is the standard output. */
@@ -21,31 +22,40 @@
 /** A few thousand lines: some seconds of a busy process. */
 const defaultMaxBufferedBytes = 1_048_576;
 const standardOutput = 1;
+const flushLookMs = 5;
 
 export function createLineWriter(options: LineWriterOptions = {}): LineWriter {
   const { fd = standardOutput, maxBufferedBytes = defaultMaxBufferedBytes } = options;
   const sink = new SonicBoom({ fd, sync: false, maxLength: maxBufferedBytes });
   let droppedCount = 0;
-  sink.on('drop', () => {
+  let queuedBytes = 0;
+  let writtenBytes = 0;
+  sink.on('write', (byteCount) => {
+    writtenBytes += byteCount;
+  });
+  sink.on('drop', (line) => {
     droppedCount += 1;
+    queuedBytes -= Buffer.byteLength(line);
   });
   // A closed pipe must not end the process: it has nobody to tell.
   sink.on('error', () => {
     droppedCount += 1;
   });
 
+  async function flush(timeoutMs: number): Promise<void> {
+    const endsAtMs = monotonicNowMs() + timeoutMs;
+    while (writtenBytes < queuedBytes && monotonicNowMs() < endsAtMs) {
+      await delay(flushLookMs);
+    }
+  }
+
   return {
     write(line) {
-      sink.write(`${line}\n`);
+      const text = `${line}\n`;
+      queuedBytes += Buffer.byteLength(text);
+      sink.write(text);
     },
     droppedCount: () => droppedCount,
-    flush: (timeoutMs) =>
-      new Promise((resolve) => {
-        const timer = setTimeout(resolve, timeoutMs);
-        sink.flush(() => {
-          clearTimeout(timer);
-          resolve();
-        });
-      }),
+    flush,
   };
 }
