--- a/packages/routing/__tests__/attemptBudget.test.ts
+++ b/packages/routing/__tests__/attemptBudget.test.ts
@@ -7,7 +7,7 @@
   const step = fc.record({ gapMs: fc.integer({ min: 0, max: 200 }), isRequest: fc.boolean() });
   fc.assert(
     fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
-      const budget = createAttemptBudget({ ratio: 0.2, allowance: 3, windowMs });
+      const budget = createAttemptBudget({ ratio: 0.2, allowance: () => 3, windowMs });
       const requests: number[] = [];
       const taken: number[] = [];
       let nowMs = 0;
@@ -31,7 +31,7 @@
 });
 
 test('services do not share a budget', (t) => {
-  const budget = createAttemptBudget({ ratio: 0, allowance: 1, windowMs: 1_000 });
+  const budget = createAttemptBudget({ ratio: 0, allowance: () => 1, windowMs: 1_000 });
   t.true(budget.tryTake('a', 0));
   t.false(budget.tryTake('a', 0));
   t.true(budget.tryTake('b', 0));
--- a/packages/routing/src/attemptBudget.ts
+++ b/packages/routing/src/attemptBudget.ts
@@ -8,8 +8,8 @@
 export interface AttemptBudgetOptions {
   /** Further attempts for each request of the window. */
   ratio: number;
-  /** Further attempts in a window besides, of this process. */
-  allowance: number;
+  /** Further attempts in a window besides, of this process: its share at this time. */
+  allowance: () => number;
   windowMs: number;
 }
 
@@ -43,7 +43,7 @@
     },
     tryTake(serviceName, nowMs) {
       const window = current(serviceName, nowMs);
-      if (window.furtherAtMs.length + 1 > window.requestsAtMs.length * ratio + allowance) {
+      if (window.furtherAtMs.length + 1 > window.requestsAtMs.length * ratio + allowance()) {
         return false;
       }
       window.furtherAtMs.push(nowMs);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -64,7 +64,7 @@
 export { createRouteTable, type RouteTable } from './routeTable';
 export { createServerDirectory, type ServerChange, type ServerDirectory } from './serverDirectory';
 export { createServerLoads } from './serverLoads';
-export { readWholeBody } from './wholeBody';
+export { drainBody, readWholeBody } from './wholeBody';
 export { createStageKeeper, type StageKeeperOptions } from './stageKeeper';
 export { planStageChange, wantedPrefillCount, type StageChange } from './stagePlan';
 export { startPeerExchange, type PeerExchange } from './peerExchange';
--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -35,6 +35,8 @@
   addSeeds(addresses: readonly string[]): void;
   /** Peers that were heard lately. */
   livePeers(): string[];
+  /** Peers that were told of lately, those that are not heard too. */
+  knownPeerCount(): number;
   close(): void;
 }
 
@@ -204,6 +206,7 @@
     },
     addSeeds,
     livePeers,
+    knownPeerCount: () => peers.size,
     close() {
       if (isClosed) {
         return;
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -2,10 +2,11 @@
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { BackendAnswer, CallOutcome } from './backendApi';
 import type { WholeAnswer } from './callerApi';
+import { forwardBody } from './forwardBody';
 import { notRunReasons, routeKinds, type BackendServer, type Refusal } from './model';
 import { lostRefusal, noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterParts } from './routerParts';
-import { readWholeBody } from './wholeBody';
+import { drainBody, readWholeBody } from './wholeBody';
 
 /** What became of one attempt. */
 type Attempt =
@@ -14,11 +15,19 @@
   | { kind: 'server-failure'; answer: WholeAnswer }
   | { kind: 'unreachable' }
   | { kind: 'rejected' }
-  | { kind: 'lost'; detail: string };
+  | { kind: 'lost'; detail: string }
+  /** The answer was too long to be held and has gone to the caller as it came. */
+  | { kind: 'forwarded'; isWhole: boolean };
 
 const firstServerError = 500;
 /** Callers come back after about this long: a full or restarting server has room again by then. */
 const retryAfterMs = 300;
+/**
+ * A server that has not begun its answer after this many times the route's target is not waited for any
+ * longer where another one may be asked.
+ */
+const attemptPatience = 2.5;
+const leastPatienceShare = 0.4;
 
 export async function servePlain(state: RequestState, parts: RouterParts): Promise<void> {
   let best: Attempt | undefined;
@@ -33,6 +42,9 @@
       state.exchange.answer(attempt.answer);
       return;
     }
+    if (attempt.kind === 'forwarded') {
+      return;
+    }
     state.failedServerIds.add(server.id);
     best = better(best, attempt);
     if (!mayFollow(state, attempt)) {
@@ -62,6 +74,7 @@
     case 'rejected':
       return true;
     case 'answer':
+    case 'forwarded':
       return false;
     case 'server-failure':
     case 'lost':
@@ -71,7 +84,14 @@
 
 /** An answer of a server tells more than none; that it may have run outweighs that it did not. */
 function better(known: Attempt | undefined, attempt: Attempt): Attempt {
-  const ranks = { answer: 4, 'server-failure': 3, lost: 2, rejected: 1, unreachable: 0 };
+  const ranks = {
+    forwarded: 5,
+    answer: 4,
+    'server-failure': 3,
+    lost: 2,
+    rejected: 1,
+    unreachable: 0,
+  };
   return known === undefined || ranks[attempt.kind] > ranks[known.kind] ? attempt : known;
 }
 
@@ -121,8 +141,9 @@
   const leftMs = remainingMs(state);
   const outcome = await backend.run(server, state.request, {
     remainingMs: leftMs,
-    headTimeoutMs: leftMs,
+    headTimeoutMs: headTimeoutMs(state, leftMs),
     signal: state.signal,
+    lastEventId: state.request.lastEventId,
   });
   const attempt = await readAttempt(outcome, state);
   endLoad();
@@ -133,6 +154,15 @@
   return attempt;
 }
 
+/** The last attempt has all the time that is left; one before it leaves some for the next. */
+function headTimeoutMs({ route, sentCount }: RequestState, leftMs: number): number {
+  const isLast = sentCount + 1 >= route.maxAttempts;
+  if (isLast || route.kind !== routeKinds.idempotent) {
+    return leftMs;
+  }
+  return Math.max(attemptPatience * route.targetLatencyMs, leastPatienceShare * leftMs);
+}
+
 async function readAttempt(
   outcome: CallOutcome<BackendAnswer>,
   state: RequestState,
@@ -149,12 +179,19 @@
 
 async function readAnswer(answer: BackendAnswer, state: RequestState): Promise<Attempt> {
   const { status, headers, isSealed } = answer;
-  const read = await readWholeBody(answer.body);
+  if (!isSealed) {
+    await drainBody(answer.body);
+    return { kind: 'lost', detail: `unsealed answer ${status}` };
+  }
+  const isStream = state.route.kind === routeKinds.stream;
+  const read = await readWholeBody(answer.body, isStream ? 0 : undefined);
   if (read.kind === 'lost') {
     return { kind: 'lost', detail: read.detail };
   }
-  if (!isSealed) {
-    return { kind: 'lost', detail: `unsealed answer ${status}` };
+  if (read.kind === 'long') {
+    const writer = state.exchange.begin(status, headers);
+    const forwarded = await forwardBody(writer, read.start, read.rest);
+    return { kind: 'forwarded', isWhole: forwarded.kind === 'whole' };
   }
   const whole = { status, headers, body: read.body };
   const isFailure = status >= firstServerError && state.route.kind === routeKinds.idempotent;
@@ -170,6 +207,7 @@
   const callerLeft = state.exchange.signal.aborted;
   const isSuccess =
     attempt.kind === 'rejected' ||
+    (attempt.kind === 'forwarded' && attempt.isWhole) ||
     (attempt.kind === 'answer' && attempt.answer.status < firstServerError);
   if (isSuccess || !callerLeft) {
     health.record(server.id, isSuccess ? 'success' : 'failure', monotonicNowMs());
--- a/packages/routing/src/streamRelay.ts
+++ b/packages/routing/src/streamRelay.ts
@@ -4,15 +4,16 @@
  */
 import type { BackendAnswer } from './backendApi';
 import type { AnswerWriter } from './callerApi';
+import { writeOrPause } from './forwardBody';
 import { createEventSplitter, type StreamEvent } from './eventSplitter';
 import type { RequestState } from './requestState';
-import { readWholeBody } from './wholeBody';
+import { drainBody, readWholeBody } from './wholeBody';
 
 export type RelayOutcome = { kind: 'whole' } | { kind: 'broken'; detail: string };
 
 export interface StreamRelay {
-  /** Relays one run's answer to its end. */
-  relay(answer: BackendAnswer): Promise<RelayOutcome>;
+  /** Relays one run's answer to its end; `onProgress` is called with each part of it. */
+  relay(answer: BackendAnswer, onProgress: () => void): Promise<RelayOutcome>;
   hasBegun(): boolean;
   /** Called with the next event that comes. */
   onFirstEvent(listener: () => void): void;
@@ -30,17 +31,17 @@
   let onNextEvent: () => void = () => undefined;
   let lastId = state.request.lastEventId;
 
-  async function relay(answer: BackendAnswer): Promise<RelayOutcome> {
+  async function relay(answer: BackendAnswer, onProgress: () => void): Promise<RelayOutcome> {
     if (!answer.isSealed) {
-      const read = await readWholeBody(answer.body);
-      return { kind: 'broken', detail: `unsealed answer ${answer.status}, ${read.kind}` };
+      await drainBody(answer.body);
+      return { kind: 'broken', detail: `unsealed answer ${answer.status}` };
     }
-    return answer.status === okStatus ? relayEvents(answer) : relayFailure(answer);
+    return answer.status === okStatus ? relayEvents(answer, onProgress) : relayFailure(answer);
   }
 
   async function relayFailure(answer: BackendAnswer): Promise<RelayOutcome> {
     const read = await readWholeBody(answer.body);
-    if (read.kind === 'lost' || writer !== undefined) {
+    if (read.kind !== 'whole' || writer !== undefined) {
       return { kind: 'broken', detail: `answer ${answer.status}` };
     }
     const { status, headers } = answer;
@@ -48,11 +49,12 @@
     return { kind: 'whole' };
   }
 
-  function relayEvents(answer: BackendAnswer): Promise<RelayOutcome> {
+  function relayEvents(answer: BackendAnswer, onProgress: () => void): Promise<RelayOutcome> {
     const splitter = createEventSplitter();
     return new Promise((resolve) => {
       answer.body.read({
         onData(chunk) {
+          onProgress();
           const fresh = splitter.push(chunk).filter(isFresh);
           if (fresh.length > 0) {
             forward(answer, fresh);
@@ -83,10 +85,7 @@
     writer ??= exchange.begin(answer.status, answer.headers);
     lastId = events.at(-1)?.id ?? lastId;
     const bytes = Buffer.concat(events.map((event) => event.bytes));
-    if (!writer.write(bytes)) {
-      answer.body.pause();
-      writer.onDrained(answer.body.resume);
-    }
+    writeOrPause(writer, bytes, answer.body);
   }
 
   return {
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -3,7 +3,7 @@
  * that breaks goes on at another engine where the route allows it, inside the same answer.
  */
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { BackendAnswer, PrefillResult } from './backendApi';
+import type { PrefillResult } from './backendApi';
 import type { Placement } from './decodePlacement';
 import {
   notRunReasons,
@@ -14,6 +14,7 @@
   type Route,
 } from './model';
 import type { PrefillOutcome, PrefillStage } from './prefillStage';
+import { startQuietWatch, type QuietWatch } from './quietWatch';
 import { lostRefusal, noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterParts } from './routerParts';
 import { createStreamRelay, type StreamRelay } from './streamRelay';
@@ -34,6 +35,9 @@
 const leastPatienceMs = 2_000;
 /** For the way to the caller, and a prefill that takes longer than expected. */
 const patienceMarginMs = 300;
+/** Of a caller's patience: what is left is enough to begin elsewhere. */
+const quietShare = 0.6;
+const silentQuietShare = 0.2;
 
 export async function serveStream(
   state: RequestState,
@@ -188,9 +192,37 @@
 }
 
 async function decode(
+  run: RunParts,
+  placement: Placement,
+  prefill: PrefillResult | undefined,
+): Promise<RunOutcome> {
+  const gone = new AbortController();
+  const watch = watchRun(run, placement.reservation.server.id, () => gone.abort());
+  try {
+    return await decodeWatched(run, placement, prefill, { signal: gone.signal, watch });
+  } finally {
+    watch.stop();
+  }
+}
+
+/** Only a stream that may go on elsewhere gains by being broken off. */
+function watchRun({ state, parts }: RunParts, serverId: string, onGone: () => void): QuietWatch {
+  const { route, sentCount } = state;
+  const mayGoOn = route.allowsResume && sentCount + 1 < route.maxAttempts;
+  const patienceMs = callerPatienceMs(route);
+  return startQuietWatch({
+    quietMs: mayGoOn ? quietShare * patienceMs : Infinity,
+    silentServerQuietMs: mayGoOn ? silentQuietShare * patienceMs : Infinity,
+    isServerSilent: () => parts.engineLoads.isSilent(serverId),
+    onGone,
+  });
+}
+
+async function decodeWatched(
   run: RunParts,
   { reservation }: Placement,
   prefill: PrefillResult | undefined,
+  { signal, watch }: { signal: AbortSignal; watch: QuietWatch },
 ): Promise<RunOutcome> {
   const { state, parts, relay } = run;
   const { server } = reservation;
@@ -201,7 +233,7 @@
   const outcome = await parts.backend.run(server, state.request, {
     remainingMs: leftMs,
     headTimeoutMs: leftMs,
-    signal: state.signal,
+    signal: AbortSignal.any([state.signal, signal]),
     reservation,
     prefill,
     lastEventId: relay.lastEventId(),
@@ -213,34 +245,25 @@
   }
   state.sentCount += 1;
   if (outcome.kind === 'lost') {
-    noteBroken(run, server.id);
+    noteBroken(run, server.id, signal.aborted);
     return { kind: 'broken', detail: outcome.detail };
   }
-  return relayAnswer(run, outcome.value, server.id);
-}
-
-async function relayAnswer(
-  run: RunParts,
-  answer: BackendAnswer,
-  serverId: string,
-): Promise<RunOutcome> {
-  const { state, parts, relay } = run;
-  noteStep(state, `decode ${serverId} ${answer.status}`);
-  const outcome = await relay.relay(answer);
-  if (outcome.kind === 'whole') {
-    parts.health.record(serverId, 'success', monotonicNowMs());
+  noteStep(state, `decode ${server.id} ${outcome.value.status}`);
+  const relayed = await relay.relay(outcome.value, watch.noteProgress);
+  if (relayed.kind === 'whole') {
+    parts.health.record(server.id, 'success', monotonicNowMs());
     return { kind: 'ended' };
   }
-  noteBroken(run, serverId);
-  return { kind: 'broken', detail: outcome.detail };
+  noteBroken(run, server.id, signal.aborted);
+  return { kind: 'broken', detail: relayed.detail };
 }
 
 /**
  * The connection broke, which need not be the server's end. It still has the prompt in memory, so the next
  * try goes there first and reads nothing anew; after a second break it goes elsewhere.
  */
-function noteBroken({ state, parts }: RunParts, serverId: string): void {
-  if (state.cachedAtServerId === undefined) {
+function noteBroken({ state, parts }: RunParts, serverId: string, isGone: boolean): void {
+  if (state.cachedAtServerId === undefined && !isGone) {
     state.cachedAtServerId = serverId;
   } else {
     state.cachedAtServerId = undefined;
