Split the connections to backend servers, share what a failed call of a store means

Changed: backendExchange.ts holds one call on one connection; callFailures.ts serves both store clients. Measured: 109 tests of routing, platform and objects pass as they stood; no behaviour changed.

--- a/packages/objects/src/httpPlatformClient.ts
+++ b/packages/objects/src/httpPlatformClient.ts
@@ -13,6 +13,7 @@
   storedObjectSchema,
   watchReplySchema,
 } from './httpPlatformSchema';
+import { brokenAnswer, lostAnswer, parseJson } from './callFailures';
 import type { PlatformApi, PlatformError } from './platformApi';
 
 export interface HttpPlatformClientOptions {
@@ -43,14 +44,6 @@
 const defaults = { timeoutMs: 2000, connectTimeoutMs: 1000, connections: 64 } as const;
 const noContentStatus = 204;
 
-/** The request was never sent: nothing can have taken effect. */
-const notSentCodes: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-];
-
 export function createHttpPlatformClient(options: HttpPlatformClientOptions): HttpPlatformClient {
   const { address, timeoutMs, connectTimeoutMs, connections } = { ...defaults, ...options };
   const dispatcher = new Agent({
@@ -126,7 +119,7 @@
     const text = await response.body.text();
     return readAnswer(call, response.statusCode, text);
   } catch (cause) {
-    return err(lostAnswer(call, cause));
+    return err(lostAnswer(call.method, cause));
   }
 }
 
@@ -138,30 +131,8 @@
   const body = status === noContentStatus ? undefined : parseJson(text);
   if (status >= 200 && status < 300) {
     const parsed = call.schema.safeParse(body);
-    return parsed.success ? ok(parsed.data) : err(brokenAnswer(call, 'unreadable answer'));
+    return parsed.success ? ok(parsed.data) : err(brokenAnswer(call.method, 'unreadable answer'));
   }
   const failure = platformErrorSchema.safeParse(body);
-  return err(failure.success ? failure.data : brokenAnswer(call, `status ${status}`));
-}
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
-function lostAnswer(call: HttpCall<unknown>, cause: unknown): PlatformError {
-  const detail = cause instanceof Error ? cause.message : String(cause);
-  const code = (cause as { code?: unknown } | undefined)?.code;
-  if (typeof code === 'string' && notSentCodes.includes(code)) {
-    return { kind: 'unavailable', detail: `${code}: ${detail}` };
-  }
-  return brokenAnswer(call, detail);
-}
-
-/** A write whose answer cannot be read may have taken effect; a read has none. */
-function brokenAnswer(call: HttpCall<unknown>, detail: string): PlatformError {
-  return { kind: call.method === 'GET' ? 'unavailable' : 'unknown-outcome', detail };
+  return err(failure.success ? failure.data : brokenAnswer(call.method, `status ${status}`));
 }
--- a/packages/objects/src/index.ts
+++ b/packages/objects/src/index.ts
@@ -1,3 +1,4 @@
+export { brokenAnswer, lostAnswer, parseJson } from './callFailures';
 export {
   objectKinds,
   type ObjectApi,
--- a/packages/routing/src/backendConnections.ts
+++ b/packages/routing/src/backendConnections.ts
@@ -4,8 +4,9 @@
  * what went out.
  */
 import type { Socket } from 'node:net';
-import { Client, buildConnector, type Dispatcher } from 'undici';
-import type { AnswerBody, BodyReader } from './backendApi';
+import { Client, buildConnector } from 'undici';
+import type { AnswerBody } from './backendApi';
+import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
 
 export interface HttpCall {
   /** `ip:port`. */
@@ -55,17 +56,10 @@
   onOpened?: () => void;
 }
 
-interface Connection {
-  client: Client;
-  /** Set while an answer is read that ends with its connection. */
-  isEndChecked: boolean;
-  /** How the connection ended, as far as an answer that ends with it is concerned. */
-  end?: Promise<ConnectionEnd>;
+interface Connection extends ExchangeConnection {
   isClosed: boolean;
 }
 
-type ConnectionEnd = 'closed' | 'reset';
-
 interface AddressPool {
   /** Used last at the end: the freshest is the least likely to be closing at the other side. */
   idle: Connection[];
@@ -213,150 +207,3 @@
     });
   });
 }
-
-interface ExchangeEvents {
-  onReusable(): void;
-  onBroken(): void;
-}
-
-type BodyEnd = { kind: 'whole' } | { kind: 'lost'; detail: string };
-
-/** One call on one connection. */
-function createExchange(
-  connection: Connection,
-  call: HttpCall,
-  resolve: (outcome: HttpOutcome) => void,
-  events: ExchangeEvents,
-) {
-  let wasSent = false;
-  let isOurs = false;
-  let reader: BodyReader | undefined;
-  let bodyEnd: BodyEnd | undefined;
-  let controller: Dispatcher.DispatchController | undefined;
-  let isFramed = true;
-  const headTimer = setTimeout(() => giveUp('no answer in time'), call.headTimeoutMs);
-  const onAbort = () => giveUp('given up');
-
-  function giveUp(reason: string): void {
-    if (bodyEnd !== undefined) {
-      return;
-    }
-    isOurs = true;
-    finishWaiting();
-    resolve(
-      wasSent ? { kind: 'lost', detail: reason, isOurs } : { kind: 'not-sent', detail: reason },
-    );
-    events.onBroken();
-    endBody({ kind: 'lost', detail: reason });
-  }
-
-  function finishWaiting(): void {
-    clearTimeout(headTimer);
-  }
-
-  function endBody(end: BodyEnd): void {
-    if (bodyEnd !== undefined) {
-      return;
-    }
-    bodyEnd = end;
-    call.signal?.removeEventListener('abort', onAbort);
-    deliverEnd();
-  }
-
-  function deliverEnd(): void {
-    if (reader === undefined || bodyEnd === undefined) {
-      return;
-    }
-    if (bodyEnd.kind === 'whole') {
-      reader.onEnd();
-    } else {
-      reader.onLost(bodyEnd.detail);
-    }
-  }
-
-  async function endWithConnection(): Promise<void> {
-    const end = await connection.end;
-    endBody(
-      end === 'closed' ? { kind: 'whole' } : { kind: 'lost', detail: 'reset before its end' },
-    );
-  }
-
-  const body: AnswerBody = {
-    read(next) {
-      reader = next;
-      deliverEnd();
-      controller?.resume();
-    },
-    pause: () => controller?.pause(),
-    resume: () => controller?.resume(),
-  };
-
-  const handler: Dispatcher.DispatchHandler = {
-    onRequestStart(started) {
-      wasSent = true;
-      controller = started;
-    },
-    onResponseStart(started, status) {
-      if (status < 200) {
-        return;
-      }
-      finishWaiting();
-      started.pause();
-      const headers = readHeaders(started.rawHeaders);
-      isFramed = hasFraming(headers, status);
-      connection.isEndChecked = !isFramed;
-      resolve({ kind: 'answered', answer: { status, headers, body, discard: giveUp } });
-    },
-    onResponseData: (_controller, chunk) => reader?.onData(chunk),
-    onResponseEnd() {
-      if (isFramed) {
-        events.onReusable();
-        endBody({ kind: 'whole' });
-      } else {
-        void endWithConnection();
-      }
-    },
-    onResponseError(_controller, error) {
-      finishWaiting();
-      const detail = error.message;
-      resolve(wasSent ? { kind: 'lost', detail, isOurs } : { kind: 'not-sent', detail });
-      events.onBroken();
-      endBody({ kind: 'lost', detail });
-    },
-  };
-
-  function start(): void {
-    if (call.signal?.aborted) {
-      giveUp('given up');
-      return;
-    }
-    call.signal?.addEventListener('abort', onAbort);
-    connection.client.dispatch(
-      {
-        method: call.method,
-        path: call.path,
-        headers: call.headers as string[],
-        body: call.body,
-      },
-      handler,
-    );
-  }
-
-  return { start };
-}
-
-function readHeaders(raw: Dispatcher.DispatchController['rawHeaders']): string[] {
-  return Array.isArray(raw) ? raw.map((part) => part.toString('latin1')) : [];
-}
-
-/** Whether the end of the body shows in the answer itself rather than by the end of the connection. */
-function hasFraming(headers: readonly string[], status: number): boolean {
-  return (
-    status === 204 ||
-    status === 304 ||
-    headers.some(
-      (name, index) =>
-        index % 2 === 0 && ['content-length', 'transfer-encoding'].includes(name.toLowerCase()),
-    )
-  );
-}
