Watch the store for as long as peers make up for

Mended: routers tell each other the newest revision that they have seen; one that is behind gives its watch up.

--- a/packages/objects/src/httpPlatformClient.ts
+++ b/packages/objects/src/httpPlatformClient.ts
@@ -106,7 +106,7 @@
   dispatcher: Dispatcher,
   call: HttpCall<Value>,
 ): Promise<Result<Value, PlatformError>> {
-  const timeout = AbortSignal.timeout(call.timeoutMs);
+  const timeout = AbortSignal.timeout(Math.ceil(call.timeoutMs));
   try {
     const response = await request(new URL(call.path, address), {
       dispatcher,
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -29,6 +29,8 @@
   engines: PeerEngineUse[];
   /** Other routers that the sender knows. */
   peerAddresses: string[];
+  /** For each kind of objects that routers follow: the newest revision that the sender has seen. */
+  seenRevisions: number[];
 }
 
 const count = z.number().int().nonnegative();
@@ -44,12 +46,13 @@
   flag,
   z.array(z.tuple([z.string().max(64), count, count, count, flag])).max(2_048),
   z.array(addressSchema).max(64),
+  z.array(count).max(8),
 ]);
 
 const formatVersion = 1;
 
 export function encodePeerMessage(message: PeerMessage): Buffer {
-  const { senderAddress, life, sequence, isFull, engines, peerAddresses } = message;
+  const { senderAddress, life, sequence, isFull, engines } = message;
   const rows = engines.map((use) => [
     use.serverId,
     Math.round(use.placedTokens),
@@ -57,8 +60,8 @@
     use.ownPrompts,
     use.isSilent ? 1 : 0,
   ]);
-  const wire = [formatVersion, senderAddress, life, sequence, isFull ? 1 : 0, rows, peerAddresses];
-  return Buffer.from(JSON.stringify(wire));
+  const head = [formatVersion, senderAddress, life, sequence, isFull ? 1 : 0];
+  return Buffer.from(JSON.stringify([...head, rows, message.peerAddresses, message.seenRevisions]));
 }
 
 /** Undefined for anything that is not such a message. */
@@ -73,7 +76,7 @@
   if (!parsed.success) {
     return undefined;
   }
-  const [, senderAddress, life, sequence, full, rows, peerAddresses] = parsed.data;
+  const [, senderAddress, life, sequence, full, rows, peerAddresses, seenRevisions] = parsed.data;
   return {
     senderAddress,
     life,
@@ -87,5 +90,6 @@
       isSilent: silent === 1,
     })),
     peerAddresses,
+    seenRevisions,
   };
 }
--- a/packages/routing/__tests__/objectFollower.test.ts
+++ b/packages/routing/__tests__/objectFollower.test.ts
@@ -7,7 +7,7 @@
   type PlatformError,
   type WatchReply,
 } from '@bluebellhitch/objects';
-import { createObjectFollower } from '@bluebellhitch/routing';
+import { createObjectFollower, type ObjectFollower } from '@bluebellhitch/routing';
 
 const reply = (over: Partial<WatchReply> = {}): WatchReply => ({
   events: [],
@@ -32,7 +32,7 @@
       script.lists += 1;
       return okAsync({ objects: [], cursor: '1' });
     },
-    watch(_kind: unknown, _cursor: unknown, waitMs: number) {
+    watch(_kind: unknown, _cursor: unknown, waitMs: number, signal?: AbortSignal) {
       script.watchWaitsMs.push(waitMs);
       const said = answer(script.watchWaitsMs.length);
       const result: Result<WatchReply, PlatformError> =
@@ -40,6 +40,8 @@
       return new ResultAsync(
         new Promise<typeof result>((resolve) => {
           setTimeout(() => resolve(result), said === 'fail' ? 10 : waitMs);
+          const aborted = { kind: 'unavailable', detail: 'aborted' } as const;
+          signal?.addEventListener('abort', () => resolve(err(aborted)));
         }),
       );
     },
@@ -47,13 +49,17 @@
   return Object.assign(script, { api: api as unknown as ObjectApi });
 }
 
-async function follow(script: Script & { api: ObjectApi }, forMs: number): Promise<void> {
+async function follow(
+  script: Script & { api: ObjectApi },
+  forMs: number,
+  during: (follower: ObjectFollower) => void = () => undefined,
+): Promise<void> {
   const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
   try {
     const follower = createObjectFollower({
       store: script.api,
       kind: objectKinds.backendServer,
-      watchWaitMs: 1_800,
+      watchWaitMs: () => 1_800,
       onListed: () => script.log.push('listed'),
       onEvent: ({ kind }) => script.log.push(kind),
       onLost: () => script.log.push('lost'),
@@ -61,6 +67,8 @@
       random: () => 0,
     });
     follower.start();
+    await clock.tickAsync(100);
+    during(follower);
     await clock.tickAsync(forMs);
     const stopped = follower.stop();
     await clock.tickAsync(10_000);
@@ -85,3 +93,21 @@
   await follow(script, 3_000);
   t.true(script.lists >= 2);
 });
+
+test.serial(
+  'a watch whose connection went silent is given up once a peer has seen more',
+  async (t) => {
+    // A caller gets 404 for a route that was added. The connection of a long watch has gone silent; another
+    // router has seen the new configuration and says so.
+    const script = scriptedStore(() => reply());
+    await follow(script, 500, (follower) => follower.noteRevisionElsewhere(9));
+    t.deepEqual(script.watchWaitsMs.slice(0, 2), [1_800, 1]);
+    t.false(script.log.includes('lost'));
+  },
+);
+
+test.serial('a revision that is known already changes nothing', async (t) => {
+  const script = scriptedStore(() => reply());
+  await follow(script, 500, (follower) => follower.noteRevisionElsewhere(0));
+  t.deepEqual(script.watchWaitsMs, [1_800]);
+});
--- a/packages/routing/__tests__/peerExchange.test.ts
+++ b/packages/routing/__tests__/peerExchange.test.ts
@@ -14,6 +14,8 @@
     ownUse: loads.ownUse,
     onPeerUse: loads.setPeerUse,
     onPeerGone: loads.dropPeer,
+    seenRevisions: () => [],
+    onPeerRevisions: () => undefined,
     logger,
   });
   noteChange = exchange.noteChange;
@@ -63,7 +65,7 @@
   const { createSocket } = await import('node:dgram');
   const socket = createSocket('udp4');
   const [host, port] = router.exchange.address.split(':');
-  ['', '[]', '{"a":1}', '[1,"1.2.3.4:5","x",1,1,[["e",-1,0,0,0]],[]]'].forEach((text) =>
+  ['', '[]', '{"a":1}', '[1,"1.2.3.4:5","x",1,1,[["e",-1,0,0,0]],[],[]]'].forEach((text) =>
     socket.send(Buffer.from(text), Number(port), host),
   );
   await new Promise((resolve) => {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -57,7 +57,11 @@
   type ServiceSettings,
   type Stage,
 } from './model';
-export { createObjectFollower, type ObjectFollowerOptions } from './objectFollower';
+export {
+  createObjectFollower,
+  type ObjectFollower,
+  type ObjectFollowerOptions,
+} from './objectFollower';
 export { createRequestRouter, type RequestRouter } from './requestRouter';
 export { createRouterMetrics, type RouterMetrics } from './routerMetrics';
 export type { RouterParts } from './routerParts';
--- a/packages/routing/src/objectFollower.ts
+++ b/packages/routing/src/objectFollower.ts
@@ -1,8 +1,9 @@
 /**
- * Keeps a copy of the objects of one kind: lists them once, then watches. Each watch is short, so that a
- * connection that went silent is noticed before a change can be late.
+ * Keeps a copy of the objects of one kind: lists them once, then watches. A watch that is waiting does not show
+ * that its connection went silent. So each is short, or, where other processes follow the same objects, as long
+ * as those make up for: one that learns of a newer revision elsewhere gives its watch up for a new one.
  */
-import type { Result } from 'neverthrow';
+import { ok, type Result } from 'neverthrow';
 import type {
   ObjectApi,
   ObjectKind,
@@ -20,8 +21,8 @@
 export interface ObjectFollowerOptions {
   store: ObjectApi;
   kind: ObjectKind;
-  /** Longest time of one watch. */
-  watchWaitMs: number;
+  /** Longest time of the next watch. */
+  watchWaitMs: () => number;
   /** The whole list, at the start and when the store has dropped its history. */
   onListed(objects: readonly StoredObject[]): void;
   onEvent(event: WatchEvent): void;
@@ -34,15 +35,29 @@
   retryLimitMs?: number;
 }
 
+export interface ObjectFollower extends BackgroundLoop {
+  /** The newest revision of an object of the kind that was seen; 0 before the first. */
+  seenRevision(): number;
+  /** Another process has seen this revision. */
+  noteRevisionElsewhere(revision: number): void;
+  /** Asks the store at once. */
+  refresh(): void;
+}
+
 /** Short against the bounds for changes, which hold seconds after the store is back. */
 const defaultFirstRetryMs = 100;
 const defaultRetryLimitMs = 500;
 const shortestWaitMs = 1;
+const behindMs = 250;
 
-export function createObjectFollower(options: ObjectFollowerOptions): BackgroundLoop {
+export function createObjectFollower(options: ObjectFollowerOptions): ObjectFollower {
   const { store, kind, watchWaitMs, random = Math.random } = options;
   const { firstRetryMs = defaultFirstRetryMs, retryLimitMs = defaultRetryLimitMs } = options;
   let isBack = false;
+  let seenRevision = 0;
+  let isRefreshDue = false;
+  let currentWatch = new AbortController();
+  let behindTimer: NodeJS.Timeout | undefined;
 
   async function step(
     cursor: string | undefined,
@@ -52,21 +67,56 @@
       const listed = await store.list(kind);
       noteAnswer(listed, signal);
       return listed.map(({ objects, cursor: from }) => {
+        objects.forEach(({ version }) => noteRevision(version));
         options.onListed(objects);
         return from;
       });
     }
     // After an outage the first watch does not wait: its answer tells that the store is back, and what is
     // held back for the outage must not be held for the length of a watch longer.
-    const waitMs = isBack ? watchWaitMs : shortestWaitMs;
-    const reply = await store.watch(kind, cursor, waitMs, signal);
+    const waitMs = isBack && !isRefreshDue ? watchWaitMs() : shortestWaitMs;
+    isRefreshDue = false;
+    currentWatch = new AbortController();
+    const either = AbortSignal.any([signal, currentWatch.signal]);
+    const reply = await store.watch(kind, cursor, waitMs, either);
+    if (currentWatch.signal.aborted) {
+      return ok(cursor);
+    }
     noteAnswer(reply, signal);
     return reply.map(({ events, cursor: next, compacted }) => {
-      events.forEach(options.onEvent);
+      events.forEach(applyEvent);
       return compacted ? undefined : next;
     });
   }
 
+  function applyEvent(event: WatchEvent): void {
+    noteRevision(event.kind === 'put' ? event.object.version : event.version);
+    options.onEvent(event);
+  }
+
+  function noteRevision(revision: number): void {
+    seenRevision = Math.max(seenRevision, revision);
+  }
+
+  function refresh(): void {
+    isRefreshDue = true;
+    currentWatch.abort();
+  }
+
+  /** The change may be on its way here as well: a moment's patience saves a call. */
+  function noteRevisionElsewhere(revision: number): void {
+    if (revision <= seenRevision || behindTimer !== undefined) {
+      return;
+    }
+    behindTimer = setTimeout(() => {
+      behindTimer = undefined;
+      if (revision > seenRevision) {
+        refresh();
+      }
+    }, behindMs);
+    behindTimer.unref();
+  }
+
   /** Before the answer is applied: a removal in it counts differently right after an outage. */
   function noteAnswer(answer: Result<unknown, PlatformError>, signal: AbortSignal): void {
     if (answer.isOk()) {
@@ -100,5 +150,10 @@
     return ceilingMs * (0.5 + 0.5 * random());
   }
 
-  return createBackgroundLoop(run);
+  return {
+    ...createBackgroundLoop(run),
+    seenRevision: () => seenRevision,
+    noteRevisionElsewhere,
+    refresh,
+  };
 }
--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -22,6 +22,9 @@
   ownUse: () => PeerEngineUse[];
   onPeerUse(peerAddress: string, engines: readonly PeerEngineUse[], isFull: boolean): void;
   onPeerGone(peerAddress: string): void;
+  /** What this process has seen of each kind of objects, in a fixed order. */
+  seenRevisions: () => number[];
+  onPeerRevisions(revisions: readonly number[]): void;
   logger: Logger;
   random?: Random;
 }
@@ -103,6 +106,7 @@
       isFull,
       engines,
       peerAddresses: isFull ? someLivePeers() : [],
+      seenRevisions: options.seenRevisions(),
     };
     const bytes = encodePeerMessage(message);
     const sent = addresses.map(
@@ -187,6 +191,7 @@
       logger.info('peer heard', { peer: message.senderAddress });
     }
     options.onPeerUse(message.senderAddress, message.engines, message.isFull);
+    options.onPeerRevisions(message.seenRevisions);
     message.peerAddresses.filter((address) => address !== ownAddress).forEach(knowPeer);
   }
 
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -33,8 +33,8 @@
 /** Places that are tried for one request; each try waits for memory anew. */
 const maxRounds = 3;
 const leastPatienceMs = 2_000;
-/** For the way to the caller, and a prefill that takes longer than expected. */
-const patienceMarginMs = 300;
+/** The rest is for a prefill that takes longer than expected, and the way to the caller. */
+const patienceShare = 0.75;
 /** Of a caller's patience: what is left is enough to begin elsewhere. */
 const quietShare = 0.6;
 const silentQuietShare = 0.2;
@@ -154,7 +154,7 @@
 
 /** Callers abandon a stream that shows no event for the longest of these. */
 function callerPatienceMs({ targetLatencyMs, targetGapMs }: Route): number {
-  return Math.max(leastPatienceMs, 4 * targetLatencyMs, 8 * targetGapMs) - patienceMarginMs;
+  return patienceShare * Math.max(leastPatienceMs, 4 * targetLatencyMs, 8 * targetGapMs);
 }
 
 /** A stream's memory grows with its output: over its life it holds half of that. */
