Keep the bytes between peers the same however many there are

Cause: full amounts each second to 24 peers would be 20 KB/s at each router of a large fleet, where 2 KB/s are to be had for control; worked out from encoded messages (86 bytes a change, 425 for nine engines, 860 for 24). Mended: heartbeats carry no amounts but every fourth, or every n-th with n peers; a peer that is new, or was silent, or has a new life is told all of them at once; 16 peers at most. What changes with requests is told as before and stands apart.

--- a/packages/routing/__tests__/peerExchange.test.ts
+++ b/packages/routing/__tests__/peerExchange.test.ts
@@ -74,3 +74,11 @@
   socket.close();
   t.deepEqual(router.exchange.livePeers(), []);
 });
+
+test('a router that starts later learns what others had in progress before', async (t) => {
+  const first = await startRouter(t);
+  first.loads.place('e', 3_000);
+  const second = await startRouter(t, [first.exchange.address]);
+  await until(() => second.loads.freeTokens('e', 10_000) === 7_000);
+  t.pass();
+});
--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -48,17 +48,24 @@
   sequence: number;
   heardAtMs: number;
   isLive: boolean;
+  /** It has not been told all amounts since it was heard. */
+  isNew: boolean;
 }
 
 /** Changes of this time go into one datagram. */
 const coalesceMs = 4;
 const heartbeatMs = 1_000;
+/**
+ * Heartbeats between two that repeat all amounts; more where there are more peers to be told, so that their
+ * bytes in a second stay about the same.
+ */
+const leastBeatsPerFull = 4;
 /** Three heartbeats. */
 const silentMs = 3_200;
 /** A peer that was gone this long is forgotten. */
 const forgetMs = 30_000;
 /** Bounds what a process says, however many routers there are. */
-const maxPeers = 24;
+const maxPeers = 16;
 const sharedAddresses = 6;
 
 /** Starts the exchange; rejects where the port is taken. */
@@ -73,6 +80,7 @@
   const changedIds = new Set<string>();
   let sequence = 0;
   let sendTimer: NodeJS.Timeout | undefined;
+  let beatCount = 0;
   let isClosed = false;
 
   function knowPeer(address: string): Peer {
@@ -80,7 +88,7 @@
     if (known !== undefined) {
       return known;
     }
-    const peer = { sequence: -1, heardAtMs: monotonicNowMs(), isLive: false };
+    const peer = { sequence: -1, heardAtMs: monotonicNowMs(), isLive: false, isNew: true };
     peers.set(address, peer);
     return peer;
   }
@@ -172,7 +180,25 @@
         peers.delete(address);
       }
     });
-    void send(true, options.ownUse(), neighbours());
+    const addresses = neighbours();
+    beatCount += 1;
+    if (beatCount % Math.max(leastBeatsPerFull, addresses.length) === 0) {
+      void send(true, options.ownUse(), addresses);
+      return;
+    }
+    const isNew = (address: string) => peers.get(address)?.isNew !== false;
+    void send(
+      false,
+      [],
+      addresses.filter((address) => !isNew(address)),
+    );
+    void send(true, options.ownUse(), addresses.filter(isNew));
+    addresses.forEach((address) => {
+      const peer = peers.get(address);
+      if (peer?.isLive) {
+        peer.isNew = false;
+      }
+    });
   }
 
   function receive(bytes: Buffer): void {
@@ -184,6 +210,9 @@
     if (message.life === peer.life && message.sequence <= peer.sequence) {
       return;
     }
+    if (message.life !== peer.life || !peer.isLive) {
+      peer.isNew = true;
+    }
     Object.assign(peer, { life: message.life, sequence: message.sequence });
     peer.heardAtMs = monotonicNowMs();
     if (!peer.isLive) {
