Resume streams that break late, leave paused ones alone, gather changes of the store

Mended: a resumed stream waits anew; only an engine that answers nobody is given up early; after a change the next watch waits 150 ms for others.

--- a/packages/routing/src/objectFollower.ts
+++ b/packages/routing/src/objectFollower.ts
@@ -49,6 +49,8 @@
 const defaultRetryLimitMs = 500;
 const shortestWaitMs = 1;
 const behindMs = 250;
+/** Changes come in bursts: those of this time after one are fetched by one call. */
+const gatherMs = 150;
 
 export function createObjectFollower(options: ObjectFollowerOptions): ObjectFollower {
   const { store, kind, watchWaitMs, random = Math.random } = options;
@@ -56,6 +58,7 @@
   let isBack = false;
   let seenRevision = 0;
   let isRefreshDue = false;
+  let hadEvents = false;
   let currentWatch = new AbortController();
   let behindTimer: NodeJS.Timeout | undefined;
 
@@ -76,6 +79,7 @@
     // held back for the outage must not be held for the length of a watch longer.
     const waitMs = isBack && !isRefreshDue ? watchWaitMs() : shortestWaitMs;
     isRefreshDue = false;
+    hadEvents = false;
     currentWatch = new AbortController();
     const either = AbortSignal.any([signal, currentWatch.signal]);
     const reply = await store.watch(kind, cursor, waitMs, either);
@@ -84,6 +88,7 @@
     }
     noteAnswer(reply, signal);
     return reply.map(({ events, cursor: next, compacted }) => {
+      hadEvents = events.length > 0;
       events.forEach(applyEvent);
       return compacted ? undefined : next;
     });
@@ -138,6 +143,9 @@
       if (next.isOk()) {
         cursor = next.value;
         failures = 0;
+        if (hadEvents) {
+          await delay(gatherMs, signal);
+        }
       } else {
         await delay(pauseMs(failures), signal);
         failures += 1;
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -35,8 +35,11 @@
 const leastPatienceMs = 2_000;
 /** The rest is for a prefill that takes longer than expected, and the way to the caller. */
 const patienceShare = 0.75;
-/** Of a caller's patience: what is left is enough to begin elsewhere. */
-const quietShare = 0.6;
+/**
+ * Of a caller's patience. An engine that is alive may pause a stream for want of memory and take it up again,
+ * so only one that answers nobody is given up early.
+ */
+const quietShare = 1;
 const silentQuietShare = 0.2;
 
 export async function serveStream(
@@ -132,12 +135,15 @@
   const { request, route, service } = state;
   const startedAtMs = monotonicNowMs();
   const expectedMs = prefillStage.expectedMs(service.name, size.promptTokens) + startMarginMs;
-  const patienceAtMs = request.arrivedAtMs + callerPatienceMs(route);
+  // A caller that has events already waits anew for the next one.
+  const isResumed = state.sentCount > 0;
+  const waitsFromMs = isResumed ? startedAtMs : request.arrivedAtMs;
+  const patienceAtMs = waitsFromMs + callerPatienceMs(route);
   const outcome = await parts.placement.place({
     serviceName: service.name,
     engine,
     tokens: neededTokens(size),
-    isResumed: state.sentCount > 0,
+    isResumed,
     priority: route.priority,
     arrivedAtMs: request.arrivedAtMs,
     onTimeUntilMs: request.arrivedAtMs + route.targetLatencyMs - expectedMs,
