--- a/packages/routing/__tests__/decodePlacement.test.ts
+++ b/packages/routing/__tests__/decodePlacement.test.ts
@@ -13,10 +13,8 @@
 import type { PlacementOutcome, PlacementRequest } from '../src/decodePlacement';
 
 const engine: EngineSettings = {
-  slots: 64,
   kvTokens: 10_000,
   reservationLimitMs: 2_000,
-  prefillLifetimeMs: 500,
   stageSwitchMs: 6_000,
 };
 
--- a/packages/routing/__tests__/stageKeeper.test.ts
+++ b/packages/routing/__tests__/stageKeeper.test.ts
@@ -70,10 +70,8 @@
           name: 's',
           maxConnections: 10,
           engine: {
-            slots: 64,
             kvTokens: 1_000,
             reservationLimitMs: 2_000,
-            prefillLifetimeMs: 500,
             stageSwitchMs: 6_000,
           },
         },
--- a/packages/routing/src/backendConnections.ts
+++ b/packages/routing/src/backendConnections.ts
@@ -41,8 +41,6 @@
 
 export interface BackendConnections {
   call(call: HttpCall): Promise<HttpOutcome>;
-  /** Connections opened since the start. */
-  openedCount(): number;
   /** Closes what is idle to an address. */
   forget(address: string): void;
   close(): Promise<void>;
@@ -83,7 +81,6 @@
   const { connectTimeoutMs = defaultConnectTimeoutMs, idleMs = defaultIdleMs, onOpened } = options;
   const pools = new Map<string, AddressPool>();
   const all = new Set<Connection>();
-  let openedCount = 0;
 
   function poolOf(address: string): AddressPool {
     const known = pools.get(address);
@@ -119,7 +116,6 @@
     client.on('disconnect', onGone);
     client.on('connectionError', onGone);
     pool.openCount += 1;
-    openedCount += 1;
     all.add(connection);
     onOpened?.();
     return connection;
@@ -168,7 +164,6 @@
 
   return {
     call,
-    openedCount: () => openedCount,
     forget(address) {
       const pool = pools.get(address);
       pool?.idle.slice().forEach((connection) => close(connection, pool));
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -36,12 +36,10 @@
   release(): void;
 }
 
-export type PlacementOutcome =
-  { kind: 'placed'; placement: Placement } | { kind: 'no-server' } | { kind: 'no-capacity' };
+export type PlacementOutcome = { kind: 'placed'; placement: Placement } | { kind: 'no-capacity' };
 
 export interface DecodePlacement {
   place(request: PlacementRequest): Promise<PlacementOutcome>;
-  waitingCount(serviceName: string): number;
 }
 
 export interface DecodePlacementOptions {
@@ -194,11 +192,7 @@
     };
   }
 
-  return {
-    place,
-    waitingCount: (serviceName) =>
-      [...waiters].filter((waiter) => waiter.serviceName === serviceName).length,
-  };
+  return { place };
 }
 
 function compareWaiters(left: Waiter, right: Waiter, nowMs: number): number {
--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/engineLoads.ts
@@ -28,7 +28,6 @@
   freeTokens(serverId: string, capacityTokens: number): number;
   /** Prompt tokens before a new prompt's turn. */
   prefillBacklogTokens(serverId: string): number;
-  load(serverId: string): EngineLoad | undefined;
   forget(serverId: string): void;
   /** What this process itself has in progress. */
   ownUse(): PeerEngineUse[];
@@ -205,7 +204,6 @@
       const reported = peerAddresses.size > 0 ? 0 : (state.load?.waiting ?? 0);
       return total(state, 'prefillTokens') + reported * reportedPromptTokens;
     },
-    load: (serverId) => engines.get(serverId)?.load,
     forget: (serverId) => engines.delete(serverId),
     ownUse: () =>
       [...engines]
--- a/packages/routing/src/model.ts
+++ b/packages/routing/src/model.ts
@@ -39,14 +39,10 @@
 
 /** Figures of a service's model engines. */
 export interface EngineSettings {
-  /** Requests at once in one engine. */
-  slots: number;
   /** Memory of one engine. */
   kvTokens: number;
   /** Longest reservation that an engine grants. */
   reservationLimitMs: number;
-  /** How long an engine keeps a prefill result that nobody takes. */
-  prefillLifetimeMs: number;
   /** How long an engine is away while it changes its stage. */
   stageSwitchMs: number;
 }
@@ -136,9 +132,7 @@
   noConfiguration: 'no-configuration',
   noServer: 'no-server',
   noCapacity: 'no-capacity',
-  deadline: 'deadline',
   rejected: 'rejected',
-  poisonous: 'poisonous',
   overloaded: 'overloaded',
 } as const;
 export type NotRunReason = (typeof notRunReasons)[keyof typeof notRunReasons];
