--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -73,7 +73,7 @@
       .sort((left, right) => left.backlog - right.backlog || left.tie - right.tie)[0]?.server;
   }
 
-  function expectedAtMs(server: BackendServer, promptTokens: number): number {
+  function expectedPrefillMs(server: BackendServer, promptTokens: number): number {
     const tokens = engineLoads.prefillBacklogTokens(server.id) + promptTokens;
     return tokens / tokensPerMs() + Math.max(0, excessMs.mean());
   }
@@ -91,7 +91,7 @@
     if (engineLoads.ownPrompts(decodeServer.id) > 0 || ownMs > targetGapMs) {
       return false;
     }
-    const prefillMs = expectedAtMs(prefillServer, promptTokens);
+    const prefillMs = expectedPrefillMs(prefillServer, promptTokens);
     const leftMs = state.request.arrivedAtMs + targetLatencyMs - monotonicNowMs() - firstEventMs;
     const saves = prefillMs > leftMs && ownMs <= leftMs;
     return saves || prefillMs > longQueueFactor * ownMs;
@@ -128,7 +128,7 @@
     promptTokens: number,
   ): Promise<PrefillResult | undefined> {
     const backlogTokens = engineLoads.prefillBacklogTokens(server.id);
-    const expectedMs = expectedAtMs(server, promptTokens);
+    const expectedMs = expectedPrefillMs(server, promptTokens);
     const release = engineLoads.beginPrefill(server.id, promptTokens);
     const startedAtMs = monotonicNowMs();
     const outcome = await backend.prefill(server, state.request, {
@@ -164,7 +164,7 @@
     run,
     expectedMs(serviceName, promptTokens) {
       const expected = usableServers(serviceName).map((server) =>
-        expectedAtMs(server, promptTokens),
+        expectedPrefillMs(server, promptTokens),
       );
       const ownMs = promptTokens / (tokensPerMs() * decodeReadSpeed);
       return Math.min(ownMs * longQueueFactor, ...expected);
