--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -174,7 +174,9 @@
 async function serve(fleet, example, options, stopRequested) {
   const [{ callerAddress }] = fleet.entries;
   print(`ready on ${fleet.entries.map((entry) => entry.callerAddress).join(' and ')}`);
-  print('processes trust each other without keys (BLUEBELL_INSECURE_INNER); see docs/OPERATIONS.md');
+  print(
+    'processes trust each other without keys (BLUEBELL_INSECURE_INNER); see docs/OPERATIONS.md',
+  );
   print(`try: ${curlLine(callerAddress, example)}`);
   const outcome = options.once
     ? await showOnce(callerAddress, example).then(
