Begin no stream at a server that has left since its memory was reserved

Ruled out: shorter prefill time-outs (they narrow the gap, and readings that take long are lost by them). Mended: after the prefill the server is looked up again; one that leaves gets nothing, its reservation and the prefill are released, and the stream finds another place.

--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -4,6 +4,7 @@
 import type { Placement, PlacementOutcome } from './decodePlacement';
 import {
   notRunReasons,
+  type BackendServer,
   type EngineSettings,
   type NotRunReason,
   type PromptSize,
@@ -106,14 +107,16 @@
       ? { kind: 'at-decode' }
       : await prefillStage.run(state, size.promptTokens, server);
   if (prefill.kind === 'failed' || state.signal.aborted) {
-    if (prefill.kind === 'done') {
-      parts.backend.releasePrefill(prefill.result);
-      parts.metrics.countWastedPrefillTokens(size.promptTokens);
-    }
-    parts.backend.releaseReservation(placement.reservation);
+    release(run, placement, prefill.kind === 'done' ? prefill.result : undefined);
     return { kind: 'not-run', reason: notRunReasons.noCapacity };
   }
   const result = prefill.kind === 'done' ? prefill.result : undefined;
+  // Reading the prompt may have taken long. A server that leaves gets no new work, reserved or not.
+  if (isLeaving(server, parts)) {
+    noteStep(state, `decode ${server.id} leaves`);
+    release(run, placement, result);
+    return { kind: 'not-run', reason: notRunReasons.rejected };
+  }
   const endOwnPrompt =
     result === undefined ? parts.engineLoads.beginOwnPrompt(server.id) : () => undefined;
   run.relay.onFirstEvent(endOwnPrompt);
@@ -125,6 +128,23 @@
   return outcome;
 }
 
+function isLeaving({ id }: BackendServer, { directory }: RouterParts): boolean {
+  return directory.get(id)?.isDraining ?? true;
+}
+
+/** Gives back what was set aside for a run that does not come about. */
+function release(
+  { parts, size }: StreamRun,
+  { reservation }: Placement,
+  result: PrefillResult | undefined,
+): void {
+  parts.backend.releaseReservation(reservation);
+  if (result !== undefined) {
+    parts.backend.releasePrefill(result);
+    parts.metrics.countWastedPrefillTokens(size.promptTokens);
+  }
+}
+
 async function decode(
   run: StreamRun,
   placement: Placement,
