Read large answers of the store to their end

Cause: on thin links (7 Mbit/s on the grown sites) a configuration of 1,400 routes takes longer than the store client's time-outs (0.7 s for a watch, 1.5 s for a list, of the whole answer), and a router whose peers had the configuration gave its call up every 250 ms to a second to begin anew. 13 of 21 routers had version 5 at 33.8 s in place of 14.3 s, and refused its routes with 404 meanwhile.

Ruled out: a lost watch (the store answered the others within 75 ms), a configuration that could not be read (no finding in the logs).

--- a/packages/routing/__tests__/objectFollower.test.ts
+++ b/packages/routing/__tests__/objectFollower.test.ts
@@ -111,3 +111,42 @@
   await follow(script, 500, (follower) => follower.noteRevisionElsewhere(0));
   t.deepEqual(script.watchWaitsMs, [1_800]);
 });
+
+test('a long answer is not given up because other processes have it already', async (t) => {
+  // Callers of this router would get 404 for new routes. Its link is thin and the new configuration large: the
+  // answer takes two seconds. Peers with thicker links have it and say so each second; each time the router
+  // would give its call up and begin anew, and never have the configuration.
+  const slowMs = 2_000;
+  const script = scriptedStore(() => reply());
+  const waits: number[] = [];
+  let isSlow = false;
+  script.api.watch = ((_kind: unknown, _cursor: unknown, waitMs: number, signal?: AbortSignal) => {
+    waits.push(waitMs);
+    const said = isSlow ? reply({ cursor: '9', events: [putOf(9)] }) : reply();
+    return new ResultAsync(
+      new Promise<Result<WatchReply, PlatformError>>((resolve) => {
+        setTimeout(() => resolve(ok(said)), isSlow ? slowMs : waitMs);
+        signal?.addEventListener('abort', () =>
+          resolve(err({ kind: 'unavailable', detail: 'aborted' })),
+        );
+      }),
+    );
+  }) as unknown as ObjectApi['watch'];
+  await follow(script, 4_000, (follower) => {
+    isSlow = true;
+    const tell = () => {
+      follower.noteRevisionElsewhere(9);
+      if (script.log.includes('put')) {
+        return;
+      }
+      setTimeout(tell, 1_000);
+    };
+    tell();
+  });
+  t.true(script.log.includes('put'), `calls: ${waits.join(', ')}`);
+});
+
+function putOf(version: number): WatchReply['events'][number] {
+  const kind = objectKinds.backendServer;
+  return { kind: 'put', object: { kind, key: 'w1', version, value: {} } };
+}
--- a/packages/routing/src/objectFollower.ts
+++ b/packages/routing/src/objectFollower.ts
@@ -59,7 +59,8 @@
   let seenRevision = 0;
   let isRefreshDue = false;
   let hadEvents = false;
-  let currentWatch = new AbortController();
+  /** A watch that waits for a change; a call that is answered at once is left to its own time-out. */
+  let waitingWatch: AbortController | undefined;
   let behindTimer: NodeJS.Timeout | undefined;
 
   async function step(
@@ -80,10 +81,11 @@
     const waitMs = isBack && !isRefreshDue ? watchWaitMs() : shortestWaitMs;
     isRefreshDue = false;
     hadEvents = false;
-    currentWatch = new AbortController();
-    const either = AbortSignal.any([signal, currentWatch.signal]);
+    const givenUp = new AbortController();
+    waitingWatch = waitMs > shortestWaitMs ? givenUp : undefined;
+    const either = AbortSignal.any([signal, givenUp.signal]);
     const reply = await store.watch(kind, cursor, waitMs, either);
-    if (currentWatch.signal.aborted) {
+    if (givenUp.signal.aborted) {
       return ok(cursor);
     }
     noteAnswer(reply, signal);
@@ -103,9 +105,13 @@
     seenRevision = Math.max(seenRevision, revision);
   }
 
+  /**
+   * Gives up a watch that waits: its connection may be silent. The call that follows is not given up, however
+   * often peers say that they are ahead: on a thin link its answer may take seconds, and would never be read.
+   */
   function refresh(): void {
     isRefreshDue = true;
-    currentWatch.abort();
+    waitingWatch?.abort();
   }
 
   /** The change may be on its way here as well: a moment's patience saves a call. */
