Soak real router processes under seeded faults

packages/soak runs the built router as processes before stand-ins of the store and of backend servers, through loopback proxies, with callers that keep their connections: kills, stops, freezes, reloads, cut and slow links, lost and slow store, crashing, leaving and failing servers, changing configurations, overlapping. It checks what callers and servers see while it runs. The stand-ins moved to platform/standins, which writes the wire as platform/src reads it; the random scripts on a paused clock are `npm run random-scripts` now.

Signals in the first 0.1 s, before Node has loaded a module, still end it.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -9,7 +9,11 @@
 
 const repositoryRoot = import.meta.dirname;
 const testFiles = ['packages/*/__tests__/**/*.ts', 'platform/__tests__/**/*.ts'];
-const sourceFiles = ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'];
+const sourceFiles = [
+  'packages/*/src/**/*.ts',
+  'platform/src/**/*.ts',
+  'platform/standins/src/**/*.ts',
+];
 const typescriptFiles = ['**/*.ts'];
 const scriptFiles = ['**/*.mjs', '*.js'];
 
--- a/packages/scenarios/__tests__/support/runRandomScripts.ts
+++ b/packages/scenarios/__tests__/support/runRandomScripts.ts
@@ -1,4 +1,4 @@
-/** Random scripts of some seeds, started by `scripts/soak.mjs`. The last line is their counts, in JSON. */
+/** Random scripts of some seeds, started by `scripts/randomScripts.mjs`. The last line is their counts, in JSON. */
 import { parseArgs } from 'node:util';
 import { findFailure } from './randomScripts';
 
--- /dev/null
+++ b/packages/soak/src/callers.ts
@@ -0,0 +1,154 @@
+/**
+ * Callers as the platform has them: each keeps its connection to a router until that is closed or broken,
+ * then goes where the balancer sends it. A caller never sends a request again.
+ */
+import { Agent } from 'node:http';
+import { callRouter, type CallEnd } from '@bluebellhitch/platform-standins';
+import { routeKinds, type Route } from '@bluebellhitch/routing';
+import {
+  createBackgroundLoop,
+  delay,
+  monotonicNowMs,
+  type BackgroundLoop,
+  type Random,
+} from '@bluebellhitch/shared';
+import { callersHost } from './configurationPlan';
+import type { Ledger, RequestEnd, SentRequest } from './ledger';
+import type { RouterProcessHandle } from './routerFleet';
+
+export interface CallersOptions {
+  count: number;
+  routers: readonly RouterProcessHandle[];
+  routes: readonly Route[];
+  ledger: Ledger;
+  random: Random;
+  onEnded(request: SentRequest): void;
+}
+
+export interface Callers {
+  loops: readonly BackgroundLoop[];
+  /** Multiplies the rate. */
+  setFactor(factor: number): void;
+  /** Sends a probe on a connection of its own. */
+  probe(router: RouterProcessHandle, route: Route, target: string): Promise<SentRequest>;
+}
+
+/** Mean pause of a caller between an answer and its next request. */
+const meanPauseMs = 120;
+const leaveShare = 0.04;
+const longestStayMs = 150;
+/** Statuses that promise that the request has not run and will not. */
+const notRunStatuses: readonly number[] = [408, 421, 429, 503];
+const prompt = { promptTokens: 1_000, maxOutputTokens: 100 };
+const msPerSecond = 1_000;
+
+interface Connection {
+  router: RouterProcessHandle;
+  agent: Agent;
+}
+
+export function createCallers(options: CallersOptions): Callers {
+  const { ledger, random, routers } = options;
+  let factor = 1;
+  let requestCount = 0;
+
+  function startRequest(router: RouterProcessHandle, route: Route, isProbe: boolean): SentRequest {
+    requestCount += 1;
+    return ledger.send({
+      id: `q${requestCount}`,
+      routerName: router.name,
+      routeName: route.name,
+      routeKind: route.kind,
+      isRepeatable: route.kind === routeKinds.idempotent || route.allowsResume,
+      timeoutMs: route.timeoutMs,
+      isProbe,
+    });
+  }
+
+  async function call(
+    router: RouterProcessHandle,
+    route: Route,
+    target: string,
+    { agent, stayMs }: { agent?: Agent; stayMs?: number },
+  ): Promise<{ request: SentRequest; keepsConnection: boolean }> {
+    const request = startRequest(router, route, agent === undefined);
+    const leaving = new AbortController();
+    const timer = stayMs === undefined ? undefined : setTimeout(() => leaving.abort(), stayMs);
+    const end = await callRouter({
+      address: router.callersAddress,
+      host: callersHost,
+      target,
+      requestId: request.id,
+      deadlineMs: route.timeoutMs,
+      prompt: route.kind === routeKinds.stream ? prompt : undefined,
+      signal: leaving.signal,
+      agent,
+    });
+    clearTimeout(timer);
+    request.endedAtMs = monotonicNowMs();
+    request.end = leaving.signal.aborted ? { kind: 'caller-left' } : requestEndOf(end);
+    options.onEnded(request);
+    return { request, keepsConnection: !leaving.signal.aborted && keepsConnection(end) };
+  }
+
+  function connect(): Connection | undefined {
+    const inRotation = routers.filter((router) => router.isInRotation());
+    // With no router in rotation the balancer uses all of them.
+    const usable = inRotation.length > 0 ? inRotation : routers.filter((one) => one.isRunning());
+    const router = usable[Math.floor(random() * usable.length)];
+    return router && { router, agent: new Agent({ keepAlive: true, maxSockets: 1 }) };
+  }
+
+  function createCaller(): BackgroundLoop {
+    return createBackgroundLoop(async (signal) => {
+      let connection: Connection | undefined;
+      while (!signal.aborted) {
+        await delay((-Math.log(1 - random()) * meanPauseMs) / factor, signal);
+        connection ??= connect();
+        if (connection !== undefined && !signal.aborted) {
+          const route = options.routes[Math.floor(random() * options.routes.length)] as Route;
+          const stayMs = random() < leaveShare ? random() * longestStayMs : undefined;
+          const { router, agent } = connection;
+          const target = `${route.pathPrefix}${requestCount}`;
+          const { keepsConnection: isKept } = await call(router, route, target, { agent, stayMs });
+          if (!isKept) {
+            agent.destroy();
+            connection = undefined;
+          }
+        }
+      }
+      connection?.agent.destroy();
+    });
+  }
+
+  return {
+    loops: Array.from({ length: options.count }, createCaller),
+    setFactor(next) {
+      factor = next;
+    },
+    probe: async (router, route, target) => (await call(router, route, target, {})).request,
+  };
+}
+
+function keepsConnection(end: CallEnd): boolean {
+  return end.kind === 'answered' && end.answer.isWhole && end.answer.headers.connection !== 'close';
+}
+
+function requestEndOf(end: CallEnd): RequestEnd {
+  if (end.kind === 'no-answer') {
+    return end;
+  }
+  const { status, body, isSealed, isWhole, headers } = end.answer;
+  if (!isWhole) {
+    return { kind: 'broken', status, body };
+  }
+  if (isSealed) {
+    return { kind: 'whole', status, body };
+  }
+  if (!notRunStatuses.includes(status)) {
+    return { kind: 'failed', status };
+  }
+  const seconds = Number(headers['retry-after']);
+  const retryAfterMs = Number.isFinite(seconds) ? seconds * msPerSecond : undefined;
+  return { kind: 'refused', status, retryAfterMs };
+}
--- /dev/null
+++ b/packages/soak/src/operator.ts
@@ -0,0 +1,185 @@
+/** Carries out a script's operations, and notes what each disturbs for how long. */
+import { delay } from '@bluebellhitch/shared';
+import type { StandinStore } from '@bluebellhitch/platform-standins';
+import type { BackendServers } from './backendServers';
+import type { Callers } from './callers';
+import type { ConfigurationPlan } from './configurationPlan';
+import type { Disruptions, Subject } from './disruptions';
+import { promises, type Findings } from './findings';
+import type { RouterProcessHandle } from './routerFleet';
+import type { Operation } from './script';
+
+export interface OperatorOptions {
+  store: StandinStore;
+  servers: BackendServers;
+  routers: readonly RouterProcessHandle[];
+  callers: Callers;
+  plan: ConfigurationPlan;
+  disruptions: Disruptions;
+  findings: Findings;
+  /** From the signal to stop until the process must have ended. */
+  graceMs: number;
+  marginMs: number;
+}
+
+export interface Operator {
+  /** Resolves when the operation is over, with all that it changed set back. */
+  carryOut(operation: Operation): Promise<void>;
+}
+
+/**
+ * Until the runtime has loaded a program's first module, any signal ends the process, whatever the program does;
+ * measured at 0.1 s, and several times that on a busy machine.
+ */
+const signalsTakenMs = 800;
+
+type OperationOf<Kind extends Operation['kind']> = Extract<Operation, { kind: Kind }>;
+type LinkOperation = Pick<OperationOf<'store-link'>, 'link' | 'forMs'>;
+/** Several operations on one thing: each takes its turn, so that none undoes another's half. */
+type Turns = Map<string, Promise<void>>;
+
+export function createOperator(options: OperatorOptions): Operator {
+  const { store, servers, routers, callers, plan, disruptions, findings } = options;
+  const turns: Turns = new Map();
+  const routerAt = (index: number) => routers[index] as RouterProcessHandle;
+  const subjectOf = ({ name }: RouterProcessHandle): Subject => ({ kind: 'router', name });
+  const serverAt = (place: number): Subject => ({ kind: 'server', id: servers.serverId(place) });
+
+  function inTurn(key: string, run: () => Promise<void>): Promise<void> {
+    const turn = (turns.get(key) ?? Promise.resolve()).then(run);
+    turns.set(key, turn);
+    return turn;
+  }
+
+  /** Disturbs the subject for a time. */
+  async function disturb(
+    subject: Subject,
+    cause: string,
+    forMs: number,
+    { begin, end }: { begin: () => void; end: () => void },
+  ): Promise<void> {
+    const ended = disruptions.begin(subject, cause);
+    begin();
+    await delay(forMs);
+    end();
+    ended();
+  }
+
+  async function killRouter(router: RouterProcessHandle, downMs: number): Promise<void> {
+    const ended = disruptions.begin(subjectOf(router), 'killed');
+    await router.kill();
+    await delay(downMs);
+    router.start();
+    ended();
+  }
+
+  async function stopRouter(router: RouterProcessHandle, downMs: number): Promise<void> {
+    const ended = disruptions.begin(subjectOf(router), 'stopped', { isPlanned: true });
+    const stopped = await router.stop();
+    if (stopped !== undefined) {
+      const { exitCode, tookMs } = stopped;
+      if (exitCode !== 0 || tookMs > options.graceMs + options.marginMs) {
+        const detail = `${router.name} stopped with ${exitCode} after ${Math.round(tookMs)} ms`;
+        findings.add(promises.leaving, detail);
+      }
+    }
+    await delay(downMs);
+    router.start();
+    ended();
+  }
+
+  function freezeRouter(router: RouterProcessHandle, forMs: number): Promise<void> {
+    return disturb(subjectOf(router), 'frozen', forMs, { begin: router.freeze, end: router.thaw });
+  }
+
+  /** Signals to one process follow each other; what strikes its links goes on meanwhile. */
+  function signalRouter(index: number, run: (router: RouterProcessHandle) => Promise<void>) {
+    return inTurn(`router ${index}`, () => run(routerAt(index)));
+  }
+
+  async function reloadRouter(router: RouterProcessHandle): Promise<void> {
+    await delay(Math.max(0, signalsTakenMs - router.upMs()));
+    const ended = disruptions.begin(subjectOf(router), 'reloaded', { isPlanned: true });
+    router.reload();
+    ended();
+  }
+
+  async function resetLinks(subject: Subject, reset: () => void): Promise<void> {
+    const ended = disruptions.begin(subject, 'connections reset');
+    reset();
+    ended();
+  }
+
+  function linkStore(router: RouterProcessHandle, { link, forMs }: LinkOperation): Promise<void> {
+    return inTurn(`store link ${router.name}`, () =>
+      disturb(subjectOf(router), `store link ${link.kind}`, forMs, {
+        begin: () => router.storeLink.setFault(link),
+        end: () => router.storeLink.setFault({ kind: 'none' }),
+      }),
+    );
+  }
+
+  function failStore({ fault, forMs }: OperationOf<'store-fault'>): Promise<void> {
+    return inTurn('store', () =>
+      disturb({ kind: 'store' }, `store ${fault.kind}`, forMs, {
+        begin: () => store.setFault(fault),
+        end: () => store.setFault({ kind: 'none' }),
+      }),
+    );
+  }
+
+  function linkServer({ server, link, forMs }: OperationOf<'server-link'>): Promise<void> {
+    return inTurn(`server ${server}`, () =>
+      disturb(serverAt(server), link.kind, forMs, {
+        begin: () => servers.setLink(server, link),
+        end: () => servers.setLink(server, { kind: 'none' }),
+      }),
+    );
+  }
+
+  function failServer(operation: OperationOf<'server-errors'>): Promise<void> {
+    const { server, run, forMs } = operation;
+    return disturb(serverAt(server), run.kind, forMs, {
+      begin: () => servers.setErrors(server, operation),
+      end: () => servers.setErrors(server, undefined),
+    });
+  }
+
+  async function raiseLoad({ factor, forMs }: OperationOf<'burst'>): Promise<void> {
+    callers.setFactor(factor);
+    await delay(forMs);
+    callers.setFactor(1);
+  }
+
+  const handlers: { [Kind in Operation['kind']]: (operation: OperationOf<Kind>) => Promise<void> } =
+    {
+      'kill-router': ({ router, downMs }) =>
+        signalRouter(router, (process) => killRouter(process, downMs)),
+      'stop-router': ({ router, downMs }) =>
+        signalRouter(router, (process) => stopRouter(process, downMs)),
+      'freeze-router': ({ router, forMs }) =>
+        signalRouter(router, (process) => freezeRouter(process, forMs)),
+      'reload-router': ({ router }) => signalRouter(router, reloadRouter),
+      'store-link': (operation) => linkStore(routerAt(operation.router), operation),
+      'store-reset': ({ router }) =>
+        resetLinks(subjectOf(routerAt(router)), routerAt(router).storeLink.resetAll),
+      'store-fault': failStore,
+      'forget-history': () => resetLinks({ kind: 'store' }, store.compact),
+      'crash-server': ({ server, downMs }) =>
+        inTurn(`server ${server}`, () => servers.crash(server, downMs)),
+      'replace-server': ({ server }) => inTurn(`server ${server}`, () => servers.replace(server)),
+      'server-link': linkServer,
+      'server-reset': ({ server }) =>
+        resetLinks(serverAt(server), () => servers.resetLinks(server)),
+      'server-errors': failServer,
+      'change-configuration': ({ change }) => Promise.resolve(plan.change(change)),
+      burst: raiseLoad,
+    };
+
+  return {
+    carryOut(operation) {
+      const handler = handlers[operation.kind] as (one: Operation) => Promise<void>;
+      return handler(operation);
+    },
+  };
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -13,6 +13,7 @@
   'bluebell-agent': 'packages/agent/src/bin.ts',
   bluebellctl: 'packages/ctl/src/bin.ts',
   'bluebell-bench': 'packages/bench/src/bin.ts',
+  'bluebell-soak': 'packages/soak/src/bin.ts',
   'development-fleet': 'packages/bench/src/fleet/developmentFleet.ts',
   'standin-engine': 'packages/standins/src/bin/standinEngine.ts',
   'standin-platform': 'packages/standins/src/bin/standinPlatform.ts',
--- a/scripts/lint/layering.mjs
+++ b/scripts/lint/layering.mjs
@@ -13,10 +13,14 @@
   ['scenarios'],
   // Translates for the users' platform: it may use what is below, and nothing may use it.
   ['platform'],
+  // The platform's outside, for tests: it speaks the same wire, so it may share the translations' types.
+  ['platform-standins'],
+  // Runs the platform's router as processes before those stand-ins.
+  ['soak'],
 ];
 
 /** Packages that do not lie under packages/. */
-const folders = { platform: 'platform' };
+const folders = { platform: 'platform', 'platform-standins': 'platform/standins' };
 
 /** Edges inside a layer; each needs a reason. */
 const extraEdges = {
@@ -47,6 +51,7 @@
       ...allowedImports(name),
       name,
       'standins',
+      ...(name === 'platform' ? ['platform-standins'] : []),
     ]),
   ];
 });
--- a/scripts/randomScripts.mjs
+++ b/scripts/randomScripts.mjs
@@ -1,12 +1,12 @@
 /**
- * `npm run soak -- --minutes N --seed S`: random scripts of failures over a world of real entries and
+ * `npm run random-scripts -- --minutes N --seed S`: random scripts of failures over a world of real entries and
  * agents, from seed S on, for N minutes. Prints the seed and the shrunk script of the first failure.
  */
 import { spawn } from 'node:child_process';
 import { parseArgs } from 'node:util';
 import { repositoryRoot } from './lib/repository.mjs';
 
-const program = 'packages/scenarios/__tests__/support/soak.ts';
+const program = 'packages/scenarios/__tests__/support/runRandomScripts.ts';
 /** A process of its own for each stretch of seeds bounds what worlds leave behind in memory. */
 const seedsPerProcess = 4;
 const msPerMinute = 60_000;
