Divide large fleets into parts that hear each other

Cause: what a router looked at and said grew with the fleet. Each look at a waiting request scanned all engines, the sharing out of load reports hashed each engine with each router up to a hundred times a second, a stage plan sorted with a count in its comparison, and each router told an arbitrary 24 of the others, whose users were others again.

Change: routers and servers are divided into as many parts, from addresses and ids alone; a router uses its part's servers, tells its part's routers, and goes to one other part's servers only where its own have no room. Routers of other parts are told a few addresses with their ages. One look at the pools serves all that wait, reports are shared out twice a second, several engines of a large pool change their stage at once, and what peers say of servers that are not listed is not kept.

Ruled out: telling all (300 datagrams for each change), and an owner for each engine that is asked (a round trip before each prompt, and one more process that may be gone).

--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -89,4 +89,5 @@
   encodePeerMessage,
   type PeerEngineUse,
   type PeerMessage,
+  type PeerSighting,
 } from './peerMessages';
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -17,6 +17,12 @@
   isSilent: boolean;
 }
 
+/** A router and how long ago it was last heard by anyone. */
+export interface PeerSighting {
+  address: string;
+  ageMs: number;
+}
+
 export interface PeerMessage {
   /** `ip:port` where the sender takes such messages. */
   senderAddress: string;
@@ -28,7 +34,7 @@
   isFull: boolean;
   engines: PeerEngineUse[];
   /** Other routers that the sender knows. */
-  peerAddresses: string[];
+  peers: PeerSighting[];
   /** For each kind of objects that routers follow: the newest revision that the sender has seen. */
   seenRevisions: number[];
 }
@@ -39,17 +45,19 @@
 
 /** Positions instead of names: the names would be most of a message. */
 const wireSchema = z.tuple([
-  z.literal(1),
+  z.literal(2),
   addressSchema,
   z.string().max(16),
   count,
   flag,
   z.array(z.tuple([z.string().max(64), count, count, count, flag])).max(2_048),
-  z.array(addressSchema).max(64),
+  z.array(z.tuple([addressSchema, count])).max(64),
   z.array(count).max(8),
 ]);
 
-const formatVersion = 1;
+const formatVersion = 2;
+/** Ages are sent in tenths of a second. */
+const msPerAgeUnit = 100;
 
 export function encodePeerMessage(message: PeerMessage): Buffer {
   const { senderAddress, life, sequence, isFull, engines } = message;
@@ -61,7 +69,11 @@
     use.isSilent ? 1 : 0,
   ]);
   const head = [formatVersion, senderAddress, life, sequence, isFull ? 1 : 0];
-  return Buffer.from(JSON.stringify([...head, rows, message.peerAddresses, message.seenRevisions]));
+  const sightings = message.peers.map(({ address, ageMs }) => [
+    address,
+    Math.round(ageMs / msPerAgeUnit),
+  ]);
+  return Buffer.from(JSON.stringify([...head, rows, sightings, message.seenRevisions]));
 }
 
 /** Undefined for anything that is not such a message. */
@@ -76,7 +88,7 @@
   if (!parsed.success) {
     return undefined;
   }
-  const [, senderAddress, life, sequence, full, rows, peerAddresses, seenRevisions] = parsed.data;
+  const [, senderAddress, life, sequence, full, rows, sightings, seenRevisions] = parsed.data;
   return {
     senderAddress,
     life,
@@ -89,7 +101,7 @@
       ownPrompts,
       isSilent: silent === 1,
     })),
-    peerAddresses,
+    peers: sightings.map(([address, age]) => ({ address, ageMs: age * msPerAgeUnit })),
     seenRevisions,
   };
 }
--- a/packages/routing/__tests__/decodePlacement.test.ts
+++ b/packages/routing/__tests__/decodePlacement.test.ts
@@ -4,6 +4,7 @@
 import {
   createDecodePlacement,
   createEngineLoads,
+  createFleetPart,
   createServerDirectory,
   type BackendServer,
   type CallOutcome,
@@ -41,7 +42,7 @@
   const dropped: string[] = [];
   const answers = new Map<string, CallOutcome<Reservation>>();
   const placement = createDecodePlacement({
-    directory,
+    pools: createFleetPart({ directory }),
     loads,
     health: createOutlierDetector(),
     backend: {
--- a/packages/routing/__tests__/objectFollower.test.ts
+++ b/packages/routing/__tests__/objectFollower.test.ts
@@ -120,7 +120,7 @@
   const script = scriptedStore(() => reply());
   const waits: number[] = [];
   let isSlow = false;
-  script.api.watch = ((_kind: unknown, _cursor: unknown, waitMs: number, signal?: AbortSignal) => {
+  script.api.watch = (_kind: unknown, _cursor: unknown, waitMs: number, signal?: AbortSignal) => {
     waits.push(waitMs);
     const said = isSlow ? reply({ cursor: '9', events: [putOf(9)] }) : reply();
     return new ResultAsync(
@@ -131,7 +131,7 @@
         );
       }),
     );
-  }) as unknown as ObjectApi['watch'];
+  };
   await follow(script, 4_000, (follower) => {
     isSlow = true;
     const tell = () => {
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -3,12 +3,12 @@
  * a place to decode is wasted, and decode memory is what runs out first. Requests that find none wait in
  * order until a stream ends or their time is over.
  */
-import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { OutlierDetector } from '@bluebellhitch/decisions';
+import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { BackendApi, Reservation } from './backendApi';
 import type { EngineLoads } from './engineLoads';
+import type { ServerPools } from './fleetPart';
 import { stages, type BackendServer, type EngineSettings } from './model';
-import type { ServerDirectory } from './serverDirectory';
 
 export interface PlacementRequest {
   serviceName: string;
@@ -44,14 +44,17 @@
 
 export interface DecodePlacementOptions {
   backend: Pick<BackendApi, 'reserve' | 'releaseReservation'>;
-  directory: ServerDirectory;
+  pools: ServerPools;
   loads: EngineLoads;
   health: OutlierDetector;
+  random?: Random;
 }
 
 interface Waiter extends PlacementRequest {
   isTrying: boolean;
   failedIds: Set<string>;
+  /** Spare servers are unknown here: asking them takes the place of knowing. */
+  nextSpareAtMs: number;
   resolve(outcome: PlacementOutcome): void;
 }
 
@@ -61,15 +64,32 @@
 const lateHeadroomShare = 0.2;
 /** An engine answers within a few milliseconds; one that does not is taken for gone. */
 const reserveTimeoutMs = 500;
+/** Between two tries of one request at spare servers, so that a full fleet is not asked all the time. */
+const spareRetryMs = 100;
+
+/** A server of a pool and its free memory, as long as one look at the waiting requests lasts. */
+interface Place {
+  server: BackendServer;
+  freeTokens: number;
+}
+
+/** The pools of one look, by service and kind: they are the same for all that wait. */
+type PlacesOf = (waiter: Waiter, kind: 'usable' | 'spare') => readonly Place[];
 
 export function createDecodePlacement(options: DecodePlacementOptions): DecodePlacement {
-  const { backend, directory, loads, health } = options;
+  const { backend, pools, loads, health, random = Math.random } = options;
   const waiters = new Set<Waiter>();
   let timer: NodeJS.Timeout | undefined;
 
   function place(request: PlacementRequest): Promise<PlacementOutcome> {
     return new Promise((resolve) => {
-      const waiter: Waiter = { ...request, isTrying: false, failedIds: new Set(), resolve };
+      const waiter: Waiter = {
+        ...request,
+        isTrying: false,
+        failedIds: new Set(),
+        nextSpareAtMs: -Infinity,
+        resolve,
+      };
       waiters.add(waiter);
       request.signal.addEventListener('abort', () => finish(waiter, { kind: 'no-capacity' }), {
         once: true,
@@ -88,62 +108,81 @@
   function look(): void {
     clearTimeout(timer);
     const nowMs = monotonicNowMs();
+    const placesOf = lookAtPools(nowMs);
     [...waiters]
       .filter(({ isTrying }) => !isTrying)
       .sort((left, right) => compareWaiters(left, right, nowMs))
-      .forEach((waiter) => tryToPlace(waiter, nowMs));
+      .forEach((waiter) => tryToPlace(waiter, nowMs, placesOf));
     timer = waiters.size === 0 ? undefined : setTimeout(look, lookAgainMs);
   }
 
-  function tryToPlace(waiter: Waiter, nowMs: number): void {
+  function lookAtPools(nowMs: number): PlacesOf {
+    const ejected = health.ejected(nowMs);
+    const known = new Map<string, readonly Place[]>();
+    return ({ serviceName, engine }, kind) => {
+      const key = `${kind} ${serviceName}`;
+      const places =
+        known.get(key) ??
+        pools[kind](serviceName, stages.decode)
+          .filter(({ id }) => !ejected.has(id) && !loads.isSilent(id))
+          .map((server) => ({ server, freeTokens: loads.freeTokens(server.id, engine.kvTokens) }));
+      known.set(key, places);
+      return places;
+    };
+  }
+
+  function tryToPlace(waiter: Waiter, nowMs: number, placesOf: PlacesOf): void {
     if (waiter.giveUpAtMs <= nowMs || waiter.signal.aborted) {
       finish(waiter, { kind: 'no-capacity' });
       return;
     }
-    const servers = candidates(waiter, nowMs);
-    if (servers.length === 0) {
-      return;
+    const places = placesOf(waiter, 'usable').filter((one) => mayUse(waiter, one));
+    const isWelcome = isUrgent(waiter, nowMs) || hasHeadroom(places, waiter);
+    const chosen = isWelcome
+      ? (roomiest(places, waiter) ?? trySpare(waiter, nowMs, placesOf))
+      : undefined;
+    if (chosen !== undefined) {
+      chosen.freeTokens -= waiter.tokens;
+      void reserveAt(chosen.server, waiter);
     }
-    const server = roomiest(servers, waiter);
-    if (server !== undefined && (isUrgent(waiter, nowMs) || hasHeadroom(servers, waiter))) {
-      void reserveAt(server, waiter);
+  }
+
+  function mayUse({ failedIds, excludedIds }: Waiter, { server }: Place): boolean {
+    return !failedIds.has(server.id) && !excludedIds.has(server.id);
+  }
+
+  function trySpare(waiter: Waiter, nowMs: number, placesOf: PlacesOf): Place | undefined {
+    if (nowMs < waiter.nextSpareAtMs) {
+      return undefined;
     }
+    waiter.nextSpareAtMs = nowMs + spareRetryMs;
+    const places = placesOf(waiter, 'spare').filter((one) => mayUse(waiter, one));
+    return roomiest(places, waiter);
   }
 
   function isUrgent({ isResumed, onTimeUntilMs }: Waiter, nowMs: number): boolean {
     return isResumed || onTimeUntilMs >= nowMs;
   }
 
-  function candidates(waiter: Waiter, nowMs: number): BackendServer[] {
-    const ejected = health.ejected(nowMs);
-    return directory
-      .usable(waiter.serviceName, stages.decode)
-      .filter(({ id }) => !ejected.has(id) && !loads.isSilent(id))
-      .filter(({ id }) => !waiter.failedIds.has(id) && !waiter.excludedIds.has(id));
-  }
-
   /** A late answer earns little: it must not take the memory that answers on time will need. */
-  function hasHeadroom(servers: readonly BackendServer[], waiter: Waiter): boolean {
+  function hasHeadroom(places: readonly Place[], waiter: Waiter): boolean {
     const { kvTokens } = waiter.engine;
-    const free = servers.reduce(
-      (sum, server) => sum + Math.max(0, loads.freeTokens(server.id, kvTokens)),
-      0,
-    );
-    return free - waiter.tokens >= lateHeadroomShare * kvTokens * servers.length;
+    const free = places.reduce((sum, { freeTokens }) => sum + Math.max(0, freeTokens), 0);
+    return free - waiter.tokens >= lateHeadroomShare * kvTokens * places.length;
   }
 
-  function roomiest(servers: readonly BackendServer[], waiter: Waiter): BackendServer | undefined {
-    const { kvTokens } = waiter.engine;
-    const free = servers.map((server) => ({
-      server,
-      tokens: loads.freeTokens(server.id, kvTokens),
-    }));
-    const preferred = free.find(({ server }) => server.id === waiter.preferredId);
-    if (preferred !== undefined && preferred.tokens >= waiter.tokens) {
-      return preferred.server;
+  /** Of several with as much room any: routers that look at once must not all choose the first. */
+  function roomiest(places: readonly Place[], waiter: Waiter): Place | undefined {
+    const preferred = places.find(({ server }) => server.id === waiter.preferredId);
+    if (preferred !== undefined && preferred.freeTokens >= waiter.tokens) {
+      return preferred;
     }
-    const best = free.reduce((left, right) => (right.tokens > left.tokens ? right : left));
-    return best.tokens >= waiter.tokens ? best.server : undefined;
+    const first = Math.floor(random() * places.length);
+    const best = [...places.slice(first), ...places.slice(0, first)].reduce<Place | undefined>(
+      (left, right) => (left === undefined || right.freeTokens > left.freeTokens ? right : left),
+      undefined,
+    );
+    return best !== undefined && best.freeTokens >= waiter.tokens ? best : undefined;
   }
 
   async function reserveAt(server: BackendServer, waiter: Waiter): Promise<void> {
--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/engineLoads.ts
@@ -3,7 +3,7 @@
  * and the engines' own reports for whatever those do not explain.
  */
 import type { PeerEngineUse } from '@bluebellhitch/protocol';
-import { monotonicNowMs } from '@bluebellhitch/shared';
+import { monotonicNowMs, runOnce } from '@bluebellhitch/shared';
 import type { EngineLoad } from './backendApi';
 
 export interface EngineLoads {
@@ -39,6 +39,8 @@
 export interface EngineLoadsOptions {
   /** Told whenever `ownUse` has changed at an engine. */
   onOwnChange?: (serverId: string) => void;
+  /** Whether the engine is listed: what peers say of others is not kept, or it would be kept for ever. */
+  isListed?: (serverId: string) => boolean;
 }
 
 interface Change {
@@ -72,7 +74,7 @@
 const reportedPromptTokens = 5_000;
 
 export function createEngineLoads(options: EngineLoadsOptions = {}): EngineLoads {
-  const { onOwnChange = () => undefined } = options;
+  const { onOwnChange = () => undefined, isListed = () => true } = options;
   const engines = new Map<string, EngineState>();
   const peerAddresses = new Set<string>();
 
@@ -113,13 +115,7 @@
       onOwnChange(serverId);
     };
     apply(amount);
-    let isDone = false;
-    return () => {
-      if (!isDone) {
-        isDone = true;
-        apply(-amount);
-      }
-    };
+    return runOnce(() => apply(-amount));
   }
 
   function setSilent(serverId: string, state: EngineState, isSilent: boolean): void {
@@ -146,6 +142,9 @@
   }
 
   function setUse(peerAddress: string, serverId: string, use: Use): void {
+    if (!engines.has(serverId) && (isNothing(use) || !isListed(serverId))) {
+      return;
+    }
     const state = stateOf(serverId);
     const known = state.peers.get(peerAddress) ?? noUse();
     noteChange(state, use.placedTokens - known.placedTokens);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -70,5 +70,11 @@
 export { createServerLoads } from './serverLoads';
 export { drainBody, readWholeBody } from './wholeBody';
 export { createStageKeeper, type StageKeeperOptions } from './stageKeeper';
-export { planStageChange, wantedPrefillCount, type StageChange } from './stagePlan';
+export {
+  planStageChange,
+  planStageChanges,
+  wantedPrefillCount,
+  type StageChange,
+} from './stagePlan';
+export { createFleetPart, type FleetPart, type ServerPools } from './fleetPart';
 export { startPeerExchange, type PeerExchange } from './peerExchange';
--- a/packages/routing/src/loadPoller.ts
+++ b/packages/routing/src/loadPoller.ts
@@ -14,17 +14,21 @@
 } from '@bluebellhitch/shared';
 import type { BackendApi } from './backendApi';
 import type { EngineLoads } from './engineLoads';
-import type { BackendServer } from './model';
+import type { ServerPools } from './fleetPart';
+import { stages, type BackendServer } from './model';
 import type { ServerDirectory } from './serverDirectory';
 
 export interface LoadPollerOptions {
   backend: Pick<BackendApi, 'readLoad'>;
   directory: ServerDirectory;
+  /** Services with engines. */
+  services: () => readonly string[];
+  pools: ServerPools;
   loads: EngineLoads;
   /** Each engine is read once in this time. */
   intervalMs: number;
   ownAddress: string;
-  /** Routers that are heard. */
+  /** Routers that are heard and use the same engines. */
   livePeers: () => readonly string[];
   random?: Random;
 }
@@ -32,10 +36,14 @@
 /** An engine answers within milliseconds; a report that comes later is stale. */
 const reportTimeoutMs = 400;
 const longestPaceMs = 250;
+/** Sharing out costs a hash for each engine and router. */
+const shareOutMs = 500;
 
 export function createLoadPoller(options: LoadPollerOptions): BackgroundLoop {
-  const { backend, directory, loads, intervalMs, random = Math.random } = options;
-  const readAtMs = new Map<string, number>();
+  const { backend, directory, pools, loads, intervalMs, random = Math.random } = options;
+  let readAtMs = new Map<string, number>();
+  let own: BackendServer[] = [];
+  let sharedOutAtMs = -Infinity;
 
   async function readOne(server: BackendServer): Promise<void> {
     const outcome = await backend.readLoad(server, reportTimeoutMs);
@@ -48,23 +56,38 @@
 
   /** The engines that this process looks after. */
   function engines(): BackendServer[] {
+    const nowMs = monotonicNowMs();
+    if (nowMs >= sharedOutAtMs + shareOutMs) {
+      sharedOutAtMs = nowMs;
+      own = shareOut();
+      readAtMs = new Map(own.map(({ id }) => [id, readAtMs.get(id) ?? -Infinity]));
+    }
+    return own.filter(({ id }) => directory.get(id)?.isDraining === false);
+  }
+
+  function shareOut(): BackendServer[] {
     const routers = [options.ownAddress, ...options.livePeers()];
-    return directory
-      .all()
-      .filter(({ stage, isDraining }) => stage !== undefined && !isDraining)
+    return options
+      .services()
+      .flatMap((service) => Object.values(stages).flatMap((stage) => pools.usable(service, stage)))
       .filter(
         ({ id }) => rendezvousOrder(id, routers, (router) => router)[0] === options.ownAddress,
       );
   }
 
+  /** The engine whose report is the oldest, if any is due. */
+  function nextDue(listed: readonly BackendServer[], nowMs: number): BackendServer | undefined {
+    const readAt = ({ id }: BackendServer) => readAtMs.get(id) ?? -Infinity;
+    return listed
+      .filter((server) => readAt(server) + intervalMs <= nowMs)
+      .sort((left, right) => readAt(left) - readAt(right))[0];
+  }
+
   return createBackgroundLoop(async (signal) => {
     while (!signal.aborted) {
       const listed = engines();
       const nowMs = monotonicNowMs();
-      const due = listed.filter(({ id }) => (readAtMs.get(id) ?? -Infinity) + intervalMs <= nowMs);
-      const next = due.sort(
-        (left, right) => (readAtMs.get(left.id) ?? 0) - (readAtMs.get(right.id) ?? 0),
-      )[0];
+      const next = nextDue(listed, nowMs);
       if (next !== undefined) {
         readAtMs.set(next.id, nowMs);
         void readOne(next);
--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -1,6 +1,8 @@
 /**
  * Tells other routers what this one has in progress at the engines, and hears the same of them. Datagrams may
  * be lost or late: each tells amounts, and a heartbeat repeats all of them. What a silent peer said is dropped.
+ * In a large fleet the routers of one part tell each other; a few addresses that go to others at random let each
+ * know all.
  */
 import { createSocket, type Socket } from 'node:dgram';
 import {
@@ -8,8 +10,9 @@
   encodePeerMessage,
   type PeerEngineUse,
   type PeerMessage,
+  type PeerSighting,
 } from '@bluebellhitch/protocol';
-import { monotonicNowMs, rendezvousOrder, type Random } from '@bluebellhitch/shared';
+import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 
 export interface PeerExchangeOptions {
@@ -24,6 +27,10 @@
   onPeerGone(peerAddress: string): void;
   /** What this process has seen of each kind of objects, in a fixed order. */
   seenRevisions: () => number[];
+  /** All routers that are known, when they have changed. */
+  onRouters?: (ownAddress: string, addresses: readonly string[]) => void;
+  /** The routers to tell what is in progress; all, where it is absent. */
+  companions?: () => readonly string[];
   onPeerRevisions(revisions: readonly number[]): void;
   logger: Logger;
   random?: Random;
@@ -36,9 +43,9 @@
   noteChange(serverId: string): void;
   /** Further routers to begin with. */
   addSeeds(addresses: readonly string[]): void;
-  /** Peers that were heard lately. */
+  /** Companions that were heard lately. */
   livePeers(): string[];
-  /** Peers that were told of lately, those that are not heard too. */
+  /** Routers that somebody has heard lately. */
   knownPeerCount(): number;
   close(): void;
 }
@@ -46,7 +53,10 @@
 interface Peer {
   life?: string;
   sequence: number;
+  /** By this process or by one that told of it. */
   heardAtMs: number;
+  /** When it last told what it has in progress. */
+  toldAtMs: number;
   isLive: boolean;
   /** It has not been told all amounts since it was heard. */
   isNew: boolean;
@@ -62,14 +72,16 @@
 const leastBeatsPerFull = 4;
 /** Three heartbeats. */
 const silentMs = 3_200;
-/** A peer that was gone this long is forgotten. */
-const forgetMs = 30_000;
 /**
- * Bounds what a process says, however many routers there are. Fewer cost more than they save: of 21 routers,
- * each telling 16, many streams were placed where others had just placed theirs.
+ * A peer that nobody has heard this long is forgotten. News of a router reaches each of 300 others about four
+ * times in this time.
  */
-const maxPeers = 24;
-const sharedAddresses = 6;
+const forgetMs = 60_000;
+/** Sightings older than this are not passed on: they would keep a router that is gone known for ever. */
+const freshMs = 20_000;
+const sharedAddresses = 10;
+/** Routers of other parts that are told of routers with each heartbeat. */
+const strangersPerBeat = 2;
 
 /** Starts the exchange; rejects where the port is taken. */
 export async function startPeerExchange(options: PeerExchangeOptions): Promise<PeerExchange> {
@@ -84,6 +96,7 @@
   let sequence = 0;
   let sendTimer: NodeJS.Timeout | undefined;
   let beatCount = 0;
+  let isMembershipNew = true;
   let isClosed = false;
 
   function knowPeer(address: string): Peer {
@@ -91,23 +104,49 @@
     if (known !== undefined) {
       return known;
     }
-    const peer = { sequence: -1, heardAtMs: monotonicNowMs(), isLive: false, isNew: true };
+    const peer = {
+      sequence: -1,
+      heardAtMs: monotonicNowMs(),
+      toldAtMs: -Infinity,
+      isLive: false,
+      isNew: true,
+    };
     peers.set(address, peer);
+    isMembershipNew = true;
     return peer;
   }
 
-  /** Those that this process talks to: all of a small fleet, always the same part of a large one. */
+  /** Those that this process tells what it has in progress. */
   function neighbours(): string[] {
-    const addresses = [...peers.keys()];
-    return addresses.length <= maxPeers
-      ? addresses
-      : rendezvousOrder(ownAddress, addresses, (address) => address).slice(0, maxPeers);
+    return [...(options.companions?.() ?? peers.keys())];
+  }
+
+  function noteMembership(): void {
+    if (isMembershipNew) {
+      isMembershipNew = false;
+      options.onRouters?.(ownAddress, [...peers.keys()]);
+    }
+  }
+
+  /** A sighting by another process; ages keep one that is gone from being passed around. */
+  function noteSighting({ address, ageMs }: PeerSighting): void {
+    if (address === ownAddress || ageMs > forgetMs) {
+      return;
+    }
+    const heardAtMs = monotonicNowMs() - ageMs;
+    const known = peers.get(address);
+    if (known === undefined) {
+      knowPeer(address).heardAtMs = heardAtMs;
+    } else {
+      known.heardAtMs = Math.max(known.heardAtMs, heardAtMs);
+    }
   }
 
   function send(
     isFull: boolean,
     engines: PeerEngineUse[],
     addresses: readonly string[],
+    sightings: PeerSighting[] = isFull ? someSightings() : [],
   ): Promise<unknown> {
     sequence += 1;
     const message: PeerMessage = {
@@ -116,7 +155,7 @@
       sequence,
       isFull,
       engines,
-      peerAddresses: isFull ? someLivePeers() : [],
+      peers: sightings,
       seenRevisions: options.seenRevisions(),
     };
     const bytes = encodePeerMessage(message);
@@ -149,15 +188,33 @@
   }
 
   function livePeers(): string[] {
-    return [...peers].filter(([, { isLive }]) => isLive).map(([address]) => address);
+    return neighbours().filter((address) => peers.get(address)?.isLive);
   }
 
-  function someLivePeers(): string[] {
-    return livePeers()
-      .map((address) => ({ address, order: random() }))
+  function someSightings(): PeerSighting[] {
+    const nowMs = monotonicNowMs();
+    const fresh = [...peers].filter(
+      ([, peer]) => peer.life !== undefined && nowMs - peer.heardAtMs < freshMs,
+    );
+    return someOf(fresh, sharedAddresses).map(([address, { heardAtMs }]) => ({
+      address,
+      ageMs: Math.max(0, nowMs - heardAtMs),
+    }));
+  }
+
+  function someOf<Item>(items: readonly Item[], count: number): Item[] {
+    return items
+      .map((item) => ({ item, order: random() }))
       .sort((left, right) => left.order - right.order)
-      .slice(0, sharedAddresses)
-      .map(({ address }) => address);
+      .slice(0, count)
+      .map(({ item }) => item);
+  }
+
+  /** So that parts hear of each other's routers, and of changes that one of them has seen. */
+  function tellStrangers(near: readonly string[]): void {
+    const known = new Set(near);
+    const others = [...peers.keys()].filter((address) => !known.has(address));
+    void send(false, [], someOf(others, strangersPerBeat), someSightings());
   }
 
   function sendChanges(): void {
@@ -165,7 +222,7 @@
     const used = new Map(options.ownUse().map((use) => [use.serverId, use]));
     const engines = [...changedIds].map((serverId) => used.get(serverId) ?? unused(serverId));
     changedIds.clear();
-    const live = neighbours().filter((address) => peers.get(address)?.isLive);
+    const live = livePeers();
     if (live.length > 0) {
       void send(false, engines, live);
     }
@@ -174,16 +231,19 @@
   function beat(): void {
     const nowMs = monotonicNowMs();
     [...peers].forEach(([address, peer]) => {
-      if (peer.isLive && nowMs - peer.heardAtMs > silentMs) {
+      if (peer.isLive && nowMs - peer.toldAtMs > silentMs) {
         peer.isLive = false;
         options.onPeerGone(address);
         logger.info('peer silent', { peer: address });
       }
       if (nowMs - peer.heardAtMs > forgetMs && !seeds.has(address)) {
         peers.delete(address);
+        isMembershipNew = true;
       }
     });
+    noteMembership();
     const addresses = neighbours();
+    tellStrangers(addresses);
     beatCount += 1;
     if (beatCount % Math.max(leastBeatsPerFull, addresses.length) === 0) {
       void send(true, options.ownUse(), addresses);
@@ -218,13 +278,26 @@
     }
     Object.assign(peer, { life: message.life, sequence: message.sequence });
     peer.heardAtMs = monotonicNowMs();
+    if (isCompanion(message)) {
+      noteCompanion(message.senderAddress, peer);
+      options.onPeerUse(message.senderAddress, message.engines, message.isFull);
+    }
+    options.onPeerRevisions(message.seenRevisions);
+    message.peers.forEach(noteSighting);
+    noteMembership();
+  }
+
+  /** A router of another part only tells of routers; one whose view differs may take this one for its own. */
+  function isCompanion({ senderAddress, isFull, engines }: PeerMessage): boolean {
+    return isFull || engines.length > 0 || neighbours().includes(senderAddress);
+  }
+
+  function noteCompanion(address: string, peer: Peer): void {
+    peer.toldAtMs = monotonicNowMs();
     if (!peer.isLive) {
       peer.isLive = true;
-      logger.info('peer heard', { peer: message.senderAddress });
+      logger.info('peer heard', { peer: address });
     }
-    options.onPeerUse(message.senderAddress, message.engines, message.isFull);
-    options.onPeerRevisions(message.seenRevisions);
-    message.peerAddresses.filter((address) => address !== ownAddress).forEach(knowPeer);
   }
 
   socket.on('message', receive);
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -115,9 +115,9 @@
 }
 
 function chooseServer(state: RequestState, parts: RouterParts): BackendServer | undefined {
-  const { directory, health, serverLoads, random } = parts;
+  const { pools, health, serverLoads, random } = parts;
   const ejected = health.ejected(monotonicNowMs());
-  const untried = directory
+  const untried = pools
     .usable(state.service.name)
     .filter(({ id }) => !state.failedServerIds.has(id));
   const sound = untried.filter(({ id }) => !ejected.has(id));
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -44,7 +44,7 @@
 const firstEventMs = 60;
 
 export function createPrefillStage(parts: RouterParts): PrefillStage {
-  const { backend, directory, engineLoads, health, budget, metrics } = parts;
+  const { backend, pools, engineLoads, health, budget, metrics } = parts;
   const speed = createRecentQuantile({
     quantile: speedQuantile,
     sampleCount: speedSamples,
@@ -57,7 +57,7 @@
 
   function usableServers(serviceName: string): BackendServer[] {
     const ejected = health.ejected(monotonicNowMs());
-    return directory
+    return pools
       .usable(serviceName, stages.prefill)
       .filter(({ id }) => !ejected.has(id) && !engineLoads.isSilent(id));
   }
--- a/packages/routing/src/routerParts.ts
+++ b/packages/routing/src/routerParts.ts
@@ -6,6 +6,7 @@
 import type { BackendApi } from './backendApi';
 import type { DecodePlacement } from './decodePlacement';
 import type { EngineLoads } from './engineLoads';
+import type { ServerPools } from './fleetPart';
 import type { RouterMetrics } from './routerMetrics';
 import type { ServerDirectory } from './serverDirectory';
 import type { ServerLoads } from './serverLoads';
@@ -13,6 +14,7 @@
 export interface RouterParts {
   backend: BackendApi;
   directory: ServerDirectory;
+  pools: ServerPools;
   /** Requests in progress at plain servers. */
   serverLoads: ServerLoads;
   engineLoads: EngineLoads;
--- a/packages/routing/src/serverDirectory.ts
+++ b/packages/routing/src/serverDirectory.ts
@@ -29,6 +29,11 @@
   usable(serviceName: string, stage?: Stage): BackendServer[];
   /** All that are listed, those that drain too. */
   all(): BackendServer[];
+  size(): number;
+  /** Grows with each change. */
+  version(): number;
+  /** When a server last came, went or began to drain, on the monotonic clock. */
+  membershipChangedAtMs(): number;
 }
 
 /** Alive servers write again within about two seconds; a quarter more for the way. */
@@ -38,6 +43,8 @@
   const { lapseGraceMs = defaultLapseGraceMs, onChanged = () => undefined } = options;
   const servers = new Map<string, BackendServer>();
   const heldRemovals = new Map<string, NodeJS.Timeout>();
+  let version = 0;
+  let membershipChangedAtMs = -Infinity;
   let isStoreAway = false;
   let storeBackAtMs = -Infinity;
 
@@ -50,12 +57,18 @@
     cancelRemoval(server.id);
     const known = servers.get(server.id);
     servers.set(server.id, server);
+    version += 1;
+    if (known?.isDraining !== server.isDraining) {
+      membershipChangedAtMs = monotonicNowMs();
+    }
     onChanged({ kind: known === undefined ? 'added' : 'changed', server });
   }
 
   function removeNow(server: BackendServer): void {
     cancelRemoval(server.id);
     servers.delete(server.id);
+    version += 1;
+    membershipChangedAtMs = monotonicNowMs();
     onChanged({ kind: 'removed', server });
   }
 
@@ -105,5 +118,8 @@
           (stage === undefined || server.stage === stage),
       ),
     all: () => [...servers.values()],
+    size: () => servers.size,
+    version: () => version,
+    membershipChangedAtMs: () => membershipChangedAtMs,
   };
 }
--- a/packages/routing/src/serverLoads.ts
+++ b/packages/routing/src/serverLoads.ts
@@ -1,4 +1,5 @@
 /** Requests of this process in progress at each backend server. */
+import { runOnce } from '@bluebellhitch/shared';
 
 export interface ServerLoads {
   /** Call the result when the request has left the server. */
@@ -20,14 +21,8 @@
 
   return {
     begin(serverId) {
-      let isDone = false;
       add(serverId, 1);
-      return () => {
-        if (!isDone) {
-          isDone = true;
-          add(serverId, -1);
-        }
-      };
+      return runOnce(() => add(serverId, -1));
     },
     running: (serverId) => counts.get(serverId) ?? 0,
   };
--- a/packages/routing/src/stageKeeper.ts
+++ b/packages/routing/src/stageKeeper.ts
@@ -14,7 +14,7 @@
 import type { BackendApi } from './backendApi';
 import type { ServiceSettings, Stage } from './model';
 import type { ServerDirectory } from './serverDirectory';
-import { planStageChange, type StageChange } from './stagePlan';
+import { planStageChanges, type StageChange } from './stagePlan';
 
 export interface StageKeeperOptions {
   directory: ServerDirectory;
@@ -27,6 +27,8 @@
   leaseMs: number;
   /** Part of the engines' work that is reading prompts. */
   prefillShare: (serviceName: string) => number;
+  /** Parts of the fleet: the more there are, the less often each process looks whether it should order. */
+  partCount?: () => number;
   logger: Logger;
   random?: Random;
 }
@@ -58,15 +60,13 @@
     marginMs,
   });
   const pending = new Map<string, PendingChange>();
-  let knownPool = '';
-  let poolChangedAtMs = monotonicNowMs();
   let heldSinceMs: number | undefined;
   let firstFencing: number | undefined;
   let lastOrderAtMs = -Infinity;
 
-  function nextChange(service: ServiceSettings): StageChange | undefined {
+  function nextChanges(service: ServiceSettings): StageChange[] {
     const engines = directory.usable(service.name).filter(({ stage }) => stage !== undefined);
-    return planStageChange({
+    return planStageChanges({
       engines,
       pending: new Map([...pending].map(([id, { stage }]) => [id, stage])),
       prefillShare: options.prefillShare(service.name),
@@ -84,16 +84,7 @@
   }
 
   function isSettled(): boolean {
-    const pool = directory
-      .all()
-      .map(({ id, isDraining }) => `${id} ${isDraining}`)
-      .sort()
-      .join();
-    if (pool !== knownPool) {
-      knownPool = pool;
-      poolChangedAtMs = monotonicNowMs();
-    }
-    return monotonicNowMs() - poolChangedAtMs >= settledMs;
+    return monotonicNowMs() - directory.membershipChangedAtMs() >= settledMs;
   }
 
   /** Whether this process may order now; takes the lease where it is free. */
@@ -139,21 +130,22 @@
     }
   }
 
+  /** All processes together look, and ask for the lease, about as often in a large fleet as in a small one. */
+  function paceMs(): number {
+    return lease.heldFencing() === undefined ? lookMs * (options.partCount?.() ?? 1) : lookMs;
+  }
+
   async function look(): Promise<void> {
     forgetDone();
     const planned = isSettled()
-      ? services().flatMap((service) => {
-          const change = nextChange(service);
-          return change === undefined ? [] : [{ change, service }];
-        })
+      ? services().flatMap((service) => nextChanges(service).map((change) => ({ change, service })))
       : [];
-    const [next] = planned;
-    if (next === undefined) {
+    if (planned.length === 0) {
       await releaseWhenIdle();
       return;
     }
     if (await mayOrder()) {
-      await order(next.change, next.service);
+      await Promise.all(planned.map(({ change, service }) => order(change, service)));
     }
   }
 
@@ -175,7 +167,7 @@
     await delay(lookMs * random(), signal);
     while (!signal.aborted) {
       await look();
-      await delay(lookMs * (0.8 + 0.4 * random()), signal);
+      await delay(paceMs() * (0.8 + 0.4 * random()), signal);
     }
     await lease.release();
   });
--- a/packages/routing/src/stagePlan.ts
+++ b/packages/routing/src/stagePlan.ts
@@ -15,7 +15,27 @@
   prefillShare: number;
 }
 
-/** One change at most: each takes an engine away for seconds. */
+/**
+ * A change takes an engine away for seconds, so one is made at a time, or this part of a large pool: 2,600 engines,
+ * a seventh of them at the wrong stage, would take minutes one by one.
+ */
+const changedShare = 0.02;
+
+export function planStageChanges(options: StagePlanOptions): StageChange[] {
+  const mostChanges = Math.max(1, Math.floor(options.engines.length * changedShare));
+  const changes: StageChange[] = [];
+  const pending = new Map(options.pending);
+  for (let planned = 0; planned < mostChanges; planned += 1) {
+    const change = planStageChange({ ...options, pending });
+    if (change === undefined) {
+      return changes;
+    }
+    changes.push(change);
+    pending.set(change.server.id, change.stage);
+  }
+  return changes;
+}
+
 export function planStageChange(options: StagePlanOptions): StageChange | undefined {
   const { engines, pending, prefillShare } = options;
   const stageOf = (server: BackendServer) => pending.get(server.id) ?? server.stage;
@@ -51,12 +71,15 @@
   prefill: readonly BackendServer[],
   which: 'most' | 'fewest',
 ): BackendServer | undefined {
-  const countAt = (dataCentre: string) =>
-    prefill.filter((server) => server.dataCentre === dataCentre).length;
+  const counts = new Map<string, number>();
+  prefill.forEach(({ dataCentre }) => counts.set(dataCentre, (counts.get(dataCentre) ?? 0) + 1));
   const direction = which === 'most' ? -1 : 1;
-  return [...givers].sort(
-    (left, right) =>
-      direction * (countAt(left.dataCentre) - countAt(right.dataCentre)) ||
-      left.id.localeCompare(right.id),
-  )[0];
+  const isBetter = (left: BackendServer, right: BackendServer) => {
+    const difference = (counts.get(left.dataCentre) ?? 0) - (counts.get(right.dataCentre) ?? 0);
+    return difference === 0 ? left.id < right.id : direction * difference < 0;
+  };
+  return givers.reduce<BackendServer | undefined>(
+    (best, giver) => (best === undefined || isBetter(giver, best) ? giver : best),
+    undefined,
+  );
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -25,3 +25,4 @@
 export { createSeededRandom, type Random } from './random';
 export { createBackgroundLoop, type BackgroundLoop } from './backgroundLoop';
 export { delay, monotonicNowMs } from './clock';
+export { runOnce } from './runOnce';
