Remove grouped claims, which nothing uses

They were never switched on: entries have no message that passes a claim to its shard's writer, and the users' platform needs no claims. What the own interface uses, one object a claim, stays with its tests; the same tests ran for both stores, so no promise loses its test.

--- a/packages/objects/__tests__/claimStores.test.ts
+++ b/packages/objects/__tests__/claimStore.test.ts
@@ -3,7 +3,6 @@
 import fc from 'fast-check';
 import {
   createClaimStore,
-  createGroupedClaimStore,
   type ClaimOutcome,
   type ClaimStore,
   type PlatformApi,
@@ -11,11 +10,9 @@
 import { createSeededRandom, delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { createStandinPlatform, type StandinPlatformOptions } from '@bluebellhitch/standins';
 
-const stores: Record<string, (platform: PlatformApi, ownerId: string) => ClaimStore> = {
-  single: (platform, ownerId) => createClaimStore({ platform, ownerId }),
-  grouped: (platform, ownerId) =>
-    createGroupedClaimStore({ platform, ownerId, shards: 1, random: () => 0.5 }),
-};
+type CreateStore = (platform: PlatformApi, ownerId: string) => ClaimStore;
+
+const createStore: CreateStore = (platform, ownerId) => createClaimStore({ platform, ownerId });
 
 const expiresInMs = 60_000;
 const key = 'halloran-voss/draft-models/6f1c';
@@ -24,17 +21,15 @@
 /** Runs with paused time; each check drives the clock itself. */
 function testWithClock(
   title: string,
-  check: (t: ExecutionContext, clock: Clock, create: (typeof stores)[string]) => Promise<void>,
+  check: (t: ExecutionContext, clock: Clock, create: CreateStore) => Promise<void>,
 ): void {
-  Object.entries(stores).forEach(([name, create]) => {
-    test.serial(`${name}: ${title}`, async (t) => {
-      const clock = install({ now: Date.UTC(2026, 0, 1) });
-      try {
-        await check(t, clock, create);
-      } finally {
-        clock.uninstall();
-      }
-    });
+  test.serial(title, async (t) => {
+    const clock = install({ now: Date.UTC(2026, 0, 1) });
+    try {
+      await check(t, clock, createStore);
+    } finally {
+      clock.uninstall();
+    }
   });
 }
 
@@ -126,12 +121,7 @@
     const platform = createPlatform();
     const store = create(platform, 'entry-1');
     claimOf((await settled(clock, take(store, 'warm-up', 'other-key'), 500))._unsafeUnwrap());
-    const isGrouped = platform.control.stats().calls.get > 0;
-    platform.control.loseAnswers({
-      count: 1,
-      verb: isGrouped ? 'update' : 'create',
-      effect: 'applied',
-    });
+    platform.control.loseAnswers({ count: 1, verb: 'create', effect: 'applied' });
     platform.control.loseAnswers({ count: 6, verb: 'get', effect: 'dropped' });
     platform.control.loseAnswers({ count: 6, verb: 'create', effect: 'dropped' });
     const refused = await settled(clock, take(store, 'a'), 2000);
--- a/packages/objects/scripts/claimCost.ts
+++ b/packages/objects/scripts/claimCost.ts
@@ -1,18 +1,12 @@
 /**
- * Measures what a claim costs the platform and its caller, for both claim stores at several rates:
+ * Measures what a claim costs the platform and its caller at several rates:
  * `node --import=tsx --conditions=bluebell-source packages/objects/scripts/claimCost.ts`.
  * The stand-in runs in the same process and answers in 4 ms; a claim is one take and one finish.
- * `--rates 25,100,400,1600` and `--seconds 5` change the runs; `--writers 2` gives the grouped store more
- * than one writer, `--window-ms 2000` changes its windows.
+ * `--rates 25,100,400,1600` and `--seconds 5` change the runs; `--writers 2` has more than one entry take claims.
  */
 import { parseArgs } from 'node:util';
 import { createHistogram } from 'node:perf_hooks';
-import {
-  createClaimStore,
-  createGroupedClaimStore,
-  type ClaimStore,
-  type PlatformApi,
-} from '@bluebellhitch/objects';
+import { createClaimStore, type ClaimStore, type PlatformApi } from '@bluebellhitch/objects';
 import { createSeededRandom, delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { createStandinPlatform } from '@bluebellhitch/standins';
 
@@ -23,23 +17,14 @@
     rates: { type: 'string', default: '25,100,400,1600' },
     seconds: { type: 'string', default: '5' },
     writers: { type: 'string', default: '1' },
-    'window-ms': { type: 'string', default: '10000' },
   },
 });
 const rates = values.rates.split(',').map(Number);
 const durationMs = Number(values.seconds) * msPerSecond;
 const writerCount = Number(values.writers);
-const windowMs = Number(values['window-ms']);
 
 let refusedCount = 0;
 
-type CreateStore = (platform: PlatformApi, ownerId: string) => ClaimStore;
-
-const stores: Record<string, CreateStore> = {
-  single: (platform, ownerId) => createClaimStore({ platform, ownerId }),
-  grouped: (platform, ownerId) => createGroupedClaimStore({ platform, ownerId, windowMs }),
-};
-
 /** Bytes of values that the platform was asked to write. */
 function countBytes(platform: PlatformApi): { platform: PlatformApi; writtenBytes(): number } {
   let bytes = 0;
@@ -60,7 +45,7 @@
   return { platform: counting, writtenBytes: () => bytes };
 }
 
-async function measure(name: string, create: CreateStore, ratePerSecond: number): Promise<void> {
+async function measure(ratePerSecond: number): Promise<void> {
   const standin = createStandinPlatform({
     latencyMs: 4,
     jitterMs: 1,
@@ -68,7 +53,7 @@
   });
   const { platform, writtenBytes } = countBytes(standin);
   const writers = Array.from({ length: writerCount }, (_, index) =>
-    create(platform, `entry-${index}`),
+    createClaimStore({ platform, ownerId: `entry-${index}` }),
   );
   // A writer reads the retention's history once; that is the cost of its start, printed apart.
   refusedCount = 0;
@@ -87,7 +72,6 @@
   const claimCount = await offerLoad(writers, ratePerSecond, takeUs);
   const { calls, outcomes } = standin.control.stats();
   print({
-    store: name,
     ratePerSecond,
     claims: claimCount,
     writesPerClaim: (calls.create + calls.update + calls.remove) / claimCount,
@@ -155,8 +139,6 @@
   process.stdout.write(`${cells.join(' ')}\n`);
 }
 
-for (const [name, create] of Object.entries(stores)) {
-  for (const ratePerSecond of rates) {
-    await measure(name, create, ratePerSecond);
-  }
+for (const ratePerSecond of rates) {
+  await measure(ratePerSecond);
 }
--- a/packages/objects/src/claimRecord.ts
+++ b/packages/objects/src/claimRecord.ts
@@ -1,4 +1,4 @@
-/** Stored form of at-most-once claims, and the rules on their age that both claim stores share. */
+/** Stored form of at-most-once claims, and the rules on their age. */
 import * as z from 'zod';
 import type { ClaimError, ClaimOutcome, TakeClaim } from './claimApi';
 import type { PlatformError } from './platformApi';
@@ -57,10 +57,9 @@
 export function takenOutcome(
   request: TakeClaim,
   sentAtMs: number,
-  dispatchWithinMs = Infinity,
 ): ClaimOutcome & { kind: 'taken' } {
   const { key, requestId, attemptId, expiresInMs } = request;
-  const dispatchBeforeMs = sentAtMs + Math.min(expiresInMs * dispatchShare, dispatchWithinMs);
+  const dispatchBeforeMs = sentAtMs + expiresInMs * dispatchShare;
   return { kind: 'taken', claim: { key, requestId, attemptId, dispatchBeforeMs } };
 }
 
--- a/packages/objects/src/index.ts
+++ b/packages/objects/src/index.ts
@@ -32,7 +32,6 @@
   type TakeClaim,
 } from './claimApi';
 export { createClaimStore, type ClaimStoreOptions } from './claimStore';
-export { createGroupedClaimStore, type GroupedClaimStoreOptions } from './groupedClaimStore';
 export {
   createDutyLease,
   type DutyLease,
