--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -214,7 +214,9 @@
   function tellStrangers(near: readonly string[]): void {
     const known = new Set(near);
     const others = [...peers.keys()].filter((address) => !known.has(address));
-    void send(false, [], someOf(others, strangersPerBeat), someSightings());
+    if (others.length > 0) {
+      void send(false, [], someOf(others, strangersPerBeat), someSightings());
+    }
   }
 
   function sendChanges(): void {
