--- a/packages/bench/src/commandLine.ts
+++ b/packages/bench/src/commandLine.ts
@@ -10,6 +10,7 @@
   goodput: 'goodput',
   ceiling: 'ceiling',
   capacity: 'capacity',
+  report: 'report',
 } as const;
 export type CommandName = (typeof commandNames)[keyof typeof commandNames];
 
@@ -36,6 +37,8 @@
   timeScale: positive,
   entries: count,
   what: listOf(z.string()),
+  journal: z.string(),
+  out: z.string(),
 } as const;
 
 const defaultTexts: Record<keyof typeof flagSchemas, string | undefined> = {
@@ -52,6 +55,8 @@
   timeScale: '2',
   entries: '3',
   what: 'dependencies,messages,metrics',
+  journal: 'journal',
+  out: 'report.html',
 };
 
 export type BenchFlags = {
@@ -68,6 +73,7 @@
   goodput    goodput and wasted prefill by load, fault and policy
   ceiling    streams and tokens a second that this tool and machine can take
   capacity   slopes behind docs/CAPACITY.md
+  report     charts of worth by day and round from the journal, as one HTML page
 
 Flags (lists are separated by commas)
   --json <file>              write the figures as JSON as well; - writes them in place of the table
@@ -84,6 +90,8 @@
   --time-scale <factor>      goodput: stretches all times and targets [${defaultTexts.timeScale}]
   --entries <n>              goodput: entries of each policy [${defaultTexts.entries}]
   --what <list>              capacity: dependencies, feed, idle, messages, metrics, spread, streams
+  --journal <directory>      report: [${defaultTexts.journal}]
+  --out <file>               report: [${defaultTexts.out}]
 `;
 
 export function parseCommandLine(argv: readonly string[]): Result<CommandLine, Finding[]> {
