Undo the circles between files

Cause: types stood in the file that also used what depends on them: the bench's overhead and its report, the fleet's description and its stretching, the entry's prefill stage and its reports, and the router's connections and exchanges. Each pair's types have a file of their own now. A search for circles over all imports finds none.

--- a/packages/bench/src/experiments/goodput.ts
+++ b/packages/bench/src/experiments/goodput.ts
@@ -2,7 +2,8 @@
  * Goodput and wasted prefill of each policy, by load and fault, for both institutions. Within one
  * fleet the policies take turns, each through entries of its own before the same workers.
  */
-import { describeFleet, type EngineProfile, type InstitutionName } from '../fleet/fleetDescription';
+import { describeFleet, type InstitutionName } from '../fleet/fleetDescription';
+import type { EngineProfile } from '../fleet/fleetParts';
 import { startFleet, type EntryGroup } from '../fleet/startFleet';
 import { renderGoodput } from '../report/goodputReport';
 import { estimateCapacity, type CapacityEstimate } from '../traffic/capacity';
--- a/packages/bench/src/experiments/goodputTypes.ts
+++ b/packages/bench/src/experiments/goodputTypes.ts
@@ -1,5 +1,6 @@
 /** The cells of the goodput experiment: scenarios, policies and seeds, and what was measured in each. */
-import type { EngineProfile, InstitutionName } from '../fleet/fleetDescription';
+import type { InstitutionName } from '../fleet/fleetDescription';
+import type { EngineProfile } from '../fleet/fleetParts';
 import type { CapacityEstimate } from '../traffic/capacity';
 import type { FaultKind } from './faults';
 import type { CellResult } from './goodputCell';
--- a/packages/bench/src/experiments/overhead.ts
+++ b/packages/bench/src/experiments/overhead.ts
@@ -3,57 +3,22 @@
  * token and of each token, processor time for each request and token, and resident memory.
  */
 import { delay, monotonicNowMs } from '@bluebellhitch/shared';
-import { quantilesOf, type Quantiles } from '../accounting/quantiles';
+import { quantilesOf } from '../accounting/quantiles';
 import { readUsage, type ProcessUsage } from '../accounting/processUsage';
 import { createDispatcher } from '../load/openLoop';
 import { renderOverhead } from '../report/overheadReport';
 import type { ExperimentContext, ExperimentReport } from './context';
-import { readMachine, type MachineState } from './machine';
+import { readMachine } from './machine';
 import { batchPaths, runBatch, type BatchOptions, type BatchResult } from './overheadBatches';
+import type {
+  OverheadFigures,
+  OverheadLevel,
+  OverheadOptions,
+  PathTimes,
+  ProcessorCost,
+} from './overheadFigures';
 import { startOverheadFleet, type OverheadFleet } from './overheadFleet';
 
-export interface OverheadOptions {
-  /** Streams at once. */
-  levels: number[];
-  /** Batches of each kind at each level. */
-  repeats: number;
-  promptTokens: number;
-}
-
-export interface PathTimes {
-  firstTokenMs: Quantiles;
-  betweenTokensMs: Quantiles;
-  answerMs: Quantiles;
-  failed: number;
-}
-
-/** Processor time beyond that of the idle process, in microseconds. */
-export interface ProcessorCost {
-  perRequestUs: number;
-  perTokenUs: number;
-}
-
-export interface OverheadLevel {
-  streams: number;
-  direct: PathTimes;
-  entry: PathTimes;
-  entryCost: ProcessorCost;
-  /** Of all agents together. */
-  agentCost: ProcessorCost;
-  peakEntryBytes: number;
-  /** Of the largest agent. */
-  peakAgentBytes: number;
-  failures: string[];
-}
-
-export interface OverheadFigures {
-  options: OverheadOptions;
-  longTokens: number;
-  idle: { entry: ProcessUsage; agent: ProcessUsage };
-  levels: OverheadLevel[];
-  machine: { before: MachineState; after: MachineState };
-}
-
 /** A usual answer of the users' plan; the short one separates the cost of requests from that of tokens. */
 const longTokens = 300;
 const shortTokens = 8;
--- a/packages/bench/src/experiments/overheadFleet.ts
+++ b/packages/bench/src/experiments/overheadFleet.ts
@@ -5,9 +5,9 @@
   engineModelOf,
   institutionNames,
   modelDocumentOf,
-  type EngineProfile,
   type FleetDescription,
 } from '../fleet/fleetDescription';
+import type { EngineProfile } from '../fleet/fleetParts';
 import { startBinary, type RunningBinary } from '../fleet/childProcess';
 import { backendSpec, startFleet, type Fleet } from '../fleet/startFleet';
 import { textOfTokens } from '../traffic/promptText';
--- a/packages/bench/src/fleet/developmentFleet.ts
+++ b/packages/bench/src/fleet/developmentFleet.ts
@@ -1,5 +1,6 @@
 /** What `npm start` needs of the bench's launcher; `scripts/build.mjs` bundles it into dist/. */
-import type { EngineProfile, WorkerCounts } from './fleetDescription';
+import type { WorkerCounts } from './fleetDescription';
+import type { EngineProfile } from './fleetParts';
 
 export { parseLogLine } from './childProcess';
 export { describeFleet, institutionNames, modelDocumentOf } from './fleetDescription';
--- a/packages/bench/src/fleet/fleetDescription.ts
+++ b/packages/bench/src/fleet/fleetDescription.ts
@@ -3,30 +3,11 @@
 import { join } from 'node:path';
 import { parse } from 'yaml';
 import { serviceDocumentSchema, type ServiceDocument } from '@bluebellhitch/document';
+import type { EngineProfile, ServiceFile } from './fleetParts';
 import { scaleEngine, scaleService } from './timeScale';
 
-/** Settings of the stand-in engine; absent ones keep its own defaults. */
-export interface EngineProfile {
-  slotCount: number;
-  capacityKvBytes: number;
-  kvBytesPerToken: number;
-  /** A decode step of n streams takes `stepBaseMs + n * stepPerStreamMs`. */
-  stepBaseMs: number;
-  stepPerStreamMs: number;
-  prefillBaseMs: number;
-  prefillMsPerToken: number;
-  linkBytesPerSecond: number;
-  /** How long the result of a prefill is kept. */
-  exportKeptForMs: number;
-}
-
 export type WorkerCounts = Partial<Record<'prefill' | 'decode' | 'both' | 'plain', number>>;
 
-export interface ServiceFile {
-  text: string;
-  document: ServiceDocument;
-}
-
 export interface BackendDescription {
   id: string;
   document: ServiceDocument;
--- a/packages/bench/src/fleet/startFleet.ts
+++ b/packages/bench/src/fleet/startFleet.ts
@@ -18,7 +18,8 @@
   registerInstance,
   removeInstance,
 } from './controlCalls';
-import type { BackendDescription, EngineProfile, FleetDescription } from './fleetDescription';
+import type { BackendDescription, FleetDescription } from './fleetDescription';
+import type { EngineProfile } from './fleetParts';
 
 export interface StartFleetOptions extends StartBinaryOptions {
   description: FleetDescription;
--- a/packages/bench/src/fleet/timeScale.ts
+++ b/packages/bench/src/fleet/timeScale.ts
@@ -4,7 +4,7 @@
  */
 import { stringify } from 'yaml';
 import { serviceDocumentSchema } from '@bluebellhitch/document';
-import type { EngineProfile, ServiceFile } from './fleetDescription';
+import type { EngineProfile, ServiceFile } from './fleetParts';
 
 /** All durations times `factor`, all rates through it. */
 export function scaleEngine(engine: EngineProfile, factor: number): EngineProfile {
--- a/packages/bench/src/report/overheadReport.ts
+++ b/packages/bench/src/report/overheadReport.ts
@@ -1,5 +1,5 @@
 /** The tables of the overhead experiment. */
-import type { OverheadFigures, OverheadLevel, PathTimes } from '../experiments/overhead';
+import type { OverheadFigures, OverheadLevel, PathTimes } from '../experiments/overheadFigures';
 import { describeMachine } from '../experiments/machine';
 import { formatMs, renderTable } from './table';
 
--- a/packages/bench/src/traffic/capacity.ts
+++ b/packages/bench/src/traffic/capacity.ts
@@ -3,7 +3,8 @@
  * told as a share of. No policy exceeds it, because it assumes full batches, no waiting for transfers
  * and that a prefix once computed is never computed again.
  */
-import type { EngineProfile, FleetDescription } from '../fleet/fleetDescription';
+import type { FleetDescription } from '../fleet/fleetDescription';
+import type { EngineProfile } from '../fleet/fleetParts';
 import { createTrace, isModelArrival, type ModelArrival } from './trace';
 import type { InstitutionMix } from './mixes';
 
--- a/packages/entry/src/baselinePlacement.ts
+++ b/packages/entry/src/baselinePlacement.ts
@@ -25,8 +25,12 @@
   type PlacementFailure,
   type ReserveChoice,
 } from './placement';
-import { reservePrefill, runPrefill, type FinishedPrefill } from './prefillStage';
-import { reportWastedPrefill } from './runReports';
+import {
+  reportWastedPrefill,
+  reservePrefill,
+  runPrefill,
+  type FinishedPrefill,
+} from './prefillStage';
 
 export type BaselineOutcome =
   /** With a prefill that is done already, where the policy prefills first. */
--- a/packages/entry/src/modelAttempt.ts
+++ b/packages/entry/src/modelAttempt.ts
@@ -11,8 +11,12 @@
 import type { HeldLease } from './heldLease';
 import { stopReasons, type AttemptFailure, type AttemptOutcome, type ModelRun } from './modelTypes';
 import { placeAttempt, type Placement } from './placement';
-import { reservePrefill, runPrefill, type FinishedPrefill } from './prefillStage';
-import { reportWastedPrefill } from './runReports';
+import {
+  reportWastedPrefill,
+  reservePrefill,
+  runPrefill,
+  type FinishedPrefill,
+} from './prefillStage';
 import { streamAttempt } from './streamStage';
 
 /** Runs an attempt; nothing stays held or placed afterwards. */
--- a/packages/entry/src/prefillStage.ts
+++ b/packages/entry/src/prefillStage.ts
@@ -7,7 +7,7 @@
   ReserveRequest,
 } from '@bluebellhitch/protocol';
 import { delay, monotonicNowMs } from '@bluebellhitch/shared';
-import { requestPhases } from '@bluebellhitch/telemetry';
+import { requestPhases, type WastedPrefillCause } from '@bluebellhitch/telemetry';
 import { failureOfCall, failureOfRefusal } from './agentFailures';
 import { callUnderLease, holdLease, type HeldLease } from './heldLease';
 import type { AttemptFailure, ModelRun } from './modelTypes';
@@ -151,6 +151,17 @@
   return { kind: 'prefilled', prefill: { lease, reply } };
 }
 
+/** Counts a finished prefill whose result no token came from. */
+export function reportWastedPrefill(
+  run: ModelRun,
+  prefill: FinishedPrefill,
+  cause: WastedPrefillCause,
+): void {
+  const { promptTokens, cachedTokens } = prefill.reply;
+  run.context.metrics.countWastedPrefillTokens(cause, Math.max(0, promptTokens - cachedTokens));
+  run.trace.step('prefill-wasted', { cause });
+}
+
 /** Where the decode worker gets the KV cache. */
 export function kvSourceOf(prefill: FinishedPrefill | undefined): KvSource {
   if (prefill === undefined) {
--- a/packages/entry/src/runReports.ts
+++ b/packages/entry/src/runReports.ts
@@ -1,7 +1,6 @@
-/** What a model request reports while it runs: labels, strikes and wasted prefills. */
-import type { RequestLabels, WastedPrefillCause } from '@bluebellhitch/telemetry';
+/** What a model request reports while it runs: labels and strikes. */
+import type { RequestLabels } from '@bluebellhitch/telemetry';
 import type { ModelRequest, ModelRun } from './modelTypes';
-import type { FinishedPrefill } from './prefillStage';
 
 export function labelsOf(request: ModelRequest): RequestLabels {
   return {
@@ -22,14 +21,3 @@
     instanceId,
   });
 }
-
-/** Counts a finished prefill whose result no token came from. */
-export function reportWastedPrefill(
-  run: ModelRun,
-  prefill: FinishedPrefill,
-  cause: WastedPrefillCause,
-): void {
-  const { promptTokens, cachedTokens } = prefill.reply;
-  run.context.metrics.countWastedPrefillTokens(cause, Math.max(0, promptTokens - cachedTokens));
-  run.trace.step('prefill-wasted', { cause });
-}
--- a/packages/routing/src/backendConnections.ts
+++ b/packages/routing/src/backendConnections.ts
@@ -5,39 +5,8 @@
  */
 import type { Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
-import type { AnswerBody } from './backendApi';
 import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
-
-export interface HttpCall {
-  /** `ip:port`. */
-  address: string;
-  method: string;
-  path: string;
-  /** Names and values by turns. */
-  headers: readonly string[];
-  body?: Buffer | string;
-  /** From the call to the answer's head, the time to connect included. */
-  headTimeoutMs: number;
-  signal?: AbortSignal;
-  /** Open connections to the address at most. */
-  maxConnections: number;
-}
-
-export interface HttpAnswer {
-  status: number;
-  /** Names and values by turns. */
-  headers: readonly string[];
-  body: AnswerBody;
-  /** Gives the answer and its connection up. */
-  discard(reason: string): void;
-}
-
-export type HttpOutcome =
-  | { kind: 'answered'; answer: HttpAnswer }
-  /** Nothing of the call went out. */
-  | { kind: 'not-sent'; detail: string }
-  /** The call went out, in part at least, and no answer can come any more. */
-  | { kind: 'lost'; detail: string; isOurs: boolean };
+import type { HttpCall, HttpOutcome } from './httpCall';
 
 export interface BackendConnections {
   call(call: HttpCall): Promise<HttpOutcome>;
--- a/packages/routing/src/backendExchange.ts
+++ b/packages/routing/src/backendExchange.ts
@@ -1,7 +1,7 @@
 /** One call on one connection to a backend server, from its sending to the end of its answer. */
 import type { Client, Dispatcher } from 'undici';
 import type { AnswerBody, BodyReader } from './backendApi';
-import type { HttpCall, HttpOutcome } from './backendConnections';
+import type { HttpCall, HttpOutcome } from './httpCall';
 
 /** What the call needs of its connection. */
 export interface ExchangeConnection {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -23,10 +23,8 @@
   createBackendConnections,
   type BackendConnections,
   type BackendConnectionsOptions,
-  type HttpAnswer,
-  type HttpCall,
-  type HttpOutcome,
 } from './backendConnections';
+export type { HttpAnswer, HttpCall, HttpOutcome } from './httpCall';
 export type { AnswerWriter, CallerExchange, WholeAnswer } from './callerApi';
 export {
   startCallersServer,
