--- a/scripts/dayCeilings.mjs
+++ b/scripts/dayCeilings.mjs
@@ -101,8 +101,7 @@
   const owed = new Map();
   const earned = new Map();
   const windows = new Map();
-  let sentCount = 0;
-  let unservedCount = 0;
+  const counts = { sent: 0, unserved: 0 };
   for (let step = 0; step < steps; step += 1) {
     const atS = step * stepS;
     const offered = offeredAt(day, atS);
@@ -117,8 +116,8 @@
       const sound = one.kind === 'safe' ? 1 - failing ** 2 : 1 - failing;
       const servedShare = isStream(one) ? served : sound;
       const share = servedShare * creditShare(one, atS, day, capacity);
-      sentCount += rate * stepS;
-      unservedCount += rate * stepS * (share === 0 ? 1 : 1 - servedShare);
+      counts.sent += rate * stepS;
+      counts.unserved += rate * stepS * (share === 0 ? 1 : 1 - servedShare);
       const window = Math.floor(atS / windowS);
       const known = windows.get(window) ?? { owed: 0, earned: 0 };
       windows.set(window, { owed: known.owed + worth, earned: known.earned + worth * share });
@@ -133,7 +132,7 @@
   const { mean = 0, window = 0, class: ofClass = 0, nines = 0 } = site.goal;
   const ninesReached = Math.min(
     1,
-    Math.log(unservedCount / sentCount) / Math.log(site.goal.nines_best),
+    Math.log(counts.unserved / counts.sent) / Math.log(site.goal.nines_best),
   );
   return mean * whole + window * worst + ofClass * worstClass + nines * ninesReached;
 }
