--- a/packages/soak/src/loopbackProxy.ts
+++ b/packages/soak/src/loopbackProxy.ts
@@ -102,7 +102,7 @@
     from.on('error', () => undefined);
     from.on('close', (hadError) => {
       if (hadError) {
-        to.resetAndDestroy();
+        reset(to);
       }
       if (to.destroyed) {
         clearTimeout(flow.timer);
@@ -129,7 +129,7 @@
   function resetAll(): void {
     [...flows].forEach((flow) => {
       clearTimeout(flow.timer);
-      flow.from.resetAndDestroy();
+      reset(flow.from);
     });
     flows.clear();
   }
@@ -147,3 +147,12 @@
     },
   };
 }
+
+/** The runtime cannot reset a connection that it is ending: its handle would stay open for good. */
+function reset(socket: Socket): void {
+  if (socket.writableEnded) {
+    socket.destroy();
+  } else {
+    socket.resetAndDestroy();
+  }
+}
