--- a/packages/routing/src/fleetPart.ts
+++ b/packages/routing/src/fleetPart.ts
@@ -65,7 +65,7 @@
     return weight;
   }
 
-  function setRouters(ownAddress: string, addresses: readonly string[]): void {
+  function divideRouters(ownAddress: string, addresses: readonly string[]): void {
     const routers = orderByWeight([...new Set([ownAddress, ...addresses])], weigh);
     count = nextCount(count, routers.length);
     ownPart = partOf(routers.indexOf(ownAddress), routers.length, count);
@@ -111,7 +111,7 @@
     usable: (serviceName, stage) => divide(serviceName, stage).own,
     spare: (serviceName, stage) => divide(serviceName, stage).spare,
     setRouters(ownAddress, addresses) {
-      setRouters(ownAddress, addresses);
+      divideRouters(ownAddress, addresses);
       forgetRemoved();
     },
     companions: () => companions,
