--- a/packages/soak/src/configurationPlan.ts
+++ b/packages/soak/src/configurationPlan.ts
@@ -14,14 +14,13 @@
 export interface PathState {
   /** Undefined where no route leads there. */
   serviceName?: ServiceName;
-  version: number;
   acknowledgedAtMs: number;
 }
 
 export interface ConfigurationPlan {
   baseRoutes: readonly Route[];
   /** The path that changes its service. */
-  movingTarget: string;
+  movingPrefix: string;
   change(change: ConfigurationChange): void;
   /** Paths that were changed, with what holds for each now. */
   changedPaths(): ReadonlyMap<string, PathState>;
@@ -43,11 +42,12 @@
     return monotonicNowMs();
   }
 
+  const movingRoute = () => plainRoute('moving', routeKinds.idempotent, movingService);
+
   function configuration(): Configuration {
-    const moving = plainRoute('moving', routeKinds.idempotent, movingService);
     return {
       version,
-      routes: [...baseRoutes, moving, ...extraRoutes],
+      routes: [...baseRoutes, movingRoute(), ...extraRoutes],
       services: Object.values(serviceNames).map((name) => ({
         name,
         maxConnections: 300,
@@ -66,18 +66,18 @@
   }
 
   function noteMove(acknowledgedAtMs: number): void {
-    moves.push({ serviceName: movingService, version, acknowledgedAtMs });
+    moves.push({ serviceName: movingService, acknowledgedAtMs });
   }
 
   noteMove(write());
 
   return {
     baseRoutes,
-    movingTarget: '/moving/1',
+    movingPrefix: movingRoute().pathPrefix,
     change(change) {
       const removed = change === 'remove' ? extraRoutes.shift() : undefined;
       if (removed !== undefined) {
-        changed.set(removed.pathPrefix, { version, acknowledgedAtMs: write() });
+        changed.set(removed.pathPrefix, { acknowledgedAtMs: write() });
       } else if (change === 'move') {
         movingService =
           movingService === serviceNames.counter ? serviceNames.desk : serviceNames.counter;
@@ -87,11 +87,7 @@
         const route = plainRoute(`extra-${addedCount}`, routeKinds.idempotent, serviceNames.desk);
         extraRoutes.push(route);
         const acknowledgedAtMs = write();
-        changed.set(route.pathPrefix, {
-          serviceName: serviceNames.desk,
-          version,
-          acknowledgedAtMs,
-        });
+        changed.set(route.pathPrefix, { serviceName: serviceNames.desk, acknowledgedAtMs });
       }
     },
     changedPaths: () => changed,
@@ -99,7 +95,8 @@
   };
 }
 
-function plainRoute(name: string, kind: Route['kind'], serviceName: ServiceName): Route {
+/** For a probe of a path as well: whatever service the path leads to, it is a plain one. */
+export function plainRoute(name: string, kind: Route['kind'], serviceName: ServiceName): Route {
   return {
     name,
     host: callersHost,
--- a/packages/soak/src/fleetChecks.ts
+++ b/packages/soak/src/fleetChecks.ts
@@ -7,8 +7,9 @@
   type BackgroundLoop,
 } from '@bluebellhitch/shared';
 import type { PlatformBounds } from '@bluebellhitch/platform';
+import { serviceNames } from './backendServers';
 import type { Callers } from './callers';
-import { callersHost, type ConfigurationPlan } from './configurationPlan';
+import { plainRoute, type ConfigurationPlan } from './configurationPlan';
 import type { Disruptions } from './disruptions';
 import { promises, type Findings } from './findings';
 import type { Arrival, Ledger, SentRequest } from './ledger';
@@ -30,7 +31,6 @@
 const budgetIntervalMs = 1_000;
 const probeIntervalMs = 400;
 const notFoundStatus = 404;
-const moving = '/moving/';
 /** A request that is sent this soon after another may still overtake it on its way. */
 const overtakeMs = 250;
 
@@ -93,6 +93,9 @@
 
   const inForceSinceMs = (acknowledgedAtMs: number) => acknowledgedAtMs + applyMs + marginMs;
 
+  const probe = (router: RouterProcessHandle, pathPrefix: string) =>
+    callers.probe(router, probeRoute(pathPrefix), `${pathPrefix}1`);
+
   /** The newest move that the router's answer shows. */
   function noteSeen(router: RouterProcessHandle, request: SentRequest, index: number): void {
     const key = `${router.name}/${router.life()}`;
@@ -106,7 +109,7 @@
   }
 
   async function probeMove(router: RouterProcessHandle): Promise<void> {
-    const request = await callers.probe(router, probeRoute(moving), plan.movingTarget);
+    const request = await probe(router, plan.movingPrefix);
     const arrival = options.ledger.arrivalsOf(request.id).at(-1);
     const moves = plan.moves();
     const newest = moves.at(-1);
@@ -129,7 +132,7 @@
     );
     await Promise.all(
       due.map(async ([path, state]) => {
-        const request = await callers.probe(router, probeRoute(path), `${path}1`);
+        const request = await probe(router, path);
         const isKnown = !isNotFound(request);
         if (
           request.end?.kind !== 'no-answer' &&
@@ -170,19 +173,8 @@
 }
 
 function probeRoute(pathPrefix: string): Route {
-  return {
-    name: `probe ${pathPrefix}`,
-    host: callersHost,
-    pathPrefix,
-    kind: routeKinds.idempotent,
-    timeoutMs: 2_000,
-    targetLatencyMs: 200,
-    targetGapMs: 0,
-    priority: 2,
-    maxAttempts: 2,
-    allowsResume: false,
-    targets: [],
-  };
+  const route = plainRoute('probe', routeKinds.idempotent, serviceNames.desk);
+  return { ...route, name: `probe ${pathPrefix}`, pathPrefix };
 }
 
 function countBy<Item>(items: readonly Item[], keyOf: (item: Item) => string): Map<string, number> {
