Count a call's time-out only while this process runs

A test of the router failed once: the decode engine read a prompt that a prefill engine could have read. The trace: the process stood still while the prompt was read elsewhere; when it went on, the call's timer was due before the answer that had arrived was read. The step list of each failure says 'prefill p1 lost 476ms to 483ms; prompt at decode', its time-out being 460 ms.

Ruled out: a choice to read at the decode engine (its step says so without a lost prefill), and a prefill engine that is not yet known (the call went to it).

A timer now counts in eight slices, and a slice that ends late counts once.

--- a/packages/routing/src/backendExchange.ts
+++ b/packages/routing/src/backendExchange.ts
@@ -1,5 +1,6 @@
 /** One call on one connection to a backend server, from its sending to the end of its answer. */
 import type { Client, Dispatcher } from 'undici';
+import { startRunningTimer } from '@bluebellhitch/shared';
 import type { AnswerBody, BodyReader } from './backendApi';
 import type { HttpCall, HttpOutcome } from './httpCall';
 
@@ -34,7 +35,7 @@
   let bodyEnd: BodyEnd | undefined;
   let controller: Dispatcher.DispatchController | undefined;
   let isFramed = true;
-  const headTimer = setTimeout(() => giveUp('no answer in time'), call.headTimeoutMs);
+  const headTimer = startRunningTimer(call.headTimeoutMs, () => giveUp('no answer in time'));
   const onAbort = () => giveUp('given up');
 
   function giveUp(reason: string): void {
@@ -51,7 +52,7 @@
   }
 
   function finishWaiting(): void {
-    clearTimeout(headTimer);
+    headTimer.stop();
   }
 
   function endBody(end: BodyEnd): void {
--- /dev/null
+++ b/packages/shared/__tests__/runningTimer.test.ts
@@ -0,0 +1,41 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import test from 'ava';
+import { startRunningTimer } from '@bluebellhitch/shared';
+
+test.serial('a timer ends after its time, once', (t) => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout'] });
+  try {
+    let ended = 0;
+    startRunningTimer(400, () => {
+      ended += 1;
+    });
+    clock.tick(399);
+    t.is(ended, 0);
+    clock.tick(2_000);
+    t.is(ended, 1);
+  } finally {
+    clock.uninstall();
+  }
+});
+
+test.serial('a stopped timer never ends, whichever slice it was in', (t) => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout'] });
+  try {
+    const timer = startRunningTimer(400, () => t.fail());
+    clock.tick(320);
+    timer.stop();
+    clock.tick(2_000);
+    t.pass();
+  } finally {
+    clock.uninstall();
+  }
+});
+
+test('a pause of the process counts for one slice', async (t) => {
+  const startedAtMs = performance.now();
+  const ended = new Promise<number>((resolve) => {
+    startRunningTimer(160, () => resolve(performance.now() - startedAtMs));
+  });
+  while (performance.now() < startedAtMs + 500);
+  t.true((await ended) >= 500 + (160 * 7) / 8 - 10);
+});
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -25,4 +25,5 @@
 export { createSeededRandom, type Random } from './random';
 export { createBackgroundLoop, type BackgroundLoop } from './backgroundLoop';
 export { delay, monotonicNowMs } from './clock';
+export { startRunningTimer, type RunningTimer } from './runningTimer';
 export { runOnce } from './runOnce';
