Tell a server's lives apart, and use only what a server's own entry names

A backend server may start again under its name. What was kept by that name (memory placed there, reports, breakers, prefill results, pending orders) was held against a server that knows nothing of it, and a late entry of the life before could bring its address back. A life is now a server of its own: its id holds the time of its birth, a newer birth removes the life before, an older one is old news, also after a removal. A report may tell of the restart before the entry does. Stage orders are not sent where the report is of another life.

Any state but 'draining' counted as usable, an entry without slots or with a host name too. An entry must now be wholly as a server writes it; one that turns unreadable takes its server out of use, like one that drains, until it is readable again: nobody vouches for its address, while streams in progress there lose nothing. One log line for each object and fault, and a counter.

Ruled out: dropping a server whose entry turns unreadable, which would forget the memory in use there.

--- a/packages/routing/__tests__/decodePlacement.test.ts
+++ b/packages/routing/__tests__/decodePlacement.test.ts
@@ -21,6 +21,7 @@
 
 const server = (id: string): BackendServer => ({
   id,
+  name: id,
   serviceName: 's',
   address: `${id}:80`,
   dataCentre: 'north',
--- a/packages/routing/__tests__/fleetPart.test.ts
+++ b/packages/routing/__tests__/fleetPart.test.ts
@@ -10,6 +10,7 @@
 
 const server = (index: number): BackendServer => ({
   id: `w${index}`,
+  name: `w${index}`,
   serviceName: 's',
   address: `10.9.${index}:80`,
   dataCentre: 'north',
--- a/packages/routing/__tests__/serverDirectory.test.ts
+++ b/packages/routing/__tests__/serverDirectory.test.ts
@@ -1,9 +1,10 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
-import { createServerDirectory, type BackendServer } from '@bluebellhitch/routing';
+import { createServerDirectory, serverIdOf, type BackendServer } from '@bluebellhitch/routing';
 
 const server = (id: string, over: Partial<BackendServer> = {}): BackendServer => ({
   id,
+  name: id,
   serviceName: 's',
   address: '10.0.0.1:80',
   dataCentre: 'north',
@@ -54,3 +55,69 @@
   directory.remove('a');
   t.deepEqual(directory.all(), []);
 });
+
+test('a server that starts again under its name is another server', (t) => {
+  // What was believed of the life before (memory in use, breakers, prefill results) would be held against an
+  // engine that holds and knows nothing. It crashes and is back under its name within its heartbeat.
+  const changes: string[] = [];
+  const directory = createServerDirectory({
+    onChanged: ({ kind, server: { id } }) => changes.push(`${kind} ${id}`),
+  });
+  const life = (bornAtMs: number) =>
+    server(serverIdOf('a', bornAtMs), { name: 'a', bornAtMs, slots: bornAtMs });
+  directory.put(life(10));
+  directory.put(life(20));
+  t.deepEqual(changes, ['added a~a', 'removed a~a', 'added a~k']);
+  t.is(directory.get('a~a'), undefined);
+  t.deepEqual(idsOf(directory.usable('s')), ['a~k']);
+});
+
+test('news of a life that is over changes nothing, whether the server is listed or gone', (t) => {
+  // Requests would go to a life that is over. An entry of before a restart arrives after it.
+  const directory = createServerDirectory();
+  const life = (bornAtMs: number) => server(serverIdOf('a', bornAtMs), { name: 'a', bornAtMs });
+  directory.put(life(20));
+  directory.put(life(10));
+  t.deepEqual(idsOf(directory.all()), ['a~k']);
+  directory.replaceAll([life(10)]);
+  t.deepEqual(idsOf(directory.all()), ['a~k']);
+  directory.remove('a');
+  directory.put(life(10));
+  t.deepEqual(directory.all(), []);
+  directory.put(life(30));
+  t.deepEqual(idsOf(directory.usable('s')), ['a~u']);
+});
+
+test('a server whose entry turns unreadable gets nothing new until it is readable again', (t) => {
+  // Another writer has spoiled the entry: nobody vouches for the address any more. What is in progress there goes
+  // on, so the server is still known.
+  const directory = createServerDirectory();
+  directory.put(server('a'));
+  directory.withdraw('a');
+  t.deepEqual(directory.usable('s'), []);
+  t.deepEqual(idsOf(directory.all()), ['a']);
+  directory.put(server('a'));
+  t.deepEqual(idsOf(directory.usable('s')), ['a']);
+  directory.replaceAll([], ['a']);
+  t.deepEqual(directory.usable('s'), []);
+  t.deepEqual(idsOf(directory.all()), ['a']);
+});
+
+test('an entry without the birth that its server has told before is not its own', (t) => {
+  const directory = createServerDirectory();
+  directory.put(server('a~a', { name: 'a', bornAtMs: 10 }));
+  directory.put(server('a', { address: '10.9.9.9:1' }));
+  t.deepEqual(directory.usable('s'), []);
+});
+
+test('a report may tell of a restart before the entry does', (t) => {
+  const directory = createServerDirectory();
+  const before = server('a~a', { name: 'a', bornAtMs: 10, stage: 'prefill' });
+  directory.put(before);
+  directory.noteBorn(before, 20, 'decode');
+  t.like(directory.usable('s')[0], { id: 'a~k', stage: 'decode' });
+  directory.noteBorn(before, 30, 'decode');
+  t.like(directory.usable('s')[0], { id: 'a~k' });
+  directory.put(before);
+  t.like(directory.usable('s')[0], { id: 'a~k' });
+});
--- a/packages/routing/__tests__/stageKeeper.test.ts
+++ b/packages/routing/__tests__/stageKeeper.test.ts
@@ -21,6 +21,7 @@
 
 const engine = (id: string, stage: Stage): BackendServer => ({
   id,
+  name: id,
   serviceName: 's',
   address: `${id}:80`,
   dataCentre: 'north',
--- a/packages/routing/__tests__/stagePlan.test.ts
+++ b/packages/routing/__tests__/stagePlan.test.ts
@@ -4,6 +4,7 @@
 
 const engine = (id: number, stage: Stage): BackendServer => ({
   id: `e${id}`,
+  name: `e${id}`,
   serviceName: 's',
   address: `10.0.0.${id}:80`,
   dataCentre: `zone-${id % 3}`,
--- a/packages/routing/src/backendApi.ts
+++ b/packages/routing/src/backendApi.ts
@@ -41,6 +41,8 @@
 /** An engine's load as it reports it; some hundred milliseconds old. */
 export interface EngineLoad {
   stage: Stage;
+  /** Start of the engine's life in Unix milliseconds, where it tells it. */
+  bornAtMs?: number;
   waiting: number;
   running: number;
   /** Memory that cannot yield. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -40,6 +40,7 @@
 export {
   notRunReasons,
   routeKinds,
+  serverIdOf,
   stages,
   type BackendServer,
   type CallerLimits,
--- a/packages/routing/src/loadPoller.ts
+++ b/packages/routing/src/loadPoller.ts
@@ -12,7 +12,7 @@
   type BackgroundLoop,
   type Random,
 } from '@bluebellhitch/shared';
-import type { BackendApi } from './backendApi';
+import type { BackendApi, EngineLoad } from './backendApi';
 import type { EngineLoads } from './engineLoads';
 import type { ServerPools } from './fleetPart';
 import { stages, type BackendServer } from './model';
@@ -48,12 +48,22 @@
   async function readOne(server: BackendServer): Promise<void> {
     const outcome = await backend.readLoad(server, reportTimeoutMs);
     if (outcome.kind === 'done') {
-      loads.report(server.id, outcome.value);
+      takeReport(server, outcome.value);
     } else {
       loads.noteSilent(server.id);
     }
   }
 
+  /** A report of another life tells nothing of this one; one of a newer life is the first news of it. */
+  function takeReport(server: BackendServer, load: EngineLoad): void {
+    const { bornAtMs = server.bornAtMs } = load;
+    if (bornAtMs === server.bornAtMs) {
+      loads.report(server.id, load);
+    } else if (bornAtMs !== undefined) {
+      directory.noteBorn(server, bornAtMs, load.stage);
+    }
+  }
+
   /** The engines that this process looks after. */
   function engines(): BackendServer[] {
     const nowMs = monotonicNowMs();
--- a/packages/routing/src/model.ts
+++ b/packages/routing/src/model.ts
@@ -74,9 +74,17 @@
 export const stages = { prefill: 'prefill', decode: 'decode' } as const;
 export type Stage = (typeof stages)[keyof typeof stages];
 
-/** One life of a backend server: a restart is another one, with another id. */
+/**
+ * One life of a backend server. A server that starts again holds and knows nothing of before, so its next life is
+ * another server: what is kept by id (loads, breakers, pending orders, prefill results) does not carry over.
+ */
 export interface BackendServer {
+  /** Of this life; see `serverIdOf`. */
   id: string;
+  /** What the platform lists it by; a server may keep it when it starts again. */
+  name: string;
+  /** Start of this life in Unix milliseconds, where the server tells it. */
+  bornAtMs?: number;
   serviceName: string;
   /** `ip:port`; may belong to another server once this one is gone. */
   address: string;
@@ -87,6 +95,13 @@
   stage?: Stage;
 }
 
+const bornRadix = 36;
+
+/** The id of a life: short, for routers repeat it in their datagrams. */
+export function serverIdOf(name: string, bornAtMs: number | undefined): string {
+  return bornAtMs === undefined ? name : `${name}~${bornAtMs.toString(bornRadix)}`;
+}
+
 /** The sizes of a model request, as its caller states them. */
 export interface PromptSize {
   promptTokens: number;
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -19,6 +19,7 @@
   countConnection(): void;
   setConfigurationVersion(version: number): void;
   setServers(count: number): void;
+  countUnreadableObject(kind: string): void;
 }
 
 const labelNames = ['service', 'kind'] as const;
@@ -81,6 +82,11 @@
   );
   const lostLines = gauge('bluebell_log_lines_dropped', 'Log lines that were not written.');
   const version = gauge('bluebell_configuration_version', 'Version of the configuration in force.');
+  const unreadable = counter(
+    'bluebell_unreadable_objects_total',
+    'Objects of the store that could not be read, by kind; each reading counts.',
+    ['kind'],
+  );
   const servers = gauge('bluebell_backend_servers', 'Backend servers that are known.');
 
   return {
@@ -101,5 +107,6 @@
     countConnection: () => connections.inc(),
     setConfigurationVersion: (value) => version.set(value),
     setServers: (count) => servers.set(count),
+    countUnreadableObject: (kind) => unreadable.inc({ kind }),
   };
 }
--- a/packages/routing/src/stageKeeper.ts
+++ b/packages/routing/src/stageKeeper.ts
@@ -111,6 +111,10 @@
     if (load.kind !== 'done' || fencing === undefined || load.value.isBusyWithOrder) {
       return;
     }
+    if (load.value.bornAtMs !== undefined && load.value.bornAtMs !== server.bornAtMs) {
+      // It has started again since the plan was made: the list will tell what it is now.
+      return;
+    }
     lastOrderAtMs = monotonicNowMs();
     const outcome = await backend.orderStage(
       server,
