--- /dev/null
+++ b/packages/routing/__tests__/quietWatch.test.ts
@@ -0,0 +1,60 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import test from 'ava';
+import { startQuietWatch } from '../src/quietWatch';
+
+function watchInPausedTime(
+  isServerSilent: boolean,
+  act: (clock: FakeTimers.Clock, note: () => void) => void,
+) {
+  const clock = FakeTimers.install({ toFake: ['setInterval', 'clearInterval', 'performance'] });
+  let goneAtMs: number | undefined;
+  try {
+    const watch = startQuietWatch({
+      quietMs: 2_000,
+      silentServerQuietMs: 400,
+      isServerSilent: () => isServerSilent,
+      onGone() {
+        goneAtMs ??= clock.now;
+      },
+    });
+    act(clock, watch.noteProgress);
+    watch.stop();
+  } finally {
+    clock.uninstall();
+  }
+  return goneAtMs;
+}
+
+test.serial(
+  'a run that shows nothing is gone after its time, sooner where its server is silent',
+  (t) => {
+    const wait = (clock: FakeTimers.Clock) => clock.tick(5_000);
+    const alone = watchInPausedTime(false, wait) ?? 0;
+    const silent = watchInPausedTime(true, wait) ?? 0;
+    t.true(alone >= 2_000 && alone <= 2_100);
+    t.true(silent >= 400 && silent <= 600);
+  },
+);
+
+test.serial('progress starts the time anew', (t) => {
+  const goneAtMs = watchInPausedTime(false, (clock, note) => {
+    clock.tick(1_500);
+    note();
+    clock.tick(1_900);
+    note();
+    clock.tick(3_000);
+  });
+  t.true((goneAtMs ?? 0) >= 5_400);
+});
+
+test.serial('a pause of the process itself is not held against the run', (t) => {
+  // A stream that goes on would be broken off and begun again elsewhere. The process stands still for seconds; what
+  // came meanwhile has not been read yet.
+  const goneAtMs = watchInPausedTime(true, (clock, note) => {
+    clock.tick(200);
+    clock.jump(4_000);
+    note();
+    clock.tick(200);
+  });
+  t.is(goneAtMs, undefined);
+});
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -13,6 +13,8 @@
   observeFirstByte(labels: RequestLabels, durationMs: number): void;
   observeWhole(labels: RequestLabels, durationMs: number): void;
   observePlacement(service: string, durationMs: number): void;
+  /** Output tokens that were expected of a stream that has ended, over those that it had. */
+  observeLengthForecast(service: string, ratio: number): void;
   countFurtherAttempt(service: string, cause: string): void;
   countPrefillTokens(tokens: number): void;
   countWastedPrefillTokens(tokens: number): void;
@@ -24,6 +26,7 @@
 
 const labelNames = ['service', 'kind'] as const;
 const msPerSecond = 1000;
+const ratioBuckets = [0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 4];
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.62, 0.9, 1.5, 3, 6, 15, 60];
 /** At the library's 10 ms the monitor's timer is most of an idle process's own work. */
 const eventLoopPrecisionMs = 100;
@@ -66,6 +69,13 @@
     'Wait of model requests for decode memory.',
     ['service'],
   );
+  const lengthForecasts = new Histogram({
+    name: 'bluebell_length_forecast_ratio',
+    help: 'Expected output of streams that ended, over their output; half should lie below 1.',
+    labelNames: ['service'],
+    buckets: ratioBuckets,
+    registers,
+  });
   const furtherAttempts = counter(
     'bluebell_further_attempts_total',
     'Attempts beyond the first by cause.',
@@ -101,6 +111,7 @@
     observeWhole: (labels, durationMs) => whole.observe({ ...labels }, durationMs / msPerSecond),
     observePlacement: (service, durationMs) =>
       placements.observe({ service }, durationMs / msPerSecond),
+    observeLengthForecast: (service, ratio) => lengthForecasts.observe({ service }, ratio),
     countFurtherAttempt: (service, cause) => furtherAttempts.inc({ service, cause }),
     countPrefillTokens: (tokens) => prefillTokens.inc(tokens),
     countWastedPrefillTokens: (tokens) => wastedTokens.inc(tokens),
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -218,12 +218,15 @@
 }
 
 function noteLength({ state, parts, relay, size }: StreamRun): void {
-  parts.streamSizes.observeEnd({
-    className: state.route.name,
-    size,
-    events: relay.eventCount(),
-    durationMs: relay.eventsTookMs(),
-  });
+  const { streamSizes, metrics } = parts;
+  const className = state.route.name;
+  const events = relay.eventCount();
+  const emittedTokens = streamSizes.emittedTokens(events);
+  if (emittedTokens > 0) {
+    const { medianOutputTokens } = streamSizes.expect(className, size, 0);
+    metrics.observeLengthForecast(state.service.name, medianOutputTokens / emittedTokens);
+  }
+  streamSizes.observeEnd({ className, size, events, durationMs: relay.eventsTookMs() });
 }
 
 /**
