Read a prompt at the decode engine where no further prefill call is left

Change: the decode engine reads, which needs no further attempt. Ruled out: taking the attempt all the same (the budget is all routers' together).

--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -108,9 +108,10 @@
       if (server === undefined || isBetterAtDecode(state, promptTokens, server, decodeServer)) {
         return { kind: 'at-decode' };
       }
-      // The first call that an engine accepts is free; any other counts as a further attempt.
+      // The first call that an engine accepts is free; any other counts as a further attempt. Without one left the
+      // decode engine reads: it has the memory set aside, and a refusal would waste it.
       if (calls > 0 && !budget.tryTake(state.service.name, monotonicNowMs())) {
-        return { kind: 'failed' };
+        return { kind: 'at-decode' };
       }
       calls += 1;
       const result = await readAt(server, state, promptTokens);
