Keep one line of waiting streams for each service, and one type for streams

Read as a newcomer: the times of placements were dropped only when somebody waited, so they grew with traffic on a fleet that never fills; streams of all services counted as one line, though each has its own engines; the type of a stream stood in protocol and decisions, its first figures in two modules. Now bounded at each placement, by service, and once.

--- a/packages/decisions/__tests__/memoryForecast.test.ts
+++ b/packages/decisions/__tests__/memoryForecast.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import { createMemoryForecast, survival, type StreamOutlook } from '@bluebellhitch/decisions';
+import { createMemoryForecast, survival } from '@bluebellhitch/decisions';
+import type { StreamOutlook } from '@bluebellhitch/protocol';
 
 const stream = (over: Partial<StreamOutlook> = {}): StreamOutlook => ({
   promptTokens: 5_000,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,7 +4,6 @@
   survival,
   type MemoryForecast,
   type MemoryForecastOptions,
-  type StreamOutlook,
 } from './memoryForecast';
 export {
   createPlacementAdmission,
--- a/packages/decisions/src/memoryForecast.ts
+++ b/packages/decisions/src/memoryForecast.ts
@@ -3,17 +3,11 @@
  * with each token that it emits, and frees all of it when it ends; how long it will be is known only roughly.
  *
  * Answers bursts: many streams begin together, so the sum of what they hold now says little about the moment at which
- * all of them are long. A constant share of the expected output was both too little there (streams were paused and
- * their prompts read again) and too much where streams are spread evenly over their lives.
+ * all of them are long. A constant share of the expected output is both too little there (streams are paused and their
+ * prompts read again) and too much where streams are spread evenly over their lives.
  */
 
-/** One stream at an engine, as far as it is known. */
-export interface StreamOutlook {
-  promptTokens: number;
-  emittedTokens: number;
-  /** Half of the streams like this one end within so many tokens. */
-  medianOutputTokens: number;
-}
+import type { StreamOutlook } from '@bluebellhitch/protocol';
 
 export interface MemoryForecastOptions {
   streams: readonly StreamOutlook[];
--- a/packages/decisions/src/placementAdmission.ts
+++ b/packages/decisions/src/placementAdmission.ts
@@ -1,5 +1,5 @@
 /**
- * Whether a request that finds no place should wait for one. Answers bursts: more requests come than streams end, so
+ * Whether a request that finds no place of its service should wait for one. Answers bursts: more requests come than streams end, so
  * those at the end of the line would wait until their target has passed and be refused then. They are refused as soon
  * as that can be told, with the time at which the line will have moved on.
  *
@@ -45,9 +45,13 @@
   const { random = Math.random } = options;
   let placedAtMs: number[] = [];
 
+  function dropOld(nowMs: number): void {
+    placedAtMs = placedAtMs.filter((atMs) => atMs > nowMs - windowMs);
+  }
+
   /** Undefined where too few places have come free lately to tell. */
   function expectedWaitMs(aheadCount: number, nowMs: number): number | undefined {
-    placedAtMs = placedAtMs.filter((atMs) => atMs > nowMs - windowMs);
+    dropOld(nowMs);
     return placedAtMs.length < leastPlaces
       ? undefined
       : ((aheadCount + 1) * windowMs) / placedAtMs.length;
@@ -61,6 +65,7 @@
 
   return {
     notePlaced(nowMs) {
+      dropOld(nowMs);
       placedAtMs.push(nowMs);
     },
     decide({ slackMs, aheadCount }, nowMs) {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -88,6 +88,7 @@
   decodePeerMessage,
   encodePeerMessage,
   type PeerEngineUse,
+  type StreamOutlook,
   type PeerMessage,
   type PeerSighting,
 } from './peerMessages';
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -4,8 +4,8 @@
  */
 import * as z from 'zod';
 
-/** One stream that a router has placed at an engine. */
-export interface PeerStream {
+/** One stream at an engine, as far as it is known. */
+export interface StreamOutlook {
   promptTokens: number;
   emittedTokens: number;
   /** Half of the streams like it end within so many tokens. */
@@ -16,7 +16,7 @@
 export interface PeerEngineUse {
   serverId: string;
   /** Streams that hold memory there, or will in a moment. */
-  streams: PeerStream[];
+  streams: StreamOutlook[];
   /** Prompt tokens that a prefill engine has yet to read for it. */
   prefillTokens: number;
   /** Prompts that a decode engine reads itself for it. */
@@ -115,11 +115,15 @@
   };
 }
 
-function encodeStream({ promptTokens, emittedTokens, medianOutputTokens }: PeerStream): number[] {
+function encodeStream({
+  promptTokens,
+  emittedTokens,
+  medianOutputTokens,
+}: StreamOutlook): number[] {
   return [promptTokens, emittedTokens, medianOutputTokens].map(Math.round);
 }
 
-function decodeStreams(numbers: readonly number[]): PeerStream[] {
+function decodeStreams(numbers: readonly number[]): StreamOutlook[] {
   const streamCount = Math.floor(numbers.length / numbersPerStream);
   return Array.from({ length: streamCount }, (_none, index) => {
     const [promptTokens = 0, emittedTokens = 0, medianOutputTokens = 0] = numbers.slice(
--- a/packages/replay/src/mechanisms.ts
+++ b/packages/replay/src/mechanisms.ts
@@ -2,7 +2,8 @@
  * Mechanisms that a replay can do without, to show what each is worth. The router has no switches for them: the replay
  * puts something plainer into their place.
  */
-import type { MemoryForecast, StreamOutlook } from '@bluebellhitch/decisions';
+import type { MemoryForecast } from '@bluebellhitch/decisions';
+import type { StreamOutlook } from '@bluebellhitch/protocol';
 import type { EngineLoads, StreamSizes } from '@bluebellhitch/routing';
 
 export const mechanisms = {
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -4,11 +4,13 @@
  * order until a stream ends or their time is over.
  */
 import {
+  createBoundedMap,
   createPlacementAdmission,
   type MemoryForecast,
   type OutlierDetector,
-  type StreamOutlook,
+  type PlacementAdmission,
 } from '@bluebellhitch/decisions';
+import type { StreamOutlook } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { BackendApi, Reservation } from './backendApi';
 import type { EngineLoads, PlacedStream } from './engineLoads';
@@ -73,6 +75,7 @@
 const lateHeadroomShare = 0.2;
 /** An engine answers within a few milliseconds; one that does not is taken for gone. */
 const reserveTimeoutMs = 500;
+const maxServices = 512;
 /** Between two tries of one request at spare servers, so that a full fleet is not asked all the time. */
 const spareRetryMs = 100;
 
@@ -87,7 +90,8 @@
 
 export function createDecodePlacement(options: DecodePlacementOptions): DecodePlacement {
   const { backend, pools, loads, health, random = Math.random } = options;
-  const admission = createPlacementAdmission({ random });
+  /** By service: each has its own engines, and so its own line. */
+  const admissions = createBoundedMap<string, PlacementAdmission>({ maxEntries: maxServices });
   const waiters = new Set<Waiter>();
   let timer: NodeJS.Timeout | undefined;
 
@@ -113,8 +117,12 @@
     }
   }
 
+  function admissionOf({ serviceName }: Waiter): PlacementAdmission {
+    return admissions.getOrCreate(serviceName, () => createPlacementAdmission({ random }));
+  }
+
   function refuse(waiter: Waiter): void {
-    const retryAfterMs = admission.retryAfterMs(aheadOf(waiter), monotonicNowMs());
+    const retryAfterMs = admissionOf(waiter).retryAfterMs(aheadOf(waiter), monotonicNowMs());
     finish(waiter, { kind: 'no-capacity', retryAfterMs });
   }
 
@@ -125,7 +133,7 @@
     }
     const nowMs = monotonicNowMs();
     const slackMs = waiter.onTimeUntilMs - nowMs;
-    const decision = admission.decide({ slackMs, aheadCount: aheadOf(waiter) }, nowMs);
+    const decision = admissionOf(waiter).decide({ slackMs, aheadCount: aheadOf(waiter) }, nowMs);
     if (decision.kind === 'refuse') {
       finish(waiter, { kind: 'no-capacity', retryAfterMs: decision.retryAfterMs });
     }
@@ -137,7 +145,10 @@
   }
 
   function aheadOf(waiter: Waiter): number {
-    return Math.max(0, inOrder(monotonicNowMs()).indexOf(waiter));
+    const line = inOrder(monotonicNowMs()).filter(
+      ({ serviceName }) => serviceName === waiter.serviceName,
+    );
+    return Math.max(0, line.indexOf(waiter));
   }
 
   /** Tries every waiting request in its order. */
@@ -236,7 +247,7 @@
     if (outcome.kind === 'done') {
       loads.noteContact(server.id);
       health.record(server.id, 'success', monotonicNowMs());
-      admission.notePlaced(monotonicNowMs());
+      admissionOf(waiter).notePlaced(monotonicNowMs());
       hand(waiter, { reservation: outcome.value, stream: lookAfter(stream) });
       return;
     }
--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/engineLoads.ts
@@ -2,14 +2,11 @@
  * What this process believes of the engines' memory and queues: what it and its peers have in progress there,
  * and the engines' own reports for whatever those do not explain.
  */
-import {
-  createMemoryForecast,
-  type MemoryForecast,
-  type StreamOutlook,
-} from '@bluebellhitch/decisions';
-import type { PeerEngineUse } from '@bluebellhitch/protocol';
+import { createMemoryForecast, type MemoryForecast } from '@bluebellhitch/decisions';
+import type { PeerEngineUse, StreamOutlook } from '@bluebellhitch/protocol';
 import { monotonicNowMs, runOnce } from '@bluebellhitch/shared';
 import type { EngineLoad } from './backendApi';
+import { initialLengthShape, initialTokensPerMs } from './streamSizes';
 
 export interface EngineLoads {
   report(serverId: string, load: EngineLoad): void;
@@ -94,10 +91,6 @@
 const contactLifetimeMs = 500;
 /** A refusal counts until some stream may have ended since. */
 const fullMs = 60;
-/** Until streams have been measured: some thousand tokens in ten seconds. */
-const defaultTokensPerMs = 0.3;
-/** Until streams have been measured: lengths scatter by about the half. */
-const defaultLengthShape = 3.6;
 /**
  * Standard deviations of the forecast that stay free besides its mean. A stream that is paused for want of memory comes
  * late and has its prompt read again, which costs more than a stream that waits. In 20 replayed bursts of answers much
@@ -111,7 +104,7 @@
 
 export function createEngineLoads(options: EngineLoadsOptions = {}): EngineLoads {
   const { onOwnChange = () => undefined, isListed = () => true } = options;
-  const { tokensPerMs = () => defaultTokensPerMs, lengthShape = () => defaultLengthShape } =
+  const { tokensPerMs = () => initialTokensPerMs, lengthShape = () => initialLengthShape } =
     options;
   const engines = new Map<string, EngineState>();
   const peerAddresses = new Set<string>();
--- a/packages/routing/src/streamSizes.ts
+++ b/packages/routing/src/streamSizes.ts
@@ -7,8 +7,8 @@
   createOutputLengths,
   createRunningEstimate,
   type ReportedRun,
-  type StreamOutlook,
 } from '@bluebellhitch/decisions';
+import type { StreamOutlook } from '@bluebellhitch/protocol';
 import type { PromptSize } from './model';
 
 /** A stream that has come to its own end. */
@@ -37,8 +37,9 @@
 /** Until answers have ended: the half of what a caller says, and as much again. */
 const initialDeviation = 0.5;
 const smoothing = 0.05;
+export const initialLengthShape = shapeOfDeviation / initialDeviation;
 /** Until streams have been measured: some thousand tokens in ten seconds. */
-const initialTokensPerMs = 0.3;
+export const initialTokensPerMs = 0.3;
 
 export function createStreamSizes(): StreamSizes {
   const eventSize = createEventSize();
