Say once what a peer is told, and when to come back

Read as one change: what is told of an engine that is not in use stood three times, Retry-After was worked out on two paths, a caller that left after its placement had the whole line sorted for nothing, and the replay's callers kept fields that nobody reads and a wait of their own.

Behaviour is as it was, but for draws of chance that are no longer made in vain. 83 tests of routing, admission and replay pass; types and lint are clean.

--- a/packages/decisions/src/placementAdmission.ts
+++ b/packages/decisions/src/placementAdmission.ts
@@ -14,7 +14,7 @@
   aheadCount: number;
 }
 
-export type AdmissionDecision = { kind: 'wait' } | { kind: 'refuse'; retryAfterMs: number };
+export type AdmissionDecision = { kind: 'wait' } | { kind: 'refuse' };
 
 export interface PlacementAdmission {
   /** A request has found a place. */
@@ -70,9 +70,7 @@
     },
     decide({ slackMs, aheadCount }, nowMs) {
       const isHopeless = (expectedWaitMs(aheadCount, nowMs) ?? 0) > doubt * slackMs;
-      return slackMs <= 0 || isHopeless
-        ? { kind: 'refuse', retryAfterMs: retryAfterMs(aheadCount, nowMs) }
-        : { kind: 'wait' };
+      return { kind: slackMs <= 0 || isHopeless ? 'refuse' : 'wait' };
     },
     retryAfterMs,
   };
--- a/packages/replay/src/caller.ts
+++ b/packages/replay/src/caller.ts
@@ -1,20 +1,15 @@
 /** One caller: asks, waits as long as callers do, comes back when told to, and notes how it went. */
 import type { AnswerWriter, CallerExchange, CallerRequest, Refusal } from '@bluebellhitch/routing';
-import { monotonicNowMs } from '@bluebellhitch/shared';
+import { delay, monotonicNowMs } from '@bluebellhitch/shared';
 import type { RequestKind } from './pattern';
 import type { RequestSize } from './requestSizes';
 
 export type CallerOutcome = 'on-time' | 'late' | 'refused' | 'failed' | 'left';
 
 export interface CallerEnd {
-  kind: RequestKind;
-  size: RequestSize;
   outcome: CallerOutcome;
   /** Of all tries that were refused, until they were. */
   heldMs: number[];
-  /** First event since the first try; undefined where none came. */
-  firstEventMs?: number;
-  firstAskedAtMs: number;
 }
 
 export interface CallerOptions {
@@ -39,10 +34,9 @@
 const patienceGaps = 8;
 /** Callers wait for no longer than this part of the time that they have left. */
 const retryAfterShare = 1 / 3;
-const pathPrefix = '/';
 
 export async function runCaller(options: CallerOptions): Promise<void> {
-  const { kind, size, repeats } = options;
+  const { kind, repeats } = options;
   const firstAskedAtMs = monotonicNowMs();
   const endsAtMs = firstAskedAtMs + kind.timeoutMs;
   const progress = createProgress(kind, firstAskedAtMs);
@@ -61,12 +55,9 @@
     if (left === 1 || pauseMs > (endsAtMs - monotonicNowMs()) * retryAfterShare) {
       break;
     }
-    await new Promise((resolve) => {
-      setTimeout(resolve, pauseMs);
-    });
+    await delay(pauseMs);
   }
-  const firstEventMs = progress.firstEventMs();
-  options.onEnd({ kind, size, outcome, heldMs, firstEventMs, firstAskedAtMs });
+  options.onEnd({ outcome, heldMs });
 }
 
 function outcomeOf(end: TryEnd, isLate: boolean): CallerOutcome {
@@ -96,7 +87,6 @@
       }
       lastAtMs = nowMs;
     },
-    firstEventMs: () => firstMs,
     isLate: () => (firstMs ?? Infinity) > targetMs || longestGapMs > gapMs,
   };
 }
@@ -160,7 +150,7 @@
     id,
     method: 'POST',
     host: 'replay',
-    target: `${pathPrefix}${kind.name}/`,
+    target: `/${kind.name}/`,
     headers: [],
     body: Buffer.alloc(0),
     deadlineAtMs,
--- a/packages/replay/src/replayRun.ts
+++ b/packages/replay/src/replayRun.ts
@@ -3,6 +3,7 @@
 import {
   routeKinds,
   stages,
+  usesAt,
   type CallerExchange,
   type Configuration,
 } from '@bluebellhitch/routing';
@@ -103,17 +104,7 @@
   function deliver(address: string, serverIds: readonly string[]): void {
     const current = routers;
     const sender = current.find((router) => router.address === address);
-    const used = new Map(sender?.loads.ownUse().map((use) => [use.serverId, structuredClone(use)]));
-    const told = serverIds.map(
-      (serverId) =>
-        used.get(serverId) ?? {
-          serverId,
-          streams: [],
-          prefillTokens: 0,
-          ownPrompts: 0,
-          isSilent: false,
-        },
-    );
+    const told = structuredClone(usesAt(sender?.loads.ownUse() ?? [], serverIds));
     setTimeout(() => {
       current
         .filter((router) => router.address !== address)
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -122,6 +122,10 @@
   }
 
   function refuse(waiter: Waiter): void {
+    // Callers also leave long after they were placed.
+    if (!waiters.has(waiter)) {
+      return;
+    }
     const retryAfterMs = admissionOf(waiter).retryAfterMs(aheadOf(waiter), monotonicNowMs());
     finish(waiter, { kind: 'no-capacity', retryAfterMs });
   }
@@ -135,7 +139,7 @@
     const slackMs = waiter.onTimeUntilMs - nowMs;
     const decision = admissionOf(waiter).decide({ slackMs, aheadCount: aheadOf(waiter) }, nowMs);
     if (decision.kind === 'refuse') {
-      finish(waiter, { kind: 'no-capacity', retryAfterMs: decision.retryAfterMs });
+      refuse(waiter);
     }
   }
 
--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/engineLoads.ts
@@ -294,6 +294,15 @@
   return { streams: [], prefillTokens: 0, ownPrompts: 0, isSilent: false };
 }
 
+/** What is told of these engines: those that are not in use, too. */
+export function usesAt(
+  used: readonly PeerEngineUse[],
+  serverIds: readonly string[],
+): PeerEngineUse[] {
+  const known = new Map(used.map((use) => [use.serverId, use]));
+  return serverIds.map((serverId) => known.get(serverId) ?? { serverId, ...noUse() });
+}
+
 function isNothing({ streams, prefillTokens, ownPrompts, isSilent }: Use): boolean {
   return streams.length === 0 && prefillTokens === 0 && ownPrompts === 0 && !isSilent;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -34,7 +34,7 @@
   type RequestHead,
 } from './callersServer';
 export { createDecodePlacement, type DecodePlacement } from './decodePlacement';
-export { createEngineLoads, type EngineLoads, type PlacedStream } from './engineLoads';
+export { createEngineLoads, usesAt, type EngineLoads, type PlacedStream } from './engineLoads';
 export { createEventSplitter } from './eventSplitter';
 export { createLoadPoller } from './loadPoller';
 export { createStreamSizes, type EndedStream, type StreamSizes } from './streamSizes';
--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -14,6 +14,7 @@
 } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
+import { usesAt } from './engineLoads';
 
 export interface PeerExchangeOptions {
   host: string;
@@ -221,8 +222,7 @@
 
   function sendChanges(): void {
     sendTimer = undefined;
-    const used = new Map(options.ownUse().map((use) => [use.serverId, use]));
-    const engines = [...changedIds].map((serverId) => used.get(serverId) ?? unused(serverId));
+    const engines = usesAt(options.ownUse(), [...changedIds]);
     changedIds.clear();
     const live = livePeers();
     if (live.length > 0) {
@@ -332,10 +332,6 @@
   };
 }
 
-function unused(serverId: string): PeerEngineUse {
-  return { serverId, streams: [], prefillTokens: 0, ownPrompts: 0, isSilent: false };
-}
-
 function bind(socket: Socket, host: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
     socket.once('error', reject);
--- a/packages/routing/src/serverDirectory.ts
+++ b/packages/routing/src/serverDirectory.ts
@@ -1,7 +1,9 @@
 /**
  * The backend servers as the object store lists them. A server that reports draining, whose entry goes or can't be
  * read any more gets no new requests. One that starts again under its name is another server from then on, and news
- * of its life before is old: it would bring back what the restart has ended. Entries that lapsed while the store was away come back within moments of its
+ * of its life before is old: it would bring back what the restart has ended.
+ *
+ * Entries that lapsed while the store was away come back within moments of its
  * return, so a removal seen then is held back for that long: otherwise a store that was down would empty
  * the pools of servers that are all alive.
  */
