--- a/packages/bench/src/experiments/replays.ts
+++ b/packages/bench/src/experiments/replays.ts
@@ -6,6 +6,7 @@
   runReplay,
   type Mechanism,
   type ReplayFigures,
+  type ServedCount,
 } from '@bluebellhitch/replay';
 import { formatFindings } from '@bluebellhitch/shared';
 import { renderTable } from '../report/table';
@@ -29,6 +30,10 @@
   'preempted',
   'read in vain',
   'held ms',
+  'refused again',
+  'turned away %',
+  'largest tenth %',
+  'next fifth %',
 ];
 
 export async function runReplays(options: ReplaysOptions): Promise<ExperimentReport> {
@@ -63,10 +68,22 @@
 }
 
 function rowOf(name: string, figures: ReplayFigures): string[] {
-  const { asked, outcomes, preempted, readInVainTokens, heldMs } = figures;
+  const { asked, outcomes, preempted, readInVainTokens, heldMs, refusedAgain } = figures;
+  const { turnedAway, reservationsAsked, largestTenth, nextFifth } = figures;
   return [
     name,
     ...[asked, outcomes['on-time'], outcomes.late, outcomes.refused, outcomes.failed].map(String),
-    ...[outcomes.left, preempted, readInVainTokens, Math.round(heldMs)].map(String),
+    ...[outcomes.left, preempted, readInVainTokens, Math.round(heldMs), refusedAgain].map(String),
+    percentOf(turnedAway, reservationsAsked),
+    servedPercent(largestTenth),
+    servedPercent(nextFifth),
   ];
 }
+
+function servedPercent({ served, asked }: ServedCount): string {
+  return percentOf(served, asked);
+}
+
+function percentOf(part: number, whole: number): string {
+  return whole === 0 ? '-' : ((100 * part) / whole).toFixed(1);
+}
--- a/packages/replay/src/caller.ts
+++ b/packages/replay/src/caller.ts
@@ -10,6 +10,8 @@
   outcome: CallerOutcome;
   /** Of all tries that were refused, until they were. */
   heldMs: number[];
+  kindName: string;
+  promptTokens: number;
 }
 
 export interface CallerOptions {
@@ -57,7 +59,12 @@
     }
     await delay(pauseMs);
   }
-  options.onEnd({ outcome, heldMs });
+  options.onEnd({
+    outcome,
+    heldMs,
+    kindName: kind.name,
+    promptTokens: options.size.prompt.promptTokens,
+  });
 }
 
 function outcomeOf(end: TryEnd, isLate: boolean): CallerOutcome {
--- a/packages/replay/src/engineFleet.ts
+++ b/packages/replay/src/engineFleet.ts
@@ -11,6 +11,16 @@
   tokensPerEvent: number;
 }
 
+export interface ReservationCounts {
+  asked: number;
+  turnedAway: number;
+}
+
+export interface EngineFleet {
+  backend: BackendApi;
+  reservations: ReservationCounts;
+}
+
 /** One way between a router and an engine. */
 const wayMs = 1;
 /** To fetch a prompt's memory from the engine that read it. */
@@ -22,8 +32,9 @@
 };
 const rejected: CallOutcome<never> = { kind: 'not-run', cause: { kind: 'rejected', status: 503 } };
 
-export function createEngineFleet(options: EngineFleetOptions): BackendApi {
+export function createEngineFleet(options: EngineFleetOptions): EngineFleet {
   const { engines, outputTokensOf, tokensPerEvent } = options;
+  const reservations: ReservationCounts = { asked: 0, turnedAway: 0 };
 
   function reach(server: { name: string; id: string }): EngineModel | undefined {
     const engine = engines.get(server.name);
@@ -32,15 +43,20 @@
       : engine;
   }
 
-  return {
+  const backend: BackendApi = {
     async reserve(server, { tokens, lifetimeMs }) {
+      reservations.asked += 1;
       await delay(2 * wayMs);
       const engine = reach(server);
       if (engine === undefined) {
         return unreachable;
       }
       const id = engine.reserve(Math.ceil(tokens), lifetimeMs);
-      return id === undefined ? rejected : { kind: 'done', value: { id, server, tokens } };
+      if (id === undefined) {
+        reservations.turnedAway += 1;
+        return rejected;
+      }
+      return { kind: 'done', value: { id, server, tokens } };
     },
     releaseReservation: ({ id, server }) => reach(server)?.dropReservation(id),
     async prefill(server, request, { signal, timeoutMs }) {
@@ -93,6 +109,7 @@
     forget: () => undefined,
     close: () => Promise.resolve(),
   };
+  return { backend, reservations };
 }
 
 function answerOf(run: { read: BackendAnswer['body']['read'] }): BackendAnswer {
--- a/packages/replay/src/replayRun.ts
+++ b/packages/replay/src/replayRun.ts
@@ -40,7 +40,7 @@
     const world = createWorld(options);
     await clock.tickAsync(options.pattern.seconds * msPerSecond + runOutMs);
     await world.stop();
-    return summarize(world.ends, world.engines());
+    return summarize(world.ends, world.engines(), world.reservations);
   } finally {
     clock.uninstall();
   }
@@ -52,7 +52,7 @@
   const ends: CallerEnd[] = [];
   const sizes = new Map<string, RequestSize>();
   const engines = createEngines(pattern, missing, replaceServer);
-  const backend = createEngineFleet({
+  const { backend, reservations } = createEngineFleet({
     engines,
     outputTokensOf: (requestId) => sizes.get(requestId)?.outputTokens ?? 1,
     tokensPerEvent: pattern.engines.tokensPerEvent,
@@ -173,6 +173,7 @@
 
   return {
     ends,
+    reservations,
     engines: () => [...engines.values()],
     async stop() {
       const stopped = routers.map((router) => router.stop());
