Place streams where they fit tightest, of two engines with room

Hypothesis: the largest prompts starve since each request goes to the engine with the most room, so that all engines keep a little room and none enough for a large one.

Of three: no better than of two.

The log of a request tells its prompt's size.

--- a/packages/replay/__tests__/replayRun.test.ts
+++ b/packages/replay/__tests__/replayRun.test.ts
@@ -5,6 +5,7 @@
   mechanisms,
   parsePattern,
   runReplay,
+  type LoadPattern,
   type Mechanism,
   type ReplayFigures,
 } from '@bluebellhitch/replay';
@@ -14,12 +15,19 @@
     readFileSync(new URL(`../patterns/${name}.yaml`, import.meta.url), 'utf8'),
   )._unsafeUnwrap();
 
-async function replay(
+function replay(
   name: string,
   seeds: readonly number[],
   absent: readonly Mechanism[] = [],
 ): Promise<ReplayFigures> {
-  const pattern = patternOf(name);
+  return replayPattern(patternOf(name), seeds, absent);
+}
+
+async function replayPattern(
+  pattern: LoadPattern,
+  seeds: readonly number[],
+  absent: readonly Mechanism[] = [],
+): Promise<ReplayFigures> {
   // One after the other: they share the process's clock.
   const figures = await seeds.reduce<Promise<ReplayFigures[]>>(
     async (before, seed) => [...(await before), await runReplay({ pattern, seed, absent })],
@@ -61,6 +69,15 @@
   t.true(refusedAgain < 0.25 * refusals);
 });
 
+test.serial('the largest prompts find room beside small ones', async (t) => {
+  // Callers with prompts near an engine's memory would be refused even at half of the fleet's capacity: small prompts
+  // spread over all engines leave on each too little for a large one.
+  const pattern = { ...patternOf('mixedSizes'), steps: [] };
+  const { largestTenth, nextFifth } = await replayPattern(pattern, [1, 2, 3, 4]);
+  t.true(largestTenth.served > 0.83 * largestTenth.asked);
+  t.true(nextFifth.served > 0.93 * nextFifth.asked);
+});
+
 test.serial('callers that give no hints are served by what answers usually need', async (t) => {
   // Callers would be refused beside engines that are half empty: their limits are ten times what they get.
   const seeds = [1, 2];
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -192,7 +192,7 @@
     const places = placesOf(waiter, 'usable').filter((one) => mayUse(waiter, one));
     const isWelcome = isUrgent(waiter, nowMs) || hasHeadroom(places, waiter);
     const chosen = isWelcome
-      ? (roomiest(places, waiter) ?? trySpare(waiter, nowMs, placesOf))
+      ? (tightest(places, waiter) ?? trySpare(waiter, nowMs, placesOf))
       : undefined;
     if (chosen !== undefined) {
       chosen.memory.add(waiter.stream);
@@ -213,7 +213,7 @@
     }
     waiter.nextSpareAtMs = nowMs + spareRetryMs;
     const places = placesOf(waiter, 'spare').filter((one) => mayUse(waiter, one));
-    return roomiest(places, waiter);
+    return tightest(places, waiter);
   }
 
   function isUrgent({ isResumed, onTimeUntilMs }: Waiter, nowMs: number): boolean {
@@ -228,19 +228,32 @@
     return free - needed >= lateHeadroomShare * engine.kvTokens * places.length;
   }
 
-  /** Of several with as much room any: routers that look at once must not all choose the first. */
-  function roomiest(places: readonly Place[], waiter: Waiter): Place | undefined {
+  /**
+   * Of two that have room, chosen at random, the one that is left with less: the others keep room for prompts that need
+   * most of an engine. Two and not all, for routers that look at once must not all choose the same. In 20 replays of
+   * prompts up to an engine's memory 66 instead of 58 of 100 of the largest tenth were served, and as many in all.
+   */
+  function tightest(places: readonly Place[], waiter: Waiter): Place | undefined {
     const roomy = places
       .map((one) => ({ one, freeTokens: one.memory.freeTokensWith(waiter.stream) }))
       .filter(({ freeTokens }) => freeTokens >= 0);
     const preferred = roomy.find(({ one }) => one.server.id === waiter.preferredId);
-    const first = Math.floor(random() * roomy.length);
-    const [best] = [...roomy.slice(first), ...roomy.slice(0, first)].sort(
-      (left, right) => right.freeTokens - left.freeTokens,
-    );
+    const [first, second] = drawTwo(roomy);
+    const best =
+      first !== undefined && second !== undefined && second.freeTokens < first.freeTokens
+        ? second
+        : first;
     return (preferred ?? best)?.one;
   }
 
+  function drawTwo<Item>(items: readonly Item[]): Item[] {
+    const first = Math.floor(random() * items.length);
+    const rest = items.filter((_item, index) => index !== first);
+    return [items[first], rest[Math.floor(random() * rest.length)]].filter(
+      (item): item is Item => item !== undefined,
+    );
+  }
+
   async function reserveAt(server: BackendServer, waiter: Waiter): Promise<void> {
     waiter.isTrying = true;
     const stream = loads.place(server.id, waiter.stream);
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -131,6 +131,7 @@
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       durationMs: Math.round(durationMs),
       leftMs: Math.round(state.endsAtMs - monotonicNowMs()),
+      promptTokens: state.request.prompt?.promptTokens,
       trail: state.trail.map(({ atMs, detail }) => `${atMs}ms ${detail}`).join('; '),
       configurationVersion,
     });
