Have a few routers of each part watch the store and tell the rest what changed

A count by call on a small twin (18 routers, 833 calls): 413 of the servers' list, 180 of them in the first three seconds, as 25 servers write their entries; 269 reads of the lease of stage orders by routers that saw a planned change and could not have the lease; 131 of the configuration.

Now three routers of a part, chosen by the addresses that all hear, watch as before and tell the others in a datagram of its own format: the changes between two revisions, how old the answer is, and when the store came back. Who has missed a message, hears nothing for the time of a watch, or is due for a check each minute asks for itself. Parts of under nine routers do as before. Only those three contend for the lease, and look again no sooner than half of the time between two holders. Routers of the former release ignore the datagram and watch for themselves.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,5 @@
 export { createEventSize, type EventSize, type ReportedRun } from './eventSize';
+export { chooseFollowers, type FollowerChoiceOptions } from './followerChoice';
 export {
   createMemoryForecast,
   survival,
--- /dev/null
+++ b/packages/protocol/__tests__/changeMessages.test.ts
@@ -0,0 +1,33 @@
+import test from 'ava';
+import { decodeToldChanges, encodeToldChanges, isToldChanges } from '@bluebellhitch/protocol';
+
+const told = {
+  kindIndex: 1,
+  fromRevision: 100,
+  toRevision: 107,
+  ageMs: 12,
+  backAgeMs: 900,
+  changes: [
+    { kind: 'put' as const, key: 'i-1', revision: 103, value: { state: 'ready', slots: 4 } },
+    { kind: 'removed' as const, key: 'i-2', revision: 99 },
+  ],
+};
+
+test('changes are read as they were written', (t) => {
+  t.deepEqual(decodeToldChanges(encodeToldChanges(told)), told);
+  const plain = { ...told, backAgeMs: undefined, changes: [] };
+  t.deepEqual(decodeToldChanges(encodeToldChanges(plain)), plain);
+});
+
+test('an object without a value is no removal', (t) => {
+  const change = { kind: 'put' as const, key: 'i-1', revision: 103, value: null };
+  t.deepEqual(decodeToldChanges(encodeToldChanges({ ...told, changes: [change] }))?.changes, [
+    change,
+  ]);
+});
+
+test('other bytes are no such message', (t) => {
+  t.false(isToldChanges(Buffer.from('[3,"10.0.0.1:7000"]')));
+  t.is(decodeToldChanges(Buffer.from('["changes-1",1')), undefined);
+  t.is(decodeToldChanges(Buffer.from('["changes-1",1,2,3,-4,null,[]]')), undefined);
+});
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -84,6 +84,13 @@
   samplePrefixBlocks,
   sampledPrefixDepth,
 } from './prompt';
+export {
+  decodeToldChanges,
+  encodeToldChanges,
+  isToldChanges,
+  type ToldChange,
+  type ToldChanges,
+} from './changeMessages';
 export {
   decodePeerMessage,
   encodePeerMessage,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -61,6 +61,7 @@
   createObjectFollower,
   type ObjectFollower,
   type ObjectFollowerOptions,
+  type SeenChanges,
 } from './objectFollower';
 export { createRequestRouter, type RequestRouter } from './requestRouter';
 export { createRouterMetrics, type RouterMetrics } from './routerMetrics';
--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -4,16 +4,20 @@
  * In a large fleet the routers of one part tell each other; a few addresses that go to others at random let each
  * know all.
  */
-import { createSocket, type Socket } from 'node:dgram';
 import {
   decodePeerMessage,
+  decodeToldChanges,
   encodePeerMessage,
+  encodeToldChanges,
+  isToldChanges,
   type PeerEngineUse,
   type PeerMessage,
   type PeerSighting,
+  type ToldChanges,
 } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
+import { openDatagramSocket } from './datagramSocket';
 import { usesAt } from './engineLoads';
 
 export interface PeerExchangeOptions {
@@ -33,6 +37,8 @@
   /** The routers to tell what is in progress; all, where it is absent. */
   companions?: () => readonly string[];
   onPeerRevisions(revisions: readonly number[]): void;
+  /** A companion tells what the store has shown it. */
+  onToldChanges?: (told: ToldChanges) => void;
   logger: Logger;
   random?: Random;
 }
@@ -42,6 +48,8 @@
   address: string;
   /** Has the change at an engine told within milliseconds. */
   noteChange(serverId: string): void;
+  /** Tells companions what the store has shown. */
+  tellChanges(told: ToldChanges): void;
   /** Further routers to begin with. */
   addSeeds(addresses: readonly string[]): void;
   /** Companions that were heard lately. */
@@ -81,6 +89,8 @@
 /** Sightings older than this are not passed on: they would keep a router that is gone known for ever. */
 const freshMs = 20_000;
 const sharedAddresses = 10;
+/** Larger changes are announced without their objects, and fetched: a datagram that is cut up is lost more often. */
+const mostToldBytes = 8_192;
 /** Routers of other parts that are told of routers with each heartbeat. */
 const strangersPerBeat = 2;
 
@@ -88,9 +98,8 @@
 export async function startPeerExchange(options: PeerExchangeOptions): Promise<PeerExchange> {
   const { logger, random = Math.random } = options;
   const seeds = new Set<string>();
-  const socket = createSocket('udp4');
-  const port = await bind(socket, options.host, options.port);
-  const ownAddress = `${options.host}:${port}`;
+  const socket = await openDatagramSocket({ host: options.host, port: options.port, logger });
+  const ownAddress = socket.address;
   const life = Math.floor(random() * 2 ** 40).toString(36);
   const peers = new Map<string, Peer>();
   const changedIds = new Set<string>();
@@ -159,24 +168,16 @@
       peers: sightings,
       seenRevisions: options.seenRevisions(),
     };
-    const bytes = encodePeerMessage(message);
-    const sent = addresses.map(
-      (address) =>
-        new Promise<void>((resolve) => {
-          const [host, peerPort] = address.split(':');
-          socket.send(bytes, Number(peerPort), host, (error) => {
-            noteSendError(error);
-            resolve();
-          });
-        }),
-    );
-    return Promise.all(sent);
+    return socket.send(encodePeerMessage(message), addresses);
   }
 
-  function noteSendError(error: Error | null): void {
-    if (error !== null) {
-      logger.debug('datagram not sent', { error });
-    }
+  function tellChanges(told: ToldChanges): void {
+    const whole = encodeToldChanges(told);
+    const bytes =
+      whole.length <= mostToldBytes
+        ? whole
+        : encodeToldChanges({ ...told, fromRevision: told.toRevision, changes: [] });
+    void socket.send(bytes, livePeers());
   }
 
   function addSeeds(addresses: readonly string[]): void {
@@ -267,6 +268,13 @@
   }
 
   function receive(bytes: Buffer): void {
+    if (isToldChanges(bytes)) {
+      const told = decodeToldChanges(bytes);
+      if (told !== undefined) {
+        options.onToldChanges?.(told);
+      }
+      return;
+    }
     const message = decodePeerMessage(bytes);
     if (message === undefined || message.senderAddress === ownAddress) {
       return;
@@ -302,8 +310,7 @@
     }
   }
 
-  socket.on('message', receive);
-  socket.on('error', (error) => logger.warn('peer socket failed', { error }));
+  socket.onMessage(receive);
   addSeeds(options.seedAddresses);
   const beatTimer = setInterval(beat, heartbeatMs);
   beat();
@@ -316,6 +323,7 @@
         sendTimer ??= setTimeout(sendChanges, coalesceMs);
       }
     },
+    tellChanges,
     addSeeds,
     livePeers,
     knownPeerCount: () => peers.size,
@@ -331,13 +339,3 @@
     },
   };
 }
-
-function bind(socket: Socket, host: string, port: number): Promise<number> {
-  return new Promise((resolve, reject) => {
-    socket.once('error', reject);
-    socket.bind({ address: host, port }, () => {
-      socket.off('error', reject);
-      resolve(socket.address().port);
-    });
-  });
-}
--- a/packages/routing/src/serverDirectory.ts
+++ b/packages/routing/src/serverDirectory.ts
@@ -34,7 +34,8 @@
   /** The server itself tells when it was born, which may be news before its entry is. */
   noteBorn(server: BackendServer, bornAtMs: number, stage: Stage): void;
   storeLost(): void;
-  storeBack(): void;
+  /** The store answers again, or has since so long ago. */
+  storeBack(agoMs?: number): void;
   get(id: string): BackendServer | undefined;
   /** Servers that may get new requests. */
   usable(serviceName: string, stage?: Stage): BackendServer[];
@@ -173,9 +174,9 @@
     storeLost() {
       isStoreAway = true;
     },
-    storeBack() {
+    storeBack(agoMs = 0) {
       isStoreAway = false;
-      storeBackAtMs = monotonicNowMs();
+      storeBackAtMs = Math.max(storeBackAtMs, monotonicNowMs() - agoMs);
     },
     get,
     usable: (serviceName, stage) =>
--- a/packages/routing/src/stageKeeper.ts
+++ b/packages/routing/src/stageKeeper.ts
@@ -27,8 +27,8 @@
   leaseMs: number;
   /** Part of the engines' work that is reading prompts. */
   prefillShare: (serviceName: string) => number;
-  /** Parts of the fleet: the more there are, the less often each process looks whether it should order. */
-  partCount?: () => number;
+  /** Whether this process is one of the few that order; all, where it is absent. */
+  mayContend?: () => boolean;
   logger: Logger;
   random?: Random;
 }
@@ -63,6 +63,8 @@
   let heldSinceMs: number | undefined;
   let firstFencing: number | undefined;
   let lastOrderAtMs = -Infinity;
+  /** Another holds the lease: looking again sooner is a call for nothing. */
+  let contendsFromMs = -Infinity;
 
   function nextChanges(service: ServiceSettings): StageChange[] {
     const engines = directory.usable(service.name).filter(({ stage }) => stage !== undefined);
@@ -89,9 +91,14 @@
 
   /** Whether this process may order now; takes the lease where it is free. */
   async function mayOrder(): Promise<boolean> {
+    const isContender = options.mayContend?.() ?? true;
+    if (lease.heldFencing() === undefined && (!isContender || monotonicNowMs() < contendsFromMs)) {
+      return false;
+    }
     const held = await lease.acquireOrRenew();
     if (held.isErr()) {
       heldSinceMs = undefined;
+      contendsFromMs = monotonicNowMs() + leaseMs * (0.5 + 0.5 * random());
       return false;
     }
     const { fencingNumber } = held.value;
@@ -134,11 +141,6 @@
     }
   }
 
-  /** All processes together look, and ask for the lease, about as often in a large fleet as in a small one. */
-  function paceMs(): number {
-    return lease.heldFencing() === undefined ? lookMs * (options.partCount?.() ?? 1) : lookMs;
-  }
-
   async function look(): Promise<void> {
     forgetDone();
     const planned = isSettled()
@@ -171,7 +173,7 @@
     await delay(lookMs * random(), signal);
     while (!signal.aborted) {
       await look();
-      await delay(paceMs() * (0.8 + 0.4 * random()), signal);
+      await delay(lookMs * (0.8 + 0.4 * random()), signal);
     }
     await lease.release();
   });
