End a run when its server shows that nothing runs any more

Now every run is watched. A later life of its server ends it at once; a server that answers no report ends a quiet run that can't go on after 1.1 s at a usual patience, twice as long as one that can, since a server that is cut off for a moment may still end it. Quiet alone ends only runs that may go on: a paused stream comes back.

At the time-out itself the answer may be 502 or 504, as either timer fires first; both are honest.

--- a/packages/routing/__tests__/quietWatch.test.ts
+++ b/packages/routing/__tests__/quietWatch.test.ts
@@ -1,10 +1,11 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
-import { startQuietWatch } from '../src/quietWatch';
+import { startQuietWatch, type QuietWatchOptions } from '../src/quietWatch';
 
 function watchInPausedTime(
   isServerSilent: boolean,
   act: (clock: FakeTimers.Clock, note: () => void) => void,
+  over: Partial<QuietWatchOptions> = {},
 ) {
   const clock = FakeTimers.install({ toFake: ['setInterval', 'clearInterval', 'performance'] });
   let goneAtMs: number | undefined;
@@ -13,9 +14,11 @@
       quietMs: 2_000,
       silentServerQuietMs: 400,
       isServerSilent: () => isServerSilent,
+      isServerRestarted: () => false,
       onGone() {
         goneAtMs ??= clock.now;
       },
+      ...over,
     });
     act(clock, watch.noteProgress);
     watch.stop();
@@ -58,3 +61,27 @@
   });
   t.is(goneAtMs, undefined);
 });
+
+test.serial('a run of a server that has started again is gone at once', (t) => {
+  // A caller would wait to its deadline: the server crashed and is back under its name, and holds nothing of before, but
+  // the connection to its former life does not break.
+  let isRestarted = false;
+  const goneAtMs = watchInPausedTime(
+    false,
+    (clock, note) => {
+      clock.tick(1_000);
+      note();
+      isRestarted = true;
+      clock.tick(1_000);
+    },
+    { quietMs: undefined, isServerRestarted: () => isRestarted },
+  );
+  t.true((goneAtMs ?? 0) >= 1_000 && (goneAtMs ?? 0) <= 1_100);
+});
+
+test.serial('a run that can not go on elsewhere is left to a server that answers others', (t) => {
+  // A caller would lose a stream that only pauses: its engine is short of memory and takes it up again.
+  const wait = (clock: FakeTimers.Clock) => clock.tick(10_000);
+  t.is(watchInPausedTime(false, wait, { quietMs: undefined }), undefined);
+  t.true((watchInPausedTime(true, wait, { quietMs: undefined }) ?? Infinity) <= 600);
+});
--- a/packages/routing/src/quietWatch.ts
+++ b/packages/routing/src/quietWatch.ts
@@ -6,11 +6,13 @@
 import { monotonicNowMs } from '@bluebellhitch/shared';
 
 export interface QuietWatchOptions {
-  /** Quiet for this long, it counts as gone. */
-  quietMs: number;
+  /** Quiet for this long, it counts as gone; never for that alone, where it is absent. */
+  quietMs?: number;
   /** The same while its server answers nobody; the shorter of the two. */
   silentServerQuietMs: number;
   isServerSilent: () => boolean;
+  /** The server has started again since: nothing of the run is left. */
+  isServerRestarted: () => boolean;
   onGone(): void;
 }
 
@@ -22,16 +24,22 @@
 const lookMs = 100;
 
 export function startQuietWatch(options: QuietWatchOptions): QuietWatch {
-  const { quietMs, silentServerQuietMs, isServerSilent, onGone } = options;
+  const { quietMs = Infinity, silentServerQuietMs, onGone } = options;
+  const { isServerSilent, isServerRestarted } = options;
   const detector = createStallDetector({
     startedAtMs: monotonicNowMs(),
     intervalMs: silentServerQuietMs,
     firstProgressMs: silentServerQuietMs,
   });
   let steps = 0;
-  const timer = setInterval(() => {
+
+  function isTooQuiet(): boolean {
     const verdict = detector.check(monotonicNowMs());
-    if (verdict.kind === 'stalled' && (verdict.withoutProgressMs >= quietMs || isServerSilent())) {
+    return verdict.kind === 'stalled' && (verdict.withoutProgressMs >= quietMs || isServerSilent());
+  }
+
+  const timer = setInterval(() => {
+    if (isServerRestarted() || isTooQuiet()) {
       clearInterval(timer);
       onGone();
     }
--- a/packages/routing/src/serverDirectory.ts
+++ b/packages/routing/src/serverDirectory.ts
@@ -39,6 +39,8 @@
   get(id: string): BackendServer | undefined;
   /** Servers that may get new requests. */
   usable(serviceName: string, stage?: Stage): BackendServer[];
+  /** A later life of it is listed: what it ran is gone. */
+  hasRestarted(server: BackendServer): boolean;
   /** All that are listed, those that drain too. */
   all(): BackendServer[];
   size(): number;
@@ -186,6 +188,10 @@
           !server.isDraining &&
           (stage === undefined || server.stage === stage),
       ),
+    hasRestarted({ id, name }) {
+      const listed = servers.get(name);
+      return listed !== undefined && listed.id !== id;
+    },
     all: () => [...servers.values()],
     size: () => servers.size,
     version: () => version,
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -43,6 +43,11 @@
  */
 const quietShare = 1;
 const silentQuietShare = 0.2;
+/**
+ * The same for a run that can't go on elsewhere: a server that is cut off for a moment may still end it. Without this
+ * the caller of a server that lost power waits for seconds, to its own deadline, for an answer that never comes.
+ */
+const lastRunSilentShare = 0.4;
 
 export async function runStream(run: StreamRun): Promise<RunOutcome> {
   const placed = await findPlace(run);
@@ -147,29 +152,28 @@
   prefill: PrefillResult | undefined,
 ): Promise<RunOutcome> {
   const gone = new AbortController();
-  const watch = watchRun(run, placement.reservation.server.id, () => gone.abort());
+  const watch = watchRun(run, placement.reservation.server, () => gone.abort());
   try {
     return await decodeWatched(run, placement, prefill, { signal: gone.signal, watch });
   } finally {
-    watch?.stop();
+    watch.stop();
   }
 }
 
-/** Only a stream that may go on elsewhere gains by being broken off. */
+/** A run that is quiet ends early where it may go on elsewhere, or where its server shows that nothing runs any more. */
 function watchRun(
   { state, parts }: StreamRun,
-  serverId: string,
+  server: BackendServer,
   onGone: () => void,
-): QuietWatch | undefined {
+): QuietWatch {
   const { route, sentCount } = state;
-  if (!route.allowsResume || sentCount + 1 >= route.maxAttempts) {
-    return undefined;
-  }
+  const mayGoOn = route.allowsResume && sentCount + 1 < route.maxAttempts;
   const patienceMs = callerPatienceMs(route);
   return startQuietWatch({
-    quietMs: quietShare * patienceMs,
-    silentServerQuietMs: silentQuietShare * patienceMs,
-    isServerSilent: () => parts.engineLoads.isSilent(serverId),
+    quietMs: mayGoOn ? quietShare * patienceMs : undefined,
+    silentServerQuietMs: (mayGoOn ? silentQuietShare : lastRunSilentShare) * patienceMs,
+    isServerSilent: () => parts.engineLoads.isSilent(server.id),
+    isServerRestarted: () => parts.directory.hasRestarted(server),
     onGone,
   });
 }
@@ -178,7 +182,7 @@
   run: StreamRun,
   { reservation, stream }: Placement,
   prefill: PrefillResult | undefined,
-  { signal, watch }: { signal: AbortSignal; watch?: QuietWatch },
+  { signal, watch }: { signal: AbortSignal; watch: QuietWatch },
 ): Promise<RunOutcome> {
   const { state, parts, relay } = run;
   const { server } = reservation;
@@ -206,7 +210,7 @@
   }
   noteStep(state, `decode ${server.id} ${outcome.value.status}`);
   const relayed = await relay.relay(outcome.value, () => {
-    watch?.noteProgress();
+    watch.noteProgress();
     stream.noteEmitted(parts.streamSizes.emittedTokens(relay.eventCount()));
   });
   if (relayed.kind === 'whole') {
