Test the telling of changes between routers, and who asks for the lease of orders

Over real sockets: changes reach the other router, and a change too large for a datagram is announced without its objects, so that others know of it and ask. Reading a datagram stood twice and is one function.

--- a/packages/protocol/src/changeMessages.ts
+++ b/packages/protocol/src/changeMessages.ts
@@ -4,6 +4,7 @@
  * for no message and follow the objects themselves.
  */
 import * as z from 'zod';
+import { readDatagram } from './datagram';
 
 export type ToldChange =
   | { kind: 'put'; key: string; revision: number; value: unknown }
@@ -60,17 +61,11 @@
 
 /** Undefined for anything that is not such a message. */
 export function decodeToldChanges(bytes: Buffer): ToldChanges | undefined {
-  let value: unknown;
-  try {
-    value = JSON.parse(bytes.toString('utf8'));
-  } catch {
+  const read = readDatagram(bytes, wireSchema);
+  if (read === undefined) {
     return undefined;
   }
-  const parsed = wireSchema.safeParse(value);
-  if (!parsed.success) {
-    return undefined;
-  }
-  const [, kindIndex, fromRevision, toRevision, ageMs, backAgeMs, rows] = parsed.data;
+  const [, kindIndex, fromRevision, toRevision, ageMs, backAgeMs, rows] = read;
   return {
     kindIndex,
     fromRevision,
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -3,6 +3,7 @@
  * or late datagram is healed by the next, and small, so that a change costs tens of bytes.
  */
 import * as z from 'zod';
+import { readDatagram } from './datagram';
 
 /** One stream at an engine, as far as it is known. */
 export interface StreamOutlook {
@@ -87,17 +88,11 @@
 
 /** Undefined for anything that is not such a message. */
 export function decodePeerMessage(bytes: Buffer): PeerMessage | undefined {
-  let value: unknown;
-  try {
-    value = JSON.parse(bytes.toString('utf8'));
-  } catch {
+  const read = readDatagram(bytes, wireSchema);
+  if (read === undefined) {
     return undefined;
   }
-  const parsed = wireSchema.safeParse(value);
-  if (!parsed.success) {
-    return undefined;
-  }
-  const [, senderAddress, life, sequence, full, rows, sightings, seenRevisions] = parsed.data;
+  const [, senderAddress, life, sequence, full, rows, sightings, seenRevisions] = read;
   return {
     senderAddress,
     life,
--- a/packages/routing/__tests__/peerExchange.test.ts
+++ b/packages/routing/__tests__/peerExchange.test.ts
@@ -1,4 +1,5 @@
 import test, { type ExecutionContext } from 'ava';
+import type { ToldChanges } from '@bluebellhitch/protocol';
 import { createEngineLoads, startPeerExchange } from '@bluebellhitch/routing';
 import { createLogger } from '@bluebellhitch/telemetry';
 
@@ -6,6 +7,7 @@
 const logger = createLogger({ binary: 'test', instanceId: 't', write: () => undefined });
 
 async function startRouter(t: ExecutionContext, seedAddresses: string[] = []) {
+  const told: ToldChanges[] = [];
   let noteChange: (serverId: string) => void = () => undefined;
   const loads = createEngineLoads({ onOwnChange: (serverId) => noteChange(serverId) });
   const exchange = await startPeerExchange({
@@ -17,11 +19,12 @@
     onPeerGone: loads.dropPeer,
     seenRevisions: () => [],
     onPeerRevisions: () => undefined,
+    onToldChanges: (changes) => told.push(changes),
     logger,
   });
   noteChange = exchange.noteChange;
   t.teardown(exchange.close);
-  return { loads, exchange };
+  return { loads, exchange, told };
 }
 
 async function until(condition: () => boolean): Promise<void> {
@@ -83,3 +86,32 @@
   await until(() => second.loads.forecast('e', 10_000).freeTokens() === 7_000);
   t.pass();
 });
+
+const changesOf = (valueLength: number): ToldChanges => ({
+  kindIndex: 1,
+  fromRevision: 5,
+  toRevision: 9,
+  ageMs: 0,
+  backAgeMs: undefined,
+  changes: [{ kind: 'put', key: 'w1', revision: 8, value: 'x'.repeat(valueLength) }],
+});
+
+test('what the store has shown one router reaches the others', async (t) => {
+  const first = await startRouter(t);
+  const second = await startRouter(t, [first.exchange.address]);
+  await until(() => first.exchange.livePeers().length === 1);
+  first.exchange.tellChanges(changesOf(10));
+  await until(() => second.told.length === 1);
+  t.deepEqual(second.told, [changesOf(10)]);
+});
+
+test('changes too large for a datagram are announced only', async (t) => {
+  // Callers of new routes would get 404 for a minute: a configuration of hundreds of routes does not fit a datagram, and
+  // routers that leave the watching to others would not hear that there is one.
+  const first = await startRouter(t);
+  const second = await startRouter(t, [first.exchange.address]);
+  await until(() => first.exchange.livePeers().length === 1);
+  first.exchange.tellChanges(changesOf(200_000));
+  await until(() => second.told.length === 1);
+  t.like(second.told[0], { fromRevision: 9, toRevision: 9, changes: [] });
+});
--- a/packages/routing/__tests__/stageKeeper.test.ts
+++ b/packages/routing/__tests__/stageKeeper.test.ts
@@ -15,6 +15,10 @@
   fencingNumber: number;
   /** Another process holds the lease. */
   isHeldByOther: boolean;
+  /** This process is one of the few that order. */
+  mayContend: boolean;
+  /** Each a call of the store. */
+  leaseLooks: number;
   orders: { serverId: string; atMs: number; order: StageOrder }[];
   isLeaseHeld: boolean;
 }
@@ -39,7 +43,10 @@
     return ok({ fencingNumber: world.fencingNumber, validForMs: 1_000 });
   };
   return {
-    acquireOrRenew: async () => held(),
+    acquireOrRenew: async () => {
+      world.leaseLooks += 1;
+      return held();
+    },
     release: async () => {
       world.isLeaseHeld = false;
       return ok(undefined);
@@ -78,6 +85,7 @@
         },
       ],
       createLease: () => leaseOf(world),
+      mayContend: () => world.mayContend,
       holderId: 'front-1',
       leaseMs: 3_000,
       prefillShare: () => 0.2,
@@ -97,6 +105,8 @@
 const createWorld = (over: Partial<World> = {}): World => ({
   fencingNumber: 1,
   isHeldByOther: false,
+  mayContend: true,
+  leaseLooks: 0,
   orders: [],
   isLeaseHeld: false,
   ...over,
@@ -146,3 +156,17 @@
   t.deepEqual(world.orders, []);
   t.false(world.isLeaseHeld);
 });
+
+test.serial('a process that is none of the few that order makes no call for it', async (t) => {
+  // The store would be asked by every process of a fleet each 400 ms for as long as one engine has to change.
+  const world = createWorld({ mayContend: false });
+  await keep(world, fivePrefill, 20_000);
+  t.is(world.leaseLooks, 0);
+  t.deepEqual(world.orders, []);
+});
+
+test.serial('a lease that another holds is looked at no sooner than it may lapse', async (t) => {
+  const world = createWorld({ isHeldByOther: true });
+  await keep(world, fivePrefill, 20_000);
+  t.true(world.leaseLooks >= 4 && world.leaseLooks <= 10, `${world.leaseLooks} looks`);
+});
