Tell others of the store's return only where it had been away

Found in reading: a router's first answer counted as the store's return, and was told to the others of its part for ten seconds. A router that restarts would have made them hold the removal of servers back by up to 2.25 s, which is over the bound for leaving servers where that is 2 s. The test failed first (a router that has just started told of a return).

--- a/packages/routing/__tests__/toldChanges.test.ts
+++ b/packages/routing/__tests__/toldChanges.test.ts
@@ -1,6 +1,6 @@
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
 import test from 'ava';
-import { ok, okAsync, ResultAsync, type Result } from 'neverthrow';
+import { err, ok, okAsync, ResultAsync, type Result } from 'neverthrow';
 import {
   objectKinds,
   type ObjectApi,
@@ -203,3 +203,49 @@
     t.deepEqual(store.calls, ['list', 'watch 10']);
   });
 });
+
+test.serial(
+  'a router that starts tells of no outage; one that saw the store away does',
+  async (t) => {
+    // Callers would be sent to a server that is gone for seconds: a router restarts, tells the others that the store has
+    // just come back, and they hold the removal of the server back as one that an outage has caused.
+    const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+    try {
+      const { api } = createStore();
+      const seen: SeenChanges[] = [];
+      let isAway = false;
+      const follower = createObjectFollower({
+        store: {
+          ...api,
+          watch: (...call) =>
+            isAway
+              ? new ResultAsync(
+                  Promise.resolve(err({ kind: 'unavailable' as const, detail: 'down' })),
+                )
+              : api.watch(...call),
+        },
+        kind,
+        watchWaitMs: () => 500,
+        onListed: () => undefined,
+        onEvent: () => undefined,
+        onLost: () => undefined,
+        onBack: () => undefined,
+        onSeen: (one) => seen.push(one),
+      });
+      follower.start();
+      await clock.tickAsync(1_200);
+      t.true(seen.length > 0 && seen.every(({ backAgeMs }) => backAgeMs === undefined));
+      isAway = true;
+      await clock.tickAsync(1_000);
+      isAway = false;
+      await clock.tickAsync(1_000);
+      const told = seen.at(-1)?.backAgeMs ?? Infinity;
+      t.true(told <= 1_000, `told ${told}`);
+      const stopped = follower.stop();
+      await clock.tickAsync(10_000);
+      await stopped;
+    } finally {
+      clock.uninstall();
+    }
+  },
+);
--- a/packages/routing/src/objectFollower.ts
+++ b/packages/routing/src/objectFollower.ts
@@ -88,6 +88,8 @@
   let askedAtMs = -Infinity;
   let returnedAtMs = -Infinity;
   let isBack = false;
+  /** The store has failed since it last answered. */
+  let hasFailed = false;
   let seenRevision = 0;
   let isRefreshDue = false;
   let hadEvents = false;
@@ -225,14 +227,29 @@
   /** Before the answer is applied: a removal in it counts differently right after an outage. */
   function noteAnswer(answer: Result<unknown, PlatformError>, signal: AbortSignal): void {
     if (answer.isOk()) {
-      if (!isBack) {
-        isBack = true;
-        returnedAtMs = monotonicNowMs();
-        options.onBack(0);
-      }
-    } else if (isBack && !signal.aborted) {
+      noteReturn();
+    } else if (!signal.aborted) {
+      hasFailed = true;
+      noteLoss(answer.error);
+    }
+  }
+
+  /** The first answer of a process that starts is no return, and others are not told of one. */
+  function noteReturn(): void {
+    if (hasFailed) {
+      hasFailed = false;
+      returnedAtMs = monotonicNowMs();
+    }
+    if (!isBack) {
+      isBack = true;
+      options.onBack(0);
+    }
+  }
+
+  function noteLoss(error: PlatformError): void {
+    if (isBack) {
       isBack = false;
-      options.onLost(answer.error);
+      options.onLost(error);
     }
   }
 
