--- a/packages/routing/__tests__/toldChanges.test.ts
+++ b/packages/routing/__tests__/toldChanges.test.ts
@@ -239,8 +239,8 @@
       await clock.tickAsync(1_000);
       isAway = false;
       await clock.tickAsync(1_000);
-      const told = seen.at(-1)?.backAgeMs ?? Infinity;
-      t.true(told <= 1_000, `told ${told}`);
+      const backAgeMs = seen.at(-1)?.backAgeMs ?? Infinity;
+      t.true(backAgeMs <= 1_000, `told ${backAgeMs}`);
       const stopped = follower.stop();
       await clock.tickAsync(10_000);
       await stopped;
