Keep one quota account for each workspace at all routers together

Cause: quotas did not exist on this path; the own interface's limiter gives each process a share and counts requests. A workspace's callers are few and come to few routers.

One account is kept.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -202,3 +202,13 @@
   type CacheViewEvent,
   type CacheViewOptions,
 } from './cacheView';
+export {
+  createSharedQuota,
+  type NamedQuota,
+  type Quota,
+  type QuotaDecision,
+  type QuotaSlack,
+  type QuotaUse,
+  type SharedQuota,
+  type SharedQuotaOptions,
+} from './sharedQuota';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -94,8 +94,23 @@
 export {
   decodePeerMessage,
   encodePeerMessage,
+  isPeerMessage,
   type PeerEngineUse,
   type StreamOutlook,
   type PeerMessage,
   type PeerSighting,
 } from './peerMessages';
+export {
+  decodeProofMessage,
+  encodeProofMessage,
+  type ProofAnswer,
+  type ProofMessage,
+  type ProofQuestion,
+} from './proofMessages';
+export {
+  decodeQuotaMessage,
+  encodeQuotaMessage,
+  mostToldUses,
+  type QuotaMessage,
+  type ToldUse,
+} from './quotaMessages';
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -65,6 +65,7 @@
 ]);
 
 const formatVersion = 3;
+const formatStart = Buffer.from(`[${formatVersion},`);
 const numbersPerStream = 3;
 /** Ages are sent in tenths of a second. */
 const msPerAgeUnit = 100;
@@ -86,6 +87,11 @@
   return Buffer.from(JSON.stringify([...head, rows, sightings, message.seenRevisions]));
 }
 
+/** By its first bytes, before it is parsed. */
+export function isPeerMessage(bytes: Buffer): boolean {
+  return bytes.subarray(0, formatStart.length).equals(formatStart);
+}
+
 /** Undefined for anything that is not such a message. */
 export function decodePeerMessage(bytes: Buffer): PeerMessage | undefined {
   const read = readDatagram(bytes, wireSchema);
--- /dev/null
+++ b/packages/protocol/src/proofMessages.ts
@@ -0,0 +1,59 @@
+/**
+ * Datagrams by which a router that has not looked at the platform itself learns how fresh its configuration is. It asks
+ * one that has; the answer repeats the question's number, so that an answer that was on its way for long is counted
+ * from the question on. Further elements of a later format are passed over.
+ */
+import * as z from 'zod';
+import { readDatagram } from './datagram';
+
+export interface ProofQuestion {
+  kind: 'question';
+  /** Where the answer goes. */
+  senderAddress: string;
+  /** Drawn at random for each question. */
+  number: number;
+}
+
+export interface ProofAnswer {
+  kind: 'answer';
+  number: number;
+  /** The newest revision of the configuration that the sender has seen. */
+  revision: number;
+  /** Since the sender began the call of the platform that showed nothing newer. */
+  ageMs: number;
+}
+
+export type ProofMessage = ProofQuestion | ProofAnswer;
+
+const questionName = 'proof-question';
+const answerName = 'proof-answer';
+const formatStart = Buffer.from('["proof-');
+const count = z.number().int().nonnegative();
+const wireSchema = z.union([
+  z
+    .tuple([z.literal(questionName), z.string().regex(/^[\d.]{7,15}:\d{1,5}$/), count])
+    .rest(z.unknown()),
+  z.tuple([z.literal(answerName), count, count, count]).rest(z.unknown()),
+]);
+
+export function encodeProofMessage(message: ProofMessage): Buffer {
+  const row =
+    message.kind === 'question'
+      ? [questionName, message.senderAddress, message.number]
+      : [answerName, message.number, message.revision, Math.ceil(message.ageMs)];
+  return Buffer.from(JSON.stringify(row));
+}
+
+/** Undefined for anything that is not such a message. */
+export function decodeProofMessage(bytes: Buffer): ProofMessage | undefined {
+  if (!bytes.subarray(0, formatStart.length).equals(formatStart)) {
+    return undefined;
+  }
+  const read = readDatagram(bytes, wireSchema);
+  if (read === undefined) {
+    return undefined;
+  }
+  return read[0] === questionName
+    ? { kind: 'question', senderAddress: read[1], number: read[2] }
+    : { kind: 'answer', number: read[1], revision: read[2], ageMs: read[3] };
+}
--- /dev/null
+++ b/packages/replay/__tests__/quotaReplay.test.ts
@@ -0,0 +1,104 @@
+import test from 'ava';
+import {
+  quotaWays,
+  runQuotaReplay,
+  type QuotaLoad,
+  type QuotaStep,
+  type QuotaWay,
+} from '@bluebellhitch/replay';
+import { createSeededRandom } from '@bluebellhitch/shared';
+
+const base: QuotaLoad = {
+  routers: 24,
+  shareAtOne: 0,
+  seconds: 20,
+  ratePerSecond: 48_000,
+  burst: 48_000,
+  slack: { windowMs: 8_000, overageShare: 0.1, amount: 190_000 },
+  demand: 0.55,
+  cost: { least: 200, most: 6_600 },
+  delayMs: 8,
+  lostShare: 0.03,
+  steps: [],
+};
+const flood: QuotaStep = { kind: 'demand', atMs: 4_000, forMs: 11_000, factor: 7.5 };
+const seeds = [1, 2, 3, 4, 5];
+
+function replay(over: Partial<QuotaLoad>, way: QuotaWay = quotaWays.account) {
+  const all = seeds.map((seed) => runQuotaReplay({ load: { ...base, ...over }, way, seed }));
+  const sum = (read: (figures: (typeof all)[number]) => number) =>
+    all.reduce((total, figures) => total + read(figures), 0);
+  return {
+    worst: Math.max(...all.map(({ worstWindowShare }) => worstWindowShare)),
+    owedShare: sum(({ owedAdmitted }) => owedAdmitted) / sum(({ owed }) => owed),
+    admittedShare: sum(({ admitted }) => admitted) / sum(({ owed }) => owed),
+  };
+}
+
+test('a workspace within its quota is hardly refused, however its callers are spread', (t) => {
+  // A caller within its workspace's quota would be refused. Requests come evenly, or most to one router, where
+  // an even share of the rate would refuse half of them.
+  t.true(replay({}).owedShare > 0.97);
+  t.true(replay({ shareAtOne: 0.7 }).owedShare > 0.95);
+  t.true(replay({ shareAtOne: 0.7 }, quotaWays.evenShares).owedShare < 0.5);
+});
+
+test('a workspace that sends four times its quota gets the quota, and hardly more', (t) => {
+  const { worst, admittedShare } = replay({ steps: [flood] });
+  t.true(worst < 1);
+  t.true(admittedShare > 0.95 && admittedShare < 1.05);
+});
+
+test('counting behind the requests lets more through than is allowed once routers are cut off', (t) => {
+  const steps: QuotaStep[] = [flood, { kind: 'cut', atMs: 3_000, forMs: 12_000, share: 0.35 }];
+  t.true(replay({ steps }, quotaWays.blockLater).worst > 1);
+  t.true(replay({ steps }).worst < 1);
+});
+
+test('a limit that falls far below what is asked binds', (t) => {
+  const { worst, admittedShare } = replay({
+    steps: [{ kind: 'limit', atMs: 6_000, factor: 0.15 }],
+  });
+  t.true(worst < 1);
+  t.true(admittedShare > 0.9);
+});
+
+/** What may befall a fleet while a workspace floods it: all at once, at random. */
+function randomLoad(seed: number): QuotaLoad {
+  const random = createSeededRandom(seed);
+  const between = (least: number, most: number) => least + (most - least) * random();
+  const chosen = (steps: QuotaStep[]) => steps.filter(() => random() < 0.5);
+  const ratePerSecond = between(5_000, 400_000);
+  return {
+    ...base,
+    routers: Math.round(2 * 180 ** random()),
+    shareAtOne: random() < 0.3 ? random() : 0,
+    seconds: 24,
+    ratePerSecond,
+    burst: ratePerSecond * between(0.5, 1.5),
+    cost: { least: 200, most: Math.min(6_600, ratePerSecond / 2) },
+    // Of the size that the users' deployment has, about four seconds of the rate.
+    slack: { windowMs: 8_000, overageShare: 0.1, amount: 4 * ratePerSecond },
+    delayMs: between(2, 30),
+    lostShare: between(0, 0.05),
+    steps: [
+      { kind: 'demand', atMs: between(0, 6_000), forMs: 12_000, factor: between(2, 7.5) },
+      ...chosen([
+        { kind: 'cut', atMs: between(0, 12_000), forMs: between(1_000, 9_000), share: 0.35 },
+        { kind: 'split', atMs: between(0, 12_000), forMs: between(1_000, 9_000), groups: 2 },
+        { kind: 'restart', atMs: between(0, 20_000), share: random() < 0.3 ? 1 : 0.3 },
+        { kind: 'restart', atMs: between(0, 20_000), share: 0.3 },
+        { kind: 'pause', atMs: between(0, 12_000), forMs: between(1_000, 6_000), share: 0.3 },
+        { kind: 'limit', atMs: between(4_000, 20_000), factor: between(0.1, 1) },
+      ]),
+    ],
+  };
+}
+
+Array.from({ length: 24 }, (_none, index) => index + 1).forEach((seed) => {
+  test(`whatever befalls a fleet, no window holds more than is allowed: seed ${seed}`, (t) => {
+    const load = randomLoad(seed);
+    const { worstWindowShare } = runQuotaReplay({ load, way: quotaWays.account, seed });
+    t.true(worstWindowShare <= 1, `${load.routers} routers: ${worstWindowShare}`);
+  });
+});
--- a/packages/replay/src/caller.ts
+++ b/packages/replay/src/caller.ts
@@ -164,5 +164,7 @@
     deadlineAtMs,
     arrivedAtMs: monotonicNowMs(),
     prompt,
+    credential: { kind: 'none' },
+    credentialHeaders: [],
   };
 }
--- a/packages/replay/src/index.ts
+++ b/packages/replay/src/index.ts
@@ -2,3 +2,6 @@
 export { parsePattern, type LoadPattern } from './pattern';
 export { addFigures, type ReplayFigures, type ServedCount } from './replayFigures';
 export { runReplay, type ReplayOptions } from './replayRun';
+export { runQuotaReplay, type QuotaFigures, type QuotaReplayOptions } from './quota/quotaReplay';
+export { quotaWays, type QuotaWay } from './quota/quotaWays';
+export { type QuotaLoad, type QuotaStep } from './quota/quotaLoad';
--- /dev/null
+++ b/packages/replay/src/quota/quotaReplay.ts
@@ -0,0 +1,228 @@
+/** Replays a load for one workspace's quota before a fleet of routers that keep it in one of several ways. */
+import { createSeededRandom, type Random } from '@bluebellhitch/shared';
+import type { QuotaUse } from '@bluebellhitch/decisions';
+import { demandAt, isAt, limitFactorAt, type QuotaLoad, type QuotaStep } from './quotaLoad';
+import { createQuotaKeeper, type QuotaKeeper, type QuotaWay } from './quotaWays';
+
+export interface QuotaReplayOptions {
+  load: QuotaLoad;
+  way: QuotaWay;
+  seed: number;
+}
+
+export interface QuotaFigures {
+  asked: number;
+  admitted: number;
+  /** Of what one account that all routers shared at once would admit: what was admitted of the same requests. */
+  owed: number;
+  owedAdmitted: number;
+  /** The window in which most was admitted, over what is allowed in it. */
+  worstWindowShare: number;
+  datagrams: number;
+}
+
+interface Datagram {
+  arrivesAtMs: number;
+  from: string;
+  life: string;
+  uses: QuotaUse[];
+}
+
+interface Router {
+  address: string;
+  life: string;
+  keeper: QuotaKeeper;
+  inbox: Datagram[];
+  beatAtMs: number;
+  factor: number;
+}
+
+interface Admission {
+  atMs: number;
+  cost: number;
+}
+
+/** As large as a part of a fleet may be: only routers of one part tell each other. */
+const mostInPart = 40;
+const tickMs = 5;
+const heartbeatMs = 1_000;
+const msPerSecond = 1_000;
+
+export function runQuotaReplay({ load, way, seed }: QuotaReplayOptions): QuotaFigures {
+  const random = createSeededRandom(seed);
+  const addresses = Array.from({ length: load.routers }, (_none, n) => `r${n}`);
+  const partCount = Math.ceil(load.routers / mostInPart);
+  const partOf = (address: string) => addresses.indexOf(address) % partCount;
+  const befallen = createChoices(load, addresses, random);
+  const ideal = createIdealAccount(load);
+  const admissions: Admission[] = [];
+  const figures = { asked: 0, admitted: 0, owed: 0, owedAdmitted: 0, datagrams: 0 };
+  const routers = addresses.map((address) => startRouter(address, 0));
+  let owing = 0;
+
+  function startRouter(address: string, nowMs: number): Router {
+    const keeper = createQuotaKeeper(way, {
+      nowMs,
+      slack: load.slack,
+      routers: addresses.filter((other) => partOf(other) === partOf(address)),
+      routerCount: addresses.length,
+      ownAddress: address,
+      random,
+    });
+    const factor = limitFactorAt(load, nowMs);
+    keeper.setLimit(limitOf(load, factor), nowMs);
+    const life = `${address}-${nowMs}`;
+    return { address, life, keeper, inbox: [], beatAtMs: nowMs + random() * heartbeatMs, factor };
+  }
+
+  function tell(router: Router, nowMs: number): void {
+    const uses = router.keeper.tell(nowMs);
+    routers
+      .filter((other) => other !== router && partOf(other.address) === partOf(router.address))
+      .filter((other) => befallen.hear(router.address, other.address, nowMs))
+      .filter(() => random() >= load.lostShare)
+      .forEach(({ inbox }) => {
+        figures.datagrams += 1;
+        const arrivesAtMs = nowMs + load.delayMs * (0.5 + random());
+        inbox.push({ arrivesAtMs, from: router.address, life: router.life, uses });
+      });
+  }
+
+  function readInbox(router: Router, nowMs: number): void {
+    const due = router.inbox.filter(({ arrivesAtMs }) => arrivesAtMs <= nowMs);
+    router.inbox = router.inbox.filter(({ arrivesAtMs }) => arrivesAtMs > nowMs);
+    due.forEach(({ from, life, uses }) => router.keeper.hear(from, life, uses, nowMs));
+  }
+
+  function request(router: Router, nowMs: number): void {
+    const { least, most } = load.cost;
+    const cost = Math.round(least + (most - least) * random());
+    const isOwed = ideal(cost, nowMs);
+    const isAdmitted = router.keeper.take(cost, nowMs);
+    figures.asked += cost;
+    figures.owed += isOwed ? cost : 0;
+    if (isAdmitted) {
+      figures.admitted += cost;
+      figures.owedAdmitted += isOwed ? cost : 0;
+      admissions.push({ atMs: nowMs, cost });
+    }
+    if (router.keeper.isUrgent(nowMs)) {
+      tell(router, nowMs);
+    }
+  }
+
+  function step(nowMs: number): void {
+    befallen.restartedAt(nowMs).forEach((address) => {
+      const at = addresses.indexOf(address);
+      routers[at] = startRouter(address, nowMs);
+    });
+    const awake = routers.filter(({ address }) => !befallen.isPaused(address, nowMs));
+    const meanCost = (load.cost.least + load.cost.most) / 2;
+    owing += (demandAt(load, nowMs) * tickMs) / msPerSecond / meanCost;
+    // A router that wakes may take a request before it reads what has come meanwhile.
+    while (owing >= 1) {
+      owing -= 1;
+      const at = random() < load.shareAtOne ? 0 : Math.floor(random() * routers.length);
+      const router = routers[at];
+      if (router !== undefined && awake.includes(router)) {
+        request(router, nowMs);
+      }
+    }
+    awake.forEach((router) => {
+      readInbox(router, nowMs);
+      const factor = limitFactorAt(load, nowMs);
+      if (factor !== router.factor) {
+        router.factor = factor;
+        router.keeper.setLimit(limitOf(load, factor), nowMs);
+      }
+      if (nowMs >= router.beatAtMs) {
+        router.beatAtMs = nowMs + heartbeatMs;
+        tell(router, nowMs);
+      }
+    });
+  }
+
+  for (let nowMs = 0; nowMs < load.seconds * msPerSecond; nowMs += tickMs) {
+    step(nowMs);
+  }
+  return { ...figures, worstWindowShare: worstWindow(load, admissions) };
+}
+
+function limitOf({ ratePerSecond, burst }: QuotaLoad, factor: number) {
+  return { ratePerSecond: ratePerSecond * factor, burst: burst * factor };
+}
+
+/** Which routers each step befalls. */
+function createChoices(load: QuotaLoad, addresses: readonly string[], random: Random) {
+  const chosen = load.steps.map((step) => {
+    const share = 'share' in step ? step.share : 0;
+    return { step, routers: new Set(addresses.filter(() => random() < share)) };
+  });
+  const groupOf = new Map(addresses.map((address) => [address, random()]));
+
+  function isApart(step: QuotaStep, routers: Set<string>, from: string, to: string): boolean {
+    switch (step.kind) {
+      case 'cut':
+        return routers.has(from) || routers.has(to);
+      case 'split': {
+        const group = (address: string) => Math.floor((groupOf.get(address) ?? 0) * step.groups);
+        return group(from) !== group(to);
+      }
+      default:
+        return false;
+    }
+  }
+
+  return {
+    hear: (from: string, to: string, nowMs: number) =>
+      !chosen.some(
+        ({ step, routers }) =>
+          'forMs' in step && isAt(step, nowMs) && isApart(step, routers, from, to),
+      ),
+    isPaused: (address: string, nowMs: number) =>
+      chosen.some(
+        ({ step, routers }) => step.kind === 'pause' && isAt(step, nowMs) && routers.has(address),
+      ),
+    restartedAt: (nowMs: number) =>
+      chosen.flatMap(({ step, routers }) =>
+        step.kind === 'restart' && step.atMs >= nowMs && step.atMs < nowMs + tickMs
+          ? [...routers]
+          : [],
+      ),
+  };
+}
+
+/** What one account for all would say, without any delay. */
+function createIdealAccount(load: QuotaLoad): (cost: number, nowMs: number) => boolean {
+  let level = load.burst;
+  let filledAtMs = 0;
+  return (cost, nowMs) => {
+    const { ratePerSecond, burst } = limitOf(load, limitFactorAt(load, nowMs));
+    level = Math.min(burst, level + ((nowMs - filledAtMs) * ratePerSecond) / msPerSecond);
+    filledAtMs = nowMs;
+    if (level < cost) {
+      return false;
+    }
+    level -= cost;
+    return true;
+  };
+}
+
+/** A lower limit binds from one window after it is in force. */
+function worstWindow(load: QuotaLoad, admissions: readonly Admission[]): number {
+  const { windowMs, overageShare, amount } = load.slack;
+  let sum = 0;
+  let first = 0;
+  return admissions.reduce((worst, { atMs, cost }) => {
+    sum += cost;
+    while ((admissions[first]?.atMs ?? Infinity) <= atMs - windowMs) {
+      sum -= admissions[first]?.cost ?? 0;
+      first += 1;
+    }
+    const factor = Math.max(limitFactorAt(load, atMs), limitFactorAt(load, atMs - windowMs));
+    const { ratePerSecond, burst } = limitOf(load, factor);
+    const allowed =
+      ((ratePerSecond * windowMs) / msPerSecond + burst) * (1 + overageShare) + amount;
+    return Math.max(worst, sum / allowed);
+  }, 0);
+}
--- /dev/null
+++ b/packages/replay/src/quota/quotaWays.ts
@@ -0,0 +1,187 @@
+/** Ways in which routers may keep a quota together; they are compared by the same loads. */
+import {
+  createSharedQuota,
+  shareByDemand,
+  type Quota,
+  type QuotaSlack,
+  type QuotaUse,
+} from '@bluebellhitch/decisions';
+
+export const quotaWays = {
+  /** One account, kept by all: the router's own way. */
+  account: 'account',
+  /** Each router has an even share of rate and burst. */
+  evenShares: 'even-shares',
+  /** Shares by what each router is asked for. */
+  demandShares: 'demand-shares',
+  /** Let through, count behind the request in a rolling window, and refuse while the window is full. */
+  blockLater: 'block-later',
+} as const;
+export type QuotaWay = (typeof quotaWays)[keyof typeof quotaWays];
+
+export interface WayOptions {
+  nowMs: number;
+  slack: QuotaSlack;
+  /** Addresses of the routers of this one's part, this one's too. */
+  routers: readonly string[];
+  /** In all parts. */
+  routerCount: number;
+  ownAddress: string;
+  random: () => number;
+}
+
+/** One router's part of a way. */
+export interface QuotaKeeper {
+  setLimit(limit: Quota, nowMs: number): void;
+  take(cost: number, nowMs: number): boolean;
+  isUrgent(nowMs: number): boolean;
+  /** What the others are told. */
+  tell(nowMs: number): QuotaUse[];
+  hear(from: string, life: string, uses: readonly QuotaUse[], nowMs: number): void;
+}
+
+const workspace = 'w';
+const repeatMs = 4_000;
+const msPerSecond = 1_000;
+
+export function createQuotaKeeper(way: QuotaWay, options: WayOptions): QuotaKeeper {
+  switch (way) {
+    case quotaWays.account:
+      return createAccountKeeper(options);
+    case quotaWays.evenShares:
+      return createShareKeeper(options);
+    case quotaWays.demandShares:
+      return createDemandKeeper(options);
+    case quotaWays.blockLater:
+      return createWindowKeeper(options);
+  }
+}
+
+function createAccountKeeper(options: WayOptions): QuotaKeeper {
+  const { nowMs, slack, routers, routerCount, ownAddress, random } = options;
+  const quota = createSharedQuota({ nowMs, slack, random });
+  const others = routers.filter((router) => router !== ownAddress);
+  quota.setRouters(others, routerCount);
+  return {
+    setLimit: (limit, atMs) => quota.setQuotas([{ name: workspace, ...limit }], atMs),
+    take: (cost, atMs) => quota.take(workspace, cost, atMs).kind === 'admitted',
+    isUrgent: (atMs) => quota.isUrgent(workspace, atMs),
+    tell(atMs) {
+      quota.noteTold();
+      return quota.usesSince(atMs - repeatMs, atMs);
+    },
+    hear: quota.hear,
+  };
+}
+
+interface Bucket {
+  take(cost: number, nowMs: number, share: number): boolean;
+  setLimit(limit: Quota): void;
+}
+
+function createBucket(startMs: number): Bucket {
+  let quota: Quota = { ratePerSecond: 0, burst: 0 };
+  let level = Infinity;
+  let filledAtMs = startMs;
+  return {
+    setLimit(limit) {
+      quota = limit;
+    },
+    take(cost, nowMs, share) {
+      const more = ((nowMs - filledAtMs) * quota.ratePerSecond * share) / msPerSecond;
+      // A share below one request would never let it through.
+      level = Math.min(Math.max(quota.burst * share, cost), level + more);
+      filledAtMs = nowMs;
+      if (level < cost) {
+        return false;
+      }
+      level -= cost;
+      return true;
+    },
+  };
+}
+
+function createShareKeeper({ nowMs, routerCount }: WayOptions): QuotaKeeper {
+  const bucket = createBucket(nowMs);
+  return {
+    setLimit: bucket.setLimit,
+    take: (cost, atMs) => bucket.take(cost, atMs, 1 / routerCount),
+    isUrgent: () => false,
+    tell: () => [],
+    hear: () => undefined,
+  };
+}
+
+const demandWindowMs = 1_000;
+const demandLifetimeMs = 10_000;
+
+function createDemandKeeper({ nowMs, routers }: WayOptions): QuotaKeeper {
+  const bucket = createBucket(nowMs);
+  const heard = new Map<string, { demand: number; atMs: number }>();
+  let rate = 1;
+  let demand = 0;
+  let askedAtMs = nowMs;
+  const decayed = (atMs: number) => demand * Math.exp((askedAtMs - atMs) / demandWindowMs);
+  return {
+    setLimit(limit) {
+      rate = limit.ratePerSecond;
+      bucket.setLimit(limit);
+    },
+    take(cost, atMs) {
+      demand = decayed(atMs) + (cost * msPerSecond) / demandWindowMs;
+      askedAtMs = atMs;
+      const peerDemands = [...heard.values()]
+        .filter((told) => told.atMs > atMs - demandLifetimeMs)
+        .map((told) => told.demand);
+      const share =
+        shareByDemand({
+          requestsPerSecond: rate,
+          ownDemand: demand,
+          peerDemands,
+          entryCount: routers.length,
+        }) / rate;
+      return bucket.take(cost, atMs, share);
+    },
+    isUrgent: () => false,
+    tell: (atMs) => [{ name: workspace, sum: decayed(atMs) }],
+    hear(from, _life, uses, atMs) {
+      heard.set(from, { demand: uses[0]?.sum ?? 0, atMs });
+    },
+  };
+}
+
+function createWindowKeeper({ slack }: WayOptions): QuotaKeeper {
+  /** What was admitted by anyone, when it became known here. */
+  const known: { atMs: number; amount: number }[] = [];
+  const sums = new Map<string, { life: string; sum: number }>();
+  let limit = Infinity;
+  let own = 0;
+  const add = (amount: number, atMs: number) => known.push({ atMs, amount });
+  return {
+    setLimit({ ratePerSecond, burst }) {
+      limit = (ratePerSecond * slack.windowMs) / msPerSecond + burst;
+    },
+    take(cost, atMs) {
+      const fromMs = atMs - slack.windowMs;
+      while ((known[0]?.atMs ?? Infinity) < fromMs) {
+        known.shift();
+      }
+      const inWindow = known.reduce((sum, { amount }) => sum + amount, 0);
+      if (inWindow >= limit) {
+        return false;
+      }
+      own += cost;
+      add(cost, atMs);
+      return true;
+    },
+    isUrgent: () => true,
+    tell: () => [{ name: workspace, sum: own }],
+    hear(from, life, uses, atMs) {
+      const before = sums.get(from);
+      const sum = uses[0]?.sum ?? 0;
+      const baseSum = before?.life === life ? before.sum : 0;
+      sums.set(from, { life, sum });
+      add(Math.max(0, sum - baseSum), atMs);
+    },
+  };
+}
--- a/packages/replay/src/replayRouter.ts
+++ b/packages/replay/src/replayRouter.ts
@@ -93,6 +93,9 @@
     ring: createDecisionRing(),
     random,
     routeTable: () => table,
+    freshness: () => ({ isProved: true, isBehind: false }),
+    onStale: () => undefined,
+    quota: { charge: () => ({ kind: 'charged', charge: { giveBack: () => undefined } }) },
   });
   const poller = createLoadPoller({
     backend,
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -27,3 +27,4 @@
 export { delay, monotonicNowMs } from './clock';
 export { startRunningTimer, type RunningTimer } from './runningTimer';
 export { runOnce } from './runOnce';
+export { ageMsOf, earlierBy, readClocks, type ClockReading } from './clockReading';
