Charge calls that were turned away to the budget, and ask a server that is another's once

Servers crash for good and their addresses go to others: each request's first call for its prompt was turned away with 421 and counted by nobody, the next round's first call was free again, and each router found out for itself.

A first call that is turned away is charged; a prompt that is read again is a further call; the first 421 of a server makes it silent for all routers. Plain requests that were misdirected pay for the next attempt. Ruled out: shares of the allowance (three quarters are given out).

With it: a router that starts takes an older router's account for its own, also before it knows its configuration, and routers that start together share the burst that each brings.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -207,6 +207,7 @@
   type NamedQuota,
   type Quota,
   type QuotaDecision,
+  type QuotaNews,
   type QuotaSlack,
   type QuotaUse,
   type SharedQuota,
--- a/packages/decisions/src/sharedQuota.ts
+++ b/packages/decisions/src/sharedQuota.ts
@@ -12,12 +12,13 @@
  * - Not heard: who has been silent for `silentMs` is taken to spend its even part, rate / n, and spends no more once it
  *   counts all others as silent itself. Before that each side spends at the rate of what callers ask: with 8 of 24 cut
  *   off, at most the rate x 1.5 s x 1/3.
- * - Forgotten: a router that starts has E / 32 until others tell it more, and each counts it as new: what it
- *   admitted before is known to the others as far as it was heard.
+ * - Forgotten: a router that starts brings its even part of the burst, and takes the account of the first older router
+ *   that it hears for its own. Where all have started together they have one burst more, which is less than E.
  * What is not bounded: a fleet in which all n routers are cut off from each other at the same moment, while one workspace
  * sends its whole rate to each, may admit n times the rate for the first 1.5 s.
  */
 import { createBoundedMap } from './boundedMap';
+import { createQuotaRouters, type QuotaRouter } from './quotaRouters';
 
 export interface Quota {
   ratePerSecond: number;
@@ -44,6 +45,15 @@
   level?: number;
 }
 
+/** What another router tells. */
+export interface QuotaNews {
+  router: string;
+  life: string;
+  /** It started lately, and does not know what was admitted before. */
+  isYoung: boolean;
+  uses: readonly QuotaUse[];
+}
+
 export type QuotaDecision =
   | { kind: 'admitted' }
   /** Without a time where the account can never hold so much. */
@@ -65,7 +75,9 @@
   giveBack(name: string, cost: number, nowMs: number): void;
   /** Any word of it: whatever it has admitted is known up to now. */
   noteHeard(router: string, nowMs: number): void;
-  hear(router: string, life: string, uses: readonly QuotaUse[], nowMs: number): void;
+  hear(news: QuotaNews, nowMs: number): void;
+  /** It started lately, and does not know what was admitted before. */
+  isYoung(nowMs: number): boolean;
   /** It has stopped and admits nothing more. */
   noteLeft(router: string): void;
   /** What was admitted since `sinceMs`, latest first. */
@@ -87,87 +99,56 @@
   untold: number;
 }
 
+interface ToldLevel {
+  level: number;
+  atMs: number;
+}
+
 interface OwnUse {
   sum: number;
   changedAtMs: number;
 }
 
-interface Router {
-  life?: string;
-  heardAtMs: number;
-  /** For which its even part was set aside, since it last told what it admitted. */
-  presumedMs: number;
-  sums: Map<string, number>;
-}
-
 const msPerSecond = 1_000;
 const noSlack: QuotaSlack = { windowMs: 0, overageShare: 0, amount: 0 };
 /** From spending to the moment at which others have it: gathering, the way, and their own work. */
 const hearMs = 100;
 const unheardShare = 0.5;
 const groupSlackShare = 0.25;
-/** A router is heard once a second; half a second more for its way. */
-const silentMs = 1_500;
-/** Routers hear all others of their part within this time of their start. */
-const youngMs = 2_500;
-/** A router that starts does not know how many there are: as many as a part may have, about. */
-const assumedRouters = 32;
-/** Part of the slack that each router may use up with every start. */
-const startShare = 1 / 32;
 /** Told at once where all routers that admit as much would take this part of what is left. */
 const urgentShare = 0.25;
 /** Those refused together come back over this part of their time more. */
 const spread = 0.5;
 const maxAccounts = 8_192;
-const maxRouters = 512;
 
 export function createSharedQuota(options: SharedQuotaOptions): SharedQuota {
-  const { slack = noSlack, random = Math.random, nowMs: startedAtMs } = options;
+  const { slack = noSlack, random = Math.random } = options;
   const accounts = new Map<string, Account>();
   const own = createBoundedMap<string, OwnUse>({ maxEntries: maxAccounts });
-  const routers = createBoundedMap<string, Router>({ maxEntries: maxRouters });
-  /** Said to have stopped; they count again with their next life. */
-  const left = new Set<string>();
-  let companions: readonly string[] = [];
-  let partShare = 1;
+  const routers = createQuotaRouters(options.nowMs);
+  /** Of accounts that are not open yet. */
+  const toldLevels = createBoundedMap<string, ToldLevel>({ maxEntries: maxAccounts });
+  /** The account is that of a router that was there before. */
+  let hasAdopted = false;
 
-  const isYoung = (nowMs: number) => nowMs - startedAtMs < youngMs;
-
-  function routerCount(nowMs: number): number {
-    return Math.max(companions.length + 1, isYoung(nowMs) ? assumedRouters : 1);
-  }
-
-  function heardCount(nowMs: number): number {
-    return companions.filter((router) => !isSilent(routers.get(router), nowMs)).length;
-  }
-
-  function isSilent(router: Router | undefined, nowMs: number): boolean {
-    return router === undefined || nowMs - router.heardAtMs > silentMs;
-  }
-
-  const rateOf = ({ quota }: Account) => quota.ratePerSecond * partShare;
-  const burstOf = ({ quota }: Account) => quota.burst * partShare;
-
-  /** Of rate and burst, for the routers that are heard; the silent ones are taken to spend the rest. */
-  function groupShare(nowMs: number): number {
-    return Math.min(1, (heardCount(nowMs) + 1) / routerCount(nowMs));
-  }
+  const rateOf = ({ quota }: Account) => quota.ratePerSecond * routers.partShare();
+  const burstOf = ({ quota }: Account) => quota.burst * routers.partShare();
 
   /** A group that does not hear the others has its part of the burst, and of the slack: one request must fit. */
   function mostLevel(account: Account, nowMs: number): number {
     const burst = burstOf(account);
-    const share = groupShare(nowMs);
+    const share = routers.groupShare(nowMs);
     return Math.min(burst, share * (burst + groupSlackShare * slackOf(account)));
   }
 
   /** What may be admitted in one window beyond rate and burst, by all routers of the part. */
   function slackOf({ quota }: Account): number {
     const allowed = (quota.ratePerSecond * slack.windowMs) / msPerSecond + quota.burst;
-    return partShare * (slack.overageShare * allowed + slack.amount);
+    return routers.partShare() * (slack.overageShare * allowed + slack.amount);
   }
 
   function refillPerMs(account: Account, nowMs: number): number {
-    return (rateOf(account) * groupShare(nowMs)) / msPerSecond;
+    return (rateOf(account) * routers.groupShare(nowMs)) / msPerSecond;
   }
 
   function refill(account: Account, nowMs: number): void {
@@ -182,10 +163,10 @@
   }
 
   function unheardLimit(account: Account, nowMs: number): number {
-    const routersKnown = routerCount(nowMs);
-    return routersKnown === 1 && !isYoung(nowMs)
+    const count = routers.count(nowMs);
+    return count === 1 && !routers.isYoung(nowMs)
       ? Infinity
-      : Math.max(burstOf(account), unheardShare * slackOf(account)) / routersKnown;
+      : Math.max(burstOf(account), unheardShare * slackOf(account)) / count;
   }
 
   /** A debt beyond the slack would only come of false news: it must not lock a workspace out for long. */
@@ -203,11 +184,20 @@
       unheard: 0,
       untold: 0,
     };
-    const startLevel = Math.max(slackOf(account), burstOf(account)) * startShare;
-    account.level = isYoung(nowMs) ? Math.min(burstOf(account), startLevel) : burstOf(account);
+    account.level = routers.isYoung(nowMs) ? startLevel(account, nowMs) : burstOf(account);
     return account;
   }
 
+  /** What an older router has told, or, where all have started together, what those that are heard bring. */
+  function startLevel(account: Account, nowMs: number): number {
+    const told = toldLevels.get(account.quota.name);
+    const toldNow =
+      told === undefined
+        ? burstOf(account)
+        : told.level + ((nowMs - told.atMs) * rateOf(account)) / msPerSecond;
+    return Math.min(mostLevel(account, nowMs), toldNow);
+  }
+
   function setQuotas(quotas: readonly NamedQuota[], nowMs: number): void {
     const wanted = new Set(quotas.map(({ name }) => name));
     [...accounts.keys()]
@@ -263,20 +253,9 @@
     }
   }
 
-  function knowRouter(address: string, nowMs: number): Router {
-    const router = routers.getOrCreate(address, () => ({
-      heardAtMs: nowMs,
-      presumedMs: 0,
-      sums: new Map(),
-    }));
-    router.presumedMs += Math.max(0, nowMs - router.heardAtMs - silentMs);
-    router.heardAtMs = Math.max(router.heardAtMs, nowMs);
-    return router;
-  }
-
   /** What an account has set aside for a router that was not heard for a while. */
-  function presumed(account: Account, { presumedMs }: Router, nowMs: number): number {
-    return (presumedMs * rateOf(account)) / routerCount(nowMs) / msPerSecond;
+  function presumed(account: Account, { presumedMs }: QuotaRouter, nowMs: number): number {
+    return (presumedMs * rateOf(account)) / routers.count(nowMs) / msPerSecond;
   }
 
   /** Before a router counts as heard again: until now its even part was set aside. */
@@ -284,60 +263,87 @@
     accounts.forEach((account) => refill(account, nowMs));
   }
 
-  function hearUse(router: Router, use: QuotaUse, isKnown: boolean, nowMs: number): void {
-    const { name, sum, level } = use;
-    const before = router.sums.get(name);
+  function hearUse({ name, sum }: QuotaUse, router: QuotaRouter, nowMs: number): void {
+    const more = sum - (router.sums.get(name) ?? 0);
     router.sums.set(name, sum);
     const account = accounts.get(name);
     if (account === undefined) {
+      changeToldLevel(name, -more);
+    } else {
+      debit(account, more > 0 ? Math.max(0, more - presumed(account, router, nowMs)) : more, nowMs);
+    }
+  }
+
+  /** What an older router has left counts what all have spent, but for what this one has not told it. */
+  function adoptLevel({ name, sum, level }: QuotaUse, router: QuotaRouter, nowMs: number): void {
+    router.sums.set(name, sum);
+    const account = accounts.get(name);
+    if (level === undefined) {
       return;
     }
-    if (before !== undefined || isKnown || level === undefined) {
-      const more = sum - (before ?? 0);
-      debit(account, more > 0 ? Math.max(0, more - presumed(account, router, nowMs)) : more, nowMs);
+    if (account === undefined) {
+      toldLevels.set(name, { level, atMs: nowMs });
       return;
     }
-    // Its sum is of a time before this router listened: what it has left counts what all have spent.
     refill(account, nowMs);
-    account.level = Math.min(account.level, level);
+    const remaining = level - account.untold;
+    account.level =
+      routers.isYoung(nowMs) && !hasAdopted ? remaining : Math.min(account.level, remaining);
   }
 
-  function hear(address: string, life: string, uses: readonly QuotaUse[], nowMs: number): void {
-    const isFirst = routers.get(address)?.life === undefined;
-    if (routers.get(address)?.life !== life) {
-      left.delete(address);
+  function changeToldLevel(name: string, change: number): void {
+    const told = toldLevels.get(name);
+    if (told !== undefined) {
+      told.level += change;
     }
+  }
+
+  /** Routers that start together share what each brings. */
+  function addBurstOfYoung(nowMs: number): void {
+    accounts.forEach((account) => {
+      refill(account, nowMs);
+      const brought = burstOf(account) / routers.count(nowMs);
+      account.level = Math.min(mostLevel(account, nowMs), account.level + brought);
+    });
+  }
+
+  function hear(
+    { router: address, life, isYoung: isItYoung, uses }: QuotaNews,
+    nowMs: number,
+  ): void {
+    const lifeBefore = routers.get(address)?.life;
+    const isNewLife = lifeBefore !== life;
     noteHeard(address, nowMs);
-    const router = knowRouter(address, nowMs);
-    if (router.life !== life) {
-      router.life = life;
-      router.sums.clear();
+    const router = routers.note(address, nowMs);
+    if (isNewLife) {
+      routers.noteNewLife(address, life);
+    }
+    if (isNewLife && isItYoung && routers.isYoung(nowMs) && !hasAdopted) {
+      addBurstOfYoung(nowMs);
     }
-    uses.slice(0, maxAccounts).forEach((use) => hearUse(router, use, !isFirst, nowMs));
+    const isOlder = lifeBefore === undefined && !isItYoung;
+    const takeUse = isOlder ? adoptLevel : hearUse;
+    uses.slice(0, maxAccounts).forEach((use) => takeUse(use, router, nowMs));
+    hasAdopted ||= isOlder;
     router.presumedMs = 0;
   }
 
   function noteHeard(address: string, nowMs: number): void {
-    if (isSilent(routers.get(address), nowMs)) {
+    if (routers.isSilent(address, nowMs)) {
       refillAll(nowMs);
     }
-    knowRouter(address, nowMs);
+    routers.note(address, nowMs);
   }
 
   return {
     setQuotas,
-    setRouters(next, count) {
-      companions = next.filter((address) => !left.has(address));
-      partShare = Math.min(1, (next.length + 1) / Math.max(1, count));
-    },
+    setRouters: routers.set,
     take,
     giveBack: (name, cost, nowMs) => spend(name, -cost, nowMs),
     noteHeard,
     hear,
-    noteLeft(address) {
-      left.add(address);
-      companions = companions.filter((companion) => companion !== address);
-    },
+    isYoung: routers.isYoung,
+    noteLeft: routers.noteLeft,
     usesSince: (sinceMs, nowMs) =>
       [...own.entries()]
         .filter(([, { changedAtMs }]) => changedAtMs >= sinceMs)
@@ -345,7 +351,7 @@
         .map(([name, { sum }]) => ({ name, sum, level: levelToTell(name, nowMs) })),
     isUrgent(name, nowMs) {
       const account = accounts.get(name);
-      const alike = (account?.untold ?? 0) * routerCount(nowMs);
+      const alike = (account?.untold ?? 0) * routers.count(nowMs);
       return account !== undefined && alike > urgentShare * Math.max(0, account.level);
     },
     noteTold: () =>
@@ -364,7 +370,7 @@
 
   function levelToTell(name: string, nowMs: number): number | undefined {
     const account = accounts.get(name);
-    if (account === undefined || isYoung(nowMs)) {
+    if (account === undefined || routers.isYoung(nowMs)) {
       return undefined;
     }
     refill(account, nowMs);
--- a/packages/protocol/__tests__/quotaMessages.test.ts
+++ b/packages/protocol/__tests__/quotaMessages.test.ts
@@ -14,6 +14,7 @@
   life: 'k3f',
   sequence: 9,
   isLast: false,
+  isYoung: true,
   uses: [
     { workspaceName: 'hule930', sum: 12_345, level: 800 },
     { workspaceName: 'vuto12', sum: -40, level: undefined },
--- a/packages/protocol/src/quotaMessages.ts
+++ b/packages/protocol/src/quotaMessages.ts
@@ -23,6 +23,8 @@
   sequence: number;
   /** The sender stops and admits nothing more. */
   isLast: boolean;
+  /** The sender started lately, and does not know what was admitted before. */
+  isYoung: boolean;
   uses: ToldUse[];
 }
 
@@ -32,13 +34,15 @@
 const formatStart = Buffer.from(`["${formatName}"`);
 const amount = z.number().min(-1e15).max(1e15);
 const count = z.number().int().nonnegative();
+const flag = z.union([z.literal(0), z.literal(1)]);
 const wireSchema = z
   .tuple([
     z.literal(formatName),
     z.string().regex(/^[\d.]{7,15}:\d{1,5}$/),
     z.string().max(16),
     count,
-    z.union([z.literal(0), z.literal(1)]),
+    flag,
+    flag,
     z
       .array(z.tuple([z.string().max(256), amount, amount.nullable()]).rest(z.unknown()))
       .max(mostToldUses),
@@ -46,7 +50,7 @@
   .rest(z.unknown());
 
 export function encodeQuotaMessage(message: QuotaMessage): Buffer {
-  const { senderAddress, life, sequence, isLast, uses } = message;
+  const { senderAddress, life, sequence, isLast, isYoung, uses } = message;
   const rows = uses
     .slice(0, mostToldUses)
     .map(({ workspaceName, sum, level }) => [
@@ -55,7 +59,10 @@
       level === undefined ? null : Math.round(level),
     ]);
   return Buffer.from(
-    JSON.stringify([formatName, senderAddress, life, sequence, isLast ? 1 : 0, rows]),
+    JSON.stringify([
+      ...[formatName, senderAddress, life, sequence],
+      ...[isLast ? 1 : 0, isYoung ? 1 : 0, rows],
+    ]),
   );
 }
 
@@ -68,12 +75,13 @@
   if (read === undefined) {
     return undefined;
   }
-  const [, senderAddress, life, sequence, last, rows] = read;
+  const [, senderAddress, life, sequence, last, young, rows] = read;
   return {
     senderAddress,
     life,
     sequence,
     isLast: last === 1,
+    isYoung: young === 1,
     uses: rows.map(([workspaceName, sum, level]) => ({
       workspaceName,
       sum,
--- a/packages/replay/src/quota/quotaReplay.ts
+++ b/packages/replay/src/quota/quotaReplay.ts
@@ -1,6 +1,6 @@
 /** Replays a load for one workspace's quota before a fleet of routers that keep it in one of several ways. */
 import { createSeededRandom, type Random } from '@bluebellhitch/shared';
-import type { QuotaUse } from '@bluebellhitch/decisions';
+import type { QuotaNews } from '@bluebellhitch/decisions';
 import { demandAt, isAt, limitFactorAt, type QuotaLoad, type QuotaStep } from './quotaLoad';
 import { createQuotaKeeper, type QuotaKeeper, type QuotaWay } from './quotaWays';
 
@@ -23,9 +23,7 @@
 
 interface Datagram {
   arrivesAtMs: number;
-  from: string;
-  life: string;
-  uses: QuotaUse[];
+  news: QuotaNews;
 }
 
 interface Router {
@@ -33,6 +31,8 @@
   life: string;
   keeper: QuotaKeeper;
   inbox: Datagram[];
+  /** Lives of others that were told what is left. */
+  greeted: Set<string>;
   beatAtMs: number;
   factor: number;
 }
@@ -72,26 +72,35 @@
     const factor = limitFactorAt(load, nowMs);
     keeper.setLimit(limitOf(load, factor), nowMs);
     const life = `${address}-${nowMs}`;
-    return { address, life, keeper, inbox: [], beatAtMs: nowMs + random() * heartbeatMs, factor };
+    const beatAtMs = nowMs + random() * heartbeatMs;
+    return { address, life, keeper, inbox: [], greeted: new Set(), beatAtMs, factor };
   }
 
-  function tell(router: Router, nowMs: number): void {
-    const uses = router.keeper.tell(nowMs);
+  function tell(router: Router, nowMs: number, to?: string): void {
+    const { address, life, keeper } = router;
+    const isYoung = keeper.isYoung(nowMs);
+    const news = { router: address, life, isYoung, uses: keeper.tell(nowMs) };
     routers
-      .filter((other) => other !== router && partOf(other.address) === partOf(router.address))
-      .filter((other) => befallen.hear(router.address, other.address, nowMs))
+      .filter((other) => other !== router && partOf(other.address) === partOf(address))
+      .filter((other) => to === undefined || other.address === to)
+      .filter((other) => befallen.hear(address, other.address, nowMs))
       .filter(() => random() >= load.lostShare)
       .forEach(({ inbox }) => {
         figures.datagrams += 1;
-        const arrivesAtMs = nowMs + load.delayMs * (0.5 + random());
-        inbox.push({ arrivesAtMs, from: router.address, life: router.life, uses });
+        inbox.push({ arrivesAtMs: nowMs + load.delayMs * (0.5 + random()), news });
       });
   }
 
   function readInbox(router: Router, nowMs: number): void {
     const due = router.inbox.filter(({ arrivesAtMs }) => arrivesAtMs <= nowMs);
     router.inbox = router.inbox.filter(({ arrivesAtMs }) => arrivesAtMs > nowMs);
-    due.forEach(({ from, life, uses }) => router.keeper.hear(from, life, uses, nowMs));
+    due.forEach(({ news }) => {
+      router.keeper.hear(news, nowMs);
+      if (!router.greeted.has(news.life)) {
+        router.greeted.add(news.life);
+        tell(router, nowMs, news.router);
+      }
+    });
   }
 
   function request(router: Router, nowMs: number): void {
--- a/packages/replay/src/quota/quotaWays.ts
+++ b/packages/replay/src/quota/quotaWays.ts
@@ -3,6 +3,7 @@
   createSharedQuota,
   shareByDemand,
   type Quota,
+  type QuotaNews,
   type QuotaSlack,
   type QuotaUse,
 } from '@bluebellhitch/decisions';
@@ -37,7 +38,8 @@
   isUrgent(nowMs: number): boolean;
   /** What the others are told. */
   tell(nowMs: number): QuotaUse[];
-  hear(from: string, life: string, uses: readonly QuotaUse[], nowMs: number): void;
+  isYoung(nowMs: number): boolean;
+  hear(news: QuotaNews, nowMs: number): void;
 }
 
 const workspace = 'w';
@@ -70,6 +72,7 @@
       quota.noteTold();
       return quota.usesSince(atMs - repeatMs, atMs);
     },
+    isYoung: quota.isYoung,
     hear: quota.hear,
   };
 }
@@ -108,6 +111,7 @@
     take: (cost, atMs) => bucket.take(cost, atMs, 1 / routerCount),
     isUrgent: () => false,
     tell: () => [],
+    isYoung: () => false,
     hear: () => undefined,
   };
 }
@@ -144,8 +148,9 @@
     },
     isUrgent: () => false,
     tell: (atMs) => [{ name: workspace, sum: decayed(atMs) }],
-    hear(from, _life, uses, atMs) {
-      heard.set(from, { demand: uses[0]?.sum ?? 0, atMs });
+    isYoung: () => false,
+    hear({ router, uses }, atMs) {
+      heard.set(router, { demand: uses[0]?.sum ?? 0, atMs });
     },
   };
 }
@@ -176,11 +181,12 @@
     },
     isUrgent: () => true,
     tell: () => [{ name: workspace, sum: own }],
-    hear(from, life, uses, atMs) {
-      const before = sums.get(from);
+    isYoung: () => false,
+    hear({ router, life, uses }, atMs) {
+      const before = sums.get(router);
       const sum = uses[0]?.sum ?? 0;
       const baseSum = before?.life === life ? before.sum : 0;
-      sums.set(from, { life, sum });
+      sums.set(router, { life, sum });
       add(Math.max(0, sum - baseSum), atMs);
     },
   };
--- a/packages/routing/__tests__/attemptBudget.test.ts
+++ b/packages/routing/__tests__/attemptBudget.test.ts
@@ -37,3 +37,12 @@
   t.true(budget.tryTake('b', 0));
   t.true(budget.tryTake('a', 1_000));
 });
+
+test('what has arrived unasked is counted too, and leaves less for what is asked', (t) => {
+  // A server that is another's by now is called once by each request before any budget is asked.
+  const budget = createAttemptBudget({ ratio: 0, allowance: () => 2, windowMs: 1_000 });
+  budget.charge('a', 0);
+  budget.charge('a', 0);
+  t.false(budget.tryTake('a', 500));
+  t.true(budget.tryTake('a', 1_001));
+});
--- a/packages/routing/src/attemptBudget.ts
+++ b/packages/routing/src/attemptBudget.ts
@@ -17,6 +17,8 @@
   recordRequest(serviceName: string, nowMs: number): void;
   /** Takes one further attempt out of the budget; false where none is left. */
   tryTake(serviceName: string, nowMs: number): boolean;
+  /** Counts one that has arrived although it was not asked for: a first call that was turned away. */
+  charge(serviceName: string, nowMs: number): void;
 }
 
 interface ServiceWindow {
@@ -49,6 +51,9 @@
       window.furtherAtMs.push(nowMs);
       return true;
     },
+    charge(serviceName, nowMs) {
+      current(serviceName, nowMs).furtherAtMs.push(nowMs);
+    },
   };
 }
 
--- a/packages/routing/src/configurationProof.ts
+++ b/packages/routing/src/configurationProof.ts
@@ -4,8 +4,8 @@
  * at which a call of the platform began, never that at which its answer came: an answer may have been on its way, or a
  * process stood still, for any time. Routers that leave the watching to others ask those, and count from their question.
  *
- * With one question a second and calls of others of 1.25 s at the most, a router's proof is 3.5 s old at the worst
- * while nothing fails; one question lost makes it 4.5 s. It asks the platform itself before that.
+ * While nothing fails, with calls of others of 1.25 s a router's proof is 3.2 s old at the most: two such calls, and the
+ * time between two questions. It asks the platform itself soon after that.
  */
 import { encodeProofMessage, type ProofAnswer, type ProofMessage } from '@bluebellhitch/protocol';
 import {
@@ -50,7 +50,7 @@
   ask(): void;
 }
 
-const questionIntervalMs = 1_000;
+const questionIntervalMs = 700;
 /** Between two questions that were not due yet. */
 const leastQuestionGapMs = 100;
 /** Answers to earlier questions are too late to help. */
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -285,6 +285,9 @@
       return;
     }
     stream.release();
+    if (outcome.kind === 'not-run' && outcome.cause.kind === 'other-server') {
+      loads.noteSilent(server.id);
+    }
     if (outcome.kind === 'not-run' && outcome.cause.kind === 'rejected') {
       loads.noteFull(server.id, waiter.reservedTokens);
     } else {
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -1,6 +1,6 @@
 /** Serves a request of a plain route: one whole answer, with further attempts where it may be repeated. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { BackendAnswer, CallOutcome } from './backendApi';
+import type { BackendAnswer, CallOutcome, NotRunCause } from './backendApi';
 import type { WholeAnswer } from './callerApi';
 import { forwardBody } from './forwardBody';
 import {
@@ -20,6 +20,8 @@
   /** The server's own failure: passed on unless a further attempt does better. */
   | { kind: 'server-failure'; answer: WholeAnswer }
   | { kind: 'unreachable' }
+  /** The address is another server's by now. */
+  | { kind: 'misdirected' }
   | { kind: 'rejected' }
   | { kind: 'lost'; detail: string }
   /** The answer was too long to be held and has gone to the caller as it came. */
@@ -60,13 +62,13 @@
   finish(state, best);
 }
 
-/** Takes a further attempt out of the budget; the first is free. */
+/** Takes a further attempt out of the budget; the first that arrives anywhere is free. */
 function mayAttempt(state: RequestState, { budget, metrics }: RouterParts): boolean {
-  if (state.sentCount === 0) {
+  if (state.sentCount === 0 && !state.wasMisdirected) {
     return true;
   }
   const isAllowed =
-    state.sentCount < state.route.maxAttempts &&
+    (state.sentCount === 0 || state.sentCount < state.route.maxAttempts) &&
     budget.tryTake(state.service.name, monotonicNowMs());
   if (isAllowed) {
     metrics.countFurtherAttempt(state.service.name, 'failed');
@@ -77,6 +79,7 @@
 function mayFollow(state: RequestState, attempt: Attempt): boolean {
   switch (attempt.kind) {
     case 'unreachable':
+    case 'misdirected':
     case 'rejected':
       return true;
     case 'answer':
@@ -96,6 +99,7 @@
     'server-failure': 3,
     lost: 2,
     rejected: 1,
+    misdirected: 0,
     unreachable: 0,
   };
   return known === undefined || ranks[attempt.kind] > ranks[known.kind] ? attempt : known;
@@ -157,7 +161,8 @@
   });
   const attempt = await readAttempt(outcome, state);
   endLoad();
-  if (attempt.kind !== 'unreachable') {
+  state.wasMisdirected ||= attempt.kind === 'misdirected';
+  if (attempt.kind !== 'unreachable' && attempt.kind !== 'misdirected') {
     state.sentCount += 1;
   }
   recordHealth(server, attempt, state, parts);
@@ -179,7 +184,7 @@
 ): Promise<Attempt> {
   switch (outcome.kind) {
     case 'not-run':
-      return outcome.cause.kind === 'rejected' ? { kind: 'rejected' } : { kind: 'unreachable' };
+      return notRunAttempt(outcome.cause);
     case 'lost':
       return { kind: 'lost', detail: outcome.detail };
     case 'done':
@@ -187,6 +192,17 @@
   }
 }
 
+function notRunAttempt(cause: NotRunCause): Attempt {
+  switch (cause.kind) {
+    case 'rejected':
+      return { kind: 'rejected' };
+    case 'other-server':
+      return { kind: 'misdirected' };
+    case 'unreachable':
+      return { kind: 'unreachable' };
+  }
+}
+
 async function readAnswer(answer: BackendAnswer, state: RequestState): Promise<Attempt> {
   const { status, headers, isSealed } = answer;
   if (!isSealed) {
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -15,6 +15,9 @@
   | { kind: 'at-decode' }
   | { kind: 'failed' };
 
+type ReadOutcome =
+  { kind: 'done'; result: PrefillResult } | { kind: 'failed'; hasArrived: boolean };
+
 export interface PrefillStage {
   run(
     state: RequestState,
@@ -102,7 +105,8 @@
     promptTokens: number,
     decodeServer: BackendServer,
   ): Promise<PrefillOutcome> {
-    let calls = 0;
+    const { name } = state.service;
+    let isFurther = state.hasReadPrompt;
     while (!state.signal.aborted) {
       const server = choose(state);
       if (server === undefined || isBetterAtDecode(state, promptTokens, server, decodeServer)) {
@@ -110,14 +114,18 @@
       }
       // The first call that an engine accepts is free; any other counts as a further attempt. Without one left the
       // decode engine reads: it has the memory set aside, and a refusal would waste it.
-      if (calls > 0 && !budget.tryTake(state.service.name, monotonicNowMs())) {
+      if (isFurther && !budget.tryTake(name, monotonicNowMs())) {
         return { kind: 'at-decode' };
       }
-      calls += 1;
-      const result = await readAt(server, state, promptTokens);
-      if (result !== undefined) {
-        return { kind: 'done', result };
+      const read = await readAt(server, state, promptTokens);
+      if (read.kind === 'done') {
+        state.hasReadPrompt = true;
+        return read;
+      }
+      if (read.hasArrived && !isFurther) {
+        budget.charge(name, monotonicNowMs());
       }
+      isFurther = true;
       state.failedServerIds.add(server.id);
     }
     return { kind: 'failed' };
@@ -127,7 +135,7 @@
     server: BackendServer,
     state: RequestState,
     promptTokens: number,
-  ): Promise<PrefillResult | undefined> {
+  ): Promise<ReadOutcome> {
     const backlogTokens = engineLoads.prefillBacklogTokens(server.id);
     const expectedMs = expectedPrefillMs(server, promptTokens);
     const release = engineLoads.beginPrefill(server.id, promptTokens);
@@ -145,13 +153,17 @@
       health.record(server.id, 'success', monotonicNowMs());
       observe(backlogTokens, promptTokens, tookMs);
       metrics.countPrefillTokens(promptTokens);
-      return outcome.value;
+      return { kind: 'done', result: outcome.value };
+    }
+    const cause = outcome.kind === 'not-run' ? outcome.cause.kind : outcome.kind;
+    if (cause === 'other-server') {
+      // The entry is of a server that is gone: other routers need not find out for themselves.
+      engineLoads.noteSilent(server.id);
     }
-    const isRejection = outcome.kind === 'not-run' && outcome.cause.kind === 'rejected';
-    if (!isRejection && !state.signal.aborted) {
+    if (cause !== 'rejected' && !state.signal.aborted) {
       health.record(server.id, 'failure', monotonicNowMs());
     }
-    return undefined;
+    return { kind: 'failed', hasArrived: cause !== 'unreachable' };
   }
 
   function observe(backlogTokens: number, promptTokens: number, tookMs: number): void {
--- a/packages/routing/src/quotaExchange.ts
+++ b/packages/routing/src/quotaExchange.ts
@@ -2,7 +2,12 @@
  * Charges requests to their workspaces' quotas, and tells the other routers of the part what was charged: at once where
  * little is left, otherwise with the next heartbeat.
  */
-import { createSharedQuota, type QuotaDecision, type QuotaSlack } from '@bluebellhitch/decisions';
+import {
+  createSharedQuota,
+  type QuotaDecision,
+  type QuotaSlack,
+  type QuotaUse,
+} from '@bluebellhitch/decisions';
 import { encodeQuotaMessage, mostToldUses, type QuotaMessage } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import { quotaUnits, type CallerRequest, type Workspace, type WorkspaceQuota } from './model';
@@ -52,28 +57,44 @@
   const quota = createSharedQuota({ nowMs: monotonicNowMs(), slack, random });
   const life = Math.floor(random() * 2 ** 40).toString(36);
   const sequences = new Map<string, { life: string; sequence: number }>();
+  const greeted = new Set<string>();
   let sequence = 0;
   let toldAtMs = -Infinity;
   let timer: NodeJS.Timeout | undefined;
   const beatTimer = setInterval(() => tell(monotonicNowMs() - repeatMs), heartbeatMs);
   beatTimer.unref();
 
-  function tell(sinceMs: number, isLast = false): void {
+  function tell(sinceMs: number): void {
     clearTimeout(timer);
     timer = undefined;
-    const nowMs = monotonicNowMs();
-    const uses = quota.usesSince(sinceMs, nowMs).slice(0, mostToldUses);
+    const uses = quota.usesSince(sinceMs, monotonicNowMs());
+    if (uses.length > 0) {
+      send(uses, options.channel()?.livePeers() ?? []);
+      quota.noteTold();
+      toldAtMs = monotonicNowMs();
+    }
+  }
+
+  function send(uses: readonly QuotaUse[], addresses: readonly string[], isLast = false): void {
     const channel = options.channel();
-    const peers = channel?.livePeers() ?? [];
-    if ((uses.length === 0 && !isLast) || channel === undefined || peers.length === 0) {
+    if (channel === undefined || addresses.length === 0) {
       return;
     }
     sequence += 1;
-    const told = uses.map(({ name, ...rest }) => ({ workspaceName: name, ...rest }));
-    const message = { senderAddress: channel.address, life, sequence, isLast, uses: told };
-    void channel.send(encodeQuotaMessage(message), peers);
-    quota.noteTold();
-    toldAtMs = nowMs;
+    const message = {
+      ...{ senderAddress: channel.address, life, sequence, isLast },
+      isYoung: quota.isYoung(monotonicNowMs()),
+      uses: uses
+        .slice(0, mostToldUses)
+        .map(({ name, ...rest }) => ({ workspaceName: name, ...rest })),
+    };
+    void channel.send(encodeQuotaMessage(message), addresses);
+  }
+
+  /** A router that has just started learns what is left within one way of a datagram. */
+  function greet(address: string): void {
+    const nowMs = monotonicNowMs();
+    send(quota.usesSince(nowMs - repeatMs, nowMs), [address]);
   }
 
   function tellSoon(): void {
@@ -119,27 +140,43 @@
     setRouters(companions, routerCount) {
       quota.setRouters(companions, routerCount);
       const known = new Set(companions);
-      [...sequences.keys()]
+      [...sequences.keys(), ...greeted]
         .filter((address) => !known.has(address))
-        .forEach((address) => sequences.delete(address));
+        .forEach((address) => {
+          sequences.delete(address);
+          greeted.delete(address);
+        });
     },
     charge,
-    noteHeard: (router) => quota.noteHeard(router, monotonicNowMs()),
+    noteHeard(router) {
+      quota.noteHeard(router, monotonicNowMs());
+      if (!greeted.has(router)) {
+        greeted.add(router);
+        greet(router);
+      }
+    },
     receive(message) {
       const { senderAddress, life: itsLife, sequence: number, uses } = message;
       if (isOld(message) || senderAddress === options.channel()?.address) {
         return;
       }
+      const isNewLife = sequences.get(senderAddress)?.life !== itsLife;
       sequences.set(senderAddress, { life: itsLife, sequence: number });
       const heard = uses.map(({ workspaceName, ...rest }) => ({ name: workspaceName, ...rest }));
-      quota.hear(senderAddress, itsLife, heard, monotonicNowMs());
+      const news = { router: senderAddress, life: itsLife, isYoung: message.isYoung, uses: heard };
+      quota.hear(news, monotonicNowMs());
+      if (isNewLife && !message.isLast) {
+        greet(senderAddress);
+      }
       if (message.isLast) {
         quota.noteLeft(senderAddress);
       }
     },
     close() {
       clearInterval(beatTimer);
-      tell(monotonicNowMs() - repeatMs, true);
+      clearTimeout(timer);
+      const nowMs = monotonicNowMs();
+      send(quota.usesSince(nowMs - repeatMs, nowMs), options.channel()?.livePeers() ?? [], true);
     },
   };
 }
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -23,6 +23,10 @@
   expiry: AbortSignal;
   /** Backend servers to which the request was sent. */
   sentCount: number;
+  /** It has arrived at an address that is another server's by now. */
+  wasMisdirected: boolean;
+  /** A prefill engine has taken the request: its next call for a prompt is a further one. */
+  hasReadPrompt: boolean;
   /** Servers that failed this request. */
   failedServerIds: Set<string>;
   /** The server that has the prompt in memory from a run that broke. */
@@ -67,6 +71,8 @@
     signal: AbortSignal.any([exchange.signal, expiry.signal]),
     expiry: expiry.signal,
     sentCount: 0,
+    wasMisdirected: false,
+    hasReadPrompt: false,
     failedServerIds: new Set(),
     trail: [],
   };
--- a/packages/routing/src/watchPlan.ts
+++ b/packages/routing/src/watchPlan.ts
@@ -48,8 +48,11 @@
  * may be lost, and one more, before requests are refused.
  */
 const proofWatchShare = 0.25;
-/** A router that was told nothing for this part calls the platform itself; the rest is for a call that is lost. */
-const ownProofShare = 0.55;
+/**
+ * A router that was told nothing for this part calls the platform itself; the rest is for one call that is lost. What
+ * others tell is 3.4 s old at the most while all are heard, with 5 s for keys to stop.
+ */
+const ownProofShare = 0.7;
 /** From the caller's sending to the check here, on two clocks. */
 const proofMarginMs = 200;
 /** Besides those that follow the platform. */
