Soak API keys and quotas: keys are given and taken away all through a run

Callers show keys in force, some that were taken away, some that nobody has; one workspace asks for more than its quota. Checked at all routers, whatever befell them: no request runs later than the bound after its key was taken away, none with an unknown key; servers learn the right workspace and never a key; no 401 for a key that was in force; no window beyond the quota. The scripts of all seeds are as before: keys draw from a seed of their own. The checks were shown to find each fault first.

--- a/packages/soak/__tests__/checks.test.ts
+++ b/packages/soak/__tests__/checks.test.ts
@@ -2,8 +2,17 @@
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import { createDisruptions } from '../src/disruptions';
 import { createFindings } from '../src/findings';
-import { createLedger, type RequestEnd } from '../src/ledger';
+import { createLedger, type Arrival, type RequestEnd } from '../src/ledger';
+import type { ShownKey } from '../src/keyring';
 import { createRequestChecks } from '../src/requestChecks';
+import { createWorkspaceChecks } from '../src/workspaceChecks';
+
+const bonds: ShownKey = {
+  key: 'k',
+  workspaceName: 'bonds',
+  givenAtMs: -Infinity,
+  takenAtMs: Infinity,
+};
 
 /** A check that never fails proves nothing: each of these must be found. */
 function createWorld() {
@@ -11,7 +20,16 @@
   const disruptions = createDisruptions({ contactMs: 1_000 });
   const ledger = createLedger({ onArrival: (arrival) => checks.onArrival(arrival) });
   const leaving = new Map<string, number>();
+  const workspaces = createWorkspaceChecks({
+    ledger,
+    findings,
+    revocationMs: 1_000,
+    quotaSlack: { windowMs: 8_000, overageShare: 0.1, amount: 0 },
+    modelTokens: 1_100,
+    marginMs: 100,
+  });
   const checks = createRequestChecks({
+    workspaces,
     ledger,
     findings,
     disruptions,
@@ -20,7 +38,7 @@
     marginMs: 100,
   });
 
-  function request(id: string, over: { isRepeatable?: boolean } = {}) {
+  function request(id: string, over: { isRepeatable?: boolean; shownKey?: ShownKey } = {}) {
     return ledger.send({
       id,
       routerName: 'router-0',
@@ -29,6 +47,7 @@
       isRepeatable: false,
       timeoutMs: 2_000,
       isProbe: false,
+      shownKey: bonds,
       ...over,
     });
   }
@@ -42,8 +61,12 @@
     }
   }
 
-  const arrive = (requestId: string, serverId = 'counter-1') =>
-    ledger.arrive({ requestId, serverId, serviceName: 'counter', isPrefill: false, hasRun: true });
+  const arrive = (requestId: string, serverId = 'counter-1', over: Partial<Arrival> = {}) =>
+    ledger.arrive({
+      ...{ requestId, serverId, serviceName: 'counter', isPrefill: false, hasRun: true },
+      ...{ workspaceName: 'bonds', hasCredential: false },
+      ...over,
+    });
   const found = () => findings.all().map(({ promise }) => promise);
   return { request, end, arrive, found, checks, leaving, disruptions };
 }
@@ -98,3 +121,29 @@
   world.end('b', { kind: 'broken', status: 200, body: '' });
   t.is(world.found().length, 1);
 });
+
+test('a run of a key that was taken away, was never given, or went on, and a false 401 are found', (t) => {
+  const world = createWorld();
+  const nowMs = monotonicNowMs();
+  world.request('late', { shownKey: { ...bonds, takenAtMs: nowMs - 1_200 } });
+  world.arrive('late');
+  world.request('unknown', { shownKey: { key: 'x', givenAtMs: Infinity, takenAtMs: Infinity } });
+  world.arrive('unknown', 'counter-1', { workspaceName: undefined });
+  world.request('shown');
+  world.arrive('shown', 'counter-1', { hasCredential: true });
+  world.request('other');
+  world.arrive('other', 'counter-1', { workspaceName: 'letters' });
+  world.request('refused');
+  world.end('refused', { kind: 'failed', status: 401 });
+  t.deepEqual(world.found(), ['keys', 'keys', 'keys', 'keys', 'keys']);
+});
+
+test('a run within the time of a key, and a 401 for one that was just given, are right', (t) => {
+  const world = createWorld();
+  const nowMs = monotonicNowMs();
+  world.request('soon', { shownKey: { ...bonds, takenAtMs: nowMs - 900 } });
+  world.arrive('soon');
+  world.request('new', { shownKey: { ...bonds, givenAtMs: nowMs - 500 } });
+  world.end('new', { kind: 'failed', status: 401 });
+  t.deepEqual(world.found(), []);
+});
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -13,6 +13,7 @@
   type Random,
 } from '@bluebellhitch/shared';
 import { callersHost } from './configurationPlan';
+import type { Keyring } from './keyring';
 import type { Ledger, RequestEnd, SentRequest } from './ledger';
 import type { RouterProcessHandle } from './routerFleet';
 
@@ -22,6 +23,7 @@
   routes: readonly Route[];
   ledger: Ledger;
   random: Random;
+  keyring: Keyring;
   onEnded(request: SentRequest): void;
 }
 
@@ -40,6 +42,8 @@
 /** Statuses that promise that the request has not run and will not. */
 const notRunStatuses: readonly number[] = [408, 421, 429, 503];
 const prompt = { promptTokens: 1_000, maxOutputTokens: 100 };
+/** What a model request counts against a quota. */
+export const modelTokens = prompt.promptTokens + prompt.maxOutputTokens;
 const msPerSecond = 1_000;
 
 interface Connection {
@@ -62,6 +66,7 @@
       isRepeatable: route.kind === routeKinds.idempotent || route.allowsResume,
       timeoutMs: route.timeoutMs,
       isProbe,
+      shownKey: isProbe ? options.keyring.sound() : options.keyring.choose(),
     });
   }
 
@@ -81,6 +86,7 @@
       requestId: request.id,
       deadlineMs: route.timeoutMs,
       prompt: route.kind === routeKinds.stream ? prompt : undefined,
+      headers: { authorization: `Token ${request.shownKey.key}` },
       signal: leaving.signal,
       agent,
     });
--- a/packages/soak/src/configurationPlan.ts
+++ b/packages/soak/src/configurationPlan.ts
@@ -3,6 +3,7 @@
 import { routeKinds, type Configuration, type Route } from '@bluebellhitch/routing';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import { serviceNames, type ServiceName } from './backendServers';
+import type { Keyring } from './keyring';
 import type { ConfigurationChange } from './script';
 
 export const callersHost = 'bank.example';
@@ -22,13 +23,15 @@
   /** The path that changes its service. */
   movingPrefix: string;
   change(change: ConfigurationChange): void;
+  /** Writes the next version, with the keys that are in force now; returns when it was acknowledged. */
+  write(): number;
   /** Paths that were changed, with what holds for each now. */
   changedPaths(): ReadonlyMap<string, PathState>;
   /** All states that the moving path has had, the oldest first. */
   moves(): readonly PathState[];
 }
 
-export function createConfigurationPlan(store: StandinStore): ConfigurationPlan {
+export function createConfigurationPlan(store: StandinStore, keyring: Keyring): ConfigurationPlan {
   const extraRoutes: Route[] = [];
   const changed = new Map<string, PathState>();
   const moves: PathState[] = [];
@@ -38,7 +41,7 @@
 
   function write(): number {
     version += 1 + (version % 3);
-    store.put('config', 'main', encodeConfiguration(configuration()));
+    store.put('config', 'main', encodeConfiguration(configuration(), keyring.workspaces()));
     return monotonicNowMs();
   }
 
@@ -74,6 +77,7 @@
   return {
     baseRoutes,
     movingPrefix: movingRoute().pathPrefix,
+    write,
     change(change) {
       const removed = change === 'remove' ? extraRoutes.shift() : undefined;
       if (removed !== undefined) {
--- a/packages/soak/src/findings.ts
+++ b/packages/soak/src/findings.ts
@@ -13,6 +13,8 @@
   recovery: 'recovery',
   oneHolder: 'one-holder',
   ownEnd: 'own-end',
+  keys: 'keys',
+  quota: 'quota',
 } as const;
 export type Promised = (typeof promises)[keyof typeof promises];
 
--- a/packages/soak/src/fleetChecks.ts
+++ b/packages/soak/src/fleetChecks.ts
@@ -31,6 +31,7 @@
 const budgetIntervalMs = 1_000;
 const probeIntervalMs = 400;
 const notFoundStatus = 404;
+const overQuotaStatus = 429;
 /** A request that is sent this soon after another may still overtake it on its way. */
 const overtakeMs = 250;
 
@@ -158,11 +159,20 @@
   });
 }
 
-/** The share of callers' requests sent since `fromMs` that had a whole answer; for probes 404 may be right. */
+/**
+ * The share of callers' requests sent since `fromMs` that had a whole answer; for probes 404 may be right, and what shows
+ * no key in force or lies beyond a quota need not be served.
+ */
 export function servedShare(ledger: Ledger, fromMs: number): number {
   const sent = [...ledger.requests()].filter(
-    ({ sentAtMs, isProbe, end }) =>
-      sentAtMs >= fromMs && !isProbe && end !== undefined && end.kind !== 'caller-left',
+    ({ sentAtMs, isProbe, end, shownKey }) =>
+      sentAtMs >= fromMs &&
+      !isProbe &&
+      shownKey.givenAtMs < sentAtMs &&
+      shownKey.takenAtMs === Infinity &&
+      end !== undefined &&
+      end.kind !== 'caller-left' &&
+      !(end.kind === 'refused' && end.status === overQuotaStatus),
   );
   const served = sent.filter(({ end }) => end?.kind === 'whole');
   return sent.length === 0 ? 0 : served.length / sent.length;
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -2,6 +2,7 @@
 import type { WorkerArrival } from '@bluebellhitch/platform-standins';
 import type { RouteKind } from '@bluebellhitch/routing';
 import { monotonicNowMs } from '@bluebellhitch/shared';
+import type { ShownKey } from './keyring';
 
 /** How a request looked to its caller. */
 export type RequestEnd =
@@ -24,6 +25,7 @@
   /** A stream that may be resumed, or an idempotent request: it may run more than once. */
   isRepeatable: boolean;
   timeoutMs: number;
+  shownKey: ShownKey;
   /** Sent to see which configuration a router has: 404 may be right. */
   isProbe: boolean;
   sentAtMs: number;
--- a/packages/soak/src/requestChecks.ts
+++ b/packages/soak/src/requestChecks.ts
@@ -6,12 +6,14 @@
 import type { Disruptions } from './disruptions';
 import { promises, type Findings } from './findings';
 import type { Arrival, Ledger, SentRequest } from './ledger';
+import type { WorkspaceChecks } from './workspaceChecks';
 
 export interface RequestChecksOptions {
   ledger: Ledger;
   findings: Findings;
   disruptions: Disruptions;
   servers: () => BackendServers | undefined;
+  workspaces: WorkspaceChecks;
   drainMs: number;
   /** Added to every bound: the way over loopback, and a busy machine. */
   marginMs: number;
@@ -29,6 +31,7 @@
 const mostAttempts = 2;
 const okStatus = 200;
 const notFoundStatus = 404;
+const unknownKeyStatus = 401;
 /** A connection that ends this soon after it was opened may have crossed the process's end. */
 const crossingMs = 200;
 
@@ -124,6 +127,20 @@
     }
   }
 
+  function checkFailed(request: SentRequest, status: number): void {
+    if (status === unknownKeyStatus) {
+      options.workspaces.onUnknownKey(request);
+      return;
+    }
+    if (status === notFoundStatus && request.isProbe) {
+      return;
+    }
+    if (status === notFoundStatus) {
+      findings.add(promises.configuration, `404 on ${request.routeName}`, request.id);
+    }
+    checkCalm(request, `failed with ${status}`);
+  }
+
   function checkEnd(request: SentRequest): void {
     const { end } = request;
     switch (end?.kind) {
@@ -137,13 +154,7 @@
         checkRefusal(request);
         return;
       case 'failed':
-        if (request.isProbe && end.status === notFoundStatus) {
-          return;
-        }
-        if (end.status === notFoundStatus) {
-          findings.add(promises.configuration, `404 on ${request.routeName}`, request.id);
-        }
-        checkCalm(request, `failed with ${end.status}`);
+        checkFailed(request, end.status);
         return;
       case 'broken':
         checkCalm(request, `broken answer ${end.status}`);
@@ -166,6 +177,7 @@
       checkRuns(request);
       checkDrain(arrival, request);
       checkLeft(arrival, request);
+      options.workspaces.onArrival(arrival, request);
     },
     onEnded(request) {
       checkTime(request, request.endedAtMs ?? monotonicNowMs());
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -10,16 +10,18 @@
 import { startStandinStore } from '@bluebellhitch/platform-standins';
 import { createSeededRandom, delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { startBackendServers, type BackendServers } from './backendServers';
-import { createCallers } from './callers';
+import { createCallers, modelTokens } from './callers';
 import { createConfigurationPlan } from './configurationPlan';
 import { createDisruptions } from './disruptions';
 import { createBudgetCheck, createConfigurationCheck, servedShare } from './fleetChecks';
 import { createFindings, promises, type Findings, type SoakFinding } from './findings';
+import { createKeyring } from './keyring';
 import { createLedger, type Ledger } from './ledger';
 import { createOperator, type Operator } from './operator';
 import { createRequestChecks } from './requestChecks';
 import { startRouterFleet, type RouterFleet } from './routerFleet';
 import { createScript, type ScriptStep } from './script';
+import { createWorkspaceChecks } from './workspaceChecks';
 
 export interface SoakOptions {
   seed: number;
@@ -49,14 +51,18 @@
 }
 
 /** Those of the users' smaller deployments; a shorter grace makes runs shorter. */
-const bounds: PlatformBounds = {
+const bounds = {
   contactMs: 3_000,
   graceMs: 6_000,
   attemptRatio: 0.2,
   attemptAllowance: 52,
   attemptWindowMs: 10_000,
   leaseMs: 1_000,
-};
+  revocationMs: 4_000,
+  quotaSlack: { windowMs: 8_000, overageShare: 0.1, amount: 6_000 },
+} as const satisfies PlatformBounds;
+/** So that keys do not change what else a seed draws. */
+const keySeedOffset = 7_919;
 const drainMs = 2_000;
 const applyMs = 2_000;
 const startBoundMs = 15_000;
@@ -78,11 +84,20 @@
   const findings = createFindings(monotonicNowMs());
   let servers: BackendServers | undefined;
   const ledger = createLedger({ onArrival: (arrival) => checks.onArrival(arrival) });
+  const workspaces = createWorkspaceChecks({
+    ...{ ledger, findings, modelTokens, marginMs },
+    revocationMs: bounds.revocationMs,
+    quotaSlack: bounds.quotaSlack,
+  });
   const checks = createRequestChecks({
-    ...{ ledger, findings, disruptions, drainMs, marginMs },
+    ...{ ledger, findings, disruptions, drainMs, marginMs, workspaces },
     servers: () => servers,
   });
-  const plan = createConfigurationPlan(store);
+  const keyring = createKeyring({
+    random: createSeededRandom(seed + keySeedOffset),
+    revocationMs: bounds.revocationMs,
+  });
+  const plan = createConfigurationPlan(store, keyring);
   servers = await startBackendServers({
     ...{ host: '127.0.0.1', store, ledger, disruptions, findings, random, drainMs },
   });
@@ -95,7 +110,7 @@
   });
   const callers = createCallers({
     ...{ count: options.callerCount, routers: fleet.routers, routes: plan.baseRoutes },
-    ...{ ledger, random, onEnded: checks.onEnded },
+    ...{ ledger, random, keyring, onEnded: checks.onEnded },
   });
   const script = createScript({
     seed,
@@ -115,6 +130,8 @@
     ...callers.loops,
     createBudgetCheck(fleetChecks),
     createConfigurationCheck(fleetChecks),
+    keyring.rotation(plan.write),
+    workspaces.quotaLoop,
   ];
 
   await untilReady(fleet);
