Don't count a request as late that a disturbed link held up

The users' rules don't count what a cut or harmed link held up. The check asks for that now, for that server and its contact time only; without such a disturbance it finds the same as before, which a test shows.

--- a/packages/soak/__tests__/checks.test.ts
+++ b/packages/soak/__tests__/checks.test.ts
@@ -1,3 +1,4 @@
+import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import { createDisruptions } from '../src/disruptions';
@@ -147,3 +148,19 @@
   world.end('new', { kind: 'failed', status: 401 });
   t.deepEqual(world.found(), []);
 });
+
+test('a request that arrives long after its caller has left is found, unless a link held it up', (t) => {
+  const clock = FakeTimers.install({ toFake: ['performance'] });
+  t.teardown(() => clock.uninstall());
+  const world = createWorld();
+  ['a', 'b'].forEach((id) => {
+    world.request(id);
+    world.end(id, { kind: 'caller-left' });
+  });
+  clock.tick(700);
+  world.arrive('a');
+  t.deepEqual(world.found(), ['in-time']);
+  world.disruptions.begin({ kind: 'server', id: 'counter-1' }, 'one-way')();
+  world.arrive('b');
+  t.is(world.found().length, 1);
+});
--- a/packages/soak/src/disruptions.ts
+++ b/packages/soak/src/disruptions.ts
@@ -23,6 +23,8 @@
   begin(subject: Subject, cause: string, options?: { isPlanned?: boolean }): () => void;
   /** Whether the router and the store were undisturbed from the contact time before `fromMs` until `toMs`. */
   isInTouch(routerName: string, fromMs: number, toMs: number): boolean;
+  /** Whether the server, or a link to it, was disturbed from the contact time before `fromMs` until `toMs`. */
+  isServerDisturbed(serverId: string, fromMs: number, toMs: number): boolean;
   /** Whether nothing but planned work touched anything from the contact time before `fromMs` until `toMs`. */
   isCalm(fromMs: number, toMs: number): boolean;
   all(): readonly Disruption[];
@@ -48,6 +50,10 @@
         ({ subject }) =>
           subject.kind === 'server' || (subject.kind === 'router' && subject.name !== routerName),
       ),
+    isServerDisturbed: (serverId, fromMs, toMs) =>
+      during(fromMs, toMs).some(
+        ({ subject }) => subject.kind === 'server' && subject.id === serverId,
+      ),
     isCalm: (fromMs, toMs) => during(fromMs, toMs).every(({ isPlanned }) => isPlanned),
     all: () => disruptions,
   };
--- a/packages/soak/src/requestChecks.ts
+++ b/packages/soak/src/requestChecks.ts
@@ -78,7 +78,14 @@
       return;
     }
     const lateMs = arrival.atMs - endedAtMs - lastWordMs;
-    if (lateMs > marginMs && disruptions.isInTouch(request.routerName, endedAtMs, arrival.atMs)) {
+    // A link that let nothing through delivers once it is whole what was sent before the caller left.
+    const wasHeldUp = disruptions.isServerDisturbed(
+      arrival.serverId,
+      request.sentAtMs,
+      arrival.atMs,
+    );
+    const isInTouch = disruptions.isInTouch(request.routerName, endedAtMs, arrival.atMs);
+    if (lateMs > marginMs && isInTouch && !wasHeldUp) {
       findings.add(promises.inTime, 'sent to a server after its caller had left', request.id);
     }
   }
