--- a/packages/bench/src/commandLine.ts
+++ b/packages/bench/src/commandLine.ts
@@ -13,6 +13,7 @@
   capacity: 'capacity',
   report: 'report',
   replay: 'replay',
+  quota: 'quota',
 } as const;
 export type CommandName = (typeof commandNames)[keyof typeof commandNames];
 
@@ -83,6 +84,7 @@
   ceiling    streams and tokens a second that this tool and machine can take
   capacity   slopes behind docs/CAPACITY.md
   replay     how callers fare under patterns of load, in virtual time
+  quota      ways to keep a quota at all routers together, in virtual time
   report     charts of worth by day and round from the journal, as one HTML page
 
 Flags (lists are separated by commas)
@@ -94,7 +96,7 @@
   --loads <list>             goodput: percent of capacity; 0 leaves them out [${defaultTexts.loads}]
   --faults <list>            goodput: at 100%; none leaves them out
                              [${defaultTexts.faults}]
-  --seeds <list>             goodput, replay: [${defaultTexts.seeds}]
+  --seeds <list>             goodput, replay, quota: [${defaultTexts.seeds}]
   --policies <list>          goodput: default, random, least-loaded, prefill-first [${defaultTexts.policies}]
   --seconds <n>              goodput: measured part of a cell [${defaultTexts.seconds}]
   --time-scale <factor>      goodput: stretches all times and targets [${defaultTexts.timeScale}]
--- /dev/null
+++ b/packages/bench/src/experiments/quotaWays.ts
@@ -0,0 +1,62 @@
+/** Compares ways in which routers keep a workspace's quota together, by the same loads and seeds. */
+import {
+  quotaLoads,
+  quotaWays,
+  runQuotaReplay,
+  type QuotaFigures,
+  type QuotaLoad,
+  type QuotaWay,
+} from '@bluebellhitch/replay';
+import { renderTable } from '../report/table';
+import type { ExperimentReport } from './context';
+
+export interface QuotaWaysOptions {
+  seeds: readonly number[];
+}
+
+interface Row {
+  load: string;
+  way: QuotaWay;
+  /** Of what one account without delay admits: what was admitted of the same requests. */
+  owedServed: number;
+  /** All that was admitted, over what one account without delay admits. */
+  admitted: number;
+  /** The fullest window, over what is allowed in it. */
+  fullestWindow: number;
+}
+
+const headers = ['load', 'way', 'owed served', 'admitted', 'fullest window'];
+const digits = 2;
+
+export function runQuotaWays({ seeds }: QuotaWaysOptions): ExperimentReport {
+  const rows = Object.entries(quotaLoads).flatMap(([load, shape]) =>
+    Object.values(quotaWays).map((way) => rowOf({ name: load, shape }, way, seeds)),
+  );
+  const text = renderTable(
+    headers,
+    rows.map(({ load, way, owedServed, admitted, fullestWindow }) => [
+      load,
+      way,
+      ...[owedServed, admitted, fullestWindow].map((figure) => figure.toFixed(digits)),
+    ]),
+  );
+  return { text, figures: { seeds, rows } };
+}
+
+function rowOf(
+  { name, shape }: { name: string; shape: QuotaLoad },
+  way: QuotaWay,
+  seeds: readonly number[],
+): Row {
+  const all = seeds.map((seed) => runQuotaReplay({ load: shape, way, seed }));
+  const sum = (read: (figures: QuotaFigures) => number) =>
+    all.reduce((total, figures) => total + read(figures), 0);
+  const owed = sum((figures) => figures.owed);
+  return {
+    load: name,
+    way,
+    owedServed: sum(({ owedAdmitted }) => owedAdmitted) / owed,
+    admitted: sum((figures) => figures.admitted) / owed,
+    fullestWindow: Math.max(...all.map(({ worstWindowShare }) => worstWindowShare)),
+  };
+}
--- a/packages/bench/src/runCommand.ts
+++ b/packages/bench/src/runCommand.ts
@@ -7,6 +7,7 @@
 import type { ExperimentContext, ExperimentReport } from './experiments/context';
 import { runGoodput } from './experiments/goodput';
 import { runOverhead } from './experiments/overhead';
+import { runQuotaWays } from './experiments/quotaWays';
 import { runReplays } from './experiments/replays';
 import { runJournalReport } from './journal/journalReport';
 
@@ -41,6 +42,8 @@
       return runCeiling(context, flags);
     case commandNames.replay:
       return runReplays(flags);
+    case commandNames.quota:
+      return Promise.resolve(runQuotaWays(flags));
     case commandNames.report:
       return runJournalReport(flags);
     case commandNames.capacity:
--- a/packages/replay/__tests__/quotaReplay.test.ts
+++ b/packages/replay/__tests__/quotaReplay.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {
+  ordinaryQuotaLoad,
   quotaWays,
   runQuotaReplay,
   type QuotaLoad,
@@ -8,19 +9,7 @@
 } from '@bluebellhitch/replay';
 import { createSeededRandom } from '@bluebellhitch/shared';
 
-const base: QuotaLoad = {
-  routers: 24,
-  shareAtOne: 0,
-  seconds: 20,
-  ratePerSecond: 48_000,
-  burst: 48_000,
-  slack: { windowMs: 8_000, overageShare: 0.1, amount: 190_000 },
-  demand: 0.55,
-  cost: { least: 200, most: 6_600 },
-  delayMs: 8,
-  lostShare: 0.03,
-  steps: [],
-};
+const base: QuotaLoad = { ...ordinaryQuotaLoad, seconds: 20 };
 const flood: QuotaStep = { kind: 'demand', atMs: 4_000, forMs: 11_000, factor: 7.5 };
 const seeds = [1, 2, 3, 4, 5];
 
--- /dev/null
+++ b/packages/replay/src/quota/quotaLoads.ts
@@ -0,0 +1,43 @@
+/** Loads for quotas, each with what it is for: of the size of the users' deployment with workspaces. */
+import type { QuotaLoad, QuotaStep } from './quotaLoad';
+
+/** A quota of 48,000 tokens a second before 24 routers, a little more than half of it asked for. */
+export const ordinaryQuotaLoad: QuotaLoad = {
+  routers: 24,
+  shareAtOne: 0,
+  seconds: 24,
+  ratePerSecond: 48_000,
+  burst: 48_000,
+  slack: { windowMs: 8_000, overageShare: 0.1, amount: 190_000 },
+  demand: 0.55,
+  cost: { least: 200, most: 6_600 },
+  delayMs: 8,
+  lostShare: 0.03,
+  steps: [],
+};
+
+const flood: QuotaStep = { kind: 'demand', atMs: 4_000, forMs: 15_000, factor: 7.5 };
+const withSteps = (...steps: QuotaStep[]): QuotaLoad => ({ ...ordinaryQuotaLoad, steps });
+
+export const quotaLoads = {
+  ordinary: ordinaryQuotaLoad,
+  /** Few callers: seven requests in ten come to one router. */
+  atOneRouter: { ...ordinaryQuotaLoad, shareAtOne: 0.7 },
+  flood: withSteps(flood),
+  floodWhileCut: withSteps(flood, { kind: 'cut', atMs: 3_000, forMs: 12_000, share: 0.35 }),
+  cutWhileFlooded: withSteps(flood, { kind: 'cut', atMs: 8_000, forMs: 8_000, share: 0.35 }),
+  splitWhileFlooded: withSteps(flood, { kind: 'split', atMs: 8_000, forMs: 8_000, groups: 3 }),
+  restartsWhileFlooded: withSteps(
+    flood,
+    ...[5, 6, 7, 8, 9, 10, 11].map((second): QuotaStep => ({
+      kind: 'restart',
+      atMs: second * 1_000,
+      share: 0.12,
+    })),
+  ),
+  allRestartWhileFlooded: withSteps(flood, { kind: 'restart', atMs: 10_000, share: 1 }),
+  pausesWhileFlooded: withSteps(flood, { kind: 'pause', atMs: 8_000, forMs: 4_000, share: 0.3 }),
+  /** The limit falls far below what is asked. */
+  limitFalls: withSteps({ kind: 'limit', atMs: 6_000, factor: 0.15 }),
+  cutInOrdinaryLoad: withSteps({ kind: 'cut', atMs: 8_000, forMs: 8_000, share: 0.35 }),
+} as const satisfies Record<string, QuotaLoad>;
