--- a/packages/decisions/src/sharedQuota.ts
+++ b/packages/decisions/src/sharedQuota.ts
@@ -7,15 +7,15 @@
  *
  * Largest sum admitted in any time T, over all routers of a part of n, with E = overage x (rate x T + burst) + slack:
  * - Heard: an account that is at least zero after a request has admitted at most rate x T + burst, as far as it knows.
- * - On its way: what the others admit until it is heard. Each spends at most `unheardShare` x E / n in `hearMs` before
- *   it is heard, so all of them together that share of E: 50%.
+ * - On its way: what the others admit until it is heard. In `hearMs` each spends at most the larger of the burst and half
+ *   of E, over n, or one request; what is told with the next heartbeat only is a quarter of what is left, over n.
  * - Not heard: who has been silent for `silentMs` is taken to spend its even part, rate / n, and spends no more once it
  *   counts all others as silent itself. Before that each side spends at the rate of what callers ask: with 8 of 24 cut
- *   off, at most the rate x 1.5 s x 1/3.
+ *   off and callers spread evenly, at most the rate x 1.5 s x 1/3.
  * - Forgotten: a router that starts brings its even part of the burst, and takes the account of the first older router
  *   that it hears for its own. Where all have started together they have one burst more, which is less than E.
- * What is not bounded: a fleet in which all n routers are cut off from each other at the same moment, while one workspace
- * sends its whole rate to each, may admit n times the rate for the first 1.5 s.
+ * What is not bounded: where all n routers are cut off from each other at the same moment, while callers of one workspace
+ * ask each of them for its whole rate, n times the rate may be admitted for the first 1.5 s.
  */
 import { createBoundedMap } from './boundedMap';
 import { createQuotaRouters, type QuotaRouter } from './quotaRouters';
@@ -115,7 +115,9 @@
 const noSlack: QuotaSlack = { windowMs: 0, overageShare: 0, amount: 0 };
 /** From spending to the moment at which others have it: gathering, the way, and their own work. */
 const hearMs = 100;
+/** Of the slack, for what is on its way; the rest is for routers that are cut off or start. */
 const unheardShare = 0.5;
+/** Of the slack, divided like the burst: without it a part of 24 would hold less than most model requests. */
 const groupSlackShare = 0.25;
 /** Told at once where all routers that admit as much would take this part of what is left. */
 const urgentShare = 0.25;
