Bound what a router keeps by sender of quota messages

Anything may arrive at its port; made-up senders would have grown a map for ever. The container is the one that other state by peers lives in; nothing else changes.

--- a/packages/routing/src/quotaExchange.ts
+++ b/packages/routing/src/quotaExchange.ts
@@ -3,6 +3,7 @@
  * little is left, otherwise with the next heartbeat.
  */
 import {
+  createBoundedMap,
   createSharedQuota,
   type QuotaDecision,
   type QuotaSlack,
@@ -34,6 +35,12 @@
 export type ChargeOutcome =
   { kind: 'charged'; charge: QuotaCharge } | Extract<QuotaDecision, { kind: 'limited' }>;
 
+/** The newest message of a router's life. */
+interface Heard {
+  life: string;
+  sequence: number;
+}
+
 export interface QuotaExchange {
   setWorkspaces(workspaces: readonly Workspace[]): void;
   /** The routers of this one's part, without itself, and how many there are in all. */
@@ -50,13 +57,15 @@
 const heartbeatMs = 1_000;
 /** What was charged lately is repeated: three heartbeats may be lost. */
 const repeatMs = 4_000;
+/** Anything may arrive at the port: what is kept by sender does not grow with senders that are made up. */
+const maxSenders = 512;
 const nothingCharged: QuotaCharge = { giveBack: () => undefined };
 
 export function createQuotaExchange(options: QuotaExchangeOptions): QuotaExchange {
   const { slack, random = Math.random } = options;
   const quota = createSharedQuota({ nowMs: monotonicNowMs(), slack, random });
   const life = Math.floor(random() * 2 ** 40).toString(36);
-  const sequences = new Map<string, { life: string; sequence: number }>();
+  const sequences = createBoundedMap<string, Heard>({ maxEntries: maxSenders });
   const greeted = new Set<string>();
   let sequence = 0;
   let toldAtMs = -Infinity;
@@ -140,7 +149,7 @@
     setRouters(companions, routerCount) {
       quota.setRouters(companions, routerCount);
       const known = new Set(companions);
-      [...sequences.keys(), ...greeted]
+      [...[...sequences.entries()].map(([address]) => address), ...greeted]
         .filter((address) => !known.has(address))
         .forEach((address) => {
           sequences.delete(address);
