Don't let a time-out end up to eight milliseconds early

A running timer has eight slices, and the runtime cuts each to whole milliseconds: 149.9 ms last 144. The call so ends before the request's own time is over, and its caller is told of a lost answer.

Slices are rounded up.

--- a/packages/shared/src/runningTimer.ts
+++ b/packages/shared/src/runningTimer.ts
@@ -16,7 +16,8 @@
 
 /** Calls `onElapsed` after `timeoutMs` of running time, unless it is stopped before. */
 export function startRunningTimer(timeoutMs: number, onElapsed: () => void): RunningTimer {
-  const sliceMs = timeoutMs / slices;
+  // The runtime cuts to whole milliseconds: eight slices would end up to eight milliseconds early.
+  const sliceMs = Math.ceil(timeoutMs / slices);
   let left = slices;
   let timer = setTimeout(endSlice, sliceMs);
 
