--- a/packages/decisions/src/sharedQuota.ts
+++ b/packages/decisions/src/sharedQuota.ts
@@ -322,8 +322,7 @@
   ): void {
     const lifeBefore = routers.get(address)?.life;
     const isNewLife = lifeBefore !== life;
-    noteHeard(address, nowMs);
-    const router = routers.note(address, nowMs);
+    const router = noteHeard(address, nowMs);
     if (isNewLife) {
       routers.noteNewLife(address, life);
     }
@@ -337,11 +336,24 @@
     router.presumedMs = 0;
   }
 
-  function noteHeard(address: string, nowMs: number): void {
+  function noteHeard(address: string, nowMs: number): QuotaRouter {
     if (routers.isSilent(address, nowMs)) {
       refillAll(nowMs);
     }
-    routers.note(address, nowMs);
+    return routers.note(address, nowMs);
+  }
+
+  function levelOf(name: string, nowMs: number): number | undefined {
+    const account = accounts.get(name);
+    if (account === undefined) {
+      return undefined;
+    }
+    refill(account, nowMs);
+    return account.level;
+  }
+
+  function levelToTell(name: string, nowMs: number): number | undefined {
+    return routers.isYoung(nowMs) ? undefined : levelOf(name, nowMs);
   }
 
   return {
@@ -367,22 +379,6 @@
       accounts.forEach((account) => {
         account.untold = 0;
       }),
-    level(name, nowMs) {
-      const account = accounts.get(name);
-      if (account === undefined) {
-        return undefined;
-      }
-      refill(account, nowMs);
-      return account.level;
-    },
+    level: levelOf,
   };
-
-  function levelToTell(name: string, nowMs: number): number | undefined {
-    const account = accounts.get(name);
-    if (account === undefined || routers.isYoung(nowMs)) {
-      return undefined;
-    }
-    refill(account, nowMs);
-    return account.level;
-  }
 }
--- a/packages/routing/src/quotaExchange.ts
+++ b/packages/routing/src/quotaExchange.ts
@@ -59,7 +59,8 @@
 const repeatMs = 4_000;
 /** Anything may arrive at the port: what is kept by sender does not grow with senders that are made up. */
 const maxSenders = 512;
-const nothingCharged: QuotaCharge = { giveBack: () => undefined };
+/** Of a request that no quota counts. */
+export const nothingCharged: QuotaCharge = { giveBack: () => undefined };
 
 export function createQuotaExchange(options: QuotaExchangeOptions): QuotaExchange {
   const { slack, random = Math.random } = options;
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -10,7 +10,7 @@
   type Route,
   type Workspace,
 } from './model';
-import type { QuotaCharge, QuotaExchange } from './quotaExchange';
+import { nothingCharged, type ChargeOutcome, type QuotaExchange } from './quotaExchange';
 import { createPrefillStage } from './prefillStage';
 import { servePlain } from './plainRequest';
 import { createRequestState, type RequestState } from './requestState';
@@ -38,7 +38,6 @@
 
 /** A process that starts knows its configuration within about a second. */
 const startRetryAfterMs = 500;
-const nothingCharged: QuotaCharge = { giveBack: () => undefined };
 
 export function createRequestRouter(options: RequestRouterOptions): RequestRouter {
   const { routeTable, freshness, logger, random } = options;
@@ -93,9 +92,9 @@
     }
   }
 
-  function chargeFor(workspace: Workspace | undefined, request: CallerRequest) {
+  function chargeFor(workspace: Workspace | undefined, request: CallerRequest): ChargeOutcome {
     return workspace === undefined
-      ? { kind: 'charged' as const, charge: nothingCharged }
+      ? { kind: 'charged', charge: nothingCharged }
       : options.quota.charge(workspace, request);
   }
 
