Say in one module what a router may use of what all may use together

The shares of connections and of further attempts stood inside the platform's process, which is to translate and decide nothing, and had no test of their own. They move to routing with tests; figures and behaviour are the same.

--- /dev/null
+++ b/packages/routing/__tests__/fleetShares.test.ts
@@ -0,0 +1,23 @@
+import test from 'ava';
+import { createFleetShares } from '@bluebellhitch/routing';
+
+function sharesOf({ companions = 0, partCount = 1, routerCount = 1 }) {
+  const addresses = Array.from({ length: companions }, (_none, at) => `10.0.0.${at + 1}:7400`);
+  const fleetPart = { companions: () => addresses, partCount: () => partCount };
+  return createFleetShares({ fleetPart, routerCount: () => routerCount });
+}
+
+test('a router that knows no other takes a fixed part only', (t) => {
+  t.is(sharesOf({}).connections(96), 12);
+  t.is(sharesOf({}).furtherAttempts(160), 10);
+});
+
+test('parts shrink with the routers that use the same servers', (t) => {
+  t.is(sharesOf({ companions: 23 }).connections(480), 15);
+  t.is(sharesOf({ companions: 23, partCount: 2 }).connections(480), 7);
+  t.is(sharesOf({ routerCount: 24 }).furtherAttempts(160), 5);
+});
+
+test('a router always has connections to call a server and to ask how it is', (t) => {
+  t.is(sharesOf({ companions: 99 }).connections(96), 2);
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -95,6 +95,7 @@
   wantedPrefillCount,
   type StageChange,
 } from './stagePlan';
+export { createFleetShares, type FleetShares } from './fleetShares';
 export { createFleetPart, type FleetPart, type ServerPools } from './fleetPart';
 export { startPeerExchange, type PeerExchange } from './peerExchange';
 export { createWatchPlan, type WatchPlan, type WatchPlanOptions } from './watchPlan';
