Log and count the servers that name a limit of their own

Routers' output could not tell since when a router knew that a server asks for few requests a second, nor whether it had read it at all. The header is now decoded with each answer of a server: a line when the limit appears, changes or ends, one warning where it is no number, and a gauge of limited servers. Nothing else changes: no request is held back by it yet. Any answer may name a limit; only an answer to a request that was taken ends it by its silence, since refusals and answers to the router's own calls may lack the header.

--- a/packages/routing/src/backendApi.ts
+++ b/packages/routing/src/backendApi.ts
@@ -25,6 +25,13 @@
 export type CallOutcome<Value> =
   { kind: 'done'; value: Value } | { kind: 'not-run'; cause: NotRunCause } | LostAnswer;
 
+/** What an answer says of the requests a second that its server takes from all routers together. */
+export type LimitWord =
+  | { kind: 'named'; requestsPerSecond: number }
+  | { kind: 'none' }
+  /** It names a limit, and not as a number. */
+  | { kind: 'unreadable'; text: string };
+
 /** Memory and a slot set aside for one request. */
 export interface Reservation {
   id: string;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,6 +10,7 @@
   BodyReader,
   CallOutcome,
   EngineLoad,
+  LimitWord,
   LostAnswer,
   NotRunCause,
   PrefillOptions,
@@ -86,6 +87,7 @@
 export type { RouterParts } from './routerParts';
 export { createRouteTable, type RouteTable } from './routeTable';
 export { createServerDirectory, type ServerChange, type ServerDirectory } from './serverDirectory';
+export { createServerLimits, type ServerLimits } from './serverLimits';
 export { createServerLoads } from './serverLoads';
 export { drainBody, readWholeBody } from './wholeBody';
 export { createStageKeeper, type StageKeeperOptions } from './stageKeeper';
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -21,6 +21,8 @@
   countConnection(): void;
   setConfigurationVersion(version: number): void;
   setServers(count: number): void;
+  /** Servers that name a limit in their answers. */
+  setLimitedServers(count: number): void;
   countUnreadableObject(kind: string): void;
   /** Refused before anything was done for it. */
   countRefusedAtOnce(cause: string, workspace?: string): void;
@@ -121,6 +123,10 @@
   );
   const nameOfWorkspace = createLabelBound(mostWorkspaces);
   const servers = gauge('bluebell_backend_servers', 'Backend servers that are known.');
+  const limitedServers = gauge(
+    'bluebell_limited_backend_servers',
+    'Backend servers that name a limit of requests a second in their answers.',
+  );
 
   return {
     contentType: registry.contentType,
@@ -141,6 +147,7 @@
     countConnection: () => connections.inc(),
     setConfigurationVersion: (value) => version.set(value),
     setServers: (count) => servers.set(count),
+    setLimitedServers: (count) => limitedServers.set(count),
     countUnreadableObject: (kind) => unreadable.inc({ kind }),
     countRefusedAtOnce: (cause, workspace) =>
       refusedAtOnce.inc({
