Keep to the limits that backend servers name, over all routers together

Callers saw: requests to a server in need failed or were late, and the server, which had asked for about two requests a second, got six. Cause: its word in the answers was passed on and read by nobody; a router chose by its own requests in progress, a few percent of what the server gets. Class: a limit that holds for all routers together, which no router can keep from what it sees itself.

Ruled out: further attempts (in the 4.4 s before the report 52 first calls and 2 further ones went to the two servers), and a limit kept by each router for itself (nothing read it; and four times the limit was more than what arrived).

Now a request to such a server needs a permit. A few routers, chosen by rendezvous hashing, issue a server's permits from buckets that together hold half of what is tolerated beyond the rate; others use other servers, or ask an issuer where none can take the request; what finds no permit is refused at once. Routers tell each other what they read, and only that. Engines are held to it as plain servers are: reservations, reads of prompts, further attempts, resumes.

--- a/packages/bench/src/experiments/quotaWays.ts
+++ b/packages/bench/src/experiments/quotaWays.ts
@@ -1,8 +1,11 @@
-/** Compares ways in which routers keep a workspace's quota together, by the same loads and seeds. */
+/**
+ * Compares ways in which routers together keep a workspace's quota, or a server's own limit, by the same loads and seeds.
+ */
 import {
   quotaLoads,
   quotaWays,
   runQuotaReplay,
+  serverLimitLoads,
   type QuotaFigures,
   type QuotaLoad,
   type QuotaWay,
@@ -25,13 +28,17 @@
   fullestWindow: number;
 }
 
+const { account, evenShares, demandShares, blockLater, fewRouters, permits } = quotaWays;
+const workspaceWays = [account, evenShares, demandShares, blockLater];
+const serverLimitWays = [account, evenShares, fewRouters, permits];
 const headers = ['load', 'way', 'owed served', 'admitted', 'fullest window'];
 const digits = 2;
 
 export function runQuotaWays({ seeds }: QuotaWaysOptions): ExperimentReport {
-  const rows = Object.entries(quotaLoads).flatMap(([load, shape]) =>
-    Object.values(quotaWays).map((way) => rowOf({ name: load, shape }, way, seeds)),
-  );
+  const rows = [
+    ...rowsOf(quotaLoads, workspaceWays, seeds),
+    ...rowsOf(serverLimitLoads, serverLimitWays, seeds),
+  ];
   const text = renderTable(
     headers,
     rows.map(({ load, way, owedServed, admitted, fullestWindow }) => [
@@ -43,6 +50,16 @@
   return { text, figures: { seeds, rows } };
 }
 
+function rowsOf(
+  loads: Readonly<Record<string, QuotaLoad>>,
+  ways: readonly QuotaWay[],
+  seeds: readonly number[],
+): Row[] {
+  return Object.entries(loads).flatMap(([name, shape]) =>
+    ways.map((way) => rowOf({ name, shape }, way, seeds)),
+  );
+}
+
 function rowOf(
   { name, shape }: { name: string; shape: QuotaLoad },
   way: QuotaWay,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -213,3 +213,9 @@
   type SharedQuota,
   type SharedQuotaOptions,
 } from './sharedQuota';
+export {
+  createSharedPermits,
+  type LimitSighting,
+  type SharedPermits,
+  type SharedPermitsOptions,
+} from './sharedPermits';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -100,6 +100,16 @@
   type PeerMessage,
   type PeerSighting,
 } from './peerMessages';
+export {
+  decodeLimitMessage,
+  encodeLimitMessage,
+  mostToldLimits,
+  type LimitMessage,
+  type LimitNews,
+  type PermitAnswer,
+  type PermitQuestion,
+  type ToldLimit,
+} from './limitMessages';
 export {
   decodeProofMessage,
   encodeProofMessage,
--- /dev/null
+++ b/packages/replay/__tests__/serverLimits.test.ts
@@ -0,0 +1,75 @@
+import test from 'ava';
+import {
+  quotaWays,
+  runQuotaReplay,
+  serverLimitLoads,
+  type QuotaLoad,
+  type QuotaStep,
+  type QuotaWay,
+} from '@bluebellhitch/replay';
+import { createSeededRandom, delay } from '@bluebellhitch/shared';
+
+const seeds = [1, 2, 3];
+
+function replay(load: QuotaLoad, way: QuotaWay = quotaWays.permits) {
+  const all = seeds.map((seed) => runQuotaReplay({ load, way, seed }));
+  const sum = (read: (figures: (typeof all)[number]) => number) =>
+    all.reduce((total, figures) => total + read(figures), 0);
+  return {
+    worst: Math.max(...all.map(({ worstWindowShare }) => worstWindowShare)),
+    admittedShare: sum(({ admitted }) => admitted) / sum(({ owed }) => owed),
+  };
+}
+
+test('whatever befalls the routers, a server in need gets most of what it asked for, and no more than is tolerated', (t) => {
+  // Its requests would time out. The loads: floods, cuts, restarts, freezes, and a limit that falls.
+  Object.entries(serverLimitLoads).forEach(([name, load]) => {
+    const { worst, admittedShare } = replay(load);
+    t.true(worst <= 1, `${name}: ${worst} of what is tolerated`);
+    t.true(admittedShare > 0.75, `${name}: ${admittedShare} of what one account admits`);
+  });
+});
+
+test('even shares pass a small limit in a large fleet, and one account does while routers are cut off', (t) => {
+  t.true(replay(serverLimitLoads.largeFleet, quotaWays.evenShares).worst > 2);
+  t.true(replay(serverLimitLoads.allRestartWhileFlooded, quotaWays.evenShares).worst > 1);
+  t.true(replay(serverLimitLoads.floodWhileCut, quotaWays.account).worst > 1);
+});
+
+/** What may befall a fleet while a server names a limit: all at once, at random. */
+function randomLoad(seed: number): QuotaLoad {
+  const random = createSeededRandom(seed);
+  const between = (least: number, most: number) => least + (most - least) * random();
+  const chosen = (steps: QuotaStep[]) => steps.filter(() => random() < 0.5);
+  const ratePerSecond = 0.3 * 200 ** random();
+  return {
+    ...serverLimitLoads.ordinary,
+    routers: Math.round(2 * 180 ** random()),
+    shareAtOne: random() < 0.3 ? random() : 0,
+    seconds: 40,
+    ratePerSecond,
+    delayMs: between(2, 30),
+    lostShare: between(0, 0.05),
+    steps: [
+      { kind: 'demand', atMs: between(0, 12_000), forMs: 20_000, factor: between(2, 20) },
+      ...chosen([
+        { kind: 'cut', atMs: between(0, 24_000), forMs: between(1_000, 9_000), share: 0.35 },
+        { kind: 'split', atMs: between(0, 24_000), forMs: between(1_000, 9_000), groups: 2 },
+        { kind: 'restart', atMs: between(0, 36_000), share: random() < 0.3 ? 1 : 0.3 },
+        { kind: 'restart', atMs: between(0, 36_000), share: 0.3 },
+        { kind: 'pause', atMs: between(0, 24_000), forMs: between(1_000, 6_000), share: 0.3 },
+        { kind: 'limit', atMs: between(0, 12_000), factor: between(0.05, 1) },
+        { kind: 'limit', atMs: between(16_000, 36_000), factor: between(0.2, 3) },
+      ]),
+    ],
+  };
+}
+
+test('over random fleets no four seconds hold more than is tolerated', async (t) => {
+  for (let seed = 1; seed <= 16; seed += 1) {
+    const load = randomLoad(seed);
+    const { worstWindowShare } = runQuotaReplay({ load, way: quotaWays.permits, seed });
+    t.true(worstWindowShare <= 1, `seed ${seed}, ${load.routers} routers: ${worstWindowShare}`);
+    await delay(0);
+  }
+});
--- a/packages/replay/src/index.ts
+++ b/packages/replay/src/index.ts
@@ -5,4 +5,4 @@
 export { runQuotaReplay, type QuotaFigures, type QuotaReplayOptions } from './quota/quotaReplay';
 export { quotaWays, type QuotaWay } from './quota/quotaWays';
 export { type QuotaLoad, type QuotaStep } from './quota/quotaLoad';
-export { ordinaryQuotaLoad, quotaLoads } from './quota/quotaLoads';
+export { ordinaryQuotaLoad, quotaLoads, serverLimitLoads } from './quota/quotaLoads';
--- a/packages/replay/src/quota/quotaLoads.ts
+++ b/packages/replay/src/quota/quotaLoads.ts
@@ -41,3 +41,49 @@
   limitFalls: withSteps({ kind: 'limit', atMs: 6_000, factor: 0.15 }),
   cutInOrdinaryLoad: withSteps({ kind: 'cut', atMs: 8_000, forMs: 8_000, share: 0.35 }),
 } as const satisfies Record<string, QuotaLoad>;
+
+/**
+ * A backend server that takes two requests a second from all routers together, asked for three times as many. In four
+ * seconds half as many again are tolerated, and five.
+ */
+const serverLimitLoad: QuotaLoad = {
+  routers: 24,
+  shareAtOne: 0,
+  seconds: 40,
+  ratePerSecond: 2,
+  burst: 1,
+  slack: { windowMs: 4_000, overageShare: 0.5, amount: 3.5 },
+  demand: 3,
+  cost: { least: 1, most: 1 },
+  delayMs: 8,
+  lostShare: 0.03,
+  steps: [],
+};
+const limited = (over: Partial<QuotaLoad> = {}): QuotaLoad => ({ ...serverLimitLoad, ...over });
+const serverFlood: QuotaStep = { kind: 'demand', atMs: 12_000, forMs: 20_000, factor: 10 };
+
+export const serverLimitLoads = {
+  fourRouters: limited({ routers: 4 }),
+  ordinary: limited(),
+  /** Hardly more is asked than the server takes. */
+  littleDemand: limited({ demand: 0.8 }),
+  largeFleet: limited({ routers: 359, demand: 6 }),
+  flood: limited({ steps: [serverFlood] }),
+  floodAtLargeFleet: limited({ routers: 359, steps: [serverFlood] }),
+  floodWhileCut: limited({
+    steps: [serverFlood, { kind: 'cut', atMs: 14_000, forMs: 8_000, share: 0.35 }],
+  }),
+  splitWhileFlooded: limited({
+    steps: [serverFlood, { kind: 'split', atMs: 14_000, forMs: 8_000, groups: 3 }],
+  }),
+  allRestartWhileFlooded: limited({
+    steps: [serverFlood, { kind: 'restart', atMs: 16_000, share: 1 }],
+  }),
+  pausesWhileFlooded: limited({
+    steps: [serverFlood, { kind: 'pause', atMs: 14_000, forMs: 4_000, share: 0.3 }],
+  }),
+  limitFalls: limited({
+    ratePerSecond: 12,
+    steps: [{ kind: 'limit', atMs: 16_000, factor: 0.15 }],
+  }),
+} as const satisfies Record<string, QuotaLoad>;
--- a/packages/replay/src/quota/quotaReplay.ts
+++ b/packages/replay/src/quota/quotaReplay.ts
@@ -45,6 +45,7 @@
 /** As large as a part of a fleet may be: only routers of one part tell each other. */
 const mostInPart = 40;
 const tickMs = 5;
+const mostAsked = 2;
 const heartbeatMs = 1_000;
 const msPerSecond = 1_000;
 
@@ -69,7 +70,7 @@
       nowMs,
       slack: load.slack,
       routers: partOf(address),
-      routerCount: addresses.length,
+      allRouters: addresses,
       ownAddress: address,
       random,
     });
@@ -111,11 +112,29 @@
     });
   }
 
+  /** Each question and each answer may be lost. */
+  function askIssuers({ address, keeper }: Router, nowMs: number): boolean {
+    const issuers = keeper.issuers?.(nowMs) ?? [];
+    const first = Math.floor(random() * issuers.length);
+    return [...issuers.slice(first), ...issuers.slice(0, first)]
+      .slice(0, mostAsked)
+      .some((issuer) => {
+        const isHeard = befallen.hear(address, issuer, nowMs) && !befallen.isPaused(issuer, nowMs);
+        figures.datagrams += 2;
+        return (
+          isHeard &&
+          random() >= load.lostShare &&
+          routerAt(issuer).keeper.grant?.(nowMs) === true &&
+          random() >= load.lostShare
+        );
+      });
+  }
+
   function request(router: Router, nowMs: number): void {
     const { least, most } = load.cost;
     const cost = Math.round(least + (most - least) * random());
     const isOwed = ideal(cost, nowMs);
-    const isAdmitted = router.keeper.take(cost, nowMs);
+    const isAdmitted = router.keeper.take(cost, nowMs) || askIssuers(router, nowMs);
     figures.asked += cost;
     figures.owed += isOwed ? cost : 0;
     if (isAdmitted) {
--- a/packages/replay/src/quota/quotaWays.ts
+++ b/packages/replay/src/quota/quotaWays.ts
@@ -1,5 +1,6 @@
 /** Ways in which routers may keep a quota together; they are compared by the same loads. */
 import {
+  createSharedPermits,
   createSharedQuota,
   shareByDemand,
   type Quota,
@@ -17,6 +18,10 @@
   demandShares: 'demand-shares',
   /** Let through, count behind the request in a rolling window, and refuse while the window is full. */
   blockLater: 'block-later',
+  /** A few routers admit, and the others do not: the router's own way where servers name limits, without its questions. */
+  fewRouters: 'few-routers',
+  /** The same, and the others ask one of the few for each request. */
+  permits: 'permits',
 } as const;
 export type QuotaWay = (typeof quotaWays)[keyof typeof quotaWays];
 
@@ -25,8 +30,8 @@
   slack: QuotaSlack;
   /** Addresses of the routers of this one's part, this one's too. */
   routers: readonly string[];
-  /** In all parts. */
-  routerCount: number;
+  /** Of all parts. */
+  allRouters: readonly string[];
   ownAddress: string;
   random: () => number;
 }
@@ -40,6 +45,10 @@
   tell(nowMs: number): QuotaUse[];
   isYoung(nowMs: number): boolean;
   hear(news: QuotaNews, nowMs: number): void;
+  /** Routers that may admit for this one. */
+  issuers?(nowMs: number): readonly string[];
+  /** Admits one request for another router. */
+  grant?(nowMs: number): boolean;
 }
 
 const workspace = 'w';
@@ -56,14 +65,18 @@
       return createDemandKeeper(options);
     case quotaWays.blockLater:
       return createWindowKeeper(options);
+    case quotaWays.fewRouters:
+      return { ...createPermitKeeper(options), issuers: () => [] };
+    case quotaWays.permits:
+      return createPermitKeeper(options);
   }
 }
 
 function createAccountKeeper(options: WayOptions): QuotaKeeper {
-  const { nowMs, slack, routers, routerCount, ownAddress, random } = options;
+  const { nowMs, slack, routers, allRouters, ownAddress, random } = options;
   const quota = createSharedQuota({ nowMs, slack, random });
   const others = routers.filter((router) => router !== ownAddress);
-  quota.setRouters(others, routerCount);
+  quota.setRouters(others, allRouters.length);
   return {
     setLimit: (limit, atMs) => quota.setQuotas([{ name: workspace, ...limit }], atMs),
     take: (cost, atMs) => quota.take(workspace, cost, atMs).kind === 'admitted',
@@ -104,11 +117,11 @@
   };
 }
 
-function createShareKeeper({ nowMs, routerCount }: WayOptions): QuotaKeeper {
+function createShareKeeper({ nowMs, allRouters }: WayOptions): QuotaKeeper {
   const bucket = createBucket(nowMs);
   return {
     setLimit: bucket.setLimit,
-    take: (cost, atMs) => bucket.take(cost, atMs, 1 / routerCount),
+    take: (cost, atMs) => bucket.take(cost, atMs, 1 / allRouters.length),
     isUrgent: () => false,
     tell: () => [],
     isYoung: () => false,
@@ -191,3 +204,24 @@
     },
   };
 }
+
+const server = 's';
+
+/** Counts requests, whatever they cost. */
+function createPermitKeeper(options: WayOptions): QuotaKeeper {
+  const { nowMs, allRouters, ownAddress, random } = options;
+  const permits = createSharedPermits({ nowMs, random });
+  permits.setRouters(ownAddress, allRouters);
+  return {
+    setLimit({ ratePerSecond }, atMs) {
+      permits.note(server, ratePerSecond, atMs);
+    },
+    take: (_cost, atMs) => permits.take(server, atMs),
+    isUrgent: () => false,
+    tell: () => [],
+    isYoung: () => false,
+    hear: () => undefined,
+    issuers: (atMs) => permits.issuers(server, atMs),
+    grant: (atMs) => permits.grant(server, atMs),
+  };
+}
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -16,6 +16,7 @@
 import type { EngineLoads, PlacedStream } from './engineLoads';
 import type { ServerPools } from './fleetPart';
 import { stages, type BackendServer, type EngineSettings } from './model';
+import { noLimits, type ServerPermits } from './serverLimits';
 
 export interface PlacementRequest {
   serviceName: string;
@@ -60,6 +61,7 @@
   pools: ServerPools;
   loads: EngineLoads;
   health: OutlierDetector;
+  limits?: ServerPermits;
   random?: Random;
 }
 
@@ -93,7 +95,7 @@
 type PlacesOf = (waiter: Waiter, kind: 'usable' | 'spare') => readonly Place[];
 
 export function createDecodePlacement(options: DecodePlacementOptions): DecodePlacement {
-  const { backend, pools, loads, health, random = Math.random } = options;
+  const { backend, pools, loads, health, limits = noLimits, random = Math.random } = options;
   /** By service: each has its own engines, and so its own line. */
   const admissions = createBoundedMap<string, PlacementAdmission>({ maxEntries: maxServices });
   const waiters = new Set<Waiter>();
@@ -206,7 +208,7 @@
 
   function mayUse({ failedIds, excludedIds, reservedTokens }: Waiter, { server }: Place): boolean {
     const hasFailed = failedIds.has(server.id) || excludedIds.has(server.id);
-    return !hasFailed && !loads.isFullFor(server.id, reservedTokens);
+    return !hasFailed && !loads.isFullFor(server.id, reservedTokens) && limits.mayTake(server.id);
   }
 
   /**
@@ -269,6 +271,7 @@
 
   async function reserveAt(server: BackendServer, waiter: Waiter): Promise<void> {
     waiter.isTrying = true;
+    limits.take(server.id);
     const stream = loads.place(server.id, waiter.stream);
     const outcome = await backend.reserve(server, {
       tokens: waiter.reservedTokens,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -34,6 +34,7 @@
   type DecodeHead,
   type RequestHead,
 } from './callersServer';
+export { createDatagramReceiver } from './datagramReceiver';
 export { createDecodePlacement, type DecodePlacement } from './decodePlacement';
 export { createEngineLoads, usesAt, type EngineLoads, type PlacedStream } from './engineLoads';
 export { createEventSplitter } from './eventSplitter';
@@ -87,7 +88,14 @@
 export type { RouterParts } from './routerParts';
 export { createRouteTable, type RouteTable } from './routeTable';
 export { createServerDirectory, type ServerChange, type ServerDirectory } from './serverDirectory';
-export { createServerLimits, type ServerLimits } from './serverLimits';
+export {
+  createServerLimits,
+  noLimits,
+  type LimitChannel,
+  type PermitOutcome,
+  type ServerLimits,
+  type ServerPermits,
+} from './serverLimits';
 export { createServerLoads } from './serverLoads';
 export { drainBody, readWholeBody } from './wholeBody';
 export { createStageKeeper, type StageKeeperOptions } from './stageKeeper';
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -10,6 +10,7 @@
   type NotRunReason,
   type Refusal,
 } from './model';
+import { choosePlainServer } from './plainChoice';
 import { lostRefusal, noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterParts } from './routerParts';
 import { drainBody, readWholeBody } from './wholeBody';
@@ -30,6 +31,9 @@
 const firstServerError = 500;
 /** Callers come back after about this long: a full or restarting server has room again by then. */
 const retryAfterMs = 300;
+/** Servers that name a limit for longer than this have other permits meanwhile, at other routers. */
+const longestRetryAfterMs = 2_000;
+const retrySpread = 0.5;
 /**
  * A server that has not begun its answer after this many times the route's target is not waited for any
  * longer where another one may be asked.
@@ -39,11 +43,16 @@
 
 export async function servePlain(state: RequestState, parts: RouterParts): Promise<void> {
   let best: Attempt | undefined;
+  let limitedForMs: number | undefined;
   while (remainingMs(state) > 0 && !state.exchange.signal.aborted) {
-    const server = chooseServer(state, parts);
-    if (server === undefined || !state.mayStillRun() || !mayAttempt(state, parts)) {
+    const choice = await choosePlainServer(state, parts);
+    if (choice.kind === 'limited') {
+      limitedForMs = choice.retryAfterMs;
+    }
+    if (choice.kind !== 'chosen' || !state.mayStillRun() || !mayAttempt(state, parts)) {
       break;
     }
+    const { server } = choice;
     const attempt = await attemptAt(server, state, parts);
     noteStep(state, `${server.id} ${attempt.kind}`);
     if (attempt.kind === 'answer') {
@@ -59,7 +68,7 @@
       break;
     }
   }
-  finish(state, best);
+  finish(state, best, limitedForMs, parts);
 }
 
 /** Takes a further attempt out of the budget; the first that arrives anywhere is free. */
@@ -105,43 +114,46 @@
   return known === undefined || ranks[attempt.kind] > ranks[known.kind] ? attempt : known;
 }
 
-function finish(state: RequestState, best: Attempt | undefined): void {
+function finish(
+  state: RequestState,
+  best: Attempt | undefined,
+  limitedForMs: number | undefined,
+  parts: RouterParts,
+): void {
   if (best?.kind === 'answer' || best?.kind === 'server-failure') {
     state.exchange.answer(best.answer);
     return;
   }
-  state.exchange.refuse(refusalOf(state, best));
+  state.exchange.refuse(refusalOf(state, best, limitedForMs, parts));
 }
 
-function refusalOf(state: RequestState, best: Attempt | undefined): Refusal {
+function refusalOf(
+  state: RequestState,
+  best: Attempt | undefined,
+  limitedForMs: number | undefined,
+  parts: RouterParts,
+): Refusal {
   switch (best?.kind) {
     case 'lost':
       return lostRefusal(state, best.detail);
     case 'rejected':
       return { kind: 'not-run', reason: notRunReasons.rejected, retryAfterMs };
     default:
-      return { kind: 'not-run', reason: reasonNotSent(state), retryAfterMs };
+      return limitedForMs === undefined
+        ? { kind: 'not-run', reason: reasonNotSent(state), retryAfterMs }
+        : limitedRefusal(limitedForMs, parts);
   }
 }
 
-function reasonNotSent({ mayStillRun }: RequestState): NotRunReason {
-  return mayStillRun() ? notRunReasons.noServer : notRunReasons.staleConfiguration;
+/** Callers that were refused together come back apart. */
+function limitedRefusal(limitedForMs: number, { random }: RouterParts): Refusal {
+  const waitMs = Math.min(longestRetryAfterMs, Math.max(retryAfterMs, limitedForMs));
+  const reason = notRunReasons.overloaded;
+  return { kind: 'not-run', reason, retryAfterMs: waitMs * (1 + retrySpread * random()) };
 }
 
-function chooseServer(state: RequestState, parts: RouterParts): BackendServer | undefined {
-  const { pools, health, serverLoads, random } = parts;
-  const ejected = health.ejected(monotonicNowMs());
-  const untried = pools
-    .usable(state.service.name)
-    .filter(({ id }) => !state.failedServerIds.has(id));
-  const sound = untried.filter(({ id }) => !ejected.has(id));
-  return (sound.length > 0 ? sound : untried)
-    .map((server) => ({
-      server,
-      load: serverLoads.running(server.id) / server.slots,
-      tie: random(),
-    }))
-    .sort((left, right) => left.load - right.load || left.tie - right.tie)[0]?.server;
+function reasonNotSent({ mayStillRun }: RequestState): NotRunReason {
+  return mayStillRun() ? notRunReasons.noServer : notRunReasons.staleConfiguration;
 }
 
 async function attemptAt(
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -47,7 +47,7 @@
 const firstEventMs = 60;
 
 export function createPrefillStage(parts: RouterParts): PrefillStage {
-  const { backend, pools, engineLoads, health, budget, metrics } = parts;
+  const { backend, pools, engineLoads, health, budget, metrics, limits } = parts;
   const speed = createRecentQuantile({
     quantile: speedQuantile,
     sampleCount: speedSamples,
@@ -67,7 +67,7 @@
 
   function choose(state: RequestState): BackendServer | undefined {
     return usableServers(state.service.name)
-      .filter(({ id }) => !state.failedServerIds.has(id))
+      .filter(({ id }) => !state.failedServerIds.has(id) && limits.mayTake(id))
       .map((server) => ({
         server,
         backlog: engineLoads.prefillBacklogTokens(server.id),
@@ -117,6 +117,7 @@
       if (isFurther && !budget.tryTake(name, monotonicNowMs())) {
         return { kind: 'at-decode' };
       }
+      limits.take(server.id);
       const read = await readAt(server, state, promptTokens);
       if (read.kind === 'done') {
         state.hasReadPrompt = true;
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -23,6 +23,8 @@
   setServers(count: number): void;
   /** Servers that name a limit in their answers. */
   setLimitedServers(count: number): void;
+  /** For a request to a server that names a limit. */
+  countPermit(outcome: string): void;
   countUnreadableObject(kind: string): void;
   /** Refused before anything was done for it. */
   countRefusedAtOnce(cause: string, workspace?: string): void;
@@ -123,6 +125,11 @@
   );
   const nameOfWorkspace = createLabelBound(mostWorkspaces);
   const servers = gauge('bluebell_backend_servers', 'Backend servers that are known.');
+  const permits = counter(
+    'bluebell_permits_total',
+    'Permits for requests to servers that name a limit: own, granted by another router, or refused.',
+    ['outcome'],
+  );
   const limitedServers = gauge(
     'bluebell_limited_backend_servers',
     'Backend servers that name a limit of requests a second in their answers.',
@@ -148,6 +155,7 @@
     setConfigurationVersion: (value) => version.set(value),
     setServers: (count) => servers.set(count),
     setLimitedServers: (count) => limitedServers.set(count),
+    countPermit: (outcome) => permits.inc({ outcome }),
     countUnreadableObject: (kind) => unreadable.inc({ kind }),
     countRefusedAtOnce: (cause, workspace) =>
       refusedAtOnce.inc({
--- a/packages/routing/src/routerParts.ts
+++ b/packages/routing/src/routerParts.ts
@@ -9,6 +9,7 @@
 import type { ServerPools } from './fleetPart';
 import type { RouterMetrics } from './routerMetrics';
 import type { ServerDirectory } from './serverDirectory';
+import type { ServerPermits } from './serverLimits';
 import type { ServerLoads } from './serverLoads';
 import type { StreamSizes } from './streamSizes';
 
@@ -18,6 +19,8 @@
   pools: ServerPools;
   /** Requests in progress at plain servers. */
   serverLoads: ServerLoads;
+  /** For requests to servers that name a limit. */
+  limits: ServerPermits;
   engineLoads: EngineLoads;
   streamSizes: StreamSizes;
   placement: DecodePlacement;
