Soak servers that name a limit

Servers now name a limit of 0.3 to 3.3 requests a second for 5 to 10 s, about once in ten seconds of a mixed script, and what reaches them from routers in touch is held against 1.5 times that and five in any four seconds, from half a second after the first told answer. A test of the check itself shows that it finds a limit that is passed and leaves one that is kept.

--- a/packages/soak/__tests__/checks.test.ts
+++ b/packages/soak/__tests__/checks.test.ts
@@ -5,6 +5,7 @@
 import { createFindings } from '../src/findings';
 import { createLedger, type Arrival, type RequestEnd } from '../src/ledger';
 import type { ShownKey } from '../src/keyring';
+import { createLimitChecks } from '../src/limitChecks';
 import { createRequestChecks } from '../src/requestChecks';
 import { createWorkspaceChecks } from '../src/workspaceChecks';
 
@@ -39,6 +40,8 @@
     marginMs: 100,
   });
 
+  const limits = createLimitChecks({ ledger, findings, disruptions, marginMs: 100 });
+
   function request(id: string, over: { isRepeatable?: boolean; shownKey?: ShownKey } = {}) {
     return ledger.send({
       id,
@@ -69,7 +72,7 @@
       ...over,
     });
   const found = () => findings.all().map(({ promise }) => promise);
-  return { request, end, arrive, found, checks, leaving, disruptions };
+  return { request, end, arrive, found, checks, limits, leaving, disruptions };
 }
 
 test('a second run, a false refusal and one that runs later are found', (t) => {
@@ -164,3 +167,33 @@
   world.arrive('b');
   t.is(world.found().length, 1);
 });
+
+test.serial(
+  'a server that gets more than the limit that it named is found, but for what was on its way',
+  (t) => {
+    const clock = FakeTimers.install();
+    try {
+      const world = createWorld();
+      let sent = 0;
+      const send = (serverId: string, count: number) =>
+        Array.from({ length: count }).forEach(() => {
+          sent += 1;
+          world.request(`q${sent}`);
+          world.arrive(`q${sent}`, serverId);
+          clock.tick(100);
+        });
+      const ended = ['kept', 'passed'].map((id) => world.limits.begin(id, 1));
+      send('kept', 5);
+      send('kept', 11);
+      send('passed', 5);
+      clock.tick(1_000);
+      send('passed', 12);
+      ended.forEach((end) => end());
+      send('kept', 20);
+      world.limits.checkAll();
+      t.deepEqual(world.found(), ['server-limit']);
+    } finally {
+      clock.uninstall();
+    }
+  },
+);
--- a/packages/soak/__tests__/script.test.ts
+++ b/packages/soak/__tests__/script.test.ts
@@ -31,11 +31,13 @@
   const kinds = new Set(
     scripts.flatMap(({ steps }) => steps.map(({ operation }) => operation.kind)),
   );
-  t.is(kinds.size, 15);
+  t.is(kinds.size, 16);
   const planned = scripts.filter(({ kind }) => kind === 'planned');
   t.true(planned.length > 20);
   const unplanned = planned
     .flatMap(({ steps }) => steps)
-    .filter(({ operation }) => /kill|freeze|crash|fault|errors|link|reset/.test(operation.kind));
+    .filter(({ operation }) =>
+      /kill|freeze|crash|fault|errors|link|reset|limit/.test(operation.kind),
+    );
   t.deepEqual(unplanned, []);
 });
--- a/packages/soak/src/backendServers.ts
+++ b/packages/soak/src/backendServers.ts
@@ -43,6 +43,8 @@
   setLink(place: number, fault: LinkFault): void;
   resetLinks(place: number): void;
   setErrors(place: number, errors: ServerErrors | undefined): void;
+  /** Of the server that is there now. */
+  nameLimit(place: number, requestsPerSecond: number | undefined): void;
   serverId(place: number): string;
   /** When the store acknowledged that the server leaves. */
   leavingSinceMs(serverId: string): number | undefined;
@@ -199,6 +201,12 @@
     setErrors(index, errors) {
       (places[index] as Place).errors = errors;
     },
+    nameLimit(index, requestsPerSecond) {
+      const worker = places[index]?.current?.worker;
+      if (worker !== undefined) {
+        worker.namedLimit = requestsPerSecond?.toFixed(1);
+      }
+    },
     serverId: (index) => places[index]?.current?.worker.id ?? '',
     leavingSinceMs: (serverId) => leaving.get(serverId),
     async close() {
--- a/packages/soak/src/findings.ts
+++ b/packages/soak/src/findings.ts
@@ -15,6 +15,7 @@
   ownEnd: 'own-end',
   keys: 'keys',
   quota: 'quota',
+  serverLimit: 'server-limit',
 } as const;
 export type Promised = (typeof promises)[keyof typeof promises];
 
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -6,6 +6,7 @@
 import type { ConfigurationPlan } from './configurationPlan';
 import type { Disruptions, Subject } from './disruptions';
 import { promises, type Findings } from './findings';
+import type { LimitChecks } from './limitChecks';
 import type { RouterProcessHandle } from './routerFleet';
 import type { Operation } from './script';
 
@@ -17,6 +18,7 @@
   plan: ConfigurationPlan;
   disruptions: Disruptions;
   findings: Findings;
+  limits: LimitChecks;
   /** From the signal to stop until the process must have ended. */
   graceMs: number;
   marginMs: number;
@@ -151,6 +153,19 @@
     });
   }
 
+  /** A server that is replaced meanwhile takes its limit with it. */
+  async function limitServer(operation: OperationOf<'limit-server'>): Promise<void> {
+    const { server, requestsPerSecond, forMs } = operation;
+    const id = servers.serverId(server);
+    servers.nameLimit(server, requestsPerSecond);
+    const ended = options.limits.begin(id, requestsPerSecond);
+    await delay(forMs);
+    if (servers.serverId(server) === id) {
+      servers.nameLimit(server, undefined);
+    }
+    ended();
+  }
+
   async function raiseLoad({ factor, forMs }: OperationOf<'burst'>): Promise<void> {
     callers.setFactor(factor);
     await delay(forMs);
@@ -178,6 +193,8 @@
       'server-reset': ({ server }) =>
         resetLinks(serverAt(server), () => servers.resetLinks(server)),
       'server-errors': failServer,
+      'limit-server': (operation) =>
+        inTurn(`limit ${operation.server}`, () => limitServer(operation)),
       'change-configuration': ({ change }) => Promise.resolve(plan.change(change)),
       burst: raiseLoad,
     };
--- a/packages/soak/src/script.ts
+++ b/packages/soak/src/script.ts
@@ -17,6 +17,7 @@
   | { kind: 'server-link'; server: number; link: LinkFault; forMs: number }
   | { kind: 'server-reset'; server: number }
   | { kind: 'server-errors'; server: number; run: RunScript; share: number; forMs: number }
+  | { kind: 'limit-server'; server: number; requestsPerSecond: number; forMs: number }
   | { kind: 'change-configuration'; change: ConfigurationChange }
   | { kind: 'burst'; factor: number; forMs: number };
 
@@ -49,6 +50,7 @@
 /** Operations in ten seconds: few enough that some meet a calm fleet, many enough that some overlap. */
 const operationsPer10Seconds = 9;
 const msPer10Seconds = 10_000;
+const limitSeedOffset = 104_729;
 const plannedKinds = ['stop-router', 'reload-router', 'replace-server', 'change-configuration'];
 
 export function createScript(options: ScriptOptions): SoakScript {
@@ -62,7 +64,24 @@
     atMs: Math.round(random() * durationMs),
     operation: pickOperation(kind, options, random),
   }));
-  return { kind, steps: steps.sort((left, right) => left.atMs - right.atMs) };
+  const all = kind === 'mixed' ? [...steps, ...limitSteps(options)] : steps;
+  return { kind, steps: all.sort((left, right) => left.atMs - right.atMs) };
+}
+
+/** Drawn apart, so that the rest of a seed's script is as it was before servers named limits. */
+function limitSteps({ seed, durationMs, serverCount }: ScriptOptions): ScriptStep[] {
+  const random = createSeededRandom(seed + limitSeedOffset);
+  random();
+  const count = Math.max(1, Math.round(durationMs / msPer10Seconds));
+  return Array.from({ length: count }, () => ({
+    atMs: Math.round(random() * durationMs),
+    operation: {
+      kind: 'limit-server',
+      server: Math.floor(random() * serverCount),
+      requestsPerSecond: Number((0.3 + random() * 3).toFixed(1)),
+      forMs: Math.round(5_000 + random() * 5_000),
+    },
+  }));
 }
 
 function pickOperation(kind: ScriptKind, options: ScriptOptions, random: Random): Operation {
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -17,6 +17,7 @@
 import { createFindings, promises, type Findings, type SoakFinding } from './findings';
 import { createKeyring } from './keyring';
 import { createLedger, type Ledger } from './ledger';
+import { createLimitChecks } from './limitChecks';
 import { createOperator, type Operator } from './operator';
 import { createRequestChecks } from './requestChecks';
 import { startRouterFleet, type RouterFleet } from './routerFleet';
@@ -93,6 +94,7 @@
     ...{ ledger, findings, disruptions, drainMs, marginMs, workspaces },
     servers: () => servers,
   });
+  const limits = createLimitChecks({ ledger, findings, disruptions, marginMs });
   const keyring = createKeyring({
     random: createSeededRandom(seed + keySeedOffset),
     revocationMs: bounds.revocationMs,
@@ -120,6 +122,7 @@
   });
   const operator = createOperator({
     ...{ store, servers, routers: fleet.routers, callers, plan, disruptions, findings, marginMs },
+    limits,
     graceMs: bounds.graceMs,
   });
   const fleetChecks = {
@@ -141,6 +144,7 @@
   await checkRecovery({ fleet, ledger, findings });
   await Promise.race([Promise.all(loops.map((loop) => loop.stop())), delay(lastAnswersMs)]);
   checks.checkAll();
+  limits.checkAll();
   lag.disable();
   await Promise.all(
     fleet.routers.map((_router, router) =>
