Take a store that comes back from an older copy for what it is

Callers would have seen: servers that are never used again, or used though they have left; requests with good keys refused for minutes at routers that start; keys that were taken away open; two routers that order one engine under one fencing number. Cause: positions in the store were bare revisions, and a store that goes back gives them out again.

A server that came since the copy was served on before, too, as the outage's grace held its removal where connections broke; it is now also where none did.

A position is the pair of era and revision, packed into one number that orders as pairs do. Weighed against a pair of fields: datagrams keep their form, so routers of the release before hear these and are heard, and in the first era nothing changes. After such a return: entries that are not later than what is known change nothing for ten seconds, removals are held back as after an outage, a configuration proves something only where it is not older than the newest that this router or one that it asked has in force, and leases of an earlier era are waited out; numbers begin a million higher.

--- a/packages/decisions/src/boundedMap.ts
+++ b/packages/decisions/src/boundedMap.ts
@@ -11,6 +11,7 @@
 
 export interface BoundedMap<Key, Value> {
   get(key: Key): Value | undefined;
+  has(key: Key): boolean;
   /** Writes the value and makes it the newest. */
   set(key: Key, value: Value): void;
   delete(key: Key): boolean;
@@ -51,6 +52,7 @@
 
   return {
     get: (key) => values.get(key),
+    has: (key) => values.has(key),
     set,
     delete: (key) => values.delete(key),
     getOrCreate,
--- a/packages/objects/src/dutyLease.ts
+++ b/packages/objects/src/dutyLease.ts
@@ -2,8 +2,13 @@
  * Lease of a duty that needs one holder at a time, with a fencing number. All times are monotonic and
  * local: a holder counts its validity from before its write was sent, and a contender counts the
  * other's from when it first saw the unchanged version. So no two clocks are ever compared.
+ *
+ * A platform that comes back from an older copy has lost writes: a later holder may be unknown to it and still act. So
+ * nobody takes a lease whose record is of an earlier era before the time of any such holder is over, and fencing numbers of
+ * an era begin above all that an earlier one can have given.
  */
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
+import { eraOf, type StorePosition } from '@bluebellhitch/protocol';
 import { delay, invariant, monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import { createDutyLeaseObject, type WrittenLease } from './dutyLeaseObject';
 import { parseDutyLease, type DutyLeaseRecord } from './dutyLeaseRecord';
@@ -32,6 +37,10 @@
   renewMs?: number;
   /** Pause between a contender's looks; each is a read of the platform. */
   contendMs?: number;
+  /** How often the platform came back from an older copy, as far as is known; see `StorePosition`. */
+  currentEra?: () => number;
+  /** The system starts for the first time: a lease that is not there was nobody's. */
+  isFirstStart?: boolean;
   onAcquired?(fencingNumber: number): void;
   /** Called once for each acquisition, when it is released, taken over or not renewed in time. */
   onLost?(fencingNumber: number): void;
@@ -53,6 +62,8 @@
 const defaults = { ttlMs: 6000, marginMs: 1500, renewMs: 1500, contendMs: 3000 } as const;
 
 const retryShare = 0.25;
+/** More than a lease is acquired in any era. */
+const fencingNumbersPerEra = 1_000_000;
 
 interface HeldLease extends WrittenLease {
   validUntilMs: number;
@@ -63,18 +74,23 @@
     ...defaults,
     ...options,
   };
-  const { random = Math.random } = options;
+  const { random = Math.random, currentEra = () => 0, isFirstStart = false } = options;
   invariant(marginMs < ttlMs, 'the margin of a lease is shorter than the lease');
   const session = `${holderId}/${Math.floor(random() * 2 ** 48).toString(36)}`;
-  const object = createDutyLeaseObject({ platform, key, holderId, session, ttlMs });
+  const object = createDutyLeaseObject({ platform, key, holderId, session, ttlMs, currentEra });
   let held: HeldLease | undefined;
   let lapseTimer: NodeJS.Timeout | undefined;
   /** The version that another holder wrote last, and since when this process has seen it. */
-  let seen: { version: number; sinceMs: number } | undefined;
+  let seen: { version: StorePosition; sinceMs: number } | undefined;
+  /** The platform's era, and since when this process has seen it here. */
+  let seenEra = { era: 0, sinceMs: -Infinity };
   let lastWork: Promise<unknown> = Promise.resolve();
   let loop: { stop: AbortController; ended: Promise<void> } | undefined;
 
   function heldFencing(): HeldFencing | undefined {
+    if (held !== undefined && eraOf(held.version) !== currentEra()) {
+      drop();
+    }
     const validForMs = (held?.validUntilMs ?? 0) - monotonicNowMs();
     return held !== undefined && validForMs > 0
       ? { fencingNumber: held.fencingNumber, validForMs }
@@ -83,10 +99,11 @@
 
   async function acquireOrRenew(): Promise<Result<HeldFencing, DutyLeaseError>> {
     dropLapsed();
-    if (held !== undefined) {
+    if (heldFencing() !== undefined && held !== undefined) {
       return renew(held);
     }
     const current = await object.read();
+    noteEra();
     return current.isErr() ? err(platformError(current.error)) : acquire(current.value);
   }
 
@@ -107,16 +124,38 @@
     if (current !== undefined && record === undefined) {
       return err(platformError({ kind: 'rejected', detail: `unreadable lease ${key}` }));
     }
-    if (current !== undefined && record !== undefined && !isFree(current.version, record)) {
-      return err({ kind: 'held-by-other', holderId: record.holderId ?? 'unknown' });
+    if (!isFree(current, record)) {
+      return err({ kind: 'held-by-other', holderId: record?.holderId ?? 'unknown' });
     }
-    const fencingNumber = (record?.fencingNumber ?? 0) + 1;
+    const firstOfEra = currentEra() * fencingNumbersPerEra;
+    const fencingNumber = Math.max(record?.fencingNumber ?? 0, firstOfEra) + 1;
     const written = await object.write(fencingNumber, current?.version);
     return written.mapErr(platformError).andThen((stored) => confirm(stored, fencingNumber));
   }
 
+  function noteEra(): void {
+    if (currentEra() !== seenEra.era) {
+      seenEra = { era: currentEra(), sinceMs: monotonicNowMs() };
+    }
+  }
+
+  /** Whether holders that an older copy of the platform does not know have lapsed by now. */
+  function isEraOver(record: DutyLeaseRecord | undefined): boolean {
+    const isOfThisEra = record !== undefined && (record.era ?? 0) === seenEra.era;
+    const wasNobodys = record === undefined && isFirstStart;
+    const waitMs = Math.max(ttlMs, record?.ttlMs ?? 0);
+    return isOfThisEra || wasNobodys || monotonicNowMs() - seenEra.sinceMs >= waitMs;
+  }
+
+  function isFree(current: StoredObject | undefined, record: DutyLeaseRecord | undefined): boolean {
+    if (!isEraOver(record)) {
+      return false;
+    }
+    return current === undefined || record === undefined || hasLapsed(current.version, record);
+  }
+
   /** Whether the lease is released, our own lapsed one, or unchanged for its whole time to live. */
-  function isFree(version: number, record: DutyLeaseRecord): boolean {
+  function hasLapsed(version: StorePosition, record: DutyLeaseRecord): boolean {
     if (record.holderId === undefined || record.session === session) {
       return true;
     }
@@ -134,7 +173,10 @@
   ): Result<HeldFencing, DutyLeaseError> {
     const record = parseDutyLease(stored.value);
     const sent = record === undefined ? undefined : object.sentAtOf(record);
-    if (record === undefined || sent === undefined || record.fencingNumber !== fencingNumber) {
+    // A write that crossed the platform's return may have hit an object that got its condition's version anew.
+    const isOfEra = (record?.era ?? 0) === eraOf(stored.version);
+    const isOurs = isOfEra && record?.fencingNumber === fencingNumber;
+    if (record === undefined || sent === undefined || !isOurs) {
       drop();
       return err({ kind: 'held-by-other', holderId: record?.holderId ?? 'unknown' });
     }
--- a/packages/objects/src/dutyLeaseObject.ts
+++ b/packages/objects/src/dutyLeaseObject.ts
@@ -3,6 +3,7 @@
  * lease is valid from then on, whichever of several unanswered writes turns out to be the stored one.
  */
 import { err, ok, type Result, type ResultAsync } from 'neverthrow';
+import { eraOf, type StorePosition } from '@bluebellhitch/protocol';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import { parseDutyLease, type DutyLeaseRecord } from './dutyLeaseRecord';
 import { objectKinds, type ObjectApi, type PlatformError, type StoredObject } from './platformApi';
@@ -14,12 +15,13 @@
   /** Differs between two runs that use one holder id. */
   session: string;
   ttlMs: number;
+  currentEra: () => number;
 }
 
 /** What this session wrote last. */
 export interface WrittenLease {
   fencingNumber: number;
-  version: number;
+  version: StorePosition;
 }
 
 export type DutyLeaseObject = ReturnType<typeof createDutyLeaseObject>;
@@ -29,7 +31,7 @@
 const releaseTries = 3;
 
 export function createDutyLeaseObject(options: DutyLeaseObjectOptions) {
-  const { platform, key, holderId, session, ttlMs } = options;
+  const { platform, key, holderId, session, ttlMs, currentEra } = options;
   /** When each write was sent that may be the stored one, by its sequence number. */
   const sentAtMs = new Map<number, number>();
   let sequence = 0;
@@ -44,10 +46,11 @@
   /** Writes the lease and answers what is stored afterwards, our own write or another's. */
   async function write(
     fencingNumber: number,
-    version: number | undefined,
+    version: StorePosition | undefined,
   ): Promise<Result<StoredObject, PlatformError>> {
     sequence += 1;
-    const record: DutyLeaseRecord = { fencingNumber, holderId, session, sequence, ttlMs };
+    const era = eraField(currentEra());
+    const record: DutyLeaseRecord = { fencingNumber, ...era, holderId, session, sequence, ttlMs };
     rememberSent(sequence);
     const answer = await put(version, record);
     if (answer.isOk()) {
@@ -57,7 +60,7 @@
   }
 
   function put(
-    version: number | undefined,
+    version: StorePosition | undefined,
     record: DutyLeaseRecord,
   ): ResultAsync<StoredObject, PlatformError> {
     return version === undefined
@@ -109,7 +112,9 @@
     let failure: PlatformError = { kind: 'not-found' };
     for (let tryCount = 0; tryCount < releaseTries; tryCount += 1) {
       sequence += 1;
-      const free = { fencingNumber: lease.fencingNumber, session, sequence, ttlMs };
+      // Of the era in which it was held: in a later one others may have held it since, and are waited for.
+      const era = eraField(eraOf(lease.version));
+      const free = { fencingNumber: lease.fencingNumber, ...era, session, sequence, ttlMs };
       const written = await platform.update(objectKinds.lease, key, version, free);
       if (written.isOk()) {
         return ok(undefined);
@@ -129,7 +134,7 @@
   function versionHeldUnder(
     object: StoredObject | undefined,
     fencingNumber: number,
-  ): number | undefined {
+  ): StorePosition | undefined {
     const record = parseDutyLease(object?.value);
     const isOwn = record?.session === session && record.holderId !== undefined;
     return isOwn && record.fencingNumber === fencingNumber ? object?.version : undefined;
@@ -137,3 +142,7 @@
 
   return { read, write, sentAtOf, release };
 }
+
+function eraField(era: number): Pick<DutyLeaseRecord, 'era'> {
+  return era === 0 ? {} : { era };
+}
--- a/packages/objects/src/dutyLeaseRecord.ts
+++ b/packages/objects/src/dutyLeaseRecord.ts
@@ -4,6 +4,8 @@
 export const dutyLeaseRecordSchema = z.object({
   /** Strictly increases with each acquisition. */
   fencingNumber: z.number().int().positive(),
+  /** Of the platform when it was written; absent in its first era. Another than now: later holders may be lost. */
+  era: z.number().int().nonnegative().optional(),
   /** Absent: released. */
   holderId: z.string().optional(),
   /** Differs between two processes, or two runs, that use one holder id. */
--- a/packages/objects/src/platformApi.ts
+++ b/packages/objects/src/platformApi.ts
@@ -3,7 +3,7 @@
  * wire format is a change of that one file.
  */
 import type { ResultAsync } from 'neverthrow';
-import type { ListedInstance } from '@bluebellhitch/protocol';
+import type { ListedInstance, StorePosition } from '@bluebellhitch/protocol';
 
 /** Kinds of objects that the system keeps on the platform. */
 export const objectKinds = {
@@ -26,11 +26,11 @@
 } as const;
 export type ObjectKind = (typeof objectKinds)[keyof typeof objectKinds];
 
-/** An object and its version. Versions of one object increase with each write. */
+/** An object and its version. Versions of one object increase with each write, and with each era of the platform. */
 export interface StoredObject {
   kind: ObjectKind;
   key: string;
-  version: number;
+  version: StorePosition;
   value: unknown;
 }
 
@@ -46,13 +46,13 @@
   | { kind: 'rejected'; detail: string };
 
 export type WatchEvent =
-  { kind: 'put'; object: StoredObject } | { kind: 'removed'; key: string; version: number };
+  { kind: 'put'; object: StoredObject } | { kind: 'removed'; key: string; version: StorePosition };
 
 export interface WatchReply {
   events: WatchEvent[];
   /** Pass to the next call. */
   cursor: string;
-  /** The platform no longer has the events since the given cursor: list again. */
+  /** The platform no longer has the events since the given cursor, or has come back from an older copy: list again. */
   compacted: boolean;
 }
 
@@ -75,10 +75,10 @@
   update(
     kind: ObjectKind,
     key: string,
-    version: number,
+    version: StorePosition,
     value: unknown,
   ): ResultAsync<StoredObject, PlatformError>;
-  remove(kind: ObjectKind, key: string, version: number): ResultAsync<void, PlatformError>;
+  remove(kind: ObjectKind, key: string, version: StorePosition): ResultAsync<void, PlatformError>;
   /** Long poll: answers once there are events after `cursor`, or after `waitMs` with none. */
   watch(
     kind: ObjectKind,
--- a/packages/protocol/__tests__/quotaMessages.test.ts
+++ b/packages/protocol/__tests__/quotaMessages.test.ts
@@ -23,6 +23,7 @@
 const proofs: ProofMessage[] = [
   { kind: 'question', senderAddress: '10.0.0.1:7400', number: 77 },
   { kind: 'answer', number: 77, revision: 530, ageMs: 900 },
+  { kind: 'answer', number: 78, revision: 530, ageMs: Infinity, configurationVersion: 41 },
 ];
 
 /** The same message as a later format would write it, with more at its end. */
@@ -65,3 +66,8 @@
   t.is(decodeQuotaMessage(bytes)?.uses.length, mostToldUses);
   t.true(bytes.length <= 2_048);
 });
+
+test('a proof of the release before, which told no version, is heard', (t) => {
+  const bytes = Buffer.from('["proof-answer",77,530,900]');
+  t.deepEqual(decodeProofMessage(bytes), proofs[1] as ProofMessage);
+});
--- a/packages/protocol/src/changeMessages.ts
+++ b/packages/protocol/src/changeMessages.ts
@@ -5,17 +5,18 @@
  */
 import * as z from 'zod';
 import { readDatagram } from './datagram';
+import type { StorePosition } from './storePosition';
 
 export type ToldChange =
-  | { kind: 'put'; key: string; revision: number; value: unknown }
-  | { kind: 'removed'; key: string; revision: number };
+  | { kind: 'put'; key: string; revision: StorePosition; value: unknown }
+  | { kind: 'removed'; key: string; revision: StorePosition };
 
 /** All changes of one kind of objects after one revision, up to and with another. */
 export interface ToldChanges {
   /** Which of the kinds that routers follow, in their fixed order. */
   kindIndex: number;
-  fromRevision: number;
-  toRevision: number;
+  fromRevision: StorePosition;
+  toRevision: StorePosition;
   changes: ToldChange[];
   /** Since the platform answered the sender. */
   ageMs: number;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -124,3 +124,4 @@
   type QuotaMessage,
   type ToldUse,
 } from './quotaMessages';
+export { eraOf, maxEra, revisionOf, storePosition, type StorePosition } from './storePosition';
--- a/packages/protocol/src/peerMessages.ts
+++ b/packages/protocol/src/peerMessages.ts
@@ -4,6 +4,7 @@
  */
 import * as z from 'zod';
 import { readDatagram } from './datagram';
+import type { StorePosition } from './storePosition';
 
 /** One stream at an engine, as far as it is known. */
 export interface StreamOutlook {
@@ -45,7 +46,7 @@
   /** Other routers that the sender knows. */
   peers: PeerSighting[];
   /** For each kind of objects that routers follow: the newest revision that the sender has seen. */
-  seenRevisions: number[];
+  seenRevisions: StorePosition[];
 }
 
 const count = z.number().int().nonnegative();
--- a/packages/protocol/src/proofMessages.ts
+++ b/packages/protocol/src/proofMessages.ts
@@ -5,6 +5,7 @@
  */
 import * as z from 'zod';
 import { readDatagram } from './datagram';
+import type { StorePosition } from './storePosition';
 
 export interface ProofQuestion {
   kind: 'question';
@@ -18,29 +19,39 @@
   kind: 'answer';
   number: number;
   /** The newest revision of the configuration that the sender has seen. */
-  revision: number;
-  /** Since the sender began the call of the platform that showed nothing newer. */
+  revision: StorePosition;
+  /** Since the sender began the call of the platform that showed nothing newer; infinite where none has. */
   ageMs: number;
+  /** Version of the configuration that the sender has in force; absent where it is of a release that does not tell. */
+  configurationVersion?: number;
 }
 
 export type ProofMessage = ProofQuestion | ProofAnswer;
 
 const questionName = 'proof-question';
 const answerName = 'proof-answer';
+/** In place of infinity. */
+const noProofAgeMs = 1e12;
 const formatStart = Buffer.from('["proof-');
 const count = z.number().int().nonnegative();
 const wireSchema = z.union([
   z
     .tuple([z.literal(questionName), z.string().regex(/^[\d.]{7,15}:\d{1,5}$/), count])
     .rest(z.unknown()),
-  z.tuple([z.literal(answerName), count, count, count]).rest(z.unknown()),
+  z.tuple([z.literal(answerName), count, count, count, count.nullish()]).rest(z.unknown()),
 ]);
 
 export function encodeProofMessage(message: ProofMessage): Buffer {
   const row =
     message.kind === 'question'
       ? [questionName, message.senderAddress, message.number]
-      : [answerName, message.number, message.revision, Math.ceil(message.ageMs)];
+      : [
+          ...[answerName, message.number, message.revision],
+          ...[
+            Math.min(noProofAgeMs, Math.ceil(message.ageMs)),
+            message.configurationVersion ?? null,
+          ],
+        ];
   return Buffer.from(JSON.stringify(row));
 }
 
@@ -55,5 +66,11 @@
   }
   return read[0] === questionName
     ? { kind: 'question', senderAddress: read[1], number: read[2] }
-    : { kind: 'answer', number: read[1], revision: read[2], ageMs: read[3] };
+    : {
+        kind: 'answer',
+        number: read[1],
+        revision: read[2],
+        ageMs: read[3] >= noProofAgeMs ? Infinity : read[3],
+        ...(typeof read[4] === 'number' ? { configurationVersion: read[4] } : {}),
+      };
 }
--- a/packages/routing/__tests__/configurationProof.test.ts
+++ b/packages/routing/__tests__/configurationProof.test.ts
@@ -1,6 +1,6 @@
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
 import test from 'ava';
-import { decodeProofMessage } from '@bluebellhitch/protocol';
+import { decodeProofMessage, storePosition } from '@bluebellhitch/protocol';
 import { createConfigurationProof, type ConfigurationProof } from '@bluebellhitch/routing';
 import { earlierBy, readClocks } from '@bluebellhitch/shared';
 
@@ -17,11 +17,20 @@
 }
 
 /** Two routers; what they send waits until the test delivers it. */
-function withPair(revisions: { follower: number; router: number }, check: (pair: Pair) => void) {
+function withPair(
+  revisions: { follower: number; router: number },
+  check: (pair: Pair) => void,
+  versions = { follower: 1, router: 1 },
+) {
   const clock = FakeTimers.install({ now: 1e12, toFake: ['setTimeout', 'Date', 'performance'] });
   const toFollower: Buffer[] = [];
   const toRouter: Buffer[] = [];
-  const make = (address: string, others: Buffer[], witnesses: string[], revision: number) =>
+  const make = (
+    address: string,
+    others: Buffer[],
+    witnesses: string[],
+    { revision, version }: { revision: number; version: number },
+  ) =>
     createConfigurationProof({
       channel: () => ({
         address,
@@ -32,10 +41,15 @@
       isNeeded: () => true,
       witnesses: () => witnesses,
       seenRevision: () => revision,
+      configurationVersion: () => version,
       onRevisionElsewhere: () => undefined,
     });
-  const follower = make('10.0.0.1:7000', toRouter, [], revisions.follower);
-  const router = make('10.0.0.2:7000', toFollower, ['10.0.0.1:7000'], revisions.router);
+  const follower = make('10.0.0.1:7000', toRouter, [], {
+    ...{ revision: revisions.follower, version: versions.follower },
+  });
+  const router = make('10.0.0.2:7000', toFollower, ['10.0.0.1:7000'], {
+    ...{ revision: revisions.router, version: versions.router },
+  });
   const pass = (bytes: Buffer[], to: ConfigurationProof) =>
     bytes.splice(0).forEach((one) => {
       const message = decodeProofMessage(one);
@@ -69,7 +83,7 @@
   withPair(same, ({ clock, follower }) => {
     const begun = readClocks();
     clock.tick(3_000);
-    follower.noteProved(begun);
+    follower.noteProved(begun, 1);
     t.is(follower.ageMs(), 3_000);
   });
 });
@@ -78,7 +92,7 @@
   // A key that was taken away would open at a router that stood still with an answer in its buffer. The router asks,
   // is answered at once, and reads the answer 4 s later.
   withPair(same, ({ clock, follower, router, deliver }) => {
-    follower.noteProved(earlierBy(readClocks(), 700));
+    follower.noteProved(earlierBy(readClocks(), 700), 1);
     router.ask();
     clock.tick(4_000);
     deliver();
@@ -95,7 +109,7 @@
 
 test('one that has seen more proves nothing for what is known here', (t) => {
   withPair({ follower: 6, router: 5 }, ({ follower, router, deliver }) => {
-    follower.noteProved(readClocks());
+    follower.noteProved(readClocks(), 1);
     router.ask();
     deliver();
     t.is(router.ageMs(), Infinity);
@@ -105,7 +119,7 @@
 test('a router passes on no proof but its own', (t) => {
   // Two routers that are cut off from the platform would keep each other fresh for ever.
   withPair(same, ({ clock, follower, router, toRouter, deliver }) => {
-    follower.noteProved(readClocks());
+    follower.noteProved(readClocks(), 1);
     router.ask();
     deliver();
     t.true(router.ageMs() < 100);
@@ -117,10 +131,10 @@
 
 test('a step of the time of day, or a suspension of the machine, undoes the proof', (t) => {
   withPair(same, ({ clock, follower }) => {
-    follower.noteProved(readClocks());
+    follower.noteProved(readClocks(), 1);
     clock.setSystemTime(Date.now() + 6_000);
     t.is(follower.ageMs(), Infinity);
-    follower.noteProved(readClocks());
+    follower.noteProved(readClocks(), 1);
     t.is(follower.ageMs(), 0);
   });
 });
@@ -128,7 +142,7 @@
 test('a configuration that cannot be used proves nothing until the next', (t) => {
   withPair(same, ({ follower, router, deliver }) => {
     follower.noteUnusable(true);
-    follower.noteProved(readClocks());
+    follower.noteProved(readClocks(), 1);
     router.ask();
     deliver();
     t.is(follower.ageMs(), Infinity);
@@ -137,3 +151,70 @@
     t.is(follower.ageMs(), 0);
   });
 });
+
+const laterEra = { follower: storePosition(1, 3), router: storePosition(1, 3) };
+
+test('a call that shows an older configuration than the one in force proves nothing', (t) => {
+  // The store is back from a copy that still has a key that was taken away.
+  withPair(same, ({ follower }) => {
+    follower.noteProved(readClocks(), 0);
+    t.is(follower.ageMs(), Infinity);
+    follower.noteProved(readClocks(), 1);
+    t.is(follower.ageMs(), 0);
+  });
+});
+
+test('a router that has started since the store came back learns that it has an older configuration', (t) => {
+  // It knows the copy only, and a key that it shows may have been taken away. The router that it asks knows better, and
+  // has no proof of its own in this era.
+  withPair(
+    laterEra,
+    ({ clock, router, deliver }) => {
+      router.noteProved(readClocks(), 1);
+      t.is(router.ageMs(), Infinity, 'others have had no time to tell');
+      router.ask();
+      deliver();
+      t.is(router.ageMs(), Infinity);
+      clock.tick(2_000);
+      t.is(router.ageMs(), Infinity);
+    },
+    { follower: 2, router: 1 },
+  );
+  withPair(laterEra, ({ router, deliver }) => {
+    router.noteProved(readClocks(), 1);
+    router.ask();
+    deliver();
+    t.is(router.ageMs(), 0);
+  });
+});
+
+test('what was proved before the store came back is no proof for others', (t) => {
+  withPair(laterEra, ({ follower, router, deliver }) => {
+    follower.noteProved(readClocks(), 1);
+    follower.noteEraRisen();
+    router.ask();
+    deliver();
+    t.is(router.ageMs(), Infinity);
+    follower.noteProved(readClocks(), 1);
+  });
+});
+
+test('a router that is still in an earlier era, or has an older configuration, proves nothing to others', (t) => {
+  const positions = { follower: storePosition(0, 9), router: storePosition(1, 3) };
+  withPair(positions, ({ follower, router, deliver }) => {
+    follower.noteProved(readClocks(), 1);
+    router.ask();
+    deliver();
+    t.is(router.ageMs(), Infinity);
+  });
+  withPair(
+    laterEra,
+    ({ follower, router, deliver }) => {
+      follower.noteProved(readClocks(), 1);
+      router.ask();
+      deliver();
+      t.is(router.ageMs(), Infinity);
+    },
+    { follower: 1, router: 2 },
+  );
+});
--- a/packages/routing/__tests__/serverDirectory.test.ts
+++ b/packages/routing/__tests__/serverDirectory.test.ts
@@ -121,3 +121,46 @@
   directory.put(before);
   t.like(directory.usable('s')[0], { id: 'a~k' });
 });
+
+test.serial('what an older copy of the store lists does not go before what is known', (t) => {
+  // Requests would go to servers that end. The store has lost that one said it leaves, that another is gone, and that a
+  // third changed; each counts again by an entry that it has written later.
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+  try {
+    const directory = createServerDirectory();
+    const entry = (id: string, entryNumber: number, over: Partial<BackendServer> = {}) =>
+      server(id, { entryNumber, ...over });
+    directory.replaceAll([entry('leaves', 5), entry('gone', 5), entry('changed', 5)]);
+    directory.put(entry('leaves', 9, { isDraining: true }));
+    directory.remove('gone');
+    directory.put(entry('changed', 9, { slots: 8 }));
+    directory.noteOlderCopy();
+    directory.replaceAll([entry('leaves', 5), entry('gone', 5), entry('changed', 6)]);
+    t.deepEqual(idsOf(directory.usable('s')), ['changed']);
+    t.is(directory.get('changed')?.slots, 8);
+    directory.put(entry('leaves', 9));
+    t.deepEqual(idsOf(directory.usable('s')), ['changed']);
+    directory.put(entry('gone', 10));
+    directory.put(entry('leaves', 10));
+    t.deepEqual(idsOf(directory.usable('s')).sort(), ['changed', 'gone', 'leaves']);
+    clock.tick(11_000);
+    directory.replaceAll([entry('changed', 2)]);
+    t.is(directory.get('changed')?.slots, 4);
+  } finally {
+    clock.uninstall();
+  }
+});
+
+test.serial('a server whose entry could not be read has not said that it leaves', (t) => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+  try {
+    const directory = createServerDirectory();
+    directory.replaceAll([server('a', { entryNumber: 5 })]);
+    directory.withdraw('a');
+    directory.noteOlderCopy();
+    directory.replaceAll([server('a', { entryNumber: 5 })]);
+    t.deepEqual(idsOf(directory.usable('s')), ['a']);
+  } finally {
+    clock.uninstall();
+  }
+});
--- a/packages/routing/src/configurationProof.ts
+++ b/packages/routing/src/configurationProof.ts
@@ -6,8 +6,17 @@
  *
  * While nothing fails, with calls of others of 1.25 s a router's proof is 3.2 s old at the most: two such calls, and the
  * time between two questions. It asks the platform itself soon after that.
+ *
+ * A platform that comes back from an older copy may show an older configuration, and one that is older proves nothing:
+ * neither to a router that knows a newer one, nor to one that has just started and hears of a newer one from those it asks.
  */
-import { encodeProofMessage, type ProofAnswer, type ProofMessage } from '@bluebellhitch/protocol';
+import {
+  encodeProofMessage,
+  eraOf,
+  type ProofAnswer,
+  type ProofMessage,
+  type StorePosition,
+} from '@bluebellhitch/protocol';
 import {
   ageMsOf,
   createBackgroundLoop,
@@ -32,15 +41,19 @@
   /** Routers to ask; none where this one watches the platform itself. */
   witnesses: () => readonly string[];
   /** The newest revision of the configuration that this process has seen. */
-  seenRevision: () => number;
+  seenRevision: () => StorePosition;
+  /** Of the configuration in force; 0 before the first. */
+  configurationVersion: () => number;
   /** Another process has seen this revision. */
-  onRevisionElsewhere(revision: number): void;
+  onRevisionElsewhere(revision: StorePosition): void;
   random?: Random;
 }
 
 export interface ConfigurationProof extends BackgroundLoop {
-  /** A call of the platform that began then has shown nothing newer than what is known here. */
-  noteProved(begun: ClockReading): void;
+  /** A call of the platform that began then has shown this version of the configuration, and nothing newer. */
+  noteProved(begun: ClockReading, shownVersion: number): void;
+  /** The platform has come back from an older copy: what was proved before is no proof for others any more. */
+  noteEraRisen(): void;
   /** The newest configuration cannot be used: what is in force proves nothing. */
   noteUnusable(isUnusable: boolean): void;
   /** Infinite where nothing is proved. */
@@ -56,6 +69,8 @@
 /** Answers to earlier questions are too late to help. */
 const mostQuestions = 16;
 const questionNumbers = 2 ** 48;
+/** A question that is asked at the start is answered well within this time. */
+const heedMs = 1_500;
 
 export function createConfigurationProof(options: ConfigurationProofOptions): ConfigurationProof {
   const { random = Math.random } = options;
@@ -65,6 +80,10 @@
   let ownProvedAt: ClockReading | undefined;
   let lastAskedAt: ClockReading | undefined;
   let isUnusable = false;
+  /** The newest that a router that was asked has in force. */
+  let versionElsewhere = 0;
+  let hasAnswer = false;
+  const startedAt = readClocks();
 
   function keepNewest(known: ClockReading | undefined, begun: ClockReading): ClockReading {
     return known === undefined || ageMsOf(begun) < ageMsOf(known) ? begun : known;
@@ -86,24 +105,46 @@
     void channel.send(encodeProofMessage(question), witnesses);
   }
 
+  /** Without a proof of its own it still tells its configuration's version: the asker's may be older. */
   function answer(senderAddress: string, number: number): void {
     const ageMs = ownProvedAt === undefined || isUnusable ? Infinity : ageMsOf(ownProvedAt);
-    if (Number.isFinite(ageMs)) {
-      const reply = { kind: 'answer', number, revision: options.seenRevision(), ageMs } as const;
-      void options.channel()?.send(encodeProofMessage(reply), [senderAddress]);
-    }
+    const known = {
+      revision: options.seenRevision(),
+      configurationVersion: options.configurationVersion(),
+    };
+    const reply = { kind: 'answer', number, ageMs, ...known } as const;
+    void options.channel()?.send(encodeProofMessage(reply), [senderAddress]);
   }
 
-  function takeAnswer({ number, revision, ageMs }: ProofAnswer): void {
-    const askedAt = asked.get(number);
+  function takeAnswer(told: ProofAnswer): void {
+    const askedAt = asked.get(told.number);
     if (askedAt === undefined) {
       return;
     }
+    const { revision, ageMs, configurationVersion = options.configurationVersion() } = told;
+    hasAnswer = true;
+    versionElsewhere = Math.max(versionElsewhere, configurationVersion);
     if (revision > options.seenRevision()) {
       options.onRevisionElsewhere(revision);
       return;
     }
-    provedAt = keepNewest(provedAt, earlierBy(askedAt, ageMs));
+    const isOfEra = eraOf(revision) === eraOf(options.seenRevision());
+    if (isOfEra && configurationVersion === options.configurationVersion()) {
+      provedAt = keepNewest(provedAt, earlierBy(askedAt, ageMs));
+    }
+  }
+
+  /**
+   * Whether the routers that were there before the platform came back have had time to tell of a newer configuration than
+   * its copy. In the first era there is no copy, and nothing to wait for.
+   */
+  function isHeedful(): boolean {
+    const isFirstEra = eraOf(options.seenRevision()) === 0;
+    return isFirstEra || hasAnswer || ageMsOf(startedAt) > heedMs;
+  }
+
+  function isProvable(): boolean {
+    return !isUnusable && versionElsewhere <= options.configurationVersion() && isHeedful();
   }
 
   async function run(signal: AbortSignal): Promise<void> {
@@ -117,14 +158,20 @@
 
   return {
     ...createBackgroundLoop(run),
-    noteProved(begun) {
+    noteProved(begun, shownVersion) {
+      if (shownVersion < Math.max(options.configurationVersion(), versionElsewhere)) {
+        return;
+      }
       provedAt = keepNewest(provedAt, begun);
       ownProvedAt = keepNewest(ownProvedAt, begun);
     },
     noteUnusable(next) {
       isUnusable = next;
     },
-    ageMs: () => (provedAt === undefined || isUnusable ? Infinity : ageMsOf(provedAt)),
+    noteEraRisen() {
+      ownProvedAt = undefined;
+    },
+    ageMs: () => (provedAt === undefined || !isProvable() ? Infinity : ageMsOf(provedAt)),
     receive(message) {
       if (message.kind === 'question') {
         answer(message.senderAddress, message.number);
--- a/packages/routing/src/model.ts
+++ b/packages/routing/src/model.ts
@@ -114,6 +114,8 @@
   name: string;
   /** Start of this life in Unix milliseconds, where the server tells it. */
   bornAtMs?: number;
+  /** Grows with each entry that the server writes, where it tells it. */
+  entryNumber?: number;
   serviceName: string;
   /** `ip:port`; may belong to another server once this one is gone. */
   address: string;
--- a/packages/routing/src/objectFollower.ts
+++ b/packages/routing/src/objectFollower.ts
@@ -6,6 +6,9 @@
  * Where others tell what changed, a process may leave the watching to them: it asks the platform only where it has
  * missed a change, where it has heard nothing for a moment, and now and then to check. With 18 routers, three of which
  * tell the rest, a quiet minute takes 360 calls instead of 827.
+ *
+ * Revisions are positions: of a later era of the platform, each is later than any before, whether it is seen here or told.
+ * What a process knows of an earlier era is listed anew; nothing of an earlier era changes anything.
  */
 import { ok, type Result } from 'neverthrow';
 import type {
@@ -15,7 +18,13 @@
   StoredObject,
   WatchEvent,
 } from '@bluebellhitch/objects';
-import type { ToldChange, ToldChanges } from '@bluebellhitch/protocol';
+import {
+  eraOf,
+  storePosition,
+  type StorePosition,
+  type ToldChange,
+  type ToldChanges,
+} from '@bluebellhitch/protocol';
 import {
   createBackgroundLoop,
   delay,
@@ -41,6 +50,8 @@
   onLost(error: PlatformError): void;
   /** The store answers again, or for the first time; another process may have noticed, so long ago. */
   onBack(agoMs: number): void;
+  /** The store has come back from an older copy: the list that follows may be older than what is known. */
+  onEraRisen?: (era: number) => void;
   /** An answer of the store has been applied. */
   onSeen?: (seen: SeenChanges) => void;
   /** Whether others watch for this process. */
@@ -58,11 +69,11 @@
 
 export interface ObjectFollower extends BackgroundLoop {
   /** The newest revision of an object of the kind that was seen; 0 before the first. */
-  seenRevision(): number;
+  seenRevision(): StorePosition;
   /** Another process has seen a newer one. */
   isBehind(): boolean;
   /** Another process has seen this revision. */
-  noteRevisionElsewhere(revision: number): void;
+  noteRevisionElsewhere(revision: StorePosition): void;
   /** Another process tells what its watch has shown. */
   noteTold(told: SeenChanges): void;
   /** Asks the store at once. */
@@ -89,9 +100,11 @@
   const { firstRetryMs = defaultFirstRetryMs, retryLimitMs = defaultRetryLimitMs } = options;
   const { onSeen = () => undefined, isToldByOthers = () => false } = options;
   const { newsLifetimeMs = () => 0, proofLeftMs = () => Infinity } = options;
-  const { onProved = () => undefined } = options;
+  const { onProved = () => undefined, onEraRisen = () => undefined } = options;
   /** Everything up to this revision of the store is known; undefined before the first list. */
   let cursor: string | undefined;
+  /** Of the last list. */
+  let listedEra: number | undefined;
   /** When the store, here or at others, last showed that nothing is missing. */
   let currentAtMs = -Infinity;
   let askedAtMs = -Infinity;
@@ -114,6 +127,7 @@
     const listed = await store.list(kind);
     noteAnswer(listed, signal);
     return listed.map(({ objects, cursor: from }) => {
+      noteEra(eraOf(Number(from)));
       objects.forEach(({ version }) => noteRevision(version));
       options.onListed(objects);
       cursor = from;
@@ -122,6 +136,17 @@
     });
   }
 
+  /** A store that was away so briefly that no call failed has lost entries all the same. */
+  function noteEra(era: number): void {
+    if (listedEra !== undefined && era > listedEra) {
+      returnedAtMs = monotonicNowMs();
+      options.onBack(0);
+      onEraRisen(era);
+    }
+    listedEra = era;
+    noteRevision(storePosition(era, 0));
+  }
+
   async function watch(from: string, signal: AbortSignal): Promise<Result<void, PlatformError>> {
     // After an outage the first watch does not wait: its answer tells that the store is back, and what is
     // held back for the outage must not be held for the length of a watch longer.
@@ -151,7 +176,7 @@
   }
 
   /** What was heard of before a call that does not show it was false news. */
-  function noteProved(begun: ClockReading, heardOf: number): void {
+  function noteProved(begun: ClockReading, heardOf: StorePosition): void {
     if (revisionElsewhere === heardOf) {
       revisionElsewhere = seenRevision;
     }
@@ -193,7 +218,7 @@
     options.onEvent(event);
   }
 
-  function noteRevision(revision: number): void {
+  function noteRevision(revision: StorePosition): void {
     seenRevision = Math.max(seenRevision, revision);
   }
 
@@ -221,7 +246,7 @@
     behindTimer.unref();
   }
 
-  function noteRevisionElsewhere(revision: number): void {
+  function noteRevisionElsewhere(revision: StorePosition): void {
     revisionElsewhere = Math.max(revisionElsewhere, revision);
     if (revision > seenRevision) {
       noteBehind(() => revision > seenRevision);
@@ -334,7 +359,7 @@
   };
 }
 
-function versionOf(event: WatchEvent): number {
+function versionOf(event: WatchEvent): StorePosition {
   return event.kind === 'put' ? event.object.version : event.version;
 }
 
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -20,6 +20,8 @@
   countWastedPrefillTokens(tokens: number): void;
   countConnection(): void;
   setConfigurationVersion(version: number): void;
+  /** How often the platform's store came back from an older copy, as it tells. */
+  setStoreEra(era: number): void;
   setServers(count: number): void;
   /** Servers that name a limit in their answers. */
   setLimitedServers(count: number): void;
@@ -103,6 +105,10 @@
   );
   const lostLines = gauge('bluebell_log_lines_dropped', 'Log lines that were not written.');
   const version = gauge('bluebell_configuration_version', 'Version of the configuration in force.');
+  const storeEra = gauge(
+    'bluebell_store_era',
+    'How often the store came back from an older copy, as it tells in its answers.',
+  );
   const unreadable = counter(
     'bluebell_unreadable_objects_total',
     'Objects of the store that could not be read, by kind; each reading counts.',
@@ -153,6 +159,7 @@
     countWastedPrefillTokens: (tokens) => wastedTokens.inc(tokens),
     countConnection: () => connections.inc(),
     setConfigurationVersion: (value) => version.set(value),
+    setStoreEra: (era) => storeEra.set(era),
     setServers: (count) => servers.set(count),
     setLimitedServers: (count) => limitedServers.set(count),
     countPermit: (outcome) => permits.inc({ outcome }),
--- a/packages/routing/src/serverDirectory.ts
+++ b/packages/routing/src/serverDirectory.ts
@@ -6,6 +6,9 @@
  * Entries that lapsed while the store was away come back within moments of its
  * return, so a removal seen then is held back for that long: otherwise a store that was down would empty
  * the pools of servers that are all alive.
+ *
+ * A store that comes back from an older copy lists servers that have left since, or said that they leave. For a while what is
+ * known goes before it: such a server counts again only by an entry that it has written later than the last one known.
  */
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import { createBoundedMap } from '@bluebellhitch/decisions';
@@ -36,6 +39,8 @@
   storeLost(): void;
   /** The store answers again, or has since so long ago. */
   storeBack(agoMs?: number): void;
+  /** The store has come back from an older copy: the next lists may be older than what is known. */
+  noteOlderCopy(): void;
   get(id: string): BackendServer | undefined;
   /** Servers that may get new requests. */
   usable(serviceName: string, stage?: Stage): BackendServer[];
@@ -54,6 +59,9 @@
 const maxRememberedNames = 4_096;
 /** Alive servers write again within about two seconds; a quarter more for the way. */
 const defaultLapseGraceMs = 2_250;
+/** In this time servers that live have written again, and entries of those that are gone have lapsed. */
+const olderCopyMs = 10_000;
+const maxRememberedIds = 4_096;
 
 export function createServerDirectory(options: ServerDirectoryOptions = {}): ServerDirectory {
   const { lapseGraceMs = defaultLapseGraceMs, onChanged = () => undefined } = options;
@@ -66,6 +74,32 @@
   let membershipChangedAtMs = -Infinity;
   let isStoreAway = false;
   let storeBackAtMs = -Infinity;
+  let olderCopyUntilMs = -Infinity;
+  /** Numbers of the last entries of servers that were removed, by id. */
+  const removedEntryNumbers = createBoundedMap<string, number | undefined>({
+    maxEntries: maxRememberedIds,
+  });
+  /** Names of servers whose entries could not be read: they did not say that they leave. */
+  const withdrawnNames = new Set<string>();
+
+  /** Whether the entry may be one of the older copy that the store has come back from. */
+  function isOfOlderCopy(server: BackendServer, isListed: boolean): boolean {
+    if (monotonicNowMs() >= olderCopyUntilMs) {
+      return false;
+    }
+    const known = servers.get(server.name);
+    if (known?.id === server.id) {
+      const hasLeft = known.isDraining && !withdrawnNames.has(known.name) && !server.isDraining;
+      return (
+        isEarlier(server, known.entryNumber) || (hasLeft && !isLater(server, known.entryNumber))
+      );
+    }
+    if (!removedEntryNumbers.has(server.id)) {
+      return false;
+    }
+    const lastNumber = removedEntryNumbers.get(server.id);
+    return isListed ? !isLater(server, lastNumber) : isEarlier(server, lastNumber);
+  }
 
   function cancelRemoval(name: string): void {
     clearTimeout(heldRemovals.get(name));
@@ -76,8 +110,8 @@
     return bornAtMs < (lastBornAtMs.get(name) ?? -Infinity);
   }
 
-  function put(server: BackendServer): void {
-    if (isOldNews(server)) {
+  function put(server: BackendServer, isListed = false): void {
+    if (isOldNews(server) || isOfOlderCopy(server, isListed)) {
       return;
     }
     if (server.bornAtMs === undefined && lastBornAtMs.get(server.name) !== undefined) {
@@ -93,6 +127,8 @@
       lastBornAtMs.set(server.name, server.bornAtMs);
     }
     cancelRemoval(server.name);
+    withdrawnNames.delete(server.name);
+    removedEntryNumbers.delete(server.id);
     const known = servers.get(server.name);
     servers.set(server.name, server);
     idsToNames.set(server.id, server.name);
@@ -107,6 +143,8 @@
     cancelRemoval(server.name);
     servers.delete(server.name);
     idsToNames.delete(server.id);
+    withdrawnNames.delete(server.name);
+    removedEntryNumbers.set(server.id, server.entryNumber);
     version += 1;
     membershipChangedAtMs = monotonicNowMs();
     onChanged({ kind: 'removed', server });
@@ -138,6 +176,7 @@
       return;
     }
     const withdrawn = { ...server, isDraining: true };
+    withdrawnNames.add(name);
     servers.set(name, withdrawn);
     version += 1;
     membershipChangedAtMs = monotonicNowMs();
@@ -149,7 +188,7 @@
     unreadableNames: readonly string[] = [],
   ): void {
     const names = new Set([...listed.map(({ name }) => name), ...unreadableNames]);
-    listed.forEach(put);
+    listed.forEach((server) => put(server, true));
     unreadableNames.forEach(withdraw);
     [...servers.keys()].filter((name) => !names.has(name)).forEach(remove);
   }
@@ -168,7 +207,7 @@
   }
 
   return {
-    put,
+    put: (server) => put(server),
     remove,
     withdraw,
     replaceAll,
@@ -180,6 +219,9 @@
       isStoreAway = false;
       storeBackAtMs = Math.max(storeBackAtMs, monotonicNowMs() - agoMs);
     },
+    noteOlderCopy() {
+      olderCopyUntilMs = monotonicNowMs() + olderCopyMs;
+    },
     get,
     usable: (serviceName, stage) =>
       [...servers.values()].filter(
@@ -198,3 +240,11 @@
     membershipChangedAtMs: () => membershipChangedAtMs,
   };
 }
+
+function isLater({ entryNumber }: BackendServer, thanNumber: number | undefined): boolean {
+  return entryNumber !== undefined && thanNumber !== undefined && entryNumber > thanNumber;
+}
+
+function isEarlier({ entryNumber }: BackendServer, thanNumber: number | undefined): boolean {
+  return entryNumber !== undefined && thanNumber !== undefined && entryNumber < thanNumber;
+}
