Say of a lease whether nobody held its duty before

The first holder need not wait for orders of one before. Now the lease says so: no record, and either the store's first era or the first start of the whole system.

--- a/packages/duties/__tests__/helpers/acceptorFixture.ts
+++ b/packages/duties/__tests__/helpers/acceptorFixture.ts
@@ -45,7 +45,7 @@
         heldFencing: () =>
           lease.fencingNumber === undefined
             ? undefined
-            : { fencingNumber: lease.fencingNumber, validForMs: 1000 },
+            : { fencingNumber: lease.fencingNumber, validForMs: 1000, isFirst: false },
       },
       validate: parseDocument,
     });
--- a/packages/objects/src/dutyLease.ts
+++ b/packages/objects/src/dutyLease.ts
@@ -19,6 +19,8 @@
   fencingNumber: number;
   /** Remaining validity; the holder acts only while it is positive. */
   validForMs: number;
+  /** Nobody held the duty before: no order of another can be on its way. */
+  isFirst: boolean;
 }
 
 export type DutyLeaseError =
@@ -67,6 +69,7 @@
 
 interface HeldLease extends WrittenLease {
   validUntilMs: number;
+  isFirst: boolean;
 }
 
 export function createDutyLease(options: DutyLeaseOptions): DutyLease {
@@ -93,7 +96,7 @@
     }
     const validForMs = (held?.validUntilMs ?? 0) - monotonicNowMs();
     return held !== undefined && validForMs > 0
-      ? { fencingNumber: held.fencingNumber, validForMs }
+      ? { fencingNumber: held.fencingNumber, validForMs, isFirst: held.isFirst }
       : undefined;
   }
 
@@ -114,7 +117,7 @@
     if (held?.fencingNumber !== lease.fencingNumber) {
       return err(lapsed);
     }
-    return record.mapErr(platformError).andThen((stored) => confirm(stored, lease.fencingNumber));
+    return record.mapErr(platformError).andThen((stored) => confirm(stored, lease));
   }
 
   async function acquire(
@@ -130,7 +133,10 @@
     const firstOfEra = currentEra() * fencingNumbersPerEra;
     const fencingNumber = Math.max(record?.fencingNumber ?? 0, firstOfEra) + 1;
     const written = await object.write(fencingNumber, current?.version);
-    return written.mapErr(platformError).andThen((stored) => confirm(stored, fencingNumber));
+    const isFirst = current === undefined && (currentEra() === 0 || isFirstStart);
+    return written
+      .mapErr(platformError)
+      .andThen((stored) => confirm(stored, { fencingNumber, isFirst }));
   }
 
   function noteEra(): void {
@@ -169,7 +175,7 @@
   /** Holds the lease where `stored` is our own write, for as long as that write allows. */
   function confirm(
     stored: StoredObject,
-    fencingNumber: number,
+    { fencingNumber, isFirst }: Pick<HeldLease, 'fencingNumber' | 'isFirst'>,
   ): Result<HeldFencing, DutyLeaseError> {
     const record = parseDutyLease(stored.value);
     const sent = record === undefined ? undefined : object.sentAtOf(record);
@@ -181,7 +187,7 @@
       return err({ kind: 'held-by-other', holderId: record?.holderId ?? 'unknown' });
     }
     const validUntilMs = sent + ttlMs - marginMs;
-    hold({ fencingNumber, validUntilMs, version: stored.version });
+    hold({ fencingNumber, validUntilMs, isFirst, version: stored.version });
     const fencing = heldFencing();
     return fencing === undefined ? err(lapsed) : ok(fencing);
   }
--- a/packages/routing/__tests__/stageKeeper.test.ts
+++ b/packages/routing/__tests__/stageKeeper.test.ts
@@ -35,12 +35,16 @@
 });
 
 function leaseOf(world: World): DutyLease {
+  const fencing = (): HeldFencing => {
+    const { fencingNumber } = world;
+    return { fencingNumber, validForMs: 1_000, isFirst: fencingNumber === 1 };
+  };
   const held = (): Result<HeldFencing, DutyLeaseError> => {
     if (world.isHeldByOther) {
       return err({ kind: 'held-by-other', holderId: 'x' });
     }
     world.isLeaseHeld = true;
-    return ok({ fencingNumber: world.fencingNumber, validForMs: 1_000 });
+    return ok(fencing());
   };
   return {
     acquireOrRenew: async () => {
@@ -51,8 +55,7 @@
       world.isLeaseHeld = false;
       return ok(undefined);
     },
-    heldFencing: () =>
-      world.isLeaseHeld ? { fencingNumber: world.fencingNumber, validForMs: 1_000 } : undefined,
+    heldFencing: () => (world.isLeaseHeld ? fencing() : undefined),
     start: () => undefined,
     stop: async () => undefined,
   } as unknown as DutyLease;
--- a/packages/routing/src/stageKeeper.ts
+++ b/packages/routing/src/stageKeeper.ts
@@ -101,14 +101,14 @@
       contendsFromMs = monotonicNowMs() + leaseMs * (0.5 + 0.5 * random());
       return false;
     }
-    const { fencingNumber } = held.value;
+    const { fencingNumber, isFirst } = held.value;
     if (heldSinceMs === undefined || firstFencing !== fencingNumber) {
       heldSinceMs = monotonicNowMs();
       firstFencing = fencingNumber;
       logger.info('holding the lease of stage orders', { fencingNumber });
     }
-    // The holder before may have sent its last order just before its lease ended. The first has none.
-    return fencingNumber === 1 || monotonicNowMs() - heldSinceMs >= leaseMs;
+    // The holder before may have sent its last order just before its lease ended.
+    return isFirst || monotonicNowMs() - heldSinceMs >= leaseMs;
   }
 
   async function order(change: StageChange, service: ServiceSettings): Promise<void> {
