--- a/packages/soak/src/backendServers.ts
+++ b/packages/soak/src/backendServers.ts
@@ -43,6 +43,8 @@
   setLink(place: number, fault: LinkFault): void;
   resetLinks(place: number): void;
   setErrors(place: number, errors: ServerErrors | undefined): void;
+  /** The store has come back from an older copy: those that live write again, entries of others lapse. */
+  listAgain(): Promise<void>;
   /** Of the server that is there now. */
   nameLimit(place: number, requestsPerSecond: number | undefined): void;
   serverId(place: number): string;
@@ -101,6 +103,7 @@
   const { store, ledger, findings, random } = options;
   const places: Place[] = layout.map((place, index) => ({ ...place, index, lives: 0 }));
   const leaving = new Map<string, number>();
+  const draining = new Map<string, RunningServer>();
   const fencing = new Map<string, number>();
 
   async function startAt(place: Place): Promise<void> {
@@ -149,6 +152,25 @@
     }
   }
 
+  function listDraining({ worker, proxy }: RunningServer): void {
+    store.put(storeKind, worker.id, worker.entryAt(proxy.address, 'draining'));
+  }
+
+  async function listAgain(): Promise<void> {
+    [...draining.values()].forEach(listDraining);
+    [...places].sort(() => random() - 0.5).forEach(list);
+    await delay(entryLapseMs);
+    const living = new Set([
+      ...draining.keys(),
+      ...places.flatMap(({ current }) => current?.worker.id ?? []),
+    ]);
+    store
+      .objects(storeKind)
+      .map(({ metadata }) => metadata.name)
+      .filter((name) => !living.has(name))
+      .forEach((name) => store.remove(storeKind, name));
+  }
+
   async function end({ worker, proxy }: RunningServer): Promise<void> {
     proxy.close();
     await worker.stop();
@@ -182,9 +204,11 @@
       isPlanned: true,
     });
     await startAt(place);
-    store.put(storeKind, id, old.worker.entryAt(old.proxy.address, 'draining'));
+    draining.set(id, old);
+    listDraining(old);
     leaving.set(id, monotonicNowMs());
     await delay(options.drainMs + drainReserveMs);
+    draining.delete(id);
     store.remove(storeKind, id);
     await end(old);
     ended();
@@ -201,6 +225,7 @@
     setErrors(index, errors) {
       (places[index] as Place).errors = errors;
     },
+    listAgain,
     nameLimit(index, requestsPerSecond) {
       const worker = places[index]?.current?.worker;
       if (worker !== undefined) {
--- a/packages/soak/src/configurationPlan.ts
+++ b/packages/soak/src/configurationPlan.ts
@@ -25,6 +25,8 @@
   change(change: ConfigurationChange): void;
   /** Writes the next version, with the keys that are in force now; returns when it was acknowledged. */
   write(): number;
+  /** The same once more: the store has lost it. */
+  writeAgain(): number;
   /** Paths that were changed, with what holds for each now. */
   changedPaths(): ReadonlyMap<string, PathState>;
   /** All states that the moving path has had, the oldest first. */
@@ -41,6 +43,10 @@
 
   function write(): number {
     version += 1 + (version % 3);
+    return writeAgain();
+  }
+
+  function writeAgain(): number {
     store.put('config', 'main', encodeConfiguration(configuration(), keyring.workspaces()));
     return monotonicNowMs();
   }
@@ -78,6 +84,7 @@
     baseRoutes,
     movingPrefix: movingRoute().pathPrefix,
     write,
+    writeAgain,
     change(change) {
       const removed = change === 'remove' ? extraRoutes.shift() : undefined;
       if (removed !== undefined) {
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -9,6 +9,7 @@
 import type { LimitChecks } from './limitChecks';
 import type { RouterProcessHandle } from './routerFleet';
 import type { Operation } from './script';
+import type { StoreCopies } from './storeCopies';
 
 export interface OperatorOptions {
   store: StandinStore;
@@ -19,6 +20,7 @@
   disruptions: Disruptions;
   findings: Findings;
   limits: LimitChecks;
+  copies: StoreCopies;
   /** From the signal to stop until the process must have ended. */
   graceMs: number;
   marginMs: number;
@@ -154,6 +156,19 @@
   }
 
   /** A server that is replaced meanwhile takes its limit with it. */
+  async function restoreStore(operation: OperationOf<'restore-store'>): Promise<void> {
+    const { ageMs, awayMs, againMs } = operation;
+    const ended = disruptions.begin({ kind: 'store' }, 'store back from a copy');
+    store.setFault({ kind: 'reset' });
+    await delay(awayMs);
+    store.restore(options.copies.atAge(awayMs + ageMs));
+    store.setFault({ kind: 'none' });
+    await delay(againMs);
+    plan.writeAgain();
+    await servers.listAgain();
+    ended();
+  }
+
   async function limitServer(operation: OperationOf<'limit-server'>): Promise<void> {
     const { server, requestsPerSecond, forMs } = operation;
     const id = servers.serverId(server);
@@ -185,6 +200,7 @@
       'store-reset': ({ router }) =>
         resetLinks(subjectOf(routerAt(router)), routerAt(router).storeLink.resetAll),
       'store-fault': failStore,
+      'restore-store': (operation) => inTurn('store', () => restoreStore(operation)),
       'forget-history': () => resetLinks({ kind: 'store' }, store.compact),
       'crash-server': ({ server, downMs }) =>
         inTurn(`server ${server}`, () => servers.crash(server, downMs)),
--- a/packages/soak/src/script.ts
+++ b/packages/soak/src/script.ts
@@ -12,6 +12,8 @@
   | { kind: 'store-reset'; router: number }
   | { kind: 'store-fault'; fault: StoreFault; forMs: number }
   | { kind: 'forget-history' }
+  /** The store is away for a moment and comes back as it was; what it has lost is written again later. */
+  | { kind: 'restore-store'; ageMs: number; awayMs: number; againMs: number }
   | { kind: 'crash-server'; server: number; downMs: number }
   | { kind: 'replace-server'; server: number }
   | { kind: 'server-link'; server: number; link: LinkFault; forMs: number }
@@ -51,6 +53,7 @@
 const operationsPer10Seconds = 9;
 const msPer10Seconds = 10_000;
 const limitSeedOffset = 104_729;
+const copySeedOffset = 1_299_709;
 const plannedKinds = ['stop-router', 'reload-router', 'replace-server', 'change-configuration'];
 
 export function createScript(options: ScriptOptions): SoakScript {
@@ -64,7 +67,7 @@
     atMs: Math.round(random() * durationMs),
     operation: pickOperation(kind, options, random),
   }));
-  const all = kind === 'mixed' ? [...steps, ...limitSteps(options)] : steps;
+  const all = kind === 'mixed' ? [...steps, ...limitSteps(options), ...copySteps(options)] : steps;
   return { kind, steps: all.sort((left, right) => left.atMs - right.atMs) };
 }
 
@@ -84,6 +87,22 @@
   }));
 }
 
+/** Drawn apart as well: in one script of two the store comes back from an older copy, in some of them twice. */
+function copySteps({ seed, durationMs }: ScriptOptions): ScriptStep[] {
+  const random = createSeededRandom(seed + copySeedOffset);
+  random();
+  const count = Math.max(0, Math.floor(random() * 4) - 1);
+  return Array.from({ length: count }, () => ({
+    atMs: Math.round(random() * durationMs),
+    operation: {
+      kind: 'restore-store',
+      ageMs: Math.round(500 + random() * 9_500),
+      awayMs: Math.round(random() < 0.3 ? 0 : random() * 5_000),
+      againMs: Math.round(random() * 3_000),
+    },
+  }));
+}
+
 function pickOperation(kind: ScriptKind, options: ScriptOptions, random: Random): Operation {
   const makers = operationMakers(options, random);
   const fitting = makers.filter(({ name }) => kind === 'mixed' || plannedKinds.includes(name));
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -22,6 +22,7 @@
 import { createRequestChecks } from './requestChecks';
 import { startRouterFleet, type RouterFleet } from './routerFleet';
 import { createScript, type ScriptStep } from './script';
+import { createStoreCopies } from './storeCopies';
 import { createWorkspaceChecks } from './workspaceChecks';
 
 export interface SoakOptions {
@@ -120,9 +121,10 @@
     routerCount,
     serverCount: servers.placeCount,
   });
+  const copies = createStoreCopies(store);
   const operator = createOperator({
     ...{ store, servers, routers: fleet.routers, callers, plan, disruptions, findings, marginMs },
-    limits,
+    ...{ limits, copies },
     graceMs: bounds.graceMs,
   });
   const fleetChecks = {
@@ -135,6 +137,7 @@
     createConfigurationCheck(fleetChecks),
     keyring.rotation(plan.write),
     workspaces.quotaLoop,
+    copies,
   ];
 
   await untilReady(fleet);
