Ask other routers before an older copy of the configuration is believed

Cause: a router asks others only once it has a configuration, and the time in which it waits for their word ran from its start; it started while the store was away, so the time was over before it had asked. Ruled out: a lost datagram (the others answered its first question), a late write of the operator (the others had version 15 all along).

The time now runs from the first question, which is asked with the first proof. Why it holds: until an answer has come, or 1.5 s with two more questions have passed, nothing is proved.

--- a/packages/routing/__tests__/configurationProof.test.ts
+++ b/packages/routing/__tests__/configurationProof.test.ts
@@ -218,3 +218,23 @@
     { follower: 1, router: 2 },
   );
 });
+
+test('a router that had no store for long asks others before it believes the copy', (t) => {
+  // It gave 401 for keys in force, for half a second: it started while the store was away, and when that came back from a
+  // copy 9.7 s old, the time to listen to others was over before it had asked anybody. In its log: configuration 4 in
+  // force at 45.06 s, 21 at 45.50 s, and between them 401 for keys of version 15.
+  withPair(
+    laterEra,
+    ({ clock, router, deliver }) => {
+      clock.tick(5_000);
+      router.noteProved(readClocks(), 1);
+      t.is(router.ageMs(), Infinity);
+      clock.tick(100);
+      deliver();
+      t.is(router.ageMs(), Infinity);
+      clock.tick(5_000);
+      t.is(router.ageMs(), Infinity);
+    },
+    { follower: 2, router: 1 },
+  );
+});
--- a/packages/routing/src/configurationProof.ts
+++ b/packages/routing/src/configurationProof.ts
@@ -69,7 +69,7 @@
 /** Answers to earlier questions are too late to help. */
 const mostQuestions = 16;
 const questionNumbers = 2 ** 48;
-/** A question that is asked at the start is answered well within this time. */
+/** The first question is answered well within this time. */
 const heedMs = 1_500;
 
 export function createConfigurationProof(options: ConfigurationProofOptions): ConfigurationProof {
@@ -83,7 +83,8 @@
   /** The newest that a router that was asked has in force. */
   let versionElsewhere = 0;
   let hasAnswer = false;
-  const startedAt = readClocks();
+  /** Of the first question, whether there was anyone to ask or not. */
+  let firstAskedAt: ClockReading | undefined;
 
   function keepNewest(known: ClockReading | undefined, begun: ClockReading): ClockReading {
     return known === undefined || ageMsOf(begun) < ageMsOf(known) ? begun : known;
@@ -93,6 +94,7 @@
     const channel = options.channel();
     const witnesses = options.witnesses();
     const now = readClocks();
+    firstAskedAt ??= now;
     const isTooSoon = lastAskedAt !== undefined && ageMsOf(lastAskedAt, now) < leastQuestionGapMs;
     if (channel === undefined || witnesses.length === 0 || isTooSoon) {
       return;
@@ -140,7 +142,8 @@
    */
   function isHeedful(): boolean {
     const isFirstEra = eraOf(options.seenRevision()) === 0;
-    return isFirstEra || hasAnswer || ageMsOf(startedAt) > heedMs;
+    const hasListened = firstAskedAt !== undefined && ageMsOf(firstAskedAt) > heedMs;
+    return isFirstEra || hasAnswer || hasListened;
   }
 
   function isProvable(): boolean {
@@ -162,6 +165,10 @@
       if (shownVersion < Math.max(options.configurationVersion(), versionElsewhere)) {
         return;
       }
+      // Nothing is asked while there is no configuration: a router may have waited for the store for long.
+      if (firstAskedAt === undefined) {
+        ask();
+      }
       provedAt = keepNewest(provedAt, begun);
       ownProvedAt = keepNewest(ownProvedAt, begun);
     },
