Count a reservation at an engine in need as a request

An engine that names a limit was asked twice for each permit, to reserve and to run. A placement now takes two permits, all or none; engines that name a limit so get half as many streams, which others take.

--- a/packages/decisions/__tests__/sharedPermits.test.ts
+++ b/packages/decisions/__tests__/sharedPermits.test.ts
@@ -158,3 +158,15 @@
   permits.forget('s');
   t.true(permits.take('s', 0));
 });
+
+test('several permits are taken together or not at all', (t) => {
+  const permits = createSharedPermits({ nowMs: 0, random: () => 0.5 });
+  permits.setRouters(address(0), []);
+  permits.note('s', 1, oldMs);
+  permits.mayTake('s', oldMs);
+  t.false(permits.take('s', oldMs + 1_000, 2));
+  t.true(permits.take('s', oldMs + 1_000));
+  permits.noteGranted('s', oldMs + 1_600);
+  t.true(permits.take('s', oldMs + 1_600, 2));
+  t.false(permits.mayTake('s', oldMs + 1_600));
+});
--- a/packages/decisions/src/sharedPermits.ts
+++ b/packages/decisions/src/sharedPermits.ts
@@ -38,10 +38,10 @@
   hear(sighting: LimitSighting, nowMs: number): void;
   /** The rate that the server names; undefined where it names none. */
   limitOf(serverId: string): number | undefined;
-  /** Whether a permit may be had here: of a server without a limit always. */
-  mayTake(serverId: string, nowMs: number): boolean;
-  /** Takes a permit out of this router's bucket, or one that another router has granted it. */
-  take(serverId: string, nowMs: number): boolean;
+  /** Whether so many permits may be had here: of a server without a limit always. */
+  mayTake(serverId: string, nowMs: number, count?: number): boolean;
+  /** Takes permits that other routers have granted, and the rest out of this router's bucket; all or none. */
+  take(serverId: string, nowMs: number, count?: number): boolean;
   /** Takes one for another router. */
   grant(serverId: string, nowMs: number): boolean;
   /** Another router has granted one. */
@@ -218,22 +218,28 @@
     }
   }
 
-  function mayTake(serverId: string, nowMs: number): boolean {
+  /** Permits to be had here: those granted by others, and what the bucket holds while this router issues. */
+  function available(serverId: string, server: LimitedServer, nowMs: number): number {
+    dropVoidGrants(server, nowMs);
+    const inBucket = refill(serverId, server, nowMs) ? Math.floor(server.level) : 0;
+    return server.grantedUntilMs.length + inBucket;
+  }
+
+  function mayTake(serverId: string, nowMs: number, count = 1): boolean {
+    const server = limited(serverId);
+    return server === undefined || available(serverId, server, nowMs) >= count;
+  }
+
+  function take(serverId: string, nowMs: number, count = 1): boolean {
     const server = limited(serverId);
     if (server === undefined) {
       return true;
     }
-    dropVoidGrants(server, nowMs);
-    return (
-      server.grantedUntilMs.length > 0 || (refill(serverId, server, nowMs) && server.level >= 1)
-    );
-  }
-
-  function takeOwn(serverId: string, server: LimitedServer, nowMs: number): boolean {
-    if (!refill(serverId, server, nowMs) || server.level < 1) {
+    if (available(serverId, server, nowMs) < count) {
       return false;
     }
-    server.level -= 1;
+    const granted = server.grantedUntilMs.splice(0, count).length;
+    server.level -= count - granted;
     return true;
   }
 
@@ -247,17 +253,14 @@
     hear,
     limitOf: (serverId) => servers.get(serverId)?.requestsPerSecond,
     mayTake,
-    take(serverId, nowMs) {
-      const server = limited(serverId);
-      if (server === undefined) {
-        return true;
-      }
-      dropVoidGrants(server, nowMs);
-      return server.grantedUntilMs.shift() !== undefined || takeOwn(serverId, server, nowMs);
-    },
+    take,
     grant(serverId, nowMs) {
       const server = limited(serverId);
-      return server !== undefined && takeOwn(serverId, server, nowMs);
+      if (server === undefined || !refill(serverId, server, nowMs) || server.level < 1) {
+        return false;
+      }
+      server.level -= 1;
+      return true;
     },
     noteGranted(serverId, nowMs) {
       limited(serverId)?.grantedUntilMs.push(nowMs + grantLifetimeMs);
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -80,6 +80,8 @@
 /** An engine answers within a few milliseconds; one that does not is taken for gone. */
 const reserveTimeoutMs = 500;
 const maxServices = 512;
+/** The reservation and the run: an engine in need counts what it is asked, not what it runs. */
+const callsPerPlacement = 2;
 /** With fewer of the own part's engines left than this, others' are worth asking without knowledge of them. */
 const soundShare = 0.5;
 /** Between two tries of one request at spare servers, so that a full fleet is not asked all the time. */
@@ -208,7 +210,11 @@
 
   function mayUse({ failedIds, excludedIds, reservedTokens }: Waiter, { server }: Place): boolean {
     const hasFailed = failedIds.has(server.id) || excludedIds.has(server.id);
-    return !hasFailed && !loads.isFullFor(server.id, reservedTokens) && limits.mayTake(server.id);
+    return (
+      !hasFailed &&
+      !loads.isFullFor(server.id, reservedTokens) &&
+      limits.mayTake(server.id, callsPerPlacement)
+    );
   }
 
   /**
@@ -271,7 +277,7 @@
 
   async function reserveAt(server: BackendServer, waiter: Waiter): Promise<void> {
     waiter.isTrying = true;
-    limits.take(server.id);
+    limits.take(server.id, callsPerPlacement);
     const stream = loads.place(server.id, waiter.stream);
     const outcome = await backend.reserve(server, {
       tokens: waiter.reservedTokens,
--- a/packages/routing/src/serverLimits.ts
+++ b/packages/routing/src/serverLimits.ts
@@ -41,10 +41,10 @@
 
 /** What requests ask before they choose a server. */
 export interface ServerPermits {
-  /** Whether a request may go to the server now; always, where it names no limit. */
-  mayTake(serverId: string): boolean;
-  /** Takes the permit for one request; false where there is none after all. */
-  take(serverId: string): boolean;
+  /** Whether so many requests may go to the server now; always, where it names no limit. */
+  mayTake(serverId: string, count?: number): boolean;
+  /** Takes the permits for so many requests; false where there are fewer after all. */
+  take(serverId: string, count?: number): boolean;
   /** Asks other routers; true once one has granted a permit, which `take` then takes. */
   request(serverId: string): Promise<boolean>;
   /** Until there may be a permit. */
@@ -269,9 +269,9 @@
           break;
       }
     },
-    mayTake: (serverId) => permits.mayTake(serverId, monotonicNowMs()),
-    take(serverId) {
-      const isTaken = permits.take(serverId, monotonicNowMs());
+    mayTake: (serverId, count) => permits.mayTake(serverId, monotonicNowMs(), count),
+    take(serverId, count) {
+      const isTaken = permits.take(serverId, monotonicNowMs(), count);
       if (isTaken && permits.limitOf(serverId) !== undefined) {
         onPermit('own');
       }
