Keep what was proved before another router had a newer configuration

What a call proved before that version was known anywhere stays proved; only a call that began after another router had it, and did not show it, was answered from an older copy. Routers tell since when they have their version, so the two can be told apart on the asker's clock. Two tests, one for each side.

--- a/packages/protocol/__tests__/quotaMessages.test.ts
+++ b/packages/protocol/__tests__/quotaMessages.test.ts
@@ -23,7 +23,13 @@
 const proofs: ProofMessage[] = [
   { kind: 'question', senderAddress: '10.0.0.1:7400', number: 77 },
   { kind: 'answer', number: 77, revision: 530, ageMs: 900 },
-  { kind: 'answer', number: 78, revision: 530, ageMs: Infinity, configurationVersion: 41 },
+  {
+    kind: 'answer',
+    number: 78,
+    revision: 530,
+    ageMs: Infinity,
+    configuration: { version: 41, ageMs: 900 },
+  },
 ];
 
 /** The same message as a later format would write it, with more at its end. */
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -116,6 +116,7 @@
   type ProofAnswer,
   type ProofMessage,
   type ProofQuestion,
+  type ToldConfiguration,
 } from './proofMessages';
 export {
   decodeQuotaMessage,
--- a/packages/protocol/src/proofMessages.ts
+++ b/packages/protocol/src/proofMessages.ts
@@ -22,8 +22,14 @@
   revision: StorePosition;
   /** Since the sender began the call of the platform that showed nothing newer; infinite where none has. */
   ageMs: number;
-  /** Version of the configuration that the sender has in force; absent where it is of a release that does not tell. */
-  configurationVersion?: number;
+  /** The configuration that the sender has in force; absent where it is of a release that does not tell. */
+  configuration?: ToldConfiguration;
+}
+
+export interface ToldConfiguration {
+  version: number;
+  /** Since the sender has it in force. */
+  ageMs: number;
 }
 
 export type ProofMessage = ProofQuestion | ProofAnswer;
@@ -38,23 +44,27 @@
   z
     .tuple([z.literal(questionName), z.string().regex(/^[\d.]{7,15}:\d{1,5}$/), count])
     .rest(z.unknown()),
-  z.tuple([z.literal(answerName), count, count, count, count.nullish()]).rest(z.unknown()),
+  z
+    .tuple([z.literal(answerName), count, count, count, z.tuple([count, count]).nullish()])
+    .rest(z.unknown()),
 ]);
 
 export function encodeProofMessage(message: ProofMessage): Buffer {
   const row =
     message.kind === 'question'
       ? [questionName, message.senderAddress, message.number]
-      : [
-          ...[answerName, message.number, message.revision],
-          ...[
-            Math.min(noProofAgeMs, Math.ceil(message.ageMs)),
-            message.configurationVersion ?? null,
-          ],
-        ];
+      : answerRow(message);
   return Buffer.from(JSON.stringify(row));
 }
 
+function answerRow({ number, revision, ageMs, configuration }: ProofAnswer): unknown[] {
+  const told =
+    configuration === undefined
+      ? null
+      : [configuration.version, Math.min(noProofAgeMs, Math.floor(configuration.ageMs))];
+  return [answerName, number, revision, Math.min(noProofAgeMs, Math.ceil(ageMs)), told];
+}
+
 /** Undefined for anything that is not such a message. */
 export function decodeProofMessage(bytes: Buffer): ProofMessage | undefined {
   if (!bytes.subarray(0, formatStart.length).equals(formatStart)) {
@@ -64,13 +74,13 @@
   if (read === undefined) {
     return undefined;
   }
-  return read[0] === questionName
-    ? { kind: 'question', senderAddress: read[1], number: read[2] }
-    : {
-        kind: 'answer',
-        number: read[1],
-        revision: read[2],
-        ageMs: read[3] >= noProofAgeMs ? Infinity : read[3],
-        ...(typeof read[4] === 'number' ? { configurationVersion: read[4] } : {}),
-      };
+  if (read[0] === questionName) {
+    return { kind: 'question', senderAddress: read[1], number: read[2] };
+  }
+  const [, number, revision, age, told] = read;
+  const ageMs = age >= noProofAgeMs ? Infinity : age;
+  return {
+    ...{ kind: 'answer', number, revision, ageMs },
+    ...(told ? { configuration: { version: told[0], ageMs: told[1] } } : {}),
+  };
 }
--- a/packages/routing/__tests__/configurationProof.test.ts
+++ b/packages/routing/__tests__/configurationProof.test.ts
@@ -30,8 +30,8 @@
     others: Buffer[],
     witnesses: string[],
     { revision, version }: { revision: number; version: number },
-  ) =>
-    createConfigurationProof({
+  ) => {
+    const proof = createConfigurationProof({
       channel: () => ({
         address,
         async send(bytes) {
@@ -41,9 +41,11 @@
       isNeeded: () => true,
       witnesses: () => witnesses,
       seenRevision: () => revision,
-      configurationVersion: () => version,
       onRevisionElsewhere: () => undefined,
     });
+    proof.noteConfiguration(version);
+    return proof;
+  };
   const follower = make('10.0.0.1:7000', toRouter, [], {
     ...{ revision: revisions.follower, version: versions.follower },
   });
@@ -238,3 +240,40 @@
     { follower: 2, router: 1 },
   );
 });
+
+test('a newer configuration elsewhere leaves what was proved before it', (t) => {
+  // Keys would be refused with each change, for as long as a large configuration is on its way.
+  withPair(
+    same,
+    ({ clock, follower, router, deliver }) => {
+      router.noteProved(readClocks(), 1);
+      deliver();
+      clock.tick(300);
+      follower.noteConfiguration(2);
+      router.ask();
+      deliver();
+      t.is(router.ageMs(), 300);
+      router.noteProved(readClocks(), 1);
+      t.is(router.ageMs(), 300, 'a call that does not show it proves nothing');
+      router.noteConfiguration(2);
+      router.noteProved(readClocks(), 2);
+      t.is(router.ageMs(), 0);
+    },
+    { follower: 1, router: 1 },
+  );
+});
+
+test('a call that began after another router knew better was answered from an older copy', (t) => {
+  withPair(
+    laterEra,
+    ({ clock, router, deliver }) => {
+      clock.tick(300);
+      router.noteProved(readClocks(), 1);
+      clock.tick(100);
+      router.ask();
+      deliver();
+      t.is(router.ageMs(), Infinity);
+    },
+    { follower: 2, router: 1 },
+  );
+});
--- a/packages/routing/src/configurationProof.ts
+++ b/packages/routing/src/configurationProof.ts
@@ -16,6 +16,7 @@
   type ProofAnswer,
   type ProofMessage,
   type StorePosition,
+  type ToldConfiguration,
 } from '@bluebellhitch/protocol';
 import {
   ageMsOf,
@@ -42,14 +43,14 @@
   witnesses: () => readonly string[];
   /** The newest revision of the configuration that this process has seen. */
   seenRevision: () => StorePosition;
-  /** Of the configuration in force; 0 before the first. */
-  configurationVersion: () => number;
   /** Another process has seen this revision. */
   onRevisionElsewhere(revision: StorePosition): void;
   random?: Random;
 }
 
 export interface ConfigurationProof extends BackgroundLoop {
+  /** This version of the configuration is in force from now on. */
+  noteConfiguration(version: number): void;
   /** A call of the platform that began then has shown this version of the configuration, and nothing newer. */
   noteProved(begun: ClockReading, shownVersion: number): void;
   /** The platform has come back from an older copy: what was proved before is no proof for others any more. */
@@ -80,12 +81,16 @@
   let ownProvedAt: ClockReading | undefined;
   let lastAskedAt: ClockReading | undefined;
   let isUnusable = false;
+  /** In force here, since when; version 0 before the first. */
+  let configuration = { version: 0, sinceAt: readClocks() };
   /** The newest that a router that was asked has in force. */
   let versionElsewhere = 0;
   let hasAnswer = false;
   /** Of the first question, whether there was anyone to ask or not. */
   let firstAskedAt: ClockReading | undefined;
 
+  const ownVersion = () => configuration.version;
+
   function keepNewest(known: ClockReading | undefined, begun: ClockReading): ClockReading {
     return known === undefined || ageMsOf(begun) < ageMsOf(known) ? begun : known;
   }
@@ -110,11 +115,10 @@
   /** Without a proof of its own it still tells its configuration's version: the asker's may be older. */
   function answer(senderAddress: string, number: number): void {
     const ageMs = ownProvedAt === undefined || isUnusable ? Infinity : ageMsOf(ownProvedAt);
-    const known = {
-      revision: options.seenRevision(),
-      configurationVersion: options.configurationVersion(),
-    };
-    const reply = { kind: 'answer', number, ageMs, ...known } as const;
+    const { version, sinceAt } = configuration;
+    const told = { version, ageMs: ageMsOf(sinceAt) };
+    const revision = options.seenRevision();
+    const reply = { kind: 'answer', number, revision, ageMs, configuration: told } as const;
     void options.channel()?.send(encodeProofMessage(reply), [senderAddress]);
   }
 
@@ -123,19 +127,35 @@
     if (askedAt === undefined) {
       return;
     }
-    const { revision, ageMs, configurationVersion = options.configurationVersion() } = told;
+    const { revision, ageMs, configuration: theirs = { version: ownVersion(), ageMs: 0 } } = told;
     hasAnswer = true;
-    versionElsewhere = Math.max(versionElsewhere, configurationVersion);
+    noteVersionElsewhere(theirs, askedAt);
     if (revision > options.seenRevision()) {
       options.onRevisionElsewhere(revision);
       return;
     }
     const isOfEra = eraOf(revision) === eraOf(options.seenRevision());
-    if (isOfEra && configurationVersion === options.configurationVersion()) {
+    if (isOfEra && theirs.version === ownVersion()) {
       provedAt = keepNewest(provedAt, earlierBy(askedAt, ageMs));
     }
   }
 
+  /**
+   * A call that began after another router had a newer version, and did not show it, was answered from an older copy. One
+   * that began before proves what it did: that version may be on its way here.
+   */
+  function noteVersionElsewhere(
+    { version, ageMs }: ToldConfiguration,
+    askedAt: ClockReading,
+  ): void {
+    versionElsewhere = Math.max(versionElsewhere, version);
+    const knownThereForMs = ageMsOf(askedAt) + ageMs;
+    if (version > ownVersion() && provedAt !== undefined && ageMsOf(provedAt) <= knownThereForMs) {
+      provedAt = undefined;
+      ownProvedAt = undefined;
+    }
+  }
+
   /**
    * Whether the routers that were there before the platform came back have had time to tell of a newer configuration than
    * its copy. In the first era there is no copy, and nothing to wait for.
@@ -147,22 +167,28 @@
   }
 
   function isProvable(): boolean {
-    return !isUnusable && versionElsewhere <= options.configurationVersion() && isHeedful();
+    return !isUnusable && isHeedful();
   }
 
   async function run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (options.isNeeded()) {
+      const isNeeded = options.isNeeded();
+      if (isNeeded) {
         ask();
       }
-      await delay(questionIntervalMs, signal);
+      // Until somebody has answered, a router that starts may know an older copy only.
+      const isUrgent = isNeeded && !hasAnswer;
+      await delay(isUrgent ? leastQuestionGapMs : questionIntervalMs, signal);
     }
   }
 
   return {
     ...createBackgroundLoop(run),
+    noteConfiguration(version) {
+      configuration = { version, sinceAt: readClocks() };
+    },
     noteProved(begun, shownVersion) {
-      if (shownVersion < Math.max(options.configurationVersion(), versionElsewhere)) {
+      if (shownVersion < Math.max(ownVersion(), versionElsewhere)) {
         return;
       }
       // Nothing is asked while there is no configuration: a router may have waited for the store for long.
