Pass what a plain request has come to as one value

Two functions had grown to four parameters with the limits of servers; names in the proof of the configuration say what they hold. Behaviour is the same: the tests of both pass.

--- a/packages/routing/src/configurationProof.ts
+++ b/packages/routing/src/configurationProof.ts
@@ -71,7 +71,7 @@
 const mostQuestions = 16;
 const questionNumbers = 2 ** 48;
 /** The first question is answered well within this time. */
-const heedMs = 1_500;
+const answerWaitMs = 1_500;
 
 export function createConfigurationProof(options: ConfigurationProofOptions): ConfigurationProof {
   const { random = Math.random } = options;
@@ -160,14 +160,14 @@
    * Whether the routers that were there before the platform came back have had time to tell of a newer configuration than
    * its copy. In the first era there is no copy, and nothing to wait for.
    */
-  function isHeedful(): boolean {
+  function hasHeardOthers(): boolean {
     const isFirstEra = eraOf(options.seenRevision()) === 0;
-    const hasListened = firstAskedAt !== undefined && ageMsOf(firstAskedAt) > heedMs;
+    const hasListened = firstAskedAt !== undefined && ageMsOf(firstAskedAt) > answerWaitMs;
     return isFirstEra || hasAnswer || hasListened;
   }
 
   function isProvable(): boolean {
-    return !isUnusable && isHeedful();
+    return !isUnusable && hasHeardOthers();
   }
 
   async function run(signal: AbortSignal): Promise<void> {
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -28,6 +28,14 @@
   /** The answer was too long to be held and has gone to the caller as it came. */
   | { kind: 'forwarded'; isWhole: boolean };
 
+/** What a request has come to so far. */
+interface PlainEnd {
+  /** Of its attempts. */
+  best?: Attempt;
+  /** Servers that could still be asked take nothing for about so long, by limits that they name. */
+  limitedForMs?: number;
+}
+
 const firstServerError = 500;
 /** Callers come back after about this long: a full or restarting server has room again by then. */
 const retryAfterMs = 300;
@@ -42,12 +50,11 @@
 const leastPatienceShare = 0.4;
 
 export async function servePlain(state: RequestState, parts: RouterParts): Promise<void> {
-  let best: Attempt | undefined;
-  let limitedForMs: number | undefined;
+  const end: PlainEnd = {};
   while (remainingMs(state) > 0 && !state.exchange.signal.aborted) {
     const choice = await choosePlainServer(state, parts);
     if (choice.kind === 'limited') {
-      limitedForMs = choice.retryAfterMs;
+      end.limitedForMs = choice.retryAfterMs;
     }
     if (choice.kind !== 'chosen' || !state.mayStillRun() || !mayAttempt(state, parts)) {
       break;
@@ -63,12 +70,12 @@
       return;
     }
     state.failedServerIds.add(server.id);
-    best = better(best, attempt);
+    end.best = better(end.best, attempt);
     if (!mayFollow(state, attempt)) {
       break;
     }
   }
-  finish(state, best, limitedForMs, parts);
+  finish(state, end, parts);
 }
 
 /** Takes a further attempt out of the budget; the first that arrives anywhere is free. */
@@ -114,23 +121,18 @@
   return known === undefined || ranks[attempt.kind] > ranks[known.kind] ? attempt : known;
 }
 
-function finish(
-  state: RequestState,
-  best: Attempt | undefined,
-  limitedForMs: number | undefined,
-  parts: RouterParts,
-): void {
+function finish(state: RequestState, end: PlainEnd, parts: RouterParts): void {
+  const { best } = end;
   if (best?.kind === 'answer' || best?.kind === 'server-failure') {
     state.exchange.answer(best.answer);
     return;
   }
-  state.exchange.refuse(refusalOf(state, best, limitedForMs, parts));
+  state.exchange.refuse(refusalOf(state, end, parts));
 }
 
 function refusalOf(
   state: RequestState,
-  best: Attempt | undefined,
-  limitedForMs: number | undefined,
+  { best, limitedForMs }: PlainEnd,
   parts: RouterParts,
 ): Refusal {
   switch (best?.kind) {
