Let a router issue permits once it hears of no further routers

Found in reading: 2.5 s after its start a router counted the routers that it knew as all there are. In a fleet of hundreds news of all take many seconds to come, so a part of them would each have taken themselves for one of the few issuers, and a server in need would have got a multiple. A test shows both: a router that hears of one more each second takes nothing, and a newcomer later changes nothing.

--- a/packages/decisions/__tests__/sharedPermits.test.ts
+++ b/packages/decisions/__tests__/sharedPermits.test.ts
@@ -13,6 +13,7 @@
     permits.setRouters(
       own,
       addresses.filter((other) => other !== own),
+      0,
     );
     permits.note('s', requestsPerSecond, oldMs);
     return permits;
@@ -89,16 +90,36 @@
   // It knows no other router yet: each of those that start together would take itself for the only one.
   const routers = Array.from({ length: 359 }, (_none, at) => {
     const permits = createSharedPermits({ nowMs: 0, random: () => 0.999 });
-    permits.setRouters(address(at), []);
+    permits.setRouters(address(at), [], 0);
     permits.note('s', 10, 0);
     return permits;
   });
   t.true(takenBetween(routers, 0, 2_400) <= mostIn4Seconds(10));
 });
 
+test('a router that still hears of others takes next to nothing, and later newcomers change nothing', (t) => {
+  // In a large fleet news of all take many seconds: who knows a third of the routers would issue for three.
+  const permits = createSharedPermits({ nowMs: 0, random: () => 0.999 });
+  const others: string[] = [];
+  const hearOfOne = (nowMs: number) => {
+    others.push(address(others.length + 1));
+    permits.setRouters(address(0), others, nowMs);
+  };
+  permits.note('s', 2, 0);
+  for (let nowMs = 0; nowMs < 9_000; nowMs += 1_000) {
+    hearOfOne(nowMs);
+    t.false(permits.take('s', nowMs), `${nowMs}`);
+  }
+  const isIssuer = (nowMs: number) => (permits.waitMs('s', nowMs) ?? Infinity) < 1_000;
+  permits.note('s', 400, 11_000);
+  t.true(isIssuer(11_000));
+  hearOfOne(11_100);
+  t.true(isIssuer(11_200));
+});
+
 test('the newest word counts, wherever it was read', (t) => {
   const permits = createSharedPermits({ nowMs: 0 });
-  permits.setRouters(address(0), [address(1)]);
+  permits.setRouters(address(0), [address(1)], 0);
   permits.note('s', 5, 1_000);
   permits.hear({ serverId: 's', requestsPerSecond: 9, ageMs: 500 }, 1_400);
   t.is(permits.limitOf('s'), 5);
@@ -111,7 +132,7 @@
 test('only what was read here is told on', (t) => {
   // News of news would go round for ever, younger with each router that it passes.
   const permits = createSharedPermits({ nowMs: 0 });
-  permits.setRouters(address(0), [address(1)]);
+  permits.setRouters(address(0), [address(1)], 0);
   permits.hear({ serverId: 'far', requestsPerSecond: 9, ageMs: 0 }, 100);
   permits.note('near', 4, 100);
   t.deepEqual(permits.sightingsSince(0, 150), [
@@ -121,7 +142,7 @@
 
 test('others learn at once of a limit that comes, ends or changes much', (t) => {
   const permits = createSharedPermits({ nowMs: 0 });
-  permits.setRouters(address(0), []);
+  permits.setRouters(address(0), [], 0);
   t.false(permits.note('s', undefined, 0));
   t.true(permits.note('s', 10, 1));
   t.false(permits.note('s', 11, 2));
@@ -153,7 +174,7 @@
 
 test('a server that is gone is forgotten with its limit', (t) => {
   const permits = createSharedPermits({ nowMs: 0 });
-  permits.setRouters(address(0), []);
+  permits.setRouters(address(0), [], 0);
   permits.note('s', 0, 0);
   permits.forget('s');
   t.true(permits.take('s', 0));
@@ -161,7 +182,7 @@
 
 test('several permits are taken together or not at all', (t) => {
   const permits = createSharedPermits({ nowMs: 0, random: () => 0.5 });
-  permits.setRouters(address(0), []);
+  permits.setRouters(address(0), [], 0);
   permits.note('s', 1, oldMs);
   permits.mayTake('s', oldMs);
   t.false(permits.take('s', oldMs + 1_000, 2));
--- a/packages/decisions/src/sharedPermits.ts
+++ b/packages/decisions/src/sharedPermits.ts
@@ -12,7 +12,7 @@
  *   bucket fills only while its router issues: 4 + 2L + L x T. In 4 s that is 6L + 4, of 6L + 5 tolerated.
  * - Cut off: a router that hears nobody still counts the others for as long as it knows them, and issues no more than
  *   before. Only where a cut outlasts that time (a minute) each side chooses issuers of its own.
- * - A router that has just started does not know the others yet, and takes as small a part as if there were 360 of them.
+ * - A router that still hears of others that it did not know takes as small a part as if there were 360 of them.
  */
 import { rendezvousOrder } from '@bluebellhitch/shared';
 
@@ -31,7 +31,7 @@
 
 export interface SharedPermits {
   /** All routers that are known, whether they are heard at this time or not. */
-  setRouters(ownAddress: string, others: readonly string[]): void;
+  setRouters(ownAddress: string, others: readonly string[], nowMs: number): void;
   /** An answer read here says so; true where the other routers should learn it at once. */
   note(serverId: string, requestsPerSecond: number | undefined, nowMs: number): boolean;
   /** Another router has read it. */
@@ -81,8 +81,12 @@
 const leastBucket = 2;
 /** A server that asks for less still gets a request now and then: no other answer could end its limit. */
 const leastRate = 0.1;
-/** Routers hear all others of a fleet within this time of their start; before it they count with the largest fleet. */
-const youngMs = 2_500;
+/**
+ * A router that has heard of no further one for this long knows the others; in large fleets news of all of them take many
+ * seconds to come. Before that it counts with the largest fleet, or it would take itself for one of few.
+ */
+const settledMs = 2_500;
+const mostYoungMs = 30_000;
 const assumedRouters = 360;
 /**
  * Where nobody has had an answer of the server for so long, its issuers may all be gone, or have no callers: others take
@@ -105,6 +109,9 @@
   let routers: readonly string[] = [];
   let own = '';
   let routersVersion = 0;
+  /** When the last router was heard of that was not known before. */
+  let newestAtMs = startedAtMs;
+  let isOld = false;
 
   const rateOf = ({ requestsPerSecond = 0 }: LimitedServer) =>
     Math.max(leastRate, requestsPerSecond);
@@ -144,7 +151,13 @@
     return Array.from({ length: count }, (_none, at) => order[(first + at) % order.length] ?? own);
   }
 
-  const isYoung = (nowMs: number) => nowMs - startedAtMs < youngMs;
+  const oldAtMs = () => Math.min(newestAtMs + settledMs, startedAtMs + mostYoungMs);
+
+  /** Once it knows the others a router stays old, whoever comes later. */
+  function isYoung(nowMs: number): boolean {
+    isOld ||= nowMs >= oldAtMs();
+    return !isOld;
+  }
 
   /** Whether this router issues permits, with its bucket filled up to now. */
   function refill(serverId: string, server: LimitedServer, nowMs: number): boolean {
@@ -244,7 +257,11 @@
   }
 
   return {
-    setRouters(ownAddress, others) {
+    setRouters(ownAddress, others, nowMs) {
+      const known = new Set(routers);
+      if (others.some((address) => !known.has(address))) {
+        newestAtMs = nowMs;
+      }
       own = ownAddress;
       routers = [...new Set([ownAddress, ...others])];
       routersVersion += 1;
@@ -277,7 +294,7 @@
         return server === undefined ? 0 : undefined;
       }
       const perMs = rateOf(server) / issuerCount(server) / msPerSecond;
-      const untilOldMs = Math.max(0, startedAtMs + youngMs - nowMs);
+      const untilOldMs = isYoung(nowMs) ? oldAtMs() - nowMs : 0;
       return Math.max(untilOldMs, Math.max(0, 1 - server.level) / perMs);
     },
     sightingsSince: (sinceMs, nowMs) =>
--- a/packages/replay/src/quota/quotaWays.ts
+++ b/packages/replay/src/quota/quotaWays.ts
@@ -211,7 +211,7 @@
 function createPermitKeeper(options: WayOptions): QuotaKeeper {
   const { nowMs, allRouters, ownAddress, random } = options;
   const permits = createSharedPermits({ nowMs, random });
-  permits.setRouters(ownAddress, allRouters);
+  permits.setRouters(ownAddress, allRouters, nowMs);
   return {
     setLimit({ ratePerSecond }, atMs) {
       permits.note(server, ratePerSecond, atMs);
--- a/packages/routing/src/serverLimits.ts
+++ b/packages/routing/src/serverLimits.ts
@@ -241,7 +241,7 @@
   return {
     setRouters(ownAddress, addresses) {
       others = addresses;
-      permits.setRouters(ownAddress, addresses);
+      permits.setRouters(ownAddress, addresses, monotonicNowMs());
     },
     note(server, word) {
       switch (word.kind) {
