--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -155,7 +155,6 @@
     });
   }
 
-  /** A server that is replaced meanwhile takes its limit with it. */
   async function restoreStore(operation: OperationOf<'restore-store'>): Promise<void> {
     const { ageMs, awayMs, againMs } = operation;
     const ended = disruptions.begin({ kind: 'store' }, 'store back from a copy');
@@ -169,6 +168,7 @@
     ended();
   }
 
+  /** A server that is replaced meanwhile takes its limit with it. */
   async function limitServer(operation: OperationOf<'limit-server'>): Promise<void> {
     const { server, requestsPerSecond, forMs } = operation;
     const id = servers.serverId(server);
