Send nothing to a server that says in its answers that it leaves

Callers saw requests cut short, or run at a server 4.2 and 4.8 s after its answer had told the router that it leaves; two seconds are allowed. Cause: a router learned of leaving from the store's list alone, and the store was away for 13 s. Ruled out: a choice made before the word (the requests were sent by their callers seconds after it), and a fallback that takes unsound servers.

Now the directory takes the word: that life of the server counts as draining from the moment its answer is read, whatever the store lists then, also after its entry lapsed and came back, or came from an older copy. The word ends with the life; a later life under the same name has not said it. The word counts when a request is sent, not when its server is chosen: the client asks once more as the connection starts the call, and what waited is withheld, so not run.

Answers of another server (421) say nothing.

Why at once and not after two seconds: the server's exit cuts what it still runs, and the router does not know when the server began to leave, only when it has read it.

--- a/packages/routing/__tests__/backendConnections.test.ts
+++ b/packages/routing/__tests__/backendConnections.test.ts
@@ -66,6 +66,20 @@
   t.like(outcome, { kind: 'lost', isOurs: false });
 });
 
+test('a call that may no longer be sent when its connection is there is withheld', async (t) => {
+  // A request is chosen for a server and waits for a connection to it; meanwhile an answer says that the server leaves.
+  const { address, received } = await startRawServer(t, () => undefined);
+  const connections = createConnections(t);
+  let isWanted = true;
+  const call = connections.call(callTo(address, { maySend: () => isWanted }));
+  isWanted = false;
+  t.deepEqual(await call, { kind: 'withheld' });
+  t.deepEqual(await connections.call(callTo(address, { maySend: () => false })), {
+    kind: 'withheld',
+  });
+  t.is(received(), '');
+});
+
 test('a call without an answer in time is lost by our own doing', async (t) => {
   const { address } = await startRawServer(t, () => undefined);
   const outcome = await createConnections(t).call(callTo(address, { headTimeoutMs: 30 }));
--- a/packages/routing/__tests__/serverDirectory.test.ts
+++ b/packages/routing/__tests__/serverDirectory.test.ts
@@ -56,6 +56,47 @@
   t.deepEqual(directory.all(), []);
 });
 
+test.serial(
+  'that a server leaves by its own word outlives its entries, and ends with its life',
+  (t) => {
+    // The store is late or away: it lists the server as ready, loses its entry, lists it again, comes back from an older
+    // copy. None of it undoes the word. A later life under the same name has not said it.
+    const directory = createServerDirectory();
+    const entry = (over: Partial<BackendServer> = {}) =>
+      server('a~1', { name: 'a', bornAtMs: 1, entryNumber: 1, ...over });
+    directory.put(entry());
+    const version = directory.version();
+    directory.noteLeaving({ id: 'a~1' });
+    t.true(directory.version() > version);
+    const isUsable = () => directory.usable('s').length > 0;
+    t.false(isUsable());
+    directory.put(entry({ entryNumber: 2 }));
+    directory.replaceAll([entry({ entryNumber: 3, slots: 5 })]);
+    t.false(isUsable());
+    directory.withdraw('a');
+    directory.put(entry({ entryNumber: 4 }));
+    t.false(isUsable());
+    directory.noteOlderCopy();
+    directory.put(entry({ entryNumber: 5 }));
+    t.false(isUsable());
+    directory.remove('a');
+    t.is(directory.size(), 0);
+    directory.put(entry({ entryNumber: 6 }));
+    t.is(directory.size(), 1);
+    t.false(isUsable());
+    directory.noteBorn(entry(), 2, 'decode');
+    t.deepEqual(idsOf(directory.usable('s')), [serverIdOf('a', 2)]);
+  },
+);
+
+test('a server that says that it leaves before it is listed is never used', (t) => {
+  const directory = createServerDirectory();
+  directory.noteLeaving({ id: 'a' });
+  directory.put(server('a'));
+  t.deepEqual(directory.usable('s'), []);
+  t.true(directory.get('a')?.isDraining);
+});
+
 test('a server that starts again under its name is another server', (t) => {
   // What was believed of the life before (memory in use, breakers, prefill results) would be held against an
   // engine that holds and knows nothing. It crashes and is back under its name within its heartbeat.
--- a/packages/routing/src/backendApi.ts
+++ b/packages/routing/src/backendApi.ts
@@ -12,7 +12,9 @@
   /** The server said that it did not run the request. */
   | { kind: 'rejected'; status: number }
   /** The address belongs to another server now. */
-  | { kind: 'other-server' };
+  | { kind: 'other-server' }
+  /** Nothing was sent: by the moment of sending the server wanted nothing more. */
+  | { kind: 'withheld' };
 
 /** A call without a usable answer: it may have taken effect. */
 export interface LostAnswer {
--- a/packages/routing/src/backendConnections.ts
+++ b/packages/routing/src/backendConnections.ts
@@ -102,6 +102,9 @@
   }
 
   async function call(sent: HttpCall): Promise<HttpOutcome> {
+    if (sent.maySend?.() === false) {
+      return { kind: 'withheld' };
+    }
     const pool = poolOf(sent.address);
     const kept = pool.idle.pop();
     if (kept !== undefined) {
--- a/packages/routing/src/backendExchange.ts
+++ b/packages/routing/src/backendExchange.ts
@@ -43,12 +43,17 @@
       return;
     }
     isOurs = true;
-    finishWaiting();
-    resolve(
+    finish(
       wasSent ? { kind: 'lost', detail: reason, isOurs } : { kind: 'not-sent', detail: reason },
+      reason,
     );
+  }
+
+  function finish(outcome: HttpOutcome, detail: string): void {
+    finishWaiting();
+    resolve(outcome);
     events.onBroken();
-    endBody({ kind: 'lost', detail: reason });
+    endBody({ kind: 'lost', detail });
   }
 
   function finishWaiting(): void {
@@ -94,6 +99,10 @@
 
   const handler: Dispatcher.DispatchHandler = {
     onRequestStart(started) {
+      if (call.maySend?.() === false) {
+        finish({ kind: 'withheld' }, 'withheld');
+        return;
+      }
       wasSent = true;
       controller = started;
     },
@@ -117,12 +126,8 @@
         void endWithConnection();
       }
     },
-    onResponseError(_controller, error) {
-      finishWaiting();
-      const detail = error.message;
-      resolve(wasSent ? { kind: 'lost', detail, isOurs } : { kind: 'not-sent', detail });
-      events.onBroken();
-      endBody({ kind: 'lost', detail });
+    onResponseError(_controller, { message: detail }) {
+      finish(wasSent ? { kind: 'lost', detail, isOurs } : { kind: 'not-sent', detail }, detail);
     },
   };
 
--- a/packages/routing/src/httpCall.ts
+++ b/packages/routing/src/httpCall.ts
@@ -12,6 +12,8 @@
   /** From the call to the answer's head, the time to connect included. */
   headTimeoutMs: number;
   signal?: AbortSignal;
+  /** Asked again at the moment of sending: the call may have waited for a connection. Absent: it may be sent. */
+  maySend?: () => boolean;
   /** Open connections to the address at most. */
   maxConnections: number;
 }
@@ -29,5 +31,7 @@
   | { kind: 'answered'; answer: HttpAnswer }
   /** Nothing of the call went out. */
   | { kind: 'not-sent'; detail: string }
+  /** Nothing of the call went out, for `maySend` forbade it by then. */
+  | { kind: 'withheld' }
   /** The call went out, in part at least, and no answer can come any more. */
   | { kind: 'lost'; detail: string; isOurs: boolean };
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -21,6 +21,8 @@
   /** The server's own failure: passed on unless a further attempt does better. */
   | { kind: 'server-failure'; answer: WholeAnswer }
   | { kind: 'unreachable' }
+  /** The server wanted nothing more when it was to be sent. */
+  | { kind: 'withheld' }
   /** The address is another server's by now. */
   | { kind: 'misdirected' }
   | { kind: 'rejected' }
@@ -95,6 +97,7 @@
 function mayFollow(state: RequestState, attempt: Attempt): boolean {
   switch (attempt.kind) {
     case 'unreachable':
+    case 'withheld':
     case 'misdirected':
     case 'rejected':
       return true;
@@ -117,6 +120,7 @@
     rejected: 1,
     misdirected: 0,
     unreachable: 0,
+    withheld: 0,
   };
   return known === undefined || ranks[attempt.kind] > ranks[known.kind] ? attempt : known;
 }
@@ -176,13 +180,17 @@
   const attempt = await readAttempt(outcome, state);
   endLoad();
   state.wasMisdirected ||= attempt.kind === 'misdirected';
-  if (attempt.kind !== 'unreachable' && attempt.kind !== 'misdirected') {
+  if (hasArrived(attempt)) {
     state.sentCount += 1;
   }
   recordHealth(server, attempt, state, parts);
   return attempt;
 }
 
+function hasArrived({ kind }: Attempt): boolean {
+  return kind !== 'unreachable' && kind !== 'withheld' && kind !== 'misdirected';
+}
+
 /** The last attempt has all the time that is left; one before it leaves some for the next. */
 function headTimeoutMs({ route, sentCount }: RequestState, leftMs: number): number {
   const isLast = sentCount + 1 >= route.maxAttempts;
@@ -213,7 +221,8 @@
     case 'other-server':
       return { kind: 'misdirected' };
     case 'unreachable':
-      return { kind: 'unreachable' };
+    case 'withheld':
+      return { kind: cause.kind };
   }
 }
 
@@ -244,6 +253,9 @@
   state: RequestState,
   { health }: RouterParts,
 ): void {
+  if (attempt.kind === 'withheld') {
+    return;
+  }
   const callerLeft = state.exchange.signal.aborted;
   const isSuccess =
     attempt.kind === 'rejected' ||
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -161,10 +161,10 @@
       // The entry is of a server that is gone: other routers need not find out for themselves.
       engineLoads.noteSilent(server.id);
     }
-    if (cause !== 'rejected' && !state.signal.aborted) {
+    if (cause !== 'rejected' && cause !== 'withheld' && !state.signal.aborted) {
       health.record(server.id, 'failure', monotonicNowMs());
     }
-    return { kind: 'failed', hasArrived: cause !== 'unreachable' };
+    return { kind: 'failed', hasArrived: cause !== 'unreachable' && cause !== 'withheld' };
   }
 
   function observe(backlogTokens: number, promptTokens: number, tookMs: number): void {
--- a/packages/routing/src/routerParts.ts
+++ b/packages/routing/src/routerParts.ts
@@ -11,6 +11,7 @@
 import type { ServerDirectory } from './serverDirectory';
 import type { ServerPermits } from './serverLimits';
 import type { ServerLoads } from './serverLoads';
+import type { ServerWords } from './serverWords';
 import type { StreamSizes } from './streamSizes';
 
 export interface RouterParts {
@@ -21,6 +22,7 @@
   serverLoads: ServerLoads;
   /** For requests to servers that name a limit. */
   limits: ServerPermits;
+  words: Pick<ServerWords, 'mayGet'>;
   engineLoads: EngineLoads;
   streamSizes: StreamSizes;
   placement: DecodePlacement;
--- a/packages/routing/src/serverDirectory.ts
+++ b/packages/routing/src/serverDirectory.ts
@@ -9,6 +9,9 @@
  *
  * A store that comes back from an older copy lists servers that have left since, or said that they leave. For a while what is
  * known goes before it: such a server counts again only by an entry that it has written later than the last one known.
+ *
+ * That a server leaves it may also say itself, in its answers. The store can be away or late, so its entry does not
+ * undo that word, which holds for the rest of the life that gave it.
  */
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import { createBoundedMap } from '@bluebellhitch/decisions';
@@ -21,7 +24,7 @@
 }
 
 export type ServerChange =
-  | { kind: 'added' | 'changed' | 'withdrawn'; server: BackendServer }
+  | { kind: 'added' | 'changed' | 'withdrawn' | 'leaving'; server: BackendServer }
   | { kind: 'removed' | 'removal-held'; server: BackendServer };
 
 export interface ServerDirectory {
@@ -36,6 +39,8 @@
   replaceAll(servers: readonly BackendServer[], unreadableNames?: readonly string[]): void;
   /** The server itself tells when it was born, which may be news before its entry is. */
   noteBorn(server: BackendServer, bornAtMs: number, stage: Stage): void;
+  /** The server says itself that it leaves. */
+  noteLeaving(server: Pick<BackendServer, 'id'>): void;
   storeLost(): void;
   /** The store answers again, or has since so long ago. */
   storeBack(agoMs?: number): void;
@@ -79,6 +84,8 @@
   const removedEntryNumbers = createBoundedMap<string, number | undefined>({
     maxEntries: maxRememberedIds,
   });
+  /** Lives that have said that they leave; kept after their entries, which may lapse and come back. */
+  const leavingIds = createBoundedMap<string, true>({ maxEntries: maxRememberedIds });
   /** Names of servers whose entries could not be read: they did not say that they leave. */
   const withdrawnNames = new Set<string>();
 
@@ -110,10 +117,15 @@
     return bornAtMs < (lastBornAtMs.get(name) ?? -Infinity);
   }
 
-  function put(server: BackendServer, isListed = false): void {
-    if (isOldNews(server) || isOfOlderCopy(server, isListed)) {
+  function withOwnWord(entry: BackendServer): BackendServer {
+    return leavingIds.has(entry.id) ? { ...entry, isDraining: true } : entry;
+  }
+
+  function put(entry: BackendServer, isListed = false): void {
+    if (isOldNews(entry) || isOfOlderCopy(entry, isListed)) {
       return;
     }
+    const server = withOwnWord(entry);
     if (server.bornAtMs === undefined && lastBornAtMs.get(server.name) !== undefined) {
       // A server that tells its birth always does: this entry is another writer's.
       withdraw(server.name);
@@ -198,7 +210,21 @@
     if (known?.id !== server.id || bornAtMs <= (server.bornAtMs ?? -Infinity)) {
       return;
     }
-    put({ ...known, id: serverIdOf(server.name, bornAtMs), bornAtMs, stage });
+    const isDraining = known.isDraining && !leavingIds.has(known.id);
+    put({ ...known, id: serverIdOf(server.name, bornAtMs), bornAtMs, stage, isDraining });
+  }
+
+  function noteLeaving({ id }: Pick<BackendServer, 'id'>): void {
+    leavingIds.set(id, true);
+    const known = get(id);
+    if (known === undefined || known.isDraining) {
+      return;
+    }
+    const server = withOwnWord(known);
+    servers.set(server.name, server);
+    version += 1;
+    membershipChangedAtMs = monotonicNowMs();
+    onChanged({ kind: 'leaving', server });
   }
 
   function get(id: string): BackendServer | undefined {
@@ -212,6 +238,7 @@
     withdraw,
     replaceAll,
     noteBorn,
+    noteLeaving,
     storeLost() {
       isStoreAway = true;
     },
--- a/packages/routing/src/serverWords.ts
+++ b/packages/routing/src/serverWords.ts
@@ -4,9 +4,11 @@
 import type { Logger } from '@bluebellhitch/telemetry';
 import type { ServerWord } from './backendApi';
 import type { BackendServer } from './model';
+import type { ServerDirectory } from './serverDirectory';
 import type { ServerLimits } from './serverLimits';
 
 export interface ServerWordsOptions {
+  directory: Pick<ServerDirectory, 'get' | 'noteLeaving'>;
   limits: Pick<ServerLimits, 'note'>;
   onWord?: (kind: ServerWord['kind']) => void;
   logger: Logger;
@@ -15,13 +17,15 @@
 export interface ServerWords {
   /** An answer of the server has said so. */
   note(server: BackendServer, words: readonly ServerWord[]): void;
+  /** Whether this life of the server may get requests: it is listed, and nobody says that it leaves. */
+  mayGet(server: BackendServer): boolean;
 }
 
 /** Lives of servers that have said that they leave, or what can't be read: each answer would be a line of the log. */
 const maxKnown = 4_096;
 
 export function createServerWords(options: ServerWordsOptions): ServerWords {
-  const { limits, onWord = () => undefined, logger } = options;
+  const { directory, limits, onWord = () => undefined, logger } = options;
   const rests = createRestPeriods();
   const known = createBoundedMap<string, true>({ maxEntries: maxKnown });
 
@@ -45,6 +49,7 @@
         if (isNew(id, 'leaving')) {
           logger.info('server leaving', { id, serviceName });
         }
+        directory.noteLeaving({ id });
         break;
       case 'rest':
         if (rests.note(id, word.forMs, monotonicNowMs())) {
@@ -68,5 +73,6 @@
         noteOne(server, word);
       });
     },
+    mayGet: ({ id }) => directory.get(id)?.isDraining === false,
   };
 }
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -132,24 +132,19 @@
   return outcome;
 }
 
-/** Reading the prompt may have taken long: the server may have begun to leave, and the key may have been taken away. */
+/** Reading the prompt may have taken long: the server may want nothing more, and the key may have been taken away. */
 function reasonNotToRun({ state, parts }: StreamRun, server: BackendServer) {
   if (!state.mayStillRun()) {
     noteStep(state, 'key no longer proved');
     return notRunReasons.staleConfiguration;
   }
-  if (isLeaving(server, parts)) {
-    noteStep(state, `decode ${server.id} leaves`);
+  if (!parts.words.mayGet(server)) {
+    noteStep(state, `decode ${server.id} withheld`);
     return notRunReasons.rejected;
   }
   return undefined;
 }
 
-/** A server that leaves gets no new work, reserved or not. */
-function isLeaving({ id }: BackendServer, { directory }: RouterParts): boolean {
-  return directory.get(id)?.isDraining ?? true;
-}
-
 /** Gives back what was set aside for a run that does not come about. */
 function release(
   { parts, size }: StreamRun,
