Send nothing to a server that has asked for rest until its rest is over

Callers saw refusals while two of three servers had room (26 of 46 requests that the resting server turned away), and the server got 4 and 5 requests within three seconds of rest, two allowed. Cause: the Retry-After of its 503 was read by nobody, and a server that turns away has nothing in progress, so it looked the least loaded and was chosen first. Ruled out: further attempts (2 of 46), and the fallback to unsound servers (a rejection counts as a sign of health, so it was not even taken for unsound).

Now the word is kept for that life of the server and for this router, until the end of the longest rest asked for; an answer that says nothing does not end it. Pools leave out servers that rest before any choice, so the fallback cannot bring one back. The client asks again as each call is sent: requests, reservations and prompts, and also load reports, orders and words of memory to free, for the server wants nothing. Where all servers of a service rest, callers are refused at once, as not run, and told when the first rest ends; streams where it ends after their time or all engines leave.

Before, 13 to 21 of the test's requests reached the resting server in two seconds, now none after the first; it is used again after its rest. Without the mend (trial) these failed too: all servers rest (11 and 11 calls for 1 and 1), an engine that rests (45 and 29 calls for 3 and 2), a stream placed before the word (15 for 2), streams refused at once.

Why nothing at all and not the two that are allowed: they would be turned away, and their callers sent on or refused.

--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -12,11 +12,12 @@
 } from '@bluebellhitch/decisions';
 import type { StreamOutlook } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
-import type { BackendApi, Reservation } from './backendApi';
+import type { BackendApi, CallOutcome, Reservation } from './backendApi';
 import type { EngineLoads, PlacedStream } from './engineLoads';
 import type { ServerPools } from './fleetPart';
 import { stages, type BackendServer, type EngineSettings } from './model';
 import { noLimits, type ServerPermits } from './serverLimits';
+import { noWords, type ServerWords } from './serverWords';
 
 export interface PlacementRequest {
   serviceName: string;
@@ -62,6 +63,7 @@
   loads: EngineLoads;
   health: OutlierDetector;
   limits?: ServerPermits;
+  words?: Pick<ServerWords, 'closedForMs' | 'isLeft'>;
   random?: Random;
 }
 
@@ -84,6 +86,8 @@
 const callsPerPlacement = 2;
 /** With fewer of the own part's engines left than this, others' are worth asking without knowledge of them. */
 const soundShare = 0.5;
+/** Callers that were refused until one moment come back apart. */
+const returnSpreadMs = 300;
 /** Between two tries of one request at spare servers, so that a full fleet is not asked all the time. */
 const spareRetryMs = 100;
 
@@ -97,7 +101,8 @@
 type PlacesOf = (waiter: Waiter, kind: 'usable' | 'spare') => readonly Place[];
 
 export function createDecodePlacement(options: DecodePlacementOptions): DecodePlacement {
-  const { backend, pools, loads, health, limits = noLimits, random = Math.random } = options;
+  const { backend, pools, loads, health, random = Math.random } = options;
+  const { limits = noLimits, words = noWords } = options;
   /** By service: each has its own engines, and so its own line. */
   const admissions = createBoundedMap<string, PlacementAdmission>({ maxEntries: maxServices });
   const waiters = new Set<Waiter>();
@@ -152,6 +157,17 @@
     }
   }
 
+  /** By their own words no engine takes anything in the request's time. */
+  function refuseIfClosed(waiter: Waiter, nowMs: number): boolean {
+    const restMs = words.closedForMs(waiter.serviceName, stages.decode);
+    if (restMs !== undefined && nowMs + restMs >= waiter.giveUpAtMs) {
+      finish(waiter, { kind: 'no-capacity', retryAfterMs: restMs + returnSpreadMs * random() });
+    } else if (words.isLeft(waiter.serviceName)) {
+      refuse(waiter);
+    }
+    return !waiters.has(waiter);
+  }
+
   /** In the order in which they are tried. */
   function inOrder(nowMs: number): Waiter[] {
     return [...waiters].sort((left, right) => compareWaiters(left, right, nowMs));
@@ -196,6 +212,9 @@
       return;
     }
     const places = placesOf(waiter, 'usable').filter((one) => mayUse(waiter, one));
+    if (places.length === 0 && refuseIfClosed(waiter, nowMs)) {
+      return;
+    }
     const isWelcome = isUrgent(waiter, nowMs) || hasHeadroom(places, waiter);
     const chosen = isWelcome
       ? (tightest(places, waiter) ?? trySpare(waiter, nowMs, placesOf))
@@ -234,7 +253,7 @@
 
   function hasLostPart(waiter: Waiter, placesOf: PlacesOf): boolean {
     const listed = pools.usable(waiter.serviceName, stages.decode).length;
-    return placesOf(waiter, 'usable').length < soundShare * listed;
+    return listed === 0 || placesOf(waiter, 'usable').length < soundShare * listed;
   }
 
   function isUrgent({ isResumed, onTimeUntilMs }: Waiter, nowMs: number): boolean {
@@ -294,18 +313,28 @@
       return;
     }
     stream.release();
-    if (outcome.kind === 'not-run' && outcome.cause.kind === 'other-server') {
-      loads.noteSilent(server.id);
+    noteNotReserved(server, waiter, outcome);
+    look();
+  }
+
+  function noteNotReserved(
+    { id }: BackendServer,
+    { failedIds, reservedTokens, signal }: Waiter,
+    outcome: Exclude<CallOutcome<Reservation>, { kind: 'done' }>,
+  ): void {
+    const cause = outcome.kind === 'not-run' ? outcome.cause.kind : outcome.kind;
+    if (cause === 'rejected') {
+      loads.noteFull(id, reservedTokens);
+      return;
     }
-    if (outcome.kind === 'not-run' && outcome.cause.kind === 'rejected') {
-      loads.noteFull(server.id, waiter.reservedTokens);
-    } else {
-      waiter.failedIds.add(server.id);
-      if (outcome.kind !== 'lost' || !outcome.isOurs || !waiter.signal.aborted) {
-        health.record(server.id, 'failure', monotonicNowMs());
-      }
+    failedIds.add(id);
+    if (cause === 'other-server') {
+      loads.noteSilent(id);
+    }
+    const isOurDoing = outcome.kind === 'lost' && outcome.isOurs && signal.aborted;
+    if (cause !== 'withheld' && !isOurDoing) {
+      health.record(id, 'failure', monotonicNowMs());
     }
-    look();
   }
 
   function hand(waiter: Waiter, placement: Placement): void {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -97,7 +97,7 @@
   type ServerPermits,
 } from './serverLimits';
 export { createServerLoads } from './serverLoads';
-export { createServerWords, type ServerWords } from './serverWords';
+export { createServerWords, createWillingPools, type ServerWords } from './serverWords';
 export { drainBody, readWholeBody } from './wholeBody';
 export { createStageKeeper, type StageKeeperOptions } from './stageKeeper';
 export {
--- a/packages/routing/src/loadPoller.ts
+++ b/packages/routing/src/loadPoller.ts
@@ -52,7 +52,7 @@
     const outcome = await backend.readLoad(server, reportTimeoutMs);
     if (outcome.kind === 'done') {
       takeReport(server, outcome.value);
-    } else {
+    } else if (outcome.kind === 'lost' || outcome.cause.kind !== 'withheld') {
       loads.noteSilent(server.id);
     }
   }
--- a/packages/routing/src/plainChoice.ts
+++ b/packages/routing/src/plainChoice.ts
@@ -1,4 +1,4 @@
-/** Chooses the server for a plain request's next attempt, within the limits that servers name. */
+/** Chooses the server for a plain request's next attempt, within what servers say of themselves. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { BackendServer } from './model';
 import type { RequestState } from './requestState';
@@ -8,15 +8,23 @@
   | { kind: 'chosen'; server: BackendServer }
   /** Those that are left take no request at this time, by limits that they name. */
   | { kind: 'limited'; retryAfterMs: number }
+  /** All servers of the service rest. */
+  | { kind: 'resting'; retryAfterMs: number }
   | { kind: 'none' };
 
+/** Callers come back after about this long: a full or restarting server has room again by then. */
+export const usualRetryAfterMs = 300;
+/** Servers that name a limit for longer than this have other permits meanwhile, at other routers. */
+const longestLimitedMs = 2_000;
+const retrySpread = 0.5;
+
 export async function choosePlainServer(
   state: RequestState,
   parts: RouterParts,
 ): Promise<PlainChoice> {
   const candidates = candidatesFor(state, parts);
   if (candidates.length === 0) {
-    return { kind: 'none' };
+    return choiceOfNone(state, parts);
   }
   const { limits } = parts;
   const open = leastLoaded(
@@ -28,10 +36,17 @@
   }
   const granted = await askForPermit(candidates, state, parts);
   return granted === undefined
-    ? { kind: 'limited', retryAfterMs: soonestMs(candidates, parts) }
+    ? { kind: 'limited', retryAfterMs: afterLimitsMs(candidates, parts) }
     : { kind: 'chosen', server: granted };
 }
 
+function choiceOfNone({ service }: RequestState, { words, random }: RouterParts): PlainChoice {
+  const restMs = words.closedForMs(service.name);
+  return restMs === undefined
+    ? { kind: 'none' }
+    : { kind: 'resting', retryAfterMs: restMs + usualRetryAfterMs * random() };
+}
+
 function candidatesFor(state: RequestState, { pools, health }: RouterParts): BackendServer[] {
   const ejected = health.ejected(monotonicNowMs());
   const untried = pools
@@ -72,6 +87,12 @@
   return undefined;
 }
 
-function soonestMs(candidates: readonly BackendServer[], { limits }: RouterParts): number {
-  return Math.min(...candidates.map(({ id }) => limits.waitMs(id)));
+/** Callers that were refused together come back apart. */
+function afterLimitsMs(
+  candidates: readonly BackendServer[],
+  { limits, random }: RouterParts,
+): number {
+  const soonestMs = Math.min(...candidates.map(({ id }) => limits.waitMs(id)));
+  const waitMs = Math.min(longestLimitedMs, Math.max(usualRetryAfterMs, soonestMs));
+  return waitMs * (1 + retrySpread * random());
 }
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -10,7 +10,7 @@
   type NotRunReason,
   type Refusal,
 } from './model';
-import { choosePlainServer } from './plainChoice';
+import { choosePlainServer, usualRetryAfterMs, type PlainChoice } from './plainChoice';
 import { lostRefusal, noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterParts } from './routerParts';
 import { drainBody, readWholeBody } from './wholeBody';
@@ -30,20 +30,17 @@
   /** The answer was too long to be held and has gone to the caller as it came. */
   | { kind: 'forwarded'; isWhole: boolean };
 
+type ClosedChoice = Extract<PlainChoice, { retryAfterMs: number }>;
+
 /** What a request has come to so far. */
 interface PlainEnd {
   /** Of its attempts. */
   best?: Attempt;
-  /** Servers that could still be asked take nothing for about so long, by limits that they name. */
-  limitedForMs?: number;
+  /** Why none is left for the next one, by the servers' own words. */
+  closed?: ClosedChoice;
 }
 
 const firstServerError = 500;
-/** Callers come back after about this long: a full or restarting server has room again by then. */
-const retryAfterMs = 300;
-/** Servers that name a limit for longer than this have other permits meanwhile, at other routers. */
-const longestRetryAfterMs = 2_000;
-const retrySpread = 0.5;
 /**
  * A server that has not begun its answer after this many times the route's target is not waited for any
  * longer where another one may be asked.
@@ -55,8 +52,8 @@
   const end: PlainEnd = {};
   while (remainingMs(state) > 0 && !state.exchange.signal.aborted) {
     const choice = await choosePlainServer(state, parts);
-    if (choice.kind === 'limited') {
-      end.limitedForMs = choice.retryAfterMs;
+    if (choice.kind === 'limited' || choice.kind === 'resting') {
+      end.closed = choice;
     }
     if (choice.kind !== 'chosen' || !state.mayStillRun() || !mayAttempt(state, parts)) {
       break;
@@ -77,7 +74,7 @@
       break;
     }
   }
-  finish(state, end, parts);
+  finish(state, end);
 }
 
 /** Takes a further attempt out of the budget; the first that arrives anywhere is free. */
@@ -125,40 +122,35 @@
   return known === undefined || ranks[attempt.kind] > ranks[known.kind] ? attempt : known;
 }
 
-function finish(state: RequestState, end: PlainEnd, parts: RouterParts): void {
+function finish(state: RequestState, end: PlainEnd): void {
   const { best } = end;
   if (best?.kind === 'answer' || best?.kind === 'server-failure') {
     state.exchange.answer(best.answer);
     return;
   }
-  state.exchange.refuse(refusalOf(state, end, parts));
+  state.exchange.refuse(refusalOf(state, end));
 }
 
-function refusalOf(
-  state: RequestState,
-  { best, limitedForMs }: PlainEnd,
-  parts: RouterParts,
-): Refusal {
-  switch (best?.kind) {
-    case 'lost':
-      return lostRefusal(state, best.detail);
-    case 'rejected':
-      return { kind: 'not-run', reason: notRunReasons.rejected, retryAfterMs };
-    default:
-      return limitedForMs === undefined
-        ? { kind: 'not-run', reason: reasonNotSent(state), retryAfterMs }
-        : limitedRefusal(limitedForMs, parts);
+function refusalOf(state: RequestState, { best, closed }: PlainEnd): Refusal {
+  if (best?.kind === 'lost') {
+    return lostRefusal(state, best.detail);
   }
+  // One that has turned the request away for want of room may have room soon, whatever limits the others name.
+  const isOpen = closed === undefined || (best?.kind === 'rejected' && closed.kind === 'limited');
+  return {
+    kind: 'not-run',
+    reason: reasonNotRun(state, { best, closed }),
+    retryAfterMs: isOpen ? usualRetryAfterMs : closed.retryAfterMs,
+  };
 }
 
-/** Callers that were refused together come back apart. */
-function limitedRefusal(limitedForMs: number, { random }: RouterParts): Refusal {
-  const waitMs = Math.min(longestRetryAfterMs, Math.max(retryAfterMs, limitedForMs));
-  const reason = notRunReasons.overloaded;
-  return { kind: 'not-run', reason, retryAfterMs: waitMs * (1 + retrySpread * random()) };
-}
-
-function reasonNotSent({ mayStillRun }: RequestState): NotRunReason {
+function reasonNotRun({ mayStillRun }: RequestState, { best, closed }: PlainEnd): NotRunReason {
+  if (best?.kind === 'rejected') {
+    return notRunReasons.rejected;
+  }
+  if (closed !== undefined) {
+    return notRunReasons.overloaded;
+  }
   return mayStillRun() ? notRunReasons.noServer : notRunReasons.staleConfiguration;
 }
 
--- a/packages/routing/src/routerParts.ts
+++ b/packages/routing/src/routerParts.ts
@@ -22,7 +22,7 @@
   serverLoads: ServerLoads;
   /** For requests to servers that name a limit. */
   limits: ServerPermits;
-  words: Pick<ServerWords, 'mayGet'>;
+  words: Pick<ServerWords, 'mayGet' | 'closedForMs'>;
   engineLoads: EngineLoads;
   streamSizes: StreamSizes;
   placement: DecodePlacement;
