Take an engine's load report at its word when it says that it leaves

A report that says so, or that the engine is gone within the time of a long stream, now counts like the word in an answer. A report of another life says nothing of this one, as before. Each engine's report is read by one router, so the others learn from their own first answer.

--- a/packages/replay/src/engineModel.ts
+++ b/packages/replay/src/engineModel.ts
@@ -131,6 +131,7 @@
       totalTokens: shape.memoryTokens,
       reservedTokens: [...reservations.values()].reduce((sum, { tokens }) => sum + tokens, 0),
       isBusyWithOrder: false,
+      isDraining: false,
       orderCount: 0,
       runs: running.map(({ attemptId, heldKvBytes, offset }) => ({
         requestId: attemptId,
--- a/packages/routing/__tests__/engineLoads.test.ts
+++ b/packages/routing/__tests__/engineLoads.test.ts
@@ -10,6 +10,7 @@
   totalTokens: 10_000,
   reservedTokens: 0,
   isBusyWithOrder: false,
+  isDraining: false,
   orderCount: 0,
   runs: [],
 });
--- a/packages/routing/src/backendApi.ts
+++ b/packages/routing/src/backendApi.ts
@@ -66,6 +66,9 @@
   totalTokens: number;
   reservedTokens: number;
   isBusyWithOrder: boolean;
+  isDraining: boolean;
+  /** Until it is gone, where it knows. */
+  leavesInMs?: number;
   /** Orders accepted in this life of the engine. */
   orderCount: number;
   /** Those in progress, where it lists them. */
--- a/packages/routing/src/loadPoller.ts
+++ b/packages/routing/src/loadPoller.ts
@@ -27,6 +27,8 @@
   pools: ServerPools;
   loads: EngineLoads;
   streamSizes: Pick<StreamSizes, 'observeRuns'>;
+  /** An engine reports that it leaves: its entry may not say so yet. */
+  onLeaving?: (server: BackendServer) => void;
   /** Each engine is read once in this time. */
   intervalMs: number;
   ownAddress: string;
@@ -38,12 +40,14 @@
 /** An engine answers within milliseconds; a report that comes later is stale. */
 const reportTimeoutMs = 400;
 const longestPaceMs = 250;
+/** A stream that begins now may last so long. */
+const leavesSoonMs = 15_000;
 /** Sharing out costs a hash for each engine and router. */
 const shareOutMs = 500;
 
 export function createLoadPoller(options: LoadPollerOptions): BackgroundLoop {
   const { backend, directory, pools, loads, streamSizes, intervalMs } = options;
-  const { random = Math.random } = options;
+  const { onLeaving = () => undefined, random = Math.random } = options;
   let readAtMs = new Map<string, number>();
   let own: BackendServer[] = [];
   let sharedOutAtMs = -Infinity;
@@ -61,6 +65,9 @@
   function takeReport(server: BackendServer, load: EngineLoad): void {
     const { bornAtMs = server.bornAtMs } = load;
     if (bornAtMs === server.bornAtMs) {
+      if (isLeaving(load)) {
+        onLeaving(server);
+      }
       loads.report(server.id, load);
       streamSizes.observeRuns(server.id, load.runs);
     } else if (bornAtMs !== undefined) {
@@ -111,3 +118,7 @@
     }
   });
 }
+
+function isLeaving({ isDraining, leavesInMs = Infinity }: EngineLoad): boolean {
+  return isDraining || leavesInMs < leavesSoonMs;
+}
