--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -6,7 +6,6 @@
 import {
   createBoundedMap,
   createPlacementAdmission,
-  type MemoryForecast,
   type OutlierDetector,
   type PlacementAdmission,
 } from '@bluebellhitch/decisions';
@@ -16,6 +15,7 @@
 import type { EngineLoads, PlacedStream } from './engineLoads';
 import type { ServerPools } from './fleetPart';
 import { stages, type BackendServer, type EngineSettings } from './model';
+import { hasHeadroom, tightestPlace, type Place } from './placementChoice';
 import { noLimits, type ServerPermits } from './serverLimits';
 import { noWords, type ServerWords } from './serverWords';
 
@@ -77,8 +77,6 @@
 
 /** Between looks at the pool while requests wait; others' streams end without a word to us. */
 const lookAgainMs = 30;
-/** Part of the pool that stays free of late requests. */
-const lateHeadroomShare = 0.2;
 /** An engine answers within a few milliseconds; one that does not is taken for gone. */
 const reserveTimeoutMs = 500;
 const maxServices = 512;
@@ -91,12 +89,6 @@
 /** Between two tries of one request at spare servers, so that a full fleet is not asked all the time. */
 const spareRetryMs = 100;
 
-/** A server of a pool and its memory, as long as one look at the waiting requests lasts. */
-interface Place {
-  server: BackendServer;
-  memory: MemoryForecast;
-}
-
 /** The pools of one look, by service and kind: they are the same for all that wait. */
 type PlacesOf = (waiter: Waiter, kind: 'usable' | 'spare') => readonly Place[];
 
@@ -215,9 +207,11 @@
     if (places.length === 0 && refuseIfClosed(waiter, nowMs)) {
       return;
     }
-    const isWelcome = isUrgent(waiter, nowMs) || hasHeadroom(places, waiter);
+    const isWelcome =
+      isUrgent(waiter, nowMs) ||
+      hasHeadroom(places, { stream: waiter.stream, engineTokens: waiter.engine.kvTokens });
     const chosen = isWelcome
-      ? (tightest(places, waiter) ?? trySpare(waiter, nowMs, placesOf))
+      ? (tightestPlace(places, { ...waiter, random }) ?? trySpare(waiter, nowMs, placesOf))
       : undefined;
     if (chosen !== undefined) {
       chosen.memory.add(waiter.stream);
@@ -248,7 +242,7 @@
     }
     waiter.nextSpareAtMs = nowMs + spareRetryMs;
     const places = placesOf(waiter, 'spare').filter((one) => mayUse(waiter, one));
-    return tightest(places, waiter);
+    return tightestPlace(places, { ...waiter, random });
   }
 
   function hasLostPart(waiter: Waiter, placesOf: PlacesOf): boolean {
@@ -260,40 +254,6 @@
     return isResumed || onTimeUntilMs >= nowMs;
   }
 
-  /** A late answer earns little: it must not take the memory that answers on time will need. */
-  function hasHeadroom(places: readonly Place[], waiter: Waiter): boolean {
-    const { stream, engine } = waiter;
-    const free = places.reduce((sum, { memory }) => sum + Math.max(0, memory.freeTokens()), 0);
-    const needed = stream.promptTokens + stream.medianOutputTokens;
-    return free - needed >= lateHeadroomShare * engine.kvTokens * places.length;
-  }
-
-  /**
-   * Of two that have room, chosen at random, the one that is left with less: the others keep room for prompts that need
-   * most of an engine. Two and not all, for routers that look at once must not all choose the same. In 20 replays of
-   * prompts up to an engine's memory 66 instead of 58 of 100 of the largest tenth were served, and as many in all.
-   */
-  function tightest(places: readonly Place[], waiter: Waiter): Place | undefined {
-    const roomy = places
-      .map((one) => ({ one, freeTokens: one.memory.freeTokensWith(waiter.stream) }))
-      .filter(({ freeTokens }) => freeTokens >= 0);
-    const preferred = roomy.find(({ one }) => one.server.id === waiter.preferredId);
-    const [first, second] = drawTwo(roomy);
-    const best =
-      first !== undefined && second !== undefined && second.freeTokens < first.freeTokens
-        ? second
-        : first;
-    return (preferred ?? best)?.one;
-  }
-
-  function drawTwo<Item>(items: readonly Item[]): Item[] {
-    const first = Math.floor(random() * items.length);
-    const rest = items.filter((_item, index) => index !== first);
-    return [items[first], rest[Math.floor(random() * rest.length)]].filter(
-      (item): item is Item => item !== undefined,
-    );
-  }
-
   async function reserveAt(server: BackendServer, waiter: Waiter): Promise<void> {
     waiter.isTrying = true;
     limits.take(server.id, callsPerPlacement);
