Have no prompt read for an engine whose answer to a reservation says that it leaves

Callers waited for a prompt to be read that was thrown away: the engine granted memory and said in the same answer that it leaves, and the word was looked at only after the prompt had been read elsewhere. Now the memory is given back at once and another engine is looked for, without an attempt of the budget, as nothing of the request has arrived anywhere.

--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -63,7 +63,7 @@
   loads: EngineLoads;
   health: OutlierDetector;
   limits?: ServerPermits;
-  words?: Pick<ServerWords, 'closedForMs' | 'isLeft'>;
+  words?: Pick<ServerWords, 'mayGet' | 'closedForMs' | 'isLeft'>;
   random?: Random;
 }
 
@@ -268,12 +268,20 @@
     if (outcome.kind === 'done') {
       loads.noteContact(server.id);
       health.record(server.id, 'success', monotonicNowMs());
+    }
+    if (outcome.kind === 'done' && words.mayGet(server)) {
       admissionOf(waiter).notePlaced(monotonicNowMs());
       hand(waiter, { reservation: outcome.value, stream: lookAfter(stream) });
       return;
     }
     stream.release();
-    noteNotReserved(server, waiter, outcome);
+    if (outcome.kind === 'done') {
+      // The very answer may have said that the engine leaves: a prompt would be read for nothing.
+      backend.releaseReservation(outcome.value);
+      waiter.failedIds.add(server.id);
+    } else {
+      noteNotReserved(server, waiter, outcome);
+    }
     look();
   }
 
--- a/packages/routing/src/serverWords.ts
+++ b/packages/routing/src/serverWords.ts
@@ -32,7 +32,8 @@
 }
 
 /** Where servers say nothing of themselves. */
-export const noWords: Pick<ServerWords, 'closedForMs' | 'isLeft'> = {
+export const noWords: Pick<ServerWords, 'mayGet' | 'closedForMs' | 'isLeft'> = {
+  mayGet: () => true,
   closedForMs: () => undefined,
   isLeft: () => false,
 };
