Soak servers that leave before the store hears of it, and servers that ask for rest

The soak's servers said nothing of themselves but limits, so neither fault of the incident could show. In mixed scripts they now leave with their word in answers up to 4 s before their entry says so, and turn all away with 0.7 to 4 s of rest; a server that is replaced says that it leaves, too. Checked from what reached the servers: nothing that a caller sent after its router had certainly read the word (a whole answer of that server, or a refusal after its only rejection), until the rest's end or for ever, unless the router was killed or stopped since. There is no margin: the word counts at once.

The new steps draw from a seed of their own: other steps of a seed stay.

--- a/packages/soak/__tests__/checks.test.ts
+++ b/packages/soak/__tests__/checks.test.ts
@@ -7,6 +7,7 @@
 import type { ShownKey } from '../src/keyring';
 import { createLimitChecks } from '../src/limitChecks';
 import { createRequestChecks } from '../src/requestChecks';
+import { createWordChecks } from '../src/wordChecks';
 import { createWorkspaceChecks } from '../src/workspaceChecks';
 
 const bonds: ShownKey = {
@@ -42,6 +43,8 @@
 
   const limits = createLimitChecks({ ledger, findings, disruptions, marginMs: 100 });
 
+  const words = createWordChecks({ ledger, findings, disruptions });
+
   function request(id: string, over: { isRepeatable?: boolean; shownKey?: ShownKey } = {}) {
     return ledger.send({
       id,
@@ -72,7 +75,7 @@
       ...over,
     });
   const found = () => findings.all().map(({ promise }) => promise);
-  return { request, end, arrive, found, checks, limits, leaving, disruptions };
+  return { request, end, arrive, found, checks, limits, words, leaving, disruptions };
 }
 
 test('a second run, a false refusal and one that runs later are found', (t) => {
@@ -197,3 +200,54 @@
     }
   },
 );
+
+test.serial(
+  'a router that sends to a server after its word that it leaves, or rests, is found',
+  (t) => {
+    const clock = FakeTimers.install();
+    try {
+      const world = createWorld();
+      let sent = 0;
+      const send = (serverId: string, how: RequestEnd) => {
+        sent += 1;
+        world.request(`q${sent}`);
+        world.arrive(`q${sent}`, serverId, { hasRun: how.kind === 'whole' });
+        clock.tick(10);
+        world.end(`q${sent}`, how);
+        clock.tick(10);
+        return `q${sent}`;
+      };
+      const whole = (): RequestEnd => ({ kind: 'whole', status: 500, body: '' });
+      const refused: RequestEnd = { kind: 'refused', status: 503 };
+      const foundAll = () => {
+        world.words.checkAll();
+        return world.found().filter((promise) => promise.endsWith('-word'));
+      };
+      // Each word is told once, and the rest is over before the next request.
+      send('leaves', whole());
+      world.words.leaves('leaves');
+      send('leaves', whole());
+      const ended = world.words.rests('rests', 1_000);
+      send('rests', refused);
+      ended();
+      clock.tick(1_000);
+      send('rests', whole());
+      t.deepEqual(foundAll(), []);
+      // A router that was killed since has forgotten.
+      world.disruptions.begin({ kind: 'router', name: 'router-0' }, 'killed')();
+      clock.tick(10);
+      send('leaves', whole());
+      t.deepEqual(foundAll(), []);
+      clock.tick(10);
+      send('leaves', whole());
+      t.deepEqual(foundAll(), ['leaving-word']);
+      const endedLater = world.words.rests('rests', 1_000);
+      send('rests', refused);
+      send('rests', refused);
+      endedLater();
+      t.deepEqual(foundAll().slice(1), ['leaving-word', 'rest-word']);
+    } finally {
+      clock.uninstall();
+    }
+  },
+);
--- a/packages/soak/__tests__/script.test.ts
+++ b/packages/soak/__tests__/script.test.ts
@@ -31,13 +31,13 @@
   const kinds = new Set(
     scripts.flatMap(({ steps }) => steps.map(({ operation }) => operation.kind)),
   );
-  t.is(kinds.size, 17);
+  t.is(kinds.size, 19);
   const planned = scripts.filter(({ kind }) => kind === 'planned');
   t.true(planned.length > 20);
   const unplanned = planned
     .flatMap(({ steps }) => steps)
     .filter(({ operation }) =>
-      /kill|freeze|crash|fault|errors|link|reset|limit|restore/.test(operation.kind),
+      /kill|freeze|crash|fault|errors|link|reset|limit|restore|rest-|unlisted/.test(operation.kind),
     );
   t.deepEqual(unplanned, []);
 });
--- a/packages/soak/src/backendServers.ts
+++ b/packages/soak/src/backendServers.ts
@@ -27,6 +27,7 @@
   random: Random;
   /** How long routers may still send to a server whose leaving the store has acknowledged. */
   drainMs: number;
+  onLeaving(serverId: string): void;
 }
 
 export interface ServerErrors {
@@ -38,8 +39,10 @@
   placeCount: number;
   /** Falls silent at once; its entry lapses; another server takes its place after `downMs`. */
   crash(place: number, downMs: number): Promise<void>;
-  /** A new server comes first, then the old one drains and leaves. */
-  replace(place: number): Promise<void>;
+  /**
+   * A new server comes first, then the old one drains and leaves. Its answers say so at once, its entry after `unlistedMs`.
+   */
+  replace(place: number, unlistedMs: number): Promise<void>;
   setLink(place: number, fault: LinkFault): void;
   resetLinks(place: number): void;
   setErrors(place: number, errors: ServerErrors | undefined): void;
@@ -47,6 +50,8 @@
   listAgain(): Promise<void>;
   /** Of the server that is there now. */
   nameLimit(place: number, requestsPerSecond: number | undefined): void;
+  /** It turns all away and asks for so much rest; undefined: no longer. */
+  askForRest(place: number, restMs: number | undefined): void;
   serverId(place: number): string;
   /** When the store acknowledged that the server leaves. */
   leavingSinceMs(serverId: string): number | undefined;
@@ -88,6 +93,7 @@
 const eventGapMs = 25;
 const workMs = 15;
 const storeKind = 'servers';
+const msPerSecond = 1_000;
 
 /** What a plain request's caller gets. */
 export function plainText(requestId: string, serverId: string): string {
@@ -193,7 +199,7 @@
     ended();
   }
 
-  async function replace(index: number): Promise<void> {
+  async function replace(index: number, unlistedMs: number): Promise<void> {
     const place = places[index] as Place;
     const old = place.current;
     if (old === undefined) {
@@ -204,6 +210,10 @@
       isPlanned: true,
     });
     await startAt(place);
+    old.worker.leavingWord = '1';
+    old.worker.reportedState = { state: 'draining' };
+    options.onLeaving(id);
+    await delay(unlistedMs);
     draining.set(id, old);
     listDraining(old);
     leaving.set(id, monotonicNowMs());
@@ -232,6 +242,12 @@
         worker.namedLimit = requestsPerSecond?.toFixed(1);
       }
     },
+    askForRest(index, restMs) {
+      const worker = places[index]?.current?.worker;
+      if (worker !== undefined) {
+        worker.restWord = restMs === undefined ? undefined : String(restMs / msPerSecond);
+      }
+    },
     serverId: (index) => places[index]?.current?.worker.id ?? '',
     leavingSinceMs: (serverId) => leaving.get(serverId),
     async close() {
--- a/packages/soak/src/findings.ts
+++ b/packages/soak/src/findings.ts
@@ -16,6 +16,8 @@
   keys: 'keys',
   quota: 'quota',
   serverLimit: 'server-limit',
+  leavingWord: 'leaving-word',
+  restWord: 'rest-word',
 } as const;
 export type Promised = (typeof promises)[keyof typeof promises];
 
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -10,6 +10,7 @@
 import type { RouterProcessHandle } from './routerFleet';
 import type { Operation } from './script';
 import type { StoreCopies } from './storeCopies';
+import type { WordChecks } from './wordChecks';
 
 export interface OperatorOptions {
   store: StandinStore;
@@ -20,6 +21,7 @@
   disruptions: Disruptions;
   findings: Findings;
   limits: LimitChecks;
+  words: Pick<WordChecks, 'rests'>;
   copies: StoreCopies;
   /** From the signal to stop until the process must have ended. */
   graceMs: number;
@@ -181,6 +183,19 @@
     ended();
   }
 
+  /** A server that is replaced meanwhile takes its word with it. */
+  async function restServer(operation: OperationOf<'rest-server'>): Promise<void> {
+    const { server, restMs, forMs } = operation;
+    const id = servers.serverId(server);
+    servers.askForRest(server, restMs);
+    const ended = options.words.rests(id, restMs);
+    await delay(forMs);
+    if (servers.serverId(server) === id) {
+      servers.askForRest(server, undefined);
+    }
+    ended();
+  }
+
   async function raiseLoad({ factor, forMs }: OperationOf<'burst'>): Promise<void> {
     callers.setFactor(factor);
     await delay(forMs);
@@ -204,7 +219,11 @@
       'forget-history': () => resetLinks({ kind: 'store' }, store.compact),
       'crash-server': ({ server, downMs }) =>
         inTurn(`server ${server}`, () => servers.crash(server, downMs)),
-      'replace-server': ({ server }) => inTurn(`server ${server}`, () => servers.replace(server)),
+      'replace-server': ({ server }) =>
+        inTurn(`server ${server}`, () => servers.replace(server, 0)),
+      'leave-unlisted': ({ server, unlistedMs }) =>
+        inTurn(`server ${server}`, () => servers.replace(server, unlistedMs)),
+      'rest-server': (operation) => inTurn(`rest ${operation.server}`, () => restServer(operation)),
       'server-link': linkServer,
       'server-reset': ({ server }) =>
         resetLinks(serverAt(server), () => servers.resetLinks(server)),
--- a/packages/soak/src/script.ts
+++ b/packages/soak/src/script.ts
@@ -16,6 +16,9 @@
   | { kind: 'restore-store'; ageMs: number; awayMs: number; againMs: number }
   | { kind: 'crash-server'; server: number; downMs: number }
   | { kind: 'replace-server'; server: number }
+  /** As before, but the store hears of it only after a while. */
+  | { kind: 'leave-unlisted'; server: number; unlistedMs: number }
+  | { kind: 'rest-server'; server: number; restMs: number; forMs: number }
   | { kind: 'server-link'; server: number; link: LinkFault; forMs: number }
   | { kind: 'server-reset'; server: number }
   | { kind: 'server-errors'; server: number; run: RunScript; share: number; forMs: number }
@@ -54,6 +57,7 @@
 const msPer10Seconds = 10_000;
 const limitSeedOffset = 104_729;
 const copySeedOffset = 1_299_709;
+const wordSeedOffset = 15_485_863;
 const plannedKinds = ['stop-router', 'reload-router', 'replace-server', 'change-configuration'];
 
 export function createScript(options: ScriptOptions): SoakScript {
@@ -67,7 +71,8 @@
     atMs: Math.round(random() * durationMs),
     operation: pickOperation(kind, options, random),
   }));
-  const all = kind === 'mixed' ? [...steps, ...limitSteps(options), ...copySteps(options)] : steps;
+  const apart = [limitSteps, copySteps, wordSteps].flatMap((stepsOf) => stepsOf(options));
+  const all = kind === 'mixed' ? [...steps, ...apart] : steps;
   return { kind, steps: all.sort((left, right) => left.atMs - right.atMs) };
 }
 
@@ -103,6 +108,34 @@
   }));
 }
 
+/** Drawn apart too: servers that want rest, and servers that leave with the store late to hear of it. */
+function wordSteps({ seed, durationMs, serverCount }: ScriptOptions): ScriptStep[] {
+  const random = createSeededRandom(seed + wordSeedOffset);
+  random();
+  const atMs = () => Math.round(random() * durationMs);
+  const server = () => Math.floor(random() * serverCount);
+  const count = Math.max(1, Math.round(durationMs / msPer10Seconds));
+  return Array.from({ length: count }, () => [
+    {
+      atMs: atMs(),
+      operation: {
+        kind: 'rest-server' as const,
+        server: server(),
+        restMs: Math.round(700 + random() * 3_300),
+        forMs: Math.round(1_000 + random() * 5_000),
+      },
+    },
+    {
+      atMs: atMs(),
+      operation: {
+        kind: 'leave-unlisted' as const,
+        server: server(),
+        unlistedMs: Math.round(random() * 4_000),
+      },
+    },
+  ]).flat();
+}
+
 function pickOperation(kind: ScriptKind, options: ScriptOptions, random: Random): Operation {
   const makers = operationMakers(options, random);
   const fitting = makers.filter(({ name }) => kind === 'mixed' || plannedKinds.includes(name));
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -23,6 +23,7 @@
 import { startRouterFleet, type RouterFleet } from './routerFleet';
 import { createScript, type ScriptStep } from './script';
 import { createStoreCopies } from './storeCopies';
+import { createWordChecks } from './wordChecks';
 import { createWorkspaceChecks } from './workspaceChecks';
 
 export interface SoakOptions {
@@ -96,6 +97,7 @@
     servers: () => servers,
   });
   const limits = createLimitChecks({ ledger, findings, disruptions, marginMs });
+  const words = createWordChecks({ ledger, findings, disruptions });
   const keyring = createKeyring({
     random: createSeededRandom(seed + keySeedOffset),
     revocationMs: bounds.revocationMs,
@@ -103,6 +105,7 @@
   const plan = createConfigurationPlan(store, keyring);
   servers = await startBackendServers({
     ...{ host: '127.0.0.1', store, ledger, disruptions, findings, random, drainMs },
+    onLeaving: words.leaves,
   });
   const fleet = await startRouterFleet({
     ...options,
@@ -124,7 +127,7 @@
   const copies = createStoreCopies(store);
   const operator = createOperator({
     ...{ store, servers, routers: fleet.routers, callers, plan, disruptions, findings, marginMs },
-    ...{ limits, copies },
+    ...{ limits, words, copies },
     graceMs: bounds.graceMs,
   });
   const fleetChecks = {
@@ -148,6 +151,7 @@
   await Promise.race([Promise.all(loops.map((loop) => loop.stop())), delay(lastAnswersMs)]);
   checks.checkAll();
   limits.checkAll();
+  words.checkAll();
   lag.disable();
   await Promise.all(
     fleet.routers.map((_router, router) =>
