--- a/packages/replay/src/quota/quotaReplay.ts
+++ b/packages/replay/src/quota/quotaReplay.ts
@@ -1,5 +1,5 @@
 /** Replays a load for one workspace's quota before a fleet of routers that keep it in one of several ways. */
-import { createSeededRandom, type Random } from '@bluebellhitch/shared';
+import { createSeededRandom, fromAnyPlace, type Random } from '@bluebellhitch/shared';
 import type { QuotaNews } from '@bluebellhitch/decisions';
 import { demandAt, isAt, limitFactorAt, type QuotaLoad, type QuotaStep } from './quotaLoad';
 import { createQuotaKeeper, type QuotaKeeper, type QuotaWay } from './quotaWays';
@@ -115,8 +115,7 @@
   /** Each question and each answer may be lost. */
   function askIssuers({ address, keeper }: Router, nowMs: number): boolean {
     const issuers = keeper.issuers?.(nowMs) ?? [];
-    const first = Math.floor(random() * issuers.length);
-    return [...issuers.slice(first), ...issuers.slice(0, first)]
+    return fromAnyPlace(issuers, random)
       .slice(0, mostAsked)
       .some((issuer) => {
         const isHeard = befallen.hear(address, issuer, nowMs) && !befallen.isPaused(issuer, nowMs);
--- a/packages/routing/src/plainChoice.ts
+++ b/packages/routing/src/plainChoice.ts
@@ -1,5 +1,5 @@
 /** Chooses the server for a plain request's next attempt, within what servers say of themselves. */
-import { monotonicNowMs } from '@bluebellhitch/shared';
+import { fromAnyPlace, monotonicNowMs } from '@bluebellhitch/shared';
 import type { BackendServer } from './model';
 import type { RequestState } from './requestState';
 import type { RouterParts } from './routerParts';
@@ -75,8 +75,7 @@
   { signal }: RequestState,
   { limits, random }: RouterParts,
 ): Promise<BackendServer | undefined> {
-  const first = Math.floor(random() * candidates.length);
-  for (const server of [...candidates.slice(first), ...candidates.slice(0, first)]) {
+  for (const server of fromAnyPlace(candidates, random)) {
     if (signal.aborted) {
       return undefined;
     }
--- a/packages/routing/src/serverLimits.ts
+++ b/packages/routing/src/serverLimits.ts
@@ -15,7 +15,7 @@
   type PermitAnswer,
   type PermitQuestion,
 } from '@bluebellhitch/protocol';
-import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
+import { fromAnyPlace, monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import type { BackendServer } from './model';
 
@@ -215,9 +215,7 @@
     const issuers = permits
       .issuers(serverId, nowMs)
       .filter((issuer) => (refusedUntilMs.get(`${serverId} ${issuer}`) ?? -Infinity) <= nowMs);
-    const first = Math.floor(random() * issuers.length);
-    const inTurn = [...issuers.slice(first), ...issuers.slice(0, first)].slice(0, mostAsked);
-    for (const issuer of inTurn) {
+    for (const issuer of fromAnyPlace(issuers, random).slice(0, mostAsked)) {
       if (await ask(issuer, serverId)) {
         onPermit('granted');
         return true;
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -22,7 +22,7 @@
   type SettingValues,
 } from './settings';
 export { hash64, hash64Hex, rendezvousOrder } from './hash';
-export { createSeededRandom, type Random } from './random';
+export { createSeededRandom, fromAnyPlace, type Random } from './random';
 export { createBackgroundLoop, type BackgroundLoop } from './backgroundLoop';
 export { delay, monotonicNowMs } from './clock';
 export { startRunningTimer, type RunningTimer } from './runningTimer';
