Count what servers say, but not that they name no limit

Nearly every answer says that it names none, so the counter of words grew with each answer and told operators nothing. The words that matter are counted as before; the tests of words pass.

--- a/packages/routing/src/serverWords.ts
+++ b/packages/routing/src/serverWords.ts
@@ -11,6 +11,7 @@
 export interface ServerWordsOptions {
   directory: Pick<ServerDirectory, 'get' | 'all' | 'usable' | 'noteLeaving'>;
   limits: Pick<ServerLimits, 'note'>;
+  /** Told of each word, but not that there is no limit: nearly all answers say that. */
   onWord?: (kind: ServerWord['kind']) => void;
   logger: Logger;
 }
@@ -88,7 +89,9 @@
   return {
     note(server, words) {
       words.forEach((word) => {
-        onWord(word.kind);
+        if (word.kind !== 'no-limit') {
+          onWord(word.kind);
+        }
         noteOne(server, word);
       });
     },
