Begin a first read of a prompt only where the budget could bear its loss

Cause: the first call to a prefill engine needed no part of the budget, and was charged after it had been lost; with engines crashed and not yet known to be, each new request cost one more, whatever was left. Class: a bound that is charged and not asked.

Reproduced by a test: eight prefill engines that reset, 40 requests, no allowance: 40 further arrivals where 9 are allowed; now within. Without a part left the decode engine reads the prompt, as it did for further reads already. It holds up to the calls in progress at the moment that the budget runs out.

--- a/packages/routing/src/attemptBudget.ts
+++ b/packages/routing/src/attemptBudget.ts
@@ -17,6 +17,8 @@
   recordRequest(serviceName: string, nowMs: number): void;
   /** Takes one further attempt out of the budget; false where none is left. */
   tryTake(serviceName: string, nowMs: number): boolean;
+  /** Whether one is left: a first call that may be turned away takes one without asking. */
+  hasLeft(serviceName: string, nowMs: number): boolean;
   /** Counts one that has arrived although it was not asked for: a first call that was turned away. */
   charge(serviceName: string, nowMs: number): void;
 }
@@ -39,18 +41,23 @@
     return window;
   }
 
+  function isLeftIn({ requestsAtMs, furtherAtMs }: ServiceWindow): boolean {
+    return furtherAtMs.length + 1 <= requestsAtMs.length * ratio + allowance();
+  }
+
   return {
     recordRequest(serviceName, nowMs) {
       current(serviceName, nowMs).requestsAtMs.push(nowMs);
     },
     tryTake(serviceName, nowMs) {
       const window = current(serviceName, nowMs);
-      if (window.furtherAtMs.length + 1 > window.requestsAtMs.length * ratio + allowance()) {
-        return false;
+      const isAllowed = isLeftIn(window);
+      if (isAllowed) {
+        window.furtherAtMs.push(nowMs);
       }
-      window.furtherAtMs.push(nowMs);
-      return true;
+      return isAllowed;
     },
+    hasLeft: (serviceName, nowMs) => isLeftIn(current(serviceName, nowMs)),
     charge(serviceName, nowMs) {
       current(serviceName, nowMs).furtherAtMs.push(nowMs);
     },
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -100,6 +100,16 @@
     return saves || prefillMs > longQueueFactor * ownMs;
   }
 
+  /**
+   * The first call that an engine accepts is free; any other counts as a further attempt, and so does a first one that is
+   * lost or turned away, as all are while engines have crashed unnoticed. Without an attempt left the decode engine reads:
+   * it has the memory set aside, and a refusal would waste it.
+   */
+  function mayCall(serviceName: string, isFurther: boolean): boolean {
+    const nowMs = monotonicNowMs();
+    return isFurther ? budget.tryTake(serviceName, nowMs) : budget.hasLeft(serviceName, nowMs);
+  }
+
   async function run(
     state: RequestState,
     promptTokens: number,
@@ -112,9 +122,7 @@
       if (server === undefined || isBetterAtDecode(state, promptTokens, server, decodeServer)) {
         return { kind: 'at-decode' };
       }
-      // The first call that an engine accepts is free; any other counts as a further attempt. Without one left the
-      // decode engine reads: it has the memory set aside, and a refusal would waste it.
-      if (isFurther && !budget.tryTake(name, monotonicNowMs())) {
+      if (!mayCall(name, isFurther)) {
         return { kind: 'at-decode' };
       }
       limits.take(server.id);
