Take no word on the store's copy from a router that has heard of a newer configuration

A router that has heard of a newer configuration than its own now answers nobody until it has it, once the store has come back from a copy; before that nothing changes. The unit test failed first (200 for none).

--- a/packages/routing/__tests__/configurationProof.test.ts
+++ b/packages/routing/__tests__/configurationProof.test.ts
@@ -222,6 +222,58 @@
   );
 });
 
+test('a router that has heard of a newer configuration is no witness for the copy that it has itself', (t) => {
+  // 401 for keys in force, on a busy machine: two routers had just started, and one of them had heard from a third, which was
+  // about to stop, of configuration 12. It answered the other, with configuration 1, before that one had heard the third.
+  const clock = FakeTimers.install({ now: 1e12, toFake: ['setTimeout', 'Date', 'performance'] });
+  try {
+    const sent: { bytes: Buffer; to: readonly string[] }[] = [];
+    const make = (address: string, witnesses: string[], version: number) => {
+      const proof = createConfigurationProof({
+        channel: () => ({
+          address,
+          async send(bytes, to) {
+            sent.push({ bytes, to });
+          },
+        }),
+        isNeeded: () => true,
+        witnesses: () => witnesses,
+        seenRevision: () => laterEra.router,
+        onRevisionElsewhere: () => undefined,
+      });
+      proof.noteConfiguration(version);
+      return proof;
+    };
+    const stopping = make('10.0.0.1:7000', [], 12);
+    stopping.ask();
+    clock.tick(longBeforeMs);
+    const between = make('10.0.0.2:7000', ['10.0.0.1:7000'], 1);
+    const last = make('10.0.0.3:7000', ['10.0.0.2:7000'], 1);
+    const routers = new Map([
+      ['10.0.0.1:7000', stopping],
+      ['10.0.0.2:7000', between],
+      ['10.0.0.3:7000', last],
+    ]);
+    const deliverAll = () =>
+      sent.splice(0).forEach(({ bytes, to }) => {
+        const message = decodeProofMessage(bytes);
+        to.forEach((address) => message && routers.get(address)?.receive(message));
+      });
+    [between, last].forEach((one) => one.noteProved(readClocks(), 1));
+    between.ask();
+    deliverAll();
+    deliverAll();
+    t.is(between.ageMs(), Infinity);
+    clock.tick(200);
+    last.ask();
+    deliverAll();
+    deliverAll();
+    t.is(last.ageMs(), Infinity);
+  } finally {
+    clock.uninstall();
+  }
+});
+
 test('what was proved before the store came back is no proof for others', (t) => {
   withPair(laterEra, ({ follower, router, deliver }) => {
     follower.noteProved(readClocks(), 1);
--- a/packages/routing/src/configurationProof.ts
+++ b/packages/routing/src/configurationProof.ts
@@ -90,6 +90,7 @@
   let firstAskedAt: ClockReading | undefined;
 
   const ownVersion = () => configuration.version;
+  const isFirstEra = () => eraOf(options.seenRevision()) === 0;
 
   function keepNewest(known: ClockReading | undefined, begun: ClockReading): ClockReading {
     return known === undefined || ageMsOf(begun) < ageMsOf(known) ? begun : known;
@@ -161,17 +162,18 @@
    * its copy. In the first era there is no copy, and nothing to wait for.
    */
   function hasHeardOthers(): boolean {
-    const isFirstEra = eraOf(options.seenRevision()) === 0;
     const hasListened = firstAskedAt !== undefined && ageMsOf(firstAskedAt) > answerWaitMs;
-    return isFirstEra || hasAnswer || hasListened;
+    return isFirstEra() || hasAnswer || hasListened;
   }
 
   /**
    * Whether this router's word is one for others. Two that have both just started would confirm an older copy to each other,
-   * and refuse keys in force for good: each would take the other for one that had been there before.
+   * and refuse keys in force for good: each would take the other for one that had been there before. So would one that has
+   * heard of a newer configuration and does not have it yet.
    */
   function hasWord(): boolean {
-    return ownVersion() > 0 && hasHeardOthers();
+    const hasNewest = isFirstEra() || ownVersion() >= versionElsewhere;
+    return ownVersion() > 0 && hasNewest && hasHeardOthers();
   }
 
   function isProvable(): boolean {
