Record why further attempts were made or refused, and how close a soak comes to their budget

Neither logs nor metrics could tell the hypotheses apart: a prefill call that was rejected, one that reached nobody and one that met another server were all 'not-run' in the trail; the counter of further attempts left prefill calls out; a refusal by the budget left no trace.

Now one module takes the attempts for plain requests, streams and prefills, and writes each into the trail, the line 'request ended', and two counters by cause. No decision changes.

The soak's check looked once a second, took every first prefill for free, also a rejected one, which the rule counts, and counted arrivals where the rule counts the requests sent. It scans all windows at the end of the run now, by the rule's words, and reports the fullest.

--- /dev/null
+++ b/packages/routing/src/furtherAttempts.ts
@@ -0,0 +1,61 @@
+/** Takes a request's further attempts from the budget, and records them in its trail, its log line and the metrics. */
+import { monotonicNowMs } from '@bluebellhitch/shared';
+import { noteStep, type RequestState } from './requestState';
+import type { RouterDependencies } from './routerDependencies';
+
+/** Why a request needs a further attempt. */
+export const attemptCauses = {
+  /** An attempt at a plain server failed or was rejected. */
+  failed: 'failed',
+  /** A run was rejected after its memory had been reserved. */
+  rejected: 'rejected',
+  /** A stream broke and continues on another server. */
+  resume: 'resume',
+  /** A prefill call after the request's first one. */
+  prefill: 'prefill',
+  /** A first prefill call, which counts if it is rejected or lost. */
+  firstPrefill: 'first-prefill',
+} as const;
+export type AttemptCause = (typeof attemptCauses)[keyof typeof attemptCauses];
+
+type Dependencies = Pick<RouterDependencies, 'budget' | 'metrics'>;
+
+/** Takes a further attempt from the budget of the request's service; false if none is left. */
+export function takeFurtherAttempt(
+  state: RequestState,
+  cause: AttemptCause,
+  deps: Dependencies,
+): boolean {
+  const isAllowed = deps.budget.tryTake(state.service.name, monotonicNowMs());
+  if (isAllowed) {
+    recordTaken(state, cause, deps);
+  } else {
+    recordRefused(state, cause, deps);
+  }
+  return isAllowed;
+}
+
+/** Whether a first prefill call may be made, although it is charged if it fails. */
+export function mayCallFirstPrefill(state: RequestState, deps: Dependencies): boolean {
+  const isAllowed = deps.budget.hasRemaining(state.service.name, monotonicNowMs());
+  if (!isAllowed) {
+    recordRefused(state, attemptCauses.firstPrefill, deps);
+  }
+  return isAllowed;
+}
+
+/** Charges a first prefill call that was rejected or lost. */
+export function chargeFirstPrefill(state: RequestState, deps: Dependencies): void {
+  deps.budget.charge(state.service.name, monotonicNowMs());
+  recordTaken(state, attemptCauses.firstPrefill, deps);
+}
+
+function recordTaken(state: RequestState, cause: AttemptCause, { metrics }: Dependencies): void {
+  state.furtherAttemptCount += 1;
+  metrics.countFurtherAttempt(state.service.name, cause);
+}
+
+function recordRefused(state: RequestState, cause: AttemptCause, { metrics }: Dependencies): void {
+  noteStep(state, `no further attempt left: ${cause}`);
+  metrics.countRefusedAttempt(state.service.name, cause);
+}
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -3,6 +3,7 @@
 import type { BackendResponse, CallOutcome, NotRunCause } from './backendApi';
 import type { CompleteResponse } from './callerApi';
 import { forwardBody } from './forwardBody';
+import { attemptCauses, takeFurtherAttempt } from './furtherAttempts';
 import {
   notRunReasons,
   routeKinds,
@@ -78,17 +79,12 @@
 }
 
 /** Takes a further attempt from the budget; the first one that reaches a server is free. */
-function mayAttempt(state: RequestState, { budget, metrics }: RouterDependencies): boolean {
+function mayAttempt(state: RequestState, deps: RouterDependencies): boolean {
   if (state.sentCount === 0 && !state.wasMisdirected) {
     return true;
   }
-  const isAllowed =
-    (state.sentCount === 0 || state.sentCount < state.route.maxAttempts) &&
-    budget.tryTake(state.service.name, monotonicNowMs());
-  if (isAllowed) {
-    metrics.countFurtherAttempt(state.service.name, 'failed');
-  }
-  return isAllowed;
+  const isWithinRoute = state.sentCount === 0 || state.sentCount < state.route.maxAttempts;
+  return isWithinRoute && takeFurtherAttempt(state, attemptCauses.failed, deps);
 }
 
 function mayRetry(state: RequestState, attempt: Attempt): boolean {
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -5,6 +5,12 @@
 import { createRecentQuantile, createRunningEstimate } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { PrefillResult } from './backendApi';
+import {
+  attemptCauses,
+  chargeFirstPrefill,
+  mayCallFirstPrefill,
+  takeFurtherAttempt,
+} from './furtherAttempts';
 import { stages, type BackendServer } from './model';
 import { noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
@@ -47,7 +53,7 @@
 const firstEventMs = 60;
 
 export function createPrefillStage(deps: RouterDependencies): PrefillStage {
-  const { backend, pools, engineLoads, health, budget, metrics, limits } = deps;
+  const { backend, pools, engineLoads, health, metrics, limits } = deps;
   const speed = createRecentQuantile({
     quantile: speedQuantile,
     sampleCount: speedSampleCount,
@@ -106,9 +112,10 @@
    * is lost or rejected, as all are while crashed engines have not been detected. Without an attempt left the decode
    * engine prefills locally: its memory is already reserved, and a refusal would waste it.
    */
-  function mayCall(serviceName: string, isRetry: boolean): boolean {
-    const nowMs = monotonicNowMs();
-    return isRetry ? budget.tryTake(serviceName, nowMs) : budget.hasRemaining(serviceName, nowMs);
+  function mayCall(state: RequestState, isRetry: boolean): boolean {
+    return isRetry
+      ? takeFurtherAttempt(state, attemptCauses.prefill, deps)
+      : mayCallFirstPrefill(state, deps);
   }
 
   async function run(
@@ -116,14 +123,13 @@
     promptTokens: number,
     decodeServer: BackendServer,
   ): Promise<PrefillOutcome> {
-    const { name } = state.service;
     let isRetry = state.hasPrefilled;
     while (!state.signal.aborted) {
       const server = chooseServer(state);
       if (server === undefined || shouldPrefillLocally(state, promptTokens, server, decodeServer)) {
         return { kind: 'at-decode' };
       }
-      if (!mayCall(name, isRetry)) {
+      if (!mayCall(state, isRetry)) {
         return { kind: 'at-decode' };
       }
       limits.take(server.id);
@@ -133,7 +139,7 @@
         return attempt;
       }
       if (attempt.hasArrived && !isRetry) {
-        budget.charge(name, monotonicNowMs());
+        chargeFirstPrefill(state, deps);
       }
       isRetry = true;
       state.failedServerIds.add(server.id);
@@ -157,7 +163,8 @@
     });
     release();
     const tookMs = monotonicNowMs() - startedAtMs;
-    noteStep(state, `prefill ${server.id} ${outcome.kind} ${Math.round(tookMs)}ms`);
+    const cause = outcome.kind === 'not-run' ? outcome.cause.kind : outcome.kind;
+    noteStep(state, `prefill ${server.id} ${cause} ${Math.round(tookMs)}ms`);
     if (outcome.kind === 'done') {
       engineLoads.noteContact(server.id);
       health.record(server.id, 'success', monotonicNowMs());
@@ -165,7 +172,6 @@
       metrics.countPrefillTokens(promptTokens);
       return { kind: 'done', result: outcome.value };
     }
-    const cause = outcome.kind === 'not-run' ? outcome.cause.kind : outcome.kind;
     if (cause === 'other-server') {
       // The listed server has stopped: mark it, so that other routers do not have to detect it themselves.
       engineLoads.noteUnresponsive(server.id);
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -234,6 +234,7 @@
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       durationMs: Math.round(durationMs),
       leftMs: Math.round(state.endsAtMs - monotonicNowMs()),
+      furtherAttempts: state.furtherAttemptCount,
       promptTokens: state.request.prompt?.promptTokens,
       trail: state.trail.map(({ atMs, detail }) => `${atMs}ms ${detail}`).join('; '),
       configurationVersion,
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -23,6 +23,8 @@
   expiry: AbortSignal;
   /** Number of backend servers that the request has reached. */
   sentCount: number;
+  /** Attempts that count against the budget of the service, for the log. */
+  furtherAttemptCount: number;
   /** It was sent to an address that now belongs to another server. */
   wasMisdirected: boolean;
   /** A prefill engine has already processed the prompt; the next prefill counts as a further attempt. */
@@ -71,6 +73,7 @@
     signal: AbortSignal.any([exchange.signal, expiry.signal]),
     expiry: expiry.signal,
     sentCount: 0,
+    furtherAttemptCount: 0,
     wasMisdirected: false,
     hasPrefilled: false,
     failedServerIds: new Set(),
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -16,6 +16,8 @@
   /** Ratio of the expected to the actual output tokens of a stream that has ended. */
   observeLengthForecast(service: string, ratio: number): void;
   countFurtherAttempt(service: string, cause: string): void;
+  /** Counts further attempts that the budget of the service refused. */
+  countRefusedAttempt(service: string, cause: string): void;
   countPrefillTokens(tokens: number): void;
   countWastedPrefillTokens(tokens: number): void;
   countConnection(): void;
@@ -100,6 +102,11 @@
     'Attempts beyond the first by cause.',
     ['service', 'cause'],
   );
+  const refusedAttempts = counter(
+    'bluebell_refused_attempts_total',
+    'Attempts beyond the first that the budget of the service refused, by cause.',
+    ['service', 'cause'],
+  );
   const prefillTokens = counter('bluebell_prefill_tokens_total', 'Prompt tokens read.');
   const wastedTokens = counter(
     'bluebell_wasted_prefill_tokens_total',
@@ -170,6 +177,7 @@
       placements.observe({ service }, durationMs / msPerSecond),
     observeLengthForecast: (service, ratio) => lengthForecasts.observe({ service }, ratio),
     countFurtherAttempt: (service, cause) => furtherAttempts.inc({ service, cause }),
+    countRefusedAttempt: (service, cause) => refusedAttempts.inc({ service, cause }),
     countPrefillTokens: (tokens) => prefillTokens.inc(tokens),
     countWastedPrefillTokens: (tokens) => wastedTokens.inc(tokens),
     countConnection: () => connections.inc(),
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -2,7 +2,7 @@
  * Serves a request of a stream route in one or more runs. If the route allows it, a stream that breaks is resumed by
  * the next run, within the same response.
  */
-import { monotonicNowMs } from '@bluebellhitch/shared';
+import { attemptCauses, takeFurtherAttempt } from './furtherAttempts';
 import { notRunReasons, type EngineSettings, type Refusal } from './model';
 import type { PrefillStage } from './prefillStage';
 import { createLostRefusal, noteStep, remainingMs, type RequestState } from './requestState';
@@ -43,29 +43,19 @@
       return false;
     case 'not-run':
       // The server refused the run after the reservation. Nothing has run, so a retry is safe on any route.
-      return outcome.reason === notRunReasons.rejected && takeAttempt(state, 'rejected', deps);
+      return (
+        outcome.reason === notRunReasons.rejected &&
+        takeFurtherAttempt(state, attemptCauses.rejected, deps)
+      );
     case 'broken':
       return (
         state.route.allowsResume &&
         state.sentCount < state.route.maxAttempts &&
-        takeAttempt(state, 'resume', deps)
+        takeFurtherAttempt(state, attemptCauses.resume, deps)
       );
   }
 }
 
-function takeAttempt(
-  state: RequestState,
-  cause: string,
-  { budget, metrics }: RouterDependencies,
-): boolean {
-  const { name } = state.service;
-  const isAllowed = budget.tryTake(name, monotonicNowMs());
-  if (isAllowed) {
-    metrics.countFurtherAttempt(name, cause);
-  }
-  return isAllowed;
-}
-
 function finish(state: RequestState, relay: StreamRelay, outcome: RunOutcome): void {
   if (outcome.kind === 'ended') {
     return;
--- a/packages/soak/__tests__/checks.test.ts
+++ b/packages/soak/__tests__/checks.test.ts
@@ -1,6 +1,7 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import { monotonicNowMs } from '@bluebellhitch/shared';
+import { createAttemptBudgetCheck } from '../src/attemptBudgetCheck';
 import { createDisruptions } from '../src/disruptions';
 import { createFindings } from '../src/findings';
 import { createLedger, type Arrival, type RequestOutcome } from '../src/ledger';
@@ -44,6 +45,10 @@
   const limits = createLimitChecks({ ledger, findings, disruptions, marginMs: 100 });
 
   const notices = createNoticeChecks({ ledger, findings, disruptions });
+  const budget = createAttemptBudgetCheck({
+    ...{ ledger, findings, routes: [] },
+    bounds: { attemptRatio: 0.2, attemptAllowance: 3, attemptWindowMs: 1_000 },
+  });
 
   function request(id: string, over: { isRepeatable?: boolean; shownKey?: PresentedKey } = {}) {
     return ledger.recordRequest({
@@ -75,7 +80,7 @@
       ...over,
     });
   const found = () => findings.all().map(({ promise }) => promise);
-  return { request, end, arrive, found, checks, limits, notices, leaving, disruptions };
+  return { request, end, arrive, found, checks, limits, notices, budget, leaving, disruptions };
 }
 
 test('a second run, a refusal after a run and a run after a refusal are reported', (t) => {
@@ -248,3 +253,41 @@
     clock.uninstall();
   }
 });
+
+test.serial('further attempts beyond the budget of some window are reported', (t) => {
+  const clock = FakeTimers.install();
+  try {
+    const fixture = createFixture();
+    // Five requests allow one further attempt, and the allowance allows three.
+    ['a', 'b', 'c', 'd', 'e'].forEach((id) => {
+      fixture.request(id);
+      fixture.arrive(id);
+    });
+    const repeat = (ids: string[]) =>
+      ids.forEach((id) => fixture.arrive(id, 'counter-1', { hasRun: false }));
+    repeat(['a', 'b', 'c', 'd']);
+    clock.tick(1_001);
+    repeat(['a', 'b', 'c', 'd']);
+    fixture.budget.checkAll();
+    t.deepEqual(fixture.found(), []);
+    t.like(fixture.budget.fullestWindow(), { furtherAttempts: 4, allowed: 4, share: 1 });
+    clock.tick(700);
+    repeat(['e']);
+    fixture.budget.checkAll();
+    t.deepEqual(fixture.found(), ['budget']);
+  } finally {
+    clock.uninstall();
+  }
+});
+
+test('the first prefill that a server accepts is no further attempt, a rejected one is', (t) => {
+  const fixture = createFixture();
+  fixture.request('a');
+  const prefill = (hasRun: boolean) => fixture.arrive('a', 'engine-1', { isPrefill: true, hasRun });
+  prefill(true);
+  fixture.arrive('a', 'engine-2');
+  t.is(fixture.budget.fullestWindow(), undefined);
+  fixture.request('b');
+  fixture.arrive('b', 'engine-1', { isPrefill: true, hasRun: false });
+  t.is(fixture.budget.fullestWindow()?.furtherAttempts, 1);
+});
--- a/packages/soak/src/fleetChecks.ts
+++ b/packages/soak/src/fleetChecks.ts
@@ -1,4 +1,4 @@
-/** Checks across all routers: the budget of further attempts, configuration changes, and the share served. */
+/** Checks across all routers: configuration changes, and the share served. */
 import { routeKinds, type Route } from '@bluebellhitch/routing';
 import {
   createBackgroundLoop,
@@ -6,13 +6,12 @@
   monotonicNowMs,
   type BackgroundLoop,
 } from '@bluebellhitch/shared';
-import type { PlatformBounds } from '@bluebellhitch/platform';
 import { serviceNames } from './backendServers';
 import type { Callers } from './callers';
 import { plainRoute, type ConfigurationPlan } from './configurationPlan';
 import type { Disruptions } from './disruptions';
 import { promises, type Findings } from './findings';
-import type { Arrival, Ledger, SentRequest } from './ledger';
+import type { Ledger, SentRequest } from './ledger';
 import type { RouterProcessHandle } from './routerFleet';
 
 export interface FleetChecksOptions {
@@ -22,71 +21,17 @@
   ledger: Ledger;
   findings: Findings;
   disruptions: Disruptions;
-  bounds: PlatformBounds;
   /** Time from a configuration's acknowledgement until routers must apply it. */
   applyMs: number;
   marginMs: number;
 }
 
-const budgetIntervalMs = 1_000;
 const probeIntervalMs = 400;
 const notFoundStatus = 404;
 const overQuotaStatus = 429;
 /** A request sent within this time after another may overtake it. */
 const overtakeMs = 250;
 
-/** Compares the further attempts in each window with the budget of all routers together. */
-export function createBudgetCheck(options: FleetChecksOptions): BackgroundLoop {
-  const { ledger, bounds, findings } = options;
-
-  function arrivalsUntil(endMs: number): Arrival[] {
-    const fromMs = endMs - bounds.attemptWindowMs;
-    return ledger.arrivals().filter(({ atMs }) => atMs > fromMs && atMs <= endMs);
-  }
-
-  /** First arrivals at a service: the maximum over this window and those half a window and one window earlier. */
-  function maxRequestCount(service: string, nowMs: number): number {
-    const { attemptWindowMs } = bounds;
-    const counts = [0, attemptWindowMs / 2, attemptWindowMs].map(
-      (backMs) =>
-        arrivalsUntil(nowMs - backMs).filter(
-          (arrival) => arrival.serviceName === service && !isFurtherAttempt(arrival),
-        ).length,
-    );
-    return Math.max(...counts);
-  }
-
-  function check(): void {
-    const nowMs = monotonicNowMs();
-    const further = countBy(
-      arrivalsUntil(nowMs).filter(isFurtherAttempt),
-      ({ serviceName }) => serviceName,
-    );
-    further.forEach((count, service) => {
-      const allowed =
-        bounds.attemptRatio * maxRequestCount(service, nowMs) + bounds.attemptAllowance;
-      if (count > allowed) {
-        findings.add(promises.budget, `${service}: ${count} further attempts, ${allowed} allowed`);
-      }
-    });
-  }
-
-  /** A request's first run and its first remote prefill do not count against the budget. */
-  function isFurtherAttempt(arrival: Arrival): boolean {
-    const [first] = ledger
-      .arrivalsOf(arrival.requestId)
-      .filter(({ isPrefill }) => isPrefill === arrival.isPrefill);
-    return first !== arrival;
-  }
-
-  return createBackgroundLoop(async (signal) => {
-    while (!signal.aborted) {
-      await delay(budgetIntervalMs, signal);
-      check();
-    }
-  });
-}
-
 /** Probes the changed paths at every router and compares the responses with the configuration that must be active. */
 export function createConfigurationCheck(options: FleetChecksOptions): BackgroundLoop {
   const { routers, plan, callers, findings, disruptions, applyMs, marginMs } = options;
@@ -187,10 +132,3 @@
   const route = plainRoute('probe', routeKinds.idempotent, serviceNames.desk);
   return { ...route, name: `probe ${pathPrefix}`, pathPrefix };
 }
-
-function countBy<Item>(items: readonly Item[], keyOf: (item: Item) => string): Map<string, number> {
-  return items.reduce(
-    (counts, item) => counts.set(keyOf(item), (counts.get(keyOf(item)) ?? 0) + 1),
-    new Map<string, number>(),
-  );
-}
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -8,11 +8,12 @@
 import type { PlatformBounds } from '@bluebellhitch/platform';
 import { startStandinStore } from '@bluebellhitch/platform-standins';
 import { createSeededRandom, delay, monotonicNowMs } from '@bluebellhitch/shared';
+import { createAttemptBudgetCheck, type FullestWindow } from './attemptBudgetCheck';
 import { startBackendServers, type BackendServers } from './backendServers';
 import { createCallers, modelTokens } from './callers';
 import { createConfigurationPlan } from './configurationPlan';
 import { createDisruptions } from './disruptions';
-import { createBudgetCheck, createConfigurationCheck, servedShare } from './fleetChecks';
+import { createConfigurationCheck, servedShare } from './fleetChecks';
 import { createFindings, promises, type Findings, type SoakFinding } from './findings';
 import { createKeyring } from './keyring';
 import { createLedger, type Ledger } from './ledger';
@@ -48,6 +49,8 @@
   requests: number;
   served: number;
   findings: readonly SoakFinding[];
+  /** How close the run came to the budget of further attempts; far below 1 it proves little of it. */
+  fullestBudget?: FullestWindow;
   /** Longest delay of this process's event loop; above `marginMs` the measured times are unreliable. */
   longestHoldUpMs: number;
 }
@@ -131,11 +134,13 @@
   });
   const fleetCheckOptions = {
     ...{ routers: fleet.routers, plan, callers, ledger, findings, disruptions },
-    ...{ bounds, applyMs, marginMs },
+    ...{ applyMs, marginMs },
   };
+  const budgetCheck = createAttemptBudgetCheck({
+    ...{ ledger, findings, bounds, routes: plan.baseRoutes },
+  });
   const loops = [
     ...callers.loops,
-    createBudgetCheck(fleetCheckOptions),
     createConfigurationCheck(fleetCheckOptions),
     keyring.rotation(plan.write),
     workspaceChecks.quotaLoop,
@@ -154,6 +159,7 @@
   requestChecks.checkAll();
   limitChecks.checkAll();
   noticeChecks.checkAll();
+  budgetCheck.checkAll();
   lag.disable();
   await Promise.all(
     fleet.routers.map((_router, router) =>
@@ -170,6 +176,7 @@
     requests: [...ledger.requests()].length,
     served: servedShare(ledger, 0),
     findings: findings.all(),
+    fullestBudget: budgetCheck.fullestWindow(),
     longestHoldUpMs: Math.round(lag.max / nsPerMs),
   };
   writeRecord(options.directory, { report, script, ledger });
--- a/scripts/soak.mjs
+++ b/scripts/soak.mjs
@@ -63,6 +63,7 @@
 const endSeed = firstSeed + Number(values.seeds);
 let nextSeed = firstSeed;
 let requests = 0;
+let fullestBudgetShare = 0;
 const seedsWithFindings = [];
 
 async function runJob(job) {
@@ -71,6 +72,7 @@
     nextSeed += 1;
     const report = await runSeed(seed, job);
     requests += report.requests ?? 0;
+    fullestBudgetShare = Math.max(fullestBudgetShare, report.fullestBudget?.share ?? 0);
     process.stdout.write(`${JSON.stringify(report)}\n`);
     if (report.findings.length > 0) {
       seedsWithFindings.push(seed);
@@ -84,6 +86,7 @@
     ? 'no finding'
     : `findings in seeds ${seedsWithFindings.join(', ')}`;
 process.stdout.write(
-  `${result}; seeds ${firstSeed} to ${nextSeed - 1}, ${requests} requests of callers\n`,
+  `${result}; seeds ${firstSeed} to ${nextSeed - 1}, ${requests} requests of callers; ` +
+    `fullest budget of further attempts ${fullestBudgetShare.toFixed(2)}\n`,
 );
 process.exit(seedsWithFindings.length === 0 ? 0 : 1);
