Reproduce further attempts beyond their budget, in real processes and in a model

In real processes: the soak has scripts in which servers fail, reset or reject most of what they get while routers are killed, all at once or one after the other. So the fault shows with real processes, and only where much fails and routers restart meanwhile.

In a model of the fleet that runs the real budget and shares: each hypothesis alone goes beyond the bound. Attempts that wait before they are sent stay within it (24 routers, waits up to 6 s).

--- /dev/null
+++ b/packages/routing/__tests__/attemptBudgetFleet.test.ts
@@ -0,0 +1,32 @@
+import test from 'ava';
+import { playAttemptFleet, type AttemptFleetOptions } from './support/attemptFleet';
+
+const seeds = [1, 2, 3, 4, 5, 6];
+const calm: AttemptFleetOptions = {
+  seed: 0,
+  routerCount: 4,
+  allowance: 52,
+  requestsPerSecond: 35,
+  rejectedShare: 0,
+  callMs: 100,
+  failedShare: 0,
+  maxWaitMs: 0,
+};
+
+function fullestShareOf(options: Partial<AttemptFleetOptions>): number {
+  return Math.max(
+    ...seeds.map((seed) => playAttemptFleet({ ...calm, ...options, seed }).fullestShare),
+  );
+}
+
+test('a fleet in which everything fails at once stays within the budget', (t) => {
+  const shares = [4, 24, 60].map((routerCount) =>
+    fullestShareOf({
+      ...{ routerCount, allowance: routerCount + 48, requestsPerSecond: 6 * routerCount },
+      ...{ rejectedShare: 0.6, callMs: 700, failedShare: 0.8, maxWaitMs: 3_000 },
+      ...{ discoveryMs: 2_500, restartsAtMs: [8_000, 11_000, 14_000] },
+      burst: { fromMs: 6_000, untilMs: 10_000, factor: 4 },
+    }),
+  );
+  t.true(Math.max(...shares) <= 1, `fullest windows ${shares.map((share) => share.toFixed(2))}`);
+});
--- a/packages/soak/__tests__/script.test.ts
+++ b/packages/soak/__tests__/script.test.ts
@@ -41,3 +41,17 @@
     );
   t.deepEqual(unplanned, []);
 });
+
+test('a script of kind attempts disturbs all servers and kills all routers', (t) => {
+  const { kind, steps } = createScript({ ...options, seed: 7, kind: 'attempts' });
+  t.is(kind, 'attempts');
+  const operations = steps.map(({ operation }) => operation);
+  const targets = (name: string) =>
+    new Set(
+      operations.flatMap((one) =>
+        one.kind === name ? (JSON.stringify(one).match(/"(server|router)":\d+/)?.[0] ?? []) : [],
+      ),
+    );
+  t.is(targets('server-errors').size, options.serverCount);
+  t.is(targets('kill-router').size, options.routerCount);
+});
--- a/packages/soak/__tests__/soakRun.test.ts
+++ b/packages/soak/__tests__/soakRun.test.ts
@@ -2,7 +2,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'ava';
-import { runSoak } from '@bluebellhitch/soak';
+import { runSoak, type SoakReport } from '@bluebellhitch/soak';
 
 const repositoryRoot = join(import.meta.dirname, '..', '..', '..');
 
@@ -12,25 +12,47 @@
  */
 const seeds = [5, 25, 513, 715, 733];
 
+interface Run {
+  seed: number;
+  routerCount: number;
+  callerCount: number;
+  script?: 'attempts';
+}
+
+async function play(run: Run): Promise<SoakReport> {
+  return runSoak({
+    ...run,
+    durationMs: 15_000,
+    hostPrefix: '127.77.0',
+    programPath: join(repositoryRoot, 'target', 'bluebell-router.mjs'),
+    exitWithParentPath: join(repositoryRoot, 'scripts', 'lib', 'exitWithParent.mjs'),
+    directory: join(mkdtempSync(join(tmpdir(), 'bluebell-soak-')), String(run.seed)),
+    // One second more than the default, because the machine of a CI run may be busy.
+    marginMs: 1_500,
+  });
+}
+
 seeds.forEach((seed) => {
   test.serial(
     `router processes keep their promises under the script of seed ${seed}`,
     async (t) => {
       t.timeout(90_000);
-      const report = await runSoak({
-        seed,
-        durationMs: 15_000,
-        routerCount: 3,
-        callerCount: 12,
-        hostPrefix: '127.77.0',
-        programPath: join(repositoryRoot, 'target', 'bluebell-router.mjs'),
-        exitWithParentPath: join(repositoryRoot, 'scripts', 'lib', 'exitWithParent.mjs'),
-        directory: join(mkdtempSync(join(tmpdir(), 'bluebell-soak-')), String(seed)),
-        // One second more than the default, because the machine of a CI run may be busy.
-        marginMs: 1_500,
-      });
+      const report = await play({ seed, routerCount: 3, callerCount: 12 });
       t.deepEqual(report.findings, []);
       t.true(report.requests > 200, `${report.requests} requests`);
     },
   );
 });
+
+test.serial(
+  'routers that are killed while servers fail stay within the attempt budget',
+  async (t) => {
+    // Each start had the whole budget again: 188 further attempts in ten seconds where 161.6 were allowed.
+    t.timeout(120_000);
+    const run = { seed: 3_046, routerCount: 12, callerCount: 9, script: 'attempts' } as const;
+    const report = await play(run);
+    t.deepEqual(report.findings, []);
+    // Otherwise the run proves nothing of the budget.
+    t.true((report.fullestBudget?.furtherAttempts ?? 0) > 30);
+  },
+);
--- a/packages/soak/src/backendServers.ts
+++ b/packages/soak/src/backendServers.ts
@@ -4,6 +4,7 @@
  */
 import {
   startStandinWorker,
+  type PrefillBehaviour,
   type RunBehaviour,
   type StandinStore,
   type StandinWorker,
@@ -48,6 +49,8 @@
   setLink(slot: number, fault: LinkFault): void;
   resetLinks(slot: number): void;
   setErrors(slot: number, errors: ServerErrors | undefined): void;
+  /** Sets the share of prefill calls that the slot rejects. */
+  setRejectedPrefillShare(slot: number, share: number): void;
   /** After the store was restored from a backup: running servers write their entries again, the others' expire. */
   republishEntries(): Promise<void>;
   /** Sets the request limit that the slot's current server announces; undefined: none. */
@@ -65,6 +68,7 @@
   service: ServiceName;
   stage?: Stage;
   errors?: ServerErrors;
+  rejectedPrefillShare: number;
   current?: RunningServer;
   startCount: number;
 }
@@ -109,7 +113,12 @@
 
 export async function startBackendServers(options: BackendServersOptions): Promise<BackendServers> {
   const { store, ledger, findings, random } = options;
-  const slots: ServerSlot[] = slotLayout.map((slot, index) => ({ ...slot, index, startCount: 0 }));
+  const slots: ServerSlot[] = slotLayout.map((slot, index) => ({
+    ...slot,
+    index,
+    rejectedPrefillShare: 0,
+    startCount: 0,
+  }));
   const leaving = new Map<string, number>();
   const draining = new Map<string, RunningServer>();
   const highestFencingNumbers = new Map<string, number>();
@@ -128,6 +137,7 @@
       textOf: (requestId, event) =>
         event === undefined ? plainText(requestId, id) : eventText(requestId, event),
       chooseRun: () => chooseRun(slot),
+      choosePrefill: () => choosePrefill(slot),
       onArrival: (arrival) =>
         ledger.recordArrival({ ...arrival, serverId: id, serviceName: service }),
       onOrder({ holderId, fencingNumber, stage }) {
@@ -145,6 +155,10 @@
     return errors !== undefined && random() < errors.share ? errors.run : { kind: 'whole' };
   }
 
+  function choosePrefill({ rejectedPrefillShare: share }: ServerSlot): PrefillBehaviour {
+    return share > 0 && random() < share ? 'rejected' : 'whole';
+  }
+
   /** A fencing number that decreases reveals two simultaneous lease holders. */
   function noteOrder(serverId: string, holderId: string, fencingNumber: number): void {
     const highest = highestFencingNumbers.get(serverId) ?? 0;
@@ -238,6 +252,9 @@
     setErrors(index, errors) {
       (slots[index] as ServerSlot).errors = errors;
     },
+    setRejectedPrefillShare(index, share) {
+      (slots[index] as ServerSlot).rejectedPrefillShare = share;
+    },
     republishEntries,
     setLimitNotice(index, requestsPerSecond) {
       const worker = slots[index]?.current?.worker;
--- a/packages/soak/src/bin.ts
+++ b/packages/soak/src/bin.ts
@@ -3,6 +3,7 @@
 import { fileURLToPath } from 'node:url';
 import * as z from 'zod';
 import { exitCodes, loadSettingsOrExit } from '@bluebellhitch/shared';
+import { scriptKinds } from './script';
 import { runSoak } from './soakRun';
 
 // This file runs as dist/bluebell-soak.js.
@@ -29,6 +30,10 @@
       description: 'Added to each bound in time, in ms.',
       defaultText: '500',
     },
+    script: {
+      schema: z.enum(scriptKinds).optional(),
+      description: 'Kind of the script: planned, mixed or attempts; chosen by the seed if absent.',
+    },
     hostPrefix: {
       schema: z.string().regex(/^127\.\d{1,3}\.\d{1,3}$/),
       description:
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -171,6 +171,14 @@
     });
   }
 
+  function rejectPrefills(operation: OperationOf<'reject-prefills'>): Promise<void> {
+    const { server, share, forMs } = operation;
+    return disturb(serverSubject(server), 'prefills rejected', forMs, {
+      begin: () => servers.setRejectedPrefillShare(server, share),
+      end: () => servers.setRejectedPrefillShare(server, 0),
+    });
+  }
+
   async function restoreStore(operation: OperationOf<'restore-store'>): Promise<void> {
     const { ageMs, awayMs, againMs } = operation;
     const endDisruption = disruptions.begin({ kind: 'store' }, 'store back from a copy');
@@ -243,6 +251,7 @@
       'server-reset': ({ server }) =>
         resetLinks(serverSubject(server), () => servers.resetLinks(server)),
       'server-errors': failServer,
+      'reject-prefills': rejectPrefills,
       'limit-server': (operation) =>
         runInOrder(`limit ${operation.server}`, () => limitServer(operation)),
       'change-configuration': ({ change }) => Promise.resolve(plan.change(change)),
--- a/packages/soak/src/script.ts
+++ b/packages/soak/src/script.ts
@@ -22,6 +22,7 @@
   | { kind: 'server-link'; server: number; link: LinkFault; forMs: number }
   | { kind: 'server-reset'; server: number }
   | { kind: 'server-errors'; server: number; run: RunBehaviour; share: number; forMs: number }
+  | { kind: 'reject-prefills'; server: number; share: number; forMs: number }
   | { kind: 'limit-server'; server: number; requestsPerSecond: number; forMs: number }
   | { kind: 'change-configuration'; change: ConfigurationChange }
   | { kind: 'burst'; factor: number; forMs: number };
@@ -40,10 +41,17 @@
   durationMs: number;
   routerCount: number;
   serverCount: number;
+  /** Default: `mixed`, or `planned` for one seed in four. */
+  kind?: ScriptKind;
 }
 
-/** Planned work alone must not interrupt requests; scripts of kind `planned` contain nothing else. */
-export type ScriptKind = 'planned' | 'mixed';
+/**
+ * Planned work alone must not interrupt requests; scripts of kind `planned` contain nothing else. In those of kind
+ * `attempts` most of what servers get fails, while routers are killed again and again: nothing else brings the further
+ * attempts close to their budget.
+ */
+export const scriptKinds = ['planned', 'mixed', 'attempts'] as const;
+export type ScriptKind = (typeof scriptKinds)[number];
 
 export interface SoakScript {
   kind: ScriptKind;
@@ -58,6 +66,11 @@
 const limitSeedOffset = 104_729;
 const restoreSeedOffset = 1_299_709;
 const noticeSeedOffset = 15_485_863;
+const attemptSeedOffset = 32_452_843;
+/** In scripts of kind `attempts`: servers begin to fail within this time. */
+const failuresStartMs = 1_000;
+/** Mean time between two kills of a router: shorter than the window of the budget. */
+const killIntervalMs = 2_500;
 const plannedKinds = ['stop-router', 'reload-router', 'replace-server', 'change-configuration'];
 
 export function createScript(options: ScriptOptions): SoakScript {
@@ -65,7 +78,11 @@
   const random = createSeededRandom(seed);
   // Discards the first number: for nearby seeds it is nearly the same.
   random();
-  const kind = seed % seedsPerPlannedScript === 0 ? 'planned' : 'mixed';
+  const seedKind = seed % seedsPerPlannedScript === 0 ? 'planned' : 'mixed';
+  const { kind = seedKind } = options;
+  if (kind === 'attempts') {
+    return { kind, steps: inOrder(createAttemptSteps(options)) };
+  }
   const count = Math.max(3, Math.round((durationMs / msPer10Seconds) * operationsPer10Seconds));
   const steps = Array.from({ length: count }, () => ({
     atMs: Math.round(random() * durationMs),
@@ -75,7 +92,43 @@
     (createSteps) => createSteps(options),
   );
   const all = kind === 'mixed' ? [...steps, ...independentSteps] : steps;
-  return { kind, steps: all.sort((left, right) => left.atMs - right.atMs) };
+  return { kind, steps: inOrder(all) };
+}
+
+function inOrder(steps: readonly ScriptStep[]): ScriptStep[] {
+  return [...steps].sort((left, right) => left.atMs - right.atMs);
+}
+
+function createAttemptSteps(options: ScriptOptions): ScriptStep[] {
+  const { seed, durationMs, routerCount, serverCount } = options;
+  const random = createSeededRandom(seed + attemptSeedOffset);
+  random();
+  const servers = Array.from({ length: serverCount }, (_none, server) => server);
+  const failures = servers.flatMap((server): ScriptStep[] => {
+    const atMs = Math.round(random() * failuresStartMs);
+    const forMs = durationMs - atMs;
+    const run = pick<RunBehaviour>(
+      [{ kind: 'status', status: 500 }, { kind: 'rejected' }, { kind: 'reset' }],
+      random,
+    );
+    const errors = { kind: 'server-errors' as const, server, run, share: 0.7 + random() * 0.3 };
+    const rejections = { kind: 'reject-prefills' as const, server, share: random() };
+    return [errors, rejections].map((failure) => ({ atMs, operation: { ...failure, forMs } }));
+  });
+  const routers = Array.from({ length: routerCount }, (_none, router) => router);
+  const killCount = Math.round(durationMs / killIntervalMs);
+  const kills = Array.from({ length: killCount }, () => Math.round(random() * durationMs)).flatMap(
+    (atMs) => {
+      // Either all at once, or one after the other.
+      const spreadMs = random() < 0.5 ? 0 : killIntervalMs;
+      return routers.map((router): ScriptStep => ({
+        atMs: Math.min(durationMs, Math.round(atMs + random() * spreadMs)),
+        operation: { kind: 'kill-router', router, downMs: Math.round(random() * 300) },
+      }));
+    },
+  );
+  const burst: Operation = { kind: 'burst', factor: 2 + random() * 2, forMs: 4_000 };
+  return [...failures, ...kills, { atMs: Math.round(random() * durationMs), operation: burst }];
 }
 
 /** Uses its own random generator, so that the other steps of a seed do not depend on limits. */
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -21,7 +21,7 @@
 import { createOperator, type Operator } from './operator';
 import { createRequestChecks } from './requestChecks';
 import { startRouterFleet, type RouterFleet } from './routerFleet';
-import { createScript, type ScriptStep } from './script';
+import { createScript, type ScriptKind, type ScriptStep } from './script';
 import { createStoreBackups } from './storeBackups';
 import { createNoticeChecks } from './noticeChecks';
 import { createWorkspaceChecks } from './workspaceChecks';
@@ -41,6 +41,8 @@
   directory: string;
   /** Added to each time limit, in milliseconds. */
   marginMs: number;
+  /** Kind of the fault script; chosen by the seed if absent. */
+  script?: ScriptKind;
 }
 
 export interface SoakReport {
@@ -125,6 +127,7 @@
     durationMs: options.durationMs,
     routerCount,
     serverCount: servers.slotCount,
+    kind: options.script,
   });
   const backups = createStoreBackups(store);
   const operator = createOperator({
--- a/scripts/soak.mjs
+++ b/scripts/soak.mjs
@@ -20,6 +20,7 @@
     routers: { type: 'string', default: '3' },
     callers: { type: 'string', default: '16' },
     'margin-ms': { type: 'string', default: '500' },
+    script: { type: 'string' },
   },
 });
 
@@ -29,7 +30,9 @@
 }
 
 function runFlags(seed, job, directory) {
-  const forwardedFlags = ['seconds', 'routers', 'callers', 'margin-ms'];
+  const forwardedFlags = ['seconds', 'routers', 'callers', 'margin-ms', 'script'].filter(
+    (name) => values[name] !== undefined,
+  );
   return [`--seed=${seed}`, `--host-prefix=127.${20 + job}.0`, `--directory=${directory}`].concat(
     forwardedFlags.map((name) => `--${name}=${values[name]}`),
   );
