Let the allowance of further attempts grow after a start

Cause: the budget lives in the process, and each start had the whole share again. A window that holds the ends of several lives of each router holds as many shares.

Now a process starts with at most one attempt, and its allowance grows to the full share within a window. All routers together use half of the allowance, no longer three quarters or, with up to 12 routers, a sixteenth each; a quarter is for each further start of all routers within a window.

--- a/packages/replay/src/replayRouter.ts
+++ b/packages/replay/src/replayRouter.ts
@@ -52,7 +52,8 @@
 
 const loadIntervalMs = 1_000;
 /** The usual limits of the attempt budget: a fifth of the requests plus a fixed allowance. */
-const attemptBudget = { ratio: 0.2, allowance: 10, windowMs: 10_000 };
+const attemptBudget = { ratio: 0.2, windowMs: 10_000, startedAtMs: -Infinity };
+const attemptAllowance = { initial: 10, full: 10 };
 
 const logger: Logger = {
   debug: () => undefined,
@@ -93,7 +94,7 @@
     engineLoads: loads,
     streamSizes,
     placement: createDecodePlacement({ backend, pools, loads, health, random }),
-    budget: createAttemptBudget({ ...attemptBudget, allowance: () => attemptBudget.allowance }),
+    budget: createAttemptBudget({ ...attemptBudget, allowance: () => attemptAllowance }),
     health,
     metrics: createRouterMetrics(),
     logger,
--- a/packages/routing/__tests__/attemptBudget.test.ts
+++ b/packages/routing/__tests__/attemptBudget.test.ts
@@ -2,12 +2,22 @@
 import test from 'ava';
 import { createAttemptBudget } from '@bluebellhitch/routing';
 
+/** The budget of a process that has been running for longer than a window. */
+function createRunningBudget(ratio: number, allowance: number) {
+  return createAttemptBudget({
+    ratio,
+    allowance: () => ({ initial: 0, full: allowance }),
+    windowMs: 1_000,
+    startedAtMs: -1_000,
+  });
+}
+
 test('further attempts stay within the share of requests and the allowance in every window', (t) => {
   const windowMs = 1_000;
   const step = fc.record({ gapMs: fc.integer({ min: 0, max: 200 }), isRequest: fc.boolean() });
   fc.assert(
     fc.property(fc.array(step, { maxLength: 200 }), (steps) => {
-      const budget = createAttemptBudget({ ratio: 0.2, allowance: () => 3, windowMs });
+      const budget = createRunningBudget(0.2, 3);
       const requests: number[] = [];
       const taken: number[] = [];
       let nowMs = 0;
@@ -31,7 +41,7 @@
 });
 
 test('services do not share a budget', (t) => {
-  const budget = createAttemptBudget({ ratio: 0, allowance: () => 1, windowMs: 1_000 });
+  const budget = createRunningBudget(0, 1);
   t.true(budget.tryTake('a', 0));
   t.false(budget.tryTake('a', 0));
   t.true(budget.tryTake('b', 0));
@@ -40,9 +50,23 @@
 
 test('charged calls count against the budget of later attempts', (t) => {
   // A request's first call is made without taking an attempt, also where the address belongs to another server by now.
-  const budget = createAttemptBudget({ ratio: 0, allowance: () => 2, windowMs: 1_000 });
+  const budget = createRunningBudget(0, 2);
   budget.charge('a', 0);
   budget.charge('a', 0);
   t.false(budget.tryTake('a', 500));
   t.true(budget.tryTake('a', 1_001));
 });
+
+test('a process that starts has its initial allowance, and the full one after a window', (t) => {
+  const budget = createAttemptBudget({
+    ratio: 0,
+    allowance: () => ({ initial: 1, full: 5 }),
+    windowMs: 1_000,
+    startedAtMs: 0,
+  });
+  const takeAll = (nowMs: number) =>
+    Array.from({ length: 10 }, () => budget.tryTake('s', nowMs)).filter(Boolean).length;
+  t.is(takeAll(0), 1);
+  t.is(takeAll(500), 2);
+  t.is(takeAll(1_600), 5);
+});
--- a/packages/routing/__tests__/attemptBudgetFleet.test.ts
+++ b/packages/routing/__tests__/attemptBudgetFleet.test.ts
@@ -19,6 +19,23 @@
   );
 }
 
+test('attempts that wait before they are sent stay within the budget', (t) => {
+  // Attempts that are taken over several seconds and wait for memory may arrive at the same time.
+  const burst = { fromMs: 4_000, untilMs: 9_000, factor: 6 };
+  const share = fullestShareOf({
+    ...{ routerCount: 24, allowance: 88, requestsPerSecond: 60 },
+    ...{ failedShare: 0.9, maxWaitMs: 6_000, burst },
+  });
+  t.true(share <= 1, `fullest window ${share.toFixed(2)}`);
+});
+
+test('routers that are killed again and again stay within the budget', (t) => {
+  // A restarted router does not know what it used before.
+  const restartsAtMs = Array.from({ length: 12 }, (_none, index) => 5_000 + index * 1_500);
+  const share = fullestShareOf({ failedShare: 0.9, restartsAtMs });
+  t.true(share <= 1, `fullest window ${share.toFixed(2)}`);
+});
+
 test('a fleet in which everything fails at once stays within the budget', (t) => {
   const shares = [4, 24, 60].map((routerCount) =>
     fullestShareOf({
--- a/packages/routing/__tests__/fleetShares.test.ts
+++ b/packages/routing/__tests__/fleetShares.test.ts
@@ -12,13 +12,13 @@
 
 test('a router that knows no other is capped at a fixed share', (t) => {
   t.is(sharesOf({}).connections(96), 12);
-  t.is(sharesOf({}).furtherAttempts(160), 10);
+  t.deepEqual(sharesOf({}).furtherAttempts(160), { initial: 1, full: 20 });
 });
 
 test('shares shrink with the number of routers that use the same servers', (t) => {
   t.is(sharesOf({ shardPeerCount: 23 }).connections(480), 15);
   t.is(sharesOf({ shardPeerCount: 23, shardCount: 2 }).connections(480), 7);
-  t.is(sharesOf({ routerCount: 24 }).furtherAttempts(160), 5);
+  t.deepEqual(sharesOf({ routerCount: 25 }).furtherAttempts(100), { initial: 1, full: 2 });
 });
 
 test('a router always has connections to call a server and to poll its load', (t) => {
--- a/packages/routing/__tests__/support/attemptFleet.ts
+++ b/packages/routing/__tests__/support/attemptFleet.ts
@@ -106,6 +106,7 @@
     ratio,
     allowance: () => shares.furtherAttempts(options.allowance),
     windowMs,
+    startedAtMs,
   });
 
   /** Runs in `delayMs`, unless the router has been killed by then. */
--- a/packages/routing/src/attemptBudget.ts
+++ b/packages/routing/src/attemptBudget.ts
@@ -1,16 +1,28 @@
 /**
- * Limits the further attempts (retries and resumptions) of a service to a share of its requests in a sliding window
- * plus a small allowance. Each process counts only its own requests and has its own share of the allowance, so that
- * all processes together stay within the limit whatever the others do.
+ * Limits the further attempts (retries, resumptions, repeated prefills) of a service to a share of its requests in a
+ * sliding window plus a small allowance. Each process counts only its own requests and has its own share of the
+ * allowance, so that all processes together stay within the limit.
+ *
+ * A process that starts does not know what its predecessor has used in the same window. It has an initial allowance
+ * only, which grows to the full one within a window.
  */
 import { createBoundedMap } from '@bluebellhitch/decisions';
 
 export interface AttemptBudgetOptions {
   /** Further attempts per request in the window. */
   ratio: number;
-  /** Additional further attempts per window: this process's current share of the allowance. */
-  allowance: () => number;
+  /** Additional further attempts per window: this process's current share. */
+  allowance: () => AttemptAllowance;
   windowMs: number;
+  /** Start of this process. */
+  startedAtMs: number;
+}
+
+export interface AttemptAllowance {
+  /** At the start of a process. */
+  initial: number;
+  /** One window after its start, and from then on. */
+  full: number;
 }
 
 export interface AttemptBudget {
@@ -31,7 +43,7 @@
 const maxServices = 512;
 
 export function createAttemptBudget(options: AttemptBudgetOptions): AttemptBudget {
-  const { ratio, allowance, windowMs } = options;
+  const { ratio, windowMs, startedAtMs } = options;
   const windows = createBoundedMap<string, ServiceWindow>({ maxEntries: maxServices });
 
   function currentWindow(serviceName: string, nowMs: number): ServiceWindow {
@@ -41,8 +53,14 @@
     return window;
   }
 
-  function hasRemainingIn({ requestsAtMs, attemptsAtMs }: ServiceWindow): boolean {
-    return attemptsAtMs.length + 1 <= requestsAtMs.length * ratio + allowance();
+  function allowanceAt(nowMs: number): number {
+    const { initial, full } = options.allowance();
+    const grownShare = Math.min(1, (nowMs - startedAtMs) / windowMs);
+    return initial + (full - initial) * grownShare;
+  }
+
+  function hasRemainingIn({ requestsAtMs, attemptsAtMs }: ServiceWindow, nowMs: number): boolean {
+    return attemptsAtMs.length + 1 <= requestsAtMs.length * ratio + allowanceAt(nowMs);
   }
 
   return {
@@ -51,13 +69,13 @@
     },
     tryTake(serviceName, nowMs) {
       const window = currentWindow(serviceName, nowMs);
-      const isAllowed = hasRemainingIn(window);
+      const isAllowed = hasRemainingIn(window, nowMs);
       if (isAllowed) {
         window.attemptsAtMs.push(nowMs);
       }
       return isAllowed;
     },
-    hasRemaining: (serviceName, nowMs) => hasRemainingIn(currentWindow(serviceName, nowMs)),
+    hasRemaining: (serviceName, nowMs) => hasRemainingIn(currentWindow(serviceName, nowMs), nowMs),
     charge(serviceName, nowMs) {
       currentWindow(serviceName, nowMs).attemptsAtMs.push(nowMs);
     },
--- a/packages/routing/src/fleetShares.ts
+++ b/packages/routing/src/fleetShares.ts
@@ -2,6 +2,7 @@
  * This router's shares of limits that apply to the whole fleet: an equal share among the routers that it knows, capped
  * at a fixed share because a partitioned router knows only a few.
  */
+import type { AttemptAllowance } from './attemptBudget';
 import type { FleetShard } from './fleetShard';
 
 export interface FleetSharesOptions {
@@ -14,26 +15,34 @@
   /** How many of the connections that one server accepts from all callers this router may hold. */
   connections(fleetTotal: number): number;
   /** How many of the further attempts that the fleet may make in a window, beyond the ratio to its requests. */
-  furtherAttempts(fleetTotal: number): number;
+  furtherAttempts(fleetTotal: number): AttemptAllowance;
 }
 
-const usedShare = 0.75;
-const maxAttemptShare = 1 / 16;
-const maxConnectionShare = 1 / 8;
+const usedConnectionShare = 0.75;
+/** The rest is for restarts: each process that starts anew adds its initial attempts in the same window. */
+const usedAttemptShare = 0.5;
+const initialAttemptShare = 0.25;
+const maxInitialAttempts = 1;
+const maxShare = 1 / 8;
 const minConnections = 2;
 
 export function createFleetShares({ fleetShard, routerCount }: FleetSharesOptions): FleetShares {
-  const ownShare = (users: number, maxShare: number) => Math.min(maxShare, usedShare / users);
+  const ownShare = (users: number, usedShare: number) => Math.min(maxShare, usedShare / users);
 
   return {
     connections(fleetTotal) {
       // Routers of this shard and of the shard that uses this one's servers as spare.
       const shardsPerServer = fleetShard.shardCount() > 1 ? 2 : 1;
       const users = shardsPerServer * (fleetShard.shardPeers().length + 1);
-      const share = ownShare(users, maxConnectionShare);
+      const share = ownShare(users, usedConnectionShare);
       return Math.max(minConnections, Math.floor(fleetTotal * share));
     },
-    furtherAttempts: (fleetTotal) =>
-      Math.floor(fleetTotal * ownShare(routerCount(), maxAttemptShare)),
+    furtherAttempts(fleetTotal) {
+      const initial = fleetTotal * ownShare(routerCount(), initialAttemptShare);
+      return {
+        initial: Math.min(maxInitialAttempts, initial),
+        full: fleetTotal * ownShare(routerCount(), usedAttemptShare),
+      };
+    },
   };
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,6 @@
 export {
   createAttemptBudget,
+  type AttemptAllowance,
   type AttemptBudget,
   type AttemptBudgetOptions,
 } from './attemptBudget';
