Reserve a further attempt for each first prefill call in progress

What servers saw: of 20 prompts that arrived together, an engine that rejects what waits at it got 14 first prefill calls, where a fifth of the requests (4) were allowed; in the model 4 routers came to 1.52 of the bound with calls of 1.5 s.

Cause: a first call needs an attempt only if it fails. It was checked against the budget when it began and charged when it had failed, so all calls in progress passed on the same attempt. An engine that is replaced, switches its stage or is full rejects all that wait at it together. The class: a limit that is checked at one moment and charged at a later one.

Ruled out: attempts that are taken and then wait for memory; they are charged when taken, and 24 routers with waits of up to 6 s stay within the bound.

Now such a call reserves its attempt, which is used or available again once the call has ended. Without one the decode engine prefills, as before.

--- a/packages/routing/__tests__/attemptBudget.test.ts
+++ b/packages/routing/__tests__/attemptBudget.test.ts
@@ -48,13 +48,17 @@
   t.true(budget.tryTake('a', 1_000));
 });
 
-test('charged calls count against the budget of later attempts', (t) => {
-  // A request's first call is made without taking an attempt, also where the address belongs to another server by now.
+test('first calls in progress count, and those that failed count from then on', (t) => {
+  // Calls that are only checked all pass on the same attempt, and an engine may reject all of them at once.
   const budget = createRunningBudget(0, 2);
-  budget.charge('a', 0);
-  budget.charge('a', 0);
-  t.false(budget.tryTake('a', 500));
-  t.true(budget.tryTake('a', 1_001));
+  const [first, second] = [budget.reserve('a', 0), budget.reserve('a', 0)];
+  t.is(budget.reserve('a', 0), undefined);
+  t.false(budget.tryTake('a', 0));
+  first?.release();
+  second?.use(100);
+  t.truthy(budget.reserve('a', 200));
+  t.is(budget.reserve('a', 1_050), undefined);
+  t.truthy(budget.reserve('a', 1_101));
 });
 
 test('a process that starts has its initial allowance, and the full one after a window', (t) => {
--- a/packages/routing/__tests__/attemptBudgetFleet.test.ts
+++ b/packages/routing/__tests__/attemptBudgetFleet.test.ts
@@ -19,6 +19,12 @@
   );
 }
 
+test('prefill calls that are rejected while many are in progress stay within the budget', (t) => {
+  // Calls that are only checked against the budget, and charged once they have failed, all pass on the same attempt.
+  const share = fullestShareOf({ rejectedShare: 0.9, callMs: 1_500, requestsPerSecond: 60 });
+  t.true(share <= 1, `fullest window ${share.toFixed(2)}`);
+});
+
 test('attempts that wait before they are sent stay within the budget', (t) => {
   // Attempts that are taken over several seconds and wait for memory may arrive at the same time.
   const burst = { fromMs: 4_000, untilMs: 9_000, factor: 6 };
--- a/packages/routing/__tests__/support/attemptFleet.ts
+++ b/packages/routing/__tests__/support/attemptFleet.ts
@@ -121,7 +121,8 @@
   }
 
   function callPrefill(): void {
-    if (!budget.hasRemaining('s', nowMs)) {
+    const reservation = budget.reserve('s', nowMs);
+    if (reservation === undefined) {
       maybeRetry(0);
       return;
     }
@@ -131,7 +132,9 @@
     }
     later(options.callMs, () => {
       if (isRejected) {
-        budget.charge('s', nowMs);
+        reservation.use(nowMs);
+      } else {
+        reservation.release();
       }
       maybeRetry(0);
     });
--- a/packages/routing/src/attemptBudget.ts
+++ b/packages/routing/src/attemptBudget.ts
@@ -29,15 +29,22 @@
   recordRequest(serviceName: string, nowMs: number): void;
   /** Takes one further attempt from the budget; false if none is left. */
   tryTake(serviceName: string, nowMs: number): boolean;
-  /** Whether a further attempt is left; checked before a first call, which is charged only if it fails. */
-  hasRemaining(serviceName: string, nowMs: number): boolean;
-  /** Charges a call that was made without `tryTake`: a first call that was lost or rejected. */
-  charge(serviceName: string, nowMs: number): void;
+  /** Reserves a further attempt for a first call, which counts only if it fails; undefined if none is left. */
+  reserve(serviceName: string, nowMs: number): AttemptReservation | undefined;
+}
+
+/** One of its functions must be called once, as soon as the call has ended. */
+export interface AttemptReservation {
+  /** The call was rejected or lost: the attempt counts from now on. */
+  use(nowMs: number): void;
+  /** The call does not count: the attempt is available again. */
+  release(): void;
 }
 
 interface ServiceWindow {
   requestsAtMs: number[];
   attemptsAtMs: number[];
+  reservedCount: number;
 }
 
 const maxServices = 512;
@@ -47,7 +54,11 @@
   const windows = createBoundedMap<string, ServiceWindow>({ maxEntries: maxServices });
 
   function currentWindow(serviceName: string, nowMs: number): ServiceWindow {
-    const window = windows.getOrCreate(serviceName, () => ({ requestsAtMs: [], attemptsAtMs: [] }));
+    const window = windows.getOrCreate(serviceName, () => ({
+      requestsAtMs: [],
+      attemptsAtMs: [],
+      reservedCount: 0,
+    }));
     dropOlder(window.requestsAtMs, nowMs - windowMs);
     dropOlder(window.attemptsAtMs, nowMs - windowMs);
     return window;
@@ -59,8 +70,9 @@
     return initial + (full - initial) * grownShare;
   }
 
-  function hasRemainingIn({ requestsAtMs, attemptsAtMs }: ServiceWindow, nowMs: number): boolean {
-    return attemptsAtMs.length + 1 <= requestsAtMs.length * ratio + allowanceAt(nowMs);
+  function hasRemaining(window: ServiceWindow, nowMs: number): boolean {
+    const usedCount = window.attemptsAtMs.length + window.reservedCount;
+    return usedCount + 1 <= window.requestsAtMs.length * ratio + allowanceAt(nowMs);
   }
 
   return {
@@ -69,15 +81,28 @@
     },
     tryTake(serviceName, nowMs) {
       const window = currentWindow(serviceName, nowMs);
-      const isAllowed = hasRemainingIn(window, nowMs);
+      const isAllowed = hasRemaining(window, nowMs);
       if (isAllowed) {
         window.attemptsAtMs.push(nowMs);
       }
       return isAllowed;
     },
-    hasRemaining: (serviceName, nowMs) => hasRemainingIn(currentWindow(serviceName, nowMs), nowMs),
-    charge(serviceName, nowMs) {
-      currentWindow(serviceName, nowMs).attemptsAtMs.push(nowMs);
+    reserve(serviceName, nowMs) {
+      const window = currentWindow(serviceName, nowMs);
+      if (!hasRemaining(window, nowMs)) {
+        return undefined;
+      }
+      window.reservedCount += 1;
+      const release = () => {
+        window.reservedCount -= 1;
+      };
+      return {
+        use(usedAtMs) {
+          release();
+          window.attemptsAtMs.push(usedAtMs);
+        },
+        release,
+      };
     },
   };
 }
--- a/packages/routing/src/furtherAttempts.ts
+++ b/packages/routing/src/furtherAttempts.ts
@@ -35,19 +35,28 @@
   return isAllowed;
 }
 
-/** Whether a first prefill call may be made, although it is charged if it fails. */
-export function mayCallFirstPrefill(state: RequestState, deps: Dependencies): boolean {
-  const isAllowed = deps.budget.hasRemaining(state.service.name, monotonicNowMs());
-  if (!isAllowed) {
+/**
+ * Begins a first prefill call, which counts as a further attempt only if it fails. Returns the function to call at its
+ * end, or undefined if the call may not be made. Calls in progress are counted: an engine may reject all that wait at it
+ * at the same moment.
+ */
+export function beginFirstPrefill(
+  state: RequestState,
+  deps: Dependencies,
+): ((hasFailed: boolean) => void) | undefined {
+  const reservation = deps.budget.reserve(state.service.name, monotonicNowMs());
+  if (reservation === undefined) {
     recordRefused(state, attemptCauses.firstPrefill, deps);
+    return undefined;
   }
-  return isAllowed;
-}
-
-/** Charges a first prefill call that was rejected or lost. */
-export function chargeFirstPrefill(state: RequestState, deps: Dependencies): void {
-  deps.budget.charge(state.service.name, monotonicNowMs());
-  recordTaken(state, attemptCauses.firstPrefill, deps);
+  return (hasFailed) => {
+    if (hasFailed) {
+      reservation.use(monotonicNowMs());
+      recordTaken(state, attemptCauses.firstPrefill, deps);
+    } else {
+      reservation.release();
+    }
+  };
 }
 
 function recordTaken(state: RequestState, cause: AttemptCause, { metrics }: Dependencies): void {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,6 +3,7 @@
   type AttemptAllowance,
   type AttemptBudget,
   type AttemptBudgetOptions,
+  type AttemptReservation,
 } from './attemptBudget';
 export type {
   ResponseBody,
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -5,12 +5,7 @@
 import { createRecentQuantile, createRunningEstimate } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { PrefillResult } from './backendApi';
-import {
-  attemptCauses,
-  chargeFirstPrefill,
-  mayCallFirstPrefill,
-  takeFurtherAttempt,
-} from './furtherAttempts';
+import { attemptCauses, beginFirstPrefill, takeFurtherAttempt } from './furtherAttempts';
 import { stages, type BackendServer } from './model';
 import { noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
@@ -112,10 +107,15 @@
    * is lost or rejected, as all are while crashed engines have not been detected. Without an attempt left the decode
    * engine prefills locally: its memory is already reserved, and a refusal would waste it.
    */
-  function mayCall(state: RequestState, isRetry: boolean): boolean {
-    return isRetry
-      ? takeFurtherAttempt(state, attemptCauses.prefill, deps)
-      : mayCallFirstPrefill(state, deps);
+  function beginCall(
+    state: RequestState,
+    isRetry: boolean,
+  ): ((hasFailed: boolean) => void) | undefined {
+    if (!isRetry) {
+      return beginFirstPrefill(state, deps);
+    }
+    const isAllowed = takeFurtherAttempt(state, attemptCauses.prefill, deps);
+    return isAllowed ? () => undefined : undefined;
   }
 
   async function run(
@@ -129,18 +129,17 @@
       if (server === undefined || shouldPrefillLocally(state, promptTokens, server, decodeServer)) {
         return { kind: 'at-decode' };
       }
-      if (!mayCall(state, isRetry)) {
+      const endCall = beginCall(state, isRetry);
+      if (endCall === undefined) {
         return { kind: 'at-decode' };
       }
       limits.take(server.id);
       const attempt = await prefillAt(server, state, promptTokens);
+      endCall(attempt.kind === 'failed' && attempt.hasArrived);
       if (attempt.kind === 'done') {
         state.hasPrefilled = true;
         return attempt;
       }
-      if (attempt.hasArrived && !isRetry) {
-        chargeFirstPrefill(state, deps);
-      }
       isRetry = true;
       state.failedServerIds.add(server.id);
     }
