Keep a router's share of the further attempts when it loses sight of the others

Cause: the share is that of the routers that are known. A router that hears from nobody forgets the others after a minute and counts its seeds only, while all of them go on.

Ruled out: routers that are starting and know their seeds only.

Now a router's share is that of the largest fleet it has known. Tests, failed before: 'routers that do not know each other yet, or no longer' and 'keeps its share of the further attempts'. The price: a fleet that shrinks keeps small shares until its routers restart.

--- a/packages/routing/__tests__/attemptBudgetFleet.test.ts
+++ b/packages/routing/__tests__/attemptBudgetFleet.test.ts
@@ -42,6 +42,21 @@
   t.true(share <= 1, `fullest window ${share.toFixed(2)}`);
 });
 
+/** Grows with the number of routers as on the users' platform. */
+const allowanceOf = (routerCount: number) => 44 + 2 * routerCount;
+
+test('routers that do not know each other yet, or no longer, stay within the budget', (t) => {
+  // A router that knows its seeds only must not take the share of a router of so small a fleet.
+  const shares = [24, 60, 120].flatMap((routerCount) => {
+    const fleet = { routerCount, allowance: allowanceOf(routerCount), failedShare: 1 };
+    return [
+      fullestShareOf({ ...fleet, discoveryMs: 9_000, failsFromMs: 8_000 }),
+      fullestShareOf({ ...fleet, isolatedFromMs: 12_000, failsFromMs: 13_000 }),
+    ];
+  });
+  t.true(Math.max(...shares) <= 1, `fullest windows ${shares.map((share) => share.toFixed(2))}`);
+});
+
 test('a fleet in which everything fails at once stays within the budget', (t) => {
   const shares = [4, 24, 60].map((routerCount) =>
     fullestShareOf({
--- a/packages/routing/__tests__/fleetShares.test.ts
+++ b/packages/routing/__tests__/fleetShares.test.ts
@@ -24,3 +24,14 @@
 test('a router always has connections to call a server and to poll its load', (t) => {
   t.is(sharesOf({ shardPeerCount: 99 }).connections(96), 2);
 });
+
+test('a router that no longer hears from the others keeps its share of the further attempts', (t) => {
+  let routerCount = 24;
+  const shares = createFleetShares({
+    fleetShard: { shardPeers: () => [], shardCount: () => 1 },
+    routerCount: () => routerCount,
+  });
+  const before = shares.furtherAttempts(88);
+  routerCount = 4;
+  t.deepEqual(shares.furtherAttempts(88), before);
+});
--- a/packages/routing/__tests__/support/attemptFleet.ts
+++ b/packages/routing/__tests__/support/attemptFleet.ts
@@ -25,6 +25,10 @@
   restartsAtMs?: readonly number[];
   /** Time from a router's start until it knows all others; before, it knows its seeds only. */
   discoveryMs?: number;
+  /** Time from a router's start after which it knows its seeds only, as it hears from nobody. */
+  isolatedFromMs?: number;
+  /** Requests sent earlier get what they need with their first call. */
+  failsFromMs?: number;
   durationMs?: number;
 }
 
@@ -91,13 +95,14 @@
 
 function createModelRouter(env: RouterEnvironment, startedAtMs: number) {
   const { options, random } = env;
-  const { discoveryMs = 0 } = options;
+  const { discoveryMs = 0, isolatedFromMs = Infinity, failsFromMs = 0 } = options;
   let isKilled = false;
   let nowMs = startedAtMs;
-  const routerCount = () =>
-    nowMs - startedAtMs < discoveryMs
-      ? Math.min(options.routerCount, seedCount + 1)
-      : options.routerCount;
+  function routerCount(): number {
+    const uptimeMs = nowMs - startedAtMs;
+    const knowsAll = uptimeMs >= discoveryMs && uptimeMs < isolatedFromMs;
+    return knowsAll ? options.routerCount : Math.min(options.routerCount, seedCount + 1);
+  }
   const shares = createFleetShares({
     fleetShard: { shardPeers: () => [], shardCount: () => 1 },
     routerCount,
@@ -126,7 +131,7 @@
       maybeRetry(0);
       return;
     }
-    const isRejected = random() < options.rejectedShare;
+    const isRejected = hasFailures() && random() < options.rejectedShare;
     if (isRejected) {
       env.recordArrival(nowMs);
     }
@@ -140,8 +145,11 @@
     });
   }
 
+  const hasFailures = () => nowMs >= failsFromMs;
+
   function maybeRetry(attemptCount: number): void {
-    if (attemptCount < maxAttemptsPerRequest && random() < options.failedShare) {
+    const hasFailed = hasFailures() && random() < options.failedShare;
+    if (hasFailed && attemptCount < maxAttemptsPerRequest) {
       retry(attemptCount);
     }
   }
--- a/packages/routing/src/fleetShares.ts
+++ b/packages/routing/src/fleetShares.ts
@@ -27,6 +27,17 @@
 const minConnections = 2;
 
 export function createFleetShares({ fleetShard, routerCount }: FleetSharesOptions): FleetShares {
+  let largestRouterCount = 0;
+
+  /**
+   * A router that hears from nobody forgets the others after a while, but they go on using their shares. A fleet that
+   * shrinks leaves its routers with shares that are too small until they restart.
+   */
+  function attemptUsers(): number {
+    largestRouterCount = Math.max(largestRouterCount, routerCount());
+    return largestRouterCount;
+  }
+
   const ownShare = (users: number, usedShare: number) => Math.min(maxShare, usedShare / users);
 
   return {
@@ -38,10 +49,10 @@
       return Math.max(minConnections, Math.floor(fleetTotal * share));
     },
     furtherAttempts(fleetTotal) {
-      const initial = fleetTotal * ownShare(routerCount(), initialAttemptShare);
+      const initial = fleetTotal * ownShare(attemptUsers(), initialAttemptShare);
       return {
         initial: Math.min(maxInitialAttempts, initial),
-        full: fleetTotal * ownShare(routerCount(), usedAttemptShare),
+        full: fleetTotal * ownShare(attemptUsers(), usedAttemptShare),
       };
     },
   };
