--- a/packages/routing/__tests__/attemptBudgetFleet.test.ts
+++ b/packages/routing/__tests__/attemptBudgetFleet.test.ts
@@ -50,7 +50,7 @@
   const shares = [24, 60, 120].flatMap((routerCount) => {
     const fleet = { routerCount, allowance: allowanceOf(routerCount), failedShare: 1 };
     return [
-      fullestShareOf({ ...fleet, discoveryMs: 9_000, failsFromMs: 8_000 }),
+      fullestShareOf({ ...fleet, discoveryMs: 5_000, requestsPerSecond: 3 * routerCount }),
       fullestShareOf({ ...fleet, isolatedFromMs: 12_000, failsFromMs: 13_000 }),
     ];
   });
--- a/packages/routing/__tests__/support/attemptFleet.ts
+++ b/packages/routing/__tests__/support/attemptFleet.ts
@@ -23,7 +23,7 @@
   burst?: { fromMs: number; untilMs: number; factor: number };
   /** When all routers are killed and start again. */
   restartsAtMs?: readonly number[];
-  /** Time from a router's start until it knows all others; before, it knows its seeds only. */
+  /** Time from a router's start until it knows all others; it starts with its seeds and discovers them steadily. */
   discoveryMs?: number;
   /** Time from a router's start after which it knows its seeds only, as it hears from nobody. */
   isolatedFromMs?: number;
@@ -100,16 +100,21 @@
   let nowMs = startedAtMs;
   function routerCount(): number {
     const uptimeMs = nowMs - startedAtMs;
-    const knowsAll = uptimeMs >= discoveryMs && uptimeMs < isolatedFromMs;
-    return knowsAll ? options.routerCount : Math.min(options.routerCount, seedCount + 1);
+    const firstKnown = Math.min(options.routerCount, seedCount + 1);
+    if (uptimeMs >= isolatedFromMs) {
+      return firstKnown;
+    }
+    const discoveredShare = discoveryMs === 0 ? 1 : Math.min(1, uptimeMs / discoveryMs);
+    return firstKnown + Math.floor((options.routerCount - firstKnown) * discoveredShare);
   }
   const shares = createFleetShares({
     fleetShard: { shardPeers: () => [], shardCount: () => 1 },
     routerCount,
+    startedAtMs,
   });
   const budget = createAttemptBudget({
     ratio,
-    allowance: () => shares.furtherAttempts(options.allowance),
+    allowance: (atMs) => shares.furtherAttempts(options.allowance, atMs),
     windowMs,
     startedAtMs,
   });
