--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -138,7 +138,6 @@
   type RecentQuantile,
   type RecentQuantileOptions,
 } from './recentQuantile';
-export { createFleetDiscovery, type FleetDiscovery } from './fleetDiscovery';
 export { createRetryBudget, type RetryBudget, type RetryBudgetOptions } from './retryBudget';
 export { decideRetry, type FailedAttempt, type RetryDecision } from './retryPolicy';
 export {
--- a/packages/decisions/src/sharedPermits.ts
+++ b/packages/decisions/src/sharedPermits.ts
@@ -16,7 +16,6 @@
  * - A router that is still discovering others takes as small a share as if there were 360 of them.
  */
 import { rendezvousOrder } from '@bluebellhitch/shared';
-import { createFleetDiscovery } from './fleetDiscovery';
 
 /** A limit read in a server's response; without a rate, its responses no longer name one. */
 export interface LimitObservation {
@@ -83,7 +82,12 @@
 const minBucketSize = 2;
 /** A server that names a lower rate still gets a request now and then: only a response can end its limit. */
 const minRatePerSecond = 0.1;
-/** The size of the largest fleet, which a router assumes until it has discovered its own. */
+/**
+ * A router that has discovered no further router for this long is taken to know them all; in a large fleet discovery
+ * takes many seconds. Until then it assumes the largest fleet, or it would take too large a share.
+ */
+const discoveryQuietMs = 2_500;
+const maxWarmUpMs = 30_000;
 const assumedRouterCount = 360;
 /**
  * If no router has had a response of the server for this long, its issuers may all have stopped or lack callers: the
@@ -101,11 +105,14 @@
 
 export function createSharedPermits(options: SharedPermitsOptions): SharedPermits {
   const { random = Math.random } = options;
-  const discovery = createFleetDiscovery({ startedAtMs: options.nowMs });
+  const startedAtMs = options.nowMs;
   const servers = new Map<string, LimitedServer>();
   let routers: readonly string[] = [];
   let selfAddress = '';
   let routersVersion = 0;
+  /** When a router that was not known before was last discovered. */
+  let lastDiscoveryAtMs = startedAtMs;
+  let isWarm = false;
 
   const rateOf = ({ requestsPerSecond = 0 }: LimitedServer) =>
     Math.max(minRatePerSecond, requestsPerSecond);
@@ -149,11 +156,18 @@
     );
   }
 
+  const warmAtMs = () => Math.min(lastDiscoveryAtMs + discoveryQuietMs, startedAtMs + maxWarmUpMs);
+
+  /** A router that has warmed up stays warm, also when it discovers further routers. */
+  function isWarmingUp(nowMs: number): boolean {
+    isWarm ||= nowMs >= warmAtMs();
+    return !isWarm;
+  }
+
   /** Refills the bucket up to now; returns whether this router issues permits. */
   function refill(serverId: string, server: LimitedServer, nowMs: number): boolean {
-    const isDiscovering = !discovery.isComplete(nowMs);
-    const isIssuer = isDiscovering || issuersOf(serverId, server, nowMs).includes(selfAddress);
-    const count = isDiscovering ? assumedRouterCount : issuerCount(server);
+    const isIssuer = isWarmingUp(nowMs) || issuersOf(serverId, server, nowMs).includes(selfAddress);
+    const count = isWarmingUp(nowMs) ? assumedRouterCount : issuerCount(server);
     if (isIssuer && server.wasIssuer) {
       const elapsedMs = Math.max(0, nowMs - server.filledAtMs);
       server.level += (elapsedMs * rateOf(server)) / count / msPerSecond;
@@ -259,7 +273,7 @@
     setRouters(ownAddress, others, nowMs) {
       const known = new Set(routers);
       if (others.some((address) => !known.has(address))) {
-        discovery.noteDiscovered(nowMs);
+        lastDiscoveryAtMs = nowMs;
       }
       selfAddress = ownAddress;
       routers = [...new Set([ownAddress, ...others])];
@@ -293,8 +307,8 @@
         return server === undefined ? 0 : undefined;
       }
       const perMs = rateOf(server) / issuerCount(server) / msPerSecond;
-      const untilKnownMs = discovery.isComplete(nowMs) ? 0 : discovery.completeAtMs() - nowMs;
-      return Math.max(untilKnownMs, Math.max(0, 1 - server.level) / perMs);
+      const untilWarmMs = isWarmingUp(nowMs) ? warmAtMs() - nowMs : 0;
+      return Math.max(untilWarmMs, Math.max(0, 1 - server.level) / perMs);
     },
     observationsSince: (sinceMs, nowMs) =>
       [...servers]
--- a/packages/routing/__tests__/support/attemptFleet.ts
+++ b/packages/routing/__tests__/support/attemptFleet.ts
@@ -110,11 +110,10 @@
   const shares = createFleetShares({
     fleetShard: { shardPeers: () => [], shardCount: () => 1 },
     routerCount,
-    startedAtMs,
   });
   const budget = createAttemptBudget({
     ratio,
-    allowance: (atMs) => shares.furtherAttempts(options.allowance, atMs),
+    allowance: () => shares.furtherAttempts(options.allowance),
     windowMs,
     startedAtMs,
   });
--- a/packages/routing/src/attemptBudget.ts
+++ b/packages/routing/src/attemptBudget.ts
@@ -12,7 +12,7 @@
   /** Further attempts per request in the window. */
   ratio: number;
   /** Additional further attempts per window: this process's current share. */
-  allowance: (nowMs: number) => AttemptAllowance;
+  allowance: () => AttemptAllowance;
   windowMs: number;
   /** Start of this process. */
   startedAtMs: number;
@@ -65,7 +65,7 @@
   }
 
   function allowanceAt(nowMs: number): number {
-    const { initial, full } = options.allowance(nowMs);
+    const { initial, full } = options.allowance();
     const grownShare = Math.min(1, (nowMs - startedAtMs) / windowMs);
     return initial + (full - initial) * grownShare;
   }
--- a/packages/routing/src/fleetShares.ts
+++ b/packages/routing/src/fleetShares.ts
@@ -2,8 +2,6 @@
  * This router's shares of limits that apply to the whole fleet: an equal share among the routers that it knows, capped
  * at a fixed share because a partitioned router knows only a few.
  */
-import { createFleetDiscovery } from '@bluebellhitch/decisions';
-import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { AttemptAllowance } from './attemptBudget';
 import type { FleetShard } from './fleetShard';
 
@@ -11,15 +9,13 @@
   fleetShard: Pick<FleetShard, 'shardPeers' | 'shardCount'>;
   /** Number of routers in all shards, including this one. */
   routerCount: () => number;
-  /** Start of this process. */
-  startedAtMs?: number;
 }
 
 export interface FleetShares {
   /** How many of the connections that one server accepts from all callers this router may hold. */
   connections(fleetTotal: number): number;
   /** How many of the further attempts that the fleet may make in a window, beyond the ratio to its requests. */
-  furtherAttempts(fleetTotal: number, nowMs: number): AttemptAllowance;
+  furtherAttempts(fleetTotal: number): AttemptAllowance;
 }
 
 const usedConnectionShare = 0.75;
@@ -30,21 +26,15 @@
 const maxShare = 1 / 8;
 const minConnections = 2;
 
-export function createFleetShares(options: FleetSharesOptions): FleetShares {
-  const { fleetShard, routerCount, startedAtMs = monotonicNowMs() } = options;
-  const discovery = createFleetDiscovery({ startedAtMs });
+export function createFleetShares({ fleetShard, routerCount }: FleetSharesOptions): FleetShares {
   let largestRouterCount = 0;
 
   /**
    * A router that hears from nobody forgets the others after a while, but they go on using their shares. A fleet that
    * shrinks leaves its routers with shares that are too small until they restart.
    */
-  function attemptUsers(nowMs: number): number {
-    const count = routerCount();
-    if (count > largestRouterCount) {
-      largestRouterCount = count;
-      discovery.noteDiscovered(nowMs);
-    }
+  function attemptUsers(): number {
+    largestRouterCount = Math.max(largestRouterCount, routerCount());
     return largestRouterCount;
   }
 
@@ -58,14 +48,11 @@
       const share = ownShare(users, usedConnectionShare);
       return Math.max(minConnections, Math.floor(fleetTotal * share));
     },
-    furtherAttempts(fleetTotal, nowMs) {
-      const users = attemptUsers(nowMs);
-      const initialShare = fleetTotal * ownShare(users, initialAttemptShare);
-      const initial = Math.min(maxInitialAttempts, initialShare);
-      const isDiscovering = !discovery.isComplete(nowMs);
+    furtherAttempts(fleetTotal) {
+      const initial = fleetTotal * ownShare(attemptUsers(), initialAttemptShare);
       return {
-        initial,
-        full: isDiscovering ? initial : fleetTotal * ownShare(users, usedAttemptShare),
+        initial: Math.min(maxInitialAttempts, initial),
+        full: fleetTotal * ownShare(attemptUsers(), usedAttemptShare),
       };
     },
   };
