--- a/packages/routing/__tests__/support/attemptFleet.ts
+++ b/packages/routing/__tests__/support/attemptFleet.ts
@@ -25,7 +25,7 @@
   restartsAtMs?: readonly number[];
   /** Time from a router's start until it knows all others; it starts with its seeds and discovers them steadily. */
   discoveryMs?: number;
-  /** Time from a router's start after which it knows its seeds only, as it hears from nobody. */
+  /** Time from a router's start after which it knows its seeds only, without contact to any router. */
   isolatedFromMs?: number;
   /** Requests sent earlier get what they need with their first call. */
   failsFromMs?: number;
--- a/packages/routing/src/fleetShares.ts
+++ b/packages/routing/src/fleetShares.ts
@@ -30,8 +30,8 @@
   let largestRouterCount = 0;
 
   /**
-   * A router that hears from nobody forgets the others after a while, but they go on using their shares. A fleet that
-   * shrinks leaves its routers with shares that are too small until they restart.
+   * A router that loses contact with the others forgets them after a while, but they go on using their shares. A fleet
+   * that shrinks leaves its routers with shares that are too small until they restart.
    */
   function attemptUsers(): number {
     largestRouterCount = Math.max(largestRouterCount, routerCount());
@@ -49,10 +49,11 @@
       return Math.max(minConnections, Math.floor(fleetTotal * share));
     },
     furtherAttempts(fleetTotal) {
-      const initial = fleetTotal * ownShare(attemptUsers(), initialAttemptShare);
+      const users = attemptUsers();
+      const initial = fleetTotal * ownShare(users, initialAttemptShare);
       return {
         initial: Math.min(maxInitialAttempts, initial),
-        full: fleetTotal * ownShare(attemptUsers(), usedAttemptShare),
+        full: fleetTotal * ownShare(users, usedAttemptShare),
       };
     },
   };
--- a/packages/soak/__tests__/checks.test.ts
+++ b/packages/soak/__tests__/checks.test.ts
@@ -268,9 +268,9 @@
     repeat(['a', 'b', 'c', 'd']);
     clock.tick(1_001);
     repeat(['a', 'b', 'c', 'd']);
-    fixture.budget.checkAll();
+    const fullest = fixture.budget.checkAll();
     t.deepEqual(fixture.found(), []);
-    t.like(fixture.budget.fullestWindow(), { furtherAttempts: 4, allowed: 4, share: 1 });
+    t.like(fullest, { furtherAttempts: 4, allowed: 4, share: 1 });
     clock.tick(700);
     repeat(['e']);
     fixture.budget.checkAll();
@@ -286,8 +286,8 @@
   const prefill = (hasRun: boolean) => fixture.arrive('a', 'engine-1', { isPrefill: true, hasRun });
   prefill(true);
   fixture.arrive('a', 'engine-2');
-  t.is(fixture.budget.fullestWindow(), undefined);
+  t.is(fixture.budget.checkAll(), undefined);
   fixture.request('b');
   fixture.arrive('b', 'engine-1', { isPrefill: true, hasRun: false });
-  t.is(fixture.budget.fullestWindow()?.furtherAttempts, 1);
+  t.is(fixture.budget.checkAll()?.furtherAttempts, 1);
 });
--- a/packages/soak/src/attemptBudgetCheck.ts
+++ b/packages/soak/src/attemptBudgetCheck.ts
@@ -24,10 +24,11 @@
 }
 
 export interface AttemptBudgetCheck {
-  /** Reports each service that exceeded its budget in some window; call once, after the last arrival. */
-  checkAll(): void;
-  /** The fullest window of the run; undefined if there was no further attempt. */
-  fullestWindow(): FullestWindow | undefined;
+  /**
+   * Reports each service that exceeded its budget in some window; call once, after the last arrival. Returns the fullest
+   * window of the run; undefined if there was no further attempt.
+   */
+  checkAll(): FullestWindow | undefined;
 }
 
 /** The requests of a window are counted in it, half a window earlier or one window earlier, whichever gives most. */
@@ -68,7 +69,8 @@
 
   return {
     checkAll() {
-      fullestWindows()
+      const windows = fullestWindows();
+      windows
         .filter(({ share }) => share > 1)
         .forEach(({ service, furtherAttempts: count, allowed }) =>
           findings.add(
@@ -76,8 +78,8 @@
             `${service}: ${count} further attempts, ${allowed.toFixed(1)} allowed`,
           ),
         );
+      return windows.reduce<FullestWindow | undefined>(fuller, undefined);
     },
-    fullestWindow: () => fullestWindows().reduce<FullestWindow | undefined>(fuller, undefined),
   };
 }
 
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -162,7 +162,7 @@
   requestChecks.checkAll();
   limitChecks.checkAll();
   noticeChecks.checkAll();
-  budgetCheck.checkAll();
+  const fullestBudget = budgetCheck.checkAll();
   lag.disable();
   await Promise.all(
     fleet.routers.map((_router, router) =>
@@ -179,7 +179,7 @@
     requests: [...ledger.requests()].length,
     served: servedShare(ledger, 0),
     findings: findings.all(),
-    fullestBudget: budgetCheck.fullestWindow(),
+    fullestBudget,
     longestHoldUpMs: Math.round(lag.max / nsPerMs),
   };
   writeRecord(options.directory, { report, script, ledger });
