Split the store's availability and the relayed events from the object follower

The module had grown to 393 lines with three concerns: following the store, whether the store answers, and the form in which changes are relayed to peers. The latter two are modules of their own now; behaviour is unchanged.

Tests: objectFollower, restoredObjects (6 passed). No assertion changed.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -88,8 +88,8 @@
   createObjectFollower,
   type ObjectFollower,
   type ObjectFollowerOptions,
-  type SeenChanges,
 } from './objectFollower';
+export type { SeenChanges } from './relayedEvents';
 export { createRequestRouter, type RequestRouter } from './requestRouter';
 export { createRouterMetrics, type RouterMetrics } from './routerMetrics';
 export type { RouterDependencies } from './routerDependencies';
--- a/packages/routing/src/objectFollower.ts
+++ b/packages/routing/src/objectFollower.ts
@@ -19,13 +19,7 @@
   StoredObject,
   WatchEvent,
 } from '@bluebellhitch/objects';
-import {
-  eraOf,
-  storePosition,
-  type StorePosition,
-  type RelayedChange,
-  type RelayedChanges,
-} from '@bluebellhitch/protocol';
+import { eraOf, storePosition, type StorePosition } from '@bluebellhitch/protocol';
 import {
   createBackgroundLoop,
   delay,
@@ -35,11 +29,10 @@
   type ClockReading,
   type Random,
 } from '@bluebellhitch/shared';
+import { toRelayedChange, toWatchEvent, versionOf, type SeenChanges } from './relayedEvents';
+import { createStoreAvailability, type StoreAvailabilityListener } from './storeAvailability';
 
-/** The changes that a watch has returned, in the form in which they are relayed to peers. */
-export type SeenChanges = Omit<RelayedChanges, 'kindIndex'>;
-
-export interface ObjectFollowerOptions {
+export interface ObjectFollowerOptions extends StoreAvailabilityListener {
   store: ObjectApi;
   kind: ObjectKind;
   /** Maximum duration of the next watch. */
@@ -47,13 +40,6 @@
   /** Receives the complete list, at the start and whenever the store has compacted the history after the cursor. */
   onListed(objects: readonly StoredObject[]): void;
   onEvent(event: WatchEvent): void;
-  /** Called when the store stops answering. */
-  onUnavailable(error: PlatformError): void;
-  /**
-   * Called when the store answers again, or for the first time. `agoMs` is greater than 0 if a peer noticed the
-   * recovery that long ago.
-   */
-  onAvailable(agoMs: number): void;
   /** Called when the store was restored from a backup: the list that follows may be older than the known objects. */
   onEraChanged?: (era: number) => void;
   /** Called after a response of the store has been applied. */
@@ -105,6 +91,7 @@
   const { onSeen = () => undefined, hasRelays = () => false } = options;
   const { relayTimeoutMs = () => 0, proofLeftMs = () => Infinity } = options;
   const { onProved = () => undefined, onEraChanged = () => undefined } = options;
+  const availability = createStoreAvailability(options);
   /** All changes up to this store revision are known; undefined before the first list. */
   let cursor: string | undefined;
   /** Era of the last list. */
@@ -112,10 +99,6 @@
   /** When a call to the store, by this process or a peer, last showed that nothing is missing. */
   let upToDateAtMs = -Infinity;
   let answeredAtMs = -Infinity;
-  let storeRecoveredAtMs = -Infinity;
-  let isStoreAvailable = false;
-  /** Whether a call has failed since the store last answered. */
-  let hasFailed = false;
   let seenRevision = 0;
   let newestPeerRevision = 0;
   let isRefreshDue = false;
@@ -143,8 +126,7 @@
   /** A store that was restored so quickly that no call failed has lost entries nevertheless. */
   function noteEra(era: number): void {
     if (listedEra !== undefined && era > listedEra) {
-      storeRecoveredAtMs = monotonicNowMs();
-      options.onAvailable(0);
+      availability.noteRecovery(0);
       onEraChanged(era);
     }
     listedEra = era;
@@ -154,7 +136,8 @@
   async function watch(from: string, signal: AbortSignal): Promise<Result<void, PlatformError>> {
     // The first watch after an outage does not wait: its response shows that the store has recovered, and removals that
     // are delayed because of the outage must not be delayed further by the duration of a watch.
-    const waitMs = isStoreAvailable && !isRefreshDue && !isVerifying() ? watchWaitMs() : minWatchMs;
+    const waitMs =
+      availability.isAvailable() && !isRefreshDue && !isVerifying() ? watchWaitMs() : minWatchMs;
     isRefreshDue = false;
     hasNewEvents = false;
     const abandoned = new AbortController();
@@ -191,7 +174,7 @@
     const nowMs = monotonicNowMs();
     upToDateAtMs = nowMs;
     answeredAtMs = nowMs;
-    const backAgeMs = nowMs - storeRecoveredAtMs;
+    const backAgeMs = availability.recoveryAgeMs();
     onSeen({
       fromRevision: Number(from),
       toRevision: Number(to),
@@ -273,9 +256,8 @@
       return;
     }
     const nowMs = monotonicNowMs();
-    if (backAgeMs !== undefined && nowMs - backAgeMs > storeRecoveredAtMs) {
-      storeRecoveredAtMs = nowMs - backAgeMs;
-      options.onAvailable(backAgeMs);
+    if (backAgeMs !== undefined && backAgeMs < availability.recoveryAgeMs()) {
+      availability.noteRecovery(backAgeMs);
     }
     apply(
       String(fromRevision),
@@ -288,35 +270,16 @@
   /** Runs before the response is applied, because removals are treated differently right after an outage. */
   function noteResponse(response: Result<unknown, PlatformError>, signal: AbortSignal): void {
     if (response.isOk()) {
-      noteStoreAvailable();
+      availability.noteAnswer();
     } else if (!signal.aborted) {
-      hasFailed = true;
-      noteStoreLost(response.error);
-    }
-  }
-
-  /** The first response after the start of this process is not a recovery, and none is reported to peers. */
-  function noteStoreAvailable(): void {
-    if (hasFailed) {
-      hasFailed = false;
-      storeRecoveredAtMs = monotonicNowMs();
-    }
-    if (!isStoreAvailable) {
-      isStoreAvailable = true;
-      options.onAvailable(0);
-    }
-  }
-
-  function noteStoreLost(error: PlatformError): void {
-    if (isStoreAvailable) {
-      isStoreAvailable = false;
-      options.onUnavailable(error);
+      availability.noteFailure(response.error);
     }
   }
 
   /** How long no call to the platform is needed, because the changes relayed by peers suffice. */
   function idleMs(): number {
-    const canIdle = cursor !== undefined && isStoreAvailable && !isRefreshDue && hasRelays();
+    const canIdle =
+      cursor !== undefined && availability.isAvailable() && !isRefreshDue && hasRelays();
     const verifyLeftMs = answeredAtMs + verifyIntervalMs - monotonicNowMs();
     return canIdle ? Math.min(relayLeftMs(), verifyLeftMs, proofLeftMs()) : 0;
   }
@@ -369,25 +332,3 @@
     refresh,
   };
 }
-
-function versionOf(event: WatchEvent): StorePosition {
-  return event.kind === 'put' ? event.object.version : event.version;
-}
-
-function toRelayedChange(event: WatchEvent): RelayedChange {
-  return event.kind === 'removed'
-    ? { kind: 'removed', key: event.key, revision: event.version }
-    : {
-        kind: 'put',
-        key: event.object.key,
-        revision: event.object.version,
-        value: event.object.value,
-      };
-}
-
-function toWatchEvent(kind: ObjectKind, change: RelayedChange): WatchEvent {
-  const { key, revision } = change;
-  return change.kind === 'removed'
-    ? { kind: 'removed', key, version: revision }
-    : { kind: 'put', object: { kind, key, version: revision, value: change.value } };
-}
