Soak: servers that turn slow without failing, and streams of two priorities

The soak had no server that only takes longer: every fault of a server was visible as an error, a cut or a notice. Slow ones (1.5 to 7 times, for 600 ms or for much of the run) draw from a seed of their own, so the other steps of a seed stay as they were. The stand-in's prefills take 10 ms instead of none, since a factor of nothing would be nothing. One of the two stream routes is more urgent than the other now.

--- a/packages/soak/src/backendServers.ts
+++ b/packages/soak/src/backendServers.ts
@@ -49,6 +49,8 @@
   setLink(slot: number, fault: LinkFault): void;
   resetLinks(slot: number): void;
   setErrors(slot: number, errors: ServerErrors | undefined): void;
+  /** Sets how many times as long as usual the slot's servers take. */
+  setSlowdown(slot: number, factor: number): void;
   /** Sets the share of prefill calls that the slot rejects. */
   setRejectedPrefillShare(slot: number, share: number): void;
   /** After the store was restored from a backup: running servers write their entries again, the others' expire. */
@@ -69,6 +71,7 @@
   stage?: Stage;
   errors?: ServerErrors;
   rejectedPrefillShare: number;
+  slowdown: number;
   current?: RunningServer;
   startCount: number;
 }
@@ -98,6 +101,7 @@
 export const streamEvents = 12;
 const eventGapMs = 25;
 const workMs = 15;
+const prefillMs = 10;
 const storeKind = 'servers';
 const msPerSecond = 1_000;
 
@@ -117,6 +121,7 @@
     ...slot,
     index,
     rejectedPrefillShare: 0,
+    slowdown: 1,
     startCount: 0,
   }));
   const leaving = new Map<string, number>();
@@ -146,6 +151,7 @@
       },
       onStageChanged: () => slot.current?.worker === worker && publishEntry(slot),
     });
+    Object.assign(worker, { prefillMs, slowdown: slot.slowdown });
     const proxy = await startLoopbackProxy({ host: options.host, target: worker.address });
     slot.current = { worker, proxy };
     publishEntry(slot);
@@ -252,6 +258,13 @@
     setErrors(index, errors) {
       (slots[index] as ServerSlot).errors = errors;
     },
+    setSlowdown(index, factor) {
+      const slot = slots[index] as ServerSlot;
+      slot.slowdown = factor;
+      if (slot.current !== undefined) {
+        slot.current.worker.slowdown = factor;
+      }
+    },
     setRejectedPrefillShare(index, share) {
       (slots[index] as ServerSlot).rejectedPrefillShare = share;
     },
--- a/packages/soak/src/configurationPlan.ts
+++ b/packages/soak/src/configurationPlan.ts
@@ -123,7 +123,7 @@
   };
 }
 
-function streamRoute(name: string, allowsResume: boolean): Route {
+function streamRoute(name: string, allowsResume: boolean, priority: number): Route {
   return {
     name,
     host: callersHost,
@@ -132,7 +132,7 @@
     timeoutMs: streamTimeoutMs,
     targetLatencyMs: 900,
     targetGapMs: 300,
-    priority: 1,
+    priority,
     maxAttempts: allowsResume ? 2 : 1,
     allowsResume,
     targets: [{ serviceName: serviceNames.letters, weight: 1 }],
@@ -140,8 +140,8 @@
 }
 
 const baseRoutes: readonly Route[] = [
-  streamRoute('resumed', true),
-  streamRoute('once', false),
+  streamRoute('resumed', true, 1),
+  streamRoute('once', false, 0),
   plainRoute('unsafe', routeKinds.nonIdempotent, serviceNames.counter),
   plainRoute('safe', routeKinds.idempotent, serviceNames.counter),
 ];
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -179,6 +179,13 @@
     });
   }
 
+  /** A slow server still answers within the time-outs, so callers must not notice more than a delay. */
+  async function slowServer({ server, factor, forMs }: OperationOf<'slow-server'>): Promise<void> {
+    servers.setSlowdown(server, factor);
+    await delay(forMs);
+    servers.setSlowdown(server, 1);
+  }
+
   async function restoreStore(operation: OperationOf<'restore-store'>): Promise<void> {
     const { ageMs, awayMs, againMs } = operation;
     const endDisruption = disruptions.begin({ kind: 'store' }, 'store back from a copy');
@@ -252,6 +259,8 @@
         resetLinks(serverSubject(server), () => servers.resetLinks(server)),
       'server-errors': failServer,
       'reject-prefills': rejectPrefills,
+      'slow-server': (operation) =>
+        runInOrder(`slow ${operation.server}`, () => slowServer(operation)),
       'limit-server': (operation) =>
         runInOrder(`limit ${operation.server}`, () => limitServer(operation)),
       'change-configuration': ({ change }) => Promise.resolve(plan.change(change)),
--- a/packages/soak/src/script.ts
+++ b/packages/soak/src/script.ts
@@ -23,6 +23,7 @@
   | { kind: 'server-reset'; server: number }
   | { kind: 'server-errors'; server: number; run: RunBehaviour; share: number; forMs: number }
   | { kind: 'reject-prefills'; server: number; share: number; forMs: number }
+  | { kind: 'slow-server'; server: number; factor: number; forMs: number }
   | { kind: 'limit-server'; server: number; requestsPerSecond: number; forMs: number }
   | { kind: 'change-configuration'; change: ConfigurationChange }
   | { kind: 'burst'; factor: number; forMs: number };
@@ -67,6 +68,7 @@
 const restoreSeedOffset = 1_299_709;
 const noticeSeedOffset = 15_485_863;
 const attemptSeedOffset = 32_452_843;
+const slownessSeedOffset = 49_979_687;
 /** In scripts of kind `attempts`: servers begin to fail within this time. */
 const failuresStartMs = 1_000;
 /** Mean time between two kills of a router: shorter than the window of the budget. */
@@ -88,9 +90,12 @@
     atMs: Math.round(random() * durationMs),
     operation: pickOperation(kind, options, random),
   }));
-  const independentSteps = [createLimitSteps, createRestoreSteps, createNoticeSteps].flatMap(
-    (createSteps) => createSteps(options),
-  );
+  const independentSteps = [
+    createLimitSteps,
+    createRestoreSteps,
+    createNoticeSteps,
+    createSlownessSteps,
+  ].flatMap((createSteps) => createSteps(options));
   const all = kind === 'mixed' ? [...steps, ...independentSteps] : steps;
   return { kind, steps: inOrder(all) };
 }
@@ -163,6 +168,22 @@
   }));
 }
 
+/** Uses its own random generator. Servers that turn slow without failing, for moments or for most of the run. */
+function createSlownessSteps({ seed, durationMs, serverCount }: ScriptOptions): ScriptStep[] {
+  const random = createSeededRandom(seed + slownessSeedOffset);
+  random();
+  const count = Math.max(1, Math.round((2 * durationMs) / msPer10Seconds));
+  return Array.from({ length: count }, () => ({
+    atMs: Math.round(random() * durationMs),
+    operation: {
+      kind: 'slow-server',
+      server: Math.floor(random() * serverCount),
+      factor: Number((1.5 + random() * 5.5).toFixed(1)),
+      forMs: Math.round(random() < 0.5 ? 600 : random() * durationMs),
+    },
+  }));
+}
+
 /** Uses its own random generator. Servers that announce a backoff, and servers that leave before the store knows it. */
 function createNoticeSteps({ seed, durationMs, serverCount }: ScriptOptions): ScriptStep[] {
   const random = createSeededRandom(seed + noticeSeedOffset);
