Keep the open connection of the tests of the connection limit open on a busy machine

"connections above the limit are refused with 503" failed beside load: the connection that fills the limit sends no header, and the test's server closes such a connection after 1 s. The request came later, when the limit was free again, so the server was right. Both tests (with and without TLS) now give their server a time-out for headers of 60 s; the limit and what is asserted are the same.

--- a/packages/entry/__tests__/callerErrors.test.ts
+++ b/packages/entry/__tests__/callerErrors.test.ts
@@ -159,7 +159,9 @@
 });
 
 test('connections above the limit are refused with 503', async (t) => {
-  const { address } = await startHarness(t, { agents: [], limits: { maxConnections: 1 } });
+  // The open connection sends no header, and must stay open for as long as the test takes.
+  const openLimits = { maxConnections: 1, slowSenderTimeoutMs: 60_000 };
+  const { address } = await startHarness(t, { agents: [], limits: openLimits });
   const { hostname, port } = new URL(address);
   const openSocket = connect(Number(port), hostname);
   t.teardown(() => openSocket.destroy());
--- a/packages/entry/__tests__/callersTls.test.ts
+++ b/packages/entry/__tests__/callersTls.test.ts
@@ -64,7 +64,8 @@
   const { address } = await startHarness(t, {
     agents: modelAgents(),
     tls,
-    limits: { maxConnections: 1 },
+    // The open connection sends no header, and must stay open for as long as the test takes.
+    limits: { maxConnections: 1, slowSenderTimeoutMs: 60_000 },
   });
   const { hostname, port } = new URL(address);
   const openSocket = connect({ host: hostname, port: Number(port), ca });
