Wait until the unsolicited response was sent in its test, not for 50 ms

The test waited 50 ms for a second response to reach an idle connection. If the process is paused for longer, both timers are due at once, and the next call is made before the response has been sent. The test now waits until it has been sent, and then for two turns of the event loop, between which sockets are read. Not seen to fail; found by searching the tests for fixed waits before an assertion.

--- a/packages/routing/__tests__/backendConnections.test.ts
+++ b/packages/routing/__tests__/backendConnections.test.ts
@@ -1,3 +1,4 @@
+import { setImmediate } from 'node:timers/promises';
 import test, { type ExecutionContext } from 'ava';
 import { createBackendConnections, readWholeBody, type HttpCall } from '@bluebellhitch/routing';
 import { startRawServer } from './support/rawServer';
@@ -90,12 +91,17 @@
   // Guards against a caller getting the response to another request: the server responds twice, and the second response
   // is waiting on the idle connection when the next call is made, so that connection must not be reused.
   let calls = 0;
+  let noteExtraSent: () => void = () => undefined;
+  const extraSent = new Promise<void>((resolve) => {
+    noteExtraSent = resolve;
+  });
+  const extra = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra';
   const { address } = await startRawServer(t, (socket) => {
     calls += 1;
     const response = `HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n${calls}`;
     socket.write(response);
     if (calls === 1) {
-      setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra'), 10);
+      setTimeout(() => socket.write(extra, noteExtraSent), 10);
     }
   });
   const connections = createConnections(t);
@@ -104,9 +110,10 @@
   if (first.kind === 'answered') {
     await readWholeBody(first.response.body);
   }
-  await new Promise((resolve) => {
-    setTimeout(resolve, 50);
-  });
+  await extraSent;
+  // Sockets are read between two turns of the event loop, so that what was sent has arrived after them.
+  await setImmediate();
+  await setImmediate();
   const second = await connections.call(createCall(address));
   t.is(second.kind, 'answered');
   if (second.kind === 'answered') {
