Wait until the engine has stopped producing in the test of a slow receiver

The test took the amount after 300 ms and required the same after 100 ms more. A process that gets little processor time may not have filled the buffers by then. It now waits until the amount stays the same for 100 ms, and requires as before that it stays below 1,000 parts. Not seen to fail; found by searching the tests for fixed waits before an assertion.

--- a/packages/agent/__tests__/innerServer.test.ts
+++ b/packages/agent/__tests__/innerServer.test.ts
@@ -89,9 +89,12 @@
     call.on('response', resolve);
   });
   response.pause();
-  await delay(300);
-  const producedUnread = produced;
-  await delay(100);
+  t.true(await waitUntil(() => produced > 0));
+  let producedUnread = 0;
+  while (produced > producedUnread && produced < 1000) {
+    producedUnread = produced;
+    await delay(100);
+  }
   t.is(produced, producedUnread);
   t.true(producedUnread < 1000);
   call.destroy();
