Learn estimates by server from own samples and peers' summaries

One speed quantile serves for all engines today, so a slow one gets as many prompts as a fast one. This module keeps a mean by server, merges own samples with peers' summaries by weight and age, and lets what nobody has sampled lately expire, so that the server counts as unknown again.

Not used yet: prefill speeds and the pace of decoding follow.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -220,3 +220,9 @@
   type SharedPermitsOptions,
 } from './sharedPermits';
 export { createBackoffPeriods, maxBackoffMs, type BackoffPeriods } from './backoffPeriods';
+export {
+  createLearnedEstimates,
+  type EstimateSummary,
+  type LearnedEstimates,
+  type LearnedEstimatesOptions,
+} from './learnedEstimates';
