--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -126,3 +126,15 @@
   type AnnouncedUse,
 } from './quotaMessages';
 export { eraOf, maxEra, revisionOf, storePosition, type StorePosition } from './storePosition';
+export {
+  decodeSpeedMessage,
+  encodeSpeedMessage,
+  estimateKinds,
+  maxSpeedRows,
+  serverKey,
+  speedHeadBytes,
+  speedRowBytes,
+  type EstimateKind,
+  type SpeedMessage,
+  type SpeedRow,
+} from './speedMessages';
--- a/packages/routing/src/datagramDispatcher.ts
+++ b/packages/routing/src/datagramDispatcher.ts
@@ -3,24 +3,28 @@
   decodeLimitMessage,
   decodeProofMessage,
   decodeQuotaMessage,
+  decodeSpeedMessage,
 } from '@bluebellhitch/protocol';
 import type { ConfigurationProof } from './configurationProof';
 import type { QuotaExchange } from './quotaExchange';
 import type { ServerLimits } from './serverLimits';
+import type { SpeedExchange } from './speedExchange';
 
 export interface DatagramHandlers {
   proof: Pick<ConfigurationProof, 'receive'>;
   quota: Pick<QuotaExchange, 'receive'>;
   limits: Pick<ServerLimits, 'receive'>;
+  speeds: Pick<SpeedExchange, 'receive'>;
 }
 
 /** Datagrams that no handler can decode are ignored, because anyone may send to the port. */
 export function createDatagramDispatcher(handlers: DatagramHandlers): (bytes: Buffer) => void {
-  const { proof, quota, limits } = handlers;
+  const { proof, quota, limits, speeds } = handlers;
   const messageHandlers = [
     createMessageHandler(decodeProofMessage, proof.receive),
     createMessageHandler(decodeQuotaMessage, quota.receive),
     createMessageHandler(decodeLimitMessage, limits.receive),
+    createMessageHandler(decodeSpeedMessage, speeds.receive),
   ];
   return (bytes) => {
     messageHandlers.some((tryHandle) => tryHandle(bytes));
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -46,6 +46,12 @@
 } from './engineLoads';
 export { createEventSplitter } from './eventSplitter';
 export { createLoadPoller } from './loadPoller';
+export {
+  createSpeedExchange,
+  type ServerSpeeds,
+  type SpeedChannel,
+  type SpeedExchange,
+} from './speedExchange';
 export { createStreamSizes, type EndedStream, type StreamSizes } from './streamSizes';
 export {
   notRunReasons,
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -32,6 +32,10 @@
   /** Counts notices of backend servers about themselves, by kind. */
   countServerNotice(kind: string): void;
   countUnreadableObject(kind: string): void;
+  /** Counts what was told of servers' speeds, over all peers. */
+  countSpeedRows(rows: number, bytes: number): void;
+  /** Counts prompts by how their prefill engine was chosen. */
+  countPrefillChoice(rule: string): void;
   /** Counts requests that are refused before any work was done for them. */
   countRefusedAtOnce(cause: string, workspace?: string): void;
   observeWorkspaceRequest(
@@ -156,6 +160,19 @@
     'bluebell_limited_backend_servers',
     'Backend servers that name a limit of requests a second in their answers.',
   );
+  const speedRows = counter(
+    'bluebell_speed_rows_sent_total',
+    'Estimates of the speed of backend servers that were sent to other routers.',
+  );
+  const speedBytes = counter(
+    'bluebell_speed_bytes_sent_total',
+    'Bytes of these messages, without headers of the network.',
+  );
+  const prefillChoices = counter(
+    'bluebell_prefill_choices_total',
+    'Choices of a prefill engine: by backlog, where speeds are even, or by expected end.',
+    ['rule'],
+  );
   const serverNotices = counter(
     'bluebell_server_words_total',
     'Answers in which a backend server says something of itself, by what it says.',
@@ -188,6 +205,11 @@
     countPermit: (outcome) => permits.inc({ outcome }),
     countServerNotice: (notice) => serverNotices.inc({ word: notice }),
     countUnreadableObject: (kind) => unreadableObjects.inc({ kind }),
+    countSpeedRows(rows, bytes) {
+      speedRows.inc(rows);
+      speedBytes.inc(bytes);
+    },
+    countPrefillChoice: (rule) => prefillChoices.inc({ rule }),
     countRefusedAtOnce: (cause, workspace) =>
       refusedAtOnce.inc({
         cause,
