Prefill where the prompt is expected to end first

Callers of a fleet with engines of speed 0.6 to 1.6 got their first token late: the prefill engine was the one with the fewest waiting tokens, whatever its speed. Now each engine's speed relative to a typical one is learned, lowered while a prompt there is late, and the earliest expected end wins, near ties at random. Within a quarter of typical, engines count as equal and the former rule holds unchanged.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -226,3 +226,12 @@
   type LearnedEstimates,
   type LearnedEstimatesOptions,
 } from './learnedEstimates';
+export {
+  areEven,
+  choosePrefillEngine,
+  relativeSpeed,
+  withPendingPrompts,
+  type PendingPrompt,
+  type PrefillChoiceOptions,
+  type PrefillEngine,
+} from './prefillChoice';
--- a/packages/replay/src/mechanisms.ts
+++ b/packages/replay/src/mechanisms.ts
@@ -4,7 +4,7 @@
  */
 import type { MemoryForecast } from '@bluebellhitch/decisions';
 import type { StreamEstimate } from '@bluebellhitch/protocol';
-import type { EngineLoads, StreamSizes } from '@bluebellhitch/routing';
+import type { EngineLoads, SpeedExchange, StreamSizes } from '@bluebellhitch/routing';
 
 export const mechanisms = {
   /** Forecast of engine memory; without it each stream counts with three quarters of its expected output throughout. */
@@ -13,6 +13,10 @@
   learnedLengths: 'learned-lengths',
   /** Announcements of other routers' streams in progress. */
   peerNews: 'peer-news',
+  /** Speeds of engines learned from prompts; without them all engines count as equally fast. */
+  learnedSpeeds: 'learned-speeds',
+  /** Announcements of the speeds that other routers have learned. */
+  speedNews: 'speed-news',
   /** Load reports of the engines. */
   loadReports: 'load-reports',
   /** Separate prefill engines; without them all engines decode and prefill locally. */
@@ -38,6 +42,14 @@
   };
 }
 
+/** Leaves all engines equally fast as far as is known. */
+export function withoutSpeeds(speeds: SpeedExchange): SpeedExchange {
+  return {
+    ...speeds,
+    of: () => ({ observe: () => undefined, estimate: () => undefined, typical: () => undefined }),
+  };
+}
+
 /** Replaces the memory forecast by a constant share of each stream's expected output, regardless of its current use. */
 export function withConstantShares(loads: EngineLoads): EngineLoads {
   const own = new Map<string, Set<StreamEstimate>>();
--- a/packages/replay/src/replayRouter.ts
+++ b/packages/replay/src/replayRouter.ts
@@ -15,6 +15,7 @@
   createServerDirectory,
   createServerLoads,
   createServerNotices,
+  createSpeedExchange,
   createStreamSizes,
   noLimits,
   type BackendApi,
@@ -22,15 +23,24 @@
   type Configuration,
   type EngineLoads,
   type RequestRouter,
+  type SpeedChannel,
+  type SpeedExchange,
 } from '@bluebellhitch/routing';
 import type { Random } from '@bluebellhitch/shared';
 import { createDecisionRing, type Logger } from '@bluebellhitch/telemetry';
-import { mechanisms, withHintsOnly, withConstantShares, type Mechanism } from './mechanisms';
+import {
+  mechanisms,
+  withConstantShares,
+  withHintsOnly,
+  withoutSpeeds,
+  type Mechanism,
+} from './mechanisms';
 
 export interface ReplayRouter {
   address: string;
   serve: RequestRouter['serve'];
   loads: EngineLoads;
+  speeds: SpeedExchange;
   /** The routers to which it announces its streams in progress. */
   shardPeers(): readonly string[];
   replaceServer(before: BackendServer, after: BackendServer): void;
@@ -46,6 +56,8 @@
   addresses: readonly string[];
   /** Called when this router's use of an engine changes. */
   onOwnUseChange(serverId: string): void;
+  /** Sends the messages about servers' speeds. */
+  sendSpeeds: SpeedChannel['send'];
   absent: ReadonlySet<Mechanism>;
   random: Random;
 }
@@ -79,6 +91,15 @@
   const loads = absent.has(mechanisms.memoryForecast)
     ? withConstantShares(forecastLoads)
     : forecastLoads;
+  const learnedSpeeds = createSpeedExchange({
+    channel: () => ({ address, send: options.sendSpeeds, livePeers: pools.shardPeers }),
+    logger,
+    random,
+  });
+  options.servers.forEach(({ id }) => learnedSpeeds.noteListed(id));
+  const speeds = absent.has(mechanisms.learnedSpeeds)
+    ? withoutSpeeds(learnedSpeeds)
+    : learnedSpeeds;
   const health = createOutlierDetector();
   health.setPoolSize(directory.size());
   const pools = createFleetShard({ directory });
@@ -93,6 +114,7 @@
     notices: createServerNotices({ directory, limits: { note: () => undefined }, logger }),
     engineLoads: loads,
     streamSizes,
+    speeds,
     placement: createDecodePlacement({ backend, pools, loads, health, random }),
     budget: createAttemptBudget({ ...attemptBudget, allowance: () => attemptAllowance }),
     health,
@@ -125,13 +147,19 @@
     address,
     serve: router.serve,
     loads,
+    speeds,
     shardPeers: pools.shardPeers,
     replaceServer(before, after) {
       directory.put(after);
       loads.forget(before.id);
+      speeds.forget(before.id);
+      speeds.noteListed(after.id);
       streamSizes.forget(before.id);
       health.forget(before.id);
     },
-    stop: () => poller.stop(),
+    stop() {
+      speeds.close();
+      return poller.stop();
+    },
   };
 }
--- a/packages/replay/src/replayRun.ts
+++ b/packages/replay/src/replayRun.ts
@@ -1,5 +1,6 @@
 /** Replays one load pattern with one seed in virtual time and returns the figures. */
 import FakeTimers from '@sinonjs/fake-timers';
+import { decodeSpeedMessage } from '@bluebellhitch/protocol';
 import {
   routeKinds,
   stages,
@@ -83,6 +84,9 @@
         onOwnUseChange: absentMechanisms.has(mechanisms.peerNews)
           ? () => undefined
           : createPeerNotifier(address),
+        sendSpeeds: absentMechanisms.has(mechanisms.speedNews)
+          ? () => Promise.resolve()
+          : sendSpeeds,
         absent: absentMechanisms,
         random,
       }),
@@ -118,6 +122,15 @@
     }, pattern.peerDelayMs);
   }
 
+  function sendSpeeds(bytes: Buffer, addresses: readonly string[]): Promise<void> {
+    const message = decodeSpeedMessage(bytes);
+    const receivers = routers.filter(({ address }) => addresses.includes(address));
+    setTimeout(() => {
+      receivers.forEach(({ speeds }) => message && speeds.receive(message));
+    }, pattern.peerDelayMs);
+    return Promise.resolve();
+  }
+
   async function generateArrivals(kind: RequestKind, kindRandom: Random): Promise<void> {
     const endsAtMs = performance.now() + pattern.seconds * msPerSecond;
     while (performance.now() < endsAtMs) {
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -1,12 +1,18 @@
 /**
- * Has a prompt prefilled: by the prefill engine with the shortest queue or, if those queues are long, by the decode
+ * Has a prompt prefilled: by the prefill engine that is expected to end first or, if that takes long, by the decode
  * engine itself. A local prefill slows the streams on the decode engine, so it does one at a time.
  */
-import { createRecentQuantile, createRunningEstimate } from '@bluebellhitch/decisions';
+import {
+  areEven,
+  choosePrefillEngine,
+  createRecentQuantile,
+  createRunningEstimate,
+} from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { PrefillResult } from './backendApi';
+import type { CallOutcome, PrefillResult } from './backendApi';
 import { attemptCauses, beginFirstPrefill, takeFurtherAttempt } from './furtherAttempts';
 import { stages, type BackendServer } from './model';
+import { createPrefillSpeeds, type PromptResult } from './prefillSpeeds';
 import { noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 
@@ -57,7 +63,11 @@
   /** Prefill time beyond what the known queues account for. */
   const excessMs = createRunningEstimate({ smoothing: excessSmoothing });
 
-  const tokensPerMs = () => speed.value() || initialTokensPerMs;
+  const speeds = createPrefillSpeeds(deps.speeds.of('prefillSpeed'));
+
+  /** Of a typical engine. */
+  const typicalTokensPerMs = () => speed.value() || initialTokensPerMs;
+  const tokensPerMs = (serverId: string) => typicalTokensPerMs() * speeds.relative(serverId);
 
   function usableServers(serviceName: string): BackendServer[] {
     const ejected = health.ejected(monotonicNowMs());
@@ -66,20 +76,22 @@
       .filter(({ id }) => !ejected.has(id) && !engineLoads.isUnresponsive(id));
   }
 
-  function chooseServer(state: RequestState): BackendServer | undefined {
-    return usableServers(state.service.name)
+  function chooseServer(state: RequestState, promptTokens: number): BackendServer | undefined {
+    const engines = usableServers(state.service.name)
       .filter(({ id }) => !state.failedServerIds.has(id) && limits.mayTake(id))
       .map((server) => ({
         server,
-        backlog: engineLoads.prefillBacklogTokens(server.id),
-        tie: deps.random(),
-      }))
-      .sort((left, right) => left.backlog - right.backlog || left.tie - right.tie)[0]?.server;
+        serverId: server.id,
+        backlogTokens: engineLoads.prefillBacklogTokens(server.id),
+        relativeSpeed: speeds.relative(server.id),
+      }));
+    metrics.countPrefillChoice(areEven(engines) ? 'backlog' : 'expected-end');
+    return choosePrefillEngine(engines, { promptTokens, random: deps.random })?.server;
   }
 
   function expectedPrefillMs(server: BackendServer, promptTokens: number): number {
     const tokens = engineLoads.prefillBacklogTokens(server.id) + promptTokens;
-    return tokens / tokensPerMs() + Math.max(0, excessMs.mean());
+    return tokens / tokensPerMs(server.id) + Math.max(0, excessMs.mean());
   }
 
   /** Whether the decode engine should prefill the prompt although a prefill engine is available. */
@@ -89,7 +101,7 @@
     prefillServer: BackendServer,
     decodeServer: BackendServer,
   ): boolean {
-    const localMs = promptTokens / (tokensPerMs() * localPrefillSpeedShare);
+    const localMs = promptTokens / (tokensPerMs(decodeServer.id) * localPrefillSpeedShare);
     const { targetLatencyMs, targetGapMs } = state.route;
     // The other streams on that engine pause meanwhile, so it must not exceed their target gap.
     if (engineLoads.localPrefillCount(decodeServer.id) > 0 || localMs > targetGapMs) {
@@ -125,7 +137,7 @@
   ): Promise<PrefillOutcome> {
     let isRetry = state.hasPrefilled;
     while (!state.signal.aborted) {
-      const server = chooseServer(state);
+      const server = chooseServer(state, promptTokens);
       if (server === undefined || shouldPrefillLocally(state, promptTokens, server, decodeServer)) {
         return { kind: 'at-decode' };
       }
@@ -153,21 +165,24 @@
   ): Promise<PrefillAttempt> {
     const backlogTokens = engineLoads.prefillBacklogTokens(server.id);
     const expectedMs = expectedPrefillMs(server, promptTokens);
+    const timeoutMs = expectedMs * timeoutFactor + timeoutMarginMs;
     const release = engineLoads.beginPrefill(server.id, promptTokens);
+    const endPrompt = speeds.begin(server.id, { backlogTokens, promptTokens, expectedMs });
     const startedAtMs = monotonicNowMs();
     const outcome = await backend.prefill(server, state.request, {
       remainingMs: remainingMs(state),
-      timeoutMs: expectedMs * timeoutFactor + timeoutMarginMs,
+      timeoutMs,
       signal: state.signal,
     });
     release();
     const tookMs = monotonicNowMs() - startedAtMs;
+    endPrompt(resultOf(outcome, tookMs >= timeoutMs));
     const cause = outcome.kind === 'not-run' ? outcome.cause.kind : outcome.kind;
     noteStep(state, `prefill ${server.id} ${cause} ${Math.round(tookMs)}ms`);
     if (outcome.kind === 'done') {
       engineLoads.noteContact(server.id);
       health.record(server.id, 'success', monotonicNowMs());
-      recordTiming(backlogTokens, promptTokens, tookMs);
+      recordTiming(server.id, backlogTokens, promptTokens, tookMs);
       metrics.countPrefillTokens(promptTokens);
       return { kind: 'done', result: outcome.value };
     }
@@ -181,11 +196,17 @@
     return { kind: 'failed', hasArrived: cause !== 'unreachable' && cause !== 'withheld' };
   }
 
-  function recordTiming(backlogTokens: number, promptTokens: number, tookMs: number): void {
+  /** Samples of all engines serve for the typical speed, so each is divided by its engine's relative speed. */
+  function recordTiming(
+    serverId: string,
+    backlogTokens: number,
+    promptTokens: number,
+    tookMs: number,
+  ): void {
     if (backlogTokens === 0 && tookMs > 0) {
-      speed.observe(promptTokens / tookMs);
+      speed.observe(promptTokens / tookMs / speeds.learned(serverId));
     }
-    excessMs.observe(tookMs - (backlogTokens + promptTokens) / tokensPerMs());
+    excessMs.observe(tookMs - (backlogTokens + promptTokens) / tokensPerMs(serverId));
   }
 
   return {
@@ -194,8 +215,15 @@
       const expected = usableServers(serviceName).map((server) =>
         expectedPrefillMs(server, promptTokens),
       );
-      const localMs = promptTokens / (tokensPerMs() * localPrefillSpeedShare);
+      const localMs = promptTokens / (typicalTokensPerMs() * localPrefillSpeedShare);
       return Math.min(localMs * maxQueueFactor, ...expected);
     },
   };
 }
+
+function resultOf(outcome: CallOutcome<PrefillResult>, hasTimedOut: boolean): PromptResult {
+  if (outcome.kind === 'done') {
+    return 'done';
+  }
+  return hasTimedOut ? 'timed-out' : 'failed';
+}
--- a/packages/routing/src/routerDependencies.ts
+++ b/packages/routing/src/routerDependencies.ts
@@ -12,6 +12,7 @@
 import type { ServerPermits } from './serverLimits';
 import type { ServerLoads } from './serverLoads';
 import type { ServerNotices } from './serverNotices';
+import type { SpeedExchange } from './speedExchange';
 import type { StreamSizes } from './streamSizes';
 
 export interface RouterDependencies {
@@ -25,6 +26,8 @@
   notices: Pick<ServerNotices, 'isAccepting' | 'allBackoffLeftMs'>;
   engineLoads: EngineLoads;
   streamSizes: StreamSizes;
+  /** Speeds of the servers, learned here and by the routers of the shard. */
+  speeds: Pick<SpeedExchange, 'of'>;
   placement: DecodePlacement;
   budget: AttemptBudget;
   health: OutlierDetector;
