Choose among the better half of uneven engines by two draws

Equality is judged by learned speeds, one sample shows nothing, and a prompt is late from twice its expected time: otherwise two prompts sent at once to one of several equal engines changed later choices (replay of even engines).

--- a/packages/decisions/__tests__/learnedEstimates.test.ts
+++ b/packages/decisions/__tests__/learnedEstimates.test.ts
@@ -55,6 +55,16 @@
   t.is(estimates.estimate('a', 0), 20);
 });
 
+/** Guards against judging a server by one sample, which may have waited for work that was not known of. */
+test('a server with less than the minimum of samples has no estimate', (t) => {
+  const estimates = createLearnedEstimates({ minWeight: 2, smoothing: 0.25 });
+  estimates.observe('a', 10, 0);
+  t.is(estimates.estimate('a', 0), undefined);
+  estimates.applyRemote('peer', [{ ...summary, weight: 1 }], 0);
+  t.is(estimates.estimate('a', 20_000), 10, 'age does not make it unknown before it expires');
+  t.is(estimates.estimate('a', 30_001), undefined);
+});
+
 test('ignores summaries and samples that are no numbers or have expired', (t) => {
   const estimates = createLearnedEstimates({ lifetimeMs: 1_000 });
   estimates.observe('a', NaN, 0);
--- a/packages/decisions/src/learnedEstimates.ts
+++ b/packages/decisions/src/learnedEstimates.ts
@@ -22,6 +22,8 @@
   lifetimeMs?: number;
   /** Age at which a sample has lost half of its weight. */
   halfLifeMs?: number;
+  /** A server with samples of less weight than this, regardless of their age, has no estimate. */
+  minWeight?: number;
   maxServers?: number;
   /** Upper bound of the peers whose summaries are kept for one server. */
   maxPeers?: number;
@@ -65,7 +67,7 @@
 export function createLearnedEstimates(options: LearnedEstimatesOptions = {}): LearnedEstimates {
   const { smoothing = defaultSmoothing, lifetimeMs = defaultLifetimeMs } = options;
   const { halfLifeMs = defaultHalfLifeMs, maxPeers = defaultMaxPeers } = options;
-  const { maxServers = defaultMaxServers } = options;
+  const { maxServers = defaultMaxServers, minWeight = 0 } = options;
   const servers = createBoundedMap<string, ServerEstimates>({ maxEntries: maxServers });
   let lastTypical: { value: number; computedAtMs: number } | undefined;
 
@@ -104,10 +106,12 @@
   }
 
   function mergedValue({ own, peers }: ServerEstimates, nowMs: number): number | undefined {
+    let samples = 0;
     let weights = 0;
     let sum = 0;
     const add = (mean: WeightedMean) => {
       const weight = weightAt(mean, nowMs);
+      samples += weight > 0 ? mean.weight : 0;
       weights += weight;
       sum += weight * mean.value;
     };
@@ -115,7 +119,7 @@
     if (own !== undefined) {
       add(own);
     }
-    return weights > 0 ? sum / weights : undefined;
+    return weights > 0 && samples >= minWeight ? sum / weights : undefined;
   }
 
   /** Drops what has expired, so that servers and peers that are gone leave nothing behind. */
--- a/packages/decisions/src/prefillChoice.ts
+++ b/packages/decisions/src/prefillChoice.ts
@@ -8,7 +8,9 @@
   /** Prompt tokens ahead of a new prompt. */
   backlogTokens: number;
   /** Speed relative to a typical engine, as `relativeSpeed` returns it. */
-  relativeSpeed: number;
+  learnedSpeed: number;
+  /** The same, lowered by late prompts as `withPendingPrompts` returns it. */
+  currentSpeed: number;
 }
 
 export interface PrefillChoiceOptions {
@@ -24,20 +26,22 @@
 }
 
 /**
- * Differences within this ratio are not told apart from those of single samples: such engines count as equally fast,
- * so that noise does not override the order by waiting tokens.
+ * Differences within this ratio also arise from a few prompts that waited for others not yet heard of. Such engines
+ * count as equally fast, so that noise does not override the order by waiting tokens.
  */
-const evenRatio = 1.25;
+const evenRatio = 1.4;
 /** An engine that seems faster than this may be answering without having read the prompts. */
 const maxRelativeSpeed = 3;
 const minRelativeSpeed = 1 / 16;
 /**
- * Engines that are expected to end within this share of the earliest are chosen among at random. Routers that decide at
- * the same moment do not know of each other's prompts, and would otherwise all choose the same engine.
+ * Routers that decide at the same moment do not know of each other's prompts, and would all choose the same engine.
+ * Each therefore takes the better of two drawn from this share of the engines, those that are expected to end first,
  */
-const nearTieShare = 0.15;
-/** A prompt that takes this many times its expected time, and the margin, shows that its engine is slow now. */
-const lateRatio = 1.5;
+const drawnShare = 0.5;
+/** but none that takes this many times longer than the first. */
+const maxEndRatio = 2;
+/** A prompt later than this, and the margin, is not explained by another that was sent at the same moment. */
+const lateRatio = 2;
 const lateMarginMs = 50;
 
 /** An engine without an estimate counts as a typical one, which also gives it its next sample. */
@@ -73,19 +77,20 @@
   if (first === undefined || areEven(engines)) {
     return first?.engine;
   }
-  return ranked
-    .filter(({ end }) => end <= first.end * (1 + nearTieShare))
-    .reduce((chosen, one) => (one.tie < chosen.tie ? one : chosen)).engine;
+  const drawnCount = Math.max(2, Math.ceil(ranked.length * drawnShare));
+  const eligible = ranked.slice(0, drawnCount).filter(({ end }) => end <= first.end * maxEndRatio);
+  const draw = () => Math.floor(options.random() * eligible.length);
+  return eligible[Math.min(draw(), draw())]?.engine;
 }
 
-/** Whether the engines are equally fast, as far as is known. */
+/** Whether the engines are equally fast, as learned; one that is slow for a moment makes no difference. */
 export function areEven(engines: readonly PrefillEngine[]): boolean {
-  return engines.every((engine) => engine.relativeSpeed === engines[0]?.relativeSpeed);
+  return engines.every((engine) => engine.learnedSpeed === engines[0]?.learnedSpeed);
 }
 
 /** Expected end in tokens of a typical engine. */
 function endOf(engine: PrefillEngine, { promptTokens }: PrefillChoiceOptions): number {
-  return (engine.backlogTokens + promptTokens) / engine.relativeSpeed;
+  return (engine.backlogTokens + promptTokens) / engine.currentSpeed;
 }
 
 function limitSpeed(speed: number): number {
--- a/packages/replay/__tests__/replayRun.test.ts
+++ b/packages/replay/__tests__/replayRun.test.ts
@@ -111,3 +111,28 @@
     t.true(alone.outcomes['on-time'] < announced.outcomes['on-time']);
   },
 );
+
+test.serial(
+  'prompts are prefilled where engines are fast, as learned by all routers',
+  async (t) => {
+    // Guards against late first tokens: an engine seven times as slow gets as many prompts as the others while each router
+    // sees too few of its own to notice. Demand is near what the other engines can take.
+    const uneven = await replay('unevenEngines', [1]);
+    const alone = await replay('unevenEngines', [1], [mechanisms.speedNews]);
+    const unknown = await replay('unevenEngines', [1], [mechanisms.learnedSpeeds]);
+    t.log({ uneven: uneven.outcomes, alone: alone.outcomes, unknown: unknown.outcomes });
+    t.true(uneven.outcomes.late < 0.5 * unknown.outcomes.late);
+    t.true(uneven.outcomes.late < alone.outcomes.late);
+    t.true(uneven.outcomes['on-time'] > alone.outcomes['on-time']);
+  },
+);
+
+test.serial('where engines are equally fast, learned speeds change nothing', async (t) => {
+  // Guards against choices that follow the noise of single samples instead of the shortest queue.
+  const pattern = patternOf('unevenEngines');
+  const even = { ...pattern, seconds: 12, engines: { ...pattern.engines, slowness: [1] } };
+  t.deepEqual(
+    await replayPattern(even, [1]),
+    await replayPattern(even, [1], [mechanisms.learnedSpeeds]),
+  );
+});
--- a/packages/routing/src/prefillSpeeds.ts
+++ b/packages/routing/src/prefillSpeeds.ts
@@ -17,7 +17,7 @@
   /** Speed relative to a typical engine, as learned from prompts that have ended. */
   learned(serverId: string): number;
   /** The same, lowered if a prompt in progress there is late. */
-  relative(serverId: string): number;
+  current(serverId: string): number;
   /** Counts a prompt as in progress until the result is called, once. */
   begin(serverId: string, prompt: StartedPrompt): (result: PromptResult) => void;
 }
@@ -53,7 +53,7 @@
 
   return {
     learned,
-    relative: (serverId) =>
+    current: (serverId) =>
       withPendingPrompts(learned(serverId), pending.get(serverId) ?? [], monotonicNowMs()),
     begin(serverId, prompt) {
       const startedAtMs = monotonicNowMs();
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -67,7 +67,7 @@
 
   /** Of a typical engine. */
   const typicalTokensPerMs = () => speed.value() || initialTokensPerMs;
-  const tokensPerMs = (serverId: string) => typicalTokensPerMs() * speeds.relative(serverId);
+  const tokensPerMs = (serverId: string) => typicalTokensPerMs() * speeds.current(serverId);
 
   function usableServers(serviceName: string): BackendServer[] {
     const ejected = health.ejected(monotonicNowMs());
@@ -83,7 +83,8 @@
         server,
         serverId: server.id,
         backlogTokens: engineLoads.prefillBacklogTokens(server.id),
-        relativeSpeed: speeds.relative(server.id),
+        learnedSpeed: speeds.learned(server.id),
+        currentSpeed: speeds.current(server.id),
       }));
     metrics.countPrefillChoice(areEven(engines) ? 'backlog' : 'expected-end');
     return choosePrefillEngine(engines, { promptTokens, random: deps.random })?.server;
--- a/packages/routing/src/speedExchange.ts
+++ b/packages/routing/src/speedExchange.ts
@@ -70,6 +70,8 @@
 const coalesceMs = 20;
 /** An estimate that differs by this factor from the one last sent is sent before the interval ends. */
 const notableRatio = 1.5;
+/** A prompt may have waited for others that this router did not know of, so one does not show an engine's speed. */
+const minPrefillSamples = 2;
 /** Each row is sent this many times, as datagrams may be lost. */
 const sendsPerRow = 2;
 /** To all peers together; leaves a quarter of a node's 2 KB per second to other messages. */
@@ -87,7 +89,7 @@
   const { channel, logger, onSent = () => undefined, random = Math.random } = options;
   const kinds = Object.keys(estimateKinds) as EstimateKind[];
   const estimates: Record<EstimateKind, LearnedEstimates> = {
-    prefillSpeed: createLearnedEstimates(),
+    prefillSpeed: createLearnedEstimates({ minWeight: minPrefillSamples }),
     decodePace: createLearnedEstimates(),
   };
   const incarnation = Math.floor(random() * maxUint32);
