--- a/packages/routing/scripts/speedCost.ts
+++ b/packages/routing/scripts/speedCost.ts
@@ -54,13 +54,15 @@
   const before = process.cpuUsage();
   Array.from({ length: count }, (_none, index) => call(index));
   const { user, system } = process.cpuUsage(before);
-  console.log(`${name}: ${((user + system) / count / usPerMs).toFixed(3)} ms`);
+  process.stdout.write(`${name}: ${((user + system) / count / usPerMs).toFixed(3)} ms\n`);
 }
 
 engineIds.forEach(speeds.noteListed);
 const heapBytes = process.memoryUsage().heapUsed;
 peers.forEach((peer) => kinds.forEach((kind) => receive(peer, engineIds, kind)));
-console.log(`state: ${((process.memoryUsage().heapUsed - heapBytes) / 2 ** 20).toFixed(1)} MB`);
+process.stdout.write(
+  `state: ${((process.memoryUsage().heapUsed - heapBytes) / 2 ** 20).toFixed(1)} MB\n`,
+);
 measure('choice of a prefill engine', 2_000, choose);
 measure('choice after a message', 2_000, (index) => {
   receive(peers[index % peers.length] ?? '', prefillIds.slice(0, rowsPerMessage), 'prefillSpeed');
