--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -220,3 +220,18 @@
   type SharedPermitsOptions,
 } from './sharedPermits';
 export { createBackoffPeriods, maxBackoffMs, type BackoffPeriods } from './backoffPeriods';
+export {
+  createLearnedEstimates,
+  type EstimateSummary,
+  type LearnedEstimates,
+  type LearnedEstimatesOptions,
+} from './learnedEstimates';
+export {
+  areEven,
+  choosePrefillEngine,
+  relativeSpeed,
+  withPendingPrompts,
+  type PendingPrompt,
+  type PrefillChoiceOptions,
+  type PrefillEngine,
+} from './prefillChoice';
