Move the queue of placement requests into its own module

The order and that decision are now in placementQueue.ts, which has no I/O and takes the time with each call.

--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -3,12 +3,7 @@
  * wasted, and decode memory is the first resource to run out. Requests that cannot be placed wait in a priority queue
  * until memory is released or their time is up.
  */
-import {
-  createBoundedMap,
-  createPlacementAdmission,
-  type OutlierDetector,
-  type PlacementAdmission,
-} from '@bluebellhitch/decisions';
+import type { OutlierDetector } from '@bluebellhitch/decisions';
 import type { StreamEstimate } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { BackendApi, CallOutcome, Reservation } from './backendApi';
@@ -16,26 +11,15 @@
 import type { ServerPools } from './fleetShard';
 import { stages, type BackendServer, type EngineSettings } from './model';
 import { hasHeadroom, chooseBestFit, type PlacementCandidate } from './placementChoice';
+import { createPlacementQueue, isOnTime, type QueuedRequest } from './placementQueue';
 import { noLimits, type ServerPermits } from './serverLimits';
 import { noNotices, type ServerNotices } from './serverNotices';
 
-export interface PlacementRequest {
-  serviceName: string;
+export interface PlacementRequest extends QueuedRequest {
   engine: EngineSettings;
   stream: StreamEstimate;
   /** Tokens to reserve on the engine. */
   reservedTokens: number;
-  /** The stream has already started. It goes first, since dropping it would waste the work done so far. */
-  isResumed: boolean;
-  /** 0 is the most urgent. */
-  priority: number;
-  arrivedAtMs: number;
-  expectedHoldMs: number;
-  /**
-   * Latest start that meets the latency target. After it, the request is queued behind those that can still meet
-   * their targets.
-   */
-  latestStartAtMs: number;
   expiresAtMs: number;
   /** Servers that have already failed this request. */
   excludedIds: ReadonlySet<string>;
@@ -81,7 +65,6 @@
 const retryIntervalMs = 30;
 /** An engine answers within a few milliseconds; one that does not is considered down. */
 const reserveTimeoutMs = 500;
-const maxServices = 512;
 /** The reservation and the run: an overloaded engine limits the calls that it receives, not the runs. */
 const callsPerPlacement = 2;
 /** Below this share of healthy engines in its own shard, a router tries spare engines whose load it does not know. */
@@ -97,9 +80,7 @@
 export function createDecodePlacement(options: DecodePlacementOptions): DecodePlacement {
   const { backend, pools, loads, health, random = Math.random } = options;
   const { limits = noLimits, notices = noNotices } = options;
-  /** By service: each has its own engines and therefore its own queue. */
-  const admissions = createBoundedMap<string, PlacementAdmission>({ maxEntries: maxServices });
-  const waiters = new Set<Waiter>();
+  const queue = createPlacementQueue<Waiter>({ random });
   let timer: NodeJS.Timeout | undefined;
 
   function place(request: PlacementRequest): Promise<PlacementOutcome> {
@@ -111,7 +92,7 @@
         nextSpareAttemptAtMs: -Infinity,
         resolve,
       };
-      waiters.add(waiter);
+      queue.add(waiter);
       request.signal.addEventListener('abort', () => refuse(waiter), { once: true });
       tryWaiters();
       refuseIfTooLate(waiter);
@@ -119,34 +100,22 @@
   }
 
   function finish(waiter: Waiter, outcome: PlacementOutcome): void {
-    if (waiters.delete(waiter)) {
+    if (queue.remove(waiter)) {
       waiter.resolve(outcome);
     }
   }
 
-  function admissionOf({ serviceName }: Waiter): PlacementAdmission {
-    return admissions.getOrCreate(serviceName, () => createPlacementAdmission({ random }));
-  }
-
   function refuse(waiter: Waiter): void {
     // The abort signal may also fire long after the request was placed.
-    if (!waiters.has(waiter)) {
-      return;
+    if (queue.has(waiter)) {
+      const retryAfterMs = queue.retryAfterMs(waiter, monotonicNowMs());
+      finish(waiter, { kind: 'no-capacity', retryAfterMs });
     }
-    const refusedRequest = { aheadCount: countAhead(waiter), holdMs: waiter.expectedHoldMs };
-    const retryAfterMs = admissionOf(waiter).retryAfterMs(refusedRequest, monotonicNowMs());
-    finish(waiter, { kind: 'no-capacity', retryAfterMs });
   }
 
-  /** Refuses a new request at once if it cannot be served in time. A resumed stream keeps waiting in any case. */
   function refuseIfTooLate(waiter: Waiter): void {
-    if (waiter.isReserving || waiter.isResumed || !waiters.has(waiter)) {
-      return;
-    }
-    const nowMs = monotonicNowMs();
-    const slackMs = waiter.latestStartAtMs - nowMs;
-    const decision = admissionOf(waiter).decide({ slackMs, aheadCount: countAhead(waiter) }, nowMs);
-    if (decision.kind === 'refuse') {
+    const isWaiting = queue.has(waiter) && !waiter.isReserving;
+    if (isWaiting && queue.isTooLate(waiter, monotonicNowMs())) {
       refuse(waiter);
     }
   }
@@ -162,18 +131,7 @@
     } else if (notices.areAllLeaving(waiter.serviceName)) {
       refuse(waiter);
     }
-    return !waiters.has(waiter);
-  }
-
-  function sortedWaiters(nowMs: number): Waiter[] {
-    return [...waiters].sort((left, right) => compareWaiters(left, right, nowMs));
-  }
-
-  function countAhead(waiter: Waiter): number {
-    const queue = sortedWaiters(monotonicNowMs()).filter(
-      ({ serviceName }) => serviceName === waiter.serviceName,
-    );
-    return Math.max(0, queue.indexOf(waiter));
+    return !queue.has(waiter);
   }
 
   /** Tries to place every waiting request, in queue order. */
@@ -181,10 +139,11 @@
     clearTimeout(timer);
     const nowMs = monotonicNowMs();
     const candidatesOf = createCandidateLookup(nowMs);
-    sortedWaiters(nowMs)
+    queue
+      .sorted(nowMs)
       .filter(({ isReserving }) => !isReserving)
       .forEach((waiter) => tryToPlace(waiter, nowMs, candidatesOf));
-    timer = waiters.size === 0 ? undefined : setTimeout(tryWaiters, retryIntervalMs);
+    timer = queue.size() === 0 ? undefined : setTimeout(tryWaiters, retryIntervalMs);
   }
 
   function createCandidateLookup(nowMs: number): CandidatesOf {
@@ -265,10 +224,6 @@
     return listed === 0 || candidatesOf(waiter, 'usable').length < minHealthyShare * listed;
   }
 
-  function isOnTime({ isResumed, latestStartAtMs }: Waiter, nowMs: number): boolean {
-    return isResumed || latestStartAtMs >= nowMs;
-  }
-
   async function reserveAt(server: BackendServer, waiter: Waiter): Promise<void> {
     waiter.isReserving = true;
     limits.take(server.id, callsPerPlacement);
@@ -285,7 +240,7 @@
       health.record(server.id, 'success', monotonicNowMs());
     }
     if (outcome.kind === 'done' && notices.isAccepting(server)) {
-      admissionOf(waiter).notePlaced(monotonicNowMs());
+      queue.notePlaced(waiter, monotonicNowMs());
       deliver(waiter, { reservation: outcome.value, stream: retryWaitersOnRelease(stream) });
       return;
     }
@@ -321,7 +276,7 @@
   }
 
   function deliver(waiter: Waiter, placement: Placement): void {
-    if (waiters.has(waiter)) {
+    if (queue.has(waiter)) {
       finish(waiter, { kind: 'placed', placement });
     } else {
       backend.releaseReservation(placement.reservation);
@@ -335,7 +290,7 @@
       ...stream,
       release() {
         stream.release();
-        if (waiters.size > 0) {
+        if (queue.size() > 0) {
           tryWaiters();
         }
       },
@@ -344,12 +299,3 @@
 
   return { place };
 }
-
-function compareWaiters(left: Waiter, right: Waiter, nowMs: number): number {
-  return (
-    Number(right.isResumed) - Number(left.isResumed) ||
-    Number(left.latestStartAtMs < nowMs) - Number(right.latestStartAtMs < nowMs) ||
-    left.priority - right.priority ||
-    left.arrivedAtMs - right.arrivedAtMs
-  );
-}
