Let requests of low priority overtake once they have waited half of their time

Under a standing overload of urgent requests the others waited in the queue until they were late and were refused then: the queue sorts by priority alone. A request that has waited for half of the time that its target leaves now goes first, at most one at a time for each service and one of five placements. With equal priorities the order is unchanged.

--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -50,6 +50,8 @@
   health: OutlierDetector;
   limits?: ServerPermits;
   notices?: Pick<ServerNotices, 'isAccepting' | 'allBackoffLeftMs' | 'areAllLeaving'>;
+  /** Called for each request that is placed before more urgent ones because it had waited long. */
+  onOvertaking?: (serviceName: string) => void;
   random?: Random;
 }
 
@@ -79,7 +81,7 @@
 
 export function createDecodePlacement(options: DecodePlacementOptions): DecodePlacement {
   const { backend, pools, loads, health, random = Math.random } = options;
-  const { limits = noLimits, notices = noNotices } = options;
+  const { limits = noLimits, notices = noNotices, onOvertaking = () => undefined } = options;
   const queue = createPlacementQueue<Waiter>({ random });
   let timer: NodeJS.Timeout | undefined;
 
@@ -240,7 +242,9 @@
       health.record(server.id, 'success', monotonicNowMs());
     }
     if (outcome.kind === 'done' && notices.isAccepting(server)) {
-      queue.notePlaced(waiter, monotonicNowMs());
+      if (queue.notePlaced(waiter, monotonicNowMs())) {
+        onOvertaking(waiter.serviceName);
+      }
       deliver(waiter, { reservation: outcome.value, stream: retryWaitersOnRelease(stream) });
       return;
     }
--- a/packages/routing/src/placementQueue.ts
+++ b/packages/routing/src/placementQueue.ts
@@ -1,24 +1,18 @@
 /** Requests that wait for decode memory: the order in which they are tried, and which of them are too late to wait. */
 import {
+  compareUrgency,
   createBoundedMap,
+  createOvertaking,
   createPlacementAdmission,
+  type Overtaking,
   type PlacementAdmission,
+  type WaitingUrgency,
 } from '@bluebellhitch/decisions';
 import type { Random } from '@bluebellhitch/shared';
 
-export interface QueuedRequest {
+export interface QueuedRequest extends WaitingUrgency {
   serviceName: string;
-  /** The stream has already started. It goes first, since dropping it would waste the work done so far. */
-  isResumed: boolean;
-  /** 0 is the most urgent. */
-  priority: number;
-  arrivedAtMs: number;
   expectedHoldMs: number;
-  /**
-   * Latest start that meets the latency target. After it, the request is queued behind those that can still meet
-   * their targets.
-   */
-  latestStartAtMs: number;
 }
 
 export interface PlacementQueue<Request extends QueuedRequest> {
@@ -29,12 +23,19 @@
   size(): number;
   /** The waiting requests of all services, the first to be placed first. */
   sorted(nowMs: number): Request[];
-  notePlaced(request: Request, nowMs: number): void;
+  /** Returns whether the request was placed before more urgent ones because it had waited long. */
+  notePlaced(request: Request, nowMs: number): boolean;
   /** Whether a new request should be refused at once. A resumed stream keeps waiting in any case. */
   isTooLate(request: Request, nowMs: number): boolean;
   retryAfterMs(request: Request, nowMs: number): number;
 }
 
+/** State of one service's queue. Each service has its own engines and therefore its own queue. */
+interface ServiceQueue<Request extends QueuedRequest> {
+  admission: PlacementAdmission;
+  overtaking: Overtaking<Request>;
+}
+
 const maxServices = 512;
 
 export function createPlacementQueue<Request extends QueuedRequest>({
@@ -43,15 +44,32 @@
   random: Random;
 }): PlacementQueue<Request> {
   const waiting = new Set<Request>();
-  /** By service: each has its own engines and therefore its own queue. */
-  const admissions = createBoundedMap<string, PlacementAdmission>({ maxEntries: maxServices });
+  const queues = createBoundedMap<string, ServiceQueue<Request>>({ maxEntries: maxServices });
 
-  function admissionOf({ serviceName }: Request): PlacementAdmission {
-    return admissions.getOrCreate(serviceName, () => createPlacementAdmission({ random }));
+  function queueOf(serviceName: string): ServiceQueue<Request> {
+    return queues.getOrCreate(serviceName, () => ({
+      admission: createPlacementAdmission({ random }),
+      overtaking: createOvertaking(),
+    }));
   }
 
   function sorted(nowMs: number): Request[] {
-    return [...waiting].sort((left, right) => compareRequests(left, right, nowMs));
+    const overtaking = chooseOvertaking(nowMs);
+    const order = { nowMs, isOvertaking: (request: Request) => overtaking.has(request) };
+    return [...waiting].sort((left, right) => compareUrgency(left, right, order));
+  }
+
+  /** At most one request of each service. */
+  function chooseOvertaking(nowMs: number): Set<Request | undefined> {
+    const byService = new Map<string, Request[]>();
+    waiting.forEach((request) => {
+      const { serviceName } = request;
+      byService.set(serviceName, [...(byService.get(serviceName) ?? []), request]);
+    });
+    const chosen = [...byService].map(([serviceName, requests]) =>
+      queueOf(serviceName).overtaking.choose(requests, nowMs),
+    );
+    return new Set(chosen);
   }
 
   function countAhead(request: Request, nowMs: number): number {
@@ -65,17 +83,22 @@
     has: (request) => waiting.has(request),
     size: () => waiting.size,
     sorted,
-    notePlaced: (request, nowMs) => admissionOf(request).notePlaced(nowMs),
+    notePlaced(request, nowMs) {
+      const { admission, overtaking } = queueOf(request.serviceName);
+      admission.notePlaced(nowMs);
+      return overtaking.notePlaced(request);
+    },
     isTooLate(request, nowMs) {
       const slackMs = request.latestStartAtMs - nowMs;
       const aheadCount = countAhead(request, nowMs);
-      const decision = admissionOf(request).decide({ slackMs, aheadCount }, nowMs);
+      const { admission } = queueOf(request.serviceName);
+      const decision = admission.decide({ slackMs, aheadCount }, nowMs);
       return !request.isResumed && decision.kind === 'refuse';
     },
     retryAfterMs(request, nowMs) {
       const aheadCount = countAhead(request, nowMs);
       const refused = { aheadCount, holdMs: request.expectedHoldMs };
-      return admissionOf(request).retryAfterMs(refused, nowMs);
+      return queueOf(request.serviceName).admission.retryAfterMs(refused, nowMs);
     },
   };
 }
@@ -86,12 +109,3 @@
 ): boolean {
   return isResumed || latestStartAtMs >= nowMs;
 }
-
-function compareRequests(left: QueuedRequest, right: QueuedRequest, nowMs: number): number {
-  return (
-    Number(right.isResumed) - Number(left.isResumed) ||
-    Number(left.latestStartAtMs < nowMs) - Number(right.latestStartAtMs < nowMs) ||
-    left.priority - right.priority ||
-    left.arrivedAtMs - right.arrivedAtMs
-  );
-}
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -13,6 +13,8 @@
   observeFirstByte(labels: RequestLabels, durationMs: number): void;
   observeTotalDuration(labels: RequestLabels, durationMs: number): void;
   observePlacement(service: string, durationMs: number): void;
+  /** Counts requests placed before more urgent ones because they had waited long. */
+  countOvertaking(service: string): void;
   /** Ratio of the expected to the actual output tokens of a stream that has ended. */
   observeLengthForecast(service: string, ratio: number): void;
   countFurtherAttempt(service: string, cause: string): void;
@@ -90,6 +92,11 @@
     'Wait of model requests for decode memory.',
     ['service'],
   );
+  const overtaking = counter(
+    'bluebell_overtaking_total',
+    'Requests placed before more urgent ones, since they had waited long.',
+    ['service'],
+  );
   const lengthForecasts = new Histogram({
     name: 'bluebell_length_forecast_ratio',
     help: 'Expected output of streams that ended, over their output; half should lie below 1.',
@@ -175,6 +182,7 @@
       totalDuration.observe({ ...labels }, durationMs / msPerSecond),
     observePlacement: (service, durationMs) =>
       placements.observe({ service }, durationMs / msPerSecond),
+    countOvertaking: (service) => overtaking.inc({ service }),
     observeLengthForecast: (service, ratio) => lengthForecasts.observe({ service }, ratio),
     countFurtherAttempt: (service, cause) => furtherAttempts.inc({ service, cause }),
     countRefusedAttempt: (service, cause) => refusedAttempts.inc({ service, cause }),
