Tell engines the priority of prefills and runs

An engine out of memory preempted the newest of equals, whatever its workspace or route, since the router did not state priorities. It now states a level from 0 to 9, by the rank of the workspace's or route's priority among those of the service's requests. Where these are all the same it states none, and the engines decide as before. A level that a caller states is still not forwarded.

Ruled out: a more urgent level for resumed streams and for requests that have waited long.

--- a/packages/replay/src/engineFleet.ts
+++ b/packages/replay/src/engineFleet.ts
@@ -9,6 +9,8 @@
   /** Output tokens of a request, which neither router nor caller knows in advance. */
   outputTokensOf(requestId: string): number;
   tokensPerEvent: number;
+  /** Whether the engines learn the requests' urgency. */
+  knowsUrgency: boolean;
 }
 
 export interface ReservationCounts {
@@ -32,7 +34,7 @@
 const rejected: CallOutcome<never> = { kind: 'not-run', cause: { kind: 'rejected', status: 503 } };
 
 export function createEngineFleet(options: EngineFleetOptions): EngineFleet {
-  const { engines, outputTokensOf, tokensPerEvent } = options;
+  const { engines, outputTokensOf, tokensPerEvent, knowsUrgency } = options;
   const reservations: ReservationCounts = { asked: 0, turnedAway: 0 };
 
   function findReachable(server: { name: string; id: string }): EngineModel | undefined {
@@ -58,7 +60,7 @@
       return { kind: 'done', value: { id, server, tokens } };
     },
     releaseReservation: ({ id, server }) => findReachable(server)?.dropReservation(id),
-    async prefill(server, request, { signal, timeoutMs }) {
+    async prefill(server, request, { signal, timeoutMs, urgencyLevel }) {
       await delay(oneWayDelayMs);
       const engine = findReachable(server);
       if (engine === undefined) {
@@ -68,7 +70,11 @@
       const timer = setTimeout(() => timeout.abort(), timeoutMs);
       const anySignal = AbortSignal.any([signal, timeout.signal]);
       const promptTokens = request.prompt?.promptTokens ?? 1;
-      const handle = await engine.prefill(promptTokens, anySignal);
+      const handle = await engine.prefill(
+        promptTokens,
+        anySignal,
+        knowsUrgency ? urgencyLevel : undefined,
+      );
       clearTimeout(timer);
       await delay(oneWayDelayMs);
       return handle === undefined
@@ -76,7 +82,8 @@
         : { kind: 'done', value: { handle, server, tokens: promptTokens } };
     },
     releasePrefill: ({ handle, server }) => findReachable(server)?.discardPrefill(handle),
-    async run(server, request, { signal, reservation, prefill, lastEventId = 0 }) {
+    async run(server, request, runOptions) {
+      const { signal, reservation, prefill, urgencyLevel, lastEventId = 0 } = runOptions;
       await delay(oneWayDelayMs);
       const engine = findReachable(server);
       if (engine === undefined) {
@@ -95,6 +102,7 @@
         emittedTokens: lastEventId * tokensPerEvent,
         reservationId: reservation?.id,
         hasPrompt: prefill !== undefined,
+        urgencyLevel: knowsUrgency ? urgencyLevel : undefined,
         signal,
       });
       return run === undefined ? rejected : { kind: 'done', value: createResponse(run) };
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -158,6 +158,7 @@
     const outcome = await backend.prefill(server, state.request, {
       remainingMs: remainingMs(state),
       timeoutMs: expectedMs * timeoutFactor + timeoutMarginMs,
+      urgencyLevel: state.urgencyLevel,
       signal: state.signal,
     });
     release();
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -77,11 +77,13 @@
       { route, service: service.name, workspace },
       options,
     );
+    const { priority = route.priority } = workspace ?? {};
     const { state, end } = createRequestState({
       exchange: recorded.exchange,
       route,
       service,
-      priority: workspace?.priority,
+      priority,
+      urgencyLevel: table.urgencyLevels(service.name).levelOf(priority),
       isAccessGranted: () => isAccessGranted(route, request, workspace),
     });
     options.budget.recordRequest(service.name, monotonicNowMs());
@@ -229,6 +231,7 @@
       requestId: state.request.id,
       route: route.name,
       workspace: workspace?.name,
+      priority: state.priority,
       kind: route.kind === routeKinds.stream ? 'stream' : route.kind,
       outcome,
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -213,6 +213,7 @@
     signal: AbortSignal.any([state.signal, signal]),
     reservation,
     prefill,
+    urgencyLevel: state.urgencyLevel,
     lastEventId: relay.lastEventId(),
   });
   if (outcome.kind === 'not-run') {
