--- a/packages/routing/src/placementQueue.ts
+++ b/packages/routing/src/placementQueue.ts
@@ -64,7 +64,9 @@
     const byService = new Map<string, Request[]>();
     waiting.forEach((request) => {
       const { serviceName } = request;
-      byService.set(serviceName, [...(byService.get(serviceName) ?? []), request]);
+      const requests = byService.get(serviceName) ?? [];
+      requests.push(request);
+      byService.set(serviceName, requests);
     });
     const chosen = [...byService].map(([serviceName, requests]) =>
       queueOf(serviceName).overtaking.choose(requests, nowMs),
