--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,6 +5,13 @@
   type AttemptBudgetOptions,
   type AttemptReservation,
 } from './attemptBudget';
+export {
+  createAttemptExchange,
+  type AttemptChannel,
+  type AttemptExchange,
+  type AttemptExchangeOptions,
+  type LoanOutcome,
+} from './attemptExchange';
 export type {
   ResponseBody,
   BackendResponse,
