Ask less often for further attempts while they are short everywhere

In a model of 60 routers whose attempts were all used up, asking every 250 ms and filtering all peers each time took most of the time. Now a peer is searched from a random start, and the interval grows to a second while all refuse.

--- a/packages/decisions/src/attemptLoans.ts
+++ b/packages/decisions/src/attemptLoans.ts
@@ -81,13 +81,25 @@
   let borrowed: Borrowed[] = [];
 
   function dropEnded(nowMs: number): void {
-    [...lent].filter(([, { untilMs }]) => untilMs <= nowMs).forEach(([key]) => lent.delete(key));
+    lent.forEach(({ untilMs }, key) => {
+      if (untilMs <= nowMs) {
+        lent.delete(key);
+      }
+    });
+  }
+
+  function lentCount(serviceName: string, nowMs: number): number {
+    let sum = 0;
+    lent.forEach((loan) => {
+      if (loan.serviceName === serviceName && loan.untilMs > nowMs) {
+        sum += loan.count;
+      }
+    });
+    return sum;
   }
 
-  const usable = (serviceName: string, atMs: number) =>
-    borrowed.filter(
-      (loan) => loan.serviceName === serviceName && loan.untilMs > atMs && loan.freeCount > 0,
-    );
+  const isUsable = (loan: Borrowed, serviceName: string, atMs: number) =>
+    loan.serviceName === serviceName && loan.untilMs > atMs && loan.freeCount > 0;
 
   return {
     lend({ borrower, number, serviceName, count, lifetimeMs }, nowMs) {
@@ -100,11 +112,7 @@
       lent.set(key, { serviceName, count, untilMs, isReturned: false });
       return true;
     },
-    lentCount(serviceName, nowMs) {
-      return [...lent.values()]
-        .filter((loan) => loan.serviceName === serviceName && loan.untilMs > nowMs)
-        .reduce((sum, { count }) => sum + count, 0);
-    },
+    lentCount,
     takeBack(borrower, number, unusedCount) {
       const loan = lent.get(keyOf(borrower, number));
       if (loan !== undefined && !loan.isReturned) {
@@ -118,9 +126,12 @@
       }
     },
     borrowedCount: (serviceName, atMs) =>
-      usable(serviceName, atMs).reduce((sum, { freeCount }) => sum + freeCount, 0),
+      borrowed.reduce(
+        (sum, loan) => sum + (isUsable(loan, serviceName, atMs) ? loan.freeCount : 0),
+        0,
+      ),
     takeBorrowed(serviceName, nowMs) {
-      const [loan] = usable(serviceName, nowMs);
+      const loan = borrowed.find((each) => isUsable(each, serviceName, nowMs));
       if (loan === undefined) {
         return undefined;
       }
@@ -139,6 +150,9 @@
     takeExpired(nowMs) {
       const isEnded = ({ untilMs, inProgressCount }: Borrowed) =>
         untilMs <= nowMs && inProgressCount === 0;
+      if (!borrowed.some(isEnded)) {
+        return [];
+      }
       const ended = borrowed.filter(isEnded);
       borrowed = borrowed.filter((loan) => !isEnded(loan));
       return ended.map(({ lender, number, freeCount }) => ({
--- a/packages/routing/__tests__/attemptBudgetFleet.test.ts
+++ b/packages/routing/__tests__/attemptBudgetFleet.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { createSeededRandom } from '@bluebellhitch/shared';
+import { createSeededRandom, type Random } from '@bluebellhitch/shared';
 import { playAttemptFleet, type AttemptFleetOptions } from './support/attemptFleet';
 
 const seeds = [1, 2, 3, 4, 5, 6];
@@ -95,6 +95,27 @@
     restartsAtMs: Array.from({ length: restartCount }, () => Math.floor(between(300, 2_300)) * 10),
     discoveryMs: between(0, 5_000),
     failsFromMs: maybe(0, between(0, 15_000)),
+    ...drawLending(random),
+  };
+}
+
+/** Draws how unevenly requests arrive, and what happens to loans: drawn last, so that the rest stays as it was. */
+function drawLending(random: Random): Partial<AttemptFleetOptions> {
+  const between = (min: number, max: number) => min + random() * (max - min);
+  const maybe = <Value>(value: Value, other: Value) => (random() < 0.5 ? value : other);
+  const cutFromMs = between(8_000, 20_000);
+  const restartCount = maybe(0, Math.ceil(between(0, 6)));
+  return {
+    unevenShare: maybe(0, between(0.3, 1)),
+    links: {
+      lossShare: maybe(0, between(0, 0.6)),
+      maxTransitMs: maybe(20, between(20, 4_000)),
+      cut: maybe(undefined, { fromMs: cutFromMs, untilMs: cutFromMs + between(500, 8_000) }),
+    },
+    partialRestarts: {
+      atMs: Array.from({ length: restartCount }, () => Math.floor(between(1_000, 2_500)) * 10),
+      share: between(0.1, 0.9),
+    },
   };
 }
 
--- a/packages/routing/__tests__/support/attemptFleet.ts
+++ b/packages/routing/__tests__/support/attemptFleet.ts
@@ -71,7 +71,7 @@
 const logger = createLogger({ binary: 'test', instanceId: 'test', write: () => undefined });
 
 export function playAttemptFleet(options: AttemptFleetOptions): AttemptFleetResult {
-  const { durationMs = 30_000, restartsAtMs = [], partialRestarts, unevenShare = 0 } = options;
+  const { durationMs = 30_000, unevenShare = 0 } = options;
   const random = createSeededRandom(options.seed);
   const requestsAtMs: number[] = [];
   const arrivalsAtMs: number[] = [];
@@ -99,6 +99,9 @@
   let routers: ModelRouter[] = [];
   routers = Array.from({ length: options.routerCount }, (_none, index) => startRouter(index, 0));
   function restart(share: number, nowMs: number): void {
+    if (share === 0) {
+      return;
+    }
     routers = routers.map((router, index) => {
       if (index >= share * routers.length) {
         return router;
@@ -109,15 +112,8 @@
   }
   for (let nowMs = 0; nowMs < durationMs; nowMs += stepMs) {
     env.clock.nowMs = nowMs;
-    if (restartsAtMs.includes(nowMs)) {
-      restart(1, nowMs);
-    }
-    if (partialRestarts?.atMs.includes(nowMs)) {
-      restart(partialRestarts.share, nowMs);
-    }
-    if (nowMs % returnIntervalMs === 0) {
-      routers.forEach((router) => router.exchange.returnExpired());
-    }
+    restart(restartedShare(options, nowMs), nowMs);
+    returnExpiredLoans(routers, nowMs);
     scheduled.get(nowMs)?.forEach((run) => run());
     scheduled.delete(nowMs);
     const count = requestCount(options, nowMs, random);
@@ -136,6 +132,23 @@
   };
 }
 
+/** Share of the routers that are killed and start again now. */
+function restartedShare(
+  { restartsAtMs = [], partialRestarts }: AttemptFleetOptions,
+  nowMs: number,
+): number {
+  if (restartsAtMs.includes(nowMs)) {
+    return 1;
+  }
+  return partialRestarts?.atMs.includes(nowMs) ? partialRestarts.share : 0;
+}
+
+function returnExpiredLoans(routers: readonly ModelRouter[], nowMs: number): void {
+  if (nowMs % returnIntervalMs === 0) {
+    routers.forEach((router) => router.exchange.returnExpired());
+  }
+}
+
 /** Events take place at the next step after their time, so none is scheduled for the step that is being played. */
 function nextStepMs(atMs: number): number {
   return (Math.floor(atMs / stepMs) + 1) * stepMs;
@@ -192,6 +205,9 @@
     onLow: (serviceName) => exchange.noteLow(serviceName),
   });
   const addressOf = (index: number) => `10.0.0.${index}:7400`;
+  const peerAddresses = Array.from({ length: options.routerCount }, (_none, index) => index)
+    .filter((index) => index !== ownIndex)
+    .map(addressOf);
   const exchange = createAttemptExchange({
     channel: () => ({
       address: addressOf(ownIndex),
@@ -199,11 +215,7 @@
         const indexes = addresses.map((address) => Number(/\.(\d+):/.exec(address)?.[1]));
         indexes.forEach((index) => sendDatagram(bytes, index));
       },
-      livePeers: () =>
-        Array.from({ length: options.routerCount }, (_none, index) => index)
-          .filter((index) => index !== ownIndex)
-          .slice(0, routerCount() - 1)
-          .map(addressOf),
+      livePeers: () => peerAddresses.slice(0, routerCount() - 1),
     }),
     ...{ loans, budget, logger },
     lifetimeMs: loanLifetimeMs,
--- a/packages/routing/src/attemptBudget.ts
+++ b/packages/routing/src/attemptBudget.ts
@@ -103,8 +103,11 @@
   }
 
   /** Takes an attempt of this router's own, or else a borrowed one. */
-  function take(serviceName: string, nowMs: number): AttemptReservation | undefined {
-    const window = currentWindow(serviceName, nowMs);
+  function take(
+    serviceName: string,
+    window: ServiceWindow,
+    nowMs: number,
+  ): AttemptReservation | undefined {
     if (leftOf(serviceName, window, nowMs) < 1) {
       return loans?.takeBorrowed(serviceName, nowMs);
     }
@@ -122,8 +125,9 @@
   }
 
   function reserve(serviceName: string, nowMs: number): AttemptReservation | undefined {
-    const reservation = take(serviceName, nowMs);
-    checkLow(serviceName, currentWindow(serviceName, nowMs), nowMs);
+    const window = currentWindow(serviceName, nowMs);
+    const reservation = take(serviceName, window, nowMs);
+    checkLow(serviceName, window, nowMs);
     return reservation;
   }
 
--- a/packages/routing/src/attemptExchange.ts
+++ b/packages/routing/src/attemptExchange.ts
@@ -55,6 +55,7 @@
 const wantedCount = 4;
 /** Limits what a router sends when attempts are short everywhere. */
 const minQuestionIntervalMs = 250;
+const maxQuestionIntervalMs = 1_000;
 /** A peer that refused is not asked again for this time. */
 const refusalMs = 1_000;
 const maxRefusals = 4_096;
@@ -69,6 +70,7 @@
   /** Keyed by service and peer: until when the peer is not asked. */
   const refusedUntilMs = createBoundedMap<string, number>({ maxEntries: maxRefusals });
   let nextQuestionAtMs = -Infinity;
+  let refusalsInRow = 0;
   const returnTimer = setInterval(returnExpired, returnIntervalMs);
   returnTimer.unref();
 
@@ -79,15 +81,19 @@
   function choosePeer(peers: readonly string[], serviceName: string): string | undefined {
     const mayAsk = (peer: string) =>
       (refusedUntilMs.get(keyOf(serviceName, peer)) ?? -Infinity) <= nowMs();
-    return rotateRandomly(peers.filter(mayAsk), random)[0];
+    return rotateRandomly(peers, random).find(mayAsk);
   }
 
+  /** Longer while attempts are short everywhere: then questions cost bytes and time and bring nothing. */
+  const questionIntervalMs = () =>
+    Math.min(maxQuestionIntervalMs, minQuestionIntervalMs * 2 ** Math.floor(refusalsInRow / 4));
+
   function noteLow(serviceName: string): void {
     const channel = options.channel();
     if (channel === undefined || nowMs() < nextQuestionAtMs) {
       return;
     }
-    nextQuestionAtMs = nowMs() + minQuestionIntervalMs;
+    nextQuestionAtMs = nowMs() + questionIntervalMs();
     const lender = choosePeer(channel.livePeers(), serviceName);
     if (lender !== undefined) {
       ask(lender, serviceName, channel.address);
@@ -125,6 +131,7 @@
       return;
     }
     questions.delete(number);
+    refusalsInRow = count === 0 ? refusalsInRow + 1 : 0;
     const { lender, serviceName, sentAtMs } = question;
     if (count === 0) {
       onLoan('refused-by-peer', 1);
