--- a/packages/routing/__tests__/attemptExchange.test.ts
+++ b/packages/routing/__tests__/attemptExchange.test.ts
@@ -123,17 +123,14 @@
   // What its predecessor has lent may still be used, and it does not know of it.
   withFleet(2, (fleet) => {
     fleet.restart(0);
-    t.true(takeAllFor(fleet, 0, 1_000) > 1);
+    t.true(takeAllFor(fleet, 0, 1_000) > 2);
     fleet.restart(1);
-    fleet.clock.tick(windowMs - 100);
-    const borrowedFrom = fleet.sent.filter(
-      ({ message, from }) => from === 1 && message.kind === 'attempt-answer' && message.lentCount,
-    ).length;
-    takeAllFor(fleet, 0, 50);
-    const now = fleet.sent.filter(
-      ({ message, from }) => from === 1 && message.kind === 'attempt-answer' && message.lentCount,
-    ).length;
-    t.is(now, borrowedFrom);
+    const sentBefore = fleet.sent.length;
+    takeAllFor(fleet, 0, windowMs - 100);
+    const answers = fleet.sent
+      .slice(sentBefore)
+      .flatMap(({ message }) => (message.kind === 'attempt-answer' ? [message.lentCount] : []));
+    t.true(answers.length > 0 && answers.every((lentCount) => lentCount === 0));
   });
 });
 
--- a/packages/routing/src/attemptExchange.ts
+++ b/packages/routing/src/attemptExchange.ts
@@ -89,8 +89,8 @@
     Math.min(maxQuestionIntervalMs, minQuestionIntervalMs * 2 ** Math.floor(refusalsInRow / 4));
 
   function noteLow(serviceName: string): void {
-    const channel = options.channel();
-    if (channel === undefined || nowMs() < nextQuestionAtMs) {
+    const channel = nowMs() < nextQuestionAtMs ? undefined : options.channel();
+    if (channel === undefined) {
       return;
     }
     nextQuestionAtMs = nowMs() + questionIntervalMs();
