--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,12 +1,3 @@
-export {
-  createAttemptLoans,
-  type AttemptLoans,
-  type AttemptLoansOptions,
-  type BorrowedAttempt,
-  type BorrowedLoan,
-  type ExpiredLoan,
-  type LentLoan,
-} from './attemptLoans';
 export { createEventSize, type EventSize, type ReportedRun } from './eventSize';
 export { chooseRelays, type RelayChoiceOptions } from './relayChoice';
 export {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -100,15 +100,6 @@
   type PeerMessage,
   type PeerContact,
 } from './peerMessages';
-export {
-  decodeAttemptMessage,
-  encodeAttemptMessage,
-  maxLentAttempts,
-  type AttemptAnswer,
-  type AttemptMessage,
-  type AttemptQuestion,
-  type AttemptReturn,
-} from './attemptMessages';
 export {
   decodeLimitMessage,
   encodeLimitMessage,
--- a/packages/routing/__tests__/support/attemptFleet.ts
+++ b/packages/routing/__tests__/support/attemptFleet.ts
@@ -2,17 +2,8 @@
  * Model of a fleet whose routers make further attempts of one service, each with its own budget. Records when requests
  * were sent and when further attempts arrived at servers, and compares every window with what is allowed.
  */
-import { createAttemptLoans } from '@bluebellhitch/decisions';
-import { decodeAttemptMessage } from '@bluebellhitch/protocol';
-import {
-  createAttemptBudget,
-  createAttemptExchange,
-  createFleetShares,
-  type AttemptChannel,
-  type AttemptExchange,
-} from '@bluebellhitch/routing';
+import { createAttemptBudget, createFleetShares } from '@bluebellhitch/routing';
 import { createSeededRandom, type Random } from '@bluebellhitch/shared';
-import { createLogger } from '@bluebellhitch/telemetry';
 
 export interface AttemptFleetOptions {
   seed: number;
@@ -32,17 +23,6 @@
   burst?: { fromMs: number; untilMs: number; factor: number };
   /** When all routers are killed and start again. */
   restartsAtMs?: readonly number[];
-  /** When some routers are killed and start again. */
-  partialRestarts?: { atMs: readonly number[]; share: number };
-  /** The links between the routers, over which they lend each other attempts. */
-  links?: {
-    lossShare: number;
-    maxTransitMs: number;
-    /** Routers are cut off from each other between the two times, but keep knowing each other. */
-    cut?: { fromMs: number; untilMs: number };
-  };
-  /** Share of the requests that arrive at the first quarter of the routers, in addition to their even share. */
-  unevenShare?: number;
   /** Time from a router's start until it knows all others; it starts with its seeds and discovers them steadily. */
   discoveryMs?: number;
   /** Time from a router's start after which it knows its seeds only, without contact to any router. */
@@ -56,9 +36,6 @@
   furtherAttempts: number;
   /** Largest share of the allowed further attempts that arrived in a window; above 1 the budget is exceeded. */
   fullestShare: number;
-  /** Attempts that routers have borrowed, and those that they have returned unused. */
-  borrowedCount: number;
-  returnedCount: number;
 }
 
 const ratio = 0.2;
@@ -66,90 +43,44 @@
 const stepMs = 10;
 const seedCount = 3;
 const maxAttemptsPerRequest = 2;
-const loanLifetimeMs = 2_000;
-const returnIntervalMs = 250;
-const goodLinks: NonNullable<AttemptFleetOptions['links']> = { lossShare: 0, maxTransitMs: 0 };
-const logger = createLogger({ binary: 'test', instanceId: 'test', write: () => undefined });
 
 export function playAttemptFleet(options: AttemptFleetOptions): AttemptFleetResult {
-  const { durationMs = 30_000, unevenShare = 0 } = options;
+  const { durationMs = 30_000, restartsAtMs = [] } = options;
   const random = createSeededRandom(options.seed);
   const requestsAtMs: number[] = [];
   const arrivalsAtMs: number[] = [];
   const scheduled = new Map<number, (() => void)[]>();
-  const loanCounts = { borrowed: 0, returned: 0 };
   const env: RouterEnvironment = {
     options,
     random,
-    // Draws of its own, so that the load is the same whatever the links do.
-    linkRandom: createSeededRandom(options.seed + 1_000_000),
-    clock: { nowMs: 0 },
     schedule(atMs, run) {
       const stepAtMs = nextStepMs(atMs);
       scheduled.set(stepAtMs, [...(scheduled.get(stepAtMs) ?? []), run]);
     },
     recordArrival: (atMs) => arrivalsAtMs.push(atMs),
-    routerAt: (index) => routers[index],
-    countLoan(outcome, count) {
-      if (outcome === 'borrowed' || outcome === 'returned') {
-        loanCounts[outcome] += count;
-      }
-    },
   };
-  const startRouter = (index: number, nowMs: number) => createModelRouter(env, index, nowMs);
-  let routers: ModelRouter[] = [];
-  routers = Array.from({ length: options.routerCount }, (_none, index) => startRouter(index, 0));
-  function restart(share: number, nowMs: number): void {
-    if (share === 0) {
-      return;
-    }
-    routers = routers.map((router, index) => {
-      if (index >= share * routers.length) {
-        return router;
-      }
-      router.kill();
-      return startRouter(index, nowMs);
-    });
-  }
+  const startRouters = (nowMs: number) =>
+    Array.from({ length: options.routerCount }, () => createModelRouter(env, nowMs));
+  let routers = startRouters(0);
   for (let nowMs = 0; nowMs < durationMs; nowMs += stepMs) {
-    env.clock.nowMs = nowMs;
-    restart(restartedShare(options, nowMs), nowMs);
-    returnExpiredLoans(routers, nowMs);
+    if (restartsAtMs.includes(nowMs)) {
+      routers.forEach((router) => router.kill());
+      routers = startRouters(nowMs);
+    }
     scheduled.get(nowMs)?.forEach((run) => run());
     scheduled.delete(nowMs);
     const count = requestCount(options, nowMs, random);
     for (let index = 0; index < count; index += 1) {
       requestsAtMs.push(nowMs);
-      const isUneven = unevenShare > 0 && random() < unevenShare;
-      routers[Math.floor(random() * routers.length * (isUneven ? 0.25 : 1))]?.serve(nowMs);
+      routers[Math.floor(random() * routers.length)]?.serve(nowMs);
     }
   }
-  routers.forEach((router) => router.kill());
   return {
     furtherAttempts: arrivalsAtMs.length,
     fullestShare: fullestShare(arrivalsAtMs, requestsAtMs, options.allowance),
-    borrowedCount: loanCounts.borrowed,
-    returnedCount: loanCounts.returned,
   };
 }
 
-/** Share of the routers that are killed and start again now. */
-function restartedShare(
-  { restartsAtMs = [], partialRestarts }: AttemptFleetOptions,
-  nowMs: number,
-): number {
-  if (restartsAtMs.includes(nowMs)) {
-    return 1;
-  }
-  return partialRestarts?.atMs.includes(nowMs) ? partialRestarts.share : 0;
-}
-
-function returnExpiredLoans(routers: readonly ModelRouter[], nowMs: number): void {
-  if (nowMs % returnIntervalMs === 0) {
-    routers.forEach((router) => router.exchange.returnExpired());
-  }
-}
-
 /** Events take place at the next step after their time, so none is scheduled for the step that is being played. */
 function nextStepMs(atMs: number): number {
   return (Math.floor(atMs / stepMs) + 1) * stepMs;
@@ -158,26 +89,11 @@
 interface RouterEnvironment {
   options: AttemptFleetOptions;
   random: Random;
-  linkRandom: Random;
-  clock: { nowMs: number };
   schedule(atMs: number, run: () => void): void;
   recordArrival(atMs: number): void;
-  /** The router that has this address now: datagrams may reach a later incarnation. */
-  routerAt(index: number): ModelRouter | undefined;
-  countLoan(outcome: string, count: number): void;
 }
 
-interface ModelRouter {
-  exchange: AttemptExchange;
-  serve(atMs: number): void;
-  kill(): void;
-}
-
-function createModelRouter(
-  env: RouterEnvironment,
-  ownIndex: number,
-  startedAtMs: number,
-): ModelRouter {
+function createModelRouter(env: RouterEnvironment, startedAtMs: number) {
   const { options, random } = env;
   const { discoveryMs = 0, isolatedFromMs = Infinity, failsFromMs = 0 } = options;
   let isKilled = false;
@@ -191,8 +107,6 @@
     const discoveredShare = discoveryMs === 0 ? 1 : Math.min(1, uptimeMs / discoveryMs);
     return firstKnown + Math.floor((options.routerCount - firstKnown) * discoveredShare);
   }
-  const { links = goodLinks } = options;
-  const loans = createAttemptLoans({ windowMs });
   const shares = createFleetShares({
     fleetShard: { shardPeers: () => [], shardCount: () => 1 },
     routerCount,
@@ -202,46 +116,8 @@
     allowance: () => shares.furtherAttempts(options.allowance),
     windowMs,
     startedAtMs,
-    loans,
-    onLow: (serviceName) => exchange.noteLow(serviceName),
-  });
-  const addressOf = (index: number) => `10.0.0.${index}:7400`;
-  const peerAddresses = Array.from({ length: options.routerCount }, (_none, index) => index)
-    .filter((index) => index !== ownIndex)
-    .map(addressOf);
-  const channel: AttemptChannel = {
-    address: addressOf(ownIndex),
-    async send(bytes, addresses) {
-      const indexes = addresses.map((address) => Number(/\.(\d+):/.exec(address)?.[1]));
-      indexes.forEach((index) => sendDatagram(bytes, index));
-    },
-    livePeers: () => peerAddresses.slice(0, routerCount() - 1),
-  };
-  const exchange = createAttemptExchange({
-    channel: () => channel,
-    ...{ loans, budget, logger },
-    lifetimeMs: loanLifetimeMs,
-    onLoan: env.countLoan,
-    nowMs: () => env.clock.nowMs,
-    random: env.linkRandom,
   });
 
-  function isCutOff(): boolean {
-    const { cut } = links;
-    const { nowMs: atMs } = env.clock;
-    const isIsolated = atMs - startedAtMs >= isolatedFromMs;
-    return isIsolated || (cut !== undefined && atMs >= cut.fromMs && atMs < cut.untilMs);
-  }
-
-  function sendDatagram(bytes: Buffer, index: number): void {
-    const message = decodeAttemptMessage(bytes);
-    if (message === undefined || isCutOff() || env.linkRandom() < links.lossShare) {
-      return;
-    }
-    const transitMs = env.linkRandom() * links.maxTransitMs;
-    env.schedule(env.clock.nowMs + transitMs, () => env.routerAt(index)?.exchange.receive(message));
-  }
-
   /** Runs in `delayMs`, unless the router has been killed by then. */
   function later(delayMs: number, run: () => void): void {
     const atMs = nowMs + delayMs;
@@ -293,7 +169,6 @@
   }
 
   return {
-    exchange,
     serve(atMs: number) {
       nowMs = atMs;
       budget.recordRequest('s', nowMs);
@@ -301,7 +176,6 @@
     },
     kill() {
       isKilled = true;
-      exchange.close();
     },
   };
 }
--- a/packages/routing/src/datagramDispatcher.ts
+++ b/packages/routing/src/datagramDispatcher.ts
@@ -1,11 +1,9 @@
 /** Dispatches datagrams of other routers to the handler of their message type. */
 import {
-  decodeAttemptMessage,
   decodeLimitMessage,
   decodeProofMessage,
   decodeQuotaMessage,
 } from '@bluebellhitch/protocol';
-import type { AttemptExchange } from './attemptExchange';
 import type { ConfigurationProof } from './configurationProof';
 import type { QuotaExchange } from './quotaExchange';
 import type { ServerLimits } from './serverLimits';
@@ -14,17 +12,15 @@
   proof: Pick<ConfigurationProof, 'receive'>;
   quota: Pick<QuotaExchange, 'receive'>;
   limits: Pick<ServerLimits, 'receive'>;
-  attempts: Pick<AttemptExchange, 'receive'>;
 }
 
 /** Datagrams that no handler can decode are ignored, because anyone may send to the port. */
 export function createDatagramDispatcher(handlers: DatagramHandlers): (bytes: Buffer) => void {
-  const { proof, quota, limits, attempts } = handlers;
+  const { proof, quota, limits } = handlers;
   const messageHandlers = [
     createMessageHandler(decodeProofMessage, proof.receive),
     createMessageHandler(decodeQuotaMessage, quota.receive),
     createMessageHandler(decodeLimitMessage, limits.receive),
-    createMessageHandler(decodeAttemptMessage, attempts.receive),
   ];
   return (bytes) => {
     messageHandlers.some((tryHandle) => tryHandle(bytes));
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,13 +5,6 @@
   type AttemptBudgetOptions,
   type AttemptReservation,
 } from './attemptBudget';
-export {
-  createAttemptExchange,
-  type AttemptChannel,
-  type AttemptExchange,
-  type AttemptExchangeOptions,
-  type LoanOutcome,
-} from './attemptExchange';
 export type {
   ResponseBody,
   BackendResponse,
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -18,8 +18,6 @@
   countFurtherAttempt(service: string, cause: string): void;
   /** Counts further attempts that the budget of the service refused. */
   countRefusedAttempt(service: string, cause: string): void;
-  /** Counts further attempts lent to, borrowed from and returned to other routers, and questions refused. */
-  countAttemptLoan(outcome: string, count: number): void;
   countPrefillTokens(tokens: number): void;
   countWastedPrefillTokens(tokens: number): void;
   countConnection(): void;
@@ -109,11 +107,6 @@
     'Attempts beyond the first that the budget of the service refused, by cause.',
     ['service', 'cause'],
   );
-  const attemptLoans = counter(
-    'bluebell_attempt_loans_total',
-    'Further attempts lent to, borrowed from and returned to other routers; questions that were refused.',
-    ['outcome'],
-  );
   const prefillTokens = counter('bluebell_prefill_tokens_total', 'Prompt tokens read.');
   const wastedTokens = counter(
     'bluebell_wasted_prefill_tokens_total',
@@ -185,7 +178,6 @@
     observeLengthForecast: (service, ratio) => lengthForecasts.observe({ service }, ratio),
     countFurtherAttempt: (service, cause) => furtherAttempts.inc({ service, cause }),
     countRefusedAttempt: (service, cause) => refusedAttempts.inc({ service, cause }),
-    countAttemptLoan: (outcome, count) => attemptLoans.inc({ outcome }, count),
     countPrefillTokens: (tokens) => prefillTokens.inc(tokens),
     countWastedPrefillTokens: (tokens) => wastedTokens.inc(tokens),
     countConnection: () => connections.inc(),
