Keep the leases of the tests of the inner server alive, as an entry does

The agent ends a stream whose entry has sent no heartbeat for 1.5 s, and this test sent none: on a busy machine its 90 steps of 2 ms took longer. The agent was right, and a caller's entry sends heartbeats. The bench with an engine now sends them as the other bench does, every 0.4 s. Tests of memory that is freed when a connection closes get stricter by it: a lapsed lease no longer frees it.

--- a/packages/agent/__tests__/helpers/agentBench.ts
+++ b/packages/agent/__tests__/helpers/agentBench.ts
@@ -134,7 +134,7 @@
 };
 
 /** Sends heartbeats of the entry until the returned function is called. */
-export function startHeartbeats({ agent }: AgentBench): () => void {
+export function startHeartbeats({ agent }: Pick<AgentBench, 'agent'>): () => void {
   const timer = setInterval(() => {
     void agent.handlers.heartbeat(entry);
   }, 400);
--- a/packages/agent/__tests__/helpers/innerBench.ts
+++ b/packages/agent/__tests__/helpers/innerBench.ts
@@ -8,6 +8,7 @@
 import { insecureInner, type InnerSecurity } from '@bluebellhitch/security';
 import { delay } from '@bluebellhitch/shared';
 import { createAgent, createPlainProxy, startInnerServer, type AgentBackend } from '../../src';
+import { startHeartbeats } from './agentBench';
 import { createFakeEngine, type FakeEngineOptions } from './fakeEngine';
 
 export async function listen(t: ExecutionContext, handler: RequestListener): Promise<Server> {
@@ -72,7 +73,10 @@
     kvAddress: 'http://127.0.0.1:1',
     kvRateBytesPerSecond: 1_000_000,
   };
-  return { engine, ...(await start(t, backend, 'draft-models', security)) };
+  const bench = await start(t, backend, 'draft-models', security);
+  // Without heartbeats of the entry the leases lapse, on a busy machine in the middle of a response.
+  t.teardown(startHeartbeats(bench));
+  return { engine, ...bench };
 }
 
 export async function startPlainBench(
