Do not answer 408 to callers who sent in time while the entry was paused

After a pause of the entry's process longer than the time-out for a small body, the time-out was due before the body was read that had arrived meanwhile: the caller got 408. The time-out of a body that is read whole now counts only the time that the process runs, as those of calls to servers do; without a pause it is the same to within 8 ms.

--- a/packages/entry/src/requestBody.ts
+++ b/packages/entry/src/requestBody.ts
@@ -1,6 +1,7 @@
 /** Reads request bodies within limits on size and time. */
 import type { IncomingMessage } from 'node:http';
 import { err, errAsync, ok, ResultAsync, type Result } from 'neverthrow';
+import { startPauseTolerantTimer } from '@bluebellhitch/shared';
 
 export type BodyError =
   | { kind: 'too-large'; maxBytes: number }
@@ -11,7 +12,7 @@
 
 export interface ReadBodyOptions {
   maxBytes: number;
-  /** Time within which the complete body must arrive. */
+  /** Time within which the complete body must arrive; a pause of this process does not count. */
   timeoutMs: number;
 }
 
@@ -42,7 +43,7 @@
     const chunks: Buffer[] = [];
     let size = 0;
     const finish = (result: Result<Buffer, BodyError>) => {
-      clearTimeout(timer);
+      timer.stop();
       incoming.off('data', onData).off('end', onEnd).off('close', onClose).off('error', onClose);
       incoming.pause();
       resolve(result);
@@ -57,7 +58,9 @@
     };
     const onEnd = () => finish(ok(Buffer.concat(chunks)));
     const onClose = () => finish(err({ kind: 'aborted' }));
-    const timer = setTimeout(() => finish(err({ kind: 'timeout', timeoutMs })), timeoutMs);
+    const timer = startPauseTolerantTimer(timeoutMs, () =>
+      finish(err({ kind: 'timeout', timeoutMs })),
+    );
     incoming.on('data', onData).on('end', onEnd).on('close', onClose).on('error', onClose);
   });
 }
