Give each run of the soak addresses of its own

Two runs of the tests on one machine played the soak at the same loopback addresses (127.77.0.10 and on, port 7380). The second could not bind them, and its callers and routers met the routers of the other.

The tests draw the prefix at random, and so does the script for each start.

The soak tests were not run on this commit.

--- a/packages/soak/__tests__/soakRun.test.ts
+++ b/packages/soak/__tests__/soakRun.test.ts
@@ -1,3 +1,4 @@
+import { randomInt } from 'node:crypto';
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -12,6 +13,9 @@
  */
 const seeds = [5, 25, 513, 715, 733];
 
+/** Another run of the tests on the same machine must not get these addresses, nor answer at them. */
+const hostPrefix = `127.${randomInt(64, 255)}.${randomInt(1, 255)}`;
+
 interface Run {
   seed: number;
   routerCount: number;
@@ -23,7 +27,7 @@
   return runSoak({
     ...run,
     durationMs: 15_000,
-    hostPrefix: '127.77.0',
+    hostPrefix,
     programPath: join(repositoryRoot, 'target', 'bluebell-router.mjs'),
     exitWithParentPath: join(repositoryRoot, 'scripts', 'lib', 'exitWithParent.mjs'),
     directory: join(mkdtempSync(join(tmpdir(), 'bluebell-soak-')), String(run.seed)),
--- a/scripts/soak.mjs
+++ b/scripts/soak.mjs
@@ -4,6 +4,7 @@
  * `soak-runs/`, with the script, the requests that the findings name, and the logs of the routers.
  */
 import { spawn } from 'node:child_process';
+import { randomInt } from 'node:crypto';
 import { rm } from 'node:fs/promises';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
@@ -29,13 +30,18 @@
   process.exit(prepared);
 }
 
+/** Keeps the addresses of runs that are started at the same time on one machine apart. */
+const hostNumber = randomInt(1, 255);
+
 function runFlags(seed, job, directory) {
   const forwardedFlags = ['seconds', 'routers', 'callers', 'margin-ms', 'script'].filter(
     (name) => values[name] !== undefined,
   );
-  return [`--seed=${seed}`, `--host-prefix=127.${20 + job}.0`, `--directory=${directory}`].concat(
-    forwardedFlags.map((name) => `--${name}=${values[name]}`),
-  );
+  return [
+    `--seed=${seed}`,
+    `--host-prefix=127.${20 + job}.${hostNumber}`,
+    `--directory=${directory}`,
+  ].concat(forwardedFlags.map((name) => `--${name}=${values[name]}`));
 }
 
 /** Resolves with the report of a run, or with one finding if the run itself failed. */
