Refuse keys that a restored store may lack as not run for ten seconds, not with 401

After the era rose an unknown key gets 503 restored-store with Retry-After 1 s, for 10 s (the time for which the server directory does not believe a backup either) or until a newer configuration is written in the new era. Keys that never existed get the same for that time. The refusal has a reason of its own, so that it does not make the router call the store again.

The new test of a router process fails without the safeguard.

--- a/packages/replay/src/replayRouter.ts
+++ b/packages/replay/src/replayRouter.ts
@@ -101,7 +101,7 @@
     ring: createDecisionRing(),
     random,
     routeTable: () => table,
-    freshness: () => ({ isProved: true, isBehind: false }),
+    freshness: () => ({ isProved: true, isBehind: false, mayLackVersions: false }),
     onStaleConfiguration: () => undefined,
     quota: { charge: () => ({ kind: 'charged', charge: { refund: () => undefined } }) },
   });
--- a/packages/routing/__tests__/configurationProof.test.ts
+++ b/packages/routing/__tests__/configurationProof.test.ts
@@ -286,6 +286,20 @@
   });
 });
 
+test('after a restore versions may be missing for ten seconds, or until one is written', (t) => {
+  // Callers with a key of such a version would otherwise get a final refusal; without a bound, no other caller would.
+  withPair(laterEra, ({ follower, router, clock }) => {
+    t.false(follower.mayLackVersions());
+    [follower, router].forEach((proof) => proof.noteEraChanged());
+    clock.tick(9_999);
+    t.true(follower.mayLackVersions());
+    router.noteWrittenAgain();
+    t.false(router.mayLackVersions());
+    clock.tick(1);
+    t.false(follower.mayLackVersions());
+  });
+});
+
 test('a router that is still in an earlier era, or has an older configuration, proves nothing to others', (t) => {
   const positions = { follower: storePosition(0, 9), router: storePosition(1, 3) };
   withPair(positions, ({ follower, router, deliver }) => {
--- a/packages/routing/__tests__/workspaceAccess.test.ts
+++ b/packages/routing/__tests__/workspaceAccess.test.ts
@@ -22,7 +22,11 @@
   allowsResume: false,
   targets: [],
 };
-const fresh: ConfigurationFreshness = { isProved: true, isBehind: false };
+const fresh: ConfigurationFreshness = {
+  isProved: true,
+  isBehind: false,
+  mayLackVersions: false,
+};
 const known: Credential = { kind: 'key', digest: 'd1' };
 const unknown: Credential = { kind: 'key', digest: 'd9' };
 const bonds: Workspace = { name: 'bonds', keyDigests: ['d1', 'd2'] };
@@ -50,7 +54,7 @@
 
 test('without a proof that the configuration is complete, keys are neither accepted nor finally refused', (t) => {
   // The key may have been revoked, or issued, in a configuration that this router has not seen.
-  const freshness = { isProved: false, isBehind: false };
+  const freshness = { ...fresh, isProved: false };
   [known, unknown].forEach((credential) =>
     t.like(decide(credential, { freshness }), {
       refusal: { kind: 'not-run', reason: 'stale-configuration' },
@@ -59,14 +63,22 @@
 });
 
 test('an unknown key may be part of a newer configuration', (t) => {
-  const freshness = { isProved: true, isBehind: true };
+  const freshness = { ...fresh, isBehind: true };
   t.like(decide(unknown, { freshness }), { refusal: { reason: 'stale-configuration' } });
   t.like(decide(known, { freshness }), { kind: 'granted' });
 });
 
+test('an unknown key may be part of a version that a restored store has lost', (t) => {
+  const freshness = { ...fresh, mayLackVersions: true };
+  const refusal = { kind: 'not-run', reason: 'restored-store', retryAfterMs: 1_000 };
+  t.like(decide(unknown, { freshness }), { refusal });
+  t.like(decide(known, { freshness }), { kind: 'granted' });
+  t.like(decide({ kind: 'none' }, { freshness }), { refusal: { kind: 'unknown-key' } });
+});
+
 test('a route that needs no key is open even without a proof', (t) => {
   const open = { ...route, allowsAnonymous: true };
-  const freshness = { isProved: false, isBehind: false };
+  const freshness = { ...fresh, isProved: false };
   t.deepEqual(decide({ kind: 'none' }, { route: open, freshness }), {
     kind: 'granted',
     workspace: undefined,
--- a/packages/routing/scripts/accessCost.ts
+++ b/packages/routing/scripts/accessCost.ts
@@ -61,7 +61,7 @@
     table,
     route: undefined,
     credential: { kind: 'key', digest: digestOfKey(key) },
-    freshness: { isProved: true, isBehind: false },
+    freshness: { isProved: true, isBehind: false, mayLackVersions: false },
   });
   if (access.kind === 'granted' && access.workspace !== undefined) {
     sharedQuota.take(access.workspace.name, tokens, nowMs);
--- a/packages/routing/src/configurationProof.ts
+++ b/packages/routing/src/configurationProof.ts
@@ -24,6 +24,7 @@
   createBackgroundLoop,
   delay,
   earlierBy,
+  monotonicNowMs,
   readClocks,
   type BackgroundLoop,
   type ClockReading,
@@ -56,6 +57,13 @@
   noteProved(startedAt: ClockReading, shownVersion: number): void;
   /** The platform was restored from a backup: earlier proofs are no longer passed on to other routers. */
   noteEraChanged(): void;
+  /**
+   * Whether the platform was restored so short a time ago that it may lack versions of the configuration that no router
+   * has seen: a version may have been written while all routers were cut off, and lost with the restore.
+   */
+  mayLackVersions(): boolean;
+  /** A newer configuration than any before was written since the restore: its operator has written again. */
+  noteWrittenAgain(): void;
   /** Sets whether the newest configuration is unusable, so that nothing proves the one in force to be current. */
   setUnusable(isUnusable: boolean): void;
   /** Age of the newest proof; infinite without one. */
@@ -73,6 +81,8 @@
 const questionNumberRange = 2 ** 48;
 /** The first question is normally answered well within this time. */
 const firstAnswerWaitMs = 1_500;
+/** Time for operators to write again what a restored platform has lost; the server directory allows as much. */
+const rewriteMs = 10_000;
 
 export function createConfigurationProof(options: ConfigurationProofOptions): ConfigurationProof {
   const { random = Math.random } = options;
@@ -81,6 +91,7 @@
   /** Time of this process's own last proof: only that is passed on, so that its stated age is always correct. */
   let ownProvedAt: ClockReading | undefined;
   let lastAskedAt: ClockReading | undefined;
+  let restoredAtMs = -Infinity;
   let isUnusable = false;
   /** The configuration in force here; version 0 before the first. */
   let configuration = { version: 0, inForceSince: readClocks() };
@@ -225,7 +236,12 @@
     },
     noteEraChanged() {
       ownProvedAt = undefined;
+      restoredAtMs = monotonicNowMs();
+    },
+    noteWrittenAgain() {
+      restoredAtMs = -Infinity;
     },
+    mayLackVersions: () => monotonicNowMs() - restoredAtMs < rewriteMs,
     ageMs: () => (provedAt === undefined || !canProve() ? Infinity : ageMsOf(provedAt)),
     receive(message) {
       if (message.kind === 'question') {
--- a/packages/routing/src/model.ts
+++ b/packages/routing/src/model.ts
@@ -203,5 +203,7 @@
   overloaded: 'overloaded',
   /** The router's configuration may be outdated: keys may have been revoked that it still accepts. */
   staleConfiguration: 'stale-configuration',
+  /** The key is unknown, but the store was just restored: versions that its backup lacks may be written again. */
+  restoredStore: 'restored-store',
 } as const;
 export type NotRunReason = (typeof notRunReasons)[keyof typeof notRunReasons];
--- a/packages/routing/src/workspaceAccess.ts
+++ b/packages/routing/src/workspaceAccess.ts
@@ -12,6 +12,8 @@
   isProved: boolean;
   /** Another router has seen a newer configuration, which has not arrived here yet. */
   isBehind: boolean;
+  /** The store was restored from a backup a short time ago, and may lack versions that no router has seen. */
+  mayLackVersions: boolean;
 }
 
 export interface AccessQuery {
@@ -30,6 +32,8 @@
  * About the duration of one call to the store. Callers may try another router at once, so a longer wait is not needed.
  */
 const staleRetryAfterMs = 200;
+/** An operator notices a restore and writes again within seconds; no router can serve the key sooner. */
+const restoredRetryAfterMs = 1_000;
 
 export function decideAccess({ table, route, credential, freshness }: AccessQuery): AccessDecision {
   if (table.configuration.workspaces === undefined) {
@@ -42,12 +46,19 @@
   // Otherwise a revoked key would still be accepted, or a newly issued one refused with a final error.
   if (!freshness.isProved || (workspace === undefined && freshness.isBehind)) {
     const reason = notRunReasons.staleConfiguration;
-    return {
-      kind: 'refused',
-      refusal: { kind: 'not-run', reason, retryAfterMs: staleRetryAfterMs },
-    };
+    return refuse({ kind: 'not-run', reason, retryAfterMs: staleRetryAfterMs });
   }
-  return workspace === undefined
-    ? { kind: 'refused', refusal: { kind: 'unknown-key' } }
-    : { kind: 'granted', workspace };
+  if (workspace !== undefined) {
+    return { kind: 'granted', workspace };
+  }
+  // Requests without a readable key are refused whatever the missing versions hold.
+  if (credential.kind === 'key' && freshness.mayLackVersions) {
+    const reason = notRunReasons.restoredStore;
+    return refuse({ kind: 'not-run', reason, retryAfterMs: restoredRetryAfterMs });
+  }
+  return refuse({ kind: 'unknown-key' });
+}
+
+function refuse(refusal: Refusal): AccessDecision {
+  return { kind: 'refused', refusal };
 }
