Log and count the longest pause of each stream and its cause

Most late streams of uneven engines are late because of a pause between events, but neither the log nor a metric told a stream's longest pause, the engine where it was, or whether a prompt was prefilled there meanwhile. The line `request ended` now has them, with the streams on that engine and the median time between events; bluebell_stream_longest_pause_seconds and bluebell_late_streams_total count them by class and cause.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,3 +1,11 @@
+export {
+  createEventPauses,
+  lateCause,
+  lateCauses,
+  type EventPauses,
+  type LateCause,
+  type LongestPause,
+} from './eventPauses';
 export { createEventSize, type EventSize, type ReportedRun } from './eventSize';
 export { chooseRelays, type RelayChoiceOptions } from './relayChoice';
 export {
--- a/packages/routing/__tests__/engineLoads.test.ts
+++ b/packages/routing/__tests__/engineLoads.test.ts
@@ -110,3 +110,29 @@
     }
   },
 );
+
+test.serial(
+  'a pause is explained by a local prefill that ended within it, here or at a peer',
+  (t) => {
+    const clock = FakeTimers.install({ toFake: ['performance'] });
+    try {
+      const loads = createEngineLoads();
+      clock.tick(100);
+      t.false(loads.hadLocalPrefillSince('e', 0));
+      const endOwn = loads.beginLocalPrefill('e');
+      t.true(loads.hadLocalPrefillSince('e', 100));
+      endOwn();
+      t.true(loads.hadLocalPrefillSince('e', 50));
+      t.false(loads.hadLocalPrefillSince('e', 100));
+      loads.setPeerUse('p', [peerUse({ ownPrompts: 1 })], false);
+      clock.tick(100);
+      t.true(loads.hadLocalPrefillSince('e', 200));
+      loads.setPeerUse('p', [], true);
+      t.true(loads.hadLocalPrefillSince('e', 150));
+      t.false(loads.hadLocalPrefillSince('e', 200));
+      t.is(loads.streamCount('e'), 0);
+    } finally {
+      clock.uninstall();
+    }
+  },
+);
--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/engineLoads.ts
@@ -22,8 +22,12 @@
   beginPrefill(serverId: string, tokens: number): () => void;
   /** Counts a prompt that a decode engine prefills itself; call the result when its first event has arrived. */
   beginLocalPrefill(serverId: string): () => void;
+  /** Streams that this router and its peers have on a decode engine, including those not yet started. */
+  streamCount(serverId: string): number;
   /** Local prefills in progress on a decode engine, of this router and its peers. */
   localPrefillCount(serverId: string): number;
+  /** Whether a local prefill was in progress on a decode engine after this time. */
+  hadLocalPrefillSince(serverId: string, sinceMs: number): boolean;
   /** The engine has just rejected a reservation of this many tokens. */
   noteFull(serverId: string, tokens: number): void;
   /** Forecasts the engine's memory; `capacityTokens` is used until the engine has reported its own. */
@@ -76,6 +80,8 @@
   own: Omit<Use, 'streams'>;
   ownStreams: Set<StreamEstimate>;
   peers: Map<string, PeerUse>;
+  /** When a local prefill last ended, of this router or a peer. */
+  localPrefillEndedAtMs: number;
   /** Recent changes of memory use that the last report may not include. */
   changes: UsageChange[];
   lastRejection?: { tokens: number; untilMs: number };
@@ -119,6 +125,7 @@
       own: { prefillTokens: 0, ownPrompts: 0, isSilent: false },
       ownStreams: new Set(),
       peers: new Map(),
+      localPrefillEndedAtMs: -Infinity,
       changes: [],
     };
     engines.set(serverId, state);
@@ -140,6 +147,9 @@
     const state = stateOf(serverId);
     const apply = (signed: number) => {
       state.own[name] += signed;
+      if (name === 'ownPrompts' && signed < 0) {
+        state.localPrefillEndedAtMs = monotonicNowMs();
+      }
       onOwnUseChange(serverId);
     };
     apply(amount);
@@ -217,6 +227,9 @@
     const state = stateOf(serverId);
     const known = state.peers.get(peerAddress) ?? { ...emptyUse(), receivedAtMs: -Infinity };
     recordChange(state, promptTokensOf(use) - promptTokensOf(known));
+    if (use.ownPrompts < known.ownPrompts) {
+      state.localPrefillEndedAtMs = monotonicNowMs();
+    }
     if (isEmptyUse(use)) {
       state.peers.delete(peerAddress);
     } else {
@@ -256,7 +269,18 @@
     place,
     beginPrefill: (serverId, tokens) => add(serverId, 'prefillTokens', tokens),
     beginLocalPrefill: (serverId) => add(serverId, 'ownPrompts', 1),
+    streamCount(serverId) {
+      const { ownStreams, peers } = stateOf(serverId);
+      return [...peers.values()].reduce(
+        (sum, { streams }) => sum + streams.length,
+        ownStreams.size,
+      );
+    },
     localPrefillCount: (serverId) => totalOf(stateOf(serverId), 'ownPrompts'),
+    hadLocalPrefillSince(serverId, sinceMs) {
+      const state = stateOf(serverId);
+      return totalOf(state, 'ownPrompts') > 0 || state.localPrefillEndedAtMs > sinceMs;
+    },
     noteFull(serverId, tokens) {
       stateOf(serverId).lastRejection = { tokens, untilMs: monotonicNowMs() + rejectionLifetimeMs };
     },
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -1,4 +1,5 @@
 /** Routes a caller's request, serves it to its final response or refusal, and records its outcome in one log line. */
+import { lateCause } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { DecisionRing } from '@bluebellhitch/telemetry';
 import type { ResponseWriter, CallerExchange, CompleteResponse } from './callerApi';
@@ -16,6 +17,7 @@
 import { createRequestState, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 import { chooseTarget, type RouteTable } from './routeTable';
+import type { RelayPauses } from './streamRelay';
 import { serveStream } from './streamRequest';
 import { decideAccess, type ConfigurationFreshness } from './workspaceAccess';
 
@@ -163,6 +165,20 @@
   return refusal.kind === 'not-run' ? refusal.reason : refusal.kind;
 }
 
+function pauseFields(pauses: RelayPauses | undefined): Record<string, unknown> {
+  const { longest, medianMs } = pauses ?? {};
+  return longest === undefined
+    ? {}
+    : {
+        pauseMs: Math.round(longest.durationMs),
+        pauseEvent: longest.eventNumber,
+        pauseEngine: longest.context.serverId,
+        pauseStreams: longest.context.streamCount,
+        pauseLocalPrefill: longest.context.hadLocalPrefill,
+        medianPauseMs: medianMs === undefined ? undefined : Math.round(medianMs),
+      };
+}
+
 interface RequestLabels {
   route: Route;
   service: string;
@@ -218,6 +234,16 @@
     },
   };
 
+  function reportPauses({ longest }: RelayPauses): void {
+    const streamLabels = { service, class: route.name };
+    const longestPauseMs = longest?.durationMs ?? 0;
+    metrics.observeLongestPause(streamLabels, longestPauseMs);
+    const cause = lateCause({ firstEventMs: firstByteMs ?? 0, longestPauseMs }, route);
+    if (cause !== undefined) {
+      metrics.countLateStream(streamLabels, cause);
+    }
+  }
+
   function report(state: RequestState, configurationVersion: number): void {
     const durationMs = monotonicNowMs() - arrivedAtMs;
     metrics.countRequest(labels, outcome);
@@ -225,6 +251,9 @@
     if (workspace !== undefined) {
       metrics.observeWorkspaceRequest(workspace.name, outcome, firstByteMs);
     }
+    if (state.pauses !== undefined && outcome.startsWith('answered-2')) {
+      reportPauses(state.pauses);
+    }
     logger.info('request ended', {
       requestId: state.request.id,
       route: route.name,
@@ -236,6 +265,7 @@
       leftMs: Math.round(state.endsAtMs - monotonicNowMs()),
       furtherAttempts: state.furtherAttemptCount,
       promptTokens: state.request.prompt?.promptTokens,
+      ...pauseFields(state.pauses),
       trail: state.trail.map(({ atMs, detail }) => `${atMs}ms ${detail}`).join('; '),
       configurationVersion,
     });
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -2,6 +2,7 @@
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { CallerExchange } from './callerApi';
 import type { CallerRequest, Refusal, Route, ServiceSettings } from './model';
+import type { RelayPauses } from './streamRelay';
 
 /** Timers that are set for the same moment fire within this time of each other. */
 const timerToleranceMs = 2;
@@ -33,6 +34,8 @@
   failedServerIds: Set<string>;
   /** The server that still has the prompt in its cache, from a run that broke. */
   cachedAtServerId?: string;
+  /** Pauses of the stream that was relayed, for the log and the metrics. */
+  pauses?: RelayPauses;
   /** Steps of the request in order, for the log. */
   trail: TrailStep[];
 }
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of the router in the Prometheus format. Latency histograms are per service and route kind. */
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
+import type { LateCause } from '@bluebellhitch/decisions';
 import type { RenderedMetrics } from '@bluebellhitch/telemetry';
 import type { RouteKind } from './model';
 
@@ -8,6 +9,12 @@
   kind: RouteKind;
 }
 
+export interface StreamLabels {
+  service: string;
+  /** Name of the route. */
+  class: string;
+}
+
 export interface RouterMetrics extends RenderedMetrics {
   countRequest(labels: RequestLabels, outcome: string): void;
   observeFirstByte(labels: RequestLabels, durationMs: number): void;
@@ -15,6 +22,10 @@
   observePlacement(service: string, durationMs: number): void;
   /** Ratio of the expected to the actual output tokens of a stream that has ended. */
   observeLengthForecast(service: string, ratio: number): void;
+  /** Longest pause between two events of a stream whose response is complete. */
+  observeLongestPause(labels: StreamLabels, durationMs: number): void;
+  /** Counts streams with a complete response that missed a target of their route. */
+  countLateStream(labels: StreamLabels, cause: LateCause): void;
   countFurtherAttempt(service: string, cause: string): void;
   /** Counts further attempts that the budget of the service refused. */
   countRefusedAttempt(service: string, cause: string): void;
@@ -45,12 +56,16 @@
 const msPerSecond = 1000;
 const ratioBuckets = [0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 4];
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.62, 0.9, 1.5, 3, 6, 15, 60];
+/** Targets for pauses lie between some 100 ms and some seconds. */
+const pauseBuckets = [0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.6, 1, 2, 5];
 /** With prom-client's default of 10 ms, the monitor's timer causes most of the work of an idle process. */
 const eventLoopPrecisionMs = 100;
 
 /** Maximum number of workspaces with time series of their own. Others share one, which bounds the memory used. */
 const maxWorkspaceLabels = 100;
-const otherWorkspacesLabel = 'other';
+/** The same for the classes of streams: a configuration may have thousands of routes. */
+const maxClassLabels = 20;
+const otherLabel = 'other';
 
 export interface RouterMetricsOptions {
   /** Returns the number of log lines that could not be written so far. */
@@ -97,6 +112,20 @@
     buckets: ratioBuckets,
     registers,
   });
+  const classLabel = createLabelLimiter(maxClassLabels);
+  const limitClass = (labels: StreamLabels) => ({ ...labels, class: classLabel(labels.class) });
+  const longestPauses = new Histogram({
+    name: 'bluebell_stream_longest_pause_seconds',
+    help: 'Longest pause between two events of each complete stream, by class.',
+    labelNames: ['service', 'class'],
+    buckets: pauseBuckets,
+    registers,
+  });
+  const lateStreams = counter(
+    'bluebell_late_streams_total',
+    'Complete streams that missed a target of their route, by class and cause.',
+    ['service', 'class', 'cause'],
+  );
   const furtherAttempts = counter(
     'bluebell_further_attempts_total',
     'Attempts beyond the first by cause.',
@@ -176,6 +205,9 @@
     observePlacement: (service, durationMs) =>
       placements.observe({ service }, durationMs / msPerSecond),
     observeLengthForecast: (service, ratio) => lengthForecasts.observe({ service }, ratio),
+    observeLongestPause: (labels, durationMs) =>
+      longestPauses.observe(limitClass(labels), durationMs / msPerSecond),
+    countLateStream: (labels, cause) => lateStreams.inc({ ...limitClass(labels), cause }),
     countFurtherAttempt: (service, cause) => furtherAttempts.inc({ service, cause }),
     countRefusedAttempt: (service, cause) => refusedAttempts.inc({ service, cause }),
     countPrefillTokens: (tokens) => prefillTokens.inc(tokens),
@@ -210,6 +242,6 @@
     if (knownNames.size < maxLabels) {
       knownNames.add(name);
     }
-    return knownNames.has(name) ? name : otherWorkspacesLabel;
+    return knownNames.has(name) ? name : otherLabel;
   };
 }
--- a/packages/routing/src/streamRelay.ts
+++ b/packages/routing/src/streamRelay.ts
@@ -2,6 +2,7 @@
  * Relays a stream's events to the caller, complete and in order. The response begins with the first event, so that a
  * run that breaks earlier can still be refused or retried on another server.
  */
+import { createEventPauses, type LongestPause } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { BackendResponse } from './backendApi';
 import type { ResponseWriter } from './callerApi';
@@ -12,9 +13,31 @@
 
 export type RelayOutcome = { kind: 'whole' } | { kind: 'broken'; detail: string };
 
+/** State of a run's engine during a pause between two events. */
+export interface RunContext {
+  serverId: string;
+  /** Streams that are known to run on the engine, of all routers. */
+  streamCount: number;
+  /** Whether a prompt was prefilled there meanwhile, by any router, as far as known. */
+  hadLocalPrefill: boolean;
+}
+
+export interface RelayedRun {
+  response: BackendResponse;
+  /** Called for each chunk received. */
+  onProgress(): void;
+  contextSince(sinceMs: number): RunContext;
+}
+
+/** Pauses of the whole response, across its runs. */
+export interface RelayPauses {
+  longest?: LongestPause<RunContext>;
+  medianMs?: number;
+}
+
 export interface StreamRelay {
-  /** Relays one run's response to its end; `onProgress` is called for each chunk received. */
-  relay(response: BackendResponse, onProgress: () => void): Promise<RelayOutcome>;
+  /** Relays one run's response to its end. */
+  relay(run: RelayedRun): Promise<RelayOutcome>;
   hasStarted(): boolean;
   /** The listener is called once, when the next event arrives. */
   onFirstEvent(listener: () => void): void;
@@ -22,6 +45,7 @@
   eventCount(): number;
   /** Time from the first event that was relayed to the last. */
   eventsDurationMs(): number;
+  pauses(): RelayPauses;
   /** Id of the last event that the caller has received. */
   lastEventId(): number | undefined;
   /** Aborts the response, so that the caller detects that it is incomplete. */
@@ -36,17 +60,17 @@
   let onNextEvent: () => void = () => undefined;
   let lastId = state.request.lastEventId;
   let eventCount = state.request.lastEventId ?? 0;
+  const pauses = createEventPauses<RunContext>();
   let firstEventAtMs: number | undefined;
   let lastEventAtMs = 0;
 
-  async function relay(response: BackendResponse, onProgress: () => void): Promise<RelayOutcome> {
+  async function relay(run: RelayedRun): Promise<RelayOutcome> {
+    const { response } = run;
     if (!response.isSealed) {
       await drainBody(response.body);
       return { kind: 'broken', detail: `unsealed answer ${response.status}` };
     }
-    return response.status === okStatus
-      ? relayEvents(response, onProgress)
-      : relayFailure(response);
+    return response.status === okStatus ? relayEvents(run) : relayFailure(response);
   }
 
   async function relayFailure(response: BackendResponse): Promise<RelayOutcome> {
@@ -59,14 +83,15 @@
     return { kind: 'whole' };
   }
 
-  function relayEvents(response: BackendResponse, onProgress: () => void): Promise<RelayOutcome> {
+  function relayEvents(run: RelayedRun): Promise<RelayOutcome> {
+    const { response, onProgress } = run;
     const splitter = createEventSplitter();
     return new Promise((resolve) => {
       response.body.read({
         onData(chunk) {
           const newEvents = splitter.push(chunk).filter(isNewEvent);
           if (newEvents.length > 0) {
-            forward(response, newEvents);
+            forward(run, newEvents);
           }
           onProgress();
         },
@@ -89,13 +114,14 @@
     return id === undefined || lastId === undefined || id > lastId;
   }
 
-  function forward(response: BackendResponse, events: readonly StreamEvent[]): void {
+  function forward({ response, contextSince }: RelayedRun, events: readonly StreamEvent[]): void {
     onNextEvent();
     onNextEvent = () => undefined;
     writer ??= exchange.startResponse(response.status, response.headers);
     eventCount += events.length;
     lastEventAtMs = monotonicNowMs();
     firstEventAtMs ??= lastEventAtMs;
+    pauses.note(events.length, lastEventAtMs, contextSince);
     lastId = events.at(-1)?.id ?? lastId;
     const bytes = Buffer.concat(events.map((event) => event.bytes));
     writeOrPause(writer, bytes, response.body);
@@ -109,6 +135,7 @@
     },
     eventCount: () => eventCount,
     eventsDurationMs: () => lastEventAtMs - (firstEventAtMs ?? lastEventAtMs),
+    pauses: () => ({ longest: pauses.longest(), medianMs: pauses.medianMs() }),
     lastEventId: () => lastId,
     abort: () => writer?.abort(),
   };
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -30,6 +30,7 @@
     noteStep(state, outcome.kind === 'broken' ? `broken: ${outcome.detail}` : outcome.kind);
     mayContinue = round < maxRounds && mayRetry(state, outcome, deps);
   }
+  state.pauses = relay.pauses();
   finish(state, relay, outcome);
 }
 
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -14,7 +14,7 @@
 import { startStallWatch, type StallWatch } from './stallWatch';
 import { noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
-import type { StreamRelay } from './streamRelay';
+import type { RunContext, StreamRelay } from './streamRelay';
 
 export type RunOutcome =
   /** The caller has its final response. */
@@ -226,9 +226,13 @@
     return { kind: 'broken', detail: outcome.detail };
   }
   noteStep(state, `decode ${server.id} ${outcome.value.status}`);
-  const relayed = await relay.relay(outcome.value, () => {
-    watch.noteProgress();
-    stream.noteEmitted(deps.streamSizes.emittedTokens(relay.eventCount()));
+  const relayed = await relay.relay({
+    response: outcome.value,
+    onProgress() {
+      watch.noteProgress();
+      stream.noteEmitted(deps.streamSizes.emittedTokens(relay.eventCount()));
+    },
+    contextSince: (sinceMs) => contextSince(run, server.id, sinceMs),
   });
   if (relayed.kind === 'whole') {
     noteOutputLength(run);
@@ -239,6 +243,15 @@
   return { kind: 'broken', detail: relayed.detail };
 }
 
+function contextSince({ deps }: StreamRun, serverId: string, sinceMs: number): RunContext {
+  const { engineLoads } = deps;
+  return {
+    serverId,
+    streamCount: engineLoads.streamCount(serverId),
+    hadLocalPrefill: engineLoads.hadLocalPrefillSince(serverId, sinceMs),
+  };
+}
+
 function noteOutputLength({ state, deps, relay, size }: StreamRun): void {
   const { streamSizes, metrics } = deps;
   const className = state.route.name;
