--- a/packages/decisions/__tests__/urgency.test.ts
+++ b/packages/decisions/__tests__/urgency.test.ts
@@ -2,7 +2,6 @@
 import {
   compareUrgency,
   createOvertaking,
-  createUrgencyLevels,
   type Overtaking,
   type WaitingUrgency,
 } from '@bluebellhitch/decisions';
@@ -128,28 +127,3 @@
   );
   t.deepEqual(sorted, [resumed, urgent, late]);
 });
-
-test('engines are told nothing if all requests have the same priority', (t) => {
-  const { levelOf } = createUrgencyLevels([2, 2, 2]);
-  t.is(levelOf(2), undefined);
-  t.is(levelOf(0), undefined);
-});
-
-test('levels stay within 0 to 9 in the order of any number of priorities', (t) => {
-  [2, 3, 5, 10, 40].forEach((count) => {
-    const priorities = Array.from({ length: count }, (_none, index) => index * 3 - 7);
-    const { levelOf } = createUrgencyLevels(priorities);
-    const levels = priorities.map((priority) => levelOf(priority) ?? -1);
-    t.true(levels.every((level) => Number.isInteger(level) && level >= 0 && level <= 9));
-    t.deepEqual(
-      levels,
-      [...levels].sort((left, right) => left - right),
-    );
-    t.is(new Set(levels).size, Math.min(count, 10));
-  });
-});
-
-test('a priority that a configuration change removed takes the level of the next', (t) => {
-  const { levelOf } = createUrgencyLevels([0, 2, 4]);
-  t.deepEqual([-1, 0, 1, 2, 3, 4, 9].map(levelOf), [0, 0, 3, 3, 6, 6, 6]);
-});
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -175,15 +175,7 @@
   type WaitingItem,
   type WeightedFairOrder,
 } from './weightedFairOrder';
-export {
-  compareUrgency,
-  createOvertaking,
-  createUrgencyLevels,
-  noLevels,
-  type Overtaking,
-  type UrgencyLevels,
-  type WaitingUrgency,
-} from './urgency';
+export { compareUrgency, createOvertaking, type Overtaking, type WaitingUrgency } from './urgency';
 export { workerNeeds, type CandidateInstance, type WorkerNeed } from './workerPools';
 export {
   leaseStates,
--- a/packages/decisions/src/urgency.ts
+++ b/packages/decisions/src/urgency.ts
@@ -1,6 +1,5 @@
 /**
- * The order of urgency of one service's requests: which waiting request is tried first, and the level that its engine
- * is told.
+ * The order of urgency of one service's requests: which waiting request is tried first.
  *
  * Streams that have started come first, then requests that can still meet their target, by priority and by arrival.
  * Under a standing overload of urgent requests, the others would only ever wait until they are late. So one that has
@@ -32,8 +31,6 @@
   notePlaced(request: Request): boolean;
 }
 
-/** Engines know the levels from 0, the most urgent, to 9. */
-const levelCount = 10;
 /** Share of the time until its latest start after which a request may overtake; the rest is a margin for its turn. */
 const ageingShare = 0.5;
 /** Of so many placements one may be out of order, so that urgent requests keep most of the capacity. */
@@ -93,31 +90,3 @@
     },
   };
 }
-
-/** Translates priorities into the levels that engines know. */
-export interface UrgencyLevels {
-  /** Undefined if all requests of the service have the same priority: the engine then treats them alike. */
-  levelOf(priority: number): number | undefined;
-}
-
-export const noLevels: UrgencyLevels = { levelOf: () => undefined };
-
-/**
- * Creates the levels for the priorities that a service's requests can have. More than ten priorities share levels with
- * their neighbours.
- */
-export function createUrgencyLevels(priorities: readonly number[]): UrgencyLevels {
-  const ranked = [...new Set(priorities)].sort((left, right) => left - right);
-  if (ranked.length < 2) {
-    return noLevels;
-  }
-  /** The rank of the given priority, or of the next less urgent one if a configuration change removed it. */
-  function rankOf(priority: number): number {
-    const rank = ranked.findIndex((known) => known >= priority);
-    return rank < 0 ? ranked.length - 1 : rank;
-  }
-
-  return {
-    levelOf: (priority) => Math.floor((rankOf(priority) * levelCount) / ranked.length),
-  };
-}
--- a/packages/replay/src/engineFleet.ts
+++ b/packages/replay/src/engineFleet.ts
@@ -9,8 +9,6 @@
   /** Output tokens of a request, which neither router nor caller knows in advance. */
   outputTokensOf(requestId: string): number;
   tokensPerEvent: number;
-  /** Whether the engines learn the requests' urgency. */
-  knowsUrgency: boolean;
 }
 
 export interface ReservationCounts {
@@ -34,7 +32,7 @@
 const rejected: CallOutcome<never> = { kind: 'not-run', cause: { kind: 'rejected', status: 503 } };
 
 export function createEngineFleet(options: EngineFleetOptions): EngineFleet {
-  const { engines, outputTokensOf, tokensPerEvent, knowsUrgency } = options;
+  const { engines, outputTokensOf, tokensPerEvent } = options;
   const reservations: ReservationCounts = { asked: 0, turnedAway: 0 };
 
   function findReachable(server: { name: string; id: string }): EngineModel | undefined {
@@ -60,7 +58,7 @@
       return { kind: 'done', value: { id, server, tokens } };
     },
     releaseReservation: ({ id, server }) => findReachable(server)?.dropReservation(id),
-    async prefill(server, request, { signal, timeoutMs, urgencyLevel }) {
+    async prefill(server, request, { signal, timeoutMs }) {
       await delay(oneWayDelayMs);
       const engine = findReachable(server);
       if (engine === undefined) {
@@ -70,11 +68,7 @@
       const timer = setTimeout(() => timeout.abort(), timeoutMs);
       const anySignal = AbortSignal.any([signal, timeout.signal]);
       const promptTokens = request.prompt?.promptTokens ?? 1;
-      const handle = await engine.prefill(
-        promptTokens,
-        anySignal,
-        knowsUrgency ? urgencyLevel : undefined,
-      );
+      const handle = await engine.prefill(promptTokens, anySignal);
       clearTimeout(timer);
       await delay(oneWayDelayMs);
       return handle === undefined
@@ -82,8 +76,7 @@
         : { kind: 'done', value: { handle, server, tokens: promptTokens } };
     },
     releasePrefill: ({ handle, server }) => findReachable(server)?.discardPrefill(handle),
-    async run(server, request, runOptions) {
-      const { signal, reservation, prefill, urgencyLevel, lastEventId = 0 } = runOptions;
+    async run(server, request, { signal, reservation, prefill, lastEventId = 0 }) {
       await delay(oneWayDelayMs);
       const engine = findReachable(server);
       if (engine === undefined) {
@@ -102,7 +95,6 @@
         emittedTokens: lastEventId * tokensPerEvent,
         reservationId: reservation?.id,
         hasPrompt: prefill !== undefined,
-        urgencyLevel: knowsUrgency ? urgencyLevel : undefined,
         signal,
       });
       return run === undefined ? rejected : { kind: 'done', value: createResponse(run) };
--- a/packages/replay/src/engineModel.ts
+++ b/packages/replay/src/engineModel.ts
@@ -16,7 +16,6 @@
   type EngineLoad,
 } from '@bluebellhitch/routing';
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import { createSequence } from './engineSequence';
 import type { EngineShape } from './pattern';
 
 /** One run of a request at an engine. */
@@ -29,7 +28,6 @@
   reservationId?: string;
   /** The prompt was prefilled at another engine and its memory has been transferred. */
   hasPrompt: boolean;
-  urgencyLevel?: number;
   signal: AbortSignal;
 }
 
@@ -46,11 +44,7 @@
   reserve(tokens: number, lifetimeMs: number): string | undefined;
   dropReservation(id: string): void;
   /** Resolves with a handle, or undefined if the engine crashed or the signal was aborted. */
-  prefill(
-    promptTokens: number,
-    signal: AbortSignal,
-    urgencyLevel?: number,
-  ): Promise<string | undefined>;
+  prefill(promptTokens: number, signal: AbortSignal): Promise<string | undefined>;
   /** Transfers the prompt's memory and frees it here; false if it has expired. */
   consumePrefill(handle: string): boolean;
   discardPrefill(handle: string): void;
@@ -171,6 +165,26 @@
     }
   }
 
+  function createSequence(requestId: string, promptTokens: number): Sequence {
+    return {
+      attemptId: requestId,
+      kind: 'decode',
+      priority: 5,
+      prompt: '',
+      promptTokens,
+      heldKvBytes: 0,
+      contextReady: false,
+      offset: 0,
+      endOffset: 0,
+      onStart: (contextTokens) => contextTokens,
+      onPrefillTokens: () => undefined,
+      onContextReady: () => undefined,
+      onToken: () => undefined,
+      onFinished: () => undefined,
+      onPreempted: () => undefined,
+    };
+  }
+
   function endSequence(sequence: Sequence): void {
     scheduler.remove(sequence);
     ledger.free(sequence.heldKvBytes);
@@ -178,17 +192,10 @@
     scheduler.wake();
   }
 
-  function prefill(
-    promptTokens: number,
-    signal: AbortSignal,
-    urgencyLevel?: number,
-  ): Promise<string | undefined> {
+  function prefill(promptTokens: number, signal: AbortSignal): Promise<string | undefined> {
     idCount += 1;
     const handle = `${name}-${incarnation}-${idCount}`;
-    const sequence: Sequence = {
-      ...createSequence(handle, promptTokens, urgencyLevel),
-      kind: 'prefill',
-    };
+    const sequence: Sequence = { ...createSequence(handle, promptTokens), kind: 'prefill' };
     return new Promise((resolve) => {
       const cancel = () => {
         abortHandlers.delete(cancel);
@@ -227,7 +234,7 @@
   function run(modelRun: ModelRun): ReturnType<EngineModel['run']> {
     const { reservationId = '', promptTokens, emittedTokens } = modelRun;
     releaseReservation(reservationId);
-    const sequence = createSequence(modelRun.requestId, promptTokens, modelRun.urgencyLevel);
+    const sequence = createSequence(modelRun.requestId, promptTokens);
     sequence.offset = emittedTokens;
     sequence.endOffset = modelRun.outputTokens;
     if (modelRun.hasPrompt) {
--- a/packages/replay/src/mechanisms.ts
+++ b/packages/replay/src/mechanisms.ts
@@ -23,8 +23,6 @@
   readingApart: 'reading-apart',
   /** Resumption of an interrupted stream at another engine. */
   resumption: 'resumption',
-  /** Priorities known to the engines; without them engines treat all requests alike. */
-  engineUrgency: 'engine-urgency',
 } as const;
 export type Mechanism = (typeof mechanisms)[keyof typeof mechanisms];
 
--- a/packages/replay/src/replayFigures.ts
+++ b/packages/replay/src/replayFigures.ts
@@ -12,8 +12,6 @@
 export interface ReplayFigures {
   asked: number;
   outcomes: Record<CallerOutcome, number>;
-  /** The same for each kind of request. */
-  outcomesByKind: Record<string, Record<CallerOutcome, number>>;
   preempted: number;
   readInVainTokens: number;
   /** Mean time until an attempt was refused; 0 without refusals. */
@@ -46,14 +44,14 @@
   engines: readonly EngineModel[],
   reservations: ReservationCounts,
 ): ReplayFigures {
-  const kindNames = [...new Set(ends.map(({ kindName }) => kindName))];
+  const outcomes = createOutcomeCounts();
+  ends.forEach(({ outcome }) => {
+    outcomes[outcome] += 1;
+  });
   const held = ends.flatMap(({ heldMs }) => heldMs);
   return {
     asked: ends.length,
-    outcomes: countOutcomes(ends),
-    outcomesByKind: Object.fromEntries(
-      kindNames.map((name) => [name, countOutcomes(ends.filter((end) => end.kindName === name))]),
-    ),
+    outcomes,
     preempted: sumOf(engines, ({ counts }) => counts.preempted),
     readInVainTokens: sumOf(engines, ({ counts }) => counts.readInVainTokens),
     heldMs: held.length === 0 ? 0 : sumOf(held, (ms) => ms) / held.length,
@@ -67,24 +65,6 @@
   };
 }
 
-function countOutcomes(ends: readonly CallerResult[]): Record<CallerOutcome, number> {
-  const outcomes = createOutcomeCounts();
-  ends.forEach(({ outcome }) => {
-    outcomes[outcome] += 1;
-  });
-  return outcomes;
-}
-
-function addOutcomes(all: readonly Record<CallerOutcome, number>[]): Record<CallerOutcome, number> {
-  const outcomes = createOutcomeCounts();
-  all.forEach((counts) => {
-    (Object.keys(outcomes) as CallerOutcome[]).forEach((outcome) => {
-      outcomes[outcome] += counts[outcome];
-    });
-  });
-  return outcomes;
-}
-
 /** Counts callers whose rank by prompt size within their kind, largest first, lies between two shares. */
 function countServed(ends: readonly CallerResult[], from: number, until: number): ServedCount {
   const kindNames = [...new Set(ends.map(({ kindName }) => kindName))];
@@ -107,17 +87,16 @@
 
 /** Sums figures; times become means over all refusals. */
 export function addFigures(all: readonly ReplayFigures[]): ReplayFigures {
-  const kindNames = [...new Set(all.flatMap((figures) => Object.keys(figures.outcomesByKind)))];
+  const outcomes = createOutcomeCounts();
+  all.forEach((figures) => {
+    (Object.keys(outcomes) as CallerOutcome[]).forEach((outcome) => {
+      outcomes[outcome] += figures.outcomes[outcome];
+    });
+  });
   const refusals = sumOf(all, (figures) => figures.refusals);
   return {
     asked: sumOf(all, ({ asked }) => asked),
-    outcomes: addOutcomes(all.map(({ outcomes }) => outcomes)),
-    outcomesByKind: Object.fromEntries(
-      kindNames.map((name) => [
-        name,
-        addOutcomes(all.flatMap(({ outcomesByKind }) => outcomesByKind[name] ?? [])),
-      ]),
-    ),
+    outcomes,
     preempted: sumOf(all, ({ preempted }) => preempted),
     readInVainTokens: sumOf(all, ({ readInVainTokens }) => readInVainTokens),
     heldMs: refusals === 0 ? 0 : sumOf(all, ({ heldMs, refusals: n }) => heldMs * n) / refusals,
--- a/packages/replay/src/replayRun.ts
+++ b/packages/replay/src/replayRun.ts
@@ -61,7 +61,6 @@
     engines,
     outputTokensOf: (requestId) => sizes.get(requestId)?.outputTokens ?? 1,
     tokensPerEvent: pattern.engines.tokensPerEvent,
-    knowsUrgency: !absentMechanisms.has(mechanisms.engineUrgency),
   });
   const configuration = createConfiguration(pattern, absentMechanisms);
   let routers = startRouters();
--- a/packages/routing/__tests__/routeTable.test.ts
+++ b/packages/routing/__tests__/routeTable.test.ts
@@ -55,29 +55,3 @@
   t.is(chooseTarget(targets, 0.91)?.serviceName, 'few');
   t.is(chooseTarget([], 0.5), undefined);
 });
-
-test('engines are told levels only where the requests of their service differ in priority', (t) => {
-  const services = ['same', 'mixed', 'workspaces'];
-  const routes = [
-    route({ priority: 1, targets: [{ serviceName: 'same', weight: 1 }] }),
-    route({ priority: 1, targets: [{ serviceName: 'mixed', weight: 1 }] }),
-    route({ priority: 2, targets: [{ serviceName: 'mixed', weight: 1 }] }),
-    route({ priority: 3, targets: [{ serviceName: 'workspaces', weight: 1 }] }),
-  ];
-  const tableOf = (workspacePriorities?: (number | undefined)[]) =>
-    createRouteTable({
-      ...configuration(routes),
-      services: services.map((name) => ({ name, maxConnections: 10 })),
-      workspaces: workspacePriorities?.map((priority, index) => ({
-        name: `w${index}`,
-        keyDigests: [],
-        priority,
-      })),
-    });
-  const levelsOf = (table: ReturnType<typeof tableOf>) =>
-    services.map((name) => table.urgencyLevels(name).levelOf(1));
-  t.deepEqual(levelsOf(tableOf()), [undefined, 0, undefined]);
-  // The workspaces' priority replaces that of all routes.
-  t.deepEqual(levelsOf(tableOf([1, 1])), [undefined, undefined, undefined]);
-  t.deepEqual(levelsOf(tableOf([1, undefined])), [undefined, 0, 0]);
-});
--- a/packages/routing/src/backendApi.ts
+++ b/packages/routing/src/backendApi.ts
@@ -107,8 +107,6 @@
   signal: AbortSignal;
   reservation?: Reservation;
   prefill?: PrefillResult;
-  /** From 0, the most urgent, to 9. Absent: the engine treats all requests alike. */
-  urgencyLevel?: number;
   /** Resume after the event with this id. */
   lastEventId?: number;
 }
@@ -116,8 +114,6 @@
 export interface PrefillOptions {
   remainingMs: number;
   timeoutMs: number;
-  /** From 0, the most urgent, to 9. Absent: the engine treats all requests alike. */
-  urgencyLevel?: number;
   signal: AbortSignal;
 }
 
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -173,7 +173,6 @@
     const outcome = await backend.prefill(server, state.request, {
       remainingMs: remainingMs(state),
       timeoutMs,
-      urgencyLevel: state.urgencyLevel,
       signal: state.signal,
     });
     release();
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -79,13 +79,11 @@
       { route, service: service.name, workspace },
       options,
     );
-    const { priority = route.priority } = workspace ?? {};
     const { state, end } = createRequestState({
       exchange: recorded.exchange,
       route,
       service,
-      priority,
-      urgencyLevel: table.urgencyLevels(service.name).levelOf(priority),
+      priority: workspace?.priority,
       isAccessGranted: () => isAccessGranted(route, request, workspace),
     });
     options.budget.recordRequest(service.name, monotonicNowMs());
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -14,8 +14,6 @@
   service: ServiceSettings;
   /** The workspace's priority, or else the route's; 0 is the most urgent. */
   priority: number;
-  /** What engines are told of the priority; undefined where all requests of the service have the same. */
-  urgencyLevel?: number;
   /** Whether the current configuration still grants the request access; checked before each attempt. */
   isAccessGranted: () => boolean;
   /** The earlier of the caller's deadline and the route's time-out, on the monotonic clock. */
@@ -53,7 +51,6 @@
   route: Route;
   service: ServiceSettings;
   priority?: number;
-  urgencyLevel?: number;
   isAccessGranted?: () => boolean;
 }
 
@@ -63,7 +60,7 @@
   end: () => void;
 } {
   const { exchange, route, service, priority = route.priority } = options;
-  const { urgencyLevel, isAccessGranted = () => true } = options;
+  const { isAccessGranted = () => true } = options;
   const { request } = exchange;
   const endsAtMs = Math.min(request.arrivedAtMs + route.timeoutMs, request.deadlineAtMs);
   const expiry = new AbortController();
@@ -74,7 +71,6 @@
     route,
     service,
     priority,
-    urgencyLevel,
     isAccessGranted,
     endsAtMs,
     signal: AbortSignal.any([exchange.signal, expiry.signal]),
--- a/packages/routing/src/routeTable.ts
+++ b/packages/routing/src/routeTable.ts
@@ -1,13 +1,10 @@
 /** Looks up the route of a request by host and longest matching path prefix, and the workspace of an API key. */
-import { createUrgencyLevels, noLevels, type UrgencyLevels } from '@bluebellhitch/decisions';
 import type { Configuration, Route, RouteTarget, ServiceSettings, Workspace } from './model';
 
 export interface RouteTable {
   readonly configuration: Configuration;
   match(host: string, target: string): Route | undefined;
   service(name: string): ServiceSettings | undefined;
-  /** The levels for the priorities that the service's requests can have by this configuration. */
-  urgencyLevels(serviceName: string): UrgencyLevels;
   /** Constant time for any number of keys. */
   workspaceOfKey(digest: string): Workspace | undefined;
 }
@@ -22,12 +19,6 @@
     routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length),
   );
   const services = new Map(configuration.services.map((service) => [service.name, service]));
-  const urgencyLevels = new Map(
-    configuration.services.map(({ name }) => [
-      name,
-      createUrgencyLevels(prioritiesAt(name, configuration)),
-    ]),
-  );
   const workspaces = workspacesByKey(configuration.workspaces ?? []);
   return {
     configuration,
@@ -36,22 +27,10 @@
       return byHost.get(normalizeHost(host))?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
     },
     service: (name) => services.get(name),
-    urgencyLevels: (serviceName) => urgencyLevels.get(serviceName) ?? noLevels,
     workspaceOfKey: (digest) => workspaces.get(digest),
   };
 }
 
-/** Those of the workspaces, and those of the service's routes as far as no workspace's priority overrides them. */
-function prioritiesAt(serviceName: string, { routes, workspaces }: Configuration): number[] {
-  const overrides = new Set((workspaces ?? []).map(({ priority }) => priority));
-  return routes
-    .filter(({ targets }) => targets.some((target) => target.serviceName === serviceName))
-    .flatMap(({ priority, allowsAnonymous }) => {
-      const overridden = [...overrides].map((override) => override ?? priority);
-      return workspaces === undefined || allowsAnonymous ? [priority, ...overridden] : overridden;
-    });
-}
-
 /** A key that two workspaces share is valid for neither, since requests could be counted for the wrong one. */
 function workspacesByKey(workspaces: readonly Workspace[]): Map<string, Workspace> {
   const byKey = new Map<string, Workspace>();
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -213,7 +213,6 @@
     signal: AbortSignal.any([state.signal, signal]),
     reservation,
     prefill,
-    urgencyLevel: state.urgencyLevel,
     lastEventId: relay.lastEventId(),
   });
   if (outcome.kind === 'not-run') {
