--- a/packages/routing/src/decodePaces.ts
+++ b/packages/routing/src/decodePaces.ts
@@ -8,11 +8,16 @@
   estimate(serverId: string): number | undefined;
 }
 
+export const paceExpectations = { within: 'within', beyond: 'beyond', unknown: 'unknown' } as const;
+export type PaceExpectation = (typeof paceExpectations)[keyof typeof paceExpectations];
+
 export interface DecodePaces {
   beginRun(serverId: string): PaceMeter;
   noteEnded(pauses: RelayPauses): void;
   /** Usual time between two events; undefined if the engine has not been used lately. */
   paceMs(serverId: string): number | undefined;
+  /** Whether a stream on this engine is expected to keep its pauses within the target. */
+  expectation(serverId: string, targetGapMs: number): PaceExpectation;
   /** How much longer the longest pause of a stream is; undefined until enough streams have ended. */
   pauseFactor(): number | undefined;
 }
@@ -28,6 +33,16 @@
       }
     },
     paceMs: estimates.estimate,
+    expectation(serverId, targetGapMs) {
+      const paceMs = estimates.estimate(serverId);
+      const pauseFactor = factor.value();
+      if (paceMs === undefined || pauseFactor === undefined) {
+        return paceExpectations.unknown;
+      }
+      return paceMs * pauseFactor <= targetGapMs
+        ? paceExpectations.within
+        : paceExpectations.beyond;
+    },
     pauseFactor: factor.value,
   };
 }
@@ -37,5 +52,6 @@
   beginRun: () => ({ note: () => undefined }),
   noteEnded: () => undefined,
   paceMs: () => undefined,
+  expectation: () => paceExpectations.unknown,
   pauseFactor: () => undefined,
 };
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -22,6 +22,8 @@
   observePlacement(service: string, durationMs: number): void;
   /** Ratio of the expected to the actual output tokens of a stream that has ended. */
   observeLengthForecast(service: string, ratio: number): void;
+  /** Counts placed streams by whether the engine's pace is expected to keep the target for pauses. */
+  countPlacedByPace(service: string, expectation: string): void;
   /** Longest pause between two events of a stream whose response is complete. */
   observeLongestPause(labels: StreamLabels, durationMs: number): void;
   /** Counts streams with a complete response that missed a target of their route. */
@@ -126,6 +128,11 @@
     'Complete streams that missed a target of their route, by class and cause.',
     ['service', 'class', 'cause'],
   );
+  const placedByPace = counter(
+    'bluebell_placed_by_pace_total',
+    'Streams placed by whether their engine is expected to keep the target for pauses.',
+    ['service', 'expectation'],
+  );
   const furtherAttempts = counter(
     'bluebell_further_attempts_total',
     'Attempts beyond the first by cause.',
@@ -205,6 +212,7 @@
     observePlacement: (service, durationMs) =>
       placements.observe({ service }, durationMs / msPerSecond),
     observeLengthForecast: (service, ratio) => lengthForecasts.observe({ service }, ratio),
+    countPlacedByPace: (service, expectation) => placedByPace.inc({ service, expectation }),
     observeLongestPause: (labels, durationMs) =>
       longestPauses.observe(limitClass(labels), durationMs / msPerSecond),
     countLateStream: (labels, cause) => lateStreams.inc({ ...limitClass(labels), cause }),
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -1,7 +1,6 @@
 /** One run of a stream: reserves decode memory, has the prompt prefilled, then relays the decoded events. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { PrefillResult } from './backendApi';
-import { noPaces } from './decodePaces';
 import type { Placement, PlacementOutcome } from './decodePlacement';
 import {
   notRunReasons,
@@ -15,7 +14,8 @@
 import { startStallWatch, type StallWatch } from './stallWatch';
 import { noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
-import type { RunContext, StreamRelay } from './streamRelay';
+import { createRunObserver } from './runObserver';
+import type { StreamRelay } from './streamRelay';
 
 export type RunOutcome =
   /** The caller has its final response. */
@@ -58,6 +58,7 @@
     return { kind: 'not-run', reason: notRunReasons.noCapacity, retryAfterMs };
   }
   const { placement } = placed;
+  notePace(run, placement);
   const outcome = await runAt(run, placement);
   placement.stream.release();
   return outcome;
@@ -98,6 +99,14 @@
   return outcome;
 }
 
+function notePace({ state, deps }: StreamRun, { reservation }: Placement): void {
+  const { service, route } = state;
+  const pace = deps.decodePaces?.expectation(reservation.server.id, route.targetGapMs);
+  if (pace !== undefined) {
+    deps.metrics.countPlacedByPace(service.name, pace);
+  }
+}
+
 /** Callers abandon a stream without an event for the longest of these times; the result leaves a margin before that. */
 function eventTimeoutMs({ targetLatencyMs, targetGapMs }: Route): number {
   return eventTimeoutShare * Math.max(minEventTimeoutMs, 4 * targetLatencyMs, 8 * targetGapMs);
@@ -228,15 +237,15 @@
     return { kind: 'broken', detail: outcome.detail };
   }
   noteStep(state, `decode ${server.id} ${outcome.value.status}`);
-  const notePace = createPaceRecorder(run, server.id);
+  const observer = createRunObserver(run, server.id);
   const relayed = await relay.relay({
     response: outcome.value,
     onProgress() {
       watch.noteProgress();
-      notePace();
+      observer.noteEvents();
       stream.noteEmitted(deps.streamSizes.emittedTokens(relay.eventCount()));
     },
-    contextSince: (sinceMs) => contextSince(run, server.id, sinceMs),
+    contextSince: observer.contextSince,
   });
   if (relayed.kind === 'whole') {
     noteOutputLength(run);
@@ -248,31 +257,6 @@
   return { kind: 'broken', detail: relayed.detail };
 }
 
-function createPaceRecorder({ deps, relay }: StreamRun, serverId: string): () => void {
-  const { decodePaces = noPaces, engineLoads } = deps;
-  const meter = decodePaces.beginRun(serverId);
-  let eventCount = relay.eventCount();
-  let lastEventAtMs = monotonicNowMs();
-  return () => {
-    const newEvents = relay.eventCount() - eventCount;
-    if (newEvents > 0) {
-      const isDisturbed = engineLoads.hadLocalPrefillSince(serverId, lastEventAtMs);
-      lastEventAtMs = monotonicNowMs();
-      eventCount += newEvents;
-      meter.note(newEvents, lastEventAtMs, isDisturbed);
-    }
-  };
-}
-
-function contextSince({ deps }: StreamRun, serverId: string, sinceMs: number): RunContext {
-  const { engineLoads } = deps;
-  return {
-    serverId,
-    streamCount: engineLoads.streamCount(serverId),
-    hadLocalPrefill: engineLoads.hadLocalPrefillSince(serverId, sinceMs),
-  };
-}
-
 function noteOutputLength({ state, deps, relay, size }: StreamRun): void {
   const { streamSizes, metrics } = deps;
   const className = state.route.name;
