--- a/packages/decisions/src/decodePace.ts
+++ b/packages/decisions/src/decodePace.ts
@@ -12,8 +12,10 @@
 }
 
 export interface PaceMeterOptions {
-  /** Receives the mean time between the events of each window. */
+  /** Receives the mean time between the events of each window without a prompt. */
   onSample(msPerEvent: number): void;
+  /** Receives each pause during which the engine prefilled a prompt. */
+  onDisturbed?(pauseMs: number): void;
 }
 
 /** A window ends with whichever comes first, so that a slow engine is noticed while its first streams still run. */
@@ -21,8 +23,10 @@
 const windowMs = 500;
 
 /** The first event of a run starts the first window: the time before it is not decoding. */
-export function createPaceMeter({ onSample }: PaceMeterOptions): PaceMeter {
+export function createPaceMeter(options: PaceMeterOptions): PaceMeter {
+  const { onSample, onDisturbed = () => undefined } = options;
   let startedAtMs: number | undefined;
+  let lastEventAtMs = 0;
   let eventCount = 0;
   let isWindowDisturbed = false;
 
@@ -37,10 +41,15 @@
       if (count === 0) {
         return;
       }
+      const pauseMs = nowMs - lastEventAtMs;
+      lastEventAtMs = nowMs;
       if (startedAtMs === undefined) {
         restart(nowMs);
         return;
       }
+      if (isDisturbed) {
+        onDisturbed(pauseMs);
+      }
       eventCount += count;
       isWindowDisturbed ||= isDisturbed;
       const durationMs = nowMs - startedAtMs;
@@ -56,14 +65,17 @@
   };
 }
 
-/** Learns how much longer the longest pause of a stream is than its engine's usual time between events. */
+/**
+ * Learns how much longer than its engine's usual time between events a pause is, such as the longest of a stream. What
+ * delays an engine delays a slow one longer, so one factor serves for all.
+ */
 export interface PauseFactor {
-  observe(stream: { longestPauseMs: number; usualPauseMs: number }): void;
-  /** Undefined until enough streams have ended. */
+  observe(pause: { pauseMs: number; paceMs: number | undefined }): void;
+  /** Undefined until there are enough samples. */
   value(): number | undefined;
 }
 
-/** One stream in ten pauses longer than expected. */
+/** One pause in ten is longer than expected. */
 const pauseQuantile = 0.9;
 const pauseSampleCount = 64;
 const pauseRefreshInterval = 4;
@@ -77,9 +89,9 @@
   });
   let sampleCount = 0;
   return {
-    observe({ longestPauseMs, usualPauseMs }) {
-      if (usualPauseMs > 0) {
-        quantile.observe(longestPauseMs / usualPauseMs);
+    observe({ pauseMs, paceMs }) {
+      if (paceMs !== undefined && paceMs > 0) {
+        quantile.observe(pauseMs / paceMs);
         sampleCount += 1;
       }
     },
--- a/packages/routing/__tests__/placementChoice.test.ts
+++ b/packages/routing/__tests__/placementChoice.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
-import { createMemoryForecast } from '@bluebellhitch/decisions';
+import { createMemoryForecast, withinPace } from '@bluebellhitch/decisions';
 import { createSeededRandom, type Random } from '@bluebellhitch/shared';
+import type { DecodePaces } from '../src/decodePaces';
 import type { BackendServer } from '../src/model';
 import { chooseBestFit, type PlacementCandidate } from '../src/placementChoice';
 
@@ -27,9 +28,12 @@
   return { server: server(id), memory };
 }
 
-const pacesOf = (paceMs: (id: string) => number | undefined, pauseFactor = 5) => ({
-  paceMs,
-  pauseFactor: () => pauseFactor,
+const pacesOf = (
+  paceMs: (id: string) => number | undefined,
+  pauseFactor = 5,
+): Pick<DecodePaces, 'fastEnough'> => ({
+  fastEnough: (items, serverIdOf, { targetGapMs }) =>
+    withinPace(items, (item) => paceMs(serverIdOf(item)), { pauseFactor, targetGapMs }),
 });
 
 test('where paces are even, the same engines are chosen as without paces', (t) => {
--- a/packages/routing/src/decodePaces.ts
+++ b/packages/routing/src/decodePaces.ts
@@ -1,5 +1,13 @@
-/** Learns the pace of decode engines from the streams that this router relays, and from its peers. */
-import { createPaceMeter, createPauseFactor, type PaceMeter } from '@bluebellhitch/decisions';
+/**
+ * Learns the pace of decode engines from the streams that this router relays, and from its peers: which engines keep
+ * the pauses of a stream within its target, and which do so while they also prefill a prompt.
+ */
+import {
+  createPaceMeter,
+  createPauseFactor,
+  withinPace,
+  type PaceMeter,
+} from '@bluebellhitch/decisions';
 import type { RelayPauses } from './streamRelay';
 
 /** Time between two events of a stream, by engine, from this router and its peers. */
@@ -8,50 +16,58 @@
   estimate(serverId: string): number | undefined;
 }
 
-export const paceExpectations = { within: 'within', beyond: 'beyond', unknown: 'unknown' } as const;
-export type PaceExpectation = (typeof paceExpectations)[keyof typeof paceExpectations];
+/** What an engine does beside a stream's own events. */
+export const engineWork = { decode: 'decode', localPrefill: 'local-prefill' } as const;
+export type EngineWork = (typeof engineWork)[keyof typeof engineWork];
+
+export interface PaceQuery {
+  work: EngineWork;
+  /** Target between two events; 0 if there is none. */
+  targetGapMs: number;
+}
 
 export interface DecodePaces {
   beginRun(serverId: string): PaceMeter;
+  /** Records a stream that has ended normally in a single run. */
   noteEnded(pauses: RelayPauses): void;
-  /** Usual time between two events; undefined if the engine has not been used lately. */
-  paceMs(serverId: string): number | undefined;
-  /** Whether a stream on this engine is expected to keep its pauses within the target. */
-  expectation(serverId: string, targetGapMs: number): PaceExpectation;
-  /** How much longer the longest pause of a stream is; undefined until enough streams have ended. */
-  pauseFactor(): number | undefined;
+  /** Those on which streams are expected to keep the target; all if none is, or if they are about equally fast. */
+  fastEnough<Item>(
+    items: readonly Item[],
+    serverIdOf: (item: Item) => string,
+    query: PaceQuery,
+  ): readonly Item[];
 }
 
 export function createDecodePaces(estimates: PaceEstimates): DecodePaces {
-  const factor = createPauseFactor();
+  const factors = {
+    [engineWork.decode]: createPauseFactor(),
+    [engineWork.localPrefill]: createPauseFactor(),
+  };
   return {
     beginRun: (serverId) =>
-      createPaceMeter({ onSample: (msPerEvent) => estimates.observe(serverId, msPerEvent) }),
+      createPaceMeter({
+        onSample: (msPerEvent) => estimates.observe(serverId, msPerEvent),
+        onDisturbed(pauseMs) {
+          const paceMs = estimates.estimate(serverId);
+          factors[engineWork.localPrefill].observe({ pauseMs, paceMs });
+        },
+      }),
     noteEnded({ longest, medianMs }) {
-      if (longest !== undefined && medianMs !== undefined) {
-        factor.observe({ longestPauseMs: longest.durationMs, usualPauseMs: medianMs });
-      }
-    },
-    paceMs: estimates.estimate,
-    expectation(serverId, targetGapMs) {
-      const paceMs = estimates.estimate(serverId);
-      const pauseFactor = factor.value();
-      if (paceMs === undefined || pauseFactor === undefined) {
-        return paceExpectations.unknown;
+      if (longest !== undefined && !longest.context.hadLocalPrefill) {
+        factors[engineWork.decode].observe({ pauseMs: longest.durationMs, paceMs: medianMs });
       }
-      return paceMs * pauseFactor <= targetGapMs
-        ? paceExpectations.within
-        : paceExpectations.beyond;
     },
-    pauseFactor: factor.value,
+    fastEnough: (items, serverIdOf, { work, targetGapMs }) =>
+      withinPace(items, (item) => estimates.estimate(serverIdOf(item)), {
+        pauseFactor: factors[work].value(),
+        targetGapMs,
+      }),
   };
 }
 
-/** For services whose engines are not compared by pace. */
+/** All engines count as equally fast. */
 export const noPaces: DecodePaces = {
   beginRun: () => ({ note: () => undefined }),
   noteEnded: () => undefined,
-  paceMs: () => undefined,
-  expectation: () => paceExpectations.unknown,
-  pauseFactor: () => undefined,
+  fastEnough: (items) => items,
 };
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -70,7 +70,7 @@
   limits?: ServerPermits;
   notices?: Pick<ServerNotices, 'isAccepting' | 'allBackoffLeftMs' | 'areAllLeaving'>;
   /** If absent, engines count as equally fast. */
-  paces?: Pick<DecodePaces, 'paceMs' | 'pauseFactor'>;
+  paces?: Pick<DecodePaces, 'fastEnough'>;
   random?: Random;
 }
 
--- /dev/null
+++ b/packages/routing/src/localPrefillPlacement.ts
@@ -0,0 +1,64 @@
+/**
+ * Chooses where a decode engine prefills a prompt itself. The engine's streams pause meanwhile, on a slow engine longer
+ * than their target allows, so the prompt moves to a faster engine that has the memory, if there is one.
+ */
+import type { Placement, PlacementOutcome } from './decodePlacement';
+import { engineWork, noPaces } from './decodePaces';
+import { stages, type BackendServer } from './model';
+import { noteStep, type RequestState } from './requestState';
+import type { RouterDependencies } from './routerDependencies';
+
+export interface LocalPrefill {
+  state: RequestState;
+  deps: Pick<RouterDependencies, 'backend' | 'decodePaces' | 'engineLoads' | 'metrics' | 'pools'>;
+}
+
+/** Places the same stream on another engine; must not wait for memory. */
+export type PlaceElsewhere = (excludedIds: ReadonlySet<string>) => Promise<PlacementOutcome>;
+
+/** Returns the placement to use. If it is another one, the given one has been released. */
+export async function placeForLocalPrefill(
+  { state, deps }: LocalPrefill,
+  placement: Placement,
+  placeElsewhere: PlaceElsewhere,
+): Promise<Placement> {
+  const { server } = placement.reservation;
+  const faster = fasterServers({ state, deps }, server);
+  if (faster === undefined) {
+    return placement;
+  }
+  const fasterIds = new Set(faster.map(({ id }) => id));
+  const otherIds = usableServers({ state, deps })
+    .map(({ id }) => id)
+    .filter((id) => !fasterIds.has(id));
+  const outcome: PlacementOutcome =
+    faster.length === 0
+      ? { kind: 'no-capacity', retryAfterMs: 0 }
+      : await placeElsewhere(new Set([...state.failedServerIds, ...otherIds, server.id]));
+  const isMoved = outcome.kind === 'placed';
+  deps.metrics.countSlowLocalPrefill(state.service.name, isMoved ? 'moved' : 'kept');
+  if (!isMoved) {
+    return placement;
+  }
+  noteStep(state, `prompt moved from ${server.id} to ${outcome.placement.reservation.server.id}`);
+  deps.backend.releaseReservation(placement.reservation);
+  placement.stream.release();
+  return outcome.placement;
+}
+
+/** Engines fast enough that prefill no other prompt; undefined if the given engine is fast enough itself. */
+function fasterServers(prefill: LocalPrefill, server: BackendServer): BackendServer[] | undefined {
+  const { state, deps } = prefill;
+  const { decodePaces = noPaces, engineLoads } = deps;
+  const fastEnough = decodePaces.fastEnough(usableServers(prefill), ({ id }) => id, {
+    work: engineWork.localPrefill,
+    targetGapMs: state.route.targetGapMs,
+  });
+  return fastEnough.some(({ id }) => id === server.id)
+    ? undefined
+    : fastEnough.filter(({ id }) => engineLoads.localPrefillCount(id) === 0);
+}
+
+function usableServers({ state, deps }: LocalPrefill): readonly BackendServer[] {
+  return deps.pools.usable(state.service.name, stages.decode);
+}
--- a/packages/routing/src/placementChoice.ts
+++ b/packages/routing/src/placementChoice.ts
@@ -1,8 +1,8 @@
 /** Chooses among engines with enough free memory for a stream. Pure functions of the given memory forecasts. */
-import { withinPace, type MemoryForecast } from '@bluebellhitch/decisions';
+import type { MemoryForecast } from '@bluebellhitch/decisions';
 import type { StreamEstimate } from '@bluebellhitch/protocol';
 import type { Random } from '@bluebellhitch/shared';
-import { noPaces, type DecodePaces } from './decodePaces';
+import { engineWork, noPaces, type DecodePaces } from './decodePaces';
 import type { BackendServer } from './model';
 
 /** A server of a pool with its memory forecast, valid for one pass over the waiting requests. */
@@ -17,7 +17,7 @@
   preferredId?: string;
   /** Target between two events; 0 if there is none. */
   targetGapMs?: number;
-  paces?: Pick<DecodePaces, 'paceMs' | 'pauseFactor'>;
+  paces?: Pick<DecodePaces, 'fastEnough'>;
   random: Random;
 }
 
@@ -56,8 +56,8 @@
     }))
     .filter(({ freeTokens }) => freeTokens >= 0);
   const preferred = fitting.find(({ candidate }) => candidate.server.id === preferredId);
-  const fastEnough = withinPace(fitting, ({ candidate }) => paces.paceMs(candidate.server.id), {
-    pauseFactor: paces.pauseFactor(),
+  const fastEnough = paces.fastEnough(fitting, ({ candidate }) => candidate.server.id, {
+    work: engineWork.decode,
     targetGapMs,
   });
   const [first, second] = sampleTwo(fastEnough, random);
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -22,8 +22,8 @@
   observePlacement(service: string, durationMs: number): void;
   /** Ratio of the expected to the actual output tokens of a stream that has ended. */
   observeLengthForecast(service: string, ratio: number): void;
-  /** Counts placed streams by whether the engine's pace is expected to keep the target for pauses. */
-  countPlacedByPace(service: string, expectation: string): void;
+  /** Counts prompts to be prefilled by a decode engine that is too slow for it, by what became of them. */
+  countSlowLocalPrefill(service: string, outcome: string): void;
   /** Longest pause between two events of a stream whose response is complete. */
   observeLongestPause(labels: StreamLabels, durationMs: number): void;
   /** Counts streams with a complete response that missed a target of their route. */
@@ -132,10 +132,10 @@
     'Complete streams that missed a target of their route, by class and cause.',
     ['service', 'class', 'cause'],
   );
-  const placedByPace = counter(
-    'bluebell_placed_by_pace_total',
-    'Streams placed by whether their engine is expected to keep the target for pauses.',
-    ['service', 'expectation'],
+  const slowLocalPrefills = counter(
+    'bluebell_slow_local_prefills_total',
+    'Prompts that a decode engine too slow for it was to prefill: moved to a faster one, or kept.',
+    ['service', 'outcome'],
   );
   const furtherAttempts = counter(
     'bluebell_further_attempts_total',
@@ -229,7 +229,7 @@
     observePlacement: (service, durationMs) =>
       placements.observe({ service }, durationMs / msPerSecond),
     observeLengthForecast: (service, ratio) => lengthForecasts.observe({ service }, ratio),
-    countPlacedByPace: (service, expectation) => placedByPace.inc({ service, expectation }),
+    countSlowLocalPrefill: (service, outcome) => slowLocalPrefills.inc({ service, outcome }),
     observeLongestPause: (labels, durationMs) =>
       longestPauses.observe(limitClass(labels), durationMs / msPerSecond),
     countLateStream: (labels, cause) => lateStreams.inc({ ...limitClass(labels), cause }),
--- /dev/null
+++ b/packages/routing/src/runResults.ts
@@ -0,0 +1,40 @@
+/** Records what a run of a stream tells about its engine and about streams like it. */
+import { monotonicNowMs } from '@bluebellhitch/shared';
+import type { StreamRun } from './streamRun';
+
+/** Learns from a stream that has ended normally. */
+export function noteCompleteRun({ state, deps, relay, size }: StreamRun): void {
+  const { streamSizes, metrics } = deps;
+  const className = state.route.name;
+  const events = relay.eventCount();
+  const emittedTokens = streamSizes.emittedTokens(events);
+  if (emittedTokens > 0) {
+    const { medianOutputTokens } = streamSizes.estimateStream(className, size, 0);
+    metrics.observeLengthForecast(state.service.name, medianOutputTokens / emittedTokens);
+  }
+  streamSizes.observeEnd({ className, size, events, durationMs: relay.eventsDurationMs() });
+  // The pause before a resumed stream's first event is not its engine's.
+  if (state.sentCount === 1) {
+    deps.decodePaces?.noteEnded(relay.pauses());
+  }
+}
+
+/**
+ * A broken connection does not mean that the server is down. It still has the prompt in its cache, so the next attempt
+ * prefers it and saves the prefill; after a second break the stream moves to another server.
+ */
+export function noteBrokenRun(
+  { state, deps }: StreamRun,
+  serverId: string,
+  hasStalled: boolean,
+): void {
+  if (state.cachedAtServerId === undefined && !hasStalled) {
+    state.cachedAtServerId = serverId;
+  } else {
+    state.cachedAtServerId = undefined;
+    state.failedServerIds.add(serverId);
+  }
+  if (!state.signal.aborted) {
+    deps.health.record(serverId, 'failure', monotonicNowMs());
+  }
+}
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -1,7 +1,8 @@
 /** One run of a stream: reserves decode memory, has the prompt prefilled, then relays the decoded events. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { PrefillResult } from './backendApi';
-import type { Placement, PlacementOutcome } from './decodePlacement';
+import type { Placement, PlacementOutcome, PlacementRequest } from './decodePlacement';
+import { placeForLocalPrefill } from './localPrefillPlacement';
 import {
   notRunReasons,
   type BackendServer,
@@ -15,6 +16,7 @@
 import { noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 import { createRunObserver } from './runObserver';
+import { noteBrokenRun, noteCompleteRun } from './runResults';
 import type { StreamRelay } from './streamRelay';
 
 export type RunOutcome =
@@ -58,13 +60,15 @@
     return { kind: 'not-run', reason: notRunReasons.noCapacity, retryAfterMs };
   }
   const { placement } = placed;
-  notePace(run, placement);
   const outcome = await runAt(run, placement);
   placement.stream.release();
   return outcome;
 }
 
-async function placeRun(run: StreamRun): Promise<PlacementOutcome> {
+async function placeRun(
+  run: StreamRun,
+  overrides: Partial<PlacementRequest> = {},
+): Promise<PlacementOutcome> {
   const { state, engine, deps, prefillStage, size, relay } = run;
   const { request, route, service } = state;
   const startedAtMs = monotonicNowMs();
@@ -92,6 +96,7 @@
     excludedIds: state.failedServerIds,
     preferredId: state.cachedAtServerId,
     signal: state.signal,
+    ...overrides,
   });
   const waitedMs = monotonicNowMs() - startedAtMs;
   deps.metrics.observePlacement(service.name, waitedMs);
@@ -99,14 +104,6 @@
   return outcome;
 }
 
-function notePace({ state, deps }: StreamRun, { reservation }: Placement): void {
-  const { service, route } = state;
-  const pace = deps.decodePaces?.expectation(reservation.server.id, route.targetGapMs);
-  if (pace !== undefined) {
-    deps.metrics.countPlacedByPace(service.name, pace);
-  }
-}
-
 /** Callers abandon a stream without an event for the longest of these times; the result leaves a margin before that. */
 function eventTimeoutMs({ targetLatencyMs, targetGapMs }: Route): number {
   return eventTimeoutShare * Math.max(minEventTimeoutMs, 4 * targetLatencyMs, 8 * targetGapMs);
@@ -114,7 +111,7 @@
 
 /** Has the prompt prefilled and decodes it in the reserved memory; releases what stays unused. */
 async function runAt(run: StreamRun, placement: Placement): Promise<RunOutcome> {
-  const { state, deps, prefillStage, size } = run;
+  const { state, prefillStage, size } = run;
   const { server } = placement.reservation;
   if (!state.isAccessGranted()) {
     releaseUnused(run, placement, undefined);
@@ -128,7 +125,32 @@
     releaseUnused(run, placement, prefill.kind === 'done' ? prefill.result : undefined);
     return { kind: 'not-run', reason: notRunReasons.noCapacity };
   }
-  const result = prefill.kind === 'done' ? prefill.result : undefined;
+  if (prefill.kind === 'done') {
+    return decodePrefilled(run, placement, prefill.result);
+  }
+  const isCached = server.id === state.cachedAtServerId;
+  const chosen = isCached ? placement : await placeForPrefill(run, placement);
+  const outcome = await decodePrefilled(run, chosen, undefined);
+  if (chosen !== placement) {
+    chosen.stream.release();
+  }
+  return outcome;
+}
+
+/** Memory that is free now is enough reason to move a prompt, but not to wait for it. */
+function placeForPrefill(run: StreamRun, placement: Placement): Promise<Placement> {
+  return placeForLocalPrefill(run, placement, (excludedIds) =>
+    placeRun(run, { excludedIds, preferredId: undefined, expiresAtMs: monotonicNowMs() + 1 }),
+  );
+}
+
+async function decodePrefilled(
+  run: StreamRun,
+  placement: Placement,
+  result: PrefillResult | undefined,
+): Promise<RunOutcome> {
+  const { deps, size } = run;
+  const { server } = placement.reservation;
   const notRunReason = reasonNotToDecode(run, server);
   if (notRunReason !== undefined) {
     releaseUnused(run, placement, result);
@@ -248,39 +270,10 @@
     contextSince: observer.contextSince,
   });
   if (relayed.kind === 'whole') {
-    noteOutputLength(run);
-    deps.decodePaces?.noteEnded(relay.pauses());
+    noteCompleteRun(run);
     deps.health.record(server.id, 'success', monotonicNowMs());
     return { kind: 'ended' };
   }
   noteBrokenRun(run, server.id, signal.aborted);
   return { kind: 'broken', detail: relayed.detail };
 }
-
-function noteOutputLength({ state, deps, relay, size }: StreamRun): void {
-  const { streamSizes, metrics } = deps;
-  const className = state.route.name;
-  const events = relay.eventCount();
-  const emittedTokens = streamSizes.emittedTokens(events);
-  if (emittedTokens > 0) {
-    const { medianOutputTokens } = streamSizes.estimateStream(className, size, 0);
-    metrics.observeLengthForecast(state.service.name, medianOutputTokens / emittedTokens);
-  }
-  streamSizes.observeEnd({ className, size, events, durationMs: relay.eventsDurationMs() });
-}
-
-/**
- * A broken connection does not mean that the server is down. It still has the prompt in its cache, so the next attempt
- * prefers it and saves the prefill; after a second break the stream moves to another server.
- */
-function noteBrokenRun({ state, deps }: StreamRun, serverId: string, hasStalled: boolean): void {
-  if (state.cachedAtServerId === undefined && !hasStalled) {
-    state.cachedAtServerId = serverId;
-  } else {
-    state.cachedAtServerId = undefined;
-    state.failedServerIds.add(serverId);
-  }
-  if (!state.signal.aborted) {
-    deps.health.record(serverId, 'failure', monotonicNowMs());
-  }
-}
