--- a/packages/decisions/src/decodePace.ts
+++ b/packages/decisions/src/decodePace.ts
@@ -14,8 +14,6 @@
 export interface PaceMeterOptions {
   /** Receives the mean time between the events of each window without a prompt. */
   onSample(msPerEvent: number): void;
-  /** Receives each pause during which the engine prefilled a prompt. */
-  onDisturbed?(pauseMs: number): void;
 }
 
 /** A window ends with whichever comes first, so that a slow engine is noticed while its first streams still run. */
@@ -23,10 +21,8 @@
 const windowMs = 500;
 
 /** The first event of a run starts the first window: the time before it is not decoding. */
-export function createPaceMeter(options: PaceMeterOptions): PaceMeter {
-  const { onSample, onDisturbed = () => undefined } = options;
+export function createPaceMeter({ onSample }: PaceMeterOptions): PaceMeter {
   let startedAtMs: number | undefined;
-  let lastEventAtMs = 0;
   let eventCount = 0;
   let isWindowDisturbed = false;
 
@@ -41,15 +37,10 @@
       if (count === 0) {
         return;
       }
-      const pauseMs = nowMs - lastEventAtMs;
-      lastEventAtMs = nowMs;
       if (startedAtMs === undefined) {
         restart(nowMs);
         return;
       }
-      if (isDisturbed) {
-        onDisturbed(pauseMs);
-      }
       eventCount += count;
       isWindowDisturbed ||= isDisturbed;
       const durationMs = nowMs - startedAtMs;
@@ -71,8 +62,8 @@
  */
 export interface PauseFactor {
   observe(pause: { pauseMs: number; paceMs: number | undefined }): void;
-  /** Undefined until there are enough samples. */
-  value(): number | undefined;
+  /** 1 until there are enough samples: no pause is shorter. */
+  value(): number;
 }
 
 /** One pause in ten is longer than expected. */
@@ -95,13 +86,13 @@
         sampleCount += 1;
       }
     },
-    value: () => (sampleCount < minPauseSamples ? undefined : quantile.value()),
+    value: () => (sampleCount < minPauseSamples ? 1 : Math.max(1, quantile.value())),
   };
 }
 
 export interface PaceTarget {
-  /** See `PauseFactor`; without it no engine counts as slow. */
-  pauseFactor: number | undefined;
+  /** See `PauseFactor`; if infinite, only engines about as fast as the fastest are kept. */
+  pauseFactor: number;
   /** 0 if the route has no target for pauses. */
   targetGapMs: number;
 }
@@ -119,7 +110,7 @@
   paceMsOf: (candidate: Candidate) => number | undefined,
   { pauseFactor, targetGapMs }: PaceTarget,
 ): readonly Candidate[] {
-  if (pauseFactor === undefined || targetGapMs === 0) {
+  if (targetGapMs === 0) {
     return candidates;
   }
   const paces = candidates.map((candidate) => paceMsOf(candidate));
--- a/packages/replay/src/mechanisms.ts
+++ b/packages/replay/src/mechanisms.ts
@@ -15,6 +15,8 @@
   peerNews: 'peer-news',
   /** Speeds of engines learned from prompts; without them all engines count as equally fast. */
   learnedSpeeds: 'learned-speeds',
+  /** Pace of decode engines learned from streams; without it all engines count as equally fast. */
+  learnedPaces: 'learned-paces',
   /** Announcements of the speeds that other routers have learned. */
   speedNews: 'speed-news',
   /** Load reports of the engines. */
--- a/packages/replay/src/replayRouter.ts
+++ b/packages/replay/src/replayRouter.ts
@@ -5,6 +5,7 @@
 import { createOutlierDetector } from '@bluebellhitch/decisions';
 import {
   createAttemptBudget,
+  createDecodePaces,
   createDecodePlacement,
   createEngineLoads,
   createFleetShard,
@@ -100,6 +101,9 @@
   const speeds = absent.has(mechanisms.learnedSpeeds)
     ? withoutSpeeds(learnedSpeeds)
     : learnedSpeeds;
+  const decodePaces = absent.has(mechanisms.learnedPaces)
+    ? undefined
+    : createDecodePaces(speeds.of('decodePace'));
   const health = createOutlierDetector();
   health.setPoolSize(directory.size());
   const pools = createFleetShard({ directory });
@@ -115,7 +119,11 @@
     engineLoads: loads,
     streamSizes,
     speeds,
-    placement: createDecodePlacement({ backend, pools, loads, health, random }),
+    decodePaces,
+    placement: createDecodePlacement({
+      ...{ backend, pools, loads, health, random },
+      paces: decodePaces,
+    }),
     budget: createAttemptBudget({ ...attemptBudget, allowance: () => attemptAllowance }),
     health,
     metrics: createRouterMetrics(),
--- a/packages/routing/src/decodePaces.ts
+++ b/packages/routing/src/decodePaces.ts
@@ -39,27 +39,20 @@
 }
 
 export function createDecodePaces(estimates: PaceEstimates): DecodePaces {
-  const factors = {
-    [engineWork.decode]: createPauseFactor(),
-    [engineWork.localPrefill]: createPauseFactor(),
-  };
+  const factor = createPauseFactor();
+  // A prompt delays every stream of the engine, so it goes where the delay is about the shortest.
+  const factorOf = (work: EngineWork) => (work === engineWork.decode ? factor.value() : Infinity);
   return {
     beginRun: (serverId) =>
-      createPaceMeter({
-        onSample: (msPerEvent) => estimates.observe(serverId, msPerEvent),
-        onDisturbed(pauseMs) {
-          const paceMs = estimates.estimate(serverId);
-          factors[engineWork.localPrefill].observe({ pauseMs, paceMs });
-        },
-      }),
+      createPaceMeter({ onSample: (msPerEvent) => estimates.observe(serverId, msPerEvent) }),
     noteEnded({ longest, medianMs }) {
       if (longest !== undefined && !longest.context.hadLocalPrefill) {
-        factors[engineWork.decode].observe({ pauseMs: longest.durationMs, paceMs: medianMs });
+        factor.observe({ pauseMs: longest.durationMs, paceMs: medianMs });
       }
     },
     fastEnough: (items, serverIdOf, { work, targetGapMs }) =>
       withinPace(items, (item) => estimates.estimate(serverIdOf(item)), {
-        pauseFactor: factors[work].value(),
+        pauseFactor: factorOf(work),
         targetGapMs,
       }),
   };
