--- a/packages/decisions/__tests__/decodePace.test.ts
+++ b/packages/decisions/__tests__/decodePace.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { createSeededRandom } from '@bluebellhitch/shared';
-import { createPaceMeter, createPauseFactor, withinPace } from '../src/decodePace';
+import { createPaceMeter, createPauseFactor, paceToEndInTime, withinPace } from '../src/decodePace';
 import { createLearnedEstimates } from '../src/learnedEstimates';
 
 const target = { pauseFactor: 5, targetGapMs: 300 };
@@ -33,6 +33,24 @@
   t.deepEqual(within(engines, { targetGapMs: 0 }), ['fast', 'slow']);
 });
 
+test('a long stream is kept from an engine on which it would reach its deadline', (t) => {
+  // Guards against streams that are cut at their deadline because a slow engine took them.
+  const engines: Engine[] = [
+    { id: 'fast', paceMs: 34 },
+    { id: 'usual', paceMs: 57 },
+    { id: 'slow', paceMs: 111 },
+  ];
+  const inTime = (medianEvents: number) =>
+    withinPace(engines, ({ paceMs }) => paceMs, {
+      pauseFactor: 1,
+      targetGapMs: 300,
+      maxPaceMs: paceToEndInTime({ medianEvents, lengthShape: 3.6, remainingMs: 13_000 }),
+    }).map(({ id }) => id);
+  t.deepEqual(inTime(100), ['fast', 'usual']);
+  t.deepEqual(inTime(40), ['fast', 'usual', 'slow']);
+  t.deepEqual(inTime(0), ['fast', 'usual', 'slow']);
+});
+
 test('evenly slow engines are all kept: pauses do not depend on the choice', (t) => {
   const random = createSeededRandom(3);
   Array.from({ length: 200 }, () => {
--- a/packages/decisions/src/decodePace.ts
+++ b/packages/decisions/src/decodePace.ts
@@ -95,27 +95,50 @@
   pauseFactor: number;
   /** 0 if the route has no target for pauses. */
   targetGapMs: number;
+  /** Pace at which the stream ends in time; see `paceToEndInTime`. */
+  maxPaceMs?: number;
 }
 
 /** Engines whose paces differ by less than this factor count as equally fast: momentary load alone causes as much. */
 const evenPaceFactor = 1.5;
 
 /**
- * The candidates that are expected to keep the pauses of a stream within its target. All of them if none is, or if they
- * are about equally fast: then pauses don't depend on the choice. An engine whose pace is unknown is kept, so that new
- * ones, and those not used for long, are tried.
+ * The candidates on which a stream is expected to keep its pauses within the target and to end in time. All of them if
+ * there is none, or if they are about equally fast: then it doesn't depend on the choice. An engine whose pace is unknown
+ * is kept, so that new ones, and those not used for long, are tried.
  */
 export function withinPace<Candidate>(
   candidates: readonly Candidate[],
   paceMsOf: (candidate: Candidate) => number | undefined,
-  { pauseFactor, targetGapMs }: PaceTarget,
+  { pauseFactor, targetGapMs, maxPaceMs = Infinity }: PaceTarget,
 ): readonly Candidate[] {
-  if (targetGapMs === 0) {
-    return candidates;
-  }
+  const gapPaceMs = targetGapMs === 0 ? Infinity : targetGapMs / pauseFactor;
   const paces = candidates.map((candidate) => paceMsOf(candidate));
   const fastestMs = Math.min(...paces.filter((paceMs) => paceMs !== undefined));
-  const slowFromMs = Math.max(targetGapMs / pauseFactor, fastestMs * evenPaceFactor);
+  const slowFromMs = Math.max(Math.min(gapPaceMs, maxPaceMs), fastestMs * evenPaceFactor);
   const kept = candidates.filter((_candidate, index) => (paces[index] ?? 0) <= slowFromMs);
   return kept.length === 0 ? candidates : kept;
 }
+
+export interface ExpectedStream {
+  medianEvents: number;
+  /** Shape of the log-logistic distribution of lengths. */
+  lengthShape: number;
+  remainingMs: number;
+}
+
+/** Share of streams that may be too long for the pace; those are cut at their deadline. */
+const tooLongShare = 0.1;
+
+/** The slowest pace, in ms per event, at which all but a few streams like this one end within the remaining time. */
+export function paceToEndInTime({
+  medianEvents,
+  lengthShape,
+  remainingMs,
+}: ExpectedStream): number {
+  if (medianEvents <= 0) {
+    return Infinity;
+  }
+  const longEvents = medianEvents * (1 / tooLongShare - 1) ** (1 / lengthShape);
+  return Math.max(0, remainingMs) / longEvents;
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,6 +9,7 @@
 export {
   createPaceMeter,
   createPauseFactor,
+  paceToEndInTime,
   withinPace,
   type PaceMeter,
   type PaceTarget,
--- a/packages/routing/src/decodePaces.ts
+++ b/packages/routing/src/decodePaces.ts
@@ -24,6 +24,8 @@
   work: EngineWork;
   /** Target between two events; 0 if there is none. */
   targetGapMs: number;
+  /** Slowest pace at which the stream is expected to end in time. */
+  maxPaceMs?: number;
 }
 
 export interface DecodePaces {
@@ -45,15 +47,16 @@
   return {
     beginRun: (serverId) =>
       createPaceMeter({ onSample: (msPerEvent) => estimates.observe(serverId, msPerEvent) }),
-    noteEnded({ longest, medianMs }) {
+    noteEnded({ longest }) {
       if (longest !== undefined && !longest.context.hadLocalPrefill) {
-        factor.observe({ pauseMs: longest.durationMs, paceMs: medianMs });
+        const paceMs = estimates.estimate(longest.context.serverId);
+        factor.observe({ pauseMs: longest.durationMs, paceMs });
       }
     },
-    fastEnough: (items, serverIdOf, { work, targetGapMs }) =>
+    fastEnough: (items, serverIdOf, { work, ...target }) =>
       withinPace(items, (item) => estimates.estimate(serverIdOf(item)), {
+        ...target,
         pauseFactor: factorOf(work),
-        targetGapMs,
       }),
   };
 }
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -30,6 +30,8 @@
   isResumed: boolean;
   /** Target between two events of the stream. */
   targetGapMs?: number;
+  /** Slowest pace, in ms per event, at which the stream is expected to end in time. */
+  maxPaceMs?: number;
   /** 0 is the most urgent. */
   priority: number;
   arrivedAtMs: number;
--- a/packages/routing/src/placementChoice.ts
+++ b/packages/routing/src/placementChoice.ts
@@ -17,6 +17,8 @@
   preferredId?: string;
   /** Target between two events; 0 if there is none. */
   targetGapMs?: number;
+  /** Slowest pace at which the stream is expected to end in time. */
+  maxPaceMs?: number;
   paces?: Pick<DecodePaces, 'fastEnough'>;
   random: Random;
 }
@@ -43,11 +45,12 @@
  * moment must not all choose the same engine. In 20 replays with prompts up to the size of an engine's memory, this
  * served 66 instead of 58 of 100 of the largest tenth, and as many in total.
  *
- * Engines whose streams are expected to pause longer than the target are used only if no other one has enough memory.
+ * Engines on which the stream is expected to pause longer than its target, or to miss its deadline, are used only if no
+ * other one has enough memory.
  */
 export function chooseBestFit(
   candidates: readonly PlacementCandidate[],
-  { stream, preferredId, targetGapMs = 0, paces = noPaces, random }: BestFitOptions,
+  { stream, preferredId, targetGapMs = 0, maxPaceMs, paces = noPaces, random }: BestFitOptions,
 ): PlacementCandidate | undefined {
   const fitting = candidates
     .map((candidate) => ({
@@ -58,7 +61,7 @@
   const preferred = fitting.find(({ candidate }) => candidate.server.id === preferredId);
   const fastEnough = paces.fastEnough(fitting, ({ candidate }) => candidate.server.id, {
     work: engineWork.decode,
-    targetGapMs,
+    ...{ targetGapMs, maxPaceMs },
   });
   const [first, second] = sampleTwo(fastEnough, random);
   const best =
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -1,4 +1,6 @@
 /** One run of a stream: reserves decode memory, has the prompt prefilled, then relays the decoded events. */
+import { paceToEndInTime } from '@bluebellhitch/decisions';
+import type { StreamEstimate } from '@bluebellhitch/protocol';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { PrefillResult } from './backendApi';
 import type { Placement, PlacementOutcome, PlacementRequest } from './decodePlacement';
@@ -88,6 +90,7 @@
     reservedTokens: stream.promptTokens + stream.emittedTokens,
     isResumed,
     targetGapMs: route.targetGapMs,
+    maxPaceMs: maxPaceMs(run, stream, expectedMs),
     priority: state.priority,
     arrivedAtMs: request.arrivedAtMs,
     expectedHoldMs: expectedMs + stream.medianOutputTokens / deps.streamSizes.tokensPerMs(),
@@ -104,6 +107,20 @@
   return outcome;
 }
 
+function maxPaceMs(
+  { state, deps }: StreamRun,
+  { medianOutputTokens, emittedTokens }: StreamEstimate,
+  startMs: number,
+): number {
+  const { streamSizes } = deps;
+  const leftTokens = medianOutputTokens - emittedTokens;
+  return paceToEndInTime({
+    medianEvents: leftTokens / (streamSizes.emittedTokens(1) || Infinity),
+    lengthShape: streamSizes.lengthShape(),
+    remainingMs: remainingMs(state) - startMs,
+  });
+}
+
 /** Callers abandon a stream without an event for the longest of these times; the result leaves a margin before that. */
 function eventTimeoutMs({ targetLatencyMs, targetGapMs }: Route): number {
   return eventTimeoutShare * Math.max(minEventTimeoutMs, 4 * targetLatencyMs, 8 * targetGapMs);
