--- a/packages/routing/src/localPrefillPlacement.ts
+++ b/packages/routing/src/localPrefillPlacement.ts
@@ -46,15 +46,17 @@
   return outcome.placement;
 }
 
-/** Engines fast enough that prefill no other prompt; undefined if the given engine is fast enough itself. */
+/** Fast engines that prefill no other prompt; undefined if the given one is fast itself, or of another shard. */
 function fasterServers(prefill: LocalPrefill, server: BackendServer): BackendServer[] | undefined {
   const { state, deps } = prefill;
   const { decodePaces = noPaces, engineLoads } = deps;
-  const fastEnough = decodePaces.fastEnough(usableServers(prefill), ({ id }) => id, {
+  const usable = usableServers(prefill);
+  const fastEnough = decodePaces.fastEnough(usable, ({ id }) => id, {
     work: engineWork.localPrefill,
     targetGapMs: state.route.targetGapMs,
   });
-  return fastEnough.some(({ id }) => id === server.id)
+  const isAmong = (servers: readonly BackendServer[]) => servers.some(({ id }) => id === server.id);
+  return isAmong(fastEnough) || !isAmong(usable)
     ? undefined
     : fastEnough.filter(({ id }) => engineLoads.localPrefillCount(id) === 0);
 }
