--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -7,6 +7,7 @@
 import type { StreamEstimate } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { BackendApi, CallOutcome, Reservation } from './backendApi';
+import type { DecodePaces } from './decodePaces';
 import type { EngineLoads, PlacedStream } from './engineLoads';
 import type { ServerPools } from './fleetShard';
 import { stages, type BackendServer, type EngineSettings } from './model';
@@ -20,6 +21,10 @@
   stream: StreamEstimate;
   /** Tokens to reserve on the engine. */
   reservedTokens: number;
+  /** Target between two events of the stream. */
+  targetGapMs?: number;
+  /** Slowest pace, in ms per event, at which the stream is expected to end in time. */
+  maxPaceMs?: number;
   expiresAtMs: number;
   /** Servers that have already failed this request. */
   excludedIds: ReadonlySet<string>;
@@ -50,6 +55,8 @@
   health: OutlierDetector;
   limits?: ServerPermits;
   notices?: Pick<ServerNotices, 'isAccepting' | 'allBackoffLeftMs' | 'areAllLeaving'>;
+  /** If absent, engines count as equally fast. */
+  paces?: Pick<DecodePaces, 'fastEnough'>;
   /** Called for each request that is placed before more urgent ones because it had waited long. */
   onOvertaking?: (serviceName: string) => void;
   random?: Random;
@@ -80,7 +87,7 @@
 type CandidatesOf = (waiter: Waiter, kind: 'usable' | 'spare') => readonly PlacementCandidate[];
 
 export function createDecodePlacement(options: DecodePlacementOptions): DecodePlacement {
-  const { backend, pools, loads, health, random = Math.random } = options;
+  const { backend, pools, loads, health, paces, random = Math.random } = options;
   const { limits = noLimits, notices = noNotices, onOvertaking = () => undefined } = options;
   const queue = createPlacementQueue<Waiter>({ random });
   let timer: NodeJS.Timeout | undefined;
@@ -178,7 +185,8 @@
       isOnTime(waiter, nowMs) ||
       hasHeadroom(candidates, { stream: waiter.stream, engineTokens: waiter.engine.kvTokens });
     const candidate = isAdmitted
-      ? (chooseBestFit(candidates, { ...waiter, random }) ?? trySpare(waiter, nowMs, candidatesOf))
+      ? (chooseBestFit(candidates, { ...waiter, paces, random }) ??
+        trySpare(waiter, nowMs, candidatesOf))
       : undefined;
     if (candidate !== undefined) {
       candidate.memory.add(waiter.stream);
@@ -218,7 +226,7 @@
     const candidates = candidatesOf(waiter, 'spare').filter((candidate) =>
       mayUse(waiter, candidate),
     );
-    return chooseBestFit(candidates, { ...waiter, random });
+    return chooseBestFit(candidates, { ...waiter, paces, random });
   }
 
   function hasLostMostServers(waiter: Waiter, candidatesOf: CandidatesOf): boolean {
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -24,6 +24,8 @@
   countOvertaking(service: string): void;
   /** Ratio of the expected to the actual output tokens of a stream that has ended. */
   observeLengthForecast(service: string, ratio: number): void;
+  /** Counts prompts to be prefilled by a decode engine that is too slow for it, by what became of them. */
+  countSlowLocalPrefill(service: string, outcome: string): void;
   /** Longest pause between two events of a stream whose response is complete. */
   observeLongestPause(labels: StreamLabels, durationMs: number): void;
   /** Counts streams with a complete response that missed a target of their route. */
@@ -137,6 +139,11 @@
     'Complete streams that missed a target of their route, by class and cause.',
     ['service', 'class', 'cause'],
   );
+  const slowLocalPrefills = counter(
+    'bluebell_slow_local_prefills_total',
+    'Prompts that a decode engine too slow for it was to prefill: moved to a faster one, or kept.',
+    ['service', 'outcome'],
+  );
   const furtherAttempts = counter(
     'bluebell_further_attempts_total',
     'Attempts beyond the first by cause.',
@@ -230,6 +237,7 @@
       placements.observe({ service }, durationMs / msPerSecond),
     countOvertaking: (service) => overtaking.inc({ service }),
     observeLengthForecast: (service, ratio) => lengthForecasts.observe({ service }, ratio),
+    countSlowLocalPrefill: (service, outcome) => slowLocalPrefills.inc({ service, outcome }),
     observeLongestPause: (labels, durationMs) =>
       longestPauses.observe(limitClass(labels), durationMs / msPerSecond),
     countLateStream: (labels, cause) => lateStreams.inc({ ...limitClass(labels), cause }),
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -1,7 +1,10 @@
 /** One run of a stream: reserves decode memory, has the prompt prefilled, then relays the decoded events. */
+import { paceToEndInTime } from '@bluebellhitch/decisions';
+import type { StreamEstimate } from '@bluebellhitch/protocol';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { PrefillResult } from './backendApi';
-import type { Placement, PlacementOutcome } from './decodePlacement';
+import type { Placement, PlacementOutcome, PlacementRequest } from './decodePlacement';
+import { placeForLocalPrefill } from './localPrefillPlacement';
 import {
   notRunReasons,
   type BackendServer,
@@ -14,7 +17,9 @@
 import { startStallWatch, type StallWatch } from './stallWatch';
 import { noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
-import type { RunContext, StreamRelay } from './streamRelay';
+import { createRunObserver } from './runObserver';
+import { noteBrokenRun, noteCompleteRun } from './runResults';
+import type { StreamRelay } from './streamRelay';
 
 export type RunOutcome =
   /** The caller has its final response. */
@@ -62,7 +67,10 @@
   return outcome;
 }
 
-async function placeRun(run: StreamRun): Promise<PlacementOutcome> {
+async function placeRun(
+  run: StreamRun,
+  overrides: Partial<PlacementRequest> = {},
+): Promise<PlacementOutcome> {
   const { state, engine, deps, prefillStage, size, relay } = run;
   const { request, route, service } = state;
   const startedAtMs = monotonicNowMs();
@@ -81,6 +89,8 @@
     // 3 to 7.
     reservedTokens: stream.promptTokens + stream.emittedTokens,
     isResumed,
+    targetGapMs: route.targetGapMs,
+    maxPaceMs: maxPaceMs(run, stream, expectedMs),
     priority: state.priority,
     arrivedAtMs: request.arrivedAtMs,
     expectedHoldMs: expectedMs + stream.medianOutputTokens / deps.streamSizes.tokensPerMs(),
@@ -89,6 +99,7 @@
     excludedIds: state.failedServerIds,
     preferredId: state.cachedAtServerId,
     signal: state.signal,
+    ...overrides,
   });
   const waitedMs = monotonicNowMs() - startedAtMs;
   deps.metrics.observePlacement(service.name, waitedMs);
@@ -96,6 +107,20 @@
   return outcome;
 }
 
+function maxPaceMs(
+  { state, deps }: StreamRun,
+  { medianOutputTokens, emittedTokens }: StreamEstimate,
+  startMs: number,
+): number {
+  const { streamSizes } = deps;
+  const leftTokens = medianOutputTokens - emittedTokens;
+  return paceToEndInTime({
+    medianEvents: leftTokens / (streamSizes.emittedTokens(1) || Infinity),
+    lengthShape: streamSizes.lengthShape(),
+    remainingMs: remainingMs(state) - startMs,
+  });
+}
+
 /** Callers abandon a stream without an event for the longest of these times; the result leaves a margin before that. */
 function eventTimeoutMs({ targetLatencyMs, targetGapMs }: Route): number {
   return eventTimeoutShare * Math.max(minEventTimeoutMs, 4 * targetLatencyMs, 8 * targetGapMs);
@@ -103,7 +128,7 @@
 
 /** Has the prompt prefilled and decodes it in the reserved memory; releases what stays unused. */
 async function runAt(run: StreamRun, placement: Placement): Promise<RunOutcome> {
-  const { state, deps, prefillStage, size } = run;
+  const { state, prefillStage, size } = run;
   const { server } = placement.reservation;
   if (!state.isAccessGranted()) {
     releaseUnused(run, placement, undefined);
@@ -117,7 +142,34 @@
     releaseUnused(run, placement, prefill.kind === 'done' ? prefill.result : undefined);
     return { kind: 'not-run', reason: notRunReasons.noCapacity };
   }
-  const result = prefill.kind === 'done' ? prefill.result : undefined;
+  if (prefill.kind === 'done') {
+    return decodePrefilled(run, placement, prefill.result);
+  }
+  const isCached = server.id === state.cachedAtServerId;
+  const chosen = isCached ? placement : await placeForPrefill(run, placement);
+  const outcome = await decodePrefilled(run, chosen, undefined);
+  if (chosen !== placement) {
+    chosen.stream.release();
+  }
+  return outcome;
+}
+
+/** Memory that is free now is enough reason to move a prompt, but not to wait for it. */
+function placeForPrefill(run: StreamRun, placement: Placement): Promise<Placement> {
+  const { state, deps, prefillStage, size } = run;
+  const prefill = { state, deps, localMs: prefillStage.localMs(size.promptTokens) };
+  return placeForLocalPrefill(prefill, placement, (excludedIds) =>
+    placeRun(run, { excludedIds, preferredId: undefined, expiresAtMs: monotonicNowMs() + 1 }),
+  );
+}
+
+async function decodePrefilled(
+  run: StreamRun,
+  placement: Placement,
+  result: PrefillResult | undefined,
+): Promise<RunOutcome> {
+  const { deps, size } = run;
+  const { server } = placement.reservation;
   const notRunReason = reasonNotToDecode(run, server);
   if (notRunReason !== undefined) {
     releaseUnused(run, placement, result);
@@ -226,56 +278,21 @@
     return { kind: 'broken', detail: outcome.detail };
   }
   noteStep(state, `decode ${server.id} ${outcome.value.status}`);
+  const observer = createRunObserver(run, server.id);
   const relayed = await relay.relay({
     response: outcome.value,
     onProgress() {
       watch.noteProgress();
+      observer.noteEvents();
       stream.noteEmitted(deps.streamSizes.emittedTokens(relay.eventCount()));
     },
-    contextSince: (sinceMs) => contextSince(run, server.id, sinceMs),
+    contextSince: observer.contextSince,
   });
   if (relayed.kind === 'whole') {
-    noteOutputLength(run);
+    noteCompleteRun(run);
     deps.health.record(server.id, 'success', monotonicNowMs());
     return { kind: 'ended' };
   }
   noteBrokenRun(run, server.id, signal.aborted);
   return { kind: 'broken', detail: relayed.detail };
 }
-
-function contextSince({ deps }: StreamRun, serverId: string, sinceMs: number): RunContext {
-  const { engineLoads } = deps;
-  return {
-    serverId,
-    streamCount: engineLoads.streamCount(serverId),
-    hadLocalPrefill: engineLoads.hadLocalPrefillSince(serverId, sinceMs),
-  };
-}
-
-function noteOutputLength({ state, deps, relay, size }: StreamRun): void {
-  const { streamSizes, metrics } = deps;
-  const className = state.route.name;
-  const events = relay.eventCount();
-  const emittedTokens = streamSizes.emittedTokens(events);
-  if (emittedTokens > 0) {
-    const { medianOutputTokens } = streamSizes.estimateStream(className, size, 0);
-    metrics.observeLengthForecast(state.service.name, medianOutputTokens / emittedTokens);
-  }
-  streamSizes.observeEnd({ className, size, events, durationMs: relay.eventsDurationMs() });
-}
-
-/**
- * A broken connection does not mean that the server is down. It still has the prompt in its cache, so the next attempt
- * prefers it and saves the prefill; after a second break the stream moves to another server.
- */
-function noteBrokenRun({ state, deps }: StreamRun, serverId: string, hasStalled: boolean): void {
-  if (state.cachedAtServerId === undefined && !hasStalled) {
-    state.cachedAtServerId = serverId;
-  } else {
-    state.cachedAtServerId = undefined;
-    state.failedServerIds.add(serverId);
-  }
-  if (!state.signal.aborted) {
-    deps.health.record(serverId, 'failure', monotonicNowMs());
-  }
-}
