Place a moved prompt at once or not at all, and mend what a reader of the change found

A prompt that moves to a faster engine was placed like a new request: it waited up to 30 ms for memory, could go to a spare engine of unknown speed, and was counted a second time in the admission's rate, the overtaking and the metric of placements. It is immediate now: at once, on the router's own shard, or not at all, and not counted again.

Also: an estimate that becomes known with its second sample was sent at once, as if it had changed; the last message of each sender was kept with its rows; a request counted as overtaking after the more urgent ones had gone. Each has a test or is bounded by one.

Tests: decodePlacement, speedExchange, localPrefillPlacement, placementQueue, prefillSpeeds, urgency, prefillChoice: 58 passed.

--- a/packages/decisions/__tests__/urgency.test.ts
+++ b/packages/decisions/__tests__/urgency.test.ts
@@ -127,3 +127,12 @@
   );
   t.deepEqual(sorted, [resumed, urgent, late]);
 });
+
+test('a request overtakes nobody once no more urgent one waits', (t) => {
+  const overtaking = createOvertaking();
+  const aged = request({ priority: 1, arrivedAtMs: 0, latestStartAtMs: 800 });
+  const urgent = request({ priority: 0, arrivedAtMs: 0, latestStartAtMs: 800 });
+  t.is(overtaking.choose([urgent, aged], 500), aged);
+  t.is(overtaking.choose([aged], 510), undefined);
+  t.false(overtaking.notePlaced(aged));
+});
--- a/packages/decisions/src/prefillChoice.ts
+++ b/packages/decisions/src/prefillChoice.ts
@@ -7,7 +7,7 @@
   serverId: string;
   /** Prompt tokens ahead of a new prompt. */
   backlogTokens: number;
-  /** Speed relative to a typical engine, as `relativeSpeed` returns it. */
+  /** Speed as a ratio to a typical engine's, as `relativeSpeed` returns it. */
   learnedSpeed: number;
   /** The same, lowered by late prompts as `withPendingPrompts` returns it. */
   currentSpeed: number;
@@ -34,11 +34,11 @@
 const maxRelativeSpeed = 3;
 const minRelativeSpeed = 1 / 16;
 /**
- * Routers that decide at the same moment do not know of each other's prompts, and would all choose the same engine.
- * Each therefore takes the better of two drawn from this share of the engines, those that are expected to end first,
+ * Share of the engines, by expected end, from which two are drawn. Routers that decide at the same moment do not know of
+ * each other's prompts, and must not all choose the same engine.
  */
 const drawnShare = 0.5;
-/** but none that takes this many times longer than the first. */
+/** Engines that take longer than this many times the earliest end are not drawn. */
 const maxEndRatio = 2;
 /** A prompt later than this, and the margin, is not explained by another that was sent at the same moment. */
 const lateRatio = 2;
@@ -79,6 +79,7 @@
   }
   const drawnCount = Math.max(2, Math.ceil(ranked.length * drawnShare));
   const eligible = ranked.slice(0, drawnCount).filter(({ end }) => end <= first.end * maxEndRatio);
+  // The lower rank ends earlier.
   const draw = () => Math.floor(options.random() * eligible.length);
   return eligible[Math.min(draw(), draw())]?.engine;
 }
--- a/packages/decisions/src/urgency.ts
+++ b/packages/decisions/src/urgency.ts
@@ -67,13 +67,13 @@
     const onTime = waiting.filter(
       ({ isResumed, latestStartAtMs }) => !isResumed && latestStartAtMs >= nowMs,
     );
-    if (current !== undefined && !onTime.includes(current)) {
+    const mostUrgent = Math.min(...onTime.map(({ priority }) => priority));
+    if (current !== undefined && (!onTime.includes(current) || current.priority <= mostUrgent)) {
       current = undefined;
     }
     if (placedSinceLast < placementsPerOvertaking - 1) {
       return current;
     }
-    const mostUrgent = Math.min(...onTime.map(({ priority }) => priority));
     current ??= onTime
       .filter((request) => request.priority > mostUrgent && hasAged(request, nowMs))
       .sort((left, right) => left.latestStartAtMs - right.latestStartAtMs)[0];
--- a/packages/routing/__tests__/decodePlacement.test.ts
+++ b/packages/routing/__tests__/decodePlacement.test.ts
@@ -283,3 +283,22 @@
     t.is(serverOf(result), 'x');
   },
 );
+
+testWithFakeClock(
+  'an immediate request is placed at once or refused, and does not wait',
+  async (t, clock) => {
+    // Guards against a stream that has its memory already and waits for memory elsewhere.
+    const fixture = createFixture(clock, ['a', 'b'], ['spare']);
+    const placed = fixture.place({ isImmediate: true, excludedIds: new Set(['b']) });
+    await clock.tickAsync(10);
+    t.is(serverOf(placed), 'a');
+    const full = fixture.place({ isImmediate: true, excludedIds: new Set(['b']), tokens: 8_000 });
+    await clock.tickAsync(0);
+    t.is(full.outcome?.kind, 'no-capacity');
+    fixture.outcomes.set('b', rejected);
+    const turnedAway = fixture.place({ isImmediate: true, excludedIds: new Set(['a']) });
+    await clock.tickAsync(5);
+    t.is(turnedAway.outcome?.kind, 'no-capacity');
+    t.deepEqual(fixture.calls, ['a', 'b']);
+  },
+);
--- a/packages/routing/__tests__/speedExchange.test.ts
+++ b/packages/routing/__tests__/speedExchange.test.ts
@@ -85,6 +85,18 @@
   });
 });
 
+/** Guards against bytes that are spent at once on news that could wait. */
+test('an estimate that becomes known with its second sample is not sent at once', (t) => {
+  withPair(({ clock, routers: [first], sent }) => {
+    first.of('prefillSpeed').observe('a', 55);
+    clock.tick(1_000);
+    const sentBefore = sent.length;
+    observe(first, 'prefillSpeed', 55);
+    clock.tick(20);
+    t.is(sent.length, sentBefore);
+  });
+});
+
 /** Guards against peers that never learn of a server whose only message was lost. */
 test('a lost message is made up for by the next', (t) => {
   withPair(({ clock, routers: [first, second], network }) => {
--- a/packages/routing/src/decodePaces.ts
+++ b/packages/routing/src/decodePaces.ts
@@ -44,7 +44,10 @@
   ): readonly Item[];
 }
 
-/** A stream that its engine pauses for lack of memory is no sign of a slow engine; one that is slow gives many samples. */
+/**
+ * One sample counts for at most this multiple of the known pace: a stream that its engine pauses for lack of memory must
+ * not make the engine look slow.
+ */
 const maxSampleRatio = 2;
 
 export function createDecodePaces(estimates: PaceEstimates): DecodePaces {
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -30,6 +30,8 @@
   excludedIds: ReadonlySet<string>;
   /** The server to use if it has enough memory. */
   preferredId?: string;
+  /** The request is placed at once, on an engine of this router's shard, or not at all. */
+  isImmediate?: boolean;
   signal: AbortSignal;
 }
 
@@ -105,6 +107,7 @@
       request.signal.addEventListener('abort', () => refuse(waiter), { once: true });
       tryWaiters();
       refuseIfTooLate(waiter);
+      refuseIfImmediate(waiter);
     });
   }
 
@@ -122,6 +125,12 @@
     }
   }
 
+  function refuseIfImmediate(waiter: Waiter): void {
+    if (waiter.isImmediate === true && !waiter.isReserving) {
+      refuse(waiter);
+    }
+  }
+
   function refuseIfTooLate(waiter: Waiter): void {
     const isWaiting = queue.has(waiter) && !waiter.isReserving;
     if (isWaiting && queue.isTooLate(waiter, monotonicNowMs())) {
@@ -219,7 +228,8 @@
     nowMs: number,
     candidatesOf: CandidatesOf,
   ): PlacementCandidate | undefined {
-    if (nowMs < waiter.nextSpareAttemptAtMs || !hasLostMostServers(waiter, candidatesOf)) {
+    const mayTrySpare = waiter.isImmediate !== true && nowMs >= waiter.nextSpareAttemptAtMs;
+    if (!mayTrySpare || !hasLostMostServers(waiter, candidatesOf)) {
       return undefined;
     }
     waiter.nextSpareAttemptAtMs = nowMs + spareRetryIntervalMs;
@@ -250,9 +260,7 @@
       health.record(server.id, 'success', monotonicNowMs());
     }
     if (outcome.kind === 'done' && notices.isAccepting(server)) {
-      if (queue.notePlaced(waiter, monotonicNowMs())) {
-        onOvertaking(waiter.serviceName);
-      }
+      notePlaced(waiter);
       deliver(waiter, { reservation: outcome.value, stream: retryWaitersOnRelease(stream) });
       return;
     }
@@ -264,9 +272,17 @@
     } else {
       noteReservationFailure(server, waiter, outcome);
     }
+    refuseIfImmediate(waiter);
     tryWaiters();
   }
 
+  /** An immediate request has been placed before, so that it is not counted again. */
+  function notePlaced(waiter: Waiter): void {
+    if (waiter.isImmediate !== true && queue.notePlaced(waiter, monotonicNowMs())) {
+      onOvertaking(waiter.serviceName);
+    }
+  }
+
   function noteReservationFailure(
     { id }: BackendServer,
     { failedIds, reservedTokens, signal }: Waiter,
--- a/packages/routing/src/speedExchange.ts
+++ b/packages/routing/src/speedExchange.ts
@@ -1,7 +1,7 @@
 /**
  * Learns how fast backend servers are and tells the other routers of the shard, since each sees only a few samples of
- * each server. Sends what is new about once a second, and a notable change within milliseconds, within a budget of
- * bytes for the node. A row that is lost is made up for by its repetition or by the next sample.
+ * each server. Sends what is new about once a second, and a notable change as soon as the node's budget of bytes
+ * allows. A row that is lost is made up for by its repetition or by the next sample.
  */
 import {
   createBoundedMap,
@@ -139,7 +139,10 @@
 
   function noteSent(key: string, row: UnsentRow): void {
     row.sendsLeft -= 1;
-    sentValues.set(key, estimates[row.kind].estimate(row.serverId, monotonicNowMs()) ?? 0);
+    const sent = estimates[row.kind].estimate(row.serverId, monotonicNowMs());
+    if (sent !== undefined) {
+      sentValues.set(key, sent);
+    }
     // A row that is repeated waits behind those that were noted meanwhile.
     unsentRows.delete(key);
     if (row.sendsLeft > 0) {
@@ -207,7 +210,8 @@
     if (isStale || !channel()?.livePeers().includes(senderAddress)) {
       return;
     }
-    lastMessages.set(senderAddress, message);
+    const { incarnation: senderIncarnation, sequence: senderSequence } = message;
+    lastMessages.set(senderAddress, { incarnation: senderIncarnation, sequence: senderSequence });
     const nowMs = monotonicNowMs();
     kinds.forEach((kind) => {
       const summaries = rows.filter((row) => row.kind === kind).flatMap(summariesOf);
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -67,20 +67,26 @@
   return outcome;
 }
 
-async function placeRun(
-  run: StreamRun,
-  overrides: Partial<PlacementRequest> = {},
-): Promise<PlacementOutcome> {
+async function placeRun(run: StreamRun): Promise<PlacementOutcome> {
+  const { state, deps } = run;
+  const startedAtMs = monotonicNowMs();
+  const outcome = await deps.placement.place(createPlacementRequest(run));
+  const waitedMs = monotonicNowMs() - startedAtMs;
+  deps.metrics.observePlacement(state.service.name, waitedMs);
+  noteStep(state, `${outcome.kind} ${Math.round(waitedMs)}ms`);
+  return outcome;
+}
+
+function createPlacementRequest(run: StreamRun): PlacementRequest {
   const { state, engine, deps, prefillStage, size, relay } = run;
   const { request, route, service } = state;
-  const startedAtMs = monotonicNowMs();
   const expectedMs = prefillStage.expectedMs(service.name, size.promptTokens) + startOverheadMs;
   const stream = deps.streamSizes.estimateStream(route.name, size, relay.eventCount());
   // For a caller that has already received events, the timeout restarts.
   const isResumed = state.sentCount > 0;
-  const waitingSinceMs = isResumed ? startedAtMs : request.arrivedAtMs;
+  const waitingSinceMs = isResumed ? monotonicNowMs() : request.arrivedAtMs;
   const eventTimeoutAtMs = waitingSinceMs + eventTimeoutMs(route);
-  const outcome = await deps.placement.place({
+  return {
     serviceName: service.name,
     engine,
     stream,
@@ -99,12 +105,7 @@
     excludedIds: state.failedServerIds,
     preferredId: state.cachedAtServerId,
     signal: state.signal,
-    ...overrides,
-  });
-  const waitedMs = monotonicNowMs() - startedAtMs;
-  deps.metrics.observePlacement(service.name, waitedMs);
-  noteStep(state, `${outcome.kind} ${Math.round(waitedMs)}ms`);
-  return outcome;
+  };
 }
 
 function maxPaceMs(
@@ -159,7 +160,10 @@
   const { state, deps, prefillStage, size } = run;
   const prefill = { state, deps, localMs: prefillStage.localMs(size.promptTokens) };
   return placeForLocalPrefill(prefill, placement, (excludedIds) =>
-    placeRun(run, { excludedIds, preferredId: undefined, expiresAtMs: monotonicNowMs() + 1 }),
+    deps.placement.place({
+      ...createPlacementRequest(run),
+      ...{ excludedIds, preferredId: undefined, isImmediate: true },
+    }),
   );
 }
 
