--- a/packages/routing/__tests__/decodePlacement.test.ts
+++ b/packages/routing/__tests__/decodePlacement.test.ts
@@ -6,12 +6,12 @@
   createEngineLoads,
   createFleetShard,
   createServerDirectory,
-  type BackendServer,
   type CallOutcome,
   type EngineSettings,
   type Reservation,
 } from '@bluebellhitch/routing';
 import type { PlacementOutcome, PlacementRequest } from '../src/decodePlacement';
+import { decodeServer } from './support/decodeServer';
 
 const engine: EngineSettings = {
   kvTokens: 10_000,
@@ -19,17 +19,6 @@
   stageSwitchMs: 6_000,
 };
 
-const server = (id: string): BackendServer => ({
-  id,
-  name: id,
-  serviceName: 's',
-  address: `${id}:80`,
-  dataCentre: 'north',
-  slots: 64,
-  isDraining: false,
-  stage: 'decode',
-});
-
 const rejected: CallOutcome<Reservation> = {
   kind: 'not-run',
   cause: { kind: 'rejected', status: 503 },
@@ -37,13 +26,13 @@
 
 function createFixture(clock: Clock, serverIds: string[], spareIds: string[] = []) {
   const directory = createServerDirectory();
-  serverIds.map(server).forEach(directory.put);
+  serverIds.map(decodeServer).forEach(directory.put);
   const loads = createEngineLoads();
   const calls: string[] = [];
   const releasedIds: string[] = [];
   const outcomes = new Map<string, CallOutcome<Reservation>>();
   const placement = createDecodePlacement({
-    pools: { ...createFleetShard({ directory }), spare: () => spareIds.map(server) },
+    pools: { ...createFleetShard({ directory }), spare: () => spareIds.map(decodeServer) },
     loads,
     health: createOutlierDetector(),
     backend: {
--- a/packages/routing/__tests__/localPrefillPlacement.test.ts
+++ b/packages/routing/__tests__/localPrefillPlacement.test.ts
@@ -1,18 +1,8 @@
 import test from 'ava';
-import { createDecodePaces, type BackendServer } from '@bluebellhitch/routing';
+import { createDecodePaces } from '@bluebellhitch/routing';
 import type { Placement, PlacementOutcome } from '../src/decodePlacement';
 import { placeForLocalPrefill, type LocalPrefill } from '../src/localPrefillPlacement';
-
-const server = (id: string): BackendServer => ({
-  id,
-  name: id,
-  serviceName: 's',
-  address: `${id}:80`,
-  dataCentre: 'north',
-  slots: 64,
-  isDraining: false,
-  stage: 'decode',
-});
+import { decodeServer } from './support/decodeServer';
 
 interface FixtureOptions {
   busyIds?: readonly string[];
@@ -27,7 +17,7 @@
   const calls: string[] = [];
   const trail: { atMs: number; detail: string }[] = [];
   const placementAt = (id: string): Placement => ({
-    reservation: { id: `h-${id}`, server: server(id), tokens: 1 },
+    reservation: { id: `h-${id}`, server: decodeServer(id), tokens: 1 },
     stream: { noteEmitted: () => undefined, release: () => calls.push(`release ${id}`) },
   });
   const prefill = {
@@ -40,7 +30,7 @@
       trail,
     },
     deps: {
-      pools: { usable: () => Object.keys(paceMs).map(server) },
+      pools: { usable: () => Object.keys(paceMs).map(decodeServer) },
       engineLoads: { localPrefillCount: (id: string) => Number(busyIds.includes(id)) },
       metrics: { countSlowLocalPrefill: (_service: string, kind: string) => calls.push(kind) },
       backend: { releaseReservation: ({ id }: { id: string }) => calls.push(`drop ${id}`) },
--- a/packages/routing/__tests__/placementChoice.test.ts
+++ b/packages/routing/__tests__/placementChoice.test.ts
@@ -2,30 +2,19 @@
 import { createMemoryForecast, withinPace } from '@bluebellhitch/decisions';
 import { createSeededRandom, type Random } from '@bluebellhitch/shared';
 import type { DecodePaces } from '../src/decodePaces';
-import type { BackendServer } from '../src/model';
 import { chooseBestFit, type PlacementCandidate } from '../src/placementChoice';
+import { decodeServer } from './support/decodeServer';
 
 const capacityTokens = 40_000;
 const stream = { promptTokens: 5_000, emittedTokens: 0, medianOutputTokens: 400 };
 
-const server = (id: string): BackendServer => ({
-  id,
-  name: id,
-  serviceName: 's',
-  address: `${id}:80`,
-  dataCentre: 'north',
-  slots: 64,
-  isDraining: false,
-  stage: 'decode',
-});
-
 function candidate(id: string, streamCount: number): PlacementCandidate {
   const streams = Array.from({ length: streamCount }, () => stream);
   const memory = createMemoryForecast({
     ...{ streams, capacityTokens },
     ...{ lengthShape: 3.6, marginDeviations: 2.5 },
   });
-  return { server: server(id), memory };
+  return { server: decodeServer(id), memory };
 }
 
 const pacesOf = (
