Take no sample of an engine's speed from prompts that are read in a few milliseconds

A test of engines in backoff failed once beside load (no request of 100 reached the engine): both engines read its prompts in about a millisecond, so the time of a call was the network's, one engine looked many times slower than the other and was not drawn any more until its samples expired. In service this would keep engines unused where prompts are short.

Prompts that are expected to take less than 30 ms are no sample. Ruled out: the backoff itself; the file passes alone, three of three runs. The new test fails without the change.

--- a/packages/routing/__tests__/prefillSpeeds.test.ts
+++ b/packages/routing/__tests__/prefillSpeeds.test.ts
@@ -48,6 +48,18 @@
   });
 });
 
+test('a short prompt tells nothing of the speed, however long its call takes', (t) => {
+  // Guards against engines that look slow, and are no longer used, since the network took most of a short call's time.
+  withSpeeds((speeds, clock) => {
+    Array.from({ length: 6 }, () => {
+      const end = speeds.begin('a', { backlogTokens: 0, promptTokens: 100, expectedMs: 2 });
+      clock.tick(10);
+      end('done');
+    });
+    t.is(speeds.learned('a'), 1);
+  });
+});
+
 test('a prompt behind others shows at most how fast the engine is', (t) => {
   withSpeeds((speeds, clock) => {
     // Part of the prompts ahead was done already: the engine is not as fast as this seems.
--- a/packages/routing/src/prefillSpeeds.ts
+++ b/packages/routing/src/prefillSpeeds.ts
@@ -22,6 +22,9 @@
   begin(serverId: string, prompt: StartedPrompt): (result: PromptResult) => void;
 }
 
+/** The time of a shorter prompt is mostly that of the call itself, so it says little about the engine. */
+const minSampleMs = 30;
+
 export function createPrefillSpeeds(speeds: ServerSpeeds): PrefillSpeeds {
   /** Prompts in progress by engine; an engine without any has no entry. */
   const pending = new Map<string, Set<PendingPrompt>>();
@@ -43,6 +46,9 @@
    * time-out, it only shows that the engine is at most this fast.
    */
   function learn(serverId: string, prompt: StartedPrompt, tookMs: number, isDone: boolean): void {
+    if (prompt.expectedMs < minSampleMs) {
+      return;
+    }
     const tokensPerMs = (prompt.backlogTokens + prompt.promptTokens) / tookMs;
     const isExact = isDone && prompt.backlogTokens === 0;
     const known = speeds.estimate(serverId) ?? speeds.typical();
