--- a/packages/entry/__tests__/cancel.test.ts
+++ b/packages/entry/__tests__/cancel.test.ts
@@ -83,20 +83,21 @@
     const decode = createFakeAgent({ id: 'decode-1', service, role: 'decode' });
     const prefill = createFakeAgent({ id: 'prefill-1', service, role: 'prefill' });
     stage.arrange(decode, prefill);
+    const caller = new AbortController();
     const claims = createOpenClaims();
     const slowClaims = {
       ...claims,
       take: (request: Parameters<typeof claims.take>[0]) => {
         claimCount += 1;
+        // Not before the caller has disconnected, however busy the machine is.
         const late = new Promise<void>((resolve) => {
-          setTimeout(resolve, 50);
+          caller.signal.addEventListener('abort', () => setTimeout(resolve, 50));
         });
         return ResultAsync.fromSafePromise(late).andThen(() => claims.take(request));
       },
     };
     const harness = await startHarness(t, { agents: [decode, prefill], claims: slowClaims });
     const { headers, body = {} } = stage;
-    const caller = new AbortController();
     const response = chat(
       harness.address,
       { stream: true, ...body },
