Log runs whose response was lost, with a fingerprint of the request's content

Operators saw servers end and callers get 502, but no line said whether one request that came again or many different ones had run there: a line names a request by its id, which each repetition has anew, and no metric counted runs that ended on the server's side.

Each call with a request whose response was lost now writes a line with the server, who ended the call, and a digest of method, host, path, workspace and body; it is computed for lost runs only. A counter has the same by cause. The digest of the own interface's fingerprints moves to the shared package, so that both paths use one.

--- a/packages/entry/src/digests.ts
+++ b/packages/entry/src/digests.ts
@@ -1,17 +1,9 @@
 /** Digests of requests: fingerprints for quarantine, and keys for claims and shared runs. */
-import { createHash } from 'node:crypto';
-
-const digestLength = 32;
-
-function digest(parts: readonly (string | Buffer)[]): string {
-  const hash = createHash('sha256');
-  parts.forEach((part) => hash.update(`${part.length}:`).update(part));
-  return hash.digest('hex').slice(0, digestLength);
-}
+import { digestParts } from '@bluebellhitch/shared';
 
 /** Fingerprint of a request's institution and content, by which repeated requests are recognised. */
 export function computeFingerprint(institution: string, ...content: (string | Buffer)[]): string {
-  return digest([institution, ...content]);
+  return digestParts([institution, ...content]);
 }
 
 /** Key of a claim, unique for each service, institution and idempotency key. */
@@ -20,5 +12,5 @@
   institution: string,
   idempotencyKey: string,
 ): string {
-  return `${service}/${digest([institution, idempotencyKey])}`;
+  return `${service}/${digestParts([institution, idempotencyKey])}`;
 }
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -4,6 +4,7 @@
 import type { CompleteResponse } from './callerApi';
 import { forwardBody } from './forwardBody';
 import { attemptCauses, takeFurtherAttempt } from './furtherAttempts';
+import { lostRunCauses, recordLostRun } from './lostRuns';
 import {
   notRunReasons,
   routeKinds,
@@ -162,6 +163,7 @@
   const { backend, serverLoads, health } = deps;
   const endLoad = serverLoads.begin(server.id);
   health.beginAttempt(server.id, monotonicNowMs());
+  const startedAtMs = monotonicNowMs();
   const availableMs = remainingMs(state);
   const outcome = await backend.run(server, state.request, {
     remainingMs: availableMs,
@@ -171,6 +173,12 @@
   });
   const attempt = await readAttempt(outcome, state);
   endLoad();
+  const lostDetail = lostDetailOf(attempt);
+  if (lostDetail !== undefined) {
+    const isOurs = state.signal.aborted || (outcome.kind === 'lost' && outcome.isOurs);
+    const cause = isOurs ? lostRunCauses.router : lostRunCauses.server;
+    recordLostRun({ state, server, startedAtMs, cause, detail: lostDetail }, deps);
+  }
   state.wasMisdirected ||= attempt.kind === 'misdirected';
   if (hasArrived(attempt)) {
     state.sentCount += 1;
@@ -183,6 +191,14 @@
   return kind !== 'unreachable' && kind !== 'withheld' && kind !== 'misdirected';
 }
 
+/** Why the attempt's response was lost, wholly or in part; undefined if it was not. */
+function lostDetailOf(attempt: Attempt): string | undefined {
+  if (attempt.kind === 'forwarded' && !attempt.isComplete) {
+    return 'lost after a part was forwarded';
+  }
+  return attempt.kind === 'lost' ? attempt.detail : undefined;
+}
+
 /** The last attempt may use all of the remaining time; earlier ones leave some for the next. */
 function headTimeoutMs({ route, sentCount }: RequestState, availableMs: number): number {
   const isLast = sentCount + 1 >= route.maxAttempts;
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -11,6 +11,7 @@
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { CallOutcome, PrefillResult } from './backendApi';
 import { attemptCauses, beginFirstPrefill, takeFurtherAttempt } from './furtherAttempts';
+import { lostRunCauses, recordLostRun } from './lostRuns';
 import { stages, type BackendServer } from './model';
 import { createPrefillSpeeds, type PromptResult } from './prefillSpeeds';
 import { noteStep, remainingMs, type RequestState } from './requestState';
@@ -183,6 +184,11 @@
     const tookMs = monotonicNowMs() - startedAtMs;
     endPrompt(resultOf(outcome, tookMs >= timeoutMs));
     const cause = outcome.kind === 'not-run' ? outcome.cause.kind : outcome.kind;
+    if (outcome.kind === 'lost') {
+      const { detail, isOurs } = outcome;
+      const endedBy = isOurs || state.signal.aborted ? lostRunCauses.router : lostRunCauses.server;
+      recordLostRun({ state, server, startedAtMs, cause: endedBy, detail }, deps);
+    }
     noteStep(state, `prefill ${server.id} ${cause} ${Math.round(tookMs)}ms`);
     if (outcome.kind === 'done') {
       engineLoads.noteContact(server.id);
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -2,6 +2,7 @@
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { CallerExchange } from './callerApi';
 import type { CallerRequest, Refusal, Route, ServiceSettings } from './model';
+import { computeRequestFingerprint } from './requestFingerprint';
 import type { RelayPauses } from './streamRelay';
 
 /** Timers that are set for the same moment fire within this time of each other. */
@@ -16,6 +17,8 @@
   priority: number;
   /** Whether the current configuration still grants the request access; checked before each attempt. */
   isAccessGranted: () => boolean;
+  /** Identifies the request's content; computed at the first call. */
+  fingerprint: () => string;
   /** The earlier of the caller's deadline and the route's time-out, on the monotonic clock. */
   endsAtMs: number;
   /** Aborts at `endsAtMs` and when the caller leaves. */
@@ -65,6 +68,7 @@
   const endsAtMs = Math.min(request.arrivedAtMs + route.timeoutMs, request.deadlineAtMs);
   const expiry = new AbortController();
   const timer = setTimeout(() => expiry.abort(), Math.max(0, endsAtMs - monotonicNowMs()));
+  let fingerprint: string | undefined;
   const state: RequestState = {
     exchange,
     request,
@@ -72,6 +76,10 @@
     service,
     priority,
     isAccessGranted,
+    fingerprint() {
+      fingerprint ??= computeRequestFingerprint(request);
+      return fingerprint;
+    },
     endsAtMs,
     signal: AbortSignal.any([exchange.signal, expiry.signal]),
     expiry: expiry.signal,
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -33,6 +33,8 @@
   countFurtherAttempt(service: string, cause: string): void;
   /** Counts further attempts that the budget of the service refused. */
   countRefusedAttempt(service: string, cause: string): void;
+  /** Counts calls with a request whose response was lost, by who ended them. */
+  countLostRun(service: string, cause: string): void;
   countPrefillTokens(tokens: number): void;
   countWastedPrefillTokens(tokens: number): void;
   countConnection(): void;
@@ -154,6 +156,11 @@
     'Attempts beyond the first that the budget of the service refused, by cause.',
     ['service', 'cause'],
   );
+  const lostRuns = counter(
+    'bluebell_lost_runs_total',
+    'Calls with a request whose response was lost, by who ended them.',
+    ['service', 'cause'],
+  );
   const prefillTokens = counter('bluebell_prefill_tokens_total', 'Prompt tokens read.');
   const wastedTokens = counter(
     'bluebell_wasted_prefill_tokens_total',
@@ -243,6 +250,7 @@
     countLateStream: (labels, cause) => lateStreams.inc({ ...limitClass(labels), cause }),
     countFurtherAttempt: (service, cause) => furtherAttempts.inc({ service, cause }),
     countRefusedAttempt: (service, cause) => refusedAttempts.inc({ service, cause }),
+    countLostRun: (service, cause) => lostRuns.inc({ service, cause }),
     countPrefillTokens: (tokens) => prefillTokens.inc(tokens),
     countWastedPrefillTokens: (tokens) => wastedTokens.inc(tokens),
     countConnection: () => connections.inc(),
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -14,6 +14,7 @@
   type Route,
 } from './model';
 import type { PrefillOutcome, PrefillStage } from './prefillStage';
+import { lostRunCauses, recordLostRun } from './lostRuns';
 import { startStallWatch, type StallWatch } from './stallWatch';
 import { noteStep, remainingMs, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
@@ -259,7 +260,15 @@
 ): Promise<RunOutcome> {
   const { state, deps, relay } = run;
   const { server } = reservation;
+  const startedAtMs = monotonicNowMs();
   const availableMs = remainingMs(state);
+  const breakRun = (detail: string): RunOutcome => {
+    const isOurs = signal.aborted || state.signal.aborted;
+    const cause = isOurs ? lostRunCauses.router : lostRunCauses.server;
+    recordLostRun({ state, server, startedAtMs, cause, detail }, deps);
+    noteBrokenRun(run, server.id, signal.aborted);
+    return { kind: 'broken', detail };
+  };
   if (prefill === undefined) {
     noteStep(state, 'prompt at decode');
   }
@@ -278,8 +287,7 @@
   }
   state.sentCount += 1;
   if (outcome.kind === 'lost') {
-    noteBrokenRun(run, server.id, signal.aborted);
-    return { kind: 'broken', detail: outcome.detail };
+    return breakRun(outcome.detail);
   }
   noteStep(state, `decode ${server.id} ${outcome.value.status}`);
   const observer = createRunObserver(run, server.id);
@@ -297,6 +305,5 @@
     deps.health.record(server.id, 'success', monotonicNowMs());
     return { kind: 'ended' };
   }
-  noteBrokenRun(run, server.id, signal.aborted);
-  return { kind: 'broken', detail: relayed.detail };
+  return breakRun(relayed.detail);
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -25,6 +25,7 @@
 export { createSeededRandom, rotateRandomly, type Random } from './random';
 export { createBackgroundLoop, type BackgroundLoop } from './backgroundLoop';
 export { delay, monotonicNowMs } from './clock';
+export { digestParts } from './contentDigest';
 export { startPauseTolerantTimer, type PauseTolerantTimer } from './pauseTolerantTimer';
 export { runOnce } from './runOnce';
 export { ageMsOf, earlierBy, readClocks, type ClockReading } from './clockReading';
