Keep quarantined requests in the platform's store over a restart of all routers

What callers would see: after a power loss of all machines, a request that had crashed three servers crashes three more, and is sent to servers beyond what is allowed. Found by looking for the cause of the incident elsewhere: what the routers count lived in their memory only.

A router that has noticed a crash of the request writes its record to the store when it is quarantined or released; each router reads them once after its start.

The schema and the merging write move from the entry's strikes to the routing package, which both use. Datagrams after close are dropped, since a router that is stopped twice sent one on a closed socket.

--- a/packages/entry/src/strikes.ts
+++ b/packages/entry/src/strikes.ts
@@ -5,15 +5,13 @@
  */
 import {
   createQuarantine,
-  mergeQuarantineRecords,
   type Quarantine,
-  type QuarantineRecord,
   type QuarantineVerdict,
 } from '@bluebellhitch/decisions';
 import type { ServiceDocument } from '@bluebellhitch/document';
-import { objectKinds, type PlatformApi } from '@bluebellhitch/objects';
+import type { PlatformApi } from '@bluebellhitch/objects';
 import type { Strike } from '@bluebellhitch/protocol';
-import * as z from 'zod';
+import { decodeQuarantineRecord, writeQuarantineRecord } from '@bluebellhitch/routing';
 import type { Logger } from '@bluebellhitch/telemetry';
 
 export interface StrikesOptions {
@@ -44,24 +42,15 @@
   sweep(): void;
 }
 
-const recordSchema = z.object({
-  service: z.string(),
-  fingerprint: z.string(),
-  strikes: z.array(
-    z.object({ attemptId: z.string(), instanceId: z.string(), struckAtMs: z.number() }),
-  ),
-  clearedAttemptIds: z.array(z.string()),
-});
-
 /** Creates the strikes of one entry. */
 export function createStrikes(options: StrikesOptions): Strikes {
   const { platform, sendToPeers, logger, maxWriteTries = 4 } = options;
   const quarantine = options.quarantine ?? createQuarantine();
 
   function mergeRecord(value: unknown): void {
-    const parsed = recordSchema.safeParse(value);
-    if (parsed.success) {
-      quarantine.merge(parsed.data, Date.now());
+    const record = decodeQuarantineRecord(value);
+    if (record !== undefined) {
+      quarantine.merge(record, Date.now());
     }
   }
 
@@ -85,7 +74,7 @@
       if (record === undefined) {
         return true;
       }
-      const written = await writeMerged(platform, key, record);
+      const written = await writeQuarantineRecord(platform, key, record);
       if (written !== 'raced') {
         return written === 'done';
       }
@@ -120,36 +109,3 @@
     sweep: () => quarantine.sweep(Date.now()),
   };
 }
-
-type WriteOutcome = 'done' | 'raced' | 'failed';
-
-async function writeMerged(
-  platform: StrikesOptions['platform'],
-  key: string,
-  record: QuarantineRecord,
-): Promise<WriteOutcome> {
-  const current = await platform.get(objectKinds.quarantine, key);
-  if (current.isErr()) {
-    return current.error.kind === 'not-found' ? createObject(platform, key, record) : 'failed';
-  }
-  const known = recordSchema.safeParse(current.value.value);
-  const merged = known.success ? mergeQuarantineRecords(known.data, record) : record;
-  const { version } = current.value;
-  const updated = await platform.update(objectKinds.quarantine, key, version, merged);
-  return updated.match(
-    () => 'done' as const,
-    (error) => (error.kind === 'conflict' ? 'raced' : 'failed'),
-  );
-}
-
-async function createObject(
-  platform: StrikesOptions['platform'],
-  key: string,
-  record: QuarantineRecord,
-): Promise<WriteOutcome> {
-  const created = await platform.create(objectKinds.quarantine, key, record);
-  return created.match(
-    () => 'done' as const,
-    (error) => (error.kind === 'conflict' ? 'raced' : 'failed'),
-  );
-}
--- a/packages/routing/src/datagramSocket.ts
+++ b/packages/routing/src/datagramSocket.ts
@@ -12,7 +12,10 @@
 export interface DatagramSocket {
   /** `ip:port`. */
   address: string;
-  /** Resolves once the bytes have been sent to all addresses, or sending has failed; failures are logged. */
+  /**
+   * Resolves once the bytes have been sent to all addresses, or sending has failed; failures are logged. Sends nothing
+   * after `close`.
+   */
   send(bytes: Buffer, addresses: readonly string[]): Promise<unknown>;
   onMessage(receive: (bytes: Buffer) => void): void;
   close(): void;
@@ -23,6 +26,7 @@
   const { host, logger } = options;
   const socket = createSocket('udp4');
   const port = await bind(socket, host, options.port);
+  let isClosed = false;
   socket.on('error', (error) => logger.warn('peer socket error', { error }));
 
   function sendTo(address: string, bytes: Buffer): Promise<void> {
@@ -39,9 +43,13 @@
 
   return {
     address: `${host}:${port}`,
-    send: (bytes, addresses) => Promise.all(addresses.map((address) => sendTo(address, bytes))),
+    send: (bytes, addresses) =>
+      Promise.all(isClosed ? [] : addresses.map((address) => sendTo(address, bytes))),
     onMessage: (receive) => socket.on('message', receive),
-    close: () => socket.close(),
+    close() {
+      isClosed = true;
+      socket.close();
+    },
   };
 }
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -99,6 +99,16 @@
 } from './objectFollower';
 export type { SeenChanges } from './relayedEvents';
 export { createRequestRouter, type RequestRouter } from './requestRouter';
+export {
+  createQuarantineStore,
+  type QuarantineStore,
+  type QuarantineStoreOptions,
+} from './quarantineStore';
+export {
+  decodeQuarantineRecord,
+  writeQuarantineRecord,
+  type QuarantineWrite,
+} from './quarantineObjects';
 export {
   createRequestQuarantine,
   noQuarantine,
--- /dev/null
+++ b/packages/routing/src/quarantineObjects.ts
@@ -0,0 +1,61 @@
+/** Records of quarantined requests as objects of the platform's store. Their times are wall-clock milliseconds. */
+import * as z from 'zod';
+import { mergeQuarantineRecords, type QuarantineRecord } from '@bluebellhitch/decisions';
+import { objectKinds, type ObjectApi, type StoredObject } from '@bluebellhitch/objects';
+
+/** `raced`: another writer was faster. `failed`: the record may or may not have been written. */
+export type QuarantineWrite = 'done' | 'raced' | 'failed';
+
+const recordSchema = z.object({
+  service: z.string(),
+  fingerprint: z.string(),
+  strikes: z.array(
+    z.object({ attemptId: z.string(), instanceId: z.string(), struckAtMs: z.number() }),
+  ),
+  clearedAttemptIds: z.array(z.string()),
+});
+
+/** Returns undefined for a value that is not a record. */
+export function decodeQuarantineRecord(value: unknown): QuarantineRecord | undefined {
+  const parsed = recordSchema.safeParse(value);
+  return parsed.success ? parsed.data : undefined;
+}
+
+/** Merges the record into the object with this key, or creates the object. */
+export async function writeQuarantineRecord(
+  objects: Pick<ObjectApi, 'get' | 'create' | 'update'>,
+  key: string,
+  record: QuarantineRecord,
+): Promise<QuarantineWrite> {
+  const current = await objects.get(objectKinds.quarantine, key);
+  if (current.isErr()) {
+    return current.error.kind === 'not-found' ? create(objects, key, record) : 'failed';
+  }
+  return update(objects, current.value, record);
+}
+
+async function create(
+  objects: Pick<ObjectApi, 'create'>,
+  key: string,
+  record: QuarantineRecord,
+): Promise<QuarantineWrite> {
+  const created = await objects.create(objectKinds.quarantine, key, record);
+  return created.match(
+    () => 'done' as const,
+    (error) => (error.kind === 'conflict' ? 'raced' : 'failed'),
+  );
+}
+
+async function update(
+  objects: Pick<ObjectApi, 'update'>,
+  { key, version, value }: StoredObject,
+  record: QuarantineRecord,
+): Promise<QuarantineWrite> {
+  const known = decodeQuarantineRecord(value);
+  const merged = known === undefined ? record : mergeQuarantineRecords(known, record);
+  const updated = await objects.update(objectKinds.quarantine, key, version, merged);
+  return updated.match(
+    () => 'done' as const,
+    (error) => (error.kind === 'conflict' ? 'raced' : 'failed'),
+  );
+}
--- a/packages/routing/src/requestQuarantine.ts
+++ b/packages/routing/src/requestQuarantine.ts
@@ -56,12 +56,16 @@
   /** A router has stopped sending; it is asked again when it returns. */
   dropPeer(router: string): void;
   receive(message: CrashMessage): void;
+  /** Merges a record that was stored earlier; false if it no longer counts. */
+  restore(record: QuarantineRecord): boolean;
   close(): void;
 }
 
 export interface RequestQuarantineOptions {
   channel: () => QuarantineChannel | undefined;
   serverEnds: ServerEnds;
+  /** Receives the record of a request that is quarantined or released, if this router has noticed one of its crashes. */
+  onStatusChanged?: (record: QuarantineRecord) => void;
   logger: Logger;
   onCrash?: () => void;
   onQuarantined?: () => void;
@@ -101,17 +105,21 @@
 /** How often a router that was met is asked, as datagrams may be lost. */
 const questionsPerRouter = 2;
 const maxRememberedRouters = 1_024;
+const maxNoticed = 4_096;
 /** Crashes are rare: saved over minutes, this is enough to tell each of some hundred routers at once. */
 const byteBudget = { bytesPerSecond: 1_000, maxSavedMs: 300_000, initialMs: 300_000 };
 
 export function createRequestQuarantine(options: RequestQuarantineOptions): RequestQuarantine {
   const { channel, serverEnds, logger, random = Math.random } = options;
   const { onCrash = () => undefined, onQuarantined = () => undefined } = options;
+  const { onStatusChanged = () => undefined } = options;
   const quarantine = createQuarantine({ lifetimeMs: policy.memoryMs });
   const budget = createByteBudget(byteBudget);
   /** How often each changed record is still to be sent, the latest change last. */
   const unsent = new Map<string, number>();
   const questionsLeft = createBoundedMap<string, number>({ maxEntries: maxRememberedRouters });
+  /** Requests whose crashes or completions this router has noticed itself. */
+  const noticed = createBoundedMap<string, true>({ maxEntries: maxNoticed });
   let sendTimer: NodeJS.Timeout | undefined;
   const sweepTimer = setInterval(() => quarantine.sweep(monotonicNowMs()), sweepIntervalMs);
   sweepTimer.unref();
@@ -133,8 +141,12 @@
     const wasQuarantined = isQuarantined(fingerprint);
     const hasChanged = apply();
     const isNowQuarantined = isQuarantined(fingerprint);
+    const record = recordOf(fingerprint);
+    if (isNowQuarantined !== wasQuarantined && record !== undefined && noticed.has(fingerprint)) {
+      onStatusChanged(record);
+    }
     if (isNowQuarantined && !wasQuarantined) {
-      const servers = recordOf(fingerprint)?.strikes.map(({ instanceId }) => instanceId);
+      const servers = record?.strikes.map(({ instanceId }) => instanceId);
       logger.warn('request quarantined', { fingerprint, servers, forMs: policy.durationMs });
       onQuarantined();
     }
@@ -147,6 +159,7 @@
   function strike({ fingerprint: fingerprintOf, requestId, server }: LostCall): void {
     const fingerprint = fingerprintOf();
     const { id } = server;
+    noticed.set(fingerprint, true);
     const crash = { service: allServices, fingerprint, attemptId: id, instanceId: id };
     if (change(fingerprint, () => quarantine.strike(crash, monotonicNowMs()))) {
       logger.warn('server crashed under a request', { fingerprint, requestId, server: id });
@@ -246,6 +259,10 @@
         return;
       }
       const fingerprint = fingerprintOf();
+      if (recordOf(fingerprint) === undefined) {
+        return;
+      }
+      noticed.set(fingerprint, true);
       if (change(fingerprint, () => quarantine.clear(allServices, fingerprint))) {
         announce(fingerprint);
       }
@@ -270,6 +287,12 @@
         answer(senderAddress);
       }
     },
+    restore(stored) {
+      const { fingerprint } = stored;
+      const record = { ...stored, service: allServices };
+      change(fingerprint, () => quarantine.merge(record, monotonicNowMs()));
+      return judge(fingerprint).kind !== 'clear';
+    },
     close() {
       clearTimeout(sendTimer);
       clearInterval(sweepTimer);
