Count crashes of servers that end together as one round of a request

What callers would see: all servers of a service lose power together while each of them runs a request that many callers send, such as a lookup without a body; the request is refused by all routers for an hour, though nothing is wrong with it. Found while reviewing the quarantine.

Cause: three crashes were enough, whenever they happened. Now at least one of the calls must have begun after the first crash, which a request that crashes servers brings about as soon as it comes again; a crash counts from the moment the call was lost, not from the end of the probe, as a resumed call begins before that. Weighed: one trial run over all routers some seconds after the third crash, which needs an owner that all agree on, or the store.

Tests: with rounds set to 1 the new fleet test fails.

--- a/packages/decisions/__tests__/quarantine.test.ts
+++ b/packages/decisions/__tests__/quarantine.test.ts
@@ -49,6 +49,18 @@
   t.is(quarantine.verdict(query(6_700_000, longMemory)).kind, 'clear');
 });
 
+// Guards against refusing what many callers send because all servers that ran it lost power together.
+test('strikes of attempts that overlap count as one round', (t) => {
+  const quarantine = createQuarantine();
+  const twoRounds = { rounds: 2 };
+  quarantine.strike({ ...strikeOf('1'), startedAtMs: 100 }, 1_000);
+  quarantine.strike({ ...strikeOf('2'), startedAtMs: 900 }, 1_100);
+  t.deepEqual(quarantine.verdict(query(1_100, twoRounds)), { kind: 'struck', strikeCount: 2 });
+  t.is(quarantine.verdict(query(1_100)).kind, 'quarantined');
+  quarantine.strike({ ...strikeOf('3'), startedAtMs: 1_000 }, 1_200);
+  t.is(quarantine.verdict(query(1_200, twoRounds)).kind, 'quarantined');
+});
+
 // Guards against quarantining a request after a single crash: the entry, its agent's late response and a
 // peer may each report the same crash of the same attempt.
 test('a strike is counted once for each attempt', (t) => {
--- a/packages/decisions/src/quarantine.ts
+++ b/packages/decisions/src/quarantine.ts
@@ -17,6 +17,11 @@
 /** The `quarantine` part of a service's document. */
 export interface QuarantinePolicy {
   strikes: number;
+  /**
+   * In how many rounds the strikes must have happened; default 1. Attempts that overlap are of one round:
+   * servers that end together have a cause of their own.
+   */
+  rounds?: number;
   durationMs: number;
   /**
    * How long a strike counts. If longer than `durationMs`, the request may run again after a quarantine,
@@ -31,6 +36,8 @@
   attemptId: string;
   instanceId: string;
   struckAtMs: number;
+  /** When the attempt began. */
+  startedAtMs?: number;
 }
 
 /** What peers and the platform exchange: the value of a `quarantine` object. */
@@ -65,7 +72,7 @@
 
 export interface Quarantine {
   /** Adds a strike; false if this attempt's strike is already known. */
-  strike(strike: Strike, nowMs: number): boolean;
+  strike(strike: Strike & Pick<CountedStrike, 'startedAtMs'>, nowMs: number): boolean;
   verdict(query: QuarantineQuery): QuarantineVerdict;
   /** Clears the strikes so far after the request completed; false if there were none. */
   clear(service: string, fingerprint: string): boolean;
@@ -113,9 +120,9 @@
     return true;
   }
 
-  function strike(reported: Strike, nowMs: number): boolean {
-    const { service, fingerprint, attemptId, instanceId } = reported;
-    const counted = { attemptId, instanceId, struckAtMs: nowMs };
+  function strike(reported: Strike & Pick<CountedStrike, 'startedAtMs'>, nowMs: number): boolean {
+    const { service, fingerprint, attemptId, instanceId, startedAtMs } = reported;
+    const counted = { attemptId, instanceId, struckAtMs: nowMs, startedAtMs };
     const record = { ...emptyRecord(service, fingerprint), strikes: [counted] };
     return merge(record, nowMs);
   }
@@ -208,12 +215,27 @@
   const strikeCount = recent.length;
   const endsAtMs = lastStrikeAtMs(recent) + durationMs;
   const isReleased = endsAtMs <= nowMs || policy.release.includes(record.fingerprint);
-  if (strikeCount < policy.strikes || isReleased) {
+  const isSuspect = strikeCount >= policy.strikes && countRounds(recent) >= (policy.rounds ?? 1);
+  if (!isSuspect || isReleased) {
     return { kind: 'struck', strikeCount };
   }
   return { kind: 'quarantined', strikeCount, retryAfterMs: endsAtMs - nowMs };
 }
 
+/** A strike whose attempt began after the first strike of a round belongs to the next one. */
+function countRounds(strikes: readonly CountedStrike[]): number {
+  const { count } = [...strikes]
+    .sort((left, right) => left.struckAtMs - right.struckAtMs)
+    .reduce(
+      (rounds, { struckAtMs, startedAtMs = struckAtMs }) =>
+        startedAtMs >= rounds.firstStrikeAtMs || rounds.count === 0
+          ? { count: rounds.count + 1, firstStrikeAtMs: struckAtMs }
+          : rounds,
+      { count: 0, firstStrikeAtMs: -Infinity },
+    );
+  return count;
+}
+
 function activeStrikes(record: QuarantineRecord | undefined): CountedStrike[] {
   return (record?.strikes ?? []).filter(
     ({ attemptId }) => !record?.clearedAttemptIds.includes(attemptId),
--- a/packages/protocol/__tests__/crashMessages.test.ts
+++ b/packages/protocol/__tests__/crashMessages.test.ts
@@ -7,7 +7,7 @@
   type CrashMessage,
 } from '../src';
 
-const crash = { serverId: 'i-7f3a91c2', ageMs: 1_200, isCleared: true };
+const crash = { serverId: 'i-7f3a91c2', ageMs: 1_200, durationMs: 60, isCleared: true };
 const message: CrashMessage = {
   senderAddress: '10.1.0.38:7380',
   isQuestion: true,
@@ -19,11 +19,13 @@
 });
 
 test('additional elements of later formats are ignored', (t) => {
-  const later = ['crash', '10.1.0.38:7380', 1, [['f', [['s', 5, 0, 'new']], 'new']], 'new'];
+  const later = ['crash', '10.1.0.38:7380', 1, [['f', [['s', 5, 7, 0, 'new']], 'new']], 'new'];
   t.deepEqual(decodeCrashMessage(Buffer.from(JSON.stringify(later))), {
     senderAddress: '10.1.0.38:7380',
     isQuestion: true,
-    requests: [{ fingerprint: 'f', crashes: [{ serverId: 's', ageMs: 5, isCleared: false }] }],
+    requests: [
+      { fingerprint: 'f', crashes: [{ serverId: 's', ageMs: 5, durationMs: 7, isCleared: false }] },
+    ],
   });
 });
 
--- a/packages/protocol/src/crashMessages.ts
+++ b/packages/protocol/src/crashMessages.ts
@@ -12,6 +12,8 @@
   serverId: string;
   /** Time since it ended. */
   ageMs: number;
+  /** How long the request had been there until it ended. */
+  durationMs: number;
   /** The request has completed since, so it did not cause the crash. */
   isCleared: boolean;
 }
@@ -36,7 +38,8 @@
 const formatName = 'crash';
 const formatStart = Buffer.from(`["${formatName}"`);
 const flag = z.union([z.literal(0), z.literal(1)]);
-const crash = z.tuple([z.string().min(1).max(256), z.number().nonnegative(), flag]);
+const duration = z.number().nonnegative();
+const crash = z.tuple([z.string().min(1).max(256), duration, duration, flag]);
 const wireSchema = z
   .tuple([
     z.literal(formatName),
@@ -63,9 +66,10 @@
       fingerprint,
       crashes
         .slice(0, maxCrashesPerRequest)
-        .map(({ serverId, ageMs, isCleared }) => [
+        .map(({ serverId, ageMs, durationMs, isCleared }) => [
           serverId,
           Math.max(0, Math.round(ageMs)),
+          Math.max(0, Math.round(durationMs)),
           isCleared ? 1 : 0,
         ]),
     ]);
@@ -87,9 +91,10 @@
     isQuestion: question === 1,
     requests: rows.map(([fingerprint, crashes]) => ({
       fingerprint,
-      crashes: crashes.map(([serverId, ageMs, cleared]) => ({
+      crashes: crashes.map(([serverId, ageMs, durationMs, cleared]) => ({
         serverId,
         ageMs,
+        durationMs,
         isCleared: cleared === 1,
       })),
     })),
--- a/packages/routing/__tests__/requestQuarantine.test.ts
+++ b/packages/routing/__tests__/requestQuarantine.test.ts
@@ -71,6 +71,21 @@
   }),
 );
 
+test.serial('servers that end together do not put what they all ran into quarantine', (t) =>
+  // All servers of a service may lose power at once, while each of them runs a request that many callers send.
+  withFleet(4, async (fleet, clock) => {
+    for (const router of [0, 1, 2, 3]) {
+      await fleet.crash(router, request, `s${router}`, 100 + 20 * router);
+      await clock.tickAsync(20);
+    }
+    await clock.tickAsync(50);
+    t.is(countHeldBack(fleet), 0);
+    await fleet.crash(0, request, 's4', 30);
+    await clock.tickAsync(50);
+    t.is(countHeldBack(fleet), 4);
+  }),
+);
+
 test.serial('a request that completes at any router is cleared at all of them', (t) =>
   // It only shared the servers that crashed with another request.
   withFleet(4, async (fleet, clock) => {
@@ -165,6 +180,7 @@
     const crashes = ['s1', 's2', 's3'].map((serverId) => ({
       serverId,
       ageMs: 0,
+      durationMs: 0,
       isCleared: false,
     }));
     const requests = [{ fingerprint: request, crashes }];
--- a/packages/routing/__tests__/support/quarantineFleet.ts
+++ b/packages/routing/__tests__/support/quarantineFleet.ts
@@ -1,7 +1,7 @@
 /** Routers of a fleet that exchange crashes of servers over a network that loses, repeats and delays datagrams. */
 import { decodeCrashMessage } from '@bluebellhitch/protocol';
 import { createRequestQuarantine, type RequestQuarantine } from '@bluebellhitch/routing';
-import type { Random } from '@bluebellhitch/shared';
+import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { BackendServer } from '../../src/model';
 
 export interface FleetNetwork {
@@ -15,7 +15,7 @@
   /** Bytes that each router has sent. */
   sentBytes: number[];
   /** The router notices that the request has crashed the server. */
-  crash(router: number, fingerprint: string, serverId: string): Promise<void>;
+  crash(router: number, fingerprint: string, serverId: string, ranMs?: number): Promise<void>;
   /** Replaces the router by a new process, which then meets all others. */
   restart(router: number): void;
   /** All routers receive a message of each other one. */
@@ -63,9 +63,11 @@
     routers: addresses.map((_address, own) => createRouter(own)),
     messages,
     sentBytes,
-    async crash(router, fingerprint, serverId) {
+    async crash(router, fingerprint, serverId, ranMs = 0) {
       const server = { id: serverId } as BackendServer;
-      fleet.routers[router]?.noteLost({ fingerprint: () => fingerprint, requestId: 'q', server });
+      const startedAtMs = monotonicNowMs() - ranMs;
+      const call = { fingerprint: () => fingerprint, requestId: 'q', server, startedAtMs };
+      fleet.routers[router]?.noteLost(call);
       await Promise.resolve();
       await Promise.resolve();
     },
--- a/packages/routing/src/lostRuns.ts
+++ b/packages/routing/src/lostRuns.ts
@@ -42,6 +42,6 @@
     durationMs: Math.round(monotonicNowMs() - startedAtMs),
   });
   if (cause === lostRunCauses.server || directory.hasRestarted(server)) {
-    quarantine.noteLost({ fingerprint, requestId: request.id, server });
+    quarantine.noteLost({ fingerprint, requestId: request.id, server, startedAtMs });
   }
 }
--- a/packages/routing/src/quarantineObjects.ts
+++ b/packages/routing/src/quarantineObjects.ts
@@ -10,7 +10,12 @@
   service: z.string(),
   fingerprint: z.string(),
   strikes: z.array(
-    z.object({ attemptId: z.string(), instanceId: z.string(), struckAtMs: z.number() }),
+    z.object({
+      attemptId: z.string(),
+      instanceId: z.string(),
+      struckAtMs: z.number(),
+      startedAtMs: z.number().optional(),
+    }),
   ),
   clearedAttemptIds: z.array(z.string()),
 });
--- a/packages/routing/src/quarantineStore.ts
+++ b/packages/routing/src/quarantineStore.ts
@@ -105,6 +105,7 @@
   const strikes = record.strikes.map((strike) => ({
     ...strike,
     struckAtMs: strike.struckAtMs + byMs,
+    startedAtMs: strike.startedAtMs === undefined ? undefined : strike.startedAtMs + byMs,
   }));
   return { ...record, strikes };
 }
--- a/packages/routing/src/requestQuarantine.ts
+++ b/packages/routing/src/requestQuarantine.ts
@@ -1,7 +1,7 @@
 /**
  * Quarantines requests that crash the backend servers that run them, at all routers of the fleet. A request is
  * recognised by its fingerprint when it comes again. Each server that crashes while it runs the request counts once,
- * however many routers notice it; at the third the request is refused everywhere. A request that completes anywhere has
+ * however many routers notice it; at the third the request is refused everywhere, unless all of them ended together. A request that completes anywhere has
  * not caused the crashes, and is cleared everywhere.
  *
  * A crash is announced at once to all known routers, whatever their shard, since callers may repeat a request at any of
@@ -34,6 +34,8 @@
   fingerprint: Fingerprint;
   requestId: string;
   server: BackendServer;
+  /** When the call began, on the monotonic clock. */
+  startedAtMs: number;
 }
 
 export interface QuarantineChannel {
@@ -85,6 +87,7 @@
  */
 const policy: QuarantinePolicy = {
   strikes: 3,
+  rounds: 2,
   durationMs: 3_600_000,
   memoryMs: 86_400_000,
   release: [],
@@ -156,12 +159,13 @@
     return hasChanged;
   }
 
-  function strike({ fingerprint: fingerprintOf, requestId, server }: LostCall): void {
-    const fingerprint = fingerprintOf();
+  function strike(call: LostCall, lostAtMs: number): void {
+    const { requestId, server, startedAtMs } = call;
+    const fingerprint = call.fingerprint();
     const { id } = server;
     noticed.set(fingerprint, true);
-    const crash = { service: allServices, fingerprint, attemptId: id, instanceId: id };
-    if (change(fingerprint, () => quarantine.strike(crash, monotonicNowMs()))) {
+    const crash = { service: allServices, fingerprint, attemptId: id, instanceId: id, startedAtMs };
+    if (change(fingerprint, () => quarantine.strike(crash, lostAtMs))) {
       logger.warn('server crashed under a request', { fingerprint, requestId, server: id });
       onCrash();
       announce(fingerprint);
@@ -248,9 +252,10 @@
       return verdict.kind === 'quarantined' ? verdict.retryAfterMs : undefined;
     },
     noteLost(call) {
+      const lostAtMs = monotonicNowMs();
       void serverEnds.hasCrashed(call.server).then((hasCrashed) => {
         if (hasCrashed) {
-          strike(call);
+          strike(call, lostAtMs);
         }
       });
     },
@@ -309,11 +314,14 @@
   const { fingerprint, strikes, clearedAttemptIds } = record;
   return {
     fingerprint,
-    crashes: strikes.slice(0, maxCrashesPerRequest).map(({ attemptId: serverId, struckAtMs }) => ({
-      serverId,
-      ageMs: nowMs - struckAtMs,
-      isCleared: clearedAttemptIds.includes(serverId),
-    })),
+    crashes: strikes
+      .slice(0, maxCrashesPerRequest)
+      .map(({ attemptId: serverId, struckAtMs, startedAtMs = struckAtMs }) => ({
+        serverId,
+        ageMs: nowMs - struckAtMs,
+        durationMs: struckAtMs - startedAtMs,
+        isCleared: clearedAttemptIds.includes(serverId),
+      })),
   };
 }
 
@@ -321,10 +329,11 @@
   return {
     service: allServices,
     fingerprint,
-    strikes: crashes.map(({ serverId, ageMs }) => ({
+    strikes: crashes.map(({ serverId, ageMs, durationMs }) => ({
       attemptId: serverId,
       instanceId: serverId,
       struckAtMs: nowMs - ageMs,
+      startedAtMs: nowMs - ageMs - durationMs,
     })),
     clearedAttemptIds: crashes.filter(({ isCleared }) => isCleared).map(({ serverId }) => serverId),
   };
