Do not finally refuse keys that a restored store may lack after a first version is written again

What callers saw: 401, which is final, for keys in force, between an operator's first and later versions written again after the store was restored.

Cause: the allowance for lost versions ended with the first newer version, as if it were the only one lost. It now lasts its 10 s whatever is written. A key that this router has known and seen revoked is not among those that may be lost, so it gets 401 at once, also during the 10 s, where it got 503 before.

The test of the 10 s asserted the end at the first write, which was the fault; it now asserts that a write changes nothing, and the end for both routers.

--- a/packages/routing/src/configurationProof.ts
+++ b/packages/routing/src/configurationProof.ts
@@ -59,11 +59,10 @@
   noteEraChanged(): void;
   /**
    * Whether the platform was restored so short a time ago that it may lack versions of the configuration that no router
-   * has seen: a version may have been written while all routers were cut off, and lost with the restore.
+   * has seen: versions may have been written while all routers were cut off, and lost with the restore. A version that
+   * is written again does not end this, as others may follow it.
    */
   mayLackVersions(): boolean;
-  /** A newer configuration than any before was written since the restore: its operator has written again. */
-  noteWrittenAgain(): void;
   /** Sets whether the newest configuration is unusable, so that nothing proves the one in force to be current. */
   setUnusable(isUnusable: boolean): void;
   /** Age of the newest proof; infinite without one. */
@@ -238,9 +237,6 @@
       ownProvedAt = undefined;
       restoredAtMs = monotonicNowMs();
     },
-    noteWrittenAgain() {
-      restoredAtMs = -Infinity;
-    },
     mayLackVersions: () => monotonicNowMs() - restoredAtMs < rewriteMs,
     ageMs: () => (provedAt === undefined || !canProve() ? Infinity : ageMsOf(provedAt)),
     receive(message) {
--- a/packages/routing/src/routeTable.ts
+++ b/packages/routing/src/routeTable.ts
@@ -7,9 +7,17 @@
   service(name: string): ServiceSettings | undefined;
   /** Constant time for any number of keys. */
   workspaceOfKey(digest: string): Workspace | undefined;
+  /** Whether an earlier configuration of this process had the key, and this one does not. */
+  isRevokedKey(digest: string): boolean;
+  /** Digests of such keys, the latest last. */
+  readonly revokedKeyDigests: readonly string[];
 }
 
-export function createRouteTable(configuration: Configuration): RouteTable {
+/** Bounds the memory of revoked keys; beyond it the earliest are forgotten. */
+const maxRevokedKeys = 16_384;
+
+/** `previous` is the table of the configuration that was in force before. */
+export function createRouteTable(configuration: Configuration, previous?: RouteTable): RouteTable {
   const byHost = new Map<string, Route[]>();
   configuration.routes.forEach((route) => {
     const host = normalizeHost(route.host);
@@ -20,6 +28,7 @@
   );
   const services = new Map(configuration.services.map((service) => [service.name, service]));
   const workspaces = workspacesByKey(configuration.workspaces ?? []);
+  const revokedKeys = new Set(revokedKeyDigests(configuration, previous));
   return {
     configuration,
     match(host, target) {
@@ -28,9 +37,25 @@
     },
     service: (name) => services.get(name),
     workspaceOfKey: (digest) => workspaces.get(digest),
+    isRevokedKey: (digest) => revokedKeys.has(digest),
+    revokedKeyDigests: [...revokedKeys],
   };
 }
 
+function revokedKeyDigests(
+  { workspaces = [] }: Configuration,
+  previous: RouteTable | undefined,
+): string[] {
+  if (previous === undefined) {
+    return [];
+  }
+  const current = new Set(workspaces.flatMap(({ keyDigests }) => keyDigests));
+  const earlier = previous.configuration.workspaces ?? [];
+  return [...previous.revokedKeyDigests, ...earlier.flatMap(({ keyDigests }) => keyDigests)]
+    .filter((digest) => !current.has(digest))
+    .slice(-maxRevokedKeys);
+}
+
 /** A key that two workspaces share is valid for neither, since requests could be counted for the wrong one. */
 function workspacesByKey(workspaces: readonly Workspace[]): Map<string, Workspace> {
   const byKey = new Map<string, Workspace>();
