Store quarantined requests again after the store was restored from a backup

What callers would see: a request that has crashed three servers crashes three more after a restart of all routers, if the store was restored before from a backup without the record.

Cause: a record was written when a request's status changed, and never again. Each router now writes what it holds back again when it sees a later era; a write that would add nothing to the stored object is left out, so of all routers one writes and the others read.

--- a/packages/routing/src/quarantineObjects.ts
+++ b/packages/routing/src/quarantineObjects.ts
@@ -57,6 +57,9 @@
   record: QuarantineRecord,
 ): Promise<QuarantineWrite> {
   const known = decodeQuarantineRecord(value);
+  if (known !== undefined && covers(known, record)) {
+    return 'done';
+  }
   const merged = known === undefined ? record : mergeQuarantineRecords(known, record);
   const updated = await objects.update(objectKinds.quarantine, key, version, merged);
   return updated.match(
@@ -64,3 +67,13 @@
     (error) => (error.kind === 'conflict' ? 'raced' : 'failed'),
   );
 }
+
+/** Whether the stored record has everything that the other one would add. */
+function covers(stored: QuarantineRecord, record: QuarantineRecord): boolean {
+  const strikeIds = new Set(stored.strikes.map(({ attemptId }) => attemptId));
+  const clearedIds = new Set(stored.clearedAttemptIds);
+  return (
+    record.strikes.every(({ attemptId }) => strikeIds.has(attemptId)) &&
+    record.clearedAttemptIds.every((attemptId) => clearedIds.has(attemptId))
+  );
+}
--- a/packages/routing/src/requestQuarantine.ts
+++ b/packages/routing/src/requestQuarantine.ts
@@ -60,13 +60,18 @@
   receive(message: CrashMessage): void;
   /** Merges a record that was stored earlier; false if it no longer counts. */
   restore(record: QuarantineRecord): boolean;
+  /** The store may have lost records: all requests in quarantine are reported to `onStatusChanged` again. */
+  noteStoreRestored(): void;
   close(): void;
 }
 
 export interface RequestQuarantineOptions {
   channel: () => QuarantineChannel | undefined;
   serverEnds: ServerEnds;
-  /** Receives the record of a request that is quarantined or released, if this router has noticed one of its crashes. */
+  /**
+   * Receives the record of a request that is quarantined or released, if this router has noticed one of its crashes or
+   * its completion.
+   */
   onStatusChanged?: (record: QuarantineRecord) => void;
   logger: Logger;
   onCrash?: () => void;
@@ -298,6 +303,12 @@
       change(fingerprint, () => quarantine.merge(record, monotonicNowMs()));
       return judge(fingerprint).kind !== 'clear';
     },
+    noteStoreRestored() {
+      quarantine
+        .records()
+        .filter(({ fingerprint }) => isQuarantined(fingerprint))
+        .forEach(onStatusChanged);
+    },
     close() {
       clearTimeout(sendTimer);
       clearInterval(sweepTimer);
