Let the soak repeat requests that crash servers, and restart all routers meanwhile

Scripts of kind 'crashes' are mixed ones with two requests that end each server that runs them, repeated about three times a second at any router, and with a kill of all routers at one moment. Once the routers have had the contact time after the third crash, at most three further calls may reach servers from routers in contact.

--- a/packages/soak/src/backendServers.ts
+++ b/packages/soak/src/backendServers.ts
@@ -11,6 +11,7 @@
 } from '@bluebellhitch/platform-standins';
 import { stages, type Stage } from '@bluebellhitch/routing';
 import { delay, monotonicNowMs, type Random } from '@bluebellhitch/shared';
+import { isCrashingBody } from './crashingRequests';
 import type { Disruptions } from './disruptions';
 import { promises, type Findings } from './findings';
 import type { Ledger } from './ledger';
@@ -30,6 +31,8 @@
   drainMs: number;
   /** Called when the responses of a server begin to say that it is leaving. */
   onLeaving(serverId: string): void;
+  /** Called when a server has crashed because it ran a request with this body. */
+  onCrashed?: (body: string) => void;
 }
 
 export interface ServerErrors {
@@ -102,6 +105,9 @@
 const eventGapMs = 25;
 const workMs = 15;
 const prefillMs = 10;
+/** A server that has crashed under a request is back after some seconds. */
+const minDownMs = 1_000;
+const meanDownMs = 2_000;
 const storeKind = 'servers';
 const msPerSecond = 1_000;
 
@@ -141,7 +147,13 @@
       workMs,
       textOf: (requestId, event) =>
         event === undefined ? plainText(requestId, id) : eventText(requestId, event),
-      chooseRun: () => chooseRun(slot),
+      chooseRun: ({ body }) => chooseRun(slot, body),
+      onCrash: (body) => {
+        options.onCrashed?.(body);
+        if (slot.current?.worker === worker) {
+          void crash(slot.index, minDownMs + random() * meanDownMs);
+        }
+      },
       choosePrefill: () => choosePrefill(slot),
       onArrival: (arrival) =>
         ledger.recordArrival({ ...arrival, serverId: id, serviceName: service }),
@@ -157,7 +169,10 @@
     publishEntry(slot);
   }
 
-  function chooseRun({ errors }: ServerSlot): RunBehaviour {
+  function chooseRun({ errors }: ServerSlot, body: string): RunBehaviour {
+    if (isCrashingBody(body)) {
+      return { kind: 'crash' };
+    }
     return errors !== undefined && random() < errors.share ? errors.run : { kind: 'whole' };
   }
 
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -13,7 +13,7 @@
   type Random,
 } from '@bluebellhitch/shared';
 import { callersHost } from './configurationPlan';
-import type { Keyring } from './keyring';
+import { repeatingWorkspace, type Keyring } from './keyring';
 import type { Ledger, RequestOutcome, SentRequest } from './ledger';
 import type { RouterProcessHandle } from './routerFleet';
 
@@ -33,6 +33,11 @@
   setFactor(factor: number): void;
   /** Sends a probe on a connection of its own. */
   probe(router: RouterProcessHandle, route: Route, target: string): Promise<SentRequest>;
+  /**
+   * Sends a request with this body on a connection of its own, always with the same path and workspace; undefined if no router
+   * runs.
+   */
+  repeat(route: Route, body: string): Promise<SentRequest | undefined>;
 }
 
 /** Mean pause of a caller between a response and its next request. */
@@ -46,17 +51,31 @@
 export const modelTokens = prompt.promptTokens + prompt.maxOutputTokens;
 const msPerSecond = 1_000;
 
+interface CallOptions {
+  /** Without one the call is a probe on a connection of its own. */
+  agent?: Agent;
+  disconnectAfterMs?: number;
+  body?: string;
+}
+
 interface Connection {
   router: RouterProcessHandle;
   agent: Agent;
 }
 
 export function createCallers(options: CallersOptions): Callers {
-  const { ledger, random, routers } = options;
+  const { ledger, random, routers, keyring } = options;
   let factor = 1;
   let requestCount = 0;
 
-  function startRequest(router: RouterProcessHandle, route: Route, isProbe: boolean): SentRequest {
+  const chooseKey = (isProbe: boolean) => (isProbe ? keyring.chooseValid() : keyring.choose());
+
+  function startRequest(
+    router: RouterProcessHandle,
+    route: Route,
+    { agent, body }: CallOptions,
+  ): SentRequest {
+    const isProbe = agent === undefined;
     requestCount += 1;
     return ledger.recordRequest({
       id: `q${requestCount}`,
@@ -66,7 +85,7 @@
       isRepeatable: route.kind === routeKinds.idempotent || route.allowsResume,
       timeoutMs: route.timeoutMs,
       isProbe,
-      shownKey: isProbe ? options.keyring.chooseValid() : options.keyring.choose(),
+      shownKey: body === undefined ? chooseKey(isProbe) : keyring.chooseValid(repeatingWorkspace),
     });
   }
 
@@ -74,9 +93,10 @@
     router: RouterProcessHandle,
     route: Route,
     target: string,
-    { agent, disconnectAfterMs }: { agent?: Agent; disconnectAfterMs?: number },
+    callOptions: CallOptions,
   ): Promise<{ request: SentRequest; keepsConnection: boolean }> {
-    const request = startRequest(router, route, agent === undefined);
+    const { agent, disconnectAfterMs, body } = callOptions;
+    const request = startRequest(router, route, callOptions);
     const disconnect = new AbortController();
     const timer =
       disconnectAfterMs === undefined
@@ -92,6 +112,7 @@
       headers: { authorization: `Token ${request.shownKey.key}` },
       signal: disconnect.signal,
       agent,
+      body,
     });
     clearTimeout(timer);
     request.endedAtMs = monotonicNowMs();
@@ -140,6 +161,17 @@
       factor = next;
     },
     probe: async (router, route, target) => (await call(router, route, target, {})).request,
+    async repeat(route, body) {
+      const connection = connect();
+      if (connection === undefined) {
+        return undefined;
+      }
+      const { router, agent } = connection;
+      const target = `${route.pathPrefix}repeated`;
+      const { request } = await call(router, route, target, { agent, body });
+      agent.destroy();
+      return request;
+    },
   };
 }
 
--- a/packages/soak/src/findings.ts
+++ b/packages/soak/src/findings.ts
@@ -18,6 +18,7 @@
   serverLimit: 'server-limit',
   leavingWord: 'leaving-word',
   restWord: 'rest-word',
+  crashing: 'crashing',
 } as const;
 export type PromiseName = (typeof promises)[keyof typeof promises];
 
--- a/packages/soak/src/keyring.ts
+++ b/packages/soak/src/keyring.ts
@@ -27,8 +27,8 @@
   workspaces(): WireWorkspace[];
   /** A key for a caller's request: usually a valid one, sometimes a revoked or unknown one. */
   choose(): PresentedKey;
-  /** A key that is valid at all routers, of a workspace without a quota. */
-  chooseValid(): PresentedKey;
+  /** A key that is valid at all routers, of this workspace or else of any without a quota. */
+  chooseValid(workspaceName?: string): PresentedKey;
   rotation(write: () => number): BackgroundLoop;
 }
 
@@ -46,7 +46,9 @@
   burst: 2_500,
   plainTokens: 100,
 };
-const unlimitedWorkspaces = ['bonds', 'letters-desk'];
+/** The workspace of a caller who always is the same one. */
+export const repeatingWorkspace = 'bonds';
+const unlimitedWorkspaces = [repeatingWorkspace, 'letters-desk'];
 const workspaceNames = [...unlimitedWorkspaces, limitedWorkspace];
 const limitedShare = 0.1;
 const unknownShare = 0.03;
@@ -115,7 +117,8 @@
       const isLimited = random() < limitedShare;
       return newestOf(isLimited ? limitedWorkspace : (pickRandom(unlimitedWorkspaces) as string));
     },
-    chooseValid: () => newestOf(pickRandom(unlimitedWorkspaces) as string),
+    chooseValid: (workspaceName) =>
+      newestOf(workspaceName ?? (pickRandom(unlimitedWorkspaces) as string)),
     rotation: (write) =>
       createBackgroundLoop(async (signal) => {
         while (!signal.aborted) {
--- a/packages/soak/src/script.ts
+++ b/packages/soak/src/script.ts
@@ -49,9 +49,10 @@
 /**
  * Planned work alone must not interrupt requests; scripts of kind `planned` contain nothing else. In those of kind
  * `attempts` most of what servers get fails, while routers are killed again and again: nothing else brings the further
- * attempts close to their budget.
+ * attempts close to their budget. Those of kind `crashes` are mixed, with requests that crash servers, and all routers are
+ * killed at one moment.
  */
-export const scriptKinds = ['planned', 'mixed', 'attempts'] as const;
+export const scriptKinds = ['planned', 'mixed', 'attempts', 'crashes'] as const;
 export type ScriptKind = (typeof scriptKinds)[number];
 
 export interface SoakScript {
@@ -69,6 +70,7 @@
 const noticeSeedOffset = 15_485_863;
 const attemptSeedOffset = 32_452_843;
 const slownessSeedOffset = 49_979_687;
+const outageSeedOffset = 67_867_967;
 /** In scripts of kind `attempts`: servers begin to fail within this time. */
 const failuresStartMs = 1_000;
 /** Mean time between two kills of a router: shorter than the window of the budget. */
@@ -96,7 +98,10 @@
     createNoticeSteps,
     createSlownessSteps,
   ].flatMap((createSteps) => createSteps(options));
-  const all = kind === 'mixed' ? [...steps, ...independentSteps] : steps;
+  const all = kind === 'planned' ? steps : [...steps, ...independentSteps];
+  if (kind === 'crashes') {
+    all.push(...createOutageSteps(options));
+  }
   return { kind, steps: inOrder(all) };
 }
 
@@ -136,6 +141,17 @@
   return [...failures, ...kills, { atMs: Math.round(random() * durationMs), operation: burst }];
 }
 
+/** All routers are killed at one moment, in the last part of the run. */
+function createOutageSteps({ seed, durationMs, routerCount }: ScriptOptions): ScriptStep[] {
+  const random = createSeededRandom(seed + outageSeedOffset);
+  random();
+  const atMs = Math.round(durationMs * (0.4 + random() * 0.3));
+  return Array.from({ length: routerCount }, (_none, router) => ({
+    atMs,
+    operation: { kind: 'kill-router', router, downMs: Math.round(random() * 500) },
+  }));
+}
+
 /** Uses its own random generator, so that the other steps of a seed do not depend on limits. */
 function createLimitSteps({ seed, durationMs, serverCount }: ScriptOptions): ScriptStep[] {
   const random = createSeededRandom(seed + limitSeedOffset);
@@ -214,7 +230,7 @@
 
 function pickOperation(kind: ScriptKind, options: ScriptOptions, random: Random): Operation {
   const factories = createOperationFactories(options, random);
-  const allowed = factories.filter(({ name }) => kind === 'mixed' || plannedKinds.includes(name));
+  const allowed = factories.filter(({ name }) => kind !== 'planned' || plannedKinds.includes(name));
   return pick(allowed, random).create();
 }
 
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -12,6 +12,7 @@
 import { startBackendServers, type BackendServers } from './backendServers';
 import { createCallers, modelTokens } from './callers';
 import { createConfigurationPlan } from './configurationPlan';
+import { createCrashingRequests, type CrashingRequests } from './crashingRequests';
 import { createDisruptions } from './disruptions';
 import { createConfigurationCheck, servedShare } from './fleetChecks';
 import { createFindings, promises, type Findings, type SoakFinding } from './findings';
@@ -53,6 +54,8 @@
   findings: readonly SoakFinding[];
   /** How close the run came to the budget of further attempts; far below 1 it proves little of it. */
   fullestBudget?: FullestWindow;
+  /** Servers that crashed because of what they ran. */
+  crashes: number;
   /** Longest delay of this process's event loop; above `marginMs` the measured times are unreliable. */
   longestHoldUpMs: number;
 }
@@ -70,6 +73,9 @@
 } as const satisfies PlatformBounds;
 /** A separate seed for keys, so that they do not affect the other draws of a seed. */
 const keySeedOffset = 7_919;
+/** A separate seed for when crashing requests are repeated. */
+const crashSeedOffset = 86_028_121;
+const crashingRequestCount = 2;
 const drainMs = 2_000;
 const applyMs = 2_000;
 const startTimeoutMs = 15_000;
@@ -90,6 +96,7 @@
   const disruptions = createDisruptions({ contactMs: bounds.contactMs });
   const findings = createFindings(monotonicNowMs());
   let servers: BackendServers | undefined;
+  let crashingRequests: CrashingRequests | undefined;
   const ledger = createLedger({ onArrival: (arrival) => requestChecks.onArrival(arrival) });
   const workspaceChecks = createWorkspaceChecks({
     ...{ ledger, findings, modelTokens, marginMs },
@@ -110,6 +117,7 @@
   servers = await startBackendServers({
     ...{ host: '127.0.0.1', store, ledger, disruptions, findings, random, drainMs },
     onLeaving: noticeChecks.noteLeaving,
+    onCrashed: (body) => crashingRequests?.noteCrash(body),
   });
   const fleet = await startRouterFleet({
     ...options,
@@ -129,6 +137,12 @@
     serverCount: servers.slotCount,
     kind: options.script,
   });
+  crashingRequests = createCrashingRequests({
+    ...{ ledger, findings, disruptions, callers, marginMs, routes: plan.baseRoutes },
+    count: script.kind === 'crashes' ? crashingRequestCount : 0,
+    random: createSeededRandom(seed + crashSeedOffset),
+    contactMs: bounds.contactMs,
+  });
   const backups = createStoreBackups(store);
   const operator = createOperator({
     ...{ store, servers, routers: fleet.routers, callers, plan, disruptions, findings, marginMs },
@@ -152,8 +166,9 @@
 
   await waitUntilReady(fleet);
   lag.enable();
-  loops.forEach((loop) => loop.start());
+  [...loops, ...crashingRequests.loops].forEach((loop) => loop.start());
   await playScript(script.steps, operator, options.durationMs);
+  await Promise.all(crashingRequests.loops.map((loop) => loop.stop()));
   await checkRecovery({ fleet, ledger, findings });
   await Promise.race([
     Promise.all(loops.map((loop) => loop.stop())),
@@ -163,6 +178,7 @@
   limitChecks.checkAll();
   noticeChecks.checkAll();
   const fullestBudget = budgetCheck.checkAll();
+  const crashes = crashingRequests.checkAll();
   lag.disable();
   await Promise.all(
     fleet.routers.map((_router, router) =>
@@ -180,6 +196,7 @@
     served: servedShare(ledger, 0),
     findings: findings.all(),
     fullestBudget,
+    crashes,
     longestHoldUpMs: Math.round(lag.max / nsPerMs),
   };
   writeRecord(options.directory, { report, script, ledger });
