--- a/scripts/ci.mjs
+++ b/scripts/ci.mjs
@@ -7,6 +7,7 @@
 import { knownRedLimit, readKnownRed } from './lib/knownRed.mjs';
 import { repositoryRoot, run } from './lib/repository.mjs';
 import { createTapReport } from './lib/tapReport.mjs';
+import { judgeTests } from './lib/testVerdict.mjs';
 
 const checks = [
   { name: 'formatting', args: ['prettier', '--check', '.'] },
@@ -45,34 +46,19 @@
   return failedChecks;
 }
 
-/** Separates new failures from known ones, and lists why the tests count as failed. */
-function judgeTests({ report, exitCode }, knownRed) {
-  const knownTitles = knownRed.map(({ title }) => title);
-  const newFailures = report.failed.filter((title) => !knownTitles.includes(title));
-  const knownFailures = report.failed.filter((title) => knownTitles.includes(title));
-  const problems = newFailures.map((title) => `test failed: ${title}`);
-  if (!report.isComplete() || report.passed.length === 0) {
-    problems.push('the tests did not come to their end');
-  }
-  if (exitCode !== 0 && report.failed.length === 0) {
-    problems.push(`npm test ended with exit code ${exitCode}`);
-  }
-  if (knownRed.length > knownRedLimit) {
-    problems.push(`KNOWN-RED.txt holds ${knownRed.length} tests; ${knownRedLimit} at most`);
-  }
-  return { newFailures, knownFailures, problems };
-}
-
 const knownRed = readKnownRed();
 print('== tests');
 const tests = await runTests();
 const failedChecks = await runChecks();
 const { newFailures, knownFailures, problems } = judgeTests(tests, knownRed);
+if (knownRed.length > knownRedLimit) {
+  problems.push(`KNOWN-RED.txt holds ${knownRed.length} tests; ${knownRedLimit} at most`);
+}
 
 print('');
-knownRed
-  .filter(({ title }) => knownFailures.includes(title))
-  .forEach(({ title, cause, issue }) => print(`known red: ${title} (${cause}; ${issue})`));
+knownFailures.forEach(({ title, cause, issue }) =>
+  print(`known red: ${title} (${cause}; ${issue})`),
+);
 knownRed
   .filter(({ title }) => tests.report.passed.includes(title))
   .forEach(({ title }) => print(`passes again, take it out of KNOWN-RED.txt: ${title}`));
