--- a/packages/soak/__tests__/soakRun.test.ts
+++ b/packages/soak/__tests__/soakRun.test.ts
@@ -20,7 +20,7 @@
   seed: number;
   routerCount: number;
   callerCount: number;
-  script?: 'attempts';
+  script?: 'attempts' | 'crashes';
 }
 
 async function play(run: Run): Promise<SoakReport> {
@@ -48,6 +48,19 @@
   );
 });
 
+test.serial(
+  'a request that crashes servers reaches few more of them after a restore and a restart of all routers',
+  async (t) => {
+    // The store was restored without the two quarantines, and the routers had forgotten them: twelve servers crashed.
+    t.timeout(90_000);
+    const run = { seed: 5_001, routerCount: 3, callerCount: 12, script: 'crashes' } as const;
+    const report = await play(run);
+    t.deepEqual(report.findings, []);
+    // Otherwise the run proves nothing of the quarantine.
+    t.true(report.crashes >= 6, `${report.crashes} crashes`);
+  },
+);
+
 test.serial(
   'routers that are killed while servers fail stay within the attempt budget',
   async (t) => {
