Announce all requests of a server that ended at once, and split the announcements from the quarantine

What callers would see: a request that crashes servers reaches more of them after the bound of contact, where a server ran more than six requests of one router. Found in the review of this change, by reading.

Cause: six requests fit a datagram and the others waited a second for the next one, the latest first, so a later crash of the same request was announced up to some seconds late. What was never sent now goes out datagram by datagram within milliseconds, requests with most crashes first, and a send that the budget of bytes does not allow is no longer taken for one that was made.

--- a/packages/routing/__tests__/requestQuarantine.test.ts
+++ b/packages/routing/__tests__/requestQuarantine.test.ts
@@ -242,6 +242,19 @@
   );
 });
 
+test.serial('a crash that ends many requests delays none of their announcements for long', (t) =>
+  // A server may run dozens of requests of one router, and any of them may be the one that crashes servers.
+  withFleet(4, async (fleet, clock) => {
+    const requests = Array.from({ length: 40 }, (_none, index) => `request ${index}`);
+    for (const number of [1, 2, 3]) {
+      await Promise.all(requests.map((one) => fleet.crash(0, one, `s${number}`)));
+      await clock.tickAsync(200);
+    }
+    const heldBack = requests.filter((one) => fleet.isHeldBack(3, one));
+    t.is(heldBack.length, requests.length);
+  }),
+);
+
 test.serial('many crashes at once stay within the budget of bytes', (t) =>
   // A rack that loses power ends hundreds of requests, each of which is announced.
   withFleet(68, async (fleet, clock) => {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -37,6 +37,7 @@
   type DecodeHead,
   type RequestHead,
 } from './callersServer';
+export type { QuarantineChannel } from './crashAnnouncements';
 export { createDatagramDispatcher } from './datagramDispatcher';
 export { createDecodePaces, type DecodePaces, type PaceEstimates } from './decodePaces';
 export { createDecodePlacement, type DecodePlacement } from './decodePlacement';
@@ -112,7 +113,6 @@
 export {
   createRequestQuarantine,
   noQuarantine,
-  type QuarantineChannel,
   type RequestQuarantine,
   type RequestQuarantineOptions,
 } from './requestQuarantine';
--- a/packages/routing/src/requestQuarantine.ts
+++ b/packages/routing/src/requestQuarantine.ts
@@ -1,8 +1,8 @@
 /**
  * Quarantines requests that crash the backend servers that run them, at all routers of the fleet. A request is
  * recognised by its fingerprint when it comes again. Each server that crashes while it runs the request counts once,
- * however many routers notice it; at the third the request is refused everywhere, unless all of them ended together. A request that completes anywhere has
- * not caused the crashes, and is cleared everywhere.
+ * however many routers notice it; at the third the request is refused everywhere, unless all of them ended together. A
+ * request that completes anywhere has not caused the crashes, and is cleared everywhere.
  *
  * A crash is announced at once to all known routers, whatever their shard, since callers may repeat a request at any of
  * them. From the second crash on each router passes it on to a few others, which makes up for lost datagrams and for
@@ -14,16 +14,10 @@
   type QuarantinePolicy,
   type QuarantineRecord,
 } from '@bluebellhitch/decisions';
-import {
-  encodeCrashMessage,
-  maxCrashesPerRequest,
-  maxRequestsPerMessage,
-  type CrashingRequest,
-  type CrashMessage,
-} from '@bluebellhitch/protocol';
-import { monotonicNowMs, rotateRandomly, type Random } from '@bluebellhitch/shared';
+import type { CrashingRequest, CrashMessage } from '@bluebellhitch/protocol';
+import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
-import { createByteBudget } from './byteBudget';
+import { createCrashAnnouncements, type QuarantineChannel } from './crashAnnouncements';
 import type { BackendServer } from './model';
 import type { ServerEnds } from './serverEnds';
 
@@ -38,14 +32,6 @@
   startedAtMs: number;
 }
 
-export interface QuarantineChannel {
-  /** `ip:port` of this process. */
-  address: string;
-  send(bytes: Buffer, addresses: readonly string[]): Promise<unknown>;
-  /** All known routers, of any shard. */
-  knownPeers(): readonly string[];
-}
-
 export interface RequestQuarantine {
   /** Time until the request may be sent to a server again; undefined if it may be sent now. */
   heldBackMs(fingerprint: Fingerprint): number | undefined;
@@ -101,38 +87,25 @@
 /** A request may be routed to several services; its crashes count for all of them. */
 const allServices = '*';
 const sweepIntervalMs = 60_000;
-/** Crashes of one server become known within this time and are sent in one datagram. */
-const coalesceMs = 5;
-const resendMs = 1_000;
-/** Each change is sent this many times, as datagrams may be lost. */
-const sendsPerChange = 3;
 /** Crashes from which on a router passes on what it has received. Most requests with a single crash are harmless. */
 const minCrashesToPassOn = 2;
-/** To how many random routers each router passes it on. */
-const passOnCount = 3;
 /** How often a router that was met is asked, as datagrams may be lost. */
 const questionsPerRouter = 2;
 const maxRememberedRouters = 1_024;
 const maxNoticed = 4_096;
-/** Crashes are rare: saved over minutes, this is enough to tell each of some hundred routers at once. */
-const byteBudget = { bytesPerSecond: 1_000, maxSavedMs: 300_000, initialMs: 300_000 };
-
 export function createRequestQuarantine(options: RequestQuarantineOptions): RequestQuarantine {
   const { channel, serverEnds, logger, random = Math.random } = options;
   const { onCrash = () => undefined, onQuarantined = () => undefined } = options;
   const { onStatusChanged = () => undefined } = options;
   const quarantine = createQuarantine({ lifetimeMs: policy.memoryMs });
-  const budget = createByteBudget(byteBudget);
-  /** How often each changed record is still to be sent, the latest change last. */
-  const unsent = new Map<string, number>();
   const questionsLeft = createBoundedMap<string, number>({ maxEntries: maxRememberedRouters });
   /** Requests whose crashes or completions this router has noticed itself. */
   const noticed = createBoundedMap<string, true>({ maxEntries: maxNoticed });
-  let sendTimer: NodeJS.Timeout | undefined;
   const sweepTimer = setInterval(() => quarantine.sweep(monotonicNowMs()), sweepIntervalMs);
   sweepTimer.unref();
 
   const recordOf = (fingerprint: string) => quarantine.record(allServices, fingerprint);
+  const announcements = createCrashAnnouncements({ channel, recordOf, random });
   const judge = (fingerprint: string) =>
     quarantine.verdict({
       ...{ service: allServices, fingerprint, policy },
@@ -173,52 +146,10 @@
     if (change(fingerprint, () => quarantine.strike(crash, lostAtMs))) {
       logger.warn('server crashed under a request', { fingerprint, requestId, server: id });
       onCrash();
-      announce(fingerprint);
-    }
-  }
-
-  function announce(fingerprint: string): void {
-    unsent.delete(fingerprint);
-    unsent.set(fingerprint, sendsPerChange);
-    clearTimeout(sendTimer);
-    sendTimer = setTimeout(sendChanges, coalesceMs);
-  }
-
-  function sendChanges(): void {
-    const fingerprints = [...unsent.keys()].reverse().slice(0, maxRequestsPerMessage);
-    const { knownPeers = () => [] } = channel() ?? {};
-    send(fingerprints, knownPeers());
-    fingerprints.forEach((fingerprint) => {
-      const sendsLeft = (unsent.get(fingerprint) ?? 0) - 1;
-      // A record that is repeated waits behind those that have changed meanwhile.
-      unsent.delete(fingerprint);
-      if (sendsLeft > 0) {
-        unsent.set(fingerprint, sendsLeft);
-      }
-    });
-    if (unsent.size > 0) {
-      sendTimer = setTimeout(sendChanges, resendMs);
-      sendTimer.unref();
+      announcements.announce(fingerprint);
     }
   }
 
-  /** Sends the records to as many of the routers as the budget allows. */
-  function send(fingerprints: readonly string[], routers: readonly string[], isQuestion = false) {
-    const open = channel();
-    if (open === undefined || routers.length === 0) {
-      return;
-    }
-    const requests = fingerprints.flatMap((fingerprint) => {
-      const record = recordOf(fingerprint);
-      return record === undefined ? [] : [toWire(record, monotonicNowMs())];
-    });
-    const bytes = encodeCrashMessage({ senderAddress: open.address, isQuestion, requests });
-    const affordableCount = Math.floor(budget.available() / bytes.length);
-    const receivers = rotateRandomly(routers, random).slice(0, Math.max(0, affordableCount));
-    budget.take(bytes.length * receivers.length);
-    void open.send(bytes, receivers);
-  }
-
   function receiveRequest(request: CrashingRequest): void {
     const { fingerprint } = request;
     const nowMs = monotonicNowMs();
@@ -226,8 +157,7 @@
     change(fingerprint, () => quarantine.merge(fromWire(request, nowMs), nowMs));
     const count = crashCount(fingerprint);
     if (count > countBefore && count >= minCrashesToPassOn) {
-      const routers = rotateRandomly(channel()?.knownPeers() ?? [], random);
-      send([fingerprint], routers.slice(0, passOnCount));
+      announcements.passOn(fingerprint);
     }
   }
 
@@ -237,15 +167,10 @@
       .records()
       .filter(({ fingerprint }) => judge(fingerprint).kind !== 'clear')
       .sort((left, right) => lastCrashAtMs(right) - lastCrashAtMs(left));
-    const messageCount = Math.ceil(active.length / maxRequestsPerMessage);
-    Array.from({ length: messageCount }).forEach((_none, index) => {
-      const startIndex = index * maxRequestsPerMessage;
-      const part = active.slice(startIndex, startIndex + maxRequestsPerMessage);
-      send(
-        part.map(({ fingerprint }) => fingerprint),
-        [router],
-      );
-    });
+    announcements.sendTo(
+      router,
+      active.map(({ fingerprint }) => fingerprint),
+    );
   }
 
   return {
@@ -274,14 +199,14 @@
       }
       noticed.set(fingerprint, true);
       if (change(fingerprint, () => quarantine.clear(allServices, fingerprint))) {
-        announce(fingerprint);
+        announcements.announce(fingerprint);
       }
     },
     noteContact(router) {
       const left = questionsLeft.get(router) ?? questionsPerRouter;
       if (left > 0) {
         questionsLeft.set(router, left - 1);
-        send([], [router], true);
+        announcements.ask(router);
       }
     },
     dropPeer(router) {
@@ -310,7 +235,7 @@
         .forEach(onStatusChanged);
     },
     close() {
-      clearTimeout(sendTimer);
+      announcements.close();
       clearInterval(sweepTimer);
     },
   };
@@ -320,22 +245,6 @@
   return Math.max(...strikes.map(({ struckAtMs }) => struckAtMs));
 }
 
-/** The latest crashes: those before them no longer matter. */
-function toWire(record: QuarantineRecord, nowMs: number): CrashingRequest {
-  const { fingerprint, strikes, clearedAttemptIds } = record;
-  return {
-    fingerprint,
-    crashes: strikes
-      .slice(0, maxCrashesPerRequest)
-      .map(({ attemptId: serverId, struckAtMs, startedAtMs = struckAtMs }) => ({
-        serverId,
-        ageMs: nowMs - struckAtMs,
-        durationMs: struckAtMs - startedAtMs,
-        isCleared: clearedAttemptIds.includes(serverId),
-      })),
-  };
-}
-
 function fromWire({ fingerprint, crashes }: CrashingRequest, nowMs: number): QuarantineRecord {
   return {
     service: allServices,
