--- a/packages/soak/__tests__/checks.test.ts
+++ b/packages/soak/__tests__/checks.test.ts
@@ -59,6 +59,7 @@
       isRepeatable: false,
       timeoutMs: 2_000,
       isProbe: false,
+      isCrashing: false,
       shownKey: bonds,
       ...over,
     });
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -85,6 +85,7 @@
       isRepeatable: route.kind === routeKinds.idempotent || route.allowsResume,
       timeoutMs: route.timeoutMs,
       isProbe,
+      isCrashing: body !== undefined,
       shownKey: body === undefined ? chooseKey(isProbe) : keyring.chooseValid(repeatingWorkspace),
     });
   }
--- a/packages/soak/src/fleetChecks.ts
+++ b/packages/soak/src/fleetChecks.ts
@@ -111,9 +111,10 @@
  */
 export function servedShare(ledger: Ledger, fromMs: number): number {
   const sent = [...ledger.requests()].filter(
-    ({ sentAtMs, isProbe, end, shownKey }) =>
+    ({ sentAtMs, isProbe, isCrashing, end, shownKey }) =>
       sentAtMs >= fromMs &&
       !isProbe &&
+      !isCrashing &&
       shownKey.givenAtMs < sentAtMs &&
       shownKey.takenAtMs === Infinity &&
       end !== undefined &&
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -28,6 +28,8 @@
   shownKey: PresentedKey;
   /** Sent to find out which configuration a router has; 404 can be correct. */
   isProbe: boolean;
+  /** It crashes each server that runs it, so no complete response is expected. */
+  isCrashing: boolean;
   sentAtMs: number;
   endedAtMs?: number;
   end?: RequestOutcome;
