Keep the platform's header names out of the routing package's tests, and reword three comments

A test of the fingerprint used a name that only platform/ may know; any header serves there. The comments say the same in plainer terms. No behaviour changes.

--- a/packages/routing/__tests__/requestFingerprint.test.ts
+++ b/packages/routing/__tests__/requestFingerprint.test.ts
@@ -19,7 +19,7 @@
   const repeated = {
     ...request,
     ...{ id: 'q2', host: 'Bank.example', deadlineAtMs: 9_000, lastEventId: 4 },
-    headers: ['Bluebellhitch-Token-Count', '10,20'],
+    headers: ['Prompt-Size', '10,20'],
   };
   t.is(computeRequestFingerprint(repeated), computeRequestFingerprint(request));
 });
--- a/packages/routing/src/crashAnnouncements.ts
+++ b/packages/routing/src/crashAnnouncements.ts
@@ -46,7 +46,7 @@
 const sendsPerChange = 3;
 /** To how many routers each router passes on what it has received. */
 const passOnCount = 3;
-/** Crashes are rare: saved over minutes, this is enough to tell each of some hundred routers at once. */
+/** Crashes are rare: saved over minutes, this is enough for a message to each of some hundred routers. */
 const byteBudget = { bytesPerSecond: 1_000, maxSavedMs: 300_000, initialMs: 300_000 };
 
 export function createCrashAnnouncements(options: CrashAnnouncementsOptions): CrashAnnouncements {
--- a/packages/routing/src/requestQuarantine.ts
+++ b/packages/routing/src/requestQuarantine.ts
@@ -4,7 +4,7 @@
  * however many routers notice it; at the third the request is refused everywhere, unless all of them ended together. A
  * request that completes anywhere has not caused the crashes, and is cleared everywhere.
  *
- * A crash is announced at once to all known routers, whatever their shard, since callers may repeat a request at any of
+ * A crash is announced at once to the known routers of all shards, since callers may repeat a request at any of
  * them. From the second crash on each router passes it on to a few others, which makes up for lost datagrams and for
  * links that are cut. A router that starts, or returns after a partition, asks the routers that it meets.
  */
--- a/packages/routing/src/workspaceAccess.ts
+++ b/packages/routing/src/workspaceAccess.ts
@@ -51,8 +51,7 @@
   if (workspace !== undefined) {
     return { kind: 'granted', workspace };
   }
-  // Requests without a readable key are refused whatever the missing versions hold, and so are those with a key that is
-  // known to have been revoked.
+  // No missing version can hold an unreadable key, nor one that is known to have been revoked.
   const mayBeMissing = credential.kind === 'key' && !table.isRevokedKey(credential.digest);
   if (mayBeMissing && freshness.mayLackVersions) {
     const reason = notRunReasons.restoredStore;
