--- a/packages/replay/src/engineModel.ts
+++ b/packages/replay/src/engineModel.ts
@@ -117,6 +117,7 @@
       dataCentre: 'one',
       slots: shape.slots,
       isDraining: false,
+      softwareVersion: 'v1',
       stage,
     };
   }
--- a/packages/routing/__tests__/fleetShard.test.ts
+++ b/packages/routing/__tests__/fleetShard.test.ts
@@ -16,6 +16,7 @@
   dataCentre: 'north',
   slots: 8,
   isDraining: false,
+  softwareVersion: 'v1',
   stage: 'decode',
 });
 
--- a/packages/routing/__tests__/serverDirectory.test.ts
+++ b/packages/routing/__tests__/serverDirectory.test.ts
@@ -10,6 +10,7 @@
   dataCentre: 'north',
   slots: 4,
   isDraining: false,
+  softwareVersion: 'v1',
   ...over,
 });
 
--- a/packages/routing/__tests__/stageBalancer.test.ts
+++ b/packages/routing/__tests__/stageBalancer.test.ts
@@ -30,6 +30,7 @@
   dataCentre: 'north',
   slots: 64,
   isDraining: false,
+  softwareVersion: 'v1',
   stage,
 });
 
--- a/packages/routing/__tests__/stagePlan.test.ts
+++ b/packages/routing/__tests__/stagePlan.test.ts
@@ -10,6 +10,7 @@
   dataCentre: `zone-${id % 3}`,
   slots: 64,
   isDraining: false,
+  softwareVersion: 'v1',
   stage,
 });
 
--- a/packages/routing/__tests__/support/decodeServer.ts
+++ b/packages/routing/__tests__/support/decodeServer.ts
@@ -11,6 +11,7 @@
     dataCentre: 'north',
     slots: 64,
     isDraining: false,
+    softwareVersion: 'v1',
     stage: 'decode',
   };
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -61,6 +61,7 @@
   quotaUnits,
   routeKinds,
   serverIdOf,
+  softwareVersionOf,
   stages,
   type BackendServer,
   type CallerLimits,
--- a/packages/routing/src/model.ts
+++ b/packages/routing/src/model.ts
@@ -1,4 +1,5 @@
 /** Domain types of the router: configuration, backend servers and requests, independent of any wire format. */
+import { digestParts } from '@bluebellhitch/shared';
 
 /** Whether requests of a route may be executed more than once. */
 export const routeKinds = {
@@ -128,6 +129,18 @@
   isDraining: boolean;
   /** Absent for servers of plain services. */
   stage?: Stage;
+  /** Version of the server's software, not of its model's weights; see `softwareVersionOf`. */
+  softwareVersion: string;
+}
+
+const maxVersionLength = 64;
+
+/**
+ * Versions have no order: they are only compared for equality. Servers that state no version count as being of one
+ * version. A long text is replaced by its digest, because routers include versions in their datagrams.
+ */
+export function softwareVersionOf(text = ''): string {
+  return text.length <= maxVersionLength ? text : digestParts([text]);
 }
 
 const startTimeRadix = 36;
@@ -171,6 +184,8 @@
   prompt?: PromptSize;
   /** Id of the last event that the caller has received, if it resumes a stream. */
   lastEventId?: number;
+  /** Id of the request that brought the first event of the stream that the caller resumes. */
+  resumedRequestId?: string;
   credential: Credential;
   /**
    * Alternating names and values of the headers that carry the credential. They are forwarded only if the configuration
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -199,6 +199,16 @@
       };
 }
 
+/** What the caller resumes, and which software versions have written the response. */
+function resumptionFields({ request, softwareVersions }: RequestState): Record<string, unknown> {
+  const { lastEventId, resumedRequestId } = request;
+  return {
+    resumes: resumedRequestId,
+    afterEvent: lastEventId,
+    softwareVersions: softwareVersions.length === 0 ? undefined : softwareVersions,
+  };
+}
+
 interface RequestLabels {
   route: Route;
   service: string;
@@ -271,6 +281,9 @@
     if (workspace !== undefined) {
       metrics.observeWorkspaceRequest(workspace.name, outcome, firstByteMs);
     }
+    if (state.softwareVersions.length > 1) {
+      metrics.countMixedStream(service);
+    }
     if (state.pauses !== undefined && outcome.startsWith('answered-2')) {
       reportPauses(state.pauses);
     }
@@ -286,6 +299,7 @@
       leftMs: Math.round(state.endsAtMs - monotonicNowMs()),
       furtherAttempts: state.furtherAttemptCount,
       promptTokens: state.request.prompt?.promptTokens,
+      ...resumptionFields(state),
       ...pauseFields(state.pauses),
       trail: state.trail.map(({ atMs, detail }) => `${atMs}ms ${detail}`).join('; '),
       configurationVersion,
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -47,6 +47,8 @@
   cachedAtServerId?: string;
   /** Pauses of the stream that was relayed, for the log and the metrics. */
   pauses?: RelayPauses;
+  /** The software versions that have written events of the response, for the log and the metrics. */
+  softwareVersions: string[];
   /** Steps of the request in order, for the log. */
   trail: TrailStep[];
 }
@@ -96,6 +98,7 @@
     wasMisdirected: false,
     hasPrefilled: false,
     failedServerIds: new Set(),
+    softwareVersions: [],
     trail: [],
   };
   return { state, end: () => clearTimeout(timer) };
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -30,6 +30,8 @@
   observeLongestPause(labels: StreamLabels, durationMs: number): void;
   /** Counts streams with a complete response that missed a target of their route. */
   countLateStream(labels: StreamLabels, cause: LateCause): void;
+  /** Counts responses with events of several software versions, which do not fit together. */
+  countMixedStream(service: string): void;
   countFurtherAttempt(service: string, cause: string): void;
   /** Counts further attempts that the budget of the service refused. */
   countRefusedAttempt(service: string, cause: string): void;
@@ -150,6 +152,11 @@
     'Prompts that a decode engine too slow for it was to prefill: moved to a faster one, or kept.',
     ['service', 'outcome'],
   );
+  const mixedStreams = counter(
+    'bluebell_mixed_streams_total',
+    'Streams with events of several software versions in one response.',
+    ['service'],
+  );
   const furtherAttempts = counter(
     'bluebell_further_attempts_total',
     'Attempts beyond the first by cause.',
@@ -260,6 +267,7 @@
     observeLongestPause: (labels, durationMs) =>
       longestPauses.observe(limitClass(labels), durationMs / msPerSecond),
     countLateStream: (labels, cause) => lateStreams.inc({ ...limitClass(labels), cause }),
+    countMixedStream: (service) => mixedStreams.inc({ service }),
     countFurtherAttempt: (service, cause) => furtherAttempts.inc({ service, cause }),
     countRefusedAttempt: (service, cause) => refusedAttempts.inc({ service, cause }),
     countLostRun: (service, cause) => lostRuns.inc({ service, cause }),
--- a/packages/routing/src/streamRelay.ts
+++ b/packages/routing/src/streamRelay.ts
@@ -24,6 +24,8 @@
 
 export interface RelayedRun {
   response: BackendResponse;
+  /** Version of the software that writes the events. */
+  softwareVersion: string;
   /** Called for each chunk received. */
   onProgress(): void;
   contextSince(sinceMs: number): RunContext;
@@ -48,6 +50,8 @@
   pauses(): RelayPauses;
   /** Id of the last event that the caller has received. */
   lastEventId(): number | undefined;
+  /** The software versions that have written events of this response, each once. */
+  softwareVersions(): string[];
   /** Aborts the response, so that the caller detects that it is incomplete. */
   abort(): void;
 }
@@ -63,6 +67,7 @@
   const pauses = createEventPauses<RunContext>();
   let firstEventAtMs: number | undefined;
   let lastEventAtMs = 0;
+  const softwareVersions = new Set<string>();
 
   async function relay(run: RelayedRun): Promise<RelayOutcome> {
     const { response } = run;
@@ -114,10 +119,12 @@
     return id === undefined || lastId === undefined || id > lastId;
   }
 
-  function forward({ response, contextSince }: RelayedRun, events: readonly StreamEvent[]): void {
+  function forward(run: RelayedRun, events: readonly StreamEvent[]): void {
+    const { response, contextSince } = run;
     onNextEvent();
     onNextEvent = () => undefined;
     writer ??= exchange.startResponse(response.status, response.headers);
+    softwareVersions.add(run.softwareVersion);
     eventCount += events.length;
     lastEventAtMs = monotonicNowMs();
     firstEventAtMs ??= lastEventAtMs;
@@ -137,6 +144,7 @@
     eventsDurationMs: () => lastEventAtMs - (firstEventAtMs ?? lastEventAtMs),
     pauses: () => ({ longest: pauses.longest(), medianMs: pauses.medianMs() }),
     lastEventId: () => lastId,
+    softwareVersions: () => [...softwareVersions],
     abort: () => writer?.abort(),
   };
 }
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -37,6 +37,7 @@
     mayContinue = round < maxRounds && mayRetry(state, outcome, deps);
   }
   state.pauses = relay.pauses();
+  state.softwareVersions = relay.softwareVersions();
   finish(state, relay, outcome);
 }
 
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -303,6 +303,7 @@
   const observer = createRunObserver(run, server.id);
   const relayed = await relay.relay({
     response: outcome.value,
+    softwareVersion: server.softwareVersion,
     onProgress() {
       watch.noteProgress();
       observer.noteEvents();
