--- a/packages/routing/__tests__/decodePlacement.test.ts
+++ b/packages/routing/__tests__/decodePlacement.test.ts
@@ -19,6 +19,9 @@
   stageSwitchMs: 6_000,
 };
 
+/** Servers whose ids begin with this belong to another shard. */
+const otherShard = 'other-';
+
 const rejected: CallOutcome<Reservation> = {
   kind: 'not-run',
   cause: { kind: 'rejected', status: 503 },
@@ -26,13 +29,18 @@
 
 function createFixture(clock: Clock, serverIds: string[], spareIds: string[] = []) {
   const directory = createServerDirectory();
-  serverIds.map(decodeServer).forEach(directory.put);
+  serverIds.forEach((id) => directory.put(decodeServer(id)));
   const loads = createEngineLoads();
   const calls: string[] = [];
   const releasedIds: string[] = [];
   const outcomes = new Map<string, CallOutcome<Reservation>>();
+  const shard = createFleetShard({ directory });
   const placement = createDecodePlacement({
-    pools: { ...createFleetShard({ directory }), spare: () => spareIds.map(decodeServer) },
+    pools: {
+      ...shard,
+      usable: (...pool) => shard.usable(...pool).filter(({ id }) => !id.startsWith(otherShard)),
+      spare: () => spareIds.map((id) => decodeServer(id)),
+    },
     loads,
     health: createOutlierDetector(),
     backend: {
@@ -291,3 +299,43 @@
     t.deepEqual(fixture.calls, ['a', 'b']);
   },
 );
+
+testWithFakeClock(
+  'a stream that has begun is placed only at its software version, in another shard if need be',
+  async (t, clock) => {
+    // What two versions write does not fit together, and engines accept any stream.
+    const fixture = createFixture(clock, ['a', 'b']);
+    ['c', 'other-d'].forEach((id) => fixture.directory.put(decodeServer(id, 'v2')));
+    const began = { isResumed: true, softwareVersion: 'v2' };
+    const results = [1, 2, 3].map(() => fixture.place({ ...began, tokens: 4_500 }));
+    await clock.tickAsync(200);
+    t.deepEqual(results.map(serverOf), ['c', 'c', undefined]);
+    fixture.directory.put({ ...decodeServer('c', 'v2'), isDraining: true });
+    const elsewhere = fixture.place({ ...began, tokens: 4_500 });
+    await clock.tickAsync(200);
+    t.is(serverOf(elsewhere), 'other-d');
+  },
+);
+
+testWithFakeClock(
+  'a stream whose software version has left is refused at once, and waits while one of its servers is listed',
+  async (t, clock) => {
+    // A server that has crashed is back within moments, one that has left is not.
+    const fixture = createFixture(clock, ['a']);
+    fixture.directory.put(decodeServer('b', 'v2'));
+    fixture.loads.noteUnresponsive('b');
+    const began = { isResumed: true, softwareVersion: 'v2' };
+    const waiting = fixture.place(began);
+    await clock.tickAsync(300);
+    t.is(waiting.outcome, undefined);
+    fixture.directory.remove('b');
+    fixture.directory.put(decodeServer('c', 'v2'));
+    await clock.tickAsync(100);
+    t.is(serverOf(waiting), 'c');
+    fixture.directory.put({ ...decodeServer('c', 'v2'), isDraining: true });
+    const late = fixture.place(began);
+    await clock.tickAsync(0);
+    t.deepEqual(late.outcome, { kind: 'no-version' });
+    t.deepEqual(fixture.calls, ['c']);
+  },
+);
--- a/packages/routing/__tests__/localPrefillPlacement.test.ts
+++ b/packages/routing/__tests__/localPrefillPlacement.test.ts
@@ -30,7 +30,7 @@
       trail,
     },
     deps: {
-      pools: { usable: () => Object.keys(paceMs).map(decodeServer) },
+      pools: { usable: () => Object.keys(paceMs).map((id) => decodeServer(id)) },
       engineLoads: { localPrefillCount: (id: string) => Number(busyIds.includes(id)) },
       metrics: { countSlowLocalPrefill: (_service: string, kind: string) => calls.push(kind) },
       backend: { releaseReservation: ({ id }: { id: string }) => calls.push(`drop ${id}`) },
--- a/packages/routing/__tests__/support/decodeServer.ts
+++ b/packages/routing/__tests__/support/decodeServer.ts
@@ -2,7 +2,7 @@
 import type { BackendServer } from '@bluebellhitch/routing';
 
 /** A decode engine of the service `s`. */
-export function decodeServer(id: string): BackendServer {
+export function decodeServer(id: string, softwareVersion = 'v1'): BackendServer {
   return {
     id,
     name: id,
@@ -11,7 +11,7 @@
     dataCentre: 'north',
     slots: 64,
     isDraining: false,
-    softwareVersion: 'v1',
+    softwareVersion,
     stage: 'decode',
   };
 }
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -30,6 +30,8 @@
   excludedIds: ReadonlySet<string>;
   /** The server to use if it has enough memory. */
   preferredId?: string;
+  /** The software version that has begun the stream: no other one can continue it. */
+  softwareVersion?: string;
   /** The request is placed at once, on an engine of this router's shard, or not at all. */
   isImmediate?: boolean;
   signal: AbortSignal;
@@ -44,7 +46,9 @@
 export type PlacementOutcome =
   | { kind: 'placed'; placement: Placement }
   /** The request has not run anywhere. */
-  | { kind: 'no-capacity'; retryAfterMs: number };
+  | { kind: 'no-capacity'; retryAfterMs: number }
+  /** No server of the software version that has begun the stream is left. */
+  | { kind: 'no-version' };
 
 export interface DecodePlacement {
   place(request: PlacementRequest): Promise<PlacementOutcome>;
@@ -86,7 +90,10 @@
 const spareRetryIntervalMs = 100;
 
 /** Candidates by service and pool, computed once for each pass over the waiting requests. */
-type CandidatesOf = (waiter: Waiter, kind: 'usable' | 'spare') => readonly PlacementCandidate[];
+type CandidatesOf = (
+  waiter: Waiter,
+  kind: 'usable' | 'spare' | 'ofAllShards',
+) => readonly PlacementCandidate[];
 
 export function createDecodePlacement(options: DecodePlacementOptions): DecodePlacement {
   const { backend, pools, loads, health, paces, random = Math.random } = options;
@@ -184,7 +191,11 @@
       refuse(waiter);
       return;
     }
-    const candidates = candidatesOf(waiter, 'usable').filter((candidate) =>
+    if (hasLostItsVersion(waiter)) {
+      finish(waiter, { kind: 'no-version' });
+      return;
+    }
+    const candidates = compatibleCandidates(waiter, candidatesOf).filter((candidate) =>
       mayUse(waiter, candidate),
     );
     if (candidates.length === 0 && refuseIfNoneAccepting(waiter, nowMs)) {
@@ -205,6 +216,28 @@
     }
   }
 
+  function hasLostItsVersion({ serviceName, softwareVersion }: Waiter): boolean {
+    return softwareVersion !== undefined && !pools.hasVersion(serviceName, softwareVersion);
+  }
+
+  /** The shard's servers. A stream that needs a software version of which the shard has none may use any shard. */
+  function compatibleCandidates(
+    waiter: Waiter,
+    candidatesOf: CandidatesOf,
+  ): readonly PlacementCandidate[] {
+    const { softwareVersion } = waiter;
+    const own = candidatesOf(waiter, 'usable');
+    if (softwareVersion === undefined) {
+      return own;
+    }
+    const isCompatible = ({ server }: PlacementCandidate) =>
+      server.softwareVersion === softwareVersion;
+    const compatible = own.filter(isCompatible);
+    return compatible.length > 0
+      ? compatible
+      : candidatesOf(waiter, 'ofAllShards').filter(isCompatible);
+  }
+
   function mayUse(
     { failedIds, excludedIds, reservedTokens }: Waiter,
     { server }: PlacementCandidate,
@@ -228,7 +261,10 @@
     nowMs: number,
     candidatesOf: CandidatesOf,
   ): PlacementCandidate | undefined {
-    const mayTrySpare = waiter.isImmediate !== true && nowMs >= waiter.nextSpareAttemptAtMs;
+    const mayTrySpare =
+      waiter.isImmediate !== true &&
+      waiter.softwareVersion === undefined &&
+      nowMs >= waiter.nextSpareAttemptAtMs;
     if (!mayTrySpare || !hasLostMostServers(waiter, candidatesOf)) {
       return undefined;
     }
--- a/packages/routing/src/fleetShard.ts
+++ b/packages/routing/src/fleetShard.ts
@@ -20,6 +20,10 @@
   usable(serviceName: string, stage?: Stage): readonly BackendServer[];
   /** Servers of another shard, for use when most servers of the own shard have failed; empty in a small fleet. */
   spare(serviceName: string, stage?: Stage): readonly BackendServer[];
+  /** Servers of all shards that may get new requests. */
+  ofAllShards(serviceName: string, stage?: Stage): readonly BackendServer[];
+  /** Whether a server of this software version is listed and is not leaving, in any shard and stage. */
+  hasVersion(serviceName: string, softwareVersion: string): boolean;
 }
 
 export interface FleetShard extends ServerPools {
@@ -119,6 +123,9 @@
   return {
     usable: (serviceName, stage) => poolsOf(serviceName, stage).own,
     spare: (serviceName, stage) => poolsOf(serviceName, stage).spare,
+    ofAllShards: directory.usable,
+    hasVersion: (serviceName, softwareVersion) =>
+      directory.usable(serviceName).some((server) => server.softwareVersion === softwareVersion),
     setRouters(ownAddress, addresses) {
       assignRouters(ownAddress, addresses);
       forgetRemoved();
--- a/packages/routing/src/model.ts
+++ b/packages/routing/src/model.ts
@@ -216,6 +216,8 @@
   noConfiguration: 'no-configuration',
   noServer: 'no-server',
   noCapacity: 'no-capacity',
+  /** No server is left of the software version that has begun the stream. */
+  noServerOfVersion: 'no-server-of-version',
   rejected: 'rejected',
   /** The request has crashed servers that ran it. */
   quarantined: 'quarantined',
--- a/packages/routing/src/serverNotices.ts
+++ b/packages/routing/src/serverNotices.ts
@@ -119,5 +119,7 @@
   return {
     usable: (serviceName, stage) => pools.usable(serviceName, stage).filter(isAvailable),
     spare: (serviceName, stage) => pools.spare(serviceName, stage).filter(isAvailable),
+    ofAllShards: (serviceName, stage) => pools.ofAllShards(serviceName, stage).filter(isAvailable),
+    hasVersion: pools.hasVersion,
   };
 }
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -1,7 +1,7 @@
 /** One run of a stream: reserves decode memory, has the prompt prefilled, then relays the decoded events. */
 import { paceToEndInTime } from '@bluebellhitch/decisions';
 import type { StreamEstimate } from '@bluebellhitch/protocol';
-import { monotonicNowMs } from '@bluebellhitch/shared';
+import { assertNever, monotonicNowMs } from '@bluebellhitch/shared';
 import type { PrefillResult } from './backendApi';
 import type { Placement, PlacementOutcome, PlacementRequest } from './decodePlacement';
 import { placeForLocalPrefill } from './localPrefillPlacement';
@@ -64,14 +64,23 @@
 
 export async function runStream(run: StreamRun): Promise<RunOutcome> {
   const placed = await placeRun(run);
-  if (placed.kind !== 'placed') {
-    const { retryAfterMs } = placed;
-    return { kind: 'not-run', reason: notRunReasons.noCapacity, retryAfterMs };
+  switch (placed.kind) {
+    case 'no-capacity':
+      return {
+        kind: 'not-run',
+        reason: notRunReasons.noCapacity,
+        retryAfterMs: placed.retryAfterMs,
+      };
+    case 'no-version':
+      return { kind: 'not-run', reason: notRunReasons.noServerOfVersion };
+    case 'placed': {
+      const outcome = await runAt(run, placed.placement);
+      placed.placement.stream.release();
+      return outcome;
+    }
+    default:
+      return assertNever(placed);
   }
-  const { placement } = placed;
-  const outcome = await runAt(run, placement);
-  placement.stream.release();
-  return outcome;
 }
 
 async function placeRun(run: StreamRun): Promise<PlacementOutcome> {
@@ -111,6 +120,7 @@
     expiresAtMs: Math.min(eventTimeoutAtMs, state.endsAtMs) - expectedMs,
     excludedIds: state.failedServerIds,
     preferredId: state.cachedAtServerId,
+    softwareVersion: relay.softwareVersions()[0],
     signal: state.signal,
   };
 }
@@ -202,12 +212,16 @@
   return outcome;
 }
 
-/** During a long prefill the server may have stopped accepting requests, or the request may no longer be sent. */
+/**
+ * During a long prefill the server may have stopped accepting requests, or stated another software version, or the
+ * request may no longer be sent.
+ */
 function reasonNotToDecode(
   { state, deps }: StreamRun,
   server: BackendServer,
 ): NotSendable | undefined {
-  if (!deps.notices.isAccepting(server)) {
+  const hasChanged = deps.directory.get(server.id)?.softwareVersion !== server.softwareVersion;
+  if (hasChanged || !deps.notices.isAccepting(server)) {
     noteStep(state, `decode ${server.id} withheld`);
     return { reason: notRunReasons.rejected };
   }
