--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -100,6 +100,16 @@
   type CrashingRequest,
   type CrashMessage,
 } from './crashMessages';
+export {
+  decodeStreamOriginMessage,
+  encodeStreamOriginMessage,
+  maxStreamsPerMessage,
+  streamOriginMessageKinds,
+  type StreamOrigin,
+  type StreamOriginMessage,
+  type StreamOriginMessageKind,
+  type StreamRecord,
+} from './streamOriginMessages';
 export {
   decodePeerMessage,
   encodePeerMessage,
--- /dev/null
+++ b/packages/routing/__tests__/streamContinuation.test.ts
@@ -0,0 +1,73 @@
+import test from 'ava';
+import type { StreamOrigin } from '@bluebellhitch/protocol';
+import { routeKinds, type CallerRequest, type Route } from '@bluebellhitch/routing';
+import { isResumption, planResumption } from '../src/streamContinuation';
+
+const route = {
+  kind: routeKinds.stream,
+  targets: [
+    { serviceName: 'a', weight: 1 },
+    { serviceName: 'b', weight: 1 },
+  ],
+} as unknown as Route;
+const request = { lastEventId: 3, resumedRequestId: 'r1' } as CallerRequest;
+
+interface Knowledge {
+  origin?: StreamOrigin;
+  listedVersions?: string[];
+}
+
+const plan = (
+  { origin, listedVersions = [] }: Knowledge,
+  resuming: CallerRequest = request,
+  resumedRoute: Route = route,
+) =>
+  planResumption(resumedRoute, resuming, {
+    streamOrigins: { find: async () => origin },
+    directory: { softwareVersions: () => listedVersions },
+    random: () => 0.9,
+  });
+
+test('a stream goes on at the service and the version that began it, whatever else serves', async (t) => {
+  // A route may be split over services, and a service over versions.
+  const origin = { serviceName: 'a', softwareVersion: 'v1' };
+  t.deepEqual(await plan({ origin, listedVersions: ['v2'] }), {
+    target: { serviceName: 'a', weight: 1 },
+    resumed: { source: 'remembered', softwareVersion: 'v1' },
+  });
+});
+
+test('a stream whose route was moved goes on at the new service, at the version that began it', async (t) => {
+  // The old service may no longer run requests of the route.
+  const origin = { serviceName: 'gone', softwareVersion: 'v1' };
+  const { target, resumed } = await plan({ origin });
+  t.is(target?.serviceName, 'b');
+  t.deepEqual(resumed, { source: 'remembered', softwareVersion: 'v1' });
+});
+
+test('a stream that nobody knows goes on only where one service with one version can have begun it', async (t) => {
+  // Among several any choice would be a guess.
+  const single = { ...route, targets: [{ serviceName: 'b', weight: 1 }] };
+  const only = await plan({ listedVersions: ['v1'] }, request, single);
+  t.deepEqual(only.resumed, { source: 'only-version', softwareVersion: 'v1' });
+  const unknown = [
+    await plan({ listedVersions: ['v1', 'v2'] }, request, single),
+    await plan({ listedVersions: [] }, request, single),
+    await plan({ listedVersions: ['v1'] }),
+  ];
+  unknown.forEach(({ resumed }) => t.deepEqual(resumed, { source: 'unknown' }));
+});
+
+test('a caller that names no earlier request is not taken for one that does', async (t) => {
+  // Its stream cannot be looked up.
+  const origin = { serviceName: 'a', softwareVersion: 'v1' };
+  const unnamed = { lastEventId: 3 } as CallerRequest;
+  const listedVersions = ['v1', 'v2'];
+  t.deepEqual((await plan({ origin, listedVersions }, unnamed)).resumed, { source: 'unknown' });
+});
+
+test('only streams that a caller has events of are resumed', (t) => {
+  t.true(isResumption(route, request));
+  t.false(isResumption(route, { resumedRequestId: 'r1' } as CallerRequest));
+  t.false(isResumption({ ...route, kind: routeKinds.idempotent }, request));
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -55,6 +55,13 @@
   type SpeedChannel,
   type SpeedExchange,
 } from './speedExchange';
+export {
+  createStreamOrigins,
+  noStreamOrigins,
+  type StreamOriginChannel,
+  type StreamOrigins,
+  type StreamOriginsOptions,
+} from './streamOrigins';
 export { createStreamSizes, type EndedStream, type StreamSizes } from './streamSizes';
 export {
   notRunReasons,
--- a/packages/routing/src/model.ts
+++ b/packages/routing/src/model.ts
@@ -218,6 +218,8 @@
   noCapacity: 'no-capacity',
   /** No server is left of the software version that has begun the stream. */
   noServerOfVersion: 'no-server-of-version',
+  /** It is not known which software version has begun the stream that the caller resumes, and several serve. */
+  unknownOrigin: 'unknown-origin',
   rejected: 'rejected',
   /** The request has crashed servers that ran it. */
   quarantined: 'quarantined',
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -1,24 +1,35 @@
-/** Routes a caller's request, serves it to its final response or refusal, and records its outcome in one log line. */
-import { lateCause } from '@bluebellhitch/decisions';
+/** Routes a caller's request and serves it to its final response or refusal. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { DecisionRing } from '@bluebellhitch/telemetry';
-import type { ResponseWriter, CallerExchange, CompleteResponse } from './callerApi';
+import type { CallerExchange } from './callerApi';
 import {
   notRunReasons,
-  routeKinds,
   type CallerRequest,
   type Refusal,
   type Route,
+  type ServiceSettings,
   type Workspace,
 } from './model';
-import { noCharge, type ChargeOutcome, type QuotaExchange } from './quotaExchange';
+import {
+  noCharge,
+  type ChargeOutcome,
+  type QuotaCharge,
+  type QuotaExchange,
+} from './quotaExchange';
 import { createPrefillStage } from './prefillStage';
 import { createLazyFingerprint } from './requestFingerprint';
 import { servePlain } from './plainRequest';
+import { createOutcomeRecorder } from './requestOutcome';
 import { createRequestState, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 import { chooseTarget, type RouteTable } from './routeTable';
-import type { RelayPauses } from './streamRelay';
+import {
+  isResumption,
+  originSources,
+  planResumption,
+  type ResumedStream,
+  type StreamPlan,
+} from './streamContinuation';
 import { serveStream } from './streamRequest';
 import { decideAccess, type ConfigurationFreshness } from './workspaceAccess';
 
@@ -39,82 +50,150 @@
   ring: DecisionRing;
 }
 
-/** What is known of a request that is refused before any work was done for it. */
+interface RoutedRequest {
+  route: Route | undefined;
+  plan: StreamPlan;
+  workspace: Workspace | undefined;
+}
+
+type Admission = RefusedRequest | AdmittedRequest;
+
+/** A request that is refused before any work was done for it, and what is known of it. */
 interface RefusedRequest {
+  kind: 'refused';
+  refusal: Refusal;
   route: Route | undefined;
   workspace?: Workspace;
   /** Present if the request is refused for its content. */
   fingerprint?: () => string;
 }
 
+interface AdmittedRequest {
+  kind: 'admitted';
+  /** As backend servers receive it. */
+  request: CallerRequest;
+  route: Route;
+  service: ServiceSettings;
+  workspace: Workspace | undefined;
+  fingerprint: () => string;
+  /** See `RequestState`. */
+  resumedVersion: string | undefined;
+  /** What was charged to the workspace's quota. */
+  charge: QuotaCharge;
+}
+
 /** A starting router has its configuration within about a second. */
 const startupRetryAfterMs = 500;
+/** Another router may know the stream, or this one once it has met its peers. */
+const unknownOriginRetryAfterMs = 1_200;
 
 export function createRequestRouter(options: RequestRouterOptions): RequestRouter {
   const { routeTable, freshness, quarantine, logger, random } = options;
   const prefillStage = createPrefillStage(options);
 
   async function serve(exchange: CallerExchange): Promise<void> {
-    const { request } = exchange;
     const table = routeTable();
     if (table === undefined) {
       const reason = notRunReasons.noConfiguration;
       exchange.refuse({ kind: 'not-run', reason, retryAfterMs: startupRetryAfterMs });
       return;
     }
+    const { request } = exchange;
     const route = table.match(request.host, request.target);
     const { credential } = request;
     const access = decideAccess({ table, route, credential, freshness: freshness() });
     if (access.kind === 'refused') {
-      refuseAtOnce(exchange, access.refusal, table, { route });
+      refuseAtOnce(exchange, table, { kind: 'refused', refusal: access.refusal, route });
       return;
     }
-    const target = route === undefined ? undefined : chooseTarget(route.targets, random());
+    const plan: StreamPlan =
+      route !== undefined && isResumption(route, request)
+        ? await planResumption(route, request, options)
+        : { target: route && chooseTarget(route.targets, random()) };
+    const admission = admit(request, table, { route, plan, workspace: access.workspace });
+    if (admission.kind === 'refused') {
+      refuseAtOnce(exchange, table, admission);
+      return;
+    }
+    await serveAdmitted(exchange, table, admission);
+  }
+
+  function admit(
+    request: CallerRequest,
+    table: RouteTable,
+    { route, plan: { target, resumed }, workspace }: RoutedRequest,
+  ): Admission {
     const service = target === undefined ? undefined : table.service(target.serviceName);
     if (route === undefined || service === undefined) {
-      refuseAtOnce(exchange, { kind: 'no-route' }, table, { route });
-      return;
+      return { kind: 'refused', refusal: { kind: 'no-route' }, route };
+    }
+    const resumption = admitResumption(service.name, resumed);
+    if (resumption.kind === 'refused') {
+      return { ...resumption, route, workspace };
     }
-    const { workspace } = access;
     const forwarded = requestForServer(request, table, workspace);
     const fingerprint = createLazyFingerprint(forwarded);
-    const heldBackMs = () => quarantine.heldBackMs(fingerprint);
-    const retryAfterMs = heldBackMs();
+    const retryAfterMs = quarantine.heldBackMs(fingerprint);
     if (retryAfterMs !== undefined) {
       const refusal: Refusal = { kind: 'not-run', reason: notRunReasons.quarantined, retryAfterMs };
-      refuseAtOnce(exchange, refusal, table, { route, workspace, fingerprint });
-      return;
+      return { kind: 'refused', refusal, route, workspace, fingerprint };
     }
     const charged = chargeQuota(workspace, request);
     if (charged.kind === 'limited') {
       const refusal: Refusal = { kind: 'over-quota', retryAfterMs: charged.retryAfterMs };
-      refuseAtOnce(exchange, refusal, table, { route, workspace });
-      return;
+      return { kind: 'refused', refusal, route, workspace };
     }
-    const forwardedExchange = { ...exchange, request: forwarded };
-    const recorded = recordOutcome(
-      forwardedExchange,
-      { route, service: service.name, workspace },
-      options,
-    );
+    const { softwareVersion: resumedVersion } = resumption;
+    const { charge } = charged;
+    return {
+      ...{ kind: 'admitted', request: forwarded, route, service, workspace },
+      ...{ fingerprint, resumedVersion, charge },
+    };
+  }
+
+  function admitResumption(
+    serviceName: string,
+    resumed: ResumedStream | undefined,
+  ): { kind: 'admitted'; softwareVersion?: string } | { kind: 'refused'; refusal: Refusal } {
+    if (resumed === undefined) {
+      return { kind: 'admitted' };
+    }
+    options.metrics.countResumedStream(serviceName, resumed.source);
+    if (resumed.source !== originSources.unknown) {
+      return { kind: 'admitted', softwareVersion: resumed.softwareVersion };
+    }
+    const reason = notRunReasons.unknownOrigin;
+    const retryAfterMs = unknownOriginRetryAfterMs;
+    return { kind: 'refused', refusal: { kind: 'not-run', reason, retryAfterMs } };
+  }
+
+  async function serveAdmitted(
+    exchange: CallerExchange,
+    table: RouteTable,
+    { request, route, service, workspace, fingerprint, resumedVersion, charge }: AdmittedRequest,
+  ): Promise<void> {
+    const forwardedExchange = { ...exchange, request };
+    const labels = { route, service: service.name, workspace };
+    const recorder = createOutcomeRecorder(forwardedExchange, labels, options);
     const { state, end } = createRequestState({
-      exchange: recorded.exchange,
+      exchange: recorder.exchange,
       route,
       service,
       priority: workspace?.priority,
       isAccessGranted: () => isAccessGranted(route, request, workspace),
       fingerprint,
-      heldBackMs,
+      heldBackMs: () => quarantine.heldBackMs(fingerprint),
+      resumedVersion,
     });
     options.budget.recordRequest(service.name, monotonicNowMs());
     try {
       await serveRoute(state);
     } finally {
       end();
-      if (recorded.hasNotRun() || state.sentCount === 0) {
-        charged.charge.refund();
+      if (recorder.hasNotRun() || state.sentCount === 0) {
+        charge.refund();
       }
-      recorded.report(state, table.configuration.version);
+      recorder.report(state, table.configuration.version);
     }
   }
 
@@ -139,9 +218,8 @@
 
   function refuseAtOnce(
     exchange: CallerExchange,
-    refusal: Refusal,
     { configuration }: RouteTable,
-    { route, workspace, fingerprint }: RefusedRequest,
+    { refusal, route, workspace, fingerprint }: RefusedRequest,
   ): void {
     const cause = refusalCause(refusal);
     if (cause === notRunReasons.staleConfiguration) {
@@ -154,6 +232,7 @@
       route: route?.name,
       workspace: workspace?.name,
       fingerprint: fingerprint?.(),
+      resumes: exchange.request.resumedRequestId,
       configurationVersion: configuration.version,
     });
     exchange.refuse(refusal);
@@ -184,136 +263,3 @@
 function refusalCause(refusal: Refusal): string {
   return refusal.kind === 'not-run' ? refusal.reason : refusal.kind;
 }
-
-function pauseFields(pauses: RelayPauses | undefined): Record<string, unknown> {
-  const { longest, medianMs } = pauses ?? {};
-  return longest === undefined
-    ? {}
-    : {
-        pauseMs: Math.round(longest.durationMs),
-        pauseEvent: longest.eventNumber,
-        pauseEngine: longest.context.serverId,
-        pauseStreams: longest.context.streamCount,
-        pauseLocalPrefill: longest.context.hadLocalPrefill,
-        medianPauseMs: medianMs === undefined ? undefined : Math.round(medianMs),
-      };
-}
-
-/** What the caller resumes, and which software versions have written the response. */
-function resumptionFields({ request, softwareVersions }: RequestState): Record<string, unknown> {
-  const { lastEventId, resumedRequestId } = request;
-  return {
-    resumes: resumedRequestId,
-    afterEvent: lastEventId,
-    softwareVersions: softwareVersions.length === 0 ? undefined : softwareVersions,
-  };
-}
-
-interface RequestLabels {
-  route: Route;
-  service: string;
-  workspace: Workspace | undefined;
-}
-
-/** Wraps the exchange to record the request's outcome in the log, the metrics and the decision ring. */
-function recordOutcome(
-  inner: CallerExchange,
-  { route, service, workspace }: RequestLabels,
-  { metrics, logger, ring }: RequestRouterOptions,
-) {
-  const startedAt = new Date().toISOString();
-  const labels = { service, kind: route.kind };
-  const { arrivedAtMs } = inner.request;
-  let outcome = 'caller-left';
-  let firstByteMs: number | undefined;
-  let isNotRun = false;
-
-  function noteFirstByte(): void {
-    firstByteMs = monotonicNowMs() - arrivedAtMs;
-    metrics.observeFirstByte(labels, firstByteMs);
-  }
-
-  const exchange: CallerExchange = {
-    request: inner.request,
-    signal: inner.signal,
-    respond(response: CompleteResponse) {
-      outcome = `answered-${response.status}`;
-      noteFirstByte();
-      inner.respond(response);
-    },
-    refuse(refusal: Refusal) {
-      isNotRun = refusal.kind === 'not-run';
-      outcome = refusal.kind === 'not-run' ? `not-run-${refusal.reason}` : refusal.kind;
-      inner.refuse(refusal);
-    },
-    startResponse(status, headers): ResponseWriter {
-      outcome = 'unfinished';
-      noteFirstByte();
-      const writer = inner.startResponse(status, headers);
-      return {
-        ...writer,
-        end() {
-          outcome = `answered-${status}`;
-          writer.end();
-        },
-        abort() {
-          outcome = 'cut';
-          writer.abort();
-        },
-      };
-    },
-  };
-
-  function reportPauses({ longest }: RelayPauses): void {
-    const streamLabels = { service, class: route.name };
-    const longestPauseMs = longest?.durationMs ?? 0;
-    metrics.observeLongestPause(streamLabels, longestPauseMs);
-    const cause = lateCause({ firstEventMs: firstByteMs ?? 0, longestPauseMs }, route);
-    if (cause !== undefined) {
-      metrics.countLateStream(streamLabels, cause);
-    }
-  }
-
-  function report(state: RequestState, configurationVersion: number): void {
-    const durationMs = monotonicNowMs() - arrivedAtMs;
-    metrics.countRequest(labels, outcome);
-    metrics.observeTotalDuration(labels, durationMs);
-    if (workspace !== undefined) {
-      metrics.observeWorkspaceRequest(workspace.name, outcome, firstByteMs);
-    }
-    if (state.softwareVersions.length > 1) {
-      metrics.countMixedStream(service);
-    }
-    if (state.pauses !== undefined && outcome.startsWith('answered-2')) {
-      reportPauses(state.pauses);
-    }
-    logger.info('request ended', {
-      requestId: state.request.id,
-      route: route.name,
-      workspace: workspace?.name,
-      priority: state.priority,
-      kind: route.kind === routeKinds.stream ? 'stream' : route.kind,
-      outcome,
-      firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
-      durationMs: Math.round(durationMs),
-      leftMs: Math.round(state.endsAtMs - monotonicNowMs()),
-      furtherAttempts: state.furtherAttemptCount,
-      promptTokens: state.request.prompt?.promptTokens,
-      ...resumptionFields(state),
-      ...pauseFields(state.pauses),
-      trail: state.trail.map(({ atMs, detail }) => `${atMs}ms ${detail}`).join('; '),
-      configurationVersion,
-    });
-    ring.record({
-      requestId: state.request.id,
-      service,
-      institution: '',
-      className: route.name,
-      startedAt,
-      steps: state.trail.map(({ atMs, detail }) => ({ atMs, kind: 'step', detail: { detail } })),
-      outcome,
-    });
-  }
-
-  return { exchange, report, hasNotRun: () => isNotRun };
-}
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -41,6 +41,8 @@
   wasMisdirected: boolean;
   /** A prefill engine has already processed the prompt; the next prefill counts as a further attempt. */
   hasPrefilled: boolean;
+  /** The software version that has begun the stream which the caller resumes; only its servers can continue it. */
+  resumedVersion?: string;
   /** Servers that have failed this request. */
   failedServerIds: Set<string>;
   /** The server that still has the prompt in its cache, from a run that broke. */
@@ -49,6 +51,8 @@
   pauses?: RelayPauses;
   /** The software versions that have written events of the response, for the log and the metrics. */
   softwareVersions: string[];
+  /** The version that has begun the stream is recorded for requests that resume it. */
+  hasNotedOrigin: boolean;
   /** Steps of the request in order, for the log. */
   trail: TrailStep[];
 }
@@ -67,6 +71,7 @@
   isAccessGranted?: () => boolean;
   fingerprint?: () => string;
   heldBackMs?: () => number | undefined;
+  resumedVersion?: string;
 }
 
 /** Starts the request's timer; call `end` once the request has its response. */
@@ -97,8 +102,10 @@
     furtherAttemptCount: 0,
     wasMisdirected: false,
     hasPrefilled: false,
+    resumedVersion: options.resumedVersion,
     failedServerIds: new Set(),
     softwareVersions: [],
+    hasNotedOrigin: false,
     trail: [],
   };
   return { state, end: () => clearTimeout(timer) };
--- a/packages/routing/src/routerDependencies.ts
+++ b/packages/routing/src/routerDependencies.ts
@@ -15,6 +15,7 @@
 import type { ServerLoads } from './serverLoads';
 import type { ServerNotices } from './serverNotices';
 import type { SpeedExchange } from './speedExchange';
+import type { StreamOrigins } from './streamOrigins';
 import type { StreamSizes } from './streamSizes';
 
 export interface RouterDependencies {
@@ -37,6 +38,8 @@
   health: OutlierDetector;
   /** Requests that have crashed servers. */
   quarantine: Pick<RequestQuarantine, 'heldBackMs' | 'noteLost' | 'noteCompleted'>;
+  /** Which software version has begun each stream. */
+  streamOrigins: Pick<StreamOrigins, 'find' | 'noteBegan'>;
   metrics: RouterMetrics;
   logger: Logger;
   random: Random;
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -32,6 +32,8 @@
   countLateStream(labels: StreamLabels, cause: LateCause): void;
   /** Counts responses with events of several software versions, which do not fit together. */
   countMixedStream(service: string): void;
+  /** Counts requests that resume a stream, by how the version that began it was found. */
+  countResumedStream(service: string, source: string): void;
   countFurtherAttempt(service: string, cause: string): void;
   /** Counts further attempts that the budget of the service refused. */
   countRefusedAttempt(service: string, cause: string): void;
@@ -157,6 +159,11 @@
     'Streams with events of several software versions in one response.',
     ['service'],
   );
+  const resumedStreams = counter(
+    'bluebell_resumed_streams_total',
+    'Requests that resume a stream, by how the software version that began it was found.',
+    ['service', 'source'],
+  );
   const furtherAttempts = counter(
     'bluebell_further_attempts_total',
     'Attempts beyond the first by cause.',
@@ -268,6 +275,7 @@
       longestPauses.observe(limitClass(labels), durationMs / msPerSecond),
     countLateStream: (labels, cause) => lateStreams.inc({ ...limitClass(labels), cause }),
     countMixedStream: (service) => mixedStreams.inc({ service }),
+    countResumedStream: (service, source) => resumedStreams.inc({ service, source }),
     countFurtherAttempt: (service, cause) => furtherAttempts.inc({ service, cause }),
     countRefusedAttempt: (service, cause) => refusedAttempts.inc({ service, cause }),
     countLostRun: (service, cause) => lostRuns.inc({ service, cause }),
--- a/packages/routing/src/runResults.ts
+++ b/packages/routing/src/runResults.ts
@@ -1,5 +1,6 @@
 /** Records what a run of a stream tells about its engine and about streams like it. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
+import type { BackendServer } from './model';
 import type { StreamRun } from './streamRun';
 
 /** Learns from a stream that has ended normally. */
@@ -38,3 +39,18 @@
     deps.health.record(serverId, 'failure', monotonicNowMs());
   }
 }
+
+/**
+ * Records which software version has begun the stream, once its first event has been passed on. To be called after each
+ * chunk of the response, of which the first ones may hold no complete event.
+ */
+export function noteOrigin({ state, deps, relay }: StreamRun, server: BackendServer): void {
+  const { lastEventId, resumedRequestId, id } = state.request;
+  const streamId = lastEventId === undefined ? id : resumedRequestId;
+  if (state.hasNotedOrigin || streamId === undefined || relay.softwareVersions().length === 0) {
+    return;
+  }
+  state.hasNotedOrigin = true;
+  const { serviceName, softwareVersion } = server;
+  deps.streamOrigins.noteBegan(streamId, { serviceName, softwareVersion });
+}
--- a/packages/routing/src/serverDirectory.ts
+++ b/packages/routing/src/serverDirectory.ts
@@ -53,6 +53,8 @@
   hasRestarted(server: BackendServer): boolean;
   /** All listed servers, including draining ones. */
   all(): BackendServer[];
+  /** The software versions of the service's listed servers, including draining ones. */
+  softwareVersions(serviceName: string): string[];
   size(): number;
   /** Increases with each change. */
   version(): number;
@@ -264,6 +266,10 @@
       return listed !== undefined && listed.id !== id;
     },
     all: () => [...servers.values()],
+    softwareVersions(serviceName) {
+      const listed = [...servers.values()].filter((server) => server.serviceName === serviceName);
+      return [...new Set(listed.map(({ softwareVersion }) => softwareVersion))];
+    },
     size: () => servers.size,
     version: () => version,
     membershipChangedAtMs: () => membershipChangedAtMs,
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -25,7 +25,7 @@
 } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 import { createRunObserver } from './runObserver';
-import { noteBrokenRun, noteCompleteRun } from './runResults';
+import { noteBrokenRun, noteCompleteRun, noteOrigin } from './runResults';
 import type { StreamRelay } from './streamRelay';
 
 export type RunOutcome =
@@ -99,7 +99,7 @@
   const expectedMs = prefillStage.expectedMs(service.name, size.promptTokens) + startOverheadMs;
   const stream = deps.streamSizes.estimateStream(route.name, size, relay.eventCount());
   // For a caller that has already received events, the timeout restarts.
-  const isResumed = state.sentCount > 0;
+  const isResumed = state.sentCount > 0 || request.lastEventId !== undefined;
   const waitingSinceMs = isResumed ? monotonicNowMs() : request.arrivedAtMs;
   const eventTimeoutAtMs = waitingSinceMs + eventTimeoutMs(route);
   return {
@@ -120,7 +120,7 @@
     expiresAtMs: Math.min(eventTimeoutAtMs, state.endsAtMs) - expectedMs,
     excludedIds: state.failedServerIds,
     preferredId: state.cachedAtServerId,
-    softwareVersion: relay.softwareVersions()[0],
+    softwareVersion: state.resumedVersion ?? relay.softwareVersions()[0],
     signal: state.signal,
   };
 }
@@ -319,6 +319,7 @@
     response: outcome.value,
     softwareVersion: server.softwareVersion,
     onProgress() {
+      noteOrigin(run, server);
       watch.noteProgress();
       observer.noteEvents();
       stream.noteEmitted(deps.streamSizes.emittedTokens(relay.eventCount()));
