--- a/packages/objects/src/platformApi.ts
+++ b/packages/objects/src/platformApi.ts
@@ -19,6 +19,8 @@
   lease: 'lease',
   /** Fingerprints of requests that crash backend servers. */
   quarantine: 'quarantine',
+  /** The software versions that may have begun streams, one object for each service. */
+  serviceVersions: 'service-versions',
   /** Routes and services in force, written by operators. */
   configuration: 'configuration',
   /** Backend servers; each writes its own object. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -55,6 +55,12 @@
   type SpeedChannel,
   type SpeedExchange,
 } from './speedExchange';
+export {
+  createServiceVersions,
+  noServiceVersions,
+  type ServiceVersions,
+  type ServiceVersionsOptions,
+} from './serviceVersions';
 export {
   createStreamOrigins,
   noStreamOrigins,
--- a/packages/routing/src/routerDependencies.ts
+++ b/packages/routing/src/routerDependencies.ts
@@ -15,6 +15,7 @@
 import type { ServerLoads } from './serverLoads';
 import type { ServerNotices } from './serverNotices';
 import type { SpeedExchange } from './speedExchange';
+import type { ServiceVersions } from './serviceVersions';
 import type { StreamOrigins } from './streamOrigins';
 import type { StreamSizes } from './streamSizes';
 
@@ -40,6 +41,7 @@
   quarantine: Pick<RequestQuarantine, 'heldBackMs' | 'noteLost' | 'noteCompleted'>;
   /** Which software version has begun each stream. */
   streamOrigins: Pick<StreamOrigins, 'find' | 'noteBegan'>;
+  serviceVersions: Pick<ServiceVersions, 'onlyVersion'>;
   metrics: RouterMetrics;
   logger: Logger;
   random: Random;
--- a/packages/routing/src/serverNotices.ts
+++ b/packages/routing/src/serverNotices.ts
@@ -7,6 +7,7 @@
 import type { BackendServer, Stage } from './model';
 import type { ServerDirectory } from './serverDirectory';
 import type { ServerLimits } from './serverLimits';
+import type { ServiceVersions } from './serviceVersions';
 
 export interface ServerNoticesOptions {
   directory: Pick<ServerDirectory, 'get' | 'all' | 'usable' | 'noteLeaving'>;
@@ -110,12 +111,14 @@
   };
 }
 
-/** The pools without servers that are in backoff. */
+/** The pools without servers that are in backoff, or whose software version is not on record yet. */
 export function createAvailablePools(
   pools: ServerPools,
   { backoffLeftMs }: Pick<ServerNotices, 'backoffLeftMs'>,
+  { isRecorded }: Pick<ServiceVersions, 'isRecorded'>,
 ): ServerPools {
-  const isAvailable = ({ id }: BackendServer) => backoffLeftMs(id) === 0;
+  const isAvailable = (server: BackendServer) =>
+    backoffLeftMs(server.id) === 0 && isRecorded(server);
   return {
     usable: (serviceName, stage) => pools.usable(serviceName, stage).filter(isAvailable),
     spare: (serviceName, stage) => pools.spare(serviceName, stage).filter(isAvailable),
--- a/packages/routing/src/streamContinuation.ts
+++ b/packages/routing/src/streamContinuation.ts
@@ -6,14 +6,14 @@
 import type { Random } from '@bluebellhitch/shared';
 import { routeKinds, type CallerRequest, type Route, type RouteTarget } from './model';
 import { chooseTarget } from './routeTable';
-import type { ServerDirectory } from './serverDirectory';
+import type { ServiceVersions } from './serviceVersions';
 import type { StreamOrigins } from './streamOrigins';
 
 /** How the origin of a resumed stream was found. */
 export const originSources = {
   /** This router or another one remembers the stream. */
   remembered: 'remembered',
-  /** No other version serves in the service. */
+  /** No other version can have begun it. */
   onlyVersion: 'only-version',
   unknown: 'unknown',
 } as const;
@@ -33,7 +33,7 @@
 
 export interface StreamPlanOptions {
   streamOrigins: Pick<StreamOrigins, 'find'>;
-  directory: Pick<ServerDirectory, 'softwareVersions'>;
+  serviceVersions: Pick<ServiceVersions, 'onlyVersion'>;
   random: Random;
 }
 
@@ -45,7 +45,7 @@
 export async function planResumption(
   { targets }: Route,
   { resumedRequestId }: CallerRequest,
-  { streamOrigins, directory, random }: StreamPlanOptions,
+  { streamOrigins, serviceVersions, random }: StreamPlanOptions,
 ): Promise<StreamPlan> {
   const origin =
     resumedRequestId === undefined ? undefined : await streamOrigins.find(resumedRequestId);
@@ -54,7 +54,7 @@
     const { softwareVersion } = origin;
     return { target, resumed: { source: originSources.remembered, softwareVersion } };
   }
-  const softwareVersion = onlyVersion(targets, directory);
+  const softwareVersion = await onlyVersion(targets, serviceVersions);
   const resumed: ResumedStream =
     softwareVersion === undefined
       ? { source: originSources.unknown }
@@ -63,14 +63,14 @@
 }
 
 /** The version that must have begun any stream of the route; undefined if there may be several. */
-function onlyVersion(
+async function onlyVersion(
   targets: readonly RouteTarget[],
-  directory: Pick<ServerDirectory, 'softwareVersions'>,
-): string | undefined {
+  serviceVersions: StreamPlanOptions['serviceVersions'],
+): Promise<string | undefined> {
   const [service, ...otherServices] = targets.map(({ serviceName }) => serviceName);
-  const [version, ...otherVersions] =
-    service === undefined ? [] : directory.softwareVersions(service);
-  return otherServices.length === 0 && otherVersions.length === 0 ? version : undefined;
+  return service === undefined || otherServices.length > 0
+    ? undefined
+    : serviceVersions.onlyVersion(service);
 }
 
 /** The service that has begun the stream, unless the route has been moved from it. */
