--- a/packages/routing/src/serverNotices.ts
+++ b/packages/routing/src/serverNotices.ts
@@ -115,10 +115,9 @@
 export function createAvailablePools(
   pools: ServerPools,
   { backoffLeftMs }: Pick<ServerNotices, 'backoffLeftMs'>,
-  { isRecorded }: Pick<ServiceVersions, 'isRecorded'>,
+  { mayBegin }: Pick<ServiceVersions, 'mayBegin'>,
 ): ServerPools {
-  const isAvailable = (server: BackendServer) =>
-    backoffLeftMs(server.id) === 0 && isRecorded(server);
+  const isAvailable = (server: BackendServer) => backoffLeftMs(server.id) === 0 && mayBegin(server);
   return {
     usable: (serviceName, stage) => pools.usable(serviceName, stage).filter(isAvailable),
     spare: (serviceName, stage) => pools.spare(serviceName, stage).filter(isAvailable),
--- a/packages/routing/src/serviceVersions.ts
+++ b/packages/routing/src/serviceVersions.ts
@@ -1,6 +1,6 @@
 /**
- * The software versions that may have begun streams of each service, on record in the platform's store. Routers begin
- * streams at a version only once it is on record. By one read of the record, a router that has just started or was cut
+ * The software versions that may have begun streams of each service, on record in the platform's store. Where several
+ * serve, routers begin streams at a version only once it is on record. By one read of the record, a router that has just started or was cut
  * off knows whether a stream that no router remembers can have begun at only one version: its own list of servers may
  * lack versions that came or left meanwhile.
  */
@@ -20,8 +20,8 @@
 export interface ServiceVersions extends BackgroundLoop {
   /** To be called when the server is listed for the first time. */
   noteServer(server: BackendServer): void;
-  /** Whether streams may begin at the server. */
-  isRecorded(server: BackendServer): boolean;
+  /** Whether streams may begin at the server: its version is on record, or is the only one known so far. */
+  mayBegin(server: BackendServer): boolean;
   /** The only version that may have begun streams of the service; undefined if several may, or if it is not known. */
   onlyVersion(serviceName: string): Promise<string | undefined>;
   /** The store was restored from a backup: the record may lack versions. */
@@ -230,7 +230,11 @@
         }
       }
     },
-    isRecorded: (server) => !isEngine(server) || isOnRecord(server) || hasWaitedForRecord(server),
+    mayBegin: (server) =>
+      !isEngine(server) ||
+      isOnRecord(server) ||
+      services.get(server.serviceName)?.size === 1 ||
+      hasWaitedForRecord(server),
     onlyVersion,
     noteStoreRestored() {
       restoredAtMs = monotonicNowMs();
