--- a/packages/routing/__tests__/decodePlacement.test.ts
+++ b/packages/routing/__tests__/decodePlacement.test.ts
@@ -339,3 +339,19 @@
     t.deepEqual(fixture.calls, ['c']);
   },
 );
+
+testWithFakeClock(
+  'a new stream prefers engines whose software version has a prefill engine, and uses others if need be',
+  async (t, clock) => {
+    // An engine cannot read a KV cache of another version, and prefills of its own pause its streams.
+    const fixture = createFixture(clock, ['a', 'b', 'c']);
+    fixture.directory.put(decodeServer('d', 'v2'));
+    fixture.directory.put({ ...decodeServer('p', 'v2'), stage: 'prefill' });
+    const preferring = fixture.place({ tokens: 6_000 });
+    await clock.tickAsync(20);
+    t.is(serverOf(preferring), 'd');
+    const overflowing = fixture.place({ tokens: 6_000 });
+    await clock.tickAsync(20);
+    t.not(serverOf(overflowing), 'd');
+  },
+);
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -10,14 +10,21 @@
 import type { DecodePaces } from './decodePaces';
 import type { EngineLoads, PlacedStream } from './engineLoads';
 import type { ServerPools } from './fleetShard';
-import { stages, type BackendServer, type EngineSettings } from './model';
+import { stages, type BackendServer } from './model';
+import {
+  compatibleCandidates,
+  createCandidateLookup,
+  hasLostItsVersion,
+  withPrefillEngines,
+  type CandidateRequest,
+  type CandidatesOf,
+} from './placementCandidates';
 import { hasHeadroom, chooseBestFit, type PlacementCandidate } from './placementChoice';
 import { createPlacementQueue, isOnTime, type QueuedRequest } from './placementQueue';
 import { noLimits, type ServerPermits } from './serverLimits';
 import { noNotices, type ServerNotices } from './serverNotices';
 
-export interface PlacementRequest extends QueuedRequest {
-  engine: EngineSettings;
+export interface PlacementRequest extends QueuedRequest, CandidateRequest {
   stream: StreamEstimate;
   /** Tokens to reserve on the engine. */
   reservedTokens: number;
@@ -30,8 +37,6 @@
   excludedIds: ReadonlySet<string>;
   /** The server to use if it has enough memory. */
   preferredId?: string;
-  /** The software version that has begun the stream: no other one can continue it. */
-  softwareVersion?: string;
   /** The request is placed at once, on an engine of this router's shard, or not at all. */
   isImmediate?: boolean;
   signal: AbortSignal;
@@ -89,12 +94,6 @@
 /** Between two attempts of one request at spare servers, so that a full fleet is not queried continuously. */
 const spareRetryIntervalMs = 100;
 
-/** Candidates by service and pool, computed once for each pass over the waiting requests. */
-type CandidatesOf = (
-  waiter: Waiter,
-  kind: 'usable' | 'spare' | 'ofAllShards',
-) => readonly PlacementCandidate[];
-
 export function createDecodePlacement(options: DecodePlacementOptions): DecodePlacement {
   const { backend, pools, loads, health, paces, random = Math.random } = options;
   const { limits = noLimits, notices = noNotices, onOvertaking = () => undefined } = options;
@@ -163,7 +162,7 @@
   function tryWaiters(): void {
     clearTimeout(timer);
     const nowMs = monotonicNowMs();
-    const candidatesOf = createCandidateLookup(nowMs);
+    const candidatesOf = createCandidateLookup(options, nowMs);
     queue
       .sorted(nowMs)
       .filter(({ isReserving }) => !isReserving)
@@ -171,27 +170,12 @@
     timer = queue.size() === 0 ? undefined : setTimeout(tryWaiters, retryIntervalMs);
   }
 
-  function createCandidateLookup(nowMs: number): CandidatesOf {
-    const ejected = health.ejected(nowMs);
-    const candidatesByKey = new Map<string, readonly PlacementCandidate[]>();
-    return ({ serviceName, engine }, kind) => {
-      const key = `${kind} ${serviceName}`;
-      const candidates =
-        candidatesByKey.get(key) ??
-        pools[kind](serviceName, stages.decode)
-          .filter(({ id }) => !ejected.has(id) && !loads.isUnresponsive(id))
-          .map((server) => ({ server, memory: loads.forecast(server.id, engine.kvTokens) }));
-      candidatesByKey.set(key, candidates);
-      return candidates;
-    };
-  }
-
   function tryToPlace(waiter: Waiter, nowMs: number, candidatesOf: CandidatesOf): void {
     if (waiter.expiresAtMs <= nowMs || waiter.signal.aborted) {
       refuse(waiter);
       return;
     }
-    if (hasLostItsVersion(waiter)) {
+    if (hasLostItsVersion(waiter, pools)) {
       finish(waiter, { kind: 'no-version' });
       return;
     }
@@ -205,8 +189,7 @@
       isOnTime(waiter, nowMs) ||
       hasHeadroom(candidates, { stream: waiter.stream, engineTokens: waiter.engine.kvTokens });
     const candidate = isAdmitted
-      ? (chooseBestFit(candidates, { ...waiter, paces, random }) ??
-        trySpare(waiter, nowMs, candidatesOf))
+      ? (chooseCandidate(waiter, candidates) ?? trySpare(waiter, nowMs, candidatesOf))
       : undefined;
     if (candidate !== undefined) {
       candidate.memory.add(waiter.stream);
@@ -216,26 +199,14 @@
     }
   }
 
-  function hasLostItsVersion({ serviceName, softwareVersion }: Waiter): boolean {
-    return softwareVersion !== undefined && !pools.hasVersion(serviceName, softwareVersion);
-  }
-
-  /** The shard's servers. A stream that needs a software version of which the shard has none may use any shard. */
-  function compatibleCandidates(
+  function chooseCandidate(
     waiter: Waiter,
-    candidatesOf: CandidatesOf,
-  ): readonly PlacementCandidate[] {
-    const { softwareVersion } = waiter;
-    const own = candidatesOf(waiter, 'usable');
-    if (softwareVersion === undefined) {
-      return own;
-    }
-    const isCompatible = ({ server }: PlacementCandidate) =>
-      server.softwareVersion === softwareVersion;
-    const compatible = own.filter(isCompatible);
-    return compatible.length > 0
-      ? compatible
-      : candidatesOf(waiter, 'ofAllShards').filter(isCompatible);
+    candidates: readonly PlacementCandidate[],
+  ): PlacementCandidate | undefined {
+    const choose = (among: readonly PlacementCandidate[]) =>
+      chooseBestFit(among, { ...waiter, paces, random });
+    const preferred = withPrefillEngines(waiter, candidates, pools);
+    return choose(preferred) ?? (preferred === candidates ? undefined : choose(candidates));
   }
 
   function mayUse(
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -25,7 +25,7 @@
 
 export type PrefillOutcome =
   | { kind: 'done'; result: PrefillResult }
-  /** No prefill engine is available in time: the decode engine prefills the prompt itself. */
+  /** No prefill engine of its software version is available in time: the decode engine prefills the prompt itself. */
   | { kind: 'at-decode' }
   /** The request may no longer be sent to servers. */
   | { kind: 'withheld'; withheld: NotSendable }
@@ -89,8 +89,13 @@
       .filter(({ id }) => !ejected.has(id) && !engineLoads.isUnresponsive(id));
   }
 
-  function chooseServer(state: RequestState, promptTokens: number): BackendServer | undefined {
+  function chooseServer(
+    state: RequestState,
+    promptTokens: number,
+    decodeServer: BackendServer,
+  ): BackendServer | undefined {
     const engines = usableServers(state.service.name)
+      .filter((server) => canReadCacheOf(decodeServer, server))
       .filter(({ id }) => !state.failedServerIds.has(id) && limits.mayTake(id))
       .map((server) => ({
         server,
@@ -151,7 +156,7 @@
   ): Promise<PrefillOutcome> {
     let isRetry = state.hasPrefilled;
     while (!state.signal.aborted) {
-      const server = chooseServer(state, promptTokens);
+      const server = chooseServer(state, promptTokens, decodeServer);
       if (server === undefined || shouldPrefillLocally(state, promptTokens, server, decodeServer)) {
         return { kind: 'at-decode' };
       }
@@ -244,6 +249,11 @@
   };
 }
 
+/** A KV cache is written for the software version that wrote it, and engines do not check that. */
+function canReadCacheOf(decodeServer: BackendServer, prefillServer: BackendServer): boolean {
+  return prefillServer.softwareVersion === decodeServer.softwareVersion;
+}
+
 function resultOf(outcome: CallOutcome<PrefillResult>, hasTimedOut: boolean): PromptResult {
   if (outcome.kind === 'done') {
     return 'done';
