--- a/packages/soak/__tests__/soakRun.test.ts
+++ b/packages/soak/__tests__/soakRun.test.ts
@@ -20,7 +20,7 @@
   seed: number;
   routerCount: number;
   callerCount: number;
-  script?: 'attempts' | 'crashes';
+  script?: 'attempts' | 'crashes' | 'versions';
 }
 
 async function play(run: Run): Promise<SoakReport> {
@@ -73,3 +73,16 @@
     t.true((report.fullestBudget?.furtherAttempts ?? 0) > 30);
   },
 );
+
+test.serial(
+  'streams go on at the software version that began them, over releases, crashes and kills of routers',
+  async (t) => {
+    // Streams went on wherever there was memory, within a response and after their callers had come back.
+    t.timeout(120_000);
+    const run = { seed: 6_000, routerCount: 3, callerCount: 24, script: 'versions' } as const;
+    const report = await play(run);
+    t.deepEqual(report.findings, []);
+    // Otherwise the run proves nothing of streams that callers take up again.
+    t.true(report.resumed.wentOn > 0, `${report.resumed.wentOn} of ${report.resumed.sent}`);
+  },
+);
--- a/packages/soak/src/backendServers.ts
+++ b/packages/soak/src/backendServers.ts
@@ -49,6 +49,11 @@
    * in the store after `unlistedMs`.
    */
   replace(slot: number, unlistedMs: number): Promise<void>;
+  /** Sets the software version of servers that start in the slot from now on. */
+  setVersion(slot: number, softwareVersion: StreamVersion): void;
+  engineSlots(): number[];
+  /** Number of running engines of a software version. */
+  engineCount(softwareVersion: string): number;
   setLink(slot: number, fault: LinkFault): void;
   resetLinks(slot: number): void;
   setErrors(slot: number, errors: ServerErrors | undefined): void;
@@ -72,6 +77,8 @@
   index: number;
   service: ServiceName;
   stage?: Stage;
+  /** Of the next servers that start in the slot. */
+  softwareVersion: string;
   errors?: ServerErrors;
   rejectedPrefillShare: number;
   slowdown: number;
@@ -102,6 +109,9 @@
 /** How long a draining server keeps serving after routers must have stopped sending. */
 const drainReserveMs = 1_500;
 export const streamEvents = 12;
+/** Software versions of the servers; the first one serves at the start. */
+export const streamVersions = ['v1', 'v2'] as const;
+export type StreamVersion = (typeof streamVersions)[number];
 const eventGapMs = 25;
 const workMs = 15;
 const prefillMs = 10;
@@ -116,9 +126,9 @@
   return `${requestId} at ${serverId}`;
 }
 
-/** Text of a stream's event, which does not depend on the server. */
-export function eventText(requestId: string, event: number): string {
-  return `${requestId} ${event}`;
+/** Text of a stream's event, which depends on nothing of the server but the version of its software. */
+export function eventText(requestId: string, event: number, softwareVersion: string): string {
+  return `${requestId} ${event} ${softwareVersion}`;
 }
 
 export async function startBackendServers(options: BackendServersOptions): Promise<BackendServers> {
@@ -126,6 +136,7 @@
   const slots: ServerSlot[] = slotLayout.map((slot, index) => ({
     ...slot,
     index,
+    softwareVersion: streamVersions[0],
     rejectedPrefillShare: 0,
     slowdown: 1,
     startCount: 0,
@@ -137,16 +148,19 @@
   async function startAt(slot: ServerSlot): Promise<void> {
     slot.startCount += 1;
     const id = `${slot.service}-${slot.index}-${slot.startCount}`;
-    const { service } = slot;
+    const { service, softwareVersion } = slot;
     const worker = await startStandinWorker({
       id,
       service,
       stage: slot.stage,
+      softwareVersion,
       eventCount: streamEvents,
       eventGapMs,
       workMs,
       textOf: (requestId, event) =>
-        event === undefined ? plainText(requestId, id) : eventText(requestId, event),
+        event === undefined
+          ? plainText(requestId, id)
+          : eventText(requestId, event, softwareVersion),
       chooseRun: ({ body }) => chooseRun(slot, body),
       onCrash: (body) => {
         options.onCrashed?.(body);
@@ -268,6 +282,15 @@
     slotCount: slots.length,
     crash,
     replace,
+    setVersion(index, softwareVersion) {
+      (slots[index] as ServerSlot).softwareVersion = softwareVersion;
+    },
+    engineSlots: () => slots.filter(({ stage }) => stage !== undefined).map(({ index }) => index),
+    engineCount: (softwareVersion) =>
+      slots.filter(
+        ({ current, stage }) =>
+          stage === stages.decode && current?.worker.entry.version === softwareVersion,
+      ).length,
     setLink: (index, fault) => slots[index]?.current?.proxy.setFault(fault),
     resetLinks: (index) => slots[index]?.current?.proxy.resetAll(),
     setErrors(index, errors) {
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -1,6 +1,6 @@
 /**
  * Callers as on the platform: each keeps its connection to a router until that is closed or broken, then connects to a
- * router that the balancer chooses. Callers do not retry requests.
+ * router that the balancer chooses. Callers do not retry requests, but may take up broken streams again.
  */
 import { Agent } from 'node:http';
 import { callRouter, type CallOutcome } from '@bluebellhitch/platform-standins';
@@ -16,6 +16,7 @@
 import { repeatingWorkspace, type Keyring } from './keyring';
 import type { Ledger, RequestOutcome, SentRequest } from './ledger';
 import type { RouterProcessHandle } from './routerFleet';
+import { lastEventId } from './streamVersionChecks';
 
 export interface CallersOptions {
   count: number;
@@ -24,6 +25,9 @@
   ledger: Ledger;
   random: Random;
   keyring: Keyring;
+  /** Takes up broken streams again, at any router. */
+  resumesStreams?: boolean;
+  onResumed?(request: SentRequest): void;
   onEnded(request: SentRequest): void;
 }
 
@@ -44,6 +48,8 @@
 const meanPauseMs = 120;
 const disconnectShare = 0.04;
 const maxDisconnectMs = 150;
+const maxResumptions = 3;
+const resumptionPauseMs = 50;
 /** Statuses that promise that the request has not run and will not. */
 const notRunStatuses: readonly number[] = [408, 421, 429, 503];
 const prompt = { promptTokens: 1_000, maxOutputTokens: 100 };
@@ -56,6 +62,8 @@
   agent?: Agent;
   disconnectAfterMs?: number;
   body?: string;
+  /** The stream to take up. */
+  resumes?: SentRequest['resumes'];
 }
 
 interface Connection {
@@ -73,7 +81,7 @@
   function startRequest(
     router: RouterProcessHandle,
     route: Route,
-    { agent, body }: CallOptions,
+    { agent, body, resumes }: CallOptions,
   ): SentRequest {
     const isProbe = agent === undefined;
     requestCount += 1;
@@ -86,6 +94,7 @@
       timeoutMs: route.timeoutMs,
       isProbe,
       isCrashing: body !== undefined,
+      resumes,
       shownKey: body === undefined ? chooseKey(isProbe) : keyring.chooseValid(repeatingWorkspace),
     });
   }
@@ -98,6 +107,9 @@
   ): Promise<{ request: SentRequest; keepsConnection: boolean }> {
     const { agent, disconnectAfterMs, body } = callOptions;
     const request = startRequest(router, route, callOptions);
+    if (callOptions.resumes !== undefined) {
+      options.onResumed?.(request);
+    }
     const disconnect = new AbortController();
     const timer =
       disconnectAfterMs === undefined
@@ -110,7 +122,10 @@
       requestId: request.id,
       deadlineMs: route.timeoutMs,
       prompt: route.kind === routeKinds.stream ? prompt : undefined,
-      headers: { authorization: `Token ${request.shownKey.key}` },
+      headers: {
+        authorization: `Token ${request.shownKey.key}`,
+        ...resumptionHeaders(callOptions.resumes),
+      },
       signal: disconnect.signal,
       agent,
       body,
@@ -130,6 +145,23 @@
     return router && { router, agent: new Agent({ keepAlive: true, maxSockets: 1 }) };
   }
 
+  /** Takes the stream up at any router, as often as it brings further events, or is refused for the first time. */
+  async function resumeStream(broken: SentRequest, route: Route, target: string): Promise<void> {
+    let resumes = options.resumesStreams === true ? resumptionOf(broken, route) : undefined;
+    for (let tries = 0; resumes !== undefined && tries < maxResumptions; tries += 1) {
+      await delay(resumptionPauseMs);
+      const connection = connect();
+      if (connection === undefined) {
+        return;
+      }
+      const { router, agent } = connection;
+      const { request } = await call(router, route, target, { agent, resumes });
+      agent.destroy();
+      const isOver = request.end?.kind === 'whole' || request.end?.kind === 'caller-left';
+      resumes = isOver ? undefined : (resumptionOf(request, route) ?? resumes);
+    }
+  }
+
   function createCaller(): BackgroundLoop {
     return createBackgroundLoop(async (signal) => {
       let connection: Connection | undefined;
@@ -142,10 +174,11 @@
             random() < disconnectShare ? random() * maxDisconnectMs : undefined;
           const { router, agent } = connection;
           const target = `${route.pathPrefix}${requestCount}`;
-          const { keepsConnection: isKept } = await call(router, route, target, {
+          const { request, keepsConnection: isKept } = await call(router, route, target, {
             agent,
             disconnectAfterMs,
           });
+          await resumeStream(request, route, target);
           if (!isKept) {
             agent.destroy();
             connection = undefined;
@@ -176,6 +209,23 @@
   };
 }
 
+/** What a caller of a broken stream takes up; undefined if it has no event of it, or may not take it up. */
+function resumptionOf(
+  { id, end, resumes }: SentRequest,
+  { allowsResume }: Route,
+): SentRequest['resumes'] {
+  const afterEvent = end?.kind === 'broken' ? lastEventId(end.body) : 0;
+  return allowsResume && afterEvent > 0
+    ? { streamId: resumes?.streamId ?? id, afterEvent }
+    : undefined;
+}
+
+function resumptionHeaders(resumes: SentRequest['resumes']): Record<string, string> {
+  return resumes === undefined
+    ? {}
+    : { 'last-event-id': String(resumes.afterEvent), resumes: resumes.streamId };
+}
+
 function keepsConnection(outcome: CallOutcome): boolean {
   return (
     outcome.kind === 'answered' &&
--- a/packages/soak/src/findings.ts
+++ b/packages/soak/src/findings.ts
@@ -19,6 +19,8 @@
   leavingWord: 'leaving-word',
   restWord: 'rest-word',
   crashing: 'crashing',
+  oneVersion: 'one-version',
+  resumption: 'resumption',
 } as const;
 export type PromiseName = (typeof promises)[keyof typeof promises];
 
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -30,6 +30,8 @@
   isProbe: boolean;
   /** It crashes each server that runs it, so no complete response is expected. */
   isCrashing: boolean;
+  /** The stream that the request takes up, by the id of the request that brought its first event. */
+  resumes?: { streamId: string; afterEvent: number };
   sentAtMs: number;
   endedAtMs?: number;
   end?: RequestOutcome;
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -225,6 +225,18 @@
     endBackoff();
   }
 
+  /** Starts the replacements one after the other; each of them waits for other operations on its server. */
+  async function releaseVersion(operation: OperationOf<'release'>): Promise<void> {
+    const { softwareVersion, gapMs } = operation;
+    const replacements: Promise<void>[] = [];
+    for (const server of servers.engineSlots()) {
+      servers.setVersion(server, softwareVersion);
+      replacements.push(runInOrder(`server ${server}`, () => servers.replace(server, 0)));
+      await delay(gapMs);
+    }
+    await Promise.all(replacements);
+  }
+
   async function raiseLoad({ factor, forMs }: OperationOf<'burst'>): Promise<void> {
     callers.setFactor(factor);
     await delay(forMs);
@@ -250,6 +262,7 @@
         runInOrder(`server ${server}`, () => servers.crash(server, downMs)),
       'replace-server': ({ server }) =>
         runInOrder(`server ${server}`, () => servers.replace(server, 0)),
+      release: (operation) => runInOrder('release', () => releaseVersion(operation)),
       'leave-unlisted': ({ server, unlistedMs }) =>
         runInOrder(`server ${server}`, () => servers.replace(server, unlistedMs)),
       'rest-server': (operation) =>
--- a/packages/soak/src/requestChecks.ts
+++ b/packages/soak/src/requestChecks.ts
@@ -2,7 +2,13 @@
 import { routeKinds } from '@bluebellhitch/routing';
 import { assertNever, monotonicNowMs } from '@bluebellhitch/shared';
 import { failureText } from '@bluebellhitch/platform-standins';
-import { eventText, plainText, streamEvents, type BackendServers } from './backendServers';
+import {
+  eventText,
+  plainText,
+  streamEvents,
+  streamVersions,
+  type BackendServers,
+} from './backendServers';
 import type { Disruptions } from './disruptions';
 import { promises, type Findings } from './findings';
 import type { Arrival, Ledger, SentRequest } from './ledger';
@@ -108,13 +114,14 @@
   }
 
   /** Complete bodies of the servers that the request reached, for this status. */
-  function expectedBodies({ id, routeKind }: SentRequest, status: number): string[] {
+  function expectedBodies(request: SentRequest, status: number): string[] {
+    const { id, routeKind } = request;
     const serverIds = ledger.arrivalsOf(id).map(({ serverId }) => serverId);
     if (status !== okStatus) {
       return serverIds.map(failureText);
     }
     return routeKind === routeKinds.stream
-      ? [expectedStream(id)]
+      ? streamVersions.map((version) => expectedStream(request, version))
       : serverIds.map((serverId) => plainText(id, serverId));
   }
 
@@ -203,8 +210,9 @@
   };
 }
 
-function expectedStream(requestId: string): string {
+function expectedStream({ id, resumes }: SentRequest, softwareVersion: string): string {
   return Array.from({ length: streamEvents }, (_none, index) => index + 1)
-    .map((event) => `id: ${event}\ndata: ${eventText(requestId, event)}\n\n`)
+    .slice(resumes?.afterEvent ?? 0)
+    .map((event) => `id: ${event}\ndata: ${eventText(id, event, softwareVersion)}\n\n`)
     .join('');
 }
--- a/packages/soak/src/script.ts
+++ b/packages/soak/src/script.ts
@@ -1,7 +1,9 @@
 /** Seeded scripts of faults and planned work. The same seed gives the same script. */
 import type { RunBehaviour, StoreFault } from '@bluebellhitch/platform-standins';
 import { createSeededRandom, type Random } from '@bluebellhitch/shared';
+import type { StreamVersion } from './backendServers';
 import type { LinkFault } from './loopbackProxy';
+import { createReleaseSteps } from './releaseSteps';
 
 export type Operation =
   | { kind: 'kill-router'; router: number; downMs: number }
@@ -16,6 +18,8 @@
   | { kind: 'restore-store'; ageMs: number; awayMs: number; againMs: number }
   | { kind: 'crash-server'; server: number; downMs: number }
   | { kind: 'replace-server'; server: number }
+  /** All engines are replaced by ones of this software version, one after the other. */
+  | { kind: 'release'; softwareVersion: StreamVersion; gapMs: number }
   /** As `replace-server`, but the store entry changes only after `unlistedMs`. */
   | { kind: 'leave-unlisted'; server: number; unlistedMs: number }
   | { kind: 'rest-server'; server: number; restMs: number; forMs: number }
@@ -50,9 +54,10 @@
  * Planned work alone must not interrupt requests; scripts of kind `planned` contain nothing else. In those of kind
  * `attempts` most of what servers get fails, while routers are killed again and again: nothing else brings the further
  * attempts close to their budget. Those of kind `crashes` are mixed, with requests that crash servers, and all routers are
- * killed at one moment.
+ * killed at one moment. Those of kind `versions` are mixed, with releases of software versions in both directions, engines
+ * that crash and routers that are killed meanwhile.
  */
-export const scriptKinds = ['planned', 'mixed', 'attempts', 'crashes'] as const;
+export const scriptKinds = ['planned', 'mixed', 'attempts', 'crashes', 'versions'] as const;
 export type ScriptKind = (typeof scriptKinds)[number];
 
 export interface SoakScript {
@@ -102,6 +107,9 @@
   if (kind === 'crashes') {
     all.push(...createOutageSteps(options));
   }
+  if (kind === 'versions') {
+    all.push(...createReleaseSteps(options), ...createOutageSteps(options));
+  }
   return { kind, steps: inOrder(all) };
 }
 
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -24,6 +24,7 @@
 import { startRouterFleet, type RouterFleet } from './routerFleet';
 import { createScript, type ScriptKind, type ScriptStep } from './script';
 import { createStoreBackups } from './storeBackups';
+import { createStreamVersionChecks, type ResumedStreams } from './streamVersionChecks';
 import { createNoticeChecks } from './noticeChecks';
 import { createWorkspaceChecks } from './workspaceChecks';
 
@@ -56,6 +57,8 @@
   fullestBudget?: FullestWindow;
   /** Servers that crashed because of what they ran. */
   crashes: number;
+  /** Streams that callers took up again. */
+  resumed: ResumedStreams;
   /** Longest delay of this process's event loop; above `marginMs` the measured times are unreliable. */
   longestHoldUpMs: number;
 }
@@ -109,6 +112,10 @@
   });
   const limitChecks = createLimitChecks({ ledger, findings, disruptions, marginMs });
   const noticeChecks = createNoticeChecks({ ledger, findings, disruptions });
+  const streamVersionChecks = createStreamVersionChecks({
+    ...{ ledger, findings, disruptions },
+    engineCount: (softwareVersion) => servers?.engineCount(softwareVersion) ?? 0,
+  });
   const keyring = createKeyring({
     random: createSeededRandom(seed + keySeedOffset),
     revocationMs: bounds.revocationMs,
@@ -126,10 +133,6 @@
     bounds,
     onUnexpectedExit: (router, how) => findings.add(promises.ownEnd, `${router}: ${how}`),
   });
-  const callers = createCallers({
-    ...{ count: options.callerCount, routers: fleet.routers, routes: plan.baseRoutes },
-    ...{ ledger, random, keyring, onEnded: requestChecks.onEnded },
-  });
   const script = createScript({
     seed,
     durationMs: options.durationMs,
@@ -137,6 +140,15 @@
     serverCount: servers.slotCount,
     kind: options.script,
   });
+  const callers = createCallers({
+    ...{ count: options.callerCount, routers: fleet.routers, routes: plan.baseRoutes },
+    ...{ ledger, random, keyring, onResumed: streamVersionChecks.onResumed },
+    resumesStreams: script.kind === 'versions',
+    onEnded(request) {
+      requestChecks.onEnded(request);
+      streamVersionChecks.onEnded(request);
+    },
+  });
   crashingRequests = createCrashingRequests({
     ...{ ledger, findings, disruptions, callers, marginMs, routes: plan.baseRoutes },
     count: script.kind === 'crashes' ? crashingRequestCount : 0,
@@ -179,6 +191,7 @@
   noticeChecks.checkAll();
   const fullestBudget = budgetCheck.checkAll();
   const crashes = crashingRequests.checkAll();
+  const resumed = streamVersionChecks.checkAll();
   lag.disable();
   await Promise.all(
     fleet.routers.map((_router, router) =>
@@ -197,6 +210,7 @@
     findings: findings.all(),
     fullestBudget,
     crashes,
+    resumed,
     longestHoldUpMs: Math.round(lag.max / nsPerMs),
   };
   writeRecord(options.directory, { report, script, ledger });
