--- a/packages/protocol/src/streamOriginMessages.ts
+++ b/packages/protocol/src/streamOriginMessages.ts
@@ -1,5 +1,5 @@
 /**
- * Datagrams with which routers tell each other which software version has begun a stream, and ask for it. Additional
+ * Datagrams with which routers announce which software version has begun a stream, and ask for it. Additional
  * elements of later formats are ignored, and routers that do not know the format ignore the datagram.
  */
 import * as z from 'zod';
--- a/packages/routing/__tests__/serviceVersions.test.ts
+++ b/packages/routing/__tests__/serviceVersions.test.ts
@@ -144,7 +144,7 @@
 testWithFakeClock(
   'streams begin at the only version at once, though the store does not answer',
   async (t, clock, store) => {
-    // A router that starts as the store goes down would otherwise serve nobody for some seconds.
+    // A router that starts as the store goes down would otherwise refuse all streams for some seconds.
     const router = startRouter(store);
     store.isDown = true;
     router.list(first);
@@ -235,7 +235,7 @@
 testWithFakeClock(
   'a version that has left is retired, and recorded again when it comes back',
   async (t, clock, store) => {
-    // The record must not grow, and streams that nobody remembers go on again some time after a release.
+    // The record must not grow, and streams that no router remembers go on again some time after a release.
     const routers = [startRouter(store), startRouter(store)];
     routers.forEach(({ list }) => [first, second].forEach(list));
     await clock.tickAsync(2_000);
--- a/packages/routing/__tests__/streamOrigins.test.ts
+++ b/packages/routing/__tests__/streamOrigins.test.ts
@@ -139,7 +139,7 @@
   testWithFakeClock(
     `with ${count} routers, most streams are found after three in five were killed at one moment`,
     async (t, clock) => {
-      // Half of the streams must be able to go on as new ones begin, whatever took their routers away.
+      // Half of the streams must be able to go on as new ones begin, even if their routers have ended.
       const random = createSeededRandom(count);
       const fleet = createStreamOriginFleet(count, unreliable(random, 0.05));
       const ids = Array.from({ length: 200 }, (_none, index) => `s${index}`);
--- a/packages/routing/__tests__/support/streamOriginFleet.ts
+++ b/packages/routing/__tests__/support/streamOriginFleet.ts
@@ -1,4 +1,4 @@
-/** Routers of a fleet that tell each other where streams began, over a network that loses, repeats and delays datagrams. */
+/** Routers of a fleet that announce to each other where streams began, over a network that loses, repeats and delays datagrams. */
 import { decodeStreamOriginMessage, type StreamOrigin } from '@bluebellhitch/protocol';
 import { createStreamOrigins, type StreamOrigins } from '@bluebellhitch/routing';
 import { addressOf, type FleetNetwork } from './quarantineFleet';
--- a/packages/routing/src/streamContinuation.ts
+++ b/packages/routing/src/streamContinuation.ts
@@ -28,7 +28,7 @@
 
 export type ResumedStream =
   | { source: Exclude<OriginSource, 'unknown'>; softwareVersion: string }
-  /** Nothing tells which version has begun the stream. */
+  /** The version that has begun the stream is unknown. */
   | { source: typeof originSources.unknown };
 
 export interface StreamPlanOptions {
--- a/packages/routing/src/streamOrigins.ts
+++ b/packages/routing/src/streamOrigins.ts
@@ -1,8 +1,8 @@
 /**
  * Remembers which software version has begun each stream, so that a caller that takes its stream up again at any router
- * is sent to that version. Each router remembers the streams that it serves, and tells a few others, which are chosen by
- * a hash of the stream's id: a router that meets an unknown stream asks the same ones. The serving router itself is often
- * gone by then.
+ * is sent to that version. Each router remembers the streams that it serves, and announces them to a few others, the
+ * holders, which are chosen by a hash of the stream's id: a router that receives an unknown stream asks the same ones. The
+ * serving router itself has often ended by then.
  */
 import { createBoundedMap } from '@bluebellhitch/decisions';
 import {
@@ -28,7 +28,7 @@
 export interface StreamOrigins {
   /** Records that the first event of a stream has been passed on; `streamId` is the id of that event's request. */
   noteBegan(streamId: string, origin: StreamOrigin): void;
-  /** Resolves with undefined if neither this router nor those that were told knows the stream. Never rejects. */
+  /** Resolves with undefined if neither this router nor the stream's holders know it. Never rejects. */
   find(streamId: string): Promise<StreamOrigin | undefined>;
   /** Several software versions serve in the service from now on: its streams that are still unannounced follow. */
   noteSeveralVersions(serviceName: string): void;
@@ -51,7 +51,7 @@
 interface KnownStream {
   origin: StreamOrigin;
   notedAtMs: number;
-  /** It was served here, and no other router has been told. */
+  /** It was served here, and has not been announced to other routers. */
   isUnannounced: boolean;
 }
 
@@ -61,11 +61,11 @@
 }
 
 /**
- * Routers told of each stream. When three in five of all routers are killed at one moment, one of them survives for
+ * Routers to which each stream is announced. When three in five of all routers are killed at one moment, one of them survives for
  * seven in eight streams.
  */
 const holderCount = 4;
-/** Streams that begin within this time are told in one datagram. */
+/** Streams that begin within this time are announced in one datagram. */
 const coalesceMs = 5;
 /** A router answers within milliseconds; as datagrams may be lost, it is asked twice. */
 const askAgainMs = 60;
@@ -95,7 +95,7 @@
     return isCurrent ? stream.origin : undefined;
   }
 
-  /** The routers that are told of the stream, without this one. */
+  /** The routers to which the stream is announced, without this one. */
   function holdersOf(digest: string): string[] {
     const open = channel();
     if (open === undefined) {
