--- a/packages/routing/__tests__/serviceVersions.test.ts
+++ b/packages/routing/__tests__/serviceVersions.test.ts
@@ -252,6 +252,24 @@
   },
 );
 
+testWithFakeClock(
+  'a version is retired later if the store was away when it was due',
+  async (t, clock, store) => {
+    // It would stay on record, and streams that no router remembers would be refused from then on.
+    const router = startRouter(store);
+    [first, second].forEach(router.list);
+    await clock.tickAsync(2_000);
+    router.directory.remove('b');
+    await clock.tickAsync(125_000);
+    store.isDown = true;
+    await clock.tickAsync(100_000);
+    store.isDown = false;
+    t.deepEqual(store.versions(), ['v1', 'v2']);
+    await clock.tickAsync(5_000);
+    t.deepEqual(store.versions(), ['v1']);
+  },
+);
+
 testWithFakeClock(
   'after a restore the record is not trusted until the routers have written it again',
   async (t, clock, store) => {
--- a/packages/routing/src/serviceVersions.ts
+++ b/packages/routing/src/serviceVersions.ts
@@ -129,9 +129,13 @@
       .filter(([, { leftSinceMs = Infinity }]) => nowMs - leftSinceMs >= retirementDelayMs)
       .map(([version]) => version);
     if (due.length > 0) {
-      await change(serviceName, (recorded) => recorded.filter((one) => !due.includes(one)));
-      due.forEach((version) => services.get(serviceName)?.delete(version));
-      logger.info('software versions retired', { service: serviceName, versions: due });
+      const isRetired = await change(serviceName, (recorded) =>
+        recorded.filter((one) => !due.includes(one)),
+      );
+      if (isRetired) {
+        due.forEach((version) => services.get(serviceName)?.delete(version));
+        logger.info('software versions retired', { service: serviceName, versions: due });
+      }
     }
   }
 
@@ -145,10 +149,11 @@
     return true;
   }
 
+  /** Changes the record; false if the store does not answer or another router was faster. */
   async function change(
     serviceName: string,
     next: (recorded: readonly string[]) => string[],
-  ): Promise<void> {
+  ): Promise<boolean> {
     const record = await changeVersionRecord(objects, serviceName, next);
     if (record.kind === 'known') {
       noteRecorded(serviceName, record.versions);
@@ -157,6 +162,7 @@
         versions: record.versions,
       });
     }
+    return record.kind === 'known';
   }
 
   function noteRecorded(serviceName: string, versions: readonly string[]): void {
