Log the shared parts of a lost run's prompt, and how long it had been writing

The incident's hypotheses differ in what the lost runs of the servers that ended have in common. The log named only the digest of the whole request. Nothing acts on them yet.

--- a/packages/routing/src/lostRuns.ts
+++ b/packages/routing/src/lostRuns.ts
@@ -23,15 +23,18 @@
   startedAtMs: number;
   cause: LostRunCause;
   detail: string;
+  /** When the run's first event arrived; undefined if there was none. */
+  firstEventAtMs?: number;
 }
 
 type Dependencies = Pick<RouterDependencies, 'metrics' | 'logger' | 'quarantine' | 'directory'>;
 
 export function recordLostRun(
-  { state, server, startedAtMs, cause, detail }: LostRun,
+  { state, server, startedAtMs, cause, detail, firstEventAtMs }: LostRun,
   { metrics, logger, quarantine, directory }: Dependencies,
 ): void {
   const { fingerprint, request } = state;
+  const nowMs = monotonicNowMs();
   metrics.countLostRun(state.service.name, cause);
   logger.info('run lost', {
     requestId: request.id,
@@ -39,7 +42,9 @@
     server: server.id,
     cause,
     detail,
-    durationMs: Math.round(monotonicNowMs() - startedAtMs),
+    durationMs: Math.round(nowMs - startedAtMs),
+    sharedParts: request.sharedParts,
+    writingMs: firstEventAtMs === undefined ? undefined : Math.round(nowMs - firstEventAtMs),
   });
   if (cause === lostRunCauses.server || directory.hasRestarted(server)) {
     quarantine.noteLost({ fingerprint, requestId: request.id, server, startedAtMs });
--- a/packages/routing/src/model.ts
+++ b/packages/routing/src/model.ts
@@ -182,6 +182,8 @@
   arrivedAtMs: number;
   /** Absent for plain requests. */
   prompt?: PromptSize;
+  /** Ids of the parts of the prompt that other requests may share, in order; absent if not stated. */
+  sharedParts?: readonly string[];
   /** Id of the last event that the caller has received, if it resumes a stream. */
   lastEventId?: number;
   /** Id of the request that brought the first event of the stream that the caller resumes. */
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -286,10 +286,11 @@
   const { server } = reservation;
   const startedAtMs = monotonicNowMs();
   const availableMs = remainingMs(state);
+  let firstEventAtMs: number | undefined;
   const breakRun = (detail: string): RunOutcome => {
     const isOurs = signal.aborted || state.signal.aborted;
     const cause = isOurs ? lostRunCauses.router : lostRunCauses.server;
-    recordLostRun({ state, server, startedAtMs, cause, detail }, deps);
+    recordLostRun({ state, server, startedAtMs, cause, detail, firstEventAtMs }, deps);
     noteBrokenRun(run, server.id, signal.aborted);
     return { kind: 'broken', detail };
   };
@@ -319,6 +320,7 @@
     response: outcome.value,
     softwareVersion: server.softwareVersion,
     onProgress() {
+      firstEventAtMs ??= monotonicNowMs();
       noteOrigin(run, server);
       watch.noteProgress();
       observer.noteEvents();
