Hold back a part of a prompt that crashes the engines that begin to write on it

The quarantine knew a request by the digest of all of it, so each of them was a new one with one or two crashes.

The quarantine's table, its datagrams and its objects now hold parts as well as requests: one kind of evidence, what a run carried when its server ended. A part is struck if the engine had only just begun to write on it, also if the short answer was complete by then. It is cleared once an engine that writes on it is still there a second later and nothing of its end arrives for another half second (a paused router reads events and the end at once). Records are judged together: what has most crashes first, of equal ones the part that fewer requests have; what is held explains its crashes, which then count against nothing else. The first part of prompts, and parts that have run well, need five crashes one after the other in place of three, and are tried by one request of one router after 10, 30, 90 s, as their quarantine may refuse a whole route.

In the model, 112 random fleets of 4 to 359 routers with lost datagrams and sound requests on the same engines: all hold the part within 3 s of the fifth crash, none the first part, within the budget of bytes.

Ruled out: counting each part for itself (the first part, which all crashed runs have, would be held before its clearance arrives); clearing at the end of a run (a short answer is complete before its engine ends).

--- a/packages/decisions/__tests__/quarantine.test.ts
+++ b/packages/decisions/__tests__/quarantine.test.ts
@@ -1,13 +1,9 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { invariant } from '@bluebellhitch/shared';
-import {
-  createQuarantine,
-  mergeQuarantineRecords,
-  type Quarantine,
-  type QuarantinePolicy,
-  type QuarantineRecord,
-} from '../src/quarantine';
+import { createQuarantine, type Quarantine } from '../src/quarantine';
+import { mergeQuarantineRecords, type QuarantineRecord } from '../src/quarantineRecords';
+import type { QuarantinePolicy } from '../src/quarantineVerdicts';
 import { fixedSeed } from './helpers/fixtures';
 
 const policy: QuarantinePolicy = { strikes: 2, durationMs: 600_000, release: [], block: [] };
@@ -140,3 +136,30 @@
   quarantine.sweep(1_045);
   t.is(quarantine.size(), 4);
 });
+
+// Guards against strikes that count again: the parts that most prompts have are cleared hundreds of times a day.
+test('the clearance of a strike is kept as long as the strike', (t) => {
+  const quarantine = createQuarantine();
+  for (let number = 0; number < 200; number += 1) {
+    const attemptId = `${(number * 37) % 200}`;
+    quarantine.strike({ ...strikeOf(attemptId), depth: 0 }, number);
+    quarantine.clear('s', 'f');
+  }
+  t.deepEqual(quarantine.verdict(query(200)), { kind: 'clear' });
+  t.true(recordOf(quarantine).clearedAttemptIds.length <= 64);
+});
+
+// Guards against a part of a prompt that is held at once although many sound requests have it.
+test('a part that a server has written on without harm needs the evidence of a widespread one', (t) => {
+  const quarantine = createQuarantine();
+  const widespread = { strikes: 4, rounds: 1, firstTrialMs: 1_000, trialFactor: 2 };
+  const strike = (number: number) =>
+    quarantine.strike({ ...strikeOf(`${number}`), depth: 2 }, number);
+  quarantine.noteSoundPart('s', 'f', 0);
+  [1, 2, 3].forEach(strike);
+  t.is(quarantine.verdict(query(10, { widespread })).kind, 'struck');
+  strike(4);
+  t.like(quarantine.verdict(query(10, { widespread })), { kind: 'quarantined', isTrialDue: false });
+  t.true(quarantine.noteSoundPart('s', 'f', 11));
+  t.is(quarantine.verdict(query(12, { widespread })).kind, 'clear');
+});
--- /dev/null
+++ b/packages/decisions/__tests__/quarantineVerdicts.test.ts
@@ -0,0 +1,129 @@
+import test from 'ava';
+import type { QuarantineRecord } from '../src/quarantineRecords';
+import { judgeTogether, type QuarantinePolicy } from '../src/quarantineVerdicts';
+
+const policy: QuarantinePolicy = {
+  strikes: 3,
+  rounds: 2,
+  durationMs: 3_600_000,
+  memoryMs: 86_400_000,
+  widespread: { strikes: 5, rounds: 5, firstTrialMs: 10_000, trialFactor: 3 },
+  release: [],
+  block: [],
+};
+
+interface Sketch {
+  depth?: number;
+  /** Numbers of the crashes, of which each happens 100 ms after the one before. */
+  crashes: number[];
+  cleared?: number[];
+  /** All attempts began before the first crash. */
+  isOneRound?: boolean;
+}
+
+function recordOf(fingerprint: string, sketch: Sketch): QuarantineRecord {
+  const { depth, crashes, cleared = [], isOneRound = false } = sketch;
+  return {
+    ...{ service: 's', fingerprint, depth },
+    strikes: crashes.map((number) => ({
+      attemptId: `c${number}`,
+      instanceId: `c${number}`,
+      struckAtMs: number * 100,
+      startedAtMs: isOneRound ? 0 : number * 100 - 50,
+    })),
+    clearedAttemptIds: cleared.map((number) => `c${number}`),
+  };
+}
+
+function judge(sketches: Record<string, Sketch>, nowMs = 1_000) {
+  const records = Object.entries(sketches).map(([name, sketch]) => recordOf(name, sketch));
+  const isWidespread = ({ depth }: QuarantineRecord) => depth === 0;
+  return judgeTogether(records, { policy, nowMs, isWidespread });
+}
+
+const held = (sketches: Record<string, Sketch>, nowMs?: number) =>
+  [...judge(sketches, nowMs).keys()].sort();
+
+test('a part that all crashed runs had is held, and the parts that sound requests have too are not', (t) => {
+  // The first part is in every prompt of the route: holding it would refuse all of them.
+  t.deepEqual(
+    held({
+      first: { depth: 0, crashes: [1, 2, 3, 4, 5, 6] },
+      harmful: { depth: 1, crashes: [1, 2, 3, 4, 5, 6] },
+      bystander: { depth: 1, crashes: [2, 4] },
+      one: { crashes: [1, 2] },
+      another: { crashes: [3, 4] },
+    }),
+    ['harmful'],
+  );
+});
+
+test('a request that shares three crashes with a harmful part of others is not held for them', (t) => {
+  // Where many engines end under one part, resumed streams of sound requests meet several of them.
+  t.deepEqual(
+    held({ harmful: { depth: 1, crashes: [1, 2, 3, 4] }, sound: { crashes: [2, 3, 4] } }),
+    ['harmful'],
+  );
+});
+
+test('a request that is repeated is held by itself, and its parts stay free', (t) => {
+  t.deepEqual(held({ part: { depth: 1, crashes: [1, 2, 3] }, repeated: { crashes: [1, 2, 3] } }), [
+    'repeated',
+  ]);
+  t.deepEqual(
+    held({ part: { depth: 1, crashes: [1, 2, 3, 4] }, repeated: { crashes: [1, 2, 3] } }),
+    ['part'],
+  );
+});
+
+test('of two parts with the same crashes, the one that fewer requests have is held', (t) => {
+  const same = { crashes: [1, 2, 3] };
+  t.deepEqual(held({ outer: { depth: 1, ...same }, inner: { depth: 2, ...same } }), ['inner']);
+  t.deepEqual(held({ left: { depth: 1, ...same }, right: { depth: 1, ...same } }), [
+    'left',
+    'right',
+  ]);
+});
+
+test('two harmful parts at a time are both held', (t) => {
+  t.deepEqual(
+    held({
+      first: { depth: 0, crashes: [1, 2, 3, 4, 5, 6] },
+      one: { depth: 1, crashes: [1, 3, 5] },
+      other: { depth: 1, crashes: [2, 4, 6] },
+    }),
+    ['one', 'other'],
+  );
+});
+
+test('requests do not explain the crashes of other requests', (t) => {
+  // Either of them may be the cause.
+  t.deepEqual(held({ one: { crashes: [1, 2, 3, 4] }, other: { crashes: [1, 2, 3] } }), [
+    'one',
+    'other',
+  ]);
+});
+
+test('a part that most requests have is held only after five crashes one after the other', (t) => {
+  // Servers that lose power one after the other must not take a whole route out of service.
+  t.deepEqual(held({ first: { depth: 0, crashes: [1, 2, 3, 4] } }), []);
+  t.deepEqual(held({ first: { depth: 0, crashes: [1, 2, 3, 4, 5], isOneRound: true } }), []);
+  t.deepEqual(held({ first: { depth: 0, crashes: [1, 2, 3, 4, 5], cleared: [2] } }), []);
+  t.deepEqual(held({ first: { depth: 0, crashes: [1, 2, 3, 4, 5] } }), ['first']);
+});
+
+test('a part that most requests have is tried again, after a pause that grows with each crash', (t) => {
+  // Once it is held back by mistake, nothing runs that could clear it.
+  const firstPart = { depth: 0, crashes: [1, 2, 3, 4, 5] };
+  const verdictAt = (nowMs: number, crashes = firstPart.crashes) =>
+    judge({ first: { ...firstPart, crashes } }, nowMs).get('first');
+  t.like(verdictAt(600), { kind: 'quarantined', isTrialDue: false, retryAfterMs: 9_900 });
+  t.like(verdictAt(10_499), { isTrialDue: false, retryAfterMs: 1 });
+  t.like(verdictAt(10_500), { isTrialDue: true });
+  t.like(verdictAt(20_000, [1, 2, 3, 4, 5, 105]), { isTrialDue: false, retryAfterMs: 20_500 });
+  t.like(verdictAt(40_500, [1, 2, 3, 4, 5, 105]), { isTrialDue: true });
+});
+
+test('crashes of servers that end together hold no part', (t) => {
+  t.deepEqual(held({ part: { depth: 1, crashes: [1, 2, 3], isOneRound: true } }), []);
+});
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -130,15 +130,22 @@
 } from './prefillBacklog';
 export {
   createQuarantine,
-  mergeQuarantineRecords,
-  type CountedStrike,
   type Quarantine,
   type QuarantineOptions,
-  type QuarantinePolicy,
   type QuarantineQuery,
+  type ReportedStrike,
+} from './quarantine';
+export {
+  activeStrikes,
+  mergeQuarantineRecords,
+  type CountedStrike,
   type QuarantineRecord,
+} from './quarantineRecords';
+export {
+  type QuarantinePolicy,
   type QuarantineVerdict,
-} from './quarantine';
+  type WidespreadPolicy,
+} from './quarantineVerdicts';
 export {
   createRateLimiter,
   rateKey,
@@ -253,3 +260,8 @@
   type PrefillChoiceOptions,
   type PrefillEngine,
 } from './prefillChoice';
+export {
+  createUnsettledRuns,
+  type UnsettledRuns,
+  type UnsettledRunsOptions,
+} from './unsettledRuns';
--- /dev/null
+++ b/packages/decisions/src/quarantineVerdicts.ts
@@ -0,0 +1,180 @@
+/**
+ * Judges which requests, and which parts of prompts, crash the servers that run them. A crash ends all that its server
+ * ran, so most of what carried the strike of a crash has not caused it.
+ */
+import {
+  activeStrikes,
+  lastStrikeAtMs,
+  type CountedStrike,
+  type QuarantineRecord,
+} from './quarantineRecords';
+
+/** The `quarantine` part of a service's document. */
+export interface QuarantinePolicy {
+  strikes: number;
+  /**
+   * In how many rounds the strikes must have happened; default 1. Attempts that overlap are of one round:
+   * servers that end together have a cause of their own.
+   */
+  rounds?: number;
+  durationMs: number;
+  /**
+   * How long a strike counts. If longer than `durationMs`, the request may run again after a quarantine,
+   * and a single further crash renews it. Default: `durationMs`.
+   */
+  memoryMs?: number;
+  /** For parts of prompts whose quarantine would refuse many requests; default: as for all others. */
+  widespread?: WidespreadPolicy;
+  release: readonly string[];
+  block: readonly string[];
+}
+
+export interface WidespreadPolicy {
+  strikes: number;
+  rounds: number;
+  /** Time from the last strike to the first trial; each further strike multiplies it by `trialFactor`. */
+  firstTrialMs: number;
+  trialFactor: number;
+}
+
+export type QuarantineVerdict =
+  | { kind: 'clear' }
+  /** May run, but not beside another request with strikes; see `avoidInstances`. */
+  | { kind: 'struck'; strikeCount: number }
+  | {
+      kind: 'quarantined';
+      strikeCount: number;
+      retryAfterMs: number;
+      /** One request may be sent nevertheless, to find out whether the part still crashes servers. */
+      isTrialDue?: boolean;
+    }
+  /** Listed in the document: refused until an operator edits it. */
+  | { kind: 'blocked' };
+
+export interface JudgeOptions {
+  policy: QuarantinePolicy;
+  nowMs: number;
+  /** Whether many requests have the part, so that its quarantine needs more evidence and trials. */
+  isWidespread: (record: QuarantineRecord) => boolean;
+}
+
+/** Judges a record by itself: all its strikes count that are recent, not cleared and not explained otherwise. */
+export function judgeRecord(
+  record: QuarantineRecord | undefined,
+  options: JudgeOptions,
+  explainedIds: ReadonlySet<string> = new Set(),
+): QuarantineVerdict {
+  const { policy, nowMs } = options;
+  const recent = recentStrikes(record, options);
+  if (record === undefined || recent.length === 0) {
+    return { kind: 'clear' };
+  }
+  const strikeCount = recent.length;
+  const widespread = options.isWidespread(record) ? policy.widespread : undefined;
+  const unexplained = recent.filter(({ attemptId }) => !explainedIds.has(attemptId));
+  const endsAtMs = lastStrikeAtMs(recent) + policy.durationMs;
+  const isReleased = endsAtMs <= nowMs || policy.release.includes(record.fingerprint);
+  if (!isSuspect(unexplained, widespread ?? policy) || isReleased) {
+    return { kind: 'struck', strikeCount };
+  }
+  const held = { kind: 'quarantined' as const, strikeCount, retryAfterMs: endsAtMs - nowMs };
+  return widespread === undefined ? held : { ...held, ...planTrial(recent, widespread, nowMs) };
+}
+
+/** When the next request may find out whether the part still crashes servers. */
+function planTrial(
+  strikes: readonly CountedStrike[],
+  policy: WidespreadPolicy,
+  nowMs: number,
+): { retryAfterMs: number; isTrialDue: boolean } {
+  const further = Math.max(0, strikes.length - policy.strikes);
+  const pauseMs = policy.firstTrialMs * policy.trialFactor ** further;
+  const leftMs = lastStrikeAtMs(strikes) + pauseMs - nowMs;
+  return { retryAfterMs: leftMs > 0 ? leftMs : pauseMs, isTrialDue: leftMs <= 0 };
+}
+
+/**
+ * Judges records together, and returns the verdicts of those in quarantine by fingerprint. Those with most strikes are
+ * judged first, and of equal ones the part at the greatest position, which fewer requests have. What is in quarantine
+ * explains its crashes: they no longer count against others, among them the parts that most requests share. A request
+ * does not explain the crashes of another request.
+ */
+export function judgeTogether(
+  records: readonly QuarantineRecord[],
+  options: JudgeOptions,
+): Map<string, QuarantineVerdict> {
+  const { policy, isWidespread } = options;
+  const ranked = records
+    .filter((record) => recentStrikes(record, options).length >= policy.strikes)
+    .map((record) => ({
+      record,
+      isWidespread: isWidespread(record),
+      count: recentStrikes(record, options).length,
+    }))
+    .sort(
+      (left, right) =>
+        Number(left.isWidespread) - Number(right.isWidespread) || byRank(left, right),
+    );
+  const causes: Candidate[] = [];
+  const verdicts = new Map<string, QuarantineVerdict>();
+  ranked.forEach((candidate) => {
+    const explainedIds = causes
+      .filter((cause) => doesExplain(cause, candidate))
+      .flatMap(({ record }) => activeStrikes(record).map(({ attemptId }) => attemptId));
+    const verdict = judgeRecord(candidate.record, options, new Set(explainedIds));
+    if (verdict.kind === 'quarantined') {
+      causes.push(candidate);
+      verdicts.set(candidate.record.fingerprint, verdict);
+    }
+  });
+  return verdicts;
+}
+
+interface Candidate {
+  record: QuarantineRecord;
+  isWidespread: boolean;
+  /** Strikes that count. */
+  count: number;
+}
+
+function byRank(left: Candidate, right: Candidate): number {
+  return right.count - left.count || positionOf(right) - positionOf(left);
+}
+
+function positionOf({ record }: Candidate): number {
+  return record.depth ?? Number.MAX_SAFE_INTEGER;
+}
+
+function doesExplain(cause: Candidate, other: Candidate): boolean {
+  const areRequests = cause.record.depth === undefined && other.record.depth === undefined;
+  return !areRequests && (other.isWidespread || byRank(cause, other) < 0);
+}
+
+function recentStrikes(
+  record: QuarantineRecord | undefined,
+  { policy, nowMs }: JudgeOptions,
+): CountedStrike[] {
+  const { durationMs, memoryMs = durationMs } = policy;
+  return activeStrikes(record).filter(({ struckAtMs }) => struckAtMs + memoryMs > nowMs);
+}
+
+function isSuspect(
+  unexplained: readonly CountedStrike[],
+  { strikes, rounds = 1 }: { strikes: number; rounds?: number },
+): boolean {
+  return unexplained.length >= strikes && countRounds(unexplained) >= rounds;
+}
+
+/** A strike whose attempt began after the first strike of a round belongs to the next one. */
+function countRounds(strikes: readonly CountedStrike[]): number {
+  const { count } = [...strikes]
+    .sort((left, right) => left.struckAtMs - right.struckAtMs)
+    .reduce(
+      (rounds, { struckAtMs, startedAtMs = struckAtMs }) =>
+        startedAtMs >= rounds.firstStrikeAtMs || rounds.count === 0
+          ? { count: rounds.count + 1, firstStrikeAtMs: struckAtMs }
+          : rounds,
+      { count: 0, firstStrikeAtMs: -Infinity },
+    );
+  return count;
+}
--- a/packages/protocol/__tests__/crashMessages.test.ts
+++ b/packages/protocol/__tests__/crashMessages.test.ts
@@ -11,7 +11,10 @@
 const message: CrashMessage = {
   senderAddress: '10.1.0.38:7380',
   isQuestion: true,
-  requests: [{ fingerprint: 'b1946ac92492d2347c6235b4d2611184', crashes: [crash] }],
+  requests: [
+    { fingerprint: 'b1946ac92492d2347c6235b4d2611184', crashes: [crash] },
+    { fingerprint: 'part-5c1e07a2', depth: 0, crashes: [crash] },
+  ],
 };
 
 test('a message survives its encoding', (t) => {
--- a/packages/protocol/src/crashMessages.ts
+++ b/packages/protocol/src/crashMessages.ts
@@ -1,5 +1,5 @@
 /**
- * Datagrams with which routers announce which requests have crashed backend servers. A datagram holds all that its
+ * Datagrams with which routers announce which requests, and parts of prompts, have crashed backend servers. A datagram holds all that its
  * sender knows of a request, so that the next one makes up for a lost one, and late or repeated ones do no harm.
  * Additional elements of later formats are ignored, and routers that do not know the format ignore the datagram.
  */
@@ -19,8 +19,10 @@
 }
 
 export interface CrashingRequest {
-  /** Digest of the request's content. */
+  /** Identifies the request's content, or a part of prompts that requests share. */
   fingerprint: string;
+  /** Position of the part in its prompts, from 0; absent for a whole request. */
+  depth?: number;
   crashes: AnnouncedCrash[];
 }
 
@@ -51,6 +53,7 @@
           .tuple([
             z.string().min(1).max(64),
             z.array(crash.rest(z.unknown())).max(maxCrashesPerRequest),
+            z.number().int().nonnegative().optional().catch(undefined),
           ])
           .rest(z.unknown()),
       )
@@ -62,7 +65,7 @@
 export function encodeCrashMessage({ senderAddress, isQuestion, requests }: CrashMessage): Buffer {
   const rows = requests
     .slice(0, maxRequestsPerMessage)
-    .map(({ fingerprint, crashes }) => [
+    .map(({ fingerprint, crashes, depth }) => [
       fingerprint,
       crashes
         .slice(0, maxCrashesPerRequest)
@@ -72,6 +75,7 @@
           Math.max(0, Math.round(durationMs)),
           isCleared ? 1 : 0,
         ]),
+      ...(depth === undefined ? [] : [depth]),
     ]);
   return Buffer.from(JSON.stringify([formatName, senderAddress, isQuestion ? 1 : 0, rows]));
 }
@@ -89,8 +93,9 @@
   return {
     senderAddress,
     isQuestion: question === 1,
-    requests: rows.map(([fingerprint, crashes]) => ({
+    requests: rows.map(([fingerprint, crashes, depth]) => ({
       fingerprint,
+      ...(depth === undefined ? {} : { depth }),
       crashes: crashes.map(([serverId, ageMs, durationMs, cleared]) => ({
         serverId,
         ageMs,
--- a/packages/routing/__tests__/requestQuarantine.test.ts
+++ b/packages/routing/__tests__/requestQuarantine.test.ts
@@ -1,9 +1,11 @@
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
 import test, { type ExecutionContext } from 'ava';
-import { createSeededRandom } from '@bluebellhitch/shared';
+import { createSeededRandom, monotonicNowMs } from '@bluebellhitch/shared';
+import type { BackendServer } from '../src/model';
 import {
   addressOf,
   createQuarantineFleet,
+  identityOf,
   type FleetNetwork,
   type QuarantineFleet,
 } from './support/quarantineFleet';
@@ -92,7 +94,7 @@
     await fleet.crash(0, request, 's1');
     await fleet.crash(1, request, 's2');
     await clock.tickAsync(50);
-    fleet.routers[3]?.noteCompleted(() => request);
+    fleet.routers[3]?.noteCompleted(identityOf(request));
     await clock.tickAsync(50);
     await fleet.crash(2, request, 's3');
     await clock.tickAsync(50);
@@ -100,7 +102,7 @@
     await fleet.crash(2, request, 's4');
     await fleet.crash(2, request, 's5');
     t.true(fleet.isHeldBack(2, request));
-    fleet.routers[1]?.noteCompleted(() => request);
+    fleet.routers[1]?.noteCompleted(identityOf(request));
     await clock.tickAsync(50);
     t.is(countHeldBack(fleet), 0);
   }),
@@ -194,8 +196,9 @@
 test.serial('without crashes nothing is sent and no fingerprint is computed', (t) =>
   withFleet(4, async (fleet, clock) => {
     const unused = () => t.fail('computed a fingerprint');
-    t.is(fleet.routers[0]?.heldBackMs(unused), undefined);
-    fleet.routers[0]?.noteCompleted(unused);
+    const identity = { fingerprint: unused, partFingerprints: [] };
+    t.is(fleet.routers[0]?.guard(identity).heldBackMs(), undefined);
+    fleet.routers[0]?.noteCompleted(identity);
     await clock.tickAsync(10_000);
     t.deepEqual(fleet.sentBytes, [0, 0, 0, 0]);
   }),
@@ -265,3 +268,107 @@
     t.true(Math.max(...fleet.sentBytes) <= 1_000 * (300 + 60));
   }),
 );
+
+const firstPart = 'part-c0';
+const harmfulPart = 'part-bad0';
+
+const isPartHeldBack = (fleet: QuarantineFleet, router: number, part: string) =>
+  fleet.routers[router]?.guard(identityOf('a new request', [part])).heldBackMs() !== undefined;
+
+function countPartHeldBack(fleet: QuarantineFleet, part: string): number {
+  return fleet.routers.filter((_router, index) => isPartHeldBack(fleet, index, part)).length;
+}
+
+/** Servers that end under one part, with sound requests that share their first part, over an unreliable network. */
+async function checkPartFleet(t: ExecutionContext, count: number, seed: number): Promise<void> {
+  const random = createSeededRandom(seed);
+  random();
+  const lossShare = random() * 0.1;
+  const delaysMs = () => (random() < lossShare ? [] : [random() * 100]);
+  const anyRouter = () => Math.floor(random() * count);
+  const check: Check = async (fleet, clock) => {
+    for (let crash = 1; crash <= 5; crash += 1) {
+      const server = `s${crash}`;
+      const ranMs = 40 + random() * 210;
+      const parts = [firstPart, harmfulPart];
+      await fleet.crash(anyRouter(), `harmful ${crash}`, server, ranMs, parts);
+      const bystanderCount = Math.floor(random() * 8);
+      for (let number = 0; number < bystanderCount; number += 1) {
+        await fleet.crash(anyRouter(), `sound ${crash} ${number}`, server, random() * 900, [
+          firstPart,
+        ]);
+      }
+      await clock.tickAsync(100 + random() * 400);
+    }
+    await clock.tickAsync(contactMs);
+    const detail = `${count} routers, seed ${seed}, loss ${lossShare}`;
+    t.is(countPartHeldBack(fleet, harmfulPart), count, detail);
+    t.is(countPartHeldBack(fleet, firstPart), 0, detail);
+    t.true(Math.max(...fleet.sentBytes) <= 1_000 * (300 + 10));
+  };
+  await withFleet(count, check, { network: { delaysMs }, seed });
+}
+
+[
+  { count: 4, fleets: 60 },
+  { count: 24, fleets: 40 },
+  { count: 68, fleets: 10 },
+  { count: 359, fleets: 2 },
+].forEach(({ count, fleets }) => {
+  test.serial(
+    `all of ${count} routers hold a part of prompts back within the bound of contact, and none the part before it`,
+    async (t) => {
+      // No two of the requests are alike, and each crash ends sound requests of other routers.
+      for (let seed = 1; seed <= fleets; seed += 1) {
+        await checkPartFleet(t, count, seed);
+      }
+    },
+  );
+});
+
+test.serial(
+  'a part held back by mistake is tried by one request of one router, and released',
+  (t) =>
+    // Nothing else runs that could show that the part does no harm.
+    withFleet(4, async (fleet, clock) => {
+      for (const number of [1, 2, 3, 4, 5]) {
+        await fleet.crash(0, `sound ${number}`, `s${number}`, 50, [firstPart]);
+        await clock.tickAsync(100);
+      }
+      t.is(countPartHeldBack(fleet, firstPart), 4);
+      await clock.tickAsync(9_000);
+      t.is(countPartHeldBack(fleet, firstPart), 4);
+      await clock.tickAsync(1_500);
+      t.is(countPartHeldBack(fleet, firstPart), 3);
+      t.is(countPartHeldBack(fleet, firstPart), 4);
+      await clock.tickAsync(11_000);
+      const guards = fleet.routers.map((router) => router.guard(identityOf('q', [firstPart])));
+      const trial = guards.findIndex((guard) => guard.heldBackMs() === undefined);
+      const server = { id: 's6' } as BackendServer;
+      const identity = identityOf('q', [firstPart]);
+      const run = fleet.routers[trial]?.observeRun({
+        ...{ identity, requestId: 'q', server, startedAtMs: monotonicNowMs() },
+      });
+      run?.noteEvent();
+      t.is(guards[trial]?.heldBackMs(), undefined);
+      await clock.tickAsync(1_000);
+      run?.noteEvent();
+      await clock.tickAsync(1_000);
+      t.is(countPartHeldBack(fleet, firstPart), 0);
+    }),
+);
+
+test.serial('a held part is stored with its position in prompts', (t) =>
+  // After a restart of all routers, the part must not count as a whole request.
+  withFleet(1, async (fleet, clock) => {
+    for (const number of [1, 2, 3]) {
+      const parts = [firstPart, harmfulPart];
+      await fleet.crash(0, `harmful ${number}`, `s${number}`, 50, parts);
+      await clock.tickAsync(100);
+    }
+    t.deepEqual(
+      fleet.saved.map(({ fingerprint, depth }) => ({ fingerprint, depth })),
+      [{ fingerprint: harmfulPart, depth: 1 }],
+    );
+  }),
+);
--- a/packages/routing/__tests__/support/quarantineFleet.ts
+++ b/packages/routing/__tests__/support/quarantineFleet.ts
@@ -1,8 +1,10 @@
 /** Routers of a fleet that exchange crashes of servers over a network that loses, repeats and delays datagrams. */
+import type { QuarantineRecord } from '@bluebellhitch/decisions';
 import { decodeCrashMessage } from '@bluebellhitch/protocol';
 import { createRequestQuarantine, type RequestQuarantine } from '@bluebellhitch/routing';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { BackendServer } from '../../src/model';
+import type { RequestIdentity } from '../../src/requestFingerprint';
 
 export interface FleetNetwork {
   /** Delay of a datagram in milliseconds, once for each copy that arrives; empty if it is lost. */
@@ -12,10 +14,18 @@
 export interface QuarantineFleet {
   routers: RequestQuarantine[];
   messages: { router: number; message: string }[];
+  /** Records that the routers reported as held or released. */
+  saved: QuarantineRecord[];
   /** Bytes that each router has sent. */
   sentBytes: number[];
   /** The router notices that the request has crashed the server. */
-  crash(router: number, fingerprint: string, serverId: string, ranMs?: number): Promise<void>;
+  crash(
+    router: number,
+    fingerprint: string,
+    serverId: string,
+    ranMs?: number,
+    parts?: readonly string[],
+  ): Promise<void>;
   /** Replaces the router by a new process, which then meets all others. */
   restart(router: number): void;
   /** All routers receive a message of each other one. */
@@ -31,6 +41,7 @@
 ): QuarantineFleet {
   const addresses = Array.from({ length: count }, (_none, index) => addressOf(index));
   const messages: QuarantineFleet['messages'] = [];
+  const saved: QuarantineRecord[] = [];
   const sentBytes = addresses.map(() => 0);
 
   function createRouter(own: number): RequestQuarantine {
@@ -46,6 +57,7 @@
       }),
       serverEnds: { hasCrashed: () => Promise.resolve(true) },
       logger: { debug: note, info: note, warn: note, error: note },
+      onStatusChanged: (record) => saved.push(record),
       random,
     });
   }
@@ -62,11 +74,13 @@
   const fleet: QuarantineFleet = {
     routers: addresses.map((_address, own) => createRouter(own)),
     messages,
+    saved,
     sentBytes,
-    async crash(router, fingerprint, serverId, ranMs = 0) {
+    async crash(router, fingerprint, serverId, ranMs = 0, parts = []) {
       const server = { id: serverId } as BackendServer;
       const startedAtMs = monotonicNowMs() - ranMs;
-      const call = { fingerprint: () => fingerprint, requestId: 'q', server, startedAtMs };
+      const identity = identityOf(fingerprint, parts);
+      const call = { identity, requestId: 'q', server, startedAtMs };
       fleet.routers[router]?.noteLost(call);
       await Promise.resolve();
       await Promise.resolve();
@@ -83,12 +97,20 @@
       );
     },
     isHeldBack: (router, fingerprint) =>
-      fleet.routers[router]?.heldBackMs(() => fingerprint) !== undefined,
+      fleet.routers[router]?.guard(identityOf(fingerprint)).heldBackMs() !== undefined,
     close: () => fleet.routers.forEach((router) => router.close()),
   };
   return fleet;
 }
 
+/** What a request with this fingerprint is recognised by; parts are given by their own fingerprints. */
+export function identityOf(
+  fingerprint: string,
+  partFingerprints: readonly string[] = [],
+): RequestIdentity {
+  return { fingerprint: () => fingerprint, partFingerprints };
+}
+
 export function addressOf(router: number): string {
   return `10.0.${Math.floor(router / 250)}.${router % 250}:7400`;
 }
--- a/packages/routing/src/crashAnnouncements.ts
+++ b/packages/routing/src/crashAnnouncements.ts
@@ -140,9 +140,10 @@
 
 /** The latest crashes: those before them no longer matter. */
 function toWire(record: QuarantineRecord, nowMs: number): CrashingRequest {
-  const { fingerprint, strikes, clearedAttemptIds } = record;
+  const { fingerprint, depth, strikes, clearedAttemptIds } = record;
   return {
     fingerprint,
+    depth,
     crashes: strikes
       .slice(0, maxCrashesPerRequest)
       .map(({ attemptId: serverId, struckAtMs, startedAtMs = struckAtMs }) => ({
--- a/packages/routing/src/lostRuns.ts
+++ b/packages/routing/src/lostRuns.ts
@@ -33,12 +33,12 @@
   { state, server, startedAtMs, cause, detail, firstEventAtMs }: LostRun,
   { metrics, logger, quarantine, directory }: Dependencies,
 ): void {
-  const { fingerprint, request } = state;
+  const { identity, request } = state;
   const nowMs = monotonicNowMs();
   metrics.countLostRun(state.service.name, cause);
   logger.info('run lost', {
     requestId: request.id,
-    fingerprint: fingerprint(),
+    fingerprint: identity.fingerprint(),
     server: server.id,
     cause,
     detail,
@@ -47,6 +47,7 @@
     writingMs: firstEventAtMs === undefined ? undefined : Math.round(nowMs - firstEventAtMs),
   });
   if (cause === lostRunCauses.server || directory.hasRestarted(server)) {
-    quarantine.noteLost({ fingerprint, requestId: request.id, server, startedAtMs });
+    const { id: requestId } = request;
+    quarantine.noteLost({ identity, requestId, server, startedAtMs });
   }
 }
--- /dev/null
+++ b/packages/routing/src/partTrials.ts
@@ -0,0 +1,50 @@
+/**
+ * Chooses the single request that may be sent with a part of a prompt whose quarantine is to be tested. One router, which
+ * all know by rendezvous hashing, sends it.
+ */
+import { createBoundedMap } from '@bluebellhitch/decisions';
+import { monotonicNowMs, rendezvousOrder } from '@bluebellhitch/shared';
+import type { QuarantineChannel } from './crashAnnouncements';
+
+export interface PartTrials {
+  /** Whether the holder's request is the trial; true again for the same holder. */
+  take(partFingerprint: string, holder: object): boolean;
+}
+
+interface Trial {
+  holder: object;
+  takenAtMs: number;
+}
+
+/** A trial whose outcome is not known by then has told nothing; another request may be sent. */
+const trialTimeoutMs = 10_000;
+const maxTrials = 256;
+
+export function createPartTrials(channel: () => QuarantineChannel | undefined): PartTrials {
+  const trials = createBoundedMap<string, Trial>({ maxEntries: maxTrials });
+
+  function isOurs(partFingerprint: string): boolean {
+    const open = channel();
+    if (open === undefined) {
+      return true;
+    }
+    const routers = [open.address, ...open.knownPeers()];
+    return rendezvousOrder(partFingerprint, routers, (address) => address)[0] === open.address;
+  }
+
+  return {
+    take(partFingerprint, holder) {
+      const current = trials.get(partFingerprint);
+      if (current?.holder === holder) {
+        return true;
+      }
+      const nowMs = monotonicNowMs();
+      const isInProgress = current !== undefined && current.takenAtMs + trialTimeoutMs > nowMs;
+      if (isInProgress || !isOurs(partFingerprint)) {
+        return false;
+      }
+      trials.set(partFingerprint, { holder, takenAtMs: nowMs });
+      return true;
+    },
+  };
+}
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -182,7 +182,7 @@
   const attempt = await readAttempt(outcome, state);
   endLoad();
   if (isWhole(attempt)) {
-    deps.quarantine.noteCompleted(state.fingerprint);
+    deps.quarantine.noteCompleted(state.identity);
   }
   const lostDetail = lostDetailOf(attempt);
   if (lostDetail !== undefined) {
--- a/packages/routing/src/quarantineObjects.ts
+++ b/packages/routing/src/quarantineObjects.ts
@@ -9,6 +9,7 @@
 const recordSchema = z.object({
   service: z.string(),
   fingerprint: z.string(),
+  depth: z.number().int().nonnegative().optional(),
   strikes: z.array(
     z.object({
       attemptId: z.string(),
--- a/packages/routing/src/requestQuarantine.ts
+++ b/packages/routing/src/requestQuarantine.ts
@@ -1,44 +1,49 @@
 /**
- * Quarantines requests that crash the backend servers that run them, at all routers of the fleet. A request is
- * recognised by its fingerprint when it comes again. Each server that crashes while it runs the request counts once,
- * however many routers notice it; at the third the request is refused everywhere, unless all of them ended together. A
- * request that completes anywhere has not caused the crashes, and is cleared everywhere.
+ * Quarantines requests that crash the backend servers that run them, at all routers of the fleet, and parts of prompts
+ * that crash the engines that begin to write on them. A request is recognised by its fingerprint when it comes again, a
+ * part by its id in another request. Each server that crashes while it runs the request counts once, however many
+ * routers notice it; at the third the request is refused everywhere, unless all of them ended together. A request that
+ * completes anywhere has not caused the crashes, and is cleared everywhere, as are parts on which an engine has written
+ * for some time.
  *
  * A crash is announced at once to the known routers of all shards, since callers may repeat a request at any of
  * them. From the second crash on each router passes it on to a few others, which makes up for lost datagrams and for
  * links that are cut. A router that starts, or returns after a partition, asks the routers that it meets.
  */
 import {
+  activeStrikes,
   createBoundedMap,
   createQuarantine,
   type QuarantinePolicy,
   type QuarantineRecord,
+  type ReportedStrike,
 } from '@bluebellhitch/decisions';
 import type { CrashingRequest, CrashMessage } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import { createCrashAnnouncements, type QuarantineChannel } from './crashAnnouncements';
-import type { BackendServer } from './model';
+import { createPartTrials } from './partTrials';
+import type { RequestIdentity } from './requestFingerprint';
+import { createRunEvidence, type CarriedCall, type ObservedRun } from './runEvidence';
 import type { ServerEnds } from './serverEnds';
 
-/** Returns the fingerprint, which is computed only if it is needed. */
-export type Fingerprint = () => string;
-
-export interface LostCall {
-  fingerprint: Fingerprint;
-  requestId: string;
-  server: BackendServer;
-  /** When the call began, on the monotonic clock. */
-  startedAtMs: number;
+/** Decides for one request. */
+export interface RequestGuard {
+  /** Time until the request may be sent to a server again; undefined if it may be sent now. */
+  heldBackMs(): number | undefined;
 }
 
-export interface RequestQuarantine {
-  /** Time until the request may be sent to a server again; undefined if it may be sent now. */
-  heldBackMs(fingerprint: Fingerprint): number | undefined;
+/** What serves requests reports here, and asks. */
+export interface RunQuarantine {
+  guard(identity: RequestIdentity): RequestGuard;
+  observeRun(call: CarriedCall): ObservedRun;
   /** The server has broken off a call with the request. */
-  noteLost(call: LostCall): void;
-  /** A server has run the request to its end. */
-  noteCompleted(fingerprint: Fingerprint): void;
+  noteLost(call: CarriedCall): void;
+  /** A server has run the plain request to its end. */
+  noteCompleted(identity: RequestIdentity): void;
+}
+
+export interface RequestQuarantine extends RunQuarantine {
   /** Called with each message of another router of the shard. */
   noteContact(router: string): void;
   /** A router has stopped sending; it is asked again when it returns. */
@@ -66,8 +71,9 @@
 }
 
 /** Stands in where no request is ever held back. */
-export const noQuarantine: Pick<RequestQuarantine, 'heldBackMs' | 'noteLost' | 'noteCompleted'> = {
-  heldBackMs: () => undefined,
+export const noQuarantine: RunQuarantine = {
+  guard: () => ({ heldBackMs: () => undefined }),
+  observeRun: () => ({ noteEvent: () => undefined, noteCompleted: () => undefined }),
   noteLost: () => undefined,
   noteCompleted: () => undefined,
 };
@@ -81,6 +87,8 @@
   rounds: 2,
   durationMs: 3_600_000,
   memoryMs: 86_400_000,
+  // Such a part may be in most prompts of a route, and once it is held back nothing runs that could clear it.
+  widespread: { strikes: 5, rounds: 5, firstTrialMs: 10_000, trialFactor: 3 },
   release: [],
   block: [],
 };
@@ -89,6 +97,11 @@
 const sweepIntervalMs = 60_000;
 /** Crashes from which on a router passes on what it has received. Most requests with a single crash are harmless. */
 const minCrashesToPassOn = 2;
+/**
+ * Strikes from which on those of a part that most prompts of a route have are announced: the next run that does no harm
+ * clears it.
+ */
+const minFirstPartStrikes = 2;
 /** How often a router that was met is asked, as datagrams may be lost. */
 const questionsPerRouter = 2;
 const maxRememberedRouters = 1_024;
@@ -106,6 +119,7 @@
 
   const recordOf = (fingerprint: string) => quarantine.record(allServices, fingerprint);
   const announcements = createCrashAnnouncements({ channel, recordOf, random });
+  const trials = createPartTrials(channel);
   const judge = (fingerprint: string) =>
     quarantine.verdict({
       ...{ service: allServices, fingerprint, policy },
@@ -137,17 +151,74 @@
     return hasChanged;
   }
 
-  function strike(call: LostCall, lostAtMs: number): void {
-    const { requestId, server, startedAtMs } = call;
-    const fingerprint = call.fingerprint();
+  function strike({ identity, server, startedAtMs }: CarriedCall, lostAtMs: number): boolean {
     const { id } = server;
+    const base = { service: allServices, attemptId: id, instanceId: id, startedAtMs };
+    const suspects = [
+      { ...base, fingerprint: identity.fingerprint() },
+      ...identity.partFingerprints.map((fingerprint, depth) => ({ ...base, fingerprint, depth })),
+    ];
+    return suspects.filter((suspect) => strikeOne(suspect, lostAtMs)).length > 0;
+  }
+
+  function strikeOne(suspect: ReportedStrike, lostAtMs: number): boolean {
+    const { fingerprint, depth } = suspect;
     noticed.set(fingerprint, true);
-    const crash = { service: allServices, fingerprint, attemptId: id, instanceId: id, startedAtMs };
-    if (change(fingerprint, () => quarantine.strike(crash, lostAtMs))) {
-      logger.warn('server crashed under a request', { fingerprint, requestId, server: id });
-      onCrash();
+    if (!change(fingerprint, () => quarantine.strike(suspect, lostAtMs))) {
+      return false;
+    }
+    if (depth !== 0 || activeStrikes(recordOf(fingerprint)).length >= minFirstPartStrikes) {
       announcements.announce(fingerprint);
     }
+    return true;
+  }
+
+  /** Of the routers that know of a part's strikes, those that noticed them tell the others that they do not count. */
+  function noteSoundPart(fingerprint: string): void {
+    const clear = () => quarantine.noteSoundPart(allServices, fingerprint, monotonicNowMs());
+    if (noticed.has(fingerprint) || isQuarantined(fingerprint)) {
+      clearWith(fingerprint, clear);
+    } else {
+      clear();
+    }
+  }
+
+  function noteCompleted({ fingerprint: fingerprintOf }: RequestIdentity): void {
+    if (quarantine.size() === 0) {
+      return;
+    }
+    const fingerprint = fingerprintOf();
+    if (recordOf(fingerprint) !== undefined) {
+      clearWith(fingerprint, () => quarantine.clear(allServices, fingerprint));
+    }
+  }
+
+  function clearWith(fingerprint: string, clear: () => boolean): void {
+    noticed.set(fingerprint, true);
+    if (change(fingerprint, clear)) {
+      announcements.announce(fingerprint);
+    }
+  }
+
+  function guard({ fingerprint, partFingerprints }: RequestIdentity): RequestGuard {
+    const holder = {};
+    function heldBackByMs(one: string): number {
+      const verdict = judge(one);
+      if (verdict.kind !== 'quarantined') {
+        return 0;
+      }
+      const isTrial = verdict.isTrialDue === true && trials.take(one, holder);
+      return isTrial ? 0 : verdict.retryAfterMs;
+    }
+    return {
+      heldBackMs() {
+        if (quarantine.size() === 0) {
+          return undefined;
+        }
+        const heldBackMs = Math.max(...[fingerprint(), ...partFingerprints].map(heldBackByMs));
+        return heldBackMs > 0 ? heldBackMs : undefined;
+      },
+    };
   }
 
   function receiveRequest(request: CrashingRequest): void {
@@ -159,6 +230,9 @@
     if (count > countBefore && count >= minCrashesToPassOn) {
       announcements.passOn(fingerprint);
     }
+    request.crashes.forEach(({ serverId, ageMs }) =>
+      evidence.noteServerEnded(serverId, nowMs - ageMs),
+    );
   }
 
   /** Tells a router the requests that count at present, those with the latest crashes first. */
@@ -173,35 +247,21 @@
     );
   }
 
+  const evidence = createRunEvidence({ strike, noteSoundPart, noteCompleted, onCrash, logger });
+
   return {
-    heldBackMs(fingerprint) {
-      if (quarantine.size() === 0) {
-        return undefined;
-      }
-      const verdict = judge(fingerprint());
-      return verdict.kind === 'quarantined' ? verdict.retryAfterMs : undefined;
-    },
+    guard,
+    observeRun: evidence.observeRun,
     noteLost(call) {
       const lostAtMs = monotonicNowMs();
+      evidence.noteServerLost(call.server.id);
       void serverEnds.hasCrashed(call.server).then((hasCrashed) => {
         if (hasCrashed) {
-          strike(call, lostAtMs);
+          evidence.noteCrash(call, lostAtMs);
         }
       });
     },
-    noteCompleted(fingerprintOf) {
-      if (quarantine.size() === 0) {
-        return;
-      }
-      const fingerprint = fingerprintOf();
-      if (recordOf(fingerprint) === undefined) {
-        return;
-      }
-      noticed.set(fingerprint, true);
-      if (change(fingerprint, () => quarantine.clear(allServices, fingerprint))) {
-        announcements.announce(fingerprint);
-      }
-    },
+    noteCompleted,
     noteContact(router) {
       const left = questionsLeft.get(router) ?? questionsPerRouter;
       if (left > 0) {
@@ -245,10 +305,12 @@
   return Math.max(...strikes.map(({ struckAtMs }) => struckAtMs));
 }
 
-function fromWire({ fingerprint, crashes }: CrashingRequest, nowMs: number): QuarantineRecord {
+function fromWire(request: CrashingRequest, nowMs: number): QuarantineRecord {
+  const { fingerprint, depth, crashes } = request;
   return {
     service: allServices,
     fingerprint,
+    depth,
     strikes: crashes.map(({ serverId, ageMs, durationMs }) => ({
       attemptId: serverId,
       instanceId: serverId,
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -17,7 +17,8 @@
   type QuotaExchange,
 } from './quotaExchange';
 import { createPrefillStage } from './prefillStage';
-import { createLazyFingerprint } from './requestFingerprint';
+import { createRequestIdentity, type RequestIdentity } from './requestFingerprint';
+import type { RequestGuard } from './requestQuarantine';
 import { servePlain } from './plainRequest';
 import { createOutcomeRecorder } from './requestOutcome';
 import { createRequestState, type RequestState } from './requestState';
@@ -65,7 +66,7 @@
   route: Route | undefined;
   workspace?: Workspace;
   /** Present if the request is refused for its content. */
-  fingerprint?: () => string;
+  identity?: RequestIdentity;
 }
 
 interface AdmittedRequest {
@@ -75,7 +76,8 @@
   route: Route;
   service: ServiceSettings;
   workspace: Workspace | undefined;
-  fingerprint: () => string;
+  identity: RequestIdentity;
+  guard: RequestGuard;
   /** See `RequestState`. */
   resumedVersion: string | undefined;
   /** What was charged to the workspace's quota. */
@@ -132,11 +134,12 @@
       return { ...resumption, route, workspace };
     }
     const forwarded = requestForServer(request, table, workspace);
-    const fingerprint = createLazyFingerprint(forwarded);
-    const retryAfterMs = quarantine.heldBackMs(fingerprint);
+    const identity = createRequestIdentity(forwarded);
+    const guard = quarantine.guard(identity);
+    const retryAfterMs = guard.heldBackMs();
     if (retryAfterMs !== undefined) {
       const refusal: Refusal = { kind: 'not-run', reason: notRunReasons.quarantined, retryAfterMs };
-      return { kind: 'refused', refusal, route, workspace, fingerprint };
+      return { kind: 'refused', refusal, route, workspace, identity };
     }
     const charged = chargeQuota(workspace, request);
     if (charged.kind === 'limited') {
@@ -147,7 +150,7 @@
     const { charge } = charged;
     return {
       ...{ kind: 'admitted', request: forwarded, route, service, workspace },
-      ...{ fingerprint, resumedVersion, charge },
+      ...{ identity, guard, resumedVersion, charge },
     };
   }
 
@@ -170,7 +173,16 @@
   async function serveAdmitted(
     exchange: CallerExchange,
     table: RouteTable,
-    { request, route, service, workspace, fingerprint, resumedVersion, charge }: AdmittedRequest,
+    {
+      request,
+      route,
+      service,
+      workspace,
+      identity,
+      guard,
+      resumedVersion,
+      charge,
+    }: AdmittedRequest,
   ): Promise<void> {
     const forwardedExchange = { ...exchange, request };
     const labels = { route, service: service.name, workspace };
@@ -181,8 +193,8 @@
       service,
       priority: workspace?.priority,
       isAccessGranted: () => isAccessGranted(route, request, workspace),
-      fingerprint,
-      heldBackMs: () => quarantine.heldBackMs(fingerprint),
+      identity,
+      heldBackMs: guard.heldBackMs,
       resumedVersion,
     });
     options.budget.recordRequest(service.name, monotonicNowMs());
@@ -219,7 +231,7 @@
   function refuseAtOnce(
     exchange: CallerExchange,
     { configuration }: RouteTable,
-    { refusal, route, workspace, fingerprint }: RefusedRequest,
+    { refusal, route, workspace, identity }: RefusedRequest,
   ): void {
     const cause = refusalCause(refusal);
     if (cause === notRunReasons.staleConfiguration) {
@@ -231,7 +243,8 @@
       cause,
       route: route?.name,
       workspace: workspace?.name,
-      fingerprint: fingerprint?.(),
+      fingerprint: identity?.fingerprint(),
+      sharedParts: identity && exchange.request.sharedParts,
       resumes: exchange.request.resumedRequestId,
       configurationVersion: configuration.version,
     });
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -8,7 +8,7 @@
   type Route,
   type ServiceSettings,
 } from './model';
-import { createLazyFingerprint } from './requestFingerprint';
+import { createRequestIdentity, type RequestIdentity } from './requestFingerprint';
 import type { RelayPauses } from './streamRelay';
 
 /** Timers that are set for the same moment fire within this time of each other. */
@@ -23,8 +23,7 @@
   priority: number;
   /** Whether the current configuration still grants the request access; checked before each attempt. */
   isAccessGranted: () => boolean;
-  /** Identifies the request's content; computed at the first call. */
-  fingerprint: () => string;
+  identity: RequestIdentity;
   /** Time until the request may be sent to servers again; undefined if it may be sent now. */
   heldBackMs: () => number | undefined;
   /** The earlier of the caller's deadline and the route's time-out, on the monotonic clock. */
@@ -69,7 +68,7 @@
   service: ServiceSettings;
   priority?: number;
   isAccessGranted?: () => boolean;
-  fingerprint?: () => string;
+  identity?: RequestIdentity;
   heldBackMs?: () => number | undefined;
   resumedVersion?: string;
 }
@@ -82,7 +81,7 @@
   const { exchange, route, service, priority = route.priority } = options;
   const { isAccessGranted = () => true, heldBackMs = () => undefined } = options;
   const { request } = exchange;
-  const { fingerprint = createLazyFingerprint(request) } = options;
+  const { identity = createRequestIdentity(request) } = options;
   const endsAtMs = Math.min(request.arrivedAtMs + route.timeoutMs, request.deadlineAtMs);
   const expiry = new AbortController();
   const timer = setTimeout(() => expiry.abort(), Math.max(0, endsAtMs - monotonicNowMs()));
@@ -93,7 +92,7 @@
     service,
     priority,
     isAccessGranted,
-    fingerprint,
+    identity,
     heldBackMs,
     endsAtMs,
     signal: AbortSignal.any([exchange.signal, expiry.signal]),
--- a/packages/routing/src/routerDependencies.ts
+++ b/packages/routing/src/routerDependencies.ts
@@ -8,7 +8,7 @@
 import type { DecodePlacement } from './decodePlacement';
 import type { EngineLoads } from './engineLoads';
 import type { ServerPools } from './fleetShard';
-import type { RequestQuarantine } from './requestQuarantine';
+import type { RunQuarantine } from './requestQuarantine';
 import type { RouterMetrics } from './routerMetrics';
 import type { ServerDirectory } from './serverDirectory';
 import type { ServerPermits } from './serverLimits';
@@ -37,8 +37,8 @@
   decodePaces?: DecodePaces;
   budget: AttemptBudget;
   health: OutlierDetector;
-  /** Requests that have crashed servers. */
-  quarantine: Pick<RequestQuarantine, 'heldBackMs' | 'noteLost' | 'noteCompleted'>;
+  /** Requests and parts of prompts that have crashed servers. */
+  quarantine: RunQuarantine;
   /** Which software version has begun each stream. */
   streamOrigins: Pick<StreamOrigins, 'find' | 'noteBegan'>;
   serviceVersions: Pick<ServiceVersions, 'onlyVersion'>;
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -316,11 +316,16 @@
   }
   noteStep(state, `decode ${server.id} ${outcome.value.status}`);
   const observer = createRunObserver(run, server.id);
+  const { identity, request } = state;
+  const observedRun = deps.quarantine.observeRun({
+    ...{ identity, requestId: request.id, server, startedAtMs },
+  });
   const relayed = await relay.relay({
     response: outcome.value,
     softwareVersion: server.softwareVersion,
     onProgress() {
       firstEventAtMs ??= monotonicNowMs();
+      observedRun.noteEvent();
       noteOrigin(run, server);
       watch.noteProgress();
       observer.noteEvents();
@@ -329,7 +334,7 @@
     contextSince: observer.contextSince,
   });
   if (relayed.kind === 'whole') {
-    deps.quarantine.noteCompleted(state.fingerprint);
+    observedRun.noteCompleted();
     noteCompleteRun(run);
     deps.health.record(server.id, 'success', monotonicNowMs());
     return { kind: 'ended' };
