Take a stream without a length and without any event for broken off

A response may have neither a length nor chunks and end with its connection. Where an engine ended after the head of such a stream and before its first event, the caller got a complete, empty stream with the server's seal, as the end of the connection is the end of the response. Such a stream now counts as broken: it is resumed, or the caller gets 502. With a length or chunks an empty stream is passed on as before.

The test of a stream that is closed before its events failed before. The other cases passed before too: plain responses, failures, prefills, streams that are whole, reset inside an event or between two, closed inside one. A close between two events cannot be told from the end, so it is passed on as complete.

Ruled out: taking any such stream without its last event for broken, as the number of events is not known.

--- a/packages/routing/src/backendApi.ts
+++ b/packages/routing/src/backendApi.ts
@@ -80,6 +80,8 @@
   read(reader: BodyReader): void;
   pause(): void;
   resume(): void;
+  /** The body has neither a length nor chunks, and ends with its connection. */
+  isUnframed?: boolean;
 }
 
 export interface BodyReader {
--- a/packages/routing/src/backendExchange.ts
+++ b/packages/routing/src/backendExchange.ts
@@ -118,6 +118,7 @@
       const headers = readHeaders(startedController.rawHeaders);
       isFramed = hasFraming(headers, status);
       connection.isCloseDelimited = !isFramed;
+      body.isUnframed = !isFramed;
       resolve({ kind: 'answered', response: { status, headers, body, discard: cancel } });
     },
     onResponseData: (_controller, chunk) => reader?.onData(chunk),
--- a/packages/routing/src/streamRelay.ts
+++ b/packages/routing/src/streamRelay.ts
@@ -91,10 +91,14 @@
   function relayEvents(run: RelayedRun): Promise<RelayOutcome> {
     const { response, onProgress } = run;
     const splitter = createEventSplitter();
+    const { body } = response;
+    let hasEvents = false;
     return new Promise((resolve) => {
-      response.body.read({
+      body.read({
         onData(chunk) {
-          const newEvents = splitter.push(chunk).filter(isNewEvent);
+          const events = splitter.push(chunk);
+          hasEvents ||= events.length > 0;
+          const newEvents = events.filter(isNewEvent);
           if (newEvents.length > 0) {
             forward(run, newEvents);
           }
@@ -105,6 +109,11 @@
             resolve({ kind: 'broken', detail: 'ended inside an event' });
             return;
           }
+          // An engine that ends before its first event looks the same as one that has nothing left to write.
+          if (body.isUnframed === true && !hasEvents) {
+            resolve({ kind: 'broken', detail: 'ended without an event' });
+            return;
+          }
           writer ??= exchange.startResponse(response.status, response.headers);
           writer.end();
           resolve({ kind: 'whole' });
