Let the soak send parts of prompts that crash engines, and responses without a length

Scripts of kind crashes now have two requests that are repeated and two parts of prompts whose requests are all different; the engines end 40 to 250 ms after the run has begun. All streams share their first part, so holding that by mistake would show as callers that are not served. One response in eight has neither a length nor chunks and ends with its connection, in all kinds of scripts.

--- a/packages/soak/src/backendServers.ts
+++ b/packages/soak/src/backendServers.ts
@@ -11,7 +11,7 @@
 } from '@bluebellhitch/platform-standins';
 import { stages, type Stage } from '@bluebellhitch/routing';
 import { delay, monotonicNowMs, type Random } from '@bluebellhitch/shared';
-import { isCrashingBody } from './crashingRequests';
+import { crashOf } from './crashingRequests';
 import type { Disruptions } from './disruptions';
 import { promises, type Findings } from './findings';
 import type { Ledger } from './ledger';
@@ -121,6 +121,11 @@
 const storeKind = 'servers';
 const msPerSecond = 1_000;
 
+/** Responses to one in eight requests have neither a length nor chunks. */
+function isUnframed(requestId: string): boolean {
+  return Number(requestId.slice(1)) % 8 === 0;
+}
+
 /** Response body of a plain request. */
 export function plainText(requestId: string, serverId: string): string {
   return `${requestId} at ${serverId}`;
@@ -169,6 +174,7 @@
         }
       },
       choosePrefill: () => choosePrefill(slot),
+      isUnframed,
       onArrival: (arrival) =>
         ledger.recordArrival({ ...arrival, serverId: id, serviceName: service }),
       onOrder({ holderId, fencingNumber, stage }) {
@@ -184,8 +190,9 @@
   }
 
   function chooseRun({ errors }: ServerSlot, body: string): RunBehaviour {
-    if (isCrashingBody(body)) {
-      return { kind: 'crash' };
+    const crashRun = crashOf(body);
+    if (crashRun !== undefined) {
+      return crashRun;
     }
     return errors !== undefined && random() < errors.share ? errors.run : { kind: 'whole' };
   }
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -39,9 +39,13 @@
   probe(router: RouterProcessHandle, route: Route, target: string): Promise<SentRequest>;
   /**
    * Sends a request with this body on a connection of its own, always with the same path and workspace; undefined if no router
-   * runs.
+   * runs. In streams, the further parts follow the part that all prompts share.
    */
-  repeat(route: Route, body: string): Promise<SentRequest | undefined>;
+  repeat(
+    route: Route,
+    body: string,
+    furtherParts?: readonly string[],
+  ): Promise<SentRequest | undefined>;
 }
 
 /** Mean pause of a caller between a response and its next request. */
@@ -53,6 +57,8 @@
 /** Statuses that promise that the request has not run and will not. */
 const notRunStatuses: readonly number[] = [408, 421, 429, 503];
 const prompt = { promptTokens: 1_000, maxOutputTokens: 100 };
+/** The part that all prompts begin with. */
+const firstPart = 'c0';
 /** Tokens that a model request counts against a quota. */
 export const modelTokens = prompt.promptTokens + prompt.maxOutputTokens;
 const msPerSecond = 1_000;
@@ -62,6 +68,8 @@
   agent?: Agent;
   disconnectAfterMs?: number;
   body?: string;
+  /** Parts of the prompt that other requests share. */
+  sharedParts?: readonly string[];
   /** The stream to take up. */
   resumes?: SentRequest['resumes'];
 }
@@ -105,7 +113,7 @@
     target: string,
     callOptions: CallOptions,
   ): Promise<{ request: SentRequest; keepsConnection: boolean }> {
-    const { agent, disconnectAfterMs, body } = callOptions;
+    const { agent, disconnectAfterMs, body, sharedParts = [firstPart] } = callOptions;
     const request = startRequest(router, route, callOptions);
     if (callOptions.resumes !== undefined) {
       options.onResumed?.(request);
@@ -121,7 +129,10 @@
       target,
       requestId: request.id,
       deadlineMs: route.timeoutMs,
-      prompt: route.kind === routeKinds.stream ? prompt : undefined,
+      prompt:
+        route.kind === routeKinds.stream
+          ? { ...prompt, parts: [...sharedParts, ownPartOf(request)] }
+          : undefined,
       headers: {
         authorization: `Token ${request.shownKey.key}`,
         ...resumptionHeaders(callOptions.resumes),
@@ -195,14 +206,17 @@
       factor = next;
     },
     probe: async (router, route, target) => (await call(router, route, target, {})).request,
-    async repeat(route, body) {
+    async repeat(route, body, furtherParts = []) {
       const connection = connect();
       if (connection === undefined) {
         return undefined;
       }
       const { router, agent } = connection;
       const target = `${route.pathPrefix}repeated`;
-      const { request } = await call(router, route, target, { agent, body });
+      const { request } = await call(router, route, target, {
+        ...{ agent, body },
+        sharedParts: [firstPart, ...furtherParts],
+      });
       agent.destroy();
       return request;
     },
@@ -252,3 +266,8 @@
   const retryAfterMs = Number.isFinite(seconds) ? seconds * msPerSecond : undefined;
   return { kind: 'refused', status, retryAfterMs };
 }
+
+/** The last part of a prompt is the request's own. */
+function ownPartOf({ id }: SentRequest): string {
+  return Buffer.from(id).toString('hex');
+}
--- a/packages/soak/src/crashingRequests.ts
+++ b/packages/soak/src/crashingRequests.ts
@@ -1,8 +1,9 @@
 /**
- * Requests that crash each server that runs them, which callers repeat at any router. Once all routers have had the
- * contact time to learn of the third crash, only a few more may reach servers.
+ * Requests that crash each server that runs them, which callers send at any router: one that is repeated, or different
+ * ones that share a part of their prompts. Once all routers have had the contact time to learn of the last tolerated
+ * crash, only a few more may reach servers.
  */
-import type { Route } from '@bluebellhitch/routing';
+import { routeKinds, type Route } from '@bluebellhitch/routing';
 import {
   createBackgroundLoop,
   delay,
@@ -16,8 +17,10 @@
 import type { Ledger } from './ledger';
 
 export interface CrashingRequestsOptions {
-  /** Number of different requests. */
+  /** Number of different requests that are repeated. */
   count: number;
+  /** Number of parts of prompts that crash engines. */
+  partCount: number;
   callers: Pick<Callers, 'repeat'>;
   routes: readonly Route[];
   ledger: Ledger;
@@ -36,48 +39,81 @@
   checkAll(): number;
 }
 
-interface CrashingRequest {
+/** What crashes servers: one request, or a part of the prompts of many. */
+interface CrashingSource {
+  /** Bodies of its requests begin so. */
   body: string;
+  /** Absent for a request that is repeated. */
+  part?: string;
   route: Route;
+  toleratedCrashes: number;
   crashedAtMs: number[];
-  /** Ids of its repetitions. */
+  /** Ids of its requests. */
   requestIds: string[];
 }
 
 const bodyStart = 'crash ';
+const partBodyStart = `${bodyStart}part `;
 const toleratedCrashes = 3;
+const toleratedPartCrashes = 5;
 const maxLaterArrivals = 3;
 const meanPauseMs = 300;
 
-/** Whether a server that runs a request with this body crashes. */
-export function isCrashingBody(body: string): boolean {
-  return body.startsWith(bodyStart);
+/** How a run of a request with this body ends its server; undefined if it does not. */
+export function crashOf(body: string): { kind: 'crash'; afterMs?: number } | undefined {
+  if (!body.startsWith(bodyStart)) {
+    return undefined;
+  }
+  return { kind: 'crash', afterMs: body.startsWith(partBodyStart) ? partCrashMs(body) : undefined };
+}
+
+/** An engine that has begun to write on a harmful part ends within this range of times. */
+const minPartCrashMs = 40;
+const partCrashRangeMs = 210;
+
+function partCrashMs(body: string): number {
+  const sum = [...body].reduce((total, character) => total + character.charCodeAt(0), 0);
+  return minPartCrashMs + ((sum * 53) % partCrashRangeMs);
 }
 
 export function createCrashingRequests(options: CrashingRequestsOptions): CrashingRequests {
   const { callers, routes, ledger, findings, disruptions, random } = options;
-  const requests = Array.from({ length: options.count }, (_none, index): CrashingRequest => ({
-    body: `${bodyStart}${index}`,
-    route: routes[index % routes.length] as Route,
-    crashedAtMs: [],
-    requestIds: [],
-  }));
+  const streamRoutes = routes.filter(({ kind }) => kind === routeKinds.stream);
+  const sources = [
+    ...Array.from({ length: options.count }, (_none, index) =>
+      createSource({ body: `${bodyStart}${index}`, route: routes[index % routes.length] as Route }),
+    ),
+    ...Array.from({ length: options.partCount }, (_none, index) =>
+      createSource({
+        body: `${partBodyStart}${index} `,
+        part: `bad${index}`,
+        route: streamRoutes[index % streamRoutes.length] as Route,
+        toleratedCrashes: toleratedPartCrashes,
+      }),
+    ),
+  ];
 
-  function createLoop(request: CrashingRequest): BackgroundLoop {
+  function createLoop(source: CrashingSource): BackgroundLoop {
+    const { route, part, requestIds } = source;
     return createBackgroundLoop(async (signal) => {
       while (!signal.aborted) {
         await delay(-Math.log(1 - random()) * meanPauseMs, signal);
         if (!signal.aborted) {
-          const sent = await callers.repeat(request.route, request.body);
-          request.requestIds.push(...(sent === undefined ? [] : [sent.id]));
+          const sent =
+            part === undefined
+              ? await callers.repeat(route, source.body)
+              : await callers.repeat(route, `${source.body}${requestIds.length}`, [part]);
+          requestIds.push(...(sent === undefined ? [] : [sent.id]));
         }
       }
     });
   }
 
-  function laterArrivalCount({ crashedAtMs, requestIds }: CrashingRequest): number {
-    const thirdAtMs = [...crashedAtMs].sort((left, right) => left - right)[toleratedCrashes - 1];
-    const boundAtMs = (thirdAtMs ?? Infinity) + options.contactMs + options.marginMs;
+  function laterArrivalCount(source: CrashingSource): number {
+    const { crashedAtMs, requestIds } = source;
+    const inOrder = [...crashedAtMs].sort((left, right) => left - right);
+    const lastToleratedAtMs = inOrder[source.toleratedCrashes - 1];
+    const boundAtMs = (lastToleratedAtMs ?? Infinity) + options.contactMs + options.marginMs;
     return requestIds
       .flatMap((id) => ledger.arrivalsOf(id))
       .filter(({ atMs, requestId }) => {
@@ -87,20 +123,30 @@
   }
 
   return {
-    loops: requests.map(createLoop),
+    loops: sources.map(createLoop),
     noteCrash(body) {
-      requests.find((request) => request.body === body)?.crashedAtMs.push(monotonicNowMs());
+      sources.find((source) => isOf(source, body))?.crashedAtMs.push(monotonicNowMs());
     },
     checkAll() {
-      requests.forEach((request) => {
-        const count = laterArrivalCount(request);
+      sources.forEach((source) => {
+        const count = laterArrivalCount(source);
         if (count > maxLaterArrivals) {
-          const crashes = request.crashedAtMs.length;
-          const detail = `${request.body}: ${crashes} crashes, ${count} arrivals long after the third`;
-          findings.add(promises.crashing, detail, request.requestIds.at(-1));
+          const crashes = source.crashedAtMs.length;
+          const detail = `${source.body}: ${crashes} crashes, ${count} arrivals long after the last tolerated one`;
+          findings.add(promises.crashing, detail, source.requestIds.at(-1));
         }
       });
-      return requests.reduce((sum, { crashedAtMs }) => sum + crashedAtMs.length, 0);
+      return sources.reduce((sum, { crashedAtMs }) => sum + crashedAtMs.length, 0);
     },
   };
 }
+
+function createSource(
+  source: Pick<CrashingSource, 'body' | 'route'> & Partial<CrashingSource>,
+): CrashingSource {
+  return { toleratedCrashes, crashedAtMs: [], requestIds: [], ...source };
+}
+
+function isOf({ body: start, part }: CrashingSource, body: string): boolean {
+  return part === undefined ? body === start : body.startsWith(start);
+}
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -79,6 +79,7 @@
 /** A separate seed for when crashing requests are repeated. */
 const crashSeedOffset = 86_028_121;
 const crashingRequestCount = 2;
+const crashingPartCount = 2;
 const drainMs = 2_000;
 const applyMs = 2_000;
 const startTimeoutMs = 15_000;
@@ -152,6 +153,7 @@
   crashingRequests = createCrashingRequests({
     ...{ ledger, findings, disruptions, callers, marginMs, routes: plan.baseRoutes },
     count: script.kind === 'crashes' ? crashingRequestCount : 0,
+    partCount: script.kind === 'crashes' ? crashingPartCount : 0,
     random: createSeededRandom(seed + crashSeedOffset),
     contactMs: bounds.contactMs,
   });
