Close new connections unread while one router gets most of a region's and lacks the processor

The platform may hand most new connections of a region to one router. What is left is the processor, of which a machine has as little as a quarter of a core.

Weighed: becoming unready (moves the surge as it is); 503 after reading (counts as read, and takes most of the cost); a limit on connections (knows nothing of what a request costs). Timers that measure delays of the event loop would wake an idle process; its idle share is known without any.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -265,3 +265,8 @@
   type UnsettledRuns,
   type UnsettledRunsOptions,
 } from './unsettledRuns';
+export {
+  createConnectionShedding,
+  type ConnectionShedding,
+  type ConnectionSheddingOptions,
+} from './connectionShedding';
--- a/packages/routing/__tests__/callersServer.test.ts
+++ b/packages/routing/__tests__/callersServer.test.ts
@@ -25,6 +25,7 @@
 async function startServer(
   t: ExecutionContext,
   serve: (exchange: CallerExchange) => void,
+  mayServeConnection?: () => boolean,
 ): Promise<CallersServer> {
   const server = await startCallersServer({
     host: '127.0.0.1',
@@ -34,6 +35,7 @@
     logger: createLogger({ binary: 'test', instanceId: 't', write: () => undefined }),
     maxBufferedBytes: 1_000_000,
     maxConnections: 100,
+    mayServeConnection,
   });
   t.teardown(() => {
     server.stopAccepting();
@@ -148,3 +150,32 @@
   await closed;
   t.regex(text(), /^HTTP\/1\.1 413 /);
 });
+
+test('a connection that may not be served is closed unread, and kept ones are served on', async (t) => {
+  // Callers go on at another router at once; a request that was read would have to be answered here.
+  let mayServe = true;
+  let servedCount = 0;
+  const server = await startServer(
+    t,
+    ({ respond }) => {
+      servedCount += 1;
+      respond({ status: 200, headers: [], body: Buffer.from('ok') });
+    },
+    () => mayServe,
+  );
+  const kept = openConnection(t, server.port);
+  kept.socket.write(request);
+  await until(() => kept.text().includes('ok'));
+  mayServe = false;
+  const surplus = openConnection(t, server.port);
+  surplus.socket.write(request);
+  await surplus.closed;
+  t.is(surplus.text(), '');
+  kept.socket.write(request);
+  await until(() => servedCount === 2);
+  mayServe = true;
+  const later = openConnection(t, server.port);
+  later.socket.write(request);
+  await until(() => later.text().includes('ok'));
+  t.is(servedCount, 3);
+});
--- a/packages/routing/src/callersServer.ts
+++ b/packages/routing/src/callersServer.ts
@@ -34,6 +34,8 @@
   /** Maximum size in memory of all request bodies together. */
   maxBufferedBytes: number;
   maxConnections: number;
+  /** Asked once for each new connection; one that may not be served is closed unread. Default: all are served. */
+  mayServeConnection?: () => boolean;
 }
 
 export interface CallersServer {
@@ -66,7 +68,7 @@
 
 /** Starts the server; rejects if the port is in use. */
 export async function startCallersServer(options: CallersServerOptions): Promise<CallersServer> {
-  const { logger } = options;
+  const { logger, mayServeConnection = () => true } = options;
   const bodyReaders = createBodyReaderPool(options.maxBufferedBytes);
   const idleListeners: (() => void)[] = [];
   let limits = initialLimits;
@@ -127,6 +129,11 @@
     },
   );
   server.maxConnections = options.maxConnections;
+  server.prependListener('connection', (socket) => {
+    if (!mayServeConnection()) {
+      socket.destroy();
+    }
+  });
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     logger.info('could not parse request', { code: error.code });
     rejectUnparsable(error, socket);
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -43,6 +43,8 @@
   countCrash(): void;
   /** Counts requests that were quarantined, here or by another router. */
   countQuarantined(): void;
+  /** Counts callers' connections that were closed unread. */
+  countClosedUnread(): void;
   countPrefillTokens(tokens: number): void;
   countWastedPrefillTokens(tokens: number): void;
   countConnection(): void;
@@ -183,6 +185,10 @@
     'bluebell_request_crashes_total',
     'Backend servers that crashed while they ran a request, counted for each of their requests.',
   );
+  const closedUnread = counter(
+    'bluebell_connections_closed_unread_total',
+    'New connections of callers that were closed before anything was read, for lack of processor time.',
+  );
   const quarantined = counter(
     'bluebell_quarantined_requests_total',
     'Requests refused from then on because they crash backend servers.',
@@ -281,6 +287,7 @@
     countLostRun: (service, cause) => lostRuns.inc({ service, cause }),
     countCrash: () => crashes.inc(),
     countQuarantined: () => quarantined.inc(),
+    countClosedUnread: () => closedUnread.inc(),
     countPrefillTokens: (tokens) => prefillTokens.inc(tokens),
     countWastedPrefillTokens: (tokens) => wastedTokens.inc(tokens),
     countConnection: () => connections.inc(),
