Take a response without a length for lost if its server has ended with it

Both had neither a length nor chunks, and their engine ended between two events: its end closed the connection, which is also the end of such a response.

If the process is gone, the response is lost: a stream is resumed after its last event, or broken off. Only responses without a length cost that call.

Two tests failed before: a stream whose engine ends between two events, for a route that may be resumed and one that may not. Ruled out: that the check is wrong, as no event of the stream says that it is the last; but the server can be asked.

--- a/packages/routing/src/backendExchange.ts
+++ b/packages/routing/src/backendExchange.ts
@@ -84,10 +84,12 @@
   }
 
   async function endBodyWithConnection(): Promise<void> {
-    const end = await connection.end;
-    endBody(
-      end === 'closed' ? { kind: 'whole' } : { kind: 'lost', detail: 'reset before its end' },
-    );
+    if ((await connection.end) !== 'closed') {
+      endBody({ kind: 'lost', detail: 'reset before its end' });
+      return;
+    }
+    const hasServerEnded = await call.hasServerEnded?.();
+    endBody(hasServerEnded ? { kind: 'lost', detail: 'ended with its server' } : { kind: 'whole' });
   }
 
   const body: ResponseBody = {
--- a/packages/routing/src/httpCall.ts
+++ b/packages/routing/src/httpCall.ts
@@ -17,6 +17,11 @@
    * before sending, because the call may have waited for a connection.
    */
   maySend?: () => boolean;
+  /**
+   * Whether the server has ended. Asked when a response without a length ends with its connection: a process that ends
+   * closes its connections too, and the response may be incomplete.
+   */
+  hasServerEnded?: () => Promise<boolean>;
   /** Maximum number of open connections to the address. */
   maxConnections: number;
 }
