Serve callers whose request arrived while the process was paused

Callers of both interfaces got 408 although they had sent their request in time. The runtime's check of the time that a head has taken runs before the event loop reads what has arrived, so after a pause of the process longer than the limit each new connection counted as slow.

After the check the sockets are now read once. A sender that has sent anything meanwhile gets the time once more; one that has sent nothing gets 408 as before.

--- a/packages/entry/src/callersServer.ts
+++ b/packages/entry/src/callersServer.ts
@@ -5,7 +5,7 @@
 import { createAdaptorServer, type HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono, type Context } from 'hono';
-import { createRefusal, refusalReasons } from '@bluebellhitch/shared';
+import { createRefusal, refusalReasons, watchSlowSenders } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import { createCallerExchange, type CallerExchange } from './callerExchange';
 import type { CallersTls } from './callersTls';
@@ -99,7 +99,11 @@
     options,
     excessSockets,
   );
-  server.on('clientError', respondToClientError);
+  watchSlowSenders(server, {
+    timeoutMs: () => options.headersTimeoutMs,
+    onTimeout: respondToClientError,
+    onOtherError: respondToClientError,
+  });
   // Ending a socket whose TLS handshake has not finished does not close it, so it is destroyed.
   server.on('tlsClientError', (_error, socket: Socket) => socket.destroy());
   await listen(server, host, port);
--- a/packages/routing/src/callersServer.ts
+++ b/packages/routing/src/callersServer.ts
@@ -5,7 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
-import { monotonicNowMs } from '@bluebellhitch/shared';
+import { monotonicNowMs, watchSlowSenders } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import type { CallerExchange } from './callerApi';
 import { createHttpExchange, refuseOverHttp } from './httpExchange';
@@ -134,9 +134,14 @@
       socket.destroy();
     }
   });
-  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+  function onCallerError(error: NodeJS.ErrnoException, socket: Socket): void {
     logger.info('could not parse request', { code: error.code });
     rejectUnparsable(error, socket);
+  }
+  watchSlowSenders(server, {
+    timeoutMs: () => limits.headerTimeoutMs,
+    onTimeout: onCallerError,
+    onOtherError: onCallerError,
   });
   await listen(server, options.host, options.port);
 
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -29,3 +29,4 @@
 export { startPauseTolerantTimer, type PauseTolerantTimer } from './pauseTolerantTimer';
 export { runOnce } from './runOnce';
 export { ageMsOf, earlierBy, readClocks, type ClockReading } from './clockReading';
+export { watchSlowSenders, type SlowSenderOptions } from './slowSenders';
