Split the request guard and the policy from the quarantine, and test the policy that routers use

What decides for one request has its own module, and the policy stands beside the decisions, so that the model and the tests of verdicts use the one that routers have rather than copies. The random fleets of parts now also have repeated datagrams, as those of requests had. No behaviour changes.

--- a/packages/decisions/__tests__/helpers/crashModel.ts
+++ b/packages/decisions/__tests__/helpers/crashModel.ts
@@ -3,8 +3,9 @@
  * parts. All routers know all evidence at once.
  */
 import type { Random } from '@bluebellhitch/shared';
+import { fleetQuarantinePolicy } from '../../src/fleetQuarantinePolicy';
 import { createQuarantine, type Quarantine } from '../../src/quarantine';
-import { judgeRecord, type QuarantinePolicy } from '../../src/quarantineVerdicts';
+import { judgeRecord } from '../../src/quarantineVerdicts';
 import { createUnsettledRuns } from '../../src/unsettledRuns';
 
 export interface CrashModelOptions {
@@ -49,14 +50,7 @@
 
 export const firstPart = 'first';
 export const harmfulPart = 'harmful';
-const policy: QuarantinePolicy = {
-  ...{ strikes: 3, rounds: 2, durationMs: 3_600_000, memoryMs: 86_400_000 },
-  parts: {
-    widespread: { strikes: 5, rounds: 5, firstTrialMs: 10_000, trialFactor: 3 },
-    other: { strikes: 3, rounds: 2, firstTrialMs: 60_000, trialFactor: 10 },
-  },
-  ...{ release: [], block: [] },
-};
+const policy = fleetQuarantinePolicy;
 const service = '*';
 const stepMs = 10;
 const msPerSecond = 1_000;
--- a/packages/decisions/__tests__/quarantineVerdicts.test.ts
+++ b/packages/decisions/__tests__/quarantineVerdicts.test.ts
@@ -1,19 +1,7 @@
 import test from 'ava';
+import { fleetQuarantinePolicy as policy } from '../src/fleetQuarantinePolicy';
 import type { QuarantineRecord } from '../src/quarantineRecords';
-import { judgeTogether, type QuarantinePolicy } from '../src/quarantineVerdicts';
-
-const policy: QuarantinePolicy = {
-  strikes: 3,
-  rounds: 2,
-  durationMs: 3_600_000,
-  memoryMs: 86_400_000,
-  parts: {
-    widespread: { strikes: 5, rounds: 5, firstTrialMs: 10_000, trialFactor: 3 },
-    other: { strikes: 3, rounds: 2, firstTrialMs: 60_000, trialFactor: 10 },
-  },
-  release: [],
-  block: [],
-};
+import { judgeTogether } from '../src/quarantineVerdicts';
 
 interface Sketch {
   depth?: number;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -135,6 +135,7 @@
   type QuarantineQuery,
   type ReportedStrike,
 } from './quarantine';
+export { fleetQuarantinePolicy } from './fleetQuarantinePolicy';
 export {
   activeStrikes,
   mergeQuarantineRecords,
--- a/packages/routing/__tests__/requestQuarantine.test.ts
+++ b/packages/routing/__tests__/requestQuarantine.test.ts
@@ -1,6 +1,6 @@
 import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
 import test, { type ExecutionContext } from 'ava';
-import { createSeededRandom, monotonicNowMs } from '@bluebellhitch/shared';
+import { createSeededRandom, monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { BackendServer } from '../src/model';
 import {
   addressOf,
@@ -204,10 +204,8 @@
   }),
 );
 
-/** Crashes noticed at random routers, over a network that loses, repeats and delays datagrams. */
-async function checkRandomFleet(t: ExecutionContext, count: number, seed: number): Promise<void> {
-  const random = createSeededRandom(seed);
-  random();
+/** Loses up to a tenth of the datagrams, and repeats and delays others. */
+function createUnreliableNetwork(random: Random) {
   const lossShare = random() * 0.1;
   const delaysMs = () => {
     if (random() < lossShare) {
@@ -216,6 +214,14 @@
     const delayMs = random() * 100;
     return random() < 0.1 ? [delayMs, delayMs + random() * 1_000] : [delayMs];
   };
+  return { lossShare, delaysMs };
+}
+
+/** Crashes noticed at random routers. */
+async function checkRandomFleet(t: ExecutionContext, count: number, seed: number): Promise<void> {
+  const random = createSeededRandom(seed);
+  random();
+  const { lossShare, delaysMs } = createUnreliableNetwork(random);
   const check: Check = async (fleet, clock) => {
     const isOneRouter = random() < 0.3;
     for (const number of [1, 2, 3]) {
@@ -283,8 +289,7 @@
 async function checkPartFleet(t: ExecutionContext, count: number, seed: number): Promise<void> {
   const random = createSeededRandom(seed);
   random();
-  const lossShare = random() * 0.1;
-  const delaysMs = () => (random() < lossShare ? [] : [random() * 100]);
+  const { lossShare, delaysMs } = createUnreliableNetwork(random);
   const anyRouter = () => Math.floor(random() * count);
   const check: Check = async (fleet, clock) => {
     for (let crash = 1; crash <= 5; crash += 1) {
--- a/packages/routing/src/requestQuarantine.ts
+++ b/packages/routing/src/requestQuarantine.ts
@@ -14,7 +14,7 @@
   activeStrikes,
   createBoundedMap,
   createQuarantine,
-  type QuarantinePolicy,
+  fleetQuarantinePolicy,
   type QuarantineRecord,
   type ReportedStrike,
 } from '@bluebellhitch/decisions';
@@ -24,15 +24,10 @@
 import { createCrashAnnouncements, type QuarantineChannel } from './crashAnnouncements';
 import { createPartTrials } from './partTrials';
 import type { RequestIdentity } from './requestFingerprint';
+import { createRequestGuard, type RequestGuard } from './requestGuard';
 import { createRunEvidence, type CarriedCall, type ObservedRun } from './runEvidence';
 import type { ServerEnds } from './serverEnds';
 
-/** Decides for one request. */
-export interface RequestGuard {
-  /** Time until the request may be sent to a server again; undefined if it may be sent now. */
-  heldBackMs(): number | undefined;
-}
-
 /** What serves requests reports here, and asks. */
 export interface RunQuarantine {
   guard(identity: RequestIdentity): RequestGuard;
@@ -78,23 +73,6 @@
   noteCompleted: () => undefined,
 };
 
-/**
- * The first crash may have any cause, and so may the second of a request that was moved from a server that ended. The
- * quarantine is renewed by a single further crash within a day.
- */
-const policy: QuarantinePolicy = {
-  strikes: 3,
-  rounds: 2,
-  durationMs: 3_600_000,
-  memoryMs: 86_400_000,
-  // Once a part is held back, nothing runs that could clear it. A widespread one may be in most prompts of a route.
-  parts: {
-    widespread: { strikes: 5, rounds: 5, firstTrialMs: 10_000, trialFactor: 3 },
-    other: { strikes: 3, rounds: 2, firstTrialMs: 60_000, trialFactor: 10 },
-  },
-  release: [],
-  block: [],
-};
 /** A request may be routed to several services; its crashes count for all of them. */
 const allServices = '*';
 const sweepIntervalMs = 60_000;
@@ -113,7 +91,7 @@
   const { channel, serverEnds, logger, random = Math.random } = options;
   const { onCrash = () => undefined, onQuarantined = () => undefined } = options;
   const { onStatusChanged = () => undefined } = options;
-  const quarantine = createQuarantine({ lifetimeMs: policy.memoryMs });
+  const quarantine = createQuarantine({ lifetimeMs: fleetQuarantinePolicy.memoryMs });
   const questionsLeft = createBoundedMap<string, number>({ maxEntries: maxRememberedRouters });
   /** Requests whose crashes or completions this router has noticed itself. */
   const noticed = createBoundedMap<string, true>({ maxEntries: maxNoticed });
@@ -125,7 +103,7 @@
   const trials = createPartTrials(channel);
   const judge = (fingerprint: string) =>
     quarantine.verdict({
-      ...{ service: allServices, fingerprint, policy },
+      ...{ service: allServices, fingerprint, policy: fleetQuarantinePolicy },
       nowMs: monotonicNowMs(),
     });
   const isQuarantined = (fingerprint: string) => judge(fingerprint).kind === 'quarantined';
@@ -145,7 +123,11 @@
     }
     if (isNowQuarantined && !wasQuarantined) {
       const servers = record?.strikes.map(({ instanceId }) => instanceId);
-      logger.warn('request quarantined', { fingerprint, servers, forMs: policy.durationMs });
+      logger.warn('request quarantined', {
+        fingerprint,
+        servers,
+        forMs: fleetQuarantinePolicy.durationMs,
+      });
       onQuarantined();
     }
     if (wasQuarantined && !isNowQuarantined) {
@@ -203,27 +185,6 @@
     }
   }
 
-  function guard({ fingerprint, partFingerprints }: RequestIdentity): RequestGuard {
-    const holder = {};
-    function heldBackByMs(one: string): number {
-      const verdict = judge(one);
-      if (verdict.kind !== 'quarantined') {
-        return 0;
-      }
-      const isTrial = verdict.isTrialDue === true && trials.take(one, holder);
-      return isTrial ? 0 : verdict.retryAfterMs;
-    }
-    return {
-      heldBackMs() {
-        if (quarantine.size() === 0) {
-          return undefined;
-        }
-        const heldBackMs = Math.max(...[fingerprint(), ...partFingerprints].map(heldBackByMs));
-        return heldBackMs > 0 ? heldBackMs : undefined;
-      },
-    };
-  }
-
   function receiveRequest(request: CrashingRequest): void {
     const { fingerprint } = request;
     const nowMs = monotonicNowMs();
@@ -253,7 +214,8 @@
   const evidence = createRunEvidence({ strike, noteSoundPart, noteCompleted, onCrash, logger });
 
   return {
-    guard,
+    guard: (identity) =>
+      createRequestGuard(identity, { isEmpty: () => quarantine.size() === 0, judge, trials }),
     observeRun: evidence.observeRun,
     noteLost(call) {
       const lostAtMs = monotonicNowMs();
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -18,7 +18,7 @@
 } from './quotaExchange';
 import { createPrefillStage } from './prefillStage';
 import { createRequestIdentity, type RequestIdentity } from './requestFingerprint';
-import type { RequestGuard } from './requestQuarantine';
+import type { RequestGuard } from './requestGuard';
 import { servePlain } from './plainRequest';
 import { createOutcomeRecorder } from './requestOutcome';
 import { createRequestState, type RequestState } from './requestState';
