--- a/packages/decisions/src/connectionShedding.ts
+++ b/packages/decisions/src/connectionShedding.ts
@@ -21,7 +21,7 @@
 const overloadedShare = 0.95;
 const recoveredShare = 0.8;
 const shareStep = 0.2;
-/** The rest tells when the router can serve more again. */
+/** The rest is served, and shows when the router can serve more again. */
 const maxClosedShare = 0.9;
 /** A burst of all callers reaches all routers alike, and closed connections would only come back. */
 const surgeFactor = 3;
--- a/packages/routing/src/connectionGuard.ts
+++ b/packages/routing/src/connectionGuard.ts
@@ -15,7 +15,7 @@
   };
 }
 
-/** Returns a function that tells the share of the time since its previous call in which the event loop was not idle. */
+/** Returns a function that returns the share of the time since its previous call in which the event loop was not idle. */
 export function createBusyMeter(): () => number {
   let last: EventLoopUtilization = performance.eventLoopUtilization();
   return () => {
--- a/packages/routing/src/partTrials.ts
+++ b/packages/routing/src/partTrials.ts
@@ -16,7 +16,7 @@
   takenAtMs: number;
 }
 
-/** A trial whose outcome is not known by then has told nothing; another request may be sent. */
+/** A trial without an outcome by then has shown nothing; another request may be sent. */
 const trialTimeoutMs = 10_000;
 const maxTrials = 256;
 
--- a/packages/routing/src/requestQuarantine.ts
+++ b/packages/routing/src/requestQuarantine.ts
@@ -158,7 +158,7 @@
     return true;
   }
 
-  /** Of the routers that know of a part's strikes, those that noticed them tell the others that they do not count. */
+  /** Only routers that have noticed strikes of the part announce that they no longer count. */
   function noteSoundPart(fingerprint: string): void {
     const clear = () => quarantine.noteSoundPart(allServices, fingerprint, monotonicNowMs());
     if (noticed.has(fingerprint) || isQuarantined(fingerprint)) {
--- a/packages/routing/src/runEvidence.ts
+++ b/packages/routing/src/runEvidence.ts
@@ -1,7 +1,7 @@
 /**
- * Decides what the runs on a server tell when it ends, and when it does not. A run suspects its request and the parts of
- * its prompt if its server ends; parts only if the engine had just begun to write on them, also where the run is
- * complete by then. Parts on which an engine has written for some time have done no harm.
+ * Derives evidence from the runs on a server, when it ends and when it does not. If it ends, the requests that it ran are
+ * suspected, and the parts of their prompts on which it had just started to write, also where the run is complete by
+ * then. Parts on which an engine has written for some time have done no harm.
  */
 import { createBoundedMap, createUnsettledRuns } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
