Let causes that share crashes by chance not free each other, nor blame the first part

Two parts and a repeated request had ended five engines within three seconds. The request had three crashes, some of them shared with each of the parts by chance; it explained those, which left the parts with two each, so they were not held, and the part that all prompts begin with had five crashes that nothing explained. It was held, and with eight crashes the first trial was due only after 270 s.

What is held now takes a suspicion away only from a record all of whose crashes it explains. To widespread parts everything explains its crashes that is suspect by itself, held or not, and the pause before a trial grows with the unexplained crashes only. The new test of verdicts failed before.

--- a/packages/decisions/__tests__/quarantineVerdicts.test.ts
+++ b/packages/decisions/__tests__/quarantineVerdicts.test.ts
@@ -87,6 +87,20 @@
   );
 });
 
+test('causes that share some crashes by chance are all held, and none of their crashes counts against other parts', (t) => {
+  // Two parts and a request ended five engines within seconds. The request explained some crashes of both parts, which
+  // were then not held, and the part that all requests share was.
+  t.deepEqual(
+    held({
+      first: { depth: 0, crashes: [1, 2, 3, 4, 5, 6, 7, 8] },
+      one: { depth: 1, crashes: [1, 3, 5] },
+      other: { depth: 1, crashes: [2, 4, 6] },
+      repeated: { crashes: [3, 4, 7] },
+    }),
+    ['one', 'other', 'repeated'],
+  );
+});
+
 test('requests do not explain the crashes of other requests', (t) => {
   // Either of them may be the cause.
   t.deepEqual(held({ one: { crashes: [1, 2, 3, 4] }, other: { crashes: [1, 2, 3] } }), [
--- a/packages/decisions/src/quarantine.ts
+++ b/packages/decisions/src/quarantine.ts
@@ -151,8 +151,7 @@
       return alone;
     }
     const { strikeCount } = alone;
-    const isCause = judgeService(service, judgeOptions).has(fingerprint);
-    return isCause ? alone : { kind: 'struck', strikeCount };
+    return judgeService(service, judgeOptions).get(fingerprint) ?? { kind: 'struck', strikeCount };
   }
 
   function judgeService(service: string, judgeOptions: JudgeOptions): JudgedTogether['verdicts'] {
--- a/packages/decisions/src/quarantineVerdicts.ts
+++ b/packages/decisions/src/quarantineVerdicts.ts
@@ -64,7 +64,10 @@
   isWidespread: (record: QuarantineRecord) => boolean;
 }
 
-/** Judges a record by itself: all its strikes count that are recent, not cleared and not explained otherwise. */
+/**
+ * Judges a record by its strikes that are recent and not cleared. If others explain all of them, it is no suspect; of a
+ * widespread part only those count that nothing else explains.
+ */
 export function judgeRecord(
   record: QuarantineRecord | undefined,
   options: JudgeOptions,
@@ -78,16 +81,18 @@
   const strikeCount = recent.length;
   const partPolicy = partPolicyOf(record, options);
   const unexplained = recent.filter(({ attemptId }) => !explainedIds.has(attemptId));
+  const counted = options.isWidespread(record) ? unexplained : recent;
   const endsAtMs = lastStrikeAtMs(recent) + policy.durationMs;
   const isReleased = endsAtMs <= nowMs || policy.release.includes(record.fingerprint);
-  if (!isSuspect(unexplained, partPolicy ?? policy) || isReleased) {
+  const isExplained = unexplained.length === 0;
+  if (isExplained || !isSuspect(counted, partPolicy ?? policy) || isReleased) {
     return { kind: 'struck', strikeCount };
   }
   const held = { kind: 'quarantined' as const, strikeCount, retryAfterMs: endsAtMs - nowMs };
   if (partPolicy === undefined) {
     return held;
   }
-  const trial = planTrial(recent, partPolicy, nowMs);
+  const trial = planTrial(counted, partPolicy, nowMs);
   return { ...held, ...trial, retryAfterMs: Math.min(held.retryAfterMs, trial.retryAfterMs) };
 }
 
@@ -116,43 +121,51 @@
 /**
  * Judges records together, and returns the verdicts of those in quarantine by fingerprint. Those with most strikes are
  * judged first, and of equal ones the part at the greatest position, which fewer requests have. What is in quarantine
- * explains its crashes: they no longer count against others, among them the parts that most requests share. A request
- * does not explain the crashes of another request.
+ * explains its crashes to those after it. A request does not explain the crashes of another request. Widespread parts
+ * come last; whatever else is suspect by itself explains its crashes to them.
  */
 export function judgeTogether(
   records: readonly QuarantineRecord[],
   options: JudgeOptions,
 ): Map<string, QuarantineVerdict> {
-  const { policy, isWidespread } = options;
-  const ranked = records
-    .filter((record) => recentStrikes(record, options).length >= policy.strikes)
-    .map((record) => ({
-      record,
-      isWidespread: isWidespread(record),
-      count: recentStrikes(record, options).length,
-    }))
-    .sort(
-      (left, right) =>
-        Number(left.isWidespread) - Number(right.isWidespread) || byRank(left, right),
-    );
+  const candidates = records
+    .map((record) => ({ record, count: recentStrikes(record, options).length }))
+    .filter(({ count }) => count >= options.policy.strikes)
+    .sort(byRank);
+  const [widespread, others] = [true, false].map((isWidespread) =>
+    candidates.filter(({ record }) => options.isWidespread(record) === isWidespread),
+  ) as [Candidate[], Candidate[]];
+  const suspects = others.filter(({ record }) => isHeld(judgeRecord(record, options)));
+  const explainedToAll = strikeIdsOf(suspects);
   const causes: Candidate[] = [];
   const verdicts = new Map<string, QuarantineVerdict>();
-  ranked.forEach((candidate) => {
-    const explainedIds = causes
-      .filter((cause) => doesExplain(cause, candidate))
-      .flatMap(({ record }) => activeStrikes(record).map(({ attemptId }) => attemptId));
-    const verdict = judgeRecord(candidate.record, options, new Set(explainedIds));
-    if (verdict.kind === 'quarantined') {
+
+  function judge(candidate: Candidate, explainedIds: ReadonlySet<string>): void {
+    const verdict = judgeRecord(candidate.record, options, explainedIds);
+    if (isHeld(verdict)) {
       causes.push(candidate);
       verdicts.set(candidate.record.fingerprint, verdict);
     }
-  });
+  }
+
+  suspects.forEach((candidate) =>
+    judge(candidate, strikeIdsOf(causes.filter((cause) => doesExplain(cause, candidate)))),
+  );
+  widespread.forEach((candidate) => judge(candidate, explainedToAll));
   return verdicts;
 }
 
+function isHeld({ kind }: QuarantineVerdict): boolean {
+  return kind === 'quarantined';
+}
+
+function strikeIdsOf(candidates: readonly Candidate[]): ReadonlySet<string> {
+  const strikes = candidates.flatMap(({ record }) => activeStrikes(record));
+  return new Set(strikes.map(({ attemptId }) => attemptId));
+}
+
 interface Candidate {
   record: QuarantineRecord;
-  isWidespread: boolean;
   /** Strikes that count. */
   count: number;
 }
@@ -167,7 +180,7 @@
 
 function doesExplain(cause: Candidate, other: Candidate): boolean {
   const areRequests = cause.record.depth === undefined && other.record.depth === undefined;
-  return !areRequests && (other.isWidespread || byRank(cause, other) < 0);
+  return !areRequests && byRank(cause, other) < 0;
 }
 
 function recentStrikes(
