List the sizes of the random fleets once in the quarantine's tests

The fleets of requests and those of parts of prompts had the same table of sizes and counts, so a size added to one would be missing in the other.

--- a/packages/routing/__tests__/requestQuarantine.test.ts
+++ b/packages/routing/__tests__/requestQuarantine.test.ts
@@ -15,6 +15,14 @@
 const hourMs = 3_600_000;
 const request = 'a request that crashes servers';
 
+/** Numbers of routers, and how many random fleets of each are played. */
+const fleetSizes = [
+  { count: 4, fleets: 60 },
+  { count: 24, fleets: 40 },
+  { count: 68, fleets: 10 },
+  { count: 359, fleets: 2 },
+];
+
 type Check = (fleet: QuarantineFleet, clock: Clock) => Promise<void>;
 
 async function withFleet(
@@ -235,12 +243,7 @@
   await withFleet(count, check, { network: { delaysMs }, seed });
 }
 
-[
-  { count: 4, fleets: 60 },
-  { count: 24, fleets: 40 },
-  { count: 68, fleets: 10 },
-  { count: 359, fleets: 2 },
-].forEach(({ count, fleets }) => {
+fleetSizes.forEach(({ count, fleets }) => {
   test.serial(
     `all of ${count} routers hold the request back within the bound of contact`,
     async (t) => {
@@ -314,12 +317,7 @@
   await withFleet(count, check, { network: { delaysMs }, seed });
 }
 
-[
-  { count: 4, fleets: 60 },
-  { count: 24, fleets: 40 },
-  { count: 68, fleets: 10 },
-  { count: 359, fleets: 2 },
-].forEach(({ count, fleets }) => {
+fleetSizes.forEach(({ count, fleets }) => {
   test.serial(
     `all of ${count} routers hold a part of prompts back within the bound of contact, and none the part before it`,
     async (t) => {
