Review: an entry with deeply nested lists ends the routers that relay changes

Cause: in a fleet of nine routers or more the relays encode each changed entry of the store as it is. JSON.stringify throws on lists nested some thousands deep, which JSON.parse has read, in a loop that nothing guards.

--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -18,6 +18,8 @@
 const adminPort = 9_464;
 const readyTimeoutMs = 20_000;
 const readyPollMs = 100;
+/** The platform restarts a process that has ended after a short delay. */
+const restartDelayMs = 300;
 
 /** Bounds of the site hvst-bonds. */
 export const bounds = {
@@ -50,11 +52,8 @@
 }
 
 /** Starts an empty deployment; `close` ends every process that it has started. */
-export async function startDeployment({ directory, isTroubled }) {
-  const { startStandinStore } = await import(
-    join(repositoryRoot, 'target', 'review', 'standins.mjs')
-  );
-  const store = await startStandinStore();
+export async function startDeployment({ directory, isTroubled, startStore, siteBounds = {} }) {
+  const store = await (startStore ?? startProjectStore)();
   const folder = mkdtempSync(join(tmpdir(), 'review-'));
   const children = new Set();
   const startedAtMs = performance.now();
@@ -83,7 +82,7 @@
   async function startRouters(count) {
     const ips = Array.from({ length: count }, nextHost);
     const routers = ips.map((ip, index) =>
-      startRouter({ ip, ips, index, store, folder, track, note }),
+      startRouter({ ip, ips, index, store, folder, track, note, siteBounds }),
     );
     const results = await Promise.all(routers.map(({ whenReady }) => whenReady()));
     if (results.includes(false)) {
@@ -166,13 +165,20 @@
   return { store, folder, note, nowMs, nextHost, startRouters, startWorker, configure, close };
 }
 
+/** The store of the project's own stand-ins, as built by `build.sh`. */
+async function startProjectStore() {
+  const path = join(repositoryRoot, 'target', 'review', 'standins.mjs');
+  const { startStandinStore } = await import(path);
+  return startStandinStore();
+}
+
 /** Runs a case: exits with 1 if `run` resolves to true, which means that the rule was broken. */
-export async function runCase(directory, run) {
+export async function runCase(directory, run, options = {}) {
   const isTroubled = process.env.TROUBLE !== '0';
   let code = exitCodes.couldNotRun;
   let deployment;
   try {
-    deployment = await startDeployment({ directory, isTroubled });
+    deployment = await startDeployment({ directory, isTroubled, ...options });
     const isBroken = await run(deployment, isTroubled);
     code = isBroken ? exitCodes.broken : exitCodes.held;
   } catch (error) {
@@ -182,7 +188,7 @@
   process.exit(code);
 }
 
-function startRouter({ ip, ips, index, store, folder, track, note }) {
+function startRouter({ ip, ips, index, store, folder, track, note, siteBounds }) {
   const name = `front-${index + 1}`;
   const settingsPath = join(folder, `${name}.json`);
   const logPath = join(folder, `${name}.log`);
@@ -222,7 +228,7 @@
       'platform',
     ]),
     fault_tolerance: { machines: 2, zones: 0, regions: 0 },
-    bounds,
+    bounds: { ...bounds, ...siteBounds },
     provider: {
       address: store.address,
       form: 'objects',
@@ -235,25 +241,37 @@
   };
   writeFileSync(settingsPath, JSON.stringify(settings));
   const [program, ...args] = runCommand();
-  const log = openSync(logPath, 'a');
-  const child = track(
-    spawn(program, args, {
-      cwd: repositoryRoot,
-      env: {
-        PATH: process.env.PATH,
-        HOME: process.env.HOME,
-        LANG: process.env.LANG,
-        BLUEBELLHITCH_NODE_FILE: settingsPath,
-      },
-      stdio: ['ignore', log, log],
-    }),
-  );
-  closeSync(log);
-  const router = { name, ip, address: address(ports.front), child, isRunning: true };
-  child.once('exit', (code, signal) => {
-    router.isRunning = false;
-    note(`router ${name} ended: ${signal ?? `exit code ${code}`}`);
-  });
+  const router = { name, ip, address: address(ports.front), ends: 0, isRestarted: false };
+
+  function startProcess() {
+    const log = openSync(logPath, 'a');
+    const child = track(
+      spawn(program, args, {
+        cwd: repositoryRoot,
+        env: {
+          PATH: process.env.PATH,
+          HOME: process.env.HOME,
+          LANG: process.env.LANG,
+          BLUEBELLHITCH_NODE_FILE: settingsPath,
+        },
+        stdio: ['ignore', log, log],
+      }),
+    );
+    closeSync(log);
+    Object.assign(router, { child, isRunning: true });
+    child.once('exit', (code, signal) => {
+      router.isRunning = false;
+      router.ends += 1;
+      note(`router ${name} ended: ${signal ?? `exit code ${code}`}`);
+      // As the platform does; not after `close`, which kills.
+      if (router.isRestarted && signal !== 'SIGKILL') {
+        writeFileSync(settingsPath, JSON.stringify({ ...settings, bootstrap: false }));
+        setTimeout(startProcess, restartDelayMs);
+      }
+    });
+  }
+
+  startProcess();
   router.readLog = () => readFileSync(logPath, 'utf8');
   router.whenReady = async () => {
     const endsAtMs = performance.now() + readyTimeoutMs;
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -143,6 +143,7 @@
 }
 
 function runPlain(request, response) {
+  tell({ kind: 'began', requestId: requestIdOf(request) });
   setTimeout(() => {
     const { headers, isUnframed } = begin(request, response);
     const body = `answer to ${requestIdOf(request)}`.padEnd(800, '.');
