--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,131 +1,129 @@
 /**
- * Requests that crash the engines that run them come for a while: some with one part in their prompts, and nine that come
- * again. Sound streams of the route, which share the first part of their prompts with them, must go on being served.
+ * Two software versions of the engines serve side by side while all routers are killed at one moment and come back.
+ * Clients take up their streams again that broke. They must go on about as often as new streams begin.
  */
 import { configurationOf, delay, runCase, send } from '../lib/harness.mjs';
 
-const decodeCount = 5;
-const routerCount = 5;
-const soundPerSecond = 7.28;
-/** Each of these requests comes again this often, and so do new ones with the part. */
-const deadlyRequests = 9;
-const comesAgainMs = 2_000;
-const deadlyPart = 'bad0cafe';
-const baselineMs = 12_000;
-const deadlyMs = 40_000;
-/** An engine that has crashed is back after this time, as another. */
-const downMs = 4_000;
-/** Three heartbeats of silence. */
-const entryLifetimeMs = 3_600;
+const routerCount = 4;
+const versions = ['v1', 'v2'];
+const decodersPerVersion = 3;
+const eventCount = 69;
+const eventGapMs = 60;
+const streamsPerSecond = 12.7;
+const baselineMs = 9_000;
+const afterMs = 12_000;
+/** A client takes its stream up again this long after it broke, and once more as a refusal tells it. */
+const takeUpMs = 4_000;
 const contactMs = 3_000;
-const minRequests = 20;
+const minTakenUp = 12;
 const deadlineMs = 14_000;
-const firstPart = '5c1e07a2:200';
+const msPerSecond = 1_000;
+
+/** Number of the last whole event. */
+function lastEventOf(body) {
+  return [...body.matchAll(/^id: (\d+)\n.*\n\n/gm)].reduce(
+    (last, [, number]) => Math.max(last, Number(number)),
+    0,
+  );
+}
 
 await runCase(import.meta.dirname, async (deployment, isTroubled) => {
-  const { configure, startRouters, startWorker, store, note, nowMs } = deployment;
+  const { configure, startRouters, startWorker, note, nowMs } = deployment;
   configure(configurationOf(1));
-  const crashes = [];
+  const engine = { service: 'draft-models', slots: 64, eventCount, eventGapMs };
+  for (const version of versions) {
+    await startWorker({ ...engine, version, id: `i-p-${version}`, stage: 'prefill' });
+    for (let number = 1; number <= decodersPerVersion; number += 1) {
+      await startWorker({ ...engine, version, id: `i-d${number}-${version}`, stage: 'decode' });
+    }
+  }
+  const routers = await startRouters(routerCount);
+  await delay(4_000);
+
+  let backAtMs = 0;
   let isOver = false;
-  let started = 0;
-  const engine = {
-    ...{ service: 'draft-models', slots: 64, kvTokens: 68_017, eventCount: 69, eventGapMs: 4 },
-    ...{ deadlyPart, deadlyBody: 'deadly' },
-  };
+  const begun = [];
+  const takenUp = [];
+  const isInTouch = (atMs) => atMs < backAtMs - contactMs || atMs >= backAtMs + contactMs;
 
-  async function startDecoder() {
-    started += 1;
-    const worker = await startWorker({ ...engine, id: `i-d${started}`, stage: 'decode' });
-    worker.onMessage = ({ kind, cause }) =>
-      kind === 'crashed' && crashes.push({ atMs: nowMs(), cause });
-    worker.child.once('exit', () => {
-      setTimeout(() => store.remove('servers', worker.id), entryLifetimeMs);
-      setTimeout(() => !isOver && startDecoder(), downMs);
+  function sendStream(number, sendNumber, untilMs, headers = {}) {
+    return send(routers[sendNumber % routerCount], {
+      path: `/summary/${number}`,
+      headers: {
+        'bluebellhitch-model': 'm',
+        'bluebellhitch-token-count': `400,${eventCount}`,
+        'bluebellhitch-prompt-prefix': `5c1e07a2:200,${number.toString(16)}:200`,
+        ...headers,
+      },
+      body: `body of ${number}`,
+      deadlineMs: Math.max(1, Math.round(untilMs - nowMs())),
     });
   }
 
-  await startWorker({ ...engine, id: 'i-p1', stage: 'prefill' });
-  await Promise.all(Array.from({ length: decodeCount }, startDecoder));
-  const routers = await startRouters(routerCount);
-  await delay(2_000);
+  /** Takes up the stream and, if the router refuses, once more after the time that it states. */
+  async function takeUp(number, first, untilMs) {
+    const headers = { 'last-event-id': String(lastEventOf(first.body)), resumes: first.id };
+    const tries = [];
+    let pauseMs = takeUpMs;
+    while (tries.length < 2 && pauseMs !== undefined) {
+      await delay(pauseMs);
+      const atMs = nowMs();
+      const answer = await sendStream(number, number + tries.length + 1, untilMs, headers);
+      const { status, isComplete, error } = answer;
+      tries.push({ atMs, status: status ?? error, goesOn: status === 200 && isComplete });
+      const retryAfter = Number(answer.headers?.['retry-after']);
+      pauseMs = status === 503 && retryAfter > 0 ? retryAfter * msPerSecond : undefined;
+    }
+    takenUp.push({ id: first.id, tries });
+  }
 
-  let count = 0;
-  function sendStream(path, parts, body) {
-    count += 1;
-    const headers = {
-      'bluebellhitch-model': 'm',
-      'bluebellhitch-token-count': '1000,69',
-      'bluebellhitch-prompt-prefix': [firstPart, ...parts].join(','),
-    };
-    return send(routers[count % routerCount], { path, headers, body, deadlineMs });
+  async function runClient(number) {
+    const atMs = nowMs();
+    const untilMs = atMs + deadlineMs;
+    const answer = await sendStream(number, number, untilMs);
+    const { status, isComplete } = answer;
+    begun.push({ atMs, begins: status === 200 });
+    if (status === 200 && !isComplete) {
+      await takeUp(number, answer, untilMs);
+    }
   }
 
-  const sound = [];
-  const inProgress = [];
+  const clients = [];
   const traffic = setInterval(() => {
-    const number = sound.length;
-    const request = { atMs: nowMs(), status: undefined };
-    sound.push(request);
-    inProgress.push(
-      sendStream(`/notice/${number}`, [`${number.toString(16)}:800`], `sound ${number}`).then(
-        (answer) => Object.assign(request, answer),
-      ),
-    );
-  }, 1_000 / soundPerSecond);
+    if (!isOver) {
+      clients.push(runClient(clients.length + 1));
+    }
+  }, msPerSecond / streamsPerSecond);
   await delay(baselineMs);
-
-  const deadlyFromMs = nowMs();
-  let deadlyTimers = [];
   if (isTroubled) {
-    note('requests that crash engines begin to come');
-    let partNumber = 0;
-    const sendWithPart = () => {
-      partNumber += 1;
-      const parts = [`${deadlyPart}:100`, `${(partNumber + 0xa0000).toString(16)}:700`];
-      void sendStream(`/notice/p${partNumber}`, parts, `with the part ${partNumber}`);
-    };
-    const sendAgain = Array.from({ length: deadlyRequests }, (_none, number) => () => {
-      void sendStream(`/notice/d${number}`, [`dd${number}:800`], `deadly ${number}`);
-    });
-    const senders = [sendWithPart, ...sendAgain];
-    deadlyTimers = await Promise.all(
-      senders.map(async (sendOne, index) => {
-        await delay((index * comesAgainMs) / senders.length);
-        sendOne();
-        return setInterval(sendOne, comesAgainMs);
-      }),
-    );
+    note('all routers are killed');
+    routers.forEach(({ child }) => child.kill('SIGKILL'));
+    await Promise.all(routers.map(({ restart }) => restart()));
+    backAtMs = nowMs();
+    note('all routers are ready again');
   }
-  await delay(deadlyMs);
-  const deadlyToMs = nowMs();
-  deadlyTimers.forEach(clearInterval);
-  clearInterval(traffic);
-  note('requests that crash engines come no more');
-  await Promise.all(inProgress);
+  await delay(afterMs);
   isOver = true;
+  clearInterval(traffic);
+  await Promise.all(clients);
 
-  const byPart = crashes.filter(({ cause }) => cause === 'part');
-  const decisive = byPart[Math.min(4, byPart.length - 1)]?.atMs ?? deadlyFromMs;
-  const fromMs = decisive + 2 * contactMs;
-  const judged = {
-    before: sound.filter(({ atMs }) => atMs < deadlyFromMs),
-    while: sound.filter(({ atMs }) => atMs >= fromMs && atMs < deadlyToMs),
-  };
-  const shareOf = (requests) =>
-    requests.filter(({ status }) => status === 200).length / requests.length;
-  Object.entries(judged).forEach(([when, requests]) => {
-    const statuses = {};
-    requests.forEach(({ status, error }) => {
-      statuses[status ?? error] = (statuses[status ?? error] ?? 0) + 1;
-    });
-    note(`sound requests ${when}: ${requests.length}, ${JSON.stringify(statuses)}`);
-  });
-  const causes = `${byPart.length} by the part, ${crashes.length - byPart.length} by requests`;
-  note(`engines crashed: ${causes}; judged from ${fromMs} ms to ${deadlyToMs} ms`);
-  const [before, during] = [shareOf(judged.before), shareOf(judged.while)];
-  note(`share that begins at the first attempt: ${before.toFixed(3)}, then ${during.toFixed(3)}`);
-  if (judged.before.length < minRequests || judged.while.length < minRequests || before < 0.5) {
-    throw new Error('too few sound requests');
+  const judged = takenUp
+    .map(({ id, tries }) => ({ id, tries: tries.filter(({ atMs }) => isInTouch(atMs)) }))
+    .filter(({ tries }) => tries.length > 0);
+  judged.forEach(({ id, tries }) =>
+    note(`stream ${id}, taken up in touch: ${tries.map(({ status }) => status).join(', ')}`),
+  );
+  const wentOn = judged.filter(({ tries }) => tries.some(({ goesOn }) => goesOn)).length;
+  const fresh = begun.filter(({ atMs }) => isInTouch(atMs));
+  const freshShare = fresh.filter(({ begins }) => begins).length / fresh.length;
+  note(
+    `new streams at routers in touch: ${fresh.length}, share that begins ${freshShare.toFixed(3)}`,
+  );
+  note(
+    `streams taken up: ${takenUp.length}; at routers in touch ${judged.length}, went on ${wentOn}`,
+  );
+  if (freshShare < 0.5 || (isTroubled && judged.length < minTakenUp)) {
+    throw new Error('too little was served, or too few streams were taken up');
   }
-  return during < before / 2;
+  return judged.length >= minTakenUp && wentOn / judged.length < freshShare / 2;
 });
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -52,8 +52,8 @@
 }
 
 /** Starts an empty deployment; `close` ends every process that it has started. */
-export async function startDeployment({ directory, isTroubled, startStore, siteBounds = {} }) {
-  const store = await (startStore ?? startProjectStore)();
+export async function startDeployment({ directory, isTroubled }) {
+  const store = await startProjectStore();
   const folder = mkdtempSync(join(tmpdir(), 'review-'));
   const children = new Set();
   const startedAtMs = performance.now();
@@ -82,7 +82,7 @@
   async function startRouters(count) {
     const ips = Array.from({ length: count }, nextHost);
     const routers = ips.map((ip, index) =>
-      startRouter({ ip, ips, index, store, folder, track, note, siteBounds }),
+      startRouter({ ip, ips, index, store, folder, track, note }),
     );
     const results = await Promise.all(routers.map(({ whenReady }) => whenReady()));
     if (results.includes(false)) {
@@ -126,7 +126,7 @@
         service: options.service,
         address,
         zone: options.zone ?? 'tacoma-hall',
-        version: '1',
+        version: options.version ?? '1',
         slots: options.slots,
         state,
         stage: options.stage,
@@ -173,12 +173,12 @@
 }
 
 /** Runs a case: exits with 1 if `run` resolves to true, which means that the rule was broken. */
-export async function runCase(directory, run, options = {}) {
+export async function runCase(directory, run) {
   const isTroubled = process.env.TROUBLE !== '0';
   let code = exitCodes.couldNotRun;
   let deployment;
   try {
-    deployment = await startDeployment({ directory, isTroubled, ...options });
+    deployment = await startDeployment({ directory, isTroubled });
     const isBroken = await run(deployment, isTroubled);
     code = isBroken ? exitCodes.broken : exitCodes.held;
   } catch (error) {
@@ -188,7 +188,7 @@
   process.exit(code);
 }
 
-function startRouter({ ip, ips, index, store, folder, track, note, siteBounds }) {
+function startRouter({ ip, ips, index, store, folder, track, note }) {
   const name = `front-${index + 1}`;
   const settingsPath = join(folder, `${name}.json`);
   const logPath = join(folder, `${name}.log`);
@@ -228,7 +228,7 @@
       'platform',
     ]),
     fault_tolerance: { machines: 2, zones: 0, regions: 0 },
-    bounds: { ...bounds, ...siteBounds },
+    bounds,
     provider: {
       address: store.address,
       form: 'objects',
@@ -241,7 +241,7 @@
   };
   writeFileSync(settingsPath, JSON.stringify(settings));
   const [program, ...args] = runCommand();
-  const router = { name, ip, address: address(ports.front), ends: 0, isRestarted: false };
+  const router = { name, ip, address: address(ports.front), isRunning: false };
 
   function startProcess() {
     const log = openSync(logPath, 'a');
@@ -261,17 +261,24 @@
     Object.assign(router, { child, isRunning: true });
     child.once('exit', (code, signal) => {
       router.isRunning = false;
-      router.ends += 1;
       note(`router ${name} ended: ${signal ?? `exit code ${code}`}`);
-      // As the platform does; not after `close`, which kills.
-      if (router.isRestarted && signal !== 'SIGKILL') {
-        writeFileSync(settingsPath, JSON.stringify({ ...settings, bootstrap: false }));
-        setTimeout(startProcess, restartDelayMs);
-      }
     });
   }
 
   startProcess();
+  /** Starts the process again a short delay after its end, and resolves once it is ready. */
+  router.restart = async () => {
+    const { child } = router;
+    if (router.isRunning) {
+      await new Promise((resolve) => {
+        child.once('exit', resolve);
+      });
+    }
+    await delay(restartDelayMs);
+    writeFileSync(settingsPath, JSON.stringify({ ...settings, bootstrap: false }));
+    startProcess();
+    return router.whenReady();
+  };
   router.readLog = () => readFileSync(logPath, 'utf8');
   router.whenReady = async () => {
     const endsAtMs = performance.now() + readyTimeoutMs;
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -2,7 +2,7 @@
  * A small worker of the platform, as a process of its own: an engine (`stage` given) or a plain one. It behaves as the
  * pages say. The parent process registers it in the store, tells it when its answers have no length, and ends it.
  */
-import { createServer, STATUS_CODES } from 'node:http';
+import { createServer } from 'node:http';
 
 const options = JSON.parse(process.argv[2]);
 const {
@@ -22,11 +22,6 @@
 let leavesAtMs;
 /** Every so many answers has no length; 0 for none. */
 let unframedEvery = 0;
-/** Every so many answers is followed by a second copy of itself, where the next answer is expected; 0 for none. */
-let extraEvery = 0;
-let jsonCount = 0;
-/** Copies that are still to be sent, by connection. */
-const lateCopies = new WeakMap();
 let answerCount = 0;
 let lastNumber = 0;
 let orderCount = 0;
@@ -41,27 +36,9 @@
 
 function json(response, status, value, headers = {}) {
   const body = JSON.stringify(value);
-  const allHeaders = { 'content-type': 'application/json', ...headers };
-  response.writeHead(status, { ...allHeaders, 'content-length': body.length });
+  const type = { 'content-type': 'application/json', 'content-length': body.length };
+  response.writeHead(status, { ...type, ...headers });
   response.end(body);
-  jsonCount += 1;
-  if (extraEvery > 0 && jsonCount % extraEvery === 0) {
-    const lines = Object.entries(allHeaders).map(([name, text]) => `${name}: ${text}\r\n`);
-    const head = `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n${lines.join('')}`;
-    const copy = `${head}content-length: ${body.length}\r\n\r\n${body}`;
-    lateCopies.set(response.socket, { copy, of: `${response.req.method} ${response.req.url}` });
-  }
-}
-
-/** A second copy of the last answer arrives where the answer to this request is expected. */
-function sendLateCopy({ method, url, socket, headers }) {
-  const late = lateCopies.get(socket);
-  if (late !== undefined) {
-    lateCopies.delete(socket);
-    socket.write(late.copy);
-    const what = `${method} ${headers['bluebellhitch-stage'] ?? ''} ${url}`;
-    tell({ kind: 'extra', text: `second answer to ${late.of} sent before the one to ${what}` });
-  }
 }
 
 const requestIdOf = ({ headers }) => headers['bluebellhitch-request-id'];
@@ -243,7 +220,6 @@
 
 const server = createServer({ keepAliveTimeout: 15_000 }, (request, response) => {
   const chunks = [];
-  sendLateCopy(request);
   request.on('data', (chunk) => chunks.push(chunk));
   request.on('end', () => serve(request, Buffer.concat(chunks).toString(), response));
 });
@@ -254,9 +230,6 @@
     case 'unframed':
       unframedEvery = message.every;
       break;
-    case 'extra':
-      extraEvery = message.every;
-      break;
     case 'leave':
       isDraining = true;
       leavesAtMs = Date.now() + message.inMs;
