--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -5,7 +5,7 @@
  */
 import { fork, spawn } from 'node:child_process';
 import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
-import { Agent, request as httpRequest } from 'node:http';
+import { request as httpRequest } from 'node:http';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -67,6 +67,8 @@
     record.push({ atMs: nowMs(), text });
   }
 
+  noteExchange = note;
+
   function nextHost() {
     lastHost += 1;
     return `${prefix}.${lastHost}`;
@@ -335,30 +337,39 @@
 }
 
 let requestCount = 0;
+/** Writes what clients send and get into the record of the deployment. */
+let noteExchange = () => undefined;
 
 /**
  * Sends one request as a client and resolves with what the client has seen. `isComplete`: the response ended as its
  * framing says.
  */
-export function send(
-  router,
-  { path, method = 'POST', headers = {}, body = '', deadlineMs, agent },
-) {
+export function send(router, { path, method = 'POST', headers = {}, body = '', deadlineMs }) {
   requestCount += 1;
   const id = `${process.pid.toString(16)}${requestCount.toString(16).padStart(8, '0')}`;
   const [host, port] = router.address.split(':');
   return new Promise((resolve) => {
     const chunks = [];
     const outcome = { id, isComplete: false };
-    const end = (more) =>
-      resolve(Object.assign(outcome, { body: Buffer.concat(chunks).toString() }, more));
+    const end = (more) => {
+      Object.assign(outcome, { body: Buffer.concat(chunks).toString() }, more);
+      const { status, error, isComplete } = outcome;
+      const how = isComplete ? 'complete' : 'not complete';
+      noteExchange(
+        `client gets ${status ?? error} for ${id}, ${outcome.body.length} bytes, ${how}`,
+      );
+      resolve(outcome);
+    };
+    const after = headers['last-event-id'];
+    const from = after === undefined ? '' : ` after event ${after}`;
+    noteExchange(`client sends ${id} to ${router.name}: ${method} ${path}${from}`);
     const outgoing = httpRequest(
       {
         host,
         port,
         path,
         method,
-        agent: agent ?? false,
+        agent: false,
         headers: {
           host: clientHost,
           'bluebellhitch-request-id': id,
@@ -379,10 +390,6 @@
   });
 }
 
-export function keepAliveAgent(maxSockets) {
-  return new Agent({ keepAlive: true, maxSockets });
-}
-
 /** A configuration with one service of engines and one plain service, like those of the site hvst-bonds. */
 export function configurationOf(version, { maxConnections = 360 } = {}) {
   const stream = {
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -120,7 +120,7 @@
   const { isUnframed, headers } = begin(request, response);
   const run = { requestId, tokens: promptTokensOf(request), events: 0, isUnframed };
   runs.set(requestId, run);
-  tell({ kind: 'began', requestId });
+  tell({ kind: 'began', requestId, text: `runs ${requestId}` });
   let event = Number(request.headers['last-event-id'] ?? 0);
   response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
   const timer = setInterval(() => {
@@ -144,7 +144,8 @@
 }
 
 function runPlain(request, response) {
-  tell({ kind: 'began', requestId: requestIdOf(request) });
+  const requestId = requestIdOf(request);
+  tell({ kind: 'began', requestId, text: `runs ${requestId}` });
   setTimeout(() => {
     const { headers, isUnframed } = begin(request, response);
     const body = `answer to ${requestIdOf(request)}`.padEnd(800, '.');
