Tell when a caller's end was read, when its request was sent, and for how long nothing was read

The hypotheses of the incident could not be told apart: no line said when the caller's end was read or whether the process had been held up.

'request ended' now has callerLeftMs, lastSentMs and heldUpMs; metrics count departed callers by whether their request had been sent, the time from sending to the reading of the end, and hold-ups. The watch of hold-ups ticks ten times a second.

--- /dev/null
+++ b/packages/routing/__tests__/holdUpWatch.test.ts
@@ -0,0 +1,30 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import test from 'ava';
+import { startHoldUpWatch } from '../src/holdUpWatch';
+
+test('hold-ups are reported once, and remembered for a second', (t) => {
+  const clock = FakeTimers.install({ toFake: ['setInterval', 'clearInterval', 'performance'] });
+  t.teardown(() => clock.uninstall());
+  const reported: number[] = [];
+  const watch = startHoldUpWatch({ onHoldUp: (durationMs) => reported.push(durationMs) });
+  clock.tick(1_000);
+  t.is(watch.recentMs(), 0);
+  clock.jump(700);
+  t.deepEqual(reported, [600]);
+  t.is(watch.recentMs(), 600);
+  clock.tick(900);
+  t.is(watch.recentMs(), 600);
+  clock.tick(200);
+  t.is(watch.recentMs(), 0);
+  t.deepEqual(reported, [600]);
+  watch.stop();
+});
+
+test('a hold-up that still lasts counts from the last tick', (t) => {
+  const clock = FakeTimers.install({ toFake: ['performance'] });
+  t.teardown(() => clock.uninstall());
+  const watch = startHoldUpWatch();
+  clock.tick(400);
+  t.is(watch.recentMs(), 300);
+  watch.stop();
+});
--- a/packages/routing/src/callerApi.ts
+++ b/packages/routing/src/callerApi.ts
@@ -11,6 +11,8 @@
   readonly request: CallerRequest;
   /** Aborts if the caller disconnects before the response is complete. */
   readonly signal: AbortSignal;
+  /** How long the process had been held up shortly before it read the request, which may have lain unread as long. */
+  readonly heldUpMs?: number;
   /** Final: passes on a backend server's response unchanged. */
   respond(response: CompleteResponse): void;
   /** Final: sends a refusal of the router itself. */
--- a/packages/routing/src/callersServer.ts
+++ b/packages/routing/src/callersServer.ts
@@ -34,6 +34,8 @@
   /** Maximum size in memory of all request bodies together. */
   maxBufferedBytes: number;
   maxConnections: number;
+  /** Duration of a recent hold-up of the process, in ms. Default: there is none. */
+  recentHoldUpMs?: () => number;
   /** Asked once for each new connection; one that may not be served is closed unread. Default: all are served. */
   mayServeConnection?: () => boolean;
 }
@@ -68,7 +70,7 @@
 
 /** Starts the server; rejects if the port is in use. */
 export async function startCallersServer(options: CallersServerOptions): Promise<CallersServer> {
-  const { logger, mayServeConnection = () => true } = options;
+  const { logger, recentHoldUpMs = () => 0, mayServeConnection = () => true } = options;
   const bodyReaders = createBodyReaderPool(options.maxBufferedBytes);
   const idleListeners: (() => void)[] = [];
   let limits = initialLimits;
@@ -78,6 +80,7 @@
   async function onRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     activeCount += 1;
     outgoing.once('close', onResponseClosed);
+    const heldUpMs = recentHoldUpMs();
     const head = decode(incoming);
     if (head.isErr()) {
       refuseOverHttp(outgoing, head.error, true);
@@ -91,7 +94,8 @@
       return;
     }
     const request = { ...head.value, body: bodyRead.body };
-    await options.serve(createHttpExchange(request, outgoing, () => isDraining));
+    const exchange = createHttpExchange(request, outgoing, () => isDraining);
+    await options.serve({ ...exchange, heldUpMs });
   }
 
   function decode(incoming: IncomingMessage): Result<Omit<CallerRequest, 'body'>, Refusal> {
--- /dev/null
+++ b/packages/routing/src/holdUpWatch.ts
@@ -0,0 +1,54 @@
+/**
+ * Measures hold-ups of the process: times in which it read nothing, because it was stopped, got no processor time, or was
+ * busy with one task. What arrives meanwhile lies unread, so a request may be older than its arrival tells.
+ */
+import { monotonicNowMs } from '@bluebellhitch/shared';
+
+export interface HoldUpWatch {
+  /** Duration of the longest hold-up that lasts or has ended within the last second, in ms; 0 without one. */
+  recentMs(): number;
+  stop(): void;
+}
+
+export interface HoldUpWatchOptions {
+  /** Called once for each hold-up, when it is over. */
+  onHoldUp?: (durationMs: number) => void;
+}
+
+/** Often enough to notice hold-ups that callers notice, and rarely enough to cost an idle process nothing. */
+const tickIntervalMs = 100;
+/** Timers are late by a few milliseconds on any machine. */
+const minHoldUpMs = 50;
+/** Requests that arrived in a hold-up are read within about this time after it. */
+const memoryMs = 1_000;
+
+export function startHoldUpWatch({ onHoldUp }: HoldUpWatchOptions = {}): HoldUpWatch {
+  let tickedAtMs = monotonicNowMs();
+  let holdUps: { endedAtMs: number; durationMs: number }[] = [];
+
+  function currentMs(nowMs: number): number {
+    const durationMs = nowMs - tickedAtMs - tickIntervalMs;
+    return durationMs < minHoldUpMs ? 0 : durationMs;
+  }
+
+  const timer = setInterval(() => {
+    const nowMs = monotonicNowMs();
+    const durationMs = currentMs(nowMs);
+    tickedAtMs = nowMs;
+    holdUps = holdUps.filter(({ endedAtMs }) => nowMs - endedAtMs <= memoryMs);
+    if (durationMs > 0) {
+      holdUps.push({ endedAtMs: nowMs, durationMs });
+      onHoldUp?.(durationMs);
+    }
+  }, tickIntervalMs);
+  timer.unref();
+
+  return {
+    recentMs() {
+      const nowMs = monotonicNowMs();
+      const recent = holdUps.filter(({ endedAtMs }) => nowMs - endedAtMs <= memoryMs);
+      return Math.max(currentMs(nowMs), ...recent.map(({ durationMs }) => durationMs));
+    },
+    stop: () => clearInterval(timer),
+  };
+}
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -173,6 +173,7 @@
   health.beginAttempt(server.id, monotonicNowMs());
   const startedAtMs = monotonicNowMs();
   const availableMs = remainingMs(state);
+  state.lastSentAtMs = startedAtMs;
   const outcome = await backend.run(server, state.request, {
     remainingMs: availableMs,
     headTimeoutMs: headTimeoutMs(state, availableMs),
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -192,6 +192,7 @@
     const release = engineLoads.beginPrefill(server.id, promptTokens);
     const endPrompt = speeds.begin(server.id, { backlogTokens, promptTokens, expectedMs });
     const startedAtMs = monotonicNowMs();
+    state.lastSentAtMs = startedAtMs;
     const outcome = await backend.prefill(server, state.request, {
       remainingMs: remainingMs(state),
       timeoutMs,
--- a/packages/routing/src/requestOutcome.ts
+++ b/packages/routing/src/requestOutcome.ts
@@ -40,6 +40,14 @@
   let outcome = 'caller-left';
   let firstByteMs: number | undefined;
   let isNotRun = false;
+  let leftAtMs: number | undefined;
+  inner.signal.addEventListener('abort', () => {
+    leftAtMs = monotonicNowMs();
+  });
+
+  function sinceArrivalMs(atMs: number | undefined): number | undefined {
+    return atMs === undefined ? undefined : Math.round(atMs - arrivedAtMs);
+  }
 
   function noteFirstByte(): void {
     firstByteMs = monotonicNowMs() - arrivedAtMs;
@@ -49,6 +57,7 @@
   const exchange: CallerExchange = {
     request: inner.request,
     signal: inner.signal,
+    heldUpMs: inner.heldUpMs,
     respond(response: CompleteResponse) {
       outcome = `answered-${response.status}`;
       noteFirstByte();
@@ -87,6 +96,14 @@
     }
   }
 
+  /** A request that is sent just before its caller's end is read may have been sent after that end. */
+  function reportDeparture({ lastSentAtMs }: RequestState, atMs: number): void {
+    metrics.countDeparture(service, lastSentAtMs === undefined ? 'unsent' : 'sent');
+    if (lastSentAtMs !== undefined) {
+      metrics.observeSentBeforeDeparture(service, Math.max(0, atMs - lastSentAtMs));
+    }
+  }
+
   function report(state: RequestState, configurationVersion: number): void {
     const durationMs = monotonicNowMs() - arrivedAtMs;
     metrics.countRequest(labels, outcome);
@@ -94,6 +111,9 @@
     if (workspace !== undefined) {
       metrics.observeWorkspaceRequest(workspace.name, outcome, firstByteMs);
     }
+    if (leftAtMs !== undefined) {
+      reportDeparture(state, leftAtMs);
+    }
     if (state.softwareVersions.length > 1) {
       metrics.countMixedStream(service);
     }
@@ -110,6 +130,9 @@
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs),
       durationMs: Math.round(durationMs),
       leftMs: Math.round(state.endsAtMs - monotonicNowMs()),
+      lastSentMs: sinceArrivalMs(state.lastSentAtMs),
+      callerLeftMs: sinceArrivalMs(leftAtMs),
+      heldUpMs: Math.round(inner.heldUpMs ?? 0) || undefined,
       furtherAttempts: state.furtherAttemptCount,
       promptTokens: state.request.prompt?.promptTokens,
       ...resumptionFields(state),
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -32,6 +32,8 @@
   signal: AbortSignal;
   /** Aborts at `endsAtMs`. */
   expiry: AbortSignal;
+  /** When the request was last handed over for sending to a server, for the log and the metrics. */
+  lastSentAtMs?: number;
   /** Number of backend servers that the request has reached. */
   sentCount: number;
   /** Attempts that count against the budget of the service, for the log. */
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -2,6 +2,7 @@
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
 import type { LateCause } from '@bluebellhitch/decisions';
 import type { RenderedMetrics } from '@bluebellhitch/telemetry';
+import { createCallerMetrics, type CallerMetrics } from './callerMetrics';
 import type { RouteKind } from './model';
 
 export interface RequestLabels {
@@ -15,7 +16,7 @@
   class: string;
 }
 
-export interface RouterMetrics extends RenderedMetrics {
+export interface RouterMetrics extends RenderedMetrics, CallerMetrics {
   countRequest(labels: RequestLabels, outcome: string): void;
   observeFirstByte(labels: RequestLabels, durationMs: number): void;
   observeTotalDuration(labels: RequestLabels, durationMs: number): void;
@@ -43,8 +44,6 @@
   countCrash(): void;
   /** Counts requests that were quarantined, here or by another router. */
   countQuarantined(): void;
-  /** Counts callers' connections that were closed unread. */
-  countClosedUnread(): void;
   countPrefillTokens(tokens: number): void;
   countWastedPrefillTokens(tokens: number): void;
   countConnection(): void;
@@ -185,10 +184,6 @@
     'bluebell_request_crashes_total',
     'Backend servers that crashed while they ran a request, counted for each of their requests.',
   );
-  const closedUnread = counter(
-    'bluebell_connections_closed_unread_total',
-    'New connections of callers that were closed before anything was read, for lack of processor time.',
-  );
   const quarantined = counter(
     'bluebell_quarantined_requests_total',
     'Requests refused from then on because they crash backend servers.',
@@ -262,6 +257,7 @@
   );
 
   return {
+    ...createCallerMetrics(registry),
     contentType: registry.contentType,
     render() {
       unwrittenLines.set(droppedLines());
@@ -287,7 +283,6 @@
     countLostRun: (service, cause) => lostRuns.inc({ service, cause }),
     countCrash: () => crashes.inc(),
     countQuarantined: () => quarantined.inc(),
-    countClosedUnread: () => closedUnread.inc(),
     countPrefillTokens: (tokens) => prefillTokens.inc(tokens),
     countWastedPrefillTokens: (tokens) => wastedTokens.inc(tokens),
     countConnection: () => connections.inc(),
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -297,6 +297,7 @@
   if (prefill === undefined) {
     noteStep(state, 'prompt at decode');
   }
+  state.lastSentAtMs = startedAtMs;
   const outcome = await deps.backend.run(server, state.request, {
     remainingMs: availableMs,
     headTimeoutMs: availableMs,
