--- a/packages/soak/src/configurationPlan.ts
+++ b/packages/soak/src/configurationPlan.ts
@@ -123,7 +123,7 @@
   };
 }
 
-function streamRoute(name: string, allowsResume: boolean, priority: number): Route {
+export function streamRoute(name: string, allowsResume: boolean, priority: number): Route {
   return {
     name,
     host: callersHost,
