End requests that wait behind another one when their caller's connection ends

The runtime emits no 'close' for a response that waits behind another one, so its request went on at servers until its end, its body stayed in memory, and the process never counted as idle again, so that a stop used up its whole grace period.

The end of a caller's connection is now followed on the connection itself, for all requests on it, and known as soon as it is read; before, it was known when the socket had closed, a turn of the event loop and more later. A half-closed connection counted as left before, and does so now.

The new test hangs on the code before: 20 requests on one connection, of which 19 never end.

--- a/packages/routing/__tests__/callersServer.test.ts
+++ b/packages/routing/__tests__/callersServer.test.ts
@@ -5,6 +5,7 @@
   startCallersServer,
   type CallerExchange,
   type CallersServer,
+  type CallersServerOptions,
   type DecodeHead,
 } from '@bluebellhitch/routing';
 import { createLogger } from '@bluebellhitch/telemetry';
@@ -25,7 +26,7 @@
 async function startServer(
   t: ExecutionContext,
   serve: (exchange: CallerExchange) => void,
-  mayServeConnection?: () => boolean,
+  overrides: Partial<CallersServerOptions> = {},
 ): Promise<CallersServer> {
   const server = await startCallersServer({
     host: '127.0.0.1',
@@ -35,7 +36,7 @@
     logger: createLogger({ binary: 'test', instanceId: 't', write: () => undefined }),
     maxBufferedBytes: 1_000_000,
     maxConnections: 100,
-    mayServeConnection,
+    ...overrides,
   });
   t.teardown(() => {
     server.stopAccepting();
@@ -113,6 +114,32 @@
   t.pass();
 });
 
+test('requests behind another one on their connection end with it', async (t) => {
+  // The runtime reports no end of a response that waits behind another one: its request went on, and the process never
+  // counted as idle again.
+  const signals: AbortSignal[] = [];
+  const server = await startServer(t, ({ signal }) => signals.push(signal));
+  const { socket } = openConnection(t, server.port);
+  socket.write(request.repeat(20));
+  await until(() => signals.length === 20);
+  t.is(server.activeCount(), 20);
+  socket.destroy();
+  await until(() => signals.every(({ aborted }) => aborted));
+  await server.whenIdle();
+  t.is(server.activeCount(), 0);
+});
+
+test('the signal aborts when the caller ends its sending side', async (t) => {
+  const signals: AbortSignal[] = [];
+  const server = await startServer(t, ({ signal }) => signals.push(signal));
+  const { socket } = openConnection(t, server.port);
+  socket.write(request);
+  await until(() => signals.length === 1);
+  socket.end();
+  await until(() => signals[0]?.aborted === true);
+  t.pass();
+});
+
 test('an aborted response does not look complete', async (t) => {
   const server = await startServer(t, (exchange) => {
     const writer = exchange.startResponse(200, []);
@@ -161,7 +188,7 @@
       servedCount += 1;
       respond({ status: 200, headers: [], body: Buffer.from('ok') });
     },
-    () => mayServe,
+    { mayServeConnection: () => mayServe },
   );
   const kept = openConnection(t, server.port);
   kept.socket.write(request);
--- a/packages/routing/src/callersServer.ts
+++ b/packages/routing/src/callersServer.ts
@@ -8,6 +8,7 @@
 import { monotonicNowMs, watchSlowSenders } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import type { CallerExchange } from './callerApi';
+import { createCallerConnections, type CallerConnection } from './callerConnection';
 import { createHttpExchange, refuseOverHttp } from './httpExchange';
 import { notRunReasons, type CallerLimits, type CallerRequest, type Refusal } from './model';
 import { createBodyReaderPool, type RequestBodyOutcome } from './requestBody';
@@ -71,6 +72,7 @@
 /** Starts the server; rejects if the port is in use. */
 export async function startCallersServer(options: CallersServerOptions): Promise<CallersServer> {
   const { logger, recentHoldUpMs = () => 0, mayServeConnection = () => true } = options;
+  const connections = createCallerConnections();
   const bodyReaders = createBodyReaderPool(options.maxBufferedBytes);
   const idleListeners: (() => void)[] = [];
   let limits = initialLimits;
@@ -78,23 +80,27 @@
   let isDraining = false;
 
   async function onRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-    activeCount += 1;
-    outgoing.once('close', onResponseClosed);
+    const connection = connections.of(incoming.socket);
     const heldUpMs = recentHoldUpMs();
+    activeCount += 1;
+    onceOver(outgoing, connection, onResponseOver);
     const head = decode(incoming);
     if (head.isErr()) {
       refuseOverHttp(outgoing, head.error, true);
       return;
     }
     const { done, release } = bodyReaders.read(incoming, limits.maxBodyBytes);
-    outgoing.once('close', release);
+    onceOver(outgoing, connection, release);
     const bodyRead = await done;
     if (bodyRead.kind !== 'whole') {
       refuseBody(outgoing, bodyRead);
       return;
     }
     const request = { ...head.value, body: bodyRead.body };
-    const exchange = createHttpExchange(request, outgoing, () => isDraining);
+    const exchange = createHttpExchange(request, outgoing, {
+      connection,
+      isDraining: () => isDraining,
+    });
     await options.serve({ ...exchange, heldUpMs });
   }
 
@@ -109,7 +115,7 @@
     return size.andThen(() => options.decodeHead({ method, target, rawHeaders, arrivedAtMs }));
   }
 
-  function onResponseClosed(): void {
+  function onResponseOver(): void {
     activeCount -= 1;
     if (activeCount === 0) {
       idleListeners.splice(0).forEach((notify) => notify());
@@ -137,6 +143,7 @@
     if (!mayServeConnection()) {
       socket.destroy();
     }
+    connections.add(socket);
   });
   function onCallerError(error: NodeJS.ErrnoException, socket: Socket): void {
     logger.info('could not parse request', { code: error.code });
@@ -175,6 +182,24 @@
   };
 }
 
+/**
+ * Calls the listener once the response is over. One that waits behind another response on its connection does not
+ * emit `close` if the connection ends first.
+ */
+function onceOver(
+  outgoing: ServerResponse,
+  connection: CallerConnection,
+  listener: () => void,
+): void {
+  const finish = () => {
+    stop();
+    outgoing.off('close', finish);
+    listener();
+  };
+  const stop = connection.onClosed(finish);
+  outgoing.once('close', finish);
+}
+
 function refuseBody(
   outgoing: ServerResponse,
   read: Exclude<RequestBodyOutcome, { kind: 'whole' }>,
--- a/packages/routing/src/httpExchange.ts
+++ b/packages/routing/src/httpExchange.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import { assertNever } from '@bluebellhitch/shared';
 import type { ResponseWriter, CallerExchange } from './callerApi';
+import type { CallerConnection } from './callerConnection';
 import { notRunReasons, type CallerRequest, type Refusal } from './model';
 
 interface RefusalResponse {
@@ -15,16 +16,26 @@
 /** Headers that describe the transfer from the backend server to the router; the response to the caller has its own. */
 const framingNames: readonly string[] = ['content-length', 'transfer-encoding'];
 
+export interface HttpExchangeOptions {
+  connection: CallerConnection;
+  isDraining: () => boolean;
+}
+
 export function createHttpExchange(
   request: CallerRequest,
   outgoing: ServerResponse,
-  isDraining: () => boolean,
+  { connection, isDraining }: HttpExchangeOptions,
 ): CallerExchange {
   const disconnection = new AbortController();
-  outgoing.once('close', () => {
+  const abortUnfinished = () => {
     if (!outgoing.writableFinished) {
       disconnection.abort();
     }
+  };
+  const stopWatching = connection.onEnded(abortUnfinished);
+  outgoing.once('close', () => {
+    stopWatching();
+    abortUnfinished();
   });
 
   // A head that was sent before the drain began announced a keep-alive connection. The caller's next request on it
