Send requests only once what had arrived with them has been read

What callers saw: a router that had been stopped, or had less processor time than work, sent requests to servers whose callers had long left, and those that were still there waited behind them.

Cause: such a process finds a request and the end of its connection in the kernel together. The runtime delivers the data first, and everything up to the write on a kept connection to a server happens within that one read; the end is read a turn of the event loop later. The same order holds after a stop for timers that became due meanwhile, which run before anything is read: a second attempt was sent for callers that had left. The class: a process that was held up acts on what it knew before it reads what has already arrived.

Change: a read barrier. One pass of the event loop through its poll phase reads all that has arrived; it is shared by all that wait for it. A request is served after a pass that has begun after it was read, and dropped unserved if its caller has left by then. Servers' notices are asked for after the wait.

Tried and dropped: an order in which the newest requests are served first, eight in a turn.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -272,3 +272,4 @@
   type ConnectionShedding,
   type ConnectionSheddingOptions,
 } from './connectionShedding';
+export { isInputCurrent, type InputState } from './inputCurrency';
--- a/packages/routing/__tests__/backendConnections.test.ts
+++ b/packages/routing/__tests__/backendConnections.test.ts
@@ -1,6 +1,12 @@
 import { setImmediate } from 'node:timers/promises';
 import test, { type ExecutionContext } from 'ava';
-import { createBackendConnections, readWholeBody, type HttpCall } from '@bluebellhitch/routing';
+import {
+  createBackendConnections,
+  readWholeBody,
+  type HttpCall,
+  type ReadBarrier,
+} from '@bluebellhitch/routing';
+import { delay } from '@bluebellhitch/shared';
 import { startRawServer } from './support/rawServer';
 
 function createCall(address: string, overrides: Partial<HttpCall> = {}): HttpCall {
@@ -146,3 +152,40 @@
   t.is(refused.kind, 'not-sent');
   t.is((await pending).kind, 'lost');
 });
+
+/** A barrier at which the call's signal aborts, from the given check on. */
+function barrierThatAborts(given: AbortController, firstCheck: number): ReadBarrier {
+  let checkCount = 0;
+  return {
+    check() {
+      checkCount += 1;
+      let isCurrent = checkCount < firstCheck;
+      return {
+        isCurrent: () => isCurrent,
+        async nextPass() {
+          await setImmediate();
+          given.abort();
+          isCurrent = true;
+        },
+      };
+    },
+  };
+}
+
+[
+  { name: 'it waits for what has arrived', firstCheck: 1 },
+  { name: 'its connection opens', firstCheck: 2 },
+].forEach(({ name, firstCheck }) => {
+  test(`a call whose end is read while ${name} is not written`, async (t) => {
+    // A process that was held up finds the end of a caller's connection beside what makes it send the request.
+    const { address, received } = await startRawServer(t, () => undefined);
+    const given = new AbortController();
+    const readBarrier = barrierThatAborts(given, firstCheck);
+    const connections = createBackendConnections({ readBarrier });
+    t.teardown(() => connections.close());
+    const outcome = await connections.call(createCall(address, { signal: given.signal }));
+    t.is(outcome.kind, 'not-sent');
+    await delay(20);
+    t.is(received(), '');
+  });
+});
--- a/packages/routing/__tests__/callersServer.test.ts
+++ b/packages/routing/__tests__/callersServer.test.ts
@@ -1,4 +1,5 @@
 import { connect } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import test, { type ExecutionContext } from 'ava';
 import { ok } from 'neverthrow';
 import {
@@ -7,6 +8,7 @@
   type CallersServer,
   type CallersServerOptions,
   type DecodeHead,
+  type ReadBarrier,
 } from '@bluebellhitch/routing';
 import { createLogger } from '@bluebellhitch/telemetry';
 
@@ -140,6 +142,41 @@
   t.pass();
 });
 
+test('a request is not served before the end of its connection could be read', async (t) => {
+  let isCurrent = false;
+  let passCount = 0;
+  const readBarrier: ReadBarrier = {
+    check: () => ({
+      isCurrent: () => isCurrent,
+      async nextPass() {
+        passCount += 1;
+        await nextTurn();
+      },
+    }),
+  };
+  let leftCount = 0;
+  const served: string[] = [];
+  const server = await startServer(t, ({ request: { target } }) => served.push(target), {
+    readBarrier,
+    onLeftUnserved() {
+      leftCount += 1;
+    },
+  });
+  const leaving = openConnection(t, server.port);
+  leaving.socket.write(request);
+  await until(() => passCount > 0);
+  leaving.socket.destroy();
+  await until(() => leftCount === 1);
+  t.deepEqual(served, []);
+  const staying = openConnection(t, server.port);
+  staying.socket.write(request);
+  await until(() => server.activeCount() === 1);
+  t.deepEqual(served, []);
+  isCurrent = true;
+  await until(() => served.length === 1);
+  t.is(leftCount, 1);
+});
+
 test('an aborted response does not look complete', async (t) => {
   const server = await startServer(t, (exchange) => {
     const writer = exchange.startResponse(200, []);
--- a/packages/routing/src/backendConnections.ts
+++ b/packages/routing/src/backendConnections.ts
@@ -7,6 +7,7 @@
 import { Client, buildConnector } from 'undici';
 import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
 import type { HttpCall, HttpOutcome } from './httpCall';
+import { noReadBarrier, type ReadBarrier } from './readBarrier';
 
 export interface BackendConnections {
   call(call: HttpCall): Promise<HttpOutcome>;
@@ -19,6 +20,11 @@
   connectTimeoutMs?: number;
   /** Time that an idle connection is kept if the server does not state its own keep-alive time-out. */
   keepAliveTimeoutMs?: number;
+  /**
+   * Calls that can be given up are sent once everything that had arrived has been read: their caller may have left, or
+   * their server may have said that it leaves. Default: at once.
+   */
+  readBarrier?: ReadBarrier;
   /** Called each time a connection is opened. */
   onOpened?: () => void;
 }
@@ -50,6 +56,7 @@
   const {
     connectTimeoutMs = defaultConnectTimeoutMs,
     keepAliveTimeoutMs = defaultKeepAliveTimeoutMs,
+    readBarrier = noReadBarrier,
     onOpened,
   } = options;
   const pools = new Map<string, AddressPool>();
@@ -78,10 +85,13 @@
       connect: (connectOptions, callback) =>
         connect(connectOptions, (...outcome) => {
           const [error, socket] = outcome;
-          if (error === null) {
-            watchSocket(connection, socket);
+          if (error !== null) {
+            callback(...outcome);
+            return;
           }
-          callback(...outcome);
+          watchSocket(connection, socket);
+          // The call that waits for the connection is written as soon as the callback returns.
+          void waitForInput().then(() => callback(...outcome));
         }),
     });
     const connection: Connection = { client, isCloseDelimited: false, isClosed: false };
@@ -105,7 +115,20 @@
     void connection.client.destroy().catch(() => undefined);
   }
 
+  async function waitForInput(): Promise<void> {
+    const check = readBarrier.check();
+    while (!check.isCurrent()) {
+      await check.nextPass();
+    }
+  }
+
   async function call(request: HttpCall): Promise<HttpOutcome> {
+    if (request.signal !== undefined) {
+      await waitForInput();
+    }
+    if (request.signal?.aborted) {
+      return { kind: 'not-sent', detail: 'given up' };
+    }
     if (request.maySend?.() === false) {
       return { kind: 'withheld' };
     }
--- a/packages/routing/src/callerMetrics.ts
+++ b/packages/routing/src/callerMetrics.ts
@@ -4,6 +4,8 @@
 export interface CallerMetrics {
   /** Counts requests whose callers left before the end of the response, by whether they had been sent to a server. */
   countDeparture(service: string, stage: 'unsent' | 'sent'): void;
+  /** Counts requests whose callers had left before anything was done for them. */
+  countLeftUnserved(): void;
   /** Time from the last sending of such a request to the moment at which its caller's end was read. */
   observeSentBeforeDeparture(service: string, durationMs: number): void;
   /** Duration of a time in which the process read nothing. */
@@ -43,6 +45,7 @@
   });
   return {
     countDeparture: (service, stage) => departures.inc({ service, stage }),
+    countLeftUnserved: () => departures.inc({ service: '', stage: 'unserved' }),
     observeSentBeforeDeparture: (service, durationMs) =>
       sentBeforeDeparture.observe({ service }, durationMs / msPerSecond),
     observeHoldUp: (durationMs) => holdUps.observe(durationMs / msPerSecond),
--- a/packages/routing/src/callersServer.ts
+++ b/packages/routing/src/callersServer.ts
@@ -11,6 +11,7 @@
 import { createCallerConnections, type CallerConnection } from './callerConnection';
 import { createHttpExchange, refuseOverHttp } from './httpExchange';
 import { notRunReasons, type CallerLimits, type CallerRequest, type Refusal } from './model';
+import { noReadBarrier, type ReadBarrier } from './readBarrier';
 import { createBodyReaderPool, type RequestBodyOutcome } from './requestBody';
 
 /** A request's head as parsed by Node.js. */
@@ -35,6 +36,10 @@
   /** Maximum size in memory of all request bodies together. */
   maxBufferedBytes: number;
   maxConnections: number;
+  /** Requests are served once everything that arrived with them has been read. Default: at once. */
+  readBarrier?: ReadBarrier;
+  /** Called for each request whose caller has left before anything was done for it. */
+  onLeftUnserved?: () => void;
   /** Duration of a recent hold-up of the process, in ms. Default: there is none. */
   recentHoldUpMs?: () => number;
   /** Asked once for each new connection; one that may not be served is closed unread. Default: all are served. */
@@ -72,6 +77,7 @@
 /** Starts the server; rejects if the port is in use. */
 export async function startCallersServer(options: CallersServerOptions): Promise<CallersServer> {
   const { logger, recentHoldUpMs = () => 0, mayServeConnection = () => true } = options;
+  const { readBarrier = noReadBarrier, onLeftUnserved = () => undefined } = options;
   const connections = createCallerConnections();
   const bodyReaders = createBodyReaderPool(options.maxBufferedBytes);
   const idleListeners: (() => void)[] = [];
@@ -96,6 +102,11 @@
       refuseBody(outgoing, bodyRead);
       return;
     }
+    if (!(await isCallerWaiting(connection))) {
+      onLeftUnserved();
+      outgoing.destroy();
+      return;
+    }
     const request = { ...head.value, body: bodyRead.body };
     const exchange = createHttpExchange(request, outgoing, {
       connection,
@@ -104,6 +115,15 @@
     await options.serve({ ...exchange, heldUpMs });
   }
 
+  /** Whether the caller has not left, by all that has arrived. */
+  async function isCallerWaiting(connection: CallerConnection): Promise<boolean> {
+    const check = readBarrier.check(monotonicNowMs());
+    while (!check.isCurrent() && !connection.hasEnded()) {
+      await check.nextPass();
+    }
+    return !connection.hasEnded();
+  }
+
   function decode(incoming: IncomingMessage): Result<Omit<CallerRequest, 'body'>, Refusal> {
     const { method = '', url: target = '', rawHeaders } = incoming;
     const headerBytes = rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
--- a/packages/soak/__tests__/callersThatLeft.test.ts
+++ b/packages/soak/__tests__/callersThatLeft.test.ts
@@ -4,8 +4,13 @@
  */
 import test from 'ava';
 import { delay } from '@bluebellhitch/shared';
-import { startHeldUpRouters, whileStopped, type HeldUpRouters } from './support/heldUpRouters';
-import { startRawCaller, type LeaveKind, type RawCaller } from './support/rawCaller';
+import {
+  startHeldUpRouters,
+  startThrottle,
+  whileStopped,
+  type HeldUpRouters,
+} from './support/heldUpRouters';
+import { leaveKinds, startRawCaller, type LeaveKind, type RawCaller } from './support/rawCaller';
 
 /** A request may reach a server this long after its caller has left. */
 const graceMs = 500;
@@ -16,12 +21,26 @@
 const settleMs = 1_500;
 const callerCount = 30;
 const plainServers = Array.from({ length: 3 }, () => ({ workMs: 20 }));
+const engines = [
+  ...Array.from({ length: 2 }, () => ({ stage: 'prefill' as const })),
+  ...Array.from({ length: 3 }, () => ({
+    stage: 'decode' as const,
+    eventCount: 40,
+    eventGapMs: 50,
+  })),
+];
+/** In the last eighth of the time-out of a first attempt, which is two fifths of the deadline. */
+const beforeAttemptTimeoutMs = 750;
 
 let requestCount = 0;
 
-function plainRequest() {
+function plainRequest(path = '/safe/') {
   requestCount += 1;
-  return { id: `g${requestCount}`, target: `/safe/${requestCount}`, deadlineMs: 1_000 };
+  return { id: `g${requestCount}`, target: `${path}${requestCount}`, deadlineMs: 1_000 };
+}
+
+function streamRequest() {
+  return { ...plainRequest('/resumed/'), deadlineMs: 4_000, promptTokens: 1_000 };
 }
 
 async function connectCallers(
@@ -49,16 +68,117 @@
   await delay(settleMs);
 }
 
+leaveKinds.forEach((how) => {
+  test.serial(
+    `requests on new connections are not sent after a ${how} that came while the router was stopped`,
+    async (t) => {
+      const fleet = await startHeldUpRouters(t, 3, plainServers);
+      await leaveWhileStopped(fleet, how, async () => {
+        const callers = await connectCallers(fleet);
+        callers.forEach((caller) => caller.send(plainRequest()));
+        return callers;
+      });
+      const late = fleet.departures.lateArrivals(graceMs);
+      t.true(late.length <= fewRequests, `${late.length} of ${callerCount} reached servers late`);
+    },
+  );
+
+  test.serial(
+    `requests on kept connections are not sent after a ${how} that came while the router was stopped`,
+    async (t) => {
+      const fleet = await startHeldUpRouters(t, 3, plainServers);
+      const callers = await connectCallers(fleet);
+      callers.forEach((caller) => caller.send(plainRequest()));
+      await Promise.all(callers.map((caller) => caller.answered(1)));
+      await leaveWhileStopped(fleet, how, async () => {
+        callers.forEach((caller) => caller.send(plainRequest('/unsafe/')));
+        return callers;
+      });
+      const late = fleet.departures.lateArrivals(graceMs);
+      t.true(late.length <= fewRequests, `${late.length} of ${callerCount} reached servers late`);
+    },
+  );
+});
+
+test.serial('pipelined requests are not sent after their caller has left', async (t) => {
+  const fleet = await startHeldUpRouters(t, 3, plainServers);
+  await leaveWhileStopped(fleet, 'close', async () => {
+    const callers = await connectCallers(fleet);
+    callers.forEach((caller) => caller.send(plainRequest(), plainRequest(), plainRequest()));
+    return callers;
+  });
+  const late = fleet.departures.lateArrivals(graceMs);
+  t.true(late.length <= fewRequests, `${late.length} of ${3 * callerCount} reached servers late`);
+});
+
 test.serial(
-  'requests on new connections are not sent after a close that came while the router was stopped',
+  'engines reserve nothing for streams whose caller left while the router was stopped',
   async (t) => {
-    const fleet = await startHeldUpRouters(t, 3, plainServers);
+    const fleet = await startHeldUpRouters(t, 3, [...plainServers, ...engines]);
+    const countReservations = () =>
+      fleet.workers.flatMap(({ calls }) => calls).filter(({ path }) => path === '/hold-take')
+        .length;
+    const countBefore = countReservations();
     await leaveWhileStopped(fleet, 'close', async () => {
       const callers = await connectCallers(fleet);
-      callers.forEach((caller) => caller.send(plainRequest()));
+      callers.forEach((caller) => caller.send(streamRequest()));
       return callers;
     });
+    const reservations = countReservations() - countBefore;
+    t.true(reservations <= fewRequests, `${reservations} reservations for ${callerCount} streams`);
+  },
+);
+
+test.serial(
+  'a second server is not tried if the caller left while the first one was waited for and the router was stopped',
+  async (t) => {
+    // The attempt's time-out ends with the stop, and the runtime serves timers that are due before it reads.
+    const fleet = await startHeldUpRouters(t, 3, plainServers);
+    fleet.workers.forEach(({ script }) =>
+      script.push(...Array.from({ length: callerCount }, () => ({ kind: 'hang' as const }))),
+    );
+    const callers = await connectCallers(fleet);
+    callers.forEach((caller) => caller.send({ ...plainRequest(), deadlineMs: 2_000 }));
+    await delay(beforeAttemptTimeoutMs);
+    await leaveWhileStopped(fleet, 'close', async () => callers);
     const late = fleet.departures.lateArrivals(graceMs);
     t.true(late.length <= fewRequests, `${late.length} of ${callerCount} reached servers late`);
   },
 );
+
+[4, 24].forEach((routerCount) => {
+  test.serial(
+    `one of ${routerCount} routers that is short of processor time serves callers that wait, not those that have left`,
+    async (t) => {
+      t.timeout(120_000);
+      const fleet = await startHeldUpRouters(t, routerCount, plainServers);
+      const [router] = fleet.routers;
+      const endThrottle = startThrottle(router as HeldUpRouters['routers'][number], {
+        runMs: 24,
+        periodMs: 100,
+      });
+      const all: RawCaller[] = [];
+      for (let round = 0; round < 600; round += 1) {
+        const callers = Array.from({ length: 8 }, () =>
+          startRawCaller(router?.callersAddress ?? '', fleet.departures),
+        );
+        callers.forEach((caller) => {
+          caller.connected.catch(() => undefined);
+          caller.send(plainRequest());
+          setTimeout(() => caller.leave('close'), patienceMs);
+        });
+        all.push(...callers);
+        await delay(10);
+      }
+      await delay(4_000);
+      await endThrottle();
+      const late = fleet.departures.lateArrivals(graceMs);
+      const answered = all.filter((caller) => caller.answerCount() > 0).length;
+      const latestMs = Math.max(0, ...late.map(({ lateMs }) => lateMs));
+      t.log(
+        `${answered} of ${all.length} answered, ${late.length} late, up to ${Math.round(latestMs)} ms`,
+      );
+      t.true(late.length <= fewRequests, `${late.length} of ${all.length} reached servers late`);
+    },
+  );
+});
