Serve no request of the own interface whose caller left while the entry was held up

The same class as in the router: bluebell-entry reads a request before the end of its connection that lies behind it, and asked agents for bids, or called a plain server, for callers that had left. Both servers for callers now share what follows the end of a connection and the barrier; a request that waits behind another one on its connection ends with it there too.

--- a/packages/entry/src/callerExchange.ts
+++ b/packages/entry/src/callerExchange.ts
@@ -1,5 +1,6 @@
 /** One request of a caller and its response, as the handlers of the caller API see them. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createDisconnectSignal, type CallerConnection } from '@bluebellhitch/routing';
 import { createRefusal, refusalReasons, type Refusal } from '@bluebellhitch/shared';
 import { findHeaderError, resolveRequestId } from './headers';
 import { sendProblem } from './problem';
@@ -19,21 +20,16 @@
 export function createCallerExchange(
   incoming: IncomingMessage,
   outgoing: ServerResponse,
+  connection: CallerConnection,
 ): CallerExchange {
   const requestId = resolveRequestId(incoming.headers);
-  const disconnect = new AbortController();
-  outgoing.once('close', () => {
-    if (!outgoing.writableFinished) {
-      disconnect.abort();
-    }
-  });
   // A reset connection also emits `error` on the request; the `close` handler above deals with it.
   incoming.on('error', () => undefined);
   return {
     requestId,
     incoming,
     outgoing,
-    disconnectSignal: disconnect.signal,
+    disconnectSignal: createDisconnectSignal(outgoing, connection),
     refuse(refusal, status) {
       if (!incoming.complete) {
         // The rest of the body is not read, so the connection cannot serve another request.
--- a/packages/entry/src/callersServer.ts
+++ b/packages/entry/src/callersServer.ts
@@ -5,6 +5,12 @@
 import { createAdaptorServer, type HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono, type Context } from 'hono';
+import {
+  createCallerConnections,
+  createReadBarrier,
+  isCallerWaiting,
+  onceResponseOver,
+} from '@bluebellhitch/routing';
 import { createRefusal, refusalReasons, watchSlowSenders } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import { createCallerExchange, type CallerExchange } from './callerExchange';
@@ -56,6 +62,8 @@
   const active = new Set<CallerExchange>();
   const idleWaiters: (() => void)[] = [];
   const excessSockets = new WeakSet<Socket>();
+  const connections = createCallerConnections();
+  const readBarrier = createReadBarrier();
   let accepting = true;
 
   function removeActive(exchange: CallerExchange): void {
@@ -70,15 +78,20 @@
     outgoing: ServerResponse,
     handler: Handler,
   ): Promise<void> {
-    const exchange = createCallerExchange(incoming, outgoing);
+    const connection = connections.of(incoming.socket);
+    const exchange = createCallerExchange(incoming, outgoing, connection);
     if (!accepting || excessSockets.has(incoming.socket)) {
       refuseUnserved(exchange, accepting);
       return;
     }
     active.add(exchange);
-    outgoing.once('close', () => removeActive(exchange));
+    onceResponseOver(outgoing, connection, () => removeActive(exchange));
     try {
-      await handler(exchange);
+      if (await isCallerWaiting(connection, readBarrier)) {
+        await handler(exchange);
+      } else {
+        outgoing.destroy();
+      }
     } catch (error) {
       logger.error('unexpected error in a request handler', {
         requestId: exchange.requestId,
--- a/packages/routing/src/callersServer.ts
+++ b/packages/routing/src/callersServer.ts
@@ -8,7 +8,7 @@
 import { monotonicNowMs, watchSlowSenders } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import type { CallerExchange } from './callerApi';
-import { createCallerConnections, type CallerConnection } from './callerConnection';
+import { createCallerConnections, isCallerWaiting, onceResponseOver } from './callerConnection';
 import { createHttpExchange, refuseOverHttp } from './httpExchange';
 import { notRunReasons, type CallerLimits, type CallerRequest, type Refusal } from './model';
 import { noReadBarrier, type ReadBarrier } from './readBarrier';
@@ -89,20 +89,20 @@
     const connection = connections.of(incoming.socket);
     const heldUpMs = recentHoldUpMs();
     activeCount += 1;
-    onceOver(outgoing, connection, onResponseOver);
+    onceResponseOver(outgoing, connection, onResponseOver);
     const head = decode(incoming);
     if (head.isErr()) {
       refuseOverHttp(outgoing, head.error, true);
       return;
     }
     const { done, release } = bodyReaders.read(incoming, limits.maxBodyBytes);
-    onceOver(outgoing, connection, release);
+    onceResponseOver(outgoing, connection, release);
     const bodyRead = await done;
     if (bodyRead.kind !== 'whole') {
       refuseBody(outgoing, bodyRead);
       return;
     }
-    if (!(await isCallerWaiting(connection))) {
+    if (!(await isCallerWaiting(connection, readBarrier))) {
       onLeftUnserved();
       outgoing.destroy();
       return;
@@ -115,15 +115,6 @@
     await options.serve({ ...exchange, heldUpMs });
   }
 
-  /** Whether the caller has not left, by all that has arrived. */
-  async function isCallerWaiting(connection: CallerConnection): Promise<boolean> {
-    const check = readBarrier.check(monotonicNowMs());
-    while (!check.isCurrent() && !connection.hasEnded()) {
-      await check.nextPass();
-    }
-    return !connection.hasEnded();
-  }
-
   function decode(incoming: IncomingMessage): Result<Omit<CallerRequest, 'body'>, Refusal> {
     const { method = '', url: target = '', rawHeaders } = incoming;
     const headerBytes = rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
@@ -202,24 +193,6 @@
   };
 }
 
-/**
- * Calls the listener once the response is over. One that waits behind another response on its connection does not
- * emit `close` if the connection ends first.
- */
-function onceOver(
-  outgoing: ServerResponse,
-  connection: CallerConnection,
-  listener: () => void,
-): void {
-  const finish = () => {
-    stop();
-    outgoing.off('close', finish);
-    listener();
-  };
-  const stop = connection.onClosed(finish);
-  outgoing.once('close', finish);
-}
-
 function refuseBody(
   outgoing: ServerResponse,
   read: Exclude<RequestBodyOutcome, { kind: 'whole' }>,
--- a/packages/routing/src/httpExchange.ts
+++ b/packages/routing/src/httpExchange.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import { assertNever } from '@bluebellhitch/shared';
 import type { ResponseWriter, CallerExchange } from './callerApi';
-import type { CallerConnection } from './callerConnection';
+import { createDisconnectSignal, type CallerConnection } from './callerConnection';
 import { notRunReasons, type CallerRequest, type Refusal } from './model';
 
 interface RefusalResponse {
@@ -26,18 +26,6 @@
   outgoing: ServerResponse,
   { connection, isDraining }: HttpExchangeOptions,
 ): CallerExchange {
-  const disconnection = new AbortController();
-  const abortUnfinished = () => {
-    if (!outgoing.writableFinished) {
-      disconnection.abort();
-    }
-  };
-  const stopWatching = connection.onEnded(abortUnfinished);
-  outgoing.once('close', () => {
-    stopWatching();
-    abortUnfinished();
-  });
-
   // A head that was sent before the drain began announced a keep-alive connection. The caller's next request on it
   // would arrive when the process is about to exit.
   const { socket } = outgoing;
@@ -56,7 +44,7 @@
 
   return {
     request,
-    signal: disconnection.signal,
+    signal: createDisconnectSignal(outgoing, connection),
     respond({ status, headers, body }) {
       const contentLength = bodylessStatuses.includes(status)
         ? []
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -30,6 +30,13 @@
 } from './backendConnections';
 export type { HttpResponse, HttpCall, HttpOutcome } from './httpCall';
 export type { ResponseWriter, CallerExchange, CompleteResponse } from './callerApi';
+export {
+  createCallerConnections,
+  createDisconnectSignal,
+  isCallerWaiting,
+  onceResponseOver,
+  type CallerConnection,
+} from './callerConnection';
 export { createReadBarrier, type ReadBarrier } from './readBarrier';
 export { startHoldUpWatch, type HoldUpWatch } from './holdUpWatch';
 export { createConnectionGuard } from './connectionGuard';
