Let the soak's callers leave routers that are held up, and count what reaches servers afterwards

Callers of the soak waited for their answers or their time-outs, so that none left early at a router that was frozen: the soak could not see the incident. Scripts now starve routers (5 to 30 of each 100 ms) and freeze them for 2 to 3 s, callers give up after 0.4 s there, and stand-in servers and callers share a record of departures. More than three late arrivals in a run are a finding, whether the router is in touch or not.

--- a/packages/soak/__tests__/callersThatLeft.test.ts
+++ b/packages/soak/__tests__/callersThatLeft.test.ts
@@ -4,12 +4,7 @@
  */
 import test from 'ava';
 import { delay } from '@bluebellhitch/shared';
-import {
-  startHeldUpRouters,
-  startThrottle,
-  whileStopped,
-  type HeldUpRouters,
-} from './support/heldUpRouters';
+import { startHeldUpRouters, whileStopped, type HeldUpRouters } from './support/heldUpRouters';
 import { leaveKinds, startRawCaller, type LeaveKind, type RawCaller } from './support/rawCaller';
 
 /** A request may reach a server this long after its caller has left. */
@@ -153,10 +148,7 @@
       t.timeout(120_000);
       const fleet = await startHeldUpRouters(t, routerCount, plainServers);
       const [router] = fleet.routers;
-      const endThrottle = startThrottle(router as HeldUpRouters['routers'][number], {
-        runMs: 24,
-        periodMs: 100,
-      });
+      const endThrottle = router?.starve({ runMs: 24, periodMs: 100 });
       const all: RawCaller[] = [];
       for (let round = 0; round < 600; round += 1) {
         const callers = Array.from({ length: 8 }, () =>
@@ -171,7 +163,7 @@
         await delay(10);
       }
       await delay(4_000);
-      await endThrottle();
+      await endThrottle?.();
       const late = fleet.departures.lateArrivals(graceMs);
       const answered = all.filter((caller) => caller.answerCount() > 0).length;
       const latestMs = Math.max(0, ...late.map(({ lateMs }) => lateMs));
--- a/packages/soak/__tests__/checks.test.ts
+++ b/packages/soak/__tests__/checks.test.ts
@@ -1,5 +1,6 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
+import { createCallerDepartures } from '@bluebellhitch/platform-standins';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import { createAttemptBudgetCheck } from '../src/attemptBudgetCheck';
 import { createDisruptions } from '../src/disruptions';
@@ -32,8 +33,10 @@
     modelTokens: 1_100,
     marginMs: 100,
   });
+  const departures = createCallerDepartures();
   const checks = createRequestChecks({
     workspaces,
+    departures,
     ledger,
     findings,
     disruptions,
@@ -81,7 +84,10 @@
       ...over,
     });
   const found = () => findings.all().map(({ promise }) => promise);
-  return { request, end, arrive, found, checks, limits, notices, budget, leaving, disruptions };
+  return {
+    ...{ request, end, arrive, found, checks, limits, notices, budget, leaving, disruptions },
+    departures,
+  };
 }
 
 test('a second run, a refusal after a run and a run after a refusal are reported', (t) => {
@@ -177,6 +183,27 @@
   t.is(fixture.found().length, 1);
 });
 
+test.serial(
+  'requests sent late at routers that were held up are reported if they are many',
+  (t) => {
+    const clock = FakeTimers.install();
+    t.teardown(() => clock.uninstall());
+    const fixture = createFixture();
+    fixture.disruptions.begin({ kind: 'router', name: 'router-0' }, 'starved');
+    ['a', 'b', 'c', 'd'].forEach((id) => {
+      fixture.request(id);
+      fixture.departures.noteLeft(id);
+    });
+    clock.tick(700);
+    ['a', 'b', 'c'].forEach((id) => fixture.departures.noteArrival(id, 'counter-1'));
+    fixture.checks.checkAll();
+    t.deepEqual(fixture.found(), []);
+    fixture.departures.noteArrival('d', 'counter-1');
+    fixture.checks.checkAll();
+    t.deepEqual(fixture.found(), ['in-time']);
+  },
+);
+
 test.serial(
   'more requests than an announced limit are reported, except those that were in flight',
   (t) => {
--- a/packages/soak/__tests__/script.test.ts
+++ b/packages/soak/__tests__/script.test.ts
@@ -31,13 +31,13 @@
   const kinds = new Set(
     scripts.flatMap(({ steps }) => steps.map(({ operation }) => operation.kind)),
   );
-  t.is(kinds.size, 20);
+  t.is(kinds.size, 21);
   const planned = scripts.filter(({ kind }) => kind === 'planned');
   t.true(planned.length > 20);
   const unplanned = planned
     .flatMap(({ steps }) => steps)
     .filter(({ operation }) =>
-      /kill|freeze|crash|fault|errors|link|reset|limit|restore|rest-|unlisted|slow/.test(
+      /kill|freeze|starve|crash|fault|errors|link|reset|limit|restore|rest-|unlisted|slow/.test(
         operation.kind,
       ),
     );
--- a/packages/soak/__tests__/support/heldUpRouters.ts
+++ b/packages/soak/__tests__/support/heldUpRouters.ts
@@ -15,7 +15,7 @@
   type StandinWorkerOptions,
 } from '@bluebellhitch/platform-standins';
 import { routeKinds } from '@bluebellhitch/routing';
-import { createBackgroundLoop, delay, monotonicNowMs } from '@bluebellhitch/shared';
+import { delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { serviceNames } from '../../src/backendServers';
 import { callersHost, plainRoute, streamRoute } from '../../src/configurationPlan';
 import { startRouterFleet, type RouterProcessHandle } from '../../src/routerFleet';
@@ -91,24 +91,6 @@
   }
 }
 
-/** Lets the process run for `runMs` of each `periodMs`, until the returned function is called. */
-export function startThrottle(
-  router: RouterProcessHandle,
-  { runMs, periodMs }: { runMs: number; periodMs: number },
-): () => Promise<void> {
-  const loop = createBackgroundLoop(async (signal) => {
-    while (!signal.aborted) {
-      router.freeze();
-      await delay(periodMs - runMs, signal);
-      router.resume();
-      await delay(runMs, signal);
-    }
-    router.resume();
-  });
-  loop.start();
-  return () => loop.stop();
-}
-
 async function untilAllServe(
   routers: readonly RouterProcessHandle[],
   paths: readonly string[],
--- a/packages/soak/src/backendServers.ts
+++ b/packages/soak/src/backendServers.ts
@@ -4,6 +4,7 @@
  */
 import {
   startStandinWorker,
+  type CallerDepartures,
   type PrefillBehaviour,
   type RunBehaviour,
   type StandinStore,
@@ -27,6 +28,7 @@
   disruptions: Disruptions;
   findings: Findings;
   random: Random;
+  departures: CallerDepartures;
   /** How long routers may still send to a server after the store has acknowledged that it is leaving. */
   drainMs: number;
   /** Called when the responses of a server begin to say that it is leaving. */
@@ -175,6 +177,7 @@
       },
       choosePrefill: () => choosePrefill(slot),
       isUnframed,
+      departures: options.departures,
       onArrival: (arrival) =>
         ledger.recordArrival({ ...arrival, serverId: id, serviceName: service }),
       onOrder({ holderId, fencingNumber, stage }) {
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -3,7 +3,11 @@
  * router that the balancer chooses. Callers do not retry requests, but may take up broken streams again.
  */
 import { Agent } from 'node:http';
-import { callRouter, type CallOutcome } from '@bluebellhitch/platform-standins';
+import {
+  callRouter,
+  type CallerDepartures,
+  type CallOutcome,
+} from '@bluebellhitch/platform-standins';
 import { routeKinds, type Route } from '@bluebellhitch/routing';
 import {
   createBackgroundLoop,
@@ -25,6 +29,7 @@
   ledger: Ledger;
   random: Random;
   keyring: Keyring;
+  departures: Pick<CallerDepartures, 'noteLeft'>;
   /** Takes up broken streams again, at any router. */
   resumesStreams?: boolean;
   onResumed?(request: SentRequest): void;
@@ -52,6 +57,8 @@
 const meanPauseMs = 120;
 const disconnectShare = 0.04;
 const maxDisconnectMs = 150;
+/** Callers give up a router that does not read their requests, after about a third of the time that they have. */
+const patienceMs = 400;
 const maxResumptions = 3;
 const resumptionPauseMs = 50;
 /** Statuses that promise that the request has not run and will not. */
@@ -119,10 +126,14 @@
       options.onResumed?.(request);
     }
     const disconnect = new AbortController();
+    const leave = () => {
+      options.departures.noteLeft(request.id);
+      disconnect.abort();
+    };
     const timer =
       disconnectAfterMs === undefined
-        ? undefined
-        : setTimeout(() => disconnect.abort(), disconnectAfterMs);
+        ? setTimeout(() => router.isHeldUp() && leave(), patienceMs)
+        : setTimeout(leave, disconnectAfterMs);
     const outcome = await callRouter({
       address: router.callersAddress,
       host: callersHost,
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -112,6 +112,17 @@
     });
   }
 
+  async function starveRouter(
+    router: RouterProcessHandle,
+    operation: OperationOf<'starve-router'>,
+  ): Promise<void> {
+    const endDisruption = disruptions.begin(routerSubject(router), 'starved');
+    const endStarving = router.starve(operation);
+    await delay(operation.forMs);
+    await endStarving();
+    endDisruption();
+  }
+
   /** Signals to one process are sent in order; faults of its links can overlap with them. */
   function signalRouter(index: number, run: (router: RouterProcessHandle) => Promise<void>) {
     return runInOrder(`router ${index}`, () => run(routerAt(index)));
@@ -251,6 +262,8 @@
         signalRouter(router, (process) => stopRouter(process, downMs)),
       'freeze-router': ({ router, forMs }) =>
         signalRouter(router, (process) => freezeRouter(process, forMs)),
+      'starve-router': (operation) =>
+        signalRouter(operation.router, (process) => starveRouter(process, operation)),
       'reload-router': ({ router }) => signalRouter(router, reloadRouter),
       'store-link': (operation) => disturbStoreLink(routerAt(operation.router), operation),
       'store-reset': ({ router }) =>
--- a/packages/soak/src/requestChecks.ts
+++ b/packages/soak/src/requestChecks.ts
@@ -1,7 +1,7 @@
 /** Checks of single requests: when they end, when they reach a server, and again at the end of a run. */
 import { routeKinds } from '@bluebellhitch/routing';
 import { assertNever, monotonicNowMs } from '@bluebellhitch/shared';
-import { failureText } from '@bluebellhitch/platform-standins';
+import { failureText, type CallerDepartures } from '@bluebellhitch/platform-standins';
 import {
   eventText,
   plainText,
@@ -20,6 +20,7 @@
   disruptions: Disruptions;
   servers: () => BackendServers | undefined;
   workspaces: WorkspaceChecks;
+  departures: Pick<CallerDepartures, 'lateArrivals'>;
   drainMs: number;
   /** Added to every time limit, for loopback latency and a busy machine. */
   marginMs: number;
@@ -34,6 +35,8 @@
 
 /** From a route's time-out to the end of its response; from a caller's disconnect to the end of work for it. */
 const responseGraceMs = 500;
+/** More than a few late arrivals break the promise. */
+const maxLateArrivals = 3;
 const maxAttempts = 2;
 const okStatus = 200;
 const notFoundStatus = 404;
@@ -96,6 +99,20 @@
     }
   }
 
+  /** At all routers, in contact or not: what a router that was held up finds unread includes its callers' ends. */
+  function checkDepartures(): void {
+    const late = options.departures
+      .lateArrivals(responseGraceMs + marginMs)
+      .filter(({ requestId, serverId, arrivedAtMs }) => {
+        const sentAtMs = ledger.request(requestId)?.sentAtMs ?? arrivedAtMs;
+        return !disruptions.isServerDisturbed(serverId, sentAtMs, arrivedAtMs);
+      });
+    if (late.length > maxLateArrivals) {
+      const detail = `${late.length} requests reached servers after their callers had left`;
+      findings.add(promises.inTime, detail, late[0]?.requestId);
+    }
+  }
+
   function checkTime(request: SentRequest, endedAtMs: number): void {
     const lateMs = endedAtMs - request.sentAtMs - request.timeoutMs - responseGraceMs;
     if (
@@ -199,6 +216,7 @@
       checkEnd(request);
     },
     checkAll() {
+      checkDepartures();
       const nowMs = monotonicNowMs();
       [...ledger.requests()].forEach((request) => {
         checkRefusal(request);
--- a/packages/soak/src/routerFleet.ts
+++ b/packages/soak/src/routerFleet.ts
@@ -54,6 +54,10 @@
   stopGracefully(): Promise<StopResult | undefined>;
   freeze(): void;
   resume(): void;
+  /** Lets the process run for `runMs` of each `periodMs`, until the returned function is called. */
+  starve(share: { runMs: number; periodMs: number }): () => Promise<void>;
+  /** Whether the process is stopped or starved. */
+  isHeldUp(): boolean;
   reload(): void;
 }
 
@@ -114,6 +118,8 @@
   let missedPolls = maxMissedPolls;
   let isExitExpected = false;
   let wasReady = false;
+  let isFrozen = false;
+  let starvingCount = 0;
 
   function start(): void {
     if (child !== undefined) {
@@ -133,6 +139,11 @@
     });
   }
 
+  function resume(): void {
+    isFrozen = false;
+    child?.kill('SIGCONT');
+  }
+
   async function terminate(signal: 'SIGKILL' | 'SIGTERM'): Promise<StopResult | undefined> {
     const running = child;
     if (running === undefined) {
@@ -163,11 +174,28 @@
     },
     stopGracefully: () => terminate('SIGTERM'),
     freeze() {
+      isFrozen = true;
       child?.kill('SIGSTOP');
     },
-    resume() {
-      child?.kill('SIGCONT');
+    resume,
+    starve({ runMs, periodMs }) {
+      starvingCount += 1;
+      const loop = createBackgroundLoop(async (signal) => {
+        while (!signal.aborted) {
+          child?.kill('SIGSTOP');
+          await delay(periodMs - runMs, signal);
+          child?.kill('SIGCONT');
+          await delay(runMs, signal);
+        }
+      });
+      loop.start();
+      return async () => {
+        await loop.stop();
+        starvingCount -= 1;
+        resume();
+      };
     },
+    isHeldUp: () => isFrozen || starvingCount > 0,
     reload() {
       writeFileSync(settingsPath, encodeSettings(settings));
       child?.kill('SIGHUP');
--- a/packages/soak/src/script.ts
+++ b/packages/soak/src/script.ts
@@ -2,6 +2,7 @@
 import type { RunBehaviour, StoreFault } from '@bluebellhitch/platform-standins';
 import { createSeededRandom, type Random } from '@bluebellhitch/shared';
 import type { StreamVersion } from './backendServers';
+import { createHoldUpSteps } from './holdUpSteps';
 import type { LinkFault } from './loopbackProxy';
 import { createReleaseSteps } from './releaseSteps';
 
@@ -9,6 +10,8 @@
   | { kind: 'kill-router'; router: number; downMs: number }
   | { kind: 'stop-router'; router: number; downMs: number }
   | { kind: 'freeze-router'; router: number; forMs: number }
+  /** The process runs for `runMs` of each `periodMs`. */
+  | { kind: 'starve-router'; router: number; runMs: number; periodMs: number; forMs: number }
   | { kind: 'reload-router'; router: number }
   | { kind: 'store-link'; router: number; link: LinkFault; forMs: number }
   | { kind: 'store-reset'; router: number }
@@ -102,6 +105,7 @@
     createRestoreSteps,
     createNoticeSteps,
     createSlownessSteps,
+    createHoldUpSteps,
   ].flatMap((createSteps) => createSteps(options));
   const all = kind === 'planned' ? steps : [...steps, ...independentSteps];
   if (kind === 'crashes') {
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -6,7 +6,7 @@
 import { join } from 'node:path';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import type { PlatformBounds } from '@bluebellhitch/platform';
-import { startStandinStore } from '@bluebellhitch/platform-standins';
+import { createCallerDepartures, startStandinStore } from '@bluebellhitch/platform-standins';
 import { createSeededRandom, delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { createAttemptBudgetCheck, type FullestWindow } from './attemptBudgetCheck';
 import { startBackendServers, type BackendServers } from './backendServers';
@@ -59,6 +59,8 @@
   crashes: number;
   /** Streams that callers took up again. */
   resumed: ResumedStreams;
+  /** Callers that left before their response. */
+  departed: number;
   /** Longest delay of this process's event loop; above `marginMs` the measured times are unreliable. */
   longestHoldUpMs: number;
 }
@@ -99,6 +101,7 @@
   const store = await startStandinStore();
   const disruptions = createDisruptions({ contactMs: bounds.contactMs });
   const findings = createFindings(monotonicNowMs());
+  const departures = createCallerDepartures();
   let servers: BackendServers | undefined;
   let crashingRequests: CrashingRequests | undefined;
   const ledger = createLedger({ onArrival: (arrival) => requestChecks.onArrival(arrival) });
@@ -109,6 +112,7 @@
   });
   const requestChecks = createRequestChecks({
     ...{ ledger, findings, disruptions, drainMs, marginMs, workspaces: workspaceChecks },
+    departures,
     servers: () => servers,
   });
   const limitChecks = createLimitChecks({ ledger, findings, disruptions, marginMs });
@@ -123,7 +127,7 @@
   });
   const plan = createConfigurationPlan(store, keyring);
   servers = await startBackendServers({
-    ...{ host: '127.0.0.1', store, ledger, disruptions, findings, random, drainMs },
+    ...{ host: '127.0.0.1', store, ledger, disruptions, findings, random, drainMs, departures },
     onLeaving: noticeChecks.noteLeaving,
     onCrashed: (body) => crashingRequests?.noteCrash(body),
   });
@@ -143,7 +147,7 @@
   });
   const callers = createCallers({
     ...{ count: options.callerCount, routers: fleet.routers, routes: plan.baseRoutes },
-    ...{ ledger, random, keyring, onResumed: streamVersionChecks.onResumed },
+    ...{ ledger, random, keyring, departures, onResumed: streamVersionChecks.onResumed },
     resumesStreams: script.kind === 'versions',
     onEnded(request) {
       requestChecks.onEnded(request);
@@ -213,6 +217,7 @@
     fullestBudget,
     crashes,
     resumed,
+    departed: departures.leftCount(),
     longestHoldUpMs: Math.round(lag.max / nsPerMs),
   };
   writeRecord(options.directory, { report, script, ledger });
