Relay changes of deeply nested objects without the objects

Cause: encoding is recursive, and nothing bounds the depth of what others write into the store. Objects with more than 32 levels are now left out as those that are too large for a datagram are: receivers learn the revision and read the objects themselves. The new test of peerExchange failed with that RangeError before.

--- a/packages/protocol/__tests__/changeMessages.test.ts
+++ b/packages/protocol/__tests__/changeMessages.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {
+  canEncodeChanges,
   decodeRelayedChanges,
   encodeRelayedChanges,
   isRelayedChanges,
@@ -36,3 +37,14 @@
   t.is(decodeRelayedChanges(Buffer.from('["changes-1",1')), undefined);
   t.is(decodeRelayedChanges(Buffer.from('["changes-1",1,2,3,-4,null,[]]')), undefined);
 });
+
+test('objects that are nested too deeply to be encoded are recognised', (t) => {
+  const nested = (depth: number): unknown => JSON.parse('['.repeat(depth) + ']'.repeat(depth));
+  const withValue = (value: unknown) => ({
+    ...message,
+    changes: [...message.changes, { kind: 'put' as const, key: 'i-3', revision: 105, value }],
+  });
+  t.true(canEncodeChanges(message));
+  t.true(canEncodeChanges(withValue(nested(10))));
+  t.false(canEncodeChanges(withValue({ service: 'a', note: nested(6_000) })));
+});
--- a/packages/protocol/src/changeMessages.ts
+++ b/packages/protocol/src/changeMessages.ts
@@ -26,6 +26,8 @@
 
 const count = z.number().int().nonnegative();
 const formatName = 'changes-1';
+/** Objects of the platform have a few levels. */
+const maxObjectDepth = 32;
 /** Length of the row of a removed object, which has no value. */
 const removedRowLength = 2;
 const formatStart = Buffer.from(`["${formatName}"`);
@@ -46,6 +48,20 @@
     .max(512),
 ]);
 
+/** Whether no object is nested so deeply that encoding it, which is recursive, could fail. */
+export function canEncodeChanges({ changes }: RelayedChanges): boolean {
+  return changes.every(
+    (change) => change.kind === 'removed' || isNestedAtMost(change.value, maxObjectDepth),
+  );
+}
+
+function isNestedAtMost(value: unknown, depth: number): boolean {
+  if (typeof value !== 'object' || value === null) {
+    return true;
+  }
+  return depth > 0 && Object.values(value).every((inner) => isNestedAtMost(inner, depth - 1));
+}
+
 export function encodeRelayedChanges(message: RelayedChanges): Buffer {
   const { kindIndex, fromRevision, toRevision, ageMs, backAgeMs } = message;
   const rows = message.changes.map(encodeChange);
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -86,6 +86,7 @@
 } from './prompt';
 export {
   decodeRelayedChanges,
+  canEncodeChanges,
   encodeRelayedChanges,
   isRelayedChanges,
   type RelayedChange,
--- a/packages/routing/__tests__/peerExchange.test.ts
+++ b/packages/routing/__tests__/peerExchange.test.ts
@@ -115,3 +115,17 @@
   await until(() => second.received.length === 1);
   t.like(second.received[0], { fromRevision: 9, toRevision: 9, changes: [] });
 });
+
+test('changes of deeply nested objects are relayed without their objects', async (t) => {
+  // Encoding them is recursive: an entry that nests lists thousands of levels deep ended the routers that relay changes.
+  const first = await startRouter(t);
+  const second = await startRouter(t, [first.exchange.address]);
+  await until(() => first.exchange.livePeers().length === 1);
+  const value: unknown = JSON.parse('['.repeat(6_000) + ']'.repeat(6_000));
+  first.exchange.relayChanges({
+    ...changesOf(10),
+    changes: [{ kind: 'put', key: 'w1', revision: 8, value }],
+  });
+  await until(() => second.received.length === 1);
+  t.like(second.received[0], { fromRevision: 9, toRevision: 9, changes: [] });
+});
--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -7,6 +7,7 @@
 import {
   decodePeerMessage,
   decodeRelayedChanges,
+  canEncodeChanges,
   encodePeerMessage,
   encodeRelayedChanges,
   isPeerMessage,
@@ -179,9 +180,9 @@
   }
 
   function relayChanges(relayed: RelayedChanges): void {
-    const complete = encodeRelayedChanges(relayed);
+    const complete = canEncodeChanges(relayed) ? encodeRelayedChanges(relayed) : undefined;
     const bytes =
-      complete.length <= maxRelayBytes
+      complete !== undefined && complete.length <= maxRelayBytes
         ? complete
         : encodeRelayedChanges({ ...relayed, fromRevision: relayed.toRevision, changes: [] });
     void socket.send(bytes, livePeers());
