Keep requests off connections that carried a rejection without an id

Cause: the router's own calls bear no id, nor do the rejections of them. A faulty engine that repeats the rejection of a reservation late, where the answer to a stream is expected on the same connection, makes the stream count as not run.

A connection that has carried the rejection of a call without an id now serves only further calls of that kind; other calls of the router prefer such connections. Compared: connections of their own for all calls without an id (one more connection for each pair of router and server, which are dear), and closing a connection after each such rejection (as many connections as rejections, when servers are full). Left: rejections of requests that bear no id themselves are accepted as before, so a repetition of one of them is not told apart.

Tests of backendConnections: two, which failed before.

--- a/packages/routing/__tests__/backendConnections.test.ts
+++ b/packages/routing/__tests__/backendConnections.test.ts
@@ -1,9 +1,11 @@
+import type { Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
 import test, { type ExecutionContext } from 'ava';
 import {
   createBackendConnections,
   readWholeBody,
   type HttpCall,
+  type HttpOutcome,
   type ReadBarrier,
 } from '@bluebellhitch/routing';
 import { delay } from '@bluebellhitch/shared';
@@ -20,6 +22,12 @@
   return connections;
 }
 
+async function discardBody(outcome: HttpOutcome): Promise<void> {
+  if (outcome.kind === 'answered') {
+    await readWholeBody(outcome.response.body);
+  }
+}
+
 async function readBody(t: ExecutionContext, address: string) {
   const outcome = await createConnections(t).call(createCall(address));
   return outcome.kind === 'answered' ? readWholeBody(outcome.response.body) : outcome;
@@ -189,3 +197,40 @@
     t.is(received(), '');
   });
 });
+
+test('the late repetition of a rejection without an id does not reject the next request on its connection', async (t) => {
+  // Guards against a request that runs twice: the router's own calls bear no id, and neither do their rejections.
+  const sockets = new Set<Socket>();
+  const { address } = await startRawServer(t, (socket, text) => {
+    const rejection = 'HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n';
+    if (text.startsWith('GET /reserve')) {
+      socket.write(rejection);
+    } else {
+      setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'), 40);
+      sockets.forEach((other) => other.write(rejection));
+    }
+    sockets.add(socket);
+  });
+  const connections = createConnections(t);
+  const reserve = { method: 'GET', path: '/reserve', body: undefined, isAnonymous: true };
+  const rejected = await connections.call(createCall(address, reserve));
+  t.like(rejected, { kind: 'answered', response: { status: 503 } });
+  await discardBody(rejected);
+  const answered = await connections.call(createCall(address));
+  t.like(answered, { kind: 'answered', response: { status: 200 } });
+});
+
+test('connections that carried a rejection without an id serve further calls of that kind', async (t) => {
+  const { address, connectionCount } = await startRawServer(t, (socket) => {
+    socket.write('HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n');
+  });
+  const connections = createConnections(t);
+  const reserve = createCall(address, { isAnonymous: true, body: undefined });
+  await discardBody(await connections.call(reserve));
+  await discardBody(await connections.call(reserve));
+  t.is(connectionCount(), 1);
+  await discardBody(await connections.call(createCall(address)));
+  t.is(connectionCount(), 2);
+  await discardBody(await connections.call(reserve));
+  t.is(connectionCount(), 2);
+});
--- a/packages/routing/src/backendConnections.ts
+++ b/packages/routing/src/backendConnections.ts
@@ -94,7 +94,9 @@
           void waitForInput().then(() => callback(...outcome));
         }),
     });
-    const connection: Connection = { client, isCloseDelimited: false, isClosed: false };
+    const connection: Connection = {
+      ...{ client, isCloseDelimited: false, isOnlyForAnonymous: false, isClosed: false },
+    };
     const onDisconnected = () => close(connection, pool);
     client.on('disconnect', onDisconnected);
     client.on('connectionError', onDisconnected);
@@ -133,7 +135,7 @@
       return { kind: 'withheld' };
     }
     const pool = getPool(request.address);
-    const reused = pool.idle.pop();
+    const reused = takeIdle(pool, request);
     if (reused !== undefined) {
       const outcome = await send(reused, pool, request);
       // The server has closed the connection. Nothing was sent, so the call may use another connection.
@@ -180,6 +182,14 @@
   };
 }
 
+function takeIdle(pool: AddressPool, { isAnonymous = false }: HttpCall): Connection | undefined {
+  const taken =
+    pool.idle.findLast(({ isOnlyForAnonymous }) => isOnlyForAnonymous === isAnonymous) ??
+    pool.idle.findLast(({ isOnlyForAnonymous }) => !isOnlyForAnonymous);
+  pool.idle = pool.idle.filter((connection) => connection !== taken);
+  return taken;
+}
+
 /**
  * Records how the connection ends, before undici handles it. A response without a length ends with its connection, and
  * a reset must not be taken for that end: the caller would get a truncated response that looks complete. Undici treats
--- a/packages/routing/src/backendExchange.ts
+++ b/packages/routing/src/backendExchange.ts
@@ -9,6 +9,8 @@
   client: Client;
   /** Whether the end of the connection marks the end of the current response. */
   isCloseDelimited: boolean;
+  /** It has carried the rejection of an anonymous call: see `HttpCall`. */
+  isOnlyForAnonymous: boolean;
   /** How the connection ended; only set if it was reset or the response is close-delimited. */
   end?: Promise<ConnectionEnd>;
 }
@@ -20,6 +22,8 @@
   onBroken(): void;
 }
 
+const minErrorStatus = 400;
+
 type BodyEnd = { kind: 'whole' } | { kind: 'lost'; detail: string };
 
 /**
@@ -120,6 +124,7 @@
       const headers = readHeaders(startedController.rawHeaders);
       isFramed = hasFraming(headers, status);
       connection.isCloseDelimited = !isFramed;
+      connection.isOnlyForAnonymous ||= call.isAnonymous === true && status >= minErrorStatus;
       body.isUnframed = !isFramed;
       resolve({ kind: 'answered', response: { status, headers, body, discard: cancel } });
     },
--- a/packages/routing/src/httpCall.ts
+++ b/packages/routing/src/httpCall.ts
@@ -12,6 +12,11 @@
   /** Maximum time from the call to the head of the response, including the time to connect. */
   headTimeoutMs: number;
   signal?: AbortSignal;
+  /**
+   * Responses to the call name no request. A server may repeat a response late, and the repetition of such a rejection
+   * would be taken for that of the next request on the connection; after one, the connection serves only calls of this kind.
+   */
+  isAnonymous?: boolean;
   /**
    * Whether the call may still be sent; it always may if absent. Checked before a connection is chosen and again just
    * before sending, because the call may have waited for a connection.
