Ask whether a request may be sent after the wait for what has arrived, not before

A second attempt whose time-out ended with a hold-up was sent with a key that had been revoked meanwhile: access and quarantine were asked for before the call, and the change lay unread. Servers' notices are asked for just before the sending already; access and quarantine now are as well, for runs and prefills, by the same question of the call.

--- a/packages/routing/src/backendApi.ts
+++ b/packages/routing/src/backendApi.ts
@@ -102,6 +102,8 @@
 }
 
 export interface RunOptions {
+  /** Asked just before sending, after any wait for a connection; the call is withheld if it returns false. */
+  maySend?: () => boolean;
   /** Time left until the caller's deadline; the server stops work after it. */
   remainingMs: number;
   /** Time to wait for the head of the response. */
@@ -114,6 +116,8 @@
 }
 
 export interface PrefillOptions {
+  /** See `RunOptions`. */
+  maySend?: () => boolean;
   remainingMs: number;
   timeoutMs: number;
   signal: AbortSignal;
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -15,6 +15,7 @@
 import { choosePlainServer, defaultRetryAfterMs, type PlainChoice } from './plainChoice';
 import {
   createLostRefusal,
+  maySend,
   noteStep,
   reasonNotToSend,
   remainingMs,
@@ -177,6 +178,7 @@
   const outcome = await backend.run(server, state.request, {
     remainingMs: availableMs,
     headTimeoutMs: headTimeoutMs(state, availableMs),
+    maySend: () => maySend(state),
     signal: state.signal,
     lastEventId: state.request.lastEventId,
   });
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -15,6 +15,7 @@
 import { stages, type BackendServer } from './model';
 import { createPrefillSpeeds, type PromptResult } from './prefillSpeeds';
 import {
+  maySend,
   noteStep,
   reasonNotToSend,
   remainingMs,
@@ -196,6 +197,7 @@
     const outcome = await backend.prefill(server, state.request, {
       remainingMs: remainingMs(state),
       timeoutMs,
+      maySend: () => maySend(state),
       signal: state.signal,
     });
     release();
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -137,6 +137,11 @@
   return { reason: notRunReasons.quarantined, retryAfterMs };
 }
 
+/** Whether the request may still be sent; for the check just before sending. */
+export function maySend(state: RequestState): boolean {
+  return reasonNotToSend(state) === undefined;
+}
+
 export function remainingMs(state: RequestState): number {
   return state.endsAtMs - monotonicNowMs();
 }
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -17,6 +17,7 @@
 import { lostRunCauses, recordLostRun } from './lostRuns';
 import { startStallWatch, type StallWatch } from './stallWatch';
 import {
+  maySend,
   noteStep,
   reasonNotToSend,
   remainingMs,
@@ -301,9 +302,9 @@
   const outcome = await deps.backend.run(server, state.request, {
     remainingMs: availableMs,
     headTimeoutMs: availableMs,
+    maySend: () => maySend(state),
     signal: AbortSignal.any([state.signal, signal]),
-    reservation,
-    prefill,
+    ...{ reservation, prefill },
     lastEventId: relay.lastEventId(),
   });
   if (outcome.kind === 'not-run') {
