--- a/packages/soak/__tests__/callersThatLeft.test.ts
+++ b/packages/soak/__tests__/callersThatLeft.test.ts
@@ -15,12 +15,14 @@
 const stoppedMs = 1_100;
 const settleMs = 1_500;
 const callerCount = 30;
+/** Streams have begun by then, and have two seconds left. */
+const streamedMs = 1_000;
 const plainServers = Array.from({ length: 3 }, () => ({ workMs: 20 }));
 const engines = [
   ...Array.from({ length: 2 }, () => ({ stage: 'prefill' as const })),
   ...Array.from({ length: 3 }, () => ({
     stage: 'decode' as const,
-    eventCount: 40,
+    eventCount: 60,
     eventGapMs: 50,
   })),
 ];
@@ -141,6 +143,25 @@
   },
 );
 
+test.serial(
+  'servers stop working for callers that have left a router that is short of processor time',
+  async (t) => {
+    const fleet = await startHeldUpRouters(t, 3, [...plainServers, ...engines]);
+    const endThrottle = fleet.routers[0]?.starve({ runMs: 24, periodMs: 100 });
+    const callers = await connectCallers(fleet);
+    callers.forEach((caller) => caller.send(streamRequest()));
+    await delay(streamedMs);
+    const running = fleet.workers.flatMap(({ runs }) => runs).length;
+    callers.forEach((caller) => caller.leave('close'));
+    await delay(settleMs);
+    await endThrottle?.();
+    const late = fleet.departures.lateWork(graceMs);
+    // Otherwise the test proves nothing.
+    t.true(running > callerCount / 2, `${running} of ${callerCount} run`);
+    t.true(late.length <= callerCount / 4, `${late.length} of ${callerCount} ran on`);
+  },
+);
+
 [4, 24].forEach((routerCount) => {
   test.serial(
     `one of ${routerCount} routers that is short of processor time serves callers that wait, not those that have left`,
