--- a/packages/routing/src/readBarrier.ts
+++ b/packages/routing/src/readBarrier.ts
@@ -62,7 +62,7 @@
   };
 }
 
-/** For tests of parts that need no barrier. */
+/** Lets everything pass at once. */
 export const noReadBarrier: ReadBarrier = {
   check: () => ({ isCurrent: () => true, nextPass: () => Promise.resolve() }),
 };
--- a/packages/soak/__tests__/support/heldUpRouters.ts
+++ b/packages/soak/__tests__/support/heldUpRouters.ts
@@ -17,7 +17,7 @@
 import { routeKinds } from '@bluebellhitch/routing';
 import { delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { serviceNames } from '../../src/backendServers';
-import { callersHost, plainRoute, streamRoute } from '../../src/configurationPlan';
+import { callerLimits, callersHost, plainRoute, streamRoute } from '../../src/configurationPlan';
 import { startRouterFleet, type RouterProcessHandle } from '../../src/routerFleet';
 
 const repositoryRoot = join(import.meta.dirname, '..', '..', '..', '..');
@@ -138,10 +138,5 @@
         ? { kvTokens: 200_000, reservationLimitMs: 4_000, stageSwitchMs: 100 }
         : undefined,
   })),
-  limits: {
-    maxHeaderBytes: 16_384,
-    maxBodyBytes: 65_536,
-    headerTimeoutMs: 3_000,
-    idleTimeoutMs: 15_000,
-  },
+  limits: callerLimits,
 };
--- a/packages/soak/src/configurationPlan.ts
+++ b/packages/soak/src/configurationPlan.ts
@@ -11,6 +11,14 @@
 const streamTimeoutMs = 4_000;
 const plainTimeoutMs = 2_000;
 
+/** Limits of callers' connections in the configuration. */
+export const callerLimits: Configuration['limits'] = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 65_536,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
 /** The target of one path in the newest configuration, and since when. */
 export interface PathState {
   /** Undefined if no route matches the path. */
@@ -65,12 +73,7 @@
             ? { kvTokens: 50_000, reservationLimitMs: 2_000, stageSwitchMs: 100 }
             : undefined,
       })),
-      limits: {
-        maxHeaderBytes: 16_384,
-        maxBodyBytes: 65_536,
-        headerTimeoutMs: 3_000,
-        idleTimeoutMs: 15_000,
-      },
+      limits: callerLimits,
     };
   }
 
