Give the trial of a held part to a request that nothing else holds back

A request takes the trials of its parts only if it may be sent with them. The new test failed before: a sound request was told to come back in 10,000 ms.

--- a/packages/routing/__tests__/requestQuarantine.test.ts
+++ b/packages/routing/__tests__/requestQuarantine.test.ts
@@ -375,3 +375,20 @@
     );
   }),
 );
+
+test.serial('a request that is held itself does not take the place of the trial of a part', (t) =>
+  // The part stayed held, as nothing else could clear it.
+  withFleet(1, async (fleet, clock) => {
+    const heldBackMs = (fingerprint: string) =>
+      fleet.routers[0]?.guard(identityOf(fingerprint, [harmfulPart])).heldBackMs();
+    for (const number of [1, 2, 3, 4, 5]) {
+      await fleet.crash(0, request, `s${number}`, 50, [harmfulPart]);
+      await fleet.crash(0, `other ${number}`, `t${number}`, 50, [harmfulPart]);
+      await clock.tickAsync(200);
+    }
+    t.not(heldBackMs('a sound request'), undefined);
+    await clock.tickAsync(hourMs - 60_000);
+    t.not(heldBackMs(request), undefined);
+    t.is(heldBackMs('a sound request'), undefined);
+  }),
+);
--- a/packages/routing/src/partTrials.ts
+++ b/packages/routing/src/partTrials.ts
@@ -7,8 +7,10 @@
 import type { QuarantineChannel } from './crashAnnouncements';
 
 export interface PartTrials {
-  /** Whether the holder's request is the trial; true again for the same holder. */
-  take(partFingerprint: string, holder: object): boolean;
+  /** Whether the holder's request may be the trial; true again once it is. */
+  mayTake(partFingerprint: string, holder: object): boolean;
+  /** Makes the holder's request the trial; only if it may be. */
+  take(partFingerprint: string, holder: object): void;
 }
 
 interface Trial {
@@ -33,18 +35,16 @@
   }
 
   return {
-    take(partFingerprint, holder) {
+    mayTake(partFingerprint, holder) {
       const current = trials.get(partFingerprint);
-      if (current?.holder === holder) {
-        return true;
-      }
-      const nowMs = monotonicNowMs();
-      const isInProgress = current !== undefined && current.takenAtMs + trialTimeoutMs > nowMs;
-      if (isInProgress || !isOurs(partFingerprint)) {
-        return false;
+      const isInProgress =
+        current !== undefined && current.takenAtMs + trialTimeoutMs > monotonicNowMs();
+      return current?.holder === holder || (!isInProgress && isOurs(partFingerprint));
+    },
+    take(partFingerprint, holder) {
+      if (trials.get(partFingerprint)?.holder !== holder) {
+        trials.set(partFingerprint, { holder, takenAtMs: monotonicNowMs() });
       }
-      trials.set(partFingerprint, { holder, takenAtMs: nowMs });
-      return true;
     },
   };
 }
--- a/packages/routing/src/requestGuard.ts
+++ b/packages/routing/src/requestGuard.ts
@@ -22,22 +22,24 @@
   /** The same for all checks of the request: it stays the trial of a part once it has become it. */
   const holder = {};
 
-  function heldBackByMs(one: string): number {
-    const verdict = judge(one);
-    if (verdict.kind !== 'quarantined') {
-      return 0;
-    }
-    const isTrial = verdict.isTrialDue === true && trials.take(one, holder);
-    return isTrial ? 0 : verdict.retryAfterMs;
-  }
-
   return {
     heldBackMs() {
       if (isEmpty()) {
         return undefined;
       }
-      const heldBackMs = Math.max(...[fingerprint(), ...partFingerprints].map(heldBackByMs));
-      return heldBackMs > 0 ? heldBackMs : undefined;
+      const holds = [fingerprint(), ...partFingerprints].flatMap((one) => {
+        const verdict = judge(one);
+        return verdict.kind === 'quarantined' ? [{ one, verdict }] : [];
+      });
+      // A request that something else holds back must not take the place of a trial that could be sent.
+      const isTrial = holds.every(
+        ({ one, verdict }) => verdict.isTrialDue === true && trials.mayTake(one, holder),
+      );
+      if (isTrial) {
+        holds.forEach(({ one }) => trials.take(one, holder));
+        return undefined;
+      }
+      return Math.max(...holds.map(({ verdict }) => verdict.retryAfterMs));
     },
   };
 }
