Exchange which parts of prompts have run well, and let that explain crashes

Cause: evidence that each router keeps for itself. Crashes are told to all routers, and that a part does no harm was known only to the router that had the run. So the part that all crashed runs share was held where nobody had seen it run well, though others had. Also: a short stream on an engine that writes nothing else never counted as evidence.

Change: announcements say when a server last wrote on a part without harm; a router that knows of a later run answers once (decisions/quarantine, routing/partSoundness). To a part that has run well within two minutes everything explains its crashes that has not. Engines are asked for a sign of life after a short stream whose parts are suspected. The first part counts as any other if other parts of the same crashed requests have run well and it has not. The five crashes that hold a widespread part without other suspects, and its test, stay as they are.

--- a/packages/decisions/__tests__/quarantine.test.ts
+++ b/packages/decisions/__tests__/quarantine.test.ts
@@ -164,3 +164,23 @@
   t.true(quarantine.noteSoundPart('s', 'f', 11));
   t.is(quarantine.verdict(query(12, { parts })).kind, 'clear');
 });
+
+test('a part that has run well elsewhere is proven for two minutes, and its strikes stay', (t) => {
+  const quarantine = createQuarantine();
+  const base = { instanceId: 'i', service: 's' };
+  [1, 2, 3].forEach((number) => {
+    const strike = { ...base, attemptId: `${number}` };
+    quarantine.strike({ ...strike, fingerprint: 'f', depth: 0 }, number);
+    quarantine.strike({ ...strike, fingerprint: `q${number}` }, number);
+  });
+  const parts = {
+    widespread: { strikes: 3, rounds: 1, firstTrialMs: 1_000, trialFactor: 2 },
+    other: { strikes: 3, rounds: 1, firstTrialMs: 1_000, trialFactor: 2 },
+  };
+  const overrides = { durationMs: 3_600_000, rounds: 1, parts };
+  t.is(quarantine.verdict(query(10, overrides)).kind, 'quarantined');
+  quarantine.noteProvenPart('s', 'f', 5);
+  t.is(quarantine.soundAtMs('s', 'f'), 5);
+  t.like(quarantine.verdict(query(11, overrides)), { kind: 'struck', strikeCount: 3 });
+  t.is(quarantine.verdict(query(120_010, overrides)).kind, 'quarantined');
+});
--- a/packages/decisions/__tests__/quarantineVerdicts.test.ts
+++ b/packages/decisions/__tests__/quarantineVerdicts.test.ts
@@ -141,3 +141,18 @@
 test('crashes of servers that end together hold no part', (t) => {
   t.deepEqual(held({ part: { depth: 1, crashes: [1, 2, 3], isOneRound: true } }), []);
 });
+
+// Guards against a route that is refused whole: ten causes with one crash each have only the first part in common.
+test('many causes with few crashes each do not count against a part that is proven', (t) => {
+  const sketches = {
+    first: { depth: 0, crashes: [1, 2, 3, 4, 5, 6] },
+    ...Object.fromEntries([1, 2, 3, 4, 5, 6].map((one) => [`q${one}`, { crashes: [one] }])),
+  };
+  t.deepEqual(held(sketches), ['first']);
+  const records = Object.entries(sketches).map(([name, sketch]) => recordOf(name, sketch));
+  const isFirst = ({ depth }: QuarantineRecord) => depth === 0;
+  const options = { policy, nowMs: 1_000, isWidespread: isFirst, isProven: isFirst };
+  t.deepEqual([...judgeTogether(records, options).keys()], []);
+  const alone = records.filter(({ fingerprint }) => fingerprint === 'first');
+  t.deepEqual([...judgeTogether(alone, options).keys()], ['first']);
+});
--- a/packages/decisions/src/quarantine.ts
+++ b/packages/decisions/src/quarantine.ts
@@ -49,6 +49,10 @@
   clear(service: string, fingerprint: string): boolean;
   /** A server has written on the part without harm: like `clear`, and the part counts as widespread for some time. */
   noteSoundPart(service: string, fingerprint: string, nowMs: number): boolean;
+  /** Another process has seen a server write on the part without harm, at this time. Strikes stay as they are. */
+  noteProvenPart(service: string, fingerprint: string, soundAtMs: number): void;
+  /** When a server last wrote on the part without harm, as far as known here. */
+  soundAtMs(service: string, fingerprint: string): number | undefined;
   /** Merges a record from a peer or the platform; false if it contained nothing new. */
   merge(record: QuarantineRecord, nowMs: number): boolean;
   record(service: string, fingerprint: string): QuarantineRecord | undefined;
@@ -82,6 +86,8 @@
 const maxSoundParts = 8192;
 /** How long a part counts as widespread after a server has written on it without harm. */
 const soundMemoryMs = 3_600_000;
+/** The same for a part that is proven; shorter, since a part may become harmful with a change of the servers. */
+const proofMemoryMs = 120_000;
 const judgedTogetherMs = 100;
 
 export function createQuarantine(options: QuarantineOptions = {}): Quarantine {
@@ -130,9 +136,27 @@
     return true;
   }
 
-  function isWidespread({ service, fingerprint, depth }: QuarantineRecord, nowMs: number): boolean {
+  function hasRunWell({ service, fingerprint, depth }: QuarantineRecord, nowMs: number): boolean {
     const soundAt = soundAtMs.get(recordKey(service, fingerprint)) ?? -Infinity;
-    return depth === 0 || (depth !== undefined && soundAt + soundMemoryMs > nowMs);
+    return depth !== undefined && soundAt + soundMemoryMs > nowMs;
+  }
+
+  /** The first part of prompts, unless parts of the same requests have run well and it has not. */
+  function isFirstPart(record: QuarantineRecord, nowMs: number): boolean {
+    const isSetApart = () =>
+      !isProven(record, nowMs) &&
+      [...records.entries()].some(
+        ([, other]) =>
+          other.service === record.service &&
+          isProven(other, nowMs) &&
+          hasAllStrikesOf(other, record),
+      );
+    return record.depth === 0 && !isSetApart();
+  }
+
+  function isProven({ service, fingerprint, depth }: QuarantineRecord, nowMs: number): boolean {
+    const soundAt = soundAtMs.get(recordKey(service, fingerprint)) ?? -Infinity;
+    return depth !== undefined && soundAt + proofMemoryMs > nowMs;
   }
 
   function verdict(query: QuarantineQuery): QuarantineVerdict {
@@ -143,7 +167,9 @@
     const judgeOptions = {
       policy,
       nowMs,
-      isWidespread: (record: QuarantineRecord) => isWidespread(record, nowMs),
+      isWidespread: (record: QuarantineRecord) =>
+        hasRunWell(record, nowMs) || isFirstPart(record, nowMs),
+      isProven: (record: QuarantineRecord) => isProven(record, nowMs),
     };
     const record = recordOf(service, fingerprint);
     const alone = judgeRecord(record, judgeOptions);
@@ -193,6 +219,12 @@
       soundAtMs.set(recordKey(service, fingerprint), nowMs);
       return clear(service, fingerprint);
     },
+    noteProvenPart(service, fingerprint, atMs) {
+      const key = recordKey(service, fingerprint);
+      soundAtMs.set(key, Math.max(atMs, soundAtMs.get(key) ?? -Infinity));
+      changeCount += 1;
+    },
+    soundAtMs: (service, fingerprint) => soundAtMs.get(recordKey(service, fingerprint)),
     merge,
     record: recordOf,
     records: () => [...records.entries()].map(([, record]) => record),
@@ -207,6 +239,13 @@
   };
 }
 
+/** Whether each crash that counts against a record has also struck the other one, cleared since or not. */
+function hasAllStrikesOf(other: QuarantineRecord, record: QuarantineRecord): boolean {
+  const struckIds = new Set(other.strikes.map(({ attemptId }) => attemptId));
+  const counted = activeStrikes(record);
+  return counted.length > 0 && counted.every(({ attemptId }) => struckIds.has(attemptId));
+}
+
 function clampToNow(record: QuarantineRecord, nowMs: number): QuarantineRecord {
   const strikes = record.strikes.map((strike) => ({
     ...strike,
--- a/packages/decisions/src/quarantineVerdicts.ts
+++ b/packages/decisions/src/quarantineVerdicts.ts
@@ -62,6 +62,8 @@
   nowMs: number;
   /** Whether many requests have the part, so that its quarantine needs more evidence. */
   isWidespread: (record: QuarantineRecord) => boolean;
+  /** Whether servers have written on the part without harm until now. Default: it is not known. */
+  isProven?: (record: QuarantineRecord) => boolean;
 }
 
 /**
@@ -122,7 +124,8 @@
  * Judges records together, and returns the verdicts of those in quarantine by fingerprint. Those with most strikes are
  * judged first, and of equal ones the part at the greatest position, which fewer requests have. What is in quarantine
  * explains its crashes to those after it. A request does not explain the crashes of another request. Widespread parts
- * come last; whatever else is suspect by itself explains its crashes to them.
+ * come last; whatever else is suspect by itself explains its crashes to them. To a part that is proven, all explains its
+ * crashes that is not: of several causes each has few crashes, and together they have what all requests share in common.
  */
 export function judgeTogether(
   records: readonly QuarantineRecord[],
@@ -137,6 +140,10 @@
   ) as [Candidate[], Candidate[]];
   const suspects = others.filter(({ record }) => isHeld(judgeRecord(record, options)));
   const explainedToAll = strikeIdsOf(suspects);
+  const { isProven = () => false } = options;
+  const explainedToProven = strikeIdsOf(
+    records.filter((record) => !isProven(record)).map((record) => ({ record })),
+  );
   const causes: Candidate[] = [];
   const verdicts = new Map<string, QuarantineVerdict>();
 
@@ -151,7 +158,9 @@
   suspects.forEach((candidate) =>
     judge(candidate, strikeIdsOf(causes.filter((cause) => doesExplain(cause, candidate)))),
   );
-  widespread.forEach((candidate) => judge(candidate, explainedToAll));
+  widespread.forEach((candidate) =>
+    judge(candidate, isProven(candidate.record) ? explainedToProven : explainedToAll),
+  );
   return verdicts;
 }
 
@@ -159,7 +168,7 @@
   return kind === 'quarantined';
 }
 
-function strikeIdsOf(candidates: readonly Candidate[]): ReadonlySet<string> {
+function strikeIdsOf(candidates: readonly Pick<Candidate, 'record'>[]): ReadonlySet<string> {
   const strikes = candidates.flatMap(({ record }) => activeStrikes(record));
   return new Set(strikes.map(({ attemptId }) => attemptId));
 }
--- a/packages/protocol/src/crashMessages.ts
+++ b/packages/protocol/src/crashMessages.ts
@@ -23,6 +23,8 @@
   fingerprint: string;
   /** Position of the part in its prompts, from 0; absent for a whole request. */
   depth?: number;
+  /** Time since a server has written on the part without harm, as far as the sender knows. */
+  soundAgeMs?: number;
   crashes: AnnouncedCrash[];
 }
 
@@ -54,6 +56,7 @@
             z.string().min(1).max(64),
             z.array(crash.rest(z.unknown())).max(maxCrashesPerRequest),
             z.number().int().nonnegative().optional().catch(undefined),
+            duration.optional().catch(undefined),
           ])
           .rest(z.unknown()),
       )
@@ -65,7 +68,7 @@
 export function encodeCrashMessage({ senderAddress, isQuestion, requests }: CrashMessage): Buffer {
   const rows = requests
     .slice(0, maxRequestsPerMessage)
-    .map(({ fingerprint, crashes, depth }) => [
+    .map(({ fingerprint, crashes, depth, soundAgeMs }) => [
       fingerprint,
       crashes
         .slice(0, maxCrashesPerRequest)
@@ -76,6 +79,7 @@
           isCleared ? 1 : 0,
         ]),
       ...(depth === undefined ? [] : [depth]),
+      ...(depth === undefined || soundAgeMs === undefined ? [] : [Math.round(soundAgeMs)]),
     ]);
   return Buffer.from(JSON.stringify([formatName, senderAddress, isQuestion ? 1 : 0, rows]));
 }
@@ -93,9 +97,10 @@
   return {
     senderAddress,
     isQuestion: question === 1,
-    requests: rows.map(([fingerprint, crashes, depth]) => ({
+    requests: rows.map(([fingerprint, crashes, depth, soundAgeMs]) => ({
       fingerprint,
       ...(depth === undefined ? {} : { depth }),
+      ...(soundAgeMs === undefined ? {} : { soundAgeMs }),
       crashes: crashes.map(([serverId, ageMs, durationMs, cleared]) => ({
         serverId,
         ageMs,
--- a/packages/routing/__tests__/requestQuarantine.test.ts
+++ b/packages/routing/__tests__/requestQuarantine.test.ts
@@ -376,6 +376,40 @@
   }),
 );
 
+/** A run at the router with the first part that writes for longer than a harmful part lets it. */
+async function runWell(fleet: QuarantineFleet, clock: Clock, router: number): Promise<void> {
+  const identity = identityOf('a sound request', [firstPart]);
+  const server = { id: 'sound' } as BackendServer;
+  const startedAtMs = monotonicNowMs();
+  const run = fleet.routers[router]?.observeRun({ identity, requestId: 'q', server, startedAtMs });
+  run?.noteEvent();
+  await clock.tickAsync(1_100);
+  run?.noteEvent();
+  await clock.tickAsync(600);
+}
+
+[
+  { hasRunWell: true, expected: 0 },
+  { hasRunWell: false, expected: 24 },
+].forEach(({ hasRunWell, expected }) => {
+  test.serial(
+    `a part that ${hasRunWell ? 'one router has seen' : 'no router has seen'} run well is held at ${expected} of 24 routers for crashes of many requests`,
+    (t) =>
+      // Crashes are known to all routers, and runs only to the one that had them: after a start each has few.
+      withFleet(24, async (fleet, clock) => {
+        if (hasRunWell) {
+          await runWell(fleet, clock, 5);
+        }
+        for (let number = 1; number <= 8; number += 1) {
+          await fleet.crash(number % 2, `request ${number}`, `s${number}`, 100, [firstPart]);
+          await clock.tickAsync(500);
+        }
+        t.is(countPartHeldBack(fleet, firstPart), expected);
+        t.true(Math.max(...fleet.sentBytes) <= 1_000 * (300 + 10));
+      }),
+  );
+});
+
 test.serial('a request that is held itself does not take the place of the trial of a part', (t) =>
   // The part stayed held, as nothing else could clear it.
   withFleet(1, async (fleet, clock) => {
--- a/packages/routing/__tests__/runEvidence.test.ts
+++ b/packages/routing/__tests__/runEvidence.test.ts
@@ -11,11 +11,21 @@
   struck: string[];
   sound: string[];
   completed: string[];
+  /** Servers that were asked for a sign, and parts against which crashes count. */
+  asked: string[];
+  suspected: Set<string>;
 }
 
 async function withEvidence(check: (trial: Trial) => Promise<void>): Promise<void> {
   const clock = FakeTimers.install();
-  const trial = { clock, struck: [] as string[], sound: [] as string[], completed: [] as string[] };
+  const trial = {
+    clock,
+    struck: [] as string[],
+    sound: [] as string[],
+    completed: [] as string[],
+    asked: [] as string[],
+    suspected: new Set<string>(),
+  };
   const ignore = () => undefined;
   const evidence = createRunEvidence({
     strike({ identity }) {
@@ -23,6 +33,11 @@
       return true;
     },
     noteSoundPart: (part) => trial.sound.push(part),
+    isSuspected: (part) => trial.suspected.has(part),
+    async isRunning({ id }) {
+      trial.asked.push(id);
+      return id !== 'ended';
+    },
     noteCompleted: ({ fingerprint }) => trial.completed.push(fingerprint()),
     onCrash: ignore,
     logger: { debug: ignore, info: ignore, warn: ignore, error: ignore },
@@ -128,3 +143,30 @@
     t.deepEqual(sound, []);
   }),
 );
+
+test.serial(
+  'a short stream on an idle engine clears its suspected parts if the engine answers later',
+  (t) =>
+    // A trial of a held part is the only run with it; a stream of under a second never cleared it.
+    withEvidence(async ({ evidence, clock, sound, asked, suspected }) => {
+      const play = async (serverId: string, name: string) => {
+        const run = evidence.observeRun(callAt(serverId, name));
+        run.noteEvent();
+        run.noteCompleted();
+        await clock.tickAsync(1_000 + 600);
+      };
+      await play('s1', 'a');
+      t.deepEqual([asked, sound], [[], []]);
+      ['b-part', 'c-part', 'd-part'].forEach((part) => suspected.add(part));
+      await play('s1', 'b');
+      t.deepEqual([asked, sound], [['s1'], ['a-part', 'b-part']]);
+      await play('ended', 'c');
+      t.deepEqual(sound, ['a-part', 'b-part']);
+      const run = evidence.observeRun(callAt('s2', 'd'));
+      run.noteEvent();
+      evidence.noteServerEnded('s2', monotonicNowMs());
+      await clock.tickAsync(2_000);
+      t.deepEqual(asked, ['s1', 'ended']);
+      t.deepEqual(sound, ['a-part', 'b-part']);
+    }),
+);
--- a/packages/routing/__tests__/support/quarantineFleet.ts
+++ b/packages/routing/__tests__/support/quarantineFleet.ts
@@ -55,7 +55,10 @@
         },
         knownPeers: () => addresses.filter((_address, index) => index !== own),
       }),
-      serverEnds: { hasCrashed: () => Promise.resolve(true) },
+      serverEnds: {
+        hasCrashed: () => Promise.resolve(true),
+        isRunning: () => Promise.resolve(false),
+      },
       logger: { debug: note, info: note, warn: note, error: note },
       onStatusChanged: (record) => saved.push(record),
       random,
--- a/packages/routing/src/crashAnnouncements.ts
+++ b/packages/routing/src/crashAnnouncements.ts
@@ -36,6 +36,8 @@
 export interface CrashAnnouncementsOptions {
   channel: () => QuarantineChannel | undefined;
   recordOf: (fingerprint: string) => QuarantineRecord | undefined;
+  /** When a server last wrote on the part without harm. */
+  soundAtMs: (fingerprint: string) => number | undefined;
   random: Random;
 }
 
@@ -50,7 +52,7 @@
 const byteBudget = { bytesPerSecond: 1_000, maxSavedMs: 300_000, initialMs: 300_000 };
 
 export function createCrashAnnouncements(options: CrashAnnouncementsOptions): CrashAnnouncements {
-  const { channel, recordOf, random } = options;
+  const { channel, recordOf, soundAtMs, random } = options;
   const budget = createByteBudget(byteBudget);
   /** How often each changed record is still to be sent. */
   const sendsLeft = new Map<string, number>();
@@ -105,7 +107,7 @@
     }
     const requests = fingerprints.flatMap((fingerprint) => {
       const record = recordOf(fingerprint);
-      return record === undefined ? [] : [toWire(record, monotonicNowMs())];
+      return record === undefined ? [] : [toWire(record, soundAtMs(fingerprint), monotonicNowMs())];
     });
     const bytes = encodeCrashMessage({ senderAddress: open.address, isQuestion, requests });
     const affordableCount = Math.max(0, Math.floor(budget.available() / bytes.length));
@@ -139,11 +141,16 @@
 }
 
 /** The latest crashes: those before them no longer matter. */
-function toWire(record: QuarantineRecord, nowMs: number): CrashingRequest {
+function toWire(
+  record: QuarantineRecord,
+  soundAtMs: number | undefined,
+  nowMs: number,
+): CrashingRequest {
   const { fingerprint, depth, strikes, clearedAttemptIds } = record;
   return {
     fingerprint,
     depth,
+    soundAgeMs: soundAtMs === undefined ? undefined : Math.max(0, nowMs - soundAtMs),
     crashes: strikes
       .slice(0, maxCrashesPerRequest)
       .map(({ attemptId: serverId, struckAtMs, startedAtMs = struckAtMs }) => ({
--- a/packages/routing/src/requestQuarantine.ts
+++ b/packages/routing/src/requestQuarantine.ts
@@ -22,6 +22,7 @@
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import { createCrashAnnouncements, type QuarantineChannel } from './crashAnnouncements';
+import { createPartSoundness } from './partSoundness';
 import { createPartTrials } from './partTrials';
 import type { RequestIdentity } from './requestFingerprint';
 import { createRequestGuard, type RequestGuard } from './requestGuard';
@@ -99,7 +100,9 @@
   sweepTimer.unref();
 
   const recordOf = (fingerprint: string) => quarantine.record(allServices, fingerprint);
-  const announcements = createCrashAnnouncements({ channel, recordOf, random });
+  const soundAtMs = (fingerprint: string) => quarantine.soundAtMs(allServices, fingerprint);
+  const announcements = createCrashAnnouncements({ channel, recordOf, soundAtMs, random });
+  const soundness = createPartSoundness({ soundAtMs, announce: announcements.announce, random });
   const trials = createPartTrials(channel);
   const judge = (fingerprint: string) =>
     quarantine.verdict({
@@ -185,10 +188,24 @@
     }
   }
 
+  function noteSoundness({ fingerprint, depth, soundAgeMs }: CrashingRequest, nowMs: number): void {
+    const atMs = soundAgeMs === undefined ? undefined : nowMs - soundAgeMs;
+    if (atMs !== undefined) {
+      change(fingerprint, () => {
+        quarantine.noteProvenPart(allServices, fingerprint, atMs);
+        return false;
+      });
+    }
+    if (depth !== undefined) {
+      soundness.noteAnnounced(fingerprint, atMs);
+    }
+  }
+
   function receiveRequest(request: CrashingRequest): void {
     const { fingerprint } = request;
     const nowMs = monotonicNowMs();
     const countBefore = crashCount(fingerprint);
+    noteSoundness(request, nowMs);
     change(fingerprint, () => quarantine.merge(fromWire(request, nowMs), nowMs));
     const count = crashCount(fingerprint);
     if (count > countBefore && count >= minCrashesToPassOn) {
@@ -211,7 +228,11 @@
     );
   }
 
-  const evidence = createRunEvidence({ strike, noteSoundPart, noteCompleted, onCrash, logger });
+  const evidence = createRunEvidence({
+    ...{ strike, noteSoundPart, noteCompleted, onCrash, logger },
+    isSuspected: (part) => activeStrikes(recordOf(part)).length > 0,
+    isRunning: serverEnds.isRunning,
+  });
 
   return {
     guard: (identity) =>
@@ -261,6 +282,7 @@
     },
     close() {
       announcements.close();
+      soundness.close();
       clearInterval(sweepTimer);
     },
   };
--- a/packages/routing/src/runEvidence.ts
+++ b/packages/routing/src/runEvidence.ts
@@ -38,6 +38,10 @@
   /** Counts the server's end against all that the call carried; false if that was known. */
   strike(call: CarriedCall, endedAtMs: number): boolean;
   noteSoundPart(partFingerprint: string): void;
+  /** Whether crashes count against the part. */
+  isSuspected?: (partFingerprint: string) => boolean;
+  /** Whether the server answers. */
+  isRunning?: (server: BackendServer) => Promise<boolean>;
   noteCompleted(identity: RequestIdentity): void;
   onCrash(): void;
   logger: Logger;
@@ -62,6 +66,7 @@
 
 export function createRunEvidence(options: RunEvidenceOptions): RunEvidence {
   const { strike, noteSoundPart, noteCompleted, onCrash, logger } = options;
+  const { isSuspected = () => false, isRunning = () => Promise.resolve(false) } = options;
   const unsettled = createUnsettledRuns<FollowedRun>({ settleMs });
   const lostServers = createBoundedMap<string, true>({ maxEntries: maxLostServers });
   /** The latest run of each request. */
@@ -100,6 +105,25 @@
     }
   }
 
+  /**
+   * A stream that is shorter than the time to settle, on a server that writes nothing else, leaves no sign that it has done
+   * no harm. If its parts are suspected, the server is asked for one: nothing else may run that could clear them.
+   */
+  function askForSign(run: FollowedRun): void {
+    const { server, identity } = run.call;
+    const timer = setTimeout(() => {
+      const isNeeded = !run.hasSettled && identity.partFingerprints.some(isSuspected);
+      if (isNeeded && !lostServers.has(server.id)) {
+        void isRunning(server).then((isAlive) => {
+          if (isAlive) {
+            confirm(server.id, unsettled.noteAlive(server.id, monotonicNowMs()));
+          }
+        });
+      }
+    }, settleMs);
+    timer.unref();
+  }
+
   function noteSettled(run: FollowedRun): void {
     run.hasSettled = true;
     run.call.identity.partFingerprints.forEach(noteSoundPart);
@@ -119,6 +143,7 @@
         if (!hasBegun) {
           hasBegun = true;
           unsettled.begin(id, run, nowMs);
+          askForSign(run);
         }
         confirm(id, unsettled.noteAlive(id, nowMs));
       },
--- a/packages/routing/src/serverEnds.ts
+++ b/packages/routing/src/serverEnds.ts
@@ -13,6 +13,8 @@
    * within about a second. Calls for the same server share their probes.
    */
   hasCrashed(server: BackendServer): Promise<boolean>;
+  /** Resolves with whether this incarnation of the server answers. Calls for the same server share their probe. */
+  isRunning(server: BackendServer): Promise<boolean>;
 }
 
 export interface ServerEndsOptions {
@@ -26,6 +28,7 @@
 
 export function createServerEnds({ backend, directory }: ServerEndsOptions): ServerEnds {
   const inProgress = new Map<string, Promise<boolean>>();
+  const signsInProgress = new Map<string, Promise<boolean>>();
 
   /** A server that has announced its end cuts what it still runs; one that is no longer listed ended earlier. */
   function isEndExpected({ id }: BackendServer): boolean {
@@ -59,5 +62,19 @@
     return probes;
   }
 
-  return { hasCrashed };
+  async function probeOnce(server: BackendServer): Promise<boolean> {
+    return (await backend.probe(server, probeTimeoutMs)) === 'running';
+  }
+
+  function isRunning(server: BackendServer): Promise<boolean> {
+    const known = signsInProgress.get(server.id);
+    if (known !== undefined) {
+      return known;
+    }
+    const sign = probeOnce(server).finally(() => signsInProgress.delete(server.id));
+    signsInProgress.set(server.id, sign);
+    return sign;
+  }
+
+  return { hasCrashed, isRunning };
 }
