--- a/packages/routing/src/holdUpWatch.ts
+++ b/packages/routing/src/holdUpWatch.ts
@@ -1,6 +1,6 @@
 /**
  * Measures hold-ups of the process: times in which it read nothing, because it was stopped, got no processor time, or was
- * busy with one task. What arrives meanwhile lies unread, so a request may be older than its arrival tells.
+ * busy with one task. What arrives meanwhile lies unread, so a request may be older than its time of arrival.
  */
 import { monotonicNowMs } from '@bluebellhitch/shared';
 
--- a/packages/routing/src/partSoundness.ts
+++ b/packages/routing/src/partSoundness.ts
@@ -1,6 +1,6 @@
 /**
- * Tells the other routers that a server has written on a part of prompts without harm, if they count crashes against it
- * and do not know that: each router sees few runs, while crashes are known to all. One answer is enough for all routers,
+ * Announces to the other routers that a server has written on a part of prompts without harm, if they count crashes
+ * against it and do not know that: each router sees few runs, while crashes are known to all. One answer is enough for all routers,
  * so each waits for a random time and leaves it out if another one has answered.
  */
 import { createBoundedMap } from '@bluebellhitch/decisions';
@@ -27,7 +27,7 @@
 
 export function createPartSoundness(options: PartSoundnessOptions): PartSoundness {
   const { soundAtMs, announce, random } = options;
-  /** The latest time that all routers have been told. */
+  /** The latest time that has been announced to all routers. */
   const announcedAtMs = createBoundedMap<string, number>({ maxEntries: maxParts });
   const timers = new Map<string, NodeJS.Timeout>();
 
--- a/packages/routing/src/readBarrier.ts
+++ b/packages/routing/src/readBarrier.ts
@@ -17,20 +17,20 @@
 export interface InputCheck {
   /** Whether what arrived before the action, but for the last moments, has been read. */
   isCurrent(): boolean;
-  /** Resolves after a pass of the event loop that has begun after the call. */
+  /** Resolves after a pass of the event loop that started after the call. */
   nextPass(): Promise<void>;
 }
 
 export function createReadBarrier(): ReadBarrier {
   /** All that had arrived by this time has been read. */
   let readThroughMs = -Infinity;
-  /** The pass that has not begun yet; shared by all that wait for one. */
+  /** The pass that has not started yet; shared by all that wait for one. */
   let upcomingPass: Promise<void> | undefined;
 
   function startPass(): Promise<void> {
     return new Promise((resolve) => {
-      // The first callback ends the poll phase in progress, which may have begun before the arrival; the second one ends
-      // a poll phase that has begun after the first.
+      // The first callback ends the poll phase in progress, which may have started before the arrival; the second one
+      // ends a poll phase that started after the first.
       setImmediate(() => {
         upcomingPass = undefined;
         const startedAtMs = monotonicNowMs();
