--- a/packages/routing/__tests__/serviceVersions.test.ts
+++ b/packages/routing/__tests__/serviceVersions.test.ts
@@ -106,7 +106,8 @@
 async function onlyVersion(clock: Clock, { versions }: Router): Promise<string | undefined> {
   const read = versions.onlyVersion('s');
   await clock.tickAsync(700);
-  return read;
+  const only = await read;
+  return only.kind === 'known' ? only.softwareVersion : undefined;
 }
 
 type Check = (t: ExecutionContext, clock: Clock, store: Store) => Promise<void>;
--- a/packages/routing/__tests__/streamContinuation.test.ts
+++ b/packages/routing/__tests__/streamContinuation.test.ts
@@ -24,7 +24,12 @@
 ) =>
   planResumption(resumedRoute, resuming, {
     streamOrigins: { find: async () => origin },
-    serviceVersions: { onlyVersion: async () => onlyVersion },
+    serviceVersions: {
+      onlyVersion: async () =>
+        onlyVersion === undefined
+          ? { kind: 'unknown', reason: 'several-recorded' }
+          : { kind: 'known', softwareVersion: onlyVersion },
+    },
     random: () => 0.9,
   });
 
@@ -50,15 +55,18 @@
   const single = { ...route, targets: [{ serviceName: 'b', weight: 1 }] };
   const only = await plan({ onlyVersion: 'v1' }, request, single);
   t.deepEqual(only.resumed, { source: 'only-version', softwareVersion: 'v1' });
-  const unknown = [await plan({}, request, single), await plan({ onlyVersion: 'v1' })];
-  unknown.forEach(({ resumed }) => t.deepEqual(resumed, { source: 'unknown' }));
+  const several = await plan({}, request, single);
+  t.deepEqual(several.resumed, { source: 'unknown', reason: 'several-recorded' });
+  const split = await plan({ onlyVersion: 'v1' });
+  t.deepEqual(split.resumed, { source: 'unknown', reason: 'several-services' });
 });
 
 test('a caller that names no earlier request is not taken for one that does', async (t) => {
   // Its stream cannot be looked up.
   const origin = { serviceName: 'a', softwareVersion: 'v1' };
   const unnamed = { lastEventId: 3 } as CallerRequest;
-  t.deepEqual((await plan({ origin }, unnamed)).resumed, { source: 'unknown' });
+  const { resumed } = await plan({ origin }, unnamed);
+  t.deepEqual(resumed, { source: 'unknown', reason: 'several-services' });
 });
 
 test('only streams that a caller has events of are resumed', (t) => {
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -31,6 +31,7 @@
   type ResumedStream,
   type StreamPlan,
 } from './streamContinuation';
+import type { UnknownVersionReason } from './serviceVersions';
 import { serveStream } from './streamRequest';
 import { decideAccess, type ConfigurationFreshness } from './workspaceAccess';
 
@@ -67,6 +68,8 @@
   workspace?: Workspace;
   /** Present if the request is refused for its content. */
   identity?: RequestIdentity;
+  /** Present if it resumes a stream whose version is unknown. */
+  unknownVersionReason?: UnknownVersionReason;
 }
 
 interface AdmittedRequest {
@@ -84,6 +87,13 @@
   charge: QuotaCharge;
 }
 
+interface AdmittedResumption {
+  kind: 'admitted';
+  softwareVersion?: string;
+}
+
+type RefusedResumption = Pick<RefusedRequest, 'kind' | 'refusal' | 'unknownVersionReason'>;
+
 /** A starting router has its configuration within about a second. */
 const startupRetryAfterMs = 500;
 /** Another router may know the stream, or this one once it has met its peers. */
@@ -157,7 +167,7 @@
   function admitResumption(
     serviceName: string,
     resumed: ResumedStream | undefined,
-  ): { kind: 'admitted'; softwareVersion?: string } | { kind: 'refused'; refusal: Refusal } {
+  ): AdmittedResumption | RefusedResumption {
     if (resumed === undefined) {
       return { kind: 'admitted' };
     }
@@ -167,7 +177,8 @@
     }
     const reason = notRunReasons.unknownOrigin;
     const retryAfterMs = unknownOriginRetryAfterMs;
-    return { kind: 'refused', refusal: { kind: 'not-run', reason, retryAfterMs } };
+    const refusal: Refusal = { kind: 'not-run', reason, retryAfterMs };
+    return { kind: 'refused', refusal, unknownVersionReason: resumed.reason };
   }
 
   async function serveAdmitted(
@@ -231,7 +242,7 @@
   function refuseAtOnce(
     exchange: CallerExchange,
     { configuration }: RouteTable,
-    { refusal, route, workspace, identity }: RefusedRequest,
+    { refusal, route, workspace, identity, unknownVersionReason }: RefusedRequest,
   ): void {
     const cause = refusalCause(refusal);
     if (cause === notRunReasons.staleConfiguration) {
@@ -246,6 +257,7 @@
       fingerprint: identity?.fingerprint(),
       sharedParts: identity && exchange.request.sharedParts,
       resumes: exchange.request.resumedRequestId,
+      unknownVersionReason,
       configurationVersion: configuration.version,
     });
     exchange.refuse(refusal);
--- a/packages/routing/src/serviceVersions.ts
+++ b/packages/routing/src/serviceVersions.ts
@@ -15,19 +15,36 @@
 import type { Logger } from '@bluebellhitch/telemetry';
 import type { BackendServer } from './model';
 import type { ServerDirectory } from './serverDirectory';
-import { changeVersionRecord, readVersionRecord } from './versionRecords';
+import { createSharedRead, type SharedRead } from './sharedRead';
+import { changeVersionRecord, readVersionRecord, type VersionRecord } from './versionRecords';
 
 export interface ServiceVersions extends BackgroundLoop {
   /** To be called when the server is listed for the first time. */
   noteServer(server: BackendServer): void;
   /** Whether streams may begin at the server: its version is on record, or is the only one known so far. */
   mayBegin(server: BackendServer): boolean;
-  /** The only version that may have begun streams of the service; undefined if several may, or if it is not known. */
-  onlyVersion(serviceName: string): Promise<string | undefined>;
+  /** The only version that may have begun streams of the service. */
+  onlyVersion(serviceName: string): Promise<OnlyVersion>;
   /** The store was restored from a backup: the record may lack versions. */
   noteStoreRestored(): void;
 }
 
+export type OnlyVersion =
+  | { kind: 'known'; softwareVersion: string }
+  /** Several versions may have begun streams, or it is not known whether only one has. */
+  | { kind: 'unknown'; reason: UnknownVersionReason };
+
+export const unknownVersionReasons = {
+  severalServices: 'several-services',
+  severalListed: 'several-listed',
+  severalRecorded: 'several-recorded',
+  notRecorded: 'not-recorded',
+  recordUnread: 'record-unread',
+  storeRestored: 'store-restored',
+} as const;
+export type UnknownVersionReason =
+  (typeof unknownVersionReasons)[keyof typeof unknownVersionReasons];
+
 export interface ServiceVersionsOptions {
   objects: Pick<ObjectApi, 'get' | 'create' | 'update'>;
   directory: Pick<ServerDirectory, 'all' | 'softwareVersions'>;
@@ -48,7 +65,7 @@
 
 /** Stands in where no caller resumes a stream. */
 export const noServiceVersions: Pick<ServiceVersions, 'onlyVersion'> = {
-  onlyVersion: () => Promise.resolve(undefined),
+  onlyVersion: () => Promise.resolve(unknownVersion(unknownVersionReasons.notRecorded)),
 };
 
 /** Streams may begin at a version after this time though the store has not accepted it: rather that than no servers. */
@@ -71,7 +88,7 @@
   const { objects, directory, routerCount, logger, random = Math.random } = options;
   /** By service and version. */
   const services = new Map<string, Map<string, VersionState>>();
-  const reads = new Map<string, SharedRead>();
+  const reads = new Map<string, SharedRead<VersionRecord>>();
   let restoredAtMs = -Infinity;
   let isWakeDue = false;
   let endPause: () => void = () => undefined;
@@ -207,22 +224,25 @@
     isWakeDue = false;
   }
 
-  async function onlyVersion(serviceName: string): Promise<string | undefined> {
+  async function onlyVersion(serviceName: string): Promise<OnlyVersion> {
     const listed = directory.softwareVersions(serviceName);
-    if (listed.length > 1 || monotonicNowMs() - restoredAtMs < restoreGraceMs) {
-      return undefined;
+    if (listed.length > 1) {
+      return unknownVersion(unknownVersionReasons.severalListed);
+    }
+    if (monotonicNowMs() - restoredAtMs < restoreGraceMs) {
+      return unknownVersion(unknownVersionReasons.storeRestored);
     }
     const shared = reads.get(serviceName) ?? createSharedRead(() => readRecord(serviceName));
     reads.set(serviceName, shared);
-    const versions = await shared();
-    const [version, ...others] = new Set([...versions, ...listed]);
-    return versions.length > 0 && others.length === 0 ? version : undefined;
+    const record = await shared();
+    return record.kind === 'failed'
+      ? unknownVersion(unknownVersionReasons.recordUnread)
+      : onlyVersionOf(record.versions, listed);
   }
 
-  async function readRecord(serviceName: string): Promise<readonly string[]> {
+  function readRecord(serviceName: string): Promise<VersionRecord> {
     const timeout = delay(readTimeoutMs).then(() => ({ kind: 'failed' }) as const);
-    const record = await Promise.race([readVersionRecord(objects, serviceName), timeout]);
-    return record.kind === 'known' ? record.versions : [];
+    return Promise.race([readVersionRecord(objects, serviceName), timeout]);
   }
 
   return {
@@ -259,29 +279,16 @@
   return stage !== undefined;
 }
 
-type SharedRead = () => Promise<readonly string[]>;
-
-/** Calls made during a read share the next one: the one in progress may be older than what they ask about. */
-function createSharedRead(read: SharedRead): SharedRead {
-  let current: Promise<readonly string[]> | undefined;
-  let next: Promise<readonly string[]> | undefined;
+function unknownVersion(reason: UnknownVersionReason): OnlyVersion {
+  return { kind: 'unknown', reason };
+}
 
-  function begin(): Promise<readonly string[]> {
-    const begun = read().finally(() => {
-      current = current === begun ? undefined : current;
-    });
-    current = begun;
-    return begun;
+function onlyVersionOf(recorded: readonly string[], listed: readonly string[]): OnlyVersion {
+  const [softwareVersion, ...others] = new Set([...recorded, ...listed]);
+  if (recorded.length === 0 || softwareVersion === undefined) {
+    return unknownVersion(unknownVersionReasons.notRecorded);
   }
-
-  return () => {
-    if (current === undefined) {
-      return begin();
-    }
-    next ??= current.then(() => {
-      next = undefined;
-      return begin();
-    });
-    return next;
-  };
+  return others.length === 0
+    ? { kind: 'known', softwareVersion }
+    : unknownVersion(unknownVersionReasons.severalRecorded);
 }
--- a/packages/routing/src/streamContinuation.ts
+++ b/packages/routing/src/streamContinuation.ts
@@ -6,7 +6,12 @@
 import type { Random } from '@bluebellhitch/shared';
 import { routeKinds, type CallerRequest, type Route, type RouteTarget } from './model';
 import { chooseTarget } from './routeTable';
-import type { ServiceVersions } from './serviceVersions';
+import {
+  unknownVersionReasons,
+  type OnlyVersion,
+  type ServiceVersions,
+  type UnknownVersionReason,
+} from './serviceVersions';
 import type { StreamOrigins } from './streamOrigins';
 
 /** How the origin of a resumed stream was found. */
@@ -28,8 +33,8 @@
 
 export type ResumedStream =
   | { source: Exclude<OriginSource, 'unknown'>; softwareVersion: string }
-  /** The version that has begun the stream is unknown. */
-  | { source: typeof originSources.unknown };
+  /** No router remembers the stream, and the reason is why several versions may have begun it. */
+  | { source: typeof originSources.unknown; reason: UnknownVersionReason };
 
 export interface StreamPlanOptions {
   streamOrigins: Pick<StreamOrigins, 'find'>;
@@ -54,22 +59,22 @@
     const { softwareVersion } = origin;
     return { target, resumed: { source: originSources.remembered, softwareVersion } };
   }
-  const softwareVersion = await onlyVersion(targets, serviceVersions);
+  const only = await onlyVersion(targets, serviceVersions);
   const resumed: ResumedStream =
-    softwareVersion === undefined
-      ? { source: originSources.unknown }
-      : { source: originSources.onlyVersion, softwareVersion };
+    only.kind === 'unknown'
+      ? { source: originSources.unknown, reason: only.reason }
+      : { source: originSources.onlyVersion, softwareVersion: only.softwareVersion };
   return { target, resumed };
 }
 
-/** The version that must have begun any stream of the route; undefined if there may be several. */
+/** The version that must have begun any stream of the route. */
 async function onlyVersion(
   targets: readonly RouteTarget[],
   serviceVersions: StreamPlanOptions['serviceVersions'],
-): Promise<string | undefined> {
+): Promise<OnlyVersion> {
   const [service, ...otherServices] = targets.map(({ serviceName }) => serviceName);
   return service === undefined || otherServices.length > 0
-    ? undefined
+    ? { kind: 'unknown', reason: unknownVersionReasons.severalServices }
     : serviceVersions.onlyVersion(service);
 }
 
