--- a/packages/objects/src/index.ts
+++ b/packages/objects/src/index.ts
@@ -1,3 +1,9 @@
+export {
+  changeObject,
+  replaceObject,
+  type ObjectChange,
+  type ObjectChangeOptions,
+} from './changeObject';
 export { unusableResponseError, lostResponseError, parseJson } from './callFailures';
 export {
   objectKinds,
--- a/packages/routing/src/quarantineObjects.ts
+++ b/packages/routing/src/quarantineObjects.ts
@@ -1,7 +1,8 @@
 /** Records of quarantined requests as objects of the platform's store. Their times are wall-clock milliseconds. */
 import * as z from 'zod';
 import { mergeQuarantineRecords, type QuarantineRecord } from '@bluebellhitch/decisions';
-import { objectKinds, type ObjectApi, type StoredObject } from '@bluebellhitch/objects';
+import { changeObject, objectKinds, type ObjectApi } from '@bluebellhitch/objects';
+import { assertNever } from '@bluebellhitch/shared';
 
 /** `raced`: another writer was faster. `failed`: the record may or may not have been written. */
 export type QuarantineWrite = 'done' | 'raced' | 'failed';
@@ -33,40 +34,31 @@
   key: string,
   record: QuarantineRecord,
 ): Promise<QuarantineWrite> {
-  const current = await objects.get(objectKinds.quarantine, key);
-  if (current.isErr()) {
-    return current.error.kind === 'not-found' ? create(objects, key, record) : 'failed';
+  const change = await changeObject({
+    ...{ objects, kind: objectKinds.quarantine, key },
+    next: (current) => mergedRecord(decodeQuarantineRecord(current?.value), record),
+  });
+  switch (change.kind) {
+    case 'written':
+    case 'unchanged':
+      return 'done';
+    case 'raced':
+    case 'failed':
+      return change.kind;
+    default:
+      return assertNever(change);
   }
-  return update(objects, current.value, record);
 }
 
-async function create(
-  objects: Pick<ObjectApi, 'create'>,
-  key: string,
-  record: QuarantineRecord,
-): Promise<QuarantineWrite> {
-  const created = await objects.create(objectKinds.quarantine, key, record);
-  return created.match(
-    () => 'done' as const,
-    (error) => (error.kind === 'conflict' ? 'raced' : 'failed'),
-  );
-}
-
-async function update(
-  objects: Pick<ObjectApi, 'update'>,
-  { key, version, value }: StoredObject,
+/** Undefined if the stored record needs no change. */
+function mergedRecord(
+  stored: QuarantineRecord | undefined,
   record: QuarantineRecord,
-): Promise<QuarantineWrite> {
-  const known = decodeQuarantineRecord(value);
-  if (known !== undefined && covers(known, record)) {
-    return 'done';
+): QuarantineRecord | undefined {
+  if (stored === undefined) {
+    return record;
   }
-  const merged = known === undefined ? record : mergeQuarantineRecords(known, record);
-  const updated = await objects.update(objectKinds.quarantine, key, version, merged);
-  return updated.match(
-    () => 'done' as const,
-    (error) => (error.kind === 'conflict' ? 'raced' : 'failed'),
-  );
+  return covers(stored, record) ? undefined : mergeQuarantineRecords(stored, record);
 }
 
 /** Whether the stored record has everything that the other one would add. */
--- a/packages/routing/src/versionRecords.ts
+++ b/packages/routing/src/versionRecords.ts
@@ -1,6 +1,11 @@
 /** The records of software versions in the platform's store: one object for each service. */
 import * as z from 'zod';
-import { objectKinds, type ObjectApi, type StoredObject } from '@bluebellhitch/objects';
+import {
+  changeObject,
+  objectKinds,
+  type ObjectApi,
+  type StoredObject,
+} from '@bluebellhitch/objects';
 
 export type VersionRecord =
   | { kind: 'known'; versions: readonly string[] }
@@ -28,24 +33,18 @@
   serviceName: string,
   next: (recorded: readonly string[]) => string[],
 ): Promise<VersionRecord> {
-  const read = await objects.get(kind, serviceName);
-  if (read.isErr() && read.error.kind !== 'not-found') {
-    return { kind: 'failed' };
-  }
-  const current = read.isOk() ? read.value : undefined;
-  const recorded = current === undefined ? [] : versionsIn(current);
-  const versions = next(recorded);
-  if (current !== undefined && isSameSet(recorded, versions)) {
-    return { kind: 'known', versions };
-  }
-  const written =
-    current === undefined
-      ? await objects.create(kind, serviceName, { versions })
-      : await objects.update(kind, serviceName, current.version, { versions });
-  return written.match(
-    () => ({ kind: 'known', versions }) as const,
-    () => ({ kind: 'failed' }) as const,
-  );
+  let versions: readonly string[] = [];
+  const change = await changeObject({
+    ...{ objects, kind, key: serviceName },
+    next(current) {
+      const recorded = current === undefined ? [] : versionsIn(current);
+      versions = next(recorded);
+      return current !== undefined && isSameSet(recorded, versions) ? undefined : { versions };
+    },
+  });
+  return change.kind === 'written' || change.kind === 'unchanged'
+    ? { kind: 'known', versions }
+    : { kind: 'failed' };
 }
 
 /** An object that cannot be read counts as empty and is replaced. */
