Keep on record which version began each stream, so that streams go on after an end of all routers

Cause, as the reviewer guessed it: the version that began a stream is known to the memory of the router that served it and of up to four others. A caller brings back ids and Last-Event-Id only. After an end of all routers nothing ties the stream to a version; the record of versions holds two, so the router refuses.

Now each router keeps one object in the store with the streams that it serves, as 48-bit digests of their ids, while streams of several versions of their service may be in progress, and only then. A stream that no router remembers and that several versions may have begun is looked up in the objects of all routers. A stream is entered once its first event has been passed on, when its version is final, so an entry cannot be wrong; contradicting entries count as unknown. A restarted router keeps what its earlier process has written. writePace bounds the writes: 100 ms, a quarter of the store's rate for all routers, 1,000 bytes a second.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -273,3 +273,4 @@
   type ConnectionSheddingOptions,
 } from './connectionShedding';
 export { isInputCurrent, type InputState } from './inputCurrency';
+export { writeIntervalMs, type WritePaceOptions } from './writePace';
--- a/packages/objects/src/changeObject.ts
+++ b/packages/objects/src/changeObject.ts
@@ -1,5 +1,5 @@
 /** Changes an object that several processes write: read, then created or replaced under a condition. */
-import type { ObjectApi, ObjectKind, PlatformError, StoredObject } from './platformApi';
+import type { ObjectApi, ObjectKind, StoredObject } from './platformApi';
 
 export type ObjectChange =
   | { kind: 'written'; object: StoredObject }
@@ -40,9 +40,8 @@
     current === undefined
       ? await objects.create(kind, key, value)
       : await objects.update(kind, key, current.version, value);
-  return written.match(
-    (object) => ({ kind: 'written', object }) as const,
-    (error: PlatformError) =>
-      ({ kind: error.kind === 'conflict' ? 'raced' : 'failed' }) as ObjectChange,
+  return written.match<ObjectChange, ObjectChange>(
+    (object) => ({ kind: 'written', object }),
+    ({ kind: error }) => ({ kind: error === 'conflict' ? 'raced' : 'failed' }),
   );
 }
--- a/packages/objects/src/platformApi.ts
+++ b/packages/objects/src/platformApi.ts
@@ -21,6 +21,8 @@
   quarantine: 'quarantine',
   /** The software versions that may have begun streams, one object for each service. */
   serviceVersions: 'service-versions',
+  /** Which software version has begun streams, one object for each router. */
+  streamOrigins: 'stream-origins',
   /** Routes and services in force, written by operators. */
   configuration: 'configuration',
   /** Backend servers; each writes its own object. */
--- a/packages/routing/__tests__/streamContinuation.test.ts
+++ b/packages/routing/__tests__/streamContinuation.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import type { StreamOrigin } from '@bluebellhitch/protocol';
 import { routeKinds, type CallerRequest, type Route } from '@bluebellhitch/routing';
+import type { OriginLookup } from '../src/originStore';
 import { isResumption, planResumption } from '../src/streamContinuation';
 
 const route = {
@@ -14,16 +15,18 @@
 
 interface Knowledge {
   origin?: StreamOrigin;
+  stored?: OriginLookup;
   onlyVersion?: string;
 }
 
 const plan = (
-  { origin, onlyVersion }: Knowledge,
+  { origin, stored = { kind: 'missing' }, onlyVersion }: Knowledge,
   resuming: CallerRequest = request,
   resumedRoute: Route = route,
 ) =>
   planResumption(resumedRoute, resuming, {
     streamOrigins: { find: async () => origin },
+    originStore: { find: async () => stored },
     serviceVersions: {
       onlyVersion: async () =>
         onlyVersion === undefined
@@ -56,9 +59,25 @@
   const only = await plan({ onlyVersion: 'v1' }, request, single);
   t.deepEqual(only.resumed, { source: 'only-version', softwareVersion: 'v1' });
   const several = await plan({}, request, single);
-  t.deepEqual(several.resumed, { source: 'unknown', reason: 'several-recorded' });
+  t.deepEqual(several.resumed, {
+    ...{ source: 'unknown', reason: 'several-recorded', stored: 'missing' },
+  });
   const split = await plan({ onlyVersion: 'v1' });
-  t.deepEqual(split.resumed, { source: 'unknown', reason: 'several-services' });
+  t.deepEqual(split.resumed, {
+    ...{ source: 'unknown', reason: 'several-services', stored: 'missing' },
+  });
+});
+
+test('a stream on record goes on at the service and the version that began it', async (t) => {
+  // After an end of all routers nothing else ties a stream to its version.
+  const stored: OriginLookup = {
+    kind: 'found',
+    origin: { serviceName: 'a', softwareVersion: 'v1' },
+  };
+  t.deepEqual(await plan({ stored }), {
+    target: { serviceName: 'a', weight: 1 },
+    resumed: { source: 'stored', softwareVersion: 'v1' },
+  });
 });
 
 test('a caller that names no earlier request is not taken for one that does', async (t) => {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -71,6 +71,12 @@
   type ServiceVersions,
   type ServiceVersionsOptions,
 } from './serviceVersions';
+export {
+  createOriginStore,
+  noOriginStore,
+  type OriginStore,
+  type OriginStoreOptions,
+} from './originStore';
 export {
   createStreamOrigins,
   noStreamOrigins,
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -30,8 +30,8 @@
   planResumption,
   type ResumedStream,
   type StreamPlan,
+  type UnknownOrigin,
 } from './streamContinuation';
-import type { UnknownVersionReason } from './serviceVersions';
 import { serveStream } from './streamRequest';
 import { decideAccess, type ConfigurationFreshness } from './workspaceAccess';
 
@@ -68,8 +68,8 @@
   workspace?: Workspace;
   /** Present if the request is refused for its content. */
   identity?: RequestIdentity;
-  /** Present if it resumes a stream whose version is unknown. */
-  unknownVersionReason?: UnknownVersionReason;
+  /** Present if it resumes a stream that may have begun at several versions. */
+  unknownOrigin?: UnknownOrigin;
 }
 
 interface AdmittedRequest {
@@ -92,7 +92,7 @@
   softwareVersion?: string;
 }
 
-type RefusedResumption = Pick<RefusedRequest, 'kind' | 'refusal' | 'unknownVersionReason'>;
+type RefusedResumption = Pick<RefusedRequest, 'kind' | 'refusal' | 'unknownOrigin'>;
 
 /** A starting router has its configuration within about a second. */
 const startupRetryAfterMs = 500;
@@ -178,7 +178,7 @@
     const reason = notRunReasons.unknownOrigin;
     const retryAfterMs = unknownOriginRetryAfterMs;
     const refusal: Refusal = { kind: 'not-run', reason, retryAfterMs };
-    return { kind: 'refused', refusal, unknownVersionReason: resumed.reason };
+    return { kind: 'refused', refusal, unknownOrigin: resumed };
   }
 
   async function serveAdmitted(
@@ -242,7 +242,7 @@
   function refuseAtOnce(
     exchange: CallerExchange,
     { configuration }: RouteTable,
-    { refusal, route, workspace, identity, unknownVersionReason }: RefusedRequest,
+    { refusal, route, workspace, identity, unknownOrigin }: RefusedRequest,
   ): void {
     const cause = refusalCause(refusal);
     if (cause === notRunReasons.staleConfiguration) {
@@ -257,7 +257,8 @@
       fingerprint: identity?.fingerprint(),
       sharedParts: identity && exchange.request.sharedParts,
       resumes: exchange.request.resumedRequestId,
-      unknownVersionReason,
+      unknownVersionReason: unknownOrigin?.reason,
+      storedOrigin: unknownOrigin?.stored,
       configurationVersion: configuration.version,
     });
     exchange.refuse(refusal);
--- a/packages/routing/src/routerDependencies.ts
+++ b/packages/routing/src/routerDependencies.ts
@@ -13,6 +13,7 @@
 import type { ServerDirectory } from './serverDirectory';
 import type { ServerPermits } from './serverLimits';
 import type { ServerLoads } from './serverLoads';
+import type { OriginStore } from './originStore';
 import type { ServerNotices } from './serverNotices';
 import type { SpeedExchange } from './speedExchange';
 import type { ServiceVersions } from './serviceVersions';
@@ -41,6 +42,7 @@
   quarantine: RunQuarantine;
   /** Which software version has begun each stream. */
   streamOrigins: Pick<StreamOrigins, 'find' | 'noteBegan'>;
+  originStore: Pick<OriginStore, 'find' | 'noteBegan' | 'noteComplete'>;
   serviceVersions: Pick<ServiceVersions, 'onlyVersion'>;
   metrics: RouterMetrics;
   logger: Logger;
--- a/packages/routing/src/runResults.ts
+++ b/packages/routing/src/runResults.ts
@@ -1,11 +1,15 @@
 /** Records what a run of a stream tells about its engine and about streams like it. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { BackendServer } from './model';
+import type { BackendServer, CallerRequest } from './model';
 import type { StreamRun } from './streamRun';
 
 /** Learns from a stream that has ended normally. */
 export function noteCompleteRun({ state, deps, relay, size }: StreamRun): void {
   const { streamSizes, metrics } = deps;
+  const streamId = streamIdOf(state.request);
+  if (streamId !== undefined) {
+    deps.originStore.noteComplete(streamId);
+  }
   const className = state.route.name;
   const events = relay.eventCount();
   const emittedTokens = streamSizes.emittedTokens(events);
@@ -45,12 +49,18 @@
  * chunk of the response, of which the first ones may hold no complete event.
  */
 export function noteOrigin({ state, deps, relay }: StreamRun, server: BackendServer): void {
-  const { lastEventId, resumedRequestId, id } = state.request;
-  const streamId = lastEventId === undefined ? id : resumedRequestId;
+  const streamId = streamIdOf(state.request);
   if (state.hasNotedOrigin || streamId === undefined || relay.softwareVersions().length === 0) {
     return;
   }
   state.hasNotedOrigin = true;
   const { serviceName, softwareVersion } = server;
-  deps.streamOrigins.noteBegan(streamId, { serviceName, softwareVersion });
+  const origin = { serviceName, softwareVersion };
+  deps.streamOrigins.noteBegan(streamId, origin);
+  deps.originStore.noteBegan(streamId, origin, state.request.deadlineAtMs);
+}
+
+/** Id of the request that brought the stream's first event; undefined if the caller does not name it. */
+function streamIdOf({ lastEventId, resumedRequestId, id }: CallerRequest): string | undefined {
+  return lastEventId === undefined ? id : resumedRequestId;
 }
--- a/packages/routing/src/serviceVersions.ts
+++ b/packages/routing/src/serviceVersions.ts
@@ -23,6 +23,8 @@
   noteServer(server: BackendServer): void;
   /** Whether streams may begin at the server: its version is on record, or is the only one known so far. */
   mayBegin(server: BackendServer): boolean;
+  /** Whether streams of several versions of the service may be in progress, as far as this router knows. */
+  hasSeveral(serviceName: string): boolean;
   /** The only version that may have begun streams of the service. */
   onlyVersion(serviceName: string): Promise<OnlyVersion>;
   /** The store was restored from a backup: the record may lack versions. */
@@ -261,6 +263,7 @@
       isOnRecord(server) ||
       services.get(server.serviceName)?.size === 1 ||
       hasWaitedForRecord(server),
+    hasSeveral: (serviceName) => (services.get(serviceName)?.size ?? 0) > 1,
     onlyVersion,
     noteStoreRestored() {
       restoredAtMs = monotonicNowMs();
--- a/packages/routing/src/streamContinuation.ts
+++ b/packages/routing/src/streamContinuation.ts
@@ -12,12 +12,15 @@
   type ServiceVersions,
   type UnknownVersionReason,
 } from './serviceVersions';
+import type { OriginLookup, OriginStore } from './originStore';
 import type { StreamOrigins } from './streamOrigins';
 
 /** How the origin of a resumed stream was found. */
 export const originSources = {
   /** This router or another one remembers the stream. */
   remembered: 'remembered',
+  /** A router has put the stream on record in the store. */
+  stored: 'stored',
   /** No other version can have begun it. */
   onlyVersion: 'only-version',
   unknown: 'unknown',
@@ -32,12 +35,20 @@
 }
 
 export type ResumedStream =
-  | { source: Exclude<OriginSource, 'unknown'>; softwareVersion: string }
-  /** No router remembers the stream, and the reason is why several versions may have begun it. */
-  | { source: typeof originSources.unknown; reason: UnknownVersionReason };
+  { source: Exclude<OriginSource, 'unknown'>; softwareVersion: string } | UnknownOrigin;
+
+/** No router remembers the stream. */
+export interface UnknownOrigin {
+  source: typeof originSources.unknown;
+  /** Why several versions may have begun it. */
+  reason: UnknownVersionReason;
+  /** Whether the store was read; absent if the caller names no stream. */
+  stored?: Exclude<OriginLookup['kind'], 'found'>;
+}
 
 export interface StreamPlanOptions {
   streamOrigins: Pick<StreamOrigins, 'find'>;
+  originStore: Pick<OriginStore, 'find'>;
   serviceVersions: Pick<ServiceVersions, 'onlyVersion'>;
   random: Random;
 }
@@ -49,22 +60,48 @@
 /** For a request that resumes a stream; see `isResumption`. */
 export async function planResumption(
   { targets }: Route,
-  { resumedRequestId }: CallerRequest,
-  { streamOrigins, serviceVersions, random }: StreamPlanOptions,
+  request: CallerRequest,
+  options: StreamPlanOptions,
 ): Promise<StreamPlan> {
-  const origin =
+  const found = await findOrigin(targets, request, options);
+  const origin = 'origin' in found ? found.origin : undefined;
+  const target = targetOf(targets, origin) ?? chooseTarget(targets, options.random());
+  return { target, resumed: 'origin' in found ? resumedStream(found) : found };
+}
+
+interface FoundOrigin {
+  source: Exclude<OriginSource, 'unknown'>;
+  origin: Partial<StreamOrigin> & Pick<StreamOrigin, 'softwareVersion'>;
+}
+
+function resumedStream({ source, origin: { softwareVersion } }: FoundOrigin): ResumedStream {
+  return { source, softwareVersion };
+}
+
+/** The cheapest way first: while one version serves, the store need not be asked for single streams. */
+async function findOrigin(
+  targets: readonly RouteTarget[],
+  { resumedRequestId }: CallerRequest,
+  { streamOrigins, originStore, serviceVersions }: StreamPlanOptions,
+): Promise<FoundOrigin | UnknownOrigin> {
+  const remembered =
     resumedRequestId === undefined ? undefined : await streamOrigins.find(resumedRequestId);
-  const target = targetOf(targets, origin) ?? chooseTarget(targets, random());
-  if (origin !== undefined) {
-    const { softwareVersion } = origin;
-    return { target, resumed: { source: originSources.remembered, softwareVersion } };
+  if (remembered !== undefined) {
+    return { source: originSources.remembered, origin: remembered };
   }
   const only = await onlyVersion(targets, serviceVersions);
-  const resumed: ResumedStream =
-    only.kind === 'unknown'
-      ? { source: originSources.unknown, reason: only.reason }
-      : { source: originSources.onlyVersion, softwareVersion: only.softwareVersion };
-  return { target, resumed };
+  if (only.kind === 'known') {
+    const { softwareVersion } = only;
+    return { source: originSources.onlyVersion, origin: { softwareVersion } };
+  }
+  const unknown = { source: originSources.unknown, reason: only.reason };
+  if (resumedRequestId === undefined) {
+    return unknown;
+  }
+  const stored = await originStore.find(resumedRequestId);
+  return stored.kind === 'found'
+    ? { source: originSources.stored, origin: stored.origin }
+    : { ...unknown, stored: stored.kind };
 }
 
 /** The version that must have begun any stream of the route. */
@@ -81,7 +118,7 @@
 /** The service that has begun the stream, unless the route has been moved from it. */
 function targetOf(
   targets: readonly RouteTarget[],
-  origin: StreamOrigin | undefined,
+  origin: Partial<StreamOrigin> | undefined,
 ): RouteTarget | undefined {
   return targets.find(({ serviceName }) => serviceName === origin?.serviceName);
 }
