--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -149,6 +149,7 @@
 export { createRouterMetrics, type RouterMetrics } from './routerMetrics';
 export type { RouterDependencies } from './routerDependencies';
 export { createRouteTable, type RouteTable } from './routeTable';
+export { probeRepeatedly } from './repeatedProbe';
 export { createServerEnds, type ServerEnds, type ServerEndsOptions } from './serverEnds';
 export { createServerDirectory, type ServerChange, type ServerDirectory } from './serverDirectory';
 export {
--- a/packages/routing/src/serverEnds.ts
+++ b/packages/routing/src/serverEnds.ts
@@ -2,9 +2,10 @@
  * Determines whether a server that broke off a call has ended, or has only closed that connection: servers also reset
  * connections when they are full, and responses are lost on the way.
  */
-import { delay } from '@bluebellhitch/shared';
+
 import type { BackendApi } from './backendApi';
 import type { BackendServer } from './model';
+import { probeRepeatedly } from './repeatedProbe';
 import type { ServerDirectory } from './serverDirectory';
 
 export interface ServerEnds {
@@ -23,8 +24,6 @@
 }
 
 const probeTimeoutMs = 400;
-/** Pauses before the probes. The listener of a process that ends may outlive its connections for a moment. */
-const probeDelaysMs = [0, 100, 400];
 
 export function createServerEnds({ backend, directory }: ServerEndsOptions): ServerEnds {
   const inProgress = new Map<string, Promise<boolean>>();
@@ -35,15 +34,9 @@
     return directory.get(id)?.isDraining !== false;
   }
 
-  async function probeRepeatedly(server: BackendServer): Promise<boolean> {
-    for (const pauseMs of probeDelaysMs) {
-      await delay(pauseMs);
-      const presence = await backend.probe(server, probeTimeoutMs);
-      if (presence !== 'unknown') {
-        return presence === 'ended';
-      }
-    }
-    return directory.hasRestarted(server);
+  async function probeCrash(server: BackendServer): Promise<boolean> {
+    const presence = await probeRepeatedly(() => backend.probe(server, probeTimeoutMs));
+    return presence === 'unknown' ? directory.hasRestarted(server) : presence === 'ended';
   }
 
   function hasCrashed(server: BackendServer): Promise<boolean> {
@@ -57,7 +50,7 @@
     if (known !== undefined) {
       return known;
     }
-    const probes = probeRepeatedly(server).finally(() => inProgress.delete(server.id));
+    const probes = probeCrash(server).finally(() => inProgress.delete(server.id));
     inProgress.set(server.id, probes);
     return probes;
   }
