--- a/packages/routing/src/originStore.ts
+++ b/packages/routing/src/originStore.ts
@@ -96,8 +96,8 @@
 const emptyObjectBytes = 150;
 const retryMs = 300;
 const idleMs = 1_000;
-/** How long a caller waits for the store. */
-const readTimeoutMs = 500;
+/** How long a caller waits for the store: about as long as it would otherwise be asked to stay away. */
+const readTimeoutMs = 1_000;
 const maxStreams = 4_096;
 
 export function createOriginStore(options: OriginStoreOptions): OriginStore {
