Pass a reset that follows the last bytes on as a reset in the soak's proxy

Cause, as traced in: Node.js reports a reset that arrives together with the last bytes as an end, so the proxy closed the other side, and the router could not see the reset. A write of no bytes fails after a reset and sends nothing after a close (trial of 100 connections each: 100 ECONNRESET, 100 without an error), so the proxy asks that way.

--- a/packages/soak/src/loopbackProxy.ts
+++ b/packages/soak/src/loopbackProxy.ts
@@ -3,7 +3,7 @@
  * link holds bytes back and delivers them once the fault ends.
  */
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
-import { monotonicNowMs } from '@bluebellhitch/shared';
+import { assertNever, monotonicNowMs } from '@bluebellhitch/shared';
 
 export type LinkFault =
   | { kind: 'none' }
@@ -28,7 +28,7 @@
   target: string;
 }
 
-type Chunk = { kind: 'data'; bytes: Buffer } | { kind: 'end' };
+type Chunk = { kind: 'data'; bytes: Buffer } | { kind: 'end' } | { kind: 'reset' };
 
 /** One direction of one connection. */
 interface Flow {
@@ -75,10 +75,18 @@
     if (to.destroyed) {
       return;
     }
-    if (chunk.kind === 'data') {
-      to.write(chunk.bytes);
-    } else {
-      to.end();
+    switch (chunk.kind) {
+      case 'data':
+        to.write(chunk.bytes);
+        break;
+      case 'end':
+        to.end();
+        break;
+      case 'reset':
+        reset(to);
+        break;
+      default:
+        assertNever(chunk);
     }
   }
 
@@ -97,7 +105,14 @@
     const flow: Flow = { isOutgoing, queue: [], from, to };
     flows.add(flow);
     from.on('data', (bytes) => enqueue(flow, { kind: 'data', bytes }));
-    from.on('end', () => enqueue(flow, { kind: 'end' }));
+    from.on('end', () => {
+      if (from.writableEnded) {
+        enqueue(flow, { kind: 'end' });
+        return;
+      }
+      // Node.js reports a reset that arrives with the last bytes as an end, but a write of no bytes fails after it.
+      from.write(Buffer.alloc(0), (error) => enqueue(flow, { kind: error ? 'reset' : 'end' }));
+    });
     // Handled by `close`, which follows with `hadError`.
     from.on('error', () => undefined);
     from.on('close', (hadError) => {
