--- a/packages/routing/__tests__/originStore.test.ts
+++ b/packages/routing/__tests__/originStore.test.ts
@@ -1,8 +1,8 @@
-import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
-import test, { type ExecutionContext } from 'ava';
+import type { Clock } from '@sinonjs/fake-timers';
 import type { StreamOrigin } from '@bluebellhitch/protocol';
 import type { OriginStore } from '@bluebellhitch/routing';
 import { createSeededRandom, monotonicNowMs } from '@bluebellhitch/shared';
+import { testWithFakeClock } from './support/fakeClockTest';
 import { createOriginStoreFleet, type OriginStoreFleet } from './support/originStoreFleet';
 
 const first: StreamOrigin = { serviceName: 's', softwareVersion: 'v1' };
@@ -11,19 +11,6 @@
 /** A small fleet has written what has begun within this time. */
 const writtenMs = 150;
 
-type Check = (t: ExecutionContext, clock: Clock) => Promise<void>;
-
-function testWithFakeClock(title: string, check: Check): void {
-  test.serial(title, async (t) => {
-    const clock = FakeTimers.install();
-    try {
-      await check(t, clock);
-    } finally {
-      clock.uninstall();
-    }
-  });
-}
-
 function begin(
   { routers }: OriginStoreFleet,
   router: number,
@@ -218,7 +205,7 @@
   testWithFakeClock(
     `with ${routerCount} routers and ${storeWritesPerSecond} writes a second, streams in progress are found after an end of all`,
     async (t, clock) => {
-      // What one write of the store has not yet told is lost, and a large fleet may write less often.
+      // Streams that began after the last write are lost, and a large fleet may write less often.
       const random = createSeededRandom(count);
       const fleet = createOriginStoreFleet(count, store);
       const inProgress = new Map<string, { router: number; endsAtMs: number }>();
--- a/packages/routing/__tests__/streamOrigins.test.ts
+++ b/packages/routing/__tests__/streamOrigins.test.ts
@@ -1,8 +1,8 @@
-import FakeTimers, { type Clock } from '@sinonjs/fake-timers';
-import test, { type ExecutionContext } from 'ava';
+import type { Clock } from '@sinonjs/fake-timers';
 import type { StreamOrigin } from '@bluebellhitch/protocol';
 import type { StreamOrigins } from '@bluebellhitch/routing';
 import { createSeededRandom, type Random } from '@bluebellhitch/shared';
+import { testWithFakeClock } from './support/fakeClockTest';
 import {
   createStreamOriginFleet,
   firstOrigin,
@@ -10,19 +10,6 @@
   type StreamOriginFleetOptions,
 } from './support/streamOriginFleet';
 
-type Check = (t: ExecutionContext, clock: Clock) => Promise<void>;
-
-function testWithFakeClock(title: string, check: Check): void {
-  test.serial(title, async (t) => {
-    const clock = FakeTimers.install();
-    try {
-      await check(t, clock);
-    } finally {
-      clock.uninstall();
-    }
-  });
-}
-
 /** What a router finds out about a stream, and the time that it takes. */
 async function find(clock: Clock, fleet: StreamOriginFleet, router: number, streamId: string) {
   const startedAtMs = clock.now;
