--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -9,6 +9,8 @@
 import { smallBounds } from '../lib-2/fleet.mjs';
 import { runCase } from '../lib-2/runCase.mjs';
 
+/** `TROUBLE=0` leaves the disruption out. */
+const hasTrouble = process.env.TROUBLE !== '0';
 const routerCount = 4;
 /** Below `max_body_bytes` of the configuration, 4,194,304. */
 const longBody = Buffer.alloc(4_000_000, 'x');
@@ -77,7 +79,7 @@
   return [...counts].map(([value, count]) => `${count} x ${value}`).join(', ');
 }
 
-await runCase(import.meta.dirname, async ({ record, hasTrouble, onEnd }) => {
+async function play({ record, onEnd }) {
   const deployment = await startDeployment({ routerCount, workers });
   onEnd(deployment.close);
   const { routers, store } = deployment;
@@ -166,4 +168,6 @@
       `machines that say they are ready: ${areReady.filter(Boolean).length} of ${routerCount}; ends of processes: ${routers.flatMap(({ exits }) => exits).length}`,
     ],
   };
-});
+}
+
+await runCase({ folder: import.meta.dirname, hasTrouble, play });
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -9,6 +9,8 @@
 import { runCase } from '../lib-2/runCase.mjs';
 import { startLoopbackProxy } from '../../target/review-2/standins.mjs';
 
+/** `TROUBLE=0` leaves the disruption out. */
+const hasTrouble = process.env.TROUBLE !== '0';
 const routerCount = 4;
 const callersPerRouter = 12;
 const linkDelayMs = 1;
@@ -29,7 +31,7 @@
   ...{ id: `i-bbbb000${index}`, service: plainService, workMs: 43 },
 }));
 
-await runCase(import.meta.dirname, async ({ record, hasTrouble, onEnd }) => {
+async function play({ record, onEnd }) {
   const deployment = await startDeployment({ routerCount, workers: [...engines, ...plainWorkers] });
   onEnd(deployment.close);
   const { routers, workers } = deployment;
@@ -118,4 +120,6 @@
       `${results.length} requests, ${results.filter(({ isWhole }) => isWhole).length} with a whole answer, ${lost.length} lost`,
     ],
   };
-});
+}
+
+await runCase({ folder: import.meta.dirname, hasTrouble, play });
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -9,6 +9,8 @@
 import { createKeptCaller } from '../lib-2/keptCaller.mjs';
 import { runCase } from '../lib-2/runCase.mjs';
 
+/** `TROUBLE=0` leaves the disruption out. */
+const hasTrouble = process.env.TROUBLE !== '0';
 const routerCount = 4;
 const callersPerRouter = 6;
 const deadlineMs = 1_000;
@@ -25,7 +27,7 @@
   ...{ id: `i-bbbb000${index}`, service: plainService, workMs },
 }));
 
-await runCase(import.meta.dirname, async ({ record, hasTrouble, onEnd }) => {
+async function play({ record, onEnd }) {
   const deployment = await startDeployment({ routerCount, workers, useCutter: true });
   onEnd(deployment.close);
   const { routers, store, cutter } = deployment;
@@ -103,4 +105,6 @@
       `${results.length} requests, ${answeredIds.size} answered with 200, ${late.length} late at workers, ${lost.length} of these run and not answered`,
     ],
   };
-});
+}
+
+await runCase({ folder: import.meta.dirname, hasTrouble, play });
--- a/review/lib-2/runCase.mjs
+++ b/review/lib-2/runCase.mjs
@@ -10,17 +10,17 @@
 const maxDurationMs = 115_000;
 
 /**
- * `play` gets `record` and `hasTrouble`, and resolves with the lines that say how the rule was broken; none if it held.
- * It has to end all that it started, also if it fails: it registers the functions for that with `onEnd`.
+ * `hasTrouble` says whether the case is played with its disruption. `play` gets `record`, and resolves with the lines that
+ * say how the rule was broken; none if it held. It has to end all that it started, also if it fails: it registers the
+ * functions for that with `onEnd`.
  */
-export async function runCase(folder, play) {
+export async function runCase({ folder, hasTrouble, play }) {
   const startedAtMs = performance.now();
   const lines = [];
   const closers = [];
   const record = (text) => {
     lines.push(`${(performance.now() - startedAtMs).toFixed(1)} ms ${text}`);
   };
-  const hasTrouble = process.env.TROUBLE !== '0';
   const timer = setTimeout(() => {
     void finish(exitCodes.couldNotRun, ['the case took too long']);
   }, maxDurationMs);
@@ -39,7 +39,7 @@
   }
 
   try {
-    const verdict = await play({ record, hasTrouble, onEnd: (close) => closers.push(close) });
+    const verdict = await play({ record, onEnd: (close) => closers.push(close) });
     await finish(verdict.broken.length > 0 ? exitCodes.broken : exitCodes.held, [
       ...verdict.broken,
       ...verdict.counts,
