Find the bundle of stand-ins of the second review at run time

The linter resolves the path that an import names. Runs by hand had the bundle. Now one module puts the path together when it is loaded, as the first review does; no rule is switched off and no check of a case is changed.

--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -7,7 +7,7 @@
 import { engineService, plainService, startDeployment } from '../lib-2/deployment.mjs';
 import { createKeptCaller } from '../lib-2/keptCaller.mjs';
 import { runCase } from '../lib-2/runCase.mjs';
-import { startLoopbackProxy } from '../../target/review-2/standins.mjs';
+import { startLoopbackProxy } from '../lib-2/standins.mjs';
 
 /** `TROUBLE=0` leaves the disruption out. */
 const hasTrouble = process.env.TROUBLE !== '0';
--- a/review/lib-2/build.mjs
+++ b/review/lib-2/build.mjs
@@ -10,7 +10,6 @@
 /** The project's stand-ins, and the proxy of its soak. */
 const exported = `
   export {
-    encodeConfiguration,
     startStandinStore,
     startStandinWorker,
   } from '@bluebellhitch/platform-standins';
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -1,6 +1,6 @@
 /** A small deployment: the platform's store, workers of an engine service and of a plain one, and the routers. */
 import { randomInt } from 'node:crypto';
-import { startStandinStore, startStandinWorker } from '../../target/review-2/standins.mjs';
+import { startStandinStore, startStandinWorker } from './standins.mjs';
 import { smallBounds, startFleet } from './fleet.mjs';
 import { startWatchCutter } from './watchCutter.mjs';
 
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -8,7 +8,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
-import { startLoopbackProxy } from '../../target/review-2/standins.mjs';
+import { startLoopbackProxy } from './standins.mjs';
 
 const repositoryRoot = join(import.meta.dirname, '..', '..');
 const memoryMegabytes = 200;
