Tell in "run lost" why an engine counted as unresponsive

Operators could not tell from the line `run lost` with detail `given up` for how long no event had come, which sign of the engine the router had, which router had it and how old it was, nor what else had been tried; and nothing showed when an engine began or ceased to count as unresponsive. The evidence was not kept: `engineLoads` held a flag, and the load poller dropped the outcome of the call that set it.

`noteUnresponsive` now takes a cause, `unresponsiveEvidence` tells it with the ages of this router's and its peers' signs, of the last load report and of the last other response, and `run lost` shows that with `silentMs`, `sentCount`, `furtherAttempts` and `failedServers`. No decision changes.

The tests of `noteUnresponsive` pass a cause; they demand the same as before.

--- a/packages/routing/__tests__/decodePlacement.test.ts
+++ b/packages/routing/__tests__/decodePlacement.test.ts
@@ -6,6 +6,7 @@
   createEngineLoads,
   createFleetShard,
   createServerDirectory,
+  unresponsiveCauses,
   type CallOutcome,
   type EngineSettings,
   type Reservation,
@@ -249,7 +250,7 @@
 
 testWithFakeClock('unresponsive engines are not used', async (t, clock) => {
   const fixture = createFixture(clock, ['a', 'b']);
-  fixture.loads.noteUnresponsive('a');
+  fixture.loads.noteUnresponsive('a', unresponsiveCauses.reportTimeout);
   const results = [fixture.place(), fixture.place()];
   await clock.tickAsync(20);
   t.deepEqual(results.map(serverOf), ['b', 'b']);
@@ -274,7 +275,9 @@
   async (t, clock) => {
     // Otherwise all requests of a shard that has lost its engines would be refused while other shards have capacity.
     const fixture = createFixture(clock, ['a', 'b', 'c'], ['x']);
-    ['a', 'b', 'c'].forEach(fixture.loads.noteUnresponsive);
+    ['a', 'b', 'c'].forEach((id) =>
+      fixture.loads.noteUnresponsive(id, unresponsiveCauses.reportTimeout),
+    );
     const result = fixture.place();
     await clock.tickAsync(150);
     t.is(serverOf(result), 'x');
@@ -323,7 +326,7 @@
     // A server that has crashed is back within moments, one that has left is not.
     const fixture = createFixture(clock, ['a']);
     fixture.directory.put(decodeServer('b', 'v2'));
-    fixture.loads.noteUnresponsive('b');
+    fixture.loads.noteUnresponsive('b', unresponsiveCauses.reportTimeout);
     const began = { isResumed: true, softwareVersion: 'v2' };
     const waiting = fixture.place(began);
     await clock.tickAsync(300);
--- a/packages/routing/__tests__/engineLoads.test.ts
+++ b/packages/routing/__tests__/engineLoads.test.ts
@@ -1,6 +1,11 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
-import { createEngineLoads, type EngineLoad, type EngineLoads } from '@bluebellhitch/routing';
+import {
+  createEngineLoads,
+  unresponsiveCauses,
+  type EngineLoad,
+  type EngineLoads,
+} from '@bluebellhitch/routing';
 
 const report = (usedTokens: number): EngineLoad => ({
   stage: 'decode',
@@ -101,7 +106,7 @@
       t.true(loads.isUnresponsive('e'));
       loads.setPeerUse('p', [], true);
       t.false(loads.isUnresponsive('e'));
-      loads.noteUnresponsive('e');
+      loads.noteUnresponsive('e', unresponsiveCauses.reportTimeout);
       t.true(loads.isUnresponsive('e'));
       loads.report('e', report(0));
       t.false(loads.isUnresponsive('e'));
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -23,6 +23,7 @@
 import { createPlacementQueue, isOnTime, type QueuedRequest } from './placementQueue';
 import { noLimits, type ServerPermits } from './serverLimits';
 import { noNotices, type ServerNotices } from './serverNotices';
+import { unresponsiveCauses } from './unresponsiveEngines';
 
 export interface PlacementRequest extends QueuedRequest, CandidateRequest {
   stream: StreamEstimate;
@@ -302,7 +303,7 @@
     }
     failedIds.add(id);
     if (cause === 'other-server') {
-      loads.noteUnresponsive(id);
+      loads.noteUnresponsive(id, unresponsiveCauses.otherServer);
     }
     const wasAbortedLocally = outcome.kind === 'lost' && outcome.isOurs && signal.aborted;
     if (cause !== 'withheld' && !wasAbortedLocally) {
--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/engineLoads.ts
@@ -6,16 +6,27 @@
 import type { PeerEngineUse, StreamEstimate } from '@bluebellhitch/protocol';
 import { monotonicNowMs, runOnce } from '@bluebellhitch/shared';
 import type { EngineLoad } from './backendApi';
+import { emptyUse, isEmptyUse, type EngineUse } from './engineUse';
 import { initialLengthShape, initialTokensPerMs } from './streamSizes';
+import {
+  describeSilence,
+  type UnresponsiveCause,
+  type UnresponsiveEvidence,
+} from './unresponsiveEngines';
 
 export interface EngineLoads {
   report(serverId: string, load: EngineLoad): void;
   /** The engine did not answer; it counts as unresponsive until its next report. */
-  noteUnresponsive(serverId: string): void;
+  noteUnresponsive(serverId: string, cause: UnresponsiveCause): void;
   /** The engine has just answered a call. */
   noteContact(serverId: string): void;
   /** Whether its last load report failed, here or at a peer, and it has not answered a call from here lately. */
   isUnresponsive(serverId: string): boolean;
+  /**
+   * What this router and its peers have seen; undefined if none of them counts the engine as unresponsive. It may not be
+   * for this router, if it has answered a call from here lately.
+   */
+  unresponsiveEvidence(serverId: string): UnresponsiveEvidence | undefined;
   /** Counts a stream's memory on a decode engine from now on, though its prompt may still be prefilled elsewhere. */
   place(serverId: string, stream: StreamEstimate): PlacedStream;
   /** Counts a prompt that a prefill engine processes; call the result when it is done. */
@@ -53,6 +64,10 @@
 export interface EngineLoadsOptions {
   /** Called whenever `ownUse` has changed for an engine. */
   onOwnUseChange?: (serverId: string) => void;
+  /** Called when this router itself finds an engine unresponsive that it did not count as such. */
+  onUnresponsive?: (serverId: string, cause: UnresponsiveCause) => void;
+  /** Called when such an engine has reported its load again. */
+  onResponsive?: (serverId: string, unresponsiveMs: number) => void;
   /** Whether the engine is in the directory. Peers' data on other engines is dropped: it would never be removed. */
   isListed?: (serverId: string) => boolean;
   /** Rate at which a stream emits tokens; used to extrapolate peers' streams since they were received. */
@@ -66,18 +81,21 @@
   atMs: number;
 }
 
-type Use = Omit<PeerEngineUse, 'serverId'>;
 type CounterName = 'prefillTokens' | 'ownPrompts';
 
-interface PeerUse extends Use {
+interface PeerUse extends EngineUse {
   receivedAtMs: number;
+  /** Since when the peer counts the engine as unresponsive; absent if it does not. */
+  silentSinceMs?: number;
 }
 
 interface EngineState {
   load?: EngineLoad;
   reportedAtMs: number;
   contactAtMs: number;
-  own: Omit<Use, 'streams'>;
+  own: Omit<EngineUse, 'streams'>;
+  /** Why and since when `own.isSilent` is set; absent if it is not. */
+  ownSilence?: { cause: UnresponsiveCause; sinceMs: number };
   ownStreams: Set<StreamEstimate>;
   peers: Map<string, PeerUse>;
   /** When a local prefill last ended, of this router or a peer. */
@@ -109,6 +127,7 @@
 
 export function createEngineLoads(options: EngineLoadsOptions = {}): EngineLoads {
   const { onOwnUseChange = () => undefined, isListed = () => true } = options;
+  const { onUnresponsive = () => undefined, onResponsive = () => undefined } = options;
   const { tokensPerMs = () => initialTokensPerMs, lengthShape = () => initialLengthShape } =
     options;
   const engines = new Map<string, EngineState>();
@@ -174,10 +193,23 @@
     };
   }
 
-  function setUnresponsive(serverId: string, state: EngineState, isUnresponsive: boolean): void {
-    if (state.own.isSilent !== isUnresponsive) {
-      state.own.isSilent = isUnresponsive;
+  function noteUnresponsive(serverId: string, cause: UnresponsiveCause): void {
+    const state = stateOf(serverId);
+    if (state.ownSilence === undefined) {
+      state.ownSilence = { cause, sinceMs: monotonicNowMs() };
+      state.own.isSilent = true;
       onOwnUseChange(serverId);
+      onUnresponsive(serverId, cause);
+    }
+  }
+
+  function noteResponsive(serverId: string, state: EngineState): void {
+    const { ownSilence } = state;
+    if (ownSilence !== undefined) {
+      state.ownSilence = undefined;
+      state.own.isSilent = false;
+      onOwnUseChange(serverId);
+      onResponsive(serverId, monotonicNowMs() - ownSilence.sinceMs);
     }
   }
 
@@ -220,12 +252,13 @@
     });
   }
 
-  function setUse(peerAddress: string, serverId: string, use: Use): void {
+  function setUse(peerAddress: string, serverId: string, use: EngineUse): void {
     if (!engines.has(serverId) && (isEmptyUse(use) || !isListed(serverId))) {
       return;
     }
     const state = stateOf(serverId);
-    const known = state.peers.get(peerAddress) ?? { ...emptyUse(), receivedAtMs: -Infinity };
+    const unknown: PeerUse = { ...emptyUse(), receivedAtMs: -Infinity };
+    const known = state.peers.get(peerAddress) ?? unknown;
     recordChange(state, promptTokensOf(use) - promptTokensOf(known));
     if (use.ownPrompts < known.ownPrompts) {
       state.localPrefillEndedAtMs = monotonicNowMs();
@@ -233,7 +266,9 @@
     if (isEmptyUse(use)) {
       state.peers.delete(peerAddress);
     } else {
-      state.peers.set(peerAddress, { ...use, receivedAtMs: monotonicNowMs() });
+      const nowMs = monotonicNowMs();
+      const silentSinceMs = use.isSilent ? (known.silentSinceMs ?? nowMs) : undefined;
+      state.peers.set(peerAddress, { ...use, receivedAtMs: nowMs, silentSinceMs });
     }
   }
 
@@ -253,9 +288,9 @@
       const state = stateOf(serverId);
       state.load = load;
       state.reportedAtMs = monotonicNowMs();
-      setUnresponsive(serverId, state, false);
+      noteResponsive(serverId, state);
     },
-    noteUnresponsive: (serverId) => setUnresponsive(serverId, stateOf(serverId), true),
+    noteUnresponsive,
     noteContact(serverId) {
       stateOf(serverId).contactAtMs = monotonicNowMs();
     },
@@ -266,6 +301,10 @@
       }
       return state.own.isSilent || [...state.peers.values()].some(({ isSilent }) => isSilent);
     },
+    unresponsiveEvidence(serverId) {
+      const state = engines.get(serverId);
+      return state && describeSilence(state, monotonicNowMs());
+    },
     place,
     beginPrefill: (serverId, tokens) => add(serverId, 'prefillTokens', tokens),
     beginLocalPrefill: (serverId) => add(serverId, 'ownPrompts', 1),
@@ -313,23 +352,6 @@
   return atMs > reportedAtMs - (tokens < 0 ? maxReportAgeMs : minReportAgeMs);
 }
 
-function emptyUse(): Use {
-  return { streams: [], prefillTokens: 0, ownPrompts: 0, isSilent: false };
-}
-
-/** The use of exactly these engines, with an empty entry for each that is not in use. */
-export function selectEngineUse(
-  used: readonly PeerEngineUse[],
-  serverIds: readonly string[],
-): PeerEngineUse[] {
-  const known = new Map(used.map((use) => [use.serverId, use]));
-  return serverIds.map((serverId) => known.get(serverId) ?? { serverId, ...emptyUse() });
-}
-
-function isEmptyUse({ streams, prefillTokens, ownPrompts, isSilent }: Use): boolean {
-  return streams.length === 0 && prefillTokens === 0 && ownPrompts === 0 && !isSilent;
-}
-
 function heldTokens({ promptTokens, emittedTokens }: StreamEstimate): number {
   return promptTokens + emittedTokens;
 }
@@ -343,6 +365,6 @@
   return { ...stream, emittedTokens: Math.min(emittedTokens + tokens, maxTokens) };
 }
 
-function promptTokensOf({ streams }: Use): number {
+function promptTokensOf({ streams }: EngineUse): number {
   return streams.reduce((sum, { promptTokens }) => sum + promptTokens, 0);
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -52,12 +52,8 @@
 export { createDatagramDispatcher } from './datagramDispatcher';
 export { createDecodePaces, type DecodePaces, type PaceEstimates } from './decodePaces';
 export { createDecodePlacement, type DecodePlacement } from './decodePlacement';
-export {
-  createEngineLoads,
-  selectEngineUse,
-  type EngineLoads,
-  type PlacedStream,
-} from './engineLoads';
+export { createEngineLoads, type EngineLoads, type PlacedStream } from './engineLoads';
+export { selectEngineUse } from './engineUse';
 export { createEventSplitter } from './eventSplitter';
 export { createLoadPoller } from './loadPoller';
 export {
@@ -178,5 +174,10 @@
 } from './stagePlan';
 export { createFleetShares, type FleetShares } from './fleetShares';
 export { createFleetShard, type FleetShard, type ServerPools } from './fleetShard';
+export {
+  unresponsiveCauses,
+  type UnresponsiveCause,
+  type UnresponsiveEvidence,
+} from './unresponsiveEngines';
 export { startPeerExchange, type PeerExchange } from './peerExchange';
 export { createWatchPlan, type WatchPlan, type WatchPlanOptions } from './watchPlan';
--- a/packages/routing/src/loadPoller.ts
+++ b/packages/routing/src/loadPoller.ts
@@ -17,6 +17,7 @@
 import { stages, type BackendServer } from './model';
 import type { ServerDirectory } from './serverDirectory';
 import type { StreamSizes } from './streamSizes';
+import { causeOfFailedReport } from './unresponsiveEngines';
 
 export interface LoadPollerOptions {
   backend: Pick<BackendApi, 'readLoad'>;
@@ -55,8 +56,11 @@
     const outcome = await backend.readLoad(server, reportTimeoutMs);
     if (outcome.kind === 'done') {
       applyReport(server, outcome.value);
-    } else if (outcome.kind === 'lost' || outcome.cause.kind !== 'withheld') {
-      loads.noteUnresponsive(server.id);
+      return;
+    }
+    const cause = causeOfFailedReport(outcome);
+    if (cause !== undefined) {
+      loads.noteUnresponsive(server.id, cause);
     }
   }
 
--- a/packages/routing/src/lostRuns.ts
+++ b/packages/routing/src/lostRuns.ts
@@ -16,22 +16,35 @@
 } as const;
 export type LostRunCause = (typeof lostRunCauses)[keyof typeof lostRunCauses];
 
-export interface LostRun {
+/** When a run's events arrived, on the monotonic clock; undefined if there were none. */
+export interface EventTimes {
+  firstEventAtMs?: number;
+  lastEventAtMs?: number;
+}
+
+export interface LostRun extends EventTimes {
   state: RequestState;
   server: BackendServer;
   /** When the call began, on the monotonic clock. */
   startedAtMs: number;
   cause: LostRunCause;
   detail: string;
-  /** When the run's first event arrived; undefined if there was none. */
-  firstEventAtMs?: number;
 }
 
-type Dependencies = Pick<RouterDependencies, 'metrics' | 'logger' | 'quarantine' | 'directory'>;
+type Dependencies = Pick<
+  RouterDependencies,
+  'metrics' | 'logger' | 'quarantine' | 'directory' | 'engineLoads'
+>;
+
+/** Notes that an event has arrived. */
+export function noteEventTime(times: EventTimes): void {
+  times.lastEventAtMs = monotonicNowMs();
+  times.firstEventAtMs ??= times.lastEventAtMs;
+}
 
 export function recordLostRun(
-  { state, server, startedAtMs, cause, detail, firstEventAtMs }: LostRun,
-  { metrics, logger, quarantine, directory }: Dependencies,
+  { state, server, startedAtMs, cause, detail, firstEventAtMs, lastEventAtMs }: LostRun,
+  { metrics, logger, quarantine, directory, engineLoads }: Dependencies,
 ): void {
   const { identity, request } = state;
   const nowMs = monotonicNowMs();
@@ -45,6 +58,11 @@
     durationMs: Math.round(nowMs - startedAtMs),
     sharedParts: request.sharedParts,
     writingMs: firstEventAtMs === undefined ? undefined : Math.round(nowMs - firstEventAtMs),
+    silentMs: Math.round(nowMs - (lastEventAtMs ?? startedAtMs)),
+    unresponsive: engineLoads.unresponsiveEvidence(server.id),
+    sentCount: state.sentCount,
+    furtherAttempts: state.furtherAttemptCount,
+    failedServers: [...state.failedServerIds],
   });
   if (cause === lostRunCauses.server || directory.hasRestarted(server)) {
     const { id: requestId } = request;
--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/peerExchange.ts
@@ -20,7 +20,7 @@
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import { openDatagramSocket } from './datagramSocket';
-import { selectEngineUse } from './engineLoads';
+import { selectEngineUse } from './engineUse';
 
 export interface PeerExchangeOptions {
   host: string;
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -187,16 +187,16 @@
   if (isWhole(attempt)) {
     deps.quarantine.noteCompleted(state.identity);
   }
+  state.wasMisdirected ||= attempt.kind === 'misdirected';
+  if (hasArrived(attempt)) {
+    state.sentCount += 1;
+  }
   const lostDetail = lostDetailOf(attempt);
   if (lostDetail !== undefined) {
     const isOurs = state.signal.aborted || (outcome.kind === 'lost' && outcome.isOurs);
     const cause = isOurs ? lostRunCauses.router : lostRunCauses.server;
     recordLostRun({ state, server, startedAtMs, cause, detail: lostDetail }, deps);
   }
-  state.wasMisdirected ||= attempt.kind === 'misdirected';
-  if (hasArrived(attempt)) {
-    state.sentCount += 1;
-  }
   recordHealth(server, attempt, state, deps);
   return attempt;
 }
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -23,6 +23,7 @@
   type RequestState,
 } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
+import { unresponsiveCauses } from './unresponsiveEngines';
 
 export type PrefillOutcome =
   | { kind: 'done'; result: PrefillResult }
@@ -219,7 +220,7 @@
     }
     if (cause === 'other-server') {
       // The listed server has stopped: mark it, so that other routers do not have to detect it themselves.
-      engineLoads.noteUnresponsive(server.id);
+      engineLoads.noteUnresponsive(server.id, unresponsiveCauses.otherServer);
     }
     if (cause !== 'rejected' && cause !== 'withheld' && !state.signal.aborted) {
       health.record(server.id, 'failure', monotonicNowMs());
--- a/packages/routing/src/serverMetrics.ts
+++ b/packages/routing/src/serverMetrics.ts
@@ -1,5 +1,5 @@
 /** Metrics of backend servers: how many are known, how they change, and what they say of themselves. */
-import { Counter, Gauge, type Registry } from 'prom-client';
+import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 
 export interface ServerMetrics {
   setServers(count: number): void;
@@ -15,8 +15,15 @@
   countAbandonedAnswer(): void;
   /** Counts notices of backend servers about themselves, by kind. */
   countServerNotice(kind: string): void;
+  /** Counts periods in which an engine was unresponsive, as noticed by this router itself. */
+  countUnresponsivePeriod(service: string, cause: string): void;
+  /** Duration of such a period, once the engine has answered again. */
+  observeUnresponsivePeriod(service: string, durationMs: number): void;
 }
 
+const msPerSecond = 1000;
+const periodBuckets = [0.25, 0.5, 1, 1.5, 2, 3, 5, 10, 30, 120];
+
 export function createServerMetrics(registry: Registry): ServerMetrics {
   const registers = [registry];
   const counter = (name: string, help: string, labelNames: readonly string[]) =>
@@ -53,6 +60,18 @@
     'Answers in which a backend server says something of itself, by what it says.',
     ['word'],
   );
+  const unresponsivePeriods = counter(
+    'bluebell_unresponsive_engine_periods_total',
+    'Periods in which an engine did not answer this router, by service and by what its first sign was.',
+    ['service', 'cause'],
+  );
+  const periodDurations = new Histogram({
+    name: 'bluebell_unresponsive_engine_seconds',
+    help: 'Duration of these periods, of engines that have answered again.',
+    labelNames: ['service'],
+    buckets: periodBuckets,
+    registers,
+  });
   return {
     setServers: (count) => servers.set(count),
     countServerChange: (change, known) => changes.inc({ change, known }),
@@ -61,5 +80,8 @@
     countPermit: (outcome) => permits.inc({ outcome }),
     countAbandonedAnswer: () => abandonedAnswers.inc(),
     countServerNotice: (notice) => notices.inc({ word: notice }),
+    countUnresponsivePeriod: (service, cause) => unresponsivePeriods.inc({ service, cause }),
+    observeUnresponsivePeriod: (service, durationMs) =>
+      periodDurations.observe({ service }, durationMs / msPerSecond),
   };
 }
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -14,7 +14,7 @@
   type Route,
 } from './model';
 import type { PrefillOutcome, PrefillStage } from './prefillStage';
-import { lostRunCauses, recordLostRun } from './lostRuns';
+import { lostRunCauses, noteEventTime, recordLostRun, type EventTimes } from './lostRuns';
 import { startStallWatch, type StallWatch } from './stallWatch';
 import {
   maySend,
@@ -287,11 +287,11 @@
   const { server } = reservation;
   const startedAtMs = monotonicNowMs();
   const availableMs = remainingMs(state);
-  let firstEventAtMs: number | undefined;
+  const eventTimes: EventTimes = {};
   const breakRun = (detail: string): RunOutcome => {
     const isOurs = signal.aborted || state.signal.aborted;
     const cause = isOurs ? lostRunCauses.router : lostRunCauses.server;
-    recordLostRun({ state, server, startedAtMs, cause, detail, firstEventAtMs }, deps);
+    recordLostRun({ state, server, startedAtMs, cause, detail, ...eventTimes }, deps);
     noteBrokenRun(run, server.id, signal.aborted);
     return { kind: 'broken', detail };
   };
@@ -326,7 +326,7 @@
     response: outcome.value,
     softwareVersion: server.softwareVersion,
     onProgress() {
-      firstEventAtMs ??= monotonicNowMs();
+      noteEventTime(eventTimes);
       observedRun.noteEvent();
       noteOrigin(run, server);
       watch.noteProgress();
