Keep a stream at a silent server until another one has its next event

What callers saw: streams that a router had accepted and passed on ended without their last events, or with 502, although their server was sound and went on a moment later; the same beside a change of the configuration, a SIGTERM, a SIGHUP or nothing.

Cause: silence was taken for loss, and a run was given up before it was known whether anything better was at hand. A run whose engine counted as unresponsive, for which one load report without a response suffices, was ended after 0.2 (0.4, where it may not continue elsewhere) of the event timeout; the budget, the memory of other engines and the versions were asked afterwards.

Now silence ends no run. It starts a second run beside the silent one, if the route, the budget and the memory elsewhere allow it; the first of them with an event goes on alone and ends the other. A run whose second server has accepted it is alone after 250 ms at the latest, so that no two servers work on one stream for long. What cannot go on elsewhere waits for its server, until its deadline or its caller's leaving. A server that has ended without closing its connections (a loss of power) is found by a probe, which a leaving server is not asked, and by its restart.

Why it works: the only events that end a run are those that end it at its server, or a better one's first event.

--- a/packages/routing/src/furtherAttempts.ts
+++ b/packages/routing/src/furtherAttempts.ts
@@ -35,6 +35,43 @@
   return isAllowed;
 }
 
+/** A further attempt that counts once it is used. */
+export interface AttemptInReserve {
+  /** The attempt is about to be sent. */
+  use(): void;
+  /** It is not sent any more; no effect once it is used. */
+  release(): void;
+}
+
+/** Sets a further attempt aside for a run that may not come to be sent; undefined if none is left. */
+export function reserveFurtherAttempt(
+  state: RequestState,
+  cause: AttemptCause,
+  deps: Dependencies,
+): AttemptInReserve | undefined {
+  const reservation = deps.budget.reserve(state.service.name, monotonicNowMs());
+  if (reservation === undefined) {
+    recordRefused(state, cause, deps);
+    return undefined;
+  }
+  let isOpen = true;
+  const settle = (end: () => void) => {
+    if (isOpen) {
+      isOpen = false;
+      end();
+    }
+  };
+  return {
+    use() {
+      settle(() => {
+        reservation.use(monotonicNowMs());
+        recordTaken(state, cause, deps);
+      });
+    },
+    release: () => settle(reservation.release),
+  };
+}
+
 /**
  * Begins a first prefill call, which counts as a further attempt only if it fails. Returns the function to call at its
  * end, or undefined if the call may not be made. Calls in progress are counted: an engine may reject all that wait at it
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -36,12 +36,16 @@
 type PrefillAttempt =
   { kind: 'done'; result: PrefillResult } | { kind: 'failed'; hasArrived: boolean };
 
+export interface Prompt {
+  state: RequestState;
+  promptTokens: number;
+  decodeServer: BackendServer;
+  /** Ends the run that the prompt is prefilled for. */
+  signal: AbortSignal;
+}
+
 export interface PrefillStage {
-  run(
-    state: RequestState,
-    promptTokens: number,
-    decodeServer: BackendServer,
-  ): Promise<PrefillOutcome>;
+  run(prompt: Prompt): Promise<PrefillOutcome>;
   /** Expected time of a local prefill on a typical decode engine. */
   localMs(promptTokens: number): number;
   /** Expected time until the prompt is prefilled. */
@@ -151,13 +155,10 @@
     return isAllowed ? () => undefined : undefined;
   }
 
-  async function run(
-    state: RequestState,
-    promptTokens: number,
-    decodeServer: BackendServer,
-  ): Promise<PrefillOutcome> {
+  async function run(prompt: Prompt): Promise<PrefillOutcome> {
+    const { state, promptTokens, decodeServer, signal } = prompt;
     let isRetry = state.hasPrefilled;
-    while (!state.signal.aborted) {
+    while (!signal.aborted) {
       const server = chooseServer(state, promptTokens, decodeServer);
       if (server === undefined || shouldPrefillLocally(state, promptTokens, server, decodeServer)) {
         return { kind: 'at-decode' };
@@ -167,7 +168,7 @@
         return { kind: 'at-decode' };
       }
       limits.take(server.id);
-      const attempt = await prefillAt(server, state, promptTokens);
+      const attempt = await prefillAt(server, prompt);
       endCall(attempt.kind === 'failed' && attempt.hasArrived);
       if (attempt.kind === 'done') {
         state.hasPrefilled = true;
@@ -185,8 +186,7 @@
 
   async function prefillAt(
     server: BackendServer,
-    state: RequestState,
-    promptTokens: number,
+    { state, promptTokens, signal }: Prompt,
   ): Promise<PrefillAttempt> {
     const backlogTokens = engineLoads.prefillBacklogTokens(server.id);
     const expectedMs = expectedPrefillMs(server, promptTokens);
@@ -199,7 +199,7 @@
       remainingMs: remainingMs(state),
       timeoutMs,
       maySend: () => maySend(state),
-      signal: state.signal,
+      signal,
     });
     release();
     const tookMs = monotonicNowMs() - startedAtMs;
@@ -207,7 +207,7 @@
     const cause = outcome.kind === 'not-run' ? outcome.cause.kind : outcome.kind;
     if (outcome.kind === 'lost') {
       const { detail, isOurs } = outcome;
-      const endedBy = isOurs || state.signal.aborted ? lostRunCauses.router : lostRunCauses.server;
+      const endedBy = isOurs || signal.aborted ? lostRunCauses.router : lostRunCauses.server;
       recordLostRun({ state, server, startedAtMs, cause: endedBy, detail }, deps);
     }
     noteStep(state, `prefill ${server.id} ${cause} ${Math.round(tookMs)}ms`);
@@ -222,7 +222,7 @@
       // The listed server has stopped: mark it, so that other routers do not have to detect it themselves.
       engineLoads.noteUnresponsive(server.id, unresponsiveCauses.otherServer);
     }
-    if (cause !== 'rejected' && cause !== 'withheld' && !state.signal.aborted) {
+    if (cause !== 'rejected' && cause !== 'withheld' && !signal.aborted) {
       health.record(server.id, 'failure', monotonicNowMs());
     }
     return { kind: 'failed', hasArrived: cause !== 'unreachable' && cause !== 'withheld' };
--- a/packages/routing/src/routerDependencies.ts
+++ b/packages/routing/src/routerDependencies.ts
@@ -12,6 +12,7 @@
 import type { RouterMetrics } from './routerMetrics';
 import type { ServerDirectory } from './serverDirectory';
 import type { ServerPermits } from './serverLimits';
+import type { ServerEnds } from './serverEnds';
 import type { ServerLoads } from './serverLoads';
 import type { OriginStore } from './originStore';
 import type { ServerNotices } from './serverNotices';
@@ -22,6 +23,7 @@
 
 export interface RouterDependencies {
   backend: BackendApi;
+  serverEnds: Pick<ServerEnds, 'hasCrashed'>;
   directory: ServerDirectory;
   pools: ServerPools;
   /** Requests in progress at servers without engines. */
--- /dev/null
+++ b/packages/routing/src/runWatch.ts
@@ -0,0 +1,69 @@
+/**
+ * Watches one run of a stream for silence. Silence alone ends no run: a sound server may be silent for a while and go on.
+ * Only a server that has ended without closing its connections, as after a loss of power, ends its runs.
+ */
+import { monotonicNowMs } from '@bluebellhitch/shared';
+import type { BackendServer } from './model';
+import { eventTimeoutMs } from './runPlacement';
+import { startStallWatch } from './stallWatch';
+import type { ActiveRun } from './streamRun';
+
+export interface RunWatch {
+  noteProgress(): void;
+  /** Whether the server has been silent since the run's last progress. */
+  isSilent(): boolean;
+  stop(): void;
+}
+
+/**
+ * Shares of the event timeout after which a run without events counts as silent. A live engine may pause a stream for
+ * lack of memory and resume it later, so one on an unresponsive engine counts as silent sooner.
+ */
+const stallTimeoutShare = 1;
+const unresponsiveTimeoutShare = 0.2;
+/** Between two checks whether a silent server has ended, which probe it. */
+const endCheckIntervalMs = 1_000;
+
+/** `onLost` is called once, if the server has ended. */
+export function watchRun(
+  { state, deps, onSilent }: ActiveRun,
+  server: BackendServer,
+  onLost: () => void,
+): RunWatch {
+  const timeoutMs = eventTimeoutMs(state.route);
+  let isSilent = false;
+  let nextEndCheckAtMs = -Infinity;
+
+  /** A server that is leaving may take no connections any more and still finish its streams, which this allows for. */
+  async function checkEnd(): Promise<void> {
+    nextEndCheckAtMs = Infinity;
+    const hasEnded = await deps.serverEnds.hasCrashed(server);
+    nextEndCheckAtMs = monotonicNowMs() + endCheckIntervalMs;
+    if (hasEnded && isSilent) {
+      onLost();
+    }
+  }
+
+  const watch = startStallWatch({
+    stallTimeoutMs: stallTimeoutShare * timeoutMs,
+    unresponsiveStallTimeoutMs: unresponsiveTimeoutShare * timeoutMs,
+    isServerUnresponsive: () => deps.engineLoads.isUnresponsive(server.id),
+    isServerRestarted: () => deps.directory.hasRestarted(server),
+    onStalled(silentMs) {
+      isSilent = true;
+      onSilent(server.id, silentMs);
+      if (monotonicNowMs() >= nextEndCheckAtMs) {
+        void checkEnd();
+      }
+    },
+    onLost,
+  });
+  return {
+    noteProgress() {
+      isSilent = false;
+      watch.noteProgress();
+    },
+    isSilent: () => isSilent,
+    stop: watch.stop,
+  };
+}
--- a/packages/routing/src/stallWatch.ts
+++ b/packages/routing/src/stallWatch.ts
@@ -1,18 +1,20 @@
 /**
- * Detects a run that makes no more progress. A server that loses power does not close its connections, so the caller
- * would wait until its timeout although the stream could continue at another server.
+ * Observes a run that makes no progress. A sound server may be silent for a while and go on, and a server that loses
+ * power does not close its connections either: so silence is reported, and only a restart of the server ends the run.
  */
 import { createStallDetector } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 
 export interface StallWatchOptions {
-  /** A run without progress for this long counts as lost; if absent, lack of progress alone does not suffice. */
-  stallTimeoutMs?: number;
+  /** A run without progress for this long counts as stalled. */
+  stallTimeoutMs: number;
   /** The same while its server is unresponsive; shorter than the other timeout. */
   unresponsiveStallTimeoutMs: number;
   isServerUnresponsive: () => boolean;
   /** Whether the server has restarted since, so that the run is lost. */
   isServerRestarted: () => boolean;
+  /** Called again and again while the run is stalled, with the time since its last progress. */
+  onStalled(withoutProgressMs: number): void;
   onLost(): void;
 }
 
@@ -24,7 +26,7 @@
 const checkIntervalMs = 100;
 
 export function startStallWatch(options: StallWatchOptions): StallWatch {
-  const { stallTimeoutMs = Infinity, unresponsiveStallTimeoutMs, onLost } = options;
+  const { stallTimeoutMs, unresponsiveStallTimeoutMs, onStalled, onLost } = options;
   const { isServerUnresponsive, isServerRestarted } = options;
   const detector = createStallDetector({
     startedAtMs: monotonicNowMs(),
@@ -33,20 +35,28 @@
   });
   let progressCount = 0;
 
-  function isStalled(): boolean {
+  /** Time without progress; undefined if that is not yet a stall. */
+  function stalledMs(): number | undefined {
     const verdict = detector.check(monotonicNowMs());
-    return (
+    const isStalled =
       verdict.kind === 'stalled' &&
-      (verdict.withoutProgressMs >= stallTimeoutMs || isServerUnresponsive())
-    );
+      (verdict.withoutProgressMs >= stallTimeoutMs || isServerUnresponsive());
+    return isStalled ? verdict.withoutProgressMs : undefined;
   }
 
-  const timer = setInterval(() => {
-    if (isServerRestarted() || isStalled()) {
+  function check(): void {
+    if (isServerRestarted()) {
       clearInterval(timer);
       onLost();
+      return;
     }
-  }, checkIntervalMs);
+    const withoutProgressMs = stalledMs();
+    if (withoutProgressMs !== undefined) {
+      onStalled(withoutProgressMs);
+    }
+  }
+
+  const timer = setInterval(check, checkIntervalMs);
   return {
     noteProgress() {
       progressCount += 1;
--- a/packages/routing/src/streamRelay.ts
+++ b/packages/routing/src/streamRelay.ts
@@ -9,6 +9,7 @@
 import { writeOrPause } from './forwardBody';
 import { createEventSplitter, type StreamEvent } from './eventSplitter';
 import type { RequestState } from './requestState';
+import type { Contender } from './runContest';
 import { drainBody, readSmallBody } from './responseBody';
 
 export type RelayOutcome = { kind: 'whole' } | { kind: 'broken'; detail: string };
@@ -26,6 +27,8 @@
   response: BackendResponse;
   /** Version of the software that writes the events. */
   softwareVersion: string;
+  /** The run's place among those of the request that are in progress. */
+  contender: Pick<Contender, 'claim' | 'isAlone'>;
   /** Called for each chunk received. */
   onProgress(): void;
   contextSince(sinceMs: number): RunContext;
@@ -38,7 +41,10 @@
 }
 
 export interface StreamRelay {
-  /** Relays one run's response to its end. */
+  /**
+   * Relays one run's response to its end. Of several runs at the same time only the one that has an event first is
+   * relayed.
+   */
   relay(run: RelayedRun): Promise<RelayOutcome>;
   hasStarted(): boolean;
   /** The listener is called once, when the next event arrives. */
@@ -77,12 +83,14 @@
       await drainBody(response.body);
       return { kind: 'broken', detail: `unsealed answer ${response.status}` };
     }
-    return response.status === okStatus ? relayEvents(run) : relayFailure(response);
+    return response.status === okStatus ? relayEvents(run) : relayFailure(run);
   }
 
-  async function relayFailure(response: BackendResponse): Promise<RelayOutcome> {
+  /** A failure of one run is not passed on while another one may still go on. */
+  async function relayFailure({ response, contender }: RelayedRun): Promise<RelayOutcome> {
     const bodyRead = await readSmallBody(response.body);
-    if (bodyRead.kind !== 'whole' || writer !== undefined) {
+    const mayForward = writer === undefined && contender.isAlone() && contender.claim();
+    if (bodyRead.kind !== 'whole' || !mayForward) {
       return { kind: 'broken', detail: `answer ${response.status}` };
     }
     const { status, headers } = response;
@@ -91,7 +99,7 @@
   }
 
   function relayEvents(run: RelayedRun): Promise<RelayOutcome> {
-    const { response, onProgress } = run;
+    const { response, onProgress, contender } = run;
     const splitter = createEventSplitter();
     const { body } = response;
     let hasEvents = false;
@@ -100,6 +108,10 @@
         onData(chunk) {
           const events = splitter.push(chunk);
           const newEvents = events.filter(isNewEvent);
+          if (newEvents.length > 0 && !contender.claim()) {
+            body.abandon('another run goes on');
+            return;
+          }
           if (newEvents.length > 0) {
             forward(run, newEvents);
           }
@@ -121,6 +133,10 @@
             resolve({ kind: 'broken', detail: 'ended without an event' });
             return;
           }
+          if (!contender.claim()) {
+            resolve({ kind: 'broken', detail: 'another run goes on' });
+            return;
+          }
           writer ??= exchange.startResponse(response.status, response.headers);
           writer.end();
           resolve({ kind: 'whole' });
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -13,6 +13,7 @@
   type RequestState,
 } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
+import { createRunContest } from './runContest';
 import { createStreamRelay, type StreamRelay } from './streamRelay';
 import { runStream, type RunOutcome } from './streamRun';
 
@@ -28,11 +29,12 @@
   prefillStage: PrefillStage,
 ): Promise<void> {
   const relay = createStreamRelay(state);
+  const contest = createRunContest();
   const size = state.request.prompt ?? { promptTokens: 1, maxOutputTokens: 1 };
   let outcome: RunOutcome = { kind: 'not-run', reason: notRunReasons.noServer };
   let mayContinue = true;
   for (let round = 1; mayContinue && isCallerWaiting(state); round += 1) {
-    outcome = await runStream({ state, engine, deps, prefillStage, relay, size });
+    outcome = await runStream({ state, engine, deps, prefillStage, relay, size, contest });
     noteStep(state, outcome.kind === 'broken' ? `broken: ${outcome.detail}` : outcome.kind);
     mayContinue = round < maxRounds && mayRetry(state, outcome, deps);
   }
@@ -48,6 +50,7 @@
 function mayRetry(state: RequestState, outcome: RunOutcome, deps: RouterDependencies): boolean {
   switch (outcome.kind) {
     case 'ended':
+    case 'superseded':
       return false;
     case 'not-run':
       // The server refused the run after the reservation. Nothing has run, so a retry is safe on any route.
@@ -73,13 +76,19 @@
     relay.abort();
     return;
   }
-  const refusal: Refusal =
-    outcome.kind === 'broken' || state.sentCount > 0
-      ? createLostRefusal(state, outcome.kind === 'broken' ? outcome.detail : 'not resumed')
-      : {
-          kind: 'not-run',
-          reason: outcome.reason,
-          retryAfterMs: outcome.retryAfterMs ?? defaultRetryAfterMs,
-        };
-  state.exchange.refuse(refusal);
+  state.exchange.refuse(createRefusal(state, outcome));
+}
+
+function createRefusal(
+  state: RequestState,
+  outcome: Exclude<RunOutcome, { kind: 'ended' }>,
+): Refusal {
+  if (outcome.kind === 'broken') {
+    return createLostRefusal(state, outcome.detail);
+  }
+  if (outcome.kind === 'superseded' || state.sentCount > 0) {
+    return createLostRefusal(state, 'not resumed');
+  }
+  const { reason, retryAfterMs = defaultRetryAfterMs } = outcome;
+  return { kind: 'not-run', reason, retryAfterMs };
 }
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -1,9 +1,8 @@
 /** One run of a stream: reserves decode memory, has the prompt prefilled, then relays the decoded events. */
-import { paceToEndInTime } from '@bluebellhitch/decisions';
-import type { StreamEstimate } from '@bluebellhitch/protocol';
 import { assertNever, monotonicNowMs } from '@bluebellhitch/shared';
 import type { PrefillResult } from './backendApi';
-import type { Placement, PlacementOutcome, PlacementRequest } from './decodePlacement';
+import type { AttemptInReserve } from './furtherAttempts';
+import type { Placement, PlacementOutcome } from './decodePlacement';
 import { placeForLocalPrefill } from './localPrefillPlacement';
 import {
   notRunReasons,
@@ -11,11 +10,13 @@
   type EngineSettings,
   type NotRunReason,
   type PromptSize,
-  type Route,
 } from './model';
 import type { PrefillOutcome, PrefillStage } from './prefillStage';
 import { lostRunCauses, noteEventTime, recordLostRun, type EventTimes } from './lostRuns';
-import { startStallWatch, type StallWatch } from './stallWatch';
+import { createPlacementRequest, excludedIds } from './runPlacement';
+import { watchRun, type RunWatch } from './runWatch';
+import type { Contender, RunContest } from './runContest';
+import { createStandbyRun } from './standbyRun';
 import {
   maySend,
   noteStep,
@@ -34,7 +35,9 @@
   | { kind: 'ended' }
   | { kind: 'not-run'; reason: NotRunReason; retryAfterMs?: number }
   /** The server may have done work; the stream may continue on another server. */
-  | { kind: 'broken'; detail: string };
+  | { kind: 'broken'; detail: string }
+  /** Another run of the request goes on. */
+  | { kind: 'superseded' };
 
 export interface StreamRun {
   state: RequestState;
@@ -43,27 +46,50 @@
   prefillStage: PrefillStage;
   relay: StreamRelay;
   size: PromptSize;
+  /** All runs of the request that are in progress. */
+  contest: RunContest;
+  /** Set for a run beside one that is silent. */
+  standby?: StandbyRole;
+}
+
+export interface StandbyRole {
+  /** The server that is silent. */
+  avoidedServerId: string;
+  attempt: AttemptInReserve;
+}
+
+/** A run in progress. */
+export interface ActiveRun extends StreamRun {
+  contender: Contender;
+  /** Ends the run: at the request's end, and when another run goes on. */
+  signal: AbortSignal;
+  onSilent(serverId: string, silentMs: number): void;
 }
 
-/** Time from the start of a run to its first event, besides the prefill: the network and the first token. */
-const startOverheadMs = 60;
-const minEventTimeoutMs = 2_000;
-/** The rest is a margin for a prefill that takes longer than expected and for the network to the caller. */
-const eventTimeoutShare = 0.75;
-/**
- * Shares of the event timeout after which a run without events is abandoned. A live engine may pause a stream for lack
- * of memory and resume it later, so only a run on an unresponsive engine is abandoned early.
- */
-const stallTimeoutShare = 1;
-const unresponsiveTimeoutShare = 0.2;
 /**
- * The same for a run that cannot continue elsewhere: a server that was only unreachable for a moment may still finish
- * it. Without this limit, the caller of a server that lost power would wait several seconds, until its own deadline,
- * for a response that never arrives.
+ * A run beside a silent one goes on alone this long after its response has begun, even without an event: two servers must
+ * not work on one stream for long.
  */
-const lastRunUnresponsiveTimeoutShare = 0.4;
+const maxParallelMs = 250;
 
+/** Runs the stream; while its server is silent, tries to have it continued on another one. */
 export async function runStream(run: StreamRun): Promise<RunOutcome> {
+  const standby = createStandbyRun(run, (role) => runStream({ ...run, standby: role }));
+  const outcome = await runOnce(run, standby.noteSilent);
+  const other = await standby.outcome();
+  const hasOtherGoneOn = outcome.kind === 'superseded' || other?.kind === 'ended';
+  return hasOtherGoneOn && other !== undefined ? other : outcome;
+}
+
+async function runOnce(run: StreamRun, onSilent: ActiveRun['onSilent']): Promise<RunOutcome> {
+  const contender = run.contest.enter();
+  const signal = AbortSignal.any([run.state.signal, contender.signal]);
+  const outcome = await runPlaced({ ...run, contender, signal, onSilent });
+  contender.leave();
+  return contender.signal.aborted && outcome.kind !== 'ended' ? { kind: 'superseded' } : outcome;
+}
+
+async function runPlaced(run: ActiveRun): Promise<RunOutcome> {
   const placed = await placeRun(run);
   switch (placed.kind) {
     case 'no-capacity':
@@ -84,7 +110,7 @@
   }
 }
 
-async function placeRun(run: StreamRun): Promise<PlacementOutcome> {
+async function placeRun(run: ActiveRun): Promise<PlacementOutcome> {
   const { state, deps } = run;
   const startedAtMs = monotonicNowMs();
   const outcome = await deps.placement.place(createPlacementRequest(run));
@@ -94,60 +120,9 @@
   return outcome;
 }
 
-function createPlacementRequest(run: StreamRun): PlacementRequest {
-  const { state, engine, deps, prefillStage, size, relay } = run;
-  const { request, route, service } = state;
-  const expectedMs = prefillStage.expectedMs(service.name, size.promptTokens) + startOverheadMs;
-  const stream = deps.streamSizes.estimateStream(route.name, size, relay.eventCount());
-  // For a caller that has already received events, the timeout restarts.
-  const isResumed = state.sentCount > 0 || request.lastEventId !== undefined;
-  const waitingSinceMs = isResumed ? monotonicNowMs() : request.arrivedAtMs;
-  const eventTimeoutAtMs = waitingSinceMs + eventTimeoutMs(route);
-  return {
-    serviceName: service.name,
-    engine,
-    stream,
-    // Only what the stream needs at its start: an engine pauses running streams to honour reservations not yet used.
-    // With three quarters of the expected response reserved, 25 to 44 of some 330 streams were paused; with this,
-    // 3 to 7.
-    reservedTokens: stream.promptTokens + stream.emittedTokens,
-    isResumed,
-    targetGapMs: route.targetGapMs,
-    maxPaceMs: maxPaceMs(run, stream, expectedMs),
-    priority: state.priority,
-    arrivedAtMs: request.arrivedAtMs,
-    expectedHoldMs: expectedMs + stream.medianOutputTokens / deps.streamSizes.tokensPerMs(),
-    latestStartAtMs: request.arrivedAtMs + route.targetLatencyMs - expectedMs,
-    expiresAtMs: Math.min(eventTimeoutAtMs, state.endsAtMs) - expectedMs,
-    excludedIds: state.failedServerIds,
-    preferredId: state.cachedAtServerId,
-    softwareVersion: state.resumedVersion ?? relay.softwareVersions()[0],
-    signal: state.signal,
-  };
-}
-
-function maxPaceMs(
-  { state, deps }: StreamRun,
-  { medianOutputTokens, emittedTokens }: StreamEstimate,
-  startMs: number,
-): number {
-  const { streamSizes } = deps;
-  const leftTokens = medianOutputTokens - emittedTokens;
-  return paceToEndInTime({
-    medianEvents: leftTokens / (streamSizes.emittedTokens(1) || Infinity),
-    lengthShape: streamSizes.lengthShape(),
-    remainingMs: remainingMs(state) - startMs,
-  });
-}
-
-/** Callers abandon a stream without an event for the longest of these times; the result leaves a margin before that. */
-function eventTimeoutMs({ targetLatencyMs, targetGapMs }: Route): number {
-  return eventTimeoutShare * Math.max(minEventTimeoutMs, 4 * targetLatencyMs, 8 * targetGapMs);
-}
-
 /** Has the prompt prefilled and decodes it in the reserved memory; releases what stays unused. */
-async function runAt(run: StreamRun, placement: Placement): Promise<RunOutcome> {
-  const { state, prefillStage, size } = run;
+async function runAt(run: ActiveRun, placement: Placement): Promise<RunOutcome> {
+  const { state, prefillStage, size, signal } = run;
   const { server } = placement.reservation;
   const withheld = reasonNotToSend(state);
   if (withheld !== undefined) {
@@ -157,12 +132,14 @@
   const prefill: PrefillOutcome =
     server.id === state.cachedAtServerId
       ? { kind: 'at-decode' }
-      : await prefillStage.run(state, size.promptTokens, server);
+      : await prefillStage.run({
+          ...{ state, promptTokens: size.promptTokens, decodeServer: server, signal },
+        });
   if (prefill.kind === 'withheld') {
     releaseUnused(run, placement, undefined);
     return { kind: 'not-run', ...prefill.withheld };
   }
-  if (prefill.kind === 'failed' || state.signal.aborted) {
+  if (prefill.kind === 'failed' || signal.aborted) {
     releaseUnused(run, placement, prefill.kind === 'done' ? prefill.result : undefined);
     return { kind: 'not-run', reason: notRunReasons.noCapacity };
   }
@@ -179,19 +156,20 @@
 }
 
 /** Memory that is free now is enough reason to move a prompt, but not to wait for it. */
-function placeForPrefill(run: StreamRun, placement: Placement): Promise<Placement> {
+function placeForPrefill(run: ActiveRun, placement: Placement): Promise<Placement> {
   const { state, deps, prefillStage, size } = run;
   const prefill = { state, deps, localMs: prefillStage.localMs(size.promptTokens) };
-  return placeForLocalPrefill(prefill, placement, (excludedIds) =>
+  return placeForLocalPrefill(prefill, placement, (otherIds) =>
     deps.placement.place({
       ...createPlacementRequest(run),
-      ...{ excludedIds, preferredId: undefined, isImmediate: true },
+      excludedIds: new Set([...excludedIds(run), ...otherIds]),
+      ...{ preferredId: undefined, isImmediate: true },
     }),
   );
 }
 
 async function decodePrefilled(
-  run: StreamRun,
+  run: ActiveRun,
   placement: Placement,
   result: PrefillResult | undefined,
 ): Promise<RunOutcome> {
@@ -243,80 +221,67 @@
 }
 
 async function decode(
-  run: StreamRun,
+  run: ActiveRun,
   placement: Placement,
   prefill: PrefillResult | undefined,
 ): Promise<RunOutcome> {
-  const stalled = new AbortController();
-  const watch = watchRun(run, placement.reservation.server, () => stalled.abort());
+  const restarted = new AbortController();
+  const watch = watchRun(run, placement.reservation.server, () => restarted.abort());
   try {
-    return await decodeWatched(run, placement, prefill, { signal: stalled.signal, watch });
+    return await decodeWatched(run, placement, prefill, { signal: restarted.signal, watch });
   } finally {
     watch.stop();
   }
 }
 
-/**
- * Abandons a run without events early if it can continue elsewhere, or if its server is unresponsive or has restarted.
- */
-function watchRun(
-  { state, deps }: StreamRun,
-  server: BackendServer,
-  onStalled: () => void,
-): StallWatch {
-  const { route, sentCount } = state;
-  const mayContinue = route.allowsResume && sentCount + 1 < route.maxAttempts;
-  const timeoutMs = eventTimeoutMs(route);
-  return startStallWatch({
-    stallTimeoutMs: mayContinue ? stallTimeoutShare * timeoutMs : undefined,
-    unresponsiveStallTimeoutMs:
-      (mayContinue ? unresponsiveTimeoutShare : lastRunUnresponsiveTimeoutShare) * timeoutMs,
-    isServerUnresponsive: () => deps.engineLoads.isUnresponsive(server.id),
-    isServerRestarted: () => deps.directory.hasRestarted(server),
-    onLost: onStalled,
-  });
-}
-
 async function decodeWatched(
-  run: StreamRun,
+  run: ActiveRun,
   { reservation, stream }: Placement,
   prefill: PrefillResult | undefined,
-  { signal, watch }: { signal: AbortSignal; watch: StallWatch },
+  { signal, watch }: { signal: AbortSignal; watch: RunWatch },
 ): Promise<RunOutcome> {
-  const { state, deps, relay } = run;
+  const { state, deps, relay, contender } = run;
   const { server } = reservation;
   const startedAtMs = monotonicNowMs();
   const availableMs = remainingMs(state);
   const eventTimes: EventTimes = {};
   const breakRun = (detail: string): RunOutcome => {
-    const isOurs = signal.aborted || state.signal.aborted;
+    const isOurs = signal.aborted || run.signal.aborted;
     const cause = isOurs ? lostRunCauses.router : lostRunCauses.server;
-    recordLostRun({ state, server, startedAtMs, cause, detail, ...eventTimes }, deps);
-    noteBrokenRun(run, server.id, signal.aborted);
+    const reason = contender.signal.aborted ? 'another run goes on' : detail;
+    recordLostRun({ state, server, startedAtMs, cause, detail: reason, ...eventTimes }, deps);
+    const hasStalled = signal.aborted || watch.isSilent();
+    // A run that was only to replace a silent one shows nothing of its server.
+    if (!contender.signal.aborted || hasStalled) {
+      noteBrokenRun(run, server.id, hasStalled);
+    }
     return { kind: 'broken', detail };
   };
   if (prefill === undefined) {
     noteStep(state, 'prompt at decode');
   }
   state.lastSentAtMs = startedAtMs;
+  state.sentCount += 1;
+  run.standby?.attempt.use();
   const outcome = await deps.backend.run(server, state.request, {
     remainingMs: availableMs,
     headTimeoutMs: availableMs,
     maySend: () => maySend(state),
-    signal: AbortSignal.any([state.signal, signal]),
+    signal: AbortSignal.any([run.signal, signal]),
     ...{ reservation, prefill },
     lastEventId: relay.lastEventId(),
   });
   if (outcome.kind === 'not-run') {
+    state.sentCount -= 1;
     noteStep(state, `decode ${server.id} ${outcome.cause.kind}`);
     state.failedServerIds.add(server.id);
     return { kind: 'not-run', reason: notRunReasons.rejected };
   }
-  state.sentCount += 1;
   if (outcome.kind === 'lost') {
     return breakRun(outcome.detail);
   }
   noteStep(state, `decode ${server.id} ${outcome.value.status}`);
+  const endParallel = limitParallelRuns(run);
   const observer = createRunObserver(run, server.id);
   const { identity, request } = state;
   const observedRun = deps.quarantine.observeRun({
@@ -325,6 +290,7 @@
   const relayed = await relay.relay({
     response: outcome.value,
     softwareVersion: server.softwareVersion,
+    contender,
     onProgress() {
       noteEventTime(eventTimes);
       observedRun.noteEvent();
@@ -335,6 +301,7 @@
     },
     contextSince: observer.contextSince,
   });
+  endParallel();
   if (relayed.kind === 'whole') {
     observedRun.noteCompleted();
     noteCompleteRun(run);
@@ -343,3 +310,12 @@
   }
   return breakRun(relayed.detail);
 }
+
+/** Lets a run beside a silent one go on alone after a while; call the result when the run has ended. */
+function limitParallelRuns({ standby, contender }: ActiveRun): () => void {
+  if (standby === undefined) {
+    return () => undefined;
+  }
+  const timer = setTimeout(() => contender.claim(), maxParallelMs);
+  return () => clearTimeout(timer);
+}
