--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -15,7 +15,8 @@
 import type { RouterDependencies } from './routerDependencies';
 import { createRunContest } from './runContest';
 import { createStreamRelay, type StreamRelay } from './streamRelay';
-import { runStream, type RunOutcome } from './streamRun';
+import type { RunOutcome } from './streamRun';
+import { runStream } from './streamRuns';
 
 /** Default Retry-After: by then other servers have usually taken over from one that failed. */
 const defaultRetryAfterMs = 1_200;
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -16,7 +16,6 @@
 import { createPlacementRequest, excludedIds } from './runPlacement';
 import { watchRun, type RunWatch } from './runWatch';
 import type { Contender, RunContest } from './runContest';
-import { createStandbyRun } from './standbyRun';
 import {
   maySend,
   noteStep,
@@ -72,24 +71,8 @@
  */
 const maxParallelMs = 250;
 
-/** Runs the stream; while its server is silent, tries to have it continued on another one. */
-export async function runStream(run: StreamRun): Promise<RunOutcome> {
-  const standby = createStandbyRun(run, (role) => runStream({ ...run, standby: role }));
-  const outcome = await runOnce(run, standby.noteSilent);
-  const other = await standby.outcome();
-  const hasOtherGoneOn = outcome.kind === 'superseded' || other?.kind === 'ended';
-  return hasOtherGoneOn && other !== undefined ? other : outcome;
-}
-
-async function runOnce(run: StreamRun, onSilent: ActiveRun['onSilent']): Promise<RunOutcome> {
-  const contender = run.contest.enter();
-  const signal = AbortSignal.any([run.state.signal, contender.signal]);
-  const outcome = await runPlaced({ ...run, contender, signal, onSilent });
-  contender.leave();
-  return contender.signal.aborted && outcome.kind !== 'ended' ? { kind: 'superseded' } : outcome;
-}
-
-async function runPlaced(run: ActiveRun): Promise<RunOutcome> {
+/** Places the stream on an engine and runs it there. */
+export async function runPlaced(run: ActiveRun): Promise<RunOutcome> {
   const placed = await placeRun(run);
   switch (placed.kind) {
     case 'no-capacity':
--- /dev/null
+++ b/packages/routing/src/streamRuns.ts
@@ -0,0 +1,57 @@
+/** The runs of one stream that are in progress: usually one, and while its server is silent another one beside it. */
+import { attemptCauses, reserveFurtherAttempt } from './furtherAttempts';
+import { noteStep, reasonNotToSend } from './requestState';
+import { createStandby } from './standby';
+import {
+  runPlaced,
+  type ActiveRun,
+  type RunOutcome,
+  type StandbyRole,
+  type StreamRun,
+} from './streamRun';
+
+/** Runs the stream; while its server is silent, tries to have it continued on another one. */
+export async function runStream(run: StreamRun): Promise<RunOutcome> {
+  let silentServerId = '';
+  const standby = createStandby((silentMs) => beginStandby(run, silentServerId, silentMs));
+  const outcome = await runOnce(run, (serverId, silentMs) => {
+    silentServerId = serverId;
+    standby.noteSilent(silentMs);
+  });
+  const other = await standby.outcome();
+  const hasOtherGoneOn = outcome.kind === 'superseded' || other?.kind === 'ended';
+  return hasOtherGoneOn && other !== undefined ? other : outcome;
+}
+
+/** Begins another run if the route and the budget allow it; undefined otherwise. */
+function beginStandby(
+  run: StreamRun,
+  avoidedServerId: string,
+  silentMs: number,
+): Promise<RunOutcome> | undefined {
+  const { state, deps } = run;
+  const { route, sentCount } = state;
+  const mayBegin =
+    route.allowsResume && sentCount < route.maxAttempts && reasonNotToSend(state) === undefined;
+  const attempt = mayBegin ? reserveFurtherAttempt(state, attemptCauses.resume, deps) : undefined;
+  if (attempt === undefined) {
+    return undefined;
+  }
+  noteStep(state, `${avoidedServerId} silent for ${Math.round(silentMs)}ms, standby`);
+  return runStandby(run, { avoidedServerId, attempt });
+}
+
+async function runStandby(run: StreamRun, standby: StandbyRole): Promise<RunOutcome> {
+  const outcome = await runStream({ ...run, standby });
+  standby.attempt.release();
+  noteStep(run.state, `standby ${outcome.kind}`);
+  return outcome;
+}
+
+async function runOnce(run: StreamRun, onSilent: ActiveRun['onSilent']): Promise<RunOutcome> {
+  const contender = run.contest.enter();
+  const signal = AbortSignal.any([run.state.signal, contender.signal]);
+  const outcome = await runPlaced({ ...run, contender, signal, onSilent });
+  contender.leave();
+  return contender.signal.aborted && outcome.kind !== 'ended' ? { kind: 'superseded' } : outcome;
+}
