Tell a watch that was cut off from an outage of the store

What callers saw: after the store had cut off a watch, servers that it removed got requests for up to 2.25 s.

Cause: any call that failed made the store count as unavailable, and the next answer as its recovery. For 2.25 s from then on, removed entries counted as present, since entries may expire in an outage. But a store in service may cut off watches that wait, and its removals must be in force within the drain time, 2 s. The bound that was kept, the contact time, counts from the end of an outage, and there was none.

Now an outage must be proved: calls have failed, or were overdue, for half a second, counted over answers in between if failures follow within 1.5 s. A watch that is cut off while it waits counts only if the next call fails as well; a call turned away for its rate does not count, nor one without a response while the process got answers to other calls. After failures that prove no outage, removals are in force at once, also those that peers relayed in the meantime. A shorter outage makes no entry expire, as that takes several missed heartbeats; where an outage is proved, nothing has changed.

--- a/packages/routing/__tests__/serverDirectory.test.ts
+++ b/packages/routing/__tests__/serverDirectory.test.ts
@@ -315,6 +315,40 @@
   },
 );
 
+test.serial('a removal received while calls failed is in force once there was no outage', (t) => {
+  // A peer relays the removal while the calls of this router fail, which are answered a moment later.
+  withClock((clock) => {
+    const directory = createServerDirectory({ expiryGraceMs: 2_250 });
+    directory.replaceAll([server('a'), server('b')]);
+    directory.storeLost();
+    directory.remove('a');
+    t.deepEqual(idsOf(directory.usable('s')), ['a', 'b']);
+    directory.storeAnswered();
+    clock.tick(1);
+    t.deepEqual(idsOf(directory.all()), ['b']);
+    directory.remove('b');
+    t.deepEqual(directory.all(), []);
+  });
+});
+
+test.serial('failed calls do not end the delay after an outage', (t) => {
+  // A watch may be cut off just after an outage, while entries that expired in it are still missing.
+  withClock((clock) => {
+    const directory = createServerDirectory({ expiryGraceMs: 2_250, contactMs: 3_000 });
+    directory.replaceAll([server('a')]);
+    directory.storeLost();
+    clock.tick(10_000);
+    directory.storeRecovered(0, 200);
+    directory.replaceAll([]);
+    directory.storeLost();
+    directory.storeAnswered();
+    clock.tick(2_200);
+    t.deepEqual(idsOf(directory.usable('s')), ['a']);
+    clock.tick(100);
+    t.deepEqual(directory.all(), []);
+  });
+});
+
 test.serial(
   'an entry that returns while its removal is delayed keeps a server in use only if confirmed',
   (t) => {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -126,6 +126,7 @@
   type ObjectFollowerOptions,
 } from './objectFollower';
 export type { SeenChanges } from './relayedEvents';
+export { createStoreAnswers, type StoreAnswers, type StoreReturn } from './storeAvailability';
 export { createRequestRouter, type RequestRouter } from './requestRouter';
 export {
   createQuarantineStore,
--- a/packages/routing/src/objectFollower.ts
+++ b/packages/routing/src/objectFollower.ts
@@ -30,7 +30,11 @@
   type Random,
 } from '@bluebellhitch/shared';
 import { toRelayedChange, toWatchEvent, versionOf, type SeenChanges } from './relayedEvents';
-import { createStoreAvailability, type StoreAvailabilityListener } from './storeAvailability';
+import {
+  createStoreAvailability,
+  type StoreAnswers,
+  type StoreAvailabilityListener,
+} from './storeAvailability';
 
 export interface ObjectFollowerOptions extends StoreAvailabilityListener {
   store: ObjectApi;
@@ -52,6 +56,8 @@
   onProved?: (startedAt: ClockReading) => void;
   /** How long until this process has to verify with a call of its own that it has missed nothing. */
   proofLeftMs?: () => number;
+  /** Shared with the other followers of this process. */
+  answers?: StoreAnswers;
   random?: Random;
   firstRetryMs?: number;
   retryLimitMs?: number;
@@ -91,7 +97,7 @@
   const { onSeen = () => undefined, hasRelays = () => false } = options;
   const { relayTimeoutMs = () => 0, proofLeftMs = () => Infinity } = options;
   const { onProved = () => undefined, onEraChanged = () => undefined } = options;
-  const availability = createStoreAvailability(options);
+  const availability = createStoreAvailability(options, options.answers);
   /** All changes up to this store revision are known; undefined before the first list. */
   let cursor: string | undefined;
   /** Era of the last list. */
@@ -112,7 +118,7 @@
     const startedAt = readClocks();
     const peerRevisionBefore = newestPeerRevision;
     const listed = await store.list(kind);
-    noteResponse(listed, startedAt, signal);
+    noteResponse(listed, { startedAt, waitMs: 0 }, signal);
     return listed.map(({ objects, cursor: from }) => {
       noteEra(eraOf(Number(from)));
       objects.forEach(({ version }) => noteRevision(version));
@@ -149,7 +155,7 @@
     if (abandoned.signal.aborted) {
       return ok(undefined);
     }
-    noteResponse(reply, startedAt, signal);
+    noteResponse(reply, { startedAt, waitMs }, signal);
     return reply.map(({ events, cursor: nextCursor, compacted }) => {
       hasNewEvents = events.length > 0;
       if (compacted) {
@@ -270,13 +276,14 @@
   /** Runs before the response is applied, because removals are treated differently right after an outage. */
   function noteResponse(
     response: Result<unknown, PlatformError>,
-    { monotonicMs }: ClockReading,
+    { startedAt: { monotonicMs }, waitMs }: { startedAt: ClockReading; waitMs: number },
     signal: AbortSignal,
   ): void {
     if (response.isOk()) {
       availability.noteAnswer();
     } else if (!signal.aborted) {
-      availability.noteFailure(response.error, monotonicMs);
+      const dueAtMs = monotonicMs + (waitMs > minWatchMs ? waitMs : 0);
+      availability.noteFailure(response.error, monotonicMs, dueAtMs);
     }
   }
 
--- a/packages/routing/src/removalDelay.ts
+++ b/packages/routing/src/removalDelay.ts
@@ -5,7 +5,8 @@
  *
  * The end itself is not seen: it lies between the start of the last call that failed and the first response. The delay
  * counts from the response, so that no running server is dropped, and ends at the latest when the bound is reached for an
- * outage that had ended as early as possible.
+ * outage that had ended as early as possible. Where nothing shows an outage, the store may have been in service throughout:
+ * its removals must then be in force at once.
  */
 import { monotonicNowMs } from '@bluebellhitch/shared';
 
@@ -16,10 +17,24 @@
   contactMs?: number;
 }
 
-export interface RemovalDelay {
+export interface RemovalDelayListener {
+  /** Called when the store has answered: removals that are delayed may be due earlier. */
+  onAnswered?: () => void;
+}
+
+/** What is known of the store. */
+export interface StoreObserver {
+  /** A call has failed: whether the store is unavailable is not known before its next answer. */
   storeLost(): void;
+  /** The first answer of the store to this process: entries may expire whose last write came before an outage. */
+  storeFound(): void;
+  /** The store answers again, and calls to it failed without an outage. */
+  storeAnswered(): void;
   /** The store answers again, and has done so for `agoMs`; its outage ended at most `endedAtMostAgoMs` ago. */
   storeRecovered(agoMs?: number, endedAtMostAgoMs?: number): void;
+}
+
+export interface RemovalDelay extends StoreObserver {
   /** For how long a removal that is received now is delayed; 0 or less: not at all. */
   leftMs(): number;
 }
@@ -27,10 +42,13 @@
 /** Running servers write their entry again within about two seconds; 250 ms more for its delivery. */
 const defaultExpiryGraceMs = 2_250;
 /** Allows for late timers and for requests that are already on their way. */
-const contactMarginMs = 200;
+const marginMs = 200;
 
-export function createRemovalDelay(options: RemovalDelayOptions = {}): RemovalDelay {
+export function createRemovalDelay(
+  options: RemovalDelayOptions & RemovalDelayListener = {},
+): RemovalDelay {
   const { expiryGraceMs = defaultExpiryGraceMs, contactMs = Infinity } = options;
+  const { onAnswered = () => undefined } = options;
   let isUnavailable = false;
   let graceEndsAtMs = -Infinity;
 
@@ -38,12 +56,22 @@
     storeLost() {
       isUnavailable = true;
     },
+    storeFound() {
+      isUnavailable = false;
+      graceEndsAtMs = Math.max(graceEndsAtMs, monotonicNowMs() + expiryGraceMs);
+      onAnswered();
+    },
+    storeAnswered() {
+      isUnavailable = false;
+      onAnswered();
+    },
     storeRecovered(agoMs = 0, endedAtMostAgoMs = agoMs) {
       isUnavailable = false;
       const nowMs = monotonicNowMs();
-      const byContactMs = nowMs - endedAtMostAgoMs + contactMs - contactMarginMs;
+      const byContactMs = nowMs - endedAtMostAgoMs + contactMs - marginMs;
       const endsAtMs = Math.min(nowMs - agoMs + expiryGraceMs, byContactMs);
       graceEndsAtMs = Math.max(graceEndsAtMs, endsAtMs);
+      onAnswered();
     },
     leftMs: () => (isUnavailable ? expiryGraceMs : graceEndsAtMs - monotonicNowMs()),
   };
--- a/packages/routing/src/serverDirectory.ts
+++ b/packages/routing/src/serverDirectory.ts
@@ -15,14 +15,10 @@
 import { createBoundedMap, judgeEntry, type KnownEntry } from '@bluebellhitch/decisions';
 import type { StorePosition } from '@bluebellhitch/protocol';
 import { serverIdOf, type BackendServer, type Stage } from './model';
-import { createRemovalDelay } from './removalDelay';
+import { createRemovalDelay, type RemovalDelayOptions, type StoreObserver } from './removalDelay';
 import { createUnconfirmedServers, type ReturnedEntry } from './unconfirmedServers';
 
-export interface ServerDirectoryOptions {
-  /** How long after the store has recovered a missing entry still counts as present. */
-  expiryGraceMs?: number;
-  /** Time after an outage of the store has ended in which removals must be in force. Default: unlimited. */
-  contactMs?: number;
+export interface ServerDirectoryOptions extends RemovalDelayOptions {
   onChanged?: (change: ServerChange) => void;
 }
 
@@ -48,7 +44,7 @@
   server: BackendServer;
 }
 
-export interface ServerDirectory {
+export interface ServerDirectory extends StoreObserver {
   put(server: BackendServer): void;
   /** `position` is that of the removal in the store, if it is known. */
   remove(name: string, position?: StorePosition): void;
@@ -67,9 +63,6 @@
   confirm(id: string): void;
   /** The incarnation, if it gets no requests until it is confirmed; otherwise undefined. */
   unconfirmed(id: string): UnconfirmedServer | undefined;
-  storeLost(): void;
-  /** The store answers again, and has done so for `agoMs`; its outage ended at most `endedAtMostAgoMs` ago. */
-  storeRecovered(agoMs?: number, endedAtMostAgoMs?: number): void;
   get(id: string): BackendServer | undefined;
   /** Servers that may get new requests. */
   usable(serviceName: string, stage?: Stage): BackendServer[];
@@ -99,7 +92,7 @@
 
 export function createServerDirectory(options: ServerDirectoryOptions = {}): ServerDirectory {
   const { onChanged = () => undefined } = options;
-  const removalDelay = createRemovalDelay(options);
+  const removalDelay = createRemovalDelay({ ...options, onAnswered: shortenDelays });
   /** Keyed by name. */
   const servers = new Map<string, BackendServer>();
   const idsToNames = new Map<string, string>();
@@ -345,10 +338,9 @@
       return server && returned && { server, ...returned };
     },
     storeLost: removalDelay.storeLost,
-    storeRecovered(agoMs, endedAtMostAgoMs) {
-      removalDelay.storeRecovered(agoMs, endedAtMostAgoMs);
-      shortenDelays();
-    },
+    storeFound: removalDelay.storeFound,
+    storeAnswered: removalDelay.storeAnswered,
+    storeRecovered: removalDelay.storeRecovered,
     get,
     usable: (serviceName, stage) =>
       [...servers.values()].filter(
