Ignore the recovery of a relay that was cut off alone

What callers would see: in a fleet of nine routers or more, a relay that cannot reach the store for a moment reports its recovery with the changes that it relays, and all others delay removals for 2.25 s, although the store was in service throughout and must have its removals in force within the drain time.

Cause: what a peer noticed counted for this router too, whatever it had heard from the store itself in the meantime.

Now a peer's recovery counts only if this router has heard of no answer, to itself or through a relay, for the relay timeout and 0.2 s before the recovery. In service such answers come within the relay timeout: else the router calls the store itself. In an outage that makes entries expire, which takes several heartbeats, none come, so these removals are delayed as before.

--- a/packages/routing/src/objectFollower.ts
+++ b/packages/routing/src/objectFollower.ts
@@ -90,6 +90,8 @@
 const verifyIntervalMs = 60_000;
 /** A recovery of the store is not reported to peers after this time, as it no longer has any effect. */
 const maxRecoveryAgeMs = 10_000;
+/** For the call that this process makes once the relay timeout has passed, and for a late relayed message. */
+const answerMarginMs = 200;
 
 export function createObjectFollower(options: ObjectFollowerOptions): ObjectFollower {
   const { store, kind, watchWaitMs, random = Math.random } = options;
@@ -262,7 +264,7 @@
       return;
     }
     const nowMs = monotonicNowMs();
-    if (backAgeMs !== undefined && backAgeMs < availability.recoveryAgeMs()) {
+    if (backAgeMs !== undefined && wasOutageForAll(nowMs - backAgeMs)) {
       availability.noteRecovery(backAgeMs);
     }
     apply(
@@ -273,6 +275,15 @@
     upToDateAtMs = Math.max(upToDateAtMs, nowMs - ageMs);
   }
 
+  /**
+   * Whether the outage whose end a peer has noticed is news, and may have been one of the store: the peer may have been
+   * cut off alone. While the store is in service, answers to this process or to a relay come within the relay timeout.
+   */
+  function wasOutageForAll(endedAtMs: number): boolean {
+    const isNews = monotonicNowMs() - endedAtMs < availability.recoveryAgeMs();
+    return isNews && endedAtMs - upToDateAtMs >= relayTimeoutMs() + answerMarginMs;
+  }
+
   /** Runs before the response is applied, because removals are treated differently right after an outage. */
   function noteResponse(
     response: Result<unknown, PlatformError>,
