Bound the delay of removals after the start of a router by the drain time

What callers would see: servers that are removed just after a router has started get its requests for up to 2.25 s. The bound of contact covers a process that was started by the platform, but one that ended by itself and was restarted counts as in touch throughout, and has to keep the drain time, 2 s on some deployments.

Cause: the first response to a process counted as a recovery of the store, whose delay is bounded by the contact time alone. The drain time was not read from the settings.

Now the delay after the first response ends 0.2 s before the drain time, counted from that response. All later removals are then in force within the drain time. Where the first calls fail for so long that an outage is proved, the delay is that of an outage as before.

Test: a removal just after the first response with a drain time of 2 s was in force after 2.25 s, now after 1.8 s.

--- a/packages/routing/__tests__/serverDirectory.test.ts
+++ b/packages/routing/__tests__/serverDirectory.test.ts
@@ -349,6 +349,24 @@
   });
 });
 
+test.serial(
+  'a removal after the first answer of the store is in force within the drain time',
+  (t) => {
+    // A process that starts while the store is in service kept removed servers for longer than that.
+    withClock((clock) => {
+      const directory = createServerDirectory({ expiryGraceMs: 2_250, drainMs: 2_000 });
+      directory.storeFound();
+      directory.replaceAll([server('a')]);
+      directory.remove('a');
+      clock.tick(1_000);
+      directory.storeFound();
+      t.deepEqual(idsOf(directory.usable('s')), ['a']);
+      clock.tick(801);
+      t.deepEqual(directory.all(), []);
+    });
+  },
+);
+
 test.serial(
   'an entry that returns while its removal is delayed keeps a server in use only if confirmed',
   (t) => {
--- a/packages/routing/src/removalDelay.ts
+++ b/packages/routing/src/removalDelay.ts
@@ -6,7 +6,7 @@
  * The end itself is not seen: it lies between the start of the last call that failed and the first response. The delay
  * counts from the response, so that no running server is dropped, and ends at the latest when the bound is reached for an
  * outage that had ended as early as possible. Where nothing shows an outage, the store may have been in service throughout:
- * its removals must then be in force at once.
+ * its removals must then be in force within the drain time.
  */
 import { monotonicNowMs } from '@bluebellhitch/shared';
 
@@ -15,6 +15,8 @@
   expiryGraceMs?: number;
   /** Time after the end of an outage in which removals must be in force. Default: unlimited. */
   contactMs?: number;
+  /** Time after a removal by a store in service in which it must be in force. Default: unlimited. */
+  drainMs?: number;
 }
 
 export interface RemovalDelayListener {
@@ -41,14 +43,14 @@
 
 /** Running servers write their entry again within about two seconds; 250 ms more for its delivery. */
 const defaultExpiryGraceMs = 2_250;
-/** Allows for late timers and for requests that are already on their way. */
+/** Of both bounds. Allows for late timers and for requests that are already on their way. */
 const marginMs = 200;
 
 export function createRemovalDelay(
   options: RemovalDelayOptions & RemovalDelayListener = {},
 ): RemovalDelay {
   const { expiryGraceMs = defaultExpiryGraceMs, contactMs = Infinity } = options;
-  const { onAnswered = () => undefined } = options;
+  const { drainMs = Infinity, onAnswered = () => undefined } = options;
   let isUnavailable = false;
   let graceEndsAtMs = -Infinity;
 
@@ -58,7 +60,9 @@
     },
     storeFound() {
       isUnavailable = false;
-      graceEndsAtMs = Math.max(graceEndsAtMs, monotonicNowMs() + expiryGraceMs);
+      if (graceEndsAtMs === -Infinity) {
+        graceEndsAtMs = monotonicNowMs() + Math.min(expiryGraceMs, drainMs - marginMs);
+      }
       onAnswered();
     },
     storeAnswered() {
