Answer or leave unread what arrives as a caller's connection closes

Cause: where a router decided to close a connection, it ended the sending side and kept taking requests. The same at other places, each seen in a test of connectionClosing.test.ts that failed before (7 of its 8 tests did): - the rest of a head that had got 408 was served, on a connection whose sending side was ended; - a request in progress was answered with the 400 of bytes that followed it, and its own response could not be sent; - requests sent behind one whose response announced the close were run and not answered; - the runtime's close() took connections for idle whose response was made and not sent yet, and cut the response; - a request that could not end within the grace time was begun on a kept connection and would have been cut. The eighth test (a connection that has sent nothing yet) passed before; it fails if such connections are closed at once.

Now one module decides: from the decision on no request is taken; a close is announced only by the response of the last request taken; whole requests get their responses first; a stopping router keeps a connection for 300 ms after a response that promised to keep it.

--- /dev/null
+++ b/packages/routing/__tests__/connectionClosing.test.ts
@@ -0,0 +1,160 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import test from 'ava';
+import type { CallerExchange } from '@bluebellhitch/routing';
+import { openConnection, request, startServer, until } from './support/callersServerFixture';
+
+const whole = { status: 200, headers: [], body: Buffer.from('whole') };
+const wholeResponses = (text: string) => [...text.matchAll(/\r\n\r\nwhole/g)].length;
+const limits = { maxHeaderBytes: 1_000, maxBodyBytes: 1_000, idleTimeoutMs: 1_000 };
+
+/** Serves the first request with a stream that the test ends, and all others at once. */
+function streamThenWhole() {
+  const stream = { end: () => undefined as void };
+  const served: string[] = [];
+  return {
+    stream,
+    served,
+    serve({ request: { target }, startResponse, respond }: CallerExchange) {
+      served.push(target);
+      if (served.length > 1) {
+        respond(whole);
+        return;
+      }
+      const writer = startResponse(200, []);
+      writer.write(Buffer.from('part'));
+      stream.end = writer.end;
+    },
+  };
+}
+
+test('a request sent as soon as a stream of a stopping router has ended is answered', async (t) => {
+  // The head of the stream promised to keep the connection, so its caller sends the next request there at once: it was run, on a
+  // connection whose sending side the router had ended.
+  const { stream, served, serve } = streamThenWhole();
+  const server = await startServer(t, serve);
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write(request);
+  await until(() => text().includes('part'));
+  server.stopAccepting();
+  socket.on('data', (bytes: Buffer) => {
+    if (bytes.toString('latin1').endsWith('0\r\n\r\n')) {
+      socket.write(request);
+    }
+  });
+  stream.end();
+  await server.whenIdle();
+  await closed;
+  t.is(served.length, 2);
+  t.is(wholeResponses(text()), 1);
+  t.regex(text(), /Connection: close/i);
+});
+
+test('a request that arrives once its connection is closing is not served', async (t) => {
+  // It can no longer be answered. Its caller need not have read the close yet, and may send on.
+  const { stream, served, serve } = streamThenWhole();
+  const server = await startServer(t, serve);
+  const { socket, closed, text } = openConnection(t, server.port, { allowHalfOpen: true });
+  socket.write(request);
+  await until(() => text().includes('part'));
+  server.beginDrain();
+  const ended = new Promise<void>((resolve) => {
+    socket.once('end', () => resolve());
+  });
+  stream.end();
+  await ended;
+  socket.write(request);
+  await delay(100);
+  socket.destroy();
+  await closed;
+  t.is(served.length, 1);
+});
+
+test('requests behind one whose response closes the connection of a stopping router are answered', async (t) => {
+  // A caller may send several requests in a row; the response of the first one announced the close, and the others were run.
+  const exchanges: CallerExchange[] = [];
+  const server = await startServer(t, (exchange) => exchanges.push(exchange));
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write(request.repeat(3));
+  await until(() => exchanges.length === 3);
+  server.beginDrain();
+  exchanges.forEach(({ respond }) => respond(whole));
+  await closed;
+  t.is(wholeResponses(text()), 3);
+  t.is([...text().matchAll(/Connection: close/gi)].length, 1);
+});
+
+test('a router that stops accepting sends responses to their end', async (t) => {
+  // The runtime takes connections for idle whose response is made but not sent yet, as the caller reads slowly.
+  const body = Buffer.alloc(16_000_000, 'a');
+  const server = await startServer(t, ({ respond }) => respond({ ...whole, body }));
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.pause();
+  socket.write(request);
+  await until(() => server.activeCount() === 1);
+  await delay(100);
+  server.stopAccepting();
+  await delay(100);
+  socket.resume();
+  await server.whenIdle();
+  await closed;
+  t.true(text().endsWith('\r\n\r\n'.concat('a'.repeat(body.length))));
+});
+
+test('a request whose head came too slowly is not served after all', async (t) => {
+  // The refusal ends the sending side; the rest of the head was still read, and the request was run.
+  let servedCount = 0;
+  const server = await startServer(t, () => {
+    servedCount += 1;
+  });
+  server.setLimits({ ...limits, headerTimeoutMs: 100 });
+  const { socket, closed, text } = openConnection(t, server.port, { allowHalfOpen: true });
+  socket.write(request.slice(0, 20));
+  await until(() => text().startsWith('HTTP/1.1 408'));
+  socket.write(request.slice(20));
+  await delay(100);
+  socket.destroy();
+  await closed;
+  t.is(servedCount, 0);
+});
+
+test('a request is not answered with the error of what follows it', async (t) => {
+  // The caller would take the request for refused, though it runs, and its own response could not be sent.
+  const exchanges: CallerExchange[] = [];
+  const server = await startServer(t, (exchange) => exchanges.push(exchange));
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write(`${request}no request\r\n\r\n`);
+  await until(() => exchanges.length === 1);
+  await delay(50);
+  exchanges[0]?.respond(whole);
+  await closed;
+  t.regex(text(), /^HTTP\/1\.1 200 [^]*\r\n\r\nwhole$/);
+});
+
+test('a request that may last longer than a stopping router is refused as not run', async (t) => {
+  // It would be cut off when the process exits.
+  const { stream, served, serve } = streamThenWhole();
+  const server = await startServer(t, serve);
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write(request);
+  await until(() => text().includes('part'));
+  server.stopAccepting(performance.now() + 5_000);
+  stream.end();
+  socket.write(request);
+  await closed;
+  t.is(served.length, 1);
+  t.regex(text(), /HTTP\/1\.1 503 [^]*stopping/);
+});
+
+test('a connection that has sent nothing yet is served by a router that stops accepting', async (t) => {
+  // It was accepted just before, and its request is on the way.
+  const server = await startServer(t, ({ respond }) => respond(whole));
+  const { socket, closed, text } = openConnection(t, server.port);
+  await new Promise((resolve) => {
+    socket.once('connect', resolve);
+  });
+  await delay(20);
+  server.stopAccepting();
+  socket.write(request);
+  await closed;
+  t.is(wholeResponses(text()), 1);
+});
--- a/packages/routing/src/callersServer.ts
+++ b/packages/routing/src/callersServer.ts
@@ -3,12 +3,13 @@
  * that was read is cut off.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import { Server as ListeningServer, type AddressInfo, type Socket } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
 import { monotonicNowMs, watchSlowSenders } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import type { CallerExchange } from './callerApi';
 import { createCallerConnections, isCallerWaiting, onceResponseOver } from './callerConnection';
+import { createConnectionClosing, type TakenRequest } from './connectionClosing';
 import { createHttpExchange, refuseOverHttp } from './httpExchange';
 import { notRunReasons, type CallerLimits, type CallerRequest, type Refusal } from './model';
 import { noReadBarrier, type ReadBarrier } from './readBarrier';
@@ -52,10 +53,13 @@
   setLimits(limits: CallerLimits): void;
   /** From now on, each response closes its connection. */
   beginDrain(): void;
-  /** Accepts no new connections and closes idle ones; requests in progress continue. */
-  stopAccepting(): void;
+  /**
+   * Accepts no new connections and closes quiet ones; requests in progress continue. From now on requests that may last
+   * longer than until `endsAtMs`, a monotonic time, are refused.
+   */
+  stopAccepting(endsAtMs?: number): void;
   activeCount(): number;
-  /** Resolves once no request is in progress. */
+  /** Resolves once no request is in progress, and none is expected on a connection that stays open for a moment. */
   whenIdle(): Promise<void>;
   /** Closes all open connections. */
   close(): void;
@@ -73,6 +77,8 @@
 const timeoutCheckIntervalMs = 500;
 /** Time in which requests in progress end and free their memory. */
 const memoryRetryAfterMs = 500;
+/** Another router can serve the request at once. */
+const stoppingRetryAfterMs = 50;
 
 /** Starts the server; rejects if the port is in use. */
 export async function startCallersServer(options: CallersServerOptions): Promise<CallersServer> {
@@ -81,24 +87,33 @@
   const connections = createCallerConnections();
   const bodyReaders = createBodyReaderPool(options.maxBufferedBytes);
   const idleListeners: (() => void)[] = [];
+  const closing = createConnectionClosing({ onLingered: notifyIfIdle });
   let limits = initialLimits;
   let activeCount = 0;
   let isDraining = false;
+  let endsAtMs = Infinity;
 
   async function onRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    const taken = closing.take(incoming, outgoing);
+    if (taken === undefined) {
+      incoming.resume();
+      return;
+    }
     const connection = connections.of(incoming.socket);
     const heldUpMs = recentHoldUpMs();
     activeCount += 1;
-    onceResponseOver(outgoing, connection, onResponseOver);
+    onceResponseOver(outgoing, connection, () => onResponseOver(taken));
     const head = decode(incoming);
     if (head.isErr()) {
-      refuseOverHttp(outgoing, head.error, true);
+      taken.announceClose();
+      refuseOverHttp(outgoing, head.error);
       return;
     }
     const { done, release } = bodyReaders.read(incoming, limits.maxBodyBytes);
     onceResponseOver(outgoing, connection, release);
     const bodyRead = await done;
     if (bodyRead.kind !== 'whole') {
+      taken.announceClose();
       refuseBody(outgoing, bodyRead);
       return;
     }
@@ -111,7 +126,13 @@
     const exchange = createHttpExchange(request, outgoing, {
       connection,
       isDraining: () => isDraining,
+      announceClose: taken.announceClose,
     });
+    if (request.deadlineAtMs > endsAtMs) {
+      const reason = notRunReasons.stopping;
+      exchange.refuse({ kind: 'not-run', reason, retryAfterMs: stoppingRetryAfterMs });
+      return;
+    }
     await options.serve({ ...exchange, heldUpMs });
   }
 
@@ -126,9 +147,16 @@
     return size.andThen(() => options.decodeHead({ method, target, rawHeaders, arrivedAtMs }));
   }
 
-  function onResponseOver(): void {
+  function onResponseOver(taken: TakenRequest): void {
     activeCount -= 1;
-    if (activeCount === 0) {
+    taken.noteOver();
+    notifyIfIdle();
+  }
+
+  const isIdle = () => activeCount === 0 && !closing.isLingering();
+
+  function notifyIfIdle(): void {
+    if (isIdle()) {
       idleListeners.splice(0).forEach((notify) => notify());
     }
   }
@@ -155,10 +183,15 @@
       socket.destroy();
     }
     connections.add(socket);
+    closing.add(socket);
   });
   function onCallerError(error: NodeJS.ErrnoException, socket: Socket): void {
     logger.info('could not parse request', { code: error.code });
-    rejectUnparsable(error, socket);
+    if (error.code === 'ECONNRESET') {
+      socket.destroy();
+    } else {
+      closing.refuseUnread(socket, unparsableResponse(error.code));
+    }
   }
   watchSlowSenders(server, {
     timeoutMs: () => limits.headerTimeoutMs,
@@ -176,15 +209,18 @@
     },
     beginDrain() {
       isDraining = true;
+      closing.beginDrain();
     },
-    stopAccepting() {
+    stopAccepting(nextEndsAtMs = Infinity) {
       isDraining = true;
-      server.close();
-      server.closeIdleConnections();
+      endsAtMs = nextEndsAtMs;
+      // The HTTP server's own method also closes connections whose responses are not sent yet.
+      ListeningServer.prototype.close.call(server);
+      closing.closeQuiet();
     },
     activeCount: () => activeCount,
     whenIdle: () =>
-      activeCount === 0
+      isIdle()
         ? Promise.resolve()
         : new Promise((resolve) => {
             idleListeners.push(resolve);
@@ -199,12 +235,12 @@
 ): void {
   switch (read.kind) {
     case 'too-large':
-      refuseOverHttp(outgoing, { kind: 'too-large', part: 'body' }, true);
+      refuseOverHttp(outgoing, { kind: 'too-large', part: 'body' });
       return;
     case 'no-memory': {
       const reason = notRunReasons.overloaded;
       const refusal: Refusal = { kind: 'not-run', reason, retryAfterMs: memoryRetryAfterMs };
-      refuseOverHttp(outgoing, refusal, true);
+      refuseOverHttp(outgoing, refusal);
       return;
     }
     case 'caller-left':
@@ -212,19 +248,11 @@
   }
 }
 
-/** Responds to data that the HTTP parser of Node.js could not parse, and closes the connection. */
-function rejectUnparsable(error: NodeJS.ErrnoException, socket: Socket): void {
-  // Once a response has started, an error written to the socket would look like a part of that response.
-  const currentResponse = Reflect.get(socket, '_httpMessage') as ServerResponse | null | undefined;
-  if (error.code === 'ECONNRESET' || !socket.writable || currentResponse?.headersSent) {
-    socket.destroy();
-    return;
-  }
+/** The response to data that the HTTP parser of Node.js could not parse. */
+function unparsableResponse(code: string | undefined): string {
   const status =
-    error.code === 'HPE_HEADER_OVERFLOW'
-      ? '431 Request Header Fields Too Large'
-      : parseErrorStatus(error.code);
-  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : parseErrorStatus(code);
+  return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
 }
 
 function parseErrorStatus(code: string | undefined): string {
--- /dev/null
+++ b/packages/routing/src/connectionClosing.ts
@@ -0,0 +1,181 @@
+/**
+ * Decides when callers' connections are closed. A connection is closed only once each whole request that was read on it has
+ * its response, and from the decision on no further request is taken from it: so a request is answered, or not passed on.
+ * While the router drains, a connection whose last response has promised to keep it stays open for a moment, since its
+ * caller may have sent the next request already.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { monotonicNowMs } from '@bluebellhitch/shared';
+
+export interface ConnectionClosing {
+  /** To be called once for each new connection. */
+  add(socket: Socket): void;
+  /** To be called for each request, in order. Undefined if its connection is closing: it must not be served. */
+  take(incoming: IncomingMessage, outgoing: ServerResponse): TakenRequest | undefined;
+  /** What was read last is no request: closes with `response`, or after the responses of the requests before it. */
+  refuseUnread(socket: Socket, response: string): void;
+  /** From now on each connection closes once it has been quiet for a moment after a response. */
+  beginDrain(): void;
+  /** The same for connections that have been quiet before. */
+  closeQuiet(): void;
+  /** Whether a connection stays open for a request that its caller may have sent already. */
+  isLingering(): boolean;
+}
+
+/** A request that may be served. */
+export interface TakenRequest {
+  /** The response announces that its connection closes, unless a later request was taken. To be called before its head. */
+  announceClose(): void;
+  /** The response is complete, or the connection closed. */
+  noteOver(): void;
+}
+
+export interface ConnectionClosingOptions {
+  /** Called each time that a connection stops lingering. */
+  onLingered: () => void;
+}
+
+interface Connection {
+  socket: Socket;
+  /** Requests whose responses are not complete, in the order of their arrival. */
+  unanswered: Map<ServerResponse, IncomingMessage>;
+  isClosing: boolean;
+  /** Since when nothing was read or answered, as far as is known. */
+  quietSinceMs: number;
+  bytesRead: number;
+  timer?: NodeJS.Timeout;
+}
+
+/** Some round trips: time for the request that a caller sends as soon as it has read a response. */
+const lingerMs = 300;
+/** Time for a caller to end its side. Until then what still arrives is read, as it would reset the connection otherwise. */
+const closeTimeoutMs = 1_000;
+
+export function createConnectionClosing(options: ConnectionClosingOptions): ConnectionClosing {
+  const connections = new Map<Socket, Connection>();
+  const lingering = new Set<Connection>();
+  let isDraining = false;
+
+  function add(socket: Socket): Connection {
+    const connection: Connection = {
+      socket,
+      unanswered: new Map(),
+      isClosing: false,
+      quietSinceMs: monotonicNowMs(),
+      bytesRead: socket.bytesRead,
+    };
+    connections.set(socket, connection);
+    socket.once('close', () => {
+      connections.delete(socket);
+      connection.isClosing = true;
+      stopLingering(connection);
+    });
+    return connection;
+  }
+
+  function stopLingering(connection: Connection): void {
+    clearTimeout(connection.timer);
+    if (lingering.delete(connection)) {
+      options.onLingered();
+    }
+  }
+
+  function close(connection: Connection, response?: string): void {
+    const { socket } = connection;
+    connection.isClosing = true;
+    stopLingering(connection);
+    socket.end(response ?? '');
+    const timer = setTimeout(() => socket.destroy(), closeTimeoutMs).unref();
+    socket.once('close', () => clearTimeout(timer));
+  }
+
+  function closeOnceQuiet(connection: Connection): void {
+    if (connection.isClosing || connection.unanswered.size > 0) {
+      return;
+    }
+    const { bytesRead } = connection.socket;
+    if (bytesRead !== connection.bytesRead) {
+      // A part of a request's head.
+      noteActive(connection);
+    }
+    const leftMs = connection.quietSinceMs + lingerMs - monotonicNowMs();
+    if (leftMs <= 0) {
+      close(connection);
+      return;
+    }
+    clearTimeout(connection.timer);
+    lingering.add(connection);
+    connection.timer = setTimeout(() => closeOnceQuiet(connection), leftMs);
+  }
+
+  function noteOver(connection: Connection, outgoing: ServerResponse): void {
+    connection.unanswered.delete(outgoing);
+    noteActive(connection);
+    if (connection.isClosing && !hasWholeRequest(connection)) {
+      close(connection);
+    } else if (isDraining) {
+      closeOnceQuiet(connection);
+    }
+  }
+
+  function announceClose(connection: Connection, outgoing: ServerResponse): void {
+    if ([...connection.unanswered.keys()].at(-1) === outgoing) {
+      connection.isClosing = true;
+      outgoing.shouldKeepAlive = false;
+    }
+  }
+
+  return {
+    add,
+    take(incoming, outgoing) {
+      const connection = connections.get(incoming.socket) ?? add(incoming.socket);
+      if (connection.isClosing) {
+        return undefined;
+      }
+      connection.unanswered.set(outgoing, incoming);
+      stopLingering(connection);
+      return {
+        announceClose: () => announceClose(connection, outgoing),
+        noteOver: () => noteOver(connection, outgoing),
+      };
+    },
+    refuseUnread(socket, response) {
+      const connection = connections.get(socket) ?? add(socket);
+      connection.isClosing = true;
+      if (hasWholeRequest(connection)) {
+        return;
+      }
+      // Once a response has started, another one would look like a part of it.
+      if (!socket.writable || hasStartedResponse(connection)) {
+        socket.destroy();
+      } else {
+        close(connection, response);
+      }
+    },
+    beginDrain() {
+      isDraining = true;
+    },
+    closeQuiet() {
+      isDraining = true;
+      [...connections.values()].forEach(closeOnceQuiet);
+    },
+    isLingering: () => lingering.size > 0,
+  };
+}
+
+function noteActive(connection: Connection): void {
+  Object.assign(connection, {
+    bytesRead: connection.socket.bytesRead,
+    quietSinceMs: monotonicNowMs(),
+  });
+}
+
+/** Whether a request was read that may have been passed on, and whose response is not complete. */
+function hasWholeRequest({ unanswered }: Connection): boolean {
+  return [...unanswered.values()].some(({ complete }) => complete);
+}
+
+function hasStartedResponse({ unanswered }: Connection): boolean {
+  return [...unanswered.keys()].some(({ headersSent }) => headersSent);
+}
--- a/packages/routing/src/httpExchange.ts
+++ b/packages/routing/src/httpExchange.ts
@@ -19,25 +19,18 @@
 export interface HttpExchangeOptions {
   connection: CallerConnection;
   isDraining: () => boolean;
+  /** Makes the response announce that its connection closes. */
+  announceClose: () => void;
 }
 
 export function createHttpExchange(
   request: CallerRequest,
   outgoing: ServerResponse,
-  { connection, isDraining }: HttpExchangeOptions,
+  { connection, isDraining, announceClose }: HttpExchangeOptions,
 ): CallerExchange {
-  // A head that was sent before the drain began announced a keep-alive connection. The caller's next request on it
-  // would arrive when the process is about to exit.
-  const { socket } = outgoing;
-  outgoing.once('finish', () => {
-    if (isDraining()) {
-      socket?.end();
-    }
-  });
-
   function writeHead(status: number, headers: readonly string[]): void {
     if (isDraining()) {
-      outgoing.shouldKeepAlive = false;
+      announceClose();
     }
     outgoing.writeHead(status, headers as string[]);
   }
@@ -53,7 +46,10 @@
       outgoing.end(body);
     },
     refuse(refusal) {
-      refuseOverHttp(outgoing, refusal, isDraining() || isRouterSpecific(refusal));
+      if (isDraining() || isRouterSpecific(refusal)) {
+        announceClose();
+      }
+      refuseOverHttp(outgoing, refusal);
     },
     startResponse(status, headers) {
       writeHead(status, withoutFraming(headers));
@@ -72,19 +68,12 @@
 }
 
 /** Sends a refusal of the router itself, unless a response has already started. */
-export function refuseOverHttp(
-  outgoing: ServerResponse,
-  refusal: Refusal,
-  closesConnection: boolean,
-): void {
+export function refuseOverHttp(outgoing: ServerResponse, refusal: Refusal): void {
   if (outgoing.headersSent || outgoing.destroyed) {
     return;
   }
   const { status, detail, retryAfterMs } = resolveRefusalResponse(refusal);
   const body = JSON.stringify({ title: refusal.kind, detail });
-  if (closesConnection) {
-    outgoing.shouldKeepAlive = false;
-  }
   const retryAfter =
     retryAfterMs === undefined ? [] : ['Retry-After', (retryAfterMs / msPerSecond).toFixed(3)];
   outgoing.writeHead(status, [
--- a/packages/routing/src/model.ts
+++ b/packages/routing/src/model.ts
@@ -229,6 +229,8 @@
   /** The request has crashed servers that ran it. */
   quarantined: 'quarantined',
   overloaded: 'overloaded',
+  /** The router stops, and its requests may be cut off before they are complete. */
+  stopping: 'stopping',
   /** The router's configuration may be outdated: keys may have been revoked that it still accepts. */
   staleConfiguration: 'stale-configuration',
   /** The key is unknown, but the store was just restored: versions that its backup lacks may be written again. */
