Keep a stream whose silent agent alone could finish it

Callers of the system's own path got an incomplete response where the only agent of a service was silent for two seconds or more and then went on.

Cause: an entry counts its leases at an agent as lapsed once it has had no reply to a heartbeat for two seconds, and ended all streams there, also those that no other server could continue. A sound agent keeps its leases meanwhile: its lease table does not count the time in which its process was paused.

A stream that has brought tokens in this attempt, and for which no untried server is left, now outlives such a lapse: the entry begins new heartbeats to the agent, and the watch for a stall ends the stream after three seconds without a frame, as before. A stream that can go on elsewhere ends at the lapse, and any stream ends when a heartbeat shows that the agent has restarted.

--- a/packages/entry/__tests__/heartbeats.test.ts
+++ b/packages/entry/__tests__/heartbeats.test.ts
@@ -1,7 +1,7 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import { errAsync, okAsync } from 'neverthrow';
-import { createHeartbeats } from '../src/heartbeats';
+import { createHeartbeats, lapseCauses } from '../src/heartbeats';
 import { freeLoad } from './support/fakeAgents';
 
 const address = 'http://agent-1';
@@ -53,6 +53,7 @@
   await clock.tickAsync(200);
   t.false(share.isCurrent());
   t.true(share.lapsed.aborted);
+  t.is(share.lapsed.reason, lapseCauses.unanswered);
   clock.uninstall();
 });
 
@@ -77,5 +78,6 @@
   state.incarnation = 'agent-1-2';
   await clock.tickAsync(400);
   t.true(share.lapsed.aborted);
+  t.is(share.lapsed.reason, lapseCauses.restarted);
   clock.uninstall();
 });
--- a/packages/entry/src/heartbeats.ts
+++ b/packages/entry/src/heartbeats.ts
@@ -10,6 +10,14 @@
 /** Leases at an agent lapse after this long without a heartbeat, in ms. */
 export const leaseDurationMs = 2_000;
 
+/** Reasons of `HeartbeatShare.lapsed`. */
+export const lapseCauses = {
+  /** The agent has answered no heartbeat for the duration of its leases. */
+  unanswered: 'unanswered',
+  /** The agent has restarted, and its leases with it. */
+  restarted: 'restarted',
+} as const;
+
 export interface HeartbeatsOptions {
   agents: Pick<AgentApi, 'heartbeat'>;
   entryId: string;
@@ -22,7 +30,7 @@
 
 /** A counted reference to the heartbeat of one agent. */
 export interface HeartbeatShare {
-  /** Aborts when the leases at this agent have lapsed, or may have. */
+  /** Aborts when the leases at this agent have lapsed, or may have; its reason is one of `lapseCauses`. */
   lapsed: AbortSignal;
   /** Whether leases at the agent are certainly still valid; reads the clock. */
   isCurrent(): boolean;
@@ -58,7 +66,7 @@
     // When a paused process resumes, its timers are late: its leases may have lapsed meanwhile, and their
     // memory may serve other requests. Without this check it would stream from a slot that it has lost.
     if (monotonicNowMs() - heartbeat.renewedAtMs >= leaseMs) {
-      heartbeat.lapseController.abort();
+      heartbeat.lapseController.abort(lapseCauses.unanswered);
     }
     return !heartbeat.lapseController.signal.aborted;
   }
@@ -75,7 +83,7 @@
       heartbeat.incarnation !== undefined && heartbeat.incarnation !== reply.incarnation;
     heartbeat.incarnation = reply.incarnation;
     if (restarted) {
-      heartbeat.lapseController.abort();
+      heartbeat.lapseController.abort(lapseCauses.restarted);
       return;
     }
     heartbeat.renewedAtMs = sentAtMs;
--- a/packages/entry/src/modelRequest.ts
+++ b/packages/entry/src/modelRequest.ts
@@ -19,6 +19,7 @@
 import { runAttempt } from './modelAttempt';
 import { stopReasons, type AttemptFailure, type AttemptOutcome, type ModelRun } from './modelTypes';
 import { labelsOf } from './runReports';
+import { hasUntriedServer } from './untriedServers';
 
 const defaultRetryAfterMs = 1_000;
 
@@ -94,11 +95,6 @@
   });
 }
 
-function hasUntriedServer(run: ModelRun): boolean {
-  const { members } = run.context.runtimes.members(run.request.document);
-  return members.some(({ id }) => !run.tried.has(id));
-}
-
 function giveUp(failure: AttemptFailure, detail: string): RetryDecision {
   return { kind: 'give-up', reason: failure.reason, notRun: failure.notRun, detail };
 }
--- a/packages/entry/src/streamStage.ts
+++ b/packages/entry/src/streamStage.ts
@@ -19,6 +19,8 @@
 import { labelsOf, reportStrike } from './runReports';
 import { separationEndTokens } from './separation';
 import { noteCallError, noteLoad, noteOutcome, noteRefusal } from './serverHealth';
+import { watchStreamLease } from './streamLease';
+import { hasUntriedServer } from './untriedServers';
 
 export interface StreamStage {
   placement: Placement;
@@ -47,10 +49,7 @@
 /** Dispatches the attempt and reads its frames until it ends. */
 export async function streamAttempt(run: ModelRun, stage: StreamStage): Promise<AttemptOutcome> {
   const { decode } = stage.placement;
-  const link = createLinkedAbort([
-    { signal: run.signal, reason: stopReasons.callerGone },
-    { signal: decode.share.lapsed, reason: stopReasons.lapsed },
-  ]);
+  const link = createLinkedAbort([{ signal: run.signal, reason: stopReasons.callerGone }]);
   const watch = watchForStall(run, stage.placement, link);
   const guard = createStreamGuard({
     attemptId: decode.attemptId,
@@ -68,9 +67,17 @@
     link,
     onProgress,
   };
+  const lease = watchStreamLease({
+    share: decode.share,
+    renewShare: () => run.context.heartbeats.share(decode.instance.innerAddress),
+    // The watch for a stall still ends the stream of an agent that has lost power.
+    mayWait: () => hasDelivered(state) && !hasUntriedServer(run, decode.instance.id),
+    onEnded: () => link.abort(stopReasons.lapsed),
+  });
   try {
     return await openAndRead(state);
   } finally {
+    lease.stop();
     watch.stop();
     link.dispose();
   }
