Take back the sign of a silent engine that another router polls

Where a router joined or restarted while an engine was silent for a second or so, all new streams for it were refused with 503 long after the engine had gone on: for ever, where it was the only one of its service.

Cause: routers divide the engines among themselves. One that has had no report from an engine says so to all peers until its own next report. When another router takes the engine over before that, as after each restart of a router, there is no such report, and the sign stays until the routers change again.

A poller now takes its signs back when it no longer polls the engine, and a report that fails after that is no sign. The router that takes the engine over asks it at once. That an address belongs to another server stays a sign.

Two of the three new tests of the poller fail without the change.

--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/engineLoads.ts
@@ -6,18 +6,28 @@
 import type { PeerEngineUse, StreamEstimate } from '@bluebellhitch/protocol';
 import { monotonicNowMs, runOnce } from '@bluebellhitch/shared';
 import type { EngineLoad } from './backendApi';
-import { emptyUse, isEmptyUse, type EngineUse } from './engineUse';
+import {
+  emptyUse,
+  heldTokens,
+  isEmptyUse,
+  promptTokensOf,
+  withGrowth,
+  type EngineUse,
+} from './engineUse';
 import { initialLengthShape, initialTokensPerMs } from './streamSizes';
 import {
   describeSilence,
+  unresponsiveCauses,
   type UnresponsiveCause,
   type UnresponsiveEvidence,
 } from './unresponsiveEngines';
 
 export interface EngineLoads {
   report(serverId: string, load: EngineLoad): void;
-  /** The engine did not answer; it counts as unresponsive until its next report. */
+  /** The engine did not answer; it counts as unresponsive until its next report, or until it is no longer polled. */
   noteUnresponsive(serverId: string, cause: UnresponsiveCause): void;
+  /** Another router polls the engine from now on: no report can end this router's sign that it is unresponsive. */
+  noteNotPolled(serverId: string): void;
   /** The engine has just answered a call. */
   noteContact(serverId: string): void;
   /** Whether its last load report failed, here or at a peer, and it has not answered a call from here lately. */
@@ -206,13 +216,26 @@
   function noteResponsive(serverId: string, state: EngineState): void {
     const { ownSilence } = state;
     if (ownSilence !== undefined) {
-      state.ownSilence = undefined;
-      state.own.isSilent = false;
-      onOwnUseChange(serverId);
+      endOwnSilence(serverId, state);
       onResponsive(serverId, monotonicNowMs() - ownSilence.sinceMs);
     }
   }
 
+  function endOwnSilence(serverId: string, state: EngineState): void {
+    state.ownSilence = undefined;
+    state.own.isSilent = false;
+    onOwnUseChange(serverId);
+  }
+
+  /** An address that belongs to another server shows that the engine is gone, whoever polls it. */
+  function noteNotPolled(serverId: string): void {
+    const state = engines.get(serverId);
+    const cause = state?.ownSilence?.cause;
+    if (state !== undefined && cause !== undefined && cause !== unresponsiveCauses.otherServer) {
+      endOwnSilence(serverId, state);
+    }
+  }
+
   function totalOf(state: EngineState, name: CounterName): number {
     return [...state.peers.values()].reduce((sum, peer) => sum + peer[name], state.own[name]);
   }
@@ -291,6 +314,7 @@
       noteResponsive(serverId, state);
     },
     noteUnresponsive,
+    noteNotPolled,
     noteContact(serverId) {
       stateOf(serverId).contactAtMs = monotonicNowMs();
     },
@@ -351,20 +375,3 @@
 function isUnreported({ tokens, atMs }: UsageChange, reportedAtMs: number): boolean {
   return atMs > reportedAtMs - (tokens < 0 ? maxReportAgeMs : minReportAgeMs);
 }
-
-function heldTokens({ promptTokens, emittedTokens }: StreamEstimate): number {
-  return promptTokens + emittedTokens;
-}
-
-/** Few streams exceed twice their median length; one that seems to is more likely to be paused. */
-const maxGrowthFactor = 2;
-
-function withGrowth(stream: StreamEstimate, tokens: number): StreamEstimate {
-  const { emittedTokens, medianOutputTokens } = stream;
-  const maxTokens = Math.max(emittedTokens, maxGrowthFactor * medianOutputTokens);
-  return { ...stream, emittedTokens: Math.min(emittedTokens + tokens, maxTokens) };
-}
-
-function promptTokensOf({ streams }: EngineUse): number {
-  return streams.reduce((sum, { promptTokens }) => sum + promptTokens, 0);
-}
--- a/packages/routing/src/engineUse.ts
+++ b/packages/routing/src/engineUse.ts
@@ -1,5 +1,5 @@
 /** What one router has in progress at an engine. */
-import type { PeerEngineUse } from '@bluebellhitch/protocol';
+import type { PeerEngineUse, StreamEstimate } from '@bluebellhitch/protocol';
 
 export type EngineUse = Omit<PeerEngineUse, 'serverId'>;
 
@@ -19,3 +19,20 @@
   const known = new Map(used.map((use) => [use.serverId, use]));
   return serverIds.map((serverId) => known.get(serverId) ?? { serverId, ...emptyUse() });
 }
+
+export function heldTokens({ promptTokens, emittedTokens }: StreamEstimate): number {
+  return promptTokens + emittedTokens;
+}
+
+/** Few streams exceed twice their median length; one that seems to is more likely to be paused. */
+const maxGrowthFactor = 2;
+
+export function withGrowth(stream: StreamEstimate, tokens: number): StreamEstimate {
+  const { emittedTokens, medianOutputTokens } = stream;
+  const maxTokens = Math.max(emittedTokens, maxGrowthFactor * medianOutputTokens);
+  return { ...stream, emittedTokens: Math.min(emittedTokens + tokens, maxTokens) };
+}
+
+export function promptTokensOf({ streams }: EngineUse): number {
+  return streams.reduce((sum, { promptTokens }) => sum + promptTokens, 0);
+}
--- a/packages/routing/src/loadPoller.ts
+++ b/packages/routing/src/loadPoller.ts
@@ -59,7 +59,8 @@
       return;
     }
     const cause = causeOfFailedReport(outcome);
-    if (cause !== undefined) {
+    // Meanwhile another router may have taken the engine over.
+    if (cause !== undefined && polledAtMs.has(server.id)) {
       loads.noteUnresponsive(server.id, cause);
     }
   }
@@ -84,11 +85,17 @@
     if (nowMs >= assignedAtMs + assignmentIntervalMs) {
       assignedAtMs = nowMs;
       assignedEngines = assignEngines();
-      polledAtMs = new Map(assignedEngines.map(({ id }) => [id, polledAtMs.get(id) ?? -Infinity]));
+      setPolled(assignedEngines.map(({ id }) => id));
     }
     return assignedEngines.filter(({ id }) => directory.get(id)?.isDraining === false);
   }
 
+  function setPolled(ids: readonly string[]): void {
+    const previousIds = [...polledAtMs.keys()];
+    polledAtMs = new Map(ids.map((id) => [id, polledAtMs.get(id) ?? -Infinity]));
+    previousIds.filter((id) => !polledAtMs.has(id)).forEach(loads.noteNotPolled);
+  }
+
   function assignEngines(): BackendServer[] {
     const routers = [options.ownAddress, ...options.livePeers()];
     return options
