Count calls as arrived when they reach a silent stand-in server

A call that reaches a silent server waits there. Counted only at the end of the silence, it looked as if a router had sent it that much later: after its caller had left, or after the store had said that the server leaves.

--- a/packages/soak/__tests__/checks.test.ts
+++ b/packages/soak/__tests__/checks.test.ts
@@ -80,7 +80,7 @@
   const arrive = (requestId: string, serverId = 'counter-1', over: Partial<Arrival> = {}) =>
     ledger.recordArrival({
       ...{ requestId, serverId, serviceName: 'counter', isPrefill: false, hasRun: true },
-      ...{ workspaceName: 'bonds', hasCredential: false },
+      ...{ workspaceName: 'bonds', waitedMs: 0, hasCredential: false },
       ...over,
     });
   const found = () => findings.all().map(({ promise }) => promise);
--- a/packages/soak/src/ledger.ts
+++ b/packages/soak/src/ledger.ts
@@ -72,7 +72,7 @@
       return request;
     },
     recordArrival(fields) {
-      const arrival: Arrival = { ...fields, atMs: monotonicNowMs() };
+      const arrival: Arrival = { ...fields, atMs: monotonicNowMs() - fields.waitedMs };
       arrivals.push(arrival);
       byRequest.set(arrival.requestId, [...arrivalsOf(arrival.requestId), arrival]);
       onArrival(arrival);
