Let sound servers fall silent in the soak's mixed scripts

Silences met only planned work. Mixed scripts, and those of the kinds crashes, versions and leavers, get one about every five seconds, from a seed of their own, so that the other steps of a seed stay. Planned scripts stay without.

The number of kinds of operations that scripts must have rises from 21 to 22, and silences may not occur in planned scripts.

--- a/packages/soak/__tests__/script.test.ts
+++ b/packages/soak/__tests__/script.test.ts
@@ -31,7 +31,7 @@
   const kinds = new Set(
     scripts.flatMap(({ steps }) => steps.map(({ operation }) => operation.kind)),
   );
-  t.is(kinds.size, 21);
+  t.is(kinds.size, 22);
   const planned = scripts.filter(({ kind }) => kind === 'planned');
   t.true(planned.length > 20);
   const unplanned = planned
--- a/packages/soak/src/script.ts
+++ b/packages/soak/src/script.ts
@@ -6,7 +6,7 @@
 import { createLeaverSteps } from './leaverSteps';
 import type { LinkFault } from './loopbackProxy';
 import { createReleaseSteps } from './releaseSteps';
-import { createSilencesScript } from './silenceSteps';
+import { createSilenceSteps, createSilencesScript } from './silenceSteps';
 
 export type Operation =
   | { kind: 'kill-router'; router: number; downMs: number }
@@ -133,6 +133,7 @@
     createNoticeSteps,
     createSlownessSteps,
     createHoldUpSteps,
+    createSilenceSteps,
   ].flatMap((createSteps) => createSteps(options));
   const all = kind === 'planned' ? steps : [...steps, ...independentSteps];
   if (kind === 'crashes') {
--- a/packages/soak/src/silenceSteps.ts
+++ b/packages/soak/src/silenceSteps.ts
@@ -1,4 +1,4 @@
-/** Steps in which sound servers fall silent and go on, of scripts of kind `silences`. */
+/** Steps in which sound servers fall silent and go on, of scripts of kind `silences` and of the mixed ones. */
 import { createSeededRandom, type Random } from '@bluebellhitch/shared';
 import type { ConfigurationChange, Operation, ScriptOptions, ScriptStep } from './script';
 import { slotLayout } from './serverSlots';
@@ -9,8 +9,8 @@
 const minAnsweringMs = 1_000;
 /** Servers that fall silent together do so within this time. */
 const spreadMs = 300;
-/** Mean time between two silences. */
-const silenceIntervalMs = 900;
+/** Mean time between two silences in a script of kind `silences`, and in a mixed one. */
+const silenceIntervalMs = { often: 900, seldom: 5_000 };
 /** Planned work begins up to this long before the silence, or while it lasts. */
 const plannedLeadMs = 500;
 /** So many times as long as usual do servers take, so that most silences meet requests in progress. */
@@ -24,6 +24,11 @@
   servers: readonly number[];
 }
 
+/** Uses its own random generator. */
+export function createSilenceSteps(options: ScriptOptions): ScriptStep[] {
+  return stepsOf(createSilences(options, silenceIntervalMs.seldom, randomOf(options)));
+}
+
 /** Silences of one, several or all servers of a service, or of all servers, with nothing but planned work beside them. */
 export function createSilencesScript(options: ScriptOptions): ScriptStep[] {
   const random = randomOf(options);
@@ -31,7 +36,7 @@
     atMs: 0,
     operation: { kind: 'slow-server', server, factor: slowdown, forMs: options.durationMs },
   }));
-  const silences = createSilences(options, silenceIntervalMs, random);
+  const silences = createSilences(options, silenceIntervalMs.often, random);
   const planned = silences.flatMap((silence) => createPlannedStep(silence, options, random));
   return [...slow, ...stepsOf(silences), ...planned];
 }
