Vary how long servers take in scripts of silences

All servers took three times as long, so that streams lasted about a second and few met two silences or a whole grace period.

--- a/packages/soak/src/silenceSteps.ts
+++ b/packages/soak/src/silenceSteps.ts
@@ -13,8 +13,8 @@
 const silenceIntervalMs = { often: 900, seldom: 5_000 };
 /** Planned work begins up to this long before the silence, or while it lasts. */
 const plannedLeadMs = 500;
-/** So many times as long as usual do servers take, so that most silences meet requests in progress. */
-const slowdown = 3;
+/** How many times as long as usual servers take, so that most silences meet requests in progress. */
+const slowdown = { min: 2, max: 8 };
 
 const changes: readonly ConfigurationChange[] = ['add', 'remove', 'move'];
 
@@ -32,12 +32,13 @@
 /** Silences of one, several or all servers of a service, or of all servers, with nothing but planned work beside them. */
 export function createSilencesScript(options: ScriptOptions): ScriptStep[] {
   const random = randomOf(options);
+  const silences = createSilences(options, silenceIntervalMs.often, random);
+  const planned = silences.flatMap((silence) => createPlannedStep(silence, options, random));
+  const factor = between(slowdown.min, slowdown.max, random);
   const slow = slotLayout.map((_slot, server): ScriptStep => ({
     atMs: 0,
-    operation: { kind: 'slow-server', server, factor: slowdown, forMs: options.durationMs },
+    operation: { kind: 'slow-server', server, factor, forMs: options.durationMs },
   }));
-  const silences = createSilences(options, silenceIntervalMs.often, random);
-  const planned = silences.flatMap((silence) => createPlannedStep(silence, options, random));
   return [...slow, ...stepsOf(silences), ...planned];
 }
 
