Let a test of recoveries have an outage that is long enough to be proved

'a starting router reports no recovery; one that has seen an outage of the store does' let the store be away for 1 s, of which up to half a second was the wait of the watch in progress.

--- a/packages/routing/__tests__/relayedChanges.test.ts
+++ b/packages/routing/__tests__/relayedChanges.test.ts
@@ -266,7 +266,7 @@
       await clock.tickAsync(1_200);
       t.true(seen.length > 0 && seen.every(({ backAgeMs }) => backAgeMs === undefined));
       isAway = true;
-      await clock.tickAsync(1_000);
+      await clock.tickAsync(2_000);
       isAway = false;
       await clock.tickAsync(1_000);
       const backAgeMs = seen.at(-1)?.backAgeMs ?? Infinity;
