Keep streams of split and moved routes at the version that began them

Cause: only what several versions of one service leave open was put on record. A split route counted as unknown, but its streams were not written. A moved route counted as known: a router that has started since the change knows only the service in force.

Now streams of routes with several services are on record too, and so are those in progress when a configuration moves their route. The versions of a service that a route has left are written, for two minutes, into the object of the service it has moved to: the read that is made for an unknown stream anyway then shows several. For all other routes nothing is written or read that was not before; moves between services of one version write nothing into these objects.

The store of serviceVersions.test.ts keeps one object for each service now, it kept one in all; begin() of originStore.test.ts passes the request and route that noteBegan takes now. No expectation was changed.

--- a/packages/routing/__tests__/originStore.test.ts
+++ b/packages/routing/__tests__/originStore.test.ts
@@ -16,8 +16,10 @@
   router: number,
   streamId: string,
   origin = first,
+  targets = [{ serviceName: origin.serviceName, weight: 1 }],
 ): void {
-  routers[router]?.noteBegan(streamId, origin, monotonicNowMs() + returnMs);
+  const request = { host: 'h', target: '/long/1', deadlineAtMs: monotonicNowMs() + returnMs };
+  routers[router]?.noteBegan(streamId, origin, { route: { targets }, request });
 }
 
 async function find(clock: Clock, { routers }: OriginStoreFleet, router: number, streamId: string) {
@@ -85,6 +87,47 @@
   },
 );
 
+testWithFakeClock(
+  'streams of a route with several services are found after all routers ended, though each service has one version',
+  async (t, clock) => {
+    // They were not put on record, so none of them went on.
+    const fleet = createOriginStoreFleet(2, { hasSeveralVersions: () => false });
+    const shared = ['s', 'other'].map((serviceName) => ({ serviceName, weight: 1 }));
+    begin(fleet, 0, 'a', first, shared);
+    begin(fleet, 0, 'single', first);
+    begin(fleet, 0, 'unshared', first, [
+      ...shared.slice(0, 1),
+      { serviceName: 'other', weight: 0 },
+    ]);
+    await clock.tickAsync(writtenMs);
+    fleet.restartAll();
+    t.deepEqual(await find(clock, fleet, 1, 'a'), first);
+    t.is(await find(clock, fleet, 1, 'single'), 'missing');
+    t.is(await find(clock, fleet, 1, 'unshared'), 'missing');
+    fleet.close();
+  },
+);
+
+testWithFakeClock(
+  'streams in progress are put on record when a configuration moves their route',
+  async (t, clock) => {
+    // The configuration that the routers read after their end does not name the service that began them.
+    const fleet = createOriginStoreFleet(1, { hasSeveralVersions: () => false });
+    begin(fleet, 0, 'a');
+    await clock.tickAsync(2_000);
+    t.is(fleet.store.writeCount, 0);
+    const path = { host: 'h', from: ['s'], to: ['other'] };
+    fleet.routers[0]?.noteRoutesMoved([{ ...path, pathPrefix: '/short/' }]);
+    await clock.tickAsync(writtenMs);
+    t.is(fleet.store.writeCount, 0);
+    fleet.routers[0]?.noteRoutesMoved([{ ...path, pathPrefix: '/long/' }]);
+    await clock.tickAsync(writtenMs);
+    fleet.restartAll();
+    t.deepEqual(await find(clock, fleet, 0, 'a'), first);
+    fleet.close();
+  },
+);
+
 testWithFakeClock(
   'streams whose callers will not return are left out of the next object',
   async (t, clock) => {
--- a/packages/routing/__tests__/serviceVersions.test.ts
+++ b/packages/routing/__tests__/serviceVersions.test.ts
@@ -23,20 +23,20 @@
 interface Store {
   isDown: boolean;
   writeCount: number;
-  versions(): readonly string[];
+  versions(service?: string): readonly string[];
   /** Replaces the record, as a restore from a backup does. */
   reset(versions: readonly string[]): void;
   objects: Parameters<typeof createServiceVersions>[0]['objects'];
 }
 
 function createStore(): Store {
-  let stored: StoredObject | undefined;
+  const stored = new Map<string, StoredObject>();
   let revision = 0;
   const kind = 'service-versions' as const;
   const after = <Value>(answer: () => Value) => delay(callMs).then(answer);
   const unavailable: PlatformError = { kind: 'unavailable', detail: 'down' };
 
-  function write(value: unknown, isAllowed: boolean) {
+  function write(key: string, value: unknown, isAllowed: boolean) {
     if (store.isDown || !isAllowed) {
       return errAsync<StoredObject, PlatformError>(
         store.isDown ? unavailable : { kind: 'conflict' },
@@ -44,38 +44,41 @@
     }
     revision += 1;
     store.writeCount += 1;
-    stored = { kind, key: 's', version: revision, value };
-    return okAsync<StoredObject, PlatformError>(stored);
+    const object = { kind, key, version: revision, value };
+    stored.set(key, object);
+    return okAsync<StoredObject, PlatformError>(object);
   }
 
   const store: Store = {
     isDown: false,
     writeCount: 0,
-    versions: () => (stored?.value as { versions: string[] } | undefined)?.versions ?? [],
+    versions: (service = 's') =>
+      (stored.get(service)?.value as { versions: string[] } | undefined)?.versions ?? [],
     reset(versions) {
       revision += 1;
-      stored = { kind, key: 's', version: revision, value: { versions } };
+      stored.set('s', { kind, key: 's', version: revision, value: { versions } });
     },
     objects: {
-      get: () =>
+      get: (_kind, key) =>
         okAsync<void, PlatformError>(undefined)
           .map(() => delay(callMs))
           .andThen(() => {
             if (store.isDown) {
               return errAsync<StoredObject, PlatformError>(unavailable);
             }
-            return stored === undefined
+            const object = stored.get(key);
+            return object === undefined
               ? errAsync<StoredObject, PlatformError>({ kind: 'not-found' })
-              : okAsync<StoredObject, PlatformError>(stored);
+              : okAsync<StoredObject, PlatformError>(object);
           }),
-      create: (_kind, _key, value) =>
+      create: (_kind, key, value) =>
         okAsync<void, PlatformError>(undefined)
           .map(() => after(() => undefined))
-          .andThen(() => write(value, stored === undefined)),
-      update: (_kind, _key, version, value) =>
+          .andThen(() => write(key, value, !stored.has(key))),
+      update: (_kind, key, version, value) =>
         okAsync<void, PlatformError>(undefined)
           .map(() => after(() => undefined))
-          .andThen(() => write(value, stored?.version === version)),
+          .andThen(() => write(key, value, stored.get(key)?.version === version)),
     },
   };
   return store;
@@ -289,3 +292,49 @@
     t.is(await onlyVersion(clock, cutOff), undefined);
   },
 );
+
+testWithFakeClock(
+  'a service that has taken over a route is known to have got streams of other versions, for a while',
+  async (t, clock, store) => {
+    // Streams of the earlier service are taken up there. With all routers gone, its own version was taken for theirs.
+    const router = startRouter(store);
+    router.list(first);
+    router.list({ ...second, id: 'old', name: 'old', serviceName: 'old' });
+    await clock.tickAsync(100);
+    t.deepEqual(store.versions(), ['v1']);
+    t.is(await onlyVersion(clock, router), 'v1');
+    const path = { host: 'h', pathPrefix: '/' };
+    router.versions.noteMoved([{ ...path, from: ['old'], to: ['s'] }]);
+    await clock.tickAsync(100);
+    t.deepEqual(store.versions(), ['v1', 'v2']);
+    t.deepEqual(store.versions('old'), ['v2']);
+    const restarted = startRouter(store);
+    restarted.list(first);
+    await clock.tickAsync(100);
+    t.is(await onlyVersion(clock, restarted), undefined);
+    await clock.tickAsync(240_000);
+    t.deepEqual(store.versions(), ['v1']);
+    t.is(await onlyVersion(clock, restarted), 'v1');
+  },
+);
+
+testWithFakeClock(
+  'nothing is written for a route that moves between services of one version, or stays at one as well',
+  async (t, clock, store) => {
+    // Each call of the store is paid for, and the version is known in either case.
+    const router = startRouter(store);
+    router.list(first);
+    router.list({ ...first, id: 'same', name: 'same', serviceName: 'same' });
+    router.list({ ...second, id: 'other', name: 'other', serviceName: 'other' });
+    await clock.tickAsync(100);
+    const { writeCount } = store;
+    const path = { host: 'h', pathPrefix: '/' };
+    router.versions.noteMoved([
+      { ...path, from: ['same'], to: ['s'] },
+      { ...path, from: ['s', 'other'], to: ['s', 'other', 'same'] },
+    ]);
+    await clock.tickAsync(5_000);
+    t.is(store.writeCount, writeCount);
+    t.is(await onlyVersion(clock, router), 'v1');
+  },
+);
--- a/packages/routing/__tests__/streamContinuation.test.ts
+++ b/packages/routing/__tests__/streamContinuation.test.ts
@@ -68,6 +68,18 @@
   });
 });
 
+test('a service without a share of the route is not taken for the one that began a stream', async (t) => {
+  // Its streams are not put on record for such a service, so that they could not be found.
+  const targets = [
+    { serviceName: 'a', weight: 0 },
+    { serviceName: 'b', weight: 1 },
+  ];
+  t.deepEqual(await plan({ onlyVersion: 'v1' }, request, { ...route, targets }), {
+    target: { serviceName: 'b', weight: 1 },
+    resumed: { source: 'only-version', softwareVersion: 'v1' },
+  });
+});
+
 test('a stream on record goes on at the service and the version that began it', async (t) => {
   // After an end of all routers nothing else ties a stream to its version.
   const stored: OriginLookup = {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -146,6 +146,7 @@
 } from './requestQuarantine';
 export { createRouterMetrics, type RouterMetrics } from './routerMetrics';
 export type { RouterDependencies } from './routerDependencies';
+export { findMovedRoutes, type MovedRoute } from './movedRoutes';
 export { createRouteTable, type RouteTable } from './routeTable';
 export { probeRepeatedly } from './repeatedProbe';
 export { createServerEnds, type ServerEnds, type ServerEndsOptions } from './serverEnds';
--- a/packages/routing/src/originStore.ts
+++ b/packages/routing/src/originStore.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps on record in the platform's store which software version has begun the streams in progress, as long as several
- * versions may have begun streams of their service. It is for the case that all routers that remember a stream end at one
+ * Keeps on record in the platform's store which service and software version have begun the streams in progress, as long as
+ * several may have begun streams of their route. It is for the case that all routers that remember a stream end at one
  * moment: nothing else that outlives them ties it to a version. Each router writes one object with the streams that it
  * serves; a caller's request for a stream that no router remembers is looked up in the objects of all routers.
  */
@@ -23,6 +23,9 @@
 } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import { createByteBudget } from './byteBudget';
+import type { CallerRequest, Route } from './model';
+import { hasOtherServices, type MovedRoute } from './movedRoutes';
+import { isOnPath } from './routeTable';
 import { createOriginSweep } from './originSweep';
 import {
   bytesPerStream,
@@ -35,18 +38,26 @@
 import { createSharedRead } from './sharedRead';
 
 export interface OriginStore extends BackgroundLoop {
-  /** The first event of the stream has been passed on; its caller may take it up again until `untilMs`, a monotonic time. */
-  noteBegan(streamId: string, origin: StreamOrigin, untilMs: number): void;
+  /** The first event of the stream has been passed on; its caller may take it up again until the request's deadline. */
+  noteBegan(streamId: string, origin: StreamOrigin, asked: AskedStream): void;
   /** The stream's last event has been passed on, so that its caller has no reason to return. */
   noteComplete(streamId: string): void;
   /** To be called when a service may have got a further version. */
   noteVersionsChanged(): void;
+  /** The configuration has moved routes to other services. */
+  noteRoutesMoved(moved: readonly MovedRoute[]): void;
   /** The store was restored from a backup: the object may lack streams. */
   noteStoreRestored(): void;
   /** Never rejects. */
   find(streamId: string): Promise<OriginLookup>;
 }
 
+/** What a stream was asked for with. */
+export interface AskedStream {
+  route: Pick<Route, 'targets'>;
+  request: Pick<CallerRequest, 'host' | 'target' | 'deadlineAtMs'>;
+}
+
 export type OriginLookup =
   | { kind: 'found'; origin: StreamOrigin }
   /** No router has put the stream on record. */
@@ -73,6 +84,9 @@
 interface ServedStream {
   origin: StreamOrigin;
   untilMs: number;
+  path: Pick<CallerRequest, 'host' | 'target'>;
+  /** Its route has, or has had since it began, other services as well. */
+  isOnSharedRoute: boolean;
   isWritten: boolean;
 }
 
@@ -137,9 +151,13 @@
     }
   }
 
-  /** The streams of services with several versions. */
+  /** The streams that may have begun at several services or versions, for a router that does not know them. */
   function ambiguousStreams(): [string, ServedStream][] {
-    return [...served.entries()].filter(([, { origin }]) => hasSeveralVersions(origin.serviceName));
+    return [...served.entries()].filter(([, stream]) => isAmbiguous(stream));
+  }
+
+  function isAmbiguous({ origin, isOnSharedRoute }: ServedStream): boolean {
+    return isOnSharedRoute || hasSeveralVersions(origin.serviceName);
   }
 
   async function writeIfNeeded(): Promise<ObjectChange['kind']> {
@@ -238,11 +256,16 @@
   return {
     start: loop.start,
     stop: loop.stop,
-    noteBegan(streamId, origin, untilMs) {
-      const latestMs = monotonicNowMs() + maxReturnMs;
-      const digest = originDigest(streamId);
-      served.set(digest, { origin, untilMs: Math.min(untilMs, latestMs), isWritten: false });
-      if (hasSeveralVersions(origin.serviceName)) {
+    noteBegan(streamId, origin, { route, request: { host, target: path, deadlineAtMs } }) {
+      const stream: ServedStream = {
+        origin,
+        untilMs: Math.min(deadlineAtMs, monotonicNowMs() + maxReturnMs),
+        path: { host, target: path },
+        isOnSharedRoute: hasOtherServices(route.targets, origin.serviceName),
+        isWritten: false,
+      };
+      served.set(originDigest(streamId), stream);
+      if (isAmbiguous(stream)) {
         wakeLoop();
       }
     },
@@ -251,6 +274,14 @@
       sweep.noteObjects();
       wakeLoop();
     },
+    noteRoutesMoved(moved) {
+      const hasMoved = ({ path }: ServedStream) => moved.some((route) => isOnPath(route, path));
+      [...served.entries()]
+        .filter(([, stream]) => hasMoved(stream))
+        .forEach(([, stream]) => Object.assign(stream, { isOnSharedRoute: true }));
+      sweep.noteObjects();
+      wakeLoop();
+    },
     noteStoreRestored() {
       stored = undefined;
       [...served.entries()].forEach(([, stream]) => Object.assign(stream, { isWritten: false }));
--- a/packages/routing/src/routeTable.ts
+++ b/packages/routing/src/routeTable.ts
@@ -86,6 +86,15 @@
   });
 }
 
+/** Whether a request would match the route if there were no longer one. */
+export function isOnPath(
+  { host, pathPrefix }: Pick<Route, 'host' | 'pathPrefix'>,
+  request: { host: string; target: string },
+): boolean {
+  const isSameHost = normalizeHost(host) === normalizeHost(request.host);
+  return isSameHost && pathOf(request.target).startsWith(pathPrefix);
+}
+
 function normalizeHost(host: string): string {
   return host.toLowerCase().replace(/:\d+$/, '');
 }
--- a/packages/routing/src/runResults.ts
+++ b/packages/routing/src/runResults.ts
@@ -57,7 +57,8 @@
   const { serviceName, softwareVersion } = server;
   const origin = { serviceName, softwareVersion };
   deps.streamOrigins.noteBegan(streamId, origin);
-  deps.originStore.noteBegan(streamId, origin, state.request.deadlineAtMs);
+  const { route, request } = state;
+  deps.originStore.noteBegan(streamId, origin, { route, request });
 }
 
 /** Id of the request that brought the stream's first event; undefined if the caller does not name it. */
--- a/packages/routing/src/serviceVersions.ts
+++ b/packages/routing/src/serviceVersions.ts
@@ -14,6 +14,7 @@
 } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import type { BackendServer } from './model';
+import type { MovedRoute } from './movedRoutes';
 import type { ServerDirectory } from './serverDirectory';
 import { createSharedRead, type SharedRead } from './sharedRead';
 import { changeVersionRecord, readVersionRecord, type VersionRecord } from './versionRecords';
@@ -21,6 +22,8 @@
 export interface ServiceVersions extends BackgroundLoop {
   /** To be called when the server is listed for the first time. */
   noteServer(server: BackendServer): void;
+  /** The configuration has moved routes: streams that began at one service are taken up at another one. */
+  noteMoved(moved: readonly MovedRoute[]): void;
   /** Whether streams may begin at the server: its version is on record, or is the only one known so far. */
   mayBegin(server: BackendServer): boolean;
   /** Whether streams of several versions of the service may be in progress, as far as this router knows. */
@@ -63,6 +66,8 @@
   lastListedAtMs: number;
   /** When a read of the record first found the version there though it had left; see `retirementDelayMs`. */
   leftSinceMs?: number;
+  /** It began streams at another service, whose route was moved to this one. */
+  isMoved?: boolean;
 }
 
 /** Stands in where no caller resumes a stream. */
@@ -117,8 +122,22 @@
     state.leftSinceMs = undefined;
   }
 
+  function noteMovedBetween(from: string, to: string): void {
+    [...(services.get(from)?.keys() ?? [])].forEach((version) => {
+      const state = stateOf(to, version);
+      const moved = { isMoved: true, lastListedAtMs: monotonicNowMs(), leftSinceMs: undefined };
+      Object.assign(state, moved);
+    });
+  }
+
+  function movedVersions(serviceName: string): string[] {
+    return [...(services.get(serviceName) ?? [])]
+      .filter(([, { isMoved }]) => isMoved)
+      .map(([version]) => version);
+  }
+
   async function recordMissing(serviceName: string, signal: AbortSignal): Promise<void> {
-    const listed = directory.softwareVersions(serviceName);
+    const listed = [...directory.softwareVersions(serviceName), ...movedVersions(serviceName)];
     const unrecorded = () => listed.filter((version) => !stateOf(serviceName, version).isRecorded);
     if (unrecorded().length === 0) {
       return;
@@ -258,6 +277,14 @@
         }
       }
     },
+    noteMoved(moved) {
+      moved.forEach(({ from, to }) =>
+        from
+          .filter((service) => !to.includes(service))
+          .forEach((left) => to.forEach((next) => noteMovedBetween(left, next))),
+      );
+      wake();
+    },
     mayBegin: (server) =>
       !isEngine(server) ||
       isOnRecord(server) ||
--- a/packages/routing/src/streamContinuation.ts
+++ b/packages/routing/src/streamContinuation.ts
@@ -104,12 +104,14 @@
     : { ...unknown, stored: stored.kind };
 }
 
-/** The version that must have begun any stream of the route. */
+/** The version that must have begun any stream of the route. A service without a share of it begins none. */
 async function onlyVersion(
   targets: readonly RouteTarget[],
   serviceVersions: StreamPlanOptions['serviceVersions'],
 ): Promise<OnlyVersion> {
-  const [service, ...otherServices] = targets.map(({ serviceName }) => serviceName);
+  const [service, ...otherServices] = targets
+    .filter(({ weight }) => weight > 0)
+    .map(({ serviceName }) => serviceName);
   return service === undefined || otherServices.length > 0
     ? { kind: 'unknown', reason: unknownVersionReasons.severalServices }
     : serviceVersions.onlyVersion(service);
