Close callers' connections of the entry as those of the router

A caller of the entry whose request was followed by bytes that are no request got their 400 in place of its own response, though the request ran; a late head was served after its 408, and the stop closed connections whose response was made but not sent yet.

Cause: the same as in the router (by reading for the last two). The entry now takes requests by the same module, which gives whole requests their responses first and takes none once a connection is closing.

Evidence: the new test of callerErrors.test.ts failed before and passes now; the entry's tests on callers (33) pass.

--- a/packages/entry/__tests__/callerErrors.test.ts
+++ b/packages/entry/__tests__/callerErrors.test.ts
@@ -142,6 +142,16 @@
   t.regex(await sendRaw(address, [...head, 'X-Slow: ']), /^HTTP\/1.1 408 /);
 });
 
+// The caller would take the request for refused as not run, though it runs.
+test('a request is not answered with the error of what follows it', async (t) => {
+  const { address } = await start(t);
+  const response = await sendRaw(address, [
+    ...['GET /v1/models HTTP/1.1', 'Host: entry', '', 'NONSENSE', '', ''],
+  ]);
+  t.regex(response, /^HTTP\/1.1 200 [^]*draft-models/);
+  t.notRegex(response, /HTTP\/1.1 400 /);
+});
+
 // `fetch` resolves dot segments itself, so the request line is written by hand.
 test('dot segments do not bypass a route that is not repeatable', async (t) => {
   const { address } = await start(t);
--- a/packages/entry/src/callersServer.ts
+++ b/packages/entry/src/callersServer.ts
@@ -1,12 +1,13 @@
 /** HTTP server for callers: routes, limits on connections and headers, graceful shutdown. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
-import type { AddressInfo, Socket } from 'node:net';
+import { Server as ListeningServer, type AddressInfo, type Socket } from 'node:net';
 import { createAdaptorServer, type HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono, type Context } from 'hono';
 import {
   createCallerConnections,
+  createConnectionClosing,
   createReadBarrier,
   isCallerWaiting,
   onceResponseOver,
@@ -16,7 +17,7 @@
 import { createCallerExchange, type CallerExchange } from './callerExchange';
 import type { CallersTls } from './callersTls';
 import type { CompletionsApi } from './completionsApi';
-import { respondToClientError } from './clientErrors';
+import { clientErrorResponse } from './clientErrors';
 
 export interface CallersServerOptions {
   host: string;
@@ -63,6 +64,7 @@
   const idleWaiters: (() => void)[] = [];
   const excessSockets = new WeakSet<Socket>();
   const connections = createCallerConnections();
+  const closing = createConnectionClosing({ onLingered: () => undefined });
   const readBarrier = createReadBarrier();
   let accepting = true;
 
@@ -78,9 +80,16 @@
     outgoing: ServerResponse,
     handler: Handler,
   ): Promise<void> {
+    const taken = closing.take(incoming, outgoing);
+    if (taken === undefined) {
+      incoming.resume();
+      return;
+    }
     const connection = connections.of(incoming.socket);
+    onceResponseOver(outgoing, connection, taken.noteOver);
     const exchange = createCallerExchange(incoming, outgoing, connection);
     if (!accepting || excessSockets.has(incoming.socket)) {
+      taken.announceClose();
       refuseUnserved(exchange, accepting);
       return;
     }
@@ -106,16 +115,20 @@
     return RESPONSE_ALREADY_SENT;
   });
   const server = createHttpServer(app, options);
-  limitConnections(
-    server,
-    tls === undefined ? 'connection' : 'secureConnection',
-    options,
-    excessSockets,
-  );
+  const event = tls === undefined ? 'connection' : 'secureConnection';
+  server.prependListener(event, closing.add);
+  limitConnections(server, event, options, excessSockets);
+  function onCallerError(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (error.code === 'ECONNRESET') {
+      socket.destroy();
+    } else {
+      closing.refuseUnread(socket, clientErrorResponse(error));
+    }
+  }
   watchSlowSenders(server, {
     timeoutMs: () => options.headersTimeoutMs,
-    onTimeout: respondToClientError,
-    onOtherError: respondToClientError,
+    onTimeout: onCallerError,
+    onOtherError: onCallerError,
   });
   // Ending a socket whose TLS handshake has not finished does not close it, so it is destroyed.
   server.on('tlsClientError', (_error, socket: Socket) => socket.destroy());
@@ -127,8 +140,9 @@
     activeCount: () => active.size,
     stopAccepting() {
       accepting = false;
-      server.close();
-      server.closeIdleConnections();
+      // The HTTP server's own method also closes connections whose responses are not sent yet.
+      ListeningServer.prototype.close.call(server);
+      closing.closeQuiet();
     },
     whenIdle: () =>
       active.size === 0
@@ -188,7 +202,6 @@
 }
 
 function refuseUnserved(exchange: CallerExchange, accepting: boolean): void {
-  exchange.outgoing.shouldKeepAlive = false;
   exchange.refuse(
     accepting
       ? createRefusal({ reason: refusalReasons.noCapacity, detail: 'too many connections' })
--- a/packages/entry/src/clientErrors.ts
+++ b/packages/entry/src/clientErrors.ts
@@ -1,5 +1,4 @@
 /** Responds to requests that Node's HTTP parser rejects: invalid or oversized headers, and slow senders. */
-import type { Duplex } from 'node:stream';
 import { randomUUID } from 'node:crypto';
 import { createRefusal, refusalReasons } from '@bluebellhitch/shared';
 import { problemContentType, problemDocument } from './problem';
@@ -28,14 +27,8 @@
   detail: 'the request is not valid HTTP',
 };
 
-/** Handler of the server's `clientError` event. */
-export function respondToClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
-  // An error written after a response has begun would look like a part of that response.
-  const response = Reflect.get(socket, '_httpMessage') as { headersSent?: boolean } | undefined;
-  if (error.code === 'ECONNRESET' || !socket.writable || response?.headersSent) {
-    socket.destroy();
-    return;
-  }
+/** The response to an error of the server's `clientError` event. */
+export function clientErrorResponse(error: NodeJS.ErrnoException): string {
   const { status, statusText, detail } = errorResponses[error.code ?? ''] ?? malformedRequest;
   const refusal = createRefusal({ reason: refusalReasons.badRequest, detail });
   const body = JSON.stringify(problemDocument(refusal, { requestId: randomUUID(), status }));
@@ -45,5 +38,5 @@
     `Content-Length: ${Buffer.byteLength(body)}`,
     'Connection: close',
   ].join('\r\n');
-  socket.end(`${head}\r\n\r\n${body}`);
+  return `${head}\r\n\r\n${body}`;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -40,6 +40,7 @@
 } from './callerConnection';
 export { createReadBarrier, type ReadBarrier } from './readBarrier';
 export { startHoldUpWatch, type HoldUpWatch } from './holdUpWatch';
+export { createConnectionClosing, type ConnectionClosing } from './connectionClosing';
 export { createConnectionGuard } from './connectionGuard';
 export {
   startCallersServer,
