Pass a long response on to its end, however late another attempt could be made

What callers saw: the response of an idempotent request was cut in the middle. It was longer than what the router buffers (256 KB), and its caller or its server took longer over it than the time after which a request counts as late (2.5 times the target latency), while another server was free.

Cause: since the watch for lateness goes on while a response is passed on. It began another attempt beside it, which entered the contest after the first one had won it; the other one's answer then ended the first one and was itself discarded. Before, only the head of a response was bounded.

Why it works: what an attempt has for the caller of a plain request is the whole response or its start, so the first claim decides the contest, and no attempt is begun after it.

--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -107,9 +107,12 @@
   run: PlainRun,
   lateMs: number,
 ): Promise<Attempt> | undefined {
-  const { state, deps } = run;
+  const { state, deps, contest } = run;
+  // A response that is being passed on is not late, however long that takes.
   const mayBegin =
-    state.sentCount < state.route.maxAttempts && reasonNotToSend(state) === undefined;
+    !contest.hasWinner() &&
+    state.sentCount < state.route.maxAttempts &&
+    reasonNotToSend(state) === undefined;
   const reserved = mayBegin ? reserveFurtherAttempt(state, attemptCauses.failed, deps) : undefined;
   if (reserved === undefined) {
     return undefined;
--- a/packages/routing/src/runContest.ts
+++ b/packages/routing/src/runContest.ts
@@ -6,6 +6,8 @@
 export interface RunContest {
   /** Adds a run that is about to be sent. */
   enter(): Contender;
+  /** Whether a run has had something for the caller. */
+  hasWinner(): boolean;
 }
 
 export interface Contender {
@@ -24,6 +26,7 @@
 
 export function createRunContest(): RunContest {
   const contenders = new Set<AbortController>();
+  let hasWinner = false;
 
   function endOthers(winner: AbortController): void {
     [...contenders]
@@ -44,6 +47,7 @@
           if (controller.signal.aborted) {
             return false;
           }
+          hasWinner = true;
           endOthers(controller);
           return true;
         },
@@ -53,5 +57,6 @@
         },
       };
     },
+    hasWinner: () => hasWinner,
   };
 }
