Let a long failure that is passed on end the other attempts

What callers saw: a response of an idempotent route was cut in the middle: a failure (5xx) longer than what the router buffers, of a server that was tried beside a late one, which answered meanwhile.

Cause: failures don't claim the request, so that another attempt may still have a better outcome. But one that is too long to be kept is passed on at once, and the late server's answer then ended it; had that been long too, the router would have begun a second response on the same connection.

Evidence: the new test, a failure of 40,000,000 bytes and a late server that answers while its caller reads nothing yet: the caller got 481,049 bytes; with this change all of them (one run each).

Why it works: what is passed on claims the request first, failure or not.

--- a/packages/routing/src/plainAttempt.ts
+++ b/packages/routing/src/plainAttempt.ts
@@ -166,7 +166,11 @@
       ? { kind: 'superseded' }
       : { kind: 'lost', detail: bodyRead.detail };
   }
-  const isFailure = status >= minServerErrorStatus && state.route.kind === routeKinds.idempotent;
+  // A failure that is too long to be kept is passed on at once, like an answer.
+  const isFailure =
+    bodyRead.kind === 'whole' &&
+    status >= minServerErrorStatus &&
+    state.route.kind === routeKinds.idempotent;
   if (!isFailure && !contender.claim()) {
     response.body.abandon('another attempt was answered');
     return { kind: 'superseded' };
