Do not try a server again that has not served a request beside a late one

What callers saw: nothing by itself. While an idempotent request waited for its late server, a server that was not the one listed, could not be reached or had failed was tried again every half second, and each time used a further attempt of the budget that all requests of the service share.

Cause: since only the late server was put down as failed for the request, not the one that was tried beside it; and attempts that reach no server don't count towards the limit of the route.

Why it works: each server that has been tried and has not answered is left out of the choice, as it is for attempts one after the other.

--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -131,7 +131,9 @@
     return { kind: 'withheld' };
   }
   reserved.use();
-  return runWithStandby(choice.server, run, contender, true);
+  const attempt = await runWithStandby(choice.server, run, contender, true);
+  run.state.failedServerIds.add(choice.server.id);
+  return attempt;
 }
 
 /** Reports an attempt that is late, again and again, if another server may be tried; call the result at its end. */
