Resume a stream at once whose silent server has cut it off and answers again

What callers saw: a stream ended early although its only server was sound: silent for 1.7 s, it then cut the stream off, took new work, and could have gone on with it.

Cause, in two parts: while the server was silent, another run waited for memory elsewhere, for up to the whole event timeout; when the silent run ended, that wait was not. And a run that the server itself ended after a silence counted as stalled, so that its server was excluded although it had the prompt in its cache.

Now the other run stops waiting for memory when the silent run has ended; one that has its memory goes on. A run counts as stalled only if the router ended it.

--- a/packages/routing/src/runPlacement.ts
+++ b/packages/routing/src/runPlacement.ts
@@ -40,7 +40,10 @@
     excludedIds: excludedIds(run),
     preferredId: state.cachedAtServerId,
     softwareVersion: state.resumedVersion ?? relay.softwareVersions()[0],
-    signal: run.signal,
+    signal:
+      run.standby === undefined
+        ? run.signal
+        : AbortSignal.any([run.signal, run.standby.silentRunEnd]),
   };
 }
 
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -54,6 +54,8 @@
 export interface StandbyRole {
   /** The server that is silent. */
   avoidedServerId: string;
+  /** Aborts when its run has ended: the stream need not wait for memory elsewhere any more. */
+  silentRunEnd: AbortSignal;
   attempt: AttemptInReserve;
 }
 
@@ -233,7 +235,7 @@
     const cause = isOurs ? lostRunCauses.router : lostRunCauses.server;
     const reason = contender.signal.aborted ? 'another run goes on' : detail;
     recordLostRun({ state, server, startedAtMs, cause, detail: reason, ...eventTimes }, deps);
-    const hasStalled = signal.aborted || watch.isSilent();
+    const hasStalled = signal.aborted || (run.signal.aborted && watch.isSilent());
     // A run that was only to replace a silent one shows nothing of its server.
     if (!contender.signal.aborted || hasStalled) {
       noteBrokenRun(run, server.id, hasStalled);
--- a/packages/routing/src/streamRuns.ts
+++ b/packages/routing/src/streamRuns.ts
@@ -13,11 +13,15 @@
 /** Runs the stream; while its server is silent, tries to have it continued on another one. */
 export async function runStream(run: StreamRun): Promise<RunOutcome> {
   let silentServerId = '';
-  const standby = createStandby((silentMs) => beginStandby(run, silentServerId, silentMs));
+  const ended = new AbortController();
+  const standby = createStandby((silentMs) =>
+    beginStandby(run, { avoidedServerId: silentServerId, silentRunEnd: ended.signal }, silentMs),
+  );
   const outcome = await runOnce(run, (serverId, silentMs) => {
     silentServerId = serverId;
     standby.noteSilent(silentMs);
   });
+  ended.abort();
   const other = await standby.outcome();
   const hasOtherGoneOn = outcome.kind === 'superseded' || other?.kind === 'ended';
   return hasOtherGoneOn && other !== undefined ? other : outcome;
@@ -26,7 +30,7 @@
 /** Begins another run if the route and the budget allow it; undefined otherwise. */
 function beginStandby(
   run: StreamRun,
-  avoidedServerId: string,
+  beside: Omit<StandbyRole, 'attempt'>,
   silentMs: number,
 ): Promise<RunOutcome> | undefined {
   const { state, deps } = run;
@@ -37,8 +41,8 @@
   if (attempt === undefined) {
     return undefined;
   }
-  noteStep(state, `${avoidedServerId} silent for ${Math.round(silentMs)}ms, standby`);
-  return runStandby(run, { avoidedServerId, attempt });
+  noteStep(state, `${beside.avoidedServerId} silent for ${Math.round(silentMs)}ms, standby`);
+  return runStandby(run, { ...beside, attempt });
 }
 
 async function runStandby(run: StreamRun, standby: StandbyRole): Promise<RunOutcome> {
