Do not give up a silent stream for another server's failure

What callers saw: a stream ended early although its server went on a moment later: it was being tried at another server, which answered with a failure whose body took longer than 250 ms.

Cause: a run beside a silent one goes on alone 250 ms after its response has begun, so that no two servers work on one stream for long. A failure, or a response without a seal, was taken for such a response too.

Why it works: only a response whose events are relayed shows that another server works on the stream.

--- a/packages/routing/src/streamRelay.ts
+++ b/packages/routing/src/streamRelay.ts
@@ -66,6 +66,11 @@
 /** An event holds a few tokens; bytes that are no event may come without an end. */
 const maxEventBytes = 262_144;
 
+/** Whether the response is one whose events are relayed. */
+export function isStream({ isSealed, status }: BackendResponse): boolean {
+  return isSealed && status === okStatus;
+}
+
 export function createStreamRelay(state: RequestState): StreamRelay {
   const { exchange } = state;
   let writer: ResponseWriter | undefined;
@@ -83,7 +88,7 @@
       await drainBody(response.body);
       return { kind: 'broken', detail: `unsealed answer ${response.status}` };
     }
-    return response.status === okStatus ? relayEvents(run) : relayFailure(run);
+    return isStream(response) ? relayEvents(run) : relayFailure(run);
   }
 
   /** A failure of one run is not passed on while another one may still go on. */
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -1,6 +1,6 @@
 /** One run of a stream: reserves decode memory, has the prompt prefilled, then relays the decoded events. */
 import { assertNever, monotonicNowMs } from '@bluebellhitch/shared';
-import type { PrefillResult } from './backendApi';
+import type { BackendResponse, PrefillResult } from './backendApi';
 import type { AttemptInReserve } from './furtherAttempts';
 import type { Placement, PlacementOutcome } from './decodePlacement';
 import { placeForLocalPrefill } from './localPrefillPlacement';
@@ -27,7 +27,7 @@
 import type { RouterDependencies } from './routerDependencies';
 import { createRunObserver } from './runObserver';
 import { noteBrokenRun, noteCompleteRun, noteOrigin } from './runResults';
-import type { StreamRelay } from './streamRelay';
+import { isStream, type StreamRelay } from './streamRelay';
 
 export type RunOutcome =
   /** The caller has its final response. */
@@ -266,7 +266,7 @@
     return breakRun(outcome.detail);
   }
   noteStep(state, `decode ${server.id} ${outcome.value.status}`);
-  const endParallel = limitParallelRuns(run);
+  const endParallel = limitParallelRuns(run, outcome.value);
   const observer = createRunObserver(run, server.id);
   const { identity, request } = state;
   const observedRun = deps.quarantine.observeRun({
@@ -296,9 +296,14 @@
   return breakRun(relayed.detail);
 }
 
-/** Lets a run beside a silent one go on alone after a while; call the result when the run has ended. */
-function limitParallelRuns({ standby, contender }: ActiveRun): () => void {
-  if (standby === undefined) {
+/**
+ * Lets a run beside a silent one go on alone after a while, unless it has failed; call the result when the run has ended.
+ */
+function limitParallelRuns(
+  { standby, contender }: ActiveRun,
+  response: BackendResponse,
+): () => void {
+  if (standby === undefined || !isStream(response)) {
     return () => undefined;
   }
   const timer = setTimeout(() => contender.claim(), maxParallelMs);
