Count the bytes of request bodies only while they are held

Cause: each chunk was counted up when it was read and the whole body down once, when the response was over. Chunks read after that, of bodies that had been refused or that waited behind another response, were counted up and never down. A body refused for want of memory also kept its memory until its response was over.

Now a body counts while it is held: one that is refused, incomplete or released is dropped at once, and what arrives of it later is discarded.

Tests: all memory is free after a burst, and after seven orders of events (refused, aborted, reset, in chunks, pipelined, kept alive).

--- /dev/null
+++ b/packages/routing/__tests__/requestBody.test.ts
@@ -0,0 +1,236 @@
+/** The memory of request bodies, and callers whose requests are refused while their bodies arrive. */
+import { connect, type Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import test, { type ExecutionContext } from 'ava';
+import { err, ok } from 'neverthrow';
+import {
+  startCallersServer,
+  type CallerExchange,
+  type CallersServerOptions,
+  type DecodeHead,
+} from '@bluebellhitch/routing';
+import { createLogger } from '@bluebellhitch/telemetry';
+
+const maxBufferedBytes = 200_000;
+const maxBodyBytes = 4_000_000;
+const longBody = Buffer.alloc(3_000_000, 'x');
+
+/** The path `/for/N` states a deadline of N ms, `/malformed` a head that is refused. */
+const decodeHead: DecodeHead = ({ method, target, arrivedAtMs }) =>
+  target === '/malformed'
+    ? err({ kind: 'malformed', detail: 'by its path' })
+    : ok({
+        id: 'r1',
+        method,
+        target,
+        host: 'a.example',
+        headers: [],
+        arrivedAtMs,
+        deadlineAtMs: arrivedAtMs + Number(/^\/for\/(\d+)/.exec(target)?.[1] ?? 10_000),
+        credential: { kind: 'none' },
+        credentialHeaders: [],
+      });
+
+interface Fixture {
+  open(): Caller;
+  served: CallerExchange[];
+}
+
+interface Caller {
+  socket: Socket;
+  closed: Promise<void>;
+  text(): string;
+}
+
+async function startServer(
+  t: ExecutionContext,
+  overrides: Partial<CallersServerOptions> = {},
+): Promise<Fixture> {
+  const served: CallerExchange[] = [];
+  const server = await startCallersServer({
+    host: '127.0.0.1',
+    port: 0,
+    decodeHead,
+    async serve(exchange) {
+      served.push(exchange);
+      if (exchange.request.target !== '/held') {
+        exchange.respond({ status: 200, headers: [], body: Buffer.from('whole') });
+      }
+      return Promise.resolve();
+    },
+    logger: createLogger({ binary: 'test', instanceId: 't', write: () => undefined }),
+    maxBufferedBytes,
+    maxConnections: 100,
+    ...overrides,
+  });
+  const limits = { maxHeaderBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
+  server.setLimits({ ...limits, maxBodyBytes });
+  t.teardown(() => {
+    server.stopAccepting();
+    server.close();
+  });
+  return { served, open: () => openConnection(t, server.port) };
+}
+
+function openConnection(t: ExecutionContext, port: number): Caller {
+  const socket = connect({ host: '127.0.0.1', port });
+  let text = '';
+  socket.on('data', (chunk) => {
+    text += chunk.toString('latin1');
+  });
+  socket.on('error', () => undefined);
+  t.teardown(() => socket.destroy());
+  const closed = new Promise<void>((resolve) => {
+    socket.once('close', () => resolve());
+  });
+  return { socket, closed, text: () => text };
+}
+
+const head = (length: number, target = '/a') =>
+  `POST ${target} HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${length}\r\n\r\n`;
+const chunkedHead = 'POST /a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+async function until(condition: () => boolean): Promise<void> {
+  const endsAtMs = performance.now() + 5_000;
+  while (!condition()) {
+    if (performance.now() > endsAtMs) {
+      throw new Error('condition not met in time');
+    }
+    await delay(2);
+  }
+}
+
+async function callWithAllMemory({ open }: Fixture): Promise<string> {
+  const caller = open();
+  caller.socket.write(head(maxBufferedBytes));
+  caller.socket.write(Buffer.alloc(maxBufferedBytes, 'y'));
+  await until(() => caller.text().includes('\r\n\r\n'));
+  caller.socket.destroy();
+  return caller.text();
+}
+
+/**
+ * A caller gets a 200 for a body that takes all of the memory, so nothing is counted that is not held. The end of the
+ * connection before may be read a moment later.
+ */
+async function assertAllMemoryIsFree(t: ExecutionContext, fixture: Fixture): Promise<void> {
+  const endsAtMs = performance.now() + 1_500;
+  let text = await callWithAllMemory(fixture);
+  while (!text.startsWith('HTTP/1.1 200 ') && performance.now() < endsAtMs) {
+    await delay(20);
+    text = await callWithAllMemory(fixture);
+  }
+  t.regex(text, /^HTTP\/1\.1 200 /);
+}
+
+test('after a burst of long bodies all memory is free again', async (t) => {
+  // Bytes that were read after a response was over were counted up and never down, until every request with a body was
+  // refused, for as long as the process ran.
+  const fixture = await startServer(t);
+  for (let round = 0; round < 3; round += 1) {
+    const callers = Array.from({ length: 8 }, () => fixture.open());
+    callers.forEach(({ socket }) => socket.write(head(longBody.length)));
+    callers.forEach(({ socket }) => socket.write(longBody));
+    await Promise.all(callers.map(({ closed }) => closed));
+    await assertAllMemoryIsFree(t, fixture);
+  }
+});
+
+/** Each leaves its caller's body without a response that completes it. */
+const endings: { name: string; end: (fixture: Fixture) => Promise<void> }[] = [
+  {
+    name: 'leaves in its body',
+    async end({ open }) {
+      const { socket } = open();
+      socket.write(head(longBody.length));
+      socket.write(longBody.subarray(0, 100_000));
+      await delay(20);
+      socket.destroy();
+    },
+  },
+  {
+    name: 'resets its connection after a refusal',
+    async end({ open }) {
+      const { socket, text } = open();
+      socket.write(head(longBody.length));
+      socket.write(longBody.subarray(0, maxBufferedBytes + 1));
+      await until(() => text().includes('503'));
+      socket.write(longBody.subarray(0, 100_000));
+      socket.resetAndDestroy();
+    },
+  },
+  {
+    name: 'sends chunks without an end, and leaves',
+    async end({ open }) {
+      const { socket, text } = open();
+      socket.write(chunkedHead);
+      for (let sent = 0; sent < 3; sent += 1) {
+        socket.write(`${(100_000).toString(16)}\r\n`);
+        socket.write(longBody.subarray(0, 100_000));
+        socket.write('\r\n');
+      }
+      await until(() => text().includes('503'));
+      socket.end();
+    },
+  },
+  {
+    name: 'ends its sending side in its body',
+    async end({ open }) {
+      const { socket, closed } = open();
+      socket.write(head(longBody.length));
+      socket.write(longBody.subarray(0, 100_000));
+      socket.end();
+      await closed;
+    },
+  },
+  {
+    name: 'leaves with a body that waits behind another request',
+    async end({ open, served }) {
+      const { socket } = open();
+      socket.write(head(5, '/held'));
+      socket.write('12345');
+      socket.write(head(longBody.length));
+      socket.write(longBody.subarray(0, 100_000));
+      await until(() => served.length > 0);
+      await delay(20);
+      socket.destroy();
+    },
+  },
+  {
+    name: 'is refused behind another request',
+    async end({ open, served }) {
+      const { socket } = open();
+      socket.write(head(5, '/held'));
+      socket.write('12345');
+      socket.write(head(longBody.length));
+      socket.write(longBody);
+      await until(() => served.length > 0);
+      await delay(50);
+      socket.destroy();
+    },
+  },
+  {
+    name: 'sends its next request with the first one',
+    async end({ open }) {
+      const { socket, text } = open();
+      const request = `${head(5)}12345`;
+      socket.write(`${request}${request}`);
+      await until(() => text().split('whole').length === 3);
+      socket.write(head(longBody.length));
+      socket.write(longBody);
+      await until(() => text().includes('503'));
+    },
+  },
+];
+endings.forEach(({ name, end }) => {
+  test(`all memory is free after a caller that ${name}`, async (t) => {
+    // What is counted and not held takes memory away from all later bodies.
+    const fixture = await startServer(t);
+    for (let round = 0; round < 3; round += 1) {
+      fixture.served.length = 0;
+      await end(fixture);
+      await delay(50);
+      await assertAllMemoryIsFree(t, fixture);
+    }
+  });
+});
--- a/packages/routing/src/requestBody.ts
+++ b/packages/routing/src/requestBody.ts
@@ -1,4 +1,7 @@
-/** Reads complete request bodies, with a size limit for each body and one for all bodies in memory together. */
+/**
+ * Reads complete request bodies within limits: the size of each body, and of all bodies in memory together. What is counted is what is held: a body that is refused or released is dropped, and bytes of it that still
+ * arrive are discarded without being counted.
+ */
 import type { IncomingMessage } from 'node:http';
 
 export type RequestBodyOutcome =
@@ -14,38 +17,66 @@
     incoming: IncomingMessage,
     maxBodyBytes: number,
   ): { done: Promise<RequestBodyOutcome>; release(): void };
+  /** Size of all bodies in memory. */
+  heldBytes(): number;
 }
 
-export function createBodyReaderPool(maxBufferedBytes: number): BodyReaderPool {
-  let bufferedBytes = 0;
+export function createBodyReaderPool(maxHeldBytes: number): BodyReaderPool {
+  let allHeldBytes = 0;
 
   function read(incoming: IncomingMessage, maxBodyBytes: number) {
-    const chunks: Buffer[] = [];
-    let length = 0;
+    let chunks: Buffer[] = [];
+    let heldBytes = 0;
+    let isOver = false;
+    let resolveDone: (outcome: RequestBodyOutcome) => void = () => undefined;
     const done = new Promise<RequestBodyOutcome>((resolve) => {
-      incoming.on('data', (chunk: Buffer) => {
-        chunks.push(chunk);
-        length += chunk.length;
-        bufferedBytes += chunk.length;
-        if (length > maxBodyBytes) {
-          resolve({ kind: 'too-large' });
-        } else if (bufferedBytes > maxBufferedBytes) {
-          resolve({ kind: 'no-memory' });
-        }
-      });
-      incoming.once('end', () => resolve({ kind: 'whole', body: Buffer.concat(chunks) }));
-      incoming.once('close', () => resolve({ kind: 'caller-left' }));
-      incoming.once('error', () => resolve({ kind: 'caller-left' }));
+      resolveDone = resolve;
     });
+
+    function drop(): void {
+      allHeldBytes -= heldBytes;
+      heldBytes = 0;
+    }
+
+    function finish(outcome: RequestBodyOutcome): void {
+      if (isOver) {
+        return;
+      }
+      isOver = true;
+      chunks = [];
+      if (outcome.kind !== 'whole') {
+        drop();
+      }
+      resolveDone(outcome);
+    }
+
+    function hold(chunk: Buffer): void {
+      chunks.push(chunk);
+      heldBytes += chunk.length;
+      allHeldBytes += chunk.length;
+      if (heldBytes > maxBodyBytes) {
+        finish({ kind: 'too-large' });
+      } else if (allHeldBytes > maxHeldBytes) {
+        finish({ kind: 'no-memory' });
+      }
+    }
+
+    incoming.on('data', (chunk: Buffer) => {
+      if (!isOver) {
+        hold(chunk);
+      }
+    });
+    incoming.once('end', () => finish({ kind: 'whole', body: Buffer.concat(chunks) }));
+    incoming.once('close', () => finish({ kind: 'caller-left' }));
+    incoming.once('error', () => finish({ kind: 'caller-left' }));
     return {
       done,
       release() {
-        bufferedBytes -= length;
-        length = 0;
-        chunks.length = 0;
+        finish({ kind: 'caller-left' });
+        drop();
       },
     };
   }
 
-  return { read };
+  return { read, heldBytes: () => allHeldBytes };
 }
