Let callers get the refusal of a request whose body they are sending

What callers saw: a request that was refused while its body arrived (no memory, too large, malformed head) ended with a broken connection instead of the refusal.

Cause: the connection was closed with unread bytes after the refusal, which resets it, and the reset discards what the caller has not read.

Now the refusal is sent at once, and the rest of the body is read and discarded for up to 2 s and the size limit of a body before the connection is closed. Nothing that follows on the connection is run, as its response would be lost.

--- a/packages/routing/__tests__/requestBody.test.ts
+++ b/packages/routing/__tests__/requestBody.test.ts
@@ -136,6 +136,49 @@
   }
 });
 
+const refusals = [
+  { name: 'for want of memory', target: '/a', firstBytes: maxBufferedBytes + 1, status: 503 },
+  {
+    ...{ name: 'for its size', target: '/a', firstBytes: maxBodyBytes + 1, status: 413 },
+    maxBufferedBytes: 2 * maxBodyBytes,
+  },
+  { name: 'for its head', target: '/malformed', firstBytes: 1, status: 400 },
+];
+refusals.forEach(({ name, target, firstBytes, status, ...overrides }) => {
+  test(`a caller that is refused ${name} may send its body to the end`, async (t) => {
+    // The connection was closed with unread bytes, which resets it: a caller that was still sending could lose the refusal,
+    // and then did not know that its request had not run.
+    const fixture = await startServer(t, overrides);
+    const { socket, closed, text } = fixture.open();
+    const errors: (string | undefined)[] = [];
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => errors.push(code));
+    const restBytes = 400_000;
+    socket.write(head(firstBytes + restBytes, target));
+    socket.write(Buffer.alloc(firstBytes, 'x'));
+    await until(() => text().endsWith('}'));
+    await delay(50);
+    socket.write(Buffer.alloc(restBytes / 2, 'x'));
+    await delay(50);
+    t.false(socket.readableEnded);
+    socket.write(Buffer.alloc(restBytes / 2, 'x'));
+    await closed;
+    t.true(text().startsWith(`HTTP/1.1 ${status} `));
+    t.deepEqual(errors, []);
+    t.is(fixture.served.length, 0);
+  });
+});
+
+test('a caller that sends on and on after a refusal is cut off', async (t) => {
+  // Bytes that nobody holds still take processor time and a connection.
+  const { open } = await startServer(t);
+  const { socket, closed } = open();
+  socket.write(head(100_000_000, '/malformed'));
+  const sending = setInterval(() => socket.write(Buffer.alloc(1_000_000, 'x')), 20);
+  await closed;
+  clearInterval(sending);
+  t.true(socket.bytesWritten < 50_000_000);
+});
+
 /** Each leaves its caller's body without a response that completes it. */
 const endings: { name: string; end: (fixture: Fixture) => Promise<void> }[] = [
   {
@@ -234,3 +277,14 @@
     }
   });
 });
+
+test('a request that follows a refused one on its connection is not run', async (t) => {
+  // Its response would be lost, as the connection closes after the refusal.
+  const fixture = await startServer(t);
+  const { socket, closed, text } = fixture.open();
+  socket.write(head(5, '/malformed'));
+  await until(() => text().endsWith('}'));
+  socket.write(`12345${head(5)}12345`);
+  await closed;
+  t.is(fixture.served.length, 0);
+});
--- a/packages/routing/src/callersServer.ts
+++ b/packages/routing/src/callersServer.ts
@@ -5,14 +5,15 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as ListeningServer, type AddressInfo, type Socket } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
-import { monotonicNowMs, watchSlowSenders } from '@bluebellhitch/shared';
+import { assertNever, monotonicNowMs, watchSlowSenders } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import type { CallerExchange } from './callerApi';
 import { createCallerConnections, isCallerWaiting, onceResponseOver } from './callerConnection';
 import { createConnectionClosing, type TakenRequest } from './connectionClosing';
-import { createHttpExchange, refuseOverHttp } from './httpExchange';
+import { createHttpExchange } from './httpExchange';
 import { notRunReasons, type CallerLimits, type CallerRequest, type Refusal } from './model';
 import { noReadBarrier, type ReadBarrier } from './readBarrier';
+import { refuseUnread, type UnreadRequest } from './refuseUnread';
 import { createBodyReaderPool, type RequestBodyOutcome } from './requestBody';
 
 /** A request's head as parsed by Node.js. */
@@ -105,16 +106,18 @@
     onceResponseOver(outgoing, connection, () => onResponseOver(taken));
     const head = decode(incoming);
     if (head.isErr()) {
-      taken.announceClose();
-      refuseOverHttp(outgoing, head.error);
+      refuse(taken, { incoming, outgoing }, head.error);
       return;
     }
     const { done, release } = bodyReaders.read(incoming, limits.maxBodyBytes);
     onceResponseOver(outgoing, connection, release);
     const bodyRead = await done;
+    if (bodyRead.kind === 'caller-left') {
+      outgoing.destroy();
+      return;
+    }
     if (bodyRead.kind !== 'whole') {
-      taken.announceClose();
-      refuseBody(outgoing, bodyRead);
+      refuse(taken, { incoming, outgoing }, bodyRefusal(bodyRead));
       return;
     }
     if (!(await isCallerWaiting(connection, readBarrier))) {
@@ -136,6 +139,12 @@
     await options.serve({ ...exchange, heldUpMs });
   }
 
+  /** Closes the connection after it, so that no request runs whose response would be lost with the connection. */
+  function refuse(taken: TakenRequest, unread: UnreadRequest, refusal: Refusal): void {
+    taken.announceClose();
+    refuseUnread(unread, refusal, limits.maxBodyBytes);
+  }
+
   function decode(incoming: IncomingMessage): Result<Omit<CallerRequest, 'body'>, Refusal> {
     const { method = '', url: target = '', rawHeaders } = incoming;
     const headerBytes = rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
@@ -229,22 +238,18 @@
   };
 }
 
-function refuseBody(
-  outgoing: ServerResponse,
-  read: Exclude<RequestBodyOutcome, { kind: 'whole' }>,
-): void {
-  switch (read.kind) {
+function bodyRefusal({
+  kind,
+}: Exclude<RequestBodyOutcome, { kind: 'whole' | 'caller-left' }>): Refusal {
+  switch (kind) {
     case 'too-large':
-      refuseOverHttp(outgoing, { kind: 'too-large', part: 'body' });
-      return;
+      return { kind: 'too-large', part: 'body' };
     case 'no-memory': {
       const reason = notRunReasons.overloaded;
-      const refusal: Refusal = { kind: 'not-run', reason, retryAfterMs: memoryRetryAfterMs };
-      refuseOverHttp(outgoing, refusal);
-      return;
+      return { kind: 'not-run', reason, retryAfterMs: memoryRetryAfterMs };
     }
-    case 'caller-left':
-      outgoing.destroy();
+    default:
+      return assertNever(kind);
   }
 }
 
--- a/packages/routing/src/httpExchange.ts
+++ b/packages/routing/src/httpExchange.ts
@@ -69,8 +69,15 @@
 
 /** Sends a refusal of the router itself, unless a response has already started. */
 export function refuseOverHttp(outgoing: ServerResponse, refusal: Refusal): void {
+  if (startRefusalOverHttp(outgoing, refusal)) {
+    outgoing.end();
+  }
+}
+
+/** The same without the end of the response, whose bytes are all sent. Returns whether it was sent. */
+export function startRefusalOverHttp(outgoing: ServerResponse, refusal: Refusal): boolean {
   if (outgoing.headersSent || outgoing.destroyed) {
-    return;
+    return false;
   }
   const { status, detail, retryAfterMs } = resolveRefusalResponse(refusal);
   const body = JSON.stringify({ title: refusal.kind, detail });
@@ -81,7 +88,8 @@
     ...['Content-Length', String(Buffer.byteLength(body))],
     ...retryAfter,
   ]);
-  outgoing.end(body);
+  outgoing.write(body);
+  return true;
 }
 
 /** Whether another router may be able to serve the request: the load balancer may choose one for a new connection. */
