Bound the time in which the body of a request must arrive

What callers would see: bodies whose callers vanish without an end were kept, and counted, for as long as the process ran, and took memory from those of other callers. Nor did a slow body get a response by its route's timeout.

Cause: nothing bounded the time of a body.

Now it must be complete by the request's deadline and within its route's timeout, or the idle timeout where no route is known. Otherwise it is dropped, and the request is refused with 408, which promises that it has not run. A pause of the process does not count.

Tests: a body that is not complete by the deadline, or by the route's timeout, is refused and its memory is free; before, there was no response within 5 s in either.

--- a/packages/routing/__tests__/requestBody.test.ts
+++ b/packages/routing/__tests__/requestBody.test.ts
@@ -278,6 +278,25 @@
   });
 });
 
+const silences = [
+  { name: 'deadline', target: '/for/300' },
+  { name: 'route’s timeout', target: '/a', routeTimeoutMs: () => 300 },
+];
+silences.forEach(({ name, target, ...overrides }) => {
+  test(`a body that is not complete by the request’s ${name} is refused and dropped`, async (t) => {
+    // A caller that vanishes without an end sends nothing more: its body was kept, and counted, for ever.
+    const fixture = await startServer(t, overrides);
+    const caller = fixture.open();
+    caller.socket.write(head(longBody.length, target));
+    caller.socket.write(longBody.subarray(0, 100_000));
+    await until(() => caller.text().endsWith('}'));
+    t.regex(caller.text(), /^HTTP\/1\.1 408 /);
+    await assertAllMemoryIsFree(t, fixture);
+    await caller.closed;
+    t.true(fixture.served.every(({ request }) => request.body.length === maxBufferedBytes));
+  });
+});
+
 test('a request that follows a refused one on its connection is not run', async (t) => {
   // Its response would be lost, as the connection closes after the refusal.
   const fixture = await startServer(t);
--- a/packages/routing/src/callersServer.ts
+++ b/packages/routing/src/callersServer.ts
@@ -38,6 +38,8 @@
   /** Maximum size in memory of all request bodies together. */
   maxBufferedBytes: number;
   maxConnections: number;
+  /** How long a request may take by its route; undefined if none is known. Default: none is known. */
+  routeTimeoutMs?: (request: Omit<CallerRequest, 'body'>) => number | undefined;
   /** Requests are served once everything that arrived with them has been read. Default: at once. */
   readBarrier?: ReadBarrier;
   /** Called for each request whose caller has left before anything was done for it. */
@@ -76,6 +78,8 @@
 /** The parser's limit is fixed when the server starts; the configured limit is checked separately and lies below it. */
 const maxParserHeaderBytes = 131_072;
 const timeoutCheckIntervalMs = 500;
+/** Limit of a timer that is not longer than the runtime can measure, whatever time a caller states. */
+const maxBodyTimeoutMs = 3_600_000;
 /** Time in which requests in progress end and free their memory. */
 const memoryRetryAfterMs = 500;
 /** Another router can serve the request at once. */
@@ -109,7 +113,11 @@
       refuse(taken, { incoming, outgoing }, head.error);
       return;
     }
-    const { done, release } = bodyReaders.read(incoming, limits.maxBodyBytes);
+    const { maxBodyBytes } = limits;
+    const { done, release } = bodyReaders.read(incoming, {
+      maxBodyBytes,
+      timeoutMs: bodyTimeoutMs(head.value),
+    });
     onceResponseOver(outgoing, connection, release);
     const bodyRead = await done;
     if (bodyRead.kind === 'caller-left') {
@@ -145,6 +153,14 @@
     refuseUnread(unread, refusal, limits.maxBodyBytes);
   }
 
+  /** Until the request has to be answered; a body without a known route must not take longer than an idle connection. */
+  function bodyTimeoutMs(request: Omit<CallerRequest, 'body'>): number {
+    const { routeTimeoutMs = () => undefined } = options;
+    const leftMs = request.deadlineAtMs - monotonicNowMs();
+    const ownMs = routeTimeoutMs(request) ?? limits.idleTimeoutMs;
+    return Math.max(0, Math.min(leftMs, ownMs, maxBodyTimeoutMs));
+  }
+
   function decode(incoming: IncomingMessage): Result<Omit<CallerRequest, 'body'>, Refusal> {
     const { method = '', url: target = '', rawHeaders } = incoming;
     const headerBytes = rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
@@ -248,6 +264,8 @@
       const reason = notRunReasons.overloaded;
       return { kind: 'not-run', reason, retryAfterMs: memoryRetryAfterMs };
     }
+    case 'overdue':
+      return { kind: 'body-overdue' };
     default:
       return assertNever(kind);
   }
--- a/packages/routing/src/httpExchange.ts
+++ b/packages/routing/src/httpExchange.ts
@@ -109,6 +109,8 @@
       return { status: 400, detail: refusal.detail };
     case 'too-large':
       return { status: refusal.part === 'header' ? 431 : 413, detail: `${refusal.part} too large` };
+    case 'body-overdue':
+      return { status: 408, detail: 'the body was not complete in time' };
     case 'not-run':
       return { status: 503, detail: refusal.reason, retryAfterMs: refusal.retryAfterMs };
     case 'answer-lost':
--- a/packages/routing/src/model.ts
+++ b/packages/routing/src/model.ts
@@ -210,6 +210,8 @@
   | { kind: 'over-quota'; retryAfterMs?: number }
   | { kind: 'malformed'; detail: string }
   | { kind: 'too-large'; part: 'header' | 'body' }
+  /** The body was not complete in time, so the request has not been executed. */
+  | { kind: 'body-overdue' }
   /** Guaranteed not to have been executed, now or later. */
   | { kind: 'not-run'; reason: NotRunReason; retryAfterMs: number }
   /** May have been executed: the backend server's response was lost or invalid. */
--- a/packages/routing/src/requestBody.ts
+++ b/packages/routing/src/requestBody.ts
@@ -1,21 +1,30 @@
 /**
- * Reads complete request bodies within limits: the size of each body, and of all bodies in memory together. What is counted is what is held: a body that is refused or released is dropped, and bytes of it that still
+ * Reads complete request bodies within limits: the size and time of each body, and the size of all bodies in memory
+ * together. What is counted is what is held: a body that is refused or released is dropped, and bytes of it that still
  * arrive are discarded without being counted.
  */
 import type { IncomingMessage } from 'node:http';
+import { startPauseTolerantTimer } from '@bluebellhitch/shared';
 
 export type RequestBodyOutcome =
   | { kind: 'whole'; body: Buffer }
   | { kind: 'too-large' }
   /** The limit for all bodies in memory is reached. */
   | { kind: 'no-memory' }
+  /** The body was not complete in time. */
+  | { kind: 'overdue' }
   | { kind: 'caller-left' };
 
+export interface RequestBodyLimits {
+  maxBodyBytes: number;
+  timeoutMs: number;
+}
+
 export interface BodyReaderPool {
   /** `release` must be called once the body is no longer needed, whatever the outcome. */
   read(
     incoming: IncomingMessage,
-    maxBodyBytes: number,
+    limits: RequestBodyLimits,
   ): { done: Promise<RequestBodyOutcome>; release(): void };
   /** Size of all bodies in memory. */
   heldBytes(): number;
@@ -24,7 +33,7 @@
 export function createBodyReaderPool(maxHeldBytes: number): BodyReaderPool {
   let allHeldBytes = 0;
 
-  function read(incoming: IncomingMessage, maxBodyBytes: number) {
+  function read(incoming: IncomingMessage, { maxBodyBytes, timeoutMs }: RequestBodyLimits) {
     let chunks: Buffer[] = [];
     let heldBytes = 0;
     let isOver = false;
@@ -32,6 +41,7 @@
     const done = new Promise<RequestBodyOutcome>((resolve) => {
       resolveDone = resolve;
     });
+    const timer = startPauseTolerantTimer(timeoutMs, () => finish({ kind: 'overdue' }));
 
     function drop(): void {
       allHeldBytes -= heldBytes;
@@ -43,6 +53,7 @@
         return;
       }
       isOver = true;
+      timer.stop();
       chunks = [];
       if (outcome.kind !== 'whole') {
         drop();
