Do not take a caller that reads slowly for a silent server

What callers saw: nothing by itself. A stream whose caller didn't read for a while, so that the router itself had stopped reading its server's events, was begun at a second server, which cost a further attempt, a prefill and memory; after the attempts of the route were used up, the next true break of the stream cut it.

Cause: a run without events counts as silent, also while the router reads none.

Why it works: while the caller is behind, the time without events says nothing of the server.

--- a/packages/routing/src/forwardBody.ts
+++ b/packages/routing/src/forwardBody.ts
@@ -27,7 +27,11 @@
 }
 
 /** Writes the chunk and, if the caller reads too slowly, pauses the source until the writer has drained. */
-export function writeOrPause(writer: ResponseWriter, chunk: Buffer, source: ResponseBody): void {
+export function writeOrPause(
+  writer: ResponseWriter,
+  chunk: Buffer,
+  source: Pick<ResponseBody, 'pause' | 'resume'>,
+): void {
   if (!writer.write(chunk)) {
     source.pause();
     writer.onDrained(source.resume);
--- a/packages/routing/src/runWatch.ts
+++ b/packages/routing/src/runWatch.ts
@@ -26,7 +26,7 @@
 
 /** `onLost` is called once, if the server has ended. */
 export function watchRun(
-  { state, deps, onSilent }: ActiveRun,
+  { state, deps, relay, onSilent }: ActiveRun,
   server: BackendServer,
   onLost: () => void,
 ): RunWatch {
@@ -50,6 +50,10 @@
     isServerUnresponsive: () => deps.engineLoads.isUnresponsive(server.id),
     isServerRestarted: () => deps.directory.hasRestarted(server),
     onStalled(silentMs) {
+      if (relay.isCallerBehind()) {
+        watch.noteProgress();
+        return;
+      }
       isSilent = true;
       onSilent(server.id, silentMs);
       if (monotonicNowMs() >= nextEndCheckAtMs) {
--- a/packages/routing/src/streamRelay.ts
+++ b/packages/routing/src/streamRelay.ts
@@ -47,6 +47,8 @@
    */
   relay(run: RelayedRun): Promise<RelayOutcome>;
   hasStarted(): boolean;
+  /** Whether no events are read from the server until the caller has read those that it has. */
+  isCallerBehind(): boolean;
   /** The listener is called once, when the next event arrives. */
   onFirstEvent(listener: () => void): void;
   /** Events of the whole response so far, including those of earlier runs. */
@@ -78,6 +80,7 @@
   let lastId = state.request.lastEventId;
   let eventCount = state.request.lastEventId ?? 0;
   const pauses = createEventPauses<RunContext>();
+  let isCallerBehind = false;
   let firstEventAtMs: number | undefined;
   let lastEventAtMs = 0;
   const softwareVersions = new Set<string>();
@@ -168,12 +171,22 @@
     pauses.note(events.length, lastEventAtMs, contextSince);
     lastId = events.at(-1)?.id ?? lastId;
     const bytes = Buffer.concat(events.map((event) => event.bytes));
-    writeOrPause(writer, bytes, response.body);
+    writeOrPause(writer, bytes, {
+      pause() {
+        isCallerBehind = true;
+        response.body.pause();
+      },
+      resume() {
+        isCallerBehind = false;
+        response.body.resume();
+      },
+    });
   }
 
   return {
     relay,
     hasStarted: () => writer !== undefined,
+    isCallerBehind: () => isCallerBehind,
     onFirstEvent(listener) {
       onNextEvent = listener;
     },
