Do not begin a stream again at an engine that still runs it

What callers saw: nothing by itself. A stream of a route with three attempts, silent at two engines in turn, was begun a second time at the first of them, which still ran it: a further attempt and memory for nothing.

Cause: since a run beside a silent one leaves out the server of that one only, not those that fell silent before it.

Why it works: the servers of all runs in progress are left out.

--- a/packages/routing/src/runPlacement.ts
+++ b/packages/routing/src/runPlacement.ts
@@ -51,7 +51,7 @@
 export function excludedIds({ state, standby }: StreamRun): ReadonlySet<string> {
   return standby === undefined
     ? state.failedServerIds
-    : new Set([...state.failedServerIds, standby.avoidedServerId]);
+    : new Set([...state.failedServerIds, ...standby.avoidedServerIds]);
 }
 
 function maxPaceMs(
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -52,8 +52,8 @@
 }
 
 export interface StandbyRole {
-  /** The server that is silent. */
-  avoidedServerId: string;
+  /** The servers that are silent, and still run the stream. */
+  avoidedServerIds: readonly string[];
   /** Aborts when its run has ended: the stream need not wait for memory elsewhere any more. */
   silentRunEnd: AbortSignal;
   attempt: AttemptInReserve;
--- a/packages/routing/src/streamRuns.ts
+++ b/packages/routing/src/streamRuns.ts
@@ -15,7 +15,7 @@
   let silentServerId = '';
   const ended = new AbortController();
   const standby = createStandby((silentMs) =>
-    beginStandby(run, { avoidedServerId: silentServerId, silentRunEnd: ended.signal }, silentMs),
+    beginStandby(run, { serverId: silentServerId, runEnd: ended.signal }, silentMs),
   );
   const outcome = await runOnce(run, (serverId, silentMs) => {
     silentServerId = serverId;
@@ -30,7 +30,7 @@
 /** Begins another run if the route and the budget allow it; undefined otherwise. */
 function beginStandby(
   run: StreamRun,
-  beside: Omit<StandbyRole, 'attempt'>,
+  silent: { serverId: string; runEnd: AbortSignal },
   silentMs: number,
 ): Promise<RunOutcome> | undefined {
   const { state, deps } = run;
@@ -41,8 +41,12 @@
   if (attempt === undefined) {
     return undefined;
   }
-  noteStep(state, `${beside.avoidedServerId} silent for ${Math.round(silentMs)}ms, standby`);
-  return runStandby(run, { ...beside, attempt });
+  noteStep(state, `${silent.serverId} silent for ${Math.round(silentMs)}ms, standby`);
+  return runStandby(run, {
+    avoidedServerIds: [...(run.standby?.avoidedServerIds ?? []), silent.serverId],
+    silentRunEnd: silent.runEnd,
+    attempt,
+  });
 }
 
 async function runStandby(run: StreamRun, standby: StandbyRole): Promise<RunOutcome> {
