Drop the connection of a caller that has ended it inside a request

What callers would see: a router that keeps the memory of bodies, and the connection, of callers that have left: the end of a connection inside a request is an error of the parser, and since requests are answered before an unreadable one closes their connection, it stayed open as long as an earlier request of it was in progress.

The end of a connection inside a request means that its caller has left, as a reset does.

--- a/packages/routing/src/callersServer.ts
+++ b/packages/routing/src/callersServer.ts
@@ -75,6 +75,8 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
+/** The connection was reset, or has ended inside a request. */
+const callerLeftCodes: readonly string[] = ['ECONNRESET', 'HPE_INVALID_EOF_STATE'];
 /** The parser's limit is fixed when the server starts; the configured limit is checked separately and lies below it. */
 const maxParserHeaderBytes = 131_072;
 const timeoutCheckIntervalMs = 500;
@@ -212,7 +214,7 @@
   });
   function onCallerError(error: NodeJS.ErrnoException, socket: Socket): void {
     logger.info('could not parse request', { code: error.code });
-    if (error.code === 'ECONNRESET') {
+    if (callerLeftCodes.includes(error.code ?? '')) {
       socket.destroy();
     } else {
       closing.refuseUnread(socket, unparsableResponse(error.code));
