--- a/packages/soak/__tests__/soakRun.test.ts
+++ b/packages/soak/__tests__/soakRun.test.ts
@@ -68,12 +68,13 @@
   'routers that are killed while servers fail stay within the attempt budget',
   async (t) => {
     // Each start had the whole budget again: 188 further attempts in ten seconds where 161.6 were allowed.
-    t.timeout(120_000);
-    const run = { seed: 3_046, routerCount: 12, callerCount: 9, script: 'attempts' } as const;
-    const report = await play(run);
-    t.deepEqual(report.findings, []);
-    // Otherwise the run proves nothing of the budget.
-    t.true((report.fullestBudget?.furtherAttempts ?? 0) > 30);
+    t.timeout(240_000);
+    const run = { routerCount: 12, callerCount: 9, script: 'attempts' } as const;
+    const reports = [await play({ ...run, seed: 3_046 }), await play({ ...run, seed: 3_047 })];
+    reports.forEach(({ findings }) => t.deepEqual(findings, []));
+    // Otherwise the runs prove nothing of the budget.
+    const attempts = reports.map(({ fullestBudget }) => fullestBudget?.furtherAttempts ?? 0);
+    t.true(Math.max(...attempts) > 30, attempts.join(', '));
   },
 );
 
