--- a/packages/routing/src/streamRuns.ts
+++ b/packages/routing/src/streamRuns.ts
@@ -17,7 +17,7 @@
   const standby = createStandby((silentMs) =>
     beginStandby(run, { serverId: silentServerId, runEnd: ended.signal }, silentMs),
   );
-  const outcome = await runOnce(run, (serverId, silentMs) => {
+  const outcome = await runContender(run, (serverId, silentMs) => {
     silentServerId = serverId;
     standby.noteSilent(silentMs);
   });
@@ -56,7 +56,7 @@
   return outcome;
 }
 
-async function runOnce(run: StreamRun, onSilent: ActiveRun['onSilent']): Promise<RunOutcome> {
+async function runContender(run: StreamRun, onSilent: ActiveRun['onSilent']): Promise<RunOutcome> {
   const contender = run.contest.enter();
   const signal = AbortSignal.any([run.state.signal, contender.signal]);
   const outcome = await runPlaced({ ...run, contender, signal, onSilent });
