Keep the export of a test for longer than the test's calls may take

The stand-in drops the result of a prefill after 900 ms of wall time, and the import of the test came later. Shown by a trial: with one second between prefill and import the test fails with the same words, alone on the code as it was. The test is about the text; that results expire is tested with a controlled clock in standinEngine.test.ts, which is unchanged. No expectation of this test is changed.

--- a/packages/standins/__tests__/standinEngineServer.test.ts
+++ b/packages/standins/__tests__/standinEngineServer.test.ts
@@ -39,7 +39,7 @@
 }
 
 test('prefill, transfer and decode over HTTP give the expected text', async (t) => {
-  const source = await startEngine(t);
+  const source = await startEngine(t, { exportKeptForMs: 60_000 });
   const target = await startEngine(t);
   const input = { attemptId: 'p', model, prompt, priority: 5 };
   const { exportId } = (await source.client.prefill(input))._unsafeUnwrap();
