Measure the unexplained delay of prefills again after prompts have avoided it

What callers saw: on a quiet router one slow moment of the prefill engines sent every later prompt to the decode engines, whose streams pause during a prefill, while all prefill engines stood unused. It showed as a flaky test (unavailableServers, "an engine in backoff gets no call of any kind": 100 streams in a row, none at the engine).

Cause: the stage keeps one estimate of what prefills take beyond the known queues, and takes samples only from calls to prefill engines. Once it was above the time that a prefill at the decode engine is worth, all prompts were prefilled there while that engine had no other prompt, so no sample was taken and the estimate stayed as it was for good.

Evidence: a trace of the choice in a failing run (1 of 6 runs of the whole file beside a load of 8 to 28): both prefill engines had speed 1 and no queue, so the suspected learned speeds had no part in it; delay 3.47 ms, expected prefill 4.47 ms, prefill at the decode engine 2 ms, unchanged over the last 12 of 100 prompts. Neither prefill engine was used. The test alone, without the others of its file, passed 13 of 13 times on the old code.

Fix: each prompt that avoids the prefill engines because of that delay alone lowers its weight by a tenth, until one goes there and measures it; that sample then counts the more, the less weight the earlier ones have. Between samples that follow each other nothing changes (unit test: equal to the running mean that it replaces). By age was weighed and not built: a router with less than a prompt a second would never use what it measured.

Before, the two tests of prefillStage failed: 0 of 50 prompts reached the engine once it was quick again, 0 of 100 while it stayed slow (now between 1 and 20). After: 10 of 10 runs of unavailableServers passed beside a load of 28 to 52.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -270,6 +270,11 @@
   type PrefillChoiceOptions,
   type PrefillEngine,
 } from './prefillChoice';
+export {
+  createUnexplainedDelay,
+  type UnexplainedDelay,
+  type UnexplainedDelayOptions,
+} from './unexplainedDelay';
 export {
   createUnsettledRuns,
   type UnsettledRuns,
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/prefillStage.ts
@@ -6,7 +6,7 @@
   areEven,
   choosePrefillEngine,
   createRecentQuantile,
-  createRunningEstimate,
+  createUnexplainedDelay,
 } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { CallOutcome, PrefillResult } from './backendApi';
@@ -58,8 +58,6 @@
 const speedQuantile = 0.7;
 const speedSampleCount = 64;
 const speedRefreshInterval = 4;
-/** Weight of a new sample of the delay that known queues do not account for. */
-const excessSmoothing = 0.3;
 /** A decode engine prefills at half the speed of a prefill engine. */
 const localPrefillSpeedShare = 0.5;
 /** If the queue takes this many times longer than a local prefill, slowing the decode engine's streams is worth it. */
@@ -78,7 +76,7 @@
     refreshEvery: speedRefreshInterval,
   });
   /** Prefill time beyond what the known queues account for. */
-  const excessMs = createRunningEstimate({ smoothing: excessSmoothing });
+  const unexplainedDelay = createUnexplainedDelay();
 
   const speeds = createPrefillSpeeds(deps.speeds.of('prefillSpeed'));
 
@@ -114,9 +112,14 @@
     return choosePrefillEngine(engines, { promptTokens, random: deps.random })?.server;
   }
 
-  function expectedPrefillMs(server: BackendServer, promptTokens: number): number {
+  /** As far as the queue of the engine is known. */
+  function queueMs(server: BackendServer, promptTokens: number): number {
     const tokens = engineLoads.prefillBacklogTokens(server.id) + promptTokens;
-    return tokens / tokensPerMs(server.id) + Math.max(0, excessMs.mean());
+    return tokens / tokensPerMs(server.id);
+  }
+
+  function expectedPrefillMs(server: BackendServer, promptTokens: number): number {
+    return queueMs(server, promptTokens) + Math.max(0, unexplainedDelay.meanMs());
   }
 
   /** Whether the decode engine should prefill the prompt although a prefill engine is available. */
@@ -132,11 +135,21 @@
     if (engineLoads.localPrefillCount(decodeServer.id) > 0 || localMs > targetGapMs) {
       return false;
     }
-    const prefillMs = expectedPrefillMs(prefillServer, promptTokens);
     const availableMs =
       state.request.arrivedAtMs + targetLatencyMs - monotonicNowMs() - firstEventMs;
-    const isOnlyOnTimeLocally = prefillMs > availableMs && localMs <= availableMs;
-    return isOnlyOnTimeLocally || prefillMs > maxQueueFactor * localMs;
+    const isTooLong = (prefillMs: number) => {
+      const isOnlyOnTimeLocally = prefillMs > availableMs && localMs <= availableMs;
+      return isOnlyOnTimeLocally || prefillMs > maxQueueFactor * localMs;
+    };
+    const prefillMs = queueMs(prefillServer, promptTokens);
+    if (isTooLong(prefillMs)) {
+      return true;
+    }
+    const isAvoided = isTooLong(prefillMs + Math.max(0, unexplainedDelay.weightedMs()));
+    if (isAvoided) {
+      unexplainedDelay.noteAvoided();
+    }
+    return isAvoided;
   }
 
   /**
@@ -238,7 +251,7 @@
     if (backlogTokens === 0 && tookMs > 0) {
       speed.observe(promptTokens / tookMs / speeds.learned(serverId));
     }
-    excessMs.observe(tookMs - (backlogTokens + promptTokens) / tokensPerMs(serverId));
+    unexplainedDelay.observe(tookMs - (backlogTokens + promptTokens) / tokensPerMs(serverId));
   }
 
   return {
