Keep the best outcome of all attempts beside a silent one

Callers were told 503, which promises that a request has not run and never will, although an attempt of their idempotent request had been lost at a server.

Cause: while an attempt is late, others are begun beside it, one after the other. The holder of these attempts kept only the outcome of the latest one. If the late server then turned the request away, all outcomes that were known said "not run".

Streams had the same loss of outcomes, but not the wrong promise: their refusal also looks at the number of servers that the request has reached. They now rank the outcomes of their runs the same way (ended, broken, superseded, not run), where a run that may have done work was set aside for a silent one that had not.

--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -92,7 +92,10 @@
   isStandby = false,
 ): Promise<Attempt> {
   const { state, deps } = run;
-  const standby = createStandby((lateMs) => beginStandby(server, run, lateMs));
+  const standby = createStandby({
+    begin: (lateMs) => beginStandby(server, run, lateMs),
+    better: betterAttempt,
+  });
   const stopWatching = watchLateness(state, standby.noteSilent);
   const attempt = await runAttempt(server, { state, deps, contender, isStandby });
   stopWatching();
--- a/packages/routing/src/standby.ts
+++ b/packages/routing/src/standby.ts
@@ -7,31 +7,38 @@
 export interface Standby<Outcome> {
   /** The run is silent; may be called again and again. */
   noteSilent(silentMs: number): void;
-  /** Resolves with the outcome of the last run that was begun; undefined if there was none. */
-  outcome(): Promise<Outcome> | undefined;
+  /** Resolves with the best outcome of all runs that were begun; undefined if there was none. */
+  outcome(): Promise<Outcome | undefined>;
+}
+
+export interface StandbyOptions<Outcome> {
+  /** Returns undefined if no other run may begin now. */
+  begin(silentMs: number): Promise<Outcome> | undefined;
+  better(known: Outcome, other: Outcome): Outcome;
 }
 
 /** Between two tries: memory elsewhere or a further attempt may be free by then. */
 const retryIntervalMs = 500;
 
-/** `begin` returns undefined if no other run may begin now. */
-export function createStandby<Outcome>(
-  begin: (silentMs: number) => Promise<Outcome> | undefined,
-): Standby<Outcome> {
+export function createStandby<Outcome>({
+  begin,
+  better,
+}: StandbyOptions<Outcome>): Standby<Outcome> {
   let isInProgress = false;
-  let latest: Promise<Outcome> | undefined;
+  let latest: Promise<void> | undefined;
+  let best: Outcome | undefined;
   let nextTryAtMs = -Infinity;
 
   function delayNextTry(): void {
     nextTryAtMs = monotonicNowMs() + retryIntervalMs;
   }
 
-  async function follow(run: Promise<Outcome>): Promise<Outcome> {
+  async function follow(run: Promise<Outcome>): Promise<void> {
     isInProgress = true;
     const outcome = await run;
+    best = best === undefined ? outcome : better(best, outcome);
     isInProgress = false;
     delayNextTry();
-    return outcome;
   }
 
   return {
@@ -43,6 +50,9 @@
       const run = begin(silentMs);
       latest = run === undefined ? latest : follow(run);
     },
-    outcome: () => latest,
+    async outcome() {
+      await latest;
+      return best;
+    },
   };
 }
--- a/packages/routing/src/streamRuns.ts
+++ b/packages/routing/src/streamRuns.ts
@@ -14,17 +14,24 @@
 export async function runStream(run: StreamRun): Promise<RunOutcome> {
   let silentServerId = '';
   const ended = new AbortController();
-  const standby = createStandby((silentMs) =>
-    beginStandby(run, { serverId: silentServerId, runEnd: ended.signal }, silentMs),
-  );
+  const standby = createStandby({
+    begin: (silentMs) =>
+      beginStandby(run, { serverId: silentServerId, runEnd: ended.signal }, silentMs),
+    better: betterOutcome,
+  });
   const outcome = await runContender(run, (serverId, silentMs) => {
     silentServerId = serverId;
     standby.noteSilent(silentMs);
   });
   ended.abort();
   const other = await standby.outcome();
-  const hasOtherGoneOn = outcome.kind === 'superseded' || other?.kind === 'ended';
-  return hasOtherGoneOn && other !== undefined ? other : outcome;
+  return other === undefined ? outcome : betterOutcome(outcome, other);
+}
+
+/** Ranks outcomes of runs beside each other: a run that may have done work must not be taken for one that has not. */
+function betterOutcome(known: RunOutcome, other: RunOutcome): RunOutcome {
+  const ranks = { ended: 3, broken: 2, superseded: 1, 'not-run': 0 };
+  return ranks[other.kind] > ranks[known.kind] ? other : known;
 }
 
 /** Begins another run if the route and the budget allow it; undefined otherwise. */
