Keep the failure of a silent engine while another run may go on

Callers of a resumable stream got 502 although their engine had answered with a failure of its own, or had the stream begun a second time at the engine that had failed it, while a run beside it waited for memory elsewhere or had not been accepted yet.

Cause: a failure is not passed on while another run is in progress. It was dropped instead: its run counted as broken, which ended the other run's wait for memory and began the stream anew, by preference at the engine whose cache has the prompt. If the other run came to nothing, no failure was left to pass on.

Now the failure is kept. The other run may go on waiting, as long as there are engines that have not failed the stream, until its own limit. If it is relayed, the failure is dropped; if it comes to nothing, the failure is passed on, whole and sealed, as it would have been without another run. A run that breaks off beside a kept failure is retried as before. The engine that failed the stream is not chosen for it again.

--- a/packages/routing/src/runResults.ts
+++ b/packages/routing/src/runResults.ts
@@ -44,6 +44,12 @@
   }
 }
 
+/** Another run of the stream may still go on, which this server is not to be chosen for. */
+export function noteFailedRun({ state, deps }: StreamRun, serverId: string): void {
+  state.failedServerIds.add(serverId);
+  deps.health.record(serverId, 'failure', monotonicNowMs());
+}
+
 /**
  * Records which software version has begun the stream, once its first event has been passed on. To be called after each
  * chunk of the response, of which the first ones may hold no complete event.
--- a/packages/routing/src/streamRelay.ts
+++ b/packages/routing/src/streamRelay.ts
@@ -5,14 +5,18 @@
 import { createEventPauses, type LongestPause } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { BackendResponse } from './backendApi';
-import type { ResponseWriter } from './callerApi';
+import type { CompleteResponse, ResponseWriter } from './callerApi';
 import { writeOrPause } from './forwardBody';
 import { createEventSplitter, type StreamEvent } from './eventSplitter';
 import type { RequestState } from './requestState';
 import type { Contender } from './runContest';
 import { drainBody, readSmallBody } from './responseBody';
 
-export type RelayOutcome = { kind: 'whole' } | { kind: 'broken'; detail: string };
+export type RelayOutcome =
+  | { kind: 'whole' }
+  /** A failure that the server has answered with, kept while another run may still go on. */
+  | { kind: 'failed'; detail: string }
+  | { kind: 'broken'; detail: string };
 
 /** State of a run's engine during a pause between two events. */
 export interface RunContext {
@@ -47,6 +51,8 @@
    */
   relay(run: RelayedRun): Promise<RelayOutcome>;
   hasStarted(): boolean;
+  /** Passes the failure on that was kept, if nothing has been passed on; returns false if there is none. */
+  forwardFailure(): boolean;
   /** Whether no events are read from the server until the caller has read those that it has. */
   isCallerBehind(): boolean;
   /** The listener is called once, when the next event arrives. */
@@ -76,6 +82,7 @@
 export function createStreamRelay(state: RequestState): StreamRelay {
   const { exchange } = state;
   let writer: ResponseWriter | undefined;
+  let keptFailure: CompleteResponse | undefined;
   let onNextEvent: () => void = () => undefined;
   let lastId = state.request.lastEventId;
   let eventCount = state.request.lastEventId ?? 0;
@@ -97,13 +104,18 @@
   /** A failure of one run is not passed on while another one may still go on. */
   async function relayFailure({ response, contender }: RelayedRun): Promise<RelayOutcome> {
     const bodyRead = await readSmallBody(response.body);
-    const mayForward = writer === undefined && contender.isAlone() && contender.claim();
-    if (bodyRead.kind !== 'whole' || !mayForward) {
-      return { kind: 'broken', detail: `answer ${response.status}` };
-    }
     const { status, headers } = response;
-    exchange.respond({ status, headers, body: bodyRead.body });
-    return { kind: 'whole' };
+    const detail = `answer ${status}`;
+    if (bodyRead.kind !== 'whole' || writer !== undefined) {
+      return { kind: 'broken', detail };
+    }
+    const failure = { status, headers, body: bodyRead.body };
+    if (contender.isAlone() && contender.claim()) {
+      exchange.respond(failure);
+      return { kind: 'whole' };
+    }
+    keptFailure ??= failure;
+    return { kind: 'failed', detail };
   }
 
   function relayEvents(run: RelayedRun): Promise<RelayOutcome> {
@@ -186,6 +198,13 @@
   return {
     relay,
     hasStarted: () => writer !== undefined,
+    forwardFailure() {
+      if (keptFailure === undefined || writer !== undefined) {
+        return false;
+      }
+      exchange.respond(keptFailure);
+      return true;
+    },
     isCallerBehind: () => isCallerBehind,
     onFirstEvent(listener) {
       onNextEvent = listener;
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -36,7 +36,7 @@
   let mayContinue = true;
   for (let round = 1; mayContinue && isCallerWaiting(state); round += 1) {
     outcome = await runStream({ state, engine, deps, prefillStage, relay, size, contest });
-    noteStep(state, outcome.kind === 'broken' ? `broken: ${outcome.detail}` : outcome.kind);
+    noteStep(state, 'detail' in outcome ? `${outcome.kind}: ${outcome.detail}` : outcome.kind);
     mayContinue = round < maxRounds && mayRetry(state, outcome, deps);
   }
   state.pauses = relay.pauses();
@@ -52,6 +52,7 @@
   switch (outcome.kind) {
     case 'ended':
     case 'superseded':
+    case 'failed':
       return false;
     case 'not-run':
       // The server refused the run after the reservation. Nothing has run, so a retry is safe on any route.
@@ -77,14 +78,16 @@
     relay.abort();
     return;
   }
-  state.exchange.refuse(createRefusal(state, outcome));
+  if (!relay.forwardFailure()) {
+    state.exchange.refuse(createRefusal(state, outcome));
+  }
 }
 
 function createRefusal(
   state: RequestState,
   outcome: Exclude<RunOutcome, { kind: 'ended' }>,
 ): Refusal {
-  if (outcome.kind === 'broken') {
+  if ('detail' in outcome) {
     return createLostRefusal(state, outcome.detail);
   }
   if (outcome.kind === 'superseded' || state.sentCount > 0) {
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -26,13 +26,15 @@
 } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 import { createRunObserver } from './runObserver';
-import { noteBrokenRun, noteCompleteRun, noteOrigin } from './runResults';
+import { noteBrokenRun, noteCompleteRun, noteFailedRun, noteOrigin } from './runResults';
 import { isStream, type StreamRelay } from './streamRelay';
 
 export type RunOutcome =
   /** The caller has its final response. */
   | { kind: 'ended' }
   | { kind: 'not-run'; reason: NotRunReason; retryAfterMs?: number }
+  /** The server has answered with a failure, which is passed on unless another run goes on. */
+  | { kind: 'failed'; detail: string }
   /** The server may have done work; the stream may continue on another server. */
   | { kind: 'broken'; detail: string }
   /** Another run of the request goes on. */
@@ -293,6 +295,11 @@
     deps.health.record(server.id, 'success', monotonicNowMs());
     return { kind: 'ended' };
   }
+  if (relayed.kind === 'failed') {
+    observedRun.noteCompleted();
+    noteFailedRun(run, server.id);
+    return relayed;
+  }
   return breakRun(relayed.detail);
 }
 
--- a/packages/routing/src/streamRuns.ts
+++ b/packages/routing/src/streamRuns.ts
@@ -1,5 +1,6 @@
 /** The runs of one stream that are in progress: usually one, and while its server is silent another one beside it. */
 import { attemptCauses, reserveFurtherAttempt } from './furtherAttempts';
+import { stages } from './model';
 import { noteStep, reasonNotToSend } from './requestState';
 import { createStandby } from './standby';
 import {
@@ -23,14 +24,24 @@
     silentServerId = serverId;
     standby.noteSilent(silentMs);
   });
-  ended.abort();
+  // A server that has failed the stream is not asked again: the other run may as well wait for memory elsewhere.
+  if (outcome.kind !== 'failed' || !hasOtherEngines(run)) {
+    ended.abort();
+  }
   const other = await standby.outcome();
   return other === undefined ? outcome : betterOutcome(outcome, other);
 }
 
+/** Whether there are engines that have not failed the stream. */
+function hasOtherEngines({ state, deps }: StreamRun): boolean {
+  return deps.pools
+    .usable(state.service.name, stages.decode)
+    .some(({ id }) => !state.failedServerIds.has(id));
+}
+
 /** Ranks outcomes of runs beside each other: a run that may have done work must not be taken for one that has not. */
 function betterOutcome(known: RunOutcome, other: RunOutcome): RunOutcome {
-  const ranks = { ended: 3, broken: 2, superseded: 1, 'not-run': 0 };
+  const ranks = { ended: 4, broken: 3, failed: 2, superseded: 1, 'not-run': 0 };
   return ranks[other.kind] > ranks[known.kind] ? other : known;
 }
 
