Release memory that a silent engine grants after the time-out

A full engine that had been silent turned streams away for up to two seconds after it went on, as its memory was reserved for requests that had gone elsewhere or had been refused.

Cause: after 500 ms the router closed the connection of a reservation. An engine that was only silent finds the call in its socket and grants it when it goes on; nobody knows the reservation's id by then, and it stays until the engine's own limit.

A reservation that arrives late is released.

Evidence: two tests of the placement under a fake clock, an engine silent for 1.2 s. Both fail if the call ends with the time-out (0 releases; now 1, and 4 of 10 calls at once). The stand-in engine can't show it, since it drops calls whose connection is closed; what real engines do with them is known from reading only.

The stand-in for the back end of these tests takes the time-out and, while it is silent, the abort of a call into account; before it answered every call after 5 ms.

--- a/packages/routing/__tests__/decodePlacement.test.ts
+++ b/packages/routing/__tests__/decodePlacement.test.ts
@@ -35,6 +35,8 @@
   const calls: string[] = [];
   const releasedIds: string[] = [];
   const outcomes = new Map<string, CallOutcome<Reservation>>();
+  /** Until when each server that is listed answers nothing. */
+  const silentUntilMs = new Map<string, number>();
   const shard = createFleetShard({ directory });
   const placement = createDecodePlacement({
     pools: {
@@ -45,12 +47,20 @@
     loads,
     health: createOutlierDetector(),
     backend: {
-      async reserve(target, { tokens }) {
+      async reserve(target, { tokens, timeoutMs, signal }) {
         calls.push(target.id);
-        await new Promise((resolve) => {
-          setTimeout(resolve, 5);
-        });
         const reservation = { id: `h${calls.length}`, server: target, tokens };
+        const silentMs = (silentUntilMs.get(target.id) ?? 0) - clock.now;
+        const answersInMs = Math.max(5, silentMs);
+        const isAnswered = await new Promise<boolean>((resolve) => {
+          setTimeout(() => resolve(answersInMs <= timeoutMs), Math.min(answersInMs, timeoutMs));
+          if (silentMs > 0) {
+            signal.addEventListener('abort', () => resolve(false));
+          }
+        });
+        if (!isAnswered) {
+          return { kind: 'lost', detail: 'no answer in time', isOurs: true };
+        }
         return outcomes.get(target.id) ?? { kind: 'done', value: reservation };
       },
       releaseReservation: ({ id }) => releasedIds.push(id),
@@ -84,7 +94,7 @@
     return result;
   }
 
-  return { directory, loads, calls, releasedIds, outcomes, place };
+  return { directory, loads, calls, releasedIds, outcomes, silentUntilMs, place };
 }
 
 function testWithFakeClock(
@@ -358,3 +368,28 @@
     t.not(serverOf(overflowing), 'd');
   },
 );
+
+testWithFakeClock(
+  'memory that a silent engine grants after the time-out is released',
+  async (t, clock) => {
+    // Its call had been closed by then: the reservation stayed until the engine's own limit, and nobody used it.
+    const fixture = createFixture(clock, ['a', 'b']);
+    fixture.silentUntilMs.set('a', clock.now + 1_200);
+    const result = fixture.place({ preferredId: 'a' });
+    await clock.tickAsync(600);
+    t.is(serverOf(result), 'b');
+    t.deepEqual(fixture.releasedIds, []);
+    await clock.tickAsync(700);
+    t.deepEqual(fixture.releasedIds, ['h1']);
+  },
+);
+
+testWithFakeClock('few calls wait for a silent engine after their time-out', async (t, clock) => {
+  // They hold connections, which may be dead while new ones work.
+  const fixture = createFixture(clock, ['a']);
+  fixture.silentUntilMs.set('a', clock.now + 1_200);
+  Array.from({ length: 10 }, () => fixture.place({ tokens: 100 }));
+  await clock.tickAsync(1_300);
+  t.is(fixture.calls.length, 10);
+  t.is(fixture.releasedIds.length, 4);
+});
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -23,6 +23,7 @@
 import { createPlacementQueue, isOnTime, type QueuedRequest } from './placementQueue';
 import { noLimits, type ServerPermits } from './serverLimits';
 import { noNotices, type ServerNotices } from './serverNotices';
+import { createReserveMemory } from './reservationCalls';
 import { unresponsiveCauses } from './unresponsiveEngines';
 
 export interface PlacementRequest extends QueuedRequest, CandidateRequest {
@@ -99,6 +100,7 @@
   const { backend, pools, loads, health, paces, random = Math.random } = options;
   const { limits = noLimits, notices = noNotices, onOvertaking = () => undefined } = options;
   const queue = createPlacementQueue<Waiter>({ random });
+  const reserveMemory = createReserveMemory(backend);
   let timer: NodeJS.Timeout | undefined;
 
   function place(request: PlacementRequest): Promise<PlacementOutcome> {
@@ -256,11 +258,12 @@
     waiter.isReserving = true;
     limits.take(server.id, callsPerPlacement);
     const stream = loads.place(server.id, waiter.stream);
-    const outcome = await backend.reserve(server, {
+    const outcome = await reserveMemory(server, {
       tokens: waiter.reservedTokens,
       lifetimeMs: waiter.engine.reservationLimitMs,
       timeoutMs: reserveTimeoutMs,
       signal: waiter.signal,
+      onLate: handleLate,
     });
     waiter.isReserving = false;
     if (outcome.kind === 'done') {
@@ -284,6 +287,13 @@
     tryWaiters();
   }
 
+  /** The request has gone elsewhere, or was refused. */
+  function handleLate(outcome: CallOutcome<Reservation>): void {
+    if (outcome.kind === 'done') {
+      backend.releaseReservation(outcome.value);
+    }
+  }
+
   /** An immediate request has been placed before, so that it is not counted again. */
   function notePlaced(waiter: Waiter): void {
     if (waiter.isImmediate !== true && queue.notePlaced(waiter, monotonicNowMs())) {
