Release the memory of a run that could not be sent

Memory of a decode engine, and the KV cache of a prompt at its prefill engine, stayed reserved for up to their limits after the stream had gone on elsewhere.

Cause: a run beside a silent one may be ended at any time, as the silent one goes on. Its signal was looked at after the prefill, but not after the search for a faster engine that follows where the decode engine prefills the prompt itself. The run was then handed over for sending, counted against the budget, and not sent. The same holds for every run that is not sent, for want of a connection or because the server has just said that it leaves: nothing released what had been set aside for it.

Now the signal is looked at again, and what belongs to a run that was not sent is released. Runs that an engine rejects are left as they were: whether it keeps the memory then is not known.

--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -28,6 +28,7 @@
 import { createRunObserver } from './runObserver';
 import { noteBrokenRun, noteCompleteRun, noteFailedRun, noteOrigin } from './runResults';
 import { isStream, type StreamRelay } from './streamRelay';
+import { releaseUnsent, releaseUnused } from './unusedMemory';
 
 export type RunOutcome =
   /** The caller has its final response. */
@@ -162,6 +163,10 @@
 ): Promise<RunOutcome> {
   const { deps, size } = run;
   const { server } = placement.reservation;
+  if (run.signal.aborted) {
+    releaseUnused(run, placement, result);
+    return { kind: 'not-run', reason: notRunReasons.noCapacity };
+  }
   const withheld = reasonNotToDecode(run, server);
   if (withheld !== undefined) {
     releaseUnused(run, placement, result);
@@ -194,19 +199,6 @@
   return reasonNotToSend(state);
 }
 
-/** Releases the reservation and the prefill result of a run that is not started. */
-function releaseUnused(
-  { deps, size }: StreamRun,
-  { reservation }: Placement,
-  result: PrefillResult | undefined,
-): void {
-  deps.backend.releaseReservation(reservation);
-  if (result !== undefined) {
-    deps.backend.releasePrefill(result);
-    deps.metrics.countWastedPrefillTokens(size.promptTokens);
-  }
-}
-
 async function decode(
   run: ActiveRun,
   placement: Placement,
@@ -262,6 +254,9 @@
     state.sentCount -= 1;
     noteStep(state, `decode ${server.id} ${outcome.cause.kind}`);
     state.failedServerIds.add(server.id);
+    if (outcome.cause.kind === 'unreachable' || outcome.cause.kind === 'withheld') {
+      releaseUnsent(run, reservation, prefill);
+    }
     return { kind: 'not-run', reason: notRunReasons.rejected };
   }
   if (outcome.kind === 'lost') {
