Answer what a stopping router has read and cannot finish

What callers saw: a router got SIGTERM, and 0.7 s before the end of its grace time it closed the connections of all requests that were still in progress, without a status. A stream that waited for memory, and that no server had got, looked the same as a request that ran, so its caller could not know that it may be sent again.

Cause: the end of the drain closed the connections, and nothing ended the requests before. A request ends with a response at its time-out, and when its caller leaves without one; the stop took the second way.

Now the time of all requests is over at the end of the drain, as at their time-outs: 504 where a server may have run them, 503 where none has got them, and a stream that has begun breaks off as before.

--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/requestRouter.ts
@@ -21,7 +21,8 @@
 import type { RequestGuard } from './requestGuard';
 import { servePlain } from './plainRequest';
 import { createOutcomeRecorder } from './requestOutcome';
-import { createRequestState, type RequestState } from './requestState';
+import { createRequestsInProgress } from './requestsInProgress';
+import type { RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 import { chooseTarget, type RouteTable } from './routeTable';
 import {
@@ -38,6 +39,8 @@
 export interface RequestRouter {
   /** Makes exactly one final call on the exchange. */
   serve(exchange: CallerExchange): Promise<void>;
+  /** The router ends: each request gets the response that it would get at its time-out. */
+  expireAll(): void;
 }
 
 export interface RequestRouterOptions extends RouterDependencies {
@@ -102,6 +105,7 @@
 export function createRequestRouter(options: RequestRouterOptions): RequestRouter {
   const { routeTable, freshness, quarantine, logger, random } = options;
   const prefillStage = createPrefillStage(options);
+  const requests = createRequestsInProgress();
 
   async function serve(exchange: CallerExchange): Promise<void> {
     const table = routeTable();
@@ -198,7 +202,7 @@
     const forwardedExchange = { ...exchange, request };
     const labels = { route, service: service.name, workspace };
     const recorder = createOutcomeRecorder(forwardedExchange, labels, options);
-    const { state, end } = createRequestState({
+    const { state, end } = requests.start({
       exchange: recorder.exchange,
       route,
       service,
@@ -272,7 +276,7 @@
     return serveStream(state, engine, options, prefillStage);
   }
 
-  return { serve };
+  return { serve, expireAll: requests.expireAll };
 }
 
 /** Replaces the caller's credentials by the workspace's name: servers never receive the API key. */
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/requestState.ts
@@ -26,7 +26,7 @@
   identity: RequestIdentity;
   /** Time until the request may be sent to servers again; undefined if it may be sent now. */
   heldBackMs: () => number | undefined;
-  /** The earlier of the caller's deadline and the route's time-out, on the monotonic clock. */
+  /** The earliest of the caller's deadline, the route's time-out and the end of the router, on the monotonic clock. */
   endsAtMs: number;
   /** Aborts at `endsAtMs` and when the caller leaves. */
   signal: AbortSignal;
@@ -75,11 +75,16 @@
   resumedVersion?: string;
 }
 
-/** Starts the request's timer; call `end` once the request has its response. */
-export function createRequestState(options: RequestStateOptions): {
+export interface StartedRequest {
   state: RequestState;
-  end: () => void;
-} {
+  /** Ends the request's time at once, if it has any left. */
+  expire(): void;
+  /** To be called once the request has its response. */
+  end(): void;
+}
+
+/** Starts the request's timer. */
+export function createRequestState(options: RequestStateOptions): StartedRequest {
   const { exchange, route, service, priority = route.priority } = options;
   const { isAccessGranted = () => true, heldBackMs = () => undefined } = options;
   const { request } = exchange;
@@ -109,7 +114,14 @@
     hasNotedOrigin: false,
     trail: [],
   };
-  return { state, end: () => clearTimeout(timer) };
+  return {
+    state,
+    expire() {
+      state.endsAtMs = Math.min(state.endsAtMs, monotonicNowMs());
+      expiry.abort();
+    },
+    end: () => clearTimeout(timer),
+  };
 }
 
 export function noteStep(state: RequestState, detail: string): void {
