Reset the connection of a response without chunks that breaks off

What callers saw: a stream, or a long response, that broke off looked complete to a caller of HTTP/1.0, which took a part of it for the whole. Such a response has neither a length nor chunks, so the end of its connection is its end.

Cause: a response that breaks off had its connection closed in each case, which only one in chunks shows to be incomplete.

Evidence: the new test got "part" and an ordinary end of the connection before, and the reset with the change; the other tests of callersServer passed (11 in all).

Left: a router that is killed has its connections closed by the system, without a reset.

--- a/packages/routing/__tests__/callersServer.test.ts
+++ b/packages/routing/__tests__/callersServer.test.ts
@@ -171,3 +171,21 @@
   await until(() => later.text().includes('ok'));
   t.is(servedCount, 3);
 });
+
+test('a response that breaks off does not look complete to a caller of HTTP/1.0', async (t) => {
+  // It has no chunks and ends with its connection, so a connection that was closed looked like its end.
+  const server = await startServer(t, ({ startResponse }) => {
+    const writer = startResponse(200, []);
+    writer.write(Buffer.from('part'));
+    setTimeout(writer.abort, 50);
+  });
+  const { socket, closed, text } = openConnection(t, server.port);
+  let wasReset = false;
+  socket.once('error', () => {
+    wasReset = true;
+  });
+  socket.write(request.replace('HTTP/1.1', 'HTTP/1.0'));
+  await until(() => text().includes('part'));
+  await closed;
+  t.true(wasReset);
+});
--- a/packages/routing/src/httpExchange.ts
+++ b/packages/routing/src/httpExchange.ts
@@ -63,7 +63,13 @@
     write: (chunk) => outgoing.write(chunk),
     onDrained: (listener) => outgoing.once('drain', listener),
     end: () => outgoing.end(),
-    abort: () => outgoing.destroy(),
+    abort() {
+      // A response without chunks ends with its connection: only a reset tells that it is not complete.
+      if (!outgoing.chunkedEncoding) {
+        outgoing.socket?.resetAndDestroy();
+      }
+      outgoing.destroy();
+    },
   };
 }
 
