Bound further attempts by two windows of requests, over kills of all routers

A margin for every burst would be 50 in 100 or less, and would still rest on the growth.

Each process now keeps its attempts, in every window that may still contain them, within half the ratio to the requests of that window and the one before it, plus its allowance. Each request belongs to one process, so these sums add up over processes side by side or one after the other, with any load and any kills; the rule counts the better of the two windows, which has at least half of both. What requests earn need not grow after a start any more. The allowance still does, and ends its growth one first attempt early, so that two starts of all in a window are within it by calculation; before, the exact worst case of two was 1.25 of it.

Attempts that wait for memory were taken when decided and arrived later.

Tests: the model checks windows that end at any time, not only at arrivals (stricter), and reserves attempts that wait, as the router does. "A process that starts" now expects one attempt instead of two half a window after a start, as the growth ends earlier.

--- a/packages/routing/__tests__/attemptBudget.test.ts
+++ b/packages/routing/__tests__/attemptBudget.test.ts
@@ -71,6 +71,63 @@
   const takeAll = (nowMs: number) =>
     Array.from({ length: 10 }, () => budget.tryTake('s', nowMs)).filter(Boolean).length;
   t.is(takeAll(0), 1);
-  t.is(takeAll(500), 2);
+  t.is(takeAll(500), 1);
   t.is(takeAll(1_600), 5);
 });
+
+test('processes that are killed at any moment stay within the limit of all together in every window', (t) => {
+  // Requests of a burst earned the attempts of a process before a kill; the window that also held those of its successor
+  // had fewer requests.
+  const windowMs = 1_000;
+  const machines = [0, 1, 2];
+  const maxStarts = 2;
+  const allowance = { initial: 0.25, full: 0.5 };
+  const step = fc.record({
+    gapMs: fc.integer({ min: 0, max: 150 }),
+    requestCount: fc.oneof(fc.constant(0), fc.integer({ min: 0, max: 60 })),
+    machine: fc.constantFrom(...machines),
+    wantedCount: fc.oneof(fc.constant(0), fc.integer({ min: 0, max: 20 })),
+    isKill: fc.integer({ min: 0, max: 19 }).map((value) => value === 0),
+  });
+  const start = (startedAtMs: number) =>
+    createAttemptBudget({ ratio: 0.2, allowance: () => allowance, windowMs, startedAtMs });
+  fc.assert(
+    fc.property(fc.array(step, { minLength: 60, maxLength: 120 }), (steps) => {
+      const budgets = machines.map(() => start(-windowMs));
+      const requests: number[] = [];
+      const taken: number[] = [];
+      let startCount = 0;
+      let nowMs = 0;
+      steps.forEach(({ gapMs, requestCount, machine, wantedCount, isKill }) => {
+        nowMs += gapMs;
+        if (isKill && startCount < maxStarts) {
+          startCount += 1;
+          budgets.forEach((_killed, index) => {
+            budgets[index] = start(nowMs);
+          });
+        }
+        Array.from({ length: requestCount }, () => {
+          requests.push(nowMs);
+          return budgets[machine]?.recordRequest('s', nowMs);
+        });
+        Array.from({ length: wantedCount }, () => budgets[machine]?.tryTake('s', nowMs))
+          .filter(Boolean)
+          .forEach(() => taken.push(nowMs));
+      });
+      const total = 2 * machines.length * allowance.full;
+      for (let endMs = 0; endMs <= nowMs + windowMs; endMs += 10) {
+        const countUntil = (timesMs: number[], untilMs: number) =>
+          timesMs.filter((timeMs) => timeMs > untilMs - windowMs && timeMs <= untilMs).length;
+        const asked = [0, windowMs / 2, windowMs].map((shiftMs) =>
+          countUntil(requests, endMs - shiftMs),
+        );
+        if (countUntil(taken, endMs) > Math.max(...asked) * 0.2 + total) {
+          return false;
+        }
+      }
+      return true;
+    }),
+    { seed: 12, numRuns: 60, endOnFailure: true },
+  );
+  t.pass();
+});
--- a/packages/routing/__tests__/attemptBudgetFleet.test.ts
+++ b/packages/routing/__tests__/attemptBudgetFleet.test.ts
@@ -129,6 +129,38 @@
   assertWithinBudget(t, fleets);
 });
 
+/** Lists when all routers are killed: around a burst once, at both its ends, or in series. */
+function killTimes({ fromMs, untilMs }: NonNullable<AttemptFleetOptions['burst']>): number[][] {
+  const betweenMs = (untilMs - fromMs) / 3;
+  return [
+    [fromMs],
+    [(fromMs + untilMs) / 2],
+    [untilMs - 300],
+    [untilMs + 100],
+    [fromMs, untilMs],
+    [0, 1, 2, 3, 4, 5].map((index) => untilMs - 600 + index * 1_500),
+    [0, 1, 2, 3].map((index) => fromMs + index * betweenMs),
+  ];
+}
+
+test('random fleets whose routers are all killed around a burst stay within the budget', (t) => {
+  // The window after the burst has fewer requests than the one whose attempts the killed routers have made.
+  const fleets = randomSeeds.map((seed) => {
+    const random = createVariedRandom(seed);
+    const fleet = drawFleet(seed, random);
+    const fromMs = fleet.burst?.fromMs ?? 0;
+    const lengthMs = 8_500 + 1_500 * random();
+    const burst = { fromMs, untilMs: fromMs + lengthMs, factor: 4 + 3 * random() };
+    const times = killTimes(burst);
+    return {
+      ...{ ...fleet, burst, rejectedShare: 0.5 + 0.5 * random() },
+      failsFromMs: fromMs + lengthMs * random(),
+      restartsAtMs: times[seed % times.length]?.map((atMs) => Math.round(atMs / 10) * 10),
+    };
+  });
+  assertWithinBudget(t, fleets);
+});
+
 test('the random fleet of seed 583 stays within the budget', (t) => {
   // All routers are killed at the end of a burst: attempts that it earned meet those that follow the restart.
   const fullest = playAttemptFleet(drawFleet(583, createVariedRandom(583))).fullestShare;
--- a/packages/routing/__tests__/support/attemptFleet.ts
+++ b/packages/routing/__tests__/support/attemptFleet.ts
@@ -159,10 +159,15 @@
   }
 
   function retry(attemptCount: number): void {
-    if (!budget.tryTake('s', nowMs)) {
+    const reservation = budget.reserve('s', nowMs);
+    if (reservation === undefined) {
       return;
     }
     later(random() * options.maxWaitMs, () => {
+      reservation.release();
+      if (!budget.tryTake('s', nowMs)) {
+        return;
+      }
       env.recordArrival(nowMs);
       later(options.callMs, () => maybeRetry(attemptCount + 1));
     });
@@ -199,7 +204,9 @@
   const sentUntil = countByStep(requestsAtMs);
   const inWindow = (countUntil: (timeMs: number) => number, endMs: number) =>
     countUntil(endMs) - countUntil(endMs - windowMs);
-  const shares = arrivalsAtMs.map((endMs) => {
+  const lastEndMs = Math.max(0, ...arrivalsAtMs.slice(-1)) + windowMs;
+  const endsAtMs = Array.from({ length: lastEndMs / stepMs }, (_none, step) => step * stepMs);
+  const shares = endsAtMs.map((endMs) => {
     const requests = [0, windowMs / 2, windowMs].map((shiftMs) =>
       inWindow(sentUntil, endMs - shiftMs),
     );
--- a/packages/routing/src/attemptBudget.ts
+++ b/packages/routing/src/attemptBudget.ts
@@ -3,8 +3,11 @@
  * sliding window plus a small allowance. Each process counts only its own requests and has its own share of the
  * allowance, so that all processes together stay within the limit.
  *
- * A process that starts does not know what its predecessor has used in the same window. It has its initial allowance
- * only; within a window, both the allowance and the share of its requests grow to the full ones.
+ * A limit by the requests of one window would not add up: the windows of two processes do not end together, and a process
+ * that starts does not know what its predecessor has used. So each process keeps its attempts, in every window that may
+ * still contain them, within half the ratio to the requests of that window and the one before it. These sums do add up,
+ * over processes that run side by side or one after the other, and the window with more requests has at least half of
+ * both.
  */
 import { createBoundedMap } from '@bluebellhitch/decisions';
 
@@ -21,7 +24,7 @@
 export interface AttemptAllowance {
   /** At the start of a process. */
   initial: number;
-  /** One window after its start, and from then on. */
+  /** One window after its start, and from then on. Before that, it grows to less: see `currentAllowance`. */
   full: number;
 }
 
@@ -48,11 +51,8 @@
 }
 
 const maxServices = 512;
-/**
- * The rest is a margin for windows of different routers, which do not end at the same moment: requests of a burst may
- * earn attempts of one window at one router and of the next at another.
- */
-const usedRatioShare = 0.85;
+/** The requests of this many windows, the one that an attempt counts in and those before it, earn attempts. */
+const requestWindows = 2;
 
 export function createAttemptBudget(options: AttemptBudgetOptions): AttemptBudget {
   const { ratio, windowMs, startedAtMs } = options;
@@ -64,21 +64,41 @@
       attemptsAtMs: [],
       reservedCount: 0,
     }));
-    dropOlder(window.requestsAtMs, nowMs - windowMs);
+    dropOlder(window.requestsAtMs, nowMs - requestWindows * windowMs);
     dropOlder(window.attemptsAtMs, nowMs - windowMs);
     return window;
   }
 
-  function allowedAttempts({ requestsAtMs }: ServiceWindow, nowMs: number): number {
+  /**
+   * Two processes that follow each other may use the full allowance and what the second one has grown to in the same
+   * window. Ending the growth one initial allowance early leaves room for a third one.
+   */
+  function currentAllowance(nowMs: number): number {
     const { initial, full } = options.allowance();
-    const grownShare = Math.min(1, (nowMs - startedAtMs) / windowMs);
-    const earned = requestsAtMs.length * ratio * usedRatioShare;
-    return initial + (earned + full - initial) * grownShare;
+    const grownShare = (nowMs - startedAtMs) / windowMs;
+    return grownShare >= 1 ? full : initial + Math.max(0, full - 2 * initial) * grownShare;
   }
 
+  /** Whether one more attempt fits into every window that contains it, even if no further request comes. */
   function hasRemaining(window: ServiceWindow, nowMs: number): boolean {
-    const usedCount = window.attemptsAtMs.length + window.reservedCount;
-    return usedCount + 1 <= allowedAttempts(window, nowMs);
+    const { requestsAtMs, attemptsAtMs, reservedCount } = window;
+    const allowance = currentAllowance(nowMs);
+    const isWithin = (attemptCount: number, requestCount: number) =>
+      attemptCount <= (requestCount * ratio) / requestWindows + allowance;
+    let olderRequests = 0;
+    /** Requests of the two windows of which the later one ends just before an attempt at this time leaves it. */
+    const requestsFrom = (atMs: number) => {
+      while ((requestsAtMs[olderRequests] ?? Infinity) <= atMs - windowMs) {
+        olderRequests += 1;
+      }
+      return requestsAtMs.length - olderRequests;
+    };
+    const newCount = reservedCount + 1;
+    return (
+      attemptsAtMs.every((atMs, index) =>
+        isWithin(attemptsAtMs.length - index + newCount, requestsFrom(atMs)),
+      ) && isWithin(newCount, requestsFrom(nowMs))
+    );
   }
 
   return {
--- a/packages/routing/src/furtherAttempts.ts
+++ b/packages/routing/src/furtherAttempts.ts
@@ -37,8 +37,8 @@
 
 /** A further attempt that counts once it is used. */
 export interface AttemptInReserve {
-  /** The attempt is about to be sent. */
-  use(): void;
+  /** The attempt is about to be sent; false if the requests that earned it are too long ago by now. */
+  use(): boolean;
   /** It is not sent any more; no effect once it is used. */
   release(): void;
 }
@@ -55,20 +55,18 @@
     return undefined;
   }
   let isOpen = true;
-  const settle = (end: () => void) => {
+  function release(): void {
     if (isOpen) {
       isOpen = false;
-      end();
+      reservation?.release();
     }
-  };
+  }
   return {
     use() {
-      settle(() => {
-        reservation.use(monotonicNowMs());
-        recordTaken(state, cause, deps);
-      });
+      release();
+      return takeFurtherAttempt(state, cause, deps);
     },
-    release: () => settle(reservation.release),
+    release,
   };
 }
 
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/plainRequest.ts
@@ -128,12 +128,12 @@
 async function runStandby(run: PlainRun, reserved: AttemptInReserve): Promise<Attempt> {
   const contender = run.contest.enter();
   const choice = await choosePlainServer(run.state, run.deps);
-  if (choice.kind !== 'chosen' || contender.signal.aborted) {
+  const mayRun = choice.kind === 'chosen' && !contender.signal.aborted && reserved.use();
+  if (!mayRun) {
     reserved.release();
     contender.leave();
     return { kind: 'withheld' };
   }
-  reserved.use();
   const attempt = await runWithStandby(choice.server, run, contender, true);
   run.state.failedServerIds.add(choice.server.id);
   return attempt;
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/streamRequest.ts
@@ -2,7 +2,7 @@
  * Serves a request of a stream route in one or more runs. If the route allows it, a stream that breaks is resumed by
  * the next run, within the same response.
  */
-import { attemptCauses, takeFurtherAttempt } from './furtherAttempts';
+import { attemptCauses, reserveFurtherAttempt, type AttemptInReserve } from './furtherAttempts';
 import { notRunReasons, type EngineSettings, type Refusal } from './model';
 import type { PrefillStage } from './prefillStage';
 import {
@@ -15,7 +15,7 @@
 import type { RouterDependencies } from './routerDependencies';
 import { createRunContest } from './runContest';
 import { createStreamRelay, type StreamRelay } from './streamRelay';
-import type { RunOutcome } from './streamRun';
+import type { RunOutcome, StreamRun } from './streamRun';
 import { runStream } from './streamRuns';
 
 /** Default Retry-After: by then other servers have usually taken over from one that failed. */
@@ -33,12 +33,16 @@
   const contest = createRunContest();
   const size = state.request.prompt ?? { promptTokens: 1, maxOutputTokens: 1 };
   let outcome: RunOutcome = { kind: 'not-run', reason: notRunReasons.noServer };
-  let mayContinue = true;
-  for (let round = 1; mayContinue && isCallerWaiting(state); round += 1) {
-    outcome = await runStream({ state, engine, deps, prefillStage, relay, size, contest });
+  const first: StreamRun = { state, engine, deps, prefillStage, relay, size, contest };
+  let next: StreamRun | undefined = first;
+  for (let round = 1; next !== undefined && isCallerWaiting(state); round += 1) {
+    outcome = await runStream(next);
+    next.attempt?.release();
     noteStep(state, 'detail' in outcome ? `${outcome.kind}: ${outcome.detail}` : outcome.kind);
-    mayContinue = round < maxRounds && mayRetry(state, outcome, deps);
+    const attempt = round < maxRounds ? reserveRetry(state, outcome, deps) : undefined;
+    next = attempt && { ...first, attempt };
   }
+  next?.attempt?.release();
   state.pauses = relay.pauses();
   state.softwareVersions = relay.softwareVersions();
   finish(state, relay, outcome);
@@ -48,25 +52,29 @@
   return remainingMs(state) > 0 && !state.exchange.signal.aborted;
 }
 
-function mayRetry(state: RequestState, outcome: RunOutcome, deps: RouterDependencies): boolean {
+/** Sets an attempt aside for another run, which may wait for memory before it is sent; undefined if there is none. */
+function reserveRetry(
+  state: RequestState,
+  outcome: RunOutcome,
+  deps: RouterDependencies,
+): AttemptInReserve | undefined {
   switch (outcome.kind) {
     case 'ended':
     case 'superseded':
     case 'failed':
-      return false;
+      return undefined;
     case 'not-run':
       // The server refused the run after the reservation. Nothing has run, so a retry is safe on any route.
-      return (
-        outcome.reason === notRunReasons.rejected &&
-        takeFurtherAttempt(state, attemptCauses.rejected, deps)
-      );
-    case 'broken':
-      return (
+      return outcome.reason === notRunReasons.rejected
+        ? reserveFurtherAttempt(state, attemptCauses.rejected, deps)
+        : undefined;
+    case 'broken': {
+      const mayResume =
         state.route.allowsResume &&
         state.sentCount < state.route.maxAttempts &&
-        reasonNotToSend(state) === undefined &&
-        takeFurtherAttempt(state, attemptCauses.resume, deps)
-      );
+        reasonNotToSend(state) === undefined;
+      return mayResume ? reserveFurtherAttempt(state, attemptCauses.resume, deps) : undefined;
+    }
   }
 }
 
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/streamRun.ts
@@ -50,6 +50,8 @@
   size: PromptSize;
   /** All runs of the request that are in progress. */
   contest: RunContest;
+  /** The further attempt that this run uses when it is sent; undefined for a request's first run. */
+  attempt?: AttemptInReserve;
   /** Set for a run beside one that is silent. */
   standby?: StandbyRole;
 }
@@ -59,7 +61,6 @@
   avoidedServerIds: readonly string[];
   /** Aborts when its run has ended: the stream need not wait for memory elsewhere any more. */
   silentRunEnd: AbortSignal;
-  attempt: AttemptInReserve;
 }
 
 /** A run in progress. */
@@ -172,6 +173,10 @@
     releaseUnused(run, placement, result);
     return { kind: 'not-run', ...withheld };
   }
+  if (run.attempt?.use() === false) {
+    releaseUnused(run, placement, result);
+    return { kind: 'not-run', reason: notRunReasons.noCapacity };
+  }
   const endLocalPrefill =
     result === undefined ? deps.engineLoads.beginLocalPrefill(server.id) : () => undefined;
   run.relay.onFirstEvent(endLocalPrefill);
@@ -241,7 +246,6 @@
   }
   state.lastSentAtMs = startedAtMs;
   state.sentCount += 1;
-  run.standby?.attempt.use();
   const outcome = await deps.backend.run(server, state.request, {
     remainingMs: availableMs,
     headTimeoutMs: availableMs,
--- a/packages/routing/src/streamRuns.ts
+++ b/packages/routing/src/streamRuns.ts
@@ -60,16 +60,16 @@
     return undefined;
   }
   noteStep(state, `${silent.serverId} silent for ${Math.round(silentMs)}ms, standby`);
-  return runStandby(run, {
+  const standby: StandbyRole = {
     avoidedServerIds: [...(run.standby?.avoidedServerIds ?? []), silent.serverId],
     silentRunEnd: silent.runEnd,
-    attempt,
-  });
+  };
+  return runStandby({ ...run, standby, attempt });
 }
 
-async function runStandby(run: StreamRun, standby: StandbyRole): Promise<RunOutcome> {
-  const outcome = await runStream({ ...run, standby });
-  standby.attempt.release();
+async function runStandby(run: StreamRun): Promise<RunOutcome> {
+  const outcome = await runStream(run);
+  run.attempt?.release();
   noteStep(run.state, `standby ${outcome.kind}`);
   return outcome;
 }
