End a stream of a silent agent only once another agent has a bid for it

Cause: when heartbeats had had no reply for two seconds, a stream for which an untried server was left was ended at once. Only then the entry asked that server for a bid; it was silent too, and after a second the entry gave up, while the first agent, which keeps its leases over a pause, was about to go on.

Silence now ends no stream that has delivered tokens before there is something in its place. At the lapse the entry begins new heartbeats, as for the only agent before, and asks for bids elsewhere, again 250 ms after each round without one. With a bid it ends the stream and goes on there; if the agent goes on first, the stream stays. Asking reserves nothing. The cancellation of the first run is sent before the next reservation, as before; a silent agent holds that memory until it reads it, and only the agent itself grants it again.

--- a/packages/entry/src/streamStage.ts
+++ b/packages/entry/src/streamStage.ts
@@ -11,6 +11,7 @@
 import { droppedFrameCauses, requestPhases, retryCauses } from '@bluebellhitch/telemetry';
 import type { StreamOpenError } from './agentApi';
 import { failureOfCall, failureOfRefusal } from './agentFailures';
+import { hasBidElsewhere } from './bidElsewhere';
 import { createLinkedAbort, type LinkedAbort } from './linkedAbort';
 import { stopReasons, type AttemptFailure, type AttemptOutcome, type ModelRun } from './modelTypes';
 import type { Placement } from './placement';
@@ -20,7 +21,6 @@
 import { separationEndTokens } from './separation';
 import { noteCallError, noteLoad, noteOutcome, noteRefusal } from './serverHealth';
 import { watchStreamLease } from './streamLease';
-import { hasUntriedServer } from './untriedServers';
 
 export interface StreamStage {
   placement: Placement;
@@ -71,7 +71,9 @@
     share: decode.share,
     renewShare: () => run.context.heartbeats.share(decode.instance.innerAddress),
     // The watch for a stall still ends the stream of an agent that has lost power.
-    mayWait: () => hasDelivered(state) && !hasUntriedServer(run, decode.instance.id),
+    mayWait: () => hasDelivered(state),
+    progress: () => run.emitted.tokenCount,
+    hasReplacement: (signal) => hasBidElsewhere({ ...run, signal }, decode.instance.id),
     onEnded: () => link.abort(stopReasons.lapsed),
   });
   try {
