Announce crashes of the first part of prompts from the first one on

Cause: a router announced a crash of a first part only once it knew of two. Of many routers each notices one crash, so each kept its own to itself, and an announcement arrived only when one router happened to notice two. A crash kept back was told by nobody later, either. So the part had fewer crashes at all other routers than it had caused, and the rule that holds it after three, once the part after it has run well, did not apply, as a crash of that other part looked like none of its own.

Fix: the first one is announced as well, as that of any other part. Each crash known to all is what the design states and its model assumes.

Not built: telling a crash kept back once a second one arrives from elsewhere. If each router notices one crash, none arrives.

--- a/packages/routing/__tests__/requestQuarantine.test.ts
+++ b/packages/routing/__tests__/requestQuarantine.test.ts
@@ -376,9 +376,14 @@
   }),
 );
 
-/** A run at the router with the first part that writes for longer than a harmful part lets it. */
-async function runWell(fleet: QuarantineFleet, clock: Clock, router: number): Promise<void> {
-  const identity = identityOf('a sound request', [firstPart]);
+/** A run at the router with the parts that writes for longer than a harmful part lets it. */
+async function runWell(
+  fleet: QuarantineFleet,
+  clock: Clock,
+  router: number,
+  parts = [firstPart],
+): Promise<void> {
+  const identity = identityOf('a sound request', parts);
   const server = { id: 'sound' } as BackendServer;
   const startedAtMs = monotonicNowMs();
   const run = fleet.routers[router]?.observeRun({ identity, requestId: 'q', server, startedAtMs });
@@ -410,6 +415,41 @@
   );
 });
 
+[24, 359].forEach((count) => {
+  test.serial(
+    `the first part of prompts is held at all of ${count} routers after five crashes that five routers have noticed`,
+    (t) =>
+      // Guards against crashes that a router keeps to itself until it knows of another one: of many routers each notices one.
+      withFleet(count, async (fleet, clock) => {
+        for (const number of [1, 2, 3, 4, 5]) {
+          t.is(countPartHeldBack(fleet, harmfulPart), 0);
+          await fleet.crash(number, `request ${number}`, `s${number}`, 100, [harmfulPart]);
+          await clock.tickAsync(500);
+        }
+        t.is(countPartHeldBack(fleet, harmfulPart), count);
+      }),
+  );
+});
+
+test.serial(
+  'the first part of prompts is held after three crashes once the part after it has run well',
+  (t) =>
+    // Guards against first parts that were not known to have all crashes of a part after them, which had run well.
+    withFleet(24, async (fleet, clock) => {
+      const secondPart = 'part-c1';
+      for (const number of [1, 2, 3]) {
+        const parts = [harmfulPart, secondPart];
+        await fleet.crash(number, `request ${number}`, `s${number}`, 100, parts);
+        await clock.tickAsync(500);
+      }
+      t.is(countPartHeldBack(fleet, secondPart), 24);
+      await runWell(fleet, clock, 5, [firstPart, secondPart]);
+      await clock.tickAsync(500);
+      t.is(countPartHeldBack(fleet, secondPart), 0);
+      t.is(countPartHeldBack(fleet, harmfulPart), 24);
+    }),
+);
+
 test.serial('a request that is held itself does not take the place of the trial of a part', (t) =>
   // The part stayed held, as nothing else could clear it.
   withFleet(1, async (fleet, clock) => {
--- a/packages/routing/src/requestQuarantine.ts
+++ b/packages/routing/src/requestQuarantine.ts
@@ -79,11 +79,6 @@
 const sweepIntervalMs = 60_000;
 /** Crashes from which on a router passes on what it has received. Most requests with a single crash are harmless. */
 const minCrashesToPassOn = 2;
-/**
- * Strikes from which on those of a part that most prompts of a route have are announced: the next run that does no harm
- * clears it.
- */
-const minFirstPartStrikes = 2;
 /** How often a router that was met is asked, as datagrams may be lost. */
 const questionsPerRouter = 2;
 const maxRememberedRouters = 1_024;
@@ -150,14 +145,12 @@
   }
 
   function strikeOne(suspect: ReportedStrike, lostAtMs: number): boolean {
-    const { fingerprint, depth } = suspect;
+    const { fingerprint } = suspect;
     noticed.set(fingerprint, true);
     if (!change(fingerprint, () => quarantine.strike(suspect, lostAtMs))) {
       return false;
     }
-    if (depth !== 0 || activeStrikes(recordOf(fingerprint)).length >= minFirstPartStrikes) {
-      announcements.announce(fingerprint);
-    }
+    announcements.announce(fingerprint);
     return true;
   }
 
