Place new streams whose reservations met a silence when their engine goes on

New streams were refused with 503 although their engine answered again, 300 ms before the refusal.

Cause, in three parts. A request whose reservation timed out after 500 ms did not try that engine again for as long as it waited. Four time-outs in a row ejected the engine for a second, which hid it from all others, also where it was the only one. And the answer to a call that had outlived its time-out was only used to release its memory.

Now a late answer places its request, if it still waits. An engine whose calls timed out may be tried again once it has answered anything since, three times at most. Ejected engines are tried if no other one is left that has not failed the request, which need not be free at the moment; plain requests do the same. A refusal stays as prompt as before: no try at an engine that has timed out or is ejected waits beyond the latest start that meets the target.

A failed try: requests whose own calls were still open tried the engine again as soon as another call was answered, so that three of four late reservations were released unused. A request with an open call now waits for its answer. Left: calls beyond the four that may wait at an engine end at the time-out; in the test one or two of 16 were granted all the same and stayed until the engine's limit.

--- a/packages/routing/__tests__/decodePlacement.test.ts
+++ b/packages/routing/__tests__/decodePlacement.test.ts
@@ -37,6 +37,7 @@
   const outcomes = new Map<string, CallOutcome<Reservation>>();
   /** Until when each server that is listed answers nothing. */
   const silentUntilMs = new Map<string, number>();
+  const health = createOutlierDetector();
   const shard = createFleetShard({ directory });
   const placement = createDecodePlacement({
     pools: {
@@ -45,7 +46,7 @@
       spare: () => spareIds.map((id) => decodeServer(id)),
     },
     loads,
-    health: createOutlierDetector(),
+    health,
     backend: {
       async reserve(target, { tokens, timeoutMs, signal }) {
         calls.push(target.id);
@@ -94,7 +95,7 @@
     return result;
   }
 
-  return { directory, loads, calls, releasedIds, outcomes, silentUntilMs, place };
+  return { directory, loads, calls, releasedIds, outcomes, silentUntilMs, health, place };
 }
 
 function testWithFakeClock(
@@ -393,3 +394,72 @@
   t.is(fixture.calls.length, 10);
   t.is(fixture.releasedIds.length, 4);
 });
+
+/** The target of a request is met if it is placed within this time. */
+const patienceMs = 820;
+
+/** Places requests at the only engine, `a`, which is ejected once some of them have failed. */
+function placeAtSilentEngine(
+  fixture: ReturnType<typeof createFixture>,
+  clock: Clock,
+  count: number,
+) {
+  fixture.health.setPoolSize(3);
+  const latestStartAtMs = clock.now + patienceMs;
+  return Array.from({ length: count }, () => fixture.place({ tokens: 100, latestStartAtMs }));
+}
+
+testWithFakeClock(
+  'new streams whose reservations meet a silence are placed as soon as their engine goes on',
+  async (t, clock) => {
+    // The engine was not tried again after a time-out, and was ejected by several: all were refused, 300 ms after it had
+    // gone on.
+    const fixture = createFixture(clock, ['a']);
+    fixture.silentUntilMs.set('a', clock.now + 550);
+    const results = placeAtSilentEngine(fixture, clock, 16);
+    await clock.tickAsync(540);
+    t.true(fixture.health.ejected(clock.now).has('a'));
+    await clock.tickAsync(30);
+    t.deepEqual([...new Set(results.map(serverOf))], ['a']);
+    t.deepEqual(fixture.releasedIds, []);
+  },
+);
+
+testWithFakeClock(
+  'new streams are refused in time if their engine is silent for long, or again',
+  async (t, clock) => {
+    // A second try at an engine that has gone on must not keep a caller from asking elsewhere.
+    const fixture = createFixture(clock, ['a']);
+    fixture.silentUntilMs.set('a', clock.now + 550);
+    const results = placeAtSilentEngine(fixture, clock, 16);
+    await clock.tickAsync(520);
+    fixture.silentUntilMs.set('a', clock.now + 5_000);
+    await clock.tickAsync(patienceMs - 520 + 60);
+    t.is(results.filter((result) => serverOf(result) === 'a').length, 4);
+    t.is(results.filter(({ outcome }) => outcome?.kind === 'no-capacity').length, 12);
+    const late = createFixture(clock, ['a']);
+    late.silentUntilMs.set('a', clock.now + 5_000);
+    const refused = placeAtSilentEngine(late, clock, 16);
+    await clock.tickAsync(patienceMs + 60);
+    t.deepEqual([...new Set(refused.map(({ outcome }) => outcome?.kind))], ['no-capacity']);
+    t.is(late.calls.length, 16);
+  },
+);
+
+testWithFakeClock(
+  'an engine that keeps failing is not used while another is left',
+  async (t, clock) => {
+    // Its calls would end in time-outs.
+    const fixture = createFixture(clock, ['a', 'b']);
+    fixture.health.setPoolSize(3);
+    Array.from({ length: 4 }, () => fixture.health.record('a', 'failure', clock.now));
+    const first = fixture.place({ tokens: 9_000 });
+    await clock.tickAsync(10);
+    const second = fixture.place({ tokens: 9_000 });
+    await clock.tickAsync(300);
+    t.deepEqual([serverOf(first), second.outcome], ['b', undefined]);
+    fixture.directory.remove('b');
+    await clock.tickAsync(100);
+    t.is(serverOf(second), 'a');
+  },
+);
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/decodePlacement.ts
@@ -8,22 +8,22 @@
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { BackendApi, CallOutcome, Reservation } from './backendApi';
 import type { DecodePaces } from './decodePaces';
+import { callsPerPlacement, createEngineChoice, type SeekingRequest } from './engineChoice';
 import type { EngineLoads, PlacedStream } from './engineLoads';
+import { createFailedEngines } from './failedEngines';
 import type { ServerPools } from './fleetShard';
 import { stages, type BackendServer } from './model';
 import {
-  compatibleCandidates,
   createCandidateLookup,
   hasLostItsVersion,
-  withPrefillEngines,
   type CandidateRequest,
   type CandidatesOf,
 } from './placementCandidates';
-import { hasHeadroom, chooseBestFit, type PlacementCandidate } from './placementChoice';
+import { hasHeadroom } from './placementChoice';
 import { createPlacementQueue, isOnTime, type QueuedRequest } from './placementQueue';
 import { noLimits, type ServerPermits } from './serverLimits';
 import { noNotices, type ServerNotices } from './serverNotices';
-import { createReserveMemory } from './reservationCalls';
+import { createReserveMemory, type ReservationOutcome } from './reservationCalls';
 import { unresponsiveCauses } from './unresponsiveEngines';
 
 export interface PlacementRequest extends QueuedRequest, CandidateRequest {
@@ -75,11 +75,8 @@
   random?: Random;
 }
 
-interface Waiter extends PlacementRequest {
+interface Waiter extends SeekingRequest {
   isReserving: boolean;
-  failedIds: Set<string>;
-  /** When to try spare servers again. Their load is unknown here, so only an attempt shows whether they have room. */
-  nextSpareAttemptAtMs: number;
   resolve(outcome: PlacementOutcome): void;
 }
 
@@ -87,20 +84,16 @@
 const retryIntervalMs = 30;
 /** An engine answers within a few milliseconds; one that does not is considered down. */
 const reserveTimeoutMs = 500;
-/** The reservation and the run: an overloaded engine limits the calls that it receives, not the runs. */
-const callsPerPlacement = 2;
-/** Below this share of healthy engines in its own shard, a router tries spare engines whose load it does not know. */
-const minHealthyShare = 0.5;
+const minReserveTimeoutMs = 50;
 /** Spreads the retries of callers that were told to wait for the same moment. */
 const retryAfterJitterMs = 300;
-/** Between two attempts of one request at spare servers, so that a full fleet is not queried continuously. */
-const spareRetryIntervalMs = 100;
 
 export function createDecodePlacement(options: DecodePlacementOptions): DecodePlacement {
   const { backend, pools, loads, health, paces, random = Math.random } = options;
   const { limits = noLimits, notices = noNotices, onOvertaking = () => undefined } = options;
   const queue = createPlacementQueue<Waiter>({ random });
   const reserveMemory = createReserveMemory(backend);
+  const choice = createEngineChoice({ pools, loads, limits, paces, random });
   let timer: NodeJS.Timeout | undefined;
 
   function place(request: PlacementRequest): Promise<PlacementOutcome> {
@@ -108,7 +101,7 @@
       const waiter: Waiter = {
         ...request,
         isReserving: false,
-        failedIds: new Set(),
+        failed: createFailedEngines(),
         nextSpareAttemptAtMs: -Infinity,
         resolve,
       };
@@ -182,9 +175,7 @@
       finish(waiter, { kind: 'no-version' });
       return;
     }
-    const candidates = compatibleCandidates(waiter, candidatesOf).filter((candidate) =>
-      mayUse(waiter, candidate),
-    );
+    const candidates = choice.candidates(waiter, candidatesOf);
     if (candidates.length === 0 && refuseIfNoneAccepting(waiter, nowMs)) {
       return;
     }
@@ -192,7 +183,7 @@
       isOnTime(waiter, nowMs) ||
       hasHeadroom(candidates, { stream: waiter.stream, engineTokens: waiter.engine.kvTokens });
     const candidate = isAdmitted
-      ? (chooseCandidate(waiter, candidates) ?? trySpare(waiter, nowMs, candidatesOf))
+      ? choice.choose(waiter, candidates, { nowMs, candidatesOf })
       : undefined;
     if (candidate !== undefined) {
       candidate.memory.add(waiter.stream);
@@ -202,58 +193,6 @@
     }
   }
 
-  function chooseCandidate(
-    waiter: Waiter,
-    candidates: readonly PlacementCandidate[],
-  ): PlacementCandidate | undefined {
-    const choose = (among: readonly PlacementCandidate[]) =>
-      chooseBestFit(among, { ...waiter, paces, random });
-    const preferred = withPrefillEngines(waiter, candidates, pools);
-    return choose(preferred) ?? (preferred === candidates ? undefined : choose(candidates));
-  }
-
-  function mayUse(
-    { failedIds, excludedIds, reservedTokens }: Waiter,
-    { server }: PlacementCandidate,
-  ): boolean {
-    const hasFailed = failedIds.has(server.id) || excludedIds.has(server.id);
-    return (
-      !hasFailed &&
-      !loads.isFullFor(server.id, reservedTokens) &&
-      limits.mayTake(server.id, callsPerPlacement)
-    );
-  }
-
-  /**
-   * Chooses an engine of another shard, if most engines of this router's own shard have failed. It does not do so when
-   * they are only full: other routers' placements on spare engines are unknown here, so streams placed there are paused
-   * and cause others to be paused. In replays of 68 routers that used spare engines when full, 84 of 2,981 streams were
-   * paused and 17% of reservations rejected; without that 27 and 2%, and 2% more streams are on time.
-   */
-  function trySpare(
-    waiter: Waiter,
-    nowMs: number,
-    candidatesOf: CandidatesOf,
-  ): PlacementCandidate | undefined {
-    const mayTrySpare =
-      waiter.isImmediate !== true &&
-      waiter.softwareVersion === undefined &&
-      nowMs >= waiter.nextSpareAttemptAtMs;
-    if (!mayTrySpare || !hasLostMostServers(waiter, candidatesOf)) {
-      return undefined;
-    }
-    waiter.nextSpareAttemptAtMs = nowMs + spareRetryIntervalMs;
-    const candidates = candidatesOf(waiter, 'spare').filter((candidate) =>
-      mayUse(waiter, candidate),
-    );
-    return chooseBestFit(candidates, { ...waiter, paces, random });
-  }
-
-  function hasLostMostServers(waiter: Waiter, candidatesOf: CandidatesOf): boolean {
-    const listed = pools.usable(waiter.serviceName, stages.decode).length;
-    return listed === 0 || candidatesOf(waiter, 'usable').length < minHealthyShare * listed;
-  }
-
   async function reserveAt(server: BackendServer, waiter: Waiter): Promise<void> {
     waiter.isReserving = true;
     limits.take(server.id, callsPerPlacement);
@@ -261,9 +200,9 @@
     const outcome = await reserveMemory(server, {
       tokens: waiter.reservedTokens,
       lifetimeMs: waiter.engine.reservationLimitMs,
-      timeoutMs: reserveTimeoutMs,
+      timeoutMs: timeoutMsFor(waiter, server),
       signal: waiter.signal,
-      onLate: handleLate,
+      onLate: (late) => handleLate(server, waiter, late),
     });
     waiter.isReserving = false;
     if (outcome.kind === 'done') {
@@ -279,7 +218,7 @@
     if (outcome.kind === 'done') {
       // This response may itself have announced that the engine is leaving; a prefill would then be wasted.
       backend.releaseReservation(outcome.value);
-      waiter.failedIds.add(server.id);
+      waiter.failed.noteFailed(server.id);
     } else {
       noteReservationFailure(server, waiter, outcome);
     }
@@ -287,11 +226,39 @@
     tryWaiters();
   }
 
-  /** The request has gone elsewhere, or was refused. */
-  function handleLate(outcome: CallOutcome<Reservation>): void {
+  /** A new request must be refused in time, also if an engine that is tried in spite of its failures fails again. */
+  function timeoutMsFor({ failed, isResumed, latestStartAtMs }: Waiter, { id }: BackendServer) {
+    const nowMs = monotonicNowMs();
+    const isDoubtful = failed.hasTimedOut(id) || health.ejected(nowMs).has(id);
+    return isDoubtful && !isResumed
+      ? Math.min(reserveTimeoutMs, Math.max(minReserveTimeoutMs, latestStartAtMs - nowMs))
+      : reserveTimeoutMs;
+  }
+
+  /** A silent engine has gone on. The request may still wait for it, or have gone elsewhere, or been refused. */
+  function handleLate(
+    server: BackendServer,
+    waiter: Waiter,
+    outcome: CallOutcome<Reservation>,
+  ): void {
+    waiter.failed.noteLateAnswer(server.id);
     if (outcome.kind === 'done') {
-      backend.releaseReservation(outcome.value);
+      loads.noteContact(server.id);
+      health.record(server.id, 'success', monotonicNowMs());
+      if (queue.has(waiter) && !waiter.isReserving && notices.isAccepting(server)) {
+        const stream = loads.place(server.id, waiter.stream);
+        notePlaced(waiter);
+        deliver(waiter, {
+          reservation: outcome.value,
+          stream: retryWaitersOnRelease(stream),
+        });
+      } else {
+        backend.releaseReservation(outcome.value);
+      }
+    } else if (outcome.kind === 'not-run' && outcome.cause.kind === 'rejected') {
+      loads.noteContact(server.id);
     }
+    tryWaiters();
   }
 
   /** An immediate request has been placed before, so that it is not counted again. */
@@ -303,15 +270,21 @@
 
   function noteReservationFailure(
     { id }: BackendServer,
-    { failedIds, reservedTokens, signal }: Waiter,
-    outcome: Exclude<CallOutcome<Reservation>, { kind: 'done' }>,
+    { failed, reservedTokens, signal }: Waiter,
+    outcome: Exclude<ReservationOutcome, { kind: 'done' }>,
   ): void {
     const cause = outcome.kind === 'not-run' ? outcome.cause.kind : outcome.kind;
     if (cause === 'rejected') {
       loads.noteFull(id, reservedTokens);
       return;
     }
-    failedIds.add(id);
+    if (cause === 'late') {
+      failed.notePending(id, monotonicNowMs());
+    } else if (outcome.kind === 'lost' && outcome.isOurs) {
+      failed.noteTimedOut(id, monotonicNowMs());
+    } else {
+      failed.noteFailed(id);
+    }
     if (cause === 'other-server') {
       loads.noteUnresponsive(id, unresponsiveCauses.otherServer);
     }
--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/engineLoads.ts
@@ -10,9 +10,12 @@
   emptyUse,
   heldTokens,
   isEmptyUse,
+  isUnreported,
+  maxReportAgeMs,
   promptTokensOf,
   withGrowth,
   type EngineUse,
+  type UsageChange,
 } from './engineUse';
 import { initialLengthShape, initialTokensPerMs } from './streamSizes';
 import {
@@ -30,6 +33,8 @@
   noteNotPolled(serverId: string): void;
   /** The engine has just answered a call. */
   noteContact(serverId: string): void;
+  /** When it last answered a call or a load report of this router; -Infinity if it has not. */
+  lastAnswerAtMs(serverId: string): number;
   /** Whether its last load report failed, here or at a peer, and it has not answered a call from here lately. */
   isUnresponsive(serverId: string): boolean;
   /**
@@ -86,11 +91,6 @@
   lengthShape?: () => number;
 }
 
-interface UsageChange {
-  tokens: number;
-  atMs: number;
-}
-
 type CounterName = 'prefillTokens' | 'ownPrompts';
 
 interface PeerUse extends EngineUse {
@@ -115,9 +115,6 @@
   lastRejection?: { tokens: number; untilMs: number };
 }
 
-/** A load report shows the state of some hundred milliseconds ago: these are its minimum and maximum age. */
-const minReportAgeMs = 700;
-const maxReportAgeMs = 1_100;
 /** A report older than this is less accurate than the known placements, and is ignored. */
 const reportLifetimeMs = 5_000;
 /** After a response to any call an engine counts as responsive for this long. */
@@ -318,6 +315,10 @@
     noteContact(serverId) {
       stateOf(serverId).contactAtMs = monotonicNowMs();
     },
+    lastAnswerAtMs(serverId) {
+      const { reportedAtMs = -Infinity, contactAtMs = -Infinity } = engines.get(serverId) ?? {};
+      return Math.max(reportedAtMs, contactAtMs);
+    },
     isUnresponsive(serverId) {
       const state = engines.get(serverId);
       if (state === undefined || monotonicNowMs() - state.contactAtMs < contactLifetimeMs) {
@@ -370,8 +371,3 @@
     },
   };
 }
-
-/** Where a report may or may not include a change, assumes the case that leaves fewer tokens unattributed. */
-function isUnreported({ tokens, atMs }: UsageChange, reportedAtMs: number): boolean {
-  return atMs > reportedAtMs - (tokens < 0 ? maxReportAgeMs : minReportAgeMs);
-}
--- a/packages/routing/src/engineUse.ts
+++ b/packages/routing/src/engineUse.ts
@@ -36,3 +36,18 @@
 export function promptTokensOf({ streams }: EngineUse): number {
   return streams.reduce((sum, { promptTokens }) => sum + promptTokens, 0);
 }
+
+/** A change of the memory that is in use on an engine. */
+export interface UsageChange {
+  tokens: number;
+  atMs: number;
+}
+
+/** A load report shows the state of some hundred milliseconds ago: these are its minimum and maximum age. */
+const minReportAgeMs = 700;
+export const maxReportAgeMs = 1_100;
+
+/** Where a report may or may not include a change, assumes the case that leaves fewer tokens unattributed. */
+export function isUnreported({ tokens, atMs }: UsageChange, reportedAtMs: number): boolean {
+  return atMs > reportedAtMs - (tokens < 0 ? maxReportAgeMs : minReportAgeMs);
+}
--- a/packages/routing/src/placementCandidates.ts
+++ b/packages/routing/src/placementCandidates.ts
@@ -12,7 +12,12 @@
   softwareVersion?: string;
 }
 
-export type CandidatePool = 'usable' | 'spare' | 'ofAllShards';
+export type CandidatePool =
+  | 'usable'
+  | 'spare'
+  | 'ofAllShards'
+  /** Engines of the shard that keep failing: for requests that have no other one left. */
+  | 'ejected';
 
 /** Candidates by service and pool, computed once for each pass over the waiting requests. */
 export type CandidatesOf = (
@@ -36,8 +41,8 @@
     const key = `${pool} ${serviceName}`;
     const candidates =
       candidatesByKey.get(key) ??
-      pools[pool](serviceName, stages.decode)
-        .filter(({ id }) => !ejected.has(id) && !loads.isUnresponsive(id))
+      pools[pool === 'ejected' ? 'usable' : pool](serviceName, stages.decode)
+        .filter(({ id }) => ejected.has(id) === (pool === 'ejected') && !loads.isUnresponsive(id))
         .map((server) => ({ server, memory: loads.forecast(server.id, engine.kvTokens) }));
     candidatesByKey.set(key, candidates);
     return candidates;
--- a/packages/routing/src/reservationCalls.ts
+++ b/packages/routing/src/reservationCalls.ts
@@ -7,14 +7,19 @@
 import type { BackendServer } from './model';
 
 export interface ReservationRequest extends ReserveOptions {
-  /** Called if the engine answers after `timeoutMs`. A reservation must then be used or released. */
+  /** Called once after the outcome 'late'. A reservation must then be used or released. */
   onLate(outcome: CallOutcome<Reservation>): void;
 }
 
+export type ReservationOutcome =
+  | CallOutcome<Reservation>
+  /** No answer in time; it may still come. */
+  | { kind: 'late' };
+
 export type ReserveMemory = (
   server: BackendServer,
   request: ReservationRequest,
-) => Promise<CallOutcome<Reservation>>;
+) => Promise<ReservationOutcome>;
 
 /** Sound engines are silent for a second or so. */
 const lateResponseMs = 3_000;
@@ -46,7 +51,7 @@
         }
         isLate = true;
         countLate(server, 1);
-        resolve({ kind: 'lost', detail: 'no answer in time', isOurs: true });
+        resolve({ kind: 'late' });
       });
       const end = (outcome: CallOutcome<Reservation>) => {
         timer.stop();
