--- a/packages/routing/__tests__/connectionGuard.test.ts
+++ b/packages/routing/__tests__/connectionGuard.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { delay } from '@bluebellhitch/shared';
-import { createBusyMeter, createConnectionGuard } from '../src/connectionGuard';
+import { createBusyMeter, createConnectionGuard } from '../src/callers/connectionGuard';
 
 function keepBusy(durationMs: number): void {
   const endsAtMs = performance.now() + durationMs;
--- a/packages/routing/__tests__/decodePlacement.test.ts
+++ b/packages/routing/__tests__/decodePlacement.test.ts
@@ -11,7 +11,7 @@
   type EngineSettings,
   type Reservation,
 } from '@bluebellhitch/routing';
-import type { PlacementOutcome, PlacementRequest } from '../src/decodePlacement';
+import type { PlacementOutcome, PlacementRequest } from '../src/servers/decodePlacement';
 import { decodeServer } from './support/decodeServer';
 
 const engine: EngineSettings = {
--- a/packages/routing/__tests__/holdUpWatch.test.ts
+++ b/packages/routing/__tests__/holdUpWatch.test.ts
@@ -1,6 +1,6 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
-import { startHoldUpWatch } from '../src/holdUpWatch';
+import { startHoldUpWatch } from '../src/callers/holdUpWatch';
 
 test('hold-ups are reported once, and remembered for a second', (t) => {
   const clock = FakeTimers.install({ toFake: ['setInterval', 'clearInterval', 'performance'] });
--- a/packages/routing/__tests__/localPrefillPlacement.test.ts
+++ b/packages/routing/__tests__/localPrefillPlacement.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import { createDecodePaces } from '@bluebellhitch/routing';
-import type { Placement, PlacementOutcome } from '../src/decodePlacement';
-import { placeForLocalPrefill, type LocalPrefill } from '../src/localPrefillPlacement';
+import type { Placement, PlacementOutcome } from '../src/servers/decodePlacement';
+import { placeForLocalPrefill, type LocalPrefill } from '../src/request/localPrefillPlacement';
 import { decodeServer } from './support/decodeServer';
 
 interface FixtureOptions {
--- a/packages/routing/__tests__/lostRuns.test.ts
+++ b/packages/routing/__tests__/lostRuns.test.ts
@@ -3,8 +3,8 @@
   createServerDirectory,
   unresponsiveCauses,
 } from '@bluebellhitch/routing';
-import { lostRunCauses, recordLostRun, type LostRun } from '../src/lostRuns';
-import type { RequestState } from '../src/requestState';
+import { lostRunCauses, recordLostRun, type LostRun } from '../src/request/lostRuns';
+import type { RequestState } from '../src/request/requestState';
 import { decodeServer } from './support/decodeServer';
 import { testWithFakeClock } from './support/fakeClockTest';
 
--- a/packages/routing/__tests__/placementChoice.test.ts
+++ b/packages/routing/__tests__/placementChoice.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
 import { createMemoryForecast, withinPace } from '@bluebellhitch/decisions';
 import { createSeededRandom, type Random } from '@bluebellhitch/shared';
-import type { DecodePaces } from '../src/decodePaces';
-import { chooseBestFit, type PlacementCandidate } from '../src/placementChoice';
+import type { DecodePaces } from '../src/servers/decodePaces';
+import { chooseBestFit, type PlacementCandidate } from '../src/servers/placementChoice';
 import { decodeServer } from './support/decodeServer';
 
 const capacityTokens = 40_000;
--- a/packages/routing/__tests__/placementQueue.test.ts
+++ b/packages/routing/__tests__/placementQueue.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { createPlacementQueue, type QueuedRequest } from '../src/placementQueue';
+import { createPlacementQueue, type QueuedRequest } from '../src/servers/placementQueue';
 
 const request = (overrides: Partial<QueuedRequest> = {}): QueuedRequest => ({
   serviceName: 's',
--- a/packages/routing/__tests__/prefillSpeeds.test.ts
+++ b/packages/routing/__tests__/prefillSpeeds.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import { createLearnedEstimates } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import { createPrefillSpeeds, type PrefillSpeeds } from '../src/prefillSpeeds';
+import { createPrefillSpeeds, type PrefillSpeeds } from '../src/fleet/prefillSpeeds';
 
 const promptTokens = 5_000;
 
--- a/packages/routing/__tests__/prefillStage.test.ts
+++ b/packages/routing/__tests__/prefillStage.test.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@sinonjs/fake-timers';
 import { delay } from '@bluebellhitch/shared';
-import { createPrefillStage, type Prompt } from '../src/prefillStage';
+import { createPrefillStage, type Prompt } from '../src/request/prefillStage';
 import { decodeServer } from './support/decodeServer';
 import { testWithFakeClock } from './support/fakeClockTest';
 
--- a/packages/routing/__tests__/requestFingerprint.test.ts
+++ b/packages/routing/__tests__/requestFingerprint.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { computeRequestFingerprint } from '../src/requestFingerprint';
+import { computeRequestFingerprint } from '../src/fleet/requestFingerprint';
 import type { CallerRequest } from '../src/model';
 
 const request: CallerRequest = {
--- a/packages/routing/__tests__/requestState.test.ts
+++ b/packages/routing/__tests__/requestState.test.ts
@@ -1,7 +1,7 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import type { CallerExchange } from '../src/callerApi';
-import { createRequestState, createLostRefusal } from '../src/requestState';
+import { createRequestState, createLostRefusal } from '../src/request/requestState';
 import { routeKinds, type CallerRequest, type Route } from '../src/model';
 
 const route: Route = {
--- a/packages/routing/__tests__/runEvidence.test.ts
+++ b/packages/routing/__tests__/runEvidence.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { BackendServer } from '../src/model';
-import { createRunEvidence, type CarriedCall, type RunEvidence } from '../src/runEvidence';
+import { createRunEvidence, type CarriedCall, type RunEvidence } from '../src/fleet/runEvidence';
 
 interface Trial {
   evidence: RunEvidence;
--- a/packages/routing/__tests__/stallWatch.test.ts
+++ b/packages/routing/__tests__/stallWatch.test.ts
@@ -1,6 +1,6 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
-import { startStallWatch, type StallWatchOptions } from '../src/stallWatch';
+import { startStallWatch, type StallWatchOptions } from '../src/request/stallWatch';
 
 interface Watched {
   /** When the run was reported as stalled, each time. */
--- a/packages/routing/__tests__/streamContinuation.test.ts
+++ b/packages/routing/__tests__/streamContinuation.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava';
 import type { StreamOrigin } from '@bluebellhitch/protocol';
 import { routeKinds, type CallerRequest, type Route } from '@bluebellhitch/routing';
-import type { OriginLookup } from '../src/originStore';
-import { isResumption, planResumption } from '../src/streamContinuation';
+import type { OriginLookup } from '../src/fleet/originStore';
+import { isResumption, planResumption } from '../src/request/streamContinuation';
 
 const route = {
   kind: routeKinds.stream,
--- a/packages/routing/__tests__/streamRun.test.ts
+++ b/packages/routing/__tests__/streamRun.test.ts
@@ -1,9 +1,9 @@
 /** Runs of streams that are not begun: what they leave at engines. */
 import test from 'ava';
 import type { CallOutcome, BackendResponse } from '../src/backendApi';
-import type { PlacementOutcome } from '../src/decodePlacement';
-import { createRunContest } from '../src/runContest';
-import { runPlaced, type ActiveRun } from '../src/streamRun';
+import type { PlacementOutcome } from '../src/servers/decodePlacement';
+import { createRunContest } from '../src/request/runContest';
+import { runPlaced, type ActiveRun } from '../src/request/streamRun';
 import { decodeServer } from './support/decodeServer';
 
 const notSent: CallOutcome<BackendResponse> = {
--- a/packages/routing/__tests__/support/quarantineFleet.ts
+++ b/packages/routing/__tests__/support/quarantineFleet.ts
@@ -4,7 +4,7 @@
 import { createRequestQuarantine, type RequestQuarantine } from '@bluebellhitch/routing';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { BackendServer } from '../../src/model';
-import type { RequestIdentity } from '../../src/requestFingerprint';
+import type { RequestIdentity } from '../../src/fleet/requestFingerprint';
 
 export interface FleetNetwork {
   /** Delay of a datagram in milliseconds, once for each copy that arrives; empty if it is lost. */
--- a/packages/routing/__tests__/unresponsiveEngines.test.ts
+++ b/packages/routing/__tests__/unresponsiveEngines.test.ts
@@ -5,7 +5,7 @@
   unresponsiveCauses,
   type EngineLoad,
 } from '@bluebellhitch/routing';
-import { causeOfFailedReport } from '../src/unresponsiveEngines';
+import { causeOfFailedReport } from '../src/servers/unresponsiveEngines';
 import { testWithFakeClock } from './support/fakeClockTest';
 
 const report: EngineLoad = {
--- a/packages/routing/scripts/speedCost.ts
+++ b/packages/routing/scripts/speedCost.ts
@@ -6,7 +6,7 @@
 import { choosePrefillEngine } from '@bluebellhitch/decisions';
 import { serverKey, type EstimateKind } from '@bluebellhitch/protocol';
 import { createSpeedExchange } from '../src';
-import { createPrefillSpeeds } from '../src/prefillSpeeds';
+import { createPrefillSpeeds } from '../src/fleet/prefillSpeeds';
 
 const peers = Array.from({ length: 39 }, (_none, index) => `10.0.1.${index}:7400`);
 const engineIds = Array.from({ length: 322 }, (_none, index) => `engine-of-a-shard-${index}`);
--- a/packages/routing/src/callerConnection.ts
+++ b/packages/routing/src/callers/callerConnection.ts
@@ -6,7 +6,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { ReadBarrier } from './readBarrier';
+import type { ReadBarrier } from '../readBarrier';
 
 export interface CallerConnection {
   hasEnded(): boolean;
--- a/packages/routing/src/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -7,12 +7,12 @@
 import { err, ok, type Result } from 'neverthrow';
 import { assertNever, monotonicNowMs, watchSlowSenders } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
-import type { CallerExchange } from './callerApi';
+import type { CallerExchange } from '../callerApi';
+import { notRunReasons, type CallerLimits, type CallerRequest, type Refusal } from '../model';
+import { noReadBarrier, type ReadBarrier } from '../readBarrier';
 import { createCallerConnections, isCallerWaiting, onceResponseOver } from './callerConnection';
 import { createConnectionClosing, type TakenRequest } from './connectionClosing';
 import { createHttpExchange } from './httpExchange';
-import { notRunReasons, type CallerLimits, type CallerRequest, type Refusal } from './model';
-import { noReadBarrier, type ReadBarrier } from './readBarrier';
 import { refuseUnread, type UnreadRequest } from './refuseUnread';
 import { createBodyReaderPool, type RequestBodyOutcome } from './requestBody';
 
--- a/packages/routing/src/httpExchange.ts
+++ b/packages/routing/src/callers/httpExchange.ts
@@ -1,9 +1,9 @@
 /** One caller's request over HTTP: writes complete responses, streamed responses, and refusals with their status. */
 import type { ServerResponse } from 'node:http';
 import { assertNever } from '@bluebellhitch/shared';
-import type { ResponseWriter, CallerExchange } from './callerApi';
+import type { ResponseWriter, CallerExchange } from '../callerApi';
+import { notRunReasons, type CallerRequest, type Refusal } from '../model';
 import { createDisconnectSignal, type CallerConnection } from './callerConnection';
-import { notRunReasons, type CallerRequest, type Refusal } from './model';
 
 interface RefusalResponse {
   status: number;
--- a/packages/routing/src/refuseUnread.ts
+++ b/packages/routing/src/callers/refuseUnread.ts
@@ -4,8 +4,8 @@
  * limits, before the connection is closed.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Refusal } from '../model';
 import { startRefusalOverHttp } from './httpExchange';
-import type { Refusal } from './model';
 
 /** Time for a caller to read the response and stop sending; a small part of what a process has for its shutdown. */
 const maxDiscardMs = 2_000;
--- a/packages/routing/src/datagramDispatcher.ts
+++ b/packages/routing/src/fleet/datagramDispatcher.ts
@@ -7,10 +7,10 @@
   decodeSpeedMessage,
   decodeStreamOriginMessage,
 } from '@bluebellhitch/protocol';
+import type { ServerLimits } from '../servers/serverLimits';
 import type { ConfigurationProof } from './configurationProof';
 import type { QuotaExchange } from './quotaExchange';
 import type { RequestQuarantine } from './requestQuarantine';
-import type { ServerLimits } from './serverLimits';
 import type { SpeedExchange } from './speedExchange';
 import type { StreamOrigins } from './streamOrigins';
 
--- a/packages/routing/src/fleetShares.ts
+++ b/packages/routing/src/fleet/fleetShares.ts
@@ -2,8 +2,8 @@
  * This router's shares of limits that apply to the whole fleet: an equal share among the routers that it knows, capped
  * at a fixed share because a partitioned router knows only a few.
  */
+import type { FleetShard } from '../servers/fleetShard';
 import type { AttemptAllowance } from './attemptBudget';
-import type { FleetShard } from './fleetShard';
 
 export interface FleetSharesOptions {
   fleetShard: Pick<FleetShard, 'shardPeers' | 'shardCount'>;
--- a/packages/routing/src/originStore.ts
+++ b/packages/routing/src/fleet/originStore.ts
@@ -22,10 +22,11 @@
   type Random,
 } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
+import type { CallerRequest, Route } from '../model';
+import { hasOtherServices, type MovedRoute } from '../movedRoutes';
+import { isOnPath } from '../routeTable';
+import { createSharedRead } from '../servers/sharedRead';
 import { createByteBudget } from './byteBudget';
-import type { CallerRequest, Route } from './model';
-import { hasOtherServices, type MovedRoute } from './movedRoutes';
-import { isOnPath } from './routeTable';
 import { createOriginSweep } from './originSweep';
 import {
   bytesPerStream,
@@ -35,7 +36,6 @@
   originDigest,
   type OriginsByDigest,
 } from './originObjects';
-import { createSharedRead } from './sharedRead';
 
 export interface OriginStore extends BackgroundLoop {
   /** The first event of the stream has been passed on; its caller may take it up again until the request's deadline. */
--- a/packages/routing/src/peerExchange.ts
+++ b/packages/routing/src/fleet/peerExchange.ts
@@ -19,8 +19,8 @@
 } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
+import { selectEngineUse } from '../servers/engineUse';
 import { openDatagramSocket } from './datagramSocket';
-import { selectEngineUse } from './engineUse';
 
 export interface PeerExchangeOptions {
   host: string;
--- a/packages/routing/src/quotaExchange.ts
+++ b/packages/routing/src/fleet/quotaExchange.ts
@@ -11,7 +11,7 @@
 } from '@bluebellhitch/decisions';
 import { encodeQuotaMessage, maxUsesPerMessage, type QuotaMessage } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
-import { quotaUnits, type CallerRequest, type Workspace, type WorkspaceQuota } from './model';
+import { quotaUnits, type CallerRequest, type Workspace, type WorkspaceQuota } from '../model';
 
 export interface QuotaChannel {
   /** `ip:port` of this process. */
--- a/packages/routing/src/requestFingerprint.ts
+++ b/packages/routing/src/fleet/requestFingerprint.ts
@@ -1,6 +1,6 @@
 /** Recognises a caller's request when it comes again, at any router and under another request id. */
 import { digestParts } from '@bluebellhitch/shared';
-import type { CallerRequest } from './model';
+import type { CallerRequest } from '../model';
 
 /**
  * Digest of the method, host, path with query, workspace and body. Headers do not count: a repeated request has other
--- a/packages/routing/src/requestQuarantine.ts
+++ b/packages/routing/src/fleet/requestQuarantine.ts
@@ -21,13 +21,13 @@
 import type { CrashingRequest, CrashMessage } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
+import type { ServerEnds } from '../servers/serverEnds';
 import { createCrashAnnouncements, type QuarantineChannel } from './crashAnnouncements';
 import { createPartSoundness } from './partSoundness';
 import { createPartTrials } from './partTrials';
 import type { RequestIdentity } from './requestFingerprint';
 import { createRequestGuard, type RequestGuard } from './requestGuard';
 import { createRunEvidence, type CarriedCall, type ObservedRun } from './runEvidence';
-import type { ServerEnds } from './serverEnds';
 
 /** What serves requests reports here, and asks. */
 export interface RunQuarantine {
--- a/packages/routing/src/runEvidence.ts
+++ b/packages/routing/src/fleet/runEvidence.ts
@@ -6,7 +6,7 @@
 import { createBoundedMap, createUnsettledRuns } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
-import type { BackendServer } from './model';
+import type { BackendServer } from '../model';
 import type { RequestIdentity } from './requestFingerprint';
 
 export interface CarriedCall {
--- a/packages/routing/src/workspaceAccess.ts
+++ b/packages/routing/src/fleet/workspaceAccess.ts
@@ -3,8 +3,8 @@
  * is partitioned from the platform: a key is accepted only if the configuration was recently proved to be complete,
  * whatever the router has in memory. Pure; the router decides again before each further attempt.
  */
-import { notRunReasons, type Credential, type Refusal, type Route, type Workspace } from './model';
-import type { RouteTable } from './routeTable';
+import { notRunReasons, type Credential, type Refusal, type Route, type Workspace } from '../model';
+import type { RouteTable } from '../routeTable';
 
 /** Whether the configuration in force is known to be the newest. */
 export interface ConfigurationFreshness {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,7 +4,7 @@
   type AttemptBudget,
   type AttemptBudgetOptions,
   type AttemptReservation,
-} from './attemptBudget';
+} from './fleet/attemptBudget';
 export type {
   ResponseBody,
   BackendResponse,
@@ -28,8 +28,8 @@
   createBackendConnections,
   type BackendConnections,
   type BackendConnectionsOptions,
-} from './backendConnections';
-export type { HttpResponse, HttpCall, HttpOutcome } from './httpCall';
+} from './servers/backendConnections';
+export type { HttpResponse, HttpCall, HttpOutcome } from './servers/httpCall';
 export type { ResponseWriter, CallerExchange, CompleteResponse } from './callerApi';
 export {
   createCallerConnections,
@@ -37,52 +37,52 @@
   isCallerWaiting,
   onceResponseOver,
   type CallerConnection,
-} from './callerConnection';
+} from './callers/callerConnection';
 export { createReadBarrier, type ReadBarrier } from './readBarrier';
-export { startHoldUpWatch, type HoldUpWatch } from './holdUpWatch';
-export { createConnectionClosing, type ConnectionClosing } from './connectionClosing';
-export { createConnectionGuard } from './connectionGuard';
+export { startHoldUpWatch, type HoldUpWatch } from './callers/holdUpWatch';
+export { createConnectionClosing, type ConnectionClosing } from './callers/connectionClosing';
+export { createConnectionGuard } from './callers/connectionGuard';
 export {
   startCallersServer,
   type CallersServer,
   type CallersServerOptions,
   type DecodeHead,
   type RequestHead,
-} from './callersServer';
-export type { QuarantineChannel } from './crashAnnouncements';
-export { createDatagramDispatcher } from './datagramDispatcher';
-export { createDecodePaces, type DecodePaces, type PaceEstimates } from './decodePaces';
-export { createDecodePlacement, type DecodePlacement } from './decodePlacement';
-export { createEngineLoads, type EngineLoads, type PlacedStream } from './engineLoads';
-export { selectEngineUse } from './engineUse';
-export { createEventSplitter } from './eventSplitter';
-export { createLoadPoller } from './loadPoller';
+} from './callers/callersServer';
+export type { QuarantineChannel } from './fleet/crashAnnouncements';
+export { createDatagramDispatcher } from './fleet/datagramDispatcher';
+export { createDecodePaces, type DecodePaces, type PaceEstimates } from './servers/decodePaces';
+export { createDecodePlacement, type DecodePlacement } from './servers/decodePlacement';
+export { createEngineLoads, type EngineLoads, type PlacedStream } from './servers/engineLoads';
+export { selectEngineUse } from './servers/engineUse';
+export { createEventSplitter } from './request/eventSplitter';
+export { createLoadPoller } from './servers/loadPoller';
 export {
   createSpeedExchange,
   type ServerSpeeds,
   type SpeedChannel,
   type SpeedExchange,
-} from './speedExchange';
+} from './fleet/speedExchange';
 export {
   createServiceVersions,
   noServiceVersions,
   type ServiceVersions,
   type ServiceVersionsOptions,
-} from './serviceVersions';
+} from './servers/serviceVersions';
 export {
   createOriginStore,
   noOriginStore,
   type OriginStore,
   type OriginStoreOptions,
-} from './originStore';
+} from './fleet/originStore';
 export {
   createStreamOrigins,
   noStreamOrigins,
   type StreamOriginChannel,
   type StreamOrigins,
   type StreamOriginsOptions,
-} from './streamOrigins';
-export { createStreamSizes, type EndedStream, type StreamSizes } from './streamSizes';
+} from './fleet/streamOrigins';
+export { createStreamSizes, type EndedStream, type StreamSizes } from './servers/streamSizes';
 export {
   notRunReasons,
   quotaUnits,
@@ -107,56 +107,64 @@
   type Workspace,
   type WorkspaceQuota,
 } from './model';
-export { digestOfKey } from './apiKeys';
+export { digestOfKey } from './fleet/apiKeys';
 export {
   createQuotaExchange,
   type ChargeOutcome,
   type QuotaCharge,
   type QuotaExchange,
   type QuotaExchangeOptions,
-} from './quotaExchange';
+} from './fleet/quotaExchange';
 export {
   createConfigurationProof,
   type ConfigurationProof,
   type ConfigurationProofOptions,
-} from './configurationProof';
-export { decideAccess, type AccessDecision, type ConfigurationFreshness } from './workspaceAccess';
+} from './fleet/configurationProof';
+export {
+  decideAccess,
+  type AccessDecision,
+  type ConfigurationFreshness,
+} from './fleet/workspaceAccess';
 export {
   createObjectFollower,
   type ObjectFollower,
   type ObjectFollowerOptions,
-} from './objectFollower';
-export type { SeenChanges } from './relayedEvents';
-export { createStoreAnswers, type StoreAnswers, type StoreReturn } from './storeAvailability';
-export { createRequestRouter, type RequestRouter } from './requestRouter';
+} from './fleet/objectFollower';
+export type { SeenChanges } from './fleet/relayedEvents';
+export { createStoreAnswers, type StoreAnswers, type StoreReturn } from './fleet/storeAvailability';
+export { createRequestRouter, type RequestRouter } from './request/requestRouter';
 export {
   createQuarantineStore,
   type QuarantineStore,
   type QuarantineStoreOptions,
-} from './quarantineStore';
+} from './fleet/quarantineStore';
 export {
   decodeQuarantineRecord,
   writeQuarantineRecord,
   type QuarantineWrite,
-} from './quarantineObjects';
+} from './fleet/quarantineObjects';
 export {
   createRequestQuarantine,
   noQuarantine,
   type RequestQuarantine,
   type RequestQuarantineOptions,
-} from './requestQuarantine';
+} from './fleet/requestQuarantine';
 export { createRouterMetrics, type RouterMetrics } from './routerMetrics';
-export type { RouterDependencies } from './routerDependencies';
+export type { RouterDependencies } from './request/routerDependencies';
 export { findMovedRoutes, type MovedRoute } from './movedRoutes';
 export { createRouteTable, type RouteTable } from './routeTable';
-export { probeRepeatedly } from './repeatedProbe';
-export { createServerEnds, type ServerEnds, type ServerEndsOptions } from './serverEnds';
+export { probeRepeatedly } from './servers/repeatedProbe';
+export { createServerEnds, type ServerEnds, type ServerEndsOptions } from './servers/serverEnds';
 export {
   createReturnedServers,
   type ReturnedServers,
   type ReturnedServersOptions,
-} from './returnedServers';
-export { createServerDirectory, type ServerChange, type ServerDirectory } from './serverDirectory';
+} from './servers/returnedServers';
+export {
+  createServerDirectory,
+  type ServerChange,
+  type ServerDirectory,
+} from './servers/serverDirectory';
 export {
   createServerLimits,
   noLimits,
@@ -164,23 +172,27 @@
   type PermitOutcome,
   type ServerLimits,
   type ServerPermits,
-} from './serverLimits';
-export { createServerLoads } from './serverLoads';
-export { createServerNotices, createAvailablePools, type ServerNotices } from './serverNotices';
-export { drainBody, readSmallBody, readWholeBody } from './responseBody';
-export { createStageBalancer, type StageBalancerOptions } from './stageBalancer';
+} from './servers/serverLimits';
+export { createServerLoads } from './servers/serverLoads';
+export {
+  createServerNotices,
+  createAvailablePools,
+  type ServerNotices,
+} from './servers/serverNotices';
+export { drainBody, readSmallBody, readWholeBody } from './servers/responseBody';
+export { createStageBalancer, type StageBalancerOptions } from './servers/stageBalancer';
 export {
   planStageChange,
   planStageChanges,
   targetPrefillCount,
   type StageChange,
-} from './stagePlan';
-export { createFleetShares, type FleetShares } from './fleetShares';
-export { createFleetShard, type FleetShard, type ServerPools } from './fleetShard';
+} from './servers/stagePlan';
+export { createFleetShares, type FleetShares } from './fleet/fleetShares';
+export { createFleetShard, type FleetShard, type ServerPools } from './servers/fleetShard';
 export {
   unresponsiveCauses,
   type UnresponsiveCause,
   type UnresponsiveEvidence,
-} from './unresponsiveEngines';
-export { startPeerExchange, type PeerExchange } from './peerExchange';
-export { createWatchPlan, type WatchPlan, type WatchPlanOptions } from './watchPlan';
+} from './servers/unresponsiveEngines';
+export { startPeerExchange, type PeerExchange } from './fleet/peerExchange';
+export { createWatchPlan, type WatchPlan, type WatchPlanOptions } from './fleet/watchPlan';
--- a/packages/routing/src/forwardBody.ts
+++ b/packages/routing/src/request/forwardBody.ts
@@ -1,6 +1,6 @@
 /** Forwards the body of a response as it arrives, with backpressure from the caller. */
-import type { ResponseBody } from './backendApi';
-import type { ResponseWriter } from './callerApi';
+import type { ResponseBody } from '../backendApi';
+import type { ResponseWriter } from '../callerApi';
 
 export type ForwardOutcome = { kind: 'whole' } | { kind: 'lost'; detail: string };
 
--- a/packages/routing/src/localPrefillPlacement.ts
+++ b/packages/routing/src/request/localPrefillPlacement.ts
@@ -2,9 +2,9 @@
  * Chooses where a decode engine prefills a prompt itself. The engine's streams pause meanwhile, on a slow engine longer
  * than their target allows, so the prompt moves to a faster engine that has the memory, if there is one.
  */
-import type { Placement, PlacementOutcome } from './decodePlacement';
-import { engineWork, noPaces } from './decodePaces';
-import { stages, type BackendServer } from './model';
+import type { Placement, PlacementOutcome } from '../servers/decodePlacement';
+import { engineWork, noPaces } from '../servers/decodePaces';
+import { stages, type BackendServer } from '../model';
 import { noteStep, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 
--- a/packages/routing/src/lostRuns.ts
+++ b/packages/routing/src/request/lostRuns.ts
@@ -3,7 +3,7 @@
  * one that comes again can be followed over all routers, and as a possible crash of the server by the request.
  */
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { BackendServer } from './model';
+import type { BackendServer } from '../model';
 import type { RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 
--- a/packages/routing/src/plainAttempt.ts
+++ b/packages/routing/src/request/plainAttempt.ts
@@ -1,12 +1,12 @@
 /** One attempt of a plain request at a server. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { BackendResponse, CallOutcome, NotRunCause } from './backendApi';
-import type { CompleteResponse } from './callerApi';
+import type { BackendResponse, CallOutcome, NotRunCause } from '../backendApi';
+import type { CompleteResponse } from '../callerApi';
+import { routeKinds, type BackendServer } from '../model';
+import { drainBody, readWholeBody } from '../servers/responseBody';
 import { forwardBody } from './forwardBody';
 import { lostRunCauses, recordLostRun } from './lostRuns';
-import { routeKinds, type BackendServer } from './model';
 import { maySend, remainingMs, type RequestState } from './requestState';
-import { drainBody, readWholeBody } from './responseBody';
 import type { RouterDependencies } from './routerDependencies';
 import type { Contender } from './runContest';
 
--- a/packages/routing/src/plainChoice.ts
+++ b/packages/routing/src/request/plainChoice.ts
@@ -1,6 +1,6 @@
 /** Chooses the server for a plain request's next attempt, respecting the servers' limits and backoff notices. */
 import { rotateRandomly, monotonicNowMs } from '@bluebellhitch/shared';
-import type { BackendServer } from './model';
+import type { BackendServer } from '../model';
 import type { RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 
--- a/packages/routing/src/plainRequest.ts
+++ b/packages/routing/src/request/plainRequest.ts
@@ -1,18 +1,18 @@
 /** Serves a request of a plain route: one complete response, with further attempts where the route allows them. */
 import { monotonicNowMs, startPauseTolerantTimer } from '@bluebellhitch/shared';
-import {
-  attemptCauses,
-  reserveFurtherAttempt,
-  takeFurtherAttempt,
-  type AttemptInReserve,
-} from './furtherAttempts';
 import {
   notRunReasons,
   routeKinds,
   type BackendServer,
   type NotRunReason,
   type Refusal,
-} from './model';
+} from '../model';
+import {
+  attemptCauses,
+  reserveFurtherAttempt,
+  takeFurtherAttempt,
+  type AttemptInReserve,
+} from './furtherAttempts';
 import { betterAttempt, runAttempt, type Attempt } from './plainAttempt';
 import { choosePlainServer, defaultRetryAfterMs, type PlainChoice } from './plainChoice';
 import {
--- a/packages/routing/src/prefillStage.ts
+++ b/packages/routing/src/request/prefillStage.ts
@@ -9,11 +9,12 @@
   createUnexplainedDelay,
 } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { CallOutcome, PrefillResult } from './backendApi';
+import type { CallOutcome, PrefillResult } from '../backendApi';
+import { stages, type BackendServer } from '../model';
+import { createPrefillSpeeds, type PromptResult } from '../fleet/prefillSpeeds';
+import { unresponsiveCauses } from '../servers/unresponsiveEngines';
 import { attemptCauses, beginFirstPrefill, takeFurtherAttempt } from './furtherAttempts';
 import { lostRunCauses, recordLostRun } from './lostRuns';
-import { stages, type BackendServer } from './model';
-import { createPrefillSpeeds, type PromptResult } from './prefillSpeeds';
 import {
   maySend,
   noteStep,
@@ -23,7 +24,6 @@
   type RequestState,
 } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
-import { unresponsiveCauses } from './unresponsiveEngines';
 
 export type PrefillOutcome =
   | { kind: 'done'; result: PrefillResult }
--- a/packages/routing/src/requestOutcome.ts
+++ b/packages/routing/src/request/requestOutcome.ts
@@ -2,11 +2,11 @@
 import { lateCause } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { DecisionRing, Logger } from '@bluebellhitch/telemetry';
-import type { CallerExchange, CompleteResponse, ResponseWriter } from './callerApi';
-import { routeKinds, type Refusal, type Route, type Workspace } from './model';
+import type { CallerExchange, CompleteResponse, ResponseWriter } from '../callerApi';
+import { routeKinds, type Refusal, type Route, type Workspace } from '../model';
+import type { RouterMetrics } from '../routerMetrics';
+import type { RelayPauses } from '../servers/streamPauses';
 import type { RequestState } from './requestState';
-import type { RouterMetrics } from './routerMetrics';
-import type { RelayPauses } from './streamRelay';
 
 export interface RequestLabels {
   route: Route;
--- a/packages/routing/src/requestRouter.ts
+++ b/packages/routing/src/request/requestRouter.ts
@@ -1,7 +1,7 @@
 /** Routes a caller's request and serves it to its final response or refusal. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { DecisionRing } from '@bluebellhitch/telemetry';
-import type { CallerExchange } from './callerApi';
+import type { CallerExchange } from '../callerApi';
 import {
   notRunReasons,
   type CallerRequest,
@@ -9,22 +9,23 @@
   type Route,
   type ServiceSettings,
   type Workspace,
-} from './model';
+} from '../model';
 import {
   noCharge,
   type ChargeOutcome,
   type QuotaCharge,
   type QuotaExchange,
-} from './quotaExchange';
+} from '../fleet/quotaExchange';
+import { createRequestIdentity, type RequestIdentity } from '../fleet/requestFingerprint';
+import type { RequestGuard } from '../fleet/requestGuard';
+import { chooseTarget, type RouteTable } from '../routeTable';
+import { decideAccess, type ConfigurationFreshness } from '../fleet/workspaceAccess';
 import { createPrefillStage } from './prefillStage';
-import { createRequestIdentity, type RequestIdentity } from './requestFingerprint';
-import type { RequestGuard } from './requestGuard';
 import { servePlain } from './plainRequest';
 import { createOutcomeRecorder } from './requestOutcome';
 import { createRequestsInProgress } from './requestsInProgress';
 import type { RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
-import { chooseTarget, type RouteTable } from './routeTable';
 import {
   isResumption,
   originSources,
@@ -34,7 +35,6 @@
   type UnknownOrigin,
 } from './streamContinuation';
 import { serveStream } from './streamRequest';
-import { decideAccess, type ConfigurationFreshness } from './workspaceAccess';
 
 export interface RequestRouter {
   /** Makes exactly one final call on the exchange. */
--- a/packages/routing/src/requestState.ts
+++ b/packages/routing/src/request/requestState.ts
@@ -1,15 +1,15 @@
 /** State of one request in progress: its route, its deadline and the attempts made so far. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { CallerExchange } from './callerApi';
+import type { CallerExchange } from '../callerApi';
 import {
   notRunReasons,
   type CallerRequest,
   type Refusal,
   type Route,
   type ServiceSettings,
-} from './model';
-import { createRequestIdentity, type RequestIdentity } from './requestFingerprint';
-import type { RelayPauses } from './streamRelay';
+} from '../model';
+import { createRequestIdentity, type RequestIdentity } from '../fleet/requestFingerprint';
+import type { RelayPauses } from '../servers/streamPauses';
 
 /** Timers that are set for the same moment fire within this time of each other. */
 const timerToleranceMs = 2;
--- a/packages/routing/src/runObserver.ts
+++ b/packages/routing/src/request/runObserver.ts
@@ -1,8 +1,9 @@
 /** Observes one run's engine while the run's events arrive: its pace, and what else it does during a pause. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import { noPaces } from './decodePaces';
+import { noPaces } from '../servers/decodePaces';
+import type { RunContext } from '../servers/streamPauses';
 import type { RouterDependencies } from './routerDependencies';
-import type { RunContext, StreamRelay } from './streamRelay';
+import type { StreamRelay } from './streamRelay';
 
 export interface RunObserver {
   /** Called whenever the relay may have received events. */
--- a/packages/routing/src/runPlacement.ts
+++ b/packages/routing/src/request/runPlacement.ts
@@ -2,8 +2,8 @@
 import { paceToEndInTime } from '@bluebellhitch/decisions';
 import type { StreamEstimate } from '@bluebellhitch/protocol';
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { PlacementRequest } from './decodePlacement';
-import type { Route } from './model';
+import type { PlacementRequest } from '../servers/decodePlacement';
+import type { Route } from '../model';
 import { remainingMs } from './requestState';
 import type { ActiveRun, StreamRun } from './streamRun';
 
--- a/packages/routing/src/runResults.ts
+++ b/packages/routing/src/request/runResults.ts
@@ -1,6 +1,6 @@
 /** Records what a run of a stream tells about its engine and about streams like it. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { BackendServer, CallerRequest } from './model';
+import type { BackendServer, CallerRequest } from '../model';
 import type { StreamRun } from './streamRun';
 
 /** Learns from a stream that has ended normally. */
--- a/packages/routing/src/runWatch.ts
+++ b/packages/routing/src/request/runWatch.ts
@@ -3,7 +3,7 @@
  * Only a server that has ended without closing its connections, as after a loss of power, ends its runs.
  */
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { BackendServer } from './model';
+import type { BackendServer } from '../model';
 import { eventTimeoutMs } from './runPlacement';
 import { startStallWatch } from './stallWatch';
 import type { ActiveRun } from './streamRun';
--- a/packages/routing/src/streamContinuation.ts
+++ b/packages/routing/src/request/streamContinuation.ts
@@ -4,16 +4,16 @@
  */
 import type { StreamOrigin } from '@bluebellhitch/protocol';
 import type { Random } from '@bluebellhitch/shared';
-import { routeKinds, type CallerRequest, type Route, type RouteTarget } from './model';
-import { chooseTarget } from './routeTable';
+import { routeKinds, type CallerRequest, type Route, type RouteTarget } from '../model';
+import { chooseTarget } from '../routeTable';
 import {
   unknownVersionReasons,
   type OnlyVersion,
   type ServiceVersions,
   type UnknownVersionReason,
-} from './serviceVersions';
-import type { OriginLookup, OriginStore } from './originStore';
-import type { StreamOrigins } from './streamOrigins';
+} from '../servers/serviceVersions';
+import type { OriginLookup, OriginStore } from '../fleet/originStore';
+import type { StreamOrigins } from '../fleet/streamOrigins';
 
 /** How the origin of a resumed stream was found. */
 export const originSources = {
--- a/packages/routing/src/streamRelay.ts
+++ b/packages/routing/src/request/streamRelay.ts
@@ -2,15 +2,16 @@
  * Relays a stream's events to the caller, complete and in order. The response begins with the first event, so that a
  * run that breaks earlier can still be refused or retried on another server.
  */
-import { createEventPauses, type LongestPause } from '@bluebellhitch/decisions';
+import { createEventPauses } from '@bluebellhitch/decisions';
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import type { BackendResponse } from './backendApi';
-import type { CompleteResponse, ResponseWriter } from './callerApi';
+import type { BackendResponse } from '../backendApi';
+import type { CompleteResponse, ResponseWriter } from '../callerApi';
+import { drainBody, readSmallBody } from '../servers/responseBody';
+import type { RelayPauses, RunContext } from '../servers/streamPauses';
 import { writeOrPause } from './forwardBody';
 import { createEventSplitter, type StreamEvent } from './eventSplitter';
 import type { RequestState } from './requestState';
 import type { Contender } from './runContest';
-import { drainBody, readSmallBody } from './responseBody';
 
 export type RelayOutcome =
   | { kind: 'whole' }
@@ -18,15 +19,6 @@
   | { kind: 'failed'; detail: string }
   | { kind: 'broken'; detail: string };
 
-/** State of a run's engine during a pause between two events. */
-export interface RunContext {
-  serverId: string;
-  /** Streams that are known to run on the engine, of all routers. */
-  streamCount: number;
-  /** Whether a prompt was prefilled there meanwhile, by any router, as far as known. */
-  hadLocalPrefill: boolean;
-}
-
 export interface RelayedRun {
   response: BackendResponse;
   /** Version of the software that writes the events. */
@@ -38,12 +30,6 @@
   contextSince(sinceMs: number): RunContext;
 }
 
-/** Pauses of the whole response, across its runs. */
-export interface RelayPauses {
-  longest?: LongestPause<RunContext>;
-  medianMs?: number;
-}
-
 export interface StreamRelay {
   /**
    * Relays one run's response to its end. Of several runs at the same time only the one that has an event first is
--- a/packages/routing/src/streamRequest.ts
+++ b/packages/routing/src/request/streamRequest.ts
@@ -2,8 +2,8 @@
  * Serves a request of a stream route in one or more runs. If the route allows it, a stream that breaks is resumed by
  * the next run, within the same response.
  */
+import { notRunReasons, type EngineSettings, type Refusal } from '../model';
 import { attemptCauses, reserveFurtherAttempt, type AttemptInReserve } from './furtherAttempts';
-import { notRunReasons, type EngineSettings, type Refusal } from './model';
 import type { PrefillStage } from './prefillStage';
 import {
   createLostRefusal,
--- a/packages/routing/src/streamRun.ts
+++ b/packages/routing/src/request/streamRun.ts
@@ -1,16 +1,16 @@
 /** One run of a stream: reserves decode memory, has the prompt prefilled, then relays the decoded events. */
 import { assertNever, monotonicNowMs } from '@bluebellhitch/shared';
-import type { BackendResponse, PrefillResult } from './backendApi';
-import type { AttemptInReserve } from './furtherAttempts';
-import type { Placement, PlacementOutcome } from './decodePlacement';
-import { placeForLocalPrefill } from './localPrefillPlacement';
+import type { BackendResponse, PrefillResult } from '../backendApi';
+import type { Placement, PlacementOutcome } from '../servers/decodePlacement';
 import {
   notRunReasons,
   type BackendServer,
   type EngineSettings,
   type NotRunReason,
   type PromptSize,
-} from './model';
+} from '../model';
+import type { AttemptInReserve } from './furtherAttempts';
+import { placeForLocalPrefill } from './localPrefillPlacement';
 import type { PrefillOutcome, PrefillStage } from './prefillStage';
 import { lostRunCauses, noteEventTime, recordLostRun, type EventTimes } from './lostRuns';
 import { createPlacementRequest, excludedIds } from './runPlacement';
--- a/packages/routing/src/streamRuns.ts
+++ b/packages/routing/src/request/streamRuns.ts
@@ -1,6 +1,6 @@
 /** The runs of one stream that are in progress: usually one, and while its server is silent another one beside it. */
+import { stages } from '../model';
 import { attemptCauses, reserveFurtherAttempt } from './furtherAttempts';
-import { stages } from './model';
 import { noteStep, reasonNotToSend } from './requestState';
 import { createStandby } from './standby';
 import {
--- a/packages/routing/src/unusedMemory.ts
+++ b/packages/routing/src/request/unusedMemory.ts
@@ -1,6 +1,6 @@
 /** Memory at engines that a run no longer needs, as it is not sent. */
-import type { PrefillResult, Reservation } from './backendApi';
-import type { Placement } from './decodePlacement';
+import type { PrefillResult, Reservation } from '../backendApi';
+import type { Placement } from '../servers/decodePlacement';
 import type { StreamRun } from './streamRun';
 
 /** Releases the reservation and the prefill result of a run that is not started. */
--- a/packages/routing/src/routerMetrics.ts
+++ b/packages/routing/src/routerMetrics.ts
@@ -4,7 +4,7 @@
 import type { RenderedMetrics } from '@bluebellhitch/telemetry';
 import { createCallerMetrics, type CallerMetrics } from './callerMetrics';
 import type { RouteKind } from './model';
-import { createServerMetrics, type ServerMetrics } from './serverMetrics';
+import { createServerMetrics, type ServerMetrics } from './servers/serverMetrics';
 
 export interface RequestLabels {
   service: string;
--- a/packages/routing/src/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -5,9 +5,9 @@
  */
 import type { Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
+import { noReadBarrier, type ReadBarrier } from '../readBarrier';
 import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
 import type { HttpCall, HttpOutcome } from './httpCall';
-import { noReadBarrier, type ReadBarrier } from './readBarrier';
 
 export interface BackendConnections {
   call(call: HttpCall): Promise<HttpOutcome>;
--- a/packages/routing/src/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -1,7 +1,7 @@
 /** One call on one connection to a backend server, from its sending to the end of the response. */
 import type { Client, Dispatcher } from 'undici';
 import { startPauseTolerantTimer } from '@bluebellhitch/shared';
-import type { ResponseBody, BodyReader } from './backendApi';
+import type { ResponseBody, BodyReader } from '../backendApi';
 import type { HttpCall, HttpOutcome } from './httpCall';
 
 /** The part of a connection that a call uses. */
--- a/packages/routing/src/decodePaces.ts
+++ b/packages/routing/src/servers/decodePaces.ts
@@ -8,7 +8,7 @@
   withinPace,
   type PaceMeter,
 } from '@bluebellhitch/decisions';
-import type { RelayPauses } from './streamRelay';
+import type { RelayPauses } from './streamPauses';
 
 /** Time between two events of a stream, by engine, from this router and its peers. */
 export interface PaceEstimates {
--- a/packages/routing/src/decodePlacement.ts
+++ b/packages/routing/src/servers/decodePlacement.ts
@@ -6,13 +6,13 @@
 import type { OutlierDetector } from '@bluebellhitch/decisions';
 import type { StreamEstimate } from '@bluebellhitch/protocol';
 import { monotonicNowMs, type Random } from '@bluebellhitch/shared';
-import type { BackendApi, CallOutcome, Reservation } from './backendApi';
+import type { BackendApi, CallOutcome, Reservation } from '../backendApi';
+import { stages, type BackendServer } from '../model';
 import type { DecodePaces } from './decodePaces';
 import { callsPerPlacement, createEngineChoice, type SeekingRequest } from './engineChoice';
 import type { EngineLoads, PlacedStream } from './engineLoads';
 import { createFailedEngines } from './failedEngines';
 import type { ServerPools } from './fleetShard';
-import { stages, type BackendServer } from './model';
 import {
   createCandidateLookup,
   hasLostItsVersion,
--- a/packages/routing/src/engineChoice.ts
+++ b/packages/routing/src/servers/engineChoice.ts
@@ -1,11 +1,11 @@
 /** Chooses the decode engine for a request that waits for memory, as far as they have room and have not failed it. */
 import type { Random } from '@bluebellhitch/shared';
+import { stages, type BackendServer } from '../model';
 import type { DecodePaces } from './decodePaces';
 import type { PlacementRequest } from './decodePlacement';
 import type { EngineLoads } from './engineLoads';
 import type { FailedEngines } from './failedEngines';
 import type { ServerPools } from './fleetShard';
-import { stages, type BackendServer } from './model';
 import { compatibleCandidates, withPrefillEngines, type CandidatesOf } from './placementCandidates';
 import { chooseBestFit, type PlacementCandidate } from './placementChoice';
 import type { ServerPermits } from './serverLimits';
--- a/packages/routing/src/engineLoads.ts
+++ b/packages/routing/src/servers/engineLoads.ts
@@ -5,7 +5,7 @@
 import { createMemoryForecast, type MemoryForecast } from '@bluebellhitch/decisions';
 import type { PeerEngineUse, StreamEstimate } from '@bluebellhitch/protocol';
 import { monotonicNowMs, runOnce } from '@bluebellhitch/shared';
-import type { EngineLoad } from './backendApi';
+import type { EngineLoad } from '../backendApi';
 import {
   emptyUse,
   heldTokens,
--- a/packages/routing/src/fleetShard.ts
+++ b/packages/routing/src/servers/fleetShard.ts
@@ -7,7 +7,7 @@
  * limits.
  */
 import { hash64 } from '@bluebellhitch/shared';
-import type { BackendServer, Stage } from './model';
+import type { BackendServer, Stage } from '../model';
 import type { ServerDirectory } from './serverDirectory';
 
 export interface FleetShardOptions {
--- a/packages/routing/src/httpCall.ts
+++ b/packages/routing/src/servers/httpCall.ts
@@ -1,5 +1,5 @@
 /** Types of one HTTP call to a backend server and of its outcome. */
-import type { ResponseBody } from './backendApi';
+import type { ResponseBody } from '../backendApi';
 
 export interface HttpCall {
   /** `ip:port`. */
--- a/packages/routing/src/loadPoller.ts
+++ b/packages/routing/src/servers/loadPoller.ts
@@ -11,10 +11,10 @@
   type BackgroundLoop,
   type Random,
 } from '@bluebellhitch/shared';
-import type { BackendApi, EngineLoad } from './backendApi';
+import type { BackendApi, EngineLoad } from '../backendApi';
+import { stages, type BackendServer } from '../model';
 import type { EngineLoads } from './engineLoads';
 import type { ServerPools } from './fleetShard';
-import { stages, type BackendServer } from './model';
 import type { ServerDirectory } from './serverDirectory';
 import type { StreamSizes } from './streamSizes';
 import { causeOfFailedReport } from './unresponsiveEngines';
--- a/packages/routing/src/placementCandidates.ts
+++ b/packages/routing/src/servers/placementCandidates.ts
@@ -1,8 +1,8 @@
 /** The decode engines at which a request may be placed, by pool, health and software version. */
 import type { OutlierDetector } from '@bluebellhitch/decisions';
+import { stages, type EngineSettings } from '../model';
 import type { EngineLoads } from './engineLoads';
 import type { ServerPools } from './fleetShard';
-import { stages, type EngineSettings } from './model';
 import type { PlacementCandidate } from './placementChoice';
 
 export interface CandidateRequest {
--- a/packages/routing/src/placementChoice.ts
+++ b/packages/routing/src/servers/placementChoice.ts
@@ -2,8 +2,8 @@
 import type { MemoryForecast } from '@bluebellhitch/decisions';
 import type { StreamEstimate } from '@bluebellhitch/protocol';
 import type { Random } from '@bluebellhitch/shared';
+import type { BackendServer } from '../model';
 import { engineWork, noPaces, type DecodePaces } from './decodePaces';
-import type { BackendServer } from './model';
 
 /** A server of a pool with its memory forecast, valid for one pass over the waiting requests. */
 export interface PlacementCandidate {
--- a/packages/routing/src/repeatedProbe.ts
+++ b/packages/routing/src/servers/repeatedProbe.ts
@@ -1,6 +1,6 @@
 /** Asks a server more than once whether it has ended, as one probe may show nothing. */
 import { delay } from '@bluebellhitch/shared';
-import type { ServerPresence } from './backendApi';
+import type { ServerPresence } from '../backendApi';
 
 /** Pauses before the probes. The listener of a process that ends may outlive its connections for a moment. */
 const probeDelaysMs = [0, 100, 400];
--- a/packages/routing/src/reservationCalls.ts
+++ b/packages/routing/src/servers/reservationCalls.ts
@@ -3,8 +3,8 @@
  * it as soon as it goes on, and memory whose reservation nobody knows would stay unused until the engine's own limit.
  */
 import { startPauseTolerantTimer } from '@bluebellhitch/shared';
-import type { BackendApi, CallOutcome, Reservation, ReserveOptions } from './backendApi';
-import type { BackendServer } from './model';
+import type { BackendApi, CallOutcome, Reservation, ReserveOptions } from '../backendApi';
+import type { BackendServer } from '../model';
 
 export interface ReservationRequest extends ReserveOptions {
   /** Called once after the outcome 'late'. A reservation must then be used or released. */
--- a/packages/routing/src/responseBody.ts
+++ b/packages/routing/src/servers/responseBody.ts
@@ -3,7 +3,7 @@
  * as it arrives is read within limits, and beyond them its connection is closed.
  */
 import { startPauseTolerantTimer } from '@bluebellhitch/shared';
-import type { ResponseBody } from './backendApi';
+import type { ResponseBody } from '../backendApi';
 
 export type ResponseBodyOutcome =
   | { kind: 'whole'; body: Buffer }
--- a/packages/routing/src/returnedServers.ts
+++ b/packages/routing/src/servers/returnedServers.ts
@@ -7,8 +7,8 @@
 import { isReturnConfirmed } from '@bluebellhitch/decisions';
 import { delay, type Random } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
-import type { BackendApi, ServerHealth } from './backendApi';
-import type { BackendServer } from './model';
+import type { BackendApi, ServerHealth } from '../backendApi';
+import type { BackendServer } from '../model';
 import type { ServerDirectory, UnconfirmedServer } from './serverDirectory';
 
 export interface ReturnedServersOptions {
--- a/packages/routing/src/serverDirectory.ts
+++ b/packages/routing/src/servers/serverDirectory.ts
@@ -14,7 +14,7 @@
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import { createBoundedMap, judgeEntry, type KnownEntry } from '@bluebellhitch/decisions';
 import type { StorePosition } from '@bluebellhitch/protocol';
-import { serverIdOf, type BackendServer, type Stage } from './model';
+import { serverIdOf, type BackendServer, type Stage } from '../model';
 import { createRemovalDelay, type RemovalDelayOptions, type StoreObserver } from './removalDelay';
 import { createUnconfirmedServers, type ReturnedEntry } from './unconfirmedServers';
 
--- a/packages/routing/src/serverEnds.ts
+++ b/packages/routing/src/servers/serverEnds.ts
@@ -3,8 +3,8 @@
  * connections when they are full, and responses are lost on the way.
  */
 
-import type { BackendApi } from './backendApi';
-import type { BackendServer } from './model';
+import type { BackendApi } from '../backendApi';
+import type { BackendServer } from '../model';
 import { probeRepeatedly } from './repeatedProbe';
 import type { ServerDirectory } from './serverDirectory';
 
--- a/packages/routing/src/serverLimits.ts
+++ b/packages/routing/src/servers/serverLimits.ts
@@ -17,7 +17,7 @@
 } from '@bluebellhitch/protocol';
 import { rotateRandomly, monotonicNowMs, type Random } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
-import type { BackendServer } from './model';
+import type { BackendServer } from '../model';
 
 export interface LimitChannel {
   /** `ip:port` of this process. */
--- a/packages/routing/src/serverNotices.ts
+++ b/packages/routing/src/servers/serverNotices.ts
@@ -2,9 +2,9 @@
 import { createBoundedMap, createBackoffPeriods } from '@bluebellhitch/decisions';
 import { assertNever, monotonicNowMs } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
-import type { ServerNotice } from './backendApi';
+import type { ServerNotice } from '../backendApi';
+import type { BackendServer, Stage } from '../model';
 import type { ServerPools } from './fleetShard';
-import type { BackendServer, Stage } from './model';
 import type { ServerDirectory } from './serverDirectory';
 import type { ServerLimits } from './serverLimits';
 import type { ServiceVersions } from './serviceVersions';
--- a/packages/routing/src/serviceVersions.ts
+++ b/packages/routing/src/servers/serviceVersions.ts
@@ -13,8 +13,8 @@
   type Random,
 } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
-import type { BackendServer } from './model';
-import type { MovedRoute } from './movedRoutes';
+import type { BackendServer } from '../model';
+import type { MovedRoute } from '../movedRoutes';
 import type { ServerDirectory } from './serverDirectory';
 import { createSharedRead, type SharedRead } from './sharedRead';
 import { changeVersionRecord, readVersionRecord, type VersionRecord } from './versionRecords';
--- a/packages/routing/src/stageBalancer.ts
+++ b/packages/routing/src/servers/stageBalancer.ts
@@ -11,8 +11,8 @@
   type Random,
 } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
-import type { BackendApi } from './backendApi';
-import type { ServiceSettings, Stage } from './model';
+import type { BackendApi } from '../backendApi';
+import type { ServiceSettings, Stage } from '../model';
 import type { ServerDirectory } from './serverDirectory';
 import { planStageChanges, type StageChange } from './stagePlan';
 
--- a/packages/routing/src/stagePlan.ts
+++ b/packages/routing/src/servers/stagePlan.ts
@@ -1,5 +1,5 @@
 /** Plans how many of a service's engines should do prefill, and which engines should change their stage. */
-import { stages, type BackendServer, type Stage } from './model';
+import { stages, type BackendServer, type Stage } from '../model';
 
 export interface StageChange {
   server: BackendServer;
--- a/packages/routing/src/streamSizes.ts
+++ b/packages/routing/src/servers/streamSizes.ts
@@ -9,7 +9,7 @@
   type ReportedRun,
 } from '@bluebellhitch/decisions';
 import type { StreamEstimate } from '@bluebellhitch/protocol';
-import type { PromptSize } from './model';
+import type { PromptSize } from '../model';
 
 /** A stream that has ended normally. */
 export interface EndedStream {
--- a/packages/routing/src/unresponsiveEngines.ts
+++ b/packages/routing/src/servers/unresponsiveEngines.ts
@@ -1,5 +1,5 @@
 /** Why engines count as unresponsive: what this router and its peers have seen of them. */
-import type { CallOutcome } from './backendApi';
+import type { CallOutcome } from '../backendApi';
 
 export const unresponsiveCauses = {
   /** A load report had no response in time. */
--- a/scripts/lint/layering.mjs
+++ b/scripts/lint/layering.mjs
@@ -26,6 +26,16 @@
 /** Folders of packages that are not under packages/. */
 const folders = { platform: 'platform', 'platform-standins': 'platform/standins' };
 
+/** Folders in the source of a package, with those that each of them may import beside the package's root. */
+const sourceFolders = {
+  routing: {
+    servers: [],
+    fleet: ['servers'],
+    request: ['fleet', 'servers'],
+    callers: [],
+  },
+};
+
 /** Allowed dependencies within a layer; each needs a reason. */
 const extraDependencies = {};
 
@@ -47,6 +57,7 @@
   const folder = folders[name] ?? `packages/${name}`;
   return [
     layeringConfig(name, `${folder}/src/**/*.ts`, allowedImports(name)),
+    ...folderConfigs(name, folder),
     // Tests may also use the stand-ins for external systems.
     layeringConfig(name, `${folder}/__tests__/**/*.ts`, [
       ...allowedImports(name),
@@ -57,12 +68,29 @@
   ];
 });
 
+/** The imports that a folder of a package's source may not make, as patterns of relative paths. */
+function forbiddenFolders(name, folder) {
+  const allowed = [folder, ...sourceFolders[name][folder]];
+  return Object.keys(sourceFolders[name]).filter((other) => !allowed.includes(other));
+}
+
+function folderConfigs(name, folder) {
+  return Object.keys(sourceFolders[name] ?? {}).map((inner) =>
+    layeringConfig(
+      name,
+      `${folder}/src/${inner}/**/*.ts`,
+      allowedImports(name),
+      forbiddenFolders(name, inner),
+    ),
+  );
+}
+
 function allowedImports(name) {
   const level = layers.findIndex((layer) => layer.includes(name));
   return [...layers.slice(0, level).flat(), ...(extraDependencies[name] ?? [])];
 }
 
-function layeringConfig(name, files, allowed) {
+function layeringConfig(name, files, allowed, forbiddenInside = []) {
   const forbidden = packageNames.filter((other) => !allowed.includes(other));
   const isPureSource = name === 'decisions' && files.includes('/src/');
   return {
@@ -81,6 +109,10 @@
               group: ['@bluebellhitch/*/*'],
               message: 'Import from the package; its index.ts is its public API.',
             },
+            ...forbiddenInside.map((inner) => ({
+              group: [`../${inner}/*`],
+              message: `See the order of the folders of ${name} in CONTRIBUTING.md.`,
+            })),
             ...(isPureSource
               ? [{ group: ioModules, message: 'decisions has no I/O; pass in what it needs.' }]
               : []),
