Answer a request whose handling ends in a defect

What callers saw: the connection of a request that had been read whole was closed without a response, so that they could not know whether it had run.

Cause: an unexpected error in the handling of a request destroyed its connection. The line in the log was the only trace.

Found by listing each path on which a router closes a caller's connection; no such defect is known. Now the caller gets 502, unless a response has begun; that one is cut off as before. 502 promises nothing about whether the request has run.

The test failed before (no bytes) and passes now.

--- a/packages/routing/__tests__/callersServer.test.ts
+++ b/packages/routing/__tests__/callersServer.test.ts
@@ -1,8 +1,11 @@
-import { setImmediate as nextTurn } from 'node:timers/promises';
+import { setImmediate as nextTurn, setTimeout as delay } from 'node:timers/promises';
 import test from 'ava';
 import type { ReadBarrier } from '@bluebellhitch/routing';
 import { openConnection, request, startServer, until } from './support/callersServerFixture';
 
+/** Longer than a response takes on a busy machine. */
+const waitMs = 2_000;
+
 test('a response that started before the drain closes its connection at its end', async (t) => {
   // Guards against a caller's next request being lost when the process exits: the head of a stream has announced a
   // keep-alive connection before the process is told to stop, so the connection must close when the stream ends.
@@ -189,3 +192,14 @@
   await closed;
   t.true(wasReset);
 });
+
+test('a whole request is answered although a defect ends its handling', async (t) => {
+  // Its connection was closed without a response, so that its caller could not know whether it had run.
+  const server = await startServer(t, () => {
+    throw new Error('defect');
+  });
+  const { socket, text } = openConnection(t, server.port);
+  socket.write(request);
+  await Promise.race([until(() => text().includes('\r\n\r\n')), delay(waitMs)]);
+  t.regex(text(), /^HTTP\/1\.1 502 /);
+});
--- a/packages/routing/src/callers/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -12,7 +12,7 @@
 import { noReadBarrier, type ReadBarrier } from '../readBarrier';
 import { createCallerConnections, isCallerWaiting, onceResponseOver } from './callerConnection';
 import { createConnectionClosing, type TakenRequest } from './connectionClosing';
-import { createHttpExchange } from './httpExchange';
+import { createHttpExchange, refuseOverHttp } from './httpExchange';
 import { refuseUnread, type UnreadRequest } from './refuseUnread';
 import { createBodyReaderPool, type RequestBodyOutcome } from './requestBody';
 
@@ -200,7 +200,11 @@
     (incoming, outgoing) => {
       onRequest(incoming, outgoing).catch((error: unknown) => {
         logger.error('unhandled error in request', { error });
-        outgoing.destroy();
+        if (outgoing.headersSent) {
+          outgoing.destroy();
+        } else {
+          refuseOverHttp(outgoing, { kind: 'answer-lost', detail: 'unexpected error' });
+        }
       });
     },
   );
