Answer what was read before a CONNECT, and refuse the CONNECT

What callers saw: a request that had been read whole, and might be running, got no response if a CONNECT followed it on its connection. A CONNECT itself got none either, and the log had no line of it.

Cause: the runtime closes a connection on which it reads CONNECT unless something listens for that, and looks at no request before it.

Now it is refused with 400 as data that cannot be parsed is: after the responses of the requests before it.

Both tests failed before and pass now: no bytes for the CONNECT, and no response to the request before it.

--- a/packages/routing/__tests__/callersServer.test.ts
+++ b/packages/routing/__tests__/callersServer.test.ts
@@ -1,6 +1,6 @@
 import { setImmediate as nextTurn, setTimeout as delay } from 'node:timers/promises';
 import test from 'ava';
-import type { ReadBarrier } from '@bluebellhitch/routing';
+import type { CallerExchange, ReadBarrier } from '@bluebellhitch/routing';
 import { openConnection, request, startServer, until } from './support/callersServerFixture';
 
 /** Longer than a response takes on a busy machine. */
@@ -203,3 +203,26 @@
   await Promise.race([until(() => text().includes('\r\n\r\n')), delay(waitMs)]);
   t.regex(text(), /^HTTP\/1\.1 502 /);
 });
+
+test('a request is answered although a CONNECT follows it on its connection', async (t) => {
+  // The runtime closes a connection on which it reads CONNECT, under the request that was read before it and runs.
+  const exchanges: CallerExchange[] = [];
+  const server = await startServer(t, (exchange) => exchanges.push(exchange));
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write(`${request}CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n`);
+  await Promise.race([until(() => exchanges.length === 1), delay(waitMs)]);
+  t.is(exchanges.length, 1);
+  await delay(50);
+  exchanges[0]?.respond({ status: 200, headers: [], body: Buffer.from('whole') });
+  await closed;
+  t.regex(text(), /^HTTP\/1\.1 200 [^]*\r\n\r\nwhole$/);
+});
+
+test('a CONNECT is refused with a response', async (t) => {
+  // The runtime closes its connection without one, and without a line.
+  const server = await startServer(t, () => t.fail('served'));
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write('CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n');
+  await closed;
+  t.regex(text(), /^HTTP\/1\.1 400 /);
+});
--- a/packages/routing/src/callers/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -224,6 +224,12 @@
       closing.refuseUnread(socket, unparsableResponse(error.code));
     }
   }
+  // The runtime closes a connection on which it reads CONNECT, unless somebody takes it over.
+  server.on('connect', (_incoming, socket: Socket) => {
+    socket.on('error', () => socket.destroy());
+    socket.resume();
+    closing.refuseUnread(socket, unparsableResponse(undefined));
+  });
   watchSlowSenders(server, {
     timeoutMs: () => limits.headerTimeoutMs,
     onTimeout: onCallerError,
