Pass a late answer on at once while a permit for another server is asked for

What callers would see: the whole answer of a late server is held by the router until all questions for a permit of another server have ended, if need be beyond the route's time-out.

Cause: an attempt beside the late one is begun by choosing a server. If those that are left state rate limits, the other routers are asked for permits, server after server. That search ends with the request, but not with its answer, and the answer was passed on only once the other attempt had ended.

Evidence: the new test, in which no router answers for the permit, failed in each run without the change (no response 100 ms after the answer) and passes with it. The other routers are played by a permit that never comes; the real question gives up after 60 ms for each router, of which two are asked for each server, so what is held up depends on the number of servers.

Why it works: an attempt that has an answer, or has passed one on, has ended all others, so none of them can have anything better. The other attempt still ends by itself, and releases what was set aside for it.

--- a/packages/routing/src/request/plainRequest.ts
+++ b/packages/routing/src/request/plainRequest.ts
@@ -100,6 +100,10 @@
   const attempt = await runAttempt(server, { state, deps, contender, isStandby });
   stopWatching();
   noteStep(state, `${server.id} ${attempt.kind}`);
+  // The other attempt has been ended; it may still wait for a permit of another router.
+  if (attempt.kind === 'answer' || attempt.kind === 'forwarded') {
+    return attempt;
+  }
   const other = await standby.outcome();
   return other === undefined ? attempt : betterAttempt(attempt, other);
 }
