Refuse what an entry has read only after the end of its drain

What callers saw: an entry was stopping, and the body of a request came in within the second after the end of its drain. A plain request was then begun like any other: it reached a server, and its connection closed a second later without a status. A request of a model was answered with 503, but as one that may have run.

Cause: the end of the drain stopped the requests that were in progress at that moment, and not those that start later. A body that is still being read has not started.

Now a request that starts after all were stopped is stopped from its start, as at a router, and no request that is stopped is begun: it is refused as not run, and its claim isn't taken.

--- a/packages/entry/src/modelRequest.ts
+++ b/packages/entry/src/modelRequest.ts
@@ -39,6 +39,9 @@
 
 async function runAttempts(run: ModelRun, claim: ClaimGuard | undefined): Promise<FinalOutcome> {
   for (let attempts = 1; ; attempts += 1) {
+    if (run.signal.aborted) {
+      return { kind: 'stopped' };
+    }
     const mayHaveRunBefore = run.mayHaveRun;
     const outcome = await runAttempt(run, claim);
     if (outcome.kind !== 'failed') {
@@ -58,9 +61,6 @@
     }
     run.context.metrics.countRetry(outcome.cause);
     await delay(decision.afterMs, run.signal);
-    if (run.signal.aborted) {
-      return { kind: 'stopped' };
-    }
   }
 }
 
--- a/packages/entry/src/modelRuns.ts
+++ b/packages/entry/src/modelRuns.ts
@@ -21,6 +21,7 @@
   /** Starts the request, or joins the run with the same key and content. */
   start(request: ModelRequest, shareKey?: string): RunSubscription;
   activeCount(): number;
+  /** Stops all runs, also those that start later. */
   stopAll(reason: StopReason): void;
   /** Resolves when no request is running. */
   settled(): Promise<void>;
@@ -37,9 +38,13 @@
 export function createModelRuns(context: RequestContext): ModelRuns {
   const active = new Set<ActiveRun>();
   const shared = new Map<string, ActiveRun>();
+  let allStopped: StopReason | undefined;
 
   function startRun(request: ModelRequest): ActiveRun {
     const stop = new AbortController();
+    if (allStopped !== undefined) {
+      stop.abort(allStopped);
+    }
     const log = createResponseLog();
     const run = createRun(context, request, log, stop.signal);
     const timer = setTimeout(
@@ -94,7 +99,10 @@
       return join(started);
     },
     activeCount: () => active.size,
-    stopAll: (reason) => active.forEach(({ stop }) => stop.abort(reason)),
+    stopAll(reason) {
+      allStopped = reason;
+      active.forEach(({ stop }) => stop.abort(reason));
+    },
     async settled() {
       while (active.size > 0) {
         await Promise.all([...active].map(({ finished }) => finished));
--- a/packages/entry/src/plainApi.ts
+++ b/packages/entry/src/plainApi.ts
@@ -26,6 +26,7 @@
 export interface PlainApi {
   handle(exchange: CallerExchange): Promise<void>;
   activeCount(): number;
+  /** Stops all requests, also those that start later. */
   stopAll(reason: StopReason): void;
 }
 
@@ -40,6 +41,7 @@
     maxReplayBytes = defaultMaxReplayBytes,
   } = options;
   const active = new Set<AbortController>();
+  let allStopped: StopReason | undefined;
 
   async function handle(exchange: CallerExchange): Promise<void> {
     if (refuseBadHeaders(exchange)) {
@@ -117,6 +119,9 @@
       Math.max(0, request.deadlineAtMs - monotonicNowMs()),
     );
     active.add(stop);
+    if (allStopped !== undefined) {
+      stop.abort(allStopped);
+    }
     try {
       await runPlainRequest(context, createPlainRun(context, request, linkedAbort.signal));
     } finally {
@@ -129,7 +134,10 @@
   return {
     handle,
     activeCount: () => active.size,
-    stopAll: (reason) => active.forEach((stop) => stop.abort(reason)),
+    stopAll(reason) {
+      allStopped = reason;
+      active.forEach((stop) => stop.abort(reason));
+    },
   };
 }
 
--- a/packages/entry/src/plainRequest.ts
+++ b/packages/entry/src/plainRequest.ts
@@ -71,6 +71,9 @@
   claim: ClaimGuard | undefined,
 ): Promise<FinalOutcome> {
   for (let attempts = 1; ; attempts += 1) {
+    if (run.signal.aborted) {
+      return { kind: 'stopped' };
+    }
     const mayHaveRunBefore = run.mayHaveRun;
     const outcome = await runPlainAttempt(context, run, claim);
     if (outcome.kind !== 'failed') {
@@ -89,9 +92,6 @@
     }
     context.metrics.countRetry(outcome.cause);
     await delay(decision.afterMs, run.signal);
-    if (run.signal.aborted) {
-      return { kind: 'stopped' };
-    }
   }
 }
 
