--- a/packages/routing/src/callers/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -224,7 +224,7 @@
       closing.refuseUnread(socket, unparsableResponse(error.code));
     }
   }
-  // The runtime closes a connection on which it reads CONNECT, unless somebody takes it over.
+  // The runtime closes a connection on which it reads CONNECT, unless a listener handles it.
   server.on('connect', (_incoming, socket: Socket) => {
     socket.on('error', () => socket.destroy());
     socket.resume();
--- a/packages/routing/src/request/streamRuns.ts
+++ b/packages/routing/src/request/streamRuns.ts
@@ -24,7 +24,7 @@
     silentServerId = serverId;
     standby.noteSilent(silentMs);
   });
-  // A server that has failed the stream is not asked again: the other run may as well wait for memory elsewhere.
+  // A server that has failed the stream is not asked again: the other run may wait for memory at another one.
   if (outcome.kind !== 'failed' || !hasOtherEngines(run)) {
     ended.abort();
   }
--- a/packages/routing/src/servers/decodePlacement.ts
+++ b/packages/routing/src/servers/decodePlacement.ts
@@ -235,7 +235,7 @@
       : reserveTimeoutMs;
   }
 
-  /** A silent engine has gone on. The request may still wait for it, or have gone elsewhere, or been refused. */
+  /** A silent engine has gone on. The request may still wait for it, run at another engine, or have been refused. */
   function handleLate(
     server: BackendServer,
     waiter: Waiter,
--- a/packages/routing/src/servers/reservationCalls.ts
+++ b/packages/routing/src/servers/reservationCalls.ts
@@ -1,6 +1,6 @@
 /**
  * Calls that reserve memory at engines. A call whose time is up is not ended at once: an engine that was only silent grants
- * it as soon as it goes on, and memory whose reservation nobody knows would stay unused until the engine's own limit.
+ * it as soon as it goes on, and memory of an unknown reservation would stay unused until the engine's own limit.
  */
 import { startPauseTolerantTimer } from '@bluebellhitch/shared';
 import type { BackendApi, CallOutcome, Reservation, ReserveOptions } from '../backendApi';
