Take a body with another transfer coding than chunked for one that ends with its connection

What callers would see: a 200 with a part of the body, framed as whole, if the server stated such a coding and its connection was reset.

Cause: any Transfer-Encoding counted as framing of the response's own. The parser reads a body whose last coding is not chunked until the connection ends, and undici takes a reset for that end. The check for a reset was made only for responses without a length.

Now only chunked alone is framing. No coding, or identity, is read to the end of the connection, which a reset does not complete. Other codings are not decoded here, and their header is not passed on, so such a response is lost: its bytes are not the body.

--- a/packages/routing/__tests__/backendConnections.test.ts
+++ b/packages/routing/__tests__/backendConnections.test.ts
@@ -61,6 +61,26 @@
   t.not((await readBody(t, address)).kind, 'whole');
 });
 
+['identity', '', 'gzip', 'gzip, chunked', 'chunked, identity'].forEach((coding) => {
+  test(`a response with the transfer coding “${coding}” whose connection is reset is lost`, async (t) => {
+    // Such a body ends with its connection like one without a length: a part of it looked complete, framed as whole.
+    const { address } = await startRawServer(t, (socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\nhal`, () => {
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      });
+    });
+    t.is((await readBody(t, address)).kind, 'lost');
+  });
+});
+
+test('a response with a transfer coding that is not decoded is lost', async (t) => {
+  // The caller would get the coded bytes as the body, without the header that tells so.
+  const { address } = await startRawServer(t, (socket) => {
+    socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\ncoded');
+  });
+  t.is((await readBody(t, address)).kind, 'lost');
+});
+
 test('a body that is shorter than its Content-Length is lost', async (t) => {
   const { address } = await startRawServer(t, (socket) => {
     socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhal');
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -31,6 +31,7 @@
 }
 
 const minErrorStatus = 400;
+const bodylessStatuses: readonly number[] = [204, 304];
 
 type BodyEnd = { kind: 'whole' } | { kind: 'lost'; detail: string };
 
@@ -144,7 +145,15 @@
       noteProgress();
       startedController.pause();
       const headers = readHeaders(startedController.rawHeaders);
-      isFramed = hasFraming(headers, status);
+      const framing = framingOf(headers, status);
+      if (framing === 'unknown') {
+        endWithoutResponse(
+          { kind: 'lost', detail: 'unknown transfer coding', isOurs },
+          'unknown transfer coding',
+        );
+        return;
+      }
+      isFramed = framing === 'own';
       connection.isCloseDelimited = !isFramed;
       connection.isOnlyForAnonymous ||= call.isAnonymous === true && status >= minErrorStatus;
       body.isUnframed = !isFramed;
@@ -198,14 +207,29 @@
   return Array.isArray(raw) ? raw.map((part) => part.toString('latin1')) : [];
 }
 
-/** Whether the response itself marks the end of its body, rather than the end of the connection. */
-function hasFraming(headers: readonly string[], status: number): boolean {
-  return (
-    status === 204 ||
-    status === 304 ||
-    headers.some(
-      (name, index) =>
-        index % 2 === 0 && ['content-length', 'transfer-encoding'].includes(name.toLowerCase()),
-    )
+/**
+ * What marks the end of a body: the response itself, or the end of its connection. `unknown`: it has a transfer coding
+ * that the parser passes on as if it were the body (RFC 9112, 6.1).
+ */
+function framingOf(headers: readonly string[], status: number): 'own' | 'connection' | 'unknown' {
+  if (bodylessStatuses.includes(status)) {
+    return 'own';
+  }
+  const codings = valuesOf(headers, 'transfer-encoding')
+    .flatMap((value) => value.split(','))
+    .map((coding) => coding.trim().toLowerCase());
+  if (codings.length === 1 && codings[0] === 'chunked') {
+    return 'own';
+  }
+  if (codings.some((coding) => !['', 'identity'].includes(coding))) {
+    return 'unknown';
+  }
+  const hasLength = valuesOf(headers, 'content-length').length > 0;
+  return hasLength && codings.length === 0 ? 'own' : 'connection';
+}
+
+function valuesOf(headers: readonly string[], name: string): string[] {
+  return headers.filter(
+    (_part, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name,
   );
 }
