Believe what a server goes on writing, whatever entry seemed to be newer

What callers would see: another writer leaves one entry under the name of a server in service. With a start time where the server's own entries state none, or a later one, or with a higher number, no router used the server again, for as long as these ran: all that the server wrote afterwards was ignored as older.

Cause: what decides which of two entries is newer (start time, number) is part of the entry itself, and was kept as its highest value. So one entry could raise the bar for good.

Now an entry that is ignored is remembered while it is the last one of its name. Watches do not show that a server goes on writing the same, so it is read again, about twice a second: once two more writes have come, and none of the seemingly newer incarnation in between, it is applied. A write of a past incarnation that is executed late is followed by those of the server in service, and stays ignored as before. An ignored entry that announces a leaving takes its name out of use until the next entry that counts. What an engine says of its own start in a load report goes before any entry.

Not chosen: asking for the server's health, which names no start, so that both incarnations of one address look alike; taking each entry that differs for unconfirmed, which would keep restarted servers from requests for late writes of past incarnations; the order of the store alone, by which late writes count (docs/design/returned-entries.md).

--- a/packages/decisions/__tests__/entryHistory.test.ts
+++ b/packages/decisions/__tests__/entryHistory.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { isReturnConfirmed, judgeEntry } from '@bluebellhitch/decisions';
+import { areIgnoredEntriesLasting, isReturnConfirmed, judgeEntry } from '@bluebellhitch/decisions';
 
 const change = (number?: number) => ({ number, isListed: false });
 
@@ -49,3 +49,16 @@
   t.false(isReturnConfirmed({ isHealthy: false }));
   t.false(isReturnConfirmed({ knownNumber: 5, isHealthy: undefined }));
 });
+
+test('ignored entries last once two more have been written', (t) => {
+  const written = (latestNumber: number) => ({ firstNumber: 5, latestNumber, forMs: 60_000 });
+  t.deepEqual(
+    [5, 6, 7, 8].map((number) => areIgnoredEntriesLasting(written(number))),
+    [false, false, true, true],
+  );
+});
+
+test('ignored entries without numbers last once they would have expired', (t) => {
+  t.false(areIgnoredEntriesLasting({ forMs: 3_600 }));
+  t.true(areIgnoredEntriesLasting({ forMs: 10_000 }));
+});
--- a/packages/decisions/src/entryHistory.ts
+++ b/packages/decisions/src/entryHistory.ts
@@ -39,6 +39,15 @@
   isHealthy?: boolean;
 }
 
+/** Entries of one incarnation that were not applied, as a known entry seemed to be newer. */
+export interface IgnoredEntries {
+  /** Numbers of the first and the latest of them. */
+  firstNumber?: number;
+  latestNumber?: number;
+  /** Time since the first. */
+  forMs: number;
+}
+
 /** A server numbers its entries from 1. */
 const firstEntryNumber = 1;
 /**
@@ -46,6 +55,10 @@
  * writes of a server that has left do not go on for that long.
  */
 const confirmingWrites = 5;
+/** Between so many writes of one incarnation, a later one in service would have written its own entry. */
+const lastingWrites = 2;
+/** The same for entries without numbers: longer than an entry lasts that is not written again. */
+const lastingMs = 10_000;
 
 export function judgeEntry(entry: ReceivedEntry, known: KnownEntry): EntryVerdict {
   switch (known.state) {
@@ -77,6 +90,17 @@
   return latestNumber - base >= confirmingWrites;
 }
 
+/**
+ * Whether an incarnation goes on writing entries that were ignored, and no other entry of its name comes in between. The one
+ * that seemed to be newer then is not: a write that is executed late is followed by those of the server in service.
+ */
+export function areIgnoredEntriesLasting(ignored: IgnoredEntries): boolean {
+  const { firstNumber, latestNumber, forMs } = ignored;
+  return firstNumber === undefined || latestNumber === undefined
+    ? forMs >= lastingMs
+    : latestNumber - firstNumber >= lastingWrites;
+}
+
 function isLower(number: number | undefined, knownNumber: number | undefined): boolean {
   return number !== undefined && knownNumber !== undefined && number < knownNumber;
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -18,6 +18,7 @@
 export { createEventSize, type EventSize, type ReportedRun } from './eventSize';
 export {
   isReturnConfirmed,
+  areIgnoredEntriesLasting,
   judgeEntry,
   type EntryVerdict,
   type KnownEntry,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -155,6 +155,11 @@
 export { createRouteTable, type RouteTable } from './routeTable';
 export { probeRepeatedly } from './servers/repeatedProbe';
 export { createServerEnds, type ServerEnds, type ServerEndsOptions } from './servers/serverEnds';
+export {
+  createIgnoredEntryReview,
+  type IgnoredEntryReview,
+  type IgnoredEntryReviewOptions,
+} from './servers/ignoredEntryReview';
 export {
   createReturnedServers,
   type ReturnedServers,
--- a/packages/routing/src/servers/serverDirectory.ts
+++ b/packages/routing/src/servers/serverDirectory.ts
@@ -8,96 +8,45 @@
  * an entry with a lower number than a known one is ignored; and an incarnation that is listed again after its removal
  * gets requests only once it is confirmed to be in service: see `decisions/entryHistory`.
  *
+ * Others can write entries too. One that seems to be newer than all that the server itself writes afterwards must not keep
+ * the server from use, nor hide that it leaves: entries that are ignored are remembered while they last, and replace the
+ * known one if the server goes on writing them (`ignoredEntries`).
+ *
  * Entries that expired while the store was unavailable are written again moments after it recovers. Removals are
  * therefore delayed for that long: otherwise an outage of the store would empty pools whose servers are all running.
  */
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import { createBoundedMap, judgeEntry, type KnownEntry } from '@bluebellhitch/decisions';
+import {
+  createBoundedMap,
+  judgeEntry,
+  type EntryVerdict,
+  type KnownEntry,
+} from '@bluebellhitch/decisions';
 import type { StorePosition } from '@bluebellhitch/protocol';
 import { serverIdOf, type BackendServer, type Stage } from '../model';
-import { createRemovalDelay, type RemovalDelayOptions, type StoreObserver } from './removalDelay';
-import { createUnconfirmedServers, type ReturnedEntry } from './unconfirmedServers';
+import { createDelayedRemovals } from './delayedRemovals';
+import { createIgnoredEntries } from './ignoredEntries';
+import type { RemovalDelayOptions } from './removalDelay';
+import type { IgnoredCause, KnownState, ServerChange, ServerDirectory } from './serverDirectoryApi';
+import { createUnconfirmedServers } from './unconfirmedServers';
+
+export type { ServerChange, ServerDirectory, UnconfirmedServer } from './serverDirectoryApi';
 
 export interface ServerDirectoryOptions extends RemovalDelayOptions {
   onChanged?: (change: ServerChange) => void;
 }
 
-/** What was known of an incarnation before a change. */
-export type KnownState = 'unknown' | 'ready' | 'draining' | 'removed';
-
-export type ServerChange = {
-  server: BackendServer;
-  known: KnownState;
-  /** Highest number known of an entry of the incarnation. */
-  knownNumber?: number;
-} & (
-  | { kind: 'added' | 'changed'; isListed: boolean; isUnconfirmed: boolean }
-  /** The entry was not applied: it is older than what is known. */
-  | { kind: 'ignored'; cause: 'past-incarnation' | 'late'; isListed: boolean }
-  | { kind: 'withdrawn' | 'leaving' | 'confirmed' | 'unconfirmed' }
-  | { kind: 'removal-held'; forMs: number }
-  | { kind: 'removed'; position?: StorePosition }
-);
-
-/** An incarnation that is listed again after its removal, and may have left. */
-export interface UnconfirmedServer extends ReturnedEntry {
-  server: BackendServer;
-}
-
-export interface ServerDirectory extends StoreObserver {
-  put(server: BackendServer): void;
-  /** `position` is that of the removal in the store, if it is known. */
-  remove(name: string, position?: StorePosition): void;
-  /**
-   * Called when the entry of this name cannot be read. Like a draining server it gets no new requests; requests in
-   * progress continue, and its next readable entry makes it usable again.
-   */
-  withdraw(name: string): void;
-  /** Replaces all servers by the store's complete list; the entries of `unreadableNames` could not be read. */
-  replaceAll(servers: readonly BackendServer[], unreadableNames?: readonly string[]): void;
-  /** The server itself reports the start of its incarnation, possibly before its new entry arrives. */
-  noteStarted(server: BackendServer, bornAtMs: number, stage: Stage): void;
-  /** The server has announced that it is leaving. */
-  noteLeaving(server: Pick<BackendServer, 'id'>): void;
-  /** The incarnation that returned is in service; no effect if it is not listed or leaves. */
-  confirm(id: string): void;
-  /** The incarnation, if it gets no requests until it is confirmed; otherwise undefined. */
-  unconfirmed(id: string): UnconfirmedServer | undefined;
-  get(id: string): BackendServer | undefined;
-  /** Servers that may get new requests. */
-  usable(serviceName: string, stage?: Stage): BackendServer[];
-  /** Whether a later incarnation of it is listed, so that everything it was running is lost. */
-  hasRestarted(server: BackendServer): boolean;
-  /** All listed servers, including draining ones. */
-  all(): BackendServer[];
-  /** The software versions of the service's listed servers, including draining ones. */
-  softwareVersions(serviceName: string): string[];
-  size(): number;
-  /** Increases with each change. */
-  version(): number;
-  /** When a server was last added or removed or began to drain, on the monotonic clock. */
-  membershipChangedAtMs(): number;
-}
-
-interface DelayedRemoval {
-  server: BackendServer;
-  position?: StorePosition;
-  timer: NodeJS.Timeout;
-  endsAtMs: number;
-}
-
 /** Names whose latest incarnation is remembered after removal: late entries of it arrive within seconds. */
 const maxRememberedNames = 4_096;
 const maxRememberedIds = 4_096;
 
 export function createServerDirectory(options: ServerDirectoryOptions = {}): ServerDirectory {
   const { onChanged = () => undefined } = options;
-  const removalDelay = createRemovalDelay({ ...options, onAnswered: shortenDelays });
+  const delayedRemovals = createDelayedRemovals({ ...options, onDue: removeNow });
   /** Keyed by name. */
   const servers = new Map<string, BackendServer>();
   const idsToNames = new Map<string, string>();
   const latestBornAtMs = createBoundedMap<string, number>({ maxEntries: maxRememberedNames });
-  const delayedRemovals = new Map<string, DelayedRemoval>();
   let version = 0;
   let membershipChangedAtMs = -Infinity;
   /** Highest entry number of each removed server, keyed by id. */
@@ -108,6 +57,7 @@
   const leavingIds = createBoundedMap<string, true>({ maxEntries: maxRememberedIds });
   /** They are marked as draining, unless they are trusted. */
   const unconfirmedServers = createUnconfirmedServers(endTrust);
+  const ignoredEntries = createIgnoredEntries();
   /** Names of servers marked as draining only because their entries are unreadable. */
   const withdrawnNames = new Set<string>();
 
@@ -133,27 +83,6 @@
     return { known: get(server.id)?.isDraining ? 'draining' : 'ready', knownNumber };
   }
 
-  function cancelRemoval(name: string): void {
-    clearTimeout(delayedRemovals.get(name)?.timer);
-    delayedRemovals.delete(name);
-  }
-
-  function delayRemoval(server: BackendServer, delayMs: number, position?: StorePosition): void {
-    cancelRemoval(server.name);
-    const timer = setTimeout(() => removeNow(server, position), delayMs);
-    timer.unref();
-    const endsAtMs = monotonicNowMs() + delayMs;
-    delayedRemovals.set(server.name, { server, position, timer, endsAtMs });
-  }
-
-  /** A removal received in an outage is delayed by a guess; when the outage has ended, its bound is known. */
-  function shortenDelays(): void {
-    const leftMs = Math.max(0, removalDelay.leftMs());
-    [...delayedRemovals.values()]
-      .filter(({ endsAtMs }) => endsAtMs > monotonicNowMs() + leftMs)
-      .forEach(({ server, position }) => delayRemoval(server, leftMs, position));
-  }
-
   function isOfPastIncarnation({ name, bornAtMs = Infinity }: BackendServer): boolean {
     return bornAtMs < (latestBornAtMs.get(name) ?? -Infinity);
   }
@@ -165,31 +94,68 @@
 
   function put(entry: BackendServer, isListed = false): void {
     const earlier = before(entry);
-    if (isOfPastIncarnation(entry)) {
-      const cause = 'past-incarnation';
-      onChanged({ kind: 'ignored', cause, server: entry, ...earlier, isListed });
-      return;
-    }
     if (entry.isDraining) {
       markLeaving(entry.id);
     }
     const verdict = judgeEntry({ number: entry.entryNumber, isListed }, knownEntryOf(entry));
-    if (verdict === 'late' && !entry.isDraining) {
-      onChanged({ kind: 'ignored', cause: 'late', server: entry, ...earlier, isListed });
-      return;
-    }
-    if (entry.bornAtMs === undefined && latestBornAtMs.get(entry.name) !== undefined) {
-      // A server that states its start time does so in every entry: this one was written by someone else.
-      withdraw(entry.name);
+    const ignoredCause = resolveIgnoredCause(entry, verdict);
+    if (ignoredCause !== undefined) {
+      ignore(entry, ignoredCause, isListed);
       return;
     }
     if (verdict === 'unconfirmed' && !leavingIds.has(entry.id)) {
       const returned = { knownNumber: earlier.knownNumber, returnedNumber: entry.entryNumber };
-      unconfirmedServers.add(entry.id, returned, delayedRemovals.get(entry.name)?.endsAtMs);
+      unconfirmedServers.add(entry.id, returned, delayedRemovals.endsAtMs(entry.name));
     }
     apply(entry, earlier, isListed);
   }
 
+  function resolveIgnoredCause(
+    entry: BackendServer,
+    verdict: EntryVerdict,
+  ): IgnoredCause | undefined {
+    if (isOfPastIncarnation(entry)) {
+      return 'past-incarnation';
+    }
+    if (verdict === 'late' && !entry.isDraining) {
+      return 'late';
+    }
+    // A server that states its start time does so in every entry: one without it was written by someone else.
+    const isStartKnown = latestBornAtMs.get(entry.name) !== undefined;
+    return isStartKnown && entry.bornAtMs === undefined ? 'no-start' : undefined;
+  }
+
+  /** The entry in use may be foreign: once another one announces a leaving, the server at this name gets no requests. */
+  function ignore(entry: BackendServer, cause: IgnoredCause, isListed: boolean): void {
+    if (!isSameEntry(entry, servers.get(entry.name))) {
+      ignoredEntries.note(entry);
+    }
+    onChanged({ kind: 'ignored', cause, server: entry, ...before(entry), isListed });
+    if (cause === 'no-start' || entry.isDraining) {
+      withdraw(entry.name);
+    }
+  }
+
+  /** What the server goes on writing is true, whatever seemed to be newer. */
+  function adopt(entry: BackendServer): void {
+    const previous = servers.get(entry.name);
+    if (previous !== undefined) {
+      removeNow(previous);
+    }
+    removedNumbers.delete(entry.id);
+    latestBornAtMs.delete(entry.name);
+    onChanged({ kind: 'adopted', server: entry, known: 'unknown' });
+    apply(entry, { known: 'unknown' }, false);
+  }
+
+  function reviewIgnored(entry: BackendServer): void {
+    put(entry);
+    const lasting = ignoredEntries.lasting(entry.name);
+    if (lasting !== undefined) {
+      adopt(lasting);
+    }
+  }
+
   function endTrust(id: string): void {
     const server = get(id);
     if (server !== undefined) {
@@ -214,8 +180,9 @@
     if (server.bornAtMs !== undefined) {
       latestBornAtMs.set(server.name, server.bornAtMs);
     }
-    cancelRemoval(server.name);
+    delayedRemovals.cancel(server.name);
     withdrawnNames.delete(server.name);
+    ignoredEntries.delete(server.name);
     removedNumbers.delete(server.id);
     const listed = servers.get(server.name);
     servers.set(server.name, server);
@@ -229,7 +196,7 @@
   }
 
   function removeNow(server: BackendServer, position?: StorePosition): void {
-    cancelRemoval(server.name);
+    delayedRemovals.cancel(server.name);
     const earlier = before(server);
     servers.delete(server.name);
     idsToNames.delete(server.id);
@@ -241,17 +208,18 @@
   }
 
   function remove(name: string, position?: StorePosition): void {
+    ignoredEntries.delete(name);
     const server = servers.get(name);
     if (server === undefined || delayedRemovals.has(name)) {
       return;
     }
-    const delayMs = server.isDraining ? 0 : removalDelay.leftMs();
+    const delayMs = server.isDraining ? 0 : delayedRemovals.leftMs();
     if (delayMs <= 0) {
       removeNow(server, position);
       return;
     }
     const earlier = before(server);
-    delayRemoval(server, delayMs, position);
+    delayedRemovals.add(server, delayMs, position);
     onChanged({ kind: 'removal-held', server, ...earlier, forMs: Math.round(delayMs) });
   }
 
@@ -281,18 +249,24 @@
     const names = new Set([...listed.map(({ name }) => name), ...unreadableNames]);
     listed.forEach((server) => put(server, true));
     unreadableNames.forEach((name) => withdraw(name));
-    [...servers.keys()].filter((name) => !names.has(name)).forEach((name) => remove(name));
+    [...servers.keys(), ...ignoredEntries.names()]
+      .filter((name) => !names.has(name))
+      .forEach((name) => remove(name));
   }
 
-  /** The new incarnation answers, so it is in service, unless the entry under its name is unreadable. */
+  /**
+   * The incarnation answers, so it is in service, unless the entry under its name is unreadable. What it says of its start
+   * goes before any entry, as others can write entries.
+   */
   function noteStarted(server: BackendServer, bornAtMs: number, stage: Stage): void {
     const known = servers.get(server.name);
-    if (known?.id !== server.id || bornAtMs <= (server.bornAtMs ?? -Infinity)) {
+    if (known?.id !== server.id || bornAtMs === server.bornAtMs) {
       return;
     }
     const isDraining = withdrawnNames.has(known.name);
     const id = serverIdOf(server.name, bornAtMs);
     const started = { ...known, id, bornAtMs, stage, isDraining, entryNumber: undefined };
+    latestBornAtMs.delete(known.name);
     apply(started, before(started), false);
   }
 
@@ -326,6 +300,8 @@
 
   return {
     put: (server) => put(server),
+    reviewIgnored,
+    isIgnoring: ignoredEntries.has,
     remove,
     withdraw,
     replaceAll,
@@ -337,10 +313,10 @@
       const returned = unconfirmedServers.get(id);
       return server && returned && { server, ...returned };
     },
-    storeLost: removalDelay.storeLost,
-    storeFound: removalDelay.storeFound,
-    storeAnswered: removalDelay.storeAnswered,
-    storeRecovered: removalDelay.storeRecovered,
+    storeLost: delayedRemovals.storeLost,
+    storeFound: delayedRemovals.storeFound,
+    storeAnswered: delayedRemovals.storeAnswered,
+    storeRecovered: delayedRemovals.storeRecovered,
     get,
     usable: (serviceName, stage) =>
       [...servers.values()].filter(
@@ -364,6 +340,16 @@
   };
 }
 
+/** Whether the entries say the same, but for their numbers. */
+function isSameEntry(entry: BackendServer, listed: BackendServer | undefined): boolean {
+  const { entryNumber, entryPosition, isDraining, ...content } = entry;
+  return (
+    listed !== undefined &&
+    listed.isDraining === isDraining &&
+    Object.entries(content).every(([key, value]) => listed[key as keyof BackendServer] === value)
+  );
+}
+
 function highest(number: number | undefined, other: number | undefined): number | undefined {
   return number === undefined || other === undefined ? (number ?? other) : Math.max(number, other);
 }
