Keep a stream that still brings events when its engine's entry looks like a restart

What callers would see: streams were cut within 100 ms, though their engine went on writing them, when another writer left an entry with a start time under the engine's name.

Cause: an entry with another start time counted as a restart, and a restart as proof that all runs at the engine were lost. It is meant for an engine that lost power and is back: its old connections stay open and silent.

An engine that has lost power is back after seconds, so its runs end at the first look, as before.

--- a/packages/routing/src/request/runWatch.ts
+++ b/packages/routing/src/request/runWatch.ts
@@ -31,7 +31,9 @@
   onLost: () => void,
 ): RunWatch {
   const timeoutMs = eventTimeoutMs(state.route);
+  const unresponsiveStallTimeoutMs = unresponsiveTimeoutShare * timeoutMs;
   let isSilent = false;
+  let progressAtMs = monotonicNowMs();
   let nextEndCheckAtMs = -Infinity;
 
   /** A server that is leaving may take no connections any more and still finish its streams, which this allows for. */
@@ -44,11 +46,17 @@
     }
   }
 
+  /** A run that still brings events is not lost: others can write an entry that looks like a restart. */
+  function isServerRestarted(): boolean {
+    const withoutProgressMs = monotonicNowMs() - progressAtMs;
+    return withoutProgressMs > unresponsiveStallTimeoutMs && deps.directory.hasRestarted(server);
+  }
+
   const watch = startStallWatch({
     stallTimeoutMs: stallTimeoutShare * timeoutMs,
-    unresponsiveStallTimeoutMs: unresponsiveTimeoutShare * timeoutMs,
+    unresponsiveStallTimeoutMs,
     isServerUnresponsive: () => deps.engineLoads.isUnresponsive(server.id),
-    isServerRestarted: () => deps.directory.hasRestarted(server),
+    isServerRestarted,
     onStalled(silentMs) {
       if (relay.isCallerBehind()) {
         watch.noteProgress();
@@ -65,6 +73,7 @@
   return {
     noteProgress() {
       isSilent = false;
+      progressAtMs = monotonicNowMs();
       watch.noteProgress();
     },
     isSilent: () => isSilent,
