Pass a plain response through the agent as whole only if its server ended it

What callers would see, on the own interface: a 200 with a part of the body, framed as whole, if a plain server's response had no length and no chunks, and its connection was reset or its process ended.

Cause: such a body ends with its connection, and the client library takes a reset for that end. The router has guarded against it for long (backendConnections); the agent called its server by a pool of the library's own.

Now the agent uses the router's connections to backend servers: a reset loses the response, a transfer coding that is not decoded too, and where the connection is closed in order, a new connection shows whether the process has ended. The slot is released once the whole response is sent, as before.

Not changed: a server that closes an unframed response early, in order, and goes on cannot be told from one that has finished it.

--- a/packages/agent/__tests__/helpers/innerBench.ts
+++ b/packages/agent/__tests__/helpers/innerBench.ts
@@ -1,6 +1,6 @@
 /** Runs an agent with its real inner port and a fake engine or a plain server on loopback. */
 import { createServer, type RequestListener, type Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { createServer as createSocketServer, type AddressInfo, type Socket } from 'node:net';
 import { createTRPCClient, httpLink } from '@trpc/client';
 import type { ExecutionContext } from 'ava';
 import { okAsync } from 'neverthrow';
@@ -96,6 +96,20 @@
   return start(t, { kind: 'plain' }, 'counter-app', security, backendUrl);
 }
 
+/** A TCP server that is given the socket of each request. */
+export async function startRawBackend(t: ExecutionContext, onRequest: (socket: Socket) => void) {
+  const server = createSocketServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => onRequest(socket));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const close = () => server.close();
+  t.teardown(close);
+  return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, close };
+}
+
 export function plainHeaders(attemptId: string, deadlineInMs = 2000): Record<string, string> {
   return {
     [innerHeaders.entryId]: 'entry-1',
--- a/packages/agent/__tests__/plainProxy.test.ts
+++ b/packages/agent/__tests__/plainProxy.test.ts
@@ -2,7 +2,13 @@
 import test from 'ava';
 import { innerHeaders } from '@bluebellhitch/protocol';
 import { delay } from '@bluebellhitch/shared';
-import { plainHeaders, startPlainBench, startPlainBenchAt, waitUntil } from './helpers/innerBench';
+import {
+  plainHeaders,
+  startPlainBench,
+  startPlainBenchAt,
+  startRawBackend,
+  waitUntil,
+} from './helpers/innerBench';
 
 test('forwards method, path, headers and body both ways', async (t) => {
   const received: { method?: string; url?: string; headers?: IncomingMessage['headers'] } = {};
@@ -179,3 +185,39 @@
   t.is(await (await running).text(), 'done');
   t.true(await drained);
 });
+
+const unframedHeads: Record<string, string> = {
+  'no length': 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n',
+  'HTTP/1.0': 'HTTP/1.0 200 OK\r\n\r\n',
+  'another transfer coding': 'HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n',
+};
+Object.entries(unframedHeads).forEach(([name, head]) => {
+  test(`a response with ${name} whose connection is reset is aborted`, async (t) => {
+    // It ends with its connection, and a reset was taken for that end: a part of the body was passed on with 200, as whole.
+    const { url } = await startRawBackend(t, (socket) => {
+      socket.write(`${head}hal`, () => setTimeout(() => socket.resetAndDestroy(), 20));
+    });
+    const { server } = await startPlainBenchAt(t, url);
+    const response = fetch(`${server.address}/plain/x`, { headers: plainHeaders('a') });
+    await t.throwsAsync(response.then((answer) => answer.text()));
+  });
+
+  test(`a response with ${name} whose server ends is aborted`, async (t) => {
+    // A process that ends closes its connections, as the end of such a response does.
+    const backend = await startRawBackend(t, (socket) => {
+      backend.close();
+      socket.end(`${head}hal`);
+    });
+    const { server } = await startPlainBenchAt(t, backend.url);
+    const response = fetch(`${server.address}/plain/x`, { headers: plainHeaders('a') });
+    await t.throwsAsync(response.then((answer) => answer.text()));
+  });
+
+  test(`a response with ${name} is passed on whole`, async (t) => {
+    const { url } = await startRawBackend(t, (socket) => socket.end(`${head}whole`));
+    const { server } = await startPlainBenchAt(t, url);
+    const response = await fetch(`${server.address}/plain/x`, { headers: plainHeaders('a') });
+    t.is(response.status, 200);
+    t.is(await response.text(), 'whole');
+  });
+});
--- a/packages/agent/src/plainHeaders.ts
+++ b/packages/agent/src/plainHeaders.ts
@@ -25,25 +25,34 @@
 /** Handled by the HTTP server of this process; the client library does not forward it. */
 const expectHeader = 'expect';
 
-/** Request headers that are forwarded to the backend server. */
-export function forwardedRequestHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
-  return omitHeaders(headers, (name) => innerHeaderNames.has(name) || name === expectHeader);
+/** Request headers that are forwarded to the backend server, as alternating names and values. */
+export function forwardedRequestHeaders(headers: IncomingHttpHeaders): string[] {
+  const pairs = Object.entries(headers).flatMap(([name, value = []]) =>
+    [value].flat().map((single): Header => [name, single]),
+  );
+  return omitHeaders(pairs, (name) => innerHeaderNames.has(name) || name === expectHeader);
 }
 
-/** Response headers that are forwarded to the entry; inner headers are dropped, since only the agent may set them. */
-export function forwardedResponseHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
-  return omitHeaders(headers, (name) => innerHeaderNames.has(name));
+/**
+ * Response headers that are forwarded to the entry; inner headers are dropped, since only the agent may set them. Both
+ * lists alternate names and values.
+ */
+export function forwardedResponseHeaders(headers: readonly string[]): string[] {
+  const pairs = headers.flatMap((name, index): Header[] =>
+    index % 2 === 0 ? [[name, headers[index + 1] ?? '']] : [],
+  );
+  return omitHeaders(pairs, (name) => innerHeaderNames.has(name));
 }
 
-function omitHeaders(
-  headers: IncomingHttpHeaders,
-  isDropped: (name: string) => boolean,
-): IncomingHttpHeaders {
-  const connectionNames = String(headers.connection ?? '')
-    .split(',')
+type Header = readonly [name: string, value: string];
+
+function omitHeaders(headers: readonly Header[], isDropped: (name: string) => boolean): string[] {
+  const connectionNames = headers
+    .filter(([name]) => name.toLowerCase() === 'connection')
+    .flatMap(([, value]) => value.split(','))
     .map((name) => name.trim().toLowerCase());
   const hopByHop = new Set([...hopByHopHeaders, ...connectionNames]);
-  return Object.fromEntries(
-    Object.entries(headers).filter(([name]) => !hopByHop.has(name) && !isDropped(name)),
-  );
+  return headers
+    .filter(([name]) => !hopByHop.has(name.toLowerCase()) && !isDropped(name.toLowerCase()))
+    .flat();
 }
--- a/packages/agent/src/plainProxy.ts
+++ b/packages/agent/src/plainProxy.ts
@@ -3,7 +3,7 @@
  * one of the server's slots, reserved in advance under its attempt id or on arrival.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { pipeline } from 'node:stream/promises';
+import { finished } from 'node:stream/promises';
 import {
   agentRefusalReasons,
   innerHeaders,
@@ -12,8 +12,14 @@
   type LoadHint,
   type ReserveReply,
 } from '@bluebellhitch/protocol';
+import {
+  createBackendConnections,
+  createResponseWriter,
+  forwardBody,
+  type HttpOutcome,
+  type HttpResponse,
+} from '@bluebellhitch/routing';
 import { monotonicNowMs } from '@bluebellhitch/shared';
-import { Pool, type Dispatcher } from 'undici';
 import type { Agent } from './agent';
 import {
   forwardedRequestHeaders,
@@ -21,6 +27,7 @@
   readPlainCall,
   type PlainCall,
 } from './plainHeaders';
+import { isPortClosed } from './portProbe';
 
 export interface PlainProxyOptions {
   agent: Pick<Agent, 'leasing' | 'load' | 'config'>;
@@ -38,14 +45,6 @@
 /** Shorter than the idle timeout of common servers, so that no call is sent on a connection that is closing. */
 const keepAliveMs = 2000;
 
-/** Error codes of failures before the connection was established: the call certainly did not run. */
-const connectFailures: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-];
-
 interface Refusal {
   reason: AgentRefusalReason;
   isProvenNotRun: boolean;
@@ -56,12 +55,10 @@
 export function createPlainProxy(options: PlainProxyOptions): PlainProxy {
   const { agent, backendUrl, connectTimeoutMs = defaultConnectTimeoutMs } = options;
   const { table, releaser, attempts, estimates, reservations } = agent.leasing;
-  const pool = new Pool(backendUrl, {
-    connect: { timeout: connectTimeoutMs },
-    keepAliveTimeout: keepAliveMs,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    pipelining: 1,
+  const { host: address } = new URL(backendUrl);
+  const connections = createBackendConnections({
+    connectTimeoutMs,
+    keepAliveTimeoutMs: keepAliveMs,
   });
 
   async function handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
@@ -132,56 +129,71 @@
     const { attemptId } = call;
     const startedAtMs = monotonicNowMs();
     releaser.registerTask(attemptId, () => callAbort.abort());
-    const timer = setTimeout(
-      () => callAbort.abort(),
-      call.deadlineInMs ?? agent.config().requestTimeoutMs,
-    );
     try {
-      const response = await send(incoming, callAbort.signal);
-      clearTimeout(timer);
-      outgoing.writeHead(response.statusCode, {
-        ...forwardedResponseHeaders(response.headers),
-        [innerHeaders.load]: JSON.stringify(agent.load()),
-      });
-      await pipeline(response.body, outgoing);
-      estimates.observeCall(monotonicNowMs() - startedAtMs);
-    } catch (error) {
-      sendFailure(outgoing, error);
+      const outcome = await send(call, incoming, callAbort.signal);
+      if (outcome.kind === 'answered') {
+        await forward(outcome.response, outgoing);
+        estimates.observeCall(monotonicNowMs() - startedAtMs);
+      } else {
+        refuseFailed(outgoing, outcome);
+      }
+    } catch {
+      // The response is destroyed, which shows the entry that it is incomplete.
     } finally {
-      clearTimeout(timer);
       attempts.noteEnded(attemptId);
       releaser.finish(attemptId);
     }
   }
 
-  function send(incoming: IncomingMessage, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
-    return pool.request({
-      method: incoming.method as Dispatcher.HttpMethod,
+  function send(
+    call: PlainCall,
+    incoming: IncomingMessage,
+    signal: AbortSignal,
+  ): Promise<HttpOutcome> {
+    return connections.call({
+      address,
+      method: incoming.method ?? '',
       path: (incoming.url ?? '').slice(innerPaths.plain.length) || '/',
       headers: forwardedRequestHeaders(incoming.headers),
-      body: hasBody(incoming) ? incoming : null,
+      body: hasBody(incoming) ? incoming : undefined,
+      headTimeoutMs: call.deadlineInMs ?? agent.config().requestTimeoutMs,
+      // The leases limit how many calls are in progress.
+      maxConnections: Infinity,
+      hasServerEnded: () => isPortClosed(address, connectTimeoutMs),
       signal,
     });
   }
 
-  function sendFailure(outgoing: ServerResponse, error: unknown): void {
-    if (outgoing.headersSent) {
-      // The pipeline has destroyed the connection, which shows the entry that the response is incomplete.
-      return;
-    }
-    const code = String((error as { code?: unknown }).code ?? '');
+  /** Resolves once the whole response is sent; rejects if it is incomplete. */
+  async function forward(response: HttpResponse, outgoing: ServerResponse): Promise<void> {
+    outgoing.writeHead(response.status, [
+      ...forwardedResponseHeaders(response.headers),
+      innerHeaders.load,
+      JSON.stringify(agent.load()),
+    ]);
+    await Promise.all([
+      forwardBody(createResponseWriter(outgoing), Buffer.alloc(0), response.body),
+      finished(outgoing),
+    ]);
+  }
+
+  function refuseFailed(
+    outgoing: ServerResponse,
+    outcome: Exclude<HttpOutcome, { kind: 'answered' }>,
+  ): void {
+    const detail = outcome.kind === 'withheld' ? outcome.kind : outcome.detail;
     refuse(
       outgoing,
       {
         reason: agentRefusalReasons.backendFailed,
-        isProvenNotRun: connectFailures.includes(code),
-        detail: `the backend server did not answer: ${code || 'aborted'}`,
+        isProvenNotRun: outcome.kind !== 'lost',
+        detail: `the backend server did not answer: ${detail}`,
       },
       agent.load(),
     );
   }
 
-  return { handle, close: () => pool.destroy() };
+  return { handle, close: connections.close };
 }
 
 function toRefusal(reply: Extract<ReserveReply, { kind: 'refused' }>): Refusal {
--- a/packages/routing/src/callers/httpExchange.ts
+++ b/packages/routing/src/callers/httpExchange.ts
@@ -58,7 +58,8 @@
   };
 }
 
-function createResponseWriter(outgoing: ServerResponse): ResponseWriter {
+/** Writes the body of a response whose head is written. */
+export function createResponseWriter(outgoing: ServerResponse): ResponseWriter {
   return {
     write: (chunk) => outgoing.write(chunk),
     onDrained: (listener) => outgoing.once('drain', listener),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -30,6 +30,8 @@
   type BackendConnectionsOptions,
 } from './servers/backendConnections';
 export type { HttpResponse, HttpCall, HttpOutcome } from './servers/httpCall';
+export { createResponseWriter } from './callers/httpExchange';
+export { forwardBody, type ForwardOutcome } from './request/forwardBody';
 export type { ResponseWriter, CallerExchange, CompleteResponse } from './callerApi';
 export {
   createCallerConnections,
--- a/packages/routing/src/servers/httpCall.ts
+++ b/packages/routing/src/servers/httpCall.ts
@@ -1,4 +1,5 @@
 /** Types of one HTTP call to a backend server and of its outcome. */
+import type { Readable } from 'node:stream';
 import type { ResponseBody } from '../backendApi';
 
 export interface HttpCall {
@@ -8,7 +9,8 @@
   path: string;
   /** Alternating names and values. */
   headers: readonly string[];
-  body?: Buffer | string;
+  /** A stream that has begun to be sent cannot be sent again. */
+  body?: Buffer | string | Readable;
   /** Maximum time from the call to the head of the response, including the time to connect. */
   headTimeoutMs: number;
   signal?: AbortSignal;
