Refuse a CONNECT at the entry after the responses of the requests before it

What callers saw, on the own interface: a request that had been read whole got no response if a CONNECT followed it on its connection, and the CONNECT itself got none either.

Cause: the runtime closes a connection on which it reads CONNECT unless something listens for that. The router listens since; the entry did not.

Now both do, by one function.

Evidence: both new tests of the entry failed before (no bytes), and pass; the router's two tests of the same are unchanged and pass.

Tried on the same path without showing a fault: an agent that closes while the entry reads the last part of a response slowly, by the runtime's own close of idle connections (8 MB, a pause of 5 and of 60 ms after each chunk, 5 runs: whole in each); its test is not kept, as it shows no failure.

--- a/packages/entry/__tests__/callerErrors.test.ts
+++ b/packages/entry/__tests__/callerErrors.test.ts
@@ -152,6 +152,20 @@
   t.notRegex(response, /HTTP\/1.1 400 /);
 });
 
+// The runtime closes a connection on which it reads CONNECT, under the request that was read before it and runs.
+test('a request is answered although a CONNECT follows it on its connection', async (t) => {
+  const { address } = await start(t);
+  const response = await sendRaw(address, [
+    ...['GET /v1/models HTTP/1.1', 'Host: entry', '', 'CONNECT a:1 HTTP/1.1', 'Host: a', '', ''],
+  ]);
+  t.regex(response, /^HTTP\/1.1 200 [^]*draft-models/);
+});
+
+test('a CONNECT is refused with a response', async (t) => {
+  const { address } = await start(t);
+  t.regex(await sendRaw(address, ['CONNECT a:1 HTTP/1.1', 'Host: a', '', '']), /^HTTP\/1.1 400 /);
+});
+
 // `fetch` resolves dot segments itself, so the request line is written by hand.
 test('dot segments do not bypass a route that is not repeatable', async (t) => {
   const { address } = await start(t);
--- a/packages/entry/src/callersServer.ts
+++ b/packages/entry/src/callersServer.ts
@@ -11,6 +11,7 @@
   createReadBarrier,
   isCallerWaiting,
   onceResponseOver,
+  refuseConnect,
 } from '@bluebellhitch/routing';
 import { createRefusal, refusalReasons, watchSlowSenders } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
@@ -125,6 +126,7 @@
       closing.refuseUnread(socket, clientErrorResponse(error));
     }
   }
+  refuseConnect(server, closing, () => clientErrorResponse(new Error('CONNECT')));
   watchSlowSenders(server, {
     timeoutMs: () => options.headersTimeoutMs,
     onTimeout: onCallerError,
--- a/packages/routing/src/callers/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -11,7 +11,7 @@
 import { notRunReasons, type CallerLimits, type CallerRequest, type Refusal } from '../model';
 import { noReadBarrier, type ReadBarrier } from '../readBarrier';
 import { createCallerConnections, isCallerWaiting, onceResponseOver } from './callerConnection';
-import { createConnectionClosing, type TakenRequest } from './connectionClosing';
+import { createConnectionClosing, refuseConnect, type TakenRequest } from './connectionClosing';
 import { createHttpExchange, refuseOverHttp } from './httpExchange';
 import { refuseUnread, type UnreadRequest } from './refuseUnread';
 import { createBodyReaderPool, type RequestBodyOutcome } from './requestBody';
@@ -224,12 +224,7 @@
       closing.refuseUnread(socket, unparsableResponse(error.code));
     }
   }
-  // The runtime closes a connection on which it reads CONNECT, unless a listener handles it.
-  server.on('connect', (_incoming, socket: Socket) => {
-    socket.on('error', () => socket.destroy());
-    socket.resume();
-    closing.refuseUnread(socket, unparsableResponse(undefined));
-  });
+  refuseConnect(server, closing, () => unparsableResponse(undefined));
   watchSlowSenders(server, {
     timeoutMs: () => limits.headerTimeoutMs,
     onTimeout: onCallerError,
--- a/packages/routing/src/callers/connectionClosing.ts
+++ b/packages/routing/src/callers/connectionClosing.ts
@@ -4,7 +4,7 @@
  * While the router drains, a connection whose last response has promised to keep it stays open for a moment, since its
  * caller may have sent the next request already.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 
@@ -52,6 +52,22 @@
 /** Time for a caller to end its side. Until then what still arrives is read, as it would reset the connection otherwise. */
 const closeTimeoutMs = 1_000;
 
+/**
+ * Refuses CONNECT with `response`. The runtime closes a connection on which it reads one, also under requests that were read
+ * before it, unless a listener handles it.
+ */
+export function refuseConnect(
+  server: Server,
+  closing: Pick<ConnectionClosing, 'refuseUnread'>,
+  response: () => string,
+): void {
+  server.on('connect', (_incoming, socket: Socket) => {
+    socket.on('error', () => socket.destroy());
+    socket.resume();
+    closing.refuseUnread(socket, response());
+  });
+}
+
 export function createConnectionClosing(options: ConnectionClosingOptions): ConnectionClosing {
   const connections = new Map<Socket, Connection>();
   const lingering = new Set<Connection>();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -42,7 +42,11 @@
 } from './callers/callerConnection';
 export { createReadBarrier, type ReadBarrier } from './readBarrier';
 export { startHoldUpWatch, type HoldUpWatch } from './callers/holdUpWatch';
-export { createConnectionClosing, type ConnectionClosing } from './callers/connectionClosing';
+export {
+  createConnectionClosing,
+  refuseConnect,
+  type ConnectionClosing,
+} from './callers/connectionClosing';
 export { createConnectionGuard } from './callers/connectionGuard';
 export {
   startCallersServer,
