Read each entry of the list of instances by itself

What callers would see, on the own interface: one odd entry in the platform's list (another type, a missing field, a deeply nested value) made the whole list unreadable. Entries went on with the last list they had, and so to agents that had left; entries that started never became ready.

Cause: the list was validated as one value.

Now an entry that cannot be read is left out, and the others hold, as the router does with entries of backend servers.

Evidence: the new test has 12 odd entries, two of them nested 50,000 deep, before a sound one: no list before, the sound one now.

--- a/packages/objects/src/httpPlatformSchema.ts
+++ b/packages/objects/src/httpPlatformSchema.ts
@@ -38,7 +38,12 @@
 });
 
 export const platformInstanceSchema = listedInstanceSchema;
-export const platformInstancesSchema = z.array(platformInstanceSchema);
+/** Each entry of the list is read by itself: one that another writer has left must not hide all others. */
+export const platformInstancesSchema = z
+  .array(z.unknown())
+  .transform((listed) =>
+    listed.flatMap((instance) => platformInstanceSchema.safeParse(instance).data ?? []),
+  );
 
 /** Body of a `POST` or `PUT` request for an object. */
 export const writeBodySchema = z.object({ value: z.unknown() });
--- a/packages/standins/__tests__/platformHttp.test.ts
+++ b/packages/standins/__tests__/platformHttp.test.ts
@@ -1,5 +1,7 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { createInterface } from 'node:readline';
 import test, { type ExecutionContext } from 'ava';
 import { createHttpPlatformClient } from '@bluebellhitch/objects';
@@ -130,3 +132,30 @@
   await waiting;
   await client.close();
 });
+
+test('an odd entry of the list of instances does not hide the others', async (t) => {
+  // The whole list was unreadable then: entries kept the last one for as long as it lasted, and new ones never became ready.
+  const sound = {
+    ...{ id: 'agent-1', kind: 'agent', service: 's', dataCentre: 'salem-hall', state: 'live' },
+    innerAddress: 'http://10.0.0.1:80',
+  };
+  const nested = `${'['.repeat(50_000)}${']'.repeat(50_000)}`;
+  const odd = [
+    ...['null', '7', '"text"', '{}', nested, `{"id":${nested}}`, '{"__proto__":{"id":"a"}}'],
+    ...[{ id: 1e300 }, { id: '' }, { kind: 'other' }, { innerAddress: 80 }, { state: 'gone' }].map(
+      (over) => JSON.stringify({ ...sound, ...over }),
+    ),
+  ];
+  const body = `[${[...odd, JSON.stringify(sound)].join(',')}]`;
+  const server = createServer((_incoming, outgoing) => outgoing.end(body));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const client = createHttpPlatformClient({ address: `http://127.0.0.1:${port}` });
+  t.teardown(async () => {
+    await client.close();
+    server.close();
+  });
+  t.deepEqual((await client.instances())._unsafeUnwrap(), [sound]);
+});
