Count a call to an address that cannot be parsed as not sent

What callers would see, on the own interface: a listed agent whose address is none (a port out of range, no host) took a request, which was then answered as one that may have run, or that no other agent might take.

Cause: an error of the client library that is not known to come before the sending counts as a lost call; that of an address which cannot be parsed was not among them.

Now it is: nothing can have been sent, so another agent may take the request.

--- a/packages/entry/__tests__/httpAgentClient.test.ts
+++ b/packages/entry/__tests__/httpAgentClient.test.ts
@@ -168,3 +168,21 @@
   t.is(answered.refusal, undefined);
   t.is(await text(answered.body), 'busy');
 });
+
+['http://10.0.0.1:70000', 'http://10.0.0.1:-1', 'http://', 'http://[', 'x', ''].forEach(
+  (address) => {
+    test(`a call to the address “${address}” is not sent`, async (t) => {
+      // The list of instances may hold an address that no process has. Nothing was sent, so another server may run the request.
+      const client = createHttpAgentClient();
+      t.teardown(() => client.close());
+      const bid = await client.bid(address, bidRequest, options);
+      t.is(bid._unsafeUnwrapErr().kind, 'not-sent');
+      const stream = await client.openStream(address, request, options);
+      t.like(stream._unsafeUnwrapErr(), { kind: 'not-sent' });
+      const headers = {};
+      const call = { method: 'GET', target: '/x', headers, headTimeoutMs: 1_000 };
+      const plain = await client.plain(address, { ...call, signal: new AbortController().signal });
+      t.is(plain._unsafeUnwrapErr().kind, 'not-sent');
+    });
+  },
+);
--- a/packages/entry/src/httpAgentClient.ts
+++ b/packages/entry/src/httpAgentClient.ts
@@ -64,6 +64,9 @@
   'ENETUNREACH',
   'ENOTFOUND',
   'UND_ERR_CONNECT_TIMEOUT',
+  // The address in the list is none.
+  'ERR_INVALID_URL',
+  'UND_ERR_INVALID_ARG',
   credentialsRefusedCode,
 ];
 
