Answer what may have run with 504 at the end of an entry's drain

What callers saw, on the own interface: an entry that was stopping ended a request that a server had with 503 and `notRun: "unknown"`. Callers and proxies send a request again after a 503.

Cause: the status followed from the reason alone, and the reason "leaving" covers both what no server got and what one did.

Now it is 503 only where it is proved that no server ran the request, and 504 otherwise, as at the router.

Failed try: the same for each reason with 503; a test demands 503 where a prompt was only prefilled and no engine has memory, so the rule stays with the end of the drain.

--- a/packages/entry/__tests__/callersApiDrainEnd.test.ts
+++ b/packages/entry/__tests__/callersApiDrainEnd.test.ts
@@ -116,3 +116,27 @@
     },
   );
 });
+
+const key = { 'idempotency-key': 'key-1', 'x-no-repeat': 'true' };
+const keyedCall: Call = { ...chatCall, headers: key };
+
+[plainCall, chatCall, keyedCall].forEach((call) => {
+  const kind = call.headers === undefined ? 'a request' : 'a request with a key';
+  test.serial(
+    `${kind} to ${call.path} that a server has is answered as one that may run`,
+    async (t) => {
+      // Its status was 503, after which callers and proxies send a request again.
+      const agents = createSilentAgents();
+      const harness = await startHarness(t, { agents });
+      const clock = pauseClock(t);
+      const request = open(harness, call);
+      const answered = answerOf(request);
+      request.end(call.body);
+      await clock.until(() => runCount(agents) === 1);
+      const stopped = stop(harness);
+      await clock.pass(drainMs + endMs);
+      t.like(await answered, { status: 504, ...refusedAnswer('unknown') });
+      await stopped;
+    },
+  );
+});
--- a/packages/entry/src/problem.ts
+++ b/packages/entry/src/problem.ts
@@ -39,6 +39,7 @@
 };
 
 const requestTimeoutStatus = 408;
+const timedOutStatus = 504;
 const defaultRetryAfterMs = 1_000;
 
 /** `status` overrides the default status of the refusal's reason. */
@@ -47,12 +48,18 @@
   status?: number;
 }
 
+/** Callers and proxies send a request again after the 503 of an entry that stops: one that may run gets no such promise. */
+function statusOf({ reason, notRun }: Refusal): number {
+  const mayRun = notRun !== true;
+  return reason === refusalReasons.leaving && mayRun ? timedOutStatus : statuses[reason].status;
+}
+
 export function problemDocument(refusal: Refusal, options: ProblemOptions): ProblemDocument {
-  const { status, title } = statuses[refusal.reason];
+  const { title } = statuses[refusal.reason];
   return {
     type: `urn:bluebellhitch:refusal:${refusal.reason}`,
     title,
-    status: options.status ?? status,
+    status: options.status ?? statusOf(refusal),
     detail: refusal.detail,
     reason: refusal.reason,
     notRun: refusal.notRun,
