Answer requests of a stopping entry whose claim the store has not taken or settled

What callers saw, on the own interface: at the end of an entry's drain a request that may run once only got no response while the store did not answer the call that takes its claim, or the one that settles it. A claim that was taken after that stayed, so the caller's next try was refused as a duplicate.

Cause: the request waited for the store without regard to its stop.

Now a request that is stopped while its claim is being taken is refused as not run, is never dispatched, and its claim is released once the store has taken it. For settling, a stopped request waits 0.3 s more, and the change goes on behind its response.

--- a/packages/entry/__tests__/callersApiDrainEnd.test.ts
+++ b/packages/entry/__tests__/callersApiDrainEnd.test.ts
@@ -3,6 +3,8 @@
 import { json } from 'node:stream/consumers';
 import test, { type ExecutionContext } from 'ava';
 import FakeTimers from '@sinonjs/fake-timers';
+import { ok, ResultAsync } from 'neverthrow';
+import type { ClaimStore } from '@bluebellhitch/objects';
 import { createFakeAgent, never, untilAborted, type FakeAgent } from './support/fakeAgents';
 import { startHarness, type Harness } from './support/harness';
 
@@ -119,6 +121,7 @@
 
 const key = { 'idempotency-key': 'key-1', 'x-no-repeat': 'true' };
 const keyedCall: Call = { ...chatCall, headers: key };
+const receiptCall: Call = { path: '/receipts', body: 'amount', headers: key };
 
 [plainCall, chatCall, keyedCall].forEach((call) => {
   const kind = call.headers === undefined ? 'a request' : 'a request with a key';
@@ -140,3 +143,69 @@
     },
   );
 });
+
+/** Claims of a store that does not answer one kind of call before `answer` is called. */
+function createHeldClaims(held: 'take' | 'settle') {
+  const released: string[] = [];
+  let answer: () => void = () => undefined;
+  const answers = new Promise<void>((resolve) => {
+    answer = resolve;
+  });
+  const whenAnswered = (kind: typeof held) => (kind === held ? answers : Promise.resolve());
+  const reply = <Value>(kind: typeof held, value: Value) =>
+    new ResultAsync<Value, never>(whenAnswered(kind).then(() => ok(value)));
+  let takeCount = 0;
+  const claims: ClaimStore = {
+    take(request) {
+      takeCount += 1;
+      const claim = { ...request, dispatchBeforeMs: Infinity };
+      return reply('take', { kind: 'taken' as const, claim });
+    },
+    finish: () => reply('settle', undefined),
+    release(claim) {
+      released.push(claim.key);
+      return reply('settle', undefined);
+    },
+    settle: () => Promise.resolve(),
+  };
+  return { claims, released, answer: () => answer(), takeCount: () => takeCount };
+}
+
+[receiptCall, keyedCall].forEach((call) => {
+  test.serial(
+    `a request to ${call.path} whose claim is not taken yet is refused as not run`,
+    async (t) => {
+      // Its connection was closed without a response, and its key stayed claimed.
+      const agents = createSilentAgents();
+      const store = createHeldClaims('take');
+      const harness = await startHarness(t, { agents, claims: store.claims });
+      const clock = pauseClock(t);
+      const request = open(harness, call);
+      const answered = answerOf(request);
+      request.end(call.body);
+      await clock.until(() => store.takeCount() === 1);
+      const stopped = stop(harness);
+      await clock.pass(drainMs + endMs);
+      t.like(await answered, { status: 503, ...refusedAnswer(true) });
+      store.answer();
+      await clock.until(() => store.released.length === 1);
+      t.is(runCount(agents), 0);
+      await stopped;
+    },
+  );
+
+  test.serial(`a request to ${call.path} whose claim is not settled yet is answered`, async (t) => {
+    const agents = createSilentAgents();
+    const store = createHeldClaims('settle');
+    const harness = await startHarness(t, { agents, claims: store.claims });
+    const clock = pauseClock(t);
+    const request = open(harness, call);
+    const answered = answerOf(request);
+    request.end(call.body);
+    await clock.until(() => runCount(agents) === 1);
+    const stopped = stop(harness);
+    await clock.pass(drainMs + endMs);
+    t.like(await answered, { status: 504, ...refusedAnswer('unknown') });
+    await stopped;
+  });
+});
--- a/packages/entry/src/claimStage.ts
+++ b/packages/entry/src/claimStage.ts
@@ -11,6 +11,8 @@
   metrics: Pick<EntryMetrics, 'countClaim'>;
   claimKey: string;
   requestId: string;
+  /** Aborts when the request is stopped: its response then no longer waits for the store. */
+  signal: AbortSignal;
   /** How long the key stays claimed. */
   expiresInMs?: number;
 }
@@ -19,21 +21,27 @@
 export type ClaimResolution = 'not-run' | 'ran' | 'unknown';
 
 export interface ClaimGuard {
-  /** Takes the claim, unless it is held already; returns a refusal if that is not possible. */
+  /** Takes the claim, unless it is held already; returns a refusal if that is not possible, or the request is stopped. */
   take(attemptId: string): Promise<Refusal | undefined>;
   /** Whether a dispatch under the claim is still allowed; reads the clock. */
   allowsDispatch(): boolean;
-  /** Releases the claim or records how the request ended. Call once, after the last possible dispatch. */
+  /**
+   * Releases the claim or records how the request ended. Call once, after the last possible dispatch. If the request is
+   * stopped, it resolves a moment later at the latest, and the change goes on.
+   */
   settle(resolution: ClaimResolution): Promise<void>;
 }
 
 /** Callers repeat a request within hours, if at all. */
 const defaultExpiresInMs = 24 * 60 * 60 * 1000;
 const duplicateRetryAfterMs = 2_000;
+/** For the store to settle a claim before the response of a request that is stopped; a part of the time in which an entry ends. */
+const settleAfterStopMs = 300;
 
 /** Creates the claim guard of one request. */
 export function createClaimGuard(options: ClaimGuardOptions): ClaimGuard {
-  const { claims, metrics, claimKey, requestId, expiresInMs = defaultExpiresInMs } = options;
+  const { claims, metrics, claimKey, requestId, signal } = options;
+  const { expiresInMs = defaultExpiresInMs } = options;
   let heldClaim: Claim | undefined;
 
   function onOutcome(outcome: ClaimOutcome): Refusal | undefined {
@@ -55,12 +63,29 @@
     });
   }
 
+  function countSettled(isReleased: boolean): void {
+    metrics.countClaim(isReleased ? claimOutcomes.released : claimOutcomes.kept);
+  }
+
+  /** The request was stopped before the store had answered, and is never dispatched. */
+  async function releaseOnceTaken(taking: ReturnType<ClaimStore['take']>): Promise<void> {
+    const taken = await taking;
+    if (taken.isOk() && taken.value.kind === 'taken') {
+      await claims.release(taken.value.claim);
+    }
+  }
+
   return {
     async take(attemptId) {
       if (heldClaim !== undefined) {
         return undefined;
       }
-      const taken = await claims.take({ key: claimKey, requestId, attemptId, expiresInMs });
+      const taking = claims.take({ key: claimKey, requestId, attemptId, expiresInMs });
+      const taken = await Promise.race([taking, whenAborted(signal)]);
+      if (taken === undefined) {
+        void releaseOnceTaken(taking);
+        return onError({ kind: 'unconfirmed', detail: 'the request was stopped' });
+      }
       return taken.match(onOutcome, onError);
     },
     // A process that is paused after it took the claim may resume after the claim has expired and
@@ -73,13 +98,27 @@
       const change =
         resolution === 'not-run' ? claims.release(heldClaim) : claims.finish(heldClaim, resolution);
       heldClaim = undefined;
-      const changed = await change;
-      const released = resolution === 'not-run' && changed.isOk();
-      metrics.countClaim(released ? claimOutcomes.released : claimOutcomes.kept);
+      const settled = change.match(
+        () => countSettled(resolution === 'not-run'),
+        () => countSettled(false),
+      );
+      await Promise.race([settled, whenAborted(signal, settleAfterStopMs)]);
     },
   };
 }
 
+/** Resolves once the signal has been aborted for `afterMs`. */
+function whenAborted(signal: AbortSignal, afterMs = 0): Promise<undefined> {
+  return new Promise((resolve) => {
+    const onAbort = () => setTimeout(() => resolve(undefined), afterMs);
+    if (signal.aborted) {
+      onAbort();
+    } else {
+      signal.addEventListener('abort', onAbort, { once: true });
+    }
+  });
+}
+
 const duplicateStates = {
   running: { stateText: 'is running', notRun: 'unknown' },
   ran: { stateText: 'has run', notRun: false },
--- a/packages/entry/src/modelAttempt.ts
+++ b/packages/entry/src/modelAttempt.ts
@@ -66,6 +66,9 @@
   const prefillLease = prefill?.lease ?? (await leaseForPrefill(run, placement));
   try {
     const refusal = await claim?.take(placement.decode.attemptId);
+    if (run.signal.aborted) {
+      return { kind: 'stopped' };
+    }
     if (refusal !== undefined) {
       return { kind: 'refused', refusal };
     }
--- a/packages/entry/src/modelRequest.ts
+++ b/packages/entry/src/modelRequest.ts
@@ -142,14 +142,14 @@
       });
 }
 
-function createRequestClaim({ context, request }: ModelRun): ClaimGuard | undefined {
+function createRequestClaim({ context, request, signal }: ModelRun): ClaimGuard | undefined {
   if (request.repeatable) {
     return undefined;
   }
   invariant(request.claimKey !== undefined, 'a request that runs at most once has a claim key');
   const { claimKey, requestId } = request;
   const { claims, metrics } = context;
-  return createClaimGuard({ claims, metrics, claimKey, requestId });
+  return createClaimGuard({ claims, metrics, claimKey, requestId, signal });
 }
 
 function claimResolution(run: ModelRun, outcome: FinalOutcome): ClaimResolution {
--- a/packages/entry/src/plainAttempt.ts
+++ b/packages/entry/src/plainAttempt.ts
@@ -48,12 +48,12 @@
       return failure;
     }
     const refusal = await claim.take(placement.attemptId);
-    if (refusal !== undefined) {
-      return { kind: 'refused', refusal };
-    }
     if (run.signal.aborted) {
       return { kind: 'stopped' };
     }
+    if (refusal !== undefined) {
+      return { kind: 'refused', refusal };
+    }
     if (!lease.share.isCurrent() || !claim.allowsDispatch()) {
       return notDispatchedFailure('the reservation ended before it was used');
     }
--- a/packages/entry/src/plainRequest.ts
+++ b/packages/entry/src/plainRequest.ts
@@ -53,7 +53,7 @@
     finish(context, run, { kind: 'refused', refusal });
     return;
   }
-  const claim = createRequestClaim(context, run.request);
+  const claim = createRequestClaim(context, run);
   const outcome = await runAttempts(context, run, claim);
   await claim?.settle(claimResolution(run, outcome));
   finish(context, run, outcome);
@@ -170,11 +170,11 @@
 
 function createRequestClaim(
   { claims, metrics }: RequestContext,
-  { repeatable, claimKey, exchange }: PlainRequest,
+  { signal, request: { repeatable, claimKey, exchange } }: PlainRun,
 ): ClaimGuard | undefined {
   return repeatable || claimKey === undefined
     ? undefined
-    : createClaimGuard({ claims, metrics, claimKey, requestId: exchange.requestId });
+    : createClaimGuard({ claims, metrics, claimKey, requestId: exchange.requestId, signal });
 }
 
 function claimResolution(run: PlainRun, outcome: FinalOutcome): ClaimResolution {
