Leave records that cannot be written as JSON out of the feed

What callers would see, on the own interface: one object of the platform with a deeply nested value, and every reply of the relays that had read it failed. What follows them got no configuration and no quarantine any more.

Cause: a value thousands of levels deep can be parsed, and passes checks that look at its known fields, but writing it is recursive and throws. The reply with all records was written at once.

Now such a record is left out where objects become records, by the bound that the router's relayed changes have had.

Evidence: the new test, two odd objects 20,000 levels deep beside a sound one, over HTTP: "Maximum call stack size exceeded" before, the sound one now. The tests of membership and protocol pass (56).

--- a/packages/membership/__tests__/feedFollower.test.ts
+++ b/packages/membership/__tests__/feedFollower.test.ts
@@ -4,7 +4,7 @@
 import { install, type Clock } from '@sinonjs/fake-timers';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import test, { type ExecutionContext } from 'ava';
-import { err, errAsync, ResultAsync } from 'neverthrow';
+import { err, errAsync, okAsync, ResultAsync } from 'neverthrow';
 import {
   createFeedClient,
   createFeedFollower,
@@ -15,10 +15,11 @@
   type FeedCallError,
   type FeedFollowerOptions,
 } from '@bluebellhitch/membership';
-import type { PlatformApi, WatchReply } from '@bluebellhitch/objects';
+import type { PlatformApi, StoredObject, WatchReply } from '@bluebellhitch/objects';
 import { createEntryRouter, type FeedRecord } from '@bluebellhitch/protocol';
 import { createSeededRandom, delay, hash64, monotonicNowMs } from '@bluebellhitch/shared';
 import { createStandinPlatform } from '@bluebellhitch/standins';
+import { createPlatformFeed } from '../src/platformFeed';
 
 const emptyReply = (cursor: string): WatchReply => ({ events: [], cursor, compacted: false });
 
@@ -265,8 +266,11 @@
   await stopAll(clock, [agent, ...entries]);
 });
 
-test.serial('the feed client polls an entry over HTTP and stops when aborted', async (t) => {
-  const store = createFeedStore();
+/** Serves the feed of the store over HTTP; resolves with its address. */
+async function serveFeed(
+  t: ExecutionContext,
+  store: ReturnType<typeof createFeedStore>,
+): Promise<string> {
   const feedServer = createFeedServer(store);
   const router = createEntryRouter({ feed: feedServer.feed, strike: async () => {} });
   const server = createServer(createHTTPHandler({ router, basePath: '/trpc/' }));
@@ -277,6 +281,12 @@
     server.closeAllConnections();
     server.close();
   });
+  return address;
+}
+
+test.serial('the feed client polls an entry over HTTP and stops when aborted', async (t) => {
+  const store = createFeedStore();
+  const address = await serveFeed(t, store);
   const callFeed = createFeedClient();
   const caller = new AbortController();
   const { cursor } = (await callFeed(address, { waitMs: 0 }, caller.signal))._unsafeUnwrap();
@@ -301,6 +311,33 @@
   t.true(monotonicNowMs() - startedAtMs < 5000);
 });
 
+test.serial('an odd object does not keep a relay from passing the others on', async (t) => {
+  // A value that is nested thousands of levels deep cannot be written as JSON: every reply of the relay failed.
+  const platform = createStandinPlatform({ latencyMs: 0 });
+  const nested = JSON.parse(`${'['.repeat(20_000)}${']'.repeat(20_000)}`) as unknown;
+  const objects: StoredObject[] = [
+    { kind: 'accepted', key: 'a', version: 1, value: { generation: 1, odd: nested } },
+    { kind: 'quarantine', key: 'a/b', version: 2, value: { odd: nested } },
+    { kind: 'accepted', key: 'b', version: 3, value: { generation: 3 } },
+  ];
+  const store = createFeedStore();
+  const address = await serveFeed(t, store);
+  const feed = createPlatformFeed({
+    ...{ store, watchWaitMs: 0, retryMs: 10, maxRetryMs: 10, random: createSeededRandom(1) },
+    platform: {
+      ...platform,
+      list: (kind) =>
+        okAsync({ objects: objects.filter((object) => object.kind === kind), cursor: '1' }),
+    },
+  });
+  t.true(await feed.load());
+  const reply = await createFeedClient()(address, { waitMs: 0 }, new AbortController().signal);
+  t.deepEqual(
+    reply._unsafeUnwrap().records.map(({ key }) => key),
+    ['b'],
+  );
+});
+
 // Without relays, twenty entries would each read the list of instances every five seconds. Only the relays may do so;
 // the others must get a new instance from them within seconds, without a read of their own.
 testWithFleet(
--- a/packages/membership/src/feedRecords.ts
+++ b/packages/membership/src/feedRecords.ts
@@ -1,16 +1,19 @@
 /** Converts the platform's objects to records of the feed. */
 import * as z from 'zod';
 import type { StoredObject } from '@bluebellhitch/objects';
-import { feedKinds, type FeedKind, type FeedRecord } from '@bluebellhitch/protocol';
+import { canEncode, feedKinds, type FeedKind, type FeedRecord } from '@bluebellhitch/protocol';
 
 const generationSchema = z.object({ generation: z.number().int().nonnegative() });
 
 /**
  * Accepted documents contain their generation; one without it yields no record. A quarantine without a generation takes
- * the version of its object.
+ * the version of its object. A value that cannot be passed on yields no record, as it would keep all others from receivers.
  */
 export function recordFromObject(object: StoredObject): FeedRecord | undefined {
   const { kind, key, version, value } = object;
+  if (!canEncode(value)) {
+    return undefined;
+  }
   const parsed = generationSchema.safeParse(value);
   if (kind === feedKinds.accepted && parsed.success) {
     return { kind, key, generation: parsed.data.generation, removed: false, value };
--- a/packages/protocol/src/changeMessages.ts
+++ b/packages/protocol/src/changeMessages.ts
@@ -5,6 +5,7 @@
  */
 import * as z from 'zod';
 import { parseDatagram } from './datagram';
+import { canEncode } from './nesting';
 import type { StorePosition } from './storePosition';
 
 export type RelayedChange =
@@ -26,8 +27,6 @@
 
 const count = z.number().int().nonnegative();
 const formatName = 'changes-1';
-/** Objects of the platform have a few levels. */
-const maxObjectDepth = 32;
 /** Length of the row of a removed object, which has no value. */
 const removedRowLength = 2;
 const formatStart = Buffer.from(`["${formatName}"`);
@@ -50,16 +49,7 @@
 
 /** Whether no object is nested so deeply that encoding it, which is recursive, could fail. */
 export function canEncodeChanges({ changes }: RelayedChanges): boolean {
-  return changes.every(
-    (change) => change.kind === 'removed' || isNestedAtMost(change.value, maxObjectDepth),
-  );
-}
-
-function isNestedAtMost(value: unknown, depth: number): boolean {
-  if (typeof value !== 'object' || value === null) {
-    return true;
-  }
-  return depth > 0 && Object.values(value).every((inner) => isNestedAtMost(inner, depth - 1));
+  return changes.every((change) => change.kind === 'removed' || canEncode(change.value));
 }
 
 export function encodeRelayedChanges(message: RelayedChanges): Buffer {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -84,6 +84,7 @@
   samplePrefixBlocks,
   sampledPrefixDepth,
 } from './prompt';
+export { canEncode } from './nesting';
 export {
   decodeRelayedChanges,
   canEncodeChanges,
