Confirm a server whose ignored entries go on before it gets requests

What callers would see: a server had left, and several of its writes were executed late, one after the other.

Cause: two more writes prove that the entry in use is not the newest, but not that the server stays.

--- a/packages/routing/__tests__/ignoredEntryReview.test.ts
+++ b/packages/routing/__tests__/ignoredEntryReview.test.ts
@@ -40,7 +40,7 @@
 }
 
 testWithFakeClock(
-  'a server that writes on is used again after three heartbeats',
+  'a server that writes on is confirmed after three heartbeats',
   async (t, clock) => {
     const startedAtMs = clock.now;
     const { directory, review } = createIgnoring(() =>
@@ -50,6 +50,8 @@
     await clock.tickAsync(2 * heartbeatMs - 100);
     t.is(directory.usable('s')[0]?.address, '10.9.9.9:1');
     await clock.tickAsync(heartbeatMs);
+    t.deepEqual(directory.usable('s'), []);
+    directory.confirm('a');
     t.is(directory.usable('s')[0]?.address, '10.0.0.1:80');
   },
 );
--- a/packages/routing/__tests__/serverDirectory.test.ts
+++ b/packages/routing/__tests__/serverDirectory.test.ts
@@ -458,8 +458,9 @@
   },
 ];
 foreignEntries.forEach(({ name, foreign, own }) => {
-  test(`a server goes on being used after a foreign entry with ${name} once it has written two more`, (t) => {
-    // The foreign entry counted as newer than all that the server wrote, which was ignored for good.
+  test(`a server is confirmed after a foreign entry with ${name} once it has written two more`, (t) => {
+    // The foreign entry counted as newer than all that the server wrote, which was ignored for good. A server that has left
+    // may look the same if several of its writes are executed late, so its health is asked for.
     const changes: string[] = [];
     const directory = createServerDirectory({ onChanged: ({ kind }) => changes.push(kind) });
     directory.replaceAll([own(3)]);
@@ -471,6 +472,9 @@
     directory.reviewIgnored(own(7));
     t.true(changes.includes('adopted'));
     t.false(directory.isIgnoring('a'));
+    t.deepEqual(directory.usable('s'), []);
+    t.like(directory.unconfirmed(own(7).id), { knownNumber: 5, returnedNumber: 7 });
+    directory.confirm(own(7).id);
     t.like(directory.usable('s')[0], own(7));
     directory.put(own(8));
     t.like(directory.usable('s')[0], own(8));
--- a/packages/routing/src/servers/ignoredEntries.ts
+++ b/packages/routing/src/servers/ignoredEntries.ts
@@ -10,12 +10,16 @@
   has(name: string): boolean;
   names(): string[];
   /** The last ignored entry of the name, if its writer has gone on writing: see `areIgnoredEntriesLasting`. */
-  lasting(name: string): BackendServer | undefined;
+  lasting(name: string): LastingEntry | undefined;
 }
 
-interface Ignored {
+export interface LastingEntry {
   entry: BackendServer;
+  /** Number of the first ignored entry of its incarnation. */
   firstNumber?: number;
+}
+
+interface Ignored extends LastingEntry {
   sinceMs: number;
 }
 
@@ -38,14 +42,14 @@
     has: ignored.has,
     names: () => [...ignored.entries()].map(([name]) => name),
     lasting(name) {
-      const { entry, firstNumber, sinceMs = Infinity } = ignored.get(name) ?? {};
+      const known = ignored.get(name);
+      if (known === undefined) {
+        return undefined;
+      }
+      const { entry, firstNumber, sinceMs } = known;
       const forMs = monotonicNowMs() - sinceMs;
-      const isLasting = areIgnoredEntriesLasting({
-        firstNumber,
-        latestNumber: entry?.entryNumber,
-        forMs,
-      });
-      return isLasting ? entry : undefined;
+      const latestNumber = entry.entryNumber;
+      return areIgnoredEntriesLasting({ firstNumber, latestNumber, forMs }) ? known : undefined;
     },
   };
 }
--- a/packages/routing/src/servers/serverDirectory.ts
+++ b/packages/routing/src/servers/serverDirectory.ts
@@ -10,7 +10,7 @@
  *
  * Others can write entries too. One that seems to be newer than all that the server itself writes afterwards must not keep
  * the server from use, nor hide that it leaves: entries that are ignored are remembered while they last, and replace the
- * known one if the server goes on writing them (`ignoredEntries`).
+ * known one if the server goes on writing them (`ignoredEntries`). It gets requests once it is confirmed, as after a return.
  *
  * Entries that expired while the store was unavailable are written again moments after it recovers. Removals are
  * therefore delayed for that long: otherwise an outage of the store would empty pools whose servers are all running.
@@ -25,7 +25,7 @@
 import type { StorePosition } from '@bluebellhitch/protocol';
 import { serverIdOf, type BackendServer, type Stage } from '../model';
 import { createDelayedRemovals } from './delayedRemovals';
-import { createIgnoredEntries } from './ignoredEntries';
+import { createIgnoredEntries, type LastingEntry } from './ignoredEntries';
 import type { RemovalDelayOptions } from './removalDelay';
 import type { IgnoredCause, KnownState, ServerChange, ServerDirectory } from './serverDirectoryApi';
 import { createUnconfirmedServers } from './unconfirmedServers';
@@ -136,14 +136,18 @@
     }
   }
 
-  /** What the server goes on writing is true, whatever seemed to be newer. */
-  function adopt(entry: BackendServer): void {
+  /** What the server goes on writing counts, whatever seemed to be newer; but it may be leaving. */
+  function adopt({ entry, firstNumber }: LastingEntry): void {
     const previous = servers.get(entry.name);
     if (previous !== undefined) {
       removeNow(previous);
     }
     removedNumbers.delete(entry.id);
     latestBornAtMs.delete(entry.name);
+    if (!leavingIds.has(entry.id)) {
+      const returnedNumber = entry.entryNumber;
+      unconfirmedServers.add(entry.id, { knownNumber: firstNumber, returnedNumber });
+    }
     onChanged({ kind: 'adopted', server: entry, known: 'unknown' });
     apply(entry, { known: 'unknown' }, false);
   }
