Take a response to HEAD for whole without a body

What callers would see: 502 for a HEAD request whose server stated no length, and kept its connection open or closed it at once.

Cause: a response without a length was taken for one that ends with its connection, whatever the request's method.

Now a response to HEAD has no body.

Evidence: of the four new tests three failed before (no length, no length with a close, another transfer coding), all pass.

--- a/packages/routing/__tests__/backendConnections.test.ts
+++ b/packages/routing/__tests__/backendConnections.test.ts
@@ -88,6 +88,28 @@
   t.is((await readBody(t, address)).kind, 'lost');
 });
 
+[
+  'HTTP/1.1 200 OK\r\n\r\n',
+  'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n',
+  'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n',
+  'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n',
+].forEach((head) => {
+  test(`a response to HEAD is whole without a body: ${JSON.stringify(head)}`, async (t) => {
+    // One without a length was waited for to the end of its connection, and lost if that stayed open.
+    const { address } = await startRawServer(t, (socket) => socket.write(head));
+    const outcome = await createConnections(t).call(
+      createCall(address, { method: 'HEAD', body: '' }),
+    );
+    t.is(outcome.kind, 'answered');
+    if (outcome.kind === 'answered') {
+      t.deepEqual(await readWholeBody(outcome.response.body), {
+        kind: 'whole',
+        body: Buffer.alloc(0),
+      });
+    }
+  });
+});
+
 test('a call to a port without a listener is not sent', async (t) => {
   const { address } = await startRawServer(t, () => undefined);
   const unused = address.replace(/\d+$/, '1');
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -145,7 +145,7 @@
       noteProgress();
       startedController.pause();
       const headers = readHeaders(startedController.rawHeaders);
-      const framing = framingOf(headers, status);
+      const framing = hasNoBody(call.method, status) ? 'own' : framingOf(headers);
       if (framing === 'unknown') {
         endWithoutResponse(
           { kind: 'lost', detail: 'unknown transfer coding', isOurs },
@@ -207,14 +207,16 @@
   return Array.isArray(raw) ? raw.map((part) => part.toString('latin1')) : [];
 }
 
+/** Whether a response has no body, whatever its headers say of one. */
+function hasNoBody(method: string, status: number): boolean {
+  return method === 'HEAD' || bodylessStatuses.includes(status);
+}
+
 /**
  * What marks the end of a body: the response itself, or the end of its connection. `unknown`: it has a transfer coding
  * that the parser passes on as if it were the body (RFC 9112, 6.1).
  */
-function framingOf(headers: readonly string[], status: number): 'own' | 'connection' | 'unknown' {
-  if (bodylessStatuses.includes(status)) {
-    return 'own';
-  }
+function framingOf(headers: readonly string[]): 'own' | 'connection' | 'unknown' {
   const codings = valuesOf(headers, 'transfer-encoding')
     .flatMap((value) => value.split(','))
     .map((coding) => coding.trim().toLowerCase());
