--- a/packages/decisions/src/entryHistory.ts
+++ b/packages/decisions/src/entryHistory.ts
@@ -55,7 +55,7 @@
  * writes of a server that has left do not go on for that long.
  */
 const confirmingWrites = 5;
-/** Between so many writes of one incarnation, a later one in service would have written its own entry. */
+/** They take longer than a heartbeat: a later incarnation that is in service has written its own entry by then. */
 const lastingWrites = 2;
 /** The same for entries without numbers: longer than an entry lasts that is not written again. */
 const lastingMs = 10_000;
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -207,7 +207,7 @@
   return Array.isArray(raw) ? raw.map((part) => part.toString('latin1')) : [];
 }
 
-/** Whether a response has no body, whatever its headers say of one. */
+/** Whether a response has no body, although its headers may describe one. */
 function hasNoBody(method: string, status: number): boolean {
   return method === 'HEAD' || bodylessStatuses.includes(status);
 }
--- a/packages/routing/src/servers/httpCall.ts
+++ b/packages/routing/src/servers/httpCall.ts
@@ -9,7 +9,7 @@
   path: string;
   /** Alternating names and values. */
   headers: readonly string[];
-  /** A stream that has begun to be sent cannot be sent again. */
+  /** A stream can be sent once only. */
   body?: Buffer | string | Readable;
   /** Maximum time from the call to the head of the response, including the time to connect. */
   headTimeoutMs: number;
--- a/packages/routing/src/servers/serverDirectory.ts
+++ b/packages/routing/src/servers/serverDirectory.ts
@@ -136,7 +136,7 @@
     }
   }
 
-  /** What the server goes on writing counts, whatever seemed to be newer; but it may be leaving. */
+  /** What the server goes on writing counts, even if another entry seemed to be newer; but it may be leaving. */
   function adopt({ entry, firstNumber }: LastingEntry): void {
     const previous = servers.get(entry.name);
     if (previous !== undefined) {
--- a/packages/routing/src/servers/serverDirectoryApi.ts
+++ b/packages/routing/src/servers/serverDirectoryApi.ts
@@ -1,4 +1,4 @@
-/** What the directory of backend servers tells, and what it is told: see `serverDirectory`. */
+/** Interface of the directory of backend servers: see `serverDirectory`. */
 import type { StorePosition } from '@bluebellhitch/protocol';
 import type { BackendServer, Stage } from '../model';
 import type { StoreObserver } from './removalDelay';
