Count a starved router's turn as planned if it lasted too long

A turn is meant to last 24 ms; it lasts longer only if the test process is held up, and then nothing shows that the router was not.

Now a turn counts for what was planned at most, or for as long as the router ran. Where turns last as planned, the moment of the check is the same as before.

--- a/packages/soak/__tests__/callersThatLeft.test.ts
+++ b/packages/soak/__tests__/callersThatLeft.test.ts
@@ -2,11 +2,12 @@
  * Requests that reach backend servers after their callers have left, at routers that got no processor time meanwhile.
  * The routers are processes: the order in which the runtime reads from its sockets is a part of the failure.
  */
-import test from 'ava';
+import test, { type ExecutionContext } from 'ava';
+import type { Work } from '@bluebellhitch/platform-standins';
 import { delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { startHeldUpRouters, whileStopped, type HeldUpRouters } from './support/heldUpRouters';
 import { leaveKinds, startRawCaller, type LeaveKind, type RawCaller } from './support/rawCaller';
-import { startRunTurns } from './support/runTurns';
+import { startRunTurns, type RunTurns } from './support/runTurns';
 
 /** A request may reach a server this long after its caller has left. */
 const graceMs = 500;
@@ -15,6 +16,8 @@
 const patienceMs = 300;
 const stoppedMs = 1_100;
 const settleMs = 1_500;
+/** Work that goes on for longer is not followed any further. */
+const lateWorkMs = 3_000;
 const callerCount = 30;
 /** Share of the time in which a router that is short of processor time can run. */
 const throttle = { runMs: 24, periodMs: 100 };
@@ -55,6 +58,24 @@
   return callers;
 }
 
+interface LateWork {
+  late: readonly Work[];
+  leftAtMs: number;
+  checkedAfterMs: number;
+  turns: RunTurns;
+}
+
+/** Tells when the servers stopped after all, and what the router could do until then. */
+async function logLateWork(
+  t: ExecutionContext,
+  { late, leftAtMs, checkedAfterMs, turns }: LateWork,
+): Promise<void> {
+  await delay(lateWorkMs);
+  const ends = late.map(({ endedAtMs }) => Math.round(endedAtMs - leftAtMs));
+  t.log(`checked after ${checkedAfterMs} ms; ended after ${ends.join(', ')} ms`);
+  t.log(`turns: ${turns.describe(leftAtMs)}`);
+}
+
 /** Ends all callers while the first router is stopped. */
 async function leaveWhileStopped(
   { routers: [router] }: HeldUpRouters,
@@ -175,6 +196,10 @@
     await delay(Math.max(0, leftAtMs + graceMs - monotonicNowMs()));
     const stillRunning = new Set(departures.workInProgress());
     const late = left.filter((work) => stillRunning.has(work));
+    const checkedAfterMs = Math.round(monotonicNowMs() - leftAtMs);
+    if (late.length > 0) {
+      await logLateWork(t, { late, leftAtMs, checkedAfterMs, turns });
+    }
     await turns.end();
     // Otherwise the test proves nothing.
     t.true(left.length > callerCount / 2, `${left.length} of ${callerCount} run`);
--- a/packages/soak/__tests__/support/runTurns.ts
+++ b/packages/soak/__tests__/support/runTurns.ts
@@ -18,7 +18,10 @@
 
 /** One turn: from a signal to go on to the next one, with a signal to stop between them. */
 export interface RunTurn {
-  /** Time between the signal to go on and the one to stop. */
+  startedAtMs: number;
+  /** Time that was meant to pass between the signal to go on and the one to stop. */
+  plannedMs: number;
+  /** Time that passed between the two signals. */
   runMs: number;
   atStart: ProcessTimes;
   atStop: ProcessTimes;
@@ -33,6 +36,8 @@
    * had been sent by then.
    */
   untilGranted(forMs: number): Promise<void>;
+  /** The turns that began after `sinceMs`, in text, with times in ms from then on. */
+  describe(sinceMs: number): string;
   end(): Promise<void>;
 }
 
@@ -66,7 +71,7 @@
       notified.forEach((notify) => notify());
       await delay(periodMs - runMs, signal);
       const atEnd = read();
-      turns.push({ runMs: ranForMs, atStart, atStop, atEnd });
+      turns.push({ startedAtMs, plannedMs: runMs, runMs: ranForMs, atStart, atStop, atEnd });
       atStart = atEnd;
     }
   });
@@ -91,6 +96,11 @@
       }
       await readAll();
     },
+    describe: (sinceMs) =>
+      turns
+        .filter(({ startedAtMs }) => startedAtMs > sinceMs)
+        .map((turn) => describeTurn(turn, sinceMs))
+        .join('; '),
     async end() {
       await loop.stop();
       router.resume();
@@ -104,8 +114,26 @@
   await setImmediate();
 }
 
-/** For how long a process could run in a turn, whether it ran or slept. */
-export function grantedMs({ runMs, atStart, atStop, atEnd }: RunTurn): number {
+function describeTurn(turn: RunTurn, sinceMs: number): string {
+  const { startedAtMs, runMs, atStart, atEnd } = turn;
+  const startMs = Math.round(startedAtMs - sinceMs);
+  const ranMs = Math.round(atEnd.ranMs - atStart.ranMs);
+  const waitedMs = Math.round(atEnd.waitedMs - atStart.waitedMs);
+  const isReadyText = turn.atStop.isReady ? ', ready' : '';
+  return `${startMs}: ${Math.round(runMs)} long, ran ${ranMs}, waited ${waitedMs}${isReadyText}, granted ${Math.round(grantedMs(turn))}`;
+}
+
+/**
+ * For how long a process could run in a turn, whether it ran or slept. Beyond the planned time only what it ran counts: a turn
+ * lasts longer if this process is held up, and then the other one may have been held up as well, without a wait that the kernel counts.
+ */
+export function grantedMs({
+  plannedMs,
+  runMs,
+  atStart,
+  atStop,
+  atEnd,
+}: Omit<RunTurn, 'startedAtMs'>): number {
   const ranMs = atEnd.ranMs - atStart.ranMs;
   if (atStop.isReady && atEnd.isReady) {
     // It waits for a processor since before the stop, which it has not noticed.
@@ -113,7 +141,8 @@
   }
   // A process that sleeps when it is to stop waits for a processor to do so: that is not a part of its turn.
   const waitEnd = atStop.isReady ? atEnd : atStop;
-  return Math.max(ranMs, runMs - (waitEnd.waitedMs - atStart.waitedMs));
+  const waitedMs = waitEnd.waitedMs - atStart.waitedMs;
+  return Math.max(ranMs, Math.min(runMs - waitedMs, plannedMs));
 }
 
 /** According to the kernel. */
