Name the test and the router if a router process ends in a test of held-up routers

What was seen: "The test has failed", without a title, from callersThatLeft.test.ts, once, not traced (KNOWN-RED.txt).

Cause of the missing title: a router's end is reported by an event of its process, outside of the test, and a failed assertion throws there; the error ends the test process, which then names neither the test nor the router. Seen again in a run with no built router: the stack of the error leads to that event. So in the run on record a router ended unexpectedly; which one and why is still not known, and the next such failure will say so.

Now the error is kept from leaving the event; the test has failed by then.

--- a/packages/soak/__tests__/support/heldUpRouters.ts
+++ b/packages/soak/__tests__/support/heldUpRouters.ts
@@ -70,7 +70,13 @@
     programPath: join(repositoryRoot, 'target', 'bluebell-router.mjs'),
     exitWithParentPath: join(repositoryRoot, 'scripts', 'lib', 'exitWithParent.mjs'),
     directory: mkdtempSync(join(tmpdir(), 'bluebell-held-up-')),
-    onUnexpectedExit: (name, how) => t.fail(`${name} ended: ${how}`),
+    onUnexpectedExit(name, how) {
+      try {
+        t.fail(`${name} ended: ${how}`);
+      } catch {
+        // The test has failed; thrown from here, the error would end the test process without naming the test.
+      }
+    },
   });
   t.teardown(fleet.close);
   const paths = workers.some(({ entry }) => entry.stage !== undefined)
