Test a router that is out of step while servers of a new software version join

Now a test with real processes: the router stands still, or cannot reach the store; the others are up, killed, or stopped, so that its questions stay without an answer; one version joins, or two, one after the other. Callers return while it is out of step. The routers of the test can start servers later.

--- a/packages/soak/__tests__/support/heldUpRouters.ts
+++ b/packages/soak/__tests__/support/heldUpRouters.ts
@@ -39,6 +39,8 @@
   routers: readonly RouterProcessHandle[];
   workers: readonly StandinWorker[];
   departures: CallerDepartures;
+  /** Starts and lists one more server. */
+  startWorker(options: WorkerOptions): Promise<StandinWorker>;
 }
 
 export type WorkerOptions = Omit<Partial<StandinWorkerOptions>, 'id' | 'service' | 'departures'>;
@@ -53,15 +55,17 @@
   const store = await startStandinStore();
   t.teardown(store.stop);
   store.put('config', 'main', encodeConfiguration(configuration));
-  const workers = await Promise.all(
-    workerOptions.map(async (options, index) => {
-      const service = options.stage === undefined ? serviceNames.counter : serviceNames.letters;
-      const worker = await startStandinWorker({ ...options, id: `s${index}`, service, departures });
-      t.teardown(worker.stop);
-      store.put('servers', worker.id, worker.entry);
-      return worker;
-    }),
-  );
+  let workerCount = 0;
+  const startWorker = async (options: WorkerOptions) => {
+    const service = options.stage === undefined ? serviceNames.counter : serviceNames.letters;
+    const id = `s${workerCount}`;
+    workerCount += 1;
+    const worker = await startStandinWorker({ ...options, id, service, departures });
+    t.teardown(worker.stop);
+    store.put('servers', worker.id, worker.entry);
+    return worker;
+  };
+  const workers = await Promise.all(workerOptions.map(startWorker));
   const fleet = await startRouterFleet({
     count: routerCount,
     hostPrefix: `127.${randomInt(64, 255)}.${randomInt(1, 255)}`,
@@ -83,7 +87,7 @@
     ? ['/safe/', '/resumed/']
     : ['/safe/'];
   await untilAllServe(fleet.routers, paths);
-  return { routers: fleet.routers, workers, departures };
+  return { routers: fleet.routers, workers, departures, startWorker };
 }
 
 /** Stops the process while `meanwhile` runs. */
