--- a/packages/entry/__tests__/callersApiDrainEnd.test.ts
+++ b/packages/entry/__tests__/callersApiDrainEnd.test.ts
@@ -123,6 +123,26 @@
 const keyedCall: Call = { ...chatCall, headers: key };
 const receiptCall: Call = { path: '/receipts', body: 'amount', headers: key };
 
+/** Sends a call, and stops the entry once it has begun; resolves at the end of the drain. */
+async function stopDuring(
+  t: ExecutionContext,
+  {
+    call,
+    options,
+    hasBegun,
+  }: { call: Call; options: Parameters<typeof startHarness>[1]; hasBegun: () => boolean },
+) {
+  const harness = await startHarness(t, options);
+  const clock = pauseClock(t);
+  const request = open(harness, call);
+  const answered = answerOf(request);
+  request.end(call.body);
+  await clock.until(hasBegun);
+  const stopped = stop(harness);
+  await clock.pass(drainMs + endMs);
+  return { answered, clock, stopped };
+}
+
 [plainCall, chatCall, keyedCall].forEach((call) => {
   const kind = call.headers === undefined ? 'a request' : 'a request with a key';
   test.serial(
@@ -130,14 +150,8 @@
     async (t) => {
       // Its status was 503, after which callers and proxies send a request again.
       const agents = createSilentAgents();
-      const harness = await startHarness(t, { agents });
-      const clock = pauseClock(t);
-      const request = open(harness, call);
-      const answered = answerOf(request);
-      request.end(call.body);
-      await clock.until(() => runCount(agents) === 1);
-      const stopped = stop(harness);
-      await clock.pass(drainMs + endMs);
+      const hasBegun = () => runCount(agents) === 1;
+      const { answered, stopped } = await stopDuring(t, { call, options: { agents }, hasBegun });
       t.like(await answered, { status: 504, ...refusedAnswer('unknown') });
       await stopped;
     },
@@ -178,14 +192,9 @@
       // Its connection was closed without a response, and its key stayed claimed.
       const agents = createSilentAgents();
       const store = createHeldClaims('take');
-      const harness = await startHarness(t, { agents, claims: store.claims });
-      const clock = pauseClock(t);
-      const request = open(harness, call);
-      const answered = answerOf(request);
-      request.end(call.body);
-      await clock.until(() => store.takeCount() === 1);
-      const stopped = stop(harness);
-      await clock.pass(drainMs + endMs);
+      const options = { agents, claims: store.claims };
+      const hasBegun = () => store.takeCount() === 1;
+      const { answered, clock, stopped } = await stopDuring(t, { call, options, hasBegun });
       t.like(await answered, { status: 503, ...refusedAnswer(true) });
       store.answer();
       await clock.until(() => store.released.length === 1);
@@ -197,14 +206,9 @@
   test.serial(`a request to ${call.path} whose claim is not settled yet is answered`, async (t) => {
     const agents = createSilentAgents();
     const store = createHeldClaims('settle');
-    const harness = await startHarness(t, { agents, claims: store.claims });
-    const clock = pauseClock(t);
-    const request = open(harness, call);
-    const answered = answerOf(request);
-    request.end(call.body);
-    await clock.until(() => runCount(agents) === 1);
-    const stopped = stop(harness);
-    await clock.pass(drainMs + endMs);
+    const options = { agents, claims: store.claims };
+    const hasBegun = () => runCount(agents) === 1;
+    const { answered, stopped } = await stopDuring(t, { call, options, hasBegun });
     t.like(await answered, { status: 504, ...refusedAnswer('unknown') });
     await stopped;
   });
--- a/packages/routing/__tests__/ignoredEntries.test.ts
+++ b/packages/routing/__tests__/ignoredEntries.test.ts
@@ -1,18 +1,7 @@
 /** Entries that the directory does not apply, and what replaces the known one after all. */
 import test from 'ava';
 import { createServerDirectory, serverIdOf, type BackendServer } from '@bluebellhitch/routing';
-
-const server = (id: string, over: Partial<BackendServer> = {}): BackendServer => ({
-  id,
-  name: id,
-  serviceName: 's',
-  address: '10.0.0.1:80',
-  dataCentre: 'north',
-  slots: 4,
-  isDraining: false,
-  softwareVersion: 'v1',
-  ...over,
-});
+import { listedServer as server } from './support/listedServer';
 
 const entryOf = (id: string, entryNumber: number, over: Partial<BackendServer> = {}) =>
   server(id, { entryNumber, ...over });
--- a/packages/routing/__tests__/ignoredEntryReview.test.ts
+++ b/packages/routing/__tests__/ignoredEntryReview.test.ts
@@ -5,21 +5,12 @@
 } from '@bluebellhitch/routing';
 import { createSeededRandom } from '@bluebellhitch/shared';
 import { testWithFakeClock } from './support/fakeClockTest';
+import { listedServer } from './support/listedServer';
 
 const heartbeatMs = 1_200;
 
-const entry = (entryNumber: number, over: Partial<BackendServer> = {}): BackendServer => ({
-  id: 'a',
-  name: 'a',
-  entryNumber,
-  serviceName: 's',
-  address: '10.0.0.1:80',
-  dataCentre: 'north',
-  slots: 4,
-  isDraining: false,
-  softwareVersion: 'v1',
-  ...over,
-});
+const entry = (entryNumber: number, over: Partial<BackendServer> = {}) =>
+  listedServer('a', { entryNumber, ...over });
 
 /** A router that ignores entry 5 of a server, as another writer has left one with the number 1,000. */
 function createIgnoring(stored: () => BackendServer | undefined, random = createSeededRandom(1)) {
--- a/packages/routing/__tests__/returnedServers.test.ts
+++ b/packages/routing/__tests__/returnedServers.test.ts
@@ -1,26 +1,16 @@
 import {
   createReturnedServers,
   createServerDirectory,
-  type BackendServer,
   type ServerHealth,
 } from '@bluebellhitch/routing';
 import { createSeededRandom } from '@bluebellhitch/shared';
 import { createLogger } from '@bluebellhitch/telemetry';
 import { testWithFakeClock } from './support/fakeClockTest';
+import { listedServer } from './support/listedServer';
 
 const logger = createLogger({ binary: 'test', instanceId: 'r1', write: () => undefined });
 
-const entry = (entryNumber: number): BackendServer => ({
-  id: 'a',
-  name: 'a',
-  entryNumber,
-  serviceName: 's',
-  address: '10.0.0.1:80',
-  dataCentre: 'north',
-  slots: 4,
-  isDraining: false,
-  softwareVersion: 'v1',
-});
+const entry = (entryNumber: number) => listedServer('a', { entryNumber });
 
 interface Server {
   health: ServerHealth;
--- a/packages/routing/__tests__/serverDirectory.test.ts
+++ b/packages/routing/__tests__/serverDirectory.test.ts
@@ -6,18 +6,7 @@
   type BackendServer,
   type ServerChange,
 } from '@bluebellhitch/routing';
-
-const server = (id: string, over: Partial<BackendServer> = {}): BackendServer => ({
-  id,
-  name: id,
-  serviceName: 's',
-  address: '10.0.0.1:80',
-  dataCentre: 'north',
-  slots: 4,
-  isDraining: false,
-  softwareVersion: 'v1',
-  ...over,
-});
+import { listedServer as server } from './support/listedServer';
 
 const idsOf = (servers: readonly BackendServer[]) => servers.map(({ id }) => id);
 
