End the routers of a soak run that fails

Cause: a run that failed before its end left its routers and servers behind. All runs of a test file use the same addresses, so the routers of the next run could not listen (exit code 1), and those left behind answered its callers, with responses of their own servers.

Now a run ends its processes whether it fails or not, and names the routers that did not get ready.

Evidence: the new test, two processes that never get ready: both still ran after the run without the change, neither with it.

--- a/packages/soak/__tests__/soakRun.test.ts
+++ b/packages/soak/__tests__/soakRun.test.ts
@@ -1,5 +1,5 @@
 import { randomInt } from 'node:crypto';
-import { mkdtempSync } from 'node:fs';
+import { mkdtempSync, readdirSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'ava';
@@ -26,12 +26,14 @@
 
 const streamRoutes = ['resumed', 'once'];
 
-async function play(run: Run): Promise<SoakReport> {
+const routerPath = join(repositoryRoot, 'target', 'bluebell-router.mjs');
+
+async function play(run: Run, programPath = routerPath): Promise<SoakReport> {
   return runSoak({
     durationMs: 15_000,
     ...run,
     hostPrefix,
-    programPath: join(repositoryRoot, 'target', 'bluebell-router.mjs'),
+    programPath,
     exitWithParentPath: join(repositoryRoot, 'scripts', 'lib', 'exitWithParent.mjs'),
     directory: join(mkdtempSync(join(tmpdir(), 'bluebell-soak-')), String(run.seed)),
     // One second more than the default, because the machine of a CI run may be busy.
@@ -125,3 +127,23 @@
     });
   },
 );
+
+/** It stays without an address to answer at, and leaves a file with the name of its process id. */
+const neverReady = `
+import { writeFileSync } from 'node:fs';
+writeFileSync(new URL(\`./\${process.pid}\`, import.meta.url), '');
+setInterval(() => undefined, 1_000);
+`;
+
+test.serial('a run whose routers do not get ready ends their processes', async (t) => {
+  // They answered the callers of the next run, with responses of servers that it does not know.
+  t.timeout(60_000);
+  const directory = mkdtempSync(join(tmpdir(), 'bluebell-never-ready-'));
+  const programPath = join(directory, 'program.mjs');
+  writeFileSync(programPath, neverReady);
+  const run = { seed: 1, routerCount: 2, callerCount: 1 };
+  await t.throwsAsync(play(run, programPath), { message: /not ready .*: router-0, router-1/ });
+  const processIds = readdirSync(directory).map(Number).filter(Number.isInteger);
+  t.is(processIds.length, 2);
+  processIds.forEach((processId) => t.throws(() => process.kill(processId, 0)));
+});
--- a/packages/soak/src/soakRun.ts
+++ b/packages/soak/src/soakRun.ts
@@ -178,13 +178,14 @@
       streamVersionChecks.onEnded(request);
     },
   });
-  crashingRequests = createCrashingRequests({
+  const crashing = createCrashingRequests({
     ...{ ledger, findings, disruptions, callers, marginMs, routes: plan.baseRoutes },
     count: script.kind === 'crashes' ? crashingRequestCount : 0,
     partCount: script.kind === 'crashes' ? crashingPartCount : 0,
     random: createSeededRandom(seed + crashSeedOffset),
     contactMs: bounds.contactMs,
   });
+  crashingRequests = crashing;
   const backups = createStoreBackups(store);
   const operator = createOperator({
     ...{ store, servers, routers: fleet.routers, callers, plan, disruptions, findings, marginMs },
@@ -206,41 +207,49 @@
     backups,
   ];
 
-  await waitUntilReady(fleet);
-  lag.enable();
-  [...loops, ...crashingRequests.loops].forEach((loop) => loop.start());
-  await playScript(script.steps, operator, options.durationMs);
-  await Promise.all(crashingRequests.loops.map((loop) => loop.stop()));
-  await checkRecovery({ fleet, ledger, findings });
-  await Promise.race([
-    Promise.all(loops.map((loop) => loop.stop())),
-    delay(lastResponsesTimeoutMs),
-  ]);
-  requestChecks.checkAll();
-  limitChecks.checkAll();
-  noticeChecks.checkAll();
-  const fullestBudget = budgetCheck.checkAll();
-  const crashes = crashingRequests.checkAll();
-  const resumed = streamVersionChecks.checkAll();
-  lag.disable();
-  await Promise.all(
-    fleet.routers.map((_router, router) =>
-      operator.execute({ kind: 'stop-router', router, downMs: 0 }),
-    ),
-  );
-  await fleet.close();
-  await servers.close();
-  store.stop();
+  async function play() {
+    await waitUntilReady(fleet);
+    lag.enable();
+    [...loops, ...crashing.loops].forEach((loop) => loop.start());
+    await playScript(script.steps, operator, options.durationMs);
+    await Promise.all(crashing.loops.map((loop) => loop.stop()));
+    await checkRecovery({ fleet, ledger, findings });
+    await Promise.race([
+      Promise.all(loops.map((loop) => loop.stop())),
+      delay(lastResponsesTimeoutMs),
+    ]);
+    requestChecks.checkAll();
+    limitChecks.checkAll();
+    noticeChecks.checkAll();
+    const checked = {
+      fullestBudget: budgetCheck.checkAll(),
+      crashes: crashing.checkAll(),
+      resumed: streamVersionChecks.checkAll(),
+    };
+    lag.disable();
+    await Promise.all(
+      fleet.routers.map((_router, router) =>
+        operator.execute({ kind: 'stop-router', router, downMs: 0 }),
+      ),
+    );
+    return checked;
+  }
+
+  /** Also if the run fails: routers left behind would answer the callers of the next run, whose addresses are the same. */
+  async function end(): Promise<void> {
+    await fleet.close();
+    await servers?.close();
+    store.stop();
+  }
 
+  const checked = await play().finally(end);
   const report: SoakReport = {
     seed,
     operations: script.steps.length,
     requests: [...ledger.requests()].length,
     served: servedShare(ledger, 0),
     findings: findings.all(),
-    fullestBudget,
-    crashes,
-    resumed,
+    ...checked,
     leavers: countLeavers({
       ...{ servers, ledger, disruptions },
       routerNames: fleet.routers.map(({ name }) => name),
@@ -257,7 +266,8 @@
   const endsAtMs = monotonicNowMs() + startTimeoutMs;
   while (!routers.every((router) => router.isInRotation())) {
     if (monotonicNowMs() > endsAtMs) {
-      throw new Error(`routers not ready within ${startTimeoutMs} ms`);
+      const names = routers.filter((router) => !router.isInRotation()).map(({ name }) => name);
+      throw new Error(`routers not ready within ${startTimeoutMs} ms: ${names.join(', ')}`);
     }
     await delay(pollMs);
   }
