--- a/packages/soak/__tests__/outOfStepRouter.test.ts
+++ b/packages/soak/__tests__/staleRouter.test.ts
@@ -1,6 +1,6 @@
 /**
- * A router that is out of step for seconds while servers of a new software version join: it stands still, or cannot reach
- * the store. Streams that have begun at the others are taken up at it, and may go on only at their own version.
+ * A router whose view is stale for seconds while servers of a new software version join: its process is stopped, or it cannot
+ * reach the store. Streams that have begun at the others are resumed at it, and may continue only at their own version.
  */
 import test, { type ExecutionContext } from 'ava';
 import { callRouter, type CallerResponse } from '@bluebellhitch/platform-standins';
@@ -14,12 +14,12 @@
 
 type Router = HeldUpRouters['routers'][number];
 
-interface OutOfStepCase {
+interface StaleRouterCase {
   name: string;
   routerCount?: number;
-  leaveStep: (router: Router) => void;
-  enterStep: (router: Router) => void;
-  /** Callers return so long before the router is back in step. */
+  isolate: (router: Router) => void;
+  reconnect: (router: Router) => void;
+  /** Callers return so long before the router is reconnected. */
   returnEarlyMs: number;
   /** What happens to the others once the streams have begun. */
   disturb: (others: readonly Router[]) => Promise<unknown> | void;
@@ -88,7 +88,7 @@
   return !versionsIn(response).includes(firstVersion);
 }
 
-function takeUp(router: Router, { id, response }: BegunStream) {
+function resumeStream(router: Router, { id, response }: BegunStream) {
   return callRouter({
     ...{ address: router.callersAddress, host: callersHost, target: `/resumed/${id}` },
     ...{ requestId: `${id}-again`, deadlineMs },
@@ -97,48 +97,48 @@
   });
 }
 
-async function playCase(t: ExecutionContext, outOfStep: OutOfStepCase): Promise<void> {
-  const { routerCount = 4, joining } = outOfStep;
+async function playCase(t: ExecutionContext, staleCase: StaleRouterCase): Promise<void> {
+  const { routerCount = 4, joining } = staleCase;
   const plainServer = {};
   const fleet = await startHeldUpRouters(t, routerCount, [plainServer, ...enginesOf(firstVersion)]);
   const [router, ...others] = fleet.routers as [Router, ...Router[]];
-  outOfStep.leaveStep(router);
+  staleCase.isolate(router);
   for (const version of joining) {
     await Promise.all(enginesOf(version).map(fleet.startWorker));
     await delay(joinMs);
   }
   const begun = await beginStreams(others);
-  await outOfStep.disturb(others);
-  const taken = begun.map((stream) => takeUp(router, stream));
-  await delay(outOfStep.returnEarlyMs);
-  outOfStep.enterStep(router);
-  const outcomes = await Promise.all(taken);
+  await staleCase.disturb(others);
+  const resumptions = begun.map((stream) => resumeStream(router, stream));
+  await delay(staleCase.returnEarlyMs);
+  staleCase.reconnect(router);
+  const outcomes = await Promise.all(resumptions);
   const ends = begun.map(({ response }, index) => {
     const outcome = outcomes[index];
     const resumed = outcome?.kind === 'answered' ? outcome.response : undefined;
     return {
-      began: versionsIn(response),
-      wentOn: resumed?.status === okStatus ? versionsIn(resumed) : [],
+      begunAt: versionsIn(response),
+      continuedAt: resumed?.status === okStatus ? versionsIn(resumed) : [],
     };
   });
-  const newStreams = ends.filter(({ began }) => !began.includes(firstVersion));
-  const goneOn = ends.filter(({ wentOn }) => wentOn.length > 0);
-  const newGoneOn = goneOn.filter((end) => newStreams.includes(end));
+  const newStreams = ends.filter(({ begunAt }) => !begunAt.includes(firstVersion));
+  const continued = ends.filter(({ continuedAt }) => continuedAt.length > 0);
+  const newContinued = continued.filter((end) => newStreams.includes(end));
   t.log(
-    `${goneOn.length} of ${ends.length} went on, ${newGoneOn.length} of ${newStreams.length} of new versions`,
+    `${continued.length} of ${ends.length} continued, ${newContinued.length} of ${newStreams.length} of new versions`,
   );
   t.true(newStreams.length >= minNewStreams, `${newStreams.length} began at new versions`);
-  goneOn.forEach(({ began, wentOn }) => t.deepEqual(wentOn, began));
+  continued.forEach(({ begunAt, continuedAt }) => t.deepEqual(continuedAt, begunAt));
 }
 
-const standStill = {
-  leaveStep: (router: Router) => router.freeze(),
-  enterStep: (router: Router) => router.resume(),
+const stopped = {
+  isolate: (router: Router) => router.freeze(),
+  reconnect: (router: Router) => router.resume(),
   returnEarlyMs: 300,
 };
 const withoutStore = {
-  leaveStep: (router: Router) => router.storeLink.setFault({ kind: 'silent' }),
-  enterStep: (router: Router) => router.storeLink.setFault({ kind: 'none' }),
+  isolate: (router: Router) => router.storeLink.setFault({ kind: 'silent' }),
+  reconnect: (router: Router) => router.storeLink.setFault({ kind: 'none' }),
   // Longer than the router asks the others and the store.
   returnEarlyMs: 1_500,
 };
@@ -148,19 +148,19 @@
 const killAll = (others: readonly Router[]) => Promise.all(others.map(({ kill }) => kill()));
 const freezeAll = (others: readonly Router[]) => others.forEach(({ freeze }) => freeze());
 
-const cases: OutOfStepCase[] = [
-  { name: 'stands still', ...standStill, disturb: () => undefined, joining: ['v2'] },
+const cases: StaleRouterCase[] = [
+  { name: 'is stopped', ...stopped, disturb: () => undefined, joining: ['v2'] },
   {
-    name: 'stands still, the others are killed',
-    ...{ ...standStill, disturb: killAll, routerCount: manyRouters, joining: ['v2'] },
+    name: 'is stopped, the others are killed',
+    ...{ ...stopped, disturb: killAll, routerCount: manyRouters, joining: ['v2'] },
   },
   {
-    name: 'stands still, the others do not answer it',
-    ...{ ...standStill, disturb: freezeAll, routerCount: manyRouters, joining: ['v2'] },
+    name: 'is stopped, the others do not answer it',
+    ...{ ...stopped, disturb: freezeAll, routerCount: manyRouters, joining: ['v2'] },
   },
   {
-    name: 'stands still over two releases, the others do not answer it',
-    ...{ ...standStill, disturb: freezeAll, joining: ['v2', 'v3'] },
+    name: 'is stopped over two releases, the others do not answer it',
+    ...{ ...stopped, disturb: freezeAll, joining: ['v2', 'v3'] },
   },
   {
     name: 'cannot reach the store',
@@ -172,13 +172,13 @@
   },
 ];
 
-cases.forEach((outOfStep) => {
+cases.forEach((staleCase) => {
   test.serial(
-    `streams go on at their own version at a router that ${outOfStep.name}`,
+    `streams continue at their own version at a router that ${staleCase.name}`,
     async (t) => {
       // It knows only the version of before, and takes that for the one that has begun the stream.
       t.timeout(90_000);
-      await playCase(t, outOfStep);
+      await playCase(t, staleCase);
     },
   );
 });
