Read the last event of a stream by the soak's own function in the test of a stale router

The test had a copy of it. Two comments reworded as well. Tests only; what they demand is unchanged.

The tests of both files pass (31); formatter, linter and types are clean.

--- a/packages/routing/__tests__/backendConnections.test.ts
+++ b/packages/routing/__tests__/backendConnections.test.ts
@@ -74,7 +74,7 @@
 });
 
 test('a response with a transfer coding that is not decoded is lost', async (t) => {
-  // The caller would get the coded bytes as the body, without the header that tells so.
+  // The caller would get the coded bytes as the body, without the header that states the coding.
   const { address } = await startRawServer(t, (socket) => {
     socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\ncoded');
   });
--- a/packages/soak/__tests__/staleRouter.test.ts
+++ b/packages/soak/__tests__/staleRouter.test.ts
@@ -6,6 +6,7 @@
 import { callRouter, type CallerResponse } from '@bluebellhitch/platform-standins';
 import { delay } from '@bluebellhitch/shared';
 import { callersHost } from '../src/configurationPlan';
+import { lastEventId } from '../src/streamVersionChecks';
 import {
   startHeldUpRouters,
   type HeldUpRouters,
@@ -52,11 +53,6 @@
   return versions.filter((version) => body.includes(`by ${version}\n`));
 }
 
-function lastEventId({ body }: CallerResponse): number {
-  const events = body.split('\n\n').slice(0, -1);
-  return Number(/id: (\d+)/.exec(events.at(-1) ?? '')?.[1] ?? 0);
-}
-
 /** Begins a stream, and breaks it off after its first events. */
 async function beginStream(router: Router, id: string): Promise<BegunStream[]> {
   const brokenOff = new AbortController();
@@ -66,7 +62,7 @@
     prompt: { promptTokens: 1_000, maxOutputTokens: 100 },
     onData: () => setTimeout(() => brokenOff.abort(), 60),
   });
-  const hasEvents = outcome.kind === 'answered' && lastEventId(outcome.response) > 0;
+  const hasEvents = outcome.kind === 'answered' && lastEventId(outcome.response.body) > 0;
   return hasEvents ? [{ id, response: outcome.response }] : [];
 }
 
@@ -93,7 +89,7 @@
     ...{ address: router.callersAddress, host: callersHost, target: `/resumed/${id}` },
     ...{ requestId: `${id}-again`, deadlineMs },
     prompt: { promptTokens: 1_000, maxOutputTokens: 100 },
-    headers: { 'last-event-id': `${lastEventId(response)}`, resumes: id },
+    headers: { 'last-event-id': `${lastEventId(response.body)}`, resumes: id },
   });
 }
 
@@ -143,7 +139,7 @@
   returnEarlyMs: 1_500,
 };
 
-/** So many that most streams are told to others than the router, which then has to ask for them. */
+/** So many that most streams are announced to other routers only, which the stale one has to ask. */
 const manyRouters = 8;
 const killAll = (others: readonly Router[]) => Promise.all(others.map(({ kill }) => kill()));
 const freezeAll = (others: readonly Router[]) => others.forEach(({ freeze }) => freeze());
