Test clients that keep to no limit, at each port of a router, an entry and an agent

Callers who cannot be trusted ended a process: bodies in very small chunks that stop short of their end, requests sent ahead whose answers stay unread, the same at the ready path. No check depends on the machine's speed.

All stay in KNOWN-RED.txt until the commit that mends them; these entries do not count towards its limit, as the issue asks.

--- a/packages/soak/src/routerFleet.ts
+++ b/packages/soak/src/routerFleet.ts
@@ -17,6 +17,12 @@
   /** `ip:port`. */
   storeAddress: string;
   bounds: PlatformBounds;
+  /** Memory of each machine. Default: 300 MB. */
+  memoryBytes?: number;
+  /** Descriptors of each process. Default: 4,000. */
+  maxDescriptors?: number;
+  /** Arguments of Node.js. Default: none. */
+  nodeArguments?: readonly string[];
   /** Path of the built router. */
   programPath: string;
   /** A module loaded into each process, which makes it exit when this process ends. */
@@ -37,6 +43,10 @@
   name: string;
   /** `ip:port` for callers. */
   callersAddress: string;
+  /** `ip:port` of the readiness endpoint. */
+  readyAddress: string;
+  /** `ip:port` of the admin server. */
+  adminAddress: string;
   /** Proxy between this router and the store. */
   storeLink: LoopbackProxy;
   /** How many times the process has been started. */
@@ -69,8 +79,8 @@
 }
 
 const ports = { callers: 8_149, ready: 8_141, firstPeer: 7_380, lastPeer: 7_395, admin: 9_464 };
-const memoryBytes = 300 * 1_048_576;
-const maxDescriptors = 4_000;
+const defaultMemoryBytes = 300 * 1_048_576;
+const defaultMaxDescriptors = 4_000;
 const maxSeeds = 3;
 /** Interval of the balancer's readiness polls; two failures take a router out of rotation. */
 const readyPollIntervalMs = 500;
@@ -164,6 +174,8 @@
   return {
     name,
     callersAddress: `${ip}:${ports.callers}`,
+    readyAddress: `${ip}:${ports.ready}`,
+    adminAddress: `${ip}:${ports.admin}`,
     storeLink,
     incarnation: () => incarnation,
     handlesReload: () => child?.pid !== undefined && catchesSignal(child.pid, signalNumbers.hangUp),
@@ -215,9 +227,11 @@
   const log = openSync(join(options.directory, `${name}.log`), 'a');
   const child = spawn(
     process.execPath,
-    ['--import', options.exitWithParentPath, options.programPath].concat([
+    [
+      ...(options.nodeArguments ?? []),
+      ...['--import', options.exitWithParentPath, options.programPath],
       `--admin-port=${ports.admin}`,
-    ]),
+    ],
     { env: { ...process.env, [settingsVariable]: settingsPath }, stdio: ['pipe', log, log] },
   );
   closeSync(log);
@@ -225,9 +239,11 @@
 }
 
 function createSettings(
-  { bounds }: RouterFleetOptions,
+  options: RouterFleetOptions,
   router: { name: string; ip: string; ips: readonly string[]; storeAddress: string },
 ): PlatformSettings {
+  const { bounds, memoryBytes = defaultMemoryBytes } = options;
+  const { maxDescriptors = defaultMaxDescriptors } = options;
   return {
     instanceId: router.name,
     dataCentre: 'north',
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -36,3 +36,14 @@
   type StandinPlainService,
   type StandinPlainServiceOptions,
 } from './plainService/standinPlainService';
+export { sendRaw, startCrowd, type Crowd, type CrowdOptions } from './crowd/crowd';
+export {
+  encodeChunk,
+  endless,
+  headAndBytes,
+  inOrder,
+  once,
+  unendedChunks,
+  type Parts,
+} from './crowd/crowdInput';
+export { watchProcess, type ProcessUse } from './crowd/processUse';
--- a/scripts/ci.mjs
+++ b/scripts/ci.mjs
@@ -4,7 +4,7 @@
  */
 import { spawn } from 'node:child_process';
 import { createInterface } from 'node:readline';
-import { knownRedLimit, readKnownRed } from './lib/knownRed.mjs';
+import { findListProblems, readKnownRed } from './lib/knownRed.mjs';
 import { repositoryRoot, run } from './lib/repository.mjs';
 import { createTapReport } from './lib/tapReport.mjs';
 import { judgeTests } from './lib/testVerdict.mjs';
@@ -51,9 +51,7 @@
 const tests = await runTests();
 const failedChecks = await runChecks();
 const { newFailures, knownFailures, problems } = judgeTests(tests, knownRed);
-if (knownRed.length > knownRedLimit) {
-  problems.push(`KNOWN-RED.txt holds ${knownRed.length} tests; ${knownRedLimit} at most`);
-}
+problems.push(...findListProblems(knownRed));
 
 print('');
 knownFailures.forEach(({ title, cause, issue }) =>
--- a/scripts/lib/knownRed.mjs
+++ b/scripts/lib/knownRed.mjs
@@ -3,7 +3,9 @@
 import { join } from 'node:path';
 import { repositoryRoot } from './repository.mjs';
 
-export const knownRedLimit = 3;
+const knownRedLimit = 3;
+/** Issues whose tests do not count towards the limit, as their reporters asked. */
+const unlimitedIssues = ['issue 72'];
 
 /** Reads the list; it is empty if the file does not exist. */
 export function readKnownRed(path = join(repositoryRoot, 'KNOWN-RED.txt')) {
@@ -18,3 +20,11 @@
       return { title, cause, issue };
     });
 }
+
+/** What is wrong with the list as a whole. */
+export function findListProblems(knownRed) {
+  const limited = knownRed.filter(({ issue }) => !unlimitedIssues.includes(issue));
+  return limited.length > knownRedLimit
+    ? [`KNOWN-RED.txt holds ${limited.length} tests; ${knownRedLimit} at most`]
+    : [];
+}
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,6 +1,7 @@
 /**
- * `npm test`: installs what is missing, builds the binaries and runs the tests. Arguments go to ava. Tests listed in
- * KNOWN-RED.txt may fail: they are printed at the end, and do not count.
+ * `npm test`: installs what is missing, builds the binaries and runs the tests, those named `.alone.test.ts` after all
+ * others and one at a time. Arguments go to ava. Tests listed in KNOWN-RED.txt may fail: they are printed at the end, and do
+ * not count.
  */
 import { spawn } from 'node:child_process';
 import { createInterface } from 'node:readline';
@@ -36,8 +37,22 @@
   process.exit(prepared);
 }
 const args = process.argv.slice(2).filter((arg) => arg !== '--tap');
-const tests = await runTests(args);
-const { knownFailures, problems } = judgeTests(tests, readKnownRed());
+const aloneConfig = ['--config', 'ava.alone.config.js'];
+const aloneSuffix = '.alone.test.ts';
+const files = args.filter((arg) => arg.endsWith('.ts'));
+const options = args.filter((arg) => !arg.endsWith('.ts'));
+const aloneFiles = files.filter((file) => file.endsWith(aloneSuffix));
+const otherFiles = files.filter((file) => !file.endsWith(aloneSuffix));
+const verdicts = [];
+if (files.length === 0 || otherFiles.length > 0) {
+  verdicts.push(judgeTests(await runTests([...options, ...otherFiles]), readKnownRed()));
+}
+if (files.length === 0 || aloneFiles.length > 0) {
+  const tests = await runTests([...aloneConfig, ...options, ...aloneFiles]);
+  verdicts.push(judgeTests(tests, readKnownRed()));
+}
+const knownFailures = verdicts.flatMap((verdict) => verdict.knownFailures);
+const problems = verdicts.flatMap((verdict) => verdict.problems);
 knownFailures.forEach(({ title, cause, issue }) =>
   print(`# known red: ${title} (${cause}; ${issue})`),
 );
