--- /dev/null
+++ b/packages/ports/src/index.ts
@@ -0,0 +1,8 @@
+export {
+  createBodyReaderPool,
+  type BodyReaderPool,
+  type RequestBodyLimits,
+  type RequestBodyOutcome,
+} from './requestBody';
+export { createMemoryAccount, type MemoryAccount, type MemoryLimits } from './memoryAccount';
+export { createPortResources, type PortResources } from './portResources';
--- a/packages/routing/__tests__/requestBody.test.ts
+++ b/packages/routing/__tests__/requestBody.test.ts
@@ -9,12 +9,17 @@
   type CallersServerOptions,
   type DecodeHead,
 } from '@bluebellhitch/routing';
+import { createMemoryAccount } from '@bluebellhitch/ports';
 import { createLogger } from '@bluebellhitch/telemetry';
 
 const maxBufferedBytes = 200_000;
 const maxBodyBytes = 4_000_000;
 const longBody = Buffer.alloc(3_000_000, 'x');
 
+const resourcesFor = (bodies: number) => ({
+  memory: createMemoryAccount({ bodies }),
+});
+
 /** The path `/for/N` states a deadline of N ms, `/malformed` a head that is refused. */
 const decodeHead: DecodeHead = ({ method, target, arrivedAtMs }) =>
   target === '/malformed'
@@ -59,7 +64,7 @@
       return Promise.resolve();
     },
     logger: createLogger({ binary: 'test', instanceId: 't', write: () => undefined }),
-    maxBufferedBytes,
+    resources: resourcesFor(maxBufferedBytes),
     maxConnections: 100,
     ...overrides,
   });
@@ -140,7 +145,7 @@
   { name: 'for want of memory', target: '/a', firstBytes: maxBufferedBytes + 1, status: 503 },
   {
     ...{ name: 'for its size', target: '/a', firstBytes: maxBodyBytes + 1, status: 413 },
-    maxBufferedBytes: 2 * maxBodyBytes,
+    resources: resourcesFor(2 * maxBodyBytes),
   },
   { name: 'for its head', target: '/malformed', firstBytes: 1, status: 400 },
 ];
--- a/packages/routing/__tests__/support/callersServerFixture.ts
+++ b/packages/routing/__tests__/support/callersServerFixture.ts
@@ -9,6 +9,7 @@
   type CallersServerOptions,
   type DecodeHead,
 } from '@bluebellhitch/routing';
+import { createMemoryAccount } from '@bluebellhitch/ports';
 import { createLogger } from '@bluebellhitch/telemetry';
 
 const decodeHead: DecodeHead = ({ method, target, arrivedAtMs }) =>
@@ -35,7 +36,9 @@
     decodeHead,
     serve: async (exchange) => serve(exchange),
     logger: createLogger({ binary: 'test', instanceId: 't', write: () => undefined }),
-    maxBufferedBytes: 1_000_000,
+    resources: {
+      memory: createMemoryAccount({ bodies: 1_000_000 }),
+    },
     maxConnections: 100,
     ...overrides,
   });
--- a/packages/routing/src/callers/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -5,6 +5,11 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as ListeningServer, type AddressInfo, type Socket } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
+import {
+  createBodyReaderPool,
+  type PortResources,
+  type RequestBodyOutcome,
+} from '@bluebellhitch/ports';
 import { assertNever, monotonicNowMs, watchSlowSenders } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import type { CallerExchange } from '../callerApi';
@@ -14,7 +19,6 @@
 import { createConnectionClosing, refuseConnect, type TakenRequest } from './connectionClosing';
 import { createHttpExchange, refuseOverHttp } from './httpExchange';
 import { refuseUnread, type UnreadRequest } from './refuseUnread';
-import { createBodyReaderPool, type RequestBodyOutcome } from './requestBody';
 
 /** A request's head as parsed by Node.js. */
 export interface RequestHead {
@@ -35,8 +39,8 @@
   decodeHead: DecodeHead;
   serve(exchange: CallerExchange): Promise<void>;
   logger: Logger;
-  /** Maximum size in memory of all request bodies together. */
-  maxBufferedBytes: number;
+  /** Shared with the other ports of the process. */
+  resources: PortResources;
   maxConnections: number;
   /** How long a request may take by its route; undefined if none is known. Default: none is known. */
   routeTimeoutMs?: (request: Omit<CallerRequest, 'body'>) => number | undefined;
@@ -91,8 +95,9 @@
 export async function startCallersServer(options: CallersServerOptions): Promise<CallersServer> {
   const { logger, recentHoldUpMs = () => 0, mayServeConnection = () => true } = options;
   const { readBarrier = noReadBarrier, onLeftUnserved = () => undefined } = options;
+  const { resources } = options;
   const connections = createCallerConnections();
-  const bodyReaders = createBodyReaderPool(options.maxBufferedBytes);
+  const bodyReaders = createBodyReaderPool(resources.memory);
   const idleListeners: (() => void)[] = [];
   const closing = createConnectionClosing({ onLingered: notifyIfIdle });
   let limits = initialLimits;
--- a/scripts/lint/layering.mjs
+++ b/scripts/lint/layering.mjs
@@ -4,7 +4,7 @@
  */
 const layers = [
   ['shared'],
-  ['protocol', 'document'],
+  ['protocol', 'document', 'ports'],
   ['decisions', 'objects', 'security'],
   ['duties', 'membership', 'engine', 'telemetry'],
   ['routing'],
