Bound what the callers of a router's port make it hold, whatever they send ahead or leave unread

What callers saw: a few clients that sent requests ahead and read no answer ended the router, with 5 to 27 MB sent: with all headers and no route, answered by a server, or without the usual headers. Requests in progress of all others were lost.

Cause: the runtime parses all of a read, up to 3,600 requests of 18 bytes, before it stops reading, and it stops only for answers that wait unsent, not for requests in progress. A connection that was closing still made two objects for each further request, which were never over. Whole answers that wait for a caller that does not read, parts of heads and input that waits were counted nowhere.

Change, one account for all of it (`ports`): - Input goes to the parser in pieces with a few heads at most, and waits while its connection has 32 requests in progress, or one once connections hold half of their share. The rest of a request that has begun is always read. The socket is told to stop, so the kernel holds the rest. - Long pieces share the passes of the event loop: 128 KB a pass, so what others send is read in between. - What connections hold (requests in progress, heads, input that waits, unsent answers) is at most a tenth of the memory; beyond it the one that holds the most is closed.

--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -4,5 +4,17 @@
   type RequestBodyLimits,
   type RequestBodyOutcome,
 } from './requestBody';
-export { createMemoryAccount, type MemoryAccount, type MemoryLimits } from './memoryAccount';
+export {
+  createMemoryAccount,
+  type ConnectionAccount,
+  type MemoryAccount,
+  type MemoryLimits,
+} from './memoryAccount';
+export {
+  guardPort,
+  type GuardedConnection,
+  type PortGuard,
+  type PortGuardOptions,
+} from './portGuard';
+export { createReadTurns, type ReadTurns } from './readTurns';
 export { createPortResources, type PortResources } from './portResources';
--- a/packages/routing/__tests__/requestBody.test.ts
+++ b/packages/routing/__tests__/requestBody.test.ts
@@ -9,7 +9,7 @@
   type CallersServerOptions,
   type DecodeHead,
 } from '@bluebellhitch/routing';
-import { createMemoryAccount } from '@bluebellhitch/ports';
+import { createMemoryAccount, createReadTurns } from '@bluebellhitch/ports';
 import { createLogger } from '@bluebellhitch/telemetry';
 
 const maxBufferedBytes = 200_000;
@@ -17,7 +17,8 @@
 const longBody = Buffer.alloc(3_000_000, 'x');
 
 const resourcesFor = (bodies: number) => ({
-  memory: createMemoryAccount({ bodies }),
+  memory: createMemoryAccount({ bodies, connections: 10_000_000 }),
+  turns: createReadTurns(),
 });
 
 /** The path `/for/N` states a deadline of N ms, `/malformed` a head that is refused. */
--- a/packages/routing/__tests__/support/callersServerFixture.ts
+++ b/packages/routing/__tests__/support/callersServerFixture.ts
@@ -9,7 +9,7 @@
   type CallersServerOptions,
   type DecodeHead,
 } from '@bluebellhitch/routing';
-import { createMemoryAccount } from '@bluebellhitch/ports';
+import { createMemoryAccount, createReadTurns } from '@bluebellhitch/ports';
 import { createLogger } from '@bluebellhitch/telemetry';
 
 const decodeHead: DecodeHead = ({ method, target, arrivedAtMs }) =>
@@ -37,7 +37,8 @@
     serve: async (exchange) => serve(exchange),
     logger: createLogger({ binary: 'test', instanceId: 't', write: () => undefined }),
     resources: {
-      memory: createMemoryAccount({ bodies: 1_000_000 }),
+      memory: createMemoryAccount({ bodies: 1_000_000, connections: 100_000_000 }),
+      turns: createReadTurns(),
     },
     maxConnections: 100,
     ...overrides,
--- a/packages/routing/src/callers/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -7,6 +7,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import {
   createBodyReaderPool,
+  guardPort,
   type PortResources,
   type RequestBodyOutcome,
 } from '@bluebellhitch/ports';
@@ -42,6 +43,8 @@
   /** Shared with the other ports of the process. */
   resources: PortResources;
   maxConnections: number;
+  /** Requests in progress on a connection, from which on nothing more is read from it. Default: 32. */
+  maxRequestsPerConnection?: number;
   /** How long a request may take by its route; undefined if none is known. Default: none is known. */
   routeTimeoutMs?: (request: Omit<CallerRequest, 'body'>) => number | undefined;
   /** Requests are served once everything that arrived with them has been read. Default: at once. */
@@ -86,6 +89,10 @@
 const timeoutCheckIntervalMs = 500;
 /** Limit of a timer that is not longer than the runtime can measure, whatever time a caller states. */
 const maxBodyTimeoutMs = 3_600_000;
+/** More than callers send ahead that read the answers. */
+const defaultMaxRequestsPerConnection = 32;
+/** A connection is closed for a new one only once it has been quiet for so long. */
+const minQuietMsOfClosed = 1_000;
 /** Time in which requests in progress end and free their memory. */
 const memoryRetryAfterMs = 500;
 /** Another router can serve the request at once. */
@@ -95,11 +102,14 @@
 export async function startCallersServer(options: CallersServerOptions): Promise<CallersServer> {
   const { logger, recentHoldUpMs = () => 0, mayServeConnection = () => true } = options;
   const { readBarrier = noReadBarrier, onLeftUnserved = () => undefined } = options;
-  const { resources } = options;
+  const { resources, maxRequestsPerConnection = defaultMaxRequestsPerConnection } = options;
   const connections = createCallerConnections();
   const bodyReaders = createBodyReaderPool(resources.memory);
   const idleListeners: (() => void)[] = [];
-  const closing = createConnectionClosing({ onLingered: notifyIfIdle });
+  const closing = createConnectionClosing({
+    onLingered: notifyIfIdle,
+    onClosing: (socket) => guard.of(socket).discardInput(),
+  });
   let limits = initialLimits;
   let activeCount = 0;
   let isDraining = false;
@@ -107,8 +117,9 @@
 
   async function onRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const taken = closing.take(incoming, outgoing);
+    const guarded = guard.of(incoming.socket);
     if (taken === undefined) {
-      incoming.resume();
+      guarded.discardInput();
       return;
     }
     const connection = connections.of(incoming.socket);
@@ -145,6 +156,7 @@
       connection,
       isDraining: () => isDraining,
       announceClose: taken.announceClose,
+      holdAnswer: guarded.holdAnswer,
     });
     if (request.deadlineAtMs > endsAtMs) {
       const reason = notRunReasons.stopping;
@@ -213,7 +225,11 @@
       });
     },
   );
-  server.maxConnections = options.maxConnections;
+  const guard = guardPort(server, {
+    ...{ resources, maxRequestsPerConnection },
+    maxConnections: options.maxConnections,
+    minQuietMs: minQuietMsOfClosed,
+  });
   server.prependListener('connection', (socket) => {
     if (!mayServeConnection()) {
       socket.destroy();
--- a/packages/routing/src/callers/connectionClosing.ts
+++ b/packages/routing/src/callers/connectionClosing.ts
@@ -34,6 +34,8 @@
 export interface ConnectionClosingOptions {
   /** Called each time that a connection stops lingering. */
   onLingered: () => void;
+  /** Called for a connection from which no further request is taken: what still arrives is of no use. Default: nothing. */
+  onClosing?: (socket: Socket) => void;
 }
 
 interface Connection {
@@ -69,6 +71,7 @@
 }
 
 export function createConnectionClosing(options: ConnectionClosingOptions): ConnectionClosing {
+  const { onClosing = () => undefined } = options;
   const connections = new Map<Socket, Connection>();
   const lingering = new Set<Connection>();
   let isDraining = false;
@@ -101,6 +104,7 @@
     const { socket } = connection;
     connection.isClosing = true;
     stopLingering(connection);
+    onClosing(socket);
     socket.end(response ?? '');
     const timer = setTimeout(() => socket.destroy(), closeTimeoutMs).unref();
     socket.once('close', () => clearTimeout(timer));
--- a/packages/routing/src/callers/httpExchange.ts
+++ b/packages/routing/src/callers/httpExchange.ts
@@ -3,7 +3,11 @@
 import { assertNever } from '@bluebellhitch/shared';
 import type { ResponseWriter, CallerExchange } from '../callerApi';
 import { notRunReasons, type CallerRequest, type Refusal } from '../model';
-import { createDisconnectSignal, type CallerConnection } from './callerConnection';
+import {
+  createDisconnectSignal,
+  onceResponseOver,
+  type CallerConnection,
+} from './callerConnection';
 
 interface RefusalResponse {
   status: number;
@@ -21,12 +25,14 @@
   isDraining: () => boolean;
   /** Makes the response announce that its connection closes. */
   announceClose: () => void;
+  /** Counts bytes that wait for the caller until the returned function is called. */
+  holdAnswer: (bytes: number) => () => void;
 }
 
 export function createHttpExchange(
   request: CallerRequest,
   outgoing: ServerResponse,
-  { connection, isDraining, announceClose }: HttpExchangeOptions,
+  { connection, isDraining, announceClose, holdAnswer }: HttpExchangeOptions,
 ): CallerExchange {
   function writeHead(status: number, headers: readonly string[]): void {
     if (isDraining()) {
@@ -44,6 +50,9 @@
         : ['Content-Length', String(body.length)];
       writeHead(status, [...withoutFraming(headers), ...contentLength]);
       outgoing.end(body);
+      if (!outgoing.writableFinished) {
+        onceResponseOver(outgoing, connection, holdAnswer(body.length));
+      }
     },
     refuse(refusal) {
       if (isDraining() || isRouterSpecific(refusal)) {
--- a/packages/routing/src/callers/refuseUnread.ts
+++ b/packages/routing/src/callers/refuseUnread.ts
@@ -9,6 +9,8 @@
 
 /** Time for a caller to read the response and stop sending; a small part of what a process has for its shutdown. */
 const maxDiscardMs = 2_000;
+/** What a part of a body counts at least: the time that it takes does not follow its size. */
+const minCountedBytes = 512;
 
 export interface UnreadRequest {
   incoming: IncomingMessage;
@@ -34,7 +36,7 @@
     return;
   }
   incoming.on('data', (chunk: Buffer) => {
-    leftBytes -= chunk.length;
+    leftBytes -= Math.max(chunk.length, minCountedBytes);
     if (leftBytes < 0) {
       finish();
     }
