Bound the ready and admin ports: one request at a time, and new connections before old ones

What callers saw: requests sent ahead at the ready path or for the metrics, their answers unread, ended the router; 1,500 connections without a request at the ready or the admin port took more descriptors than the machine has; chunks of one byte at the ready path kept the load balancer's own question from an answer for 60 s, which takes the machine out of rotation.

Cause: both were bare servers without a bound of connections, of requests in progress or of unread answers, and the rest of a request that was answered was parsed and dropped for as long as it came.

Change: one small piece for both (`guardSmallPort`): one request in progress on a connection, 32 connections of which the oldest makes room for a new one, so that the balancer is always heard, time limits for heads and requests, and the account of the process. Texts of metrics are shared by those who ask at the same time (`createSharedRead`, which moves to `shared`).

--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -18,3 +18,4 @@
 } from './portGuard';
 export { createReadTurns, type ReadTurns } from './readTurns';
 export { createPortResources, type PortResources } from './portResources';
+export { guardSmallPort, smallPortOptions } from './smallPort';
--- a/packages/routing/src/fleet/originStore.ts
+++ b/packages/routing/src/fleet/originStore.ts
@@ -20,12 +20,12 @@
   monotonicNowMs,
   type BackgroundLoop,
   type Random,
+  createSharedRead,
 } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import type { CallerRequest, Route } from '../model';
 import { hasOtherServices, type MovedRoute } from '../movedRoutes';
 import { isOnPath } from '../routeTable';
-import { createSharedRead } from '../servers/sharedRead';
 import { createByteBudget } from './byteBudget';
 import { createOriginSweep } from './originSweep';
 import {
--- a/packages/routing/src/servers/serviceVersions.ts
+++ b/packages/routing/src/servers/serviceVersions.ts
@@ -11,12 +11,13 @@
   monotonicNowMs,
   type BackgroundLoop,
   type Random,
+  createSharedRead,
+  type SharedRead,
 } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import type { BackendServer } from '../model';
 import type { MovedRoute } from '../movedRoutes';
 import type { ServerDirectory } from './serverDirectory';
-import { createSharedRead, type SharedRead } from './sharedRead';
 import { changeVersionRecord, readVersionRecord, type VersionRecord } from './versionRecords';
 
 export interface ServiceVersions extends BackgroundLoop {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -28,5 +28,6 @@
 export { digestParts } from './contentDigest';
 export { startPauseTolerantTimer, type PauseTolerantTimer } from './pauseTolerantTimer';
 export { runOnce } from './runOnce';
+export { createSharedRead, type SharedRead } from './sharedRead';
 export { ageMsOf, earlierBy, readClocks, type ClockReading } from './clockReading';
 export { watchSlowSenders, type SlowSenderOptions } from './slowSenders';
--- a/packages/telemetry/src/adminServer.ts
+++ b/packages/telemetry/src/adminServer.ts
@@ -2,6 +2,13 @@
 import type { AddressInfo } from 'node:net';
 import type { Server } from 'node:http';
 import type { Hono } from 'hono';
+import {
+  createPortResources,
+  guardSmallPort,
+  smallPortOptions,
+  type PortResources,
+} from '@bluebellhitch/ports';
+import { createSharedRead } from '@bluebellhitch/shared';
 import type { DecisionRing } from './decisionRing';
 import type { RenderedMetrics } from './metrics';
 
@@ -9,6 +16,8 @@
   host: string;
   /** 0 selects a free port. */
   port: number;
+  /** Shared with the other ports of the process. Default: of its own. */
+  resources?: PortResources;
   metrics: RenderedMetrics;
   ring: DecisionRing;
   /** Whether the process accepts new work; reported by `/readyz`. */
@@ -46,8 +55,10 @@
   app.get('/readyz', (context) =>
     isReady() ? context.text('ok') : context.text('not ready', 503),
   );
+  // Callers that ask at the same time share a text.
+  const renderMetrics = createSharedRead(metrics.render);
   app.get('/metrics', async (context) =>
-    context.body(await metrics.render(), 200, { 'content-type': metrics.contentType }),
+    context.body(await renderMetrics(), 200, { 'content-type': metrics.contentType }),
   );
   app.get('/debug/decisions', (context) => {
     const count = Number(context.req.query('count') ?? defaultRecentCount);
@@ -66,9 +77,12 @@
 async function listen(app: Hono, options: AdminServerOptions): Promise<Server> {
   const { serve } = await import('@hono/node-server');
   return new Promise((resolve, reject) => {
-    const server = serve({ fetch: app.fetch, hostname: options.host, port: options.port }, () =>
+    const { host: hostname, port, resources = createPortResources() } = options;
+    const serverOptions = smallPortOptions;
+    const server = serve({ fetch: app.fetch, hostname, port, serverOptions }, () =>
       resolve(server),
     ) as Server;
+    guardSmallPort(server, resources);
     server.once('error', reject);
   });
 }
