Refuse requests while connections hold nearly all of their memory, and bound connections by memory

What callers could see: on a small machine as many connections as it has descriptors, each with a request, need more memory than there is: an idle connection costs 11 KB of heap (16 KB resident), a request in progress 11.6 KB more (1,000 of each at a server for callers in one process, arm64). The account took 6 KB for a request, and closed connections at its limit, whoever's they were.

Change: a request counts as 11 KB and twice its head. From nine tenths of the limit on, new requests are refused at once with 503, which is true and can be repeated elsewhere; the rest is for these refusals, and only beyond it is the connection closed that holds the most. Connections are bounded by a fifth of the memory at 16 KB each (2,278 at 178 MB) beside the descriptors.

--- a/packages/ports/__tests__/portGuard.test.ts
+++ b/packages/ports/__tests__/portGuard.test.ts
@@ -20,7 +20,7 @@
   const memory = createMemoryAccount({ bodies: 0, connections: 10_000_000 });
   const server = createServer(handler);
   const guard = guardPort(server, {
-    resources: { memory, turns: createReadTurns() },
+    resources: { memory, turns: createReadTurns(), maxConnections: 100 },
     maxConnections: 10,
     maxRequestsPerConnection,
     ...options,
@@ -115,7 +115,7 @@
 test('the connection whose caller reads nothing is closed for want of memory, and others stay', async (t) => {
   // Whole answers that wait for a caller that does not read were held without a bound.
   const memory = createMemoryAccount({ bodies: 0, connections: 1_000_000 });
-  const resources = { memory, turns: createReadTurns() };
+  const resources = { memory, turns: createReadTurns(), maxConnections: 100 };
   const held: { guard?: Awaited<ReturnType<typeof startServer>>['guard'] } = {};
   const started = await startServer(
     t,
--- a/packages/ports/src/memoryAccount.ts
+++ b/packages/ports/src/memoryAccount.ts
@@ -17,6 +17,8 @@
   connectionBytes(): number;
   /** So much is held that no connection should go on to a further request before the last one is answered. */
   isTight(): boolean;
+  /** So much is held that further requests should be refused. */
+  isFull(): boolean;
 }
 
 export interface ConnectionAccount {
@@ -40,6 +42,8 @@
 
 /** From this share of its limit on, what connections hold is tight. */
 const tightShare = 0.5;
+/** Beyond the rest of it, which refused requests need, connections are closed. */
+const fullShare = 0.9;
 
 export function createMemoryAccount(limits: MemoryLimits): MemoryAccount {
   const entries = new Set<Entry>();
@@ -75,6 +79,7 @@
     bodyBytes: () => bodyBytes,
     connectionBytes: () => connectionBytes,
     isTight: () => connectionBytes > limits.connections * tightShare,
+    isFull: () => connectionBytes > limits.connections * fullShare,
     openConnection(close) {
       const entry: Entry = { heldBytes: 0, close };
       entries.add(entry);
--- a/packages/ports/src/portGuard.ts
+++ b/packages/ports/src/portGuard.ts
@@ -48,7 +48,7 @@
 }
 
 /** Objects of the runtime and of the router for a request in progress, without the texts of its head. */
-const requestBytes = 6_144;
+const requestBytes = 11_264;
 /** Texts of a head are held as raw headers and again by name. */
 const bytesPerHeadByte = 2;
 /** Time for a caller to read an answer that came before the end of its request. */
--- a/packages/ports/src/portResources.ts
+++ b/packages/ports/src/portResources.ts
@@ -5,11 +5,16 @@
 export interface PortResources {
   memory: MemoryAccount;
   turns: ReadTurns;
+  /** Connections of callers that there is memory for, whatever they send. */
+  maxConnections: number;
 }
 
 /** Shares of the process's memory that request bodies, and callers' connections beside them, may hold. */
 const bodyShare = 0.15;
 const connectionShare = 0.1;
+/** Share of the memory for connections that hold nothing, and what the runtime needs for one of them. */
+const idleShare = 0.2;
+const idleConnectionBytes = 16_384;
 /** The smallest machine that entries run on. */
 const defaultMemoryBytes = 200 * 1_048_576;
 
@@ -19,5 +24,6 @@
     bodies: memoryBytes * bodyShare,
     connections: memoryBytes * connectionShare,
   });
-  return { memory, turns: createReadTurns() };
+  const maxConnections = Math.floor((memoryBytes * idleShare) / idleConnectionBytes);
+  return { memory, turns: createReadTurns(), maxConnections };
 }
--- a/packages/routing/__tests__/requestBody.test.ts
+++ b/packages/routing/__tests__/requestBody.test.ts
@@ -19,6 +19,7 @@
 const resourcesFor = (bodies: number) => ({
   memory: createMemoryAccount({ bodies, connections: 10_000_000 }),
   turns: createReadTurns(),
+  maxConnections: 100,
 });
 
 /** The path `/for/N` states a deadline of N ms, `/malformed` a head that is refused. */
--- a/packages/routing/__tests__/support/callersServerFixture.ts
+++ b/packages/routing/__tests__/support/callersServerFixture.ts
@@ -39,6 +39,7 @@
     resources: {
       memory: createMemoryAccount({ bodies: 1_000_000, connections: 100_000_000 }),
       turns: createReadTurns(),
+      maxConnections: 100,
     },
     maxConnections: 100,
     ...overrides,
--- a/packages/routing/src/callers/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -95,6 +95,11 @@
 const minQuietMsOfClosed = 1_000;
 /** Time in which requests in progress end and free their memory. */
 const memoryRetryAfterMs = 500;
+const overloadRefusal = {
+  kind: 'not-run',
+  reason: notRunReasons.overloaded,
+  retryAfterMs: memoryRetryAfterMs,
+} as const satisfies Refusal;
 /** Another router can serve the request at once. */
 const stoppingRetryAfterMs = 50;
 
@@ -126,6 +131,10 @@
     const heldUpMs = recentHoldUpMs();
     activeCount += 1;
     onceResponseOver(outgoing, connection, () => onResponseOver(taken));
+    if (resources.memory.isFull()) {
+      refuse(taken, { incoming, outgoing }, overloadRefusal);
+      return;
+    }
     const head = decode(incoming);
     if (head.isErr()) {
       refuse(taken, { incoming, outgoing }, head.error);
@@ -288,10 +297,8 @@
   switch (kind) {
     case 'too-large':
       return { kind: 'too-large', part: 'body' };
-    case 'no-memory': {
-      const reason = notRunReasons.overloaded;
-      return { kind: 'not-run', reason, retryAfterMs: memoryRetryAfterMs };
-    }
+    case 'no-memory':
+      return overloadRefusal;
     case 'overdue':
       return { kind: 'body-overdue' };
     default:
