Count together what callers make an entry hold, and bound it

What callers saw: 20 to 100 clients made an entry grow without an end: completions in chunks of one byte or of 64 KB that stopped short of their end, requests ahead to no route, for the list of models or answered by a server, without a host. It answered nobody any more; its target is a machine of 200 MB.

Cause: each body had a limit of its own, and all of them together had none; chunks were kept as objects; the port took all requests of a read, as the router's did. Small parts of plain bodies waited in the runtime one by one.

Change: the entry's port for callers has the bounds of the router's (`ports`): bodies of completions and what is kept of plain bodies share 15 in 100 of `--memory-mb` (default 200) and are refused with 503 beyond it, 32 requests in progress for each connection, connections 10 in 100.

--- a/packages/bench/src/fleet/childProcess.ts
+++ b/packages/bench/src/fleet/childProcess.ts
@@ -41,6 +41,8 @@
   kill(): void;
 }
 
+/** Sizes of the heap for the users' machines; V8 takes much more by itself on a larger one. */
+const heapArguments = ['--max-old-space-size=110', '--max-semi-space-size=1'];
 const startTimeoutMs = 60_000;
 const defaultStopTimeoutMs = 8_000;
 const maxErrorLines = 20;
@@ -86,7 +88,12 @@
   const flags = Object.entries(spec.settings)
     .filter(([, value]) => value !== undefined)
     .map(([name, value]) => `${flagName(name)}=${value}`);
-  return [...preload, join(options.binaryDirectory, `${spec.binary}.js`), ...flags];
+  return [
+    ...heapArguments,
+    ...preload,
+    join(options.binaryDirectory, `${spec.binary}.js`),
+    ...flags,
+  ];
 }
 
 /**
--- a/packages/entry/src/callerExchange.ts
+++ b/packages/entry/src/callerExchange.ts
@@ -1,6 +1,10 @@
 /** One request of a caller and its response, as the handlers of the caller API see them. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { createDisconnectSignal, type CallerConnection } from '@bluebellhitch/routing';
+import {
+  createDisconnectSignal,
+  onceResponseOver,
+  type CallerConnection,
+} from '@bluebellhitch/routing';
 import { createRefusal, refusalReasons, type Refusal } from '@bluebellhitch/shared';
 import { findHeaderError, resolveRequestId } from './headers';
 import { sendProblem } from './problem';
@@ -12,10 +16,14 @@
   outgoing: ServerResponse;
   /** Aborts when the caller's connection closes before the response is complete. */
   disconnectSignal: AbortSignal;
+  /** Calls the listener once the response is over, or the connection is closed. */
+  onceOver(listener: () => void): void;
   refuse(refusal: Refusal, status?: number): void;
 }
 
 const requestTimeoutStatus = 408;
+/** Time in which requests in progress end and free their memory. */
+const memoryRetryAfterMs = 500;
 
 export function createCallerExchange(
   incoming: IncomingMessage,
@@ -30,6 +38,7 @@
     incoming,
     outgoing,
     disconnectSignal: createDisconnectSignal(outgoing, connection),
+    onceOver: (listener) => onceResponseOver(outgoing, connection, listener),
     refuse(refusal, status) {
       if (!incoming.complete) {
         // The rest of the body is not read, so the connection cannot serve another request.
@@ -60,6 +69,15 @@
         }),
       );
       return;
+    case 'no-memory':
+      exchange.refuse(
+        createRefusal({
+          reason: refusalReasons.noCapacity,
+          detail: 'no memory for the body',
+          retryAfterMs: memoryRetryAfterMs,
+        }),
+      );
+      return;
     case 'timeout':
       exchange.refuse(
         createRefusal({
--- a/packages/entry/src/callersApi.ts
+++ b/packages/entry/src/callersApi.ts
@@ -1,4 +1,9 @@
 /** The API for callers: HTTP server, completions, plain traffic and shutdown. */
+import {
+  createBodyReaderPool,
+  createPortResources,
+  type PortResources,
+} from '@bluebellhitch/ports';
 import { startCallersServer } from './callersServer';
 import type { CallersTls } from './callersTls';
 import { createCompletionsApi } from './completionsApi';
@@ -16,6 +21,8 @@
   port: number;
   /** Certificate and key; plain HTTP if omitted. */
   tls?: CallersTls;
+  /** Shared with the other ports of the process. Default: of its own. */
+  resources?: PortResources;
   maxHeaderBytes: number;
   maxBodyBytes: number;
   maxConnections: number;
@@ -38,14 +45,23 @@
 export async function createCallersApi(options: CallersApiOptions): Promise<CallersApi> {
   const { context, services, slowSenderTimeoutMs, maxBodyBytes, maxConnections } = options;
   const runs = createModelRuns(context);
-  const plain = createPlainApi({ context, services, slowSenderTimeoutMs });
+  const { resources = createPortResources() } = options;
+  const bodies = createBodyReaderPool(resources.memory);
+  const plain = createPlainApi({ context, services, bodies, slowSenderTimeoutMs });
   const server = await startCallersServer({
     host: options.host,
     port: options.port,
     tls: options.tls,
-    completions: createCompletionsApi({ services, runs, maxBodyBytes, slowSenderTimeoutMs }),
+    completions: createCompletionsApi({
+      services,
+      runs,
+      bodies,
+      maxBodyBytes,
+      slowSenderTimeoutMs,
+    }),
     plain,
     hasPlainHost: services.hasPlainHost,
+    resources,
     logger: context.logger,
     maxHeaderBytes: options.maxHeaderBytes,
     maxConnections,
--- a/packages/entry/src/callersServer.ts
+++ b/packages/entry/src/callersServer.ts
@@ -13,6 +13,7 @@
   onceResponseOver,
   refuseConnect,
 } from '@bluebellhitch/routing';
+import { guardPort, type PortResources } from '@bluebellhitch/ports';
 import { createRefusal, refusalReasons, watchSlowSenders } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
 import { createCallerExchange, type CallerExchange } from './callerExchange';
@@ -31,6 +32,8 @@
   /** Whether a route of a plain service names this host. */
   hasPlainHost: (host: string) => boolean;
   logger: Logger;
+  /** Shared with the other ports of the process. */
+  resources: PortResources;
   maxHeaderBytes: number;
   maxConnections: number;
   /** Time within which the header of a request must arrive. */
@@ -55,6 +58,8 @@
 
 const keepAliveTimeoutMs = 30_000;
 const timeoutCheckIntervalMs = 1_000;
+/** More than callers send ahead that read the answers. */
+const maxRequestsPerConnection = 32;
 /** Connections above the limit that are accepted only to refuse their requests with a response. */
 const maxRefusedConnections = 64;
 
@@ -65,7 +70,10 @@
   const idleWaiters: (() => void)[] = [];
   const excessSockets = new WeakSet<Socket>();
   const connections = createCallerConnections();
-  const closing = createConnectionClosing({ onLingered: () => undefined });
+  const closing = createConnectionClosing({
+    onLingered: () => undefined,
+    onClosing: (socket) => guard.of(socket).discardInput(),
+  });
   const readBarrier = createReadBarrier();
   let accepting = true;
 
@@ -83,13 +91,14 @@
   ): Promise<void> {
     const taken = closing.take(incoming, outgoing);
     if (taken === undefined) {
-      incoming.resume();
+      guard.of(incoming.socket).discardInput();
       return;
     }
     const connection = connections.of(incoming.socket);
     onceResponseOver(outgoing, connection, taken.noteOver);
     const exchange = createCallerExchange(incoming, outgoing, connection);
-    if (!accepting || excessSockets.has(incoming.socket)) {
+    const isFull = excessSockets.has(incoming.socket) || options.resources.memory.isFull();
+    if (!accepting || isFull) {
       taken.announceClose();
       refuseUnserved(exchange, accepting);
       return;
@@ -117,6 +126,13 @@
   });
   const server = createHttpServer(app, options);
   const event = tls === undefined ? 'connection' : 'secureConnection';
+  const guard = guardPort(server, {
+    resources: options.resources,
+    maxRequestsPerConnection,
+    maxConnections: options.maxConnections + maxRefusedConnections,
+    minQuietMs: keepAliveTimeoutMs,
+    event,
+  });
   server.prependListener(event, closing.add);
   limitConnections(server, event, options, excessSockets);
   function onCallerError(error: NodeJS.ErrnoException, socket: Socket): void {
@@ -206,7 +222,10 @@
 function refuseUnserved(exchange: CallerExchange, accepting: boolean): void {
   exchange.refuse(
     accepting
-      ? createRefusal({ reason: refusalReasons.noCapacity, detail: 'too many connections' })
+      ? createRefusal({
+          reason: refusalReasons.noCapacity,
+          detail: 'too many connections or requests',
+        })
       : createRefusal({ reason: refusalReasons.leaving, detail: 'this entry stops' }),
   );
 }
--- a/packages/entry/src/completionsApi.ts
+++ b/packages/entry/src/completionsApi.ts
@@ -1,6 +1,7 @@
 /** Handlers of `POST /v1/chat/completions`, `POST /v1/completions` and `GET /v1/models`. */
 import { effectiveClass, type ServiceDocument } from '@bluebellhitch/document';
 import { callerHeaders, estimateTokens, prefixBlockHashes } from '@bluebellhitch/protocol';
+import type { BodyReaderPool } from '@bluebellhitch/ports';
 import { assertNever, createRefusal, monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
 import type { ResponseEvent, ResponseLog } from './responseLog';
 import { refuseBadHeaders, refuseBody, type CallerExchange } from './callerExchange';
@@ -24,6 +25,7 @@
 export interface CompletionsApiOptions {
   services: ServiceTable;
   runs: ModelRuns;
+  bodies: BodyReaderPool;
   /** Limit that applies before the service is known; the service's own limit applies in addition. */
   maxBodyBytes: number;
   slowSenderTimeoutMs: number;
@@ -44,7 +46,7 @@
 const msPerSecond = 1000;
 
 export function createCompletionsApi(options: CompletionsApiOptions): CompletionsApi {
-  const { services, runs, maxBodyBytes, slowSenderTimeoutMs } = options;
+  const { services, runs, bodies, maxBodyBytes, slowSenderTimeoutMs } = options;
 
   async function complete(exchange: CallerExchange, kind: CompletionKind): Promise<void> {
     const arrivedAtMs = monotonicNowMs();
@@ -54,6 +56,8 @@
     const body = await readBody(exchange.incoming, {
       maxBytes: maxBodyBytes,
       timeoutMs: slowSenderTimeoutMs,
+      bodies,
+      onHeld: exchange.onceOver,
     });
     if (body.isErr()) {
       refuseBody(exchange, body.error);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,6 +3,7 @@
 import type { InstanceDirectory } from '@bluebellhitch/membership';
 import type { PlatformApi, ClaimStore } from '@bluebellhitch/objects';
 import { feedKinds, type FeedRecord } from '@bluebellhitch/protocol';
+import { createPortResources } from '@bluebellhitch/ports';
 import type { InnerSecurity } from '@bluebellhitch/security';
 import { assertNever, delay, type Random } from '@bluebellhitch/shared';
 import {
@@ -57,6 +58,8 @@
 /** Time that pending cancellations get at shutdown; leases that are not cancelled by then expire at the agents. */
 const finalCancelsTimeoutMs = 1_000;
 
+const bytesPerMegabyte = 1_048_576;
+
 /** Starts all servers; rejects if a port is in use. */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
   const { settings, feed, logger, directory, security } = options;
@@ -77,6 +80,7 @@
   });
   const strikes = createStrikes({ platform: options.platform, sendToPeers: peers.send, logger });
   const context = createContext(options, { agents, metrics, ring, strikes });
+  const resources = createPortResources(settings.memoryMb * bytesPerMegabyte);
   let stopping = false;
   const isReady = () =>
     !stopping && services.list().length > 0 && directory.viewAgeMs() !== undefined;
@@ -98,6 +102,7 @@
     host: settings.entryHost,
     port: settings.entryPort,
     tls: options.callersTls,
+    resources,
     maxHeaderBytes: settings.maxHeaderBytes,
     maxBodyBytes: settings.maxBodyBytes,
     maxConnections: settings.maxConnections,
@@ -106,6 +111,7 @@
   const admin = await startAdminServer({
     host: settings.adminHost,
     port: settings.adminPort,
+    resources,
     metrics,
     ring,
     isReady,
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -67,6 +67,12 @@
     description: 'Concurrent connections of callers.',
     defaultText: '4096',
   },
+  memoryMb: {
+    schema: positive,
+    description:
+      'Memory of this process, in MB: bodies of callers may take 15 in 100, connections 10.',
+    defaultText: '200',
+  },
   slowSenderTimeoutMs: {
     schema: positive,
     description:
--- a/packages/entry/src/plainApi.ts
+++ b/packages/entry/src/plainApi.ts
@@ -1,6 +1,7 @@
 /** Handler of plain traffic: matches a route, reads or streams the request body and runs the request. */
 import { effectiveClass } from '@bluebellhitch/document';
 import { callerHeaders } from '@bluebellhitch/protocol';
+import type { BodyReaderPool } from '@bluebellhitch/ports';
 import { assertNever, createRefusal, monotonicNowMs, refusalReasons } from '@bluebellhitch/shared';
 import { refuseBadHeaders, refuseBody, type CallerExchange } from './callerExchange';
 import { computeClaimKey, computeFingerprint } from './digests';
@@ -17,6 +18,7 @@
 export interface PlainApiOptions {
   context: RequestContext;
   services: ServiceTable;
+  bodies: BodyReaderPool;
   /** Bytes of a request body that are buffered for another attempt. */
   maxReplayBytes?: number;
   /** Longest pause while a caller sends a body. */
@@ -36,6 +38,7 @@
 export function createPlainApi(options: PlainApiOptions): PlainApi {
   const {
     context,
+    bodies,
     services,
     slowSenderTimeoutMs,
     maxReplayBytes = defaultMaxReplayBytes,
@@ -94,7 +97,10 @@
     }
     const length = declaredLength(incoming);
     if (length !== undefined && (length <= maxReplayBytes || length > maxBytes)) {
-      const body = await readBody(incoming, { maxBytes, timeoutMs: slowSenderTimeoutMs });
+      const body = await readBody(incoming, {
+        ...{ maxBytes, bodies, onHeld: exchange.onceOver },
+        timeoutMs: slowSenderTimeoutMs,
+      });
       return body.match(
         (bytes) => ({ kind: 'whole', bytes }),
         (error) => {
@@ -104,7 +110,11 @@
       );
     }
     const idleTimeoutMs = slowSenderTimeoutMs;
-    const replay = createReplayBody({ incoming, maxReplayBytes, maxBytes, idleTimeoutMs });
+    const replay = createReplayBody({
+      ...{ incoming, maxReplayBytes, maxBytes, idleTimeoutMs },
+      takeMemory: bodies.takeMemory,
+    });
+    exchange.onceOver(replay.release);
     return { kind: 'streamed', replay };
   }
 
--- a/packages/entry/src/plainRequest.ts
+++ b/packages/entry/src/plainRequest.ts
@@ -103,6 +103,11 @@
     return undefined;
   }
   const notRun = run.mayHaveRun ? 'unknown' : true;
+  if (fault.kind === 'no-memory') {
+    const detail = 'no memory for the body';
+    const refusal = createRefusal({ reason: refusalReasons.noCapacity, notRun, detail });
+    return { kind: 'refused', refusal };
+  }
   return fault.kind === 'too-large'
     ? {
         kind: 'refused',
--- a/packages/entry/src/requestBody.ts
+++ b/packages/entry/src/requestBody.ts
@@ -1,10 +1,18 @@
 /** Reads request bodies within limits on size and time. */
 import type { IncomingMessage } from 'node:http';
 import { err, errAsync, ok, ResultAsync, type Result } from 'neverthrow';
-import { startPauseTolerantTimer } from '@bluebellhitch/shared';
+import {
+  createBodyReaderPool,
+  createPortResources,
+  type BodyReaderPool,
+  type RequestBodyOutcome,
+} from '@bluebellhitch/ports';
+import { assertNever } from '@bluebellhitch/shared';
 
 export type BodyError =
   | { kind: 'too-large'; maxBytes: number }
+  /** The bodies of other callers take all memory for them. */
+  | { kind: 'no-memory' }
   /** The body did not arrive in time. */
   | { kind: 'timeout'; timeoutMs: number }
   /** The caller disconnected. */
@@ -14,6 +22,10 @@
   maxBytes: number;
   /** Time within which the complete body must arrive; a pause of this process does not count. */
   timeoutMs: number;
+  /** Shared by all requests of the process. Default: of its own. */
+  bodies?: BodyReaderPool;
+  /** Called with the function that frees the body, which is counted until then. Default: it is never freed. */
+  onHeld?: (release: () => void) => void;
 }
 
 /** The request's `Content-Length` in bytes. */
@@ -34,33 +46,36 @@
   return new ResultAsync(collectBody(incoming, options));
 }
 
-function collectBody(
+async function collectBody(
   incoming: IncomingMessage,
   options: ReadBodyOptions,
 ): Promise<Result<Buffer, BodyError>> {
-  const { maxBytes, timeoutMs } = options;
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    const finish = (result: Result<Buffer, BodyError>) => {
-      timer.stop();
-      incoming.off('data', onData).off('end', onEnd).off('close', onClose).off('error', onClose);
-      incoming.pause();
-      resolve(result);
-    };
-    const onData = (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) {
-        finish(err({ kind: 'too-large', maxBytes }));
-        return;
-      }
-      chunks.push(chunk);
-    };
-    const onEnd = () => finish(ok(Buffer.concat(chunks)));
-    const onClose = () => finish(err({ kind: 'aborted' }));
-    const timer = startPauseTolerantTimer(timeoutMs, () =>
-      finish(err({ kind: 'timeout', timeoutMs })),
-    );
-    incoming.on('data', onData).on('end', onEnd).on('close', onClose).on('error', onClose);
-  });
+  const { maxBytes, timeoutMs, onHeld = () => undefined } = options;
+  const { bodies = createBodyReaderPool(createPortResources().memory) } = options;
+  const { done, release } = bodies.read(incoming, { maxBodyBytes: maxBytes, timeoutMs });
+  onHeld(release);
+  const outcome = await done;
+  if (outcome.kind === 'whole') {
+    return ok(outcome.body);
+  }
+  incoming.pause();
+  return err(bodyErrorOf(outcome.kind, options));
+}
+
+function bodyErrorOf(
+  kind: Exclude<RequestBodyOutcome['kind'], 'whole'>,
+  { maxBytes, timeoutMs }: ReadBodyOptions,
+): BodyError {
+  switch (kind) {
+    case 'too-large':
+      return { kind, maxBytes };
+    case 'no-memory':
+      return { kind };
+    case 'overdue':
+      return { kind: 'timeout', timeoutMs };
+    case 'caller-left':
+      return { kind: 'aborted' };
+    default:
+      return assertNever(kind);
+  }
 }
