Bound the inner ports of entries and agents, before credentials are checked and after

What callers saw: at an agent's inner port streams in chunks of 64 KB that stop short of their end, and plain calls sent ahead, took it beyond the memory of its machine or left ordinary calls with 504; at an entry's inner port requests ahead did. A call's body had no bound at all where it went through tRPC.

Change: the port is guarded like the others (4 requests in progress for each connection, 4,096 connections), and the bodies of calls are read whole, 16 MB at most and within the account of the process, before they are parsed; a call whose body finds no room is refused with 503 and has not run. What is sent without valid credentials is answered by its head and then dropped unparsed.

--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import { createHttpEngineClient } from '@bluebellhitch/engine';
 import { createHttpPlatformClient } from '@bluebellhitch/objects';
+import { createPortResources } from '@bluebellhitch/ports';
 import type { InnerSecurity } from '@bluebellhitch/security';
 import {
   createAgentMetrics,
@@ -30,6 +31,7 @@
 }
 
 /** Leases end with the engine's work, when the last bytes may still be in transit to an entry. */
+const bytesPerMegabyte = 1_048_576;
 const responseGraceMs = 2000;
 
 export async function startAgentProcess(
@@ -69,17 +71,20 @@
   });
   const plainProxy =
     settings.backendKind === 'plain' ? createPlainProxy({ agent, backendUrl }) : undefined;
+  const resources = createPortResources(settings.memoryMb * bytesPerMegabyte);
   const inner = await startInnerServer({
     agent,
     plainProxy,
     security,
     onUnauthenticated: metrics.countUnauthenticated,
+    resources,
     host: settings.innerHost,
     port: settings.innerPort,
   });
   const admin = await startAdminServer({
     host: settings.adminHost,
     port: settings.adminPort,
+    resources,
     metrics: {
       ...metrics,
       render: () => {
--- a/packages/agent/src/innerServer.ts
+++ b/packages/agent/src/innerServer.ts
@@ -4,6 +4,13 @@
 import { serve, type HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { createAgentRouter, innerPaths } from '@bluebellhitch/protocol';
+import {
+  createBodyReaderPool,
+  createPortResources,
+  guardInnerPort,
+  readInnerCall,
+  type PortResources,
+} from '@bluebellhitch/ports';
 import { createInnerGuard, innerAudiences, type InnerSecurity } from '@bluebellhitch/security';
 import { delay } from '@bluebellhitch/shared';
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch';
@@ -17,6 +24,8 @@
   /** Absent where the backend server is a model engine. */
   plainProxy?: PlainProxy;
   security: Pick<InnerSecurity, 'accepts'>;
+  /** Shared with the other ports of the process. Default: of its own. */
+  resources?: PortResources;
   /** Called for each call without valid credentials. */
   onUnauthenticated?: () => void;
   host: string;
@@ -40,7 +49,8 @@
 
 /** Starts the inner port; rejects if the port is in use. */
 export async function startInnerServer(options: InnerServerOptions): Promise<InnerServer> {
-  const server = await listen(createApp(options), options);
+  const { resources = createPortResources() } = options;
+  const server = await listen(createApp({ ...options, resources }), { ...options, resources });
   const { address, port } = server.address() as AddressInfo;
   return {
     address: `http://${address}:${port}`,
@@ -48,18 +58,24 @@
   };
 }
 
-function createApp(options: InnerServerOptions): Hono<Environment> {
+type ResolvedOptions = InnerServerOptions & { resources: PortResources };
+
+function createApp(options: ResolvedOptions): Hono<Environment> {
   const { agent, plainProxy, security, onUnauthenticated: onRefused } = options;
+  const bodies = createBodyReaderPool(options.resources.memory);
   const app = new Hono<Environment>();
   const audienceOf = () => innerAudiences.agent;
   app.use('*', createInnerGuard({ security, audienceOf, onRefused }));
   const router = createAgentRouter(agent.handlers);
-  app.all(`${innerPaths.trpc}/*`, (context) =>
-    fetchRequestHandler({ endpoint: innerPaths.trpc, req: context.req.raw, router }),
-  );
+  app.all(`${innerPaths.trpc}/*`, async ({ env }) => {
+    const req = await readInnerCall(env.incoming, env.outgoing, bodies);
+    return req === undefined
+      ? RESPONSE_ALREADY_SENT
+      : fetchRequestHandler({ endpoint: innerPaths.trpc, req, router });
+  });
   app.post(innerPaths.streams, ({ env }) => {
     // Written to the Node.js response directly, whose `write` reports when the receiver's buffer is full.
-    void handleStream(agent, env.incoming, env.outgoing).catch(() => destroy(env.outgoing));
+    void handleStream(agent, env.incoming, env.outgoing, bodies).catch(() => destroy(env.outgoing));
     return RESPONSE_ALREADY_SENT;
   });
   if (plainProxy !== undefined) {
@@ -77,11 +93,15 @@
   outgoing.destroy();
 }
 
-function listen(app: Hono<Environment>, { host, port }: InnerServerOptions): Promise<Server> {
+function listen(
+  app: Hono<Environment>,
+  { host, port, resources }: ResolvedOptions,
+): Promise<Server> {
   return new Promise((resolve, reject) => {
     const server = serve({ fetch: app.fetch, hostname: host, port }, () =>
       resolve(server),
     ) as Server;
+    guardInnerPort(server, resources);
     server.once('error', reject);
   });
 }
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -59,6 +59,12 @@
     description: 'Rate of this server’s link for KV cache, in bytes a second.',
     defaultText: '4000000000',
   },
+  memoryMb: {
+    schema: z.coerce.number().int().positive(),
+    description:
+      'Memory of this process, in MB: bodies of calls may take 15 in 100, connections 10.',
+    defaultText: '282',
+  },
   logLevel: {
     schema: z.enum(['debug', 'info', 'warn', 'error']),
     description: 'Lowest level that is logged.',
--- a/packages/agent/src/streamHandler.ts
+++ b/packages/agent/src/streamHandler.ts
@@ -1,18 +1,22 @@
 /** `POST /streams`: a model response as an event stream with one JSON frame per event. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { readInnerBody, refuseInnerBody, type BodyReaderPool } from '@bluebellhitch/ports';
 import { streamRequestSchema, type StreamFrame, type StreamRequest } from '@bluebellhitch/protocol';
 import type { Agent } from './agent';
 import type { FrameSink } from './chunkForwarder';
 
-/** Enough for a prompt of tens of thousands of tokens with the text emitted so far. */
-const maxBodyBytes = 16 * 1024 * 1024;
-
 export async function handleStream(
   agent: Pick<Agent, 'runStream'>,
   incoming: IncomingMessage,
   outgoing: ServerResponse,
+  bodies: BodyReaderPool,
 ): Promise<void> {
-  const request = await readRequest(incoming);
+  const body = await readInnerBody(incoming, outgoing, bodies);
+  if (body.kind !== 'whole') {
+    refuseInnerBody(outgoing, body.kind);
+    return;
+  }
+  const request = parseRequest(body.body);
   if (request === undefined) {
     outgoing.writeHead(400, { 'content-type': 'application/json' });
     outgoing.end(JSON.stringify({ title: 'not a stream request' }));
@@ -30,30 +34,12 @@
   outgoing.end();
 }
 
-async function readRequest(incoming: IncomingMessage): Promise<StreamRequest | undefined> {
-  const body = await readBody(incoming);
-  try {
-    return streamRequestSchema.safeParse(JSON.parse(body ?? '')).data;
-  } catch {
-    return undefined;
-  }
-}
-
-async function readBody(incoming: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let byteCount = 0;
+function parseRequest(body: Buffer): StreamRequest | undefined {
   try {
-    for await (const chunk of incoming as AsyncIterable<Buffer>) {
-      byteCount += chunk.byteLength;
-      if (byteCount > maxBodyBytes) {
-        return undefined;
-      }
-      chunks.push(chunk);
-    }
+    return streamRequestSchema.safeParse(JSON.parse(body.toString('utf8'))).data;
   } catch {
     return undefined;
   }
-  return Buffer.concat(chunks).toString('utf8');
 }
 
 function createSink(outgoing: ServerResponse): FrameSink {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -89,6 +89,7 @@
   const inner = await startInnerServer({
     host: settings.innerHost,
     port: settings.innerPort,
+    resources,
     security,
     onUnauthenticated: metrics.countUnauthenticated,
     handlers: {
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -19,3 +19,4 @@
 export { createReadTurns, type ReadTurns } from './readTurns';
 export { createPortResources, type PortResources } from './portResources';
 export { guardSmallPort, smallPortOptions } from './smallPort';
+export { guardInnerPort, readInnerBody, readInnerCall, refuseInnerBody } from './innerPort';
