--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -162,7 +162,7 @@
   },
   {
     name: 'bluebellhitch/tool-configuration',
-    files: ['eslint.config.mjs', 'ava.config.js', 'prettier.config.mjs'],
+    files: ['eslint.config.mjs', 'ava.config.js', 'ava.alone.config.js', 'prettier.config.mjs'],
     // These tools read the default export.
     rules: { 'import-x/no-default-export': 'off' },
   },
--- a/packages/soak/__tests__/misbehavingClients.alone.test.ts
+++ b/packages/soak/__tests__/misbehavingClients.alone.test.ts
@@ -232,15 +232,7 @@
 });
 
 test.serial('a router bears several forms at once', async (t) => {
-  t.timeout(4 * patientMs);
-  const crowded = await startCrowdedRouter(t);
-  const crowd = startCrowd({
-    address: crowded.router.callersAddress,
-    clientCount: 160,
-    partsOf: (client) => formOf(client).partsOf(client),
-  });
-  t.teardown(crowd.leave);
-  await crowd.settled;
+  const { crowded, crowd } = await startSeveralForms(t);
   t.is(await crowded.call({}), okStatus);
   crowd.leave();
   t.is(await crowded.call({}), okStatus);
@@ -249,6 +241,15 @@
 
 test.serial('a router ends within its grace time beside several forms', async (t) => {
   // The platform kills a process that has not ended by then, with the requests of its ordinary callers.
+  const { crowded } = await startSeveralForms(t);
+  const kill = setTimeout(crowded.router.kill, graceMs);
+  const result = await crowded.router.stopGracefully();
+  clearTimeout(kill);
+  t.is(result?.exitCode, 0, 'killed');
+  expectBounded(t, crowded);
+});
+
+async function startSeveralForms(t: ExecutionContext) {
   t.timeout(4 * patientMs);
   const crowded = await startCrowdedRouter(t);
   const crowd = startCrowd({
@@ -258,12 +259,8 @@
   });
   t.teardown(crowd.leave);
   await crowd.settled;
-  const kill = setTimeout(crowded.router.kill, graceMs);
-  const result = await crowded.router.stopGracefully();
-  clearTimeout(kill);
-  t.is(result?.exitCode, 0, 'killed');
-  expectBounded(t, crowded);
-});
+  return { crowded, crowd };
+}
 
 function formOf(client: number): CrowdCase {
   return severalForms[client % severalForms.length] as CrowdCase;
