Close connections that hold too much memory behind TLS as well

What callers would see: an entry with TLS whose connections held a tenth of its memory ended, with all requests in progress.

Cause: the connection that holds the most is closed by a reset, which Node.js refuses for a socket behind TLS by an error that nobody handled. Found by reading the change again.

Evidence: the new test of callersTls fails without the fix (ERR_INVALID_HANDLE_TYPE, the test process ends) and passes with it.

--- a/packages/entry/__tests__/callersTls.test.ts
+++ b/packages/entry/__tests__/callersTls.test.ts
@@ -5,6 +5,7 @@
 import { connect } from 'node:tls';
 import test from 'ava';
 import { Agent, fetch as undiciFetch } from 'undici';
+import { createMemoryAccount, createReadTurns } from '@bluebellhitch/ports';
 import { formatFindings } from '@bluebellhitch/shared';
 import { readCallersTls } from '../src/callersTls';
 import { createFakeAgent, words } from './support/fakeAgents';
@@ -59,6 +60,39 @@
   t.is(models.status, 200);
 });
 
+// The reset by which such a connection is closed is not possible behind TLS, and the error ended the process.
+test('a connection that holds too much memory is closed behind TLS', async (t) => {
+  const memory = createMemoryAccount({ bodies: 1_000_000, connections: 20_000 });
+  const { address } = await startHarness(t, {
+    agents: modelAgents(),
+    tls,
+    resources: { memory, turns: createReadTurns(), maxConnections: 100 },
+    limits: { slowSenderTimeoutMs: 60_000 },
+  });
+  const { hostname, port } = new URL(address);
+  const sockets = Array.from({ length: 4 }, () =>
+    connect({ host: hostname, port: Number(port), ca }),
+  );
+  sockets.forEach((socket) => {
+    t.teardown(() => socket.destroy());
+    socket.on('error', () => undefined);
+    socket.resume();
+    socket.write(`GET /v1/models HTTP/1.1\r\nHost: a\r\nX: ${'x'.repeat(7_000)}`);
+  });
+  await Promise.any(sockets.map((socket) => once(socket, 'close')));
+  sockets.forEach((socket) => socket.destroy());
+  const trustingAgent = new Agent({ connect: { ca } });
+  t.teardown(() => trustingAgent.close());
+  const isServed = async () =>
+    (await undiciFetch(`${address}/v1/models`, { dispatcher: trustingAgent })).status === 200;
+  const endsAtMs = performance.now() + 5_000;
+  let served = await isServed();
+  while (!served && performance.now() < endsAtMs) {
+    served = await isServed();
+  }
+  t.true(served);
+});
+
 // The connection limit marks sockets, and behind TLS the socket of a request is not the one that was accepted.
 test('the connection limit applies behind TLS', async (t) => {
   const { address } = await startHarness(t, {
--- a/packages/entry/__tests__/support/harness.ts
+++ b/packages/entry/__tests__/support/harness.ts
@@ -6,6 +6,7 @@
 import { createSeededRandom } from '@bluebellhitch/shared';
 import { createDecisionRing, createEntryMetrics } from '@bluebellhitch/telemetry';
 import type { CallersTls } from '../../src/callersTls';
+import type { PortResources } from '@bluebellhitch/ports';
 import { createCallersApi, type CallersApi } from '../../src/callersApi';
 import { createCancellations } from '../../src/cancellations';
 import { createHeartbeats } from '../../src/heartbeats';
@@ -17,6 +18,7 @@
 
 export interface HarnessOptions {
   tls?: CallersTls;
+  resources?: PortResources;
   agents: FakeAgent[];
   document?: Partial<Record<keyof ServiceDocument, unknown>>;
   claims?: ClaimStore;
@@ -127,6 +129,7 @@
     host: '127.0.0.1',
     port: 0,
     tls: options.tls,
+    resources: options.resources,
     maxHeaderBytes: 8_192,
     maxBodyBytes: limits.maxBodyBytes ?? 1_000_000,
     maxConnections: limits.maxConnections ?? 100,
--- a/packages/ports/src/portGuard.ts
+++ b/packages/ports/src/portGuard.ts
@@ -74,7 +74,7 @@
       socket.destroy();
       return;
     }
-    const account = memory.openConnection(() => socket.resetAndDestroy());
+    const account = memory.openConnection(() => closeAtOnce(socket));
     const gate = guardInput(socket, {
       turns,
       mayRead: () => mayRead(connection),
@@ -159,6 +159,15 @@
   return { of: (socket) => connections.get(socket) ?? unguarded };
 }
 
+/** A reset tells the caller that an answer is not complete; behind TLS the missing end of the session does. */
+function closeAtOnce(socket: Socket): void {
+  if ('encrypted' in socket) {
+    socket.destroy();
+  } else {
+    socket.resetAndDestroy();
+  }
+}
+
 function isInBody({ lastRequest }: Connection): boolean {
   return lastRequest?.complete === false;
 }
