--- a/packages/soak/__tests__/misbehavingClients.alone.test.ts
+++ b/packages/soak/__tests__/misbehavingClients.alone.test.ts
@@ -115,6 +115,23 @@
     clientCount: 900,
     partsOf: (client) => once(`${get(client, '/safe/a').slice(0, -2)}X: ${'x'.repeat(15_000)}`),
   },
+  {
+    name: 'requests ahead that ask for an upgrade, their answers unread',
+    clientCount: 50,
+    partsOf: () =>
+      endless('GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n'),
+  },
+  {
+    name: 'requests that wait to be told to send their bodies',
+    clientCount: 900,
+    partsOf: (client) =>
+      once(post(client, ['Expect: 100-continue', `Content-Length: ${maxBodyBytes}`])),
+  },
+  {
+    name: 'CONNECT over and over',
+    clientCount: 50,
+    partsOf: () => endless('CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n'),
+  },
   {
     name: 'connections without a request at the callers’ port',
     clientCount: 1_500,
