--- a/packages/entry/__tests__/support/harness.ts
+++ b/packages/entry/__tests__/support/harness.ts
@@ -5,8 +5,8 @@
 import type { ClaimStore, PlatformInstance } from '@bluebellhitch/objects';
 import { createSeededRandom } from '@bluebellhitch/shared';
 import { createDecisionRing, createEntryMetrics } from '@bluebellhitch/telemetry';
-import type { CallersTls } from '../../src/callersTls';
 import type { PortResources } from '@bluebellhitch/ports';
+import type { CallersTls } from '../../src/callersTls';
 import { createCallersApi, type CallersApi } from '../../src/callersApi';
 import { createCancellations } from '../../src/cancellations';
 import { createHeartbeats } from '../../src/heartbeats';
