Give back the bodies of inner calls that wait behind another one when their connection ends

What callers would see: whoever sends several calls ahead at an inner port and leaves takes memory for bodies from the process for good; after enough of them all calls get 503 until it restarts.

Cause: the body was released at the end of the response, and the runtime reports no end of a response that waits behind another one. The signal of such a call did not abort either. Both now end with the connection as well.

A constant of the agent stands no longer between another one and its comment.

--- a/packages/agent/src/agentProcess.ts
+++ b/packages/agent/src/agentProcess.ts
@@ -30,8 +30,8 @@
   stopNow(): Promise<void>;
 }
 
-/** Leases end with the engine's work, when the last bytes may still be in transit to an entry. */
 const bytesPerMegabyte = 1_048_576;
+/** Leases end with the engine's work, when the last bytes may still be in transit to an entry. */
 const responseGraceMs = 2000;
 
 export async function startAgentProcess(
--- a/packages/ports/src/innerPort.ts
+++ b/packages/ports/src/innerPort.ts
@@ -31,10 +31,25 @@
   bodies: BodyReaderPool,
 ): Promise<RequestBodyOutcome> {
   const { done, release } = bodies.read(incoming, { maxBodyBytes, timeoutMs: bodyTimeoutMs });
-  outgoing.once('close', release);
+  onceOver(incoming, outgoing, release);
   return done;
 }
 
+/** The runtime reports no end of a response that waits behind another one, but that of its connection. */
+function onceOver(
+  { socket }: IncomingMessage,
+  outgoing: ServerResponse,
+  listener: () => void,
+): void {
+  const finish = () => {
+    socket.off('close', finish);
+    outgoing.off('close', finish);
+    listener();
+  };
+  socket.once('close', finish);
+  outgoing.once('close', finish);
+}
+
 /**
  * The call as a request whose signal aborts when the sender's connection closes; undefined if its body could not be read,
  * and it was refused.
@@ -50,7 +65,7 @@
     return undefined;
   }
   const connection = new AbortController();
-  outgoing.once('close', () => {
+  onceOver(incoming, outgoing, () => {
     if (!outgoing.writableFinished) {
       connection.abort();
     }
