Log and count what shows whether a response belonged to its call

Each response now comes with its origin: the number of its connection, how many calls that had carried and the latest of them, and the time since its own call was sent. No decision changes.

--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -65,6 +65,7 @@
     onAbandoned,
   } = options;
   const pools = new Map<string, AddressPool>();
+  let openedCount = 0;
   const allConnections = new Set<Connection>();
 
   function getPool(address: string): AddressPool {
@@ -99,7 +100,9 @@
           void waitForInput().then(() => callback(...outcome));
         }),
     });
+    openedCount += 1;
     const connection: Connection = {
+      ...{ number: openedCount, callCount: 0, labels: [] },
       ...{ client, isCloseDelimited: false, isOnlyForAnonymous: false, isClosed: false },
       ...{ receivedBytes: () => 0, progressAtBytes: 0 },
     };
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -1,12 +1,17 @@
 /** One call on one connection to a backend server, from its sending to the end of the response. */
 import type { Client, Dispatcher } from 'undici';
-import { startPauseTolerantTimer } from '@bluebellhitch/shared';
+import { monotonicNowMs, startPauseTolerantTimer } from '@bluebellhitch/shared';
 import type { ResponseBody, BodyReader } from '../backendApi';
-import type { HttpCall, HttpOutcome } from './httpCall';
+import type { HttpCall, HttpOutcome, ResponseOrigin } from './httpCall';
 
 /** The part of a connection that a call uses. */
 export interface ExchangeConnection {
   client: Client;
+  /** Among all connections of this process. */
+  number: number;
+  callCount: number;
+  /** Labels of the latest calls, oldest first. */
+  labels: string[];
   /** Whether the end of the connection marks the end of the current response. */
   isCloseDelimited: boolean;
   /** It has carried the rejection of an anonymous call: see `HttpCall`. */
@@ -31,6 +36,7 @@
 }
 
 const minErrorStatus = 400;
+const maxLabels = 4;
 const bodylessStatuses: readonly number[] = [204, 304];
 
 type BodyEnd = { kind: 'whole' } | { kind: 'lost'; detail: string };
@@ -46,14 +52,27 @@
   events: ExchangeEvents,
 ) {
   let wasSent = false;
+  let sentAtMs = 0;
   let isOurs = false;
   let reader: BodyReader | undefined;
   let bodyEnd: BodyEnd | undefined;
   let controller: Dispatcher.DispatchController | undefined;
   let isFramed = true;
+  const { number, callCount: earlierCalls, labels: earlierLabels } = connection;
   const headTimer = startPauseTolerantTimer(call.headTimeoutMs, () => cancel('no answer in time'));
   const onAbort = () => cancel('given up');
 
+  function noteOnConnection(): void {
+    const label = call.label ?? `${call.method} ${call.path}`;
+    connection.callCount += 1;
+    connection.labels = [...earlierLabels, label].slice(-maxLabels);
+  }
+
+  function originNow(): ResponseOrigin {
+    const sinceSentMs = monotonicNowMs() - sentAtMs;
+    return { connection: number, earlierCalls, earlierLabels, sinceSentMs };
+  }
+
   function noteProgress(): void {
     connection.progressAtBytes = connection.receivedBytes();
   }
@@ -135,6 +154,8 @@
         return;
       }
       wasSent = true;
+      sentAtMs = monotonicNowMs();
+      noteOnConnection();
       controller = startedController;
     },
     onResponseStart(startedController, status) {
@@ -157,7 +178,7 @@
       connection.isCloseDelimited = !isFramed;
       connection.isOnlyForAnonymous ||= call.isAnonymous === true && status >= minErrorStatus;
       body.isUnframed = !isFramed;
-      resolve({ kind: 'answered', response: { status, headers, body } });
+      resolve({ kind: 'answered', response: { status, headers, body, origin: originNow() } });
     },
     onResponseData(_controller, chunk) {
       noteProgress();
--- a/packages/routing/src/servers/httpCall.ts
+++ b/packages/routing/src/servers/httpCall.ts
@@ -19,6 +19,8 @@
    * would be taken for that of the next request on the connection; after one, the connection serves only calls of this kind.
    */
   isAnonymous?: boolean;
+  /** Names the call in the origin of later responses on its connection. Default: method and path. */
+  label?: string;
   /**
    * Whether the call may still be sent; it always may if absent. Checked before a connection is chosen and again just
    * before sending, because the call may have waited for a connection.
@@ -33,11 +35,23 @@
   maxConnections: number;
 }
 
+/** Shows afterwards whether a response belonged to its call. */
+export interface ResponseOrigin {
+  /** Number of the connection among all that this process has opened. */
+  connection: number;
+  /** How many calls the connection had carried before. */
+  earlierCalls: number;
+  /** The labels of the latest of them, oldest first. */
+  earlierLabels: readonly string[];
+  sinceSentMs: number;
+}
+
 export interface HttpResponse {
   status: number;
   /** Alternating names and values. */
   headers: readonly string[];
   body: ResponseBody;
+  origin: ResponseOrigin;
 }
 
 export type HttpOutcome =
--- a/packages/routing/src/servers/serverMetrics.ts
+++ b/packages/routing/src/servers/serverMetrics.ts
@@ -13,6 +13,8 @@
   countPermit(outcome: string): void;
   /** Counts responses that were not read to their end, as they were too long or another request's. */
   countAbandonedAnswer(): void;
+  /** Counts rejections of callers' requests, and responses that were not their call's, by the id that they had. */
+  countQuestionableResponse(kind: string, id: string): void;
   /** Counts notices of backend servers about themselves, by kind. */
   countServerNotice(kind: string): void;
   /** Counts periods in which an engine was unresponsive, as noticed by this router itself. */
@@ -55,6 +57,11 @@
     help: "Answers of backend servers that were not read to their end: too long, too slow, or another request's.",
     registers,
   });
+  const questionable = counter(
+    'bluebell_questionable_responses_total',
+    "Rejections of callers' requests, and responses that were not their call's, by the id that they had.",
+    ['kind', 'id'],
+  );
   const notices = counter(
     'bluebell_server_words_total',
     'Answers in which a backend server says something of itself, by what it says.',
@@ -79,6 +86,7 @@
     setLimitedServers: (count) => limitedServers.set(count),
     countPermit: (outcome) => permits.inc({ outcome }),
     countAbandonedAnswer: () => abandonedAnswers.inc(),
+    countQuestionableResponse: (kind, id) => questionable.inc({ kind, id }),
     countServerNotice: (notice) => notices.inc({ word: notice }),
     countUnresponsivePeriod: (service, cause) => unresponsivePeriods.inc({ service, cause }),
     observeUnresponsivePeriod: (service, durationMs) =>
