Take no response for a call's own unless it has the call's id, or neither has one

What callers saw: requests that may run once were refused with 503 and had run, or ran at a second server. Cause: calls without an id (reservations, health checks, load reports, orders, releases) took a superfluous response with another request's id for their own. All later responses on the connection moved by one place, and the call's own rejection, which bears no id, was taken for that of the request sent next. A rejection without an id was accepted for any request.

Now each call states its identity, and the connection itself checks every response against it, whoever makes the call: with the id of another call, with an id where none was sent, or without the id of its request, the call is lost (it may have run) and the connection is closed.

Changed: the two tests of rejections without an id send the id back now, as the calls state one; their checks stay.

--- a/packages/agent/src/plainProxy.ts
+++ b/packages/agent/src/plainProxy.ts
@@ -161,6 +161,7 @@
       maxConnections: Infinity,
       hasServerEnded: () => isPortClosed(address, connectTimeoutMs),
       signal,
+      identity: { kind: 'unmarked' },
     });
   }
 
--- a/packages/routing/__tests__/backendConnections.test.ts
+++ b/packages/routing/__tests__/backendConnections.test.ts
@@ -4,6 +4,8 @@
 import {
   createBackendConnections,
   readWholeBody,
+  type CallIdentity,
+  type ForeignResponseEvidence,
   type HttpCall,
   type HttpOutcome,
   type ReadBarrier,
@@ -11,9 +13,16 @@
 import { delay } from '@bluebellhitch/shared';
 import { startRawServer } from './support/rawServer';
 
+const header = 'Request-Id';
+const anonymous: CallIdentity = { kind: 'anonymous', header };
+
+function identified(id: string): Pick<HttpCall, 'identity'> {
+  return { identity: { kind: 'identified', header, id } };
+}
+
 function createCall(address: string, overrides: Partial<HttpCall> = {}): HttpCall {
   const call = { address, method: 'POST', path: '/a/b', headers: [], body: 'x' };
-  return { ...call, headTimeoutMs: 2_000, maxConnections: 4, ...overrides };
+  return { ...call, identity: anonymous, headTimeoutMs: 2_000, maxConnections: 4, ...overrides };
 }
 
 function createConnections(t: ExecutionContext) {
@@ -248,31 +257,61 @@
     if (text.startsWith('GET /reserve')) {
       socket.write(rejection);
     } else {
-      setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'), 40);
+      const answer = 'HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nContent-Length: 0\r\n\r\n';
+      setTimeout(() => socket.write(answer), 40);
       sockets.forEach((other) => other.write(rejection));
     }
     sockets.add(socket);
   });
   const connections = createConnections(t);
-  const reserve = { method: 'GET', path: '/reserve', body: undefined, isAnonymous: true };
+  const reserve = { method: 'GET', path: '/reserve', body: undefined };
   const rejected = await connections.call(createCall(address, reserve));
   t.like(rejected, { kind: 'answered', response: { status: 503 } });
   await discardBody(rejected);
-  const answered = await connections.call(createCall(address));
+  const answered = await connections.call(createCall(address, identified('q1')));
   t.like(answered, { kind: 'answered', response: { status: 200 } });
 });
 
 test('connections that carried a rejection without an id serve further calls of that kind', async (t) => {
-  const { address, connectionCount } = await startRawServer(t, (socket) => {
-    socket.write('HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n');
+  const { address, connectionCount } = await startRawServer(t, (socket, text) => {
+    const id = text.startsWith('GET /reserve') ? '' : 'Request-Id: q1\r\n';
+    socket.write(`HTTP/1.1 503 Full\r\n${id}Content-Length: 0\r\n\r\n`);
   });
   const connections = createConnections(t);
-  const reserve = createCall(address, { isAnonymous: true, body: undefined });
+  const reserve = createCall(address, { method: 'GET', path: '/reserve', body: undefined });
   await discardBody(await connections.call(reserve));
   await discardBody(await connections.call(reserve));
   t.is(connectionCount(), 1);
-  await discardBody(await connections.call(createCall(address)));
+  const other = await connections.call(createCall(address, identified('q1')));
+  t.is(other.kind, 'answered');
+  await discardBody(other);
   t.is(connectionCount(), 2);
   await discardBody(await connections.call(reserve));
   t.is(connectionCount(), 2);
 });
+
+[
+  { name: 'with an id, in response to a call without one,', identity: anonymous, echo: 'q1' },
+  { name: 'with the id of another call', ...identified('q2'), echo: 'q1' },
+  { name: 'without the id of its call', ...identified('q2'), echo: undefined },
+].forEach(({ name, identity, echo }) => {
+  [200, 421, 503].forEach((status) => {
+    test(`a response ${name} is lost with its connection: ${status}`, async (t) => {
+      // Guards against a call that takes another one's response for its own: each later response on the connection then
+      // moves by one place, and the rejection of one call ends the next one, which runs.
+      const { address, connectionCount } = await startRawServer(t, (socket) => {
+        const id = echo === undefined ? '' : `Request-Id: ${echo}\r\n`;
+        socket.write(`HTTP/1.1 ${status} Any\r\n${id}Content-Length: 0\r\n\r\n`);
+      });
+      const foreign: ForeignResponseEvidence[] = [];
+      const connections = createBackendConnections({ onForeign: (one) => foreign.push(one) });
+      t.teardown(() => connections.close());
+      t.like(await connections.call(createCall(address, { identity })), {
+        ...{ kind: 'lost', isOurs: false },
+      });
+      t.like(foreign[0], { status, echoedId: echo, connection: 1, earlierCalls: 0 });
+      await connections.call(createCall(address, { identity }));
+      t.is(connectionCount(), 2);
+    });
+  });
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -29,7 +29,13 @@
   type BackendConnections,
   type BackendConnectionsOptions,
 } from './servers/backendConnections';
-export type { HttpResponse, HttpCall, HttpOutcome, ResponseOrigin } from './servers/httpCall';
+export type { CallIdentity } from './servers/callIdentity';
+export type {
+  ForeignResponseEvidence,
+  HttpResponse,
+  HttpCall,
+  HttpOutcome,
+} from './servers/httpCall';
 export { createResponseWriter } from './callers/httpExchange';
 export { forwardBody, type ForwardOutcome } from './request/forwardBody';
 export type { ResponseWriter, CallerExchange, CompleteResponse } from './callerApi';
--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -7,7 +7,7 @@
 import { Client, buildConnector } from 'undici';
 import { noReadBarrier, type ReadBarrier } from '../readBarrier';
 import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
-import type { HttpCall, HttpOutcome } from './httpCall';
+import type { ForeignResponseEvidence, HttpCall, HttpOutcome } from './httpCall';
 
 export interface BackendConnections {
   call(call: HttpCall): Promise<HttpOutcome>;
@@ -29,6 +29,8 @@
   onOpened?: () => void;
   /** Called for each response that is not read to its end. */
   onAbandoned?: () => void;
+  /** Called for each response that is not that of its call. */
+  onForeign?: (evidence: ForeignResponseEvidence) => void;
 }
 
 interface Connection extends ExchangeConnection {
@@ -63,6 +65,7 @@
     readBarrier = noReadBarrier,
     onOpened,
     onAbandoned,
+    onForeign,
   } = options;
   const pools = new Map<string, AddressPool>();
   let openedCount = 0;
@@ -102,7 +105,7 @@
     });
     openedCount += 1;
     const connection: Connection = {
-      ...{ number: openedCount, callCount: 0, labels: [] },
+      ...{ number: openedCount, callCount: 0, latestCalls: [] },
       ...{ client, isCloseDelimited: false, isOnlyForAnonymous: false, isClosed: false },
       ...{ receivedBytes: () => 0, progressAtBytes: 0 },
     };
@@ -171,6 +174,7 @@
           }
         },
         onAbandoned: () => onAbandoned?.(),
+        onForeign: (evidence) => onForeign?.(evidence),
         onBroken: () => close(connection, pool),
       });
       exchange.start();
@@ -192,7 +196,8 @@
   };
 }
 
-function takeIdle(pool: AddressPool, { isAnonymous = false }: HttpCall): Connection | undefined {
+function takeIdle(pool: AddressPool, { identity }: HttpCall): Connection | undefined {
+  const isAnonymous = identity.kind === 'anonymous';
   const taken =
     pool.idle.findLast(({ isOnlyForAnonymous }) => isOnlyForAnonymous === isAnonymous) ??
     pool.idle.findLast(({ isOnlyForAnonymous }) => !isOnlyForAnonymous);
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -2,7 +2,8 @@
 import type { Client, Dispatcher } from 'undici';
 import { monotonicNowMs, startPauseTolerantTimer } from '@bluebellhitch/shared';
 import type { ResponseBody, BodyReader } from '../backendApi';
-import type { HttpCall, HttpOutcome, ResponseOrigin } from './httpCall';
+import { expectedIdOf, findForeignResponse, type ForeignResponse } from './callIdentity';
+import type { ForeignResponseEvidence, HttpCall, HttpOutcome } from './httpCall';
 
 /** The part of a connection that a call uses. */
 export interface ExchangeConnection {
@@ -10,11 +11,14 @@
   /** Among all connections of this process. */
   number: number;
   callCount: number;
-  /** Labels of the latest calls, oldest first. */
-  labels: string[];
+  /** See `ForeignResponseEvidence`. */
+  latestCalls: readonly string[];
   /** Whether the end of the connection marks the end of the current response. */
   isCloseDelimited: boolean;
-  /** It has carried the rejection of an anonymous call: see `HttpCall`. */
+  /**
+   * It has carried the rejection of an anonymous call. A server may repeat that late, and the next request on the
+   * connection would be lost to it.
+   */
   isOnlyForAnonymous: boolean;
   /** Bytes received on the connection so far. */
   receivedBytes(): number;
@@ -32,11 +36,14 @@
   onReusable(): void;
   /** The response is not read to its end. */
   onAbandoned(): void;
+  onForeign(evidence: ForeignResponseEvidence): void;
   onBroken(): void;
 }
 
 const minErrorStatus = 400;
-const maxLabels = 4;
+const maxLatestCalls = 4;
+/** Ids of servers' responses have no limit. */
+const maxLoggedIdLength = 64;
 const bodylessStatuses: readonly number[] = [204, 304];
 
 type BodyEnd = { kind: 'whole' } | { kind: 'lost'; detail: string };
@@ -58,19 +65,26 @@
   let bodyEnd: BodyEnd | undefined;
   let controller: Dispatcher.DispatchController | undefined;
   let isFramed = true;
-  const { number, callCount: earlierCalls, labels: earlierLabels } = connection;
+  const { callCount: earlierCalls, latestCalls } = connection;
+  const expectedId = expectedIdOf(call.identity);
   const headTimer = startPauseTolerantTimer(call.headTimeoutMs, () => cancel('no answer in time'));
   const onAbort = () => cancel('given up');
 
   function noteOnConnection(): void {
-    const label = call.label ?? `${call.method} ${call.path}`;
+    const name = expectedId ?? `${call.method} ${call.path}`;
     connection.callCount += 1;
-    connection.labels = [...earlierLabels, label].slice(-maxLabels);
+    connection.latestCalls = [...latestCalls, name].slice(-maxLatestCalls);
   }
 
-  function originNow(): ResponseOrigin {
-    const sinceSentMs = monotonicNowMs() - sentAtMs;
-    return { connection: number, earlierCalls, earlierLabels, sinceSentMs };
+  function discardForeign(status: number, { echoedId }: ForeignResponse): void {
+    events.onForeign({
+      ...{ address: call.address, status, expectedId },
+      echoedId: echoedId?.slice(0, maxLoggedIdLength),
+      ...{ connection: connection.number, earlierCalls, latestCalls },
+      sinceSentMs: monotonicNowMs() - sentAtMs,
+    });
+    const detail = echoedId === undefined ? 'response without the id' : 'response with another id';
+    endWithoutResponse({ kind: 'lost', detail, isOurs }, detail);
   }
 
   function noteProgress(): void {
@@ -166,6 +180,11 @@
       noteProgress();
       startedController.pause();
       const headers = readHeaders(startedController.rawHeaders);
+      const foreign = findForeignResponse(call.identity, headers);
+      if (foreign !== undefined) {
+        discardForeign(status, foreign);
+        return;
+      }
       const framing = hasNoBody(call.method, status) ? 'own' : framingOf(headers);
       if (framing === 'unknown') {
         endWithoutResponse(
@@ -176,9 +195,10 @@
       }
       isFramed = framing === 'own';
       connection.isCloseDelimited = !isFramed;
-      connection.isOnlyForAnonymous ||= call.isAnonymous === true && status >= minErrorStatus;
+      connection.isOnlyForAnonymous ||=
+        call.identity.kind === 'anonymous' && status >= minErrorStatus;
       body.isUnframed = !isFramed;
-      resolve({ kind: 'answered', response: { status, headers, body, origin: originNow() } });
+      resolve({ kind: 'answered', response: { status, headers, body } });
     },
     onResponseData(_controller, chunk) {
       noteProgress();
--- a/packages/routing/src/servers/httpCall.ts
+++ b/packages/routing/src/servers/httpCall.ts
@@ -1,6 +1,7 @@
 /** Types of one HTTP call to a backend server and of its outcome. */
 import type { Readable } from 'node:stream';
 import type { ResponseBody } from '../backendApi';
+import type { CallIdentity } from './callIdentity';
 
 export interface HttpCall {
   /** `ip:port`. */
@@ -14,13 +15,8 @@
   /** Maximum time from the call to the head of the response, including the time to connect. */
   headTimeoutMs: number;
   signal?: AbortSignal;
-  /**
-   * Responses to the call name no request. A server may repeat a response late, and the repetition of such a rejection
-   * would be taken for that of the next request on the connection; after one, the connection serves only calls of this kind.
-   */
-  isAnonymous?: boolean;
-  /** Names the call in the origin of later responses on its connection. Default: method and path. */
-  label?: string;
+  /** A response that does not agree with it is discarded with its connection, and the call counts as lost. */
+  identity: CallIdentity;
   /**
    * Whether the call may still be sent; it always may if absent. Checked before a connection is chosen and again just
    * before sending, because the call may have waited for a connection.
@@ -35,14 +31,20 @@
   maxConnections: number;
 }
 
-/** Shows afterwards whether a response belonged to its call. */
-export interface ResponseOrigin {
+/** A response that is not that of its call, with what its connection had carried. */
+export interface ForeignResponseEvidence {
+  address: string;
+  status: number;
+  /** Id of the caller's request; undefined for the router's own calls. */
+  expectedId?: string;
+  /** The id in the response; undefined if it has none. */
+  echoedId?: string;
   /** Number of the connection among all that this process has opened. */
   connection: number;
   /** How many calls the connection had carried before. */
   earlierCalls: number;
-  /** The labels of the latest of them, oldest first. */
-  earlierLabels: readonly string[];
+  /** The latest of them, oldest first: the id of the request, or method and path. */
+  latestCalls: readonly string[];
   sinceSentMs: number;
 }
 
@@ -51,7 +53,6 @@
   /** Alternating names and values. */
   headers: readonly string[];
   body: ResponseBody;
-  origin: ResponseOrigin;
 }
 
 export type HttpOutcome =
--- a/packages/routing/src/servers/serverMetrics.ts
+++ b/packages/routing/src/servers/serverMetrics.ts
@@ -13,8 +13,8 @@
   countPermit(outcome: string): void;
   /** Counts responses that were not read to their end, as they were too long or another request's. */
   countAbandonedAnswer(): void;
-  /** Counts rejections of callers' requests, and responses that were not their call's, by the id that they had. */
-  countQuestionableResponse(kind: string, id: string): void;
+  /** Counts responses that were not their call's, by the id that they had. */
+  countForeignResponse(id: string): void;
   /** Counts notices of backend servers about themselves, by kind. */
   countServerNotice(kind: string): void;
   /** Counts periods in which an engine was unresponsive, as noticed by this router itself. */
@@ -57,10 +57,10 @@
     help: "Answers of backend servers that were not read to their end: too long, too slow, or another request's.",
     registers,
   });
-  const questionable = counter(
-    'bluebell_questionable_responses_total',
-    "Rejections of callers' requests, and responses that were not their call's, by the id that they had.",
-    ['kind', 'id'],
+  const foreignResponses = counter(
+    'bluebell_foreign_responses_total',
+    "Responses of backend servers that were not their call's, by the id that they had: another one, or none.",
+    ['id'],
   );
   const notices = counter(
     'bluebell_server_words_total',
@@ -86,7 +86,7 @@
     setLimitedServers: (count) => limitedServers.set(count),
     countPermit: (outcome) => permits.inc({ outcome }),
     countAbandonedAnswer: () => abandonedAnswers.inc(),
-    countQuestionableResponse: (kind, id) => questionable.inc({ kind, id }),
+    countForeignResponse: (id) => foreignResponses.inc({ id }),
     countServerNotice: (notice) => notices.inc({ word: notice }),
     countUnresponsivePeriod: (service, cause) => unresponsivePeriods.inc({ service, cause }),
     observeUnresponsivePeriod: (service, durationMs) =>
