Send no request on a connection on which it was rejected before

What callers saw: requests that may run once were refused with 503 and had run, or were sent to a second server and ran twice. Cause: a copy of a rejection has the id of the rejected request. If the request is in progress again on the same connection, by its caller's own return or as another call of the router (prefill, then run; a stream that goes on), the copy is taken for the rejection of the second run.

Where a server allows no more connections, an idle one that may not carry the request makes room. Compared: closing after each rejection costs as many connections as rejections when servers are full, and they are dear; remembering all ids that a connection has carried costs memory for each request, while copies of successes do no harm: they are for the same request, and a prefill's has no seal.

--- a/packages/routing/__tests__/backendConnections.test.ts
+++ b/packages/routing/__tests__/backendConnections.test.ts
@@ -315,3 +315,55 @@
     });
   });
 });
+
+/** Rejects each request with its id, and keeps the connections open. */
+function startRejectingServer(t: ExecutionContext) {
+  return startRawServer(t, (socket, text) => {
+    const id = /^request-id: (.*)$/im.exec(text)?.[1]?.trim();
+    socket.write(`HTTP/1.1 503 Full\r\nRequest-Id: ${id}\r\nContent-Length: 0\r\n\r\n`);
+  });
+}
+
+function rejectedCall(address: string, id: string, overrides: Partial<HttpCall> = {}): HttpCall {
+  return createCall(address, { ...identified(id), headers: [header, id], ...overrides });
+}
+
+test('a request that was rejected on a connection is not sent on it again', async (t) => {
+  // Guards against the copy of a rejection that arrives while its request is in progress again: both have the same id.
+  const { address, connectionCount } = await startRejectingServer(t);
+  const connections = createConnections(t);
+  for (const id of ['q1', 'q1', 'q2', 'q1']) {
+    const outcome = await connections.call(rejectedCall(address, id));
+    t.like(outcome, { kind: 'answered', response: { status: 503 } });
+    await discardBody(outcome);
+  }
+  t.is(connectionCount(), 3);
+});
+
+test('a connection that may not carry a request makes room for one that may', async (t) => {
+  // A request that was rejected on the only connection that its server allows was refused as long as that stayed idle.
+  const { address, connectionCount } = await startRejectingServer(t);
+  const connections = createConnections(t);
+  for (let count = 1; count <= 3; count += 1) {
+    const outcome = await connections.call(rejectedCall(address, 'q1', { maxConnections: 1 }));
+    t.is(outcome.kind, 'answered');
+    await discardBody(outcome);
+    t.is(connectionCount(), count);
+  }
+});
+
+test('a connection on which many requests were rejected is closed once their last response is whole', async (t) => {
+  // The ids that a connection must not carry again would grow without a bound.
+  const { address, connectionCount } = await startRejectingServer(t);
+  const connections = createConnections(t);
+  const kinds = [];
+  for (let count = 0; count < 300; count += 1) {
+    const outcome = await connections.call(rejectedCall(address, `request-${count}`));
+    if (outcome.kind === 'answered') {
+      kinds.push((await readWholeBody(outcome.response.body)).kind);
+    }
+  }
+  t.deepEqual(new Set(kinds), new Set(['whole']));
+  t.is(kinds.length, 300);
+  t.true(connectionCount() >= 2 && connectionCount() <= 6, `${connectionCount()}`);
+});
--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -7,6 +7,8 @@
 import { Client, buildConnector } from 'undici';
 import { noReadBarrier, type ReadBarrier } from '../readBarrier';
 import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
+import { expectedIdOf } from './callIdentity';
+import { createRejectedIds } from './rejectedIds';
 import type { ForeignResponseEvidence, HttpCall, HttpOutcome } from './httpCall';
 
 export interface BackendConnections {
@@ -107,6 +109,7 @@
     const connection: Connection = {
       ...{ number: openedCount, callCount: 0, latestCalls: [] },
       ...{ client, isCloseDelimited: false, isOnlyForAnonymous: false, isClosed: false },
+      rejectedIds: createRejectedIds(),
       ...{ receivedBytes: () => 0, progressAtBytes: 0 },
     };
     const onDisconnected = () => close(connection, pool);
@@ -155,12 +158,23 @@
         return outcome;
       }
     }
+    if (pool.openCount >= request.maxConnections) {
+      closeUnusableIdle(pool);
+    }
     if (pool.openCount >= request.maxConnections) {
       return { kind: 'not-sent', detail: 'connection limit reached' };
     }
     return send(open(request.address, pool), pool, request);
   }
 
+  /** Makes room for a call that none of the idle connections may carry. */
+  function closeUnusableIdle(pool: AddressPool): void {
+    const [connection] = pool.idle;
+    if (connection !== undefined) {
+      close(connection, pool);
+    }
+  }
+
   function send(
     connection: Connection,
     pool: AddressPool,
@@ -169,7 +183,9 @@
     return new Promise((resolve) => {
       const exchange = createExchange(connection, request, resolve, {
         onReusable: () => {
-          if (!connection.isClosed) {
+          if (connection.rejectedIds.isFull()) {
+            close(connection, pool);
+          } else if (!connection.isClosed) {
             pool.idle.push(connection);
           }
         },
@@ -198,9 +214,14 @@
 
 function takeIdle(pool: AddressPool, { identity }: HttpCall): Connection | undefined {
   const isAnonymous = identity.kind === 'anonymous';
+  const id = expectedIdOf(identity);
+  const usable = pool.idle.filter(
+    ({ isOnlyForAnonymous, rejectedIds }) =>
+      (isAnonymous || !isOnlyForAnonymous) && (id === undefined || !rejectedIds.has(id)),
+  );
   const taken =
-    pool.idle.findLast(({ isOnlyForAnonymous }) => isOnlyForAnonymous === isAnonymous) ??
-    pool.idle.findLast(({ isOnlyForAnonymous }) => !isOnlyForAnonymous);
+    usable.findLast(({ isOnlyForAnonymous }) => isOnlyForAnonymous === isAnonymous) ??
+    usable.at(-1);
   pool.idle = pool.idle.filter((connection) => connection !== taken);
   return taken;
 }
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -3,6 +3,7 @@
 import { monotonicNowMs, startPauseTolerantTimer } from '@bluebellhitch/shared';
 import type { ResponseBody, BodyReader } from '../backendApi';
 import { expectedIdOf, findForeignResponse, type ForeignResponse } from './callIdentity';
+import type { RejectedIds } from './rejectedIds';
 import type { ForeignResponseEvidence, HttpCall, HttpOutcome } from './httpCall';
 
 /** The part of a connection that a call uses. */
@@ -20,6 +21,8 @@
    * connection would be lost to it.
    */
   isOnlyForAnonymous: boolean;
+  /** A request that was rejected on the connection must not be sent on it again. */
+  rejectedIds: RejectedIds;
   /** Bytes received on the connection so far. */
   receivedBytes(): number;
   /** Bytes received when the response in progress last came nearer to its end. */
@@ -42,8 +45,8 @@
 
 const minErrorStatus = 400;
 const maxLatestCalls = 4;
-/** Ids of servers' responses have no limit. */
-const maxLoggedIdLength = 64;
+/** Ids and paths may be as long as a head. */
+const maxLoggedLength = 64;
 const bodylessStatuses: readonly number[] = [204, 304];
 
 type BodyEnd = { kind: 'whole' } | { kind: 'lost'; detail: string };
@@ -73,13 +76,16 @@
   function noteOnConnection(): void {
     const name = expectedId ?? `${call.method} ${call.path}`;
     connection.callCount += 1;
-    connection.latestCalls = [...latestCalls, name].slice(-maxLatestCalls);
+    connection.latestCalls = [...latestCalls, name.slice(0, maxLoggedLength)].slice(
+      -maxLatestCalls,
+    );
   }
 
   function discardForeign(status: number, { echoedId }: ForeignResponse): void {
     events.onForeign({
-      ...{ address: call.address, status, expectedId },
-      echoedId: echoedId?.slice(0, maxLoggedIdLength),
+      ...{ address: call.address, status },
+      expectedId: expectedId?.slice(0, maxLoggedLength),
+      echoedId: echoedId?.slice(0, maxLoggedLength),
       ...{ connection: connection.number, earlierCalls, latestCalls },
       sinceSentMs: monotonicNowMs() - sentAtMs,
     });
@@ -87,6 +93,13 @@
     endWithoutResponse({ kind: 'lost', detail, isOurs }, detail);
   }
 
+  function noteRejection(): void {
+    if (call.identity.kind === 'identified') {
+      connection.rejectedIds.add(call.identity.id);
+    }
+    connection.isOnlyForAnonymous ||= call.identity.kind === 'anonymous';
+  }
+
   function noteProgress(): void {
     connection.progressAtBytes = connection.receivedBytes();
   }
@@ -195,8 +208,9 @@
       }
       isFramed = framing === 'own';
       connection.isCloseDelimited = !isFramed;
-      connection.isOnlyForAnonymous ||=
-        call.identity.kind === 'anonymous' && status >= minErrorStatus;
+      if (status >= minErrorStatus) {
+        noteRejection();
+      }
       body.isUnframed = !isFramed;
       resolve({ kind: 'answered', response: { status, headers, body } });
     },
