Give each plain call of an agent a connection of its own

What callers saw, on the product's own interface: a backend server that sends one superfluous response late has it passed on to the next caller as its own answer, and so on with every later call on the connection (2 of 3 callers in the test). Cause: the agent reuses connections, and own backend servers name no request in their responses, so nothing tells whose a response is.

Calls whose responses name no request now state that ('unmarked'): the connection layer opens a connection for each, asks the server to close it after its response, and never reuses it. Agent and backend server stand on one machine, where a connection costs little. Compared: asking backend servers for an echo changes their contract; closing connections on which data arrives while idle (undici does that) leaves the response that arrives after the next call was sent; own connections only for calls that must not be repeated would still hand one caller's answer to another.

Tests: plainProxy, failed before; backendConnections, where the kind of call is new.

--- a/packages/agent/__tests__/helpers/innerBench.ts
+++ b/packages/agent/__tests__/helpers/innerBench.ts
@@ -97,10 +97,13 @@
 }
 
 /** A TCP server that is given the socket of each request. */
-export async function startRawBackend(t: ExecutionContext, onRequest: (socket: Socket) => void) {
+export async function startRawBackend(
+  t: ExecutionContext,
+  onRequest: (socket: Socket, request: Buffer) => void,
+) {
   const server = createSocketServer((socket) => {
     socket.on('error', () => undefined);
-    socket.once('data', () => onRequest(socket));
+    socket.once('data', (request) => onRequest(socket, request));
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
--- a/packages/agent/__tests__/plainProxy.test.ts
+++ b/packages/agent/__tests__/plainProxy.test.ts
@@ -221,3 +221,26 @@
     t.is(await response.text(), 'whole');
   });
 });
+
+test('a superfluous response of the backend server does not reach the next caller', async (t) => {
+  // Its responses name no call: the copy of one caller's response, late, was passed on to the next caller as its own.
+  const { url } = await startRawBackend(t, (socket, firstRequest) => {
+    let earlier = '';
+    const serve = (received: Buffer) => {
+      const [, path = ''] = received.toString('latin1').split(' ');
+      const answer = `HTTP/1.1 200 OK\r\nContent-Length: ${path.length}\r\n\r\n${path}`;
+      socket.write(earlier);
+      earlier = answer;
+      setTimeout(() => socket.write(answer), 20);
+    };
+    serve(firstRequest);
+    socket.on('data', serve);
+  });
+  const { server } = await startPlainBenchAt(t, url);
+  const bodies = [];
+  for (const path of ['/first', '/second', '/third']) {
+    const response = await fetch(`${server.address}/plain${path}`, { headers: plainHeaders(path) });
+    bodies.push(await response.text());
+  }
+  t.deepEqual(bodies, ['/first', '/second', '/third']);
+});
--- a/packages/agent/src/plainProxy.ts
+++ b/packages/agent/src/plainProxy.ts
@@ -42,8 +42,6 @@
 }
 
 const defaultConnectTimeoutMs = 1000;
-/** Shorter than the idle timeout of common servers, so that no call is sent on a connection that is closing. */
-const keepAliveMs = 2000;
 
 interface Refusal {
   reason: AgentRefusalReason;
@@ -56,10 +54,7 @@
   const { agent, backendUrl, connectTimeoutMs = defaultConnectTimeoutMs } = options;
   const { table, releaser, attempts, estimates, reservations } = agent.leasing;
   const { host: address } = new URL(backendUrl);
-  const connections = createBackendConnections({
-    connectTimeoutMs,
-    keepAliveTimeoutMs: keepAliveMs,
-  });
+  const connections = createBackendConnections({ connectTimeoutMs });
 
   async function handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const call = readPlainCall(incoming.headers);
--- a/packages/routing/__tests__/backendConnections.test.ts
+++ b/packages/routing/__tests__/backendConnections.test.ts
@@ -367,3 +367,19 @@
   t.is(kinds.length, 300);
   t.true(connectionCount() >= 2 && connectionCount() <= 6, `${connectionCount()}`);
 });
+
+test('a call whose server names no request in its responses gets a connection of its own', async (t) => {
+  // A superfluous response, which nothing tells from that of the next call, would reach another caller.
+  const { address, connectionCount, received } = await startRawServer(t, (socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+  });
+  const connections = createConnections(t);
+  await discardBody(await connections.call(createCall(address)));
+  const unmarked = createCall(address, { identity: { kind: 'unmarked' } });
+  await discardBody(await connections.call(unmarked));
+  await discardBody(await connections.call(unmarked));
+  t.is(connectionCount(), 3);
+  t.is(received().match(/connection: close/gi)?.length, 2);
+  await discardBody(await connections.call(createCall(address)));
+  t.is(connectionCount(), 3);
+});
--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -7,7 +7,7 @@
 import { Client, buildConnector } from 'undici';
 import { noReadBarrier, type ReadBarrier } from '../readBarrier';
 import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
-import { expectedIdOf } from './callIdentity';
+import { expectedIdOf, isReusableAfter } from './callIdentity';
 import { createRejectedIds } from './rejectedIds';
 import type { ForeignResponseEvidence, HttpCall, HttpOutcome } from './httpCall';
 
@@ -183,7 +183,7 @@
     return new Promise((resolve) => {
       const exchange = createExchange(connection, request, resolve, {
         onReusable: () => {
-          if (connection.rejectedIds.isFull()) {
+          if (!isReusableAfter(request.identity) || connection.rejectedIds.isFull()) {
             close(connection, pool);
           } else if (!connection.isClosed) {
             pool.idle.push(connection);
@@ -213,6 +213,9 @@
 }
 
 function takeIdle(pool: AddressPool, { identity }: HttpCall): Connection | undefined {
+  if (!isReusableAfter(identity)) {
+    return undefined;
+  }
   const isAnonymous = identity.kind === 'anonymous';
   const id = expectedIdOf(identity);
   const usable = pool.idle.filter(
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -2,7 +2,12 @@
 import type { Client, Dispatcher } from 'undici';
 import { monotonicNowMs, startPauseTolerantTimer } from '@bluebellhitch/shared';
 import type { ResponseBody, BodyReader } from '../backendApi';
-import { expectedIdOf, findForeignResponse, type ForeignResponse } from './callIdentity';
+import {
+  expectedIdOf,
+  findForeignResponse,
+  isReusableAfter,
+  type ForeignResponse,
+} from './callIdentity';
 import type { RejectedIds } from './rejectedIds';
 import type { ForeignResponseEvidence, HttpCall, HttpOutcome } from './httpCall';
 
@@ -250,6 +255,8 @@
         path: call.path,
         headers: call.headers as string[],
         body: call.body,
+        // The server closes the connection after its response.
+        reset: !isReusableAfter(call.identity),
       },
       handler,
     );
--- a/packages/routing/src/servers/callIdentity.ts
+++ b/packages/routing/src/servers/callIdentity.ts
@@ -8,7 +8,7 @@
   | { kind: 'identified'; header: string; id: string }
   /** A call of the router itself, which bears no id. A response with one belongs to another call. */
   | { kind: 'anonymous'; header: string }
-  /** The server names no request in its responses. */
+  /** The server names no request in its responses: the call gets a connection of its own. */
   | { kind: 'unmarked' };
 
 /** Why a response is not that of its call. */
@@ -30,6 +30,11 @@
   return echoedId === expectedId ? undefined : { echoedId };
 }
 
+/** Whether a connection may carry further calls after one of this identity. */
+export function isReusableAfter({ kind }: CallIdentity): boolean {
+  return kind !== 'unmarked';
+}
+
 /** Undefined for a call without an id. */
 export function expectedIdOf(identity: CallIdentity): string | undefined {
   return identity.kind === 'identified' ? identity.id : undefined;
