Close connections whose server has said that the address is another one's

What callers would see: a request at a sound server counts as one that has crashed it, and after three of these it is refused. Cause: calls of the router without an id cannot tell a copy of an earlier 421, which meant the server that used the address before, from one for the server that uses it now; a probe takes it for the end of that server, and the lost run beside it for a crash.

A connection that has carried a 421 is closed after it, so no copy of it can meet a later call. The flag that closes a connection after its response now serves all three reasons (a 421, too many rejected ids, a call whose responses name no request).

Test: a probe of the server before, then of the one after, and a copy of the first response; failed before.

--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -108,7 +108,13 @@
     openedCount += 1;
     const connection: Connection = {
       ...{ number: openedCount, callCount: 0, latestCalls: [] },
-      ...{ client, isCloseDelimited: false, isOnlyForAnonymous: false, isClosed: false },
+      ...{
+        client,
+        isCloseDelimited: false,
+        isOnlyForAnonymous: false,
+        isClosed: false,
+        isSpent: false,
+      },
       rejectedIds: createRejectedIds(),
       ...{ receivedBytes: () => 0, progressAtBytes: 0 },
     };
@@ -183,7 +189,7 @@
     return new Promise((resolve) => {
       const exchange = createExchange(connection, request, resolve, {
         onReusable: () => {
-          if (!isReusableAfter(request.identity) || connection.rejectedIds.isFull()) {
+          if (connection.isSpent) {
             close(connection, pool);
           } else if (!connection.isClosed) {
             pool.idle.push(connection);
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -28,6 +28,8 @@
   isOnlyForAnonymous: boolean;
   /** A request that was rejected on the connection must not be sent on it again. */
   rejectedIds: RejectedIds;
+  /** It is closed after the response in progress: what follows on it may belong to an earlier call. */
+  isSpent: boolean;
   /** Bytes received on the connection so far. */
   receivedBytes(): number;
   /** Bytes received when the response in progress last came nearer to its end. */
@@ -49,6 +51,8 @@
 }
 
 const minErrorStatus = 400;
+/** The address is used by another server now (RFC 9110, 15.5.20). */
+const misdirectedStatus = 421;
 const maxLatestCalls = 4;
 /** Ids and paths may be as long as a head. */
 const maxLoggedLength = 64;
@@ -98,11 +102,12 @@
     endWithoutResponse({ kind: 'lost', detail, isOurs }, detail);
   }
 
-  function noteRejection(): void {
-    if (call.identity.kind === 'identified') {
-      connection.rejectedIds.add(call.identity.id);
+  function noteRejection(status: number): void {
+    if (expectedId !== undefined) {
+      connection.rejectedIds.add(expectedId);
     }
     connection.isOnlyForAnonymous ||= call.identity.kind === 'anonymous';
+    connection.isSpent ||= status === misdirectedStatus || connection.rejectedIds.isFull();
   }
 
   function noteProgress(): void {
@@ -214,7 +219,7 @@
       isFramed = framing === 'own';
       connection.isCloseDelimited = !isFramed;
       if (status >= minErrorStatus) {
-        noteRejection();
+        noteRejection(status);
       }
       body.isUnframed = !isFramed;
       resolve({ kind: 'answered', response: { status, headers, body } });
@@ -248,6 +253,7 @@
     }
     call.signal?.addEventListener('abort', onAbort);
     noteProgress();
+    connection.isSpent ||= !isReusableAfter(call.identity);
     connection.onFlooded = () => abandon('answer without an end');
     connection.client.dispatch(
       {
