--- a/packages/routing/__tests__/backendConnections.test.ts
+++ b/packages/routing/__tests__/backendConnections.test.ts
@@ -328,6 +328,15 @@
   return createCall(address, { ...identified(id), headers: [header, id], ...overrides });
 }
 
+test('an empty id in a response counts as none', async (t) => {
+  const { address } = await startRawServer(t, (socket) => {
+    socket.write('HTTP/1.1 503 Full\r\nRequest-Id: \r\nContent-Length: 0\r\n\r\n');
+  });
+  const connections = createConnections(t);
+  t.is((await connections.call(createCall(address))).kind, 'answered');
+  t.is((await connections.call(createCall(address, identified('q1')))).kind, 'lost');
+});
+
 test('a request that was rejected on a connection is not sent on it again', async (t) => {
   // Guards against the copy of a rejection that arrives while its request is in progress again: both have the same id.
   const { address, connectionCount } = await startRejectingServer(t);
--- a/packages/routing/src/servers/callIdentity.ts
+++ b/packages/routing/src/servers/callIdentity.ts
@@ -25,7 +25,8 @@
   if (identity.kind === 'unmarked') {
     return undefined;
   }
-  const echoedId = valueOf(headers, identity.header);
+  // An empty value names no request.
+  const echoedId = valueOf(headers, identity.header) || undefined;
   const expectedId = expectedIdOf(identity);
   return echoedId === expectedId ? undefined : { echoedId };
 }
