--- /dev/null
+++ b/packages/routing/__tests__/connectionReuse.test.ts
@@ -0,0 +1,211 @@
+/** What a backend connection carries, one call after the other, where nothing but its id tells whose a response is. */
+import { createServer as createHttpServer } from 'node:http';
+import { createServer, type AddressInfo } from 'node:net';
+import { Readable } from 'node:stream';
+import test, { type ExecutionContext } from 'ava';
+import {
+  createBackendConnections,
+  readWholeBody,
+  type CallIdentity,
+  type HttpCall,
+  type HttpOutcome,
+} from '@bluebellhitch/routing';
+import { startRawServer } from './support/rawServer';
+
+const header = 'Request-Id';
+
+function createCall(address: string, id: string, overrides: Partial<HttpCall> = {}): HttpCall {
+  const identity: CallIdentity = { kind: 'identified', header, id };
+  const call = { address, method: 'POST', path: '/a/b', headers: [header, id], body: 'x' };
+  return { ...call, identity, headTimeoutMs: 2_000, maxConnections: 4, ...overrides };
+}
+
+function createConnections(t: ExecutionContext) {
+  const connections = createBackendConnections();
+  t.teardown(() => connections.close());
+  return connections;
+}
+
+async function bodyOf(outcome: HttpOutcome): Promise<string> {
+  if (outcome.kind !== 'answered') {
+    return outcome.kind;
+  }
+  const read = await readWholeBody(outcome.response.body);
+  return read.kind === 'whole' ? read.body.toString() : read.kind;
+}
+
+const idOf = (text: string) => /^request-id: (.*)$/im.exec(text)?.[1]?.trim() ?? '';
+
+function answer(id: string, body: string, status = 200): string {
+  return `HTTP/1.1 ${status} Any\r\nRequest-Id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+test('a connection that has carried a HEAD request carries no other', async (t) => {
+  // Guards against servers that send the body all the same: what follows would be lost to it. The HTTP client closes such
+  // connections by itself unless it is told otherwise.
+  const { address, connectionCount } = await startRawServer(t, (socket, text) => {
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${idOf(text)}\r\nContent-Length: 5\r\n\r\n`);
+    if (text.startsWith('POST')) {
+      socket.write('whole');
+    }
+  });
+  const connections = createConnections(t);
+  await bodyOf(
+    await connections.call(createCall(address, 'q1', { method: 'HEAD', body: undefined })),
+  );
+  t.is(await bodyOf(await connections.call(createCall(address, 'q2'))), 'whole');
+  t.is(connectionCount(), 2);
+});
+
+['GET', 'DELETE', 'OPTIONS'].forEach((method) => {
+  test(`a connection that has carried a body with ${method} carries no other`, async (t) => {
+    // Guards against servers that ignore such a body and read it as the next request. As for HEAD.
+    const { address, connectionCount } = await startRawServer(t, (socket, text) => {
+      socket.write(answer(idOf(text), 'whole'));
+    });
+    const connections = createConnections(t);
+    await bodyOf(await connections.call(createCall(address, 'q1', { method })));
+    t.is(await bodyOf(await connections.call(createCall(address, 'q2'))), 'whole');
+    t.is(connectionCount(), 2);
+  });
+});
+
+test('the response to a request inside the body of another one does not end a later request', async (t) => {
+  // A server that ignores the body of a GET request answers what is inside as a request of its own, late.
+  let count = 0;
+  const { address } = await startRawServer(t, (socket, text) => {
+    count += 1;
+    const inside = text.indexOf('GET /inside');
+    socket.write(answer(idOf(text), `${count}`));
+    if (inside >= 0) {
+      setTimeout(() => socket.write(answer(idOf(text.slice(inside)), 'inside')), 15);
+    }
+  });
+  const connections = createConnections(t);
+  const body = 'GET /inside HTTP/1.1\r\nHost: a\r\nRequest-Id: q2\r\n\r\n';
+  await bodyOf(await connections.call(createCall(address, 'q1', { method: 'GET', body })));
+  t.is(
+    await bodyOf(
+      await connections.call(createCall(address, 'q2', { method: 'GET', body: undefined })),
+    ),
+    '2',
+  );
+});
+
+test('a copy of a success is not the response to a later request with the same id', async (t) => {
+  // Callers choose the ids, and two of them may choose the same: one would get the other's answer.
+  let earlier = '';
+  const { address } = await startRawServer(t, (socket, text) => {
+    const [, path = ''] = text.split(' ');
+    const own = answer(idOf(text), path);
+    socket.write(earlier);
+    earlier = own;
+    setTimeout(() => socket.write(own), 20);
+  });
+  const connections = createConnections(t);
+  const first = createCall(address, 'q1', { path: '/of-one-caller' });
+  t.is(await bodyOf(await connections.call(first)), '/of-one-caller');
+  const second = createCall(address, 'q1', { path: '/of-another-caller' });
+  t.is(await bodyOf(await connections.call(second)), '/of-another-caller');
+});
+
+/** Takes one connection at a time and closes any other, as servers of the platform reset what exceeds their limit. */
+async function startLimitedServer(t: ExecutionContext): Promise<string> {
+  const server = createServer((socket) => {
+    let count = 0;
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk) => {
+      count += 1;
+      const status = firstIds.has(idOf(chunk.toString())) ? 200 : 503;
+      firstIds.add(idOf(chunk.toString()));
+      socket.write(answer(idOf(chunk.toString()), `${count}`, status));
+    });
+  });
+  const firstIds = new Set<string>();
+  server.maxConnections = 1;
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => server.close());
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+test('a request that was rejected is served by a server that takes one connection at a time', async (t) => {
+  // The connection that makes room is still open at the server when the new one arrives.
+  const address = await startLimitedServer(t);
+  const connections = createConnections(t);
+  const outcomes = [];
+  for (let round = 0; round < 20; round += 1) {
+    const call = createCall(address, `q${round}`, { maxConnections: 1 });
+    await bodyOf(await connections.call(call));
+    const again = await connections.call(call);
+    outcomes.push(again.kind === 'answered' ? `${again.response.status}` : again.kind);
+    await bodyOf(again);
+  }
+  t.deepEqual(
+    outcomes,
+    Array.from({ length: 20 }, () => '200'),
+  );
+});
+
+[
+  ['spaces around', ' q1 ', 'q1'],
+  ['a tab inside', 'q\t1', 'q\t1'],
+  ['bytes over 127', 'q\u00e9\u00ff', 'q\u00e9\u00ff'],
+].forEach(([name, sent = '', id = '']) => {
+  test(`an id is recognised with ${name}`, async (t) => {
+    const { address } = await startRawServer(t, (socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nREQUEST-ID: ${sent}\r\nContent-Length: 0\r\n\r\n`, 'latin1');
+    });
+    const outcome = await createConnections(t).call(createCall(address, id));
+    t.is(outcome.kind, 'answered');
+    await bodyOf(outcome);
+  });
+});
+
+/** Answers as soon as it has read the head of a request; Node.js reads on what is left of the body, or closes. */
+async function startEarlyServer(t: ExecutionContext): Promise<string> {
+  const server = createHttpServer((_incoming, outgoing) => {
+    outgoing.writeHead(401, { 'content-length': 4 });
+    outgoing.end('deny');
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+[
+  { name: 'in one piece', bodyOfCall: (bytes: Buffer) => bytes },
+  { name: 'as a stream', bodyOfCall: (bytes: Buffer) => Readable.from(inPieces(bytes)) },
+].forEach(({ name, bodyOfCall }) => {
+  test(`a server that answers before it has read a long body is heard: ${name}`, async (t) => {
+    // With `Connection: close` it closes at once, and the reset for the bytes that it has not read takes the answer away.
+    const address = await startEarlyServer(t);
+    const connections = createConnections(t);
+    const kinds = [];
+    for (let round = 0; round < 5; round += 1) {
+      const outcome = await connections.call(
+        createCall(address, 'q1', {
+          identity: { kind: 'unmarked' },
+          body: bodyOfCall(Buffer.alloc(4_000_000, 97)),
+        }),
+      );
+      kinds.push(`${outcome.kind} ${await bodyOf(outcome)}`);
+    }
+    t.deepEqual(
+      kinds,
+      Array.from({ length: 5 }, () => 'answered deny'),
+    );
+  });
+});
+
+function* inPieces(bytes: Buffer): Generator<Buffer> {
+  for (let start = 0; start < bytes.length; start += 65_536) {
+    yield bytes.subarray(start, start + 65_536);
+  }
+}
