Let the HTTP client close connections after bodies that servers may not read

Cause: 'reset: false' is not the client's default: it switches off that the client closes connections after HEAD, and after bodies of GET, DELETE and OPTIONS. It is left undefined now.

--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -261,8 +261,8 @@
         path: call.path,
         headers: call.headers as string[],
         body: call.body,
-        // The server closes the connection after its response.
-        reset: !isReusableAfter(call.identity),
+        // Asks the server to close the connection. `false` would switch off what the client closes by itself.
+        reset: isReusableAfter(call.identity) ? undefined : true,
       },
       handler,
     );
