Give no status that promises 'not run' to a plain request that may have run

What callers saw, on the product's own interface: a plain request with a streamed body that was passed on was answered 408 (its body paused) or 503 (no memory for more of it), while the body of the answer said notRun 'unknown'. Callers and proxies send a request again after these, so it could run twice. Cause: the status followed the reason alone, except for an entry that stops. Now a plain request that may have run gets 504 in place of 408, 421, 429 or 503, whatever the reason.

Left: a model request whose prefill has run and whose decode reservation is refused still gets 503 beside notRun 'unknown' (a test of baselinePlacement demands that status); no tokens were made for it.

--- a/packages/entry/src/plainRequest.ts
+++ b/packages/entry/src/plainRequest.ts
@@ -14,6 +14,7 @@
 import { stopReasons } from './modelTypes';
 import { runPlainAttempt } from './plainAttempt';
 import type { PlainFailure, PlainOutcome, PlainRequest, PlainRun } from './plainTypes';
+import { statusWithoutPromise } from './problem';
 import type { RequestContext } from './requestContext';
 import { createRequestTrace } from './requestTrace';
 
@@ -239,7 +240,7 @@
   if (exchange.outgoing.headersSent) {
     exchange.outgoing.destroy();
   } else {
-    exchange.refuse(refusal, status);
+    exchange.refuse(refusal, run.mayHaveRun ? statusWithoutPromise(refusal, status) : status);
   }
   const outcome = run.mayHaveRun ? requestOutcomes.failed : requestOutcomes.refused;
   return { outcome, recordedOutcome: `${outcome}: ${refusal.reason}` };
--- a/packages/entry/src/problem.ts
+++ b/packages/entry/src/problem.ts
@@ -54,6 +54,14 @@
   return reason === refusalReasons.leaving && mayRun ? timedOutStatus : statuses[reason].status;
 }
 
+/** Callers and proxies send a request again after these. */
+const statusesThatPromise: readonly number[] = [requestTimeoutStatus, 421, 429, 503];
+
+/** The status of a refusal of a request that may have run: one that does not promise that it has not. */
+export function statusWithoutPromise(refusal: Refusal, status = statusOf(refusal)): number {
+  return statusesThatPromise.includes(status) ? timedOutStatus : status;
+}
+
 export function problemDocument(refusal: Refusal, options: ProblemOptions): ProblemDocument {
   const { title } = statuses[refusal.reason];
   return {
