Give each call of an engine a connection of its own

What callers saw (own path): an engine that sends a response too many, where the next one on a connection is due, gave one caller the prefill of another one; a rejection of one call was reported as "not run" for another one, which ran; an order, a cancellation and a drop of an export that failed were taken as done. Cause: the client of engines had a pool of connections, and own engines repeat no id by which a response could be checked; any JSON object is the success of an order.

Change: one call a connection, which is closed when the response has ended, also if the engine keeps it open. So a superfluous response has no other call to reach, whenever it comes. Ruled out: own connections for calls with a caller's work only (a foreign list of holdings frees memory that is in use); data on an idle connection closes it already, but what comes with the next request on its way passes.

Evidence, `npx ava packages/engine/__tests__/superfluousResponses.test.ts`: 5 of its 6 tests failed before ('export of a' for 'export of b'; 'not-started' for 'export of b'; an order that was rejected with 500 was ok; the chunks of a for b; 1 connection for 2 calls). The sixth, a response twice in one piece, passed before and keeps that.

--- a/packages/engine/src/httpEngineClient.ts
+++ b/packages/engine/src/httpEngineClient.ts
@@ -1,5 +1,7 @@
 /**
- * HTTP client of an engine. To support an engine with another wire format, replace this file and
+ * HTTP client of an engine. Engines repeat no id of the request in their responses, so each call has a connection of its own:
+ * a response too many cannot be taken for that of another call. Agent and engine are on one machine, where connections are
+ * cheap. To support an engine with another wire format, replace this file and
  * `engineWire.ts`.
  */
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
@@ -178,6 +180,8 @@
     method,
     path,
     signal,
+    // Sends `Connection: close`, and closes the connection once the response has ended.
+    reset: true,
     ...(body === undefined
       ? {}
       : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
