Read answers of engines within limits

What callers saw (own path, reported by an operator): a faulty worker sent bytes without end; its agent kept them until it ran out of memory, and the requests of all others there ended with it. Cause: the client of engines read bodies with `json()`, which has no bound, and which keeps each chunk as an object of its own.

Change: one reader of whole bodies (`ports`, beside the reader of requests), which copies parts into segments and has a limit for one body and one for all that it reads at the same time. Beyond them the call fails (`failed`, never `not-started`) and its connection is closed. 1 MB an answer, 16 MB for lists that grow with an engine's memory, 32 MB together: no sound engine meets them.

--- a/packages/engine/src/httpEngineClient.ts
+++ b/packages/engine/src/httpEngineClient.ts
@@ -1,12 +1,13 @@
 /**
  * HTTP client of an engine. Engines repeat no id of the request in their responses, so each call has a connection of its own:
  * a response too many cannot be taken for that of another call. Agent and engine are on one machine, where connections are
- * cheap. To support an engine with another wire format, replace this file and
- * `engineWire.ts`.
+ * cheap. To support an engine with another wire format, replace this file, `engineTransport.ts` and `engineWire.ts`.
  */
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
-import { Pool, type Dispatcher } from 'undici';
+import { Pool } from 'undici';
 import type { z } from 'zod';
+import { createResponseReader } from '@bluebellhitch/ports';
+import { abortedByCaller } from './callErrors';
 import type {
   DecodeInput,
   EngineApi,
@@ -22,12 +23,18 @@
   chunkEventSchema,
   emptyReplySchema,
   enginePaths,
-  errorBodySchema,
   holdingsReplySchema,
   importEventSchema,
   loadReplySchema,
   prefillReplySchema,
 } from './engineWire';
+import {
+  callOnce,
+  openStream,
+  type EngineCall,
+  type EngineTransport,
+  type OpenedStream,
+} from './engineTransport';
 import { readEventStream } from './eventStream';
 
 export interface HttpEngineClientOptions {
@@ -43,6 +50,12 @@
   streamIdleTimeoutMs?: number;
   /** Loading a model reads its weights, which takes minutes. */
   orderTimeoutMs?: number;
+  /** Longest answer of a call. A longer one is given up as failed. */
+  maxReplyBytes?: number;
+  /** Longest list of holdings or cache events, which grow with the engine's memory. */
+  maxListBytes?: number;
+  /** For all answers that are being read at the same time. */
+  maxTotalBytes?: number;
 }
 
 /** An engine client that must be closed to release its connections. */
@@ -57,24 +70,11 @@
   streamStartTimeoutMs: 5000,
   streamIdleTimeoutMs: 60_000,
   orderTimeoutMs: 600_000,
+  maxReplyBytes: 1_048_576,
+  maxListBytes: 16_777_216,
+  maxTotalBytes: 33_554_432,
 } as const;
 
-interface Call {
-  method: 'GET' | 'POST';
-  path: string;
-  body?: unknown;
-  timeoutMs: number;
-  signal?: AbortSignal;
-}
-
-interface OpenedStream {
-  body: AsyncIterable<Uint8Array>;
-  /** Removes the listener on the caller's signal; called when the stream has ended. */
-  release: () => void;
-}
-
-type EngineResponse = Dispatcher.ResponseData;
-
 export function createHttpEngineClient(options: HttpEngineClientOptions): HttpEngineClient {
   const settings = { ...defaults, ...options };
   const pool = new Pool(settings.address, {
@@ -83,27 +83,30 @@
     bodyTimeout: settings.streamIdleTimeoutMs,
     pipelining: 1,
   });
+  const { maxReplyBytes, maxListBytes, maxTotalBytes } = settings;
+  const reader = createResponseReader({ maxBytes: maxReplyBytes, maxTotalBytes });
+  const transport: EngineTransport = { pool, reader };
 
   function call<Schema extends z.ZodType>(
     schema: Schema,
-    request: Call,
+    request: EngineCall,
   ): ResultAsync<z.infer<Schema>, EngineError> {
-    return new ResultAsync(callOnce(pool, schema, request));
+    return new ResultAsync(callOnce(transport, schema, request));
   }
 
   function post(path: string, body: unknown, timeoutMs: number = settings.callTimeoutMs) {
     return call(emptyReplySchema, { method: 'POST', path, body, timeoutMs }).map(() => undefined);
   }
 
-  function get<Schema extends z.ZodType>(schema: Schema, path: string) {
-    return call(schema, { method: 'GET', path, timeoutMs: settings.callTimeoutMs });
+  function get<Schema extends z.ZodType>(schema: Schema, path: string, maxBytes?: number) {
+    return call(schema, { method: 'GET', path, timeoutMs: settings.callTimeoutMs, maxBytes });
   }
 
   function stream(path: string, body: DecodeInput | ResumeInput, signal?: AbortSignal) {
     const timeoutMs = settings.streamStartTimeoutMs;
-    return new ResultAsync(openStream(pool, { method: 'POST', path, body, timeoutMs, signal })).map(
-      readChunks,
-    );
+    return new ResultAsync(
+      openStream(transport, { method: 'POST', path, body, timeoutMs, signal }),
+    ).map(readChunks);
   }
 
   return {
@@ -118,76 +121,27 @@
     exportKv: (exportId, action) =>
       post(`${enginePaths.exports}/${encodeURIComponent(exportId)}`, { action }),
     importKv: (input, onProgress, signal) =>
-      new ResultAsync(runImport(pool, input, onProgress, settings.streamStartTimeoutMs, signal)),
+      new ResultAsync(
+        runImport(transport, input, onProgress, settings.streamStartTimeoutMs, signal),
+      ),
     decode: (input, signal) => stream(enginePaths.decode, input, signal),
     resume: (input, signal) => stream(enginePaths.resume, input, signal),
     cancel: (attemptId) => post(enginePaths.cancel, { attemptId }),
-    streams: () => get(holdingsReplySchema, enginePaths.holdings).map(({ holdings }) => holdings),
+    streams: () =>
+      get(holdingsReplySchema, enginePaths.holdings, maxListBytes).map(({ holdings }) => holdings),
     load: () => get(loadReplySchema, enginePaths.load),
     cacheEvents: (sinceSequence) =>
-      get(cacheEventsReplySchema, `${enginePaths.cacheEvents}?since=${sinceSequence}`).map(
-        ({ events }) => events,
-      ),
+      get(
+        cacheEventsReplySchema,
+        `${enginePaths.cacheEvents}?since=${sinceSequence}`,
+        maxListBytes,
+      ).map(({ events }) => events),
     order: (order, fencingNumber) =>
       post(enginePaths.orders, { order, fencingNumber }, settings.orderTimeoutMs),
     close: () => pool.destroy(),
   };
 }
 
-async function callOnce<Schema extends z.ZodType>(
-  pool: Pool,
-  schema: Schema,
-  request: Call,
-): Promise<Result<z.infer<Schema>, EngineError>> {
-  const callAbort = createCallAbort(request);
-  try {
-    const response = await send(pool, request, callAbort.signal);
-    const body: unknown = await response.body.json();
-    if (response.statusCode !== 200) {
-      return err(errorFromBody(response.statusCode, body));
-    }
-    const parsed = schema.safeParse(body);
-    return parsed.success
-      ? ok(parsed.data)
-      : err({ kind: 'failed', detail: `unexpected answer: ${parsed.error.message}` });
-  } catch (cause) {
-    return err(callAbort.errorFrom(cause));
-  } finally {
-    callAbort.release();
-  }
-}
-
-async function openStream(pool: Pool, request: Call): Promise<Result<OpenedStream, EngineError>> {
-  const callAbort = createCallAbort(request);
-  try {
-    const response = await send(pool, request, callAbort.signal);
-    if (response.statusCode !== 200) {
-      const body: unknown = await response.body.json();
-      callAbort.release();
-      return err(errorFromBody(response.statusCode, body));
-    }
-    callAbort.stopTimer();
-    return ok({ body: response.body, release: callAbort.release });
-  } catch (cause) {
-    callAbort.release();
-    return err(callAbort.errorFrom(cause));
-  }
-}
-
-function send(pool: Pool, request: Call, signal: AbortSignal): Promise<EngineResponse> {
-  const { method, path, body } = request;
-  return pool.request({
-    method,
-    path,
-    signal,
-    // Sends `Connection: close`, and closes the connection once the response has ended.
-    reset: true,
-    ...(body === undefined
-      ? {}
-      : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
-  });
-}
-
 async function* readChunks(opened: OpenedStream): AsyncGenerator<EngineChunk, void, undefined> {
   try {
     yield* readEventStream(opened.body, chunkEventSchema);
@@ -197,14 +151,14 @@
 }
 
 async function runImport(
-  pool: Pool,
+  transport: EngineTransport,
   body: ImportInput,
   onProgress: (progress: ImportProgress) => void,
   timeoutMs: number,
   signal?: AbortSignal,
 ): Promise<Result<ImportProgress, EngineError>> {
   const path = enginePaths.import;
-  const opened = await openStream(pool, { method: 'POST', path, body, timeoutMs, signal });
+  const opened = await openStream(transport, { method: 'POST', path, body, timeoutMs, signal });
   if (opened.isErr()) {
     return err(opened.error);
   }
@@ -236,65 +190,3 @@
       : { kind: 'died', detail: 'the import ended without its last event' },
   );
 }
-
-const abortedByCaller: EngineError = { kind: 'failed', detail: 'aborted by the caller' };
-
-/** Combines a call's timeout with its caller's signal; `errorFrom` reports which of them aborted the call. */
-function createCallAbort(request: Call) {
-  const controller = new AbortController();
-  const abort = () => controller.abort();
-  let hasTimedOut = false;
-  const timer = setTimeout(() => {
-    hasTimedOut = true;
-    abort();
-  }, request.timeoutMs);
-  request.signal?.addEventListener('abort', abort);
-  if (request.signal?.aborted === true) {
-    abort();
-  }
-  const stopTimer = () => clearTimeout(timer);
-  return {
-    signal: controller.signal,
-    stopTimer,
-    release: () => {
-      stopTimer();
-      request.signal?.removeEventListener('abort', abort);
-    },
-    errorFrom: (cause: unknown): EngineError => {
-      if (hasTimedOut) {
-        return { kind: 'timeout', detail: `no answer in ${request.timeoutMs} ms` };
-      }
-      return request.signal?.aborted === true ? abortedByCaller : errorFromCause(cause);
-    },
-  };
-}
-
-/** Error codes of failures before a connection was established: the request was certainly not sent. */
-const connectErrorCodes: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-  'UND_ERR_DESTROYED',
-  'UND_ERR_CLOSED',
-];
-const timeoutErrorCodes: readonly string[] = ['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT'];
-
-function errorFromCause(cause: unknown): EngineError {
-  const code = String((cause as { code?: unknown }).code ?? '');
-  const detail = cause instanceof Error ? cause.message : String(cause);
-  if (connectErrorCodes.includes(code)) {
-    return { kind: 'not-started', detail };
-  }
-  if (timeoutErrorCodes.includes(code)) {
-    return { kind: 'timeout', detail };
-  }
-  return { kind: 'died', detail };
-}
-
-function errorFromBody(statusCode: number, body: unknown): EngineError {
-  const parsed = errorBodySchema.safeParse(body);
-  return parsed.success
-    ? parsed.data.error
-    : { kind: 'failed', detail: `engine answered ${statusCode}` };
-}
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -20,3 +20,9 @@
 export { createPortResources, type PortResources } from './portResources';
 export { guardSmallPort, smallPortOptions } from './smallPort';
 export { guardInnerPort, readInnerBody, readInnerCall, refuseInnerBody } from './innerPort';
+export {
+  createResponseReader,
+  type ResponseBodyError,
+  type ResponseReader,
+  type ResponseReaderOptions,
+} from './responseBody';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -47,3 +47,9 @@
   type Parts,
 } from './crowd/crowdInput';
 export { watchProcess, type ProcessUse } from './crowd/processUse';
+export {
+  startEndlessServer,
+  type EndlessConnection,
+  type EndlessServer,
+  type EndlessServerOptions,
+} from './endlessServer';
