Bound the events of streams from engines and agents

What callers saw (own path): a faulty worker sent an event without end; the process that read it kept all of it. Cause: the parser of event streams keeps the line and the data in progress without a bound, in chunks of one byte as a part for each.

Change: the bytes are cut at blank lines before they are parsed (`createEventBlocks`), so that the parser keeps no part of an event; the part that has arrived is held compactly, up to 64 KB from one blank line to the next. Beyond it the stream ends as one that broke off and its connection is closed: the entry goes on elsewhere, as after any stream without its end. An event carries a token or the progress of a transfer. Ruled out: the parser's own `maxBufferSize`, which counts the data, not the other lines, and a string object for each line of data.

--- a/packages/engine/__tests__/endlessResponses.test.ts
+++ b/packages/engine/__tests__/endlessResponses.test.ts
@@ -113,3 +113,30 @@
     t.true(['died', 'timeout'].includes((await pending)._unsafeUnwrapErr().kind));
   }),
 );
+
+const endlessEvents = {
+  'a line': { head: `${chunkedHead}6\r\ndata: \r\n`, piece: largeChunk },
+  'a line in chunks of one byte': { head: `${chunkedHead}6\r\ndata: \r\n`, piece: byteChunk },
+  'data lines': { head: chunkedHead, piece: '6\r\ndata:\n\r\n' },
+  'other lines': { head: chunkedHead, piece: '6\r\nid: x\n\r\n' },
+};
+
+Object.entries(endlessEvents).forEach(([name, { head, piece }]) =>
+  test(`a stream with an event without an end is ended, and its connection closed: ${name}`, async (t) => {
+    // The agent kept the event, and never told the entry that the stream had failed.
+    const { client, server } = await start(t, { head, piece }, { maxEventBytes: 100_000 });
+    const chunks = (await client.decode(decodeInput))._unsafeUnwrap();
+    const reading = chunks[Symbol.asyncIterator]().next();
+    const connection = await server.firstConnection;
+    t.true(connection.isClosedByCaller, `${connection.sentBytes} bytes were taken`);
+    t.true(connection.sentBytes < slackBytes);
+    t.true((await reading).done);
+  }),
+);
+
+test('an import with an event without an end fails with died', async (t) => {
+  const { client, server } = await start(t, { head: chunkedHead, piece: largeChunk });
+  const pending = client.importKv(importInput, () => undefined);
+  t.true((await server.firstConnection).isClosedByCaller);
+  t.is((await pending)._unsafeUnwrapErr().kind, 'died');
+});
--- a/packages/engine/src/engineTransport.ts
+++ b/packages/engine/src/engineTransport.ts
@@ -18,10 +18,12 @@
 export interface EngineTransport {
   pool: Pool;
   reader: ResponseReader;
+  maxEventBytes: number;
 }
 
 export interface OpenedStream {
   body: AsyncIterable<Uint8Array>;
+  maxEventBytes: number;
   /** Removes the listener on the caller's signal; called when the stream has ended. */
   release: () => void;
 }
@@ -56,7 +58,7 @@
 }
 
 export async function openStream(
-  { pool, reader }: EngineTransport,
+  { pool, reader, maxEventBytes }: EngineTransport,
   request: EngineCall,
 ): Promise<Result<OpenedStream, EngineError>> {
   const callAbort = createCallAbort(request);
@@ -73,7 +75,7 @@
       );
     }
     callAbort.stopTimer();
-    return ok({ body: response.body, release: callAbort.release });
+    return ok({ body: response.body, maxEventBytes, release: callAbort.release });
   } catch (cause) {
     callAbort.release();
     return err(callAbort.errorFrom(cause));
--- a/packages/engine/src/eventStream.ts
+++ b/packages/engine/src/eventStream.ts
@@ -1,16 +1,18 @@
 /** Reads an event stream (`text/event-stream`) in which each event carries one JSON value. */
 import { createParser } from 'eventsource-parser';
 import type { z } from 'zod';
+import { createEventBlocks, type EventBlocksOptions } from '@bluebellhitch/ports';
 
 /**
- * Yields the value of each event. Ends when the body ends, its connection breaks or a value does not
- * match the schema; callers recognise a complete stream by the protocol's end marker.
+ * Yields the value of each event. Ends when the body ends, its connection breaks, a value does not
+ * match the schema or an event is longer than the limit; callers recognise a complete stream by the protocol's end marker.
  */
 export async function* readEventStream<Schema extends z.ZodType>(
   body: AsyncIterable<Uint8Array>,
   schema: Schema,
+  options?: EventBlocksOptions,
 ): AsyncGenerator<z.infer<Schema>, void, undefined> {
-  for await (const text of readEventData(body)) {
+  for await (const text of readEventData(body, options)) {
     const parsed = schema.safeParse(parseJson(text));
     if (!parsed.success) {
       return;
@@ -21,10 +23,11 @@
 
 async function* readEventData(
   body: AsyncIterable<Uint8Array>,
+  options?: EventBlocksOptions,
 ): AsyncGenerator<string, void, undefined> {
   const texts: string[] = [];
   const parser = createParser({ onEvent: ({ data }) => texts.push(data) });
-  const decoder = new TextDecoder();
+  const blocks = createEventBlocks(options);
   const iterator = body[Symbol.asyncIterator]();
   try {
     for (;;) {
@@ -32,7 +35,11 @@
       if (bytes === undefined) {
         return;
       }
-      parser.feed(decoder.decode(bytes, { stream: true }));
+      const block = blocks.add(bytes);
+      if (block.kind === 'too-long') {
+        return;
+      }
+      parser.feed(block.text);
       yield* texts.splice(0);
     }
   } finally {
--- a/packages/engine/src/httpEngineClient.ts
+++ b/packages/engine/src/httpEngineClient.ts
@@ -56,6 +56,8 @@
   maxListBytes?: number;
   /** For all answers that are being read at the same time. */
   maxTotalBytes?: number;
+  /** Longest event of a stream. A longer one ends the stream. */
+  maxEventBytes?: number;
 }
 
 /** An engine client that must be closed to release its connections. */
@@ -73,6 +75,7 @@
   maxReplyBytes: 1_048_576,
   maxListBytes: 16_777_216,
   maxTotalBytes: 33_554_432,
+  maxEventBytes: 65_536,
 } as const;
 
 export function createHttpEngineClient(options: HttpEngineClientOptions): HttpEngineClient {
@@ -83,9 +86,9 @@
     bodyTimeout: settings.streamIdleTimeoutMs,
     pipelining: 1,
   });
-  const { maxReplyBytes, maxListBytes, maxTotalBytes } = settings;
+  const { maxReplyBytes, maxListBytes, maxTotalBytes, maxEventBytes } = settings;
   const reader = createResponseReader({ maxBytes: maxReplyBytes, maxTotalBytes });
-  const transport: EngineTransport = { pool, reader };
+  const transport: EngineTransport = { pool, reader, maxEventBytes };
 
   function call<Schema extends z.ZodType>(
     schema: Schema,
@@ -144,7 +147,7 @@
 
 async function* readChunks(opened: OpenedStream): AsyncGenerator<EngineChunk, void, undefined> {
   try {
-    yield* readEventStream(opened.body, chunkEventSchema);
+    yield* readEventStream(opened.body, chunkEventSchema, opened);
   } finally {
     opened.release();
   }
@@ -174,7 +177,7 @@
   onProgress: (progress: ImportProgress) => void,
   signal?: AbortSignal,
 ): Promise<Result<ImportProgress, EngineError>> {
-  for await (const event of readEventStream(opened.body, importEventSchema)) {
+  for await (const event of readEventStream(opened.body, importEventSchema, opened)) {
     if (event.kind === 'error') {
       return err(event.error);
     }
--- a/packages/entry/src/agentEventStream.ts
+++ b/packages/entry/src/agentEventStream.ts
@@ -1,10 +1,11 @@
 /** Reads an agent's event stream, in which each event is one `StreamFrame` as JSON. */
 import { createParser } from 'eventsource-parser';
 import type { Readable } from 'node:stream';
+import { createEventBlocks } from '@bluebellhitch/ports';
 import { streamFrameSchema, type StreamFrame } from '@bluebellhitch/protocol';
 
 /**
- * Yields the frames in order. Ends early if the connection breaks, which the reader recognises by the
+ * Yields the frames in order. Ends early if the connection breaks or an event is too long, which the reader recognises by the
  * missing `end` frame. Calls `onMalformed` for each event that is not a valid frame.
  */
 export async function* readFrames(
@@ -23,10 +24,15 @@
     },
     onError: onMalformed,
   });
-  const decoder = new TextDecoder();
+  const blocks = createEventBlocks();
   try {
     for await (const chunk of body) {
-      parser.feed(decoder.decode(chunk as Buffer, { stream: true }));
+      const block = blocks.add(chunk as Buffer);
+      if (block.kind === 'too-long') {
+        onMalformed();
+        return;
+      }
+      parser.feed(block.text);
       yield* frames.splice(0);
     }
   } catch {
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -26,3 +26,9 @@
   type ResponseReader,
   type ResponseReaderOptions,
 } from './responseBody';
+export {
+  createEventBlocks,
+  type EventBlock,
+  type EventBlocks,
+  type EventBlocksOptions,
+} from './eventBlocks';
