Read answers of the platform within limits

What callers saw: a platform, or what stands at its address, that sends a body without end: every process that asks it keeps the body until the call's time-out, and may run out of memory. Cause: `text()` has no bound. Change: the reader of `ports`; 32 MB for an answer, since lists may be long, and 48 MB for all that are being read at the same time. A read that is given up is `unavailable`, a write `unknown-outcome`: it may have taken effect. Its connection is closed.

Evidence, `npx ava packages/objects/__tests__/httpPlatformClient.test.ts`: 6 of 6 failed before, with 67,174,318 bytes taken in large chunks and 67,110,958 in chunks of one byte, the caps of the test, and the connections open.

--- a/packages/objects/src/httpPlatformClient.ts
+++ b/packages/objects/src/httpPlatformClient.ts
@@ -5,6 +5,11 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { Agent, request, type Dispatcher } from 'undici';
 import * as z from 'zod';
+import {
+  createResponseReader,
+  type ResponseBodyError,
+  type ResponseReader,
+} from '@bluebellhitch/ports';
 import {
   objectListSchema,
   platformErrorSchema,
@@ -24,6 +29,10 @@
   connectTimeoutMs?: number;
   /** Maximum number of connections; each pending watch occupies one. */
   connections?: number;
+  /** Longest answer; lists are the longest ones. A longer one cannot be used, and closes its connection. */
+  maxBodyBytes?: number;
+  /** For all answers that are being read at the same time. */
+  maxTotalBytes?: number;
 }
 
 export interface HttpPlatformClient extends PlatformApi {
@@ -41,22 +50,34 @@
   signal?: AbortSignal;
 }
 
-const defaults = { timeoutMs: 2000, connectTimeoutMs: 1000, connections: 64 } as const;
+interface Transport {
+  address: string;
+  dispatcher: Dispatcher;
+  reader: ResponseReader;
+}
+
+const defaults = {
+  ...{ timeoutMs: 2000, connectTimeoutMs: 1000, connections: 64 },
+  ...{ maxBodyBytes: 33_554_432, maxTotalBytes: 50_331_648 },
+} as const;
 const noContentStatus = 204;
 
 export function createHttpPlatformClient(options: HttpPlatformClientOptions): HttpPlatformClient {
-  const { address, timeoutMs, connectTimeoutMs, connections } = { ...defaults, ...options };
+  const settings = { ...defaults, ...options };
+  const { address, timeoutMs, connectTimeoutMs, connections } = settings;
   const dispatcher = new Agent({
     connections,
     connect: { timeout: connectTimeoutMs },
     headersTimeout: 0,
     bodyTimeout: 0,
   });
+  const { maxBodyBytes: maxBytes, maxTotalBytes } = settings;
+  const reader = createResponseReader({ maxBytes, maxTotalBytes });
 
   function call<Value>(
     callOptions: Omit<HttpCall<Value>, 'timeoutMs'> & { timeoutMs?: number },
   ): ResultAsync<Value, PlatformError> {
-    return new ResultAsync(send(address, dispatcher, { timeoutMs, ...callOptions }));
+    return new ResultAsync(send({ address, dispatcher, reader }, { timeoutMs, ...callOptions }));
   }
 
   return {
@@ -102,8 +123,7 @@
 }
 
 async function send<Value>(
-  address: string,
-  dispatcher: Dispatcher,
+  { address, dispatcher, reader }: Transport,
   call: HttpCall<Value>,
 ): Promise<Result<Value, PlatformError>> {
   const timeout = AbortSignal.timeout(Math.ceil(call.timeoutMs));
@@ -116,13 +136,21 @@
       body: call.body === undefined ? undefined : JSON.stringify(call.body),
       signal: call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal]),
     });
-    const text = await response.body.text();
-    return readResponse(call, response.statusCode, text);
+    const body = await reader.read(response.body);
+    return body.isOk()
+      ? readResponse(call, response.statusCode, body.value.toString())
+      : err(readingError(call.method, body.error));
   } catch (cause) {
     return err(lostResponseError(call.method, cause));
   }
 }
 
+function readingError(method: string, error: ResponseBodyError): PlatformError {
+  return error.kind === 'too-long'
+    ? unusableResponseError(method, error.detail)
+    : lostResponseError(method, error.cause);
+}
+
 function readResponse<Value>(
   call: HttpCall<Value>,
   status: number,
