Read replies between processes within limits

What callers saw: whatever stands at the address of an agent or an entry and sends a reply without end fills the memory of the processes that call it: entries (bids, reservations, strikes), followers of a feed, the holder of the duty that orders engines. Cause: `text()` in `messageFetch` and `sealedFetch`, and the links of tRPC that had the runtime's `fetch`, read without a bound. A seal is checked only when all has been read.

--- a/packages/duties/src/orderAgentClient.ts
+++ b/packages/duties/src/orderAgentClient.ts
@@ -2,6 +2,7 @@
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import type { z } from 'zod';
+import { createBoundedFetch } from '@bluebellhitch/ports';
 import {
   bidSchema,
   innerPaths,
@@ -37,7 +38,7 @@
 export interface OrderAgentClientOptions {
   /** Absent: agents that require credentials refuse every call. */
   credentials?: InnerCredentials;
-  /** Replaces the runtime's `fetch`, for example to count bytes. */
+  /** Replaces the `fetch` that reads replies within limits, for example to count bytes. */
   fetch?: typeof fetch;
   /** Timeout of calls that only read. */
   readTimeoutMs?: number;
@@ -46,7 +47,11 @@
 }
 
 export function createOrderAgentClient(options: OrderAgentClientOptions = {}): OrderAgentClient {
-  const { fetch: fetchImpl, readTimeoutMs = 2000, maxClients = 256 } = options;
+  const {
+    fetch: fetchImpl = createBoundedFetch(),
+    readTimeoutMs = 2000,
+    maxClients = 256,
+  } = options;
   const headers = credentialHeaders(options.credentials, innerAudiences.agent);
   const clients = new Map<string, TRPCClient<AgentRouter>>();
 
--- a/packages/entry/__tests__/endlessReplies.test.ts
+++ b/packages/entry/__tests__/endlessReplies.test.ts
@@ -40,3 +40,22 @@
   t.true(connection.sentBytes < slackBytes);
   t.true((await reading).done);
 });
+
+const bidRequest = {
+  ...{ service: 'draft-models', promptTokens: 1, maxOutputTokens: 1, prefixBlocks: [] },
+  className: 'standard',
+};
+
+test('a reply without an end is given up, and its connection closed', async (t) => {
+  // A worker of another kind may stand at an agent's address; the entry kept the reply until the call's time-out.
+  const pieces = [largeChunk, '1\r\nx\r\n'];
+  await Promise.all(
+    pieces.map(async (piece) => {
+      const { client, server } = await start(t, { head: chunkedHead, piece });
+      const pending = client.bid(server.address, bidRequest, options);
+      const connection = await server.firstConnection;
+      t.true(connection.isClosedByCaller, `${connection.sentBytes} bytes were taken`);
+      t.is((await pending)._unsafeUnwrapErr().kind, 'lost');
+    }),
+  );
+});
--- a/packages/membership/src/feedClient.ts
+++ b/packages/membership/src/feedClient.ts
@@ -1,6 +1,7 @@
 /** Client for the feed of another process. */
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
 import { err, ok, ResultAsync } from 'neverthrow';
+import { createBoundedFetch } from '@bluebellhitch/ports';
 import {
   feedReplySchema,
   innerPaths,
@@ -37,7 +38,8 @@
 
 export function createFeedClient({ credentials }: FeedClientOptions = {}): CallFeed {
   const headers = credentialHeaders(credentials, innerAudiences.feed);
-  const sealedFetch = credentials === undefined ? undefined : createSealedFetch(credentials);
+  const fetchReply =
+    credentials === undefined ? createBoundedFetch() : createSealedFetch(credentials);
   const clients = new Map<string, TRPCClient<EntryRouter>>();
 
   function clientOf(innerAddress: string): TRPCClient<EntryRouter> {
@@ -47,7 +49,7 @@
     }
     const url = `${innerAddress}${innerPaths.trpc}`;
     const client = createTRPCClient<EntryRouter>({
-      links: [httpLink({ url, headers, fetch: sealedFetch })],
+      links: [httpLink({ url, headers, fetch: fetchReply })],
     });
     [...clients.keys()].slice(0, 1 - maxClients).forEach((old) => clients.delete(old));
     clients.set(innerAddress, client);
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -32,3 +32,4 @@
   type EventBlocks,
   type EventBlocksOptions,
 } from './eventBlocks';
+export { createBoundedFetch, type BoundedFetch, type BoundedReply } from './boundedFetch';
