Read answers of admin ports within limits

What operators saw: `bluebellctl status` or `explain` beside a process that sends bytes without end keeps all that comes within 2 s, from up to 32 processes at a time. Cause: `json()` has no bound. Change: the reader of `ports`, 4 MB an answer (a decision record or the generations of all services); such a process is reported as silent and its connection closed, the others are shown.

--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -8,5 +8,5 @@
   type TextStyles,
   type Report,
 } from './ctlIo';
-export { createProcessIo } from './processIo';
+export { createProcessIo, type ProcessIoOptions } from './processIo';
 export { runCtl, type RunCtlOptions } from './runCtl';
--- a/packages/ctl/src/processIo.ts
+++ b/packages/ctl/src/processIo.ts
@@ -3,13 +3,30 @@
 import { text } from 'node:stream/consumers';
 import { err, ok, type Result } from 'neverthrow';
 import { request } from 'undici';
+import { createResponseReader, type ResponseReader } from '@bluebellhitch/ports';
 import { delay } from '@bluebellhitch/shared';
 import { colourStyles, plainStyles, type AdminError, type CtlIo } from './ctlIo';
 
-const adminTimeoutMs = 2000;
+export interface ProcessIoOptions {
+  adminTimeoutMs?: number;
+  /** Longest answer of an admin port. */
+  maxAdminBytes?: number;
+}
+
+interface AdminAccess {
+  reader: ResponseReader;
+  adminTimeoutMs: number;
+}
+
+const defaults = { adminTimeoutMs: 2000, maxAdminBytes: 4_194_304 } as const;
+/** For the answers of all processes that are asked at the same time. */
+const maxTotalAdminBytes = 134_217_728;
 const notFoundStatus = 404;
 
-export function createProcessIo(): CtlIo {
+export function createProcessIo(options: ProcessIoOptions = {}): CtlIo {
+  const { adminTimeoutMs, maxAdminBytes } = { ...defaults, ...options };
+  const limits = { maxBytes: maxAdminBytes, maxTotalBytes: maxTotalAdminBytes };
+  const access: AdminAccess = { reader: createResponseReader(limits), adminTimeoutMs };
   const usesColours = process.stdout.isTTY === true && process.env.NO_COLOR === undefined;
   return {
     json: false,
@@ -21,7 +38,7 @@
       process.stderr.write(output);
     },
     readFile: readTextFile,
-    readAdmin,
+    readAdmin: (address, path) => readAdmin(access, address, path),
     delay,
   };
 }
@@ -34,7 +51,11 @@
   }
 }
 
-async function readAdmin(address: string, path: string): Promise<Result<unknown, AdminError>> {
+async function readAdmin(
+  { reader, adminTimeoutMs }: AdminAccess,
+  address: string,
+  path: string,
+): Promise<Result<unknown, AdminError>> {
   try {
     const response = await request(new URL(path, address), {
       signal: AbortSignal.timeout(adminTimeoutMs),
@@ -43,7 +64,13 @@
       await response.body.dump();
       return err({ kind: 'not-found' });
     }
-    return ok(await response.body.json());
+    const body = await reader.read(response.body);
+    if (body.isErr()) {
+      const { error } = body;
+      const detail = error.kind === 'too-long' ? error.detail : messageOf(error.cause);
+      return err({ kind: 'unreachable', detail });
+    }
+    return ok(JSON.parse(body.value.toString()));
   } catch (cause) {
     return err({ kind: 'unreachable', detail: messageOf(cause) });
   }
