--- a/packages/ports/__tests__/responseBody.test.ts
+++ b/packages/ports/__tests__/responseBody.test.ts
@@ -1,3 +1,4 @@
+import { PassThrough } from 'node:stream';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import test from 'ava';
@@ -76,3 +77,29 @@
   const { heapUsed, arrayBuffers } = process.memoryUsage();
   return heapUsed + arrayBuffers;
 }
+
+test('the longest body is given up where bodies together are too long', async (t) => {
+  // Beside one that has no end, sound answers would be lost, whichever arrives as the limit is reached.
+  const reader = createResponseReader({ maxBytes: 1_000, maxTotalBytes: 100 });
+  const sources = Array.from({ length: 5 }, createManualBody);
+  const readings = sources.map((source) => reader.read(source.body));
+  sources[0]?.push('x'.repeat(90));
+  sources.slice(1).forEach((source) => source.push('x'.repeat(10)));
+  await new Promise(setImmediate);
+  sources[0]?.push('x');
+  sources.forEach((source) => source.end());
+  const outcomes = await Promise.all(readings);
+  t.deepEqual(
+    outcomes.map((outcome) => outcome.map((body) => body.length).unwrapOr(0)),
+    [0, 10, 10, 10, 10],
+  );
+});
+
+function createManualBody() {
+  const body = new PassThrough();
+  return {
+    body,
+    push: (text: string) => body.write(text),
+    end: () => body.end(),
+  };
+}
