Keep a connection open for a moment after its last response

What callers saw: a caller that reads a response slowly and has sent a further request behind it, on a connection that the response closes, lost the rest of a response whose request had run (LOST).

Cause: after the last response the runtime destroys the connection, before its caller has ended its side. What arrives then resets it, and what was not read yet is lost. The second of waiting in this module came too late for that, and a stopping process did not wait for it either.

Why it works: the runtime ends a connection by its destroySoon, which now ends the sending side, reads and drops what arrives, and closes once the caller has ended its side, after a second at most. A process counts as idle only then.

--- a/packages/routing/__tests__/connectionClosing.test.ts
+++ b/packages/routing/__tests__/connectionClosing.test.ts
@@ -158,3 +158,27 @@
   await closed;
   t.is(wholeResponses(text()), 1);
 });
+
+test('a response that its caller still reads is not cut by what the caller sends behind it', async (t) => {
+  // The runtime closed the connection behind its last response. What arrived then reset it, and the rest of the response was lost.
+  const body = Buffer.alloc(1_000_000, 'a');
+  let servedCount = 0;
+  const server = await startServer(t, ({ respond }) => {
+    servedCount += 1;
+    respond({ ...whole, body });
+  });
+  const { socket, closed, text } = openConnection(t, server.port);
+  server.beginDrain();
+  socket.pause();
+  socket.write(request);
+  await until(() => servedCount === 1);
+  await delay(50);
+  socket.write(request);
+  server.stopAccepting();
+  await delay(50);
+  socket.resume();
+  await server.whenIdle();
+  server.close();
+  await closed;
+  t.true(text().endsWith('\r\n\r\n'.concat('a'.repeat(body.length))), `${text().length} bytes`);
+});
--- a/packages/routing/src/callers/connectionClosing.ts
+++ b/packages/routing/src/callers/connectionClosing.ts
@@ -19,7 +19,7 @@
   beginDrain(): void;
   /** The same for connections that have been quiet before. */
   closeQuiet(): void;
-  /** Whether a connection stays open for a request that its caller may have sent already. */
+  /** Whether a connection stays open for what its caller may have sent already, be it to serve that or to drop it. */
   isLingering(): boolean;
 }
 
@@ -43,6 +43,8 @@
   /** Requests whose responses are not complete, in the order of their arrival. */
   unanswered: Map<ServerResponse, IncomingMessage>;
   isClosing: boolean;
+  /** The sending side is ended, and the connection waits for the end of its caller's side. */
+  isEnded: boolean;
   /** Since when nothing was read or answered, as far as is known. */
   quietSinceMs: number;
   bytesRead: number;
@@ -81,10 +83,13 @@
       socket,
       unanswered: new Map(),
       isClosing: false,
+      isEnded: false,
       quietSinceMs: monotonicNowMs(),
       bytesRead: socket.bytesRead,
     };
     connections.set(socket, connection);
+    // The runtime calls this after the last response. Its own closes the connection at once, and what arrives then resets it.
+    Object.assign(socket, { destroySoon: () => close(connection) });
     socket.once('close', () => {
       connections.delete(socket);
       connection.isClosing = true;
@@ -103,11 +108,15 @@
   function close(connection: Connection, response?: string): void {
     const { socket } = connection;
     connection.isClosing = true;
-    stopLingering(connection);
+    if (connection.isEnded || socket.destroyed) {
+      return;
+    }
+    connection.isEnded = true;
+    clearTimeout(connection.timer);
+    lingering.add(connection);
     onClosing(socket);
     socket.end(response ?? '');
-    const timer = setTimeout(() => socket.destroy(), closeTimeoutMs).unref();
-    socket.once('close', () => clearTimeout(timer));
+    connection.timer = setTimeout(() => socket.destroy(), closeTimeoutMs).unref();
   }
 
   function closeOnceQuiet(connection: Connection): void {
