Read what has arrived before a quiet connection is closed

What callers saw: a stopping router that was held up read the request of a connection that had been quiet, and closed it without a response. It had not run.

Cause: once the 300 ms of waiting were over, the timer decided before the event loop had read what arrived meanwhile.

Why it works: the decision is made after a pass of the event loop through its poll phase.

--- a/packages/routing/__tests__/connectionClosing.test.ts
+++ b/packages/routing/__tests__/connectionClosing.test.ts
@@ -1,5 +1,6 @@
-import { setTimeout as delay } from 'node:timers/promises';
+import { setImmediate as immediate, setTimeout as delay } from 'node:timers/promises';
 import test from 'ava';
+import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { CallerExchange } from '@bluebellhitch/routing';
 import { openConnection, request, startServer, until } from './support/callersServerFixture';
 
@@ -182,3 +183,21 @@
   await closed;
   t.true(text().endsWith('\r\n\r\n'.concat('a'.repeat(body.length))), `${text().length} bytes`);
 });
+
+test('a request that arrived while a stopping router was held up is served', async (t) => {
+  // Its connection counted as quiet, as the time was over before anything was read: the request was read and dropped.
+  const server = await startServer(t, ({ respond }) => respond(whole));
+  const { socket, closed, text } = openConnection(t, server.port);
+  await new Promise((resolve) => {
+    socket.once('connect', resolve);
+  });
+  await delay(20);
+  // From here, the event loop comes to its timers before it reads.
+  await immediate();
+  server.stopAccepting();
+  socket.write(request);
+  const heldUpUntilMs = monotonicNowMs() + 500;
+  while (monotonicNowMs() < heldUpUntilMs);
+  await closed;
+  t.is(wholeResponses(text()), 1);
+});
--- a/packages/routing/src/callers/connectionClosing.ts
+++ b/packages/routing/src/callers/connectionClosing.ts
@@ -135,7 +135,16 @@
     }
     clearTimeout(connection.timer);
     lingering.add(connection);
-    connection.timer = setTimeout(() => closeOnceQuiet(connection), leftMs);
+    connection.timer = setTimeout(() => closeOnceRead(connection), leftMs);
+  }
+
+  /** A process that was held up has not read what arrived meanwhile. */
+  function closeOnceRead(connection: Connection): void {
+    setImmediate(() => {
+      if (lingering.has(connection)) {
+        closeOnceQuiet(connection);
+      }
+    });
   }
 
   function noteOver(connection: Connection, outgoing: ServerResponse): void {
