Let a stopping entry wait for the next request of its last callers

What callers saw: a request that was sent on a kept connection as soon as a stream had ended was reset when that stream was the last one of a stopping entry. It had not run, which its caller could not know.

Cause: the entry took itself for idle as soon as no request was running, and closed all connections, although the connection was kept open for its caller's next request.

Why it works: idle means, as in the router, that no connection stays open for what its caller may have sent.

--- a/packages/entry/src/callersServer.ts
+++ b/packages/entry/src/callersServer.ts
@@ -47,7 +47,7 @@
   activeCount(): number;
   /** Refuses new connections and requests; running requests continue. */
   stopAccepting(): void;
-  /** Resolves once no request is running. */
+  /** Resolves once no request is running, and none is expected on a connection that stays open for a moment. */
   whenIdle(): Promise<void>;
   /** Closes the server and all connections that are still open. */
   close(): Promise<void>;
@@ -71,7 +71,7 @@
   const excessSockets = new WeakSet<Socket>();
   const connections = createCallerConnections();
   const closing = createConnectionClosing({
-    onLingered: () => undefined,
+    onLingered: notifyIfIdle,
     onClosing: (socket) => guard.of(socket).discardInput(),
   });
   const readBarrier = createReadBarrier();
@@ -79,7 +79,13 @@
 
   function removeActive(exchange: CallerExchange): void {
     active.delete(exchange);
-    if (active.size === 0) {
+    notifyIfIdle();
+  }
+
+  const isIdle = () => active.size === 0 && !closing.isLingering();
+
+  function notifyIfIdle(): void {
+    if (isIdle()) {
       idleWaiters.splice(0).forEach((resolve) => resolve());
     }
   }
@@ -163,7 +169,7 @@
       closing.closeQuiet();
     },
     whenIdle: () =>
-      active.size === 0
+      isIdle()
         ? Promise.resolve()
         : new Promise((resolve) => {
             idleWaiters.push(resolve);
