--- a/packages/telemetry/__tests__/processLifecycle.test.ts
+++ b/packages/telemetry/__tests__/processLifecycle.test.ts
@@ -65,6 +65,30 @@
   t.deepEqual(fake.exitCodes, [1]);
 });
 
+test('a signal that does not force the stop is ignored while draining', async (t) => {
+  // A supervisor repeats SIGTERM: what the process still runs would be cut off. A person can end it all the same.
+  const fake = createFakeProcess();
+  const stops: StopKind[] = [];
+  installProcessLifecycle({
+    process: fake.process,
+    forcingSignals: ['SIGINT'],
+    onStop: async (kind) => {
+      stops.push(kind);
+      if (kind === 'graceful') {
+        await once(new EventEmitter(), 'never');
+      }
+    },
+  });
+  fake.emitter.emit('SIGTERM');
+  fake.emitter.emit('SIGTERM');
+  await setImmediate();
+  t.deepEqual(stops, ['graceful']);
+  fake.emitter.emit('SIGINT');
+  await setImmediate();
+  t.deepEqual(stops, ['graceful', 'forced']);
+  t.deepEqual(fake.exitCodes, [1]);
+});
+
 test('an unhandled error forces the stop with exit code 1', async (t) => {
   const fake = createFakeProcess();
   const stops: StopKind[] = [];
--- a/packages/telemetry/src/processLifecycle.ts
+++ b/packages/telemetry/src/processLifecycle.ts
@@ -7,6 +7,8 @@
 /** `graceful` finishes the work in progress; `forced` releases all resources and returns at once. */
 export type StopKind = 'graceful' | 'forced';
 
+export type StopSignal = 'SIGTERM' | 'SIGINT';
+
 export interface ProcessLifecycleOptions {
   /** Called at most once per kind; the process exits when the promise settles. */
   onStop: (kind: StopKind) => Promise<void>;
@@ -14,6 +16,11 @@
   logger?: Logger;
   /** Defaults to the environment variable `BLUEBELL_EXIT_ON_STDIN_END`. */
   exitOnStdinEnd?: boolean;
+  /**
+   * Signals that force the stop while a graceful one is in progress; others are then ignored. Default: both. A process
+   * whose graceful stop is bounded needs no second signal, and its supervisor may repeat the first.
+   */
+  forcingSignals?: readonly StopSignal[];
   /** Maximum duration of a forced stop. */
   forcedStopMs?: number;
   /** Replaced in tests. */
@@ -38,12 +45,14 @@
   },
 };
 
+const bothSignals: readonly StopSignal[] = ['SIGTERM', 'SIGINT'];
+
 /**
- * Installs the handlers. The first SIGTERM or SIGINT stops the process gracefully with exit code 0; a second one,
- * or an unhandled error, forces the stop with exit code 1.
+ * Installs the handlers. The first SIGTERM or SIGINT stops the process gracefully with exit code 0; a second one of
+ * `forcingSignals`, or an unhandled error, forces the stop with exit code 1.
  */
 export function installProcessLifecycle(options: ProcessLifecycleOptions): void {
-  const { onStop, logger, forcedStopMs = 2_000 } = options;
+  const { onStop, logger, forcingSignals = bothSignals, forcedStopMs = 2_000 } = options;
   const host: LifecycleProcess = options.process ?? process;
   const watchesStdin = options.exitOnStdinEnd ?? host.env.BLUEBELL_EXIT_ON_STDIN_END === 'true';
   let stopping: StopKind | undefined;
@@ -67,10 +76,14 @@
     host.exit(exitCode);
   }
 
-  function onSignal(signal: string): void {
-    const stop =
-      stopping === undefined ? stopGracefully(signal) : stopForced(signal, exitCodes.failure);
-    void stop;
+  function onSignal(signal: StopSignal): void {
+    if (stopping === undefined) {
+      void stopGracefully(signal);
+    } else if (forcingSignals.includes(signal)) {
+      void stopForced(signal, exitCodes.failure);
+    } else {
+      logger?.info('already stopping', { cause: signal });
+    }
   }
 
   function onUnhandled(error: unknown): void {
@@ -78,8 +91,7 @@
     void stopForced('unhandled error', exitCodes.failure);
   }
 
-  host.on('SIGTERM', () => onSignal('SIGTERM'));
-  host.on('SIGINT', () => onSignal('SIGINT'));
+  bothSignals.forEach((signal) => host.on(signal, () => onSignal(signal)));
   host.on('uncaughtException', onUnhandled);
   host.on('unhandledRejection', onUnhandled);
   if (watchesStdin) {
