Answer calls that reach an agent while it closes its port

What callers saw: entries lost calls on kept connections of an agent that stopped. None had run, which the entry cannot know, so a request that may not be repeated was given up as one that may have run.

Cause: at the end of a stop the agent closed kept connections as soon as they were idle, with calls on their way.

--- a/packages/agent/src/innerServer.ts
+++ b/packages/agent/src/innerServer.ts
@@ -12,11 +12,11 @@
   type PortResources,
 } from '@bluebellhitch/ports';
 import { createInnerGuard, innerAudiences, type InnerSecurity } from '@bluebellhitch/security';
-import { delay } from '@bluebellhitch/shared';
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch';
 import { Hono } from 'hono';
 import type { Agent } from './agent';
 import type { PlainProxy } from './plainProxy';
+import { createPortClosing, type PortClosing } from './portClosing';
 import { handleStream } from './streamHandler';
 
 export interface InnerServerOptions {
@@ -40,9 +40,6 @@
   close(graceMs?: number): Promise<void>;
 }
 
-/** Keep-alive connections become idle one by one as their responses end. */
-const idleCheckIntervalMs = 20;
-
 interface Environment {
   Bindings: HttpBindings;
 }
@@ -50,20 +47,27 @@
 /** Starts the inner port; rejects if the port is in use. */
 export async function startInnerServer(options: InnerServerOptions): Promise<InnerServer> {
   const { resources = createPortResources() } = options;
-  const server = await listen(createApp({ ...options, resources }), { ...options, resources });
+  const closing = createPortClosing();
+  const resolved = { ...options, resources, closing };
+  const server = await listen(createApp(resolved), resolved);
   const { address, port } = server.address() as AddressInfo;
   return {
     address: `http://${address}:${port}`,
-    close: (graceMs = 0) => closeServer(server, graceMs),
+    close: (graceMs = 0) => closing.close(server, graceMs),
   };
 }
 
-type ResolvedOptions = InnerServerOptions & { resources: PortResources };
+type ResolvedOptions = InnerServerOptions & { resources: PortResources; closing: PortClosing };
 
 function createApp(options: ResolvedOptions): Hono<Environment> {
   const { agent, plainProxy, security, onUnauthenticated: onRefused } = options;
   const bodies = createBodyReaderPool(options.resources.memory);
   const app = new Hono<Environment>();
+  app.use('*', ({ env }, next) =>
+    options.closing.take(env.incoming, env.outgoing)
+      ? next()
+      : Promise.resolve(RESPONSE_ALREADY_SENT),
+  );
   const audienceOf = () => innerAudiences.agent;
   app.use('*', createInnerGuard({ security, audienceOf, onRefused }));
   const router = createAgentRouter(agent.handlers);
@@ -95,24 +99,14 @@
 
 function listen(
   app: Hono<Environment>,
-  { host, port, resources }: ResolvedOptions,
+  { host, port, resources, closing }: ResolvedOptions,
 ): Promise<Server> {
   return new Promise((resolve, reject) => {
     const server = serve({ fetch: app.fetch, hostname: host, port }, () =>
       resolve(server),
     ) as Server;
     guardInnerPort(server, resources);
+    closing.watch(server);
     server.once('error', reject);
   });
 }
-
-async function closeServer(server: Server, graceMs: number): Promise<void> {
-  const closed = new Promise<void>((resolve) => {
-    server.close(() => resolve());
-  });
-  const idleCloser = setInterval(() => server.closeIdleConnections(), idleCheckIntervalMs);
-  await Promise.race([closed, delay(graceMs)]);
-  clearInterval(idleCloser);
-  server.closeAllConnections();
-  await closed;
-}
