Take the Ctrl-C that npm forwards for the same request to stop

What callers saw: Ctrl-C at npm start cut all responses in progress.

Cause: the terminal signals the whole process group, and npm forwards the signal to the script, which took the second one for a wish to stop at once. Both may also be merged into one, so it did not always happen.

Why it works: what follows the first request within half a second is the same request.

--- a/packages/bench/__tests__/quickstart.test.ts
+++ b/packages/bench/__tests__/quickstart.test.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { createServer, type AddressInfo } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import test, { type ExecutionContext } from 'ava';
 import { readMetric, streamCompletion, type StreamOutcome } from './helpers/callers';
 import {
@@ -13,6 +14,8 @@
 
 const prompt = 'Draft a maturity notice for a series EE bond bought in May 1994.';
 const longResponseTokens = 250;
+/** Time in which npm forwards a signal; far more than it takes. */
+const forwardingMs = 50;
 
 /** Shared by the tests up to the one that stops it gracefully. */
 const plannedStop = shareQuickstart('npm');
@@ -115,6 +118,28 @@
   t.false(quickstart.processes.some(({ pid }) => isRunning(pid)));
 });
 
+test.serial(
+  'Ctrl-C that arrives twice, as under npm, finishes responses in progress',
+  async (t) => {
+    // The terminal signals the script and npm, which forwards it: the second one was taken for a wish to stop at once.
+    const quickstart = startQuickstart();
+    t.teardown(quickstart.end);
+    const [address = ''] = await quickstart.ready;
+    const responses = startLongResponses(address, 4);
+    await findDecodingWorker(quickstart);
+    process.kill(quickstart.pid, 'SIGINT');
+    await delay(forwardingMs);
+    process.kill(quickstart.pid, 'SIGINT');
+
+    const outcomes = await Promise.all(responses);
+    t.deepEqual(
+      outcomes.map(({ kind }) => kind),
+      ['complete', 'complete', 'complete', 'complete'],
+    );
+    t.is(await quickstart.exited, 0);
+  },
+);
+
 (['node', 'npm'] as const).forEach((launcher) => {
   test.serial(`no process is left when the start by ${launcher} is killed`, async (t) => {
     // The script or its parent npm is killed by SIGKILL and cannot stop the other processes. Each must notice that
--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -22,6 +22,8 @@
 
 const exitCodes = { ok: 0, failure: 1, invalidSettings: 2 };
 const parentPollMs = 500;
+/** Requests to stop that follow the first within this time are the same one. */
+const sameRequestMs = 500;
 /** Longer than the binaries of the product may take to stop. */
 const stopBoundMs = 130_000;
 
@@ -61,15 +63,18 @@
   ].flatMap(([isValid, finding]) => (isValid ? [] : [finding]));
 }
 
-/** Resolves with the cause of the first request to stop; a second one calls `onSecond`. */
+/**
+ * Resolves with the cause of the first request to stop; a second one calls `onSecond`. Ctrl-C arrives twice under npm: from
+ * the terminal, and forwarded by npm.
+ */
 function waitForStop(onSecond) {
   return new Promise((resolve) => {
-    let isStopping = false;
+    let firstAtMs;
     const stop = (cause) => {
-      if (isStopping) {
+      if (firstAtMs !== undefined && performance.now() - firstAtMs > sameRequestMs) {
         onSecond();
       }
-      isStopping = true;
+      firstAtMs ??= performance.now();
       resolve(cause);
     };
     process.on('SIGTERM', () => stop('SIGTERM'));
