Report no call as not started because the client of the engine was closed

What a caller could see: a request that its engine has is refused as "not run". Cause: the error of a call in progress when the client is closed was among those that prove that nothing was sent. No process closes the client while it serves today, so nobody has met it. Change: such a call ends as `failed`, which proves nothing.

Evidence: the new test of `httpEngineClient.test.ts` gave 'not-started' before.

--- a/packages/engine/__tests__/httpEngineClient.test.ts
+++ b/packages/engine/__tests__/httpEngineClient.test.ts
@@ -182,3 +182,16 @@
   t.deepEqual(receivedSizes, [1]);
   t.is(result._unsafeUnwrapErr().kind, 'died');
 });
+
+test('a call in progress when the client is closed is not reported as not started', async (t) => {
+  // The engine has the request and may run it. Reported as not started, it would be run a second time elsewhere.
+  let onRequest: () => void = () => undefined;
+  const received = new Promise<void>((resolve) => {
+    onRequest = resolve;
+  });
+  const client = await startClient(t, () => onRequest());
+  const pending = client.decode(decodeInput);
+  await received;
+  await client.close();
+  t.is((await pending)._unsafeUnwrapErr().kind, 'failed');
+});
--- a/packages/engine/src/callErrors.ts
+++ b/packages/engine/src/callErrors.ts
@@ -48,9 +48,9 @@
   'EHOSTUNREACH',
   'ENETUNREACH',
   'UND_ERR_CONNECT_TIMEOUT',
-  'UND_ERR_DESTROYED',
-  'UND_ERR_CLOSED',
 ];
+/** The client was closed; the request may have been sent before. */
+const closedErrorCodes: readonly string[] = ['UND_ERR_DESTROYED', 'UND_ERR_CLOSED'];
 const timeoutErrorCodes: readonly string[] = ['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT'];
 
 function errorFromCause(cause: unknown): EngineError {
@@ -59,6 +59,9 @@
   if (connectErrorCodes.includes(code)) {
     return { kind: 'not-started', detail };
   }
+  if (closedErrorCodes.includes(code)) {
+    return { kind: 'failed', detail };
+  }
   if (timeoutErrorCodes.includes(code)) {
     return { kind: 'timeout', detail };
   }
