Hold what arrives of a response's body in compact form

Callers at any service lost their requests when a faulty worker answered one service with a body in chunks of one byte: the router's heap was full and the process ended.

readWholeBody and readSmallBody kept each chunk as a buffer of its own, which costs about 115 bytes besides the read that it points into: 30 MB for a body that is kept up to 256 KB. Bodies now go into the buffer that callers' bodies have used since chunks of that kind were found there (bodyBuffer.ts of ports).

New: endlessAnswers.alone.test.ts, real processes as the deploy file starts them, on a machine of 178 MB, with an ordinary caller at another service.

--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -1,3 +1,4 @@
+export { createBodyBuffer, type BodyBuffer } from './bodyBuffer';
 export {
   createBodyReaderPool,
   type BodyReaderPool,
--- a/packages/routing/src/servers/responseBody.ts
+++ b/packages/routing/src/servers/responseBody.ts
@@ -2,6 +2,7 @@
  * Reads response bodies of backend servers. A faulty server may send bytes without an end: a body that is not passed on
  * as it arrives is read within limits, and beyond them its connection is closed.
  */
+import { createBodyBuffer } from '@bluebellhitch/ports';
 import { startPauseTolerantTimer } from '@bluebellhitch/shared';
 import type { ResponseBody } from '../backendApi';
 
@@ -30,18 +31,16 @@
   maxBytes: number = defaultMaxBytes,
 ): Promise<ResponseBodyOutcome> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let length = 0;
+    const buffer = createBodyBuffer();
     body.read({
       onData(chunk) {
-        chunks.push(chunk);
-        length += chunk.length;
-        if (length > maxBytes) {
+        buffer.append(chunk);
+        if (buffer.length() > maxBytes) {
           body.pause();
-          resolve({ kind: 'long', start: Buffer.concat(chunks), rest: body });
+          resolve({ kind: 'long', start: buffer.take(), rest: body });
         }
       },
-      onEnd: () => resolve({ kind: 'whole', body: Buffer.concat(chunks) }),
+      onEnd: () => resolve({ kind: 'whole', body: buffer.take() }),
       onLost: (detail) => resolve({ kind: 'lost', detail }),
     });
   });
@@ -53,10 +52,10 @@
   limits: BodyLimits = smallBodyLimits,
 ): Promise<Exclude<ResponseBodyOutcome, { kind: 'long' }>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const buffer = createBodyBuffer();
     readWithin(body, limits, {
-      onData: (chunk) => chunks.push(chunk),
-      onEnd: () => resolve({ kind: 'whole', body: Buffer.concat(chunks) }),
+      onData: buffer.append,
+      onEnd: () => resolve({ kind: 'whole', body: buffer.take() }),
       onLost: (detail) => resolve({ kind: 'lost', detail }),
     });
   });
--- /dev/null
+++ b/packages/soak/__tests__/endlessAnswers.alone.test.ts
@@ -0,0 +1,108 @@
+/**
+ * Workers that send bytes without an end: the router process lives, stays within the memory and descriptors of its machine,
+ * and answers an ordinary request at another service, beside them and after. Nothing here depends on the machine's speed.
+ */
+import test from 'ava';
+import { encodeChunk, endless, inOrder, once, type Parts } from '@bluebellhitch/standins';
+import { routeKinds, type Route } from '@bluebellhitch/routing';
+import { plainRoute, streamRoute } from '../src/configurationPlan';
+import { serviceNames } from '../src/serverSlots';
+import {
+  machine,
+  patientMs,
+  startCrowdedRouter,
+  type FurtherServices,
+} from './support/crowdedRouter';
+import { faultyHead, startFaultyWorker } from './support/faultyWorker';
+import { startOpenCallers } from './support/openCallers';
+import { requestHead } from './support/requestHead';
+
+interface EndlessCase {
+  name: string;
+  route: 'plain' | 'stream' | 'engine';
+  callerCount: number;
+  isReading?: boolean;
+  /** The answer's body. */
+  body: Parts;
+  /** Whether calls for reservations and reports get such a body too. Default: no. */
+  isFaultyThroughout?: boolean;
+}
+
+const okStatus = 200;
+const largeChunkBytes = 65_535;
+const oneByteChunks = endless(encodeChunk(1));
+const largeChunks = endless(encodeChunk(largeChunkBytes));
+
+const cases: readonly EndlessCase[] = [
+  { name: 'a body in chunks of one byte', route: 'plain', callerCount: 20, body: oneByteChunks },
+  { name: 'a body in chunks of one byte', route: 'plain', callerCount: 100, body: oneByteChunks },
+  { name: 'a body in large chunks', route: 'plain', callerCount: 100, body: largeChunks },
+];
+
+const faultyService = 'faulty';
+const report = { stage: 'decode', waiting: 0, running: 0, kv_used: 0, kv_total: 50_000_000 };
+const regularCalls = { '/hold-take': { hold: 'h' }, '/report': report };
+const maxConnections = 900;
+
+function routeOf({ route }: EndlessCase): Route {
+  const kind = route === 'plain' ? routeKinds.idempotent : routeKinds.stream;
+  const serviceName = serviceNames.desk;
+  const base =
+    route === 'engine'
+      ? streamRoute(faultyService, true, 1)
+      : plainRoute(faultyService, kind, serviceName);
+  return { ...base, timeoutMs: patientMs, targetLatencyMs: patientMs };
+}
+
+function servicesFor(endlessCase: EndlessCase, address: string): FurtherServices {
+  const isEngine = endlessCase.route === 'engine';
+  const service = isEngine ? serviceNames.letters : serviceNames.desk;
+  const engine = isEngine
+    ? { kvTokens: 50_000_000, reservationLimitMs: 2_000, stageSwitchMs: 100 }
+    : undefined;
+  return {
+    routes: [routeOf(endlessCase)],
+    services: [{ name: service, maxConnections, engine }],
+    entries: {
+      f1: {
+        ...{ service, address, zone: 'north', slots: maxConnections, state: 'ready', sequence: 1 },
+        ...(isEngine ? { stage: 'decode' } : {}),
+      },
+    },
+  };
+}
+
+cases.forEach((endlessCase) => {
+  const { name, route, callerCount, isReading = false, isFaultyThroughout = false } = endlessCase;
+  test.serial(`a router bears ${callerCount} answers without an end: ${name}`, async (t) => {
+    t.timeout(4 * patientMs);
+    const contentType = route === 'plain' ? 'text/plain' : 'text/event-stream';
+    const worker = await startFaultyWorker(t, {
+      answerOf: () => inOrder(once(faultyHead(contentType)), endlessCase.body),
+      regular: isFaultyThroughout ? {} : regularCalls,
+    });
+    const crowded = await startCrowdedRouter(t, servicesFor(endlessCase, worker.address));
+    const { call, use, ownEnd } = crowded;
+    const callers = startOpenCallers({
+      ...{ address: crowded.router.callersAddress, isReading },
+      heads: Array.from({ length: callerCount }, (_none, caller) =>
+        requestHead({ id: `faulty-${caller}`, target: `/${faultyService}/a` }),
+      ),
+    });
+    t.teardown(callers.leave);
+    await worker.settled();
+    const besideStatus = await call({});
+    callers.leave();
+    const afterStatus = await call({});
+    t.log(`peak: ${use.peakResidentBytes()} bytes resident; ${worker.callCount()} calls answered`);
+    t.is(ownEnd(), undefined, 'the process has ended by itself');
+    t.is(besideStatus, okStatus, 'beside the answers');
+    t.is(afterStatus, okStatus, 'after the answers');
+    t.true(worker.callCount() > 0, 'no request has reached the worker');
+    t.true(
+      use.peakResidentBytes() <= machine.memoryBytes,
+      `${use.peakResidentBytes()} bytes were resident`,
+    );
+    t.true(use.peakDescriptors() <= machine.maxDescriptors, `${use.peakDescriptors()} descriptors`);
+  });
+});
--- a/packages/soak/__tests__/support/crowdedRouter.ts
+++ b/packages/soak/__tests__/support/crowdedRouter.ts
@@ -10,7 +10,7 @@
   startStandinStore,
   startStandinWorker,
 } from '@bluebellhitch/platform-standins';
-import { routeKinds } from '@bluebellhitch/routing';
+import { routeKinds, type Configuration } from '@bluebellhitch/routing';
 import { delay, monotonicNowMs } from '@bluebellhitch/shared';
 import { watchProcess, type ProcessUse } from '@bluebellhitch/standins';
 import { callersHost, plainRoute } from '../../src/configurationPlan';
@@ -26,6 +26,13 @@
   call(request: OrdinaryRequest): Promise<number>;
 }
 
+/** Services beside the ordinary one, with the entries of their servers by name. */
+export interface FurtherServices {
+  routes: Configuration['routes'];
+  services: Configuration['services'];
+  entries: Record<string, Record<string, unknown>>;
+}
+
 export interface OrdinaryRequest {
   path?: string;
   method?: string;
@@ -57,10 +64,20 @@
 };
 
 /** Starts the router, and resolves once it has answered a request and its admin server has started. */
-export async function startCrowdedRouter(t: ExecutionContext): Promise<CrowdedRouter> {
+export async function startCrowdedRouter(
+  t: ExecutionContext,
+  { routes, services, entries }: FurtherServices = { routes: [], services: [], entries: {} },
+): Promise<CrowdedRouter> {
   const store = await startStandinStore();
   t.teardown(store.stop);
-  store.put('config', 'main', encodeConfiguration(configuration));
+  const allRoutes = [...configuration.routes, ...routes];
+  const allServices = [...configuration.services, ...services];
+  store.put(
+    'config',
+    'main',
+    encodeConfiguration({ ...configuration, routes: allRoutes, services: allServices }),
+  );
+  Object.entries(entries).forEach(([name, entry]) => store.put('servers', name, entry));
   const server = await startStandinWorker({
     id: 's1',
     service: serviceNames.counter,
