Put the small chunks of a read together, and look at each byte of an event once

With 100 requests at a worker that sent events, or one event, without end in chunks of one byte, the router used more memory than its machine has, ended, or answered no ordinary caller for a minute.

Causes: each chunk was written to the caller by itself, as three writes with their objects, before backpressure was felt; and the event splitter concatenated what it held with each chunk and searched all of it again: for an event of 256 KB in chunks of one byte that copies 34 GB.

Chunks under 4 KB that are parsed in one read are passed on as one part, in a microtask after the parser has returned, and before the end or loss of the body. The splitter remembers where in a line it stands and holds the incomplete event in a body buffer.

--- a/packages/routing/src/request/eventSplitter.ts
+++ b/packages/routing/src/request/eventSplitter.ts
@@ -1,4 +1,8 @@
-/** Splits the bytes of an event stream (server-sent events) into complete events, whose bytes are left unchanged. */
+/**
+ * Splits the bytes of an event stream (server-sent events) into complete events, whose bytes are left unchanged. Each byte is
+ * looked at once and an event that is not complete is held compactly, in however many chunks it arrives.
+ */
+import { createBodyBuffer } from '@bluebellhitch/ports';
 
 export interface StreamEvent {
   /** Absent if the event has no numeric id. */
@@ -14,39 +18,65 @@
   pendingBytes(): number;
 }
 
+/** Where in an event the bytes so far end: in a line, after a line feed, or after a line feed and a carriage return. */
+type Position = 'in-line' | 'after-line' | 'after-return';
+
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const idLine = /^id: ?(\d+)\r?$/m;
 
 export function createEventSplitter(): EventSplitter {
-  let pending: Buffer = Buffer.alloc(0);
+  let pending = createBodyBuffer();
+  let position: Position = 'in-line';
 
-  function push(chunk: Buffer): StreamEvent[] {
-    pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
-    const events: StreamEvent[] = [];
-    let eventEnd = findEventEnd(pending);
-    while (eventEnd > 0) {
-      events.push(parseEvent(pending.subarray(0, eventEnd)));
-      pending = pending.subarray(eventEnd);
-      eventEnd = findEventEnd(pending);
+  /** Returns the position after the first blank line, or 0 if there is none. */
+  function findEventEnd(bytes: Buffer, start: number): number {
+    let index = start;
+    while (index < bytes.length) {
+      if (position === 'in-line') {
+        const lineEnd = bytes.indexOf(lineFeed, index);
+        if (lineEnd < 0) {
+          return 0;
+        }
+        index = lineEnd + 1;
+        position = 'after-line';
+      } else if (bytes[index] === lineFeed) {
+        position = 'in-line';
+        return index + 1;
+      } else if (bytes[index] === carriageReturn && position === 'after-line') {
+        index += 1;
+        position = 'after-return';
+      } else {
+        position = 'in-line';
+      }
     }
-    return events;
+    return 0;
   }
 
-  return { push, pendingBytes: () => pending.length };
-}
+  function takeEvent(lastPart: Buffer): StreamEvent {
+    if (pending.length() === 0) {
+      return parseEvent(lastPart);
+    }
+    pending.append(lastPart);
+    const bytes = pending.take();
+    pending = createBodyBuffer();
+    return parseEvent(bytes);
+  }
 
-/** Returns the position after the first blank line, or 0 if there is none. */
-function findEventEnd(bytes: Buffer): number {
-  let index = bytes.indexOf(lineFeed);
-  while (index >= 0) {
-    const next = bytes[index + 1] === carriageReturn ? index + 2 : index + 1;
-    if (bytes[next] === lineFeed) {
-      return next + 1;
+  function push(chunk: Buffer): StreamEvent[] {
+    const events: StreamEvent[] = [];
+    let start = 0;
+    let end = findEventEnd(chunk, start);
+    while (end > 0) {
+      events.push(takeEvent(chunk.subarray(start, end)));
+      start = end;
+      end = findEventEnd(chunk, start);
     }
-    index = bytes.indexOf(lineFeed, index + 1);
+    pending.append(chunk.subarray(start));
+    return events;
   }
-  return 0;
+
+  return { push, pendingBytes: () => pending.length() };
 }
 
 function parseEvent(bytes: Buffer): StreamEvent {
--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -9,6 +9,7 @@
 import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
 import { expectedIdOf } from './callIdentity';
 import { createCarriedIds } from './carriedIds';
+import { createCompactBody } from './compactBody';
 import {
   isOnOwnConnection,
   type ForeignResponseEvidence,
@@ -209,7 +210,8 @@
     request: HttpCall,
   ): Promise<HttpOutcome> {
     return new Promise((resolve) => {
-      const exchange = createExchange(connection, request, resolve, {
+      const resolveCompact = (outcome: HttpOutcome) => resolve(withCompactBody(outcome));
+      const exchange = createExchange(connection, request, resolveCompact, {
         onReusable: () => {
           if (connection.isSpent) {
             close(connection, pool);
@@ -244,6 +246,14 @@
   };
 }
 
+function withCompactBody(outcome: HttpOutcome): HttpOutcome {
+  if (outcome.kind !== 'answered') {
+    return outcome;
+  }
+  const { response } = outcome;
+  return { ...outcome, response: { ...response, body: createCompactBody(response.body) } };
+}
+
 function takeIdle(pool: AddressPool, call: HttpCall): Connection | undefined {
   if (isOnOwnConnection(call)) {
     return undefined;
--- a/packages/soak/__tests__/endlessAnswers.alone.test.ts
+++ b/packages/soak/__tests__/endlessAnswers.alone.test.ts
@@ -32,11 +32,29 @@
 const largeChunkBytes = 65_535;
 const oneByteChunks = endless(encodeChunk(1));
 const largeChunks = endless(encodeChunk(largeChunkBytes));
+/** The shortest event, in chunks of one byte. */
+const tinyEvents = endless('1\r\n\n\r\n1\r\n\n\r\n');
 
 const cases: readonly EndlessCase[] = [
   { name: 'a body in chunks of one byte', route: 'plain', callerCount: 20, body: oneByteChunks },
   { name: 'a body in chunks of one byte', route: 'plain', callerCount: 100, body: oneByteChunks },
   { name: 'a body in large chunks', route: 'plain', callerCount: 100, body: largeChunks },
+  {
+    ...{ name: 'the events of a plain server, in chunks of one byte', route: 'stream' },
+    ...{ callerCount: 100, body: tinyEvents },
+  },
+  {
+    ...{ name: 'an event in large chunks', route: 'engine' },
+    ...{ callerCount: 100, body: largeChunks },
+  },
+  {
+    ...{ name: 'an event in chunks of one byte', route: 'engine' },
+    ...{ callerCount: 100, body: oneByteChunks },
+  },
+  {
+    ...{ name: 'an answer to its own calls in chunks of one byte', route: 'engine' },
+    ...{ callerCount: 100, body: oneByteChunks, isFaultyThroughout: true },
+  },
 ];
 
 const faultyService = 'faulty';
