Share the turns of the event loop among the responses of servers

With 100 requests at a worker that sent tiny events without end in chunks of one byte, a caller at another service got no answer within 60 s: a read holds ten thousand chunks, and those of all connections were parsed before any caller's request was read.

In one pass 4,096 chunks of all responses are parsed; a response that begins its next read beyond that waits for a later pass. What was read before the reader paused, and the end, wait for the reader.

--- a/packages/ports/src/bodyBuffer.ts
+++ b/packages/ports/src/bodyBuffer.ts
@@ -9,6 +9,8 @@
   length(): number;
   /** The whole body, which is not held here any more. */
   take(): Buffer;
+  /** The same in parts, without a copy. */
+  takeParts(): Buffer[];
   clear(): void;
 }
 
@@ -74,6 +76,12 @@
       clear();
       return body;
     },
+    takeParts() {
+      closeSegment();
+      const parts = full;
+      clear();
+      return parts;
+    },
     clear,
   };
 }
--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -9,6 +9,7 @@
 import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
 import { expectedIdOf } from './callIdentity';
 import { createCarriedIds } from './carriedIds';
+import { createChunkTurns, type ChunkTurns } from './chunkTurns';
 import { createCompactBody } from './compactBody';
 import {
   isOnOwnConnection,
@@ -82,6 +83,7 @@
     onForeign,
   } = options;
   const pools = new Map<string, AddressPool>();
+  const turns = createChunkTurns();
   let openedCount = 0;
   const allConnections = new Set<Connection>();
 
@@ -210,7 +212,7 @@
     request: HttpCall,
   ): Promise<HttpOutcome> {
     return new Promise((resolve) => {
-      const resolveCompact = (outcome: HttpOutcome) => resolve(withCompactBody(outcome));
+      const resolveCompact = (outcome: HttpOutcome) => resolve(withCompactBody(outcome, turns));
       const exchange = createExchange(connection, request, resolveCompact, {
         onReusable: () => {
           if (connection.isSpent) {
@@ -246,12 +248,12 @@
   };
 }
 
-function withCompactBody(outcome: HttpOutcome): HttpOutcome {
+function withCompactBody(outcome: HttpOutcome, turns: ChunkTurns): HttpOutcome {
   if (outcome.kind !== 'answered') {
     return outcome;
   }
   const { response } = outcome;
-  return { ...outcome, response: { ...response, body: createCompactBody(response.body) } };
+  return { ...outcome, response: { ...response, body: createCompactBody(response.body, turns) } };
 }
 
 function takeIdle(pool: AddressPool, call: HttpCall): Connection | undefined {
--- a/packages/routing/src/servers/compactBody.ts
+++ b/packages/routing/src/servers/compactBody.ts
@@ -1,48 +1,108 @@
 /**
- * Passes a response's body on in few parts. A server may send it in chunks of a byte, and each chunk that is passed on by
- * itself costs a write with its objects and a chunk of its own to the caller. Small chunks that arrive in one read are put
- * together; they are passed on as soon as that read is parsed.
+ * Passes a response's body on in few parts and in turns. A server may send it in chunks of a byte, and each chunk that is
+ * passed on by itself costs a write with its objects and a chunk of its own to the caller. The chunks of one read are put
+ * together, and passed on once the parser has gone through all of it. A flow that is paused in the middle of a read would
+ * hold the rest and one further read each time, and hold more with each pause.
  */
 import { createBodyBuffer } from '@bluebellhitch/ports';
 import type { BodyReader, ResponseBody } from '../backendApi';
+import type { ChunkTurns } from './chunkTurns';
 
-/** Chunks of this size are passed on as they are. */
-const minLargeBytes = 4_096;
-
-export function createCompactBody(body: ResponseBody): ResponseBody {
-  return { ...body, read: (reader) => body.read(createCompactReader(reader)) };
-}
-
-function createCompactReader(reader: BodyReader): BodyReader {
+export function createCompactBody(body: ResponseBody, turns: ChunkTurns): ResponseBody {
+  let reader: BodyReader | undefined;
   let batch = createBodyBuffer();
+  /** Parts that the reader has not taken yet; they stand before the batch. */
+  let parts: Buffer[] = [];
+  let isReaderBehind = false;
+  let hasEnded = false;
+  let isOver = false;
+  let stopWaiting: (() => void) | undefined;
 
-  function flush(): void {
-    if (batch.length() > 0) {
-      const bytes = batch.take();
+  function takePart(): Buffer | undefined {
+    if (parts.length === 0 && batch.length() > 0) {
+      parts = batch.takeParts();
       batch = createBodyBuffer();
-      reader.onData(bytes);
     }
+    return parts.shift();
   }
 
-  return {
-    onData(chunk) {
-      if (batch.length() === 0 && chunk.length >= minLargeBytes) {
-        reader.onData(chunk);
-        return;
+  /** Passes on what was read, and the end, as long as the reader does not pause the flow. */
+  function deliver(): void {
+    while (!isReaderBehind && !isOver) {
+      const part = takePart();
+      if (part === undefined) {
+        break;
       }
-      if (batch.length() === 0) {
+      reader?.onData(part);
+    }
+    if (hasEnded && !isReaderBehind && !isOver) {
+      isOver = true;
+      reader?.onEnd();
+    }
+  }
+
+  function waitForTurn(): void {
+    body.pause();
+    stopWaiting ??= turns.wait(() => {
+      stopWaiting = undefined;
+      resumeFlow();
+    });
+  }
+
+  function resumeFlow(): void {
+    if (!isReaderBehind && stopWaiting === undefined && !hasEnded && !isOver) {
+      body.resume();
+    }
+  }
+
+  function resume(): void {
+    isReaderBehind = false;
+    deliver();
+    resumeFlow();
+  }
+
+  const source: BodyReader = {
+    onData(chunk) {
+      const isFirstOfRead = batch.length() === 0;
+      batch.append(chunk);
+      if (isFirstOfRead) {
         // Runs once the parser has returned.
-        queueMicrotask(flush);
+        queueMicrotask(deliver);
+      }
+      if (!turns.take() && isFirstOfRead) {
+        waitForTurn();
       }
-      batch.append(chunk);
     },
     onEnd() {
-      flush();
-      reader.onEnd();
+      stopWaiting?.();
+      hasEnded = true;
+      deliver();
     },
     onLost(detail) {
-      flush();
-      reader.onLost(detail);
+      stopWaiting?.();
+      deliver();
+      isOver = true;
+      batch.clear();
+      parts = [];
+      reader?.onLost(detail);
+    },
+  };
+
+  return {
+    ...body,
+    read(nextReader) {
+      const isFirst = reader === undefined;
+      reader = nextReader;
+      if (isFirst) {
+        body.read(source);
+      } else {
+        resume();
+      }
+    },
+    pause() {
+      isReaderBehind = true;
+      body.pause();
     },
+    resume,
   };
 }
--- a/packages/soak/__tests__/endlessAnswers.alone.test.ts
+++ b/packages/soak/__tests__/endlessAnswers.alone.test.ts
@@ -43,6 +43,14 @@
     ...{ name: 'the events of a plain server, in chunks of one byte', route: 'stream' },
     ...{ callerCount: 100, body: tinyEvents },
   },
+  {
+    ...{ name: 'tiny events in chunks of one byte', route: 'engine' },
+    ...{ callerCount: 100, body: tinyEvents },
+  },
+  {
+    ...{ name: 'tiny events in chunks of one byte to callers that read', route: 'engine' },
+    ...{ callerCount: 100, isReading: true, body: tinyEvents },
+  },
   {
     ...{ name: 'an event in large chunks', route: 'engine' },
     ...{ callerCount: 100, body: largeChunks },
