Tell a reader that is behind that its body was given up

Before this change, by the compact bodies of this work: a response that has been read to its end while its caller reads slowly keeps the rest for the reader. If the caller then leaves, the call is over for its connection, the caller's response never drains, and nothing told the reader: the request stayed in progress, and a stopping router would wait for it to the end of its grace time. The rest is lost now when the call is given up or the body abandoned.

--- a/packages/routing/__tests__/compactBody.test.ts
+++ b/packages/routing/__tests__/compactBody.test.ts
@@ -4,7 +4,7 @@
 import { createChunkTurns } from '../src/servers/chunkTurns';
 import { createCompactBody } from '../src/servers/compactBody';
 
-function startBody(turns = createChunkTurns()) {
+function startBody(turns = createChunkTurns(), signal?: AbortSignal) {
   let server: BodyReader | undefined;
   const flow: string[] = [];
   const source: ResponseBody = {
@@ -15,7 +15,7 @@
     resume: () => flow.push('resume'),
     abandon: () => undefined,
   };
-  const body = createCompactBody(source, turns);
+  const body = createCompactBody(source, turns, signal);
   const seen: string[] = [];
   body.read({
     onData: (chunk) => seen.push(chunk.toString()),
@@ -156,3 +156,24 @@
   body.resume();
   t.deepEqual(next, [large, 'a', 'end']);
 });
+
+[
+  { name: 'is given up', end: (given: AbortController) => given.abort() },
+  { name: 'is abandoned', end: (_given: AbortController, body: ResponseBody) => body.abandon('x') },
+].forEach(({ name, end }) => {
+  test(`a body that has ended is lost if it ${name} while its reader is behind`, async (t) => {
+    // A caller that leaves while it reads slowly never drains: its request would stay in progress, and a stop wait for it.
+    const given = new AbortController();
+    const { server, body, seen } = startBody(createChunkTurns(), given.signal);
+    server.onData(Buffer.from('a'));
+    await Promise.resolve();
+    body.pause();
+    server.onData(Buffer.from('b'));
+    server.onEnd();
+    await Promise.resolve();
+    end(given, body);
+    t.deepEqual([seen.length, seen[0], seen[1]?.startsWith('lost')], [2, 'a', true]);
+    body.resume();
+    t.is(seen.length, 2);
+  });
+});
--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -212,7 +212,8 @@
     request: HttpCall,
   ): Promise<HttpOutcome> {
     return new Promise((resolve) => {
-      const resolveCompact = (outcome: HttpOutcome) => resolve(withCompactBody(outcome, turns));
+      const resolveCompact = (outcome: HttpOutcome) =>
+        resolve(withCompactBody(outcome, turns, request.signal));
       const exchange = createExchange(connection, request, resolveCompact, {
         onReusable: () => {
           if (connection.isSpent) {
@@ -248,12 +249,19 @@
   };
 }
 
-function withCompactBody(outcome: HttpOutcome, turns: ChunkTurns): HttpOutcome {
+function withCompactBody(
+  outcome: HttpOutcome,
+  turns: ChunkTurns,
+  signal?: AbortSignal,
+): HttpOutcome {
   if (outcome.kind !== 'answered') {
     return outcome;
   }
   const { response } = outcome;
-  return { ...outcome, response: { ...response, body: createCompactBody(response.body, turns) } };
+  return {
+    ...outcome,
+    response: { ...response, body: createCompactBody(response.body, turns, signal) },
+  };
 }
 
 function takeIdle(pool: AddressPool, call: HttpCall): Connection | undefined {
--- a/packages/routing/src/servers/compactBody.ts
+++ b/packages/routing/src/servers/compactBody.ts
@@ -8,7 +8,12 @@
 import type { BodyReader, ResponseBody } from '../backendApi';
 import type { ChunkTurns } from './chunkTurns';
 
-export function createCompactBody(body: ResponseBody, turns: ChunkTurns): ResponseBody {
+/** `signal` ends the call: a reader that is behind by then learns it here, as the body itself may be over. */
+export function createCompactBody(
+  body: ResponseBody,
+  turns: ChunkTurns,
+  signal?: AbortSignal,
+): ResponseBody {
   let reader: BodyReader | undefined;
   let batch = createBodyBuffer();
   /** Parts that the reader has not taken yet; they stand before the batch. */
@@ -36,11 +41,32 @@
       reader?.onData(part);
     }
     if (hasEnded && !isReaderBehind && !isOver) {
-      isOver = true;
+      endOver();
       reader?.onEnd();
     }
   }
 
+  function endOver(): void {
+    isOver = true;
+    batch.clear();
+    parts = [];
+    signal?.removeEventListener('abort', onAbort);
+  }
+
+  /** Loses what the reader has not taken of a body that has ended. */
+  function giveUpRest(detail: string): void {
+    if (!isOver) {
+      endOver();
+      reader?.onLost(detail);
+    }
+  }
+
+  function onAbort(): void {
+    if (hasEnded) {
+      giveUpRest('given up');
+    }
+  }
+
   function waitForTurn(): void {
     body.pause();
     stopWaiting ??= turns.wait(() => {
@@ -81,15 +107,14 @@
     onLost(detail) {
       stopWaiting?.();
       deliver();
-      isOver = true;
-      batch.clear();
-      parts = [];
-      reader?.onLost(detail);
+      giveUpRest(detail);
     },
   };
 
+  signal?.addEventListener('abort', onAbort);
   return {
     ...body,
+    abandon: (reason) => (hasEnded ? giveUpRest(reason) : body.abandon(reason)),
     read(nextReader) {
       const isFirst = reader === undefined;
       reader = nextReader;
