--- a/packages/engine/__tests__/endlessResponses.test.ts
+++ b/packages/engine/__tests__/endlessResponses.test.ts
@@ -123,7 +123,7 @@
 
 Object.entries(endlessEvents).forEach(([name, { head, piece }]) =>
   test(`a stream with an event without an end is ended, and its connection closed: ${name}`, async (t) => {
-    // The agent kept the event, and never told the entry that the stream had failed.
+    // The agent kept the event, and never reported to the entry that the stream had failed.
     const { client, server } = await start(t, { head, piece }, { maxEventBytes: 100_000 });
     const chunks = (await client.decode(decodeInput))._unsafeUnwrap();
     const reading = chunks[Symbol.asyncIterator]().next();
--- a/packages/engine/__tests__/httpEngineClient.test.ts
+++ b/packages/engine/__tests__/httpEngineClient.test.ts
@@ -184,7 +184,7 @@
 });
 
 test('a call in progress when the client is closed is not reported as not started', async (t) => {
-  // The engine has the request and may run it. Reported as not started, it would be run a second time elsewhere.
+  // The engine has the request and may run it. Reported as not started, it would run at a second engine as well.
   let onRequest: () => void = () => undefined;
   const received = new Promise<void>((resolve) => {
     onRequest = resolve;
--- a/packages/routing/__tests__/connectionReuse.test.ts
+++ b/packages/routing/__tests__/connectionReuse.test.ts
@@ -42,7 +42,7 @@
 
 test('a connection that has carried a HEAD request carries no other', async (t) => {
   // Guards against servers that send the body all the same: what follows would be lost to it. The HTTP client closes such
-  // connections by itself unless it is told otherwise.
+  // connections by itself unless an option says otherwise.
   const { address, connectionCount } = await startRawServer(t, (socket, text) => {
     socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${idOf(text)}\r\nContent-Length: 5\r\n\r\n`);
     if (text.startsWith('POST')) {
--- a/packages/routing/src/servers/callIdentity.ts
+++ b/packages/routing/src/servers/callIdentity.ts
@@ -17,7 +17,7 @@
   echoedId: string | undefined;
 }
 
-/** Undefined if the response belongs to the call as far as ids can tell. Headers alternate names and values. */
+/** Undefined if the response belongs to the call as far as ids show. Headers alternate names and values. */
 export function findForeignResponse(
   identity: CallIdentity,
   headers: readonly string[],
--- a/packages/routing/src/servers/carriedIds.ts
+++ b/packages/routing/src/servers/carriedIds.ts
@@ -1,6 +1,6 @@
 /**
  * The ids of requests that a connection has carried. A server may repeat any response later, with the id of its request:
- * only as long as each id is carried once does it tell the copy from the response to a later call.
+ * only as long as each id is carried once does it distinguish the copy from the response to a later call.
  */
 import { hash32 } from '@bluebellhitch/shared';
 
--- a/packages/routing/src/servers/chunkTurns.ts
+++ b/packages/routing/src/servers/chunkTurns.ts
@@ -1,6 +1,6 @@
 /**
  * Shares the turns of the event loop among the responses of backend servers. A read can hold ten thousand chunks, whose
- * processor time no number of bytes tells. In one pass of the event loop only so many chunks of all responses are parsed; the
+ * processor time does not follow from their bytes. In one pass of the event loop only so many chunks of all responses are parsed; the
  * rest waits for the next passes, and callers and other servers are served in between.
  */
 
--- a/packages/routing/src/servers/compactBody.ts
+++ b/packages/routing/src/servers/compactBody.ts
@@ -8,7 +8,7 @@
 import type { BodyReader, ResponseBody } from '../backendApi';
 import type { ChunkTurns } from './chunkTurns';
 
-/** `signal` ends the call: a reader that is behind by then learns it here, as the body itself may be over. */
+/** `signal` ends the call. A reader that is behind by then is notified here, as the body itself may be over. */
 export function createCompactBody(
   body: ResponseBody,
   turns: ChunkTurns,
--- a/packages/routing/src/servers/httpCall.ts
+++ b/packages/routing/src/servers/httpCall.ts
@@ -60,7 +60,7 @@
   body: ResponseBody;
   /**
    * Closes the connection, as its responses may not be those of their calls. Anonymous calls to the address, which alone
-   * cannot tell, share no connection with requests from then on: a server may send such a response to each of them.
+   * cannot be checked, share no connection with requests from then on: a server may send such a response to each of them.
    */
   distrust(): void;
 }
--- a/packages/standins/src/endlessServer.ts
+++ b/packages/standins/src/endlessServer.ts
@@ -7,7 +7,7 @@
   head: string;
   /** Sent over and over. */
   piece: string;
-  /** Where a connection has got so many, nothing more is sent on it, and it is left open. */
+  /** After this many bytes nothing more is sent on a connection, and it is left open. */
   maxSentBytes?: number;
 }
 
