--- a/packages/routing/src/callers/connectionClosing.ts
+++ b/packages/routing/src/callers/connectionClosing.ts
@@ -55,6 +55,11 @@
 const lingerMs = 300;
 /** Time for a caller to end its side. Until then what still arrives is read, as it would reset the connection otherwise. */
 const closeTimeoutMs = 1_000;
+/**
+ * Connections that wait for that at the same time. Each may hold a read that waits, and callers that never end their side
+ * would hold many; any further one is closed at once.
+ */
+const maxEnded = 16;
 
 /**
  * Refuses CONNECT with `response`. The runtime closes a connection on which it reads one, also under requests that were read
@@ -77,6 +82,7 @@
   const connections = new Map<Socket, Connection>();
   const lingering = new Set<Connection>();
   let isDraining = false;
+  let endedCount = 0;
 
   function add(socket: Socket): Connection {
     const connection: Connection = {
@@ -88,10 +94,14 @@
       bytesRead: socket.bytesRead,
     };
     connections.set(socket, connection);
+    const destroySoon = socket.destroySoon.bind(socket);
     // The runtime calls this after the last response. Its own closes the connection at once, and what arrives then resets it.
-    Object.assign(socket, { destroySoon: () => close(connection) });
+    Object.assign(socket, {
+      destroySoon: () => (endedCount < maxEnded ? close(connection) : destroySoon()),
+    });
     socket.once('close', () => {
       connections.delete(socket);
+      endedCount -= connection.isEnded ? 1 : 0;
       connection.isClosing = true;
       stopLingering(connection);
     });
@@ -112,6 +122,7 @@
       return;
     }
     connection.isEnded = true;
+    endedCount += 1;
     clearTimeout(connection.timer);
     lingering.add(connection);
     onClosing(socket);
