Count responses of other calls among the abandoned ones again

bluebell_abandoned_answers_total counts, by its help text and OPERATIONS, also responses that are another request's. Since the check of ids moved from the platform's adapter to the connection (this work) these were not counted there any more, only in the new counter of foreign responses. Found on reading the whole change again. The nine tests of such responses check the count now; they fail without the line.

--- a/packages/routing/__tests__/backendConnections.test.ts
+++ b/packages/routing/__tests__/backendConnections.test.ts
@@ -304,12 +304,19 @@
         socket.write(`HTTP/1.1 ${status} Any\r\n${id}Content-Length: 0\r\n\r\n`);
       });
       const foreign: ForeignResponseEvidence[] = [];
-      const connections = createBackendConnections({ onForeign: (one) => foreign.push(one) });
+      let abandonedCount = 0;
+      const connections = createBackendConnections({
+        onForeign: (one) => foreign.push(one),
+        onAbandoned: () => {
+          abandonedCount += 1;
+        },
+      });
       t.teardown(() => connections.close());
       t.like(await connections.call(createCall(address, { identity })), {
         ...{ kind: 'lost', isOurs: false },
       });
       t.like(foreign[0], { status, echoedId: echo, connection: 1, earlierCalls: 0 });
+      t.is(abandonedCount, 1);
       await connections.call(createCall(address, { identity }));
       t.is(connectionCount(), 2);
     });
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -97,6 +97,7 @@
   }
 
   function discardForeign(status: number, { echoedId }: ForeignResponse): void {
+    events.onAbandoned();
     events.onForeign({
       ...{ address: call.address, status },
       expectedId: expectedId?.slice(0, maxLoggedLength),
