Count a finished prefill as no run of its request

What callers saw: with a policy that prefills before it reserves decode memory, a model request whose prefill had ended and whose decode reservation was refused, or had no reply, got status 503 beside `notRun: unknown`: a promise and its denial. If it could run only once it got 502, and its idempotency key was kept as that of a request that may have run.

Cause: `mayHaveRun` was set before the prefill's call and stayed set when its reply was there. Elsewhere the same code took a finished prefill for no run: a stream that its agent proves not run sets the state back to that before the attempt.

A finished prefill is none: the engine's call has ended, its export is released with its lease, and only a stream message begins an answer. A reservation only sets memory aside, so nothing runs later when its reply is lost; it is cancelled. A prefill without a reply still counts, as the engine may be at work.

--- a/packages/entry/src/modelTypes.ts
+++ b/packages/entry/src/modelTypes.ts
@@ -40,7 +40,7 @@
   lastTokenAtMs?: number;
   /** Ids of instances that must not be tried again. */
   tried: Set<string>;
-  /** Whether any engine may have started work on the request. */
+  /** Whether any engine may have begun an answer, or may still be at work. A finished prefill does not count. */
   mayHaveRun: boolean;
   /** The request has strikes, so it must not run on the same server as another one with strikes. */
   struck: boolean;
--- a/packages/entry/src/prefillStage.ts
+++ b/packages/entry/src/prefillStage.ts
@@ -71,7 +71,10 @@
   return { kind: 'declined' };
 }
 
-/** Runs the prefill, late enough that its result does not expire before the decode slot is usable. */
+/**
+ * Runs the prefill, late enough that its result does not expire before the decode slot is usable. A finished prefill is no
+ * run of the request: only a stream begins an answer.
+ */
 export async function runPrefill(
   run: ModelRun,
   placement: PrefillPlacement,
@@ -84,6 +87,8 @@
     run.signal,
   );
   const { instance, attemptId } = lease;
+  const mayHaveRunBefore = run.mayHaveRun;
+  // Until the reply is there: the engine may be at work on the request.
   run.mayHaveRun = true;
   const message: PrefillRequest = {
     attemptId,
@@ -99,6 +104,9 @@
     noteCallError(context, request.document.service, instance.id, reply.error);
     return failureOfCall(reply.error, { dispatched: true });
   }
+  if (reply.value.kind === 'prefilled' || reply.value.notRun === true) {
+    run.mayHaveRun = mayHaveRunBefore;
+  }
   return reply.value.kind === 'refused'
     ? refusedPrefill(run, lease, reply.value)
     : finishedPrefill(run, lease, reply.value);
