Promise nothing in a model request's refusal once an attempt may have run

What callers saw: a repeatable model request whose stream had been sent to an engine and had broken off got 503, the promise that it had not run and never would, when its further attempts failed: all attempts used up, no server with room, no bid, or a reservation refused. With "no server has the memory" the refusal said `notRun: true` as well, by reading.

Cause: the status followed from the reason alone, but for an entry that stops, and the refusal of the last attempt was passed on as that of the whole request. Plain requests chose another status in a place of their own.

Now the status is derived in one place: a refusal that does not state `notRun: true` has none of 408, 421, 429 and 503, whatever its reason and whoever sends it; and a refusal of a model request states what holds for all of its attempts.

Evidence: stand-ins run the stream and lose its answer.

--- a/packages/entry/__tests__/promisedRefusals.test.ts
+++ b/packages/entry/__tests__/promisedRefusals.test.ts
@@ -14,6 +14,17 @@
 
 const streamCount = (agents: FakeAgent[]) => agents.flatMap(({ streamed }) => streamed).length;
 
+/** Agents whose streams run and break off before their first frame. */
+function createLosingAgents(count: number): FakeAgent[] {
+  return Array.from({ length: count }, (_, index) => {
+    const agent = createFakeAgent({ id: `agent-${index + 1}`, service });
+    agent.frames = async function* lost() {
+      yield* [];
+    };
+    return agent;
+  });
+}
+
 async function problemOf(response: Response): Promise<ProblemDocument> {
   return (await response.json()) as ProblemDocument;
 }
@@ -82,3 +93,48 @@
   const { address } = await startHarness(t, { agents: [decode, prefill] });
   await assertMayHaveRun(t, await chat(address, longPrompt));
 });
+
+// Each attempt ran and lost its answer, and the last one was refused with 503 as its reason is the number of attempts.
+test('a request is not refused with a promise when its last attempt has lost its answer', async (t) => {
+  const agents = createLosingAgents(4);
+  const { address } = await startHarness(t, { agents });
+  const response = await chat(address);
+  t.true(streamCount(agents) > 1);
+  await assertMayHaveRun(t, response);
+});
+
+const secondAttempts: Record<string, (agent: FakeAgent) => void> = {
+  'has no server with room': (agent) => {
+    const { bid } = agent;
+    agent.bid = () => ({ ...bid(), usableInMs: undefined });
+  },
+  'would come too late': (agent) => {
+    agent.reserve = () => refusal('deadline-hopeless');
+  },
+  'gets no bid': (agent) => {
+    agent.bid = () => lostReply;
+  },
+  'gets no reservation': (agent) => {
+    agent.reserve = () => refusal('queue-full');
+  },
+  'finds servers that are leaving': (agent) => {
+    agent.reserve = () => refusal('leaving');
+  },
+};
+
+// The refusal of the second attempt was passed on as that of the request, which the first one had run.
+Object.entries(secondAttempts).forEach(([name, changeAgent]) => {
+  test(`a request that may have run is not refused with a promise if its second attempt ${name}`, async (t) => {
+    const agents = createLosingAgents(3);
+    agents.forEach((agent) => {
+      agent.frames = async function* lost() {
+        agents.forEach(changeAgent);
+        yield* [];
+      };
+    });
+    const { address } = await startHarness(t, { agents });
+    const response = await chat(address);
+    t.is(streamCount(agents), 1);
+    await assertMayHaveRun(t, response);
+  });
+});
--- a/packages/entry/src/modelRequest.ts
+++ b/packages/entry/src/modelRequest.ts
@@ -203,9 +203,14 @@
   }
 }
 
+/** The refusal of an attempt says nothing of those before it, one of which may have run. */
+function refusalOfRun(run: ModelRun, refusal: Refusal): Refusal {
+  return refusal.notRun === true ? { ...refusal, notRun: resolveNotRun(run) } : refusal;
+}
+
 function finishRefused(run: ModelRun, refusal: Refusal): RequestOutcome {
   run.context.metrics.countRefusal(refusal.reason);
-  run.log.append({ kind: 'refused', refusal });
+  run.log.append({ kind: 'refused', refusal: refusalOfRun(run, refusal) });
   const outcome = run.mayHaveRun ? requestOutcomes.failed : requestOutcomes.refused;
   return recordOutcome(run, outcome, `${outcome}: ${refusal.reason}`);
 }
--- a/packages/entry/src/plainRequest.ts
+++ b/packages/entry/src/plainRequest.ts
@@ -14,7 +14,6 @@
 import { stopReasons } from './modelTypes';
 import { runPlainAttempt } from './plainAttempt';
 import type { PlainFailure, PlainOutcome, PlainRequest, PlainRun } from './plainTypes';
-import { statusWithoutPromise } from './problem';
 import type { RequestContext } from './requestContext';
 import { createRequestTrace } from './requestTrace';
 
@@ -240,7 +239,7 @@
   if (exchange.outgoing.headersSent) {
     exchange.outgoing.destroy();
   } else {
-    exchange.refuse(refusal, run.mayHaveRun ? statusWithoutPromise(refusal, status) : status);
+    exchange.refuse(refusal, status);
   }
   const outcome = run.mayHaveRun ? requestOutcomes.failed : requestOutcomes.refused;
   return { outcome, recordedOutcome: `${outcome}: ${refusal.reason}` };
--- a/packages/entry/src/problem.ts
+++ b/packages/entry/src/problem.ts
@@ -42,24 +42,18 @@
 const timedOutStatus = 504;
 const defaultRetryAfterMs = 1_000;
 
-/** `status` overrides the default status of the refusal's reason. */
+/** `status` overrides the default status of the refusal's reason, unless it promises what the refusal does not. */
 export interface ProblemOptions {
   requestId: string;
   status?: number;
 }
 
-/** Callers and proxies send a request again after the 503 of an entry that stops: one that may run gets no such promise. */
-function statusOf({ reason, notRun }: Refusal): number {
-  const mayRun = notRun !== true;
-  return reason === refusalReasons.leaving && mayRun ? timedOutStatus : statuses[reason].status;
-}
-
-/** Callers and proxies send a request again after these. */
+/** Callers and proxies send a request again after these, which promise that it has not run and never will. */
 const statusesThatPromise: readonly number[] = [requestTimeoutStatus, 421, 429, 503];
 
-/** The status of a refusal of a request that may have run: one that does not promise that it has not. */
-export function statusWithoutPromise(refusal: Refusal, status = statusOf(refusal)): number {
-  return statusesThatPromise.includes(status) ? timedOutStatus : status;
+/** A refusal of a request that may have run has no status that promises that it has not. */
+function statusOf({ reason, notRun }: Refusal, status = statuses[reason].status): number {
+  return notRun !== true && statusesThatPromise.includes(status) ? timedOutStatus : status;
 }
 
 export function problemDocument(refusal: Refusal, options: ProblemOptions): ProblemDocument {
@@ -67,7 +61,7 @@
   return {
     type: `urn:bluebellhitch:refusal:${refusal.reason}`,
     title,
-    status: options.status ?? statusOf(refusal),
+    status: statusOf(refusal, options.status),
     detail: refusal.detail,
     reason: refusal.reason,
     notRun: refusal.notRun,
