Show that a rejection that is cut off makes a request that runs count as rejected

What callers see: 503 for a request that runs, once even with its server's seal; with a second server and two attempts it may run there too.

Cause: a superfluous response that breaks off in its head leaves the parser inside a header. The head of the response that the call is due is read as the rest of it: the status and 'not run' are those of the first head, the id that of the second. A cut in the reason phrase or in the value of a header before the id is enough; at the end of a line or inside a name the parser fails, and the call is lost as it should be.

--- a/packages/routing/__tests__/connectionReuse.test.ts
+++ b/packages/routing/__tests__/connectionReuse.test.ts
@@ -209,3 +209,27 @@
     yield bytes.subarray(start, start + 65_536);
   }
 }
+
+/** What has been sent of a rejection when it breaks off, and the response of the next call follows. */
+const cutRejections = [
+  'HTTP/1.1 503 ',
+  'HTTP/1.1 503 Fu',
+  'HTTP/1.1 503 Full\r\nNot-Run:',
+  'HTTP/1.1 503 Full\r\nNot-Run: 1',
+  'HTTP/1.1 503 Full\r\nNot-Run: 1\r\nAny: a b',
+  'HTTP/1.1 503 Full\r\nNot-Run: 1\r\nAny',
+  'HTTP/1.1 503 Full\r\nNot-Run: 1\r\n',
+];
+cutRejections.forEach((cut) => {
+  test(`a response behind one that is cut off is lost: ${JSON.stringify(cut)}`, async (t) => {
+    // Both heads were read as one, with the status of the first and the id of the second.
+    const { address } = await startRawServer(t, (socket, text) => {
+      const id = idOf(text);
+      socket.write(id === 'q2' ? cut : '');
+      setTimeout(() => socket.write(answer(id, id)), 20);
+    });
+    const connections = createConnections(t);
+    t.is(await bodyOf(await connections.call(createCall(address, 'q1'))), 'q1');
+    t.is(await bodyOf(await connections.call(createCall(address, 'q2'))), 'lost');
+  });
+});
