Lose a response whose head stands inside that of one that was cut off

What callers saw: 503 for a request that runs, or a second run, after a server has sent a rejection too many that breaks off in its reason phrase or in the value of a header before the id.

Cause: the HTTP parser reads both heads as one, with the status of the first and the id of the second, so that the id proves nothing.

Why it works: the status line of the second head then stands in the reason phrase or in the value of a header, where sound servers send none, and the call counts as lost. The call's own id is left out, as callers choose it; so are servers that name no request, whose calls share no connection. A status line that arrives in two reads inside a cut reason phrase is not found: the parser passes on only the last part of it.

--- a/packages/routing/__tests__/connectionReuse.test.ts
+++ b/packages/routing/__tests__/connectionReuse.test.ts
@@ -233,3 +233,20 @@
     t.is(await bodyOf(await connections.call(createCall(address, 'q2'))), 'lost');
   });
 });
+
+test('an id that looks like a status line is no sign of a second head', async (t) => {
+  // A caller could otherwise have sound servers counted as failing.
+  const { address } = await startRawServer(t, (socket, text) => {
+    socket.write(answer(idOf(text), 'own'));
+  });
+  const call = createCall(address, 'HTTP/1.1 200 OK');
+  t.is(await bodyOf(await createConnections(t).call(call)), 'own');
+});
+
+test('a server that names no request may send a status line as a header', async (t) => {
+  const { address } = await startRawServer(t, (socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nStatus: HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown');
+  });
+  const call = createCall(address, 'q1', { identity: { kind: 'unmarked' } });
+  t.is(await bodyOf(await createConnections(t).call(call)), 'own');
+});
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -10,6 +10,7 @@
   type HttpCall,
   type HttpOutcome,
 } from './httpCall';
+import { hasJoinedHeads } from './joinedHeads';
 
 /** The part of a connection that a call uses. */
 export interface ExchangeConnection {
@@ -96,8 +97,12 @@
     );
   }
 
-  function discardForeign(status: number, { echoedId }: ForeignResponse): void {
+  function discard(detail: string): void {
     events.onAbandoned();
+    endWithoutResponse({ kind: 'lost', detail, isOurs }, detail);
+  }
+
+  function discardForeign(status: number, { echoedId }: ForeignResponse): void {
     events.onForeign({
       ...{ address: call.address, status },
       expectedId: expectedId?.slice(0, maxLoggedLength),
@@ -105,8 +110,7 @@
       ...{ connection: connection.number, earlierCalls, latestCalls },
       sinceSentMs: monotonicNowMs() - sentAtMs,
     });
-    const detail = echoedId === undefined ? 'response without the id' : 'response with another id';
-    endWithoutResponse({ kind: 'lost', detail, isOurs }, detail);
+    discard(echoedId === undefined ? 'response without the id' : 'response with another id');
   }
 
   function noteRejection(status: number): void {
@@ -199,7 +203,7 @@
       noteOnConnection();
       controller = startedController;
     },
-    onResponseStart(startedController, status) {
+    onResponseStart(startedController, status, _headers, reason = '') {
       if (status < 200) {
         return;
       }
@@ -212,6 +216,10 @@
         discardForeign(status, foreign);
         return;
       }
+      if (hasJoinedHeads(call.identity, reason, headers)) {
+        discard('two heads in one');
+        return;
+      }
       const framing = hasNoBody(call.method, status) ? 'own' : framingOf(headers);
       if (framing === 'unknown') {
         endWithoutResponse(
--- /dev/null
+++ b/packages/routing/src/servers/joinedHeads.ts
@@ -0,0 +1,24 @@
+/**
+ * A superfluous response that breaks off inside its head leaves the HTTP parser there. The head of the next response is then
+ * read as the rest of a header: the status is that of the first, and the id that of the second.
+ */
+import { expectedIdOf, type CallIdentity } from './callIdentity';
+
+const statusLinePattern = /HTTP\/\d\.\d \d{3}/;
+
+/**
+ * Whether a status line stands where none may be. To be asked of a response with the call's own id, whose header the caller
+ * has written. A server that names no request has its connection to one call, and any header. Headers alternate names and
+ * values.
+ */
+export function hasJoinedHeads(
+  identity: CallIdentity,
+  reason: string,
+  headers: readonly string[],
+): boolean {
+  if (identity.kind === 'unmarked') {
+    return false;
+  }
+  const ownId = expectedIdOf(identity);
+  return [reason, ...headers].some((text) => text !== ownId && statusLinePattern.test(text));
+}
