Take ids that differ in outer white space for one where connections are chosen

What callers could see: a caller with the id of another one and a no-break space behind it was refused with 503 for a request that runs, by the copy of the other one's rejection.

Cause: responses are compared without outer white space, in which JavaScript counts more characters than HTTP; the ids that a connection has carried were compared with it.

Why it works: both use the same form of the id. The comparison of responses stays as it is, as servers may leave such characters out.

--- a/packages/routing/__tests__/connectionReuse.test.ts
+++ b/packages/routing/__tests__/connectionReuse.test.ts
@@ -250,3 +250,22 @@
   const call = createCall(address, 'q1', { identity: { kind: 'unmarked' } });
   t.is(await bodyOf(await createConnections(t).call(call)), 'own');
 });
+
+test('a request is sent on another connection than one whose id differs in outer white space', async (t) => {
+  // Both ids are equal for the check of responses: the copy of one caller's rejection ended the other's call, which ran.
+  const carried = new Set<Socket>();
+  const { address, connectionCount } = await startRawServer(t, (socket, text) => {
+    const id = /^request-id: (.*)$/im.exec(text)?.[1] ?? '';
+    if (id === 'q1') {
+      carried.add(socket);
+      socket.write(answer(id, '', 503));
+      return;
+    }
+    socket.write(carried.has(socket) ? answer('q1', '', 503) : '');
+    setTimeout(() => socket.write(Buffer.from(answer(id, 'own'), 'latin1')), 20);
+  });
+  const connections = createConnections(t);
+  await bodyOf(await connections.call(createCall(address, 'q1')));
+  t.is(await bodyOf(await connections.call(createCall(address, 'q1\u00a0'))), 'own');
+  t.is(connectionCount(), 2);
+});
--- a/packages/routing/src/servers/callIdentity.ts
+++ b/packages/routing/src/servers/callIdentity.ts
@@ -27,13 +27,12 @@
   }
   // An empty value names no request. The HTTP client keeps white space behind a value.
   const echoedId = valueOf(headers, identity.header)?.trim() || undefined;
-  const expectedId = expectedIdOf(identity);
-  return echoedId === expectedId?.trim() ? undefined : { echoedId };
+  return echoedId === expectedIdOf(identity) ? undefined : { echoedId };
 }
 
-/** Undefined for a call without an id. */
+/** Undefined for a call without an id. Ids that differ in outer white space are one: servers may leave it out. */
 export function expectedIdOf(identity: CallIdentity): string | undefined {
-  return identity.kind === 'identified' ? identity.id : undefined;
+  return identity.kind === 'identified' ? identity.id.trim() : undefined;
 }
 
 function valueOf(headers: readonly string[], name: string): string | undefined {
