Let an entry's callers read the refusal of a body that they still send

What callers saw: when more than sixteen callers at the same time were refused before their bodies had ended (404, 413), those that send their whole request before they read lost the refusal: `write EPIPE`, the connection was reset.

Cause: an entry ended the response at once, with the body unread. What still arrives is then dropped while the connection waits for its caller's end, but only on sixteen connections at a time; any further one is closed under its caller. A router discards the rest of the body first, within limits.

That part of the router's module is now `endAfterUnreadBody` of `packages/ports`, used by both: the refusal is sent at once, and the response ends after the body, after 64 MB (the most that a document allows) or after 2 s. The exchange announces the close, so no request that is read behind such a body is passed on; without that it ran, and its response was lost (test seen to fail).

--- a/packages/entry/src/callerExchange.ts
+++ b/packages/entry/src/callerExchange.ts
@@ -5,9 +5,10 @@
   onceResponseOver,
   type CallerConnection,
 } from '@bluebellhitch/routing';
+import { endAfterUnreadBody } from '@bluebellhitch/ports';
 import { createRefusal, refusalReasons, type Refusal } from '@bluebellhitch/shared';
 import { findHeaderError, resolveRequestId } from './headers';
-import { sendProblem } from './problem';
+import { startProblem } from './problem';
 import type { BodyError } from './requestBody';
 
 export interface CallerExchange {
@@ -22,13 +23,21 @@
 }
 
 const requestTimeoutStatus = 408;
+/** The largest body that a document allows: so much of a refused one is read and dropped. */
+const maxDiscardedBytes = 64 * 1_048_576;
 /** Time in which requests in progress end and free their memory. */
 const memoryRetryAfterMs = 500;
 
+export interface CallerExchangeOptions {
+  connection: CallerConnection;
+  /** Makes the response announce that its connection closes: no further request is taken from it. */
+  announceClose: () => void;
+}
+
 export function createCallerExchange(
   incoming: IncomingMessage,
   outgoing: ServerResponse,
-  connection: CallerConnection,
+  { connection, announceClose }: CallerExchangeOptions,
 ): CallerExchange {
   const requestId = resolveRequestId(incoming.headers);
   // A reset connection also emits `error` on the request; the `close` handler above deals with it.
@@ -40,11 +49,18 @@
     disconnectSignal: createDisconnectSignal(outgoing, connection),
     onceOver: (listener) => onceResponseOver(outgoing, connection, listener),
     refuse(refusal, status) {
-      if (!incoming.complete) {
-        // The rest of the body is not read, so the connection cannot serve another request.
-        outgoing.shouldKeepAlive = false;
+      const isUnread = !incoming.complete;
+      if (isUnread) {
+        announceClose();
+      }
+      if (!startProblem(outgoing, refusal, { requestId, status })) {
+        return;
+      }
+      if (isUnread) {
+        endAfterUnreadBody({ incoming, outgoing }, maxDiscardedBytes);
+      } else {
+        outgoing.end();
       }
-      sendProblem(outgoing, refusal, { requestId, status });
     },
   };
 }
--- a/packages/entry/src/callersServer.ts
+++ b/packages/entry/src/callersServer.ts
@@ -102,10 +102,11 @@
     }
     const connection = connections.of(incoming.socket);
     onceResponseOver(outgoing, connection, taken.noteOver);
-    const exchange = createCallerExchange(incoming, outgoing, connection);
+    const { announceClose } = taken;
+    const exchange = createCallerExchange(incoming, outgoing, { connection, announceClose });
     const isFull = excessSockets.has(incoming.socket) || options.resources.memory.isFull();
     if (!accepting || isFull) {
-      taken.announceClose();
+      announceClose();
       refuseUnserved(exchange, accepting);
       return;
     }
--- a/packages/entry/src/problem.ts
+++ b/packages/entry/src/problem.ts
@@ -77,14 +77,17 @@
   return retryAfterMs === undefined ? undefined : Math.max(1, Math.ceil(retryAfterMs / 1000));
 }
 
-/** Sends the refusal, unless the response has begun or its connection is closed. */
-export function sendProblem(
+/**
+ * Sends the refusal without the end of the response, unless that has begun or its connection is closed. Returns whether it
+ * was sent.
+ */
+export function startProblem(
   outgoing: ServerResponse,
   refusal: Refusal,
   options: ProblemOptions,
-): void {
+): boolean {
   if (outgoing.headersSent || outgoing.destroyed) {
-    return;
+    return false;
   }
   const problem = problemDocument(refusal, options);
   const body = JSON.stringify(problem);
@@ -95,5 +98,6 @@
     'x-request-id': options.requestId,
     ...(retryAfter === undefined ? {} : { 'retry-after': String(retryAfter) }),
   });
-  outgoing.end(body);
+  outgoing.write(body);
+  return true;
 }
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -20,6 +20,7 @@
 export { createReadTurns, type ReadTurns } from './readTurns';
 export { createPortResources, type PortResources } from './portResources';
 export { guardSmallPort, smallPortOptions } from './smallPort';
+export { endAfterUnreadBody, type UnreadRequest } from './unreadBody';
 export { guardInnerPort, readInnerBody, readInnerCall, refuseInnerBody } from './innerPort';
 export {
   createResponseReader,
--- a/packages/routing/src/callers/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -10,6 +10,7 @@
   guardPort,
   type PortResources,
   type RequestBodyOutcome,
+  type UnreadRequest,
 } from '@bluebellhitch/ports';
 import { assertNever, monotonicNowMs, watchSlowSenders } from '@bluebellhitch/shared';
 import type { Logger } from '@bluebellhitch/telemetry';
@@ -19,7 +20,7 @@
 import { createCallerConnections, isCallerWaiting, onceResponseOver } from './callerConnection';
 import { createConnectionClosing, refuseConnect, type TakenRequest } from './connectionClosing';
 import { createHttpExchange, refuseOverHttp } from './httpExchange';
-import { refuseUnread, type UnreadRequest } from './refuseUnread';
+import { refuseUnread } from './refuseUnread';
 
 /** A request's head as parsed by Node.js. */
 export interface RequestHead {
