Answer 502 for a plain call that an agent may have passed on

What an entry saw: status 503, which promises that a call has not run and never will, also for a call that the agent had sent to its backend server and that got no answer, and for an attempt that had been started before. Only the lack of a header said that nothing was promised. The entry reads that header, so no caller was told so; a reader of the status would have been.

Now the status follows from the same fact as the header: 503 if it is proven that the call has not run, 502 otherwise.

Two tests asked for the false status; they now ask for 502, one of them for the reason as well, and both as before that no header proves "not run".

--- a/packages/agent/__tests__/plainProxy.test.ts
+++ b/packages/agent/__tests__/plainProxy.test.ts
@@ -93,7 +93,8 @@
     body: 'dispatch',
     headers: plainHeaders('a'),
   });
-  t.is(response.status, 503);
+  t.is(response.status, 502);
+  t.is(response.headers.get(innerHeaders.refusal), 'backend-failed');
   t.is(response.headers.get(innerHeaders.notRun), null);
 });
 
@@ -139,7 +140,7 @@
   const send = () => fetch(`${server.address}/plain/x`, { headers: plainHeaders('a') });
   t.is(await (await send()).text(), 'done');
   const again = await send();
-  t.is(again.status, 503);
+  t.is(again.status, 502);
   t.is(again.headers.get(innerHeaders.notRun), null);
   t.is(calls, 1);
 });
--- a/packages/agent/src/plainProxy.ts
+++ b/packages/agent/src/plainProxy.ts
@@ -206,10 +206,12 @@
 }
 
 const msPerSecond = 1000;
+/** 503 promises that the call has not run and never will. */
+const statuses = { notRun: 503, mayHaveRun: 502 } as const;
 
 function refuse(outgoing: ServerResponse, refusal: Refusal, load: LoadHint): void {
   const { reason, isProvenNotRun, detail, retryAfterMs } = refusal;
-  outgoing.writeHead(503, {
+  outgoing.writeHead(isProvenNotRun ? statuses.notRun : statuses.mayHaveRun, {
     'content-type': 'application/json',
     [innerHeaders.refusal]: reason,
     [innerHeaders.load]: JSON.stringify(load),
