Give the bodies of plain calls no time limit of the runtime at an agent

What callers saw: 408, the promise that a request has not run and never will, for a plain request whose body arrived for more than 300 s, although it had been passed on to its backend server while it arrived. Documents allow requests of up to an hour.

Cause: the ports between processes had the runtime's own limit for a whole request. Its 408 bears no header of the agent, so the entry forwards it as the backend server's response. The callers' ports of router and entry have set the limit to 0 before.

Bodies that are read whole keep their own limit of 10 s, heads that of the runtime, and a plain call its deadline.

The new test got 408 before and gets the response now.

--- a/packages/ports/__tests__/innerPort.test.ts
+++ b/packages/ports/__tests__/innerPort.test.ts
@@ -1,8 +1,8 @@
-import { createServer } from 'node:http';
+import { createServer, request, type IncomingMessage } from 'node:http';
 import { connect, type AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import test from 'ava';
-import { readInnerBody } from '../src/innerPort';
+import { guardInnerPort, readInnerBody } from '../src/innerPort';
 import { createPortResources } from '../src/portResources';
 import { createBodyReaderPool } from '../src/requestBody';
 
@@ -35,3 +35,32 @@
   }
   t.is(bodies.heldBytes(), 0);
 });
+
+test('a call that is passed on while its body arrives is not answered by the time limit of the runtime', async (t) => {
+  // The runtime answered 408, the promise that the call has not run, once a body had taken 300 s.
+  const server = createServer(
+    { requestTimeout: 100, headersTimeout: 100, connectionsCheckingInterval: 20 },
+    (incoming, outgoing) => {
+      incoming.on('end', () => outgoing.end('ran'));
+      incoming.resume();
+    },
+  );
+  guardInnerPort(server, createPortResources());
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const { port } = server.address() as AddressInfo;
+  const call = request({ host: '127.0.0.1', port, method: 'POST' });
+  const response = new Promise<IncomingMessage | Error>((resolve) => {
+    call.once('response', resolve);
+    call.on('error', resolve);
+  });
+  call.write('first');
+  await delay(500);
+  call.end('last');
+  t.like(await response, { statusCode: 200 });
+});
--- a/packages/ports/src/innerPort.ts
+++ b/packages/ports/src/innerPort.ts
@@ -21,6 +21,8 @@
 
 /** To be called once, before the server listens. */
 export function guardInnerPort(server: Server, resources: PortResources): void {
+  // The runtime would answer 408 to a call that is passed on while its body arrives. Bodies that are read whole have their own limit.
+  Object.assign(server, { requestTimeout: 0 });
   guardPort(server, { resources, maxConnections, maxRequestsPerConnection, minQuietMs });
 }
 
