Let entries read an agent's refusal of a body that they still send

What callers between processes saw: a call whose body was refused before its end (413, 408, or 503 for want of memory) had its connection reset. The entry loses the refusal, which says that nothing has run, and must take the call for one that may have.

Cause: the response announced its close and was ended at once, so the runtime closed the connection under the body. An agent's port drops what arrives on sixteen such connections at a time, an entry's inner port on none.

Ports between processes now refuse as the others do, with `endAfterUnreadBody`.

--- a/packages/agent/src/innerServer.ts
+++ b/packages/agent/src/innerServer.ts
@@ -1,5 +1,5 @@
 /** The agent's inner port: messages over tRPC, model responses as event streams, and plain calls. */
-import type { Server, ServerResponse } from 'node:http';
+import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { serve, type HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
@@ -9,11 +9,12 @@
   createPortResources,
   guardInnerPort,
   readInnerCall,
+  type InnerCall,
   type PortResources,
 } from '@bluebellhitch/ports';
 import { createInnerGuard, innerAudiences, type InnerSecurity } from '@bluebellhitch/security';
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch';
-import { Hono } from 'hono';
+import { Hono, type Context } from 'hono';
 import type { Agent } from './agent';
 import type { PlainProxy } from './plainProxy';
 import { createPortClosing, type PortClosing } from './portClosing';
@@ -42,8 +43,16 @@
 
 interface Environment {
   Bindings: HttpBindings;
+  Variables: Required<Pick<InnerCall, 'announceClose'>>;
 }
 
+type InnerContext = Context<Environment>;
+
+const callOf = ({ env, get }: InnerContext): InnerCall => ({
+  ...env,
+  announceClose: get('announceClose'),
+});
+
 /** Starts the inner port; rejects if the port is in use. */
 export async function startInnerServer(options: InnerServerOptions): Promise<InnerServer> {
   const { resources = createPortResources() } = options;
@@ -63,28 +72,33 @@
   const { agent, plainProxy, security, onUnauthenticated: onRefused } = options;
   const bodies = createBodyReaderPool(options.resources.memory);
   const app = new Hono<Environment>();
-  app.use('*', ({ env }, next) =>
-    options.closing.take(env.incoming, env.outgoing)
-      ? next()
-      : Promise.resolve(RESPONSE_ALREADY_SENT),
-  );
+  app.use('*', ({ env, set }, next) => {
+    const taken = options.closing.take(env.incoming, env.outgoing);
+    if (taken === undefined) {
+      return Promise.resolve(RESPONSE_ALREADY_SENT);
+    }
+    set('announceClose', taken.announceClose);
+    return next();
+  });
   const audienceOf = () => innerAudiences.agent;
   app.use('*', createInnerGuard({ security, audienceOf, onRefused }));
   const router = createAgentRouter(agent.handlers);
-  app.all(`${innerPaths.trpc}/*`, async ({ env }) => {
-    const req = await readInnerCall(env.incoming, env.outgoing, bodies);
+  app.all(`${innerPaths.trpc}/*`, async (context) => {
+    const req = await readInnerCall(callOf(context), bodies);
     return req === undefined
       ? RESPONSE_ALREADY_SENT
       : fetchRequestHandler({ endpoint: innerPaths.trpc, req, router });
   });
-  app.post(innerPaths.streams, ({ env }) => {
+  app.post(innerPaths.streams, (context) => {
     // Written to the Node.js response directly, whose `write` reports when the receiver's buffer is full.
-    void handleStream(agent, env.incoming, env.outgoing, bodies).catch(() => destroy(env.outgoing));
+    const call = callOf(context);
+    void handleStream(agent, call, bodies).catch(() => destroy(call));
     return RESPONSE_ALREADY_SENT;
   });
   if (plainProxy !== undefined) {
-    const handlePlain = ({ env }: { env: HttpBindings }) => {
-      void plainProxy.handle(env.incoming, env.outgoing).catch(() => destroy(env.outgoing));
+    const handlePlain = (context: InnerContext) => {
+      const call = callOf(context);
+      void plainProxy.handle(call).catch(() => destroy(call));
       return RESPONSE_ALREADY_SENT;
     };
     app.all(innerPaths.plain, handlePlain);
@@ -93,7 +107,7 @@
   return app;
 }
 
-function destroy(outgoing: ServerResponse): void {
+function destroy({ outgoing }: InnerCall): void {
   outgoing.destroy();
 }
 
--- a/packages/agent/src/plainProxy.ts
+++ b/packages/agent/src/plainProxy.ts
@@ -19,6 +19,7 @@
   type HttpOutcome,
   type HttpResponse,
 } from '@bluebellhitch/routing';
+import { endAfterUnreadBody, type InnerCall } from '@bluebellhitch/ports';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { Agent } from './agent';
 import {
@@ -37,7 +38,7 @@
 }
 
 export interface PlainProxy {
-  handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void>;
+  handle(call: InnerCall): Promise<void>;
   close(): Promise<void>;
 }
 
@@ -56,21 +57,25 @@
   const { host: address } = new URL(backendUrl);
   const connections = createBackendConnections({ connectTimeoutMs });
 
-  async function handle(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+  async function handle(inner: InnerCall): Promise<void> {
+    const { incoming, outgoing } = inner;
     const call = readPlainCall(incoming.headers);
     if (call === undefined) {
-      outgoing.writeHead(400, { 'content-type': 'application/json' });
-      outgoing.end(JSON.stringify({ title: 'inner headers are missing' }));
+      respond(inner, {
+        status: 400,
+        headers: {},
+        title: 'inner headers are missing',
+      });
       return;
     }
     const callAbort = new AbortController();
     outgoing.once('close', () => callAbort.abort());
     const refusal = await admit(call, callAbort.signal);
     if (refusal !== undefined) {
-      refuse(outgoing, refusal, agent.load());
+      refuse(inner, refusal, agent.load());
       return;
     }
-    await runAdmitted(call, incoming, outgoing, callAbort);
+    await runAdmitted(call, inner, callAbort);
   }
 
   async function admit(call: PlainCall, signal: AbortSignal): Promise<Refusal | undefined> {
@@ -117,10 +122,10 @@
 
   async function runAdmitted(
     call: PlainCall,
-    incoming: IncomingMessage,
-    outgoing: ServerResponse,
+    inner: InnerCall,
     callAbort: AbortController,
   ): Promise<void> {
+    const { incoming, outgoing } = inner;
     const { attemptId } = call;
     const startedAtMs = monotonicNowMs();
     releaser.registerTask(attemptId, () => callAbort.abort());
@@ -130,7 +135,7 @@
         await forward(outcome.response, outgoing);
         estimates.observeCall(monotonicNowMs() - startedAtMs);
       } else {
-        refuseFailed(outgoing, outcome);
+        refuseFailed(inner, outcome);
       }
     } catch {
       // The response is destroyed, which shows the entry that it is incomplete.
@@ -174,12 +179,12 @@
   }
 
   function refuseFailed(
-    outgoing: ServerResponse,
+    inner: InnerCall,
     outcome: Exclude<HttpOutcome, { kind: 'answered' }>,
   ): void {
     const detail = outcome.kind === 'withheld' ? outcome.kind : outcome.detail;
     refuse(
-      outgoing,
+      inner,
       {
         reason: agentRefusalReasons.backendFailed,
         isProvenNotRun: outcome.kind !== 'lost',
@@ -206,19 +211,50 @@
 }
 
 const msPerSecond = 1000;
+/** The largest body that a document allows: so much of a refused one is read and dropped. */
+const maxDiscardedBytes = 64 * 1_048_576;
 /** 503 promises that the call has not run and never will. */
 const statuses = { notRun: 503, mayHaveRun: 502 } as const;
 
-function refuse(outgoing: ServerResponse, refusal: Refusal, load: LoadHint): void {
+function refuse(inner: InnerCall, refusal: Refusal, load: LoadHint): void {
   const { reason, isProvenNotRun, detail, retryAfterMs } = refusal;
-  outgoing.writeHead(isProvenNotRun ? statuses.notRun : statuses.mayHaveRun, {
+  respond(inner, {
+    status: isProvenNotRun ? statuses.notRun : statuses.mayHaveRun,
+    headers: {
+      [innerHeaders.refusal]: reason,
+      [innerHeaders.load]: JSON.stringify(load),
+      ...(isProvenNotRun ? { [innerHeaders.notRun]: 'true' } : {}),
+      ...(retryAfterMs === undefined
+        ? {}
+        : { 'retry-after': String(Math.ceil(retryAfterMs / msPerSecond)) }),
+    },
+    title: detail,
+  });
+}
+
+interface OwnResponse {
+  status: number;
+  headers: Record<string, string>;
+  title: string;
+}
+
+/** Responds in place of the backend server. */
+function respond(inner: InnerCall, { status, headers, title }: OwnResponse): void {
+  const { incoming, outgoing, announceClose = () => undefined } = inner;
+  const isUnread = !incoming.complete;
+  const body = JSON.stringify({ title });
+  if (isUnread) {
+    announceClose();
+  }
+  outgoing.writeHead(status, {
     'content-type': 'application/json',
-    [innerHeaders.refusal]: reason,
-    [innerHeaders.load]: JSON.stringify(load),
-    ...(isProvenNotRun ? { [innerHeaders.notRun]: 'true' } : {}),
-    ...(retryAfterMs === undefined
-      ? {}
-      : { 'retry-after': String(Math.ceil(retryAfterMs / msPerSecond)) }),
+    'content-length': Buffer.byteLength(body),
+    ...headers,
   });
-  outgoing.end(JSON.stringify({ title: detail }));
+  outgoing.write(body);
+  if (isUnread) {
+    endAfterUnreadBody(inner, maxDiscardedBytes);
+  } else {
+    outgoing.end();
+  }
 }
--- a/packages/agent/src/portClosing.ts
+++ b/packages/agent/src/portClosing.ts
@@ -8,14 +8,18 @@
   createCallerConnections,
   createConnectionClosing,
   onceResponseOver,
+  type TakenRequest,
 } from '@bluebellhitch/routing';
 import { delay } from '@bluebellhitch/shared';
 
 export interface PortClosing {
   /** To be called once, before the server has connections. */
   watch(server: Server): void;
-  /** To be called for each call before anything else; false if its connection is closing: it must not be served. */
-  take(incoming: IncomingMessage, outgoing: ServerResponse): boolean;
+  /** To be called for each call before anything else; undefined if its connection is closing: it must not be served. */
+  take(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Pick<TakenRequest, 'announceClose'> | undefined;
   /** Closes the port; responses in progress and calls on their way have `graceMs`. */
   close(server: Server, graceMs: number): Promise<void>;
 }
@@ -42,7 +46,7 @@
     take(incoming, outgoing) {
       const taken = closing.take(incoming, outgoing);
       if (taken === undefined) {
-        return false;
+        return undefined;
       }
       activeCount += 1;
       onceResponseOver(outgoing, connections.of(incoming.socket), () => {
@@ -53,7 +57,7 @@
       if (isClosing) {
         taken.announceClose();
       }
-      return true;
+      return taken;
     },
     async close(server, graceMs) {
       isClosing = true;
--- a/packages/agent/src/streamHandler.ts
+++ b/packages/agent/src/streamHandler.ts
@@ -1,19 +1,24 @@
 /** `POST /streams`: a model response as an event stream with one JSON frame per event. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
-import { readInnerBody, refuseInnerBody, type BodyReaderPool } from '@bluebellhitch/ports';
+import type { ServerResponse } from 'node:http';
+import {
+  readInnerBody,
+  refuseInnerBody,
+  type BodyReaderPool,
+  type InnerCall,
+} from '@bluebellhitch/ports';
 import { streamRequestSchema, type StreamFrame, type StreamRequest } from '@bluebellhitch/protocol';
 import type { Agent } from './agent';
 import type { FrameSink } from './chunkForwarder';
 
 export async function handleStream(
   agent: Pick<Agent, 'runStream'>,
-  incoming: IncomingMessage,
-  outgoing: ServerResponse,
+  call: InnerCall,
   bodies: BodyReaderPool,
 ): Promise<void> {
-  const body = await readInnerBody(incoming, outgoing, bodies);
+  const { outgoing } = call;
+  const body = await readInnerBody(call, bodies);
   if (body.kind !== 'whole') {
-    refuseInnerBody(outgoing, body.kind);
+    refuseInnerBody(call, body.kind);
     return;
   }
   const request = parseRequest(body.body);
--- a/packages/entry/src/innerServer.ts
+++ b/packages/entry/src/innerServer.ts
@@ -51,7 +51,7 @@
   app.use('*', createInnerGuard({ security, audienceOf, onRefused }));
   app.use(feedPath, createReplySealer(security));
   app.all(`${innerPaths.trpc}/*`, async ({ env }) => {
-    const req = await readInnerCall(env.incoming, env.outgoing, bodies);
+    const req = await readInnerCall(env, bodies);
     return req === undefined
       ? RESPONSE_ALREADY_SENT
       : fetchRequestHandler({ endpoint: innerPaths.trpc, req, router });
--- a/packages/ports/__tests__/innerPort.test.ts
+++ b/packages/ports/__tests__/innerPort.test.ts
@@ -12,7 +12,7 @@
   const bodies = createBodyReaderPool(createPortResources().memory);
   const kinds: string[] = [];
   const server = createServer((incoming, outgoing) => {
-    void readInnerBody(incoming, outgoing, bodies).then(({ kind }) => kinds.push(kind));
+    void readInnerBody({ incoming, outgoing }, bodies).then(({ kind }) => kinds.push(kind));
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -21,7 +21,13 @@
 export { createPortResources, type PortResources } from './portResources';
 export { guardSmallPort, smallPortOptions } from './smallPort';
 export { endAfterUnreadBody, type UnreadRequest } from './unreadBody';
-export { guardInnerPort, readInnerBody, readInnerCall, refuseInnerBody } from './innerPort';
+export {
+  guardInnerPort,
+  readInnerBody,
+  readInnerCall,
+  refuseInnerBody,
+  type InnerCall,
+} from './innerPort';
 export {
   createResponseReader,
   type ResponseBodyError,
--- a/packages/ports/src/innerPort.ts
+++ b/packages/ports/src/innerPort.ts
@@ -7,6 +7,7 @@
 import { guardPort } from './portGuard';
 import type { PortResources } from './portResources';
 import type { BodyReaderPool, RequestBodyOutcome } from './requestBody';
+import { endAfterUnreadBody, type UnreadRequest } from './unreadBody';
 
 /** Enough for a prompt of tens of thousands of tokens with the text emitted so far. */
 const maxBodyBytes = 16 * 1_048_576;
@@ -19,6 +20,12 @@
 /** Idle connections of other processes are kept for longer than this between two calls. */
 const minQuietMs = 10_000;
 
+/** A call between processes of the system. */
+export interface InnerCall extends UnreadRequest {
+  /** Makes the response announce that its connection closes: no further call is taken from it. Default: nothing. */
+  announceClose?: () => void;
+}
+
 /** To be called once, before the server listens. */
 export function guardInnerPort(server: Server, resources: PortResources): void {
   // The runtime would answer 408 to a call that is passed on while its body arrives. Bodies that are read whole have their own limit.
@@ -28,8 +35,7 @@
 
 /** Reads the body of a call; it counts as held until the response is over. */
 export function readInnerBody(
-  incoming: IncomingMessage,
-  outgoing: ServerResponse,
+  { incoming, outgoing }: InnerCall,
   bodies: BodyReaderPool,
 ): Promise<RequestBodyOutcome> {
   const { done, release } = bodies.read(incoming, { maxBodyBytes, timeoutMs: bodyTimeoutMs });
@@ -57,13 +63,13 @@
  * and it was refused.
  */
 export async function readInnerCall(
-  incoming: IncomingMessage,
-  outgoing: ServerResponse,
+  call: InnerCall,
   bodies: BodyReaderPool,
 ): Promise<Request | undefined> {
-  const read = await readInnerBody(incoming, outgoing, bodies);
+  const { incoming, outgoing } = call;
+  const read = await readInnerBody(call, bodies);
   if (read.kind !== 'whole') {
-    refuseInnerBody(outgoing, read.kind);
+    refuseInnerBody(call, read.kind);
     return undefined;
   }
   const connection = new AbortController();
@@ -89,20 +95,23 @@
 
 /** Refuses a call whose body could not be read; it has not run. */
 export function refuseInnerBody(
-  outgoing: ServerResponse,
+  call: InnerCall,
   kind: Exclude<RequestBodyOutcome['kind'], 'whole'>,
 ): void {
+  const { outgoing, announceClose = () => undefined } = call;
   if (kind === 'caller-left') {
     outgoing.destroy();
     return;
   }
   const body = JSON.stringify({ title: `body refused: ${kind}` });
+  announceClose();
   outgoing.writeHead(innerBodyStatus(kind), {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
     connection: 'close',
   });
-  outgoing.end(body);
+  outgoing.write(body);
+  endAfterUnreadBody(call, maxBodyBytes);
 }
 
 function innerBodyStatus(
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -52,6 +52,7 @@
   createConnectionClosing,
   refuseConnect,
   type ConnectionClosing,
+  type TakenRequest,
 } from './callers/connectionClosing';
 export { createConnectionGuard } from './callers/connectionGuard';
 export {
