Replace the router's program in one step when it is built

A router that started while target/bluebell-router.mjs was being built could end at once with exit code 0 and log nothing: esbuild emptied the file before it wrote it, and Node.js ends an empty program as one that is done.

Ruled out for it: SIGTERM (the handler is installed after the first log line; without it the signal ends the process, not code 0), a stop in order (logged), the test's SIGKILL and another's signal (not code 0).

build.mjs replaced its files already; both use the same function now.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,10 +2,11 @@
  * Bundles each binary, and the fleet launcher that `npm start` shares with the bench, into dist/. Workspace packages
  * are bundled; npm packages stay external.
  */
-import { mkdir, readFile, rename, writeFile } from 'node:fs/promises';
+import { readFile } from 'node:fs/promises';
 import { existsSync } from 'node:fs';
 import { join } from 'node:path';
 import { build } from 'esbuild';
+import { replaceFile } from './lib/replaceFile.mjs';
 import { repositoryRoot } from './lib/repository.mjs';
 
 const binaries = {
@@ -45,15 +46,7 @@
   logLevel: 'warning',
   write: false,
 });
-await mkdir(outputDirectory, { recursive: true });
-await Promise.all(outputFiles.map(replaceFile));
+await Promise.all(outputFiles.map((file) => replaceFile(file, executableMode)));
 
 const note = missing.length === 0 ? '' : `; no source yet: ${missing.join(', ')}`;
 process.stdout.write(`built ${sources.length} bundles into dist${note}\n`);
-
-/** Replaces a file atomically, so that a process that starts during a build never reads a partly written one. */
-async function replaceFile({ path, contents }) {
-  const temporaryPath = `${path}.${process.pid}`;
-  await writeFile(temporaryPath, contents, { mode: executableMode });
-  await rename(temporaryPath, path);
-}
--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -4,6 +4,7 @@
  */
 import { join } from 'node:path';
 import { build } from 'esbuild';
+import { replaceFile } from './lib/replaceFile.mjs';
 import { repositoryRoot } from './lib/repository.mjs';
 
 // CommonJS packages call `require`, which does not exist in an ES module.
@@ -25,7 +26,7 @@
   },
 };
 
-await build({
+const { outputFiles } = await build({
   absWorkingDir: repositoryRoot,
   entryPoints: { 'bluebell-router': 'platform/src/bin.ts' },
   outdir: join(repositoryRoot, 'target'),
@@ -41,4 +42,6 @@
   sourcemap: 'external',
   banner: { js: requireBanner },
   logLevel: 'warning',
+  write: false,
 });
+await Promise.all(outputFiles.map((file) => replaceFile(file)));
