Read what closing connections still send no faster than memory is freed

What callers saw: beside a crowd the router came beyond the memory of its machine, so its process may end for all callers.

Cause: input of a connection that is closing was read at wire speed and dropped. Each read fills a buffer of 64 KB outside the JavaScript heap, which is freed only after a garbage collection. With no body held, nothing in the account and a JavaScript heap of 18 MB, 93 to 118 MB were anonymous; they rose and fell by 26 MB within 20 ms.

Now all connections together drop 64 KB in 10 ms, then wait for their turn in order; the kernel holds the rest back. The connections are closed after the same time as before. The test reads 5.6 MB at once without the change.

--- a/packages/ports/__tests__/portGuard.test.ts
+++ b/packages/ports/__tests__/portGuard.test.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
+import FakeTimers from '@sinonjs/fake-timers';
 import test, { type ExecutionContext } from 'ava';
 import { guardPort, type PortGuardOptions } from '../src/portGuard';
 import { createMemoryAccount } from '../src/memoryAccount';
@@ -11,6 +12,10 @@
 const request = 'GET /a HTTP/1.1\r\nHost: a\r\n\r\n';
 const maxRequestsPerConnection = 4;
 const requestsPerPiece = 3;
+const bytesPerRead = 65_536;
+const longInput = request.repeat(50_000);
+/** Longer than reading it takes without a bound. */
+const quietMs = 500;
 
 async function startServer(
   t: ExecutionContext,
@@ -149,6 +154,29 @@
   t.is(requestCount, 1);
 });
 
+test.serial('input that is dropped is read slowly, and up to its end', async (t) => {
+  // It was read at wire speed, a buffer for each read: the process held more of them than its garbage collection could free.
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout'] });
+  t.teardown(() => clock.uninstall());
+  const sockets = new Set<Socket>();
+  const started = await startServer(t, ({ socket }) => {
+    sockets.add(socket);
+    started.guard.of(socket).discardInput();
+  });
+  const callers = Array.from({ length: 4 }, started.open);
+  callers.forEach(({ socket }) => socket.end(longInput));
+  await until(() => sockets.size === callers.length);
+  await delay(quietMs);
+  const readBytes = () => [...sockets].reduce((sum, { bytesRead }) => sum + bytesRead, 0);
+  const readAtOnce = readBytes();
+  t.true(readAtOnce <= (callers.length + 1) * bytesPerRead, `${readAtOnce} bytes at once`);
+  await until(() => {
+    clock.tick(5);
+    return [...sockets].every(({ readableEnded }) => readableEnded);
+  });
+  t.is(readBytes(), callers.length * longInput.length);
+});
+
 test('a new connection takes the place of the oldest one', async (t) => {
   const { open: openCaller } = await startServer(
     t,
--- a/packages/ports/src/connectionGate.ts
+++ b/packages/ports/src/connectionGate.ts
@@ -10,7 +10,7 @@
 export interface ConnectionGate {
   /** Goes on if input may be handed over again. */
   update(): void;
-  /** From now on all input is dropped unread; the end of the connection is still noticed. */
+  /** From now on all input is dropped unread, as fast as there are turns for that; the end of the connection is still noticed. */
   discard(): void;
 }
 
@@ -46,6 +46,7 @@
   let isDiscarding = false;
   let isHandingOver = false;
   let isWaitingForTurn = false;
+  let stopWaitingToDrop: (() => void) | undefined;
 
   function isHeld(): boolean {
     const isReadable = waiting[0] === null || isDiscarding;
@@ -76,6 +77,7 @@
       return;
     }
     if (isDiscarding) {
+      drop(input.length);
       return;
     }
     const piece = input.subarray(0, pieceLength(input, isInBody() ? minBodyBytes : minPieceBytes));
@@ -91,6 +93,17 @@
     handOver(piece);
   }
 
+  function drop(bytes: number): void {
+    if (!turns.dropped.take(bytes) && stopWaitingToDrop === undefined) {
+      stopWaitingToDrop = turns.dropped.wait(() => {
+        stopWaitingToDrop = undefined;
+        resume();
+      });
+    }
+  }
+
+  const mayReadOn = () => waiting.length === 0 && stopWaitingToDrop === undefined;
+
   function waitForTurn(): void {
     if (!isWaitingForTurn) {
       isWaitingForTurn = true;
@@ -106,7 +119,7 @@
       return;
     }
     handOverWaiting();
-    if (waiting.length === 0) {
+    if (mayReadOn()) {
       readOn(0);
     }
   }
@@ -116,17 +129,18 @@
     if (!isHandingOver) {
       handOverWaiting();
     }
-    return waiting.length === 0;
+    return mayReadOn();
   };
   // The stream asks for more as soon as it has handed on a piece.
   socket._read = (size) => {
-    if (waiting.length === 0) {
+    if (mayReadOn()) {
       readOn(size);
     }
   };
   // With this listener the runtime hands input to `push`, and not to its parser directly.
   socket.on('data', () => undefined);
   socket.on('resume', () => waiting.length > 0 && waitForTurn());
+  socket.once('close', () => stopWaitingToDrop?.());
 
   return {
     update() {
--- a/packages/ports/src/readTurns.ts
+++ b/packages/ports/src/readTurns.ts
@@ -3,8 +3,11 @@
  * body, whose processor time no number of bytes tells. In one pass of the event loop only so much of long pieces is read;
  * the rest waits for the next passes, and what others send is read in between.
  */
+import { createDropTurns, type DropTurns } from './dropTurns';
 
 export interface ReadTurns {
+  /** Those of input that is only dropped. */
+  dropped: DropTurns;
   /** Whether a piece of this size may be read in this pass. */
   take(bytes: number): boolean;
   /** Calls the listener in a later pass, after those that have waited longer. */
@@ -37,6 +40,7 @@
   }
 
   return {
+    dropped: createDropTurns(),
     take(bytes) {
       if (bytes <= shortPieceBytes) {
         return true;
