Count the requests that the runtime answers by itself

Cause: the runtime answers requests without a `Host`, and with an `Expect` that it does not know, by itself and emits no `request` event. The guard counted requests in that event, so it counted none and saw nothing in progress: the pieces of a whole read were parsed one after the other, 144 requests of a connection at the same time in the test, until the runtime's own limit of unsent answers.

The guard now counts each request at the runtime's channel `http.server.request.start`, which reports it before it is answered, whoever answers it. So the bounds of requests in progress and of what connections hold apply to all of them. The tests, without a host and with an expectation, fail without it (144 and 110 at a time).

--- a/packages/ports/__tests__/portGuard.test.ts
+++ b/packages/ports/__tests__/portGuard.test.ts
@@ -1,3 +1,4 @@
+import { subscribe, unsubscribe } from 'node:diagnostics_channel';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
@@ -38,7 +39,7 @@
     server.closeAllConnections();
   });
   const { port } = server.address() as AddressInfo;
-  return { memory, guard, open: () => open(t, port) };
+  return { memory, guard, server, open: () => open(t, port) };
 }
 
 function open(t: ExecutionContext, port: number) {
@@ -89,6 +90,36 @@
   );
 });
 
+const refusedByRuntime = {
+  'without a host': 'GET / HTTP/1.1\r\n\r\n',
+  'with an expectation that is not known': 'GET / HTTP/1.1\r\nHost: a\r\nExpect: a\r\n\r\n',
+};
+
+Object.entries(refusedByRuntime).forEach(([kind, refused]) => {
+  test(`requests sent ahead ${kind} are taken a few at a time`, async (t) => {
+    // The runtime answers them by itself, so they were not counted: all of a read were parsed before the first answer was sent.
+    const { open: openCaller, server } = await startServer(t, () => undefined);
+    let [unfinished, most] = [0, 0];
+    const note = (message: unknown) => {
+      const started = message as { response: ServerResponse; server: unknown };
+      if (started.server === server) {
+        unfinished += 1;
+        most = Math.max(most, unfinished);
+        started.response.once('close', () => {
+          unfinished -= 1;
+        });
+      }
+    };
+    subscribe('http.server.request.start', note);
+    t.teardown(() => unsubscribe('http.server.request.start', note));
+    const { socket, text, closed } = openCaller();
+    socket.end(refused.repeat(1_000));
+    await closed;
+    t.regex(text(), /^HTTP\/1\.1 4/);
+    t.true(most <= maxRequestsPerConnection + requestsPerPiece, `${most} at a time`);
+  });
+});
+
 test('the body of the last request that may be in progress is read', async (t) => {
   // Reading stopped at the bound, and the request that had reached it waited for its own body.
   const { open: openCaller } = await startServer(
--- a/packages/ports/src/portGuard.ts
+++ b/packages/ports/src/portGuard.ts
@@ -3,6 +3,7 @@
  * heads that are not complete, and answers that are not read. A caller that goes beyond a bound is held back, or its
  * connection is closed; the others are served on.
  */
+import { subscribe } from 'node:diagnostics_channel';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { monotonicNowMs } from '@bluebellhitch/shared';
@@ -59,6 +60,21 @@
   discardInput: () => undefined,
 };
 
+/** What the runtime reports of a request that its parser has read. */
+interface StartedRequest {
+  request: IncomingMessage;
+  response: ServerResponse;
+  server: Server;
+}
+
+const startListeners = new WeakMap<Server, (started: StartedRequest) => void>();
+
+// The runtime answers some requests by itself, as those without a host, and emits no `request` event for them.
+subscribe('http.server.request.start', (message) => {
+  const started = message as StartedRequest;
+  startListeners.get(started.server)?.(started);
+});
+
 /** To be called once, before the server listens. */
 export function guardPort(server: Server, options: PortGuardOptions): PortGuard {
   const { maxRequestsPerConnection, maxConnections, event = 'connection' } = options;
@@ -150,10 +166,10 @@
   }
 
   server.on(event, open);
-  server.prependListener('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
-    const connection = connections.get(incoming.socket);
+  startListeners.set(server, ({ request, response }) => {
+    const connection = connections.get(request.socket);
     if (connection !== undefined) {
-      begin(connection, incoming, outgoing);
+      begin(connection, request, response);
     }
   });
   return { of: (socket) => connections.get(socket) ?? unguarded };
