--- a/packages/entry/__tests__/promisedRefusals.test.ts
+++ b/packages/entry/__tests__/promisedRefusals.test.ts
@@ -3,7 +3,7 @@
 import type { ClaimStore } from '@bluebellhitch/objects';
 import type { AgentCallError } from '../src/agentApi';
 import type { ProblemDocument } from '../src/problem';
-import { createFakeAgent, refusal, type FakeAgent } from './support/fakeAgents';
+import { createFakeAgent, plainResponse, refusal, type FakeAgent } from './support/fakeAgents';
 import { chat, createOpenClaims, eventually, startHarness } from './support/harness';
 
 const service = 'draft-models';
@@ -138,3 +138,32 @@
     await assertMayHaveRun(t, response);
   });
 });
+
+const laterPlainReplies: Record<string, FakeAgent['plain']> = {
+  'is refused as not run': () => ({ ...plainResponse(503, ''), refusal: refusal('queue-full') }),
+  'finds agents that are leaving': () => ({
+    ...plainResponse(503, ''),
+    refusal: refusal('leaving'),
+  }),
+  'cannot be sent': () => ({ kind: 'not-sent', detail: 'no connection' }),
+};
+
+// The first server ran the request and its answer was lost; what the next ones say holds for their attempts only.
+Object.entries(laterPlainReplies).forEach(([name, reply]) => {
+  test(`a plain request that may have run is not refused with a promise if its second attempt ${name}`, async (t) => {
+    const agents = ['plain-1', 'plain-2', 'plain-3'].map((id) =>
+      createFakeAgent({ id, service: 'counter-app', role: 'plain' }),
+    );
+    let ran = 0;
+    agents.forEach((agent) => {
+      agent.plain = (call) => {
+        ran += 1;
+        return ran === 1 ? lostReply : reply(call);
+      };
+    });
+    const { address } = await startHarness(t, { agents });
+    const response = await fetch(`${address}/counter`);
+    t.true(ran > 1);
+    await assertMayHaveRun(t, response);
+  });
+});
