Show that larger crowds at endless answers exceed a router's memory

A release whose workers send bodies without an end makes a router hold about 450 KB for each request, and nothing bounds all of them together.

The limit of connections of the faulty service rises in all cases, as a router opens an eighth of it: at the old one 112 requests at once were the most, whatever the crowd.

--- a/packages/soak/__tests__/endlessAnswers.alone.test.ts
+++ b/packages/soak/__tests__/endlessAnswers.alone.test.ts
@@ -1,9 +1,17 @@
 /**
- * Workers that send bytes without an end: the router process lives, stays within the memory and descriptors of its machine,
- * and answers an ordinary request at another service, beside them and after. Nothing here depends on the machine's speed.
+ * Workers that send bytes without an end, and long answers of sound ones to callers that do not read: the router process
+ * lives, stays within the memory and descriptors of its machine, and answers an ordinary request at another service, beside
+ * them and after. Nothing here depends on the machine's speed.
  */
 import test from 'ava';
-import { encodeChunk, endless, inOrder, once, type Parts } from '@bluebellhitch/standins';
+import {
+  encodeChunk,
+  endless,
+  inOrder,
+  once,
+  unendedChunks,
+  type Parts,
+} from '@bluebellhitch/standins';
 import { routeKinds, type Route } from '@bluebellhitch/routing';
 import { plainRoute, streamRoute } from '../src/configurationPlan';
 import { serviceNames } from '../src/serverSlots';
@@ -24,6 +32,8 @@
   isReading?: boolean;
   /** The answer's body. */
   body: Parts;
+  /** Whether the answer has an end. Default: no. */
+  isWhole?: boolean;
   /** Whether calls for reservations and reports get such a body too. Default: no. */
   isFaultyThroughout?: boolean;
 }
@@ -32,6 +42,9 @@
 const largeChunkBytes = 65_535;
 const oneByteChunks = endless(encodeChunk(1));
 const largeChunks = endless(encodeChunk(largeChunkBytes));
+const longBody = inOrder(unendedChunks('', 16_384, 512), once(encodeChunk(0)));
+/** As many requests at once as the machine has descriptors for, on both sides. */
+const largestCrowd = 600;
 /** The shortest event, in chunks of one byte. */
 const tinyEvents = endless('1\r\n\n\r\n1\r\n\n\r\n');
 
@@ -63,12 +76,33 @@
     ...{ name: 'an answer to its own calls in chunks of one byte', route: 'engine' },
     ...{ callerCount: 100, body: oneByteChunks, isFaultyThroughout: true },
   },
+  {
+    ...{ name: 'a body in large chunks', route: 'plain' },
+    ...{ callerCount: largestCrowd, body: largeChunks },
+  },
+  {
+    ...{ name: 'a body in chunks of one byte', route: 'plain' },
+    ...{ callerCount: largestCrowd, body: oneByteChunks },
+  },
+  {
+    ...{ name: 'the events of a plain server, in large chunks', route: 'stream' },
+    ...{ callerCount: largestCrowd, body: largeChunks },
+  },
+  {
+    ...{ name: 'an event in large chunks', route: 'engine' },
+    ...{ callerCount: largestCrowd, body: largeChunks },
+  },
+  {
+    ...{ name: 'bodies of 8 MB', route: 'plain', isWhole: true },
+    ...{ callerCount: largestCrowd, body: longBody },
+  },
 ];
 
 const faultyService = 'faulty';
 const report = { stage: 'decode', waiting: 0, running: 0, kv_used: 0, kv_total: 50_000_000 };
 const regularCalls = { '/hold-take': { hold: 'h' }, '/report': report };
-const maxConnections = 900;
+/** A router opens an eighth of them. */
+const maxConnections = 8 * 900;
 
 function routeOf({ route }: EndlessCase): Route {
   const kind = route === 'plain' ? routeKinds.idempotent : routeKinds.stream;
@@ -100,7 +134,8 @@
 
 cases.forEach((endlessCase) => {
   const { name, route, callerCount, isReading = false, isFaultyThroughout = false } = endlessCase;
-  test.serial(`a router bears ${callerCount} answers without an end: ${name}`, async (t) => {
+  const answers = endlessCase.isWhole ? 'long answers that are not read' : 'answers without an end';
+  test.serial(`a router bears ${callerCount} ${answers}: ${name}`, async (t) => {
     t.timeout(4 * patientMs);
     const contentType = route === 'plain' ? 'text/plain' : 'text/event-stream';
     const worker = await startFaultyWorker(t, {
