Count what is held of all responses in one account, with one limit

What callers saw: a router that keeps hundreds of answers without an end exceeds its machine's memory, and the requests of all callers end with it. Each response had its bounds, of about 450 KB, and nothing bounded all of them together; a body that is passed on also held its first 320 KB until its end, as its request waited with them.

Beyond it the response that holds the most gives way: its server's connection is closed and the request ends as with any answer that breaks off, or, if it waits for its caller, the caller's connection is closed. Short answers hold the least, so they pass. The start of a long body is written in its parts, which are free then, and the rest waits until the caller has read it.

--- a/packages/agent/src/plainProxy.ts
+++ b/packages/agent/src/plainProxy.ts
@@ -173,7 +173,7 @@
       JSON.stringify(agent.load()),
     ]);
     await Promise.all([
-      forwardBody(createResponseWriter(outgoing), Buffer.alloc(0), response.body),
+      forwardBody(createResponseWriter(outgoing), [], response.body),
       finished(outgoing),
     ]);
   }
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -5,12 +5,8 @@
   type RequestBodyLimits,
   type RequestBodyOutcome,
 } from './requestBody';
-export {
-  createMemoryAccount,
-  type ConnectionAccount,
-  type MemoryAccount,
-  type MemoryLimits,
-} from './memoryAccount';
+export { createHoldings, noHolding, type Holding, type Holdings } from './holdings';
+export { createMemoryAccount, type MemoryAccount, type MemoryLimits } from './memoryAccount';
 export {
   guardPort,
   type GuardedConnection,
--- a/packages/ports/src/memoryAccount.ts
+++ b/packages/ports/src/memoryAccount.ts
@@ -1,9 +1,10 @@
 /**
- * One account of the memory that callers make a process hold, at all of its ports: bodies of requests, and what connections
- * hold beside them (heads that are not complete, requests in progress, answers that are not sent). Each has a limit. A body
- * that finds no room is refused. If connections hold too much, the one that holds the most is closed: it is the one whose
- * caller sends ahead or does not read.
+ * One account of the memory that others make a process hold: bodies of requests, what callers' connections hold beside them
+ * (heads that are not complete, requests in progress, answers that are not sent), and what is kept of responses that servers
+ * have not ended. Each has a limit. A body that finds no room is refused. If connections hold too much, the one that holds the
+ * most is closed: it is the one whose caller sends ahead or does not read. The same holds for responses.
  */
+import { createHoldings, type Holding, type Holdings } from './holdings';
 
 export interface MemoryAccount {
   readonly limits: MemoryLimits;
@@ -12,32 +13,23 @@
   /** Memory of all bodies. */
   bodyBytes(): number;
   /** Opens the account of one connection. */
-  openConnection(close: () => void): ConnectionAccount;
+  openConnection(close: () => void): Holding;
   /** Memory of all connections. */
   connectionBytes(): number;
   /** So much is held that no connection should go on to a further request before the last one is answered. */
   isTight(): boolean;
   /** So much is held that further requests should be refused. */
   isFull(): boolean;
-}
-
-export interface ConnectionAccount {
-  heldBytes(): number;
-  /** Adds to what the connection holds; negative to take away. It may close this connection or another one. */
-  add(bytes: number): void;
-  /** The connection is closed, and holds nothing more. */
-  end(): void;
+  /** What is kept of responses until servers have ended them, or callers have read them. */
+  readonly responses: Holdings;
 }
 
 /** In bytes. */
 export interface MemoryLimits {
   bodies: number;
   connections: number;
-}
-
-interface Entry {
-  heldBytes: number;
-  close: () => void;
+  /** Default: none. */
+  responses?: number;
 }
 
 /** From this share of its limit on, what connections hold is tight. */
@@ -46,26 +38,8 @@
 const fullShare = 0.9;
 
 export function createMemoryAccount(limits: MemoryLimits): MemoryAccount {
-  const entries = new Set<Entry>();
+  const connections = createHoldings(limits.connections);
   let bodyBytes = 0;
-  let connectionBytes = 0;
-
-  function end(entry: Entry): void {
-    if (entries.delete(entry)) {
-      connectionBytes -= entry.heldBytes;
-    }
-  }
-
-  function closeLargest(): void {
-    const largest = [...entries].reduce<Entry | undefined>(
-      (found, entry) => (entry.heldBytes > (found?.heldBytes ?? 0) ? entry : found),
-      undefined,
-    );
-    if (largest !== undefined) {
-      end(largest);
-      largest.close();
-    }
-  }
 
   return {
     limits,
@@ -77,26 +51,10 @@
       return hasRoom;
     },
     bodyBytes: () => bodyBytes,
-    connectionBytes: () => connectionBytes,
-    isTight: () => connectionBytes > limits.connections * tightShare,
-    isFull: () => connectionBytes > limits.connections * fullShare,
-    openConnection(close) {
-      const entry: Entry = { heldBytes: 0, close };
-      entries.add(entry);
-      return {
-        heldBytes: () => entry.heldBytes,
-        add(bytes) {
-          if (!entries.has(entry)) {
-            return;
-          }
-          entry.heldBytes += bytes;
-          connectionBytes += bytes;
-          while (connectionBytes > limits.connections && entries.size > 0) {
-            closeLargest();
-          }
-        },
-        end: () => end(entry),
-      };
-    },
+    connectionBytes: connections.heldBytes,
+    isTight: () => connections.heldBytes() > limits.connections * tightShare,
+    isFull: () => connections.heldBytes() > limits.connections * fullShare,
+    openConnection: connections.open,
+    responses: createHoldings(limits.responses ?? Infinity),
   };
 }
--- a/packages/ports/src/portGuard.ts
+++ b/packages/ports/src/portGuard.ts
@@ -8,7 +8,7 @@
 import type { Socket } from 'node:net';
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import { guardInput, type ConnectionGate } from './connectionGate';
-import type { ConnectionAccount } from './memoryAccount';
+import { noHolding, type Holding } from './holdings';
 import type { PortResources } from './portResources';
 
 export interface PortGuardOptions {
@@ -33,6 +33,8 @@
 export interface GuardedConnection {
   /** Counts bytes that wait for the caller until the returned function is called. */
   holdAnswer(bytes: number): () => void;
+  /** Opens the account of a response that is passed on to the caller as it arrives. */
+  openResponse(): Holding;
   /** Drops all further input unread. */
   discardInput(): void;
 }
@@ -40,7 +42,7 @@
 interface Connection extends GuardedConnection {
   socket: Socket;
   gate: ConnectionGate;
-  account: ConnectionAccount;
+  account: Holding;
   requestsInProgress: number;
   lastRequest?: IncomingMessage;
   /** Bytes since the last request, the part of a head. */
@@ -57,6 +59,7 @@
 
 const unguarded: GuardedConnection = {
   holdAnswer: () => () => undefined,
+  openResponse: () => noHolding,
   discardInput: () => undefined,
 };
 
@@ -105,6 +108,7 @@
         account.add(bytes);
         return () => account.add(-bytes);
       },
+      openResponse: () => memory.responses.open(() => closeAtOnce(socket)),
       discardInput: gate.discard,
     };
     connections.set(socket, connection);
--- a/packages/routing/__tests__/compactBody.test.ts
+++ b/packages/routing/__tests__/compactBody.test.ts
@@ -1,5 +1,6 @@
 /** Small chunks of a response's body are passed on together, and none is lost or reordered. */
 import test from 'ava';
+import { createHoldings, type Holdings } from '@bluebellhitch/ports';
 import type { BodyReader, ResponseBody } from '@bluebellhitch/routing';
 import { createChunkTurns } from '../src/servers/chunkTurns';
 import { createCompactBody } from '../src/servers/compactBody';
@@ -15,7 +16,7 @@
     resume: () => flow.push('resume'),
     abandon: () => undefined,
   };
-  const body = createCompactBody(source, turns, signal);
+  const body = createCompactBody(source, { turns, signal });
   const seen: string[] = [];
   body.read({
     onData: (chunk) => seen.push(chunk.toString()),
@@ -177,3 +178,58 @@
     t.is(seen.length, 2);
   });
 });
+
+function startKeptBody(holdings: Holdings, receivedBytes = 0) {
+  let server: BodyReader | undefined;
+  const seen: string[] = [];
+  const source: ResponseBody = {
+    read(reader) {
+      server = reader;
+    },
+    pause: () => undefined,
+    resume: () => undefined,
+    abandon: (reason) => server?.onLost(reason),
+    receivedBytes: () => receivedBytes,
+  };
+  const body = createCompactBody(source, { turns: createChunkTurns(), holdings });
+  const readerFor = (name: string): BodyReader => ({
+    onData: () => undefined,
+    onEnd: () => seen.push(`${name} end`),
+    onLost: () => seen.push(`${name} lost`),
+  });
+  body.read(readerFor('first'));
+  return { body, seen, readerFor, server: server as unknown as BodyReader };
+}
+
+test('the response of which most is kept is lost once all keep too much together', (t) => {
+  // Nothing bounded what was kept of all responses: each had its own limit, and several hundreds exceeded the memory.
+  const holdings = createHoldings(1_000);
+  const short = startKeptBody(holdings);
+  const long = startKeptBody(holdings);
+  short.body.noteKept?.(100);
+  long.body.noteKept?.(900);
+  t.deepEqual([short.seen, long.seen], [[], []]);
+  short.body.noteKept?.(101);
+  t.deepEqual([short.seen, long.seen], [[], ['first lost']]);
+  short.server.onEnd();
+  t.deepEqual([short.seen, holdings.heldBytes()], [['first end'], 0]);
+});
+
+test('a response counts with the read that its connection holds while something is kept of it', (t) => {
+  // A few bytes in tiny chunks were counted, and 64 KB of input beside them were not.
+  const holdings = createHoldings(1_000_000);
+  const { body } = startKeptBody(holdings, 1_000_000);
+  body.noteKept?.(10);
+  t.is(holdings.heldBytes(), 65_546);
+  body.noteKept?.(0);
+  body.noteKept?.(10);
+  t.is(holdings.heldBytes(), 10);
+});
+
+test('a reader that comes after a body was lost is told so', (t) => {
+  // The request would wait for good.
+  const { body, seen, readerFor } = startKeptBody(createHoldings(1_000));
+  body.noteKept?.(1_001);
+  body.read(readerFor('second'));
+  t.deepEqual(seen, ['first lost', 'second lost']);
+});
--- a/packages/routing/src/backendApi.ts
+++ b/packages/routing/src/backendApi.ts
@@ -82,6 +82,10 @@
   resume(): void;
   /** Closes the connection; the body ends as lost. */
   abandon(reason: string): void;
+  /** Tells how many bytes of the body its reader keeps. Too many of all responses together: the longest is abandoned. */
+  noteKept?(bytes: number): void;
+  /** Bytes that its connection has received since the call began. */
+  receivedBytes?(): number;
   /** The body has neither a length nor chunks, and ends with its connection. */
   isUnframed?: boolean;
 }
--- a/packages/routing/src/callers/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -167,6 +167,7 @@
       isDraining: () => isDraining,
       announceClose: taken.announceClose,
       holdAnswer: guarded.holdAnswer,
+      openResponse: guarded.openResponse,
     });
     if (request.deadlineAtMs > endsAtMs) {
       const reason = notRunReasons.stopping;
--- a/packages/routing/src/callers/httpExchange.ts
+++ b/packages/routing/src/callers/httpExchange.ts
@@ -1,5 +1,6 @@
 /** One caller's request over HTTP: writes complete responses, streamed responses, and refusals with their status. */
 import type { ServerResponse } from 'node:http';
+import { noHolding, type Holding } from '@bluebellhitch/ports';
 import { assertNever } from '@bluebellhitch/shared';
 import type { ResponseWriter, CallerExchange } from '../callerApi';
 import { notRunReasons, type CallerRequest, type Refusal } from '../model';
@@ -27,12 +28,17 @@
   announceClose: () => void;
   /** Counts bytes that wait for the caller until the returned function is called. */
   holdAnswer: (bytes: number) => () => void;
+  /** Opens the account of a response that is passed on as it arrives. */
+  openResponse: () => Holding;
 }
 
+/** What a connection to a server holds of a flow that is paused, beside what waits for the caller. */
+const pausedFlowBytes = 65_536;
+
 export function createHttpExchange(
   request: CallerRequest,
   outgoing: ServerResponse,
-  { connection, isDraining, announceClose, holdAnswer }: HttpExchangeOptions,
+  { connection, isDraining, announceClose, holdAnswer, openResponse }: HttpExchangeOptions,
 ): CallerExchange {
   function writeHead(status: number, headers: readonly string[]): void {
     if (isDraining()) {
@@ -62,17 +68,34 @@
     },
     startResponse(status, headers) {
       writeHead(status, withoutFraming(headers));
-      return createResponseWriter(outgoing);
+      const holding = openResponse();
+      onceResponseOver(outgoing, connection, holding.end);
+      return createResponseWriter(outgoing, holding);
     },
   };
 }
 
-/** Writes the body of a response whose head is written. */
-export function createResponseWriter(outgoing: ServerResponse): ResponseWriter {
+/** Writes the body of a response whose head is written. `holding` is the account of what waits for the caller. */
+export function createResponseWriter(
+  outgoing: ServerResponse,
+  holding: Holding = noHolding,
+): ResponseWriter {
   return {
-    write: (chunk) => outgoing.write(chunk),
-    onDrained: (listener) => outgoing.once('drain', listener),
-    end: () => outgoing.end(),
+    write(chunk) {
+      const isTaken = outgoing.write(chunk);
+      holding.set(isTaken ? 0 : outgoing.writableLength + pausedFlowBytes);
+      return isTaken;
+    },
+    onDrained(listener) {
+      outgoing.once('drain', () => {
+        holding.set(0);
+        listener();
+      });
+    },
+    end() {
+      outgoing.end();
+      holding.set(outgoing.writableLength);
+    },
     abort() {
       // A response without chunks ends with its connection: only a reset tells that it is not complete.
       if (!outgoing.chunkedEncoding) {
--- a/packages/routing/src/request/forwardBody.ts
+++ b/packages/routing/src/request/forwardBody.ts
@@ -4,14 +4,24 @@
 
 export type ForwardOutcome = { kind: 'whole' } | { kind: 'lost'; detail: string };
 
-/** Writes `start` and then `rest`. Ends the caller's response if the body is complete, and aborts it otherwise. */
+/**
+ * Takes and writes the parts of `start`, and then `rest`. Ends the caller's response if the body is complete, and aborts it
+ * otherwise.
+ */
 export function forwardBody(
   writer: ResponseWriter,
-  start: Buffer,
+  start: Buffer[],
   rest: ResponseBody,
 ): Promise<ForwardOutcome> {
   return new Promise((resolve) => {
-    writer.write(start);
+    // What was kept waits for the caller now.
+    rest.noteKept?.(0);
+    // Callers wait with the array for the end of the body, which would hold its parts until then.
+    const isTaken =
+      start
+        .splice(0)
+        .map((part) => writer.write(part))
+        .at(-1) ?? true;
     rest.read({
       onData: (chunk) => writeOrPause(writer, chunk, rest),
       onEnd() {
@@ -23,6 +33,9 @@
         resolve({ kind: 'lost', detail });
       },
     });
+    if (!isTaken) {
+      waitForCaller(writer, rest);
+    }
   });
 }
 
@@ -33,7 +46,14 @@
   source: Pick<ResponseBody, 'pause' | 'resume'>,
 ): void {
   if (!writer.write(chunk)) {
-    source.pause();
-    writer.onDrained(source.resume);
+    waitForCaller(writer, source);
   }
 }
+
+function waitForCaller(
+  writer: ResponseWriter,
+  source: Pick<ResponseBody, 'pause' | 'resume'>,
+): void {
+  source.pause();
+  writer.onDrained(source.resume);
+}
--- a/packages/routing/src/request/streamRelay.ts
+++ b/packages/routing/src/request/streamRelay.ts
@@ -127,6 +127,8 @@
           }
           if (splitter.pendingBytes() > maxEventBytes) {
             body.abandon('event too long');
+          } else {
+            body.noteKept?.(splitter.pendingBytes());
           }
         },
         onEnd() {
--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -5,12 +5,13 @@
  */
 import type { Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
+import type { Holdings } from '@bluebellhitch/ports';
 import { noReadBarrier, type ReadBarrier } from '../readBarrier';
 import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
 import { expectedIdOf } from './callIdentity';
 import { createCarriedIds } from './carriedIds';
-import { createChunkTurns, type ChunkTurns } from './chunkTurns';
-import { createCompactBody } from './compactBody';
+import { createChunkTurns } from './chunkTurns';
+import { createCompactBody, type CompactBodyOptions } from './compactBody';
 import {
   isOnOwnConnection,
   type ForeignResponseEvidence,
@@ -34,6 +35,8 @@
    * their server may have said that it leaves. Default: at once.
    */
   readBarrier?: ReadBarrier;
+  /** What is kept of all responses. Default: not counted. */
+  holdings?: Holdings;
   /** Called each time a connection is opened. */
   onOpened?: () => void;
   /** Called for each response that is not read to its end. */
@@ -81,6 +84,7 @@
     onOpened,
     onAbandoned,
     onForeign,
+    holdings,
   } = options;
   const pools = new Map<string, AddressPool>();
   const turns = createChunkTurns();
@@ -213,7 +217,7 @@
   ): Promise<HttpOutcome> {
     return new Promise((resolve) => {
       const resolveCompact = (outcome: HttpOutcome) =>
-        resolve(withCompactBody(outcome, turns, request.signal));
+        resolve(withCompactBody(outcome, { turns, holdings, signal: request.signal }));
       const exchange = createExchange(connection, request, resolveCompact, {
         onReusable: () => {
           if (connection.isSpent) {
@@ -249,18 +253,14 @@
   };
 }
 
-function withCompactBody(
-  outcome: HttpOutcome,
-  turns: ChunkTurns,
-  signal?: AbortSignal,
-): HttpOutcome {
+function withCompactBody(outcome: HttpOutcome, options: CompactBodyOptions): HttpOutcome {
   if (outcome.kind !== 'answered') {
     return outcome;
   }
   const { response } = outcome;
   return {
     ...outcome,
-    response: { ...response, body: createCompactBody(response.body, turns, signal) },
+    response: { ...response, body: createCompactBody(response.body, options) },
   };
 }
 
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -75,6 +75,7 @@
 ) {
   let wasSent = false;
   let sentAtMs = 0;
+  let receivedAtStart = 0;
   let isOurs = false;
   let reader: BodyReader | undefined;
   let bodyEnd: BodyEnd | undefined;
@@ -190,6 +191,7 @@
     pause: () => controller?.pause(),
     resume: () => controller?.resume(),
     abandon,
+    receivedBytes: () => connection.receivedBytes() - receivedAtStart,
   };
 
   const handler: Dispatcher.DispatchHandler = {
@@ -268,6 +270,7 @@
     }
     call.signal?.addEventListener('abort', onAbort);
     noteProgress();
+    receivedAtStart = connection.receivedBytes();
     connection.onFlooded = () => abandon('answer without an end');
     connection.client.dispatch(
       {
--- a/packages/routing/src/servers/compactBody.ts
+++ b/packages/routing/src/servers/compactBody.ts
@@ -4,16 +4,30 @@
  * together, and passed on once the parser has gone through all of it. A flow that is paused in the middle of a read would
  * hold the rest and one further read each time, and hold more with each pause.
  */
-import { createBodyBuffer } from '@bluebellhitch/ports';
+import { createBodyBuffer, type Holding, type Holdings } from '@bluebellhitch/ports';
 import type { BodyReader, ResponseBody } from '../backendApi';
 import type { ChunkTurns } from './chunkTurns';
 
-/** `signal` ends the call. A reader that is behind by then is notified here, as the body itself may be over. */
+/** One read: a connection holds one of a flow that goes on, beside what is kept of it. */
+const maxInputBytes = 65_536;
+
+export interface CompactBodyOptions {
+  turns: ChunkTurns;
+  /** Ends the call. A reader that is behind by then is notified here, as the body itself may be over. */
+  signal?: AbortSignal;
+  /** What is kept of all responses. Default: not counted. */
+  holdings?: Holdings;
+}
+
 export function createCompactBody(
   body: ResponseBody,
-  turns: ChunkTurns,
-  signal?: AbortSignal,
+  { turns, signal, holdings }: CompactBodyOptions,
 ): ResponseBody {
+  let holding: Holding | undefined;
+  let keptBytes = 0;
+  /** Bytes received when nothing was held last. */
+  let receivedBefore = 0;
+  let lostDetail: string | undefined;
   let reader: BodyReader | undefined;
   let batch = createBodyBuffer();
   /** Parts that the reader has not taken yet; they stand before the batch. */
@@ -44,10 +58,12 @@
       endOver();
       reader?.onEnd();
     }
+    countHeld();
   }
 
   function endOver(): void {
     isOver = true;
+    holding?.end();
     batch.clear();
     parts = [];
     signal?.removeEventListener('abort', onAbort);
@@ -56,21 +72,49 @@
   /** Loses what the reader has not taken of a body that has ended. */
   function giveUpRest(detail: string): void {
     if (!isOver) {
+      lostDetail = detail;
       endOver();
       reader?.onLost(detail);
     }
   }
 
+  function abandon(reason: string): void {
+    if (hasEnded) {
+      giveUpRest(reason);
+    } else {
+      body.abandon(reason);
+    }
+  }
+
   function onAbort(): void {
     if (hasEnded) {
       giveUpRest('given up');
     }
   }
 
+  function noteKept(bytes: number): void {
+    keptBytes = bytes;
+    countHeld();
+  }
+
+  function countHeld(): void {
+    if (holdings === undefined || isOver) {
+      return;
+    }
+    const receivedBytes = body.receivedBytes?.() ?? 0;
+    if (keptBytes === 0 && stopWaiting === undefined) {
+      receivedBefore = receivedBytes;
+    }
+    const inputBytes = Math.min(maxInputBytes, receivedBytes - receivedBefore);
+    holding ??= holdings.open(() => abandon('no memory to keep it'));
+    holding.set(keptBytes + inputBytes);
+  }
+
   function waitForTurn(): void {
     body.pause();
     stopWaiting ??= turns.wait(() => {
       stopWaiting = undefined;
+      countHeld();
       resumeFlow();
     });
   }
@@ -114,11 +158,15 @@
   signal?.addEventListener('abort', onAbort);
   return {
     ...body,
-    abandon: (reason) => (hasEnded ? giveUpRest(reason) : body.abandon(reason)),
+    abandon,
+    noteKept,
     read(nextReader) {
       const isFirst = reader === undefined;
       reader = nextReader;
-      if (isFirst) {
+      if (lostDetail !== undefined) {
+        // It was lost between two readers.
+        reader.onLost(lostDetail);
+      } else if (isFirst) {
         body.read(source);
       } else {
         resume();
--- a/packages/routing/src/servers/responseBody.ts
+++ b/packages/routing/src/servers/responseBody.ts
@@ -9,7 +9,7 @@
 export type ResponseBodyOutcome =
   | { kind: 'whole'; body: Buffer }
   /** The body exceeds the size limit: the flow is paused, and `start` has been received so far. */
-  | { kind: 'long'; start: Buffer; rest: ResponseBody }
+  | { kind: 'long'; start: Buffer[]; rest: ResponseBody }
   | { kind: 'lost'; detail: string };
 
 export interface BodyLimits {
@@ -37,7 +37,9 @@
         buffer.append(chunk);
         if (buffer.length() > maxBytes) {
           body.pause();
-          resolve({ kind: 'long', start: buffer.take(), rest: body });
+          resolve({ kind: 'long', start: buffer.takeParts(), rest: body });
+        } else {
+          body.noteKept?.(buffer.length());
         }
       },
       onEnd: () => resolve({ kind: 'whole', body: buffer.take() }),
@@ -54,7 +56,10 @@
   return new Promise((resolve) => {
     const buffer = createBodyBuffer();
     readWithin(body, limits, {
-      onData: buffer.append,
+      onData(chunk) {
+        buffer.append(chunk);
+        body.noteKept?.(buffer.length());
+      },
       onEnd: () => resolve({ kind: 'whole', body: buffer.take() }),
       onLost: (detail) => resolve({ kind: 'lost', detail }),
     });
