Show that completions ahead, their answers unread, leave an entry without answers

50 clients send 300 chat completions ahead on each connection and read no answers, as plain and as streamed completions. The cause is not mended here. What a request in progress costs an entry (attempts, streams from agents) is in no account, and the guard lets 32 requests of each connection be in progress.

--- a/packages/bench/__tests__/misbehavingClients.alone.test.ts
+++ b/packages/bench/__tests__/misbehavingClients.alone.test.ts
@@ -50,6 +50,15 @@
 
 const completion = head('POST', '/v1/chat/completions', chunked);
 
+function wholeCompletion({ stream }: { stream: boolean }): string {
+  const body = JSON.stringify({
+    ...{ model: 'draft-models', stream, max_tokens: 10 },
+    messages: [{ role: 'user', content: 'Draft a maturity notice.' }],
+  });
+  const headers = ['Content-Type: application/json', 'X-Institution: halloran-voss'];
+  return `${head('POST', '/v1/chat/completions', ...headers, `Content-Length: ${body.length}`)}${body}`;
+}
+
 const cases: readonly CrowdCase[] = [
   {
     ...callers,
@@ -97,6 +106,18 @@
     clientCount: 20,
     partsOf: () => endless(head('GET', '/balance/1')),
   },
+  {
+    ...callers,
+    name: 'completions ahead that are answered, their answers unread',
+    clientCount: 50,
+    partsOf: () => once(wholeCompletion({ stream: false }).repeat(300)),
+  },
+  {
+    ...callers,
+    name: 'completions ahead that are streamed, their answers unread',
+    clientCount: 50,
+    partsOf: () => once(wholeCompletion({ stream: true }).repeat(300)),
+  },
   {
     ...callers,
     name: 'requests ahead without a host, their answers unread',
