Make room for a connection also if the process is paused meanwhile

What callers saw: 502 for a request that came back with the id of a rejection, at a server that takes no further connection, when the router was held up for a tenth of a second at that moment.

Cause: an idle connection is closed first, and the call waits until the server has closed its side, 100 ms at most. The timer for that ran by the clock alone. After a pause it ends before what has arrived is read, so the new connection was opened while the server still counted the old one, and was reset with the request on it.

The timer now counts only time in which the process runs, as the others of this layer do.

--- a/packages/routing/__tests__/connectionReuse.test.ts
+++ b/packages/routing/__tests__/connectionReuse.test.ts
@@ -148,6 +148,23 @@
   );
 });
 
+test.serial('room for a connection is made also if the process is paused meanwhile', async (t) => {
+  // The time for it was over when the process went on, before the end of the other connection was read.
+  const address = await startLimitedServer(t);
+  const connections = createConnections(t);
+  const call = createCall(address, 'q1', { maxConnections: 1 });
+  await bodyOf(await connections.call(call));
+  const again = connections.call(call);
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  const endsAtMs = performance.now() + 300;
+  while (performance.now() < endsAtMs) {
+    // Nothing is read.
+  }
+  t.is((await again).kind, 'answered');
+});
+
 [
   ['spaces around', ' q1 ', 'q1'],
   ['a tab inside', 'q\t1', 'q\t1'],
--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
 import type { Holdings } from '@bluebellhitch/ports';
+import { startPauseTolerantTimer } from '@bluebellhitch/shared';
 import { noReadBarrier, type ReadBarrier } from '../readBarrier';
 import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
 import { expectedIdOf } from './callIdentity';
@@ -309,9 +310,9 @@
 /** Resolves once the server has closed its side too, so that it does not count the connection any more. */
 function endSocket(socket: Socket): Promise<void> {
   return new Promise((resolve) => {
-    const timer = setTimeout(resolve, maxEndMs);
+    const timer = startPauseTolerantTimer(maxEndMs, resolve);
     socket.once('close', () => {
-      clearTimeout(timer);
+      timer.stop();
       resolve();
     });
     socket.end();
