Show that short lines of heads and trailers without an end end a router

A router that calls a faulty server ends by itself (heap, SIGABRT), and the requests of its other callers with it, when the server sends lines of a head without an end (112 of 400 calls with 'A: b', 34 with 'A:'), or lines of a trailer, which stands in a body (71 calls; 38 of events). A trailer of 15,000 lines of three bytes that simply stops does it with 32 calls: what was kept stays until the request's time is over. The same requests at a reason phrase and at interim responses without an end leave it living, at 106 MB.

--- a/packages/soak/__tests__/endlessAnswers.alone.test.ts
+++ b/packages/soak/__tests__/endlessAnswers.alone.test.ts
@@ -50,6 +50,12 @@
 /** The shortest event, in chunks of one byte. */
 const tinyEvents = endless('1\r\n\n\r\n1\r\n\n\r\n');
 
+const statusLine = 'HTTP/1.1 200 OK\r\n';
+const shortestLines = endless('A:\r\n');
+/** Under the limits of bytes of a head. */
+const stoppedLines = 'A:\r\n'.repeat(15_000);
+const bodyBeforeTrailer = '1\r\nx\r\n0\r\n';
+
 const cases: readonly EndlessCase[] = [
   { name: 'a body in chunks of one byte', route: 'plain', callerCount: 20, body: oneByteChunks },
   { name: 'a body in chunks of one byte', route: 'plain', callerCount: 100, body: oneByteChunks },
@@ -95,9 +101,37 @@
     ...{ callerCount: largestCrowd, body: largeChunks },
   },
   {
-    ...{ name: 'short lines of a head', route: 'plain', head: 'HTTP/1.1 200 OK\r\n' },
+    ...{ name: 'short lines of a head', route: 'plain', head: statusLine },
     ...{ callerCount: 400, body: endless('A: b\r\n') },
   },
+  {
+    ...{ name: 'lines of a head without values', route: 'plain', head: statusLine },
+    ...{ callerCount: 400, body: shortestLines },
+  },
+  {
+    ...{ name: 'lines of a head, also of answers to its own calls', route: 'engine' },
+    ...{ callerCount: 400, head: statusLine, body: shortestLines, isFaultyThroughout: true },
+  },
+  {
+    ...{ name: 'short lines of a trailer', route: 'plain' },
+    ...{ callerCount: 400, body: inOrder(once(bodyBeforeTrailer), shortestLines) },
+  },
+  {
+    ...{ name: 'short lines of a trailer of events', route: 'engine' },
+    ...{ callerCount: 400, body: inOrder(once(bodyBeforeTrailer), shortestLines) },
+  },
+  {
+    ...{ name: 'a trailer of short lines that stops', route: 'plain' },
+    ...{ callerCount: 400, body: inOrder(once(bodyBeforeTrailer), once(stoppedLines)) },
+  },
+  {
+    ...{ name: 'a reason phrase', route: 'plain', head: 'HTTP/1.1 200 ' },
+    ...{ callerCount: 400, body: endless('x') },
+  },
+  {
+    ...{ name: 'interim responses', route: 'plain', head: 'HTTP/1.1 102 Processing\r\n\r\n' },
+    ...{ callerCount: 400, body: endless('HTTP/1.1 102 P\r\n\r\n') },
+  },
   {
     ...{ name: 'bodies of 8 MB', route: 'plain', isWhole: true },
     ...{ callerCount: largestCrowd, body: longBody },
--- a/packages/standins/src/crowd/crowdInput.ts
+++ b/packages/standins/src/crowd/crowdInput.ts
@@ -58,7 +58,7 @@
   let firstCount: number | undefined;
   const next = inOrder(second, ...others);
   return (index) => {
-    if (firstCount === undefined) {
+    if (firstCount === undefined || index < firstCount) {
       const part = first(index);
       if (part !== undefined) {
         return part;
