Hand short lines of heads and trailers to the parser a few at a time, and bound them

Cause: the HTTP client keeps two objects for each line, and its limit of 16 KB counts only the bytes of names and values. No other hypothesis fits: a reason phrase and interim responses without an end, which hold as many bytes, leave the router at 106 MB.

Lines are counted now where input is handed to the parser, 128 at a time; a complete head, a part of the body and the end of a response begin the count anew. Beyond 128 the call is lost at once, with a reason of its own in its log line. It works as the count comes before the parser: a read of 64 KB cannot become 16,000 objects first.

Bodies of 30,000 lines arrive whole and in order in four framings, to a reader that pauses at each part.

--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -12,6 +12,7 @@
 import { expectedIdOf } from './callIdentity';
 import { createCarriedIds } from './carriedIds';
 import { createChunkTurns } from './chunkTurns';
+import { createConnectionInput } from './connectionInput';
 import { createCompactBody, type CompactBodyOptions } from './compactBody';
 import {
   isOnOwnConnection,
@@ -69,8 +70,6 @@
 const defaultKeepAliveTimeoutMs = 600;
 /** The router closes idle connections this much earlier than the server, so that no request races with the close. */
 const keepAliveMarginMs = 400;
-/** Heads, and what stands between the chunks of a body, are much shorter. */
-const maxBytesWithoutProgress = 262_144;
 /** A few round trips; a server that does not close its side may not delay the call that needs the room. */
 const maxEndMs = 100;
 const resetErrorCodes: readonly string[] = ['EPIPE', 'ECONNRESET', 'ENOTCONN'];
@@ -135,7 +134,7 @@
         isSpent: false,
       },
       carriedIds: createCarriedIds(),
-      ...{ receivedBytes: () => 0, progressAtBytes: 0 },
+      input: createConnectionInput(),
     };
     const onDisconnected = () => close(connection, pool);
     client.on('disconnect', onDisconnected);
@@ -291,12 +290,7 @@
 function watchSocket(connection: Connection, socket: Socket): void {
   connection.socket = socket;
   socket.setNoDelay(true);
-  connection.receivedBytes = () => socket.bytesRead;
-  socket.on('readable', () => {
-    if (socket.bytesRead - connection.progressAtBytes > maxBytesWithoutProgress) {
-      connection.onFlooded?.();
-    }
-  });
+  connection.input.watch(socket);
   socket.on('error', () => {
     connection.end ??= Promise.resolve('reset');
   });
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -4,6 +4,7 @@
 import type { ResponseBody, BodyReader } from '../backendApi';
 import { expectedIdOf, findForeignResponse, type ForeignResponse } from './callIdentity';
 import type { CarriedIds } from './carriedIds';
+import type { ConnectionInput } from './connectionInput';
 import {
   isOnOwnConnection,
   type ForeignResponseEvidence,
@@ -31,12 +32,7 @@
   carriedIds: CarriedIds;
   /** It is closed after the response in progress: what follows on it may belong to an earlier call. */
   isSpent: boolean;
-  /** Bytes received on the connection so far. */
-  receivedBytes(): number;
-  /** Bytes received when the response in progress last came nearer to its end. */
-  progressAtBytes: number;
-  /** Called when many bytes have been received since then, as in a head or between chunks without an end. */
-  onFlooded?: () => void;
+  input: ConnectionInput;
   /** How the connection ended; only set if it was reset or the response is close-delimited. */
   end?: Promise<ConnectionEnd>;
 }
@@ -81,7 +77,7 @@
   let bodyEnd: BodyEnd | undefined;
   let controller: Dispatcher.DispatchController | undefined;
   let isFramed = true;
-  const { callCount: earlierCalls, latestCalls } = connection;
+  const { callCount: earlierCalls, latestCalls, input } = connection;
   const expectedId = expectedIdOf(call.identity);
   const headTimer = startPauseTolerantTimer(call.headTimeoutMs, () => cancel('no answer in time'));
   const onAbort = () => cancel('given up');
@@ -119,10 +115,6 @@
     connection.isSpent ||= status === misdirectedStatus;
   }
 
-  function noteProgress(): void {
-    connection.progressAtBytes = connection.receivedBytes();
-  }
-
   function abandon(reason: string): void {
     if (bodyEnd === undefined) {
       events.onAbandoned();
@@ -157,7 +149,7 @@
       return;
     }
     bodyEnd = end;
-    connection.onFlooded = undefined;
+    input.onFlooded(undefined);
     call.signal?.removeEventListener('abort', onAbort);
     deliverEnd();
   }
@@ -191,7 +183,7 @@
     pause: () => controller?.pause(),
     resume: () => controller?.resume(),
     abandon,
-    receivedBytes: () => connection.receivedBytes() - receivedAtStart,
+    receivedBytes: () => input.receivedBytes() - receivedAtStart,
   };
 
   const handler: Dispatcher.DispatchHandler = {
@@ -210,7 +202,7 @@
         return;
       }
       stopHeadTimer();
-      noteProgress();
+      input.noteProgress();
       startedController.pause();
       const headers = readHeaders(startedController.rawHeaders);
       const foreign = findForeignResponse(call.identity, headers);
@@ -242,10 +234,11 @@
       });
     },
     onResponseData(_controller, chunk) {
-      noteProgress();
+      input.noteProgress();
       reader?.onData(chunk);
     },
     onResponseEnd() {
+      input.noteProgress();
       if (isFramed) {
         events.onReusable();
         endBody({ kind: 'whole' });
@@ -269,9 +262,9 @@
       return;
     }
     call.signal?.addEventListener('abort', onAbort);
-    noteProgress();
-    receivedAtStart = connection.receivedBytes();
-    connection.onFlooded = () => abandon('answer without an end');
+    input.noteProgress();
+    receivedAtStart = input.receivedBytes();
+    input.onFlooded(abandon);
     connection.client.dispatch(
       {
         method: call.method,
--- /dev/null
+++ b/packages/routing/src/servers/connectionInput.ts
@@ -0,0 +1,92 @@
+/**
+ * What a backend server sends on a connection, before the HTTP parser gets it. The parser's limits count the bytes of names and
+ * values, although it keeps two objects for each line of a head or a trailer: a faulty server that sends short lines without
+ * an end would make a few bytes cost hundreds. Here input is handed to the parser a few lines at a time, and the
+ * call is ended when many lines or bytes have brought its response no nearer to its end.
+ */
+import type { Socket } from 'node:net';
+
+export interface ConnectionInput {
+  /** To be called once, when the connection is open and before anything is read. */
+  watch(socket: Socket): void;
+  /** Bytes received on the connection so far. */
+  receivedBytes(): number;
+  /** A response has come nearer to its end: its head is complete, a part of its body has arrived, or it has ended. */
+  noteProgress(): void;
+  /** Replaces what is called, with the reason, when too much is received without progress. Default: nothing. */
+  onFlooded(listener: FloodListener | undefined): void;
+}
+
+type FloodListener = (reason: string) => void;
+
+/** Heads, and what stands between the chunks of a body, are much shorter. */
+const maxBytesWithoutProgress = 262_144;
+/** HTTP servers commonly accept a hundred lines of a head. */
+const maxLinesWithoutProgress = 128;
+const lineFeed = 0x0a;
+
+export function createConnectionInput(): ConnectionInput {
+  let socket: Socket | undefined;
+  let progressAtBytes = 0;
+  let linesSinceProgress = 0;
+  let listener: FloodListener | undefined;
+
+  const receivedBytes = () => socket?.bytesRead ?? 0;
+
+  function checkBytes(): void {
+    if (receivedBytes() - progressAtBytes > maxBytesWithoutProgress) {
+      listener?.('answer without an end');
+    }
+  }
+
+  /** The next lines of the input, of which the rest is put back; null if there are too many. */
+  function takeLines(watched: Socket, input: Buffer): Buffer | null {
+    if (linesSinceProgress >= maxLinesWithoutProgress) {
+      listener?.('too many lines of a head or a trailer');
+      return null;
+    }
+    const { length, lineCount } = measureLines(input, maxLinesWithoutProgress - linesSinceProgress);
+    linesSinceProgress += lineCount;
+    if (length === input.length) {
+      return input;
+    }
+    watched.unshift(input.subarray(length));
+    return input.subarray(0, length);
+  }
+
+  return {
+    watch(watched) {
+      socket = watched;
+      const readAll = watched.read.bind(watched) as (size?: number) => Buffer | null;
+      // The parser reads until there is nothing left, and reports progress in between.
+      watched.read = (size?: number) => {
+        const input = readAll(size);
+        return input === null ? null : takeLines(watched, input);
+      };
+      watched.on('readable', checkBytes);
+    },
+    receivedBytes,
+    noteProgress() {
+      progressAtBytes = receivedBytes();
+      linesSinceProgress = 0;
+    },
+    onFlooded(nextListener) {
+      listener = nextListener;
+    },
+  };
+}
+
+/** Length and number of the first lines, `maxLines` at most; of the whole input if it has fewer. */
+function measureLines(input: Buffer, maxLines: number): { length: number; lineCount: number } {
+  let length = 0;
+  let lineCount = 0;
+  while (lineCount < maxLines) {
+    const lineEnd = input.indexOf(lineFeed, length);
+    if (lineEnd < 0) {
+      return { length: input.length, lineCount };
+    }
+    length = lineEnd + 1;
+    lineCount += 1;
+  }
+  return { length, lineCount };
+}
