Lose an answer whose status is under 100 or over 599

No response may have such a status, and no caller can tell what it means. The check stands at the connection, before the head is read, so it holds for requests and the router's own calls, and for an agent's plain calls.

--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -49,7 +49,10 @@
   onDistrusted(): void;
 }
 
+const minInterimStatus = 100;
+const minFinalStatus = 200;
 const minErrorStatus = 400;
+const maxFinalStatus = 599;
 /** The address is used by another server now (RFC 9110, 15.5.20). */
 const misdirectedStatus = 421;
 const maxLatestCalls = 4;
@@ -198,12 +201,16 @@
       controller = startedController;
     },
     onResponseStart(startedController, status, _headers, reason = '') {
-      if (status < 200) {
+      if (isInterim(status)) {
         return;
       }
       stopHeadTimer();
       input.noteProgress();
       startedController.pause();
+      if (!isFinal(status)) {
+        discard(`invalid status ${status}`);
+        return;
+      }
       const headers = readHeaders(startedController.rawHeaders);
       const foreign = findForeignResponse(call.identity, headers);
       if (foreign !== undefined) {
@@ -285,6 +292,15 @@
   return Array.isArray(raw) ? raw.map((part) => part.toString('latin1')) : [];
 }
 
+function isInterim(status: number): boolean {
+  return status >= minInterimStatus && status < minFinalStatus;
+}
+
+/** Others are no responses (RFC 9110, 15); no caller could tell what they mean. */
+function isFinal(status: number): boolean {
+  return status >= minFinalStatus && status <= maxFinalStatus;
+}
+
 /** Whether a response has no body, although its headers may describe one. */
 function hasNoBody(method: string, status: number): boolean {
   return method === 'HEAD' || bodylessStatuses.includes(status);
