Bound the lines of heads and trailers that an engine sends to its agent

Callers of that agent's server would lose their requests.

The input of a connection is counted in one place now, in ports, for backend servers' connections and for clients of a pool, which learn of progress from the handlers of their calls.

--- a/packages/engine/__tests__/endlessResponses.test.ts
+++ b/packages/engine/__tests__/endlessResponses.test.ts
@@ -1,8 +1,18 @@
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
 import test, { type ExecutionContext } from 'ava';
 import type { ResultAsync } from 'neverthrow';
 import { createHttpEngineClient, type HttpEngineClientOptions } from '@bluebellhitch/engine';
+import { delay } from '@bluebellhitch/shared';
 import { startEndlessServer, type EndlessServerOptions } from '@bluebellhitch/standins';
 
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
+const crowdCount = 20;
+const crowdSettleMs = 2_000;
+/** A read of 64 KB, and as much again. */
+const maxHeapBytesPerCall = 131_072;
 const chunkedHead = 'HTTP/1.1 200 x\r\ntransfer-encoding: chunked\r\n\r\n';
 const rejectionHead = chunkedHead.replace('200', '500');
 const largeChunk = `1000\r\n${'x'.repeat(4096)}\r\n`;
@@ -15,6 +25,12 @@
   ...{ attemptId: 'a', kvAddress: 'http://127.0.0.1:1', exportId: 'e', rateBytesPerSecond: 1 },
 };
 
+/** Bytes of objects that are still in use. */
+function usedHeapBytes(): number {
+  collectGarbage();
+  return process.memoryUsage().heapUsed;
+}
+
 async function start(
   t: ExecutionContext,
   serverOptions: EndlessServerOptions,
@@ -114,6 +130,26 @@
   }),
 );
 
+/** A piece of them is under the parser's limit of bytes. */
+const shortLines = 'a: \r\n';
+const stopped = {
+  'lines of a head': { head: 'HTTP/1.1 200 x\r\n', piece: shortLines },
+  'lines of a trailer': { head: `${chunkedHead}0\r\n`, piece: shortLines },
+};
+
+Object.entries(stopped).forEach(([name, { head, piece }]) =>
+  test.serial(`${name} that are short take little memory: they stop`, async (t) => {
+    // Each line was held as two objects until the call's time-out: the agent ran out of memory with all that it served.
+    const { client } = await start(t, { head, piece, maxSentBytes: 60_000 });
+    const before = usedHeapBytes();
+    const crowd = Array.from({ length: crowdCount }, (_none, index) => client.cancel(`a${index}`));
+    const settled = await Promise.race([Promise.all(crowd), delay(crowdSettleMs)]);
+    const grownBytes = usedHeapBytes() - before;
+    t.true(grownBytes < crowdCount * maxHeapBytesPerCall, `${grownBytes} bytes`);
+    t.true(settled?.every((result) => result.isErr()));
+  }),
+);
+
 const endlessEvents = {
   'a line': { head: `${chunkedHead}6\r\ndata: \r\n`, piece: largeChunk },
   'a line in chunks of one byte': { head: `${chunkedHead}6\r\ndata: \r\n`, piece: byteChunk },
--- a/packages/engine/src/httpEngineClient.ts
+++ b/packages/engine/src/httpEngineClient.ts
@@ -6,7 +6,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import { Pool } from 'undici';
 import type { z } from 'zod';
-import { createResponseReader } from '@bluebellhitch/ports';
+import { createBoundedClient, createResponseReader } from '@bluebellhitch/ports';
 import { abortedByCaller } from './callErrors';
 import type {
   DecodeInput,
@@ -85,6 +85,7 @@
     headersTimeout: 0,
     bodyTimeout: settings.streamIdleTimeoutMs,
     pipelining: 1,
+    factory: createBoundedClient,
   });
   const { maxReplyBytes, maxListBytes, maxTotalBytes, maxEventBytes } = settings;
   const reader = createResponseReader({ maxBytes: maxReplyBytes, maxTotalBytes });
--- a/packages/routing/src/servers/connectionInput.ts
+++ b/packages/ports/src/connectionInput.ts
@@ -1,5 +1,5 @@
 /**
- * What a backend server sends on a connection, before the HTTP parser gets it. The parser's limits count the bytes of names and
+ * What a server sends on a connection of an HTTP client, before the parser gets it. The parser's limits count the bytes of names and
  * values, although it keeps two objects for each line of a head or a trailer: a faulty server that sends short lines without
  * an end would make a few bytes cost hundreds. Here input is handed to the parser a few lines at a time, and the
  * call is ended when many lines or bytes have brought its response no nearer to its end.
@@ -7,7 +7,7 @@
 import type { Socket } from 'node:net';
 
 export interface ConnectionInput {
-  /** To be called once, when the connection is open and before anything is read. */
+  /** To be called when the connection is open and before anything is read; once for each connection. */
   watch(socket: Socket): void;
   /** Bytes received on the connection so far. */
   receivedBytes(): number;
@@ -57,6 +57,8 @@
   return {
     watch(watched) {
       socket = watched;
+      progressAtBytes = 0;
+      linesSinceProgress = 0;
       const readAll = watched.read.bind(watched) as (size?: number) => Buffer | null;
       // The parser reads until there is nothing left, and reports progress in between.
       watched.read = (size?: number) => {
--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -5,14 +5,13 @@
  */
 import type { Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
-import type { Holdings } from '@bluebellhitch/ports';
+import { createConnectionInput, type Holdings } from '@bluebellhitch/ports';
 import { startPauseTolerantTimer } from '@bluebellhitch/shared';
 import { noReadBarrier, type ReadBarrier } from '../readBarrier';
 import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
 import { expectedIdOf } from './callIdentity';
 import { createCarriedIds } from './carriedIds';
 import { createChunkTurns } from './chunkTurns';
-import { createConnectionInput } from './connectionInput';
 import { createCompactBody, type CompactBodyOptions } from './compactBody';
 import {
   isOnOwnConnection,
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -1,10 +1,10 @@
 /** One call on one connection to a backend server, from its sending to the end of the response. */
 import type { Client, Dispatcher } from 'undici';
+import type { ConnectionInput } from '@bluebellhitch/ports';
 import { monotonicNowMs, startPauseTolerantTimer } from '@bluebellhitch/shared';
 import type { ResponseBody, BodyReader } from '../backendApi';
 import { expectedIdOf, findForeignResponse, type ForeignResponse } from './callIdentity';
 import type { CarriedIds } from './carriedIds';
-import type { ConnectionInput } from './connectionInput';
 import {
   isOnOwnConnection,
   type ForeignResponseEvidence,
