--- a/packages/objects/src/httpPlatformClient.ts
+++ b/packages/objects/src/httpPlatformClient.ts
@@ -3,9 +3,10 @@
  * from calls that may have had one, because at-most-once claims and leases depend on the difference.
  */
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
-import { Agent, request, type Dispatcher } from 'undici';
+import { request, type Dispatcher } from 'undici';
 import * as z from 'zod';
 import {
+  createBoundedAgent,
   createResponseReader,
   type ResponseBodyError,
   type ResponseReader,
@@ -65,7 +66,7 @@
 export function createHttpPlatformClient(options: HttpPlatformClientOptions): HttpPlatformClient {
   const settings = { ...defaults, ...options };
   const { address, timeoutMs, connectTimeoutMs, connections } = settings;
-  const dispatcher = new Agent({
+  const dispatcher = createBoundedAgent({
     connections,
     connect: { timeout: connectTimeoutMs },
     headersTimeout: 0,
--- /dev/null
+++ b/packages/ports/__tests__/boundedClient.test.ts
@@ -0,0 +1,38 @@
+import test, { type ExecutionContext } from 'ava';
+import { request } from 'undici';
+import { createBoundedAgent } from '@bluebellhitch/ports';
+import { startEndlessServer } from '@bluebellhitch/standins';
+
+const chunkedHead = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n';
+const manyLines = 'x\n'.repeat(10_000);
+const tooManyLines = 'A:\r\n'.repeat(1_000);
+
+async function read(t: ExecutionContext, answer: string): Promise<string> {
+  const { address, close } = await startEndlessServer({
+    ...{ head: answer, piece: 'x', maxSentBytes: 0 },
+  });
+  const dispatcher = createBoundedAgent({ pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+  t.teardown(async () => {
+    await dispatcher.destroy();
+    close();
+  });
+  const response = await request(address, { dispatcher });
+  return response.body.text();
+}
+
+test('a response of many lines behind an interim one is read whole', async (t) => {
+  const body = `${manyLines.length.toString(16)}\r\n${manyLines}\r\n0\r\n\r\n`;
+  const interim = 'HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n';
+  t.is(await read(t, `${interim}${chunkedHead}\r\n${body}`), manyLines);
+});
+
+test('a head of too many lines fails its call at once', async (t) => {
+  // The call has no time-out: what the parser keeps of each line would be held for good.
+  await t.throwsAsync(read(t, chunkedHead + tooManyLines), { message: /too many lines/ });
+});
+
+test('a trailer of too many lines fails its call at once', async (t) => {
+  await t.throwsAsync(read(t, `${chunkedHead}\r\n1\r\nx\r\n0\r\n${tooManyLines}`), {
+    message: /too many lines/,
+  });
+});
--- a/packages/ports/src/boundedClient.ts
+++ b/packages/ports/src/boundedClient.ts
@@ -1,5 +1,5 @@
 /** HTTP clients whose calls end when many lines or bytes have brought a response no nearer to its end. */
-import { Client, DecoratorHandler, buildConnector, type Dispatcher } from 'undici';
+import { Agent, Client, DecoratorHandler, Pool, buildConnector, type Dispatcher } from 'undici';
 import { createConnectionInput, type ConnectionInput } from './connectionInput';
 
 const minFinalStatus = 200;
@@ -26,6 +26,15 @@
   return client;
 }
 
+/** Clients of this kind for any number of servers. */
+export function createBoundedAgent(options: Agent.Options): Agent {
+  return new Agent({
+    ...options,
+    factory: (origin, poolOptions) =>
+      new Pool(origin, { ...poolOptions, factory: createBoundedClient }),
+  });
+}
+
 function notingProgress(
   handler: Dispatcher.DispatchHandler,
   input: ConnectionInput,
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -37,5 +37,5 @@
   type EventBlocksOptions,
 } from './eventBlocks';
 export { createBoundedFetch, type BoundedFetch, type BoundedReply } from './boundedFetch';
-export { createBoundedClient } from './boundedClient';
+export { createBoundedAgent, createBoundedClient } from './boundedClient';
 export { createConnectionInput, type ConnectionInput } from './connectionInput';
