Count lines among the chunks of a pass, so that ordinary callers get their turn beside tiny events

Cause: the turns of the event loop are shared by chunks, 4,096 in a pass. A response without a length has one chunk for a read, which holds 7,000 events, and each costs as much as a chunk. Bodies without lines are shared as before.

--- a/packages/routing/src/servers/chunkTurns.ts
+++ b/packages/routing/src/servers/chunkTurns.ts
@@ -1,12 +1,12 @@
 /**
  * Shares the turns of the event loop among the responses of backend servers. A read can hold ten thousand chunks, whose
- * processor time does not follow from their bytes. In one pass of the event loop only so many chunks of all responses are parsed; the
+ * processor time does not follow from their bytes; each line may be an event, which costs as much. In one pass of the event loop only so many chunks of all responses are parsed; the
  * rest waits for the next passes, and callers and other servers are served in between.
  */
 
 export interface ChunkTurns {
   /** Counts a chunk that was parsed; false if the response must wait before the next one. */
-  take(): boolean;
+  take(chunk: Buffer): boolean;
   /** Calls the listener in a later pass, after those that have waited longer; returns a function to give that up. */
   wait(listener: () => void): () => void;
 }
@@ -18,6 +18,8 @@
 
 const defaultChunksPerPass = 4_096;
 
+const lineFeed = 0x0a;
+
 export function createChunkTurns(options: ChunkTurnsOptions = {}): ChunkTurns {
   const { chunksPerPass = defaultChunksPerPass } = options;
   const waiting = new Set<() => void>();
@@ -51,8 +53,8 @@
   }
 
   return {
-    take() {
-      takenCount += 1;
+    take(chunk) {
+      takenCount += 1 + countLines(chunk);
       schedulePass();
       return takenCount < chunksPerPass;
     },
@@ -63,3 +65,13 @@
     },
   };
 }
+
+function countLines(chunk: Buffer): number {
+  let count = 0;
+  let at = chunk.indexOf(lineFeed);
+  while (at >= 0) {
+    count += 1;
+    at = chunk.indexOf(lineFeed, at + 1);
+  }
+  return count;
+}
--- a/packages/routing/src/servers/compactBody.ts
+++ b/packages/routing/src/servers/compactBody.ts
@@ -139,7 +139,7 @@
         // Runs once the parser has returned.
         queueMicrotask(deliver);
       }
-      if (!turns.take() && isFirstOfRead) {
+      if (!turns.take(chunk) && isFirstOfRead) {
         waitForTurn();
       }
     },
--- a/packages/soak/__tests__/endlessAnswers.alone.test.ts
+++ b/packages/soak/__tests__/endlessAnswers.alone.test.ts
@@ -56,6 +56,15 @@
 const stoppedLines = 'A:\r\n'.repeat(15_000);
 const bodyBeforeTrailer = '1\r\nx\r\n0\r\n';
 
+const unframedHead = (status: string) =>
+  faultyHead('text/event-stream')
+    .replace('Transfer-Encoding: chunked\r\n', '')
+    .replace('200 OK', status);
+const rejectionHead = faultyHead('text/plain').replace(
+  '200 OK\r\n',
+  '503 Busy\r\nBluebellhitch-Not-Executed: 1\r\n',
+);
+
 const cases: readonly EndlessCase[] = [
   { name: 'a body in chunks of one byte', route: 'plain', callerCount: 20, body: oneByteChunks },
   { name: 'a body in chunks of one byte', route: 'plain', callerCount: 100, body: oneByteChunks },
@@ -132,6 +141,34 @@
     ...{ name: 'interim responses', route: 'plain', head: 'HTTP/1.1 102 Processing\r\n\r\n' },
     ...{ callerCount: 400, body: endless('HTTP/1.1 102 P\r\n\r\n') },
   },
+  {
+    ...{ name: 'a body without a length', route: 'plain', head: unframedHead('200 OK') },
+    ...{ callerCount: largestCrowd, body: endless('x') },
+  },
+  {
+    ...{ name: 'events without a length', route: 'engine', head: unframedHead('200 OK') },
+    ...{ callerCount: 400, body: endless('data: x\n\n') },
+  },
+  {
+    ...{ name: 'the body of a failure', route: 'plain', head: unframedHead('500 Failed') },
+    ...{ callerCount: largestCrowd, body: endless('x') },
+  },
+  {
+    ...{ name: 'the body of a rejection', route: 'plain', head: rejectionHead },
+    ...{ callerCount: largestCrowd, body: oneByteChunks },
+  },
+  {
+    ...{ name: 'the extension of a chunk', route: 'plain' },
+    ...{ callerCount: largestCrowd, body: inOrder(once('1;'), endless('x')) },
+  },
+  {
+    ...{ name: 'chunks with long extensions', route: 'plain' },
+    ...{ callerCount: largestCrowd, body: endless(`1;${'e'.repeat(200)}\r\nx\r\n`) },
+  },
+  {
+    ...{ name: 'bytes that are no answer', route: 'plain', head: 'x' },
+    ...{ callerCount: largestCrowd, body: endless('x') },
+  },
   {
     ...{ name: 'bodies of 8 MB', route: 'plain', isWhole: true },
     ...{ callerCount: largestCrowd, body: longBody },
