Give the heads of responses and the ends of connections modules of their own

What a head says of its status and framing, and how the end of a connection is told from a reset, are now read in one place each. No change of behaviour.

--- a/packages/routing/src/servers/backendConnections.ts
+++ b/packages/routing/src/servers/backendConnections.ts
@@ -6,12 +6,12 @@
 import type { Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
 import { createConnectionInput, type Holdings } from '@bluebellhitch/ports';
-import { startPauseTolerantTimer } from '@bluebellhitch/shared';
 import { noReadBarrier, type ReadBarrier } from '../readBarrier';
-import { createExchange, type ConnectionEnd, type ExchangeConnection } from './backendExchange';
+import { createExchange, type ExchangeConnection } from './backendExchange';
 import { expectedIdOf } from './callIdentity';
 import { createCarriedIds } from './carriedIds';
 import { createChunkTurns } from './chunkTurns';
+import { endSocket, probeConnectionEnd } from './connectionEnd';
 import { createCompactBody, type CompactBodyOptions } from './compactBody';
 import {
   isOnOwnConnection,
@@ -69,9 +69,6 @@
 const defaultKeepAliveTimeoutMs = 600;
 /** The router closes idle connections this much earlier than the server, so that no request races with the close. */
 const keepAliveMarginMs = 400;
-/** A few round trips; a server that does not close its side may not delay the call that needs the room. */
-const maxEndMs = 100;
-const resetErrorCodes: readonly string[] = ['EPIPE', 'ECONNRESET', 'ENOTCONN'];
 
 export function createBackendConnections(
   options: BackendConnectionsOptions = {},
@@ -299,30 +296,3 @@
     }
   });
 }
-
-/** Resolves once the server has closed its side too, so that it does not count the connection any more. */
-function endSocket(socket: Socket): Promise<void> {
-  return new Promise((resolve) => {
-    const timer = startPauseTolerantTimer(maxEndMs, resolve);
-    socket.once('close', () => {
-      timer.stop();
-      resolve();
-    });
-    socket.end();
-  });
-}
-
-/**
- * A write fails at once on a connection that was reset; on one that was closed it succeeds and is ignored. Behind a part
- * of the request that waits to be sent it shows neither, and a server that closes without reading that part resets too.
- */
-function probeConnectionEnd(socket: Socket): Promise<ConnectionEnd> {
-  if (socket.writableLength > 0) {
-    return Promise.resolve('reset');
-  }
-  return new Promise((resolve) => {
-    socket.write('\r\n', (error?: NodeJS.ErrnoException | null) => {
-      resolve(resetErrorCodes.includes(error?.code ?? '') ? 'reset' : 'closed');
-    });
-  });
-}
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -11,7 +11,9 @@
   type HttpCall,
   type HttpOutcome,
 } from './httpCall';
+import type { ConnectionEnd } from './connectionEnd';
 import { hasJoinedHeads } from './joinedHeads';
+import { isFinal, isInterim, resolveFraming } from './responseHead';
 
 /** The part of a connection that a call uses. */
 export interface ExchangeConnection {
@@ -37,8 +39,6 @@
   end?: Promise<ConnectionEnd>;
 }
 
-export type ConnectionEnd = 'closed' | 'reset';
-
 export interface ExchangeEvents {
   onReusable(): void;
   /** The response is not read to its end. */
@@ -49,16 +49,12 @@
   onDistrusted(): void;
 }
 
-const minInterimStatus = 100;
-const minFinalStatus = 200;
 const minErrorStatus = 400;
-const maxFinalStatus = 599;
 /** The address is used by another server now (RFC 9110, 15.5.20). */
 const misdirectedStatus = 421;
 const maxLatestCalls = 4;
 /** Ids and paths may be as long as a head. */
 const maxLoggedLength = 64;
-const bodylessStatuses: readonly number[] = [204, 304];
 
 type BodyEnd = { kind: 'whole' } | { kind: 'lost'; detail: string };
 
@@ -221,7 +217,7 @@
         discard('two heads in one');
         return;
       }
-      const framing = hasNoBody(call.method, status) ? 'own' : framingOf(headers);
+      const framing = resolveFraming(call.method, status, headers);
       if (framing === 'unknown') {
         endWithoutResponse(
           { kind: 'lost', detail: 'unknown transfer coding', isOurs },
@@ -291,41 +287,3 @@
 function readHeaders(raw: Dispatcher.DispatchController['rawHeaders']): string[] {
   return Array.isArray(raw) ? raw.map((part) => part.toString('latin1')) : [];
 }
-
-function isInterim(status: number): boolean {
-  return status >= minInterimStatus && status < minFinalStatus;
-}
-
-/** Others are no responses (RFC 9110, 15); no caller could tell what they mean. */
-function isFinal(status: number): boolean {
-  return status >= minFinalStatus && status <= maxFinalStatus;
-}
-
-/** Whether a response has no body, although its headers may describe one. */
-function hasNoBody(method: string, status: number): boolean {
-  return method === 'HEAD' || bodylessStatuses.includes(status);
-}
-
-/**
- * What marks the end of a body: the response itself, or the end of its connection. `unknown`: it has a transfer coding
- * that the parser passes on as if it were the body (RFC 9112, 6.1).
- */
-function framingOf(headers: readonly string[]): 'own' | 'connection' | 'unknown' {
-  const codings = valuesOf(headers, 'transfer-encoding')
-    .flatMap((value) => value.split(','))
-    .map((coding) => coding.trim().toLowerCase());
-  if (codings.length === 1 && codings[0] === 'chunked') {
-    return 'own';
-  }
-  if (codings.some((coding) => !['', 'identity'].includes(coding))) {
-    return 'unknown';
-  }
-  const hasLength = valuesOf(headers, 'content-length').length > 0;
-  return hasLength && codings.length === 0 ? 'own' : 'connection';
-}
-
-function valuesOf(headers: readonly string[], name: string): string[] {
-  return headers.filter(
-    (_part, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name,
-  );
-}
