Say what the heads of a faulty worker state by options, and reword two comments

The test of answers without an end changed the text of its heads; the names of the wire stand in the worker's support module again. No check changed.

--- a/packages/engine/__tests__/endlessResponses.test.ts
+++ b/packages/engine/__tests__/endlessResponses.test.ts
@@ -138,7 +138,7 @@
 };
 
 Object.entries(stopped).forEach(([name, { head, piece }]) =>
-  test.serial(`${name} that are short take little memory: they stop`, async (t) => {
+  test.serial(`many short ${name} that stop short of its end take little memory`, async (t) => {
     // Each line was held as two objects until the call's time-out: the agent ran out of memory with all that it served.
     const { client } = await start(t, { head, piece, maxSentBytes: 60_000 });
     const before = usedHeapBytes();
--- a/packages/routing/src/servers/chunkTurns.ts
+++ b/packages/routing/src/servers/chunkTurns.ts
@@ -1,7 +1,8 @@
 /**
  * Shares the turns of the event loop among the responses of backend servers. A read can hold ten thousand chunks, whose
- * processor time does not follow from their bytes; each line may be an event, which costs as much. In one pass of the event loop only so many chunks of all responses are parsed; the
- * rest waits for the next passes, and callers and other servers are served in between.
+ * processor time does not follow from their bytes. Each line may be an event, which costs as much as a chunk. One pass of the
+ * event loop parses a limited number of both for all responses; the rest waits for the next passes, and callers and other
+ * servers are served in between.
  */
 
 export interface ChunkTurns {
--- a/packages/routing/src/servers/responseHead.ts
+++ b/packages/routing/src/servers/responseHead.ts
@@ -15,7 +15,7 @@
   return status >= minInterimStatus && status < minFinalStatus;
 }
 
-/** Others are no responses (RFC 9110, 15); no caller could tell what they mean. */
+/** Others are invalid (RFC 9110, 15). */
 export function isFinal(status: number): boolean {
   return status >= minFinalStatus && status <= maxFinalStatus;
 }
--- a/packages/soak/__tests__/endlessAnswers.alone.test.ts
+++ b/packages/soak/__tests__/endlessAnswers.alone.test.ts
@@ -56,14 +56,10 @@
 const stoppedLines = 'A:\r\n'.repeat(15_000);
 const bodyBeforeTrailer = '1\r\nx\r\n0\r\n';
 
-const unframedHead = (status: string) =>
-  faultyHead('text/event-stream')
-    .replace('Transfer-Encoding: chunked\r\n', '')
-    .replace('200 OK', status);
-const rejectionHead = faultyHead('text/plain').replace(
-  '200 OK\r\n',
-  '503 Busy\r\nBluebellhitch-Not-Executed: 1\r\n',
-);
+const eventStream = 'text/event-stream';
+const unframedHead = faultyHead({ contentType: eventStream, isChunked: false });
+const failureHead = faultyHead({ contentType: eventStream, isChunked: false, status: 500 });
+const rejectionHead = faultyHead({ contentType: eventStream, status: 503, isRejection: true });
 
 const cases: readonly EndlessCase[] = [
   { name: 'a body in chunks of one byte', route: 'plain', callerCount: 20, body: oneByteChunks },
@@ -142,15 +138,15 @@
     ...{ callerCount: 400, body: endless('HTTP/1.1 102 P\r\n\r\n') },
   },
   {
-    ...{ name: 'a body without a length', route: 'plain', head: unframedHead('200 OK') },
+    ...{ name: 'a body without a length', route: 'plain', head: unframedHead },
     ...{ callerCount: largestCrowd, body: endless('x') },
   },
   {
-    ...{ name: 'events without a length', route: 'engine', head: unframedHead('200 OK') },
+    ...{ name: 'events without a length', route: 'engine', head: unframedHead },
     ...{ callerCount: 400, body: endless('data: x\n\n') },
   },
   {
-    ...{ name: 'the body of a failure', route: 'plain', head: unframedHead('500 Failed') },
+    ...{ name: 'the body of a failure', route: 'plain', head: failureHead },
     ...{ callerCount: largestCrowd, body: endless('x') },
   },
   {
@@ -214,9 +210,10 @@
   const answers = endlessCase.isWhole ? 'long answers that are not read' : 'answers without an end';
   test.serial(`a router bears ${callerCount} ${answers}: ${name}`, async (t) => {
     t.timeout(4 * patientMs);
-    const contentType = route === 'plain' ? 'text/plain' : 'text/event-stream';
+    const contentType = route === 'plain' ? 'text/plain' : eventStream;
     const worker = await startFaultyWorker(t, {
-      answerOf: () => inOrder(once(endlessCase.head ?? faultyHead(contentType)), endlessCase.body),
+      answerOf: () =>
+        inOrder(once(endlessCase.head ?? faultyHead({ contentType })), endlessCase.body),
       regular: isFaultyThroughout ? {} : regularCalls,
     });
     const crowded = await startCrowdedRouter(t, servicesFor(endlessCase, worker.address));
--- a/packages/soak/__tests__/support/faultyWorker.ts
+++ b/packages/soak/__tests__/support/faultyWorker.ts
@@ -26,15 +26,28 @@
 const maxSettleMs = 5_000;
 const pollMs = 50;
 const headEnd = '\r\n\r\n';
+const okStatus = 200;
 
-/** The head of an answer in chunks, with the seal that lets it be passed on. `ID` becomes that of the request. */
-export function faultyHead(contentType: string): string {
+export interface FaultyHeadOptions {
+  contentType: string;
+  /** Default: 200. */
+  status?: number;
+  /** Whether the body comes in chunks; else it has no length. Default: yes. */
+  isChunked?: boolean;
+  /** Whether the server states that it has not run the request. Default: no. */
+  isRejection?: boolean;
+}
+
+/** The head of an answer with the seal that lets it be passed on. `ID` becomes that of the request. */
+export function faultyHead(options: FaultyHeadOptions): string {
+  const { contentType, status = okStatus, isChunked = true, isRejection = false } = options;
   return [
-    'HTTP/1.1 200 OK',
+    `HTTP/1.1 ${status} S`,
     'Bluebellhitch-Request-Id: ID',
     'Bluebellhitch-Server-Seal: s',
+    ...(isRejection ? ['Bluebellhitch-Not-Executed: 1'] : []),
     `Content-Type: ${contentType}`,
-    'Transfer-Encoding: chunked',
+    ...(isChunked ? ['Transfer-Encoding: chunked'] : []),
     '\r\n',
   ].join('\r\n');
 }
