Show that a router that is held up while it stops loses requests

When the router stops accepting: a request that lies unread on a quiet connection is dropped, and a connection in the listen queue is reset.

--- a/packages/routing/__tests__/connectionClosing.test.ts
+++ b/packages/routing/__tests__/connectionClosing.test.ts
@@ -7,6 +7,13 @@
 const whole = { status: 200, headers: [], body: Buffer.from('whole') };
 const wholeResponses = (text: string) => [...text.matchAll(/\r\n\r\nwhole/g)].length;
 const limits = { maxHeaderBytes: 1_000, maxBodyBytes: 1_000, idleTimeoutMs: 1_000 };
+/** Longer than a connection stays open for a next request. */
+const quietMs = 400;
+/** Resolves once the runtime has begun to connect, which the kernel completes at once on loopback. */
+const queueConnection = () =>
+  new Promise<void>((resolve) => {
+    process.nextTick(resolve);
+  });
 
 /** Serves the first request with a stream that the test ends, and all others at once. */
 function streamThenWhole() {
@@ -201,3 +208,27 @@
   await closed;
   t.is(wholeResponses(text()), 1);
 });
+
+test('a request on a quiet connection that a router has not read when it stops accepting is answered', async (t) => {
+  // A process that was held up closes quiet connections before it reads what arrived meanwhile: the request was read and dropped.
+  const server = await startServer(t, ({ respond }) => respond(whole));
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write(request);
+  await until(() => wholeResponses(text()) === 1);
+  await delay(quietMs);
+  socket.write(request);
+  server.stopAccepting();
+  await closed;
+  t.is(wholeResponses(text()), 2);
+});
+
+test('a connection that a router has not accepted when it stops accepting is served', async (t) => {
+  // The end of the listening socket reset the connections in its queue, whose callers had sent their requests.
+  const server = await startServer(t, ({ respond }) => respond(whole));
+  const { socket, closed, text } = openConnection(t, server.port);
+  socket.write(request);
+  await queueConnection();
+  server.stopAccepting();
+  await Promise.all([closed, server.whenIdle()]);
+  t.is(wholeResponses(text()), 1);
+});
