Read what callers have sent before a port is closed

Callers saw connections reset, or their requests dropped, by a process that stopped while it was short of processor time: timers that are due run before the runtime reads, so the listening socket was closed over connections that waited in its queue, and connections that had been quiet were closed over requests that lay unread.

The three ports that stop so (router, entry, agent) each closed the listening socket themselves. One function does it now, after a pass of the event loop that began after the decision, in which everything that had arrived is accepted and read; meanwhile the port does not count as idle. Quiet connections are looked at after that pass, and new ones stay open for a moment as before.

--- a/packages/agent/src/portClosing.ts
+++ b/packages/agent/src/portClosing.ts
@@ -3,7 +3,6 @@
  * its way looks to the entry like one whose call may have run.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { Server as ListeningServer } from 'node:net';
 import {
   createCallerConnections,
   createConnectionClosing,
@@ -67,9 +66,7 @@
       const idle = new Promise<void>((resolve) => {
         onIdle = resolve;
       });
-      // The HTTP server's own method also closes idle connections at once.
-      ListeningServer.prototype.close.call(server);
-      closing.closeQuiet();
+      closing.closePort(server);
       notifyIfIdle();
       await Promise.race([idle, delay(graceMs)]);
       server.closeAllConnections();
--- a/packages/entry/__tests__/callersApiDrain.test.ts
+++ b/packages/entry/__tests__/callersApiDrain.test.ts
@@ -21,6 +21,9 @@
   const { address, callersApi } = await startHarness(t, { agents: [agent] });
   const running = await chat(address, { stream: true });
   const drained = callersApi.drain(5_000);
+  const refused = await chat(address);
+  t.is(refused.status, 503);
+  t.like(await refused.json(), { reason: 'leaving', notRun: true });
   await t.throwsAsync(chat(address));
   release();
   t.is(eventsOf(await running.text()).at(-1), '[DONE]');
--- a/packages/entry/src/callersServer.ts
+++ b/packages/entry/src/callersServer.ts
@@ -1,7 +1,7 @@
 /** HTTP server for callers: routes, limits on connections and headers, graceful shutdown. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
-import { Server as ListeningServer, type AddressInfo, type Socket } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { createAdaptorServer, type HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono, type Context } from 'hono';
@@ -165,9 +165,7 @@
     activeCount: () => active.size,
     stopAccepting() {
       accepting = false;
-      // The HTTP server's own method also closes connections whose responses are not sent yet.
-      ListeningServer.prototype.close.call(server);
-      closing.closeQuiet();
+      closing.closePort(server);
     },
     whenIdle: () =>
       isIdle()
--- a/packages/routing/src/callers/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -3,7 +3,7 @@
  * that was read is cut off.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { Server as ListeningServer, type AddressInfo, type Socket } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
 import {
   createBodyReaderPool,
@@ -278,9 +278,7 @@
     stopAccepting(nextEndsAtMs = Infinity) {
       isDraining = true;
       endsAtMs = nextEndsAtMs;
-      // The HTTP server's own method also closes connections whose responses are not sent yet.
-      ListeningServer.prototype.close.call(server);
-      closing.closeQuiet();
+      closing.closePort(server);
     },
     activeCount: () => activeCount,
     whenIdle: () =>
--- a/packages/routing/src/callers/connectionClosing.ts
+++ b/packages/routing/src/callers/connectionClosing.ts
@@ -5,8 +5,9 @@
  * caller may have sent the next request already.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import { Server as ListeningServer, type Socket } from 'node:net';
 import { monotonicNowMs } from '@bluebellhitch/shared';
+import { createReadBarrier } from '../readBarrier';
 
 export interface ConnectionClosing {
   /** To be called once for each new connection. */
@@ -17,9 +18,12 @@
   refuseUnread(socket: Socket, response: string): void;
   /** From now on each connection closes once it has been quiet for a moment after a response. */
   beginDrain(): void;
-  /** The same for connections that have been quiet before. */
-  closeQuiet(): void;
-  /** Whether a connection stays open for what its caller may have sent already, be it to serve that or to drop it. */
+  /**
+   * Closes the listening socket, and the connections that have been quiet before. All that callers had sent by the call is read
+   * first: a process that was held up has not accepted their connections yet, or not read their requests.
+   */
+  closePort(server: Server): void;
+  /** Whether a connection, or the port, stays open for what callers may have sent already, be it to serve that or to drop it. */
   isLingering(): boolean;
 }
 
@@ -32,7 +36,7 @@
 }
 
 export interface ConnectionClosingOptions {
-  /** Called each time that a connection stops lingering. */
+  /** Called each time that a connection or the port stops lingering. */
   onLingered: () => void;
   /** Called for a connection from which no further request is taken: what still arrives is of no use. Default: nothing. */
   onClosing?: (socket: Socket) => void;
@@ -81,7 +85,9 @@
   const { onClosing = () => undefined } = options;
   const connections = new Map<Socket, Connection>();
   const lingering = new Set<Connection>();
+  const readBarrier = createReadBarrier();
   let isDraining = false;
+  let closingPorts = 0;
   let endedCount = 0;
 
   function add(socket: Socket): Connection {
@@ -205,11 +211,21 @@
     beginDrain() {
       isDraining = true;
     },
-    closeQuiet() {
+    closePort(server) {
       isDraining = true;
-      [...connections.values()].forEach(closeOnceQuiet);
+      closingPorts += 1;
+      void readBarrier
+        .check()
+        .nextPass()
+        .then(() => {
+          // The HTTP server's own method also closes connections whose responses are not sent yet.
+          ListeningServer.prototype.close.call(server);
+          [...connections.values()].forEach(closeOnceQuiet);
+          closingPorts -= 1;
+          options.onLingered();
+        });
     },
-    isLingering: () => lingering.size > 0,
+    isLingering: () => lingering.size > 0 || closingPorts > 0,
   };
 }
 
