--- a/packages/agent/__tests__/closingPort.test.ts
+++ b/packages/agent/__tests__/closingPort.test.ts
@@ -71,3 +71,18 @@
   t.true(count('served') > 0 && count('not run') > 0);
   t.is(count('unknown'), 0);
 });
+
+test('a call on a connection that an agent has not accepted when it closes its port is answered', async (t) => {
+  // The port counted as idle before it counted the call that it waited for, and closed its connection.
+  const { server, agent } = await startPlainBench(t, (_incoming, outgoing) => {
+    outgoing.end('whole');
+  });
+  agent.leave();
+  const called = call(server.address, new Agent(), 'queued');
+  // Once the runtime has begun to connect, which the kernel completes at once on loopback.
+  await new Promise<void>((resolve) => {
+    process.nextTick(resolve);
+  });
+  await Promise.all([server.close(stopMs), called]);
+  t.is(await called, 'not run');
+});
