Do not take a port for idle when the request comes that it waits for

An agent reset the last call that it waited for while it closed its port, so that its entry could not know whether the call had run. No hold-up is needed.

Taking the request ended the wait, which told the owner of the port before the owner had counted the request: nothing was in progress and nothing was waited for, so the stop went on to its end. The wait now ends without that notice; the end of the request gives one.

--- a/packages/routing/__tests__/connectionClosing.test.ts
+++ b/packages/routing/__tests__/connectionClosing.test.ts
@@ -233,23 +233,27 @@
   t.is(wholeResponses(text()), 1);
 });
 
-test('a stopping router does not count as idle when the last request that it waits for comes', async (t) => {
-  // It waited for nothing else, took itself for idle before it counted the request, and cut it 0.2 s later.
-  let servedCount = 0;
-  const server = await startServer(t, async ({ respond }) => {
-    servedCount += 1;
-    await delay(servedCount === 1 ? 0 : quietMs);
-    respond(whole);
-  });
-  const { socket, closed, text } = openConnection(t, server.port);
-  socket.write(request);
-  await until(() => wholeResponses(text()) === 1);
-  server.stopAccepting();
-  await delay(50);
-  socket.write(request);
-  await server.whenIdle();
-  server.close();
-  await closed;
-  t.is(servedCount, 2);
-  t.is(wholeResponses(text()), 2);
-});
+// Nothing else may block the event loop while the connection waits for the request.
+test.serial(
+  'a stopping router does not count as idle when the last request that it waits for comes',
+  async (t) => {
+    // It waited for nothing else, took itself for idle before it counted the request, and cut it 0.2 s later.
+    let servedCount = 0;
+    const server = await startServer(t, async ({ respond }) => {
+      servedCount += 1;
+      await delay(servedCount === 1 ? 0 : quietMs);
+      respond(whole);
+    });
+    const { socket, closed, text } = openConnection(t, server.port);
+    socket.write(request);
+    await until(() => wholeResponses(text()) === 1);
+    server.stopAccepting();
+    await delay(50);
+    socket.write(request);
+    await server.whenIdle();
+    server.close();
+    await closed;
+    t.is(servedCount, 2);
+    t.is(wholeResponses(text()), 2);
+  },
+);
--- a/packages/routing/src/callers/connectionClosing.ts
+++ b/packages/routing/src/callers/connectionClosing.ts
@@ -189,7 +189,9 @@
         return undefined;
       }
       connection.unanswered.set(outgoing, incoming);
-      stopLingering(connection);
+      // Without a notice: the port is not idle, and its owner counts the request only once it is taken.
+      clearTimeout(connection.timer);
+      lingering.delete(connection);
       return {
         announceClose: () => announceClose(connection, outgoing),
         noteOver: () => noteOver(connection, outgoing),
