Count the times of a stop from the signal, not from its handling

Callers of a router that handled SIGTERM late got no answer: long requests that it took over 3 s after the signal were cut, and so was all that was in progress when the platform killed it, before the end that the router had planned.

The grace time counts from the signal. A process without processor time handles it later, and planned all steps from then.

What is read now arrived after the last moment up to which everything had been read, which the watch of hold-ups knows: a timer runs before the event loop reads, and what it notes is true once that pass is over. The signal is taken to be that old. The end, and the time from which requests without enough time are refused, count from there; the listening socket stays open for as long as before, as the load balancer's checks fail only once the signal is handled.

--- a/packages/routing/__tests__/connectionClosing.test.ts
+++ b/packages/routing/__tests__/connectionClosing.test.ts
@@ -145,7 +145,8 @@
   const { socket, closed, text } = openConnection(t, server.port);
   socket.write(request);
   await until(() => text().includes('part'));
-  server.stopAccepting(performance.now() + 5_000);
+  server.refuseBeyond(performance.now() + 5_000);
+  server.stopAccepting();
   stream.end();
   socket.write(request);
   await closed;
@@ -237,7 +238,7 @@
 test.serial(
   'a stopping router does not count as idle when the last request that it waits for comes',
   async (t) => {
-    // It waited for nothing else, took itself for idle before it counted the request, and cut it 0.2 s later.
+    // It waited for nothing else, took itself for idle before it counted the request, and ended.
     let servedCount = 0;
     const server = await startServer(t, async ({ respond }) => {
       servedCount += 1;
--- a/packages/routing/__tests__/holdUpWatch.test.ts
+++ b/packages/routing/__tests__/holdUpWatch.test.ts
@@ -1,3 +1,4 @@
+import { setImmediate as immediate } from 'node:timers/promises';
 import FakeTimers from '@sinonjs/fake-timers';
 import test from 'ava';
 import { startHoldUpWatch } from '../src/callers/holdUpWatch';
@@ -28,3 +29,18 @@
   t.is(watch.recentMs(), 300);
   watch.stop();
 });
+
+test('what is read after a hold-up may have waited for all of it', async (t) => {
+  const clock = FakeTimers.install({ toFake: ['setInterval', 'clearInterval', 'performance'] });
+  t.teardown(() => clock.uninstall());
+  const watch = startHoldUpWatch();
+  clock.tick(1_000);
+  await immediate();
+  t.is(watch.unreadMs(), 0);
+  // The timer runs before what has arrived is read.
+  clock.jump(700);
+  t.is(watch.unreadMs(), 700);
+  await immediate();
+  t.is(watch.unreadMs(), 0);
+  watch.stop();
+});
--- a/packages/routing/src/callers/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -64,11 +64,10 @@
   setLimits(limits: CallerLimits): void;
   /** From now on, each response closes its connection. */
   beginDrain(): void;
-  /**
-   * Accepts no new connections and closes quiet ones; requests in progress continue. From now on requests that may last
-   * longer than until `endsAtMs`, a monotonic time, are refused.
-   */
-  stopAccepting(endsAtMs?: number): void;
+  /** From now on, requests that may last longer than until `endsAtMs`, a monotonic time, are refused. */
+  refuseBeyond(endsAtMs: number): void;
+  /** Accepts no new connections and closes quiet ones; requests in progress continue. */
+  stopAccepting(): void;
   activeCount(): number;
   /** Resolves once no request is in progress, and none is expected on a connection that stays open for a moment. */
   whenIdle(): Promise<void>;
@@ -275,9 +274,11 @@
       isDraining = true;
       closing.beginDrain();
     },
-    stopAccepting(nextEndsAtMs = Infinity) {
-      isDraining = true;
+    refuseBeyond(nextEndsAtMs) {
       endsAtMs = nextEndsAtMs;
+    },
+    stopAccepting() {
+      isDraining = true;
       closing.closePort(server);
     },
     activeCount: () => activeCount,
--- a/packages/routing/src/callers/holdUpWatch.ts
+++ b/packages/routing/src/callers/holdUpWatch.ts
@@ -7,6 +7,8 @@
 export interface HoldUpWatch {
   /** Duration of the longest hold-up that lasts or has ended within the last second, in ms; 0 without one. */
   recentMs(): number;
+  /** How long what is read now may have waited for that, in ms: all that arrived before was read earlier. */
+  unreadMs(): number;
   stop(): void;
 }
 
@@ -24,6 +26,7 @@
 
 export function startHoldUpWatch({ onHoldUp }: HoldUpWatchOptions = {}): HoldUpWatch {
   let tickedAtMs = monotonicNowMs();
+  let readThroughMs = tickedAtMs;
   let holdUps: { endedAtMs: number; durationMs: number }[] = [];
 
   function currentMs(nowMs: number): number {
@@ -35,6 +38,10 @@
     const nowMs = monotonicNowMs();
     const durationMs = currentMs(nowMs);
     tickedAtMs = nowMs;
+    // Between a timer and this, the event loop reads.
+    setImmediate(() => {
+      readThroughMs = nowMs;
+    });
     holdUps = holdUps.filter(({ endedAtMs }) => nowMs - endedAtMs <= memoryMs);
     if (durationMs > 0) {
       holdUps.push({ endedAtMs: nowMs, durationMs });
@@ -49,6 +56,7 @@
       const recent = holdUps.filter(({ endedAtMs }) => nowMs - endedAtMs <= memoryMs);
       return Math.max(currentMs(nowMs), ...recent.map(({ durationMs }) => durationMs));
     },
+    unreadMs: () => monotonicNowMs() - readThroughMs,
     stop: () => clearInterval(timer),
   };
 }
