Close a port only after a short pass of the event loop

All of a pass's work lies between its accepts and its end, and what arrives meanwhile waits for the next one.

Passes are repeated until one takes 50 ms at most, so that a connection that is reset has waited no longer than that; the end of the grace time bounds them as it bounds the stop.

--- a/packages/routing/__tests__/connectionClosing.test.ts
+++ b/packages/routing/__tests__/connectionClosing.test.ts
@@ -15,6 +15,14 @@
     process.nextTick(resolve);
   });
 
+/** Longer than a pass of an event loop that has processor time. */
+const busyMs = 200;
+
+function holdUp(durationMs: number): void {
+  const endsAtMs = monotonicNowMs() + durationMs;
+  while (monotonicNowMs() < endsAtMs);
+}
+
 /** Serves the first request with a stream that the test ends, and all others at once. */
 function streamThenWhole() {
   const stream = { end: () => undefined as void };
@@ -204,8 +212,7 @@
   await immediate();
   server.stopAccepting();
   socket.write(request);
-  const heldUpUntilMs = monotonicNowMs() + 500;
-  while (monotonicNowMs() < heldUpUntilMs);
+  holdUp(500);
   await closed;
   t.is(wholeResponses(text()), 1);
 });
@@ -258,3 +265,25 @@
     t.is(wholeResponses(text()), 2);
   },
 );
+
+test.serial(
+  'a connection that arrives while a busy router closes its port is served',
+  async (t) => {
+    // A pass of an event loop without processor time takes long: what arrived after its accepts was reset, half a second later.
+    const server = await startServer(t, ({ respond }) => respond(whole));
+    const opened = new Promise<ReturnType<typeof openConnection>>((resolve) => {
+      // Between the accepts of the first whole pass of the event loop and its end.
+      setImmediate(() => {
+        setImmediate(() => {
+          holdUp(busyMs);
+          resolve(openConnection(t, server.port));
+        });
+      });
+    });
+    server.stopAccepting();
+    const { socket, closed, text } = await opened;
+    socket.write(request);
+    await Promise.all([closed, server.whenIdle()]);
+    t.is(wholeResponses(text()), 1);
+  },
+);
--- a/packages/routing/src/callers/connectionClosing.ts
+++ b/packages/routing/src/callers/connectionClosing.ts
@@ -57,6 +57,8 @@
 
 /** Some round trips: time for the request that a caller sends as soon as it has read a response. */
 const lingerMs = 300;
+/** A longer pass of the event loop is that of a process without processor time, whose callers would wait as long for a reset. */
+const maxPassMs = 50;
 /** Time for a caller to end its side. Until then what still arrives is read, as it would reset the connection otherwise. */
 const closeTimeoutMs = 1_000;
 /**
@@ -164,6 +166,16 @@
     });
   }
 
+  /** Accepts and reads what has arrived, but for the last moments of a pass of the event loop. */
+  async function readArrivals(): Promise<void> {
+    let passMs = Infinity;
+    while (passMs > maxPassMs) {
+      const startedAtMs = monotonicNowMs();
+      await readBarrier.check().nextPass();
+      passMs = monotonicNowMs() - startedAtMs;
+    }
+  }
+
   function noteOver(connection: Connection, outgoing: ServerResponse): void {
     connection.unanswered.delete(outgoing);
     noteActive(connection);
@@ -216,16 +228,13 @@
     closePort(server) {
       isDraining = true;
       closingPorts += 1;
-      void readBarrier
-        .check()
-        .nextPass()
-        .then(() => {
-          // The HTTP server's own method also closes connections whose responses are not sent yet.
-          ListeningServer.prototype.close.call(server);
-          [...connections.values()].forEach(closeOnceQuiet);
-          closingPorts -= 1;
-          options.onLingered();
-        });
+      void readArrivals().then(() => {
+        // The HTTP server's own method also closes connections whose responses are not sent yet.
+        ListeningServer.prototype.close.call(server);
+        [...connections.values()].forEach(closeOnceQuiet);
+        closingPorts -= 1;
+        options.onLingered();
+      });
     },
     isLingering: () => lingering.size > 0 || closingPorts > 0,
   };
