Try a held part with a request that has no other suspected part

Such a crash shows nothing of the shared part. A request with another part, or a fingerprint of its own, that has crashes is the trial only if no other request has come for 10 s, so that parts which all requests have together are still tried. Two tests, both failing before: the clean request is chosen, and the suspected one after the wait.

--- a/packages/routing/__tests__/requestQuarantine.test.ts
+++ b/packages/routing/__tests__/requestQuarantine.test.ts
@@ -12,6 +12,8 @@
 
 /** Bound within which all routers that are in contact must hold a request back. */
 const contactMs = 3_000;
+/** From the last crash of the first part of prompts to its first trial. */
+const trialPauseMs = 10_000;
 const hourMs = 3_600_000;
 const request = 'a request that crashes servers';
 
@@ -466,3 +468,47 @@
     t.is(heldBackMs('a sound request'), undefined);
   }),
 );
+
+test.serial(
+  'the trial of a part is a request without another part that has crashes, if one comes',
+  (t) =>
+    // The harmful part that it had too crashed the engine, and the sound part that all requests share stayed held.
+    withFleet(1, async (fleet, clock) => {
+      const guardOf = (name: string, parts: string[]) =>
+        fleet.routers[0]?.guard(identityOf(name, parts));
+      const suspected = [firstPart, harmfulPart];
+      for (const [number, parts] of [
+        suspected,
+        suspected,
+        [firstPart],
+        [firstPart],
+        [firstPart],
+      ].entries()) {
+        await fleet.crash(0, `request ${number}`, `s${number}`, 50, parts);
+        await clock.tickAsync(200);
+      }
+      await clock.tickAsync(trialPauseMs);
+      t.not(guardOf('suspected', suspected)?.heldBackMs(), undefined);
+      t.is(guardOf('clean', [firstPart])?.heldBackMs(), undefined);
+      t.not(guardOf('further', [firstPart])?.heldBackMs(), undefined);
+    }),
+);
+
+test.serial(
+  'a request with another part that has crashes is the trial of a part if no other request comes',
+  (t) =>
+    // Parts that all requests have together would be held for as long as the quarantine lasts.
+    withFleet(1, async (fleet, clock) => {
+      const heldBackMs = () =>
+        fleet.routers[0]?.guard(identityOf('suspected', [firstPart, harmfulPart])).heldBackMs();
+      for (const number of [1, 2, 3, 4, 5]) {
+        const parts = number > 3 ? [firstPart, harmfulPart] : [firstPart];
+        await fleet.crash(0, `request ${number}`, `s${number}`, 50, parts);
+        await clock.tickAsync(200);
+      }
+      await clock.tickAsync(trialPauseMs);
+      t.not(heldBackMs(), undefined);
+      await clock.tickAsync(trialPauseMs);
+      t.is(heldBackMs(), undefined);
+    }),
+);
--- a/packages/routing/src/fleet/partTrials.ts
+++ b/packages/routing/src/fleet/partTrials.ts
@@ -7,8 +7,11 @@
 import type { QuarantineChannel } from './crashAnnouncements';
 
 export interface PartTrials {
-  /** Whether the holder's request may be the trial; true again once it is. */
-  mayTake(partFingerprint: string, holder: object): boolean;
+  /**
+   * Whether the holder's request may be the trial; true again once it is. A crash of a request that is suspected beside the part
+   * would show nothing of the part, so it may be the trial only if no other one has come for a while.
+   */
+  mayTake(partFingerprint: string, holder: object, isSuspected: boolean): boolean;
   /** Makes the holder's request the trial; only if it may be. */
   take(partFingerprint: string, holder: object): void;
 }
@@ -20,10 +23,14 @@
 
 /** A trial without an outcome by then has shown nothing; another request may be sent. */
 const trialTimeoutMs = 10_000;
+/** Time in which most services get many requests. */
+const unsuspectedWaitMs = 10_000;
 const maxTrials = 256;
 
 export function createPartTrials(channel: () => QuarantineChannel | undefined): PartTrials {
   const trials = createBoundedMap<string, Trial>({ maxEntries: maxTrials });
+  /** Since when a suspected request could have been the trial. */
+  const waitingSinceMs = createBoundedMap<string, number>({ maxEntries: maxTrials });
 
   function isOurs(partFingerprint: string): boolean {
     const open = channel();
@@ -34,16 +41,30 @@
     return rendezvousOrder(partFingerprint, routers, (address) => address)[0] === open.address;
   }
 
+  function hasWaited(partFingerprint: string): boolean {
+    const nowMs = monotonicNowMs();
+    const sinceMs = waitingSinceMs.get(partFingerprint) ?? nowMs;
+    waitingSinceMs.set(partFingerprint, sinceMs);
+    return nowMs - sinceMs >= unsuspectedWaitMs;
+  }
+
   return {
-    mayTake(partFingerprint, holder) {
+    mayTake(partFingerprint, holder, isSuspected) {
       const current = trials.get(partFingerprint);
+      if (current?.holder === holder) {
+        return true;
+      }
       const isInProgress =
         current !== undefined && current.takenAtMs + trialTimeoutMs > monotonicNowMs();
-      return current?.holder === holder || (!isInProgress && isOurs(partFingerprint));
+      if (isInProgress || !isOurs(partFingerprint)) {
+        return false;
+      }
+      return !isSuspected || hasWaited(partFingerprint);
     },
     take(partFingerprint, holder) {
       if (trials.get(partFingerprint)?.holder !== holder) {
         trials.set(partFingerprint, { holder, takenAtMs: monotonicNowMs() });
+        waitingSinceMs.delete(partFingerprint);
       }
     },
   };
--- a/packages/routing/src/fleet/requestGuard.ts
+++ b/packages/routing/src/fleet/requestGuard.ts
@@ -27,13 +27,18 @@
       if (isEmpty()) {
         return undefined;
       }
-      const holds = [fingerprint(), ...partFingerprints].flatMap((one) => {
-        const verdict = judge(one);
-        return verdict.kind === 'quarantined' ? [{ one, verdict }] : [];
-      });
+      const verdicts = [fingerprint(), ...partFingerprints].map((one) => ({
+        one,
+        verdict: judge(one),
+      }));
+      const holds = verdicts.flatMap(({ one, verdict }) =>
+        verdict.kind === 'quarantined' ? [{ one, verdict }] : [],
+      );
+      const isSuspected = verdicts.some(({ verdict }) => verdict.kind === 'struck');
       // A request that something else holds back must not take the place of a trial that could be sent.
       const isTrial = holds.every(
-        ({ one, verdict }) => verdict.isTrialDue === true && trials.mayTake(one, holder),
+        ({ one, verdict }) =>
+          verdict.isTrialDue === true && trials.mayTake(one, holder, isSuspected),
       );
       if (isTrial) {
         holds.forEach(({ one }) => trials.take(one, holder));
