Keep the parser of responses running while a response is not read

A router ended by itself, with all requests in progress on it, when a server closed or reset a connection at the wrong moment: its last bytes had been parsed, and the response was paused, as its caller read slowly, as its turn had not come beside a faulty server's chunks without an end, or for the moment between its head and its reader. Callers saw their connections closed without an answer: 'the machine ended by itself', as in one of the users' reports.

The HTTP client pauses its parser, tells the parser of the end of the connection when that ends a response (Connection: close, or no length), and asserts that it is not paused. Nobody handles that error, so the process stopped at once with exit code 1. Work that may run once only is sent on connections that close after it, so that any sound server's response could do this.

The flow is held back before the parser now, where its input is counted: a paused connection hands nothing more to it, what it has is parsed to its end, 128 lines or one read at most, and parts that come with the head wait for the reader. The client's own pauses are not used any more, at any of its users (router, agent, entry's and platform's clients of the stores).

Four tests: two files ended with the assertion before.

--- a/packages/ports/__tests__/boundedClient.test.ts
+++ b/packages/ports/__tests__/boundedClient.test.ts
@@ -1,6 +1,7 @@
+import { createServer, type AddressInfo } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
-import { request } from 'undici';
-import { createBoundedAgent } from '@bluebellhitch/ports';
+import { request, type Dispatcher } from 'undici';
+import { createBoundedAgent, createBoundedClient } from '@bluebellhitch/ports';
 import { startEndlessServer } from '@bluebellhitch/standins';
 
 const chunkedHead = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n';
@@ -36,3 +37,51 @@
     message: /too many lines/,
   });
 });
+
+const slowMs = 20;
+
+/** The body, by a reader that pauses at the head and after each part. */
+function readSlowly(client: Dispatcher): Promise<string> {
+  const parts: Buffer[] = [];
+  const pauseFor = (controller: Dispatcher.DispatchController) => {
+    controller.pause();
+    setTimeout(() => controller.resume(), slowMs);
+  };
+  return new Promise((resolve, reject) => {
+    client.dispatch(
+      { method: 'GET', path: '/' },
+      {
+        onRequestStart: () => undefined,
+        onResponseStart: pauseFor,
+        onResponseData(controller, chunk) {
+          parts.push(chunk);
+          pauseFor(controller);
+        },
+        onResponseEnd: () => resolve(Buffer.concat(parts).toString()),
+        onResponseError: (_controller, error) => reject(error),
+      },
+    );
+  });
+}
+
+[
+  { name: 'with a length', head: 'Content-Length: 5\r\n' },
+  { name: 'without a length', head: '' },
+].forEach(({ name, head }) => {
+  test(`a response ${name} whose connection is closed while it is not read arrives whole`, async (t) => {
+    // The end of a connection whose parser was paused was an error that nobody handled: it ended the process.
+    const server = createServer((socket) => {
+      socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\n${head}\r\nwhole`);
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const client = createBoundedClient(`http://127.0.0.1:${port}`);
+    t.teardown(async () => {
+      await client.destroy();
+      server.close();
+    });
+    t.is(await readSlowly(client), 'whole');
+  });
+});
--- a/packages/ports/src/boundedClient.ts
+++ b/packages/ports/src/boundedClient.ts
@@ -40,27 +40,57 @@
   input: ConnectionInput,
 ): Dispatcher.DispatchHandler {
   const inner = new DecoratorHandler(handler) as Required<Dispatcher.DispatchHandler>;
+  const pausing = (controller: Dispatcher.DispatchController) => withInputPauses(controller, input);
   return {
-    onRequestStart(...args) {
+    onRequestStart(controller, ...rest) {
+      input.resume();
       input.noteProgress();
-      inner.onRequestStart(...args);
+      inner.onRequestStart(pausing(controller), ...rest);
     },
-    onRequestUpgrade: (...args) => inner.onRequestUpgrade(...args),
+    onRequestUpgrade: (controller, ...rest) => inner.onRequestUpgrade(pausing(controller), ...rest),
     onResponseStart(controller, status, ...rest) {
       // The decorator accepts one head only, which interim responses would take.
       if (status >= minFinalStatus) {
         input.noteProgress();
-        inner.onResponseStart(controller, status, ...rest);
+        inner.onResponseStart(pausing(controller), status, ...rest);
       }
     },
-    onResponseData(...args) {
+    onResponseData(controller, ...rest) {
       input.noteProgress();
-      inner.onResponseData(...args);
+      inner.onResponseData(pausing(controller), ...rest);
     },
-    onResponseEnd(...args) {
+    onResponseEnd(controller, ...rest) {
       input.noteProgress();
-      inner.onResponseEnd(...args);
+      input.resume();
+      inner.onResponseEnd(pausing(controller), ...rest);
     },
-    onResponseError: (...args) => inner.onResponseError(...args),
+    onResponseError: (controller, ...rest) => inner.onResponseError(pausing(controller), ...rest),
+  };
+}
+
+/** The same controller, but for its pauses, which are those of the input. */
+function withInputPauses(
+  controller: Dispatcher.DispatchController,
+  input: ConnectionInput,
+): Dispatcher.DispatchController {
+  return {
+    get aborted() {
+      return controller.aborted;
+    },
+    get paused() {
+      return input.isPaused();
+    },
+    get reason() {
+      return controller.reason;
+    },
+    get rawHeaders() {
+      return controller.rawHeaders;
+    },
+    get rawTrailers() {
+      return controller.rawTrailers;
+    },
+    abort: (reason) => controller.abort(reason),
+    pause: input.pause,
+    resume: input.resume,
   };
 }
--- a/packages/ports/src/connectionInput.ts
+++ b/packages/ports/src/connectionInput.ts
@@ -13,6 +13,13 @@
   receivedBytes(): number;
   /** A response has come nearer to its end: its head is complete, a part of its body has arrived, or it has ended. */
   noteProgress(): void;
+  /**
+   * Hands no more to the parser until `resume`; what it has been handed is still parsed. To be used in place of the client's own
+   * pauses: its parser cannot handle the end of a connection while it is paused, and throws.
+   */
+  pause(): void;
+  resume(): void;
+  isPaused(): boolean;
   /** Replaces what is called, with the reason, when too much is received without progress. Default: nothing. */
   onFlooded(listener: FloodListener | undefined): void;
 }
@@ -29,6 +36,7 @@
   let socket: Socket | undefined;
   let progressAtBytes = 0;
   let linesSinceProgress = 0;
+  let isPaused = false;
   let listener: FloodListener | undefined;
 
   const receivedBytes = () => socket?.bytesRead ?? 0;
@@ -59,9 +67,13 @@
       socket = watched;
       progressAtBytes = 0;
       linesSinceProgress = 0;
+      isPaused = false;
       const readAll = watched.read.bind(watched) as (size?: number) => Buffer | null;
       // The parser reads until there is nothing left, and reports progress in between.
       watched.read = (size?: number) => {
+        if (isPaused && size !== 0) {
+          return null;
+        }
         const input = readAll(size);
         return input === null ? null : takeLines(watched, input);
       };
@@ -72,6 +84,22 @@
       progressAtBytes = receivedBytes();
       linesSinceProgress = 0;
     },
+    pause() {
+      isPaused = true;
+    },
+    resume() {
+      if (!isPaused) {
+        return;
+      }
+      isPaused = false;
+      // Not within a call of the parser, which takes no further input before it has returned.
+      queueMicrotask(() => {
+        if (!isPaused) {
+          socket?.emit('readable');
+        }
+      });
+    },
+    isPaused: () => isPaused,
     onFlooded(nextListener) {
       listener = nextListener;
     },
--- a/packages/routing/__tests__/backendInput.test.ts
+++ b/packages/routing/__tests__/backendInput.test.ts
@@ -27,6 +27,10 @@
       socket.write(answer);
     }
   });
+  return callAddress(t, address);
+}
+
+function callAddress(t: ExecutionContext, address: string): Promise<HttpOutcome> {
   const connections = createBackendConnections();
   t.teardown(() => connections.close());
   return connections.call({
@@ -114,3 +118,25 @@
     t.true((await readInSteps(bodyOf(outcome))) === textLines);
   });
 });
+
+const closeHead = 'HTTP/1.1 200 OK\r\nConnection: close\r\n';
+const unreadMs = 50;
+
+test('a connection that is reset before its response is read loses the response', async (t) => {
+  // The end of a connection whose parser was paused was an error that nobody handled: it ended the process.
+  const { address } = await startRawServer(t, (socket) => {
+    socket.write(`${closeHead}\r\npart`);
+    setTimeout(() => socket.resetAndDestroy(), unreadMs / 2);
+  });
+  const outcome = await callAddress(t, address);
+  await delay(unreadMs);
+  t.like(await readWholeBody(bodyOf(outcome)), { kind: 'lost' });
+});
+
+test('a connection that is closed before its response is read loses nothing of it', async (t) => {
+  const { address } = await startRawServer(t, (socket) => socket.end(`${closeHead}\r\nwhole`));
+  const outcome = await callAddress(t, address);
+  await delay(unreadMs);
+  const read = await readWholeBody(bodyOf(outcome));
+  t.deepEqual(read, { kind: 'whole', body: Buffer.from('whole') });
+});
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -74,7 +74,8 @@
   let isOurs = false;
   let reader: BodyReader | undefined;
   let bodyEnd: BodyEnd | undefined;
-  let controller: Dispatcher.DispatchController | undefined;
+  /** Parts of the body that were parsed together with the head. */
+  const unreadParts: Buffer[] = [];
   let isFramed = true;
   const { callCount: earlierCalls, latestCalls, input } = connection;
   const expectedId = expectedIdOf(call.identity);
@@ -149,6 +150,7 @@
     }
     bodyEnd = end;
     input.onFlooded(undefined);
+    input.resume();
     call.signal?.removeEventListener('abort', onAbort);
     deliverEnd();
   }
@@ -173,20 +175,32 @@
     endBody(hasServerEnded ? { kind: 'lost', detail: 'ended with its server' } : { kind: 'whole' });
   }
 
+  /** After the end of the response the input is that of the next call. */
+  function resumeInput(): void {
+    if (bodyEnd === undefined) {
+      input.resume();
+    }
+  }
+
   const body: ResponseBody = {
     read(nextReader) {
       reader = nextReader;
+      unreadParts.splice(0).forEach(nextReader.onData);
       deliverEnd();
-      controller?.resume();
+      resumeInput();
     },
-    pause: () => controller?.pause(),
-    resume: () => controller?.resume(),
+    pause() {
+      if (bodyEnd === undefined) {
+        input.pause();
+      }
+    },
+    resume: resumeInput,
     abandon,
     receivedBytes: () => input.receivedBytes() - receivedAtStart,
   };
 
   const handler: Dispatcher.DispatchHandler = {
-    onRequestStart(startedController) {
+    onRequestStart() {
       if (call.maySend?.() === false) {
         endWithoutResponse({ kind: 'withheld' }, 'withheld');
         return;
@@ -194,20 +208,19 @@
       wasSent = true;
       sentAtMs = monotonicNowMs();
       noteOnConnection();
-      controller = startedController;
     },
-    onResponseStart(startedController, status, _headers, reason = '') {
+    onResponseStart(controller, status, _headers, reason = '') {
       if (isInterim(status)) {
         return;
       }
       stopHeadTimer();
       input.noteProgress();
-      startedController.pause();
+      input.pause();
       if (!isFinal(status)) {
         discard(`invalid status ${status}`);
         return;
       }
-      const headers = readHeaders(startedController.rawHeaders);
+      const headers = readHeaders(controller.rawHeaders);
       const foreign = findForeignResponse(call.identity, headers);
       if (foreign !== undefined) {
         discardForeign(status, foreign);
@@ -238,7 +251,11 @@
     },
     onResponseData(_controller, chunk) {
       input.noteProgress();
-      reader?.onData(chunk);
+      if (reader === undefined) {
+        unreadParts.push(chunk);
+      } else {
+        reader.onData(chunk);
+      }
     },
     onResponseEnd() {
       input.noteProgress();
@@ -265,6 +282,7 @@
       return;
     }
     call.signal?.addEventListener('abort', onAbort);
+    input.resume();
     input.noteProgress();
     receivedAtStart = input.receivedBytes();
     input.onFlooded(abandon);
