Keep an entry running when an agent closes a connection that is not read

An entry ended by itself, with all that ran on it, when an agent closed its connection behind a response whose caller read slowly: the same assertion of the HTTP client's parser as at a router's servers.

The clients of agents and of other entries hold the flow back before the parser now, as the others do.

--- a/packages/entry/src/httpAgentClient.ts
+++ b/packages/entry/src/httpAgentClient.ts
@@ -2,7 +2,7 @@
 import { createTRPCClient, httpLink, splitLink, type TRPCClient } from '@trpc/client';
 import { err, errAsync, ok, ResultAsync, type Result } from 'neverthrow';
 import type { Readable } from 'node:stream';
-import { Agent, request as sendRequest, type Dispatcher } from 'undici';
+import { request as sendRequest, type Dispatcher } from 'undici';
 import type { z } from 'zod';
 import {
   agentRefusalSchema,
@@ -18,6 +18,7 @@
   type StreamFrame,
   type StreamRequest,
 } from '@bluebellhitch/protocol';
+import { createBoundedAgent } from '@bluebellhitch/ports';
 import { credentialHeaders, innerAudiences, type InnerCredentials } from '@bluebellhitch/security';
 import type {
   AgentApi,
@@ -73,12 +74,11 @@
 /** Creates the client through which an entry calls its agents. */
 export function createHttpAgentClient(options: HttpAgentClientOptions = {}): HttpAgentClient {
   const { connectTimeoutMs = 1_000, maxClients = 256, onMalformedFrame, onControlBytes } = options;
-  const dispatcher = new Agent({
+  const dispatcher = createBoundedAgent({
     connect: { timeout: connectTimeoutMs },
     keepAliveTimeout: keepAliveMs,
     pipelining: 1,
-    bodyTimeout: 0,
-    headersTimeout: 0,
+    ...{ bodyTimeout: 0, headersTimeout: 0 },
   });
   const fetchMessage = createMessageFetch(dispatcher);
   const fetchControl = createMessageFetch(dispatcher, onControlBytes);
--- a/packages/entry/src/peerStrikes.ts
+++ b/packages/entry/src/peerStrikes.ts
@@ -3,7 +3,7 @@
  * every peer: the caller's next try may reach any of them.
  */
 import { createTRPCClient, httpLink } from '@trpc/client';
-import { Agent } from 'undici';
+import { createBoundedAgent } from '@bluebellhitch/ports';
 import type { EntryRouter, Strike } from '@bluebellhitch/protocol';
 import { credentialHeaders, innerAudiences, type InnerCredentials } from '@bluebellhitch/security';
 import type { Logger } from '@bluebellhitch/telemetry';
@@ -31,7 +31,7 @@
 /** Creates the sender of one entry. */
 export function createPeerStrikes(options: PeerStrikesOptions): PeerStrikes {
   const { entryId, instances, logger, timeoutMs = 2_000, onControlBytes } = options;
-  const dispatcher = new Agent({
+  const dispatcher = createBoundedAgent({
     connections: connectionsPerPeer,
     connect: { timeout: timeoutMs },
     keepAliveTimeout: 1_000,
