Do not read on a connection whose call is lost

Found by reading: the end of a call took its paused input up again, also when the call was given up from within the parser of another connection, which calls no second parser. Only a whole response does so now, within its own parser.

--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -150,7 +150,6 @@
     }
     bodyEnd = end;
     input.onFlooded(undefined);
-    input.resume();
     call.signal?.removeEventListener('abort', onAbort);
     deliverEnd();
   }
@@ -259,6 +258,8 @@
     },
     onResponseEnd() {
       input.noteProgress();
+      // The connection may carry the next call. One whose call is lost is closed, and not read on.
+      input.resume();
       if (isFramed) {
         events.onReusable();
         endBody({ kind: 'whole' });
