Replace the pauses of the client's controller in place

The bounded client made a delegate of the controller for each part of each response, with six getters, only to replace two methods. The two are set on the request's own controller now, once, when it starts; the client never reads them back. What only the delegate used is gone. Nor is the input taken up again at the start of a call: a whole response has done that, and the connection of any other is closed.

--- a/packages/ports/src/boundedClient.ts
+++ b/packages/ports/src/boundedClient.ts
@@ -40,57 +40,30 @@
   input: ConnectionInput,
 ): Dispatcher.DispatchHandler {
   const inner = new DecoratorHandler(handler) as Required<Dispatcher.DispatchHandler>;
-  const pausing = (controller: Dispatcher.DispatchController) => withInputPauses(controller, input);
   return {
-    onRequestStart(controller, ...rest) {
-      input.resume();
+    onRequestStart(controller, context) {
       input.noteProgress();
-      inner.onRequestStart(pausing(controller), ...rest);
+      // The handler's pauses are those of the input: see `ConnectionInput`.
+      Object.assign(controller, { pause: input.pause, resume: input.resume });
+      inner.onRequestStart(controller, context);
     },
-    onRequestUpgrade: (controller, ...rest) => inner.onRequestUpgrade(pausing(controller), ...rest),
+    onRequestUpgrade: (...args) => inner.onRequestUpgrade(...args),
     onResponseStart(controller, status, ...rest) {
       // The decorator accepts one head only, which interim responses would take.
       if (status >= minFinalStatus) {
         input.noteProgress();
-        inner.onResponseStart(pausing(controller), status, ...rest);
+        inner.onResponseStart(controller, status, ...rest);
       }
     },
-    onResponseData(controller, ...rest) {
+    onResponseData(...args) {
       input.noteProgress();
-      inner.onResponseData(pausing(controller), ...rest);
+      inner.onResponseData(...args);
     },
-    onResponseEnd(controller, ...rest) {
+    onResponseEnd(...args) {
       input.noteProgress();
       input.resume();
-      inner.onResponseEnd(pausing(controller), ...rest);
-    },
-    onResponseError: (controller, ...rest) => inner.onResponseError(pausing(controller), ...rest),
-  };
-}
-
-/** The same controller, but for its pauses, which are those of the input. */
-function withInputPauses(
-  controller: Dispatcher.DispatchController,
-  input: ConnectionInput,
-): Dispatcher.DispatchController {
-  return {
-    get aborted() {
-      return controller.aborted;
-    },
-    get paused() {
-      return input.isPaused();
-    },
-    get reason() {
-      return controller.reason;
-    },
-    get rawHeaders() {
-      return controller.rawHeaders;
-    },
-    get rawTrailers() {
-      return controller.rawTrailers;
+      inner.onResponseEnd(...args);
     },
-    abort: (reason) => controller.abort(reason),
-    pause: input.pause,
-    resume: input.resume,
+    onResponseError: (...args) => inner.onResponseError(...args),
   };
 }
--- a/packages/ports/src/connectionInput.ts
+++ b/packages/ports/src/connectionInput.ts
@@ -19,7 +19,6 @@
    */
   pause(): void;
   resume(): void;
-  isPaused(): boolean;
   /** Replaces what is called, with the reason, when too much is received without progress. Default: nothing. */
   onFlooded(listener: FloodListener | undefined): void;
 }
@@ -101,7 +100,6 @@
         socket?.emit('readable');
       }
     },
-    isPaused: () => isPaused,
     onFlooded(nextListener) {
       listener = nextListener;
     },
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -283,7 +283,6 @@
       return;
     }
     call.signal?.addEventListener('abort', onAbort);
-    input.resume();
     input.noteProgress();
     receivedAtStart = input.receivedBytes();
     input.onFlooded(abandon);
