Let one function watch a port's connections

The router, the entry and the agent each registered the same two listeners, with the same comment, for the module that closes their connections. It does so itself now. The end of a wait with and without its notice share a function. No behaviour changes: the listeners run in the same order, and 60 tests of stops and connections pass.

--- a/packages/agent/src/portClosing.ts
+++ b/packages/agent/src/portClosing.ts
@@ -39,11 +39,7 @@
   }
 
   return {
-    watch(server) {
-      server.prependListener('connection', closing.add);
-      // With a listener, the runtime closes no idle connection by itself.
-      server.on('timeout', closing.closeIdle);
-    },
+    watch: closing.watch,
     take(incoming, outgoing) {
       const taken = closing.take(incoming, outgoing);
       if (taken === undefined) {
--- a/packages/entry/src/callersServer.ts
+++ b/packages/entry/src/callersServer.ts
@@ -140,9 +140,7 @@
     minQuietMs: keepAliveTimeoutMs,
     event,
   });
-  server.prependListener(event, closing.add);
-  // With a listener, the runtime closes no idle connection by itself.
-  server.on('timeout', closing.closeIdle);
+  closing.watch(server, event);
   limitConnections(server, event, options, excessSockets);
   function onCallerError(error: NodeJS.ErrnoException, socket: Socket): void {
     if (error.code === 'ECONNRESET') {
--- a/packages/routing/src/callers/callersServer.ts
+++ b/packages/routing/src/callers/callersServer.ts
@@ -240,15 +240,13 @@
     maxConnections: options.maxConnections,
     minQuietMs: minQuietMsOfClosed,
   });
+  closing.watch(server);
   server.prependListener('connection', (socket) => {
     if (!mayServeConnection()) {
       socket.destroy();
     }
     connections.add(socket);
-    closing.add(socket);
   });
-  // With a listener, the runtime closes no idle connection by itself.
-  server.on('timeout', closing.closeIdle);
   function onCallerError(error: NodeJS.ErrnoException, socket: Socket): void {
     logger.info('could not parse request', { code: error.code });
     if (callerLeftCodes.includes(error.code ?? '')) {
--- a/packages/routing/src/callers/connectionClosing.ts
+++ b/packages/routing/src/callers/connectionClosing.ts
@@ -10,10 +10,11 @@
 import { createReadBarrier } from '../readBarrier';
 
 export interface ConnectionClosing {
-  /** To be called once for each new connection. */
-  add(socket: Socket): void;
-  /** Closes a connection that has been idle for too long, unless a request has arrived on it that has not been read yet. */
-  closeIdle(socket: Socket): void;
+  /**
+   * Watches the connections of the server, which `event` reports; to be called once, before it listens. A connection that is
+   * idle for too long is closed, unless a request has arrived on it that has not been read yet. Default: `connection`.
+   */
+  watch(server: Server, event?: 'connection' | 'secureConnection'): void;
   /** To be called for each request, in order. Undefined if its connection is closing: it must not be served. */
   take(incoming: IncomingMessage, outgoing: ServerResponse): TakenRequest | undefined;
   /** What was read last is no request: closes with `response`, or after the responses of the requests before it. */
@@ -61,7 +62,7 @@
 const lingerMs = 300;
 /** A longer pass of the event loop is that of a process without processor time, whose callers would wait as long for a reset. */
 const maxPassMs = 50;
-/** A process that has no shorter pass in this time serves nobody well: callers that are reset go elsewhere at once. */
+/** Callers of a process that has no shorter pass in this time are reset, and can use another one at once. */
 const maxReadMs = 500;
 /** Time for a caller to end its side. Until then what still arrives is read, as it would reset the connection otherwise. */
 const closeTimeoutMs = 1_000;
@@ -120,9 +121,14 @@
     return connection;
   }
 
-  function stopLingering(connection: Connection): void {
+  /** Returns whether the connection lingered. */
+  function endLingering(connection: Connection): boolean {
     clearTimeout(connection.timer);
-    if (lingering.delete(connection)) {
+    return lingering.delete(connection);
+  }
+
+  function stopLingering(connection: Connection): void {
+    if (endLingering(connection)) {
       options.onLingered();
     }
   }
@@ -181,6 +187,15 @@
     }
   }
 
+  function closeIdle(socket: Socket): void {
+    const { bytesRead } = socket;
+    void readArrivals().then(() => {
+      if (socket.bytesRead === bytesRead) {
+        socket.destroy();
+      }
+    });
+  }
+
   function noteOver(connection: Connection, outgoing: ServerResponse): void {
     connection.unanswered.delete(outgoing);
     noteActive(connection);
@@ -199,14 +214,10 @@
   }
 
   return {
-    add,
-    closeIdle(socket) {
-      const { bytesRead } = socket;
-      void readArrivals().then(() => {
-        if (socket.bytesRead === bytesRead) {
-          socket.destroy();
-        }
-      });
+    watch(server, event = 'connection') {
+      server.prependListener(event, add);
+      // With a listener, the runtime closes no idle connection by itself.
+      server.on('timeout', closeIdle);
     },
     take(incoming, outgoing) {
       const connection = connections.get(incoming.socket) ?? add(incoming.socket);
@@ -215,8 +226,7 @@
       }
       connection.unanswered.set(outgoing, incoming);
       // Without a notice: the port is not idle, and its owner counts the request only once it is taken.
-      clearTimeout(connection.timer);
-      lingering.delete(connection);
+      endLingering(connection);
       return {
         announceClose: () => announceClose(connection, outgoing),
         noteOver: () => noteOver(connection, outgoing),
