Use the map's own way to remember a first time

The time since which a trial waits was read and written by hand beside the map's getOrCreate, which does the same. No behaviour changes; the tests of the quarantine pass.

--- a/packages/routing/src/fleet/partTrials.ts
+++ b/packages/routing/src/fleet/partTrials.ts
@@ -43,9 +43,7 @@
 
   function hasWaited(partFingerprint: string): boolean {
     const nowMs = monotonicNowMs();
-    const sinceMs = waitingSinceMs.get(partFingerprint) ?? nowMs;
-    waitingSinceMs.set(partFingerprint, sinceMs);
-    return nowMs - sinceMs >= unsuspectedWaitMs;
+    return nowMs - waitingSinceMs.getOrCreate(partFingerprint, () => nowMs) >= unsuspectedWaitMs;
   }
 
   return {
