--- a/packages/entry/__tests__/agentConnectionEnd.test.ts
+++ b/packages/entry/__tests__/agentConnectionEnd.test.ts
@@ -11,7 +11,7 @@
 const body = 'x'.repeat(100_000);
 
 test('a connection that an agent closes behind a response that is read slowly loses nothing of it', async (t) => {
-  // The client's parser was paused when the connection ended, an error that nobody handled: it ended the entry.
+  // The client's parser was paused when the connection ended, which was an unhandled error: it ended the entry.
   const server = createServer((socket) => {
     socket.once('data', () =>
       socket.end(
--- a/packages/ports/__tests__/boundedClient.test.ts
+++ b/packages/ports/__tests__/boundedClient.test.ts
@@ -69,7 +69,7 @@
   { name: 'without a length', head: '' },
 ].forEach(({ name, head }) => {
   test(`a response ${name} whose connection is closed while it is not read arrives whole`, async (t) => {
-    // The end of a connection whose parser was paused was an error that nobody handled: it ended the process.
+    // The end of a connection whose parser was paused was an unhandled error: it ended the process.
     const server = createServer((socket) => {
       socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\n${head}\r\nwhole`);
     });
--- a/packages/routing/__tests__/backendInput.test.ts
+++ b/packages/routing/__tests__/backendInput.test.ts
@@ -123,7 +123,7 @@
 const unreadMs = 50;
 
 test('a connection that is reset before its response is read loses the response', async (t) => {
-  // The end of a connection whose parser was paused was an error that nobody handled: it ended the process.
+  // The end of a connection whose parser was paused was an unhandled error: it ended the process.
   const { address } = await startRawServer(t, (socket) => {
     socket.write(`${closeHead}\r\npart`);
     setTimeout(() => socket.resetAndDestroy(), unreadMs / 2);
