--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -35,6 +35,7 @@
   HttpResponse,
   HttpCall,
   HttpOutcome,
+  ResponseOrigin,
 } from './servers/httpCall';
 export { createResponseWriter } from './callers/httpExchange';
 export { forwardBody, type ForwardOutcome } from './request/forwardBody';
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -10,6 +10,7 @@
   type ForeignResponseEvidence,
   type HttpCall,
   type HttpOutcome,
+  type ResponseOrigin,
 } from './httpCall';
 import type { ConnectionEnd } from './connectionEnd';
 import { hasJoinedHeads } from './joinedHeads';
@@ -21,7 +22,7 @@
   /** Among all connections of this process. */
   number: number;
   callCount: number;
-  /** See `ForeignResponseEvidence`. */
+  /** See `ResponseOrigin`. */
   latestCalls: readonly string[];
   /** Whether the end of the connection marks the end of the current response. */
   isCloseDelimited: boolean;
@@ -94,6 +95,13 @@
     );
   }
 
+  function originNow(): ResponseOrigin {
+    return {
+      ...{ connection: connection.number, earlierCalls, latestCalls },
+      sinceSentMs: monotonicNowMs() - sentAtMs,
+    };
+  }
+
   function discard(detail: string): void {
     events.onAbandoned();
     endWithoutResponse({ kind: 'lost', detail, isOurs }, detail);
@@ -104,8 +112,7 @@
       ...{ address: call.address, status },
       expectedId: expectedId?.slice(0, maxLoggedLength),
       echoedId: echoedId?.slice(0, maxLoggedLength),
-      ...{ connection: connection.number, earlierCalls, latestCalls },
-      sinceSentMs: monotonicNowMs() - sentAtMs,
+      ...originNow(),
     });
     discard(echoedId === undefined ? 'response without the id' : 'response with another id');
   }
@@ -245,7 +252,7 @@
       body.isUnframed = !isFramed;
       resolve({
         kind: 'answered',
-        response: { status, headers, body, distrust: events.onDistrusted },
+        response: { status, headers, body, origin: originNow(), distrust: events.onDistrusted },
       });
     },
     onResponseData(_controller, chunk) {
--- a/packages/routing/src/servers/httpCall.ts
+++ b/packages/routing/src/servers/httpCall.ts
@@ -36,14 +36,8 @@
   maxConnections: number;
 }
 
-/** A response that is not that of its call, with what its connection had carried. */
-export interface ForeignResponseEvidence {
-  address: string;
-  status: number;
-  /** Id of the caller's request; undefined for the router's own calls. */
-  expectedId?: string;
-  /** The id in the response; undefined if it has none. */
-  echoedId?: string;
+/** On which connection a response has come, and when. */
+export interface ResponseOrigin {
   /** Number of the connection among all that this process has opened. */
   connection: number;
   /** How many calls the connection had carried before. */
@@ -53,11 +47,22 @@
   sinceSentMs: number;
 }
 
+/** A response that is not that of its call, with what its connection had carried. */
+export interface ForeignResponseEvidence extends ResponseOrigin {
+  address: string;
+  status: number;
+  /** Id of the caller's request; undefined for the router's own calls. */
+  expectedId?: string;
+  /** The id in the response; undefined if it has none. */
+  echoedId?: string;
+}
+
 export interface HttpResponse {
   status: number;
   /** Alternating names and values. */
   headers: readonly string[];
   body: ResponseBody;
+  origin: ResponseOrigin;
   /**
    * Closes the connection, as its responses may not be those of their calls. Anonymous calls to the address, which alone
    * cannot be checked, share no connection with requests from then on: a server may send such a response to each of them.
--- a/packages/routing/src/servers/serverMetrics.ts
+++ b/packages/routing/src/servers/serverMetrics.ts
@@ -15,6 +15,8 @@
   countAbandonedAnswer(): void;
   /** Counts responses that were not their call's, by the id that they had. */
   countForeignResponse(id: string): void;
+  /** `sign`: what says that the request did not run. */
+  countRejection(status: number, sign: 'header' | 'status'): void;
   /** Counts notices of backend servers about themselves, by kind. */
   countServerNotice(kind: string): void;
   /** Counts periods in which an engine was unresponsive, as noticed by this router itself. */
@@ -62,6 +64,11 @@
     "Responses of backend servers that were not their call's, by the id that they had: another one, or none.",
     ['id'],
   );
+  const rejections = counter(
+    'bluebell_backend_rejections_total',
+    "Responses of backend servers that say that a caller's request did not run, by status and by what says so: a header, or the status alone.",
+    ['status', 'sign'],
+  );
   const notices = counter(
     'bluebell_server_words_total',
     'Answers in which a backend server says something of itself, by what it says.',
@@ -87,6 +94,7 @@
     countPermit: (outcome) => permits.inc({ outcome }),
     countAbandonedAnswer: () => abandonedAnswers.inc(),
     countForeignResponse: (id) => foreignResponses.inc({ id }),
+    countRejection: (status, sign) => rejections.inc({ status: String(status), sign }),
     countServerNotice: (notice) => notices.inc({ word: notice }),
     countUnresponsivePeriod: (service, cause) => unresponsivePeriods.inc({ service, cause }),
     observeUnresponsivePeriod: (service, durationMs) =>
