Find a response that breaks off in its first line, however the next one arrives

Cause: a superfluous response breaks off in its first line, and the parser reads the status line of the due response as its reason phrase. The check for that asked the HTTP client for the phrase, of which it keeps only the part of the last read.

The first line of each response is read before the parser now, byte by byte whatever the reads, in the input of each connection: for runs, prefills, reservations, health checks, agents and their engines, entries and their agents, and the stores. A status line cannot be joined behind a version, a code, a header's name or a line's end, where the parser fails: a test cuts a rejection at each byte.

--- a/packages/ports/__tests__/boundedClient.test.ts
+++ b/packages/ports/__tests__/boundedClient.test.ts
@@ -38,6 +38,13 @@
   });
 });
 
+test('a response that breaks off in its first line is not taken for the one behind it', async (t) => {
+  // The status of the first, with the headers and the body of the second: a rejection with what was produced for the call.
+  const due = 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx';
+  await t.throwsAsync(read(t, `HTTP/1.1 503 Service Unavai${due}`), { message: /two heads/ });
+  t.is(await read(t, `HTTP/1.1 103 Early Hints\r\n\r\n${due}`), 'x');
+});
+
 const slowMs = 20;
 
 /** The body, by a reader that pauses at the head and after each part. */
--- a/packages/ports/src/boundedClient.ts
+++ b/packages/ports/src/boundedClient.ts
@@ -1,4 +1,7 @@
-/** HTTP clients whose calls end when many lines or bytes have brought a response no nearer to its end. */
+/**
+ * HTTP clients whose calls end when many lines or bytes have brought a response no nearer to its end, or when the head of the response
+ * is joined with that of another one.
+ */
 import { Agent, Client, DecoratorHandler, Pool, buildConnector, type Dispatcher } from 'undici';
 import { createConnectionInput, type ConnectionInput } from './connectionInput';
 
@@ -43,6 +46,7 @@
   return {
     onRequestStart(controller, context) {
       input.noteProgress();
+      input.expectHead();
       // The handler's pauses are those of the input: see `ConnectionInput`.
       Object.assign(controller, { pause: input.pause, resume: input.resume });
       inner.onRequestStart(controller, context);
@@ -50,10 +54,15 @@
     onRequestUpgrade: (...args) => inner.onRequestUpgrade(...args),
     onResponseStart(controller, status, ...rest) {
       // The decorator accepts one head only, which interim responses would take.
-      if (status >= minFinalStatus) {
-        input.noteProgress();
-        inner.onResponseStart(controller, status, ...rest);
+      if (status < minFinalStatus) {
+        return;
       }
+      input.noteProgress();
+      if (input.hasJoinedHeads()) {
+        controller.abort(new Error('two heads in one'));
+        return;
+      }
+      inner.onResponseStart(controller, status, ...rest);
     },
     onResponseData(...args) {
       input.noteProgress();
--- a/packages/ports/src/connectionInput.ts
+++ b/packages/ports/src/connectionInput.ts
@@ -5,10 +5,15 @@
  * call is ended when many lines or bytes have brought its response no nearer to its end.
  */
 import type { Socket } from 'node:net';
+import { createStatusLineScan } from './statusLineScan';
 
 export interface ConnectionInput {
   /** To be called when the connection is open and before anything is read; once for each connection. */
   watch(socket: Socket): void;
+  /** What arrives next is the head of a response: its call is about to be sent. */
+  expectHead(): void;
+  /** Whether the head that has arrived is two heads: see `createStatusLineScan`. Its response is that of no call. */
+  hasJoinedHeads(): boolean;
   /** Bytes received on the connection so far. */
   receivedBytes(): number;
   /** A response has come nearer to its end: its head is complete, a part of its body has arrived, or it has ended. */
@@ -39,6 +44,7 @@
   /** The parser has been handed input, and has not asked for more yet. */
   let isParsing = false;
   let listener: FloodListener | undefined;
+  const statusLines = createStatusLineScan();
 
   const receivedBytes = () => socket?.bytesRead ?? 0;
 
@@ -69,6 +75,7 @@
       progressAtBytes = 0;
       linesSinceProgress = 0;
       isPaused = false;
+      statusLines.restart();
       const readAll = watched.read.bind(watched) as (size?: number) => Buffer | null;
       // The parser reads until there is nothing left, and reports progress in between.
       watched.read = (size?: number) => {
@@ -78,10 +85,15 @@
         const input = isPaused ? null : readAll(size);
         const taken = input === null ? null : takeLines(watched, input);
         isParsing = taken !== null;
+        if (taken !== null) {
+          statusLines.push(taken);
+        }
         return taken;
       };
       watched.on('readable', checkBytes);
     },
+    expectHead: statusLines.restart,
+    hasJoinedHeads: statusLines.hasJoinedLines,
     receivedBytes,
     noteProgress() {
       progressAtBytes = receivedBytes();
--- a/packages/routing/__tests__/connectionReuse.test.ts
+++ b/packages/routing/__tests__/connectionReuse.test.ts
@@ -251,6 +251,57 @@
   });
 });
 
+/** All identities of calls; with an id, it is that of the call. */
+const identities: CallIdentity[] = [
+  { kind: 'identified', header, id: 'q1' },
+  { kind: 'anonymous', header },
+  { kind: 'unmarked' },
+];
+const readLengths = [3, 9, 12, 15, 20, 40];
+
+identities.forEach((identity) => {
+  test(`a response behind one that is cut off in its first line is lost, however it arrives: ${identity.kind}`, async (t) => {
+    // The parser forgets the start of a reason phrase that arrives in several reads.
+    const dueId = identity.kind === 'anonymous' ? '' : 'q1';
+    const due = answer(dueId, 'own').replace('Request-Id: \r\n', '');
+    const lengths = [...readLengths];
+    const { address } = await startRawServer(t, (socket) => {
+      const length = lengths.shift() ?? 0;
+      socket.write('HTTP/1.1 421 Misdir');
+      setTimeout(() => socket.write(due.slice(0, length)), 15);
+      setTimeout(() => socket.write(due.slice(length)), 30);
+    });
+    const connections = createConnections(t);
+    for (const length of readLengths) {
+      const outcome = await connections.call(createCall(address, 'q1', { identity }));
+      t.like(outcome, { kind: 'lost', detail: 'two heads in one' }, `${length}`);
+    }
+  });
+});
+
+test('a rejection that is cut off at any byte of its head is never taken for the response behind it', async (t) => {
+  // Its status would be that of the rejection, and its id that of the call, which runs.
+  const rejection =
+    'HTTP/1.1 503 Full\r\nNot-Run: 1\r\nRequest-Id: q1\r\nAny: a b\r\nContent-Length: 0\r\n\r';
+  const cuts = Array.from({ length: rejection.length }, (_none, index) =>
+    rejection.slice(0, index + 1),
+  );
+  const due = answer('q1', 'own');
+  const outcomes = await Promise.all(
+    cuts.flatMap((cut) =>
+      [1, 7, due.length].map(async (length) => {
+        const { address } = await startRawServer(t, (socket) => {
+          socket.write(cut);
+          setTimeout(() => socket.write(due.slice(0, length)), 20);
+          setTimeout(() => socket.write(due.slice(length)), 40);
+        });
+        return bodyOf(await createConnections(t).call(createCall(address, 'q1')));
+      }),
+    ),
+  );
+  t.deepEqual([...new Set(outcomes)], ['lost']);
+});
+
 test('an id that looks like a status line is no sign of a second head', async (t) => {
   // A caller could otherwise have sound servers counted as failing.
   const { address } = await startRawServer(t, (socket, text) => {
--- a/packages/routing/src/servers/backendExchange.ts
+++ b/packages/routing/src/servers/backendExchange.ts
@@ -13,7 +13,7 @@
   type ResponseOrigin,
 } from './httpCall';
 import type { ConnectionEnd } from './connectionEnd';
-import { hasJoinedHeads } from './joinedHeads';
+import { hasJoinedHeaders } from './joinedHeads';
 import { isFinal, isInterim, resolveFraming } from './responseHead';
 
 /** The part of a connection that a call uses. */
@@ -215,7 +215,7 @@
       sentAtMs = monotonicNowMs();
       noteOnConnection();
     },
-    onResponseStart(controller, status, _headers, reason = '') {
+    onResponseStart(controller, status) {
       if (isInterim(status)) {
         return;
       }
@@ -232,7 +232,7 @@
         discardForeign(status, foreign);
         return;
       }
-      if (hasJoinedHeads(call.identity, reason, headers)) {
+      if (input.hasJoinedHeads() || hasJoinedHeaders(call.identity, headers)) {
         discard('two heads in one');
         return;
       }
@@ -291,6 +291,7 @@
     }
     call.signal?.addEventListener('abort', onAbort);
     input.noteProgress();
+    input.expectHead();
     receivedAtStart = input.receivedBytes();
     input.onFlooded(abandon);
     connection.client.dispatch(
--- a/packages/routing/src/servers/joinedHeads.ts
+++ b/packages/routing/src/servers/joinedHeads.ts
@@ -1,6 +1,7 @@
 /**
- * A superfluous response that breaks off inside its head leaves the HTTP parser there. The head of the next response is then
- * read as the rest of a header: the status is that of the first, and the id that of the second.
+ * A superfluous response that breaks off in the value of a header leaves the HTTP parser there. The head of the next response is
+ * then read as the rest of the value: the status is that of the first, and the id that of the second. One that breaks off in its
+ * first line is found before the parser: see `ConnectionInput`.
  */
 import { expectedIdOf, type CallIdentity } from './callIdentity';
 
@@ -11,14 +12,10 @@
  * has written. A server that names no request has its connection to one call, and any header. Headers alternate names and
  * values.
  */
-export function hasJoinedHeads(
-  identity: CallIdentity,
-  reason: string,
-  headers: readonly string[],
-): boolean {
+export function hasJoinedHeaders(identity: CallIdentity, headers: readonly string[]): boolean {
   if (identity.kind === 'unmarked') {
     return false;
   }
   const ownId = expectedIdOf(identity);
-  return [reason, ...headers].some((text) => text !== ownId && statusLinePattern.test(text));
+  return headers.some((text) => text !== ownId && statusLinePattern.test(text));
 }
