Promise callers that a request has not run only with its server's statement

Cause: what a server answers was passed on whatever its status promises, in two places, one for plain requests and one for streams.

Both send through one function now, sendRun, which counts the sending too.

--- a/packages/routing/src/request/plainAttempt.ts
+++ b/packages/routing/src/request/plainAttempt.ts
@@ -6,9 +6,10 @@
 import { drainBody, readWholeBody } from '../servers/responseBody';
 import { forwardBody } from './forwardBody';
 import { lostRunCauses, recordLostRun } from './lostRuns';
-import { maySend, remainingMs, type RequestState } from './requestState';
+import type { RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 import type { Contender } from './runContest';
+import { sendRun } from './sendRun';
 
 /** Outcome of one attempt. */
 export type Attempt =
@@ -59,21 +60,13 @@
   server: BackendServer,
   { state, deps, contender, isStandby }: AttemptOptions,
 ): Promise<Attempt> {
-  const { backend, serverLoads, health } = deps;
+  const { serverLoads, health } = deps;
   const endLoad = serverLoads.begin(server.id);
   health.beginAttempt(server.id, monotonicNowMs());
   const startedAtMs = monotonicNowMs();
-  const availableMs = remainingMs(state);
   const signal = AbortSignal.any([state.signal, contender.signal]);
-  state.lastSentAtMs = startedAtMs;
-  state.sentCount += 1;
-  const outcome = await backend.run(server, state.request, {
-    remainingMs: availableMs,
-    headTimeoutMs: availableMs,
-    maySend: () => maySend(state),
-    signal,
-    lastEventId: state.request.lastEventId,
-  });
+  const { lastEventId } = state.request;
+  const outcome = await sendRun(server, state, deps, { signal, lastEventId });
   const attempt = await readAttempt(outcome, state, contender);
   contender.leave();
   endLoad();
--- a/packages/routing/src/request/streamRun.ts
+++ b/packages/routing/src/request/streamRun.ts
@@ -16,17 +16,11 @@
 import { createPlacementRequest, excludedIds } from './runPlacement';
 import { watchRun, type RunWatch } from './runWatch';
 import type { Contender, RunContest } from './runContest';
-import {
-  maySend,
-  noteStep,
-  reasonNotToSend,
-  remainingMs,
-  type NotSendable,
-  type RequestState,
-} from './requestState';
+import { noteStep, reasonNotToSend, type NotSendable, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 import { createRunObserver } from './runObserver';
 import { noteBrokenRun, noteCompleteRun, noteFailedRun, noteOrigin } from './runResults';
+import { sendRun } from './sendRun';
 import { isStream, type StreamRelay } from './streamRelay';
 import { releaseUnsent, releaseUnused } from './unusedMemory';
 
@@ -227,7 +221,6 @@
   const { state, deps, relay, contender } = run;
   const { server } = reservation;
   const startedAtMs = monotonicNowMs();
-  const availableMs = remainingMs(state);
   const eventTimes: EventTimes = {};
   const breakRun = (detail: string): RunOutcome => {
     const isOurs = signal.aborted || run.signal.aborted;
@@ -244,12 +237,7 @@
   if (prefill === undefined) {
     noteStep(state, 'prompt at decode');
   }
-  state.lastSentAtMs = startedAtMs;
-  state.sentCount += 1;
-  const outcome = await deps.backend.run(server, state.request, {
-    remainingMs: availableMs,
-    headTimeoutMs: availableMs,
-    maySend: () => maySend(state),
+  const outcome = await sendRun(server, state, deps, {
     signal: AbortSignal.any([run.signal, signal]),
     ...{ reservation, prefill },
     lastEventId: relay.lastEventId(),
