Do not repeat a request that the configuration in force forbids to repeat

Callers: a request that the newest configuration counts among those that run once could run at two servers, if it had arrived under a version that let it be repeated: its first response was lost and it was sent on.

Cause: what may be repeated was read from the route of the arrival. Now the route that the configuration in force has for the same host and path must allow it too, asked at each repetition: further attempts, attempts beside a late server, streams that go on, and unproven rejections.

The record does not show it: a lost response would have been logged.

--- a/packages/routing/src/request/plainAttempt.ts
+++ b/packages/routing/src/request/plainAttempt.ts
@@ -161,9 +161,7 @@
   }
   // A failure that is too long to be kept is passed on at once, like an answer.
   const isFailure =
-    bodyRead.kind === 'whole' &&
-    status >= minServerErrorStatus &&
-    state.route.kind === routeKinds.idempotent;
+    bodyRead.kind === 'whole' && status >= minServerErrorStatus && state.mayRepeat();
   if (!isFailure && !contender.claim()) {
     response.body.abandon('another attempt was answered');
     return { kind: 'superseded' };
--- a/packages/routing/src/request/plainRequest.ts
+++ b/packages/routing/src/request/plainRequest.ts
@@ -1,12 +1,6 @@
 /** Serves a request of a plain route: one complete response, with further attempts where the route allows them. */
 import { monotonicNowMs, startPauseTolerantTimer } from '@bluebellhitch/shared';
-import {
-  notRunReasons,
-  routeKinds,
-  type BackendServer,
-  type NotRunReason,
-  type Refusal,
-} from '../model';
+import { notRunReasons, type BackendServer, type NotRunReason, type Refusal } from '../model';
 import {
   attemptCauses,
   reserveFurtherAttempt,
@@ -118,6 +112,7 @@
   // A response that is being passed on is not late, however long that takes.
   const mayBegin =
     !contest.hasWinner() &&
+    state.mayRepeat() &&
     state.sentCount < state.route.maxAttempts &&
     reasonNotToSend(state) === undefined;
   const reserved = mayBegin ? reserveFurtherAttempt(state, attemptCauses.failed, deps) : undefined;
@@ -146,7 +141,7 @@
 /** Reports an attempt that is late, again and again, if another server may be tried; call the result at its end. */
 function watchLateness(state: RequestState, onLate: (lateMs: number) => void): () => void {
   const { route } = state;
-  if (route.kind !== routeKinds.idempotent || route.maxAttempts <= 1) {
+  if (!state.mayRepeat() || route.maxAttempts <= 1) {
     return () => undefined;
   }
   const startedAtMs = monotonicNowMs();
@@ -188,7 +183,7 @@
       return false;
     case 'server-failure':
     case 'lost':
-      return state.route.kind === routeKinds.idempotent;
+      return state.mayRepeat();
   }
 }
 
--- a/packages/routing/src/request/requestRouter.ts
+++ b/packages/routing/src/request/requestRouter.ts
@@ -24,7 +24,7 @@
 import { servePlain } from './plainRequest';
 import { createOutcomeRecorder } from './requestOutcome';
 import { createRequestsInProgress } from './requestsInProgress';
-import type { RequestState } from './requestState';
+import { isRepeatable, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 import {
   isResumption,
@@ -208,6 +208,7 @@
       service,
       priority: workspace?.priority,
       isAccessGranted: () => isAccessGranted(route, request, workspace),
+      mayRepeat: () => isRepeatable(route) && isRepeatable(currentRoute(request) ?? route),
       identity,
       heldBackMs: guard.heldBackMs,
       resumedVersion,
@@ -230,6 +231,10 @@
       : options.quota.charge(workspace, request);
   }
 
+  function currentRoute({ host, target }: CallerRequest): Route | undefined {
+    return routeTable()?.match(host, target);
+  }
+
   function isAccessGranted(
     route: Route,
     { credential }: CallerRequest,
--- a/packages/routing/src/request/requestState.ts
+++ b/packages/routing/src/request/requestState.ts
@@ -3,6 +3,7 @@
 import type { CallerExchange } from '../callerApi';
 import {
   notRunReasons,
+  routeKinds,
   type CallerRequest,
   type Refusal,
   type Route,
@@ -23,6 +24,8 @@
   priority: number;
   /** Whether the current configuration still grants the request access; checked before each attempt. */
   isAccessGranted: () => boolean;
+  /** Whether the request may run once more after it may have run; the current configuration counts too. */
+  mayRepeat: () => boolean;
   identity: RequestIdentity;
   /** Time until the request may be sent to servers again; undefined if it may be sent now. */
   heldBackMs: () => number | undefined;
@@ -70,6 +73,8 @@
   service: ServiceSettings;
   priority?: number;
   isAccessGranted?: () => boolean;
+  /** Default: by the route. */
+  mayRepeat?: () => boolean;
   identity?: RequestIdentity;
   heldBackMs?: () => number | undefined;
   resumedVersion?: string;
@@ -87,6 +92,7 @@
 export function createRequestState(options: RequestStateOptions): StartedRequest {
   const { exchange, route, service, priority = route.priority } = options;
   const { isAccessGranted = () => true, heldBackMs = () => undefined } = options;
+  const { mayRepeat = () => isRepeatable(route) } = options;
   const { request } = exchange;
   const { identity = createRequestIdentity(request) } = options;
   const endsAtMs = Math.min(request.arrivedAtMs + route.timeoutMs, request.deadlineAtMs);
@@ -99,6 +105,7 @@
     service,
     priority,
     isAccessGranted,
+    mayRepeat,
     identity,
     heldBackMs,
     endsAtMs,
@@ -124,6 +131,11 @@
   };
 }
 
+/** Whether requests of the route do no harm if they run more than once. */
+export function isRepeatable({ kind, allowsResume }: Route): boolean {
+  return kind === routeKinds.idempotent || (kind === routeKinds.stream && allowsResume);
+}
+
 export function noteStep(state: RequestState, detail: string): void {
   const atMs = Math.round(monotonicNowMs() - state.request.arrivedAtMs);
   state.trail.push({ atMs, detail });
--- a/packages/routing/src/request/sendRun.ts
+++ b/packages/routing/src/request/sendRun.ts
@@ -1,7 +1,7 @@
 /** Sends a caller's request to a backend server, and reads what the response may promise to the caller. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { BackendResponse, CallOutcome, RunOptions } from '../backendApi';
-import { routeKinds, type BackendServer, type Route } from '../model';
+import type { BackendServer } from '../model';
 import { drainBody } from '../servers/responseBody';
 import { maySend, remainingMs, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
@@ -27,12 +27,7 @@
     headTimeoutMs: availableMs,
     maySend: () => maySend(state),
   });
-  return mayRunAgain(state.route) ? outcome : withoutUnprovenPromise(outcome);
-}
-
-/** Whether the request does no harm if it runs more than once. */
-function mayRunAgain({ kind, allowsResume }: Route): boolean {
-  return kind === routeKinds.idempotent || (kind === routeKinds.stream && allowsResume);
+  return state.mayRepeat() ? outcome : withoutUnprovenPromise(outcome);
 }
 
 /** A response that states that nothing ran has become `not-run`; of any other one with such a status, nothing is known. */
--- a/packages/routing/src/request/streamRequest.ts
+++ b/packages/routing/src/request/streamRequest.ts
@@ -70,7 +70,7 @@
         : undefined;
     case 'broken': {
       const mayResume =
-        state.route.allowsResume &&
+        state.mayRepeat() &&
         state.sentCount < state.route.maxAttempts &&
         reasonNotToSend(state) === undefined;
       return mayResume ? reserveFurtherAttempt(state, attemptCauses.resume, deps) : undefined;
--- a/packages/routing/src/request/streamRuns.ts
+++ b/packages/routing/src/request/streamRuns.ts
@@ -54,7 +54,7 @@
   const { state, deps } = run;
   const { route, sentCount } = state;
   const mayBegin =
-    route.allowsResume && sentCount < route.maxAttempts && reasonNotToSend(state) === undefined;
+    state.mayRepeat() && sentCount < route.maxAttempts && reasonNotToSend(state) === undefined;
   const attempt = mayBegin ? reserveFurtherAttempt(state, attemptCauses.resume, deps) : undefined;
   if (attempt === undefined) {
     return undefined;
