Take a host as unreachable only for calls that failed to connect

Callers of the own interface: a request that may run once could be sent to a second server although the first one had it. Writers of claims and leases: a write that may have taken effect counted as one that had none.

The failed system call tells them apart; the three lists of codes are one function now. Routers ask whether the call was written and were not affected.

No such failure of a real host was played.

--- a/packages/engine/src/callErrors.ts
+++ b/packages/engine/src/callErrors.ts
@@ -1,5 +1,6 @@
 /** Time-outs of calls to an engine, and the errors by which they end. */
 import type { ResponseBodyError } from '@bluebellhitch/ports';
+import { isConnectError } from '@bluebellhitch/shared';
 import type { EngineError } from './engineApi';
 import { errorBodySchema } from './engineWire';
 
@@ -42,13 +43,6 @@
   };
 }
 
-/** Error codes of failures before a connection was established: the request was certainly not sent. */
-const connectErrorCodes: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-];
 /** The client was closed; the request may have been sent before. */
 const closedErrorCodes: readonly string[] = ['UND_ERR_DESTROYED', 'UND_ERR_CLOSED'];
 const timeoutErrorCodes: readonly string[] = ['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT'];
@@ -56,7 +50,7 @@
 function errorFromCause(cause: unknown): EngineError {
   const code = String((cause as { code?: unknown }).code ?? '');
   const detail = cause instanceof Error ? cause.message : String(cause);
-  if (connectErrorCodes.includes(code)) {
+  if (isConnectError(cause)) {
     return { kind: 'not-started', detail };
   }
   if (closedErrorCodes.includes(code)) {
--- a/packages/entry/src/httpAgentClient.ts
+++ b/packages/entry/src/httpAgentClient.ts
@@ -20,6 +20,7 @@
 } from '@bluebellhitch/protocol';
 import { createBoundedAgent } from '@bluebellhitch/ports';
 import { credentialHeaders, innerAudiences, type InnerCredentials } from '@bluebellhitch/security';
+import { isConnectError } from '@bluebellhitch/shared';
 import type {
   AgentApi,
   AgentCallError,
@@ -58,13 +59,9 @@
 const controlProcedures: readonly string[] = ['heartbeat'];
 const keepAliveMs = 10_000;
 const maxRefusalBytes = 64 * 1024;
-/** Error codes which show that the agent did not receive the request or did not act on it. */
+/** Beside failures to connect: the agent did not receive the request, or did not act on it. */
 const notSentCodes: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
   'ENOTFOUND',
-  'UND_ERR_CONNECT_TIMEOUT',
   // The address in the list is none.
   'ERR_INVALID_URL',
   'UND_ERR_INVALID_ARG',
@@ -164,7 +161,7 @@
 function toCallError(error: unknown, callerSignal?: AbortSignal): AgentCallError {
   const causes = errorChain(error);
   const detail = causes.at(-1)?.message ?? String(error);
-  if (causes.some((cause) => notSentCodes.includes(String(Reflect.get(cause, 'code'))))) {
+  if (causes.some(isNotSent)) {
     return { kind: 'not-sent', detail };
   }
   if (callerSignal?.aborted) {
@@ -176,6 +173,10 @@
   return { kind: 'lost', detail };
 }
 
+function isNotSent(cause: Error): boolean {
+  return isConnectError(cause) || notSentCodes.includes(String(Reflect.get(cause, 'code')));
+}
+
 function errorChain(error: unknown): Error[] {
   if (!(error instanceof Error)) {
     return [];
--- a/packages/objects/src/callFailures.ts
+++ b/packages/objects/src/callFailures.ts
@@ -2,22 +2,14 @@
  * Classifies calls to a store that got no usable response. At-most-once claims and leases depend on the
  * difference between calls that certainly had no effect and calls that may have had one.
  */
+import { isConnectError } from '@bluebellhitch/shared';
 import type { PlatformError } from './platformApi';
 
-/** Error codes that mean the request was never sent, so it cannot have had an effect. */
-const notSentCodes: readonly string[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-];
-
 /** Error of a call that threw because its connection failed or it timed out. */
 export function lostResponseError(method: string, cause: unknown): PlatformError {
   const detail = cause instanceof Error ? cause.message : String(cause);
-  const code = (cause as { code?: unknown } | undefined)?.code;
-  if (typeof code === 'string' && notSentCodes.includes(code)) {
-    return { kind: 'unavailable', detail: `${code}: ${detail}` };
+  if (isConnectError(cause)) {
+    return { kind: 'unavailable', detail: `${(cause as NodeJS.ErrnoException).code}: ${detail}` };
   }
   return unusableResponseError(method, detail);
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -31,3 +31,4 @@
 export { createSharedRead, type SharedRead } from './sharedRead';
 export { ageMsOf, earlierBy, readClocks, type ClockReading } from './clockReading';
 export { watchSlowSenders, type SlowSenderOptions } from './slowSenders';
+export { isConnectError } from './connectErrors';
