--- a/packages/routing/__tests__/streamRun.test.ts
+++ b/packages/routing/__tests__/streamRun.test.ts
@@ -43,7 +43,7 @@
       ...{ request: { id: 'r1', arrivedAtMs: 0 }, service: { name: 's' }, priority: 1 },
       route: { name: 'long', targetLatencyMs: 900, targetGapMs: 300 },
       ...{ trail: [], sentCount: 0, endsAtMs: Infinity, failedServerIds: new Set() },
-      ...{ isAccessGranted: () => true, heldBackMs: nothing },
+      ...{ isAccessGranted: () => true, mayRepeat: () => false, heldBackMs: nothing },
     },
     deps: {
       placement: { place },
