--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -99,6 +99,7 @@
 export { createStreamSizes, type EndedStream, type StreamSizes } from './servers/streamSizes';
 export {
   notRunReasons,
+  notRunStatuses,
   quotaUnits,
   routeKinds,
   serverIdOf,
--- a/packages/routing/src/model.ts
+++ b/packages/routing/src/model.ts
@@ -219,6 +219,9 @@
   /** May have been executed: there was no complete response in time. */
   | { kind: 'timed-out' };
 
+/** Callers take these for the promise that the request has not run and never will, and send it again. */
+export const notRunStatuses: readonly number[] = [408, 421, 429, 503];
+
 export const notRunReasons = {
   noConfiguration: 'no-configuration',
   noServer: 'no-server',
--- a/packages/routing/src/request/sendRun.ts
+++ b/packages/routing/src/request/sendRun.ts
@@ -1,14 +1,11 @@
 /** Sends a caller's request to a backend server, and reads what the response may promise to the caller. */
 import { monotonicNowMs } from '@bluebellhitch/shared';
 import type { BackendResponse, CallOutcome, RunOptions } from '../backendApi';
-import type { BackendServer } from '../model';
+import { notRunStatuses, type BackendServer } from '../model';
 import { drainBody } from '../servers/responseBody';
 import { maySend, remainingMs, type RequestState } from './requestState';
 import type { RouterDependencies } from './routerDependencies';
 
-/** Callers take these for the promise that the request has not run and never will, and send it again. */
-const notRunStatuses: readonly number[] = [408, 421, 429, 503];
-
 export type SendOptions = Pick<RunOptions, 'signal' | 'reservation' | 'prefill' | 'lastEventId'>;
 
 /** Counts the request as one that has reached the server; the caller takes that back for one that did not. */
