Count a stop from a hold-up that its signal may have come in

Callers: a router that was stopped just after it had been held up was killed with requests in progress, which got no answer, and took a long request that it had no time for (no answer in place of 503).

Its process was idle until it was killed; the log shows that it took the signal for 11 and 25 ms old, not 1.2 s.

Cause: the system gives a signal to any thread, and one without processor time passes it on some passes of the event loop after all else that came in the hold-up.

--- a/packages/routing/src/callers/holdUpWatch.ts
+++ b/packages/routing/src/callers/holdUpWatch.ts
@@ -9,6 +9,11 @@
   recentMs(): number;
   /** How long what is read now may have waited for that, in ms: all that arrived before was read earlier. */
   unreadMs(): number;
+  /**
+   * How long a signal that is handled now may have waited, in ms. The system gives it to any thread, and one that gets no processor time
+   * passes it on later than all else is read: it may be as old as a hold-up that has just ended.
+   */
+  signalAgeMs(): number;
   stop(): void;
 }
 
@@ -23,6 +28,8 @@
 const minHoldUpMs = 50;
 /** Requests that arrived in a hold-up are read within about this time after it. */
 const memoryMs = 1_000;
+/** Longest time from the end of a hold-up to the handling of a signal that came in it. */
+const maxSignalDelayMs = 500;
 
 export function startHoldUpWatch({ onHoldUp }: HoldUpWatchOptions = {}): HoldUpWatch {
   let tickedAtMs = monotonicNowMs();
@@ -34,6 +41,8 @@
     return durationMs < minHoldUpMs ? 0 : durationMs;
   }
 
+  const unreadMs = () => monotonicNowMs() - readThroughMs;
+
   const timer = setInterval(() => {
     const nowMs = monotonicNowMs();
     const durationMs = currentMs(nowMs);
@@ -56,7 +65,14 @@
       const recent = holdUps.filter(({ endedAtMs }) => nowMs - endedAtMs <= memoryMs);
       return Math.max(currentMs(nowMs), ...recent.map(({ durationMs }) => durationMs));
     },
-    unreadMs: () => monotonicNowMs() - readThroughMs,
+    unreadMs,
+    signalAgeMs() {
+      const nowMs = monotonicNowMs();
+      const ages = holdUps
+        .filter(({ endedAtMs }) => nowMs - endedAtMs <= maxSignalDelayMs)
+        .map(({ endedAtMs, durationMs }) => nowMs - endedAtMs + durationMs + tickIntervalMs);
+      return Math.max(unreadMs(), ...ages);
+    },
     stop: () => clearInterval(timer),
   };
 }
