--- a/packages/ports/src/statusLineScan.ts
+++ b/packages/ports/src/statusLineScan.ts
@@ -20,7 +20,7 @@
 const carriageReturn = 0x0d;
 const protocolMark = 'HTTP/';
 const interimStart = /^HTTP\/\d\.\d 1/;
-/** So many characters show whether the response is an interim one. */
+/** Length that shows whether the response is an interim one. */
 const startLength = 'HTTP/1.1 1'.length;
 
 export function createStatusLineScan(): StatusLineScan {
@@ -31,7 +31,7 @@
   /** The first characters of the status line. */
   let start = '';
   let markCount = 0;
-  /** End of the status line so far, in which a mark may have begun. */
+  /** End of the status line so far, which may hold the start of a mark. */
   let overlap = '';
 
   function beginHead(): void {
--- a/packages/shared/src/connectErrors.ts
+++ b/packages/shared/src/connectErrors.ts
@@ -1,7 +1,7 @@
 /** Tells failures to connect, after which a call was certainly not sent, from those of established connections. */
 
 const connectTimeoutCode = 'UND_ERR_CONNECT_TIMEOUT';
-/** The system reports these for an established connection too, once it has sent data in vain. */
+/** The system reports these for an established connection too, once its retransmissions have failed. */
 const unreachableCodes: readonly string[] = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH'];
 const connectSyscall = 'connect';
 
